--- /dev/null
+++ b/src/api/api.c
@@ -0,0 +1,353 @@
+/*
+ * HTTP server: one epoll thread of libmicrohttpd. A request that waits for a
+ * target or for the platform suspends its connection and holds no thread.
+ */
+#include "api/api.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "api/request.h"
+#include "error/error.h"
+#include "log/log.h"
+#include "metric/metric.h"
+
+enum {
+	kConnectionMemoryBytes = 32768,
+	kConnectionsMax = 8192,
+	kAuthorizationMax = 512,
+	kAbortLooks = 1000,
+	kAbortLookUs = 5000,
+};
+
+struct api {
+	struct daemon *d;
+	struct MHD_Daemon *mhd;
+	/** Guards requests. */
+	pthread_mutex_t lock;
+	/** struct request of connections that are not done with them. */
+	GHashTable *requests;
+	gint active;
+	gint refuses_new;
+};
+
+static const struct endpoint endpoints[] = {
+    {"POST", "/v1/chat/completions", kAccessTeam, false, chat_start, NULL,
+	chat_step},
+    {NULL, "/v1/call/", kAccessTeam, false, plain_start, NULL, plain_step},
+    {"POST", "/v1/batches", kAccessTeam, true, batch_api_submit,
+	batch_api_on_body, NULL},
+    {"GET", "/v1/batches/", kAccessTeam, false, batch_api_get, NULL, NULL},
+    {"POST", "/v1/batches/", kAccessTeam, false, batch_api_post, NULL, NULL},
+    {"GET", "/v1/config", kAccessOperator, false, admin_config_get, NULL, NULL},
+    {"PUT", "/v1/config", kAccessOperator, false, admin_config_put, NULL, NULL},
+    {"GET", "/v1/config/history", kAccessOperator, false, admin_config_history,
+	NULL, NULL},
+    {"GET", "/v1/status", kAccessOperator, false, admin_status, NULL, NULL},
+    {"POST", "/v1/drain", kAccessOperator, false, admin_drain, NULL, NULL},
+    {"GET", "/healthz", kAccessAnyone, false, admin_health, NULL, NULL},
+    {"GET", "/readyz", kAccessAnyone, false, admin_ready, NULL, NULL},
+    {"GET", "/metrics", kAccessAnyone, false, admin_metrics, NULL, NULL},
+};
+
+static bool
+path_matches(const struct endpoint *ep, const char *url)
+{
+	if (g_str_has_suffix(ep->path, "/"))
+		return g_str_has_prefix(url, ep->path) &&
+		       url[strlen(ep->path)] != '\0';
+	return strcmp(ep->path, url) == 0;
+}
+
+/* @param path_known set if the path exists with another method */
+static const struct endpoint *
+endpoint_find(const char *method, const char *url, bool *path_known)
+{
+	*path_known = false;
+	for (size_t i = 0; i < G_N_ELEMENTS(endpoints); i++) {
+		const struct endpoint *ep = &endpoints[i];
+
+		if (!path_matches(ep, url))
+			continue;
+		if (ep->method == NULL || strcmp(ep->method, method) == 0)
+			return ep;
+		*path_known = true;
+	}
+	return NULL;
+}
+
+static bool
+key_is_operators(const struct daemon *d, const char *key)
+{
+	char *sum = g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+	bool same = d->set->operator_key_sha256[0] != '\0' &&
+		    strcmp(sum, d->set->operator_key_sha256) == 0;
+
+	g_free(sum);
+	return same;
+}
+
+static void
+take_team(struct request *req, const char *key)
+{
+	struct config *cfg = config_holder_get(req->d->configs);
+	const struct config_team *team =
+	    cfg != NULL ? config_team_of_key(cfg, key) : NULL;
+
+	if (team != NULL) {
+		req->team = g_strdup(team->name);
+		req->weight = team->weight;
+		req->is_operator = team->is_operator;
+	} else if (key_is_operators(req->d, key)) {
+		req->team = g_strdup("operator");
+		req->is_operator = true;
+	}
+	config_unref(cfg);
+}
+
+/* @return false if the request was refused */
+static bool
+authorize(struct request *req)
+{
+	static const char scheme[] = "Bearer ";
+	const char *auth = request_header(req, "Authorization");
+
+	if (req->ep->access == kAccessAnyone)
+		return true;
+	if (auth != NULL && strlen(auth) < kAuthorizationMax &&
+	    g_str_has_prefix(auth, scheme))
+		take_team(req, auth + strlen(scheme));
+	if (req->team == NULL) {
+		request_reply_error(req, kErrUnauthorized,
+		    "a known API key is needed: Authorization: Bearer KEY", 0);
+		return false;
+	}
+	if (req->ep->access == kAccessOperator && !req->is_operator) {
+		request_reply_error(
+		    req, kErrForbidden, "the key is not an operator's", 0);
+		return false;
+	}
+	return true;
+}
+
+static bool
+check_length(struct request *req)
+{
+	const char *text = request_header(req, "Content-Length");
+	int64_t len = text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
+
+	if (req->ep->is_streamed_in || len <= req->d->set->body_max_bytes)
+		return true;
+	request_reply_error(req, kErrTooLarge, "the body is over the limit", 0);
+	return false;
+}
+
+static void
+begin(struct api *api, struct request *req)
+{
+	bool path_known;
+
+	req->ep = endpoint_find(req->method, req->url, &path_known);
+	if (req->ep == NULL) {
+		request_reply_error(req, path_known ? kErrMethod : kErrNotFound,
+		    path_known ? "the path knows other methods"
+			       : "there is no such path",
+		    0);
+		return;
+	}
+	req->rest = req->url + strlen(req->ep->path);
+	if (!authorize(req) || !check_length(req))
+		return;
+	if (req->ep->access != kAccessAnyone &&
+	    g_atomic_int_get(&api->refuses_new))
+		request_reply_error(req, kErrDraining,
+		    "this daemon is leaving; another one answers", kUsPerS);
+}
+
+static enum MHD_Result
+queue_reply(struct request *req)
+{
+	enum MHD_Result res =
+	    MHD_queue_response(req->con, req->status, req->response);
+
+	req->is_replied = true;
+	return res;
+}
+
+static struct request *
+request_new(struct api *api, struct MHD_Connection *con, const char *url,
+    const char *method)
+{
+	struct request *req = g_new0(struct request, 1);
+
+	req->refs = 1;
+	req->d = api->d;
+	pthread_mutex_init(&req->lock, NULL);
+	req->con = con;
+	req->url = g_strdup(url);
+	req->method = g_strdup(method);
+	req->body = g_string_new(NULL);
+	req->received_us = clock_mono_us(api->d->clk);
+	req->is_counted = true;
+	g_atomic_int_inc(&api->active);
+	pthread_mutex_lock(&api->lock);
+	g_hash_table_add(api->requests, req);
+	pthread_mutex_unlock(&api->lock);
+	metric_add(kMetRequests, 1);
+	return req;
+}
+
+static void
+take_body(struct request *req, const char *data, size_t len)
+{
+	if (req->response != NULL || req->body_too_large)
+		return;
+	if (!req->ep->is_streamed_in &&
+	    (int64_t)(req->body->len + len) > req->d->set->body_max_bytes) {
+		req->body_too_large = true;
+		return;
+	}
+	g_string_append_len(req->body, data, (gssize)len);
+	if (req->ep->is_streamed_in)
+		req->ep->on_body(req);
+}
+
+static void
+run(struct request *req)
+{
+	if (!req->is_started) {
+		req->is_started = true;
+		if (req->body_too_large)
+			request_reply_error(
+			    req, kErrTooLarge, "the body is over the limit", 0);
+		else
+			req->ep->start(req);
+	}
+	if (req->response == NULL && req->ep->step != NULL)
+		req->ep->step(req);
+}
+
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *con, const char *url,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **con_cls)
+{
+	struct api *api = cls;
+	struct request *req = *con_cls;
+
+	if (req == NULL) {
+		req = request_new(api, con, url, method);
+		*con_cls = req;
+		begin(api, req);
+		return req->response != NULL ? queue_reply(req) : MHD_YES;
+	}
+	if (*len > 0) {
+		take_body(req, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	if (req->response == NULL)
+		run(req);
+	return req->response != NULL ? queue_reply(req) : MHD_YES;
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *con, void **con_cls,
+    enum MHD_RequestTerminationCode code)
+{
+	struct api *api = cls;
+	struct request *req = *con_cls;
+
+	if (req == NULL)
+		return;
+	*con_cls = NULL;
+	pthread_mutex_lock(&api->lock);
+	g_hash_table_remove(api->requests, req);
+	pthread_mutex_unlock(&api->lock);
+	pthread_mutex_lock(&req->lock);
+	req->con = NULL;
+	pthread_mutex_unlock(&req->lock);
+	call_request_done(req);
+	g_atomic_int_add(&api->active, -1);
+	request_unref(req);
+}
+
+struct api *
+api_new(struct daemon *d, GError **err)
+{
+	struct api *api = g_new0(struct api, 1);
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	char ip[64];
+	uint16_t port = 0;
+
+	api->d = d;
+	pthread_mutex_init(&api->lock, NULL);
+	api->requests = g_hash_table_new(NULL, NULL);
+	settings_split_address(d->set->listen, ip, &port);
+	inet_pton(AF_INET, ip, &addr.sin_addr);
+	addr.sin_port = htons(port);
+	api->mhd = MHD_start_daemon(
+	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port,
+	    NULL, NULL, on_access, api, MHD_OPTION_SOCK_ADDR,
+	    (struct sockaddr *)&addr, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+	    api, MHD_OPTION_CONNECTION_TIMEOUT,
+	    (unsigned int)d->set->client_timeout_s,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)kConnectionMemoryBytes,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)kConnectionsMax,
+	    MHD_OPTION_END);
+	if (api->mhd == NULL) {
+		g_set_error(err, SF_ERROR, kErrSettingRange,
+		    "--listen: %s cannot be bound", d->set->listen);
+		g_free(api);
+		return NULL;
+	}
+	return api;
+}
+
+void
+api_refuse_new(struct api *api)
+{
+	MHD_socket fd;
+
+	g_atomic_int_set(&api->refuses_new, 1);
+	fd = MHD_quiesce_daemon(api->mhd);
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+int32_t
+api_active(struct api *api)
+{
+	return g_atomic_int_get(&api->active);
+}
+
+/* @return true if a connection was still suspended */
+static bool
+abort_requests(struct api *api)
+{
+	bool waited = false;
+	GHashTableIter it;
+	void *req;
+
+	pthread_mutex_lock(&api->lock);
+	g_hash_table_iter_init(&it, api->requests);
+	while (g_hash_table_iter_next(&it, &req, NULL))
+		waited = request_abort(req) || waited;
+	pthread_mutex_unlock(&api->lock);
+	return waited;
+}
+
+void
+api_free(struct api *api)
+{
+	/* libmicrohttpd must not be stopped while a connection is suspended. */
+	for (int i = 0; i < kAbortLooks && abort_requests(api); i++)
+		g_usleep(kAbortLookUs);
+	MHD_stop_daemon(api->mhd);
+	g_hash_table_unref(api->requests);
+	pthread_mutex_destroy(&api->lock);
+	g_free(api);
+}
--- /dev/null
+++ b/src/api/api_batch.c
@@ -0,0 +1,440 @@
+/*
+ * Batch jobs: JSON lines in, JSON lines out. An upload is checked and stored
+ * chunk by chunk while it comes in, so that a large job is never held whole.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "api/request.h"
+#include "error/error.h"
+#include "log/log.h"
+#include "savoryflow/batch/batch_store.h"
+#include "serve/batch_run.h"
+#include "serve/keeper.h"
+#include "serve/routes.h"
+
+enum {
+	kJobIdMax = 64,
+	kItemMaxBytes = 65536,
+	/* Bytes that may wait before the connection does. */
+	kPendingMaxBytes = 1 << 20,
+	/* Chunks of results in one answer. */
+	kResultChunks = 20,
+	kStoreRetryUs = 2 * kUsPerS,
+};
+
+struct batch_upload {
+	struct batch_job job;
+	GChecksum *digest;
+	/** Lines of the chunk that is being filled. */
+	GString *chunk;
+	int32_t chunk_lines;
+	int32_t chunks;
+	/** Part of req->body that is still to be split into lines. */
+	bool is_last;
+	bool in_work;
+	bool has_id;
+	bool failed;
+};
+
+void
+batch_upload_free(struct batch_upload *up)
+{
+	g_checksum_free(up->digest);
+	g_string_free(up->chunk, TRUE);
+	g_free(up->job.team);
+	g_free(up->job.id);
+	g_free(up->job.service);
+	g_free(up->job.upload);
+	g_free(up->job.digest);
+	g_free(up);
+}
+
+static bool
+is_job_id(const char *id)
+{
+	size_t len = strlen(id);
+
+	if (len < 1 || len > kJobIdMax)
+		return false;
+	for (size_t i = 0; i < len; i++)
+		if (!g_ascii_isalnum(id[i]) && strchr("-_.", id[i]) == NULL)
+			return false;
+	return true;
+}
+
+static void
+upload_fail(struct request *req, int code, const char *message)
+{
+	bool store = code == kErrStoreUnavailable;
+
+	req->upload->failed = true;
+	request_reply_error(req, code, message, store ? kStoreRetryUs : 0);
+}
+
+static bool
+service_is_engine(struct request *req, const char *service)
+{
+	struct config *cfg = config_holder_get(req->d->configs);
+	const struct config_service *svc =
+	    cfg != NULL && service != NULL
+		? g_hash_table_lookup(cfg->services, service)
+		: NULL;
+	bool is_engine = svc != NULL && svc->is_engine;
+
+	config_unref(cfg);
+	return is_engine;
+}
+
+static void
+upload_begin(struct request *req)
+{
+	struct batch_upload *up = g_new0(struct batch_upload, 1);
+	const char *service = request_argument(req, "service");
+	const char *id = request_header(req, "Savoryflow-Job-Id");
+	const char *due = request_header(req, "Savoryflow-Due");
+
+	req->upload = up;
+	up->digest = g_checksum_new(G_CHECKSUM_SHA256);
+	up->chunk = g_string_new(NULL);
+	up->has_id = id != NULL;
+	up->job.team = g_strdup(req->team);
+	up->job.id = g_strdup(id);
+	up->job.service = g_strdup(service);
+	up->job.upload =
+	    g_strdup_printf("%016" PRIx64, daemon_unique_id(req->d));
+	up->job.chunk_items = (int32_t)req->d->set->chunk_items;
+	up->job.weight = MAX(req->weight, 1);
+	up->job.created_us = clock_wall_us(req->d->clk);
+	if (due != NULL)
+		up->job.due_us = g_ascii_strtoll(due, NULL, 10) * kUsPerS;
+	if (!service_is_engine(req, service))
+		upload_fail(req, kErrUnknownService,
+		    "?service= names no engine service");
+	else if (id != NULL && !is_job_id(id))
+		upload_fail(req, kErrBadRequest,
+		    "Savoryflow-Job-Id: 1 to 64 of letters, digits, '-', '_', "
+		    "'.'");
+	else
+		g_checksum_update(up->digest, (const guchar *)service, -1);
+}
+
+static bool
+item_is_good(const char *line, size_t len)
+{
+	json_t *item =
+	    len <= kItemMaxBytes ? json_loadb(line, len, 0, NULL) : NULL;
+	json_t *body = json_object_get(item, "body");
+	json_t *messages = json_object_get(body, "messages");
+	bool good = json_is_array(messages) && json_array_size(messages) > 0;
+
+	json_decref(item);
+	return good;
+}
+
+static void
+flush_chunk(struct request *req)
+{
+	struct batch_upload *up = req->upload;
+
+	if (up->chunk_lines == 0)
+		return;
+	if (batch_put_input(req->d->plat, up->job.upload, up->chunks,
+		up->chunk->str, up->chunk->len) != kPlatformOk) {
+		upload_fail(req, kErrStoreUnavailable,
+		    "the items cannot be stored; no job was made");
+		return;
+	}
+	up->chunks++;
+	up->chunk_lines = 0;
+	g_string_truncate(up->chunk, 0);
+}
+
+static void
+take_item(struct request *req, const char *line, size_t len)
+{
+	struct batch_upload *up = req->upload;
+	char text[128];
+
+	if (len == 0)
+		return;
+	up->job.items++;
+	if (up->job.items > req->d->set->job_max_items) {
+		upload_fail(req, kErrTooLarge, "the job has too many items");
+		return;
+	}
+	if (!item_is_good(line, len)) {
+		g_snprintf(text, sizeof(text),
+		    "line %d is not {\"id\":...,\"body\":{\"messages\":[...]}}",
+		    up->job.items);
+		upload_fail(req, kErrBadItem, text);
+		return;
+	}
+	g_checksum_update(up->digest, (const guchar *)line, (gssize)len);
+	g_checksum_update(up->digest, (const guchar *)"\n", 1);
+	g_string_append_len(up->chunk, line, (gssize)len);
+	g_string_append_c(up->chunk, '\n');
+	up->chunk_lines++;
+	if (up->chunk_lines == up->job.chunk_items)
+		flush_chunk(req);
+}
+
+/* Worker: takes the whole lines out of what has come in. */
+static void
+take_lines(struct request *req)
+{
+	const char *text = req->body->str;
+	size_t len = req->body->len;
+	size_t used = 0;
+
+	while (!req->upload->failed && used < len) {
+		const char *eol = memchr(text + used, '\n', len - used);
+		size_t n;
+
+		if (eol == NULL && !req->upload->is_last)
+			break;
+		n = eol != NULL ? (size_t)(eol - text) - used : len - used;
+		take_item(req, text + used, n);
+		used += MIN(n + 1, len - used);
+	}
+	g_string_erase(req->body, 0, (gssize)used);
+	if (!req->upload->failed && req->body->len > kItemMaxBytes)
+		upload_fail(req, kErrBadItem, "an item is over 65536 bytes");
+}
+
+void
+batch_api_on_body(struct request *req)
+{
+	if (req->upload == NULL)
+		upload_begin(req);
+	if (req->upload->failed)
+		g_string_truncate(req->body, 0);
+	else if (req->body->len >= kPendingMaxBytes)
+		request_work(req, take_lines);
+}
+
+static json_t *
+job_json(const struct batch_job *job)
+{
+	return json_pack("{s:s,s:s,s:i,s:i,s:s}", "id", job->id, "service",
+	    job->service, "items", job->items, "chunks", batch_job_chunks(job),
+	    "digest", job->digest);
+}
+
+static void
+accept_job(struct request *req)
+{
+	struct batch_job *job = &req->upload->job;
+
+	switch (batch_submit(req->d->plat, job)) {
+	case kPlatformOk:
+		log_event(
+		    kEvtJobAccepted, "team", job->team, "job", job->id, NULL);
+		request_reply_json(req, MHD_HTTP_ACCEPTED, job_json(job));
+		keeper_kick_batch(req->d->keeper);
+		break;
+	case kPlatformConflict:
+		request_reply_error(
+		    req, kErrJobConflict, "the job id has other content", 0);
+		break;
+	case kPlatformAmbiguous:
+		request_reply_error_ran(req, kErrStoreAmbiguous,
+		    "the store lost the answer; send the same job again",
+		    kStoreRetryUs, true);
+		break;
+	default:
+		request_reply_error(req, kErrStoreUnavailable,
+		    "the job cannot be stored; it was not accepted",
+		    kStoreRetryUs);
+	}
+}
+
+/* Worker: the last items, then the job itself. */
+static void
+finish_upload(struct request *req)
+{
+	struct batch_upload *up = req->upload;
+
+	up->is_last = true;
+	take_lines(req);
+	if (!up->failed)
+		flush_chunk(req);
+	if (!up->failed && up->job.items == 0)
+		upload_fail(req, kErrBadItem, "the job has no items");
+	if (up->failed)
+		return;
+	up->job.digest = g_strdup(g_checksum_get_string(up->digest));
+	if (!up->has_id)
+		up->job.id = g_strndup(up->job.digest, 32);
+	accept_job(req);
+}
+
+void
+batch_api_submit(struct request *req)
+{
+	if (req->upload == NULL)
+		upload_begin(req);
+	if (!req->upload->failed)
+		request_work(req, finish_upload);
+}
+
+static void
+reply_store_error(struct request *req, enum platform_result res)
+{
+	if (res == kPlatformNotFound)
+		request_reply_error(
+		    req, kErrNotFound, "there is no such job", 0);
+	else
+		request_reply_error(req, kErrStoreUnavailable,
+		    "the store does not answer", kStoreRetryUs);
+}
+
+static void
+get_status(struct request *req)
+{
+	struct batch_progress p;
+	enum platform_result res =
+	    batch_progress(req->d->plat, req->team, req->rest, &p);
+
+	if (res != kPlatformOk) {
+		reply_store_error(req, res);
+		return;
+	}
+	request_reply_json(req, MHD_HTTP_OK,
+	    json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i}", "id", req->rest,
+		"state", batch_job_state_text(p.state), "items", p.items, "ok",
+		p.ok, "failed", p.failed, "chunks", p.chunks, "chunks_done",
+		p.chunks_done, "chunks_leased", p.chunks_leased));
+}
+
+struct results_page {
+	GString *text;
+	int32_t next;
+	bool is_complete;
+};
+
+/* Results of the done chunks from a number on, up to the first gap. */
+static enum platform_result
+read_results(struct request *req, const struct batch_job *job, int32_t from,
+    struct results_page *page)
+{
+	GPtrArray *chunks = NULL;
+	enum platform_result res = batch_chunks(req->d->plat, job, &chunks);
+	int32_t n = 0;
+
+	page->next = from;
+	for (; res == kPlatformOk && page->next < (int32_t)chunks->len &&
+	       n < kResultChunks;
+	     page->next++) {
+		const struct batch_chunk *chunk = chunks->pdata[page->next];
+		GBytes *data = NULL;
+		gsize len;
+
+		if (chunk->state != kChunkDone && job->state == kJobCancelled)
+			continue;
+		if (chunk->state != kChunkDone)
+			break;
+		res = batch_get_results(req->d->plat, chunk->object, &data);
+		if (res != kPlatformOk)
+			break;
+		g_string_append_len(page->text, g_bytes_get_data(data, &len),
+		    (gssize)g_bytes_get_size(data));
+		g_bytes_unref(data);
+		n++;
+	}
+	if (chunks != NULL) {
+		page->is_complete = page->next == (int32_t)chunks->len;
+		g_ptr_array_unref(chunks);
+	}
+	return res;
+}
+
+static void
+reply_results(struct request *req, const struct results_page *page)
+{
+	char next[16];
+
+	g_snprintf(next, sizeof(next), "%d", page->next);
+	request_reply_bytes(req, MHD_HTTP_OK, "application/jsonl",
+	    page->text->str, page->text->len);
+	request_reply_header(req, "Savoryflow-Next", next);
+	request_reply_header(
+	    req, "Savoryflow-Complete", page->is_complete ? "yes" : "no");
+}
+
+static void
+get_results(struct request *req)
+{
+	char *id = g_strndup(req->rest, strlen(req->rest) - strlen("/results"));
+	const char *from = request_argument(req, "from");
+	struct results_page page = {g_string_new(NULL), 0, false};
+	struct batch_job *job = NULL;
+	enum platform_result res =
+	    batch_get_job(req->d->plat, req->team, id, &job);
+
+	if (res == kPlatformOk)
+		res = read_results(req, job,
+		    from != NULL ? (int32_t)g_ascii_strtoll(from, NULL, 10) : 0,
+		    &page);
+	if (res == kPlatformOk)
+		reply_results(req, &page);
+	else
+		reply_store_error(req, res);
+	batch_job_free(job);
+	g_string_free(page.text, TRUE);
+	g_free(id);
+}
+
+void
+batch_api_get(struct request *req)
+{
+	if (g_str_has_suffix(req->rest, "/results"))
+		request_work(req, get_results);
+	else
+		request_work(req, get_status);
+}
+
+static void
+tell_cancelled(struct request *req, const char *id)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	GPtrArray *peers = routes_random_peers(req->d->routes, INT32_MAX);
+	char *name = g_strdup_printf("%s/%s", req->team, id);
+
+	env.n_cancelled_jobs = 1;
+	env.cancelled_jobs = &name;
+	for (guint i = 0; i < peers->len; i++)
+		peer_send(req->d->peer, peers->pdata[i], &env, kPeerControl);
+	batch_runner_cancel(req->d->batch, name);
+	g_ptr_array_unref(peers);
+	g_free(name);
+}
+
+static void
+cancel(struct request *req)
+{
+	char *id = g_strndup(req->rest, strlen(req->rest) - strlen("/cancel"));
+	enum platform_result res = batch_cancel(req->d->plat, req->team, id);
+
+	if (res == kPlatformOk) {
+		log_event(kEvtJobCancelled, "team", req->team, "job", id, NULL);
+		tell_cancelled(req, id);
+		request_reply_json(req, MHD_HTTP_OK,
+		    json_pack("{s:s,s:s}", "id", id, "state", "cancelled"));
+	} else if (res == kPlatformConflict) {
+		request_reply_error(req, kErrConflict, "the job has ended", 0);
+	} else {
+		reply_store_error(req, res);
+	}
+	g_free(id);
+}
+
+void
+batch_api_post(struct request *req)
+{
+	if (g_str_has_suffix(req->rest, "/cancel"))
+		request_work(req, cancel);
+	else
+		request_reply_error(
+		    req, kErrNotFound, "there is no such path", 0);
+}
--- /dev/null
+++ b/src/api/api_call.c
@@ -0,0 +1,549 @@
+/* Online requests: chat completions and calls of plain services. */
+#include <string.h>
+
+#include "api/request.h"
+#include "error/error.h"
+#include "metric/metric.h"
+#include "serve/intents.h"
+#include "serve/limiter.h"
+#include "serve/routes.h"
+
+enum {
+	kRateRetryUs = kUsPerS,
+	kInProgressRetryUs = 2 * kUsPerS,
+	kStoreRetryUs = 2 * kUsPerS,
+	/* Part of a stream that is handed over at once. */
+	kStreamBlockBytes = 16384,
+	/* Largest answer that is stored for a resent key. */
+	kStoredAnswerMax = 65536,
+};
+
+static void
+notify(void *ctx)
+{
+	request_wake(ctx);
+}
+
+static void
+release(void *ctx)
+{
+	request_unref(ctx);
+}
+
+/* @return false if the request was refused */
+static bool
+admit(struct request *req, const char *service)
+{
+	struct config *cfg = config_holder_get(req->d->configs);
+	const struct config_team *team =
+	    cfg != NULL ? g_hash_table_lookup(cfg->teams, req->team) : NULL;
+	bool pass = team == NULL || limiter_admit(req->d->limiter, team);
+
+	config_unref(cfg);
+	if (!pass) {
+		request_reply_error(req, kErrRateLimited,
+		    "the team's limit is reached", kRateRetryUs);
+		return false;
+	}
+	req->is_limited = team != NULL;
+	limiter_note_request(req->d->limiter, service);
+	return true;
+}
+
+static int64_t
+deadline_of(struct request *req)
+{
+	const char *text = request_header(req, "Savoryflow-Timeout-Ms");
+	int64_t ms = text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
+
+	if (ms <= 0 || ms > req->d->set->online_deadline_ms)
+		ms = req->d->set->online_deadline_ms;
+	return req->received_us + ms * kUsPerMs;
+}
+
+static void
+start_call(struct request *req, const struct call_options *opt)
+{
+	struct call *call = call_new(req->d, opt);
+
+	/* The call's own hold on the request, see release. */
+	request_ref(req);
+	req->call = call;
+	call_start(call);
+}
+
+static bool
+check_messages(const json_t *doc)
+{
+	const json_t *messages = json_object_get(doc, "messages");
+	const json_t *msg;
+	size_t i;
+
+	if (!json_is_array(messages) || json_array_size(messages) == 0)
+		return false;
+	json_array_foreach((json_t *)messages, i, msg)
+	{
+		if (!json_is_string(json_object_get(msg, "content")) ||
+		    !json_is_string(json_object_get(msg, "role")))
+			return false;
+	}
+	return true;
+}
+
+static const struct config_service *
+find_service(const struct config *cfg, const char *name)
+{
+	if (cfg == NULL || name == NULL)
+		return NULL;
+	return g_hash_table_lookup(cfg->services, name);
+}
+
+static GBytes *
+streamed_body(json_t *doc)
+{
+	char *text;
+
+	json_object_set_new(doc, "stream", json_true());
+	text = json_dumps(doc, JSON_COMPACT);
+	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+}
+
+static void
+start_chat(struct request *req, json_t *doc)
+{
+	const char *model = json_string_value(json_object_get(doc, "model"));
+	struct config *cfg = config_holder_get(req->d->configs);
+	const struct config_service *svc = find_service(cfg, model);
+	struct call_options opt = {
+	    .work_class = kWorkOnline,
+	    .service = model,
+	    .is_engine = true,
+	    .is_streamed = json_is_true(json_object_get(doc, "stream")),
+	    .is_idempotent = true,
+	    .team = req->team,
+	    .weight = 1,
+	    .deadline_us = deadline_of(req),
+	    .due_us = INT64_MAX / 2,
+	    .notify = notify,
+	    .release = release,
+	    .ctx = req,
+	};
+
+	if (svc == NULL || !svc->is_engine) {
+		request_reply_error(req, kErrUnknownService,
+		    "the model is no engine service of the configuration", 0);
+	} else if (admit(req, model)) {
+		req->wants_stream = opt.is_streamed;
+		opt.body = streamed_body(doc);
+		start_call(req, &opt);
+		g_bytes_unref(opt.body);
+	}
+	config_unref(cfg);
+}
+
+void
+chat_start(struct request *req)
+{
+	json_t *doc = json_loadb(req->body->str, req->body->len, 0, NULL);
+
+	if (doc == NULL || !json_is_object(doc))
+		request_reply_error(
+		    req, kErrBadJson, "the body is not a JSON object", 0);
+	else if (!check_messages(doc))
+		request_reply_error(req, kErrBadRequest,
+		    "messages: an array of {\"role\",\"content\"} is needed",
+		    0);
+	else
+		start_chat(req, doc);
+	json_decref(doc);
+}
+
+static const char *
+error_message(int code)
+{
+	switch (code) {
+	case kErrOverloaded:
+		return "no slot within the time; it did not run";
+	case kErrNoTarget:
+		return "no target takes work; it did not run";
+	case kErrDeadline:
+		return "the deadline has passed";
+	case kErrRequestCondemned:
+		return "the request crashes targets and is not tried again";
+	case kErrTargetRefused:
+		return "the target refused the request";
+	default:
+		return "the target failed";
+	}
+}
+
+static void
+reply_call_error(struct request *req, const struct call_view *view)
+{
+	request_reply_error_ran(req, view->error, error_message(view->error),
+	    view->retry_after_us, view->may_have_run);
+}
+
+/* @return true if the daemon ends and the request with it */
+static bool
+reply_aborted(struct request *req, const struct call_view *view)
+{
+	if (!req->is_aborted)
+		return false;
+	request_reply_error_ran(req, kErrDraining,
+	    "the daemon ended before the answer", kRateRetryUs,
+	    view->may_have_run);
+	return true;
+}
+
+static void
+append_event(struct request *req, json_t *doc)
+{
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	g_string_append_printf(req->chunk, "data: %s\n\n", text);
+	free(text);
+	json_decref(doc);
+}
+
+static void
+append_token(struct request *req, const char *token)
+{
+	append_event(
+	    req, json_pack("{s:s,s:s,s:[{s:i,s:{s:s},s:n}]}", "id",
+		     "savoryflow", "object", "chat.completion.chunk", "choices",
+		     "index", 0, "delta", "content", token, "finish_reason"));
+}
+
+static void
+append_tokens(struct request *req)
+{
+	char *token;
+
+	while (req->chunk->len < kStreamBlockBytes / 2 &&
+	       (token = call_next_token(req->call)) != NULL) {
+		append_token(req, token);
+		g_free(token);
+	}
+}
+
+/* The last event: the end marker, or the error that cut the answer. */
+static void
+append_end(struct request *req, const struct call_view *view)
+{
+	if (view->error >= 0)
+		append_event(req, request_error_json(
+				      view->error, error_message(view->error)));
+	else
+		g_string_append(req->chunk, "data: [DONE]\n\n");
+	req->stream_ended = true;
+}
+
+static ssize_t
+take_chunk(struct request *req, char *buf, size_t max)
+{
+	size_t n = MIN(max, req->chunk->len);
+
+	memcpy(buf, req->chunk->str, n);
+	g_string_erase(req->chunk, 0, (gssize)n);
+	return (ssize_t)n;
+}
+
+static ssize_t
+read_stream(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct request *req = cls;
+
+	for (;;) {
+		/* Looked at before the tokens, so that none are missed. */
+		struct call_view view = call_look(req->call);
+
+		append_tokens(req);
+		if (req->chunk->len == 0 && view.is_done && !req->stream_ended)
+			append_end(req, &view);
+		if (req->chunk->len > 0)
+			return take_chunk(req, buf, max);
+		if (req->stream_ended)
+			return MHD_CONTENT_READER_END_OF_STREAM;
+		if (req->is_aborted)
+			return MHD_CONTENT_READER_END_WITH_ERROR;
+		if (request_wait(req))
+			return 0;
+	}
+}
+
+static void
+reply_stream(struct request *req)
+{
+	req->chunk = g_string_new(NULL);
+	req->status = MHD_HTTP_OK;
+	req->response = MHD_create_response_from_callback(
+	    MHD_SIZE_UNKNOWN, kStreamBlockBytes, read_stream, req, NULL);
+	request_reply_header(req, "Content-Type", "text/event-stream");
+	request_reply_header(req, "Cache-Control", "no-store");
+}
+
+static void
+reply_whole(struct request *req, const struct call_view *view)
+{
+	char *text = call_text(req->call);
+	json_t *doc = json_pack("{s:s,s:s,s:[{s:i,s:{s:s,s:s},s:s}],s:{s:I}}",
+	    "id", "savoryflow", "object", "chat.completion", "choices", "index",
+	    0, "message", "role", "assistant", "content", text, "finish_reason",
+	    "stop", "usage", "completion_tokens", (json_int_t)view->tokens);
+
+	request_reply_json(req, MHD_HTTP_OK, doc);
+	g_free(text);
+}
+
+void
+chat_step(struct request *req)
+{
+	while (req->call != NULL && req->response == NULL) {
+		struct call_view view = call_look(req->call);
+
+		if (!view.is_done && reply_aborted(req, &view))
+			return;
+		if (view.is_done && view.error >= 0 &&
+		    (!req->wants_stream || view.tokens == 0))
+			reply_call_error(req, &view);
+		else if (req->wants_stream && (view.tokens > 0 || view.is_done))
+			reply_stream(req);
+		else if (view.is_done)
+			reply_whole(req, &view);
+		else if (request_wait(req))
+			return;
+	}
+}
+
+/* The request's answer for its key is stored; it did not run, or unknown. */
+static void
+settle_intent(struct request *req, const struct call_view *view)
+{
+	struct intent in = req->intent;
+
+	memset(&req->intent, 0, sizeof(req->intent));
+	if (view->error < 0) {
+		GBytes *body = call_body(req->call);
+		gsize len;
+		const char *data = g_bytes_get_data(body, &len);
+
+		in.status = (int32_t)view->status;
+		in.content_type = g_strdup(view->content_type);
+		in.body = g_strndup(data, MIN(len, kStoredAnswerMax));
+		g_bytes_unref(body);
+		intents_finish(req->d->intents, &in);
+	} else if (!view->may_have_run) {
+		intents_withdraw(req->d->intents, &in);
+	}
+	intent_clear(&in);
+}
+
+static void
+notify_keyed(void *ctx)
+{
+	struct request *req = ctx;
+	struct call_view view = call_look(req->call);
+	bool settle = false;
+
+	if (view.is_done) {
+		pthread_mutex_lock(&req->lock);
+		settle = !req->intent_settled;
+		req->intent_settled = true;
+		pthread_mutex_unlock(&req->lock);
+	}
+	if (settle) {
+		settle_intent(req, &view);
+		call_unref(req->call);
+	}
+	request_wake(req);
+}
+
+static void
+fill_plain(struct request *req, struct call_options *opt,
+    const struct config_service *svc, const char *path)
+{
+	*opt = (struct call_options){
+	    .work_class = kWorkOnline,
+	    .service = svc->name,
+	    .is_idempotent = svc->idempotent || strcmp(req->method, "GET") == 0,
+	    .team = req->team,
+	    .weight = 1,
+	    .deadline_us = deadline_of(req),
+	    .due_us = INT64_MAX / 2,
+	    .method = req->method,
+	    .path = path,
+	    .notify = notify,
+	    .release = release,
+	    .ctx = req,
+	};
+	opt->body = g_bytes_new(req->body->str, req->body->len);
+}
+
+static char *
+request_digest(struct request *req)
+{
+	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
+	char *text;
+
+	g_checksum_update(sum, (const guchar *)req->method, -1);
+	g_checksum_update(sum, (const guchar *)req->url, -1);
+	g_checksum_update(
+	    sum, (const guchar *)req->body->str, (gssize)req->body->len);
+	text = g_strdup(g_checksum_get_string(sum));
+	g_checksum_free(sum);
+	return text;
+}
+
+static void
+reply_known_key(struct request *req)
+{
+	const struct intent *in = &req->intent;
+
+	switch (in->state) {
+	case kIntentDone:
+		request_reply_bytes(req, (unsigned int)in->status,
+		    in->content_type, in->body, strlen(in->body));
+		request_reply_header(req, "Savoryflow-Replayed", "yes");
+		break;
+	case kIntentInProgress:
+		request_reply_error(req, kErrInProgress,
+		    "a call with this key is in progress", kInProgressRetryUs);
+		break;
+	case kIntentUnknown:
+		request_reply_error(req, kErrOutcomeUnknown,
+		    "a call with this key began and its outcome is unknown; "
+		    "it is not run again",
+		    0);
+		break;
+	case kIntentMismatch:
+		request_reply_error(req, kErrConflict,
+		    "the key was used with another request", 0);
+		break;
+	default:
+		request_reply_error(req, kErrStoreUnavailable,
+		    "the key cannot be recorded; the call did not run",
+		    kStoreRetryUs);
+	}
+}
+
+/* Worker: records the key, then starts the call. */
+static void
+begin_keyed(struct request *req)
+{
+	struct config *cfg = config_holder_get(req->d->configs);
+	char **parts = g_strsplit(req->rest, "/", 2);
+	const struct config_service *svc = find_service(cfg, parts[0]);
+	struct call_options opt;
+	char *path;
+
+	intents_begin(req->d->intents, &req->intent);
+	if (req->intent.state != kIntentRun || svc == NULL) {
+		reply_known_key(req);
+	} else {
+		path = g_strconcat("/", parts[1], NULL);
+		fill_plain(req, &opt, svc, path);
+		opt.notify = notify_keyed;
+		/* One reference for the connection, one until settled. */
+		request_ref(req);
+		req->call = call_new(req->d, &opt);
+		call_ref(req->call);
+		call_start(req->call);
+		g_bytes_unref(opt.body);
+		g_free(path);
+	}
+	g_strfreev(parts);
+	config_unref(cfg);
+}
+
+static void
+start_keyed(struct request *req, const char *key)
+{
+	req->has_intent = true;
+	req->intent.team = g_strdup(req->team);
+	req->intent.key = g_strdup(key);
+	req->intent.digest = request_digest(req);
+	request_work(req, begin_keyed);
+}
+
+static void
+start_plain(
+    struct request *req, const struct config_service *svc, const char *path)
+{
+	const char *key = request_header(req, "Idempotency-Key");
+	struct call_options opt;
+
+	if (key != NULL && !svc->idempotent) {
+		start_keyed(req, key);
+		return;
+	}
+	fill_plain(req, &opt, svc, path);
+	start_call(req, &opt);
+	g_bytes_unref(opt.body);
+}
+
+void
+plain_start(struct request *req)
+{
+	struct config *cfg = config_holder_get(req->d->configs);
+	char **parts = g_strsplit(req->rest, "/", 2);
+	const struct config_service *svc = find_service(cfg, parts[0]);
+
+	if (svc == NULL || svc->is_engine) {
+		request_reply_error(req, kErrUnknownService,
+		    "there is no such plain service", 0);
+	} else if (admit(req, svc->name)) {
+		char *path = g_strconcat("/", parts[1], NULL);
+
+		start_plain(req, svc, path);
+		g_free(path);
+	}
+	g_strfreev(parts);
+	config_unref(cfg);
+}
+
+static void
+reply_plain(struct request *req, const struct call_view *view)
+{
+	GBytes *body = call_body(req->call);
+	gsize len;
+	const char *data = g_bytes_get_data(body, &len);
+
+	request_reply_bytes(req, (unsigned int)view->status,
+	    view->content_type[0] != '\0' ? view->content_type : "text/plain",
+	    data, len);
+	g_bytes_unref(body);
+}
+
+void
+plain_step(struct request *req)
+{
+	while (req->call != NULL && req->response == NULL) {
+		struct call_view view = call_look(req->call);
+
+		if (!view.is_done && reply_aborted(req, &view))
+			return;
+		if (view.is_done && view.error >= 0)
+			reply_call_error(req, &view);
+		else if (view.is_done)
+			reply_plain(req, &view);
+		else if (request_wait(req))
+			return;
+	}
+}
+
+void
+call_request_done(struct request *req)
+{
+	struct call *call = req->call;
+
+	if (req->is_limited)
+		limiter_done(req->d->limiter, req->team);
+	if (call == NULL)
+		return;
+	/* A call with a key goes on, so that its answer can be stored. */
+	if (req->has_intent)
+		call_unref(call);
+	else
+		call_close(call);
+}
--- /dev/null
+++ b/src/api/request.c
@@ -0,0 +1,207 @@
+/* Waiting, waking and replying to one HTTP request. */
+#include "api/request.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "error/error.h"
+#include "log/log.h"
+#include "metric/metric.h"
+
+struct request *
+request_ref(struct request *req)
+{
+	g_atomic_int_inc(&req->refs);
+	return req;
+}
+
+void
+request_unref(struct request *req)
+{
+	if (!g_atomic_int_dec_and_test(&req->refs))
+		return;
+	if (req->response != NULL)
+		MHD_destroy_response(req->response);
+	if (req->chunk != NULL)
+		g_string_free(req->chunk, TRUE);
+	if (req->upload != NULL)
+		batch_upload_free(req->upload);
+	intent_clear(&req->intent);
+	g_string_free(req->body, TRUE);
+	g_free(req->url);
+	g_free(req->method);
+	g_free(req->team);
+	pthread_mutex_destroy(&req->lock);
+	g_free(req);
+}
+
+bool
+request_wait(struct request *req)
+{
+	bool waits;
+
+	pthread_mutex_lock(&req->lock);
+	waits = !req->is_woken && !req->is_aborted;
+	req->is_woken = false;
+	if (waits) {
+		req->is_suspended = true;
+		MHD_suspend_connection(req->con);
+	}
+	pthread_mutex_unlock(&req->lock);
+	return waits;
+}
+
+void
+request_wake(struct request *req)
+{
+	pthread_mutex_lock(&req->lock);
+	if (req->con == NULL) {
+		pthread_mutex_unlock(&req->lock);
+		return;
+	}
+	if (req->is_suspended) {
+		req->is_suspended = false;
+		MHD_resume_connection(req->con);
+	} else {
+		req->is_woken = true;
+	}
+	pthread_mutex_unlock(&req->lock);
+}
+
+bool
+request_abort(struct request *req)
+{
+	bool waited;
+
+	pthread_mutex_lock(&req->lock);
+	req->is_aborted = true;
+	waited = req->is_suspended;
+	pthread_mutex_unlock(&req->lock);
+	if (waited && req->call != NULL)
+		request_wake(req);
+	return waited;
+}
+
+struct work {
+	struct request *req;
+	void (*fn)(struct request *req);
+};
+
+static void
+work_run(void *ctx)
+{
+	struct work *work = ctx;
+
+	work->fn(work->req);
+	request_wake(work->req);
+	request_unref(work->req);
+	g_free(work);
+}
+
+void
+request_work(struct request *req, void (*fn)(struct request *req))
+{
+	struct work *work = g_new(struct work, 1);
+
+	work->req = request_ref(req);
+	work->fn = fn;
+	/* Suspended before the worker can wake it. */
+	request_wait(req);
+	if (pool_submit(req->d->workers, work_run, work))
+		return;
+	request_reply_error(
+	    req, kErrOverloaded, "too many requests wait", kUsPerS);
+	request_wake(req);
+	request_unref(req);
+	g_free(work);
+}
+
+const char *
+request_header(struct request *req, const char *name)
+{
+	return MHD_lookup_connection_value(req->con, MHD_HEADER_KIND, name);
+}
+
+const char *
+request_argument(struct request *req, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    req->con, MHD_GET_ARGUMENT_KIND, name);
+}
+
+void
+request_reply_bytes(struct request *req, unsigned int status,
+    const char *content_type, const char *data, size_t len)
+{
+	req->status = status;
+	req->response = MHD_create_response_from_buffer(
+	    len, (void *)data, MHD_RESPMEM_MUST_COPY);
+	request_reply_header(req, "Content-Type", content_type);
+}
+
+void
+request_reply_json(struct request *req, unsigned int status, json_t *doc)
+{
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	request_reply_bytes(
+	    req, status, "application/json", text, strlen(text));
+	free(text);
+	json_decref(doc);
+}
+
+void
+request_reply_header(struct request *req, const char *name, const char *value)
+{
+	MHD_add_response_header(req->response, name, value);
+}
+
+json_t *
+request_error_json(int code, const char *message)
+{
+	return json_pack("{s:{s:s,s:i,s:s}}", "error", "type",
+	    sf_error_type(code), "code", sf_error_status(code), "message",
+	    message);
+}
+
+void
+request_reply_error_ran(struct request *req, int code, const char *message,
+    int64_t retry_after_us, bool may_have_run)
+{
+	int64_t seconds = (retry_after_us + kUsPerS - 1) / kUsPerS;
+	char text[32];
+
+	if (req->response != NULL)
+		return;
+	request_reply_json(req, (unsigned int)sf_error_status(code),
+	    request_error_json(code, message));
+	request_reply_header(
+	    req, "Savoryflow-Ran", may_have_run ? "unknown" : "no");
+	if (retry_after_us > 0) {
+		snprintf(text, sizeof(text), "%d", (int)seconds);
+		request_reply_header(req, "Retry-After", text);
+	}
+	if (!may_have_run)
+		metric_add(kMetRefused, 1);
+	log_event(kEvtRequestRefused, "type", sf_error_type(code), "path",
+	    req->url, "team", req->team, NULL);
+}
+
+void
+request_reply_error(
+    struct request *req, int code, const char *message, int64_t retry_after_us)
+{
+	request_reply_error_ran(
+	    req, code, message, retry_after_us, sf_error_may_have_run(code));
+}
+
+void
+request_reply_gerror(struct request *req, GError *err)
+{
+	bool store = err->code == kErrStoreUnavailable ||
+		     err->code == kErrStoreAmbiguous;
+
+	request_reply_error_ran(req, err->code, err->message,
+	    store ? 2 * kUsPerS : 0, err->code == kErrStoreAmbiguous);
+	g_error_free(err);
+}
--- /dev/null
+++ b/src/cli/client.c
@@ -0,0 +1,81 @@
+/* HTTP client of the command line. */
+#include "cli/client.h"
+
+#include <curl/curl.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { kClientTimeoutS = 120 };
+
+static size_t
+append(char *data, size_t size, size_t n, void *ctx)
+{
+	g_string_append_len(ctx, data, (gssize)(size * n));
+	return size * n;
+}
+
+static size_t
+take_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct client_reply *reply = ctx;
+	char *line = g_strndup(data, size * n);
+
+	if (g_ascii_strncasecmp(line, "Savoryflow-Next:", 16) == 0)
+		reply->next = strtol(line + 16, NULL, 10);
+	if (g_ascii_strncasecmp(line, "Savoryflow-Complete: yes", 24) == 0)
+		reply->is_complete = true;
+	g_free(line);
+	return size * n;
+}
+
+static struct curl_slist *
+request_headers(const struct client *cl, const struct client_request *req)
+{
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+
+	if (cl->key != NULL) {
+		char *auth =
+		    g_strdup_printf("Authorization: Bearer %s", cl->key);
+
+		list = curl_slist_append(list, auth);
+		g_free(auth);
+	}
+	for (int i = 0; req->headers != NULL && req->headers[i] != NULL; i++)
+		list = curl_slist_append(list, req->headers[i]);
+	return list;
+}
+
+bool
+client_do(const struct client *cl, const struct client_request *req,
+    struct client_reply *reply)
+{
+	CURL *h = curl_easy_init();
+	struct curl_slist *headers = request_headers(cl, req);
+	char *url = g_strconcat(cl->url, req->path, NULL);
+	CURLcode res;
+
+	reply->body = g_string_new(NULL);
+	reply->next = -1;
+	reply->is_complete = false;
+	reply->status = 0;
+	curl_easy_setopt(h, CURLOPT_URL, url);
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(h, CURLOPT_TIMEOUT, (long)kClientTimeoutS);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, append);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, reply->body);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, take_header);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, reply);
+	if (strcmp(req->method, "GET") != 0) {
+		curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, req->method);
+		curl_easy_setopt(
+		    h, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)req->body_len);
+		curl_easy_setopt(
+		    h, CURLOPT_POSTFIELDS, req->body != NULL ? req->body : "");
+	}
+	res = curl_easy_perform(h);
+	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply->status);
+	curl_slist_free_all(headers);
+	curl_easy_cleanup(h);
+	g_free(url);
+	return res == CURLE_OK;
+}
--- /dev/null
+++ b/src/metric/metric.h
@@ -0,0 +1,91 @@
+#ifndef SAVORYFLOW_METRIC_H
+#define SAVORYFLOW_METRIC_H
+
+#include <glib.h>
+#include <stdint.h>
+
+/* Counters and gauges: constant, kind, name, help. */
+#define SF_METRICS(X)                                                          \
+	X(kMetRequests, counter, "savoryflow_requests_total",                  \
+	    "Requests of callers.")                                            \
+	X(kMetRefused, counter, "savoryflow_refused_total",                    \
+	    "Requests refused before any byte was sent.")                      \
+	X(kMetTokens, counter, "savoryflow_tokens_total", "Tokens relayed.")   \
+	X(kMetAttempts, counter, "savoryflow_attempts_total",                  \
+	    "Attempts at targets.")                                            \
+	X(kMetRetries, counter, "savoryflow_retries_total",                    \
+	    "Attempts after the first.")                                       \
+	X(kMetResumes, counter, "savoryflow_resumes_total",                    \
+	    "Streams resumed at a token index.")                               \
+	X(kMetCrossed, counter, "savoryflow_crossed_total",                    \
+	    "Answers dropped for a foreign attempt id.")                       \
+	X(kMetGrants, counter, "savoryflow_grants_total",                      \
+	    "Grants given by arbiters of this daemon.")                        \
+	X(kMetRevokes, counter, "savoryflow_revokes_total",                    \
+	    "Batch grants revoked by arbiters of this daemon.")                \
+	X(kMetFallbacks, counter, "savoryflow_arbiter_fallbacks_total",        \
+	    "Attempts on the local share, no arbiter having answered.")        \
+	X(kMetItems, counter, "savoryflow_batch_items_total",                  \
+	    "Batch items finished and committed.")                             \
+	X(kMetPeerSentMsgs, counter, "savoryflow_peer_sent_messages_total",    \
+	    "Messages sent to peers.")                                         \
+	X(kMetPeerRecvMsgs, counter,                                           \
+	    "savoryflow_peer_received_messages_total",                         \
+	    "Messages received from peers.")                                   \
+	X(kMetGossipBytes, counter, "savoryflow_gossip_sent_bytes_total",      \
+	    "Bytes of membership sent to peers.")                              \
+	X(kMetGrantBytes, counter, "savoryflow_grant_sent_bytes_total",        \
+	    "Bytes of grant messages sent to peers.")                          \
+	X(kMetPeerRecvBytes, counter, "savoryflow_peer_received_bytes_total",  \
+	    "Bytes received from peers.")                                      \
+	X(kMetReadsConfig, counter, "savoryflow_store_reads_config_total",     \
+	    "Reads of the platform for the configuration.")                    \
+	X(kMetReadsBatch, counter, "savoryflow_store_reads_batch_total",       \
+	    "Reads of the platform for batch jobs.")                           \
+	X(kMetReadsSession, counter, "savoryflow_store_reads_session_total",   \
+	    "Reads of the platform for sessions.")                             \
+	X(kMetReadsIntent, counter, "savoryflow_store_reads_intent_total",     \
+	    "Reads of the platform for calls that run at most once.")          \
+	X(kMetReadsVms, counter, "savoryflow_store_reads_vms_total",           \
+	    "Reads of the platform's list of VMs.")                            \
+	X(kMetWritesConfig, counter, "savoryflow_store_writes_config_total",   \
+	    "Writes to the platform for the configuration.")                   \
+	X(kMetWritesBatch, counter, "savoryflow_store_writes_batch_total",     \
+	    "Writes to the platform for batch jobs.")                          \
+	X(kMetWritesSession, counter, "savoryflow_store_writes_session_total", \
+	    "Writes to the platform for sessions.")                            \
+	X(kMetWritesIntent, counter, "savoryflow_store_writes_intent_total",   \
+	    "Writes to the platform for calls that run at most once.")         \
+	X(kMetStoreBytes, counter, "savoryflow_store_control_bytes_total",     \
+	    "Bytes to and from the platform for control.")                     \
+	X(kMetReportBytes, counter, "savoryflow_target_report_bytes_total",    \
+	    "Bytes of load reports read from targets.")                        \
+	X(kMetControlCpuUs, counter, "savoryflow_control_cpu_us_total",        \
+	    "Processor time of the control threads, microseconds.")            \
+	X(kMetActiveCalls, gauge, "savoryflow_active_calls",                   \
+	    "Calls without their final answer.")                               \
+	X(kMetGeneration, gauge, "savoryflow_config_generation",               \
+	    "Configuration generation in force.")                              \
+	X(kMetMembersAlive, gauge, "savoryflow_members_alive",                 \
+	    "Daemons believed alive, this one included.")
+
+enum metric_id {
+#define X(id, kind, name, help) id,
+	SF_METRICS(X)
+#undef X
+	    kMetCount,
+};
+
+/** Adds to a counter or gauge; any thread, no lock. */
+void metric_add(enum metric_id id, int64_t n);
+
+/** Sets a gauge; any thread, no lock. */
+void metric_set(enum metric_id id, int64_t value);
+
+/** Present value. */
+int64_t metric_get(enum metric_id id);
+
+/** Appends all metrics in the Prometheus text format. */
+void metric_print(GString *out);
+
+#endif
--- /dev/null
+++ b/src/os/clock.h
@@ -0,0 +1,38 @@
+#ifndef SAVORYFLOW_OS_CLOCK_H
+#define SAVORYFLOW_OS_CLOCK_H
+
+#include <stdint.h>
+#include <time.h>
+
+enum {
+	kUsPerMs = 1000,
+	kUsPerS = 1000000,
+	kNsPerUs = 1000,
+};
+
+struct clock_ops {
+	/** Monotonic time; never goes back, has no relation to the date. */
+	struct timespec (*mono)(void *ctx);
+	/** Date and time (UTC). */
+	struct timespec (*wall)(void *ctx);
+};
+
+/** The clock as it is passed to everything that needs the time. */
+struct clock_source {
+	const struct clock_ops *ops;
+	void *ctx;
+};
+
+/** The clock of the operating system. */
+const struct clock_source *clock_system(void);
+
+/** Microseconds in a time. */
+int64_t clock_ts_us(struct timespec ts);
+
+/** Monotonic time in microseconds. */
+int64_t clock_mono_us(const struct clock_source *clk);
+
+/** Date and time in microseconds since 1970-01-01 (UTC). */
+int64_t clock_wall_us(const struct clock_source *clk);
+
+#endif
--- /dev/null
+++ b/src/os/pool.c
@@ -0,0 +1,91 @@
+/* A pool of POSIX threads with a bounded queue. */
+#include "os/pool.h"
+
+#include <glib.h>
+#include <pthread.h>
+
+struct task {
+	pool_task_fn fn;
+	void *ctx;
+};
+
+struct pool {
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	GQueue tasks;
+	int32_t waiting_max;
+	bool stopping;
+	int32_t nthreads;
+	pthread_t *threads;
+};
+
+static void *
+pool_thread(void *arg)
+{
+	struct pool *pool = arg;
+
+	for (;;) {
+		struct task *task;
+
+		pthread_mutex_lock(&pool->lock);
+		while (g_queue_is_empty(&pool->tasks) && !pool->stopping)
+			pthread_cond_wait(&pool->wake, &pool->lock);
+		task = g_queue_pop_head(&pool->tasks);
+		pthread_mutex_unlock(&pool->lock);
+		if (task == NULL)
+			return NULL;
+		task->fn(task->ctx);
+		g_free(task);
+	}
+}
+
+struct pool *
+pool_new(const struct pool_options *opt)
+{
+	struct pool *pool = g_new0(struct pool, 1);
+
+	pthread_mutex_init(&pool->lock, NULL);
+	pthread_cond_init(&pool->wake, NULL);
+	g_queue_init(&pool->tasks);
+	pool->waiting_max = opt->waiting_max;
+	pool->nthreads = opt->threads;
+	pool->threads = g_new0(pthread_t, (gsize)opt->threads);
+	for (int32_t i = 0; i < opt->threads; i++)
+		pthread_create(&pool->threads[i], NULL, pool_thread, pool);
+	return pool;
+}
+
+void
+pool_free(struct pool *pool)
+{
+	pthread_mutex_lock(&pool->lock);
+	pool->stopping = true;
+	pthread_cond_broadcast(&pool->wake);
+	pthread_mutex_unlock(&pool->lock);
+	for (int32_t i = 0; i < pool->nthreads; i++)
+		pthread_join(pool->threads[i], NULL);
+	g_free(pool->threads);
+	pthread_cond_destroy(&pool->wake);
+	pthread_mutex_destroy(&pool->lock);
+	g_free(pool);
+}
+
+bool
+pool_submit(struct pool *pool, pool_task_fn fn, void *ctx)
+{
+	struct task *task;
+	bool taken;
+
+	pthread_mutex_lock(&pool->lock);
+	taken = !pool->stopping &&
+		(int32_t)g_queue_get_length(&pool->tasks) < pool->waiting_max;
+	if (taken) {
+		task = g_new(struct task, 1);
+		task->fn = fn;
+		task->ctx = ctx;
+		g_queue_push_tail(&pool->tasks, task);
+		pthread_cond_signal(&pool->wake);
+	}
+	pthread_mutex_unlock(&pool->lock);
+	return taken;
+}
--- /dev/null
+++ b/src/peer/peer.c
@@ -0,0 +1,291 @@
+/*
+ * Peers over ZeroMQ: one ROUTER for what comes in, one DEALER for each peer
+ * that is written to. Other threads hand messages over through a lock-free
+ * ring and wake the peer thread with an eventfd.
+ */
+#include "peer/peer.h"
+
+#include <ck_ring.h>
+#include <pthread.h>
+#include <string.h>
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#include "error/error.h"
+#include "metric/metric.h"
+#include "os/clock.h"
+#include "os/cpu.h"
+
+enum {
+	kOutboxSlots = 8192,
+	/* Messages that wait for a peer that does not read. */
+	kPeerQueueMax = 1000,
+	kHeartbeatMs = 5000,
+	kHeartbeatTimeoutMs = 15000,
+	kReconnectMs = 200,
+	kReconnectMaxMs = 5000,
+	kReceiveBatch = 256,
+	kMsPerS = 1000,
+};
+
+struct outgoing {
+	/** Peer address; a NULL payload closes its connection. */
+	char *to;
+	uint8_t *payload;
+	size_t len;
+};
+
+struct peer {
+	struct peer_options opt;
+	char *address;
+	void *zmq;
+	void *router;
+	/** DEALER sockets by peer address; peer thread only. */
+	GHashTable *dealers;
+	ck_ring_t ring;
+	ck_ring_buffer_t *slots;
+	int event_fd;
+	pthread_t thread;
+	bool running;
+	bool stopping;
+};
+
+static void
+dealer_close(void *socket)
+{
+	zmq_close(socket);
+}
+
+static void
+set_int(void *socket, int option, int value)
+{
+	zmq_setsockopt(socket, option, &value, sizeof(value));
+}
+
+static void
+set_heartbeat(void *socket)
+{
+	set_int(socket, ZMQ_HEARTBEAT_IVL, kHeartbeatMs);
+	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeoutMs);
+	set_int(socket, ZMQ_LINGER, 0);
+}
+
+struct peer *
+peer_new(const struct peer_options *opt, GError **err)
+{
+	struct peer *pr = g_new0(struct peer, 1);
+	char *endpoint = g_strdup_printf("tcp://%s", opt->address);
+
+	pr->opt = *opt;
+	pr->address = g_strdup(opt->address);
+	pr->zmq = zmq_ctx_new();
+	zmq_ctx_set(pr->zmq, ZMQ_MAX_SOCKETS, 4096);
+	pr->router = zmq_socket(pr->zmq, ZMQ_ROUTER);
+	set_heartbeat(pr->router);
+	pr->dealers = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, dealer_close);
+	ck_ring_init(&pr->ring, kOutboxSlots);
+	pr->slots = g_new0(ck_ring_buffer_t, kOutboxSlots);
+	pr->event_fd = eventfd(0, EFD_NONBLOCK);
+	if (zmq_bind(pr->router, endpoint) != 0) {
+		g_set_error(err, SF_ERROR, kErrSettingRange,
+		    "--peer-listen: %s cannot be bound: %s", opt->address,
+		    zmq_strerror(zmq_errno()));
+		peer_free(pr);
+		pr = NULL;
+	}
+	g_free(endpoint);
+	return pr;
+}
+
+static void
+outgoing_free(struct outgoing *msg)
+{
+	g_free(msg->to);
+	g_free(msg->payload);
+	g_free(msg);
+}
+
+void
+peer_free(struct peer *pr)
+{
+	struct outgoing *msg;
+
+	while (ck_ring_dequeue_mpsc(&pr->ring, pr->slots, (void *)&msg))
+		outgoing_free(msg);
+	g_hash_table_unref(pr->dealers);
+	zmq_close(pr->router);
+	zmq_ctx_term(pr->zmq);
+	close(pr->event_fd);
+	g_free(pr->slots);
+	g_free(pr->address);
+	g_free(pr);
+}
+
+static void
+wake(struct peer *pr)
+{
+	uint64_t one = 1;
+	ssize_t n = write(pr->event_fd, &one, sizeof(one));
+
+	/* A full counter wakes the thread as well. */
+	(void)n;
+}
+
+static void
+hand_over(struct peer *pr, struct outgoing *msg)
+{
+	if (!ck_ring_enqueue_mpsc(&pr->ring, pr->slots, msg)) {
+		outgoing_free(msg);
+		return;
+	}
+	wake(pr);
+}
+
+void
+peer_send(struct peer *pr, const char *to, Sfpeer__Envelope *env,
+    enum peer_traffic traffic)
+{
+	struct outgoing *msg = g_new0(struct outgoing, 1);
+
+	env->from = pr->address;
+	msg->to = g_strdup(to);
+	msg->len = sfpeer__envelope__get_packed_size(env);
+	msg->payload = g_malloc(msg->len);
+	sfpeer__envelope__pack(env, msg->payload);
+	metric_add(kMetPeerSentMsgs, 1);
+	metric_add(traffic == kPeerGossip ? kMetGossipBytes : kMetGrantBytes,
+	    (int64_t)msg->len);
+	hand_over(pr, msg);
+}
+
+void
+peer_forget(struct peer *pr, const char *address)
+{
+	struct outgoing *msg = g_new0(struct outgoing, 1);
+
+	msg->to = g_strdup(address);
+	hand_over(pr, msg);
+}
+
+static void *
+dealer_get(struct peer *pr, const char *to)
+{
+	void *socket = g_hash_table_lookup(pr->dealers, to);
+	char *endpoint;
+
+	if (socket != NULL)
+		return socket;
+	socket = zmq_socket(pr->zmq, ZMQ_DEALER);
+	set_heartbeat(socket);
+	set_int(socket, ZMQ_SNDHWM, kPeerQueueMax);
+	set_int(socket, ZMQ_RECONNECT_IVL, kReconnectMs);
+	set_int(socket, ZMQ_RECONNECT_IVL_MAX, kReconnectMaxMs);
+	endpoint = g_strdup_printf("tcp://%s", to);
+	zmq_connect(socket, endpoint);
+	g_free(endpoint);
+	g_hash_table_insert(pr->dealers, g_strdup(to), socket);
+	return socket;
+}
+
+static void
+send_waiting(struct peer *pr)
+{
+	struct outgoing *msg;
+	uint64_t drained;
+	ssize_t n = read(pr->event_fd, &drained, sizeof(drained));
+
+	(void)n;
+	while (ck_ring_dequeue_mpsc(&pr->ring, pr->slots, (void *)&msg)) {
+		if (msg->payload == NULL)
+			g_hash_table_remove(pr->dealers, msg->to);
+		else
+			zmq_send(dealer_get(pr, msg->to), msg->payload,
+			    msg->len, ZMQ_DONTWAIT);
+		outgoing_free(msg);
+	}
+}
+
+static void
+take_message(struct peer *pr, const void *data, size_t len)
+{
+	Sfpeer__Envelope *env = sfpeer__envelope__unpack(NULL, len, data);
+
+	metric_add(kMetPeerRecvMsgs, 1);
+	metric_add(kMetPeerRecvBytes, (int64_t)len);
+	if (env == NULL)
+		return;
+	if (env->from[0] != '\0')
+		pr->opt.ops->on_message(pr->opt.ctx, env);
+	sfpeer__envelope__free_unpacked(env, NULL);
+}
+
+static bool
+receive_one(struct peer *pr)
+{
+	zmq_msg_t sender;
+	zmq_msg_t body;
+	bool got;
+
+	zmq_msg_init(&sender);
+	got = zmq_msg_recv(&sender, pr->router, ZMQ_DONTWAIT) >= 0;
+	zmq_msg_close(&sender);
+	if (!got)
+		return false;
+	zmq_msg_init(&body);
+	if (zmq_msg_recv(&body, pr->router, ZMQ_DONTWAIT) >= 0)
+		take_message(pr, zmq_msg_data(&body), zmq_msg_size(&body));
+	zmq_msg_close(&body);
+	return true;
+}
+
+static void *
+peer_thread(void *arg)
+{
+	struct peer *pr = arg;
+	const struct clock_source *clk = clock_system();
+	int64_t next_tick_us = clock_mono_us(clk);
+
+	while (!__atomic_load_n(&pr->stopping, __ATOMIC_ACQUIRE)) {
+		zmq_pollitem_t items[] = {
+		    {pr->router, 0, ZMQ_POLLIN, 0},
+		    {NULL, pr->event_fd, ZMQ_POLLIN, 0},
+		};
+		int64_t left_us = next_tick_us - clock_mono_us(clk);
+
+		zmq_poll(items, 2, (long)MAX(left_us / kUsPerMs, 0) + 1);
+		for (int i = 0; i < kReceiveBatch && receive_one(pr); i++)
+			continue;
+		if (clock_mono_us(clk) >= next_tick_us) {
+			next_tick_us =
+			    clock_mono_us(clk) + pr->opt.tick_ms * kUsPerMs;
+			pr->opt.ops->on_tick(pr->opt.ctx);
+			cpu_count_control();
+		}
+		send_waiting(pr);
+	}
+	send_waiting(pr);
+	return NULL;
+}
+
+void
+peer_start(struct peer *pr)
+{
+	pr->running = true;
+	pthread_create(&pr->thread, NULL, peer_thread, pr);
+}
+
+void
+peer_stop(struct peer *pr)
+{
+	if (!pr->running)
+		return;
+	__atomic_store_n(&pr->stopping, true, __ATOMIC_RELEASE);
+	wake(pr);
+	pthread_join(pr->thread, NULL);
+	pr->running = false;
+	/* Time for the farewell messages to leave. */
+	set_int(pr->router, ZMQ_LINGER, 0);
+}
--- /dev/null
+++ b/src/peer/peer.h
@@ -0,0 +1,54 @@
+#ifndef SAVORYFLOW_PEER_H
+#define SAVORYFLOW_PEER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "peer/peer.pb-c.h"
+
+/** What peer messages are counted as. */
+enum peer_traffic {
+	kPeerGossip,
+	kPeerControl,
+};
+
+struct peer_ops {
+	/** A message has come. Runs on the peer thread. */
+	void (*on_message)(void *ctx, const Sfpeer__Envelope *env);
+	/** Runs on the peer thread once a tick. */
+	void (*on_tick)(void *ctx);
+};
+
+struct peer_options {
+	/** Own address, IP:PORT; messages come in here. */
+	const char *address;
+	int64_t tick_ms;
+	const struct peer_ops *ops;
+	void *ctx;
+};
+
+/** Messages to and from other daemons over ZeroMQ. */
+struct peer;
+
+/** @return NULL and an error if the address cannot be bound */
+struct peer *peer_new(const struct peer_options *opt, GError **err);
+
+/** Starts the peer thread. */
+void peer_start(struct peer *pr);
+
+/** Sends what waits and ends the thread. */
+void peer_stop(struct peer *pr);
+void peer_free(struct peer *pr);
+
+/**
+ * Queues a message for a peer; any thread. The envelope's `from` is set here.
+ * A message that cannot be queued is dropped: all messages may be lost.
+ */
+void peer_send(struct peer *pr, const char *to, Sfpeer__Envelope *env,
+    enum peer_traffic traffic);
+
+/** Closes the connection to a peer that is gone. */
+void peer_forget(struct peer *pr, const char *address);
+
+#endif
--- /dev/null
+++ b/src/savoryflow/arbiter/arbiter.c
@@ -0,0 +1,734 @@
+/* Admission of online and batch requests to one target. */
+#include "savoryflow/arbiter/arbiter.h"
+
+#include <assert.h>
+#include <math.h>
+#include <string.h>
+
+#include "savoryflow/arbiter/engine_cost.h"
+#include "savoryflow/arbiter/fair_queue.h"
+#include "savoryflow/arbiter/u64_hash.h"
+
+enum {
+	kUsPerSecond = 1000000,
+	/* Crash reports within this time belong to one crash. */
+	kCrashWindowUs = 2 * kUsPerSecond,
+	/* Batch that is due within this time goes before the fair share. */
+	kUrgentUs = 600 * kUsPerSecond,
+	/* Time constant of the mean arrival rate. */
+	kRateWindowUs = 5 * kUsPerSecond,
+	/* A burst brings this many times the mean rate. */
+	kBurstFactor = 5,
+	/* Least and most time that a refused caller is told to wait. */
+	kRetryAfterLeastUs = 200000,
+	kRetryAfterMostUs = 30 * kUsPerSecond,
+	/* Prompt length assumed before any request was seen. */
+	kPromptTokensDefault = 500,
+	/* Share of a new observation in a moving mean, in 1/64. */
+	kMeanShift = 6,
+	/* Limits of the correction of the cost model, in 1/1024. */
+	kScaleOne = 1024,
+	kScaleLeast = 512,
+	kScaleMost = 8192,
+	/* Period of the look for grants whose lease has ended. */
+	kExpiryPeriodUs = kUsPerSecond,
+};
+
+struct grant {
+	struct arbiter_ask ask;
+	int64_t granted_us;
+	bool has_first_token;
+	bool is_revoked;
+	/** Place among the batch grants, oldest first. */
+	GList *batch_link;
+};
+
+struct queued_online {
+	struct arbiter_ask ask;
+	GSequenceIter *place;
+};
+
+struct crash {
+	int64_t at_us;
+	/** Ids of the requests that the crash made suspects. */
+	GHashTable *suspects;
+	/** The one request that is condemned, or 0. */
+	uint64_t condemned;
+};
+
+struct arbiter {
+	struct arbiter_options opt;
+	int32_t capacity;
+	/** struct grant by id. */
+	GHashTable *grants;
+	/** Batch grants that are not revoked, oldest first. */
+	GQueue batch_grants;
+	int32_t online;
+	int32_t batch;
+	/** Batch grants revoked but still in the engine. */
+	int32_t revoked;
+	int64_t online_prefill_tokens;
+	int64_t batch_prefill_tokens;
+	/** Grants without a first token. */
+	int32_t unproven;
+	/** A suspect that starts alone, or 0. */
+	uint64_t lone_suspect;
+	GSequence *online_queue;
+	/** struct queued_online by id. */
+	GHashTable *online_by_id;
+	struct fair_queue *batch_queue;
+	/** Mean arrivals of online requests, per second, times 1024. */
+	int64_t rate_scaled;
+	int64_t rate_at_us;
+	int64_t mean_prompt_tokens;
+	/** Mean time for which a stream holds its slot. */
+	int64_t mean_hold_us;
+	/** Measured step over modelled step, times 1024. */
+	int64_t cost_scale;
+	struct crash crash;
+	int64_t next_expiry_us;
+	bool is_leaving;
+};
+
+GArray *
+arbiter_actions_new(void)
+{
+	return g_array_new(FALSE, TRUE, sizeof(struct arbiter_action));
+}
+
+static struct engine_cost
+scaled_cost(const struct arbiter *arb)
+{
+	struct engine_cost cost = arb->opt.cost;
+
+	cost.step_base_us = cost.step_base_us * arb->cost_scale / kScaleOne;
+	cost.step_per_stream_us =
+	    cost.step_per_stream_us * arb->cost_scale / kScaleOne;
+	cost.step_per_prompt_token_ns =
+	    cost.step_per_prompt_token_ns * arb->cost_scale / kScaleOne;
+	return cost;
+}
+
+static void
+update_capacity(struct arbiter *arb)
+{
+	struct engine_cost cost = scaled_cost(arb);
+
+	arb->capacity = arb->opt.is_plain ? cost.streams_max
+					  : engine_cost_capacity(&cost,
+						arb->opt.token_interval_us);
+}
+
+struct arbiter *
+arbiter_new(const struct arbiter_options *opt)
+{
+	struct arbiter *arb = g_new0(struct arbiter, 1);
+
+	assert(opt->cost.streams_max > 0);
+	arb->grants = u64_hash_new(g_free);
+	arb->online_queue = g_sequence_new(NULL);
+	arb->online_by_id = u64_hash_new(g_free);
+	arb->batch_queue = fair_queue_new();
+	arb->crash.suspects = u64_hash_new(g_free);
+	arb->crash.at_us = INT64_MIN / 2;
+	arb->mean_prompt_tokens = kPromptTokensDefault;
+	arb->mean_hold_us = kUsPerSecond;
+	arb->cost_scale = kScaleOne;
+	g_queue_init(&arb->batch_grants);
+	arbiter_configure(arb, opt);
+	return arb;
+}
+
+void
+arbiter_free(struct arbiter *arb)
+{
+	g_queue_clear(&arb->batch_grants);
+	g_hash_table_unref(arb->crash.suspects);
+	g_hash_table_unref(arb->grants);
+	g_sequence_free(arb->online_queue);
+	g_hash_table_unref(arb->online_by_id);
+	fair_queue_free(arb->batch_queue);
+	g_free(arb);
+}
+
+void
+arbiter_configure(struct arbiter *arb, const struct arbiter_options *opt)
+{
+	arb->opt = *opt;
+	update_capacity(arb);
+}
+
+int32_t
+arbiter_capacity(const struct arbiter *arb)
+{
+	return arb->capacity;
+}
+
+static int32_t
+streams_in_engine(const struct arbiter *arb)
+{
+	return arb->online + arb->batch + arb->revoked;
+}
+
+static void
+emit(GArray *out, enum arbiter_verdict verdict, const struct arbiter_ask *ask,
+    int64_t retry_after_us)
+{
+	struct arbiter_action act = {
+	    verdict, ask->holder, ask->id, retry_after_us};
+
+	g_array_append_val(out, act);
+}
+
+/* Time until a slot is likely to be free for one more online request. */
+static int64_t
+queue_wait_us(const struct arbiter *arb)
+{
+	int64_t queued = g_hash_table_size(arb->online_by_id) + 1;
+
+	return queued * arb->mean_hold_us / MAX(arb->capacity, 1);
+}
+
+static void
+refuse(struct arbiter *arb, const struct arbiter_ask *ask, GArray *out)
+{
+	emit(out, kArbiterRefused, ask,
+	    CLAMP(queue_wait_us(arb), kRetryAfterLeastUs, kRetryAfterMostUs));
+}
+
+static void
+grant_count(struct arbiter *arb, const struct grant *gr, int32_t sign)
+{
+	if (gr->ask.work_class == kWorkOnline)
+		arb->online += sign;
+	else if (gr->is_revoked)
+		arb->revoked += sign;
+	else
+		arb->batch += sign;
+}
+
+static void
+prefill_count(struct arbiter *arb, const struct grant *gr, int32_t sign)
+{
+	arb->unproven += sign;
+	if (gr->ask.work_class == kWorkOnline)
+		arb->online_prefill_tokens += sign * gr->ask.prompt_tokens;
+	else
+		arb->batch_prefill_tokens += sign * gr->ask.prompt_tokens;
+}
+
+static struct grant *
+grant_add(struct arbiter *arb, const struct arbiter_ask *ask, int64_t now_us)
+{
+	struct grant *gr = g_new0(struct grant, 1);
+
+	gr->ask = *ask;
+	gr->granted_us = now_us;
+	g_hash_table_insert(arb->grants, &gr->ask.id, gr);
+	grant_count(arb, gr, 1);
+	prefill_count(arb, gr, 1);
+	if (ask->work_class == kWorkBatch) {
+		g_queue_push_tail(&arb->batch_grants, gr);
+		gr->batch_link = arb->batch_grants.tail;
+	}
+	if (ask->is_suspect)
+		arb->lone_suspect = ask->id;
+	return gr;
+}
+
+static void
+grant_prove(struct arbiter *arb, struct grant *gr)
+{
+	if (gr->has_first_token)
+		return;
+	gr->has_first_token = true;
+	prefill_count(arb, gr, -1);
+	if (arb->lone_suspect == gr->ask.id)
+		arb->lone_suspect = 0;
+}
+
+static void
+grant_remove(struct arbiter *arb, struct grant *gr)
+{
+	grant_prove(arb, gr);
+	grant_count(arb, gr, -1);
+	if (gr->batch_link != NULL)
+		g_queue_delete_link(&arb->batch_grants, gr->batch_link);
+	g_hash_table_remove(arb->grants, &gr->ask.id);
+}
+
+static void
+grant_revoke(struct arbiter *arb, struct grant *gr, GArray *out)
+{
+	grant_count(arb, gr, -1);
+	gr->is_revoked = true;
+	grant_count(arb, gr, 1);
+	g_queue_delete_link(&arb->batch_grants, gr->batch_link);
+	gr->batch_link = NULL;
+	emit(out, kArbiterRevoked, &gr->ask, 0);
+}
+
+/* The batch stream granted last has done least. */
+static bool
+revoke_one(struct arbiter *arb, GArray *out)
+{
+	struct grant *gr = g_queue_peek_tail(&arb->batch_grants);
+
+	if (gr == NULL)
+		return false;
+	grant_revoke(arb, gr, out);
+	return true;
+}
+
+/*
+ * Online time to first token that so many batch streams, with so many prompt
+ * tokens to prefill, add to a request that comes now.
+ */
+static int64_t
+batch_delay_us(
+    const struct arbiter *arb, int32_t batch_streams, int64_t batch_tokens)
+{
+	struct engine_cost cost = scaled_cost(arb);
+	int64_t online_tokens =
+	    arb->online_prefill_tokens + arb->mean_prompt_tokens;
+	int64_t alone =
+	    engine_cost_prefill_us(&cost, arb->online, online_tokens);
+	int64_t shared = engine_cost_prefill_us(
+	    &cost, arb->online + batch_streams, online_tokens + batch_tokens);
+
+	return shared - alone;
+}
+
+static int32_t
+reserve_slots(const struct arbiter *arb)
+{
+	int64_t burst_scaled = arb->rate_scaled * kBurstFactor;
+
+	return (int32_t)(burst_scaled * arb->opt.cancel_latency_us /
+			 kUsPerSecond / kScaleOne);
+}
+
+static bool
+batch_fits(const struct arbiter *arb, const struct arbiter_ask *ask)
+{
+	if (streams_in_engine(arb) + reserve_slots(arb) >= arb->capacity)
+		return false;
+	if (arb->opt.is_plain)
+		return true;
+	return batch_delay_us(arb, arb->batch + 1,
+		   arb->batch_prefill_tokens + ask->prompt_tokens) <=
+	       arb->opt.tail_budget_us;
+}
+
+/* While a suspect starts alone nothing else may start. */
+static bool
+start_is_blocked(const struct arbiter *arb, const struct arbiter_ask *ask)
+{
+	return arb->lone_suspect != 0 || (ask->is_suspect && arb->unproven > 0);
+}
+
+static void
+admit_batch(struct arbiter *arb, int64_t now_us, GArray *out)
+{
+	struct arbiter_ask ask;
+
+	if (arb->is_leaving || g_hash_table_size(arb->online_by_id) > 0)
+		return;
+	while (fair_queue_peek(arb->batch_queue, now_us + kUrgentUs, &ask)) {
+		if (!batch_fits(arb, &ask) || start_is_blocked(arb, &ask))
+			return;
+		fair_queue_pop(arb->batch_queue, now_us + kUrgentUs, &ask);
+		grant_add(arb, &ask, now_us);
+		emit(out, kArbiterGranted, &ask, 0);
+	}
+}
+
+/* Revokes batch until what is left is within the tail budget. */
+static void
+shed_batch(struct arbiter *arb, GArray *out)
+{
+	if (arb->opt.is_plain)
+		return;
+	while (arb->batch > 0 &&
+	       batch_delay_us(arb, arb->batch, arb->batch_prefill_tokens) >
+		   arb->opt.tail_budget_us)
+		revoke_one(arb, out);
+}
+
+static bool
+online_has_slot(struct arbiter *arb, GArray *out)
+{
+	if (streams_in_engine(arb) < arb->capacity)
+		return true;
+	/* The slot of a revoked stream is free by the next step or two. */
+	return revoke_one(arb, out);
+}
+
+static void
+grant_online(struct arbiter *arb, const struct arbiter_ask *ask, int64_t now_us,
+    GArray *out)
+{
+	grant_add(arb, ask, now_us);
+	emit(out, kArbiterGranted, ask, 0);
+	shed_batch(arb, out);
+}
+
+static void
+admit_online(struct arbiter *arb, int64_t now_us, GArray *out)
+{
+	while (!g_sequence_is_empty(arb->online_queue)) {
+		struct queued_online *qo = g_sequence_get(
+		    g_sequence_get_begin_iter(arb->online_queue));
+		struct arbiter_ask ask = qo->ask;
+
+		if (start_is_blocked(arb, &ask) || !online_has_slot(arb, out))
+			return;
+		g_sequence_remove(qo->place);
+		g_hash_table_remove(arb->online_by_id, &ask.id);
+		grant_online(arb, &ask, now_us, out);
+	}
+}
+
+static void
+schedule(struct arbiter *arb, int64_t now_us, GArray *out)
+{
+	admit_online(arb, now_us, out);
+	admit_batch(arb, now_us, out);
+}
+
+static int
+compare_deadline(const void *a, const void *b, void *ctx)
+{
+	const struct queued_online *x = a;
+	const struct queued_online *y = b;
+
+	if (x->ask.deadline_us != y->ask.deadline_us)
+		return x->ask.deadline_us < y->ask.deadline_us ? -1 : 1;
+	return (x->ask.id > y->ask.id) - (x->ask.id < y->ask.id);
+}
+
+static void
+queue_online(struct arbiter *arb, const struct arbiter_ask *ask, int64_t now_us,
+    GArray *out)
+{
+	struct queued_online *qo;
+	int64_t ready_us = now_us + queue_wait_us(arb);
+
+	if ((int32_t)g_hash_table_size(arb->online_by_id) >=
+		arb->opt.online_queue_max ||
+	    ready_us > ask->deadline_us) {
+		refuse(arb, ask, out);
+		return;
+	}
+	qo = g_new0(struct queued_online, 1);
+	qo->ask = *ask;
+	qo->place = g_sequence_insert_sorted(
+	    arb->online_queue, qo, compare_deadline, NULL);
+	g_hash_table_insert(arb->online_by_id, &qo->ask.id, qo);
+}
+
+static void
+note_arrival(struct arbiter *arb, const struct arbiter_ask *ask, int64_t now_us)
+{
+	int64_t passed = MAX(now_us - arb->rate_at_us, 0);
+	double decay = exp(-(double)passed / kRateWindowUs);
+
+	arb->rate_scaled = (int64_t)((double)arb->rate_scaled * decay) +
+			   (int64_t)kScaleOne * kUsPerSecond / kRateWindowUs;
+	arb->rate_at_us = now_us;
+	arb->mean_prompt_tokens +=
+	    (ask->prompt_tokens - arb->mean_prompt_tokens) / (1 << kMeanShift);
+}
+
+static void
+request_online(struct arbiter *arb, const struct arbiter_ask *ask,
+    int64_t now_us, GArray *out)
+{
+	note_arrival(arb, ask, now_us);
+	if (g_sequence_is_empty(arb->online_queue) &&
+	    !start_is_blocked(arb, ask) && online_has_slot(arb, out))
+		grant_online(arb, ask, now_us, out);
+	else
+		queue_online(arb, ask, now_us, out);
+}
+
+static void
+request_batch(struct arbiter *arb, const struct arbiter_ask *ask,
+    int64_t now_us, GArray *out)
+{
+	if (fair_queue_length(arb->batch_queue) >= arb->opt.batch_queue_max) {
+		refuse(arb, ask, out);
+		return;
+	}
+	fair_queue_push(arb->batch_queue, ask);
+	admit_batch(arb, now_us, out);
+}
+
+static bool
+is_known(struct arbiter *arb, uint64_t id)
+{
+	return g_hash_table_contains(arb->grants, &id) ||
+	       g_hash_table_contains(arb->online_by_id, &id);
+}
+
+void
+arbiter_request(struct arbiter *arb, const struct arbiter_ask *ask,
+    int64_t now_us, GArray *out)
+{
+	if (is_known(arb, ask->id))
+		return;
+	if (arb->is_leaving) {
+		refuse(arb, ask, out);
+		return;
+	}
+	if (ask->work_class == kWorkOnline) {
+		request_online(arb, ask, now_us, out);
+		return;
+	}
+	fair_queue_remove(arb->batch_queue, ask->id);
+	request_batch(arb, ask, now_us, out);
+}
+
+void
+arbiter_adopt(struct arbiter *arb, const struct arbiter_ask *ask,
+    bool has_first_token, int64_t now_us, GArray *out)
+{
+	struct grant *gr;
+
+	if (is_known(arb, ask->id))
+		return;
+	fair_queue_remove(arb->batch_queue, ask->id);
+	gr = grant_add(arb, ask, now_us);
+	if (has_first_token)
+		grant_prove(arb, gr);
+	shed_batch(arb, out);
+}
+
+void
+arbiter_first_token(
+    struct arbiter *arb, uint64_t id, int64_t now_us, GArray *out)
+{
+	struct grant *gr = g_hash_table_lookup(arb->grants, &id);
+
+	if (gr == NULL)
+		return;
+	grant_prove(arb, gr);
+	schedule(arb, now_us, out);
+}
+
+static void
+note_hold(struct arbiter *arb, const struct grant *gr, int64_t now_us)
+{
+	int64_t hold_us = now_us - gr->granted_us;
+
+	if (gr->ask.work_class == kWorkOnline)
+		arb->mean_hold_us +=
+		    (hold_us - arb->mean_hold_us) / (1 << kMeanShift);
+}
+
+static void
+withdraw(struct arbiter *arb, uint64_t id)
+{
+	struct queued_online *qo = g_hash_table_lookup(arb->online_by_id, &id);
+
+	if (qo == NULL) {
+		fair_queue_remove(arb->batch_queue, id);
+		return;
+	}
+	g_sequence_remove(qo->place);
+	g_hash_table_remove(arb->online_by_id, &id);
+}
+
+void
+arbiter_release(struct arbiter *arb, uint64_t id, int64_t now_us, GArray *out)
+{
+	struct grant *gr = g_hash_table_lookup(arb->grants, &id);
+
+	if (gr == NULL) {
+		withdraw(arb, id);
+		return;
+	}
+	note_hold(arb, gr, now_us);
+	grant_remove(arb, gr);
+	schedule(arb, now_us, out);
+}
+
+static void
+suspect_add(struct crash *crash, uint64_t id)
+{
+	uint64_t *key = g_new(uint64_t, 1);
+
+	*key = id;
+	g_hash_table_insert(crash->suspects, key, key);
+}
+
+/* Decides once a crash which of the grants may have caused it. */
+static void
+crash_begin(struct arbiter *arb, int64_t now_us)
+{
+	bool only_unproven = arb->unproven > 0;
+	struct grant *old_suspect = NULL;
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_remove_all(arb->crash.suspects);
+	arb->crash.at_us = now_us;
+	arb->crash.condemned = 0;
+	g_hash_table_iter_init(&it, arb->grants);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct grant *gr = val;
+
+		if (only_unproven && gr->has_first_token)
+			continue;
+		suspect_add(&arb->crash, gr->ask.id);
+		if (gr->ask.is_suspect)
+			old_suspect = gr;
+	}
+	if (old_suspect != NULL && g_hash_table_size(arb->crash.suspects) == 1)
+		arb->crash.condemned = old_suspect->ask.id;
+}
+
+enum arbiter_crash_verdict
+arbiter_crash(struct arbiter *arb, uint64_t id, int64_t now_us, GArray *out)
+{
+	enum arbiter_crash_verdict verdict = kCrashInnocent;
+
+	if (now_us - arb->crash.at_us > kCrashWindowUs)
+		crash_begin(arb, now_us);
+	if (arb->crash.condemned == id)
+		verdict = kCrashCondemned;
+	else if (g_hash_table_contains(arb->crash.suspects, &id))
+		verdict = kCrashSuspect;
+	arbiter_release(arb, id, now_us, out);
+	return verdict;
+}
+
+void
+arbiter_forget_holder(
+    struct arbiter *arb, uint32_t holder, int64_t now_us, GArray *out)
+{
+	GPtrArray *gone = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, arb->grants);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (((struct grant *)val)->ask.holder == holder)
+			g_ptr_array_add(gone, val);
+	for (guint i = 0; i < gone->len; i++)
+		grant_remove(arb, gone->pdata[i]);
+	g_ptr_array_set_size(gone, 0);
+	g_hash_table_iter_init(&it, arb->online_by_id);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (((struct queued_online *)val)->ask.holder == holder)
+			g_ptr_array_add(gone, val);
+	for (guint i = 0; i < gone->len; i++)
+		withdraw(arb, ((struct queued_online *)gone->pdata[i])->ask.id);
+	g_ptr_array_unref(gone);
+	fair_queue_remove_holder(arb->batch_queue, holder);
+	schedule(arb, now_us, out);
+}
+
+static void
+refuse_all_queued(struct arbiter *arb, GArray *out)
+{
+	struct arbiter_ask ask;
+
+	while (!g_sequence_is_empty(arb->online_queue)) {
+		struct queued_online *qo = g_sequence_get(
+		    g_sequence_get_begin_iter(arb->online_queue));
+
+		refuse(arb, &qo->ask, out);
+		withdraw(arb, qo->ask.id);
+	}
+	while (fair_queue_pop(arb->batch_queue, 0, &ask))
+		refuse(arb, &ask, out);
+}
+
+void
+arbiter_set_leaving(
+    struct arbiter *arb, bool is_leaving, int64_t now_us, GArray *out)
+{
+	if (is_leaving && !arb->is_leaving)
+		refuse_all_queued(arb, out);
+	arb->is_leaving = is_leaving;
+}
+
+void
+arbiter_observe_step(struct arbiter *arb, int32_t streams,
+    int32_t prompt_tokens, int64_t step_us)
+{
+	int64_t model_us =
+	    engine_cost_step_us(&arb->opt.cost, streams, prompt_tokens);
+	int64_t scale = step_us * kScaleOne / MAX(model_us, 1);
+
+	arb->cost_scale += (scale - arb->cost_scale) / 8;
+	arb->cost_scale = CLAMP(arb->cost_scale, kScaleLeast, kScaleMost);
+	update_capacity(arb);
+}
+
+static void
+expire_queue(struct arbiter *arb, int64_t now_us, GArray *out)
+{
+	while (!g_sequence_is_empty(arb->online_queue)) {
+		struct queued_online *qo = g_sequence_get(
+		    g_sequence_get_begin_iter(arb->online_queue));
+
+		if (qo->ask.deadline_us > now_us)
+			return;
+		refuse(arb, &qo->ask, out);
+		withdraw(arb, qo->ask.id);
+	}
+}
+
+static void
+expire_grants(struct arbiter *arb, int64_t now_us)
+{
+	GPtrArray *gone;
+	GHashTableIter it;
+	void *val;
+
+	if (now_us < arb->next_expiry_us)
+		return;
+	arb->next_expiry_us = now_us + kExpiryPeriodUs;
+	gone = g_ptr_array_new();
+	g_hash_table_iter_init(&it, arb->grants);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct grant *gr = val;
+
+		if (now_us - gr->granted_us > arb->opt.grant_lease_us)
+			g_ptr_array_add(gone, gr);
+	}
+	for (guint i = 0; i < gone->len; i++)
+		grant_remove(arb, gone->pdata[i]);
+	g_ptr_array_unref(gone);
+}
+
+void
+arbiter_tick(struct arbiter *arb, int64_t now_us, GArray *out)
+{
+	expire_queue(arb, now_us, out);
+	expire_grants(arb, now_us);
+	shed_batch(arb, out);
+	schedule(arb, now_us, out);
+}
+
+struct arbiter_load
+arbiter_load_get(const struct arbiter *arb)
+{
+	struct engine_cost cost = scaled_cost(arb);
+	struct arbiter_load load = {
+	    .online = arb->online,
+	    .batch = arb->batch + arb->revoked,
+	    .online_queued = (int32_t)g_hash_table_size(arb->online_by_id),
+	    .batch_queued = fair_queue_length(arb->batch_queue),
+	    .is_leaving = arb->is_leaving,
+	};
+
+	load.first_token_us =
+	    engine_cost_prefill_us(&cost, streams_in_engine(arb),
+		arb->online_prefill_tokens + arb->batch_prefill_tokens + 1);
+	if (load.online_queued > 0)
+		load.first_token_us += queue_wait_us(arb);
+	return load;
+}
--- /dev/null
+++ b/src/savoryflow/batch/batch_store.c
@@ -0,0 +1,735 @@
+/* Batch jobs, leases and results in the platform's services. */
+#include "savoryflow/batch/batch_store.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <string.h>
+
+#include "platform/commit.h"
+
+enum {
+	/* Chunk rows read in one scan. */
+	kChunkPage = 1000,
+};
+
+static const char *const job_state_names[] = {"running", "cancelled", "done"};
+
+void
+batch_job_free(struct batch_job *job)
+{
+	if (job == NULL)
+		return;
+	g_free(job->team);
+	g_free(job->id);
+	g_free(job->service);
+	g_free(job->upload);
+	g_free(job->digest);
+	g_free(job);
+}
+
+void
+batch_chunk_free(struct batch_chunk *chunk)
+{
+	if (chunk == NULL)
+		return;
+	g_free(chunk->session);
+	g_free(chunk->claim);
+	g_free(chunk->object);
+	g_free(chunk);
+}
+
+void
+batch_session_clear(struct batch_session *session)
+{
+	g_clear_pointer(&session->id, g_free);
+}
+
+const char *
+batch_job_state_text(enum batch_job_state state)
+{
+	return job_state_names[state];
+}
+
+int32_t
+batch_job_chunks(const struct batch_job *job)
+{
+	return (job->items + job->chunk_items - 1) / job->chunk_items;
+}
+
+static char *
+job_key(const char *team, const char *id)
+{
+	return g_strdup_printf("job/%s/%s", team, id);
+}
+
+static char *
+open_key(const char *team, const char *id)
+{
+	return g_strdup_printf("open/%s/%s", team, id);
+}
+
+static char *
+chunk_key(const struct batch_job *job, int32_t chunk)
+{
+	return g_strdup_printf("chunk/%s/%s/%06d", job->team, job->id, chunk);
+}
+
+static char *
+session_key(const char *id)
+{
+	return g_strdup_printf("session/%s", id);
+}
+
+static char *
+input_key(const char *upload, int32_t chunk)
+{
+	return g_strdup_printf("input/%s/%06d", upload, chunk);
+}
+
+static char *
+dup_text(const json_t *doc, const char *field)
+{
+	return g_strdup(json_string_value(json_object_get(doc, field)));
+}
+
+static int64_t
+integer(const json_t *doc, const char *field)
+{
+	return json_integer_value(json_object_get(doc, field));
+}
+
+static enum batch_job_state
+job_state_of_text(const char *text)
+{
+	for (int i = 0; i < (int)G_N_ELEMENTS(job_state_names); i++)
+		if (g_strcmp0(text, job_state_names[i]) == 0)
+			return i;
+	return kJobRunning;
+}
+
+static char *
+job_text(const struct batch_job *job, enum batch_job_state state)
+{
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:I,s:I}",
+	    "state", job_state_names[state], "team", job->team, "id", job->id,
+	    "service", job->service, "upload", job->upload, "digest",
+	    job->digest, "items", job->items, "chunk_items", job->chunk_items,
+	    "weight", job->weight, "due_us", (json_int_t)job->due_us,
+	    "created_us", (json_int_t)job->created_us);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	return text;
+}
+
+static struct batch_job *
+job_of_text(const char *text)
+{
+	json_t *doc = json_loads(text, 0, NULL);
+	struct batch_job *job;
+
+	if (doc == NULL)
+		return NULL;
+	job = g_new0(struct batch_job, 1);
+	job->team = dup_text(doc, "team");
+	job->id = dup_text(doc, "id");
+	job->service = dup_text(doc, "service");
+	job->upload = dup_text(doc, "upload");
+	job->digest = dup_text(doc, "digest");
+	job->items = (int32_t)integer(doc, "items");
+	job->chunk_items = (int32_t)MAX(integer(doc, "chunk_items"), 1);
+	job->weight = (int32_t)integer(doc, "weight");
+	job->due_us = integer(doc, "due_us");
+	job->created_us = integer(doc, "created_us");
+	job->state =
+	    job_state_of_text(json_string_value(json_object_get(doc, "state")));
+	json_decref(doc);
+	return job;
+}
+
+enum platform_result
+batch_put_input(const struct platform *plat, const char *upload, int32_t chunk,
+    const char *data, size_t len)
+{
+	char *key = input_key(upload, chunk);
+	enum platform_result res =
+	    plat->ops->put_object(plat->ctx, kCauseBatch, key, data, len);
+
+	g_free(key);
+	return res;
+}
+
+enum platform_result
+batch_get_input(const struct platform *plat, const struct batch_job *job,
+    int32_t chunk, GBytes **data)
+{
+	char *key = input_key(job->upload, chunk);
+	enum platform_result res =
+	    plat->ops->get_object(plat->ctx, kCauseBatch, key, data);
+
+	g_free(key);
+	return res;
+}
+
+enum platform_result
+batch_get_results(
+    const struct platform *plat, const char *object, GBytes **data)
+{
+	return plat->ops->get_object(plat->ctx, kCauseBatch, object, data);
+}
+
+enum platform_result
+batch_get_job(const struct platform *plat, const char *team, const char *id,
+    struct batch_job **job)
+{
+	char *key = job_key(team, id);
+	struct platform_row row = {0};
+	enum platform_result res =
+	    plat->ops->get(plat->ctx, kCauseBatch, key, &row);
+
+	g_free(key);
+	if (res != kPlatformOk)
+		return res;
+	*job = job_of_text(row.value);
+	platform_row_clear(&row);
+	return *job != NULL ? kPlatformOk : kPlatformNotFound;
+}
+
+/* The job in the store has this content, whoever submitted it. */
+static bool
+job_is_same(const struct platform *plat, void *ctx)
+{
+	const struct batch_job *job = ctx;
+	struct batch_job *stored = NULL;
+	bool same;
+
+	if (batch_get_job(plat, job->team, job->id, &stored) != kPlatformOk)
+		return false;
+	same = g_strcmp0(stored->digest, job->digest) == 0;
+	batch_job_free(stored);
+	return same;
+}
+
+enum platform_result
+batch_submit(const struct platform *plat, const struct batch_job *job)
+{
+	struct platform_txn *txn = platform_txn_new();
+	char *row_key = job_key(job->team, job->id);
+	char *list_key = open_key(job->team, job->id);
+	char *text = job_text(job, kJobRunning);
+	enum platform_result res;
+
+	platform_txn_absent(txn, row_key);
+	platform_txn_write(txn, row_key, text);
+	platform_txn_write(txn, list_key, text);
+	res = platform_commit(plat, kCauseBatch, txn, job_is_same, (void *)job);
+	if (res == kPlatformConflict && job_is_same(plat, (void *)job))
+		res = kPlatformOk;
+	platform_txn_free(txn);
+	g_free(row_key);
+	g_free(list_key);
+	free(text);
+	return res;
+}
+
+static void
+job_destroy(void *job)
+{
+	batch_job_free(job);
+}
+
+enum platform_result
+batch_open_jobs(const struct platform *plat, int32_t limit, GPtrArray **jobs)
+{
+	GPtrArray *rows = NULL;
+	enum platform_result res = plat->ops->scan(
+	    plat->ctx, kCauseBatch, "open/", NULL, limit, &rows);
+
+	if (res != kPlatformOk)
+		return res;
+	*jobs = g_ptr_array_new_with_free_func(job_destroy);
+	for (guint i = 0; i < rows->len; i++) {
+		const struct platform_row *row = rows->pdata[i];
+		struct batch_job *job = job_of_text(row->value);
+
+		if (job != NULL)
+			g_ptr_array_add(*jobs, job);
+	}
+	g_ptr_array_unref(rows);
+	return kPlatformOk;
+}
+
+static void
+chunk_read(struct batch_chunk *chunk, const struct platform_row *row)
+{
+	json_t *doc = json_loads(row->value, 0, NULL);
+	const char *state = json_string_value(json_object_get(doc, "state"));
+
+	chunk->version = row->version;
+	chunk->state =
+	    g_strcmp0(state, "done") == 0 ? kChunkDone : kChunkLeased;
+	if (g_strcmp0(state, "open") == 0)
+		chunk->state = kChunkOpen;
+	chunk->session = dup_text(doc, "session");
+	chunk->claim = dup_text(doc, "claim");
+	chunk->object = dup_text(doc, "object");
+	chunk->ok = (int32_t)integer(doc, "ok");
+	chunk->failed = (int32_t)integer(doc, "failed");
+	json_decref(doc);
+}
+
+static void
+chunk_destroy(void *chunk)
+{
+	batch_chunk_free(chunk);
+}
+
+static GPtrArray *
+open_chunks_new(int32_t n)
+{
+	GPtrArray *chunks = g_ptr_array_new_with_free_func(chunk_destroy);
+
+	for (int32_t i = 0; i < n; i++) {
+		struct batch_chunk *chunk = g_new0(struct batch_chunk, 1);
+
+		chunk->number = i;
+		g_ptr_array_add(chunks, chunk);
+	}
+	return chunks;
+}
+
+enum platform_result
+batch_chunks(const struct platform *plat, const struct batch_job *job,
+    GPtrArray **chunks)
+{
+	char *prefix = g_strdup_printf("chunk/%s/%s/", job->team, job->id);
+	char *after = g_strdup(prefix);
+	enum platform_result res = kPlatformOk;
+	guint got = kChunkPage;
+
+	*chunks = open_chunks_new(batch_job_chunks(job));
+	while (res == kPlatformOk && got == kChunkPage) {
+		GPtrArray *rows = NULL;
+
+		res = plat->ops->scan(
+		    plat->ctx, kCauseBatch, prefix, after, kChunkPage, &rows);
+		if (res != kPlatformOk)
+			break;
+		for (guint i = 0; i < rows->len; i++) {
+			const struct platform_row *row = rows->pdata[i];
+			int64_t n = g_ascii_strtoll(
+			    row->key + strlen(prefix), NULL, 10);
+
+			if (n >= 0 && n < (int64_t)(*chunks)->len)
+				chunk_read((*chunks)->pdata[n], row);
+		}
+		got = rows->len;
+		if (got > 0) {
+			const struct platform_row *last = rows->pdata[got - 1];
+
+			g_free(after);
+			after = g_strdup(last->key);
+		}
+		g_ptr_array_unref(rows);
+	}
+	if (res != kPlatformOk)
+		g_clear_pointer(chunks, g_ptr_array_unref);
+	g_free(prefix);
+	g_free(after);
+	return res;
+}
+
+static void
+progress_add(struct batch_progress *progress, const struct batch_chunk *chunk)
+{
+	progress->chunks++;
+	progress->ok += chunk->ok;
+	progress->failed += chunk->failed;
+	if (chunk->state == kChunkDone)
+		progress->chunks_done++;
+	if (chunk->state == kChunkLeased)
+		progress->chunks_leased++;
+}
+
+enum platform_result
+batch_progress(const struct platform *plat, const char *team, const char *id,
+    struct batch_progress *progress)
+{
+	struct batch_job *job = NULL;
+	GPtrArray *chunks = NULL;
+	enum platform_result res = batch_get_job(plat, team, id, &job);
+
+	memset(progress, 0, sizeof(*progress));
+	if (res != kPlatformOk)
+		return res;
+	res = batch_chunks(plat, job, &chunks);
+	if (res == kPlatformOk) {
+		progress->state = job->state;
+		progress->items = job->items;
+		for (guint i = 0; i < chunks->len; i++)
+			progress_add(progress, chunks->pdata[i]);
+		g_ptr_array_unref(chunks);
+	}
+	batch_job_free(job);
+	return res;
+}
+
+static char *
+session_text(const char *state, int64_t counter)
+{
+	return g_strdup_printf(
+	    "{\"state\":\"%s\",\"counter\":\"%" PRId64 "\"}", state, counter);
+}
+
+static enum platform_result
+session_read(const struct platform *plat, const char *id, bool *is_live,
+    int64_t *counter, int64_t *version)
+{
+	char *key = session_key(id);
+	struct platform_row row = {0};
+	enum platform_result res =
+	    plat->ops->get(plat->ctx, kCauseSession, key, &row);
+	const char *text;
+	json_t *doc;
+
+	g_free(key);
+	if (res != kPlatformOk)
+		return res;
+	doc = json_loads(row.value, 0, NULL);
+	*is_live = g_strcmp0(json_string_value(json_object_get(doc, "state")),
+		       "live") == 0;
+	text = json_string_value(json_object_get(doc, "counter"));
+	*counter = text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
+	*version = row.version;
+	json_decref(doc);
+	platform_row_clear(&row);
+	return kPlatformOk;
+}
+
+/* The row shows the heartbeat that this session was writing. */
+static bool
+beat_is_mine(const struct platform *plat, void *ctx)
+{
+	const struct batch_session *session = ctx;
+	bool is_live;
+	int64_t counter;
+	int64_t version;
+
+	return session_read(plat, session->id, &is_live, &counter, &version) ==
+		   kPlatformOk &&
+	       is_live && counter == session->counter + 1;
+}
+
+static void
+require_last_beat(struct platform_txn *txn, const char *key, int64_t counter)
+{
+	char *text = g_strdup_printf("%" PRId64, counter);
+
+	platform_txn_field(txn, key, "state", "live");
+	platform_txn_field(txn, key, "counter", text);
+	g_free(text);
+}
+
+static enum platform_result
+session_write(const struct platform *plat, struct batch_session *session)
+{
+	struct platform_txn *txn = platform_txn_new();
+	char *key = session_key(session->id);
+	char *text = session_text("live", session->counter + 1);
+	enum platform_result res;
+
+	if (session->counter == 0)
+		platform_txn_absent(txn, key);
+	else
+		require_last_beat(txn, key, session->counter);
+	platform_txn_write(txn, key, text);
+	res = platform_commit(plat, kCauseSession, txn, beat_is_mine, session);
+	/* A heartbeat that took effect unnoticed earlier is not a loss. */
+	if (res == kPlatformConflict && beat_is_mine(plat, session))
+		res = kPlatformOk;
+	if (res == kPlatformOk)
+		session->counter++;
+	platform_txn_free(txn);
+	g_free(key);
+	g_free(text);
+	return res;
+}
+
+enum platform_result
+batch_session_start(
+    const struct platform *plat, const char *id, struct batch_session *session)
+{
+	session->id = g_strdup(id);
+	session->counter = 0;
+	return session_write(plat, session);
+}
+
+enum platform_result
+batch_session_beat(const struct platform *plat, struct batch_session *session)
+{
+	return session_write(plat, session);
+}
+
+enum platform_result
+batch_session_look(const struct platform *plat, const char *id, bool *is_live,
+    int64_t *version)
+{
+	int64_t counter;
+
+	return session_read(plat, id, is_live, &counter, version);
+}
+
+static bool
+session_has_ended(const struct platform *plat, void *ctx)
+{
+	bool is_live;
+	int64_t counter;
+	int64_t version;
+
+	return session_read(plat, ctx, &is_live, &counter, &version) ==
+		   kPlatformOk &&
+	       !is_live;
+}
+
+enum platform_result
+batch_session_end(const struct platform *plat, const char *id, int64_t version)
+{
+	struct platform_txn *txn = platform_txn_new();
+	char *key = session_key(id);
+	char *text = session_text("ended", 0);
+	enum platform_result res;
+
+	platform_txn_version(txn, key, version);
+	platform_txn_write(txn, key, text);
+	res = platform_commit(
+	    plat, kCauseSession, txn, session_has_ended, (void *)id);
+	platform_txn_free(txn);
+	g_free(key);
+	g_free(text);
+	return res;
+}
+
+/* Conditions: this session lives and the job runs. */
+static void
+require_right(struct platform_txn *txn, const struct batch_session *session,
+    const struct batch_job *job)
+{
+	char *own = session_key(session->id);
+	char *row = job_key(job->team, job->id);
+
+	platform_txn_field(txn, own, "state", "live");
+	platform_txn_field(txn, row, "state", "running");
+	g_free(own);
+	g_free(row);
+}
+
+struct chunk_identity {
+	const struct batch_job *job;
+	int32_t chunk;
+	const char *claim;
+	enum batch_chunk_state state;
+};
+
+static bool
+chunk_is_mine(const struct platform *plat, void *ctx)
+{
+	const struct chunk_identity *id = ctx;
+	struct batch_chunk chunk = {0};
+	struct platform_row row = {0};
+	char *key = chunk_key(id->job, id->chunk);
+	bool mine = false;
+
+	if (plat->ops->get(plat->ctx, kCauseBatch, key, &row) == kPlatformOk) {
+		chunk_read(&chunk, &row);
+		mine = chunk.state == id->state &&
+		       g_strcmp0(chunk.claim, id->claim) == 0;
+		g_free(chunk.session);
+		g_free(chunk.claim);
+		g_free(chunk.object);
+		platform_row_clear(&row);
+	}
+	g_free(key);
+	return mine;
+}
+
+enum platform_result
+batch_claim(const struct platform *plat, const struct batch_session *session,
+    const struct batch_job *job, const struct batch_chunk *chunk,
+    const char *claim)
+{
+	struct platform_txn *txn = platform_txn_new();
+	struct chunk_identity id = {job, chunk->number, claim, kChunkLeased};
+	char *key = chunk_key(job, chunk->number);
+	char *text = g_strdup_printf("{\"state\":\"leased\",\"session\":\"%s\","
+				     "\"claim\":\"%s\"}",
+	    session->id, claim);
+	enum platform_result res;
+
+	if (chunk->version == 0)
+		platform_txn_absent(txn, key);
+	else
+		platform_txn_version(txn, key, chunk->version);
+	if (chunk->state == kChunkLeased) {
+		char *holder = session_key(chunk->session);
+
+		platform_txn_field(txn, holder, "state", "ended");
+		g_free(holder);
+	}
+	require_right(txn, session, job);
+	platform_txn_write(txn, key, text);
+	res = platform_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
+	/* An earlier try may have taken effect without an answer. */
+	if (res == kPlatformConflict && chunk_is_mine(plat, &id))
+		res = kPlatformOk;
+	platform_txn_free(txn);
+	g_free(key);
+	g_free(text);
+	return res;
+}
+
+enum platform_result
+batch_unclaim(const struct platform *plat, const struct batch_job *job,
+    int32_t chunk, const char *claim)
+{
+	struct platform_txn *txn = platform_txn_new();
+	char *key = chunk_key(job, chunk);
+	enum platform_result res;
+
+	platform_txn_field(txn, key, "claim", claim);
+	platform_txn_field(txn, key, "state", "leased");
+	platform_txn_write(txn, key, "{\"state\":\"open\"}");
+	res = plat->ops->txn(plat->ctx, kCauseBatch, txn);
+	platform_txn_free(txn);
+	g_free(key);
+	return res;
+}
+
+static char *
+done_text(const struct batch_results *results, const char *object)
+{
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:i,s:i}", "state", "done",
+	    "claim", results->claim, "object", object, "ok", results->ok,
+	    "failed", results->failed);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	return text;
+}
+
+static enum platform_result
+commit_row(const struct platform *plat, const struct batch_session *session,
+    const struct batch_job *job, const struct batch_results *results,
+    const char *object)
+{
+	struct platform_txn *txn = platform_txn_new();
+	struct chunk_identity id = {
+	    job, results->chunk, results->claim, kChunkDone};
+	char *key = chunk_key(job, results->chunk);
+	char *text = done_text(results, object);
+	enum platform_result res;
+
+	platform_txn_field(txn, key, "claim", results->claim);
+	platform_txn_field(txn, key, "state", "leased");
+	require_right(txn, session, job);
+	platform_txn_write(txn, key, text);
+	res = platform_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
+	/* An earlier try may have taken effect without an answer. */
+	if (res == kPlatformConflict && chunk_is_mine(plat, &id))
+		res = kPlatformOk;
+	platform_txn_free(txn);
+	g_free(key);
+	free(text);
+	return res;
+}
+
+enum platform_result
+batch_commit(const struct platform *plat, const struct batch_session *session,
+    const struct batch_job *job, const struct batch_results *results)
+{
+	char *object = g_strdup_printf("result/%s/%s/%06d/%s", job->team,
+	    job->id, results->chunk, results->claim);
+	enum platform_result res = plat->ops->put_object(
+	    plat->ctx, kCauseBatch, object, results->data, results->len);
+
+	if (res == kPlatformOk)
+		res = commit_row(plat, session, job, results, object);
+	g_free(object);
+	return res;
+}
+
+static bool
+job_has_ended(const struct platform *plat, void *ctx)
+{
+	const struct batch_job *job = ctx;
+	struct batch_job *stored = NULL;
+	bool ended;
+
+	if (batch_get_job(plat, job->team, job->id, &stored) != kPlatformOk)
+		return false;
+	ended = stored->state == job->state;
+	batch_job_free(stored);
+	return ended;
+}
+
+static enum platform_result
+end_job(const struct platform *plat, const struct batch_job *job,
+    enum batch_job_state state)
+{
+	struct platform_txn *txn = platform_txn_new();
+	struct batch_job ended = *job;
+	char *row_key = job_key(job->team, job->id);
+	char *list_key = open_key(job->team, job->id);
+	char *text = job_text(job, state);
+	enum platform_result res;
+
+	ended.state = state;
+	platform_txn_field(txn, row_key, "state", "running");
+	platform_txn_write(txn, row_key, text);
+	platform_txn_write(txn, list_key, NULL);
+	res = platform_commit(plat, kCauseBatch, txn, job_has_ended, &ended);
+	platform_txn_free(txn);
+	g_free(row_key);
+	g_free(list_key);
+	free(text);
+	return res;
+}
+
+enum platform_result
+batch_finish(
+    const struct platform *plat, const struct batch_job *job, bool *done)
+{
+	GPtrArray *chunks = NULL;
+	enum platform_result res = batch_chunks(plat, job, &chunks);
+
+	*done = false;
+	if (res != kPlatformOk)
+		return res;
+	for (guint i = 0; i < chunks->len; i++) {
+		const struct batch_chunk *chunk = chunks->pdata[i];
+
+		if (chunk->state != kChunkDone) {
+			g_ptr_array_unref(chunks);
+			return kPlatformOk;
+		}
+	}
+	g_ptr_array_unref(chunks);
+	res = end_job(plat, job, kJobDone);
+	*done = res == kPlatformOk;
+	return res;
+}
+
+enum platform_result
+batch_cancel(const struct platform *plat, const char *team, const char *id)
+{
+	struct batch_job *job = NULL;
+	enum platform_result res = batch_get_job(plat, team, id, &job);
+
+	if (res != kPlatformOk)
+		return res;
+	if (job->state == kJobCancelled)
+		res = kPlatformOk;
+	else
+		res = end_job(plat, job, kJobCancelled);
+	batch_job_free(job);
+	return res;
+}
--- /dev/null
+++ b/src/savoryflow/batch/batch_store.h
@@ -0,0 +1,114 @@
+#ifndef SAVORYFLOW_BATCH_STORE_H
+#define SAVORYFLOW_BATCH_STORE_H
+
+#include "platform/platform.h"
+#include "savoryflow/batch/batch_defs.h"
+
+/*
+ * Batch jobs in the platform's table service and object store.
+ *
+ * Rows: job/TEAM/ID; open/TEAM/ID while the job runs; chunk/TEAM/ID/NNNNNN
+ * once a chunk is leased; session/ID for each daemon.
+ * Objects: input/UPLOAD/NNNNNN and result/TEAM/ID/NNNNNN/CLAIM, never changed.
+ *
+ * Every commit names in its conditions the lease, the session and the state of
+ * the job, so that a daemon that lost them cannot write, whatever it believes.
+ * Functions return kPlatformAmbiguous only if the store stayed silent.
+ */
+
+void batch_job_free(struct batch_job *job);
+void batch_chunk_free(struct batch_chunk *chunk);
+void batch_session_clear(struct batch_session *session);
+
+/** Number of chunks of a job. */
+int32_t batch_job_chunks(const struct batch_job *job);
+
+/** Stores the items (JSON lines) of one chunk of an upload. */
+enum platform_result batch_put_input(const struct platform *plat,
+    const char *upload, int32_t chunk, const char *data, size_t len);
+enum platform_result batch_get_input(const struct platform *plat,
+    const struct batch_job *job, int32_t chunk, GBytes **data);
+
+/**
+ * Accepts a job. The same id with the same digest is the same job.
+ * @return kPlatformConflict if the id has other content
+ */
+enum platform_result batch_submit(
+    const struct platform *plat, const struct batch_job *job);
+
+/** Reads a job. @param job set on kPlatformOk; free it */
+enum platform_result batch_get_job(const struct platform *plat,
+    const char *team, const char *id, struct batch_job **job);
+
+/** Running jobs after a key; array of struct batch_job *, and the next key. */
+enum platform_result batch_open_jobs(
+    const struct platform *plat, int32_t limit, GPtrArray **jobs);
+
+/** All chunks of a job; array of struct batch_chunk *, by number. */
+enum platform_result batch_chunks(const struct platform *plat,
+    const struct batch_job *job, GPtrArray **chunks);
+
+enum platform_result batch_progress(const struct platform *plat,
+    const char *team, const char *id, struct batch_progress *progress);
+
+/** Starts the session of a daemon. */
+enum platform_result batch_session_start(
+    const struct platform *plat, const char *id, struct batch_session *session);
+
+/** Heartbeat. @return kPlatformConflict if the session was ended */
+enum platform_result batch_session_beat(
+    const struct platform *plat, struct batch_session *session);
+
+/** Reads another session: whether it lives, and the row's version. */
+enum platform_result batch_session_look(const struct platform *plat,
+    const char *id, bool *is_live, int64_t *version);
+
+/** Ends a session that was silent since `version`. */
+enum platform_result batch_session_end(
+    const struct platform *plat, const char *id, int64_t version);
+
+/**
+ * Leases a chunk that is open or whose session has ended.
+ * @param claim unique token of this lease
+ */
+enum platform_result batch_claim(const struct platform *plat,
+    const struct batch_session *session, const struct batch_job *job,
+    const struct batch_chunk *chunk, const char *claim);
+
+/** Gives a lease back without results. */
+enum platform_result batch_unclaim(const struct platform *plat,
+    const struct batch_job *job, int32_t chunk, const char *claim);
+
+struct batch_results {
+	int32_t chunk;
+	const char *claim;
+	/** JSON lines, one an item, in the order of the items. */
+	const char *data;
+	size_t len;
+	int32_t ok;
+	int32_t failed;
+};
+
+/**
+ * Commits the results of a leased chunk once.
+ * @return kPlatformConflict if the lease, the session or the job has ended
+ */
+enum platform_result batch_commit(const struct platform *plat,
+    const struct batch_session *session, const struct batch_job *job,
+    const struct batch_results *results);
+
+/** Marks the job done if all chunks are. @param done set to the outcome */
+enum platform_result batch_finish(
+    const struct platform *plat, const struct batch_job *job, bool *done);
+
+/** Cancels a running job. @return kPlatformConflict if it has ended */
+enum platform_result batch_cancel(
+    const struct platform *plat, const char *team, const char *id);
+
+enum platform_result batch_get_results(
+    const struct platform *plat, const char *object, GBytes **data);
+
+/** Text of a state: "running", "cancelled" or "done". */
+const char *batch_job_state_text(enum batch_job_state state);
+
+#endif
--- /dev/null
+++ b/src/savoryflow/call/intent_store.c
@@ -0,0 +1,201 @@
+/* Intents of calls that run at most once, in the table service. */
+#include "savoryflow/call/intent_store.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#include "platform/commit.h"
+
+void
+intent_clear(struct intent *in)
+{
+	g_clear_pointer(&in->team, g_free);
+	g_clear_pointer(&in->key, g_free);
+	g_clear_pointer(&in->digest, g_free);
+	g_clear_pointer(&in->attempt, g_free);
+	g_clear_pointer(&in->daemon, g_free);
+	g_clear_pointer(&in->content_type, g_free);
+	g_clear_pointer(&in->body, g_free);
+	g_clear_pointer(&in->holder, g_free);
+}
+
+/* The key is hashed: it is a caller's text of any form. */
+static char *
+row_key(const struct intent *in)
+{
+	char *sum =
+	    g_compute_checksum_for_string(G_CHECKSUM_SHA256, in->key, -1);
+	char *key = g_strdup_printf("intent/%s/%s", in->team, sum);
+
+	g_free(sum);
+	return key;
+}
+
+static char *
+started_text(const struct intent *in)
+{
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:s}", "state", "started",
+	    "attempt", in->attempt, "digest", in->digest, "daemon", in->daemon);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	return text;
+}
+
+static void
+add_begin(struct platform_txn *txn, const struct intent *in)
+{
+	char *key = row_key(in);
+	char *text = started_text(in);
+
+	platform_txn_absent(txn, key);
+	platform_txn_write(txn, key, text);
+	g_free(key);
+	free(text);
+}
+
+static const char *
+text_field(const json_t *doc, const char *field)
+{
+	return json_string_value(json_object_get(doc, field));
+}
+
+/* What a row that is there says of a resent key. */
+static void
+state_of_row(struct intent *in, const json_t *doc)
+{
+	if (g_strcmp0(text_field(doc, "attempt"), in->attempt) == 0) {
+		in->state = kIntentRun;
+		return;
+	}
+	if (g_strcmp0(text_field(doc, "digest"), in->digest) != 0) {
+		in->state = kIntentMismatch;
+		return;
+	}
+	if (g_strcmp0(text_field(doc, "state"), "done") != 0) {
+		in->state = kIntentInProgress;
+		in->holder = g_strdup(text_field(doc, "daemon"));
+		return;
+	}
+	in->state = kIntentDone;
+	in->status =
+	    (int32_t)json_integer_value(json_object_get(doc, "status"));
+	in->content_type = g_strdup(text_field(doc, "content_type"));
+	in->body = g_strdup(text_field(doc, "body"));
+}
+
+static void
+read_back(const struct platform *plat, struct intent *in)
+{
+	char *key = row_key(in);
+	struct platform_row row = {0};
+	enum platform_result res =
+	    plat->ops->get(plat->ctx, kCauseIntent, key, &row);
+
+	in->state = kIntentStoreDown;
+	if (res == kPlatformOk) {
+		json_t *doc = json_loads(row.value, 0, NULL);
+
+		state_of_row(in, doc);
+		json_decref(doc);
+		platform_row_clear(&row);
+	}
+	g_free(key);
+}
+
+static bool
+begin_is_mine(const struct platform *plat, void *ctx)
+{
+	struct intent *in = ctx;
+
+	read_back(plat, in);
+	return in->state == kIntentRun;
+}
+
+static void
+begin_one(const struct platform *plat, struct intent *in)
+{
+	struct platform_txn *txn = platform_txn_new();
+	enum platform_result res;
+
+	add_begin(txn, in);
+	res = platform_commit(plat, kCauseIntent, txn, begin_is_mine, in);
+	platform_txn_free(txn);
+	if (res == kPlatformOk)
+		in->state = kIntentRun;
+	else if (res == kPlatformConflict)
+		read_back(plat, in);
+	else
+		in->state = kIntentStoreDown;
+}
+
+void
+intent_begin_all(const struct platform *plat, GPtrArray *intents)
+{
+	struct platform_txn *txn = platform_txn_new();
+	enum platform_result res = kPlatformConflict;
+
+	for (guint i = 0; i < intents->len; i++)
+		add_begin(txn, intents->pdata[i]);
+	if (intents->len > 1)
+		res = plat->ops->txn(plat->ctx, kCauseIntent, txn);
+	platform_txn_free(txn);
+	for (guint i = 0; i < intents->len; i++) {
+		struct intent *in = intents->pdata[i];
+
+		if (res == kPlatformOk)
+			in->state = kIntentRun;
+		else if (res == kPlatformUnavailable)
+			in->state = kIntentStoreDown;
+		else
+			begin_one(plat, in);
+	}
+}
+
+static char *
+done_text(const struct intent *in)
+{
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:s}", "state",
+	    "done", "attempt", in->attempt, "digest", in->digest, "daemon",
+	    in->daemon, "status", in->status, "content_type",
+	    in->content_type != NULL ? in->content_type : "", "body",
+	    in->body != NULL ? in->body : "");
+	char *text = doc != NULL ? json_dumps(doc, JSON_COMPACT) : NULL;
+
+	json_decref(doc);
+	return text;
+}
+
+enum platform_result
+intent_finish(const struct platform *plat, const struct intent *in)
+{
+	struct platform_txn *txn = platform_txn_new();
+	char *key = row_key(in);
+	char *text = done_text(in);
+	enum platform_result res = kPlatformConflict;
+
+	if (text != NULL) {
+		platform_txn_field(txn, key, "attempt", in->attempt);
+		platform_txn_write(txn, key, text);
+		res = plat->ops->txn(plat->ctx, kCauseIntent, txn);
+	}
+	platform_txn_free(txn);
+	g_free(key);
+	free(text);
+	return res;
+}
+
+enum platform_result
+intent_withdraw(const struct platform *plat, const struct intent *in)
+{
+	struct platform_txn *txn = platform_txn_new();
+	char *key = row_key(in);
+	enum platform_result res;
+
+	platform_txn_field(txn, key, "attempt", in->attempt);
+	platform_txn_write(txn, key, NULL);
+	res = plat->ops->txn(plat->ctx, kCauseIntent, txn);
+	platform_txn_free(txn);
+	g_free(key);
+	return res;
+}
--- /dev/null
+++ b/src/savoryflow/config/config_store.c
@@ -0,0 +1,337 @@
+/* The configuration in the platform's table service and object store. */
+#include "savoryflow/config/config_store.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "error/error.h"
+#include "platform/commit.h"
+#include "savoryconf/savoryconf.h"
+
+#define HEAD_KEY     "config/head"
+#define AUDIT_PREFIX "config/audit/"
+
+enum {
+	/* Audit rows read in one scan. */
+	kAuditPage = 100,
+};
+
+struct config_head {
+	int64_t generation;
+	char digest[65];
+	/* Version of the row; 0 if there is none. */
+	int64_t row_version;
+};
+
+static char *
+document_key(const char *digest)
+{
+	return g_strdup_printf("config/doc/%s", digest);
+}
+
+static char *
+audit_key(int64_t generation)
+{
+	return g_strdup_printf(AUDIT_PREFIX "%010" PRId64, generation);
+}
+
+static bool
+head_read(const struct platform *plat, struct config_head *head, GError **err)
+{
+	struct platform_row row = {0};
+	enum platform_result res;
+	json_t *doc;
+
+	memset(head, 0, sizeof(*head));
+	res = plat->ops->get(plat->ctx, kCauseConfig, HEAD_KEY, &row);
+	if (res == kPlatformNotFound)
+		return true;
+	if (res != kPlatformOk) {
+		g_set_error(err, SF_ERROR, kErrStoreUnavailable,
+		    "the configuration's head cannot be read");
+		return false;
+	}
+	doc = json_loads(row.value, 0, NULL);
+	head->generation =
+	    json_integer_value(json_object_get(doc, "generation"));
+	g_strlcpy(head->digest,
+	    json_string_value(json_object_get(doc, "digest")),
+	    sizeof(head->digest));
+	head->row_version = row.version;
+	json_decref(doc);
+	platform_row_clear(&row);
+	return true;
+}
+
+static json_t *
+document_read(const struct platform *plat, const char *digest, GError **err)
+{
+	char *key = document_key(digest);
+	GBytes *data = NULL;
+	json_t *doc = NULL;
+
+	if (plat->ops->get_object(plat->ctx, kCauseConfig, key, &data) ==
+	    kPlatformOk) {
+		gsize len;
+		const char *text = g_bytes_get_data(data, &len);
+
+		doc = json_loadb(text, len, 0, NULL);
+		g_bytes_unref(data);
+	}
+	if (doc == NULL)
+		g_set_error(err, SF_ERROR, kErrStoreUnavailable,
+		    "configuration %s cannot be read", digest);
+	g_free(key);
+	return doc;
+}
+
+static void
+set_conflict(GError **err, const struct config_head *head, int64_t from)
+{
+	g_set_error(err, SF_ERROR, kErrConflict,
+	    "made from generation %" PRId64 ", but generation %" PRId64
+	    " is in force",
+	    from, head->generation);
+}
+
+static char *
+audit_text(
+    const struct config_submission *sub, const char *digest, json_t *diff)
+{
+	json_t *row = json_pack("{s:I,s:I,s:s,s:I,s:s,s:O}", "generation",
+	    (json_int_t)sub->from_generation + 1, "from",
+	    (json_int_t)sub->from_generation, "who", sub->who, "time_us",
+	    (json_int_t)sub->wall_us, "digest", digest, "diff", diff);
+	char *text = json_dumps(row, JSON_COMPACT);
+
+	json_decref(row);
+	return text;
+}
+
+struct commit_identity {
+	const struct config_submission *sub;
+	const char *digest;
+};
+
+/* The audit row of the generation says whose commit took effect. */
+static bool
+commit_is_mine(const struct platform *plat, void *ctx)
+{
+	const struct commit_identity *id = ctx;
+	char *key = audit_key(id->sub->from_generation + 1);
+	struct platform_row row = {0};
+	bool mine = false;
+
+	if (plat->ops->get(plat->ctx, kCauseConfig, key, &row) == kPlatformOk) {
+		json_t *doc = json_loads(row.value, 0, NULL);
+		const char *who =
+		    json_string_value(json_object_get(doc, "who"));
+		const char *digest =
+		    json_string_value(json_object_get(doc, "digest"));
+		int64_t time_us =
+		    json_integer_value(json_object_get(doc, "time_us"));
+
+		mine = g_strcmp0(who, id->sub->who) == 0 &&
+		       g_strcmp0(digest, id->digest) == 0 &&
+		       time_us == id->sub->wall_us;
+		json_decref(doc);
+		platform_row_clear(&row);
+	}
+	g_free(key);
+	return mine;
+}
+
+static enum platform_result
+commit_head(const struct platform *plat, const struct config_head *head,
+    const struct config_submission *sub, const char *digest, json_t *diff)
+{
+	struct platform_txn *txn = platform_txn_new();
+	struct commit_identity id = {sub, digest};
+	char *audit = audit_key(sub->from_generation + 1);
+	char *audit_row = audit_text(sub, digest, diff);
+	char *head_row =
+	    g_strdup_printf("{\"generation\":%" PRId64 ",\"digest\":\"%s\"}",
+		sub->from_generation + 1, digest);
+	enum platform_result res;
+
+	if (head->row_version == 0)
+		platform_txn_absent(txn, HEAD_KEY);
+	else
+		platform_txn_version(txn, HEAD_KEY, head->row_version);
+	platform_txn_absent(txn, audit);
+	platform_txn_write(txn, HEAD_KEY, head_row);
+	platform_txn_write(txn, audit, audit_row);
+	res = platform_commit(plat, kCauseConfig, txn, commit_is_mine, &id);
+	platform_txn_free(txn);
+	g_free(audit);
+	g_free(head_row);
+	free(audit_row);
+	return res;
+}
+
+static bool
+document_write(
+    const struct platform *plat, const struct config *cfg, GError **err)
+{
+	char *text = savoryconf_dump(cfg->doc);
+	char *key = document_key(cfg->digest);
+	enum platform_result res = plat->ops->put_object(
+	    plat->ctx, kCauseConfig, key, text, strlen(text));
+
+	g_free(key);
+	free(text);
+	if (res == kPlatformOk)
+		return true;
+	g_set_error(err, SF_ERROR, kErrStoreUnavailable,
+	    "the configuration cannot be stored; it is not in force");
+	return false;
+}
+
+static bool
+commit_checked(const struct platform *plat, const struct config_head *head,
+    const struct config_submission *sub, struct config *cfg, json_t *diff,
+    GError **err)
+{
+	struct config_head now;
+	enum platform_result res =
+	    commit_head(plat, head, sub, cfg->digest, diff);
+
+	switch (res) {
+	case kPlatformOk:
+		return true;
+	case kPlatformConflict:
+		if (head_read(plat, &now, err))
+			set_conflict(err, &now, sub->from_generation);
+		return false;
+	case kPlatformAmbiguous:
+		g_set_error(err, SF_ERROR, kErrStoreAmbiguous,
+		    "the store lost the answer; see 'config history'");
+		return false;
+	default:
+		g_set_error(err, SF_ERROR, kErrStoreUnavailable,
+		    "the configuration was not committed");
+		return false;
+	}
+}
+
+struct config *
+config_store_submit(const struct platform *plat,
+    const struct config_submission *sub, GError **err)
+{
+	struct config_head head;
+	struct config *cfg =
+	    config_new(sub->doc, sub->from_generation + 1, err);
+	json_t *old = NULL;
+	json_t *diff;
+	bool done;
+
+	if (cfg == NULL)
+		return NULL;
+	done = head_read(plat, &head, err);
+	if (done && head.generation != sub->from_generation) {
+		set_conflict(err, &head, sub->from_generation);
+		done = false;
+	}
+	if (done && head.generation > 0) {
+		old = document_read(plat, head.digest, err);
+		done = old != NULL;
+	}
+	diff = config_diff(old, sub->doc);
+	done = done && document_write(plat, cfg, err) &&
+	       commit_checked(plat, &head, sub, cfg, diff, err);
+	json_decref(diff);
+	json_decref(old);
+	if (done)
+		return cfg;
+	config_unref(cfg);
+	return NULL;
+}
+
+json_t *
+config_store_history(
+    const struct platform *plat, int64_t after, int32_t limit, GError **err)
+{
+	char *key = audit_key(after);
+	GPtrArray *rows = NULL;
+	json_t *list = NULL;
+
+	if (plat->ops->scan(plat->ctx, kCauseConfig, AUDIT_PREFIX, key, limit,
+		&rows) == kPlatformOk) {
+		list = json_array();
+		for (guint i = 0; i < rows->len; i++) {
+			const struct platform_row *row = rows->pdata[i];
+
+			json_array_append_new(
+			    list, json_loads(row->value, 0, NULL));
+		}
+		g_ptr_array_unref(rows);
+	} else {
+		g_set_error(err, SF_ERROR, kErrStoreUnavailable,
+		    "the audit trail cannot be read");
+	}
+	g_free(key);
+	return list;
+}
+
+/* The document of the head, by the differences since the one held. */
+static json_t *
+document_by_differences(const struct platform *plat,
+    const struct config *current, const struct config_head *head)
+{
+	json_t *list =
+	    config_store_history(plat, current->generation, kAuditPage, NULL);
+	json_t *doc = json_incref(current->doc);
+	int64_t reached = current->generation;
+	char digest[65];
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(list, i, row)
+	{
+		json_t *next;
+
+		if (reached == head->generation)
+			break;
+		next = config_apply(doc, json_object_get(row, "diff"));
+		json_decref(doc);
+		doc = next;
+		reached =
+		    json_integer_value(json_object_get(row, "generation"));
+	}
+	json_decref(list);
+	config_digest(doc, digest);
+	if (reached == head->generation && strcmp(digest, head->digest) == 0)
+		return doc;
+	json_decref(doc);
+	return NULL;
+}
+
+bool
+config_store_catch_up(
+    const struct platform *plat, struct config_holder *holder, GError **err)
+{
+	struct config_head head;
+	struct config *current;
+	struct config *next;
+	json_t *doc = NULL;
+
+	if (!head_read(plat, &head, err))
+		return false;
+	if (head.generation <= config_holder_generation(holder))
+		return true;
+	current = config_holder_get(holder);
+	if (current != NULL)
+		doc = document_by_differences(plat, current, &head);
+	config_unref(current);
+	if (doc == NULL)
+		doc = document_read(plat, head.digest, err);
+	if (doc == NULL)
+		return false;
+	next = config_new(doc, head.generation, err);
+	json_decref(doc);
+	if (next == NULL)
+		return false;
+	config_holder_offer(holder, next);
+	config_unref(next);
+	return true;
+}
--- /dev/null
+++ b/src/savoryflow/retry/condemned.c
@@ -0,0 +1,63 @@
+/* The set of requests that crash targets. */
+#include "savoryflow/retry/condemned.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "savoryflow/arbiter/u64_hash.h"
+
+struct condemned {
+	GHashTable *set;
+	/** uint64_t *, oldest first; owned by the hash table. */
+	GQueue order;
+	int32_t most;
+};
+
+struct condemned *
+condemned_new(int32_t most)
+{
+	struct condemned *set = g_new0(struct condemned, 1);
+
+	set->set = u64_hash_new(g_free);
+	set->most = most;
+	g_queue_init(&set->order);
+	return set;
+}
+
+void
+condemned_free(struct condemned *set)
+{
+	g_queue_clear(&set->order);
+	g_hash_table_unref(set->set);
+	g_free(set);
+}
+
+uint64_t
+condemned_fingerprint(const char *service, const char *body, size_t len)
+{
+	uint64_t seed = XXH3_64bits(service, strlen(service));
+
+	return XXH3_64bits_withSeed(body, len, seed);
+}
+
+bool
+condemned_add(struct condemned *set, uint64_t fingerprint)
+{
+	uint64_t *key;
+
+	if (condemned_has(set, fingerprint))
+		return false;
+	if ((int32_t)g_queue_get_length(&set->order) >= set->most)
+		g_hash_table_remove(set->set, g_queue_pop_head(&set->order));
+	key = g_new(uint64_t, 1);
+	*key = fingerprint;
+	g_hash_table_insert(set->set, key, key);
+	g_queue_push_tail(&set->order, key);
+	return true;
+}
+
+bool
+condemned_has(const struct condemned *set, uint64_t fingerprint)
+{
+	return g_hash_table_contains(set->set, &fingerprint);
+}
--- /dev/null
+++ b/src/savoryflow/routing/rendezvous.c
@@ -0,0 +1,13 @@
+/* Highest random weight hashing. */
+#include "savoryflow/routing/rendezvous.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+uint64_t
+rendezvous_weight(const char *key, const char *node)
+{
+	uint64_t seed = XXH3_64bits(key, strlen(key));
+
+	return XXH3_64bits_withSeed(node, strlen(node), seed);
+}
--- /dev/null
+++ b/src/serve/batch_run.c
@@ -0,0 +1,723 @@
+/*
+ * Batch work of one daemon: leases chunks, runs their items as calls, commits
+ * the results. The runner's own lock is taken before a call's lock and is not
+ * held while a call is started or cancelled.
+ */
+#include "serve/batch_run.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "error/error.h"
+#include "log/log.h"
+#include "metric/metric.h"
+#include "savoryflow/batch/batch_store.h"
+#include "serve/call_run.h"
+#include "serve/keeper.h"
+#include "serve/routes.h"
+
+enum {
+	/* Open jobs looked at in one poll. */
+	kJobPage = 200,
+	/* Chunks held at once: one that runs out and one that starts. */
+	kChunksMax = 2,
+	/* An item that has no result by then has failed. */
+	kBatchDeadlineS = 7 * 24 * 3600,
+	/* Period of the look whether a job was cancelled. */
+	kCancelLookUs = 5 * kUsPerS,
+};
+
+struct chunk_run;
+
+struct item_run {
+	struct chunk_run *cr;
+	int32_t index;
+	struct call *call;
+};
+
+struct chunk_run {
+	gint refs;
+	struct batch_runner *br;
+	struct batch_job *job;
+	int32_t number;
+	char *claim;
+	/** Session under which the chunk is leased. */
+	char *session;
+	/** Items as JSON, and one line of result for each. */
+	GPtrArray *items;
+	char **results;
+	struct item_run *runs;
+	int32_t next_item;
+	int32_t running;
+	int32_t finished;
+	int32_t ok;
+	int32_t failed;
+	bool is_dropped;
+	int64_t next_look_us;
+};
+
+struct batch_runner {
+	struct daemon *d;
+	pthread_mutex_t lock;
+	struct batch_session session;
+	bool has_session;
+	uint64_t sessions;
+	/** struct chunk_run that this daemon holds. */
+	GPtrArray *chunks;
+	int32_t inflight;
+	bool stopping;
+	/** First time that each foreign lease was seen, by claim. */
+	GHashTable *leases_seen;
+};
+
+struct lease_seen {
+	int64_t since_us;
+	int64_t version;
+};
+
+static void start_items(struct chunk_run *cr);
+
+static void
+chunk_run_unref(struct chunk_run *cr)
+{
+	if (!g_atomic_int_dec_and_test(&cr->refs))
+		return;
+	for (guint i = 0; i < cr->items->len; i++)
+		g_free(cr->results[i]);
+	g_free(cr->results);
+	g_free(cr->runs);
+	g_ptr_array_unref(cr->items);
+	batch_job_free(cr->job);
+	g_free(cr->claim);
+	g_free(cr->session);
+	g_free(cr);
+}
+
+struct batch_runner *
+batch_runner_new(struct daemon *d)
+{
+	struct batch_runner *br = g_new0(struct batch_runner, 1);
+
+	br->d = d;
+	pthread_mutex_init(&br->lock, NULL);
+	br->chunks = g_ptr_array_new();
+	br->leases_seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return br;
+}
+
+void
+batch_runner_free(struct batch_runner *br)
+{
+	for (guint i = 0; i < br->chunks->len; i++)
+		chunk_run_unref(br->chunks->pdata[i]);
+	g_ptr_array_unref(br->chunks);
+	g_hash_table_unref(br->leases_seen);
+	batch_session_clear(&br->session);
+	pthread_mutex_destroy(&br->lock);
+	g_free(br);
+}
+
+static char *
+result_line(const struct chunk_run *cr, int32_t index, struct call *call)
+{
+	struct call_view view = call_look(call);
+	json_t *item = cr->items->pdata[index];
+	json_t *id = json_object_get(item, "id");
+	int64_t number = (int64_t)cr->number * cr->job->chunk_items + index;
+	json_t *doc =
+	    json_pack("{s:I,s:O?}", "index", (json_int_t)number, "id", id);
+	char *text;
+
+	if (view.error < 0) {
+		char *answer = call_text(call);
+
+		json_object_set_new(doc, "status", json_string("ok"));
+		json_object_set_new(doc, "answer", json_string(answer));
+		g_free(answer);
+	} else {
+		json_object_set_new(doc, "status", json_string("failed"));
+		json_object_set_new(
+		    doc, "error", json_string(sf_error_type(view.error)));
+	}
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	return text;
+}
+
+/* A call has ended: keeps its result and starts the next item. */
+static void
+on_item_notify(void *ctx)
+{
+	struct item_run *run = ctx;
+	struct chunk_run *cr = run->cr;
+	struct batch_runner *br = cr->br;
+	struct call *call;
+	bool complete;
+
+	if (!call_look(run->call).is_done)
+		return;
+	pthread_mutex_lock(&br->lock);
+	call = run->call;
+	if (cr->results[run->index] != NULL) {
+		pthread_mutex_unlock(&br->lock);
+		return;
+	}
+	cr->results[run->index] = result_line(cr, run->index, call);
+	if (call_look(call).error < 0)
+		cr->ok++;
+	else
+		cr->failed++;
+	cr->running--;
+	cr->finished++;
+	br->inflight--;
+	complete = cr->finished == (int32_t)cr->items->len;
+	pthread_mutex_unlock(&br->lock);
+	if (complete || cr->is_dropped)
+		keeper_kick_batch(br->d->keeper);
+	else
+		start_items(cr);
+	call_unref(call);
+}
+
+/* The call is gone for good; so is its hold on the chunk. */
+static void
+on_item_release(void *ctx)
+{
+	struct item_run *run = ctx;
+
+	chunk_run_unref(run->cr);
+}
+
+static struct call *
+item_call(struct chunk_run *cr, struct item_run *run)
+{
+	struct daemon *d = cr->br->d;
+	json_t *item = cr->items->pdata[run->index];
+	json_t *body = json_deep_copy(json_object_get(item, "body"));
+	int64_t now_us = clock_mono_us(d->clk);
+	int64_t wall_us = clock_wall_us(d->clk);
+	struct call_options opt = {
+	    .work_class = kWorkBatch,
+	    .service = cr->job->service,
+	    .is_engine = true,
+	    .is_idempotent = true,
+	    .team = cr->job->team,
+	    .weight = cr->job->weight,
+	    .deadline_us = now_us + kBatchDeadlineS * (int64_t)kUsPerS,
+	    .due_us = cr->job->due_us > 0 ? now_us + cr->job->due_us - wall_us
+					  : INT64_MAX / 2,
+	    .notify = on_item_notify,
+	    .release = on_item_release,
+	    .ctx = run,
+	};
+	struct call *call;
+	char *text;
+
+	json_object_set_new(body, "stream", json_true());
+	text = json_dumps(body, JSON_COMPACT);
+	opt.body = g_bytes_new_with_free_func(text, strlen(text), free, text);
+	call = call_new(d, &opt);
+	g_bytes_unref(opt.body);
+	json_decref(body);
+	return call;
+}
+
+/* Takes the next item if the daemon may run one more. */
+static struct item_run *
+take_item(struct chunk_run *cr)
+{
+	struct batch_runner *br = cr->br;
+	struct item_run *run = NULL;
+
+	pthread_mutex_lock(&br->lock);
+	if (!cr->is_dropped && !br->stopping &&
+	    cr->next_item < (int32_t)cr->items->len &&
+	    br->inflight < br->d->set->batch_inflight_items) {
+		run = &cr->runs[cr->next_item];
+		run->cr = cr;
+		run->index = cr->next_item++;
+		run->call = item_call(cr, run);
+		cr->running++;
+		br->inflight++;
+		g_atomic_int_inc(&cr->refs);
+	}
+	pthread_mutex_unlock(&br->lock);
+	return run;
+}
+
+static void
+start_items(struct chunk_run *cr)
+{
+	struct item_run *run;
+
+	while ((run = take_item(cr)) != NULL)
+		call_start(run->call);
+}
+
+static GPtrArray *
+parse_items(GBytes *data)
+{
+	GPtrArray *items =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)json_decref);
+	gsize len;
+	const char *text = g_bytes_get_data(data, &len);
+	const char *end = text + len;
+
+	while (text < end) {
+		const char *eol = memchr(text, '\n', (size_t)(end - text));
+		size_t n = (size_t)((eol != NULL ? eol : end) - text);
+		json_t *item = n > 0 ? json_loadb(text, n, 0, NULL) : NULL;
+
+		if (item != NULL)
+			g_ptr_array_add(items, item);
+		text += n + 1;
+	}
+	return items;
+}
+
+static struct chunk_run *
+chunk_run_new(struct batch_runner *br, struct batch_job *job, int32_t number,
+    const char *claim, GBytes *data)
+{
+	struct chunk_run *cr = g_new0(struct chunk_run, 1);
+
+	cr->refs = 1;
+	cr->br = br;
+	cr->job = job;
+	cr->number = number;
+	cr->claim = g_strdup(claim);
+	cr->session = g_strdup(br->session.id);
+	cr->items = parse_items(data);
+	cr->results = g_new0(char *, cr->items->len);
+	cr->runs = g_new0(struct item_run, cr->items->len);
+	cr->next_look_us = clock_mono_us(br->d->clk) + kCancelLookUs;
+	return cr;
+}
+
+/* Stops a chunk's items; its results are not used. */
+static void
+drop_chunk(struct chunk_run *cr)
+{
+	GPtrArray *calls = g_ptr_array_new();
+
+	pthread_mutex_lock(&cr->br->lock);
+	cr->is_dropped = true;
+	for (int32_t i = 0; i < cr->next_item; i++)
+		if (cr->results[i] == NULL)
+			g_ptr_array_add(calls, call_ref(cr->runs[i].call));
+	pthread_mutex_unlock(&cr->br->lock);
+	for (guint i = 0; i < calls->len; i++) {
+		call_cancel(calls->pdata[i]);
+		call_unref(calls->pdata[i]);
+	}
+	g_ptr_array_unref(calls);
+}
+
+/* Held chunks with a reference each; the caller drops them. */
+static GPtrArray *
+held_chunks(struct batch_runner *br)
+{
+	GPtrArray *list =
+	    g_ptr_array_new_with_free_func((GDestroyNotify)chunk_run_unref);
+
+	pthread_mutex_lock(&br->lock);
+	for (guint i = 0; i < br->chunks->len; i++) {
+		struct chunk_run *cr = br->chunks->pdata[i];
+
+		g_atomic_int_inc(&cr->refs);
+		g_ptr_array_add(list, cr);
+	}
+	pthread_mutex_unlock(&br->lock);
+	return list;
+}
+
+static void
+forget_chunk(struct chunk_run *cr)
+{
+	bool had;
+
+	pthread_mutex_lock(&cr->br->lock);
+	had = g_ptr_array_remove(cr->br->chunks, cr);
+	pthread_mutex_unlock(&cr->br->lock);
+	if (had)
+		chunk_run_unref(cr);
+}
+
+static void
+log_chunk(enum log_event_id id, const struct chunk_run *cr)
+{
+	char number[16];
+
+	g_snprintf(number, sizeof(number), "%d", cr->number);
+	log_event(id, "team", cr->job->team, "job", cr->job->id, "chunk",
+	    number, NULL);
+}
+
+static void
+finish_job(struct batch_runner *br, const struct batch_job *job)
+{
+	bool done = false;
+
+	batch_finish(br->d->plat, job, &done);
+	if (done)
+		log_event(kEvtJobDone, "team", job->team, "job", job->id, NULL);
+}
+
+static enum platform_result
+commit_chunk(struct batch_runner *br, struct chunk_run *cr)
+{
+	struct batch_session session = {cr->session, 0};
+	GString *data = g_string_new(NULL);
+	struct batch_results results = {
+	    cr->number, cr->claim, NULL, 0, cr->ok, cr->failed};
+	enum platform_result res;
+
+	for (guint i = 0; i < cr->items->len; i++)
+		g_string_append_printf(data, "%s\n", cr->results[i]);
+	results.data = data->str;
+	results.len = data->len;
+	res = batch_commit(br->d->plat, &session, cr->job, &results);
+	g_string_free(data, TRUE);
+	return res;
+}
+
+/* Commits a chunk whose items have all ended. */
+static void
+settle_chunk(struct batch_runner *br, struct chunk_run *cr)
+{
+	enum platform_result res = commit_chunk(br, cr);
+
+	daemon_note_store(
+	    br->d, res == kPlatformOk || res == kPlatformConflict);
+	if (res == kPlatformOk) {
+		metric_add(kMetItems, cr->items->len);
+		log_chunk(kEvtChunkCommitted, cr);
+		forget_chunk(cr);
+		keeper_kick_batch(br->d->keeper);
+	} else if (res == kPlatformConflict) {
+		log_chunk(kEvtChunkLost, cr);
+		forget_chunk(cr);
+	}
+}
+
+static bool
+job_was_ended(struct batch_runner *br, struct chunk_run *cr)
+{
+	int64_t now_us = clock_mono_us(br->d->clk);
+	struct batch_job *job = NULL;
+	bool ended;
+
+	if (now_us < cr->next_look_us)
+		return false;
+	cr->next_look_us = now_us + kCancelLookUs;
+	if (batch_get_job(br->d->plat, cr->job->team, cr->job->id, &job) !=
+	    kPlatformOk)
+		return false;
+	ended = job->state != kJobRunning;
+	batch_job_free(job);
+	return ended;
+}
+
+static void
+move_chunks_on(struct batch_runner *br)
+{
+	GPtrArray *list = held_chunks(br);
+
+	for (guint i = 0; i < list->len; i++) {
+		struct chunk_run *cr = list->pdata[i];
+		bool complete;
+		bool quiet;
+
+		if (!cr->is_dropped && job_was_ended(br, cr))
+			drop_chunk(cr);
+		pthread_mutex_lock(&br->lock);
+		complete = cr->finished == (int32_t)cr->items->len;
+		quiet = cr->running == 0;
+		pthread_mutex_unlock(&br->lock);
+		if (cr->is_dropped && quiet)
+			forget_chunk(cr);
+		else if (complete && !cr->is_dropped)
+			settle_chunk(br, cr);
+		else
+			start_items(cr);
+	}
+	g_ptr_array_unref(list);
+}
+
+/* A lease that has stood unchanged for too long, or whose daemon is gone. */
+static bool
+lease_looks_lost(struct batch_runner *br, const struct batch_chunk *chunk)
+{
+	int64_t now_us = clock_mono_us(br->d->clk);
+	char **parts = g_strsplit(chunk->session, "/", 2);
+	bool alive = routes_is_alive(br->d->routes, parts[0]);
+	int64_t *since = g_hash_table_lookup(br->leases_seen, chunk->claim);
+	int64_t lease_us = br->d->set->session_lease_ms * kUsPerMs;
+
+	g_strfreev(parts);
+	if (since == NULL) {
+		since = g_new(int64_t, 1);
+		*since = now_us;
+		g_hash_table_insert(
+		    br->leases_seen, g_strdup(chunk->claim), since);
+	}
+	return !alive || now_us - *since > lease_us;
+}
+
+/*
+ * Ends a session whose heartbeat did not move for a whole lease, by this
+ * daemon's own clock. @return true if the session has ended
+ */
+static bool
+end_if_silent(struct batch_runner *br, const char *id)
+{
+	int64_t now_us = clock_mono_us(br->d->clk);
+	char *key = g_strconcat("session ", id, NULL);
+	struct lease_seen *seen = g_hash_table_lookup(br->leases_seen, key);
+	int64_t version = 0;
+	bool is_live = true;
+	bool ended = false;
+
+	if (batch_session_look(br->d->plat, id, &is_live, &version) !=
+	    kPlatformOk) {
+		g_free(key);
+		return false;
+	}
+	if (!is_live) {
+		g_free(key);
+		return true;
+	}
+	if (seen == NULL || seen->version != version) {
+		seen = g_new0(struct lease_seen, 1);
+		seen->since_us = now_us;
+		seen->version = version;
+		g_hash_table_replace(br->leases_seen, g_strdup(key), seen);
+	} else if (now_us - seen->since_us >
+		   br->d->set->session_lease_ms * kUsPerMs) {
+		ended =
+		    batch_session_end(br->d->plat, id, version) == kPlatformOk;
+		if (ended)
+			log_event(kEvtSessionEnded, "session", id, NULL);
+	}
+	g_free(key);
+	return ended;
+}
+
+static bool
+may_claim(struct batch_runner *br, const struct batch_chunk *chunk)
+{
+	if (chunk->state == kChunkOpen)
+		return true;
+	if (chunk->state == kChunkDone || chunk->session == NULL)
+		return false;
+	if (strcmp(chunk->session, br->session.id) == 0)
+		return false;
+	return lease_looks_lost(br, chunk) && end_if_silent(br, chunk->session);
+}
+
+static struct batch_job *
+job_copy(const struct batch_job *job)
+{
+	struct batch_job *copy = g_new(struct batch_job, 1);
+
+	*copy = *job;
+	copy->team = g_strdup(job->team);
+	copy->id = g_strdup(job->id);
+	copy->service = g_strdup(job->service);
+	copy->upload = g_strdup(job->upload);
+	copy->digest = g_strdup(job->digest);
+	return copy;
+}
+
+static bool
+run_chunk(struct batch_runner *br, const struct batch_job *job,
+    const struct batch_chunk *chunk)
+{
+	char claim[32];
+	GBytes *data = NULL;
+	struct chunk_run *cr;
+
+	g_snprintf(
+	    claim, sizeof(claim), "%016" PRIx64, daemon_unique_id(br->d));
+	if (batch_claim(br->d->plat, &br->session, job, chunk, claim) !=
+	    kPlatformOk)
+		return false;
+	if (batch_get_input(br->d->plat, job, chunk->number, &data) !=
+	    kPlatformOk) {
+		batch_unclaim(br->d->plat, job, chunk->number, claim);
+		return false;
+	}
+	cr = chunk_run_new(br, job_copy(job), chunk->number, claim, data);
+	g_bytes_unref(data);
+	pthread_mutex_lock(&br->lock);
+	g_ptr_array_add(br->chunks, cr);
+	pthread_mutex_unlock(&br->lock);
+	start_items(cr);
+	return true;
+}
+
+static bool
+wants_chunk(struct batch_runner *br)
+{
+	int32_t unstarted = 0;
+	bool wants;
+
+	pthread_mutex_lock(&br->lock);
+	for (guint i = 0; i < br->chunks->len; i++) {
+		const struct chunk_run *cr = br->chunks->pdata[i];
+
+		unstarted += (int32_t)cr->items->len - cr->next_item;
+	}
+	wants = br->has_session && !br->stopping &&
+		br->chunks->len < kChunksMax && unstarted == 0 &&
+		br->inflight < br->d->set->batch_inflight_items;
+	pthread_mutex_unlock(&br->lock);
+	return wants;
+}
+
+/* Daemons start at different chunks, so that they seldom want the same. */
+static bool
+claim_from_job(struct batch_runner *br, const struct batch_job *job)
+{
+	GPtrArray *chunks = NULL;
+	bool claimed = false;
+	bool all_done = true;
+	guint n;
+	guint start;
+
+	if (batch_chunks(br->d->plat, job, &chunks) != kPlatformOk)
+		return false;
+	n = chunks->len;
+	start = (guint)(daemon_unique_id(br->d) * 2654435761U % MAX(n, 1));
+	for (guint i = 0; i < n && !claimed; i++) {
+		const struct batch_chunk *chunk =
+		    chunks->pdata[(start + i) % n];
+
+		all_done = all_done && chunk->state == kChunkDone;
+		if (may_claim(br, chunk))
+			claimed = run_chunk(br, job, chunk);
+	}
+	g_ptr_array_unref(chunks);
+	if (all_done && !claimed)
+		finish_job(br, job);
+	return claimed;
+}
+
+static int
+compare_due(const void *a, const void *b)
+{
+	const struct batch_job *x = *(struct batch_job *const *)a;
+	const struct batch_job *y = *(struct batch_job *const *)b;
+	int64_t due_x = x->due_us > 0 ? x->due_us : INT64_MAX;
+	int64_t due_y = y->due_us > 0 ? y->due_us : INT64_MAX;
+
+	if (due_x != due_y)
+		return due_x < due_y ? -1 : 1;
+	return (x->created_us > y->created_us) -
+	       (x->created_us < y->created_us);
+}
+
+static void
+look_for_work(struct batch_runner *br)
+{
+	GPtrArray *jobs = NULL;
+	enum platform_result res;
+
+	if (!wants_chunk(br))
+		return;
+	res = batch_open_jobs(br->d->plat, kJobPage, &jobs);
+	daemon_note_store(br->d, res == kPlatformOk);
+	if (res != kPlatformOk)
+		return;
+	g_ptr_array_sort(jobs, compare_due);
+	for (guint i = 0; i < jobs->len && wants_chunk(br); i++)
+		while (wants_chunk(br) && claim_from_job(br, jobs->pdata[i]))
+			continue;
+	g_ptr_array_unref(jobs);
+}
+
+void
+batch_runner_poll(struct batch_runner *br)
+{
+	move_chunks_on(br);
+	look_for_work(br);
+}
+
+static void
+start_session(struct batch_runner *br)
+{
+	char *id = g_strdup_printf("%s/%" PRIu64 ".%" PRIu64,
+	    br->d->set->peer_listen, br->d->incarnation, ++br->sessions);
+
+	batch_session_clear(&br->session);
+	if (batch_session_start(br->d->plat, id, &br->session) == kPlatformOk)
+		br->has_session = true;
+	g_free(id);
+}
+
+static void
+lose_session(struct batch_runner *br)
+{
+	GPtrArray *list = held_chunks(br);
+
+	log_event(kEvtSessionLost, "session", br->session.id, NULL);
+	br->has_session = false;
+	for (guint i = 0; i < list->len; i++)
+		drop_chunk(list->pdata[i]);
+	g_ptr_array_unref(list);
+}
+
+void
+batch_runner_beat(struct batch_runner *br)
+{
+	enum platform_result res;
+
+	if (!br->has_session) {
+		start_session(br);
+		return;
+	}
+	res = batch_session_beat(br->d->plat, &br->session);
+	daemon_note_store(
+	    br->d, res == kPlatformOk || res == kPlatformConflict);
+	if (res == kPlatformConflict)
+		lose_session(br);
+}
+
+void
+batch_runner_cancel(struct batch_runner *br, const char *job)
+{
+	GPtrArray *list = held_chunks(br);
+
+	for (guint i = 0; i < list->len; i++) {
+		struct chunk_run *cr = list->pdata[i];
+		char *name =
+		    g_strdup_printf("%s/%s", cr->job->team, cr->job->id);
+
+		if (strcmp(name, job) == 0)
+			drop_chunk(cr);
+		g_free(name);
+	}
+	g_ptr_array_unref(list);
+	keeper_kick_batch(br->d->keeper);
+}
+
+void
+batch_runner_stop(struct batch_runner *br)
+{
+	GPtrArray *list;
+
+	pthread_mutex_lock(&br->lock);
+	br->stopping = true;
+	pthread_mutex_unlock(&br->lock);
+	list = held_chunks(br);
+	for (guint i = 0; i < list->len; i++) {
+		struct chunk_run *cr = list->pdata[i];
+
+		drop_chunk(cr);
+		batch_unclaim(br->d->plat, cr->job, cr->number, cr->claim);
+	}
+	g_ptr_array_unref(list);
+}
--- /dev/null
+++ b/src/serve/call_run.c
@@ -0,0 +1,785 @@
+/*
+ * Carries one request through its attempts: choice of target, grant, transfer,
+ * then retry, resume or the final answer. Events of an attempt that is no
+ * longer the present one are ignored.
+ */
+#include "serve/call_run.h"
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "error/error.h"
+#include "log/log.h"
+#include "metric/metric.h"
+#include "savoryflow/call/stream.h"
+#include "savoryflow/retry/condemned.h"
+#include "savoryflow/retry/retry.h"
+#include "serve/grants.h"
+#include "serve/limiter.h"
+#include "serve/routes.h"
+#include "serve/timers.h"
+
+enum {
+	kFailuresMaxOnline = 3,
+	kFailuresMaxBatch = 5,
+	/* Bytes of a body that make up one token, about. */
+	kBytesPerToken = 4,
+	/* Leading bytes of a body that a prefix cache is likely to know. */
+	kPrefixBytes = 256,
+	kNoTargetRetryUs = kUsPerS,
+	kBatchNoTargetWaitUs = 500 * kUsPerMs,
+	kHttpErrorFirst = 400,
+	kHttpServerErrorFirst = 500,
+};
+
+enum call_phase {
+	kPhaseIdle,
+	kPhaseAsking,
+	kPhaseRunning,
+	/** A cut connection: is the target still there? */
+	kPhaseProbing,
+	/** Waits for the arbiter's word on a crash. */
+	kPhaseCrashed,
+	kPhaseWaiting,
+	kPhaseDone,
+};
+
+struct call {
+	gint refs;
+	struct daemon *d;
+	pthread_mutex_t lock;
+	enum work_class work_class;
+	bool is_engine;
+	/** Tokens are kept for call_next_token. */
+	bool is_streamed;
+	char *service;
+	char *team;
+	int32_t weight;
+	int64_t due_us;
+	char *method;
+	char *path;
+	GBytes *body;
+	uint64_t prefix_hash;
+	uint64_t fingerprint;
+	int32_t prompt_tokens;
+	void (*notify)(void *ctx);
+	void (*release)(void *ctx);
+	void *ctx;
+
+	enum call_phase phase;
+	uint64_t attempt;
+	struct route route;
+	char last_target[kMemberAddressMax];
+	bool is_suspect;
+	bool is_revoked;
+	bool first_token_told;
+	struct retry_state retry;
+	struct answer_stream stream;
+	GByteArray *out;
+	long status;
+	char content_type[64];
+	int error;
+	int64_t retry_after_us;
+	/** Timer of the deadline, 0 if there is none. */
+	uint64_t deadline_timer;
+};
+
+static void attempt_begin(void *ctx);
+
+int32_t
+call_prompt_tokens(size_t body_len)
+{
+	return (int32_t)(body_len / kBytesPerToken) + 1;
+}
+
+struct call *
+call_new(struct daemon *d, const struct call_options *opt)
+{
+	struct call *c = g_new0(struct call, 1);
+	gsize len;
+	const char *data = g_bytes_get_data(opt->body, &len);
+
+	c->refs = 1;
+	c->d = d;
+	pthread_mutex_init(&c->lock, NULL);
+	c->work_class = opt->work_class;
+	c->is_engine = opt->is_engine;
+	c->is_streamed = opt->is_streamed;
+	c->service = g_strdup(opt->service);
+	c->team = g_strdup(opt->team);
+	c->weight = opt->weight;
+	c->due_us = opt->due_us;
+	c->method = g_strdup(opt->method != NULL ? opt->method : "POST");
+	c->path = g_strdup(opt->path != NULL ? opt->path : "");
+	c->body = g_bytes_ref(opt->body);
+	c->prefix_hash = XXH3_64bits(data, MIN(len, kPrefixBytes));
+	c->fingerprint = condemned_fingerprint(opt->service, data, len);
+	c->prompt_tokens = call_prompt_tokens(len);
+	c->notify = opt->notify;
+	c->release = opt->release;
+	c->ctx = opt->ctx;
+	c->retry.is_idempotent = opt->is_idempotent;
+	c->retry.is_resumable = opt->is_engine;
+	c->retry.deadline_us = opt->deadline_us;
+	c->retry.failures_max = opt->work_class == kWorkBatch
+				    ? kFailuresMaxBatch
+				    : kFailuresMaxOnline;
+	c->error = -1;
+	c->out = g_byte_array_new();
+	answer_stream_init(&c->stream);
+	metric_add(kMetActiveCalls, 1);
+	return c;
+}
+
+struct call *
+call_ref(struct call *c)
+{
+	g_atomic_int_inc(&c->refs);
+	return c;
+}
+
+void
+call_unref(struct call *c)
+{
+	if (!g_atomic_int_dec_and_test(&c->refs))
+		return;
+	metric_add(kMetActiveCalls, -1);
+	c->release(c->ctx);
+	answer_stream_clear(&c->stream);
+	g_byte_array_unref(c->out);
+	g_bytes_unref(c->body);
+	g_free(c->service);
+	g_free(c->team);
+	g_free(c->method);
+	g_free(c->path);
+	pthread_mutex_destroy(&c->lock);
+	g_free(c);
+}
+
+static void
+ref_ctx(void *ctx)
+{
+	call_ref(ctx);
+}
+
+static void
+unref_ctx(void *ctx)
+{
+	call_unref(ctx);
+}
+
+static bool
+is_current(const struct call *c, uint64_t attempt, enum call_phase phase)
+{
+	return c->attempt == attempt && c->phase == phase;
+}
+
+/* Gives the call its final answer. The lock is held. */
+static void
+finish_locked(struct call *c, int error, int64_t retry_after_us)
+{
+	c->phase = kPhaseDone;
+	c->error = error;
+	c->retry_after_us = retry_after_us;
+}
+
+static void
+finish(struct call *c, int error, int64_t retry_after_us)
+{
+	bool was_done;
+
+	pthread_mutex_lock(&c->lock);
+	was_done = c->phase == kPhaseDone;
+	if (!was_done)
+		finish_locked(c, error, retry_after_us);
+	pthread_mutex_unlock(&c->lock);
+	if (!was_done)
+		c->notify(c->ctx);
+}
+
+/*
+ * A batch item that found no target waits for one; only attempts that reached
+ * a target can make it fail for good.
+ */
+static bool
+counts_as_failure(const struct call *c, enum attempt_end end)
+{
+	if (end == kAttemptRevoked || end == kAttemptWhole)
+		return false;
+	if (c->work_class == kWorkOnline)
+		return true;
+	return end != kAttemptNotSent && end != kAttemptTurnedAway;
+}
+
+static int64_t
+wait_before_retry_us(
+    const struct call *c, enum attempt_end end, int64_t delay_us)
+{
+	if (end == kAttemptRevoked || counts_as_failure(c, end))
+		return delay_us;
+	return kBatchNoTargetWaitUs;
+}
+
+static void
+end_attempt(struct call *c, enum attempt_end end)
+{
+	struct retry_decision decision;
+	struct retry_budget *budget = NULL;
+	int64_t now_us = clock_mono_us(c->d->clk);
+
+	pthread_mutex_lock(&c->lock);
+	if (c->phase == kPhaseDone) {
+		pthread_mutex_unlock(&c->lock);
+		return;
+	}
+	if (counts_as_failure(c, end))
+		c->retry.failures++;
+	g_strlcpy(c->last_target, end == kAttemptRevoked ? "" : c->route.target,
+	    sizeof(c->last_target));
+	c->phase = kPhaseWaiting;
+	if (c->work_class == kWorkOnline)
+		budget = limiter_retry_budget_lock(c->d->limiter, c->service);
+	decision = retry_decide(&c->retry, end, budget, now_us);
+	if (budget != NULL)
+		limiter_retry_budget_unlock(c->d->limiter);
+	pthread_mutex_unlock(&c->lock);
+	switch (decision.action) {
+	case kRetryDone:
+		finish(c, -1, 0);
+		break;
+	case kRetryGiveUp:
+		finish(c, decision.code, kNoTargetRetryUs);
+		break;
+	case kRetryAgain:
+		metric_add(kMetRetries, 1);
+		if (c->is_engine && c->stream.next_index > 0)
+			metric_add(kMetResumes, 1);
+		call_ref(c);
+		timers_add(c->d->timers,
+		    now_us + wait_before_retry_us(c, end, decision.delay_us),
+		    attempt_begin, c);
+		break;
+	}
+}
+
+/* The request's body with the tokens so far, for an engine to go on from. */
+static GBytes *
+engine_body(const struct call *c)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(c->body, &len);
+	json_t *doc;
+	char *text;
+
+	if (c->stream.next_index == 0)
+		return g_bytes_ref(c->body);
+	doc = json_loadb(data, len, 0, NULL);
+	json_object_set_new(doc, "resume",
+	    json_pack("{s:I,s:s}", "index", (json_int_t)c->stream.next_index,
+		"text", c->stream.text->str));
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+}
+
+static void
+on_token(void *ctx, const char *content)
+{
+	struct call *c = ctx;
+
+	metric_add(kMetTokens, 1);
+	if (!c->is_streamed)
+		return;
+	g_byte_array_append(
+	    c->out, (const guint8 *)content, (guint)strlen(content) + 1);
+}
+
+static bool
+take_engine_data(struct call *c, const char *data, size_t len)
+{
+	switch (answer_stream_feed(&c->stream, data, len, on_token, c)) {
+	case kStreamOpen:
+	case kStreamWhole:
+		return true;
+	default:
+		return false;
+	}
+}
+
+static bool
+on_data(void *ctx, uint64_t attempt, long status, const char *data, size_t len)
+{
+	struct call *c = ctx;
+	bool keep = false;
+	bool tell = false;
+
+	pthread_mutex_lock(&c->lock);
+	if (is_current(c, attempt, kPhaseRunning)) {
+		keep = true;
+		if (c->is_engine && status < kHttpErrorFirst)
+			keep = take_engine_data(c, data, len);
+		else
+			g_byte_array_append(
+			    c->out, (const guint8 *)data, (guint)len);
+		tell = !c->first_token_told;
+		c->first_token_told = true;
+	}
+	pthread_mutex_unlock(&c->lock);
+	if (tell)
+		grants_first_token(c->d->grants, attempt);
+	if (keep && c->is_engine)
+		c->notify(c->ctx);
+	return keep;
+}
+
+/* What the end of a transfer means for the attempt. The lock is held. */
+static enum attempt_end
+classify(const struct call *c, const struct transfer_result *res)
+{
+	char own[32];
+
+	snprintf(own, sizeof(own), "%016" G_GINT64_MODIFIER "x", c->attempt);
+	if (c->is_revoked)
+		return kAttemptRevoked;
+	if (c->is_engine && c->stream.status == kStreamCrossed)
+		return kAttemptCrossed;
+	if (c->is_engine && c->stream.status == kStreamWhole)
+		return kAttemptWhole;
+	switch (res->end) {
+	case kTransferNotSent:
+		return kAttemptNotSent;
+	case kTransferStalled:
+		return kAttemptStalled;
+	case kTransferCut:
+	case kTransferCancelled:
+		return kAttemptCut;
+	case kTransferComplete:
+		break;
+	}
+	if (res->turned_away)
+		return kAttemptTurnedAway;
+	if (res->echoed_attempt[0] != '\0' &&
+	    strcmp(res->echoed_attempt, own) != 0)
+		return kAttemptCrossed;
+	if (res->status >= kHttpServerErrorFirst)
+		return kAttemptFailed;
+	/* A plain service's 4xx is its answer; an engine's is a refusal. */
+	if (res->status >= kHttpErrorFirst)
+		return c->is_engine ? kAttemptRejected : kAttemptWhole;
+	return c->is_engine ? kAttemptCut : kAttemptWhole;
+}
+
+static void
+log_attempt(const struct call *c, enum attempt_end end)
+{
+	static const char *const names[] = {"whole", "not_sent", "turned_away",
+	    "cut", "stalled", "crossed", "failed", "rejected", "revoked",
+	    "abandoned"};
+
+	if (end == kAttemptWhole || end == kAttemptRevoked)
+		return;
+	log_event(
+	    end == kAttemptCrossed ? kEvtAnswerCrossed : kEvtAttemptFailed,
+	    "target", c->route.target, "end", names[end], NULL);
+	if (end == kAttemptCrossed)
+		metric_add(kMetCrossed, 1);
+}
+
+/* What remains of a plain answer that is not whole must not be shown. */
+static void
+drop_partial_answer(struct call *c)
+{
+	if (!c->is_engine)
+		g_byte_array_set_size(c->out, 0);
+}
+
+static void start_probe(struct call *c);
+
+static void
+on_done(void *ctx, uint64_t attempt, const struct transfer_result *res)
+{
+	struct call *c = ctx;
+	enum attempt_end end;
+	bool leaving;
+
+	pthread_mutex_lock(&c->lock);
+	if (!is_current(c, attempt, kPhaseRunning)) {
+		pthread_mutex_unlock(&c->lock);
+		grants_release(c->d->grants, attempt);
+		return;
+	}
+	end = classify(c, res);
+	if (end != kAttemptNotSent && end != kAttemptTurnedAway)
+		c->retry.may_have_run = true;
+	if (end == kAttemptWhole) {
+		c->status = res->status;
+		g_strlcpy(c->content_type, res->content_type,
+		    sizeof(c->content_type));
+	} else {
+		drop_partial_answer(c);
+	}
+	if (end == kAttemptCut)
+		c->phase = kPhaseProbing;
+	leaving = end == kAttemptTurnedAway;
+	pthread_mutex_unlock(&c->lock);
+	log_attempt(c, end);
+	if (end == kAttemptCut) {
+		start_probe(c);
+		return;
+	}
+	if (end != kAttemptRevoked && end != kAttemptRejected)
+		routes_note_answer(
+		    c->d->routes, c->route.target, end == kAttemptWhole);
+	if (leaving)
+		routes_set_leaving(c->d->routes, c->route.target, true, true);
+	grants_release(c->d->grants, attempt);
+	end_attempt(c, end);
+}
+
+static const struct target_ops transfer_ops = {
+    on_data, on_done, ref_ctx, unref_ctx};
+
+static bool
+probe_on_data(
+    void *ctx, uint64_t attempt, long status, const char *data, size_t len)
+{
+	return true;
+}
+
+/* A target that refuses connections after a cut stream has crashed. */
+static void
+probe_on_done(void *ctx, uint64_t attempt, const struct transfer_result *res)
+{
+	struct call *c = ctx;
+	bool crashed = res->end == kTransferNotSent;
+	uint64_t cut_attempt;
+
+	pthread_mutex_lock(&c->lock);
+	if (c->phase != kPhaseProbing) {
+		pthread_mutex_unlock(&c->lock);
+		return;
+	}
+	cut_attempt = c->attempt;
+	if (crashed)
+		c->phase = kPhaseCrashed;
+	pthread_mutex_unlock(&c->lock);
+	routes_note_answer(c->d->routes, c->route.target, false);
+	if (crashed) {
+		grants_report_crash(c->d->grants, cut_attempt);
+		return;
+	}
+	grants_release(c->d->grants, cut_attempt);
+	end_attempt(c, kAttemptCut);
+}
+
+static const struct target_ops probe_ops = {
+    probe_on_data, probe_on_done, ref_ctx, unref_ctx};
+
+static void
+start_probe(struct call *c)
+{
+	char *url = g_strconcat(c->route.url, "/load", NULL);
+	struct transfer_options opt = {
+	    .attempt = daemon_unique_id(c->d),
+	    .method = "GET",
+	    .url = url,
+	    .stall_us = c->d->set->stall_timeout_ms * kUsPerMs,
+	    .ops = &probe_ops,
+	    .ctx = c,
+	};
+
+	target_client_start(c->d->targets, &opt);
+	g_free(url);
+}
+
+static void
+start_transfer(struct call *c, uint64_t attempt, GBytes *body)
+{
+	char *url = g_strconcat(c->route.url,
+	    c->is_engine ? "/v1/chat/completions" : c->path, NULL);
+	const char *const headers[] = {c->work_class == kWorkBatch
+					   ? "Savoryflow-Class: batch"
+					   : "Savoryflow-Class: online",
+	    NULL};
+	struct transfer_options opt = {
+	    .attempt = attempt,
+	    .method = c->method,
+	    .url = url,
+	    .body = body,
+	    .stall_us = c->d->set->stall_timeout_ms * kUsPerMs,
+	    .headers = headers,
+	    .ops = &transfer_ops,
+	    .ctx = c,
+	};
+
+	metric_add(kMetAttempts, 1);
+	target_client_start(c->d->targets, &opt);
+	g_free(url);
+}
+
+static void
+on_granted(void *ctx, uint64_t id)
+{
+	struct call *c = ctx;
+	char text[32];
+	GBytes *body = NULL;
+
+	pthread_mutex_lock(&c->lock);
+	if (is_current(c, id, kPhaseAsking)) {
+		c->phase = kPhaseRunning;
+		c->is_revoked = false;
+		c->first_token_told = false;
+		snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", id);
+		answer_stream_attempt(&c->stream, text);
+		body = c->is_engine ? engine_body(c) : g_bytes_ref(c->body);
+	}
+	pthread_mutex_unlock(&c->lock);
+	if (body == NULL) {
+		grants_release(c->d->grants, id);
+		return;
+	}
+	start_transfer(c, id, body);
+	g_bytes_unref(body);
+}
+
+static void
+on_refused(void *ctx, uint64_t id, int64_t retry_after_us)
+{
+	struct call *c = ctx;
+	bool current;
+
+	pthread_mutex_lock(&c->lock);
+	current = is_current(c, id, kPhaseAsking);
+	if (current && c->work_class == kWorkBatch)
+		c->phase = kPhaseWaiting;
+	pthread_mutex_unlock(&c->lock);
+	if (!current)
+		return;
+	if (c->work_class == kWorkOnline) {
+		finish(c, kErrOverloaded, retry_after_us);
+		return;
+	}
+	call_ref(c);
+	timers_add(c->d->timers, clock_mono_us(c->d->clk) + retry_after_us,
+	    attempt_begin, c);
+}
+
+static void
+on_revoked(void *ctx, uint64_t id)
+{
+	struct call *c = ctx;
+	bool current;
+
+	pthread_mutex_lock(&c->lock);
+	current = is_current(c, id, kPhaseRunning);
+	if (current)
+		c->is_revoked = true;
+	pthread_mutex_unlock(&c->lock);
+	if (current)
+		target_client_cancel(c->d->targets, id);
+}
+
+static void
+on_crash_verdict(void *ctx, uint64_t id, enum arbiter_crash_verdict verdict)
+{
+	struct call *c = ctx;
+	bool current;
+
+	pthread_mutex_lock(&c->lock);
+	current = is_current(c, id, kPhaseCrashed);
+	if (current && verdict == kCrashSuspect)
+		c->is_suspect = true;
+	pthread_mutex_unlock(&c->lock);
+	if (!current)
+		return;
+	if (verdict == kCrashCondemned) {
+		limiter_condemn(c->d->limiter, c->fingerprint, true);
+		finish(c, kErrRequestCondemned, 0);
+		return;
+	}
+	end_attempt(c, kAttemptCut);
+}
+
+static const struct grant_ops grant_ops = {
+    on_granted, on_refused, on_revoked, on_crash_verdict, ref_ctx, unref_ctx};
+
+static void
+fill_ask(const struct call *c, struct arbiter_ask *ask)
+{
+	*ask = (struct arbiter_ask){
+	    .id = c->attempt,
+	    .work_class = c->work_class,
+	    .prompt_tokens = c->prompt_tokens + (int32_t)c->stream.next_index,
+	    .deadline_us = c->retry.deadline_us,
+	    .team = XXH3_64bits(c->team, strlen(c->team)),
+	    .weight = c->weight,
+	    .due_us = c->due_us,
+	    .is_suspect = c->is_suspect,
+	};
+}
+
+/* Starts the next attempt; takes over one reference. */
+static void
+attempt_begin(void *ctx)
+{
+	struct call *c = ctx;
+	struct arbiter_ask ask;
+	struct route route;
+	struct routing_query query = {
+	    .service = c->service,
+	    .prefix_hash = c->prefix_hash,
+	    .prompt_tokens = c->prompt_tokens,
+	    .but = c->last_target[0] != '\0' ? c->last_target : NULL,
+	};
+	bool found;
+
+	if (limiter_is_condemned(c->d->limiter, c->fingerprint)) {
+		finish(c, kErrRequestCondemned, 0);
+		call_unref(c);
+		return;
+	}
+	found = routes_choose(c->d->routes, &query, &route);
+	pthread_mutex_lock(&c->lock);
+	if (found && c->phase != kPhaseDone) {
+		c->phase = kPhaseAsking;
+		c->attempt = daemon_unique_id(c->d);
+		c->route = route;
+		fill_ask(c, &ask);
+	}
+	found = found && c->phase != kPhaseDone;
+	pthread_mutex_unlock(&c->lock);
+	if (found)
+		grants_ask(c->d->grants, &ask, &route, &grant_ops, c);
+	else
+		end_attempt(c, kAttemptNotSent);
+	call_unref(c);
+}
+
+static void
+on_deadline(void *ctx)
+{
+	struct call *c = ctx;
+	uint64_t attempt;
+	enum call_phase phase;
+
+	pthread_mutex_lock(&c->lock);
+	phase = c->phase;
+	attempt = c->attempt;
+	if (phase != kPhaseDone)
+		finish_locked(c,
+		    c->retry.may_have_run || phase == kPhaseRunning
+			? kErrDeadline
+			: kErrOverloaded,
+		    kNoTargetRetryUs);
+	pthread_mutex_unlock(&c->lock);
+	if (phase == kPhaseRunning)
+		target_client_cancel(c->d->targets, attempt);
+	else if (phase == kPhaseAsking)
+		grants_release(c->d->grants, attempt);
+	if (phase != kPhaseDone)
+		c->notify(c->ctx);
+	call_unref(c);
+}
+
+void
+call_start(struct call *c)
+{
+	if (c->work_class == kWorkOnline) {
+		call_ref(c);
+		c->deadline_timer = timers_add(
+		    c->d->timers, c->retry.deadline_us, on_deadline, c);
+	}
+	call_ref(c);
+	attempt_begin(c);
+}
+
+void
+call_cancel(struct call *c)
+{
+	enum call_phase phase;
+	uint64_t attempt;
+
+	pthread_mutex_lock(&c->lock);
+	phase = c->phase;
+	attempt = c->attempt;
+	if (phase != kPhaseDone)
+		finish_locked(c, kErrCancelled, 0);
+	pthread_mutex_unlock(&c->lock);
+	if (phase == kPhaseRunning)
+		target_client_cancel(c->d->targets, attempt);
+	else if (phase == kPhaseAsking || phase == kPhaseProbing)
+		grants_release(c->d->grants, attempt);
+	if (phase != kPhaseDone)
+		c->notify(c->ctx);
+}
+
+void
+call_close(struct call *c)
+{
+	call_cancel(c);
+	if (c->deadline_timer != 0 &&
+	    timers_cancel(c->d->timers, c->deadline_timer))
+		call_unref(c);
+	call_unref(c);
+}
+
+struct call_view
+call_look(struct call *c)
+{
+	struct call_view view;
+
+	pthread_mutex_lock(&c->lock);
+	view = (struct call_view){
+	    .is_done = c->phase == kPhaseDone,
+	    .error = c->error,
+	    .retry_after_us = c->retry_after_us,
+	    .may_have_run = c->retry.may_have_run ||
+			    c->phase == kPhaseRunning ||
+			    c->stream.next_index > 0,
+	    .tokens = c->stream.next_index,
+	    .status = c->status,
+	};
+	g_strlcpy(
+	    view.content_type, c->content_type, sizeof(view.content_type));
+	pthread_mutex_unlock(&c->lock);
+	return view;
+}
+
+char *
+call_next_token(struct call *c)
+{
+	char *token = NULL;
+
+	pthread_mutex_lock(&c->lock);
+	if (c->out->len > 0) {
+		token = g_strdup((const char *)c->out->data);
+		g_byte_array_remove_range(c->out, 0, (guint)strlen(token) + 1);
+	}
+	pthread_mutex_unlock(&c->lock);
+	return token;
+}
+
+GBytes *
+call_body(struct call *c)
+{
+	GBytes *body;
+
+	pthread_mutex_lock(&c->lock);
+	body = g_bytes_new(c->out->data, c->out->len);
+	pthread_mutex_unlock(&c->lock);
+	return body;
+}
+
+char *
+call_text(struct call *c)
+{
+	char *text;
+
+	pthread_mutex_lock(&c->lock);
+	text = g_strdup(c->stream.text->str);
+	pthread_mutex_unlock(&c->lock);
+	return text;
+}
--- /dev/null
+++ b/src/serve/daemon.c
@@ -0,0 +1,227 @@
+/* Parts of one daemon: made, connected, started and stopped. */
+#include "serve/daemon.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "api/api.h"
+#include "error/error.h"
+#include "log/log.h"
+#include "metric/metric.h"
+#include "platform/platform_http.h"
+#include "serve/batch_run.h"
+#include "serve/grants.h"
+#include "serve/intents.h"
+#include "serve/keeper.h"
+#include "serve/limiter.h"
+#include "serve/reports.h"
+#include "serve/routes.h"
+#include "serve/timers.h"
+
+enum {
+	kPlatformTimeoutMs = 2000,
+	kWorkersWaitingMax = 1000,
+	kTickMs = 10,
+	kDrainLookMs = 20,
+	kExitOk = 0,
+	kExitFailed = 1,
+};
+
+uint64_t
+daemon_unique_id(struct daemon *d)
+{
+	static uint64_t last;
+	uint64_t n = __atomic_add_fetch(&last, 1, __ATOMIC_RELAXED);
+	uint64_t seed = XXH3_64bits_withSeed(
+	    d->set->peer_listen, strlen(d->set->peer_listen), d->incarnation);
+
+	return XXH3_64bits_withSeed(&n, sizeof(n), seed);
+}
+
+void
+daemon_note_store(struct daemon *d, bool is_up)
+{
+	int was_up = g_atomic_int_get(&d->store_is_up);
+
+	if (was_up == (int)is_up)
+		return;
+	if (g_atomic_int_compare_and_exchange(&d->store_is_up, was_up, is_up))
+		log_event(is_up ? kEvtStoreUp : kEvtStoreDown, NULL);
+}
+
+static void
+on_message(void *ctx, const Sfpeer__Envelope *env)
+{
+	struct daemon *d = ctx;
+
+	if (env->gossip != NULL)
+		routes_on_gossip(d->routes, env->from, env->gossip);
+	for (size_t i = 0; i < env->n_asks; i++)
+		grants_on_ask(d->grants, env->from, env->asks[i]);
+	for (size_t i = 0; i < env->n_answers; i++)
+		grants_on_answer(d->grants, env->from, env->answers[i]);
+	for (size_t i = 0; i < env->n_notes; i++)
+		grants_on_note(d->grants, env->from, env->notes[i]);
+	for (size_t i = 0; i < env->n_limit_asks; i++)
+		limiter_on_ask(d->limiter, env->from, env->limit_asks[i]);
+	for (size_t i = 0; i < env->n_limit_leases; i++)
+		limiter_on_lease(d->limiter, env->limit_leases[i]);
+	for (size_t i = 0; i < env->n_condemned; i++)
+		limiter_condemn(d->limiter, env->condemned[i], false);
+	for (size_t i = 0; i < env->n_leaving_targets; i++)
+		routes_set_leaving(
+		    d->routes, env->leaving_targets[i], true, false);
+	for (size_t i = 0; i < env->n_cancelled_jobs; i++)
+		batch_runner_cancel(d->batch, env->cancelled_jobs[i]);
+	if (env->config != NULL)
+		keeper_on_hint(d->keeper, env->from, env->config);
+}
+
+static void
+on_tick(void *ctx)
+{
+	struct daemon *d = ctx;
+	int64_t now_us = clock_mono_us(d->clk);
+
+	routes_tick(d->routes);
+	grants_tick(d->grants);
+	timers_run(d->timers, now_us);
+	reports_tick(d, now_us);
+}
+
+static const struct peer_ops peer_ops = {on_message, on_tick};
+
+static void
+make_parts(struct daemon *d)
+{
+	struct platform_http_options plat = {
+	    d->set->platform_url, kPlatformTimeoutMs};
+	struct pool_options workers = {
+	    (int32_t)d->set->workers, kWorkersWaitingMax};
+
+	d->plat = platform_http_new(&plat);
+	d->configs = config_holder_new();
+	d->targets = target_client_new();
+	d->timers = timers_new();
+	d->workers = pool_new(&workers);
+	d->routes = routes_new(d);
+	d->grants = grants_new(d);
+	d->limiter = limiter_new(d);
+	d->intents = intents_new(d);
+	d->batch = batch_runner_new(d);
+	d->keeper = keeper_new(d);
+}
+
+static bool
+start_parts(struct daemon *d, GError **err)
+{
+	struct peer_options opt = {d->set->peer_listen, kTickMs, &peer_ops, d};
+
+	d->peer = peer_new(&opt, err);
+	if (d->peer == NULL)
+		return false;
+	d->api = api_new(d, err);
+	if (d->api == NULL)
+		return false;
+	peer_start(d->peer);
+	keeper_start(d->keeper);
+	return true;
+}
+
+static void
+free_parts(struct daemon *d)
+{
+	keeper_stop(d->keeper);
+	if (d->api != NULL)
+		api_free(d->api);
+	target_client_free(d->targets);
+	pool_free(d->workers);
+	intents_free(d->intents);
+	if (d->peer != NULL)
+		peer_stop(d->peer);
+	timers_free(d->timers);
+	batch_runner_free(d->batch);
+	keeper_free(d->keeper);
+	limiter_free(d->limiter);
+	grants_free(d->grants);
+	routes_free(d->routes);
+	if (d->peer != NULL)
+		peer_free(d->peer);
+	config_holder_free(d->configs);
+	platform_http_free(d->plat);
+}
+
+void
+daemon_drain(struct daemon *d)
+{
+	if (g_atomic_int_compare_and_exchange(&d->is_draining, 0, 1))
+		kill(getpid(), SIGTERM);
+}
+
+/* Blocks SIGTERM and SIGINT in all threads; the main thread waits for them. */
+static void
+block_signals(sigset_t *set)
+{
+	sigemptyset(set);
+	sigaddset(set, SIGTERM);
+	sigaddset(set, SIGINT);
+	pthread_sigmask(SIG_BLOCK, set, NULL);
+	signal(SIGPIPE, SIG_IGN);
+}
+
+/*
+ * Leaves gracefully: unready first, while the balancer may still send; then
+ * batch leases are given back and the streams that run are finished.
+ */
+static void
+leave(struct daemon *d)
+{
+	int64_t start_us = clock_mono_us(d->clk);
+
+	g_atomic_int_set(&d->is_draining, 1);
+	log_event(kEvtDrainStarted, NULL);
+	batch_runner_stop(d->batch);
+	g_usleep((gulong)(d->set->drain_notice_ms * kUsPerMs));
+	api_refuse_new(d->api);
+	while (
+	    api_active(d->api) > 0 && clock_mono_us(d->clk) - start_us <
+					  d->set->drain_timeout_ms * kUsPerMs)
+		g_usleep(kDrainLookMs * kUsPerMs);
+	routes_leave(d->routes);
+	g_usleep(kDrainLookMs * kUsPerMs);
+}
+
+int
+daemon_run(struct settings *set)
+{
+	struct daemon d = {.set = set, .clk = clock_system()};
+	GError *err = NULL;
+	sigset_t signals;
+	int sig;
+
+	block_signals(&signals);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	log_open(set->log_level, set->name);
+	d.incarnation = (uint64_t)clock_wall_us(d.clk);
+	make_parts(&d);
+	if (!start_parts(&d, &err)) {
+		log_event(kEvtStartFailed, "error", err->message, NULL);
+		fprintf(stderr, "savoryflow: %s\n", err->message);
+		g_error_free(err);
+		free_parts(&d);
+		return kExitFailed;
+	}
+	log_event(kEvtStarted, "listen", set->listen, "peer_listen",
+	    set->peer_listen, NULL);
+	sigwait(&signals, &sig);
+	leave(&d);
+	free_parts(&d);
+	log_event(kEvtStopped, NULL);
+	log_close();
+	curl_global_cleanup();
+	return kExitOk;
+}
--- /dev/null
+++ b/src/serve/grants.c
@@ -0,0 +1,931 @@
+/*
+ * Grants held by this daemon and arbiters hosted by it. A request goes to the
+ * arbiter of its target, here or at a peer. While no arbiter answers, online
+ * requests use this daemon's share of the target.
+ */
+#include "serve/grants.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "log/log.h"
+#include "metric/metric.h"
+#include "savoryflow/arbiter/arbiter.h"
+#include "savoryflow/arbiter/local_share.h"
+#include "savoryflow/arbiter/u64_hash.h"
+
+enum {
+	kTokenIntervalUs = 63000,
+	kCancelLatencyUs = 100000,
+	kOnlineQueueMax = 2000,
+	kBatchQueueMax = 20000,
+	kGrantLeaseUs = 600 * kUsPerS,
+	/* Period of asking again while queued at a peer. */
+	kAskAgainUs = 200 * kUsPerMs,
+	kBatchAskAgainUs = 5 * kUsPerS,
+	kRefusedLocallyRetryUs = kUsPerS,
+	/* Cost model until a load report corrects it. */
+	kStepBaseUs = 15000,
+	kStepPerStreamUs = 150,
+	kStepPerPromptTokenNs = 25000,
+	kPromptTokensPerStep = 512,
+	/* Index of this daemon among the holders. */
+	kHolderSelf = 0,
+};
+
+/* Verdicts on the wire. */
+enum wire_verdict {
+	kWireGranted = 1,
+	kWireRefused,
+	kWireRevoked,
+	kWireQueued,
+};
+
+enum wire_note {
+	kNoteFirstToken = 1,
+	kNoteRelease,
+	kNoteCrash,
+};
+
+enum held_phase {
+	kHeldAsking,
+	kHeldQueued,
+	kHeldGranted,
+	/** Runs on the local share; the arbiter has not answered. */
+	kHeldLocal,
+	/** Its crash is reported; waits for the verdict. */
+	kHeldCrashed,
+};
+
+struct held {
+	struct arbiter_ask ask;
+	struct route route;
+	enum held_phase phase;
+	bool uses_local_share;
+	bool has_first_token;
+	int64_t asked_us;
+	const struct grant_ops *ops;
+	void *ctx;
+};
+
+struct hosted {
+	char *target;
+	struct arbiter *arb;
+};
+
+/* A call into the layer above, made once the lock is released. */
+struct delivery {
+	const struct grant_ops *ops;
+	void *ctx;
+	uint64_t id;
+	enum wire_verdict verdict;
+	int64_t retry_after_us;
+	bool is_crash;
+	enum arbiter_crash_verdict crash;
+};
+
+struct grants {
+	struct daemon *d;
+	pthread_mutex_t lock;
+	/** struct held by id. */
+	GHashTable *held;
+	/** struct hosted by target name. */
+	GHashTable *hosted;
+	struct local_share *local;
+	/** Addresses of daemons that asked; the index is the holder. */
+	GPtrArray *holders;
+	GHashTable *holder_index;
+};
+
+static void
+held_free(void *p)
+{
+	struct held *h = p;
+
+	h->ops->unref(h->ctx);
+	g_free(h);
+}
+
+static void
+hosted_free(void *p)
+{
+	struct hosted *ho = p;
+
+	arbiter_free(ho->arb);
+	g_free(ho->target);
+	g_free(ho);
+}
+
+struct grants *
+grants_new(struct daemon *d)
+{
+	struct grants *gs = g_new0(struct grants, 1);
+
+	gs->d = d;
+	pthread_mutex_init(&gs->lock, NULL);
+	gs->held = u64_hash_new(held_free);
+	gs->hosted =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, hosted_free);
+	gs->local = local_share_new();
+	gs->holders = g_ptr_array_new_with_free_func(g_free);
+	gs->holder_index = g_hash_table_new(g_str_hash, g_str_equal);
+	g_ptr_array_add(gs->holders, g_strdup(d->set->peer_listen));
+	g_hash_table_insert(gs->holder_index, gs->holders->pdata[0],
+	    GUINT_TO_POINTER(kHolderSelf));
+	return gs;
+}
+
+void
+grants_free(struct grants *gs)
+{
+	g_hash_table_unref(gs->held);
+	g_hash_table_unref(gs->hosted);
+	local_share_free(gs->local);
+	g_hash_table_unref(gs->holder_index);
+	g_ptr_array_unref(gs->holders);
+	pthread_mutex_destroy(&gs->lock);
+	g_free(gs);
+}
+
+static int64_t
+now_us(const struct grants *gs)
+{
+	return clock_mono_us(gs->d->clk);
+}
+
+static uint32_t
+holder_of(struct grants *gs, const char *address)
+{
+	void *index;
+	char *copy;
+
+	if (g_hash_table_lookup_extended(
+		gs->holder_index, address, NULL, &index))
+		return GPOINTER_TO_UINT(index);
+	copy = g_strdup(address);
+	g_ptr_array_add(gs->holders, copy);
+	g_hash_table_insert(
+	    gs->holder_index, copy, GUINT_TO_POINTER(gs->holders->len - 1));
+	return gs->holders->len - 1;
+}
+
+static struct arbiter_options
+options_of(const struct route *route, int64_t tail_budget_us)
+{
+	struct arbiter_options opt = {
+	    .cost = {kStepBaseUs, kStepPerStreamUs, kStepPerPromptTokenNs,
+		kPromptTokensPerStep, route->slots},
+	    .tail_budget_us = tail_budget_us,
+	    .token_interval_us = kTokenIntervalUs,
+	    .cancel_latency_us = kCancelLatencyUs,
+	    .online_queue_max = kOnlineQueueMax,
+	    .batch_queue_max = kBatchQueueMax,
+	    .grant_lease_us = kGrantLeaseUs,
+	    .is_plain = !route->is_engine,
+	};
+
+	return opt;
+}
+
+/* The arbiter of a target hosted here; made when it is first asked. */
+static struct arbiter *
+hosted_get(struct grants *gs, const char *target)
+{
+	struct hosted *ho = g_hash_table_lookup(gs->hosted, target);
+	struct arbiter_options opt;
+	struct route route;
+	int64_t budget_us;
+
+	if (ho != NULL)
+		return ho->arb;
+	if (!routes_target(gs->d->routes, target, &route, &budget_us))
+		return NULL;
+	opt = options_of(&route, budget_us);
+	ho = g_new0(struct hosted, 1);
+	ho->target = g_strdup(target);
+	ho->arb = arbiter_new(&opt);
+	g_hash_table_insert(gs->hosted, ho->target, ho);
+	return ho->arb;
+}
+
+static bool
+is_local(const struct grants *gs, const struct held *h)
+{
+	return h->route.arbiter[0] == '\0' ||
+	       strcmp(h->route.arbiter, gs->d->set->peer_listen) == 0;
+}
+
+static GArray *
+deliveries_new(void)
+{
+	return g_array_new(FALSE, TRUE, sizeof(struct delivery));
+}
+
+static void
+delivery_add(GArray *list, const struct held *h, enum wire_verdict verdict,
+    int64_t retry_after_us)
+{
+	struct delivery del = {
+	    .ops = h->ops,
+	    .ctx = h->ctx,
+	    .id = h->ask.id,
+	    .verdict = verdict,
+	    .retry_after_us = retry_after_us,
+	};
+
+	h->ops->ref(h->ctx);
+	g_array_append_val(list, del);
+}
+
+static void
+delivery_run(const struct delivery *del)
+{
+	if (del->is_crash)
+		del->ops->on_crash_verdict(del->ctx, del->id, del->crash);
+	else if (del->verdict == kWireGranted)
+		del->ops->on_granted(del->ctx, del->id);
+	else if (del->verdict == kWireRefused)
+		del->ops->on_refused(del->ctx, del->id, del->retry_after_us);
+	else
+		del->ops->on_revoked(del->ctx, del->id);
+	del->ops->unref(del->ctx);
+}
+
+static void
+deliver(GArray *list)
+{
+	for (guint i = 0; i < list->len; i++)
+		delivery_run(&g_array_index(list, struct delivery, i));
+	g_array_unref(list);
+}
+
+static void
+stop_local_share(struct grants *gs, struct held *h)
+{
+	if (h->uses_local_share)
+		local_share_give(gs->local, h->route.target);
+	h->uses_local_share = false;
+}
+
+/* Applies the arbiter's verdict to a request of this daemon. */
+static void
+take_verdict(struct grants *gs, uint64_t id, enum wire_verdict verdict,
+    int64_t retry_after_us, GArray *list)
+{
+	struct held *h = g_hash_table_lookup(gs->held, &id);
+	bool was_running;
+
+	if (h == NULL)
+		return;
+	was_running = h->phase == kHeldLocal || h->phase == kHeldGranted;
+	switch (verdict) {
+	case kWireGranted:
+		stop_local_share(gs, h);
+		h->phase = kHeldGranted;
+		if (!was_running)
+			delivery_add(list, h, verdict, 0);
+		break;
+	case kWireQueued:
+		if (h->phase == kHeldAsking)
+			h->phase = kHeldQueued;
+		break;
+	case kWireRefused:
+		/* What runs on the local share goes on. */
+		if (was_running)
+			break;
+		delivery_add(list, h, verdict, retry_after_us);
+		g_hash_table_remove(gs->held, &id);
+		break;
+	case kWireRevoked:
+		delivery_add(list, h, verdict, 0);
+		break;
+	}
+}
+
+static void
+send_answer(struct grants *gs, uint32_t holder, Sfpeer__GrantAnswer *answer)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__GrantAnswer *answers[] = {answer};
+
+	env.n_answers = 1;
+	env.answers = answers;
+	peer_send(gs->d->peer, gs->holders->pdata[holder], &env, kPeerControl);
+}
+
+static void
+answer_peer(struct grants *gs, const struct arbiter_action *act,
+    enum wire_verdict verdict, int64_t load_us)
+{
+	Sfpeer__GrantAnswer answer = SFPEER__GRANT_ANSWER__INIT;
+
+	answer.id = act->id;
+	answer.verdict = verdict;
+	answer.retry_after_us = (uint64_t)act->retry_after_us;
+	answer.load_us = (uint64_t)load_us;
+	send_answer(gs, act->holder, &answer);
+}
+
+static enum wire_verdict
+wire_of_verdict(enum arbiter_verdict verdict)
+{
+	switch (verdict) {
+	case kArbiterGranted:
+		return kWireGranted;
+	case kArbiterRefused:
+		return kWireRefused;
+	case kArbiterRevoked:
+		break;
+	}
+	return kWireRevoked;
+}
+
+static void
+run_actions(struct grants *gs, const char *target, struct arbiter *arb,
+    GArray *actions, GArray *list)
+{
+	int64_t load_us = arbiter_load_get(arb).first_token_us;
+
+	for (guint i = 0; i < actions->len; i++) {
+		const struct arbiter_action *act =
+		    &g_array_index(actions, struct arbiter_action, i);
+		enum wire_verdict verdict = wire_of_verdict(act->verdict);
+
+		if (verdict == kWireGranted)
+			metric_add(kMetGrants, 1);
+		if (verdict == kWireRevoked)
+			metric_add(kMetRevokes, 1);
+		if (act->holder == kHolderSelf)
+			take_verdict(
+			    gs, act->id, verdict, act->retry_after_us, list);
+		else
+			answer_peer(gs, act, verdict, load_us);
+	}
+	if (actions->len > 0)
+		routes_note_load(gs->d->routes, target, load_us);
+	g_array_unref(actions);
+}
+
+static bool
+has_action_for(const GArray *actions, uint64_t id)
+{
+	for (guint i = 0; i < actions->len; i++)
+		if (g_array_index(actions, struct arbiter_action, i).id == id)
+			return true;
+	return false;
+}
+
+static void
+ask_here(struct grants *gs, struct held *h, GArray *list)
+{
+	struct arbiter *arb = hosted_get(gs, h->route.target);
+	GArray *actions;
+
+	if (arb == NULL) {
+		delivery_add(list, h, kWireRefused, kRefusedLocallyRetryUs);
+		g_hash_table_remove(gs->held, &h->ask.id);
+		return;
+	}
+	actions = arbiter_actions_new();
+	h->phase = kHeldQueued;
+	arbiter_request(arb, &h->ask, now_us(gs), actions);
+	run_actions(gs, h->route.target, arb, actions, list);
+}
+
+static void
+ask_peer(struct grants *gs, struct held *h, bool adopt)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__GrantAsk ask = SFPEER__GRANT_ASK__INIT;
+	Sfpeer__GrantAsk *asks[] = {&ask};
+	int64_t now = now_us(gs);
+
+	h->asked_us = now;
+	ask.id = h->ask.id;
+	ask.target = h->route.target;
+	ask.batch = h->ask.work_class == kWorkBatch;
+	ask.prompt_tokens = (uint32_t)h->ask.prompt_tokens;
+	ask.deadline_in_us = (uint64_t)MAX(h->ask.deadline_us - now, 0);
+	ask.team = h->ask.team;
+	ask.weight = (uint32_t)h->ask.weight;
+	ask.due_in_us = (uint64_t)MAX(h->ask.due_us - now, 0);
+	ask.suspect = h->ask.is_suspect;
+	ask.adopt = adopt;
+	ask.has_first_token = h->has_first_token;
+	env.n_asks = 1;
+	env.asks = asks;
+	peer_send(gs->d->peer, h->route.arbiter, &env, kPeerControl);
+}
+
+void
+grants_ask(struct grants *gs, const struct arbiter_ask *ask,
+    const struct route *route, const struct grant_ops *ops, void *ctx)
+{
+	struct held *h = g_new0(struct held, 1);
+	GArray *list = deliveries_new();
+
+	h->ask = *ask;
+	h->ask.holder = kHolderSelf;
+	h->route = *route;
+	h->ops = ops;
+	h->ctx = ctx;
+	ops->ref(ctx);
+	pthread_mutex_lock(&gs->lock);
+	g_hash_table_insert(gs->held, &h->ask.id, h);
+	if (is_local(gs, h))
+		ask_here(gs, h, list);
+	else
+		ask_peer(gs, h, false);
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+static void
+send_note(struct grants *gs, const struct held *h, enum wire_note kind)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__GrantNote note = SFPEER__GRANT_NOTE__INIT;
+	Sfpeer__GrantNote *notes[] = {&note};
+
+	note.id = h->ask.id;
+	note.target = (char *)h->route.target;
+	note.kind = kind;
+	env.n_notes = 1;
+	env.notes = notes;
+	peer_send(gs->d->peer, h->route.arbiter, &env, kPeerControl);
+}
+
+void
+grants_first_token(struct grants *gs, uint64_t id)
+{
+	GArray *list = deliveries_new();
+	struct held *h;
+
+	pthread_mutex_lock(&gs->lock);
+	h = g_hash_table_lookup(gs->held, &id);
+	if (h != NULL && !h->has_first_token) {
+		struct hosted *ho =
+		    g_hash_table_lookup(gs->hosted, h->route.target);
+
+		h->has_first_token = true;
+		if (!is_local(gs, h)) {
+			send_note(gs, h, kNoteFirstToken);
+		} else if (ho != NULL) {
+			GArray *actions = arbiter_actions_new();
+
+			arbiter_first_token(ho->arb, id, now_us(gs), actions);
+			run_actions(gs, ho->target, ho->arb, actions, list);
+		}
+	}
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+static void
+release_here(struct grants *gs, const char *target, uint64_t id, GArray *list)
+{
+	struct hosted *ho = g_hash_table_lookup(gs->hosted, target);
+	GArray *actions;
+
+	if (ho == NULL)
+		return;
+	actions = arbiter_actions_new();
+	arbiter_release(ho->arb, id, now_us(gs), actions);
+	run_actions(gs, target, ho->arb, actions, list);
+}
+
+void
+grants_release(struct grants *gs, uint64_t id)
+{
+	GArray *list = deliveries_new();
+	struct held *h;
+
+	pthread_mutex_lock(&gs->lock);
+	h = g_hash_table_lookup(gs->held, &id);
+	if (h != NULL) {
+		struct route route = h->route;
+		bool here = is_local(gs, h);
+
+		stop_local_share(gs, h);
+		if (!here)
+			send_note(gs, h, kNoteRelease);
+		g_hash_table_remove(gs->held, &id);
+		if (here)
+			release_here(gs, route.target, id, list);
+	}
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+static void
+deliver_crash(struct grants *gs, struct held *h,
+    enum arbiter_crash_verdict verdict, GArray *list)
+{
+	delivery_add(list, h, kWireRefused, 0);
+	g_array_index(list, struct delivery, list->len - 1).is_crash = true;
+	g_array_index(list, struct delivery, list->len - 1).crash = verdict;
+	stop_local_share(gs, h);
+	g_hash_table_remove(gs->held, &h->ask.id);
+}
+
+void
+grants_report_crash(struct grants *gs, uint64_t id)
+{
+	GArray *list = deliveries_new();
+	struct held *h;
+
+	pthread_mutex_lock(&gs->lock);
+	h = g_hash_table_lookup(gs->held, &id);
+	if (h != NULL && is_local(gs, h)) {
+		struct arbiter *arb = hosted_get(gs, h->route.target);
+		GArray *actions = arbiter_actions_new();
+		enum arbiter_crash_verdict verdict = kCrashSuspect;
+		char target[kMemberAddressMax];
+
+		g_strlcpy(target, h->route.target, sizeof(target));
+		if (arb != NULL)
+			verdict = arbiter_crash(arb, id, now_us(gs), actions);
+		deliver_crash(gs, h, verdict, list);
+		if (arb != NULL)
+			run_actions(gs, target, arb, actions, list);
+		else
+			g_array_unref(actions);
+	} else if (h != NULL) {
+		h->phase = kHeldCrashed;
+		h->asked_us = now_us(gs);
+		send_note(gs, h, kNoteCrash);
+	}
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+void
+grants_set_leaving(struct grants *gs, const char *target, bool is_leaving)
+{
+	GArray *list = deliveries_new();
+	struct hosted *ho;
+
+	pthread_mutex_lock(&gs->lock);
+	ho = g_hash_table_lookup(gs->hosted, target);
+	if (ho != NULL) {
+		GArray *actions = arbiter_actions_new();
+
+		arbiter_set_leaving(ho->arb, is_leaving, now_us(gs), actions);
+		run_actions(gs, target, ho->arb, actions, list);
+	}
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+void
+grants_forget_daemon(struct grants *gs, const char *address)
+{
+	GArray *list = deliveries_new();
+	uint32_t holder;
+	GHashTableIter it;
+	void *val;
+
+	pthread_mutex_lock(&gs->lock);
+	holder = holder_of(gs, address);
+	g_hash_table_iter_init(&it, gs->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct hosted *ho = val;
+		GArray *actions = arbiter_actions_new();
+
+		arbiter_forget_holder(ho->arb, holder, now_us(gs), actions);
+		run_actions(gs, ho->target, ho->arb, actions, list);
+	}
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+/* Hands what is held over to the target's present arbiter. */
+static void
+follow_arbiter(struct grants *gs, struct held *h, GArray *list)
+{
+	bool running = h->phase == kHeldGranted || h->phase == kHeldLocal;
+
+	if (!is_local(gs, h)) {
+		ask_peer(gs, h, running);
+		if (!running)
+			h->phase = kHeldAsking;
+		return;
+	}
+	if (!running) {
+		ask_here(gs, h, list);
+	} else {
+		struct arbiter *arb = hosted_get(gs, h->route.target);
+		GArray *actions = arbiter_actions_new();
+
+		if (arb == NULL) {
+			g_array_unref(actions);
+			return;
+		}
+		arbiter_adopt(
+		    arb, &h->ask, h->has_first_token, now_us(gs), actions);
+		run_actions(gs, h->route.target, arb, actions, list);
+	}
+}
+
+static void
+update_hosted(struct grants *gs)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, gs->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct hosted *ho = val;
+		struct arbiter_options opt;
+		struct route route;
+		int64_t budget_us;
+
+		if (!routes_target(
+			gs->d->routes, ho->target, &route, &budget_us)) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		opt = options_of(&route, budget_us);
+		arbiter_configure(ho->arb, &opt);
+	}
+}
+
+static GPtrArray *
+held_with_moved_arbiter(struct grants *gs)
+{
+	GPtrArray *moved = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, gs->held);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct held *h = val;
+		struct route route;
+		int64_t budget_us;
+
+		if (!routes_target(
+			gs->d->routes, h->route.target, &route, &budget_us) ||
+		    strcmp(route.arbiter, h->route.arbiter) == 0)
+			continue;
+		h->route = route;
+		g_ptr_array_add(moved, h);
+	}
+	return moved;
+}
+
+void
+grants_routes_changed(struct grants *gs)
+{
+	GArray *list = deliveries_new();
+	GPtrArray *moved;
+
+	pthread_mutex_lock(&gs->lock);
+	update_hosted(gs);
+	moved = held_with_moved_arbiter(gs);
+	for (guint i = 0; i < moved->len; i++)
+		follow_arbiter(gs, moved->pdata[i], list);
+	g_ptr_array_unref(moved);
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+void
+grants_observe(struct grants *gs, const char *target, int32_t streams,
+    int32_t prompt_tokens, int64_t step_us)
+{
+	struct hosted *ho;
+
+	pthread_mutex_lock(&gs->lock);
+	ho = g_hash_table_lookup(gs->hosted, target);
+	if (ho != NULL && streams > 0 && step_us > 0)
+		arbiter_observe_step(ho->arb, streams, prompt_tokens, step_us);
+	pthread_mutex_unlock(&gs->lock);
+}
+
+void
+grants_on_ask(struct grants *gs, const char *from, const Sfpeer__GrantAsk *wire)
+{
+	GArray *list = deliveries_new();
+	GArray *actions = arbiter_actions_new();
+	int64_t now = now_us(gs);
+	struct arbiter_ask ask = {
+	    .id = wire->id,
+	    .work_class = wire->batch ? kWorkBatch : kWorkOnline,
+	    .prompt_tokens = (int32_t)wire->prompt_tokens,
+	    .team = wire->team,
+	    .weight = (int32_t)wire->weight,
+	    .is_suspect = wire->suspect,
+	};
+	struct arbiter_action queued = {kArbiterGranted, 0, wire->id, 0};
+	struct arbiter *arb;
+
+	ask.deadline_us =
+	    now + (int64_t)MIN(wire->deadline_in_us, INT64_MAX / 4);
+	ask.due_us = now + (int64_t)MIN(wire->due_in_us, INT64_MAX / 4);
+	pthread_mutex_lock(&gs->lock);
+	ask.holder = holder_of(gs, from);
+	queued.holder = ask.holder;
+	arb = hosted_get(gs, wire->target);
+	if (arb == NULL) {
+		queued.retry_after_us = kRefusedLocallyRetryUs;
+		answer_peer(gs, &queued, kWireRefused, 0);
+		g_array_unref(actions);
+	} else if (wire->adopt) {
+		arbiter_adopt(arb, &ask, wire->has_first_token, now, actions);
+		run_actions(gs, wire->target, arb, actions, list);
+	} else {
+		arbiter_request(arb, &ask, now, actions);
+		/* Batch is not told that it waits: that is its usual state. */
+		if (!wire->batch && !has_action_for(actions, ask.id))
+			answer_peer(gs, &queued, kWireQueued, 0);
+		run_actions(gs, wire->target, arb, actions, list);
+	}
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+/* The arbiter gave a slot to a request that is gone: give it back. */
+static void
+return_unwanted(struct grants *gs, const char *from, uint64_t id)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__GrantNote note = SFPEER__GRANT_NOTE__INIT;
+	Sfpeer__GrantNote *notes[] = {&note};
+
+	note.id = id;
+	note.kind = kNoteRelease;
+	env.n_notes = 1;
+	env.notes = notes;
+	peer_send(gs->d->peer, from, &env, kPeerControl);
+}
+
+void
+grants_on_answer(
+    struct grants *gs, const char *from, const Sfpeer__GrantAnswer *answer)
+{
+	GArray *list = deliveries_new();
+	uint64_t id = answer->id;
+	struct held *h;
+
+	pthread_mutex_lock(&gs->lock);
+	h = g_hash_table_lookup(gs->held, &id);
+	if (h == NULL) {
+		if (answer->verdict == kWireGranted)
+			return_unwanted(gs, from, id);
+	} else if (answer->crash_verdict > 0) {
+		deliver_crash(gs, h, answer->crash_verdict - 1, list);
+	} else {
+		routes_note_load(
+		    gs->d->routes, h->route.target, (int64_t)answer->load_us);
+		take_verdict(gs, id, answer->verdict,
+		    (int64_t)answer->retry_after_us, list);
+	}
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+static void
+release_anywhere(struct grants *gs, uint64_t id, GArray *list)
+{
+	GHashTableIter it;
+	void *key;
+
+	g_hash_table_iter_init(&it, gs->hosted);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		release_here(gs, key, id, list);
+}
+
+static void
+take_crash_note(struct grants *gs, const char *from, struct hosted *ho,
+    uint64_t id, GArray *list)
+{
+	Sfpeer__GrantAnswer answer = SFPEER__GRANT_ANSWER__INIT;
+	GArray *actions = arbiter_actions_new();
+
+	answer.id = id;
+	answer.crash_verdict =
+	    1 + (uint32_t)arbiter_crash(ho->arb, id, now_us(gs), actions);
+	send_answer(gs, holder_of(gs, from), &answer);
+	run_actions(gs, ho->target, ho->arb, actions, list);
+}
+
+void
+grants_on_note(
+    struct grants *gs, const char *from, const Sfpeer__GrantNote *note)
+{
+	GArray *list = deliveries_new();
+	struct hosted *ho;
+
+	pthread_mutex_lock(&gs->lock);
+	ho = g_hash_table_lookup(gs->hosted, note->target);
+	if (ho == NULL) {
+		release_anywhere(gs, note->id, list);
+	} else if (note->kind == kNoteFirstToken) {
+		GArray *actions = arbiter_actions_new();
+
+		arbiter_first_token(ho->arb, note->id, now_us(gs), actions);
+		run_actions(gs, ho->target, ho->arb, actions, list);
+	} else if (note->kind == kNoteCrash) {
+		take_crash_note(gs, from, ho, note->id, list);
+	} else {
+		release_here(gs, ho->target, note->id, list);
+	}
+	pthread_mutex_unlock(&gs->lock);
+	deliver(list);
+}
+
+static void
+use_local_share(struct grants *gs, struct held *h, GArray *list)
+{
+	uint64_t id = h->ask.id;
+
+	if (!local_share_take(
+		gs->local, h->route.target, h->route.slots, h->route.daemons)) {
+		delivery_add(list, h, kWireRefused, kRefusedLocallyRetryUs);
+		g_hash_table_remove(gs->held, &id);
+		return;
+	}
+	metric_add(kMetFallbacks, 1);
+	log_event(kEvtArbiterFallback, "target", h->route.target, "arbiter",
+	    h->route.arbiter, NULL);
+	h->uses_local_share = true;
+	h->phase = kHeldLocal;
+	delivery_add(list, h, kWireGranted, 0);
+}
+
+/* What a request that waits for a peer's answer does as time passes. */
+static void
+held_tick(struct grants *gs, struct held *h, int64_t now, GArray *list)
+{
+	int64_t waited_us = now - h->asked_us;
+	int64_t timeout_us = gs->d->set->grant_timeout_ms * kUsPerMs;
+	bool is_batch = h->ask.work_class == kWorkBatch;
+
+	if (h->phase == kHeldCrashed && waited_us > timeout_us) {
+		deliver_crash(gs, h, kCrashSuspect, list);
+	} else if (is_local(gs, h)) {
+		return;
+	} else if (h->phase == kHeldAsking && !is_batch &&
+		   waited_us > timeout_us) {
+		use_local_share(gs, h, list);
+	} else if (h->phase == kHeldQueued && waited_us > kAskAgainUs) {
+		h->phase = kHeldAsking;
+		ask_peer(gs, h, false);
+	} else if (h->phase == kHeldAsking && is_batch &&
+		   waited_us > kBatchAskAgainUs) {
+		ask_peer(gs, h, false);
+	}
+}
+
+void
+grants_tick(struct grants *gs)
+{
+	GArray *list = deliveries_new();
+	int64_t now = now_us(gs);
+	GPtrArray *waiting = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	pthread_mutex_lock(&gs->lock);
+	g_hash_table_iter_init(&it, gs->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct hosted *ho = val;
+		GArray *actions = arbiter_actions_new();
+
+		arbiter_tick(ho->arb, now, actions);
+		run_actions(gs, ho->target, ho->arb, actions, list);
+	}
+	g_hash_table_iter_init(&it, gs->held);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (((struct held *)val)->phase != kHeldGranted)
+			g_ptr_array_add(waiting, val);
+	for (guint i = 0; i < waiting->len; i++)
+		held_tick(gs, waiting->pdata[i], now, list);
+	pthread_mutex_unlock(&gs->lock);
+	g_ptr_array_unref(waiting);
+	deliver(list);
+}
+
+json_t *
+grants_status(struct grants *gs)
+{
+	json_t *list = json_array();
+	GHashTableIter it;
+	void *val;
+
+	pthread_mutex_lock(&gs->lock);
+	g_hash_table_iter_init(&it, gs->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct hosted *ho = val;
+		struct arbiter_load load = arbiter_load_get(ho->arb);
+
+		json_array_append_new(list,
+		    json_pack("{s:s,s:i,s:i,s:i,s:i,s:I}", "target", ho->target,
+			"online", load.online, "batch", load.batch,
+			"online_queued", load.online_queued, "batch_queued",
+			load.batch_queued, "first_token_us",
+			(json_int_t)load.first_token_us));
+	}
+	pthread_mutex_unlock(&gs->lock);
+	return list;
+}
--- /dev/null
+++ b/src/serve/intents.c
@@ -0,0 +1,255 @@
+/* Intents of one daemon: one thread commits what has come together. */
+#include "serve/intents.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "os/cpu.h"
+#include "serve/routes.h"
+
+enum {
+	/* Intents in one transaction. */
+	kGroupMax = 50,
+	/* Answers that wait for the store; more are dropped, and a resent key
+	 * is then told that the outcome is unknown. */
+	kAnswersMax = 1000,
+	kRetryWaitMs = 500,
+};
+
+struct waiting_intent {
+	struct intent *in;
+	bool is_settled;
+};
+
+struct answer {
+	struct intent in;
+	bool is_withdrawal;
+};
+
+struct intents {
+	struct daemon *d;
+	pthread_mutex_t lock;
+	pthread_cond_t work;
+	pthread_cond_t settled;
+	GQueue begins;
+	GQueue answers;
+	bool stopping;
+	pthread_t begin_thread;
+	pthread_t answer_thread;
+};
+
+static void
+take_group(struct intents *ins, GPtrArray *group, GHashTable *keys)
+{
+	GList *link = ins->begins.head;
+
+	while (link != NULL && group->len < kGroupMax) {
+		struct waiting_intent *wi = link->data;
+		GList *next = link->next;
+
+		/* Two intents of one key go into different transactions. */
+		if (g_hash_table_add(keys, wi->in->key)) {
+			g_ptr_array_add(group, wi);
+			g_queue_delete_link(&ins->begins, link);
+		}
+		link = next;
+	}
+}
+
+static void
+commit_group(struct intents *ins, GPtrArray *group)
+{
+	GPtrArray *list = g_ptr_array_new();
+
+	for (guint i = 0; i < group->len; i++)
+		g_ptr_array_add(
+		    list, ((struct waiting_intent *)group->pdata[i])->in);
+	intent_begin_all(ins->d->plat, list);
+	g_ptr_array_unref(list);
+}
+
+static void *
+begin_thread(void *arg)
+{
+	struct intents *ins = arg;
+
+	pthread_mutex_lock(&ins->lock);
+	while (!ins->stopping) {
+		GPtrArray *group = g_ptr_array_new();
+		GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
+
+		while (g_queue_is_empty(&ins->begins) && !ins->stopping)
+			pthread_cond_wait(&ins->work, &ins->lock);
+		take_group(ins, group, keys);
+		pthread_mutex_unlock(&ins->lock);
+		if (group->len > 0)
+			commit_group(ins, group);
+		cpu_count_control();
+		pthread_mutex_lock(&ins->lock);
+		for (guint i = 0; i < group->len; i++)
+			((struct waiting_intent *)group->pdata[i])->is_settled =
+			    true;
+		pthread_cond_broadcast(&ins->settled);
+		g_hash_table_unref(keys);
+		g_ptr_array_unref(group);
+	}
+	pthread_mutex_unlock(&ins->lock);
+	return NULL;
+}
+
+static void
+answer_free(struct answer *ans)
+{
+	intent_clear(&ans->in);
+	g_free(ans);
+}
+
+static bool
+answer_store(struct intents *ins, const struct answer *ans)
+{
+	enum platform_result res = ans->is_withdrawal
+				       ? intent_withdraw(ins->d->plat, &ans->in)
+				       : intent_finish(ins->d->plat, &ans->in);
+
+	return res == kPlatformOk || res == kPlatformConflict;
+}
+
+static void
+wait_ms(struct intents *ins, int64_t ms)
+{
+	struct timespec until;
+
+	clock_gettime(CLOCK_REALTIME, &until);
+	until.tv_nsec += (long)(ms % 1000) * 1000000;
+	until.tv_sec += ms / 1000 + until.tv_nsec / 1000000000;
+	until.tv_nsec %= 1000000000;
+	pthread_cond_timedwait(&ins->work, &ins->lock, &until);
+}
+
+static void *
+answer_thread(void *arg)
+{
+	struct intents *ins = arg;
+
+	pthread_mutex_lock(&ins->lock);
+	for (;;) {
+		struct answer *ans;
+		bool stored;
+
+		while (g_queue_is_empty(&ins->answers) && !ins->stopping)
+			pthread_cond_wait(&ins->work, &ins->lock);
+		ans = g_queue_pop_head(&ins->answers);
+		if (ans == NULL)
+			break;
+		pthread_mutex_unlock(&ins->lock);
+		stored = answer_store(ins, ans);
+		pthread_mutex_lock(&ins->lock);
+		if (stored || ins->stopping) {
+			answer_free(ans);
+			continue;
+		}
+		g_queue_push_head(&ins->answers, ans);
+		wait_ms(ins, kRetryWaitMs);
+	}
+	pthread_mutex_unlock(&ins->lock);
+	return NULL;
+}
+
+struct intents *
+intents_new(struct daemon *d)
+{
+	struct intents *ins = g_new0(struct intents, 1);
+
+	ins->d = d;
+	pthread_mutex_init(&ins->lock, NULL);
+	pthread_cond_init(&ins->work, NULL);
+	pthread_cond_init(&ins->settled, NULL);
+	g_queue_init(&ins->begins);
+	g_queue_init(&ins->answers);
+	pthread_create(&ins->begin_thread, NULL, begin_thread, ins);
+	pthread_create(&ins->answer_thread, NULL, answer_thread, ins);
+	return ins;
+}
+
+void
+intents_free(struct intents *ins)
+{
+	pthread_mutex_lock(&ins->lock);
+	ins->stopping = true;
+	pthread_cond_broadcast(&ins->work);
+	pthread_mutex_unlock(&ins->lock);
+	pthread_join(ins->begin_thread, NULL);
+	pthread_join(ins->answer_thread, NULL);
+	pthread_cond_destroy(&ins->work);
+	pthread_cond_destroy(&ins->settled);
+	pthread_mutex_destroy(&ins->lock);
+	g_free(ins);
+}
+
+/* The daemon that began may be gone: then nobody knows the outcome. */
+static void
+judge_holder(struct intents *ins, struct intent *in)
+{
+	char **parts = g_strsplit(in->holder != NULL ? in->holder : "", "/", 2);
+	char *self = g_strdup_printf("%" G_GUINT64_FORMAT, ins->d->incarnation);
+	bool is_self =
+	    parts[0] != NULL && strcmp(parts[0], ins->d->set->peer_listen) == 0;
+	bool alive =
+	    parts[0] != NULL && routes_is_alive(ins->d->routes, parts[0]);
+
+	if (is_self && g_strcmp0(parts[1], self) != 0)
+		alive = false;
+	if (!alive)
+		in->state = kIntentUnknown;
+	g_strfreev(parts);
+	g_free(self);
+}
+
+void
+intents_begin(struct intents *ins, struct intent *in)
+{
+	struct waiting_intent wi = {in, false};
+
+	in->attempt = g_strdup_printf(
+	    "%016" G_GINT64_MODIFIER "x", daemon_unique_id(ins->d));
+	in->daemon = g_strdup_printf("%s/%" G_GUINT64_FORMAT,
+	    ins->d->set->peer_listen, ins->d->incarnation);
+	in->state = kIntentStoreDown;
+	pthread_mutex_lock(&ins->lock);
+	g_queue_push_tail(&ins->begins, &wi);
+	pthread_cond_broadcast(&ins->work);
+	while (!wi.is_settled && !ins->stopping)
+		pthread_cond_wait(&ins->settled, &ins->lock);
+	g_queue_remove(&ins->begins, &wi);
+	pthread_mutex_unlock(&ins->lock);
+	if (in->state == kIntentInProgress)
+		judge_holder(ins, in);
+}
+
+static void
+answer_queue(struct intents *ins, struct intent *in, bool is_withdrawal)
+{
+	struct answer *ans = g_new0(struct answer, 1);
+
+	ans->in = *in;
+	ans->is_withdrawal = is_withdrawal;
+	memset(in, 0, sizeof(*in));
+	pthread_mutex_lock(&ins->lock);
+	if (g_queue_get_length(&ins->answers) >= kAnswersMax)
+		answer_free(g_queue_pop_head(&ins->answers));
+	g_queue_push_tail(&ins->answers, ans);
+	pthread_cond_broadcast(&ins->work);
+	pthread_mutex_unlock(&ins->lock);
+}
+
+void
+intents_finish(struct intents *ins, struct intent *in)
+{
+	answer_queue(ins, in, false);
+}
+
+void
+intents_withdraw(struct intents *ins, struct intent *in)
+{
+	answer_queue(ins, in, true);
+}
