--- /dev/null
+++ b/src/serve/limiter.c
@@ -0,0 +1,320 @@
+/* Team limits, retry budgets and condemned requests, under one lock. */
+#include "serve/limiter.h"
+
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "log/log.h"
+#include "savoryflow/limits/limits.h"
+#include "savoryflow/retry/condemned.h"
+#include "serve/routes.h"
+
+#define CONDEMNED_PREFIX "condemned/"
+
+enum {
+	kCondemnedMax = 10000,
+	/* Each daemon that learns of a condemned request tells so many. */
+	kCondemnedFanout = 8,
+	kCondemnedPage = 1000,
+};
+
+struct limiter {
+	struct daemon *d;
+	pthread_mutex_t lock;
+	struct limit_owner *owner;
+	struct limit_spender *spender;
+	/** struct retry_budget by service. */
+	GHashTable *budgets;
+	/** Online requests at once, by team. */
+	GHashTable *running;
+	struct condemned *condemned;
+};
+
+struct limiter *
+limiter_new(struct daemon *d)
+{
+	struct limiter *lim = g_new0(struct limiter, 1);
+
+	lim->d = d;
+	pthread_mutex_init(&lim->lock, NULL);
+	lim->owner = limit_owner_new();
+	lim->spender = limit_spender_new();
+	lim->budgets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	lim->running =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	lim->condemned = condemned_new(kCondemnedMax);
+	return lim;
+}
+
+void
+limiter_free(struct limiter *lim)
+{
+	limit_owner_free(lim->owner);
+	limit_spender_free(lim->spender);
+	g_hash_table_unref(lim->budgets);
+	g_hash_table_unref(lim->running);
+	condemned_free(lim->condemned);
+	pthread_mutex_destroy(&lim->lock);
+	g_free(lim);
+}
+
+static uint64_t
+team_hash(const char *name)
+{
+	return XXH3_64bits(name, strlen(name));
+}
+
+static void
+ask_owner(struct limiter *lim, const struct config_team *team, int32_t wanted)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__LimitAsk ask = SFPEER__LIMIT_ASK__INIT;
+	Sfpeer__LimitAsk *asks[] = {&ask};
+	char owner[kMemberAddressMax];
+
+	ask.team = team_hash(team->name);
+	ask.team_name = team->name;
+	ask.wanted = (uint32_t)wanted;
+	routes_owner(lim->d->routes, team->name, owner);
+	if (strcmp(owner, lim->d->set->peer_listen) == 0) {
+		limiter_on_ask(lim, owner, &ask);
+		return;
+	}
+	env.n_limit_asks = 1;
+	env.limit_asks = asks;
+	peer_send(lim->d->peer, owner, &env, kPeerControl);
+}
+
+/* The daemon's even part of the team's concurrency, at least one. */
+static bool
+concurrency_take(
+    struct limiter *lim, const struct config_team *team, int32_t daemons)
+{
+	int32_t part = MAX(team->concurrency / MAX(daemons, 1), 1);
+	int32_t used =
+	    GPOINTER_TO_INT(g_hash_table_lookup(lim->running, team->name));
+
+	if (team->concurrency > 0 && used >= part)
+		return false;
+	g_hash_table_replace(
+	    lim->running, g_strdup(team->name), GINT_TO_POINTER(used + 1));
+	return true;
+}
+
+static bool
+rate_take(struct limiter *lim, const struct limit_check *check, int32_t *wanted)
+{
+	enum limit_verdict verdict;
+
+	pthread_mutex_lock(&lim->lock);
+	verdict = limit_spender_take(lim->spender, check, wanted);
+	pthread_mutex_unlock(&lim->lock);
+	return verdict == kLimitPass;
+}
+
+bool
+limiter_admit(struct limiter *lim, const struct config_team *team)
+{
+	struct limit_check check = {
+	    .team = team_hash(team->name),
+	    .rate_per_s = team->rate_per_s,
+	    .daemons = routes_daemon_count(lim->d->routes),
+	    .now_us = clock_mono_us(lim->d->clk),
+	};
+	int32_t wanted = 0;
+	bool pass = rate_take(lim, &check, &wanted);
+
+	if (wanted > 0)
+		ask_owner(lim, team, wanted);
+	/* The owner may be this daemon and have answered already. */
+	if (!pass && wanted > 0)
+		pass = rate_take(lim, &check, &wanted);
+	if (!pass)
+		return false;
+	pthread_mutex_lock(&lim->lock);
+	pass = concurrency_take(lim, team, check.daemons);
+	pthread_mutex_unlock(&lim->lock);
+	return pass;
+}
+
+void
+limiter_done(struct limiter *lim, const char *team)
+{
+	int32_t used;
+
+	pthread_mutex_lock(&lim->lock);
+	used = GPOINTER_TO_INT(g_hash_table_lookup(lim->running, team));
+	if (used > 1)
+		g_hash_table_replace(
+		    lim->running, g_strdup(team), GINT_TO_POINTER(used - 1));
+	else
+		g_hash_table_remove(lim->running, team);
+	pthread_mutex_unlock(&lim->lock);
+}
+
+static struct retry_budget *
+budget_get(struct limiter *lim, const char *service)
+{
+	struct retry_budget *b = g_hash_table_lookup(lim->budgets, service);
+
+	if (b != NULL)
+		return b;
+	b = g_new0(struct retry_budget, 1);
+	retry_budget_init(b);
+	g_hash_table_insert(lim->budgets, g_strdup(service), b);
+	return b;
+}
+
+void
+limiter_note_request(struct limiter *lim, const char *service)
+{
+	pthread_mutex_lock(&lim->lock);
+	retry_budget_note_request(budget_get(lim, service));
+	pthread_mutex_unlock(&lim->lock);
+}
+
+struct retry_budget *
+limiter_retry_budget_lock(struct limiter *lim, const char *service)
+{
+	pthread_mutex_lock(&lim->lock);
+	return budget_get(lim, service);
+}
+
+void
+limiter_retry_budget_unlock(struct limiter *lim)
+{
+	pthread_mutex_unlock(&lim->lock);
+}
+
+bool
+limiter_is_condemned(struct limiter *lim, uint64_t fingerprint)
+{
+	bool has;
+
+	pthread_mutex_lock(&lim->lock);
+	has = condemned_has(lim->condemned, fingerprint);
+	pthread_mutex_unlock(&lim->lock);
+	return has;
+}
+
+static void
+tell_peers(struct limiter *lim, uint64_t fingerprint)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	GPtrArray *peers =
+	    routes_random_peers(lim->d->routes, kCondemnedFanout);
+
+	env.n_condemned = 1;
+	env.condemned = &fingerprint;
+	for (guint i = 0; i < peers->len; i++)
+		peer_send(lim->d->peer, peers->pdata[i], &env, kPeerControl);
+	g_ptr_array_unref(peers);
+}
+
+struct condemned_store_task {
+	struct limiter *lim;
+	uint64_t fingerprint;
+};
+
+static void
+store_condemned(void *ctx)
+{
+	struct condemned_store_task *task = ctx;
+	const struct platform *plat = task->lim->d->plat;
+	struct platform_txn *txn = platform_txn_new();
+	char *key =
+	    g_strdup_printf(CONDEMNED_PREFIX "%016" PRIx64, task->fingerprint);
+
+	platform_txn_write(txn, key, "{}");
+	plat->ops->txn(plat->ctx, kCauseIntent, txn);
+	platform_txn_free(txn);
+	g_free(key);
+	g_free(task);
+}
+
+void
+limiter_condemn(struct limiter *lim, uint64_t fingerprint, bool tell)
+{
+	struct condemned_store_task *task;
+	char text[32];
+	bool added;
+
+	pthread_mutex_lock(&lim->lock);
+	added = condemned_add(lim->condemned, fingerprint);
+	pthread_mutex_unlock(&lim->lock);
+	if (!added)
+		return;
+	g_snprintf(text, sizeof(text), "%016" PRIx64, fingerprint);
+	log_event(kEvtRequestCondemned, "fingerprint", text, NULL);
+	tell_peers(lim, fingerprint);
+	if (!tell)
+		return;
+	task = g_new(struct condemned_store_task, 1);
+	task->lim = lim;
+	task->fingerprint = fingerprint;
+	if (!pool_submit(lim->d->workers, store_condemned, task))
+		g_free(task);
+}
+
+void
+limiter_load_condemned(struct limiter *lim)
+{
+	const struct platform *plat = lim->d->plat;
+	GPtrArray *rows = NULL;
+
+	if (plat->ops->scan(plat->ctx, kCauseIntent, CONDEMNED_PREFIX, NULL,
+		kCondemnedPage, &rows) != kPlatformOk)
+		return;
+	pthread_mutex_lock(&lim->lock);
+	for (guint i = 0; i < rows->len; i++) {
+		const struct platform_row *row = rows->pdata[i];
+		const char *hex = row->key + strlen(CONDEMNED_PREFIX);
+
+		condemned_add(lim->condemned, strtoull(hex, NULL, 16));
+	}
+	pthread_mutex_unlock(&lim->lock);
+	g_ptr_array_unref(rows);
+}
+
+void
+limiter_on_ask(
+    struct limiter *lim, const char *from, const Sfpeer__LimitAsk *ask)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__LimitLease lease = SFPEER__LIMIT_LEASE__INIT;
+	Sfpeer__LimitLease *leases[] = {&lease};
+	struct config *cfg = config_holder_get(lim->d->configs);
+	const struct config_team *team =
+	    cfg != NULL ? g_hash_table_lookup(cfg->teams, ask->team_name)
+			: NULL;
+
+	lease.team = ask->team;
+	if (team != NULL) {
+		pthread_mutex_lock(&lim->lock);
+		lease.leased = (uint32_t)limit_owner_lease(lim->owner,
+		    ask->team, team->rate_per_s, (int32_t)ask->wanted,
+		    clock_mono_us(lim->d->clk));
+		pthread_mutex_unlock(&lim->lock);
+	}
+	config_unref(cfg);
+	if (strcmp(from, lim->d->set->peer_listen) == 0) {
+		limiter_on_lease(lim, &lease);
+		return;
+	}
+	env.n_limit_leases = 1;
+	env.limit_leases = leases;
+	peer_send(lim->d->peer, from, &env, kPeerControl);
+}
+
+void
+limiter_on_lease(struct limiter *lim, const Sfpeer__LimitLease *lease)
+{
+	pthread_mutex_lock(&lim->lock);
+	limit_spender_lease(lim->spender, lease->team, (int32_t)lease->leased,
+	    clock_mono_us(lim->d->clk));
+	pthread_mutex_unlock(&lim->lock);
+}
--- /dev/null
+++ b/src/serve/timers.c
@@ -0,0 +1,118 @@
+/* One-shot timers in order of their times. */
+#include "serve/timers.h"
+
+#include <glib.h>
+#include <pthread.h>
+
+#include "savoryflow/arbiter/u64_hash.h"
+
+struct timer {
+	uint64_t number;
+	int64_t at_us;
+	timer_fn fn;
+	void *ctx;
+};
+
+struct timers {
+	pthread_mutex_t lock;
+	GSequence *order;
+	/** Places in the order, by number. */
+	GHashTable *by_number;
+	uint64_t last_number;
+};
+
+struct timers *
+timers_new(void)
+{
+	struct timers *tm = g_new0(struct timers, 1);
+
+	pthread_mutex_init(&tm->lock, NULL);
+	tm->order = g_sequence_new(g_free);
+	tm->by_number = u64_hash_new(NULL);
+	return tm;
+}
+
+void
+timers_free(struct timers *tm)
+{
+	g_hash_table_unref(tm->by_number);
+	g_sequence_free(tm->order);
+	pthread_mutex_destroy(&tm->lock);
+	g_free(tm);
+}
+
+static int
+compare_times(const void *a, const void *b, void *ctx)
+{
+	const struct timer *x = a;
+	const struct timer *y = b;
+
+	return (x->at_us > y->at_us) - (x->at_us < y->at_us);
+}
+
+uint64_t
+timers_add(struct timers *tm, int64_t at_us, timer_fn fn, void *ctx)
+{
+	struct timer *t = g_new(struct timer, 1);
+	uint64_t number;
+
+	t->at_us = at_us;
+	t->fn = fn;
+	t->ctx = ctx;
+	pthread_mutex_lock(&tm->lock);
+	number = ++tm->last_number;
+	t->number = number;
+	g_hash_table_insert(tm->by_number, &t->number,
+	    g_sequence_insert_sorted(tm->order, t, compare_times, NULL));
+	pthread_mutex_unlock(&tm->lock);
+	return number;
+}
+
+static void
+remove_place(struct timers *tm, GSequenceIter *place)
+{
+	struct timer *t = g_sequence_get(place);
+
+	g_hash_table_remove(tm->by_number, &t->number);
+	g_sequence_remove(place);
+}
+
+bool
+timers_cancel(struct timers *tm, uint64_t number)
+{
+	GSequenceIter *place;
+
+	pthread_mutex_lock(&tm->lock);
+	place = g_hash_table_lookup(tm->by_number, &number);
+	if (place != NULL)
+		remove_place(tm, place);
+	pthread_mutex_unlock(&tm->lock);
+	return place != NULL;
+}
+
+static bool
+take_due(struct timers *tm, int64_t now_us, struct timer *due)
+{
+	GSequenceIter *first;
+	bool found;
+
+	pthread_mutex_lock(&tm->lock);
+	first = g_sequence_get_begin_iter(tm->order);
+	found = !g_sequence_iter_is_end(first) &&
+		((struct timer *)g_sequence_get(first))->at_us <= now_us;
+	if (found) {
+		*due = *(struct timer *)g_sequence_get(first);
+		remove_place(tm, first);
+	}
+	pthread_mutex_unlock(&tm->lock);
+	return found;
+}
+
+void
+timers_run(struct timers *tm, int64_t now_us)
+{
+	struct timer due;
+
+	while (take_due(tm, now_us, &due))
+		due.fn(due.ctx);
+}
--- /dev/null
+++ b/src/target/target.c
@@ -0,0 +1,354 @@
+/*
+ * Transfers to targets on a libcurl multi handle. Other threads hand commands
+ * over through a lock-free ring. There is no limit on connections, so that no
+ * transfer waits for another.
+ */
+#include "target/target.h"
+
+#include <ck_ring.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "os/clock.h"
+#include "savoryflow/arbiter/u64_hash.h"
+
+enum {
+	kCommandSlots = 16384,
+	kPollMs = 100,
+	kConnectTimeoutMs = 1000,
+	/* Pooled connections are dropped after so long without use, and at
+	 * this age: something in between may have lost track of them. */
+	kIdleMaxS = 20,
+	kAgeMaxS = 300,
+	kHttpUnavailable = 503,
+};
+
+enum command_kind { kCommandStart, kCommandCancel };
+
+struct command {
+	enum command_kind kind;
+	uint64_t attempt;
+	struct transfer *transfer;
+};
+
+struct transfer {
+	uint64_t attempt;
+	CURL *easy;
+	struct curl_slist *headers;
+	GBytes *body;
+	char *url;
+	char *method;
+	int64_t stall_us;
+	int64_t progress_us;
+	bool refused_by_reader;
+	struct transfer_result result;
+	const struct target_ops *ops;
+	void *ctx;
+};
+
+struct target_client {
+	CURLM *multi;
+	/** struct transfer by attempt; client thread only. */
+	GHashTable *transfers;
+	ck_ring_t ring;
+	ck_ring_buffer_t *slots;
+	pthread_t thread;
+	bool stopping;
+};
+
+static void
+transfer_free(void *p)
+{
+	struct transfer *tr = p;
+
+	if (tr->easy != NULL)
+		curl_easy_cleanup(tr->easy);
+	curl_slist_free_all(tr->headers);
+	if (tr->body != NULL)
+		g_bytes_unref(tr->body);
+	g_free(tr->url);
+	g_free(tr->method);
+	tr->ops->unref(tr->ctx);
+	g_free(tr);
+}
+
+static size_t
+on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	struct transfer *tr = ctx;
+	long status = 0;
+
+	tr->progress_us = clock_mono_us(clock_system());
+	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (tr->ops->on_data(tr->ctx, tr->attempt, status, data, size * n))
+		return size * n;
+	tr->refused_by_reader = true;
+	return 0;
+}
+
+static void
+header_copy(char *dst, size_t size, const char *line, size_t len, size_t skip)
+{
+	char *text = g_strndup(line + skip, len - skip);
+
+	g_strlcpy(dst, g_strstrip(text), size);
+	g_free(text);
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	static const char attempt[] = "Savoryflow-Attempt:";
+	static const char type[] = "Content-Type:";
+	static const char ran[] = "Savoryflow-Ran: no";
+	struct transfer *tr = ctx;
+	size_t len = size * n;
+
+	if (len > sizeof(attempt) &&
+	    g_ascii_strncasecmp(data, attempt, sizeof(attempt) - 1) == 0)
+		header_copy(tr->result.echoed_attempt,
+		    sizeof(tr->result.echoed_attempt), data, len,
+		    sizeof(attempt) - 1);
+	if (len > sizeof(type) &&
+	    g_ascii_strncasecmp(data, type, sizeof(type) - 1) == 0)
+		header_copy(tr->result.content_type,
+		    sizeof(tr->result.content_type), data, len,
+		    sizeof(type) - 1);
+	if (len >= sizeof(ran) - 1 &&
+	    g_ascii_strncasecmp(data, ran, sizeof(ran) - 1) == 0)
+		tr->result.turned_away = true;
+	return len;
+}
+
+static struct transfer *
+transfer_new(const struct transfer_options *opt)
+{
+	struct transfer *tr = g_new0(struct transfer, 1);
+	char *line = g_strdup_printf(
+	    "Savoryflow-Attempt: %016" G_GINT64_MODIFIER "x", opt->attempt);
+
+	tr->attempt = opt->attempt;
+	tr->headers = curl_slist_append(tr->headers, line);
+	tr->headers = curl_slist_append(tr->headers, "Expect:");
+	tr->headers =
+	    curl_slist_append(tr->headers, "Content-Type: application/json");
+	for (int i = 0; opt->headers != NULL && opt->headers[i] != NULL; i++)
+		tr->headers = curl_slist_append(tr->headers, opt->headers[i]);
+	tr->body = opt->body != NULL ? g_bytes_ref(opt->body) : NULL;
+	tr->url = g_strdup(opt->url);
+	tr->method = g_strdup(opt->method);
+	tr->stall_us = opt->stall_us;
+	tr->ops = opt->ops;
+	tr->ctx = opt->ctx;
+	tr->ops->ref(tr->ctx);
+	g_free(line);
+	return tr;
+}
+
+static void
+set_body(struct transfer *tr)
+{
+	gsize len = 0;
+	const char *data =
+	    tr->body != NULL ? g_bytes_get_data(tr->body, &len) : "";
+
+	if (strcmp(tr->method, "GET") == 0)
+		return;
+	curl_easy_setopt(tr->easy, CURLOPT_CUSTOMREQUEST, tr->method);
+	curl_easy_setopt(tr->easy, CURLOPT_POSTFIELDSIZE, (long)len);
+	curl_easy_setopt(tr->easy, CURLOPT_POSTFIELDS, data);
+}
+
+static void
+transfer_begin(struct target_client *tc, struct transfer *tr)
+{
+	tr->easy = curl_easy_init();
+	tr->progress_us = clock_mono_us(clock_system());
+	curl_easy_setopt(tr->easy, CURLOPT_URL, tr->url);
+	curl_easy_setopt(tr->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(tr->easy, CURLOPT_HTTPHEADER, tr->headers);
+	curl_easy_setopt(tr->easy, CURLOPT_PRIVATE, tr);
+	curl_easy_setopt(tr->easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(tr->easy, CURLOPT_WRITEDATA, tr);
+	curl_easy_setopt(tr->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(tr->easy, CURLOPT_HEADERDATA, tr);
+	curl_easy_setopt(
+	    tr->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)kConnectTimeoutMs);
+	curl_easy_setopt(tr->easy, CURLOPT_MAXAGE_CONN, (long)kIdleMaxS);
+	curl_easy_setopt(tr->easy, CURLOPT_MAXLIFETIME_CONN, (long)kAgeMaxS);
+	set_body(tr);
+	g_hash_table_insert(tc->transfers, &tr->attempt, tr);
+	curl_multi_add_handle(tc->multi, tr->easy);
+}
+
+static void
+transfer_finish(
+    struct target_client *tc, struct transfer *tr, enum transfer_end end)
+{
+	tr->result.end = end;
+	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &tr->result.status);
+	if (tr->result.status != kHttpUnavailable)
+		tr->result.turned_away = false;
+	curl_multi_remove_handle(tc->multi, tr->easy);
+	tr->ops->on_done(tr->ctx, tr->attempt, &tr->result);
+	g_hash_table_remove(tc->transfers, &tr->attempt);
+}
+
+static enum transfer_end
+end_of_code(const struct transfer *tr, CURLcode code)
+{
+	if (tr->refused_by_reader)
+		return kTransferCancelled;
+	switch (code) {
+	case CURLE_OK:
+		return kTransferComplete;
+	case CURLE_COULDNT_CONNECT:
+	case CURLE_COULDNT_RESOLVE_HOST:
+		return kTransferNotSent;
+	case CURLE_OPERATION_TIMEDOUT:
+		/* Only connecting has a timeout of curl's. */
+		return kTransferNotSent;
+	default:
+		return kTransferCut;
+	}
+}
+
+static void
+finish_completed(struct target_client *tc)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(tc->multi, &left)) != NULL) {
+		struct transfer *tr = NULL;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &tr);
+		transfer_finish(tc, tr, end_of_code(tr, msg->data.result));
+	}
+}
+
+static void
+finish_stalled(struct target_client *tc)
+{
+	int64_t now_us = clock_mono_us(clock_system());
+	GPtrArray *stalled = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, tc->transfers);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct transfer *tr = val;
+
+		if (now_us - tr->progress_us > tr->stall_us)
+			g_ptr_array_add(stalled, tr);
+	}
+	for (guint i = 0; i < stalled->len; i++)
+		transfer_finish(tc, stalled->pdata[i], kTransferStalled);
+	g_ptr_array_unref(stalled);
+}
+
+static void
+run_commands(struct target_client *tc)
+{
+	struct command *cmd;
+
+	while (ck_ring_dequeue_mpsc(&tc->ring, tc->slots, (void *)&cmd)) {
+		struct transfer *tr = cmd->transfer;
+
+		if (cmd->kind == kCommandStart) {
+			transfer_begin(tc, tr);
+		} else {
+			tr = g_hash_table_lookup(tc->transfers, &cmd->attempt);
+			if (tr != NULL)
+				transfer_finish(tc, tr, kTransferCancelled);
+		}
+		g_free(cmd);
+	}
+}
+
+static void *
+client_thread(void *arg)
+{
+	struct target_client *tc = arg;
+	int64_t next_stall_us = 0;
+
+	while (!__atomic_load_n(&tc->stopping, __ATOMIC_ACQUIRE)) {
+		int running;
+		int64_t now_us;
+
+		run_commands(tc);
+		curl_multi_perform(tc->multi, &running);
+		finish_completed(tc);
+		now_us = clock_mono_us(clock_system());
+		if (now_us >= next_stall_us) {
+			finish_stalled(tc);
+			next_stall_us = now_us + kPollMs * kUsPerMs;
+		}
+		curl_multi_poll(tc->multi, NULL, 0, kPollMs, NULL);
+	}
+	return NULL;
+}
+
+struct target_client *
+target_client_new(void)
+{
+	struct target_client *tc = g_new0(struct target_client, 1);
+
+	tc->multi = curl_multi_init();
+	tc->transfers = u64_hash_new(transfer_free);
+	ck_ring_init(&tc->ring, kCommandSlots);
+	tc->slots = g_new0(ck_ring_buffer_t, kCommandSlots);
+	pthread_create(&tc->thread, NULL, client_thread, tc);
+	return tc;
+}
+
+void
+target_client_free(struct target_client *tc)
+{
+	struct command *cmd;
+
+	__atomic_store_n(&tc->stopping, true, __ATOMIC_RELEASE);
+	curl_multi_wakeup(tc->multi);
+	pthread_join(tc->thread, NULL);
+	while (ck_ring_dequeue_mpsc(&tc->ring, tc->slots, (void *)&cmd)) {
+		if (cmd->transfer != NULL)
+			transfer_free(cmd->transfer);
+		g_free(cmd);
+	}
+	g_hash_table_unref(tc->transfers);
+	curl_multi_cleanup(tc->multi);
+	g_free(tc->slots);
+	g_free(tc);
+}
+
+static void
+hand_over(struct target_client *tc, struct command *cmd)
+{
+	while (!ck_ring_enqueue_mpsc(&tc->ring, tc->slots, cmd))
+		curl_multi_wakeup(tc->multi);
+	curl_multi_wakeup(tc->multi);
+}
+
+void
+target_client_start(
+    struct target_client *tc, const struct transfer_options *opt)
+{
+	struct command *cmd = g_new0(struct command, 1);
+
+	cmd->kind = kCommandStart;
+	cmd->transfer = transfer_new(opt);
+	hand_over(tc, cmd);
+}
+
+void
+target_client_cancel(struct target_client *tc, uint64_t attempt)
+{
+	struct command *cmd = g_new0(struct command, 1);
+
+	cmd->kind = kCommandCancel;
+	cmd->attempt = attempt;
+	hand_over(tc, cmd);
+}
--- /dev/null
+++ b/test/functional/test_smoke.cc
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- /dev/null
+++ b/test/standin/engine.c
@@ -0,0 +1,431 @@
+/*
+ * Stand-in of a model engine: continuous batching with the step cost of the
+ * project's model, first come first served, a prefix cache, a lagging load
+ * report, resume, and orders. The answer is a function of the prompt, so that
+ * a test can tell whose answer it got.
+ *
+ * Faults: POST /fault {"cut","stall","cross"}: the next so many streams are
+ * cut, fall silent, or carry another attempt's id, after three tokens. A
+ * prompt that contains CRASH ends the process once its prefill is done.
+ */
+#include <inttypes.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "http.h"
+#include "os/clock.h"
+#include "savoryflow/arbiter/engine_cost.h"
+
+enum {
+	kFaultAfterTokens = 3,
+	kReportLagUs = 500000,
+	kCacheMax = 256,
+	kPrefixBytes = 256,
+	kAnswerTokens = 16,
+};
+
+enum stream_fault { kNoFault, kCut, kStall, kCross };
+
+struct stream {
+	char attempt[40];
+	uint64_t prompt_hash;
+	int32_t prompt_left;
+	int32_t tokens;
+	/** Index of the first token that this attempt sends. */
+	int32_t first;
+	/** Tokens made so far, and sent. */
+	int32_t made;
+	int32_t sent;
+	bool crashes;
+	bool gone;
+	enum stream_fault fault;
+	struct engine *en;
+};
+
+struct engine {
+	pthread_mutex_t lock;
+	pthread_cond_t moved;
+	struct engine_cost cost;
+	double speed;
+	const char *name;
+	const char *history;
+	bool checks_fencing;
+	/** struct stream in order of arrival. */
+	GPtrArray *streams;
+	GHashTable *cache;
+	int32_t faults[4];
+	bool leaving;
+	int64_t fence;
+	char model[64];
+	char version[64];
+	int32_t running;
+	int32_t prefilling;
+	int64_t step_us;
+	/** The report that is shown, and when it was made. */
+	char report[256];
+	int64_t report_us;
+};
+
+static int64_t
+now_us(void)
+{
+	return clock_mono_us(clock_system());
+}
+
+static void
+write_history(struct engine *en, const char *kind, const struct stream *st)
+{
+	char *line = g_strdup_printf(
+	    "{\"kind\":\"%s\",\"engine\":\"%s\","
+	    "\"attempt\":\"%s\",\"prompt\":\"%016" PRIx64
+	    "\",\"first\":%d,\"time_us\":%" PRId64 "}",
+	    kind, en->name, st->attempt, st->prompt_hash, st->first, now_us());
+
+	standin_history(en->history, line);
+	g_free(line);
+}
+
+/* Prefills up to a step's worth of prompt tokens, first come first served. */
+static int32_t
+prefill(struct engine *en)
+{
+	int32_t left = en->cost.prompt_tokens_per_step;
+
+	for (guint i = 0; i < en->streams->len && left > 0; i++) {
+		struct stream *st = en->streams->pdata[i];
+		int32_t n = MIN(st->prompt_left, left);
+
+		st->prompt_left -= n;
+		left -= n;
+	}
+	return en->cost.prompt_tokens_per_step - left;
+}
+
+static void
+make_tokens(struct engine *en)
+{
+	en->running = 0;
+	for (guint i = 0; i < en->streams->len; i++) {
+		struct stream *st = en->streams->pdata[i];
+
+		if (st->prompt_left > 0 || st->made == st->tokens)
+			continue;
+		if (st->crashes)
+			_exit(9);
+		en->running++;
+		st->made++;
+	}
+}
+
+static bool
+has_work(struct engine *en)
+{
+	for (guint i = 0; i < en->streams->len; i++) {
+		const struct stream *st = en->streams->pdata[i];
+
+		if (!st->gone && st->made < st->tokens)
+			return true;
+	}
+	return false;
+}
+
+static void
+drop_gone(struct engine *en)
+{
+	for (guint i = en->streams->len; i > 0; i--) {
+		struct stream *st = en->streams->pdata[i - 1];
+
+		if (st->gone) {
+			g_ptr_array_remove_index(en->streams, i - 1);
+			g_free(st);
+		}
+	}
+}
+
+static void *
+step_thread(void *arg)
+{
+	struct engine *en = arg;
+
+	pthread_mutex_lock(&en->lock);
+	for (;;) {
+		int64_t sleep_us;
+
+		drop_gone(en);
+		while (!has_work(en)) {
+			pthread_cond_wait(&en->moved, &en->lock);
+			drop_gone(en);
+		}
+		en->prefilling = prefill(en);
+		en->step_us = engine_cost_step_us(
+		    &en->cost, (int32_t)en->streams->len, en->prefilling);
+		sleep_us = (int64_t)((double)en->step_us / en->speed);
+		pthread_mutex_unlock(&en->lock);
+		g_usleep((gulong)sleep_us);
+		pthread_mutex_lock(&en->lock);
+		make_tokens(en);
+		pthread_cond_broadcast(&en->moved);
+	}
+	return NULL;
+}
+
+static void
+stream_free(void *ctx)
+{
+	struct stream *st = ctx;
+	struct engine *en = st->en;
+
+	pthread_mutex_lock(&en->lock);
+	write_history(en, st->sent >= st->tokens ? "done" : "dropped", st);
+	st->gone = true;
+	pthread_cond_broadcast(&en->moved);
+	pthread_mutex_unlock(&en->lock);
+}
+
+static bool
+fault_due(const struct stream *st, enum stream_fault fault)
+{
+	return st->fault == fault && st->sent - st->first >= kFaultAfterTokens;
+}
+
+static ssize_t
+read_stream(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct stream *st = cls;
+	struct engine *en = st->en;
+	int n;
+
+	pthread_mutex_lock(&en->lock);
+	while (st->sent <= st->tokens &&
+	       (fault_due(st, kStall) ||
+		   (st->sent == st->made && st->made < st->tokens)))
+		pthread_cond_wait(&en->moved, &en->lock);
+	if (st->sent > st->tokens) {
+		pthread_mutex_unlock(&en->lock);
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	}
+	if (fault_due(st, kCut)) {
+		pthread_mutex_unlock(&en->lock);
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	}
+	if (st->sent == st->tokens) {
+		n = snprintf(buf, max, "data: [DONE]\n\n");
+	} else {
+		uint32_t word = (uint32_t)XXH3_64bits_withSeed(
+		    &st->sent, sizeof(st->sent), st->prompt_hash);
+
+		n = snprintf(buf, max,
+		    "data: {\"id\":\"%s\",\"index\":%d,\"choices\":[{\"delta\":"
+		    "{\"content\":\"w%u \"}}]}\n\n",
+		    fault_due(st, kCross) ? "0000000000000000" : st->attempt,
+		    st->sent, word % 1000);
+	}
+	st->sent++;
+	pthread_mutex_unlock(&en->lock);
+	return n;
+}
+
+static enum stream_fault
+take_fault(struct engine *en)
+{
+	for (int i = kCut; i <= kCross; i++) {
+		if (en->faults[i] > 0) {
+			en->faults[i]--;
+			return i;
+		}
+	}
+	return kNoFault;
+}
+
+/* The prompt's text without what a resumed request adds. */
+static char *
+prompt_text(const json_t *doc)
+{
+	return json_dumps(
+	    json_object_get(doc, "messages"), JSON_COMPACT | JSON_SORT_KEYS);
+}
+
+static bool
+cache_hit(struct engine *en, const char *prompt)
+{
+	uint64_t hash = XXH3_64bits(prompt, MIN(strlen(prompt), kPrefixBytes));
+	void *key = GSIZE_TO_POINTER((gsize)hash);
+	bool hit = g_hash_table_contains(en->cache, key);
+
+	if (g_hash_table_size(en->cache) >= kCacheMax)
+		g_hash_table_remove_all(en->cache);
+	g_hash_table_add(en->cache, key);
+	return hit;
+}
+
+static struct stream *
+stream_new(struct engine *en, const json_t *doc, const char *attempt)
+{
+	struct stream *st = g_new0(struct stream, 1);
+	json_t *max = json_object_get(doc, "max_tokens");
+	json_t *resume = json_object_get(doc, "resume");
+	char *prompt = prompt_text(doc);
+
+	st->en = en;
+	g_strlcpy(
+	    st->attempt, attempt != NULL ? attempt : "", sizeof(st->attempt));
+	st->prompt_hash = XXH3_64bits(prompt, strlen(prompt));
+	st->tokens = json_is_integer(max) ? (int32_t)json_integer_value(max)
+					  : kAnswerTokens;
+	st->first =
+	    (int32_t)json_integer_value(json_object_get(resume, "index"));
+	st->made = st->sent = st->first;
+	st->prompt_left =
+	    cache_hit(en, prompt) ? 1 : (int32_t)strlen(prompt) / 4 + 1;
+	st->crashes = strstr(prompt, "CRASH") != NULL;
+	st->fault = take_fault(en);
+	free(prompt);
+	return st;
+}
+
+static struct MHD_Response *
+chat(struct engine *en, struct standin_request *req, unsigned int *status)
+{
+	const char *attempt = MHD_lookup_connection_value(
+	    req->con, MHD_HEADER_KIND, "Savoryflow-Attempt");
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+	struct MHD_Response *res;
+	struct stream *st;
+
+	if (doc == NULL) {
+		*status = 400;
+		return standin_text("{\"error\":\"not JSON\"}");
+	}
+	pthread_mutex_lock(&en->lock);
+	if (en->leaving) {
+		pthread_mutex_unlock(&en->lock);
+		json_decref(doc);
+		*status = 503;
+		res = standin_text("{}");
+		MHD_add_response_header(res, "Savoryflow-Ran", "no");
+		return res;
+	}
+	st = stream_new(en, doc, attempt);
+	g_ptr_array_add(en->streams, st);
+	write_history(en, "run", st);
+	pthread_cond_broadcast(&en->moved);
+	pthread_mutex_unlock(&en->lock);
+	json_decref(doc);
+	res = MHD_create_response_from_callback(
+	    MHD_SIZE_UNKNOWN, 512, read_stream, st, stream_free);
+	MHD_add_response_header(res, "Content-Type", "text/event-stream");
+	if (attempt != NULL)
+		MHD_add_response_header(res, "Savoryflow-Attempt", attempt);
+	return res;
+}
+
+static struct MHD_Response *
+load(struct engine *en)
+{
+	char text[256];
+
+	pthread_mutex_lock(&en->lock);
+	if (now_us() - en->report_us > kReportLagUs) {
+		g_strlcpy(text, en->report, sizeof(text));
+		snprintf(en->report, sizeof(en->report),
+		    "{\"running\":%d,\"prefilling\":%d,\"step_us\":%" PRId64
+		    ",\"leaving\":%s,\"model\":\"%s\",\"version\":\"%s\"}",
+		    en->running, en->prefilling, en->step_us,
+		    en->leaving ? "true" : "false", en->model, en->version);
+		en->report_us = now_us();
+		if (text[0] == '\0')
+			g_strlcpy(text, en->report, sizeof(text));
+	} else {
+		g_strlcpy(text, en->report, sizeof(text));
+	}
+	pthread_mutex_unlock(&en->lock);
+	return standin_text(text);
+}
+
+static struct MHD_Response *
+order(struct engine *en, struct standin_request *req, unsigned int *status)
+{
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+	int64_t fence = json_integer_value(json_object_get(doc, "fence"));
+	const char *model = json_string_value(json_object_get(doc, "model"));
+	const char *version =
+	    json_string_value(json_object_get(doc, "version"));
+
+	pthread_mutex_lock(&en->lock);
+	if (en->checks_fencing && fence < en->fence) {
+		*status = 409;
+	} else if (model != NULL && version != NULL) {
+		en->fence = fence;
+		g_strlcpy(en->model, model, sizeof(en->model));
+		g_strlcpy(en->version, version, sizeof(en->version));
+	}
+	pthread_mutex_unlock(&en->lock);
+	json_decref(doc);
+	return standin_text("{}");
+}
+
+static struct MHD_Response *
+set_fault(struct engine *en, struct standin_request *req)
+{
+	static const char *const names[] = {"", "cut", "stall", "cross"};
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+
+	pthread_mutex_lock(&en->lock);
+	for (int i = kCut; i <= kCross; i++)
+		en->faults[i] =
+		    (int32_t)json_integer_value(json_object_get(doc, names[i]));
+	pthread_mutex_unlock(&en->lock);
+	json_decref(doc);
+	return standin_text("{}");
+}
+
+static struct MHD_Response *
+handle(void *ctx, struct standin_request *req, unsigned int *status)
+{
+	struct engine *en = ctx;
+
+	if (strcmp(req->url, "/v1/chat/completions") == 0)
+		return chat(en, req, status);
+	if (strcmp(req->url, "/load") == 0)
+		return load(en);
+	if (strcmp(req->url, "/order") == 0)
+		return order(en, req, status);
+	if (strcmp(req->url, "/fault") == 0)
+		return set_fault(en, req);
+	if (strcmp(req->url, "/leave") == 0) {
+		pthread_mutex_lock(&en->lock);
+		en->leaving = true;
+		pthread_mutex_unlock(&en->lock);
+		return standin_text("{}");
+	}
+	*status = 404;
+	return standin_text("{}");
+}
+
+int
+standin_engine(int argc, char **argv)
+{
+	struct engine en = {
+	    .cost = {15000, 150, 25000, 512, 234},
+	    .speed = atof(standin_flag(argc, argv, "--speed", "1")),
+	    .name = standin_flag(argc, argv, "--name", "engine"),
+	    .history = standin_flag(argc, argv, "--history", NULL),
+	    .checks_fencing =
+		strcmp(standin_flag(argc, argv, "--fencing", "no"), "yes") == 0,
+	};
+	pthread_t thread;
+
+	pthread_mutex_init(&en.lock, NULL);
+	pthread_cond_init(&en.moved, NULL);
+	en.streams = g_ptr_array_new();
+	en.cache = g_hash_table_new(NULL, NULL);
+	pthread_create(&thread, NULL, step_thread, &en);
+	return standin_serve(
+	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7100")), handle,
+	    &en);
+}
--- /dev/null
+++ b/test/standin/plain.c
@@ -0,0 +1,81 @@
+/*
+ * Stand-in of a plain service whose calls may not be repeated: each POST books
+ * once and is written to the history. Faults: POST /fault {"cut","delay_ms"}.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http.h"
+
+struct plain {
+	const char *history;
+	gint runs;
+	/** The next so many calls run and lose their answers. */
+	gint cut;
+	gint delay_ms;
+};
+
+static void
+set_fault(struct plain *pl, const char *text)
+{
+	json_t *doc = json_loads(text, 0, NULL);
+
+	g_atomic_int_set(
+	    &pl->cut, (gint)json_integer_value(json_object_get(doc, "cut")));
+	g_atomic_int_set(&pl->delay_ms,
+	    (gint)json_integer_value(json_object_get(doc, "delay_ms")));
+	json_decref(doc);
+}
+
+static struct MHD_Response *
+handle(void *ctx, struct standin_request *req, unsigned int *status)
+{
+	struct plain *pl = ctx;
+	const char *attempt = MHD_lookup_connection_value(
+	    req->con, MHD_HEADER_KIND, "Savoryflow-Attempt");
+	struct MHD_Response *res;
+	char *line;
+	char *text;
+	int n;
+
+	if (strcmp(req->url, "/fault") == 0) {
+		set_fault(pl, req->body->str);
+		return standin_text("{}");
+	}
+	if (strcmp(req->url, "/load") == 0)
+		return standin_text("{}");
+	n = g_atomic_int_add(&pl->runs, 1) + 1;
+	line = g_strdup_printf("{\"kind\":\"run\",\"attempt\":\"%s\","
+			       "\"path\":\"%s\",\"body\":\"%s\"}",
+	    attempt != NULL ? attempt : "", req->url,
+	    g_strescape(req->body->str, NULL));
+	standin_history(pl->history, line);
+	g_free(line);
+	if (g_atomic_int_get(&pl->delay_ms) > 0)
+		g_usleep((gulong)g_atomic_int_get(&pl->delay_ms) * 1000);
+	if (g_atomic_int_get(&pl->cut) > 0) {
+		g_atomic_int_add(&pl->cut, -1);
+		return NULL;
+	}
+	text = g_strdup_printf("{\"confirmed\":true,\"run\":%d}", n);
+	res = standin_text(text);
+	MHD_add_response_header(res, "Content-Type", "application/json");
+	if (attempt != NULL)
+		MHD_add_response_header(res, "Savoryflow-Attempt", attempt);
+	g_free(text);
+	return res;
+}
+
+int
+standin_plain(int argc, char **argv)
+{
+	struct plain pl = {
+	    .history = standin_flag(argc, argv, "--history", NULL),
+	};
+
+	return standin_serve(
+	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7200")), handle,
+	    &pl);
+}
