--- /dev/null
+++ b/bench/sim_engine.h
@@ -0,0 +1,57 @@
+#ifndef BENCH_SIM_ENGINE_H
+#define BENCH_SIM_ENGINE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "savoryflow/arbiter/engine_cost.h"
+
+/*
+ * The engine of the benchmarks, in virtual time: continuous batching, prompts
+ * prefilled first come first served whatever the class, cancels at the next
+ * step, no priorities.
+ */
+
+struct sim_stream {
+	uint64_t id;
+	enum work_class work_class;
+	int32_t daemon;
+	int32_t prompt_left;
+	int32_t tokens_left;
+	int32_t tokens_made;
+	int64_t arrived_us;
+	int64_t last_token_us;
+	bool cancelled;
+	/** For the policy. */
+	void *ctx;
+};
+
+struct sim_engine_ops {
+	/** One token was made; first tells that it is the stream's first. */
+	void (*on_token)(void *ctx, struct sim_stream *st, bool first);
+	/** All tokens were made; the stream is out of the engine. */
+	void (*on_done)(void *ctx, struct sim_stream *st);
+	/** A cancelled stream is out of the engine. */
+	void (*on_cancelled)(void *ctx, struct sim_stream *st);
+};
+
+struct sim_engine;
+
+struct sim_engine *sim_engine_new(const struct engine_cost *cost,
+    const struct sim_engine_ops *ops, void *ctx);
+void sim_engine_free(struct sim_engine *en);
+
+/** Hands a stream over; it waits if the engine is full. */
+void sim_engine_add(struct sim_engine *en, struct sim_stream *st);
+
+/**
+ * Starts a step if there is work.
+ * @return time that it takes, 0 if there is no work
+ */
+int64_t sim_engine_begin_step(struct sim_engine *en);
+
+/** Ends the step: tokens are made. */
+void sim_engine_end_step(struct sim_engine *en);
+
+#endif
