Arbiter: look ahead in a burst, and admit to a part of the room

Cause: in a burst batch was shed only after the backlog had built up, and batch admitted up to two thirds of the limit was shed by the next arrivals.

Change: the growth of the backlog over the next second, from the arrivals of the last 0.3 s, is part of the prediction; batch is admitted up to 40% of the room between online alone and the limit.

Tried as well: looking 0.2 and 0.5 s ahead, windows of 0.15, 0.5 and 0.6 s, 30 to 60%.

--- a/src/savoryflow/arbiter/arbiter.c
+++ b/src/savoryflow/arbiter/arbiter.c
@@ -18,6 +18,10 @@
 	kUrgentUs = 600 * kUsPerSecond,
 	/* Time constant of the mean arrival rate. */
 	kRateWindowUs = 5 * kUsPerSecond,
+	/* Time constant of the short rate that shows a burst. */
+	kBurstWindowUs = 300000,
+	/* Time ahead for which a burst is expected to go on. */
+	kLookAheadUs = 1000000,
 	/* A burst brings this many times the mean rate. */
 	kBurstFactor = 5,
 	/* Least and most time that a refused caller is told to wait. */
@@ -33,9 +37,8 @@
 	kScaleMost = 8192,
 	/* Period of the look for grants whose lease has ended. */
 	kExpiryPeriodUs = kUsPerSecond,
-	/* Batch is admitted up to this part of the limit at which it is shed,
-	 * so that it is not shed again at the next arrival. */
-	kAdmitPercent = 150,
+	/* Part of the room up to the limit that batch is admitted to. */
+	kAdmitPercent = 40,
 };
 
 struct grant {
@@ -88,6 +91,9 @@
 	/** struct queued_online by id. */
 	GHashTable *online_by_id;
 	struct fair_queue *batch_queue;
+	/** Arrivals of online prompt tokens a second, over a short time. */
+	double prompt_rate;
+	int64_t prompt_rate_us;
 	/** Mean arrivals of online requests, per second, times 1024. */
 	int64_t rate_scaled;
 	int64_t rate_at_us;
@@ -341,6 +347,44 @@
 	return tail_tracker_p99_us(arb->tail) + arb->opt.tail_budget_us;
 }
 
+/*
+ * Batch is admitted up to a part of what lies between online alone and the
+ * limit at which it is shed, so that the next arrivals do not shed it again.
+ */
+static int64_t
+admission_limit_us(const struct arbiter *arb)
+{
+	int64_t alone_us = first_token_us(arb, -arb->batch, 0);
+	int64_t room_us = first_token_limit_us(arb) - alone_us;
+
+	return alone_us + room_us * kAdmitPercent / 100;
+}
+
+static double
+prompt_rate_now(const struct arbiter *arb, int64_t now_us)
+{
+	int64_t passed = MAX(now_us - arb->prompt_rate_us, 0);
+
+	return arb->prompt_rate * exp(-(double)passed / kBurstWindowUs);
+}
+
+/*
+ * Prompt tokens by which the engine's backlog grows in the time ahead, beside
+ * so many more batch streams, if prompts go on to come as at present.
+ */
+static int64_t
+backlog_growth(const struct arbiter *arb, int32_t more_streams, int64_t now_us)
+{
+	struct engine_cost cost = scaled_cost(arb);
+	int32_t tokens = cost.prompt_tokens_per_step;
+	int64_t step_us = engine_cost_step_us(&cost,
+	    arb->online + arb->batch + more_streams, tokens);
+	double capacity = (double)tokens * kUsPerSecond / (double)step_us;
+	double excess = prompt_rate_now(arb, now_us) - capacity;
+
+	return (int64_t)(MAX(excess, 0) * kLookAheadUs / kUsPerSecond);
+}
+
 static int32_t
 reserve_slots(const struct arbiter *arb)
 {
@@ -351,14 +395,16 @@
 }
 
 static bool
-batch_fits(const struct arbiter *arb, const struct arbiter_ask *ask)
+batch_fits(const struct arbiter *arb, const struct arbiter_ask *ask,
+    int64_t now_us)
 {
 	if (streams_in_engine(arb) + reserve_slots(arb) >= arb->capacity)
 		return false;
 	if (arb->opt.is_plain)
 		return true;
-	return first_token_us(arb, 1, ask->prompt_tokens) * kAdmitPercent <=
-	    first_token_limit_us(arb) * 100;
+	return first_token_us(arb, 1,
+		   ask->prompt_tokens + backlog_growth(arb, 1, now_us)) <=
+	    admission_limit_us(arb);
 }
 
 /* While a suspect starts alone nothing else may start. */
@@ -377,7 +423,7 @@
 		return;
 	count_prefill(arb, now_us);
 	while (fair_queue_peek(arb->batch_queue, now_us + kUrgentUs, &ask)) {
-		if (!batch_fits(arb, &ask) || start_is_blocked(arb, &ask))
+		if (!batch_fits(arb, &ask, now_us) || start_is_blocked(arb, &ask))
 			return;
 		fair_queue_pop(arb->batch_queue, now_us + kUrgentUs, &ask);
 		grant_add(arb, &ask, now_us);
@@ -387,12 +433,13 @@
 
 /* Revokes batch until what is left is within the tail budget. */
 static void
-shed_batch(struct arbiter *arb, GArray *out)
+shed_batch(struct arbiter *arb, int64_t now_us, GArray *out)
 {
 	if (arb->opt.is_plain)
 		return;
 	while (arb->batch > 0 &&
-	    first_token_us(arb, 0, 0) > first_token_limit_us(arb))
+	    first_token_us(arb, 0, backlog_growth(arb, 0, now_us)) >
+		first_token_limit_us(arb))
 		revoke_one(arb, out);
 }
 
@@ -411,7 +458,7 @@
 {
 	grant_add(arb, ask, now_us);
 	emit(out, kArbiterGranted, ask, 0);
-	shed_batch(arb, out);
+	shed_batch(arb, now_us, out);
 }
 
 static void
@@ -477,6 +524,9 @@
 	arb->rate_scaled = (int64_t)((double)arb->rate_scaled * decay) +
 	    (int64_t)kScaleOne * kUsPerSecond / kRateWindowUs;
 	arb->rate_at_us = now_us;
+	arb->prompt_rate = prompt_rate_now(arb, now_us) +
+	    (double)ask->prompt_tokens * kUsPerSecond / kBurstWindowUs;
+	arb->prompt_rate_us = now_us;
 	arb->mean_prompt_tokens +=
 	    (ask->prompt_tokens - arb->mean_prompt_tokens) / (1 << kMeanShift);
 }
@@ -568,7 +618,7 @@
 	gr = grant_add(arb, ask, now_us);
 	if (has_first_token)
 		grant_prove(arb, gr);
-	shed_batch(arb, out);
+	shed_batch(arb, now_us, out);
 }
 
 void
@@ -777,7 +827,7 @@
 	expire_queue(arb, now_us, out);
 	expire_grants(arb, now_us);
 	count_prefill(arb, now_us);
-	shed_batch(arb, out);
+	shed_batch(arb, now_us, out);
 	schedule(arb, now_us, out);
 }
 
