Unit tests of the decision and store modules, and four faults they found

Found by the tests and mended: an abbreviated flag was taken for the flag; a team far below its limit had 8% of its requests refused while leases were on their way (now a small debt, stated in limits.h); a new owner of a limit gave a full bucket beside the daemons' even parts, 1% over the stated bound; a call refused for a silent store could leave its key in progress for ever (now it is withdrawn once the store answers).

--- a/src/api/api_call.c
+++ b/src/api/api_call.c
@@ -441,6 +441,9 @@
 	intents_begin(req->d->intents, &req->intent);
 	if (req->intent.state != kIntentRun || svc == NULL) {
 		reply_known_key(req);
+		/* A write whose answer never came may still take effect. */
+		if (req->intent.state == kIntentStoreDown)
+			intents_withdraw(req->d->intents, &req->intent);
 	} else {
 		path = g_strconcat("/", parts[1], NULL);
 		fill_plain(req, &opt, svc, path);
--- a/src/savoryflow/limits/limits.c
+++ b/src/savoryflow/limits/limits.c
@@ -29,6 +29,7 @@
 
 struct lease {
 	uint64_t team;
+	/** Requests left; below 0 for what is owed to the next lease. */
 	int32_t left;
 	int32_t size;
 	int64_t expires_us;
@@ -51,8 +52,6 @@
 {
 	int64_t passed = MIN(now_us - b->filled_us, kFillMostUs);
 
-	if (b->filled_us == 0)
-		passed = kLimitLeaseUs;
 	b->filled_us = now_us;
 	b->micro = MIN(b->micro + micro_per_s * passed / kUsPerSecond,
 	    micro_per_s * kLimitLeaseUs / kUsPerSecond);
@@ -84,10 +83,12 @@
 	if (b == NULL) {
 		b = g_new0(struct bucket, 1);
 		b->team = team;
+		/* Empty: what daemons let through before is not known. */
+		b->filled_us = now_us;
 		g_hash_table_insert(lo->buckets, &b->team, b);
 	}
 	bucket_fill(b, (int64_t)rate_per_s * kUsPerSecond, now_us);
-	leased = (int32_t)MIN(b->micro / kUsPerSecond, wanted);
+	leased = (int32_t)MIN(MAX(b->micro, 0) / kUsPerSecond, wanted);
 	b->micro -= (int64_t)leased * kUsPerSecond;
 	return leased;
 }
@@ -141,6 +142,7 @@
 		return 0;
 	if (le->left * kRefillPart > le->size)
 		return 0;
+	demand += MAX(-le->left, 0);
 	le->asked_us = check->now_us;
 	return MIN(demand, check->rate_per_s);
 }
@@ -159,7 +161,11 @@
 	int64_t part =
 	    (int64_t)check->rate_per_s * kUsPerSecond / MAX(check->daemons, 1);
 
-	bucket_fill(&le->even, part, check->now_us);
+	if (le->even.filled_us == 0)
+		le->even.micro = part * kLimitLeaseUs / kUsPerSecond;
+	else
+		bucket_fill(&le->even, part, check->now_us);
+	le->even.filled_us = check->now_us;
 	/* A small part still lets a request through when it is whole. */
 	if (le->even.micro < kUsPerSecond && part >= kUsPerSecond)
 		return false;
@@ -169,6 +175,14 @@
 	return true;
 }
 
+/* Requests that may be let through while the owner's answer is on its way. */
+static int32_t
+debt_most(const struct limit_check *check)
+{
+	return CLAMP(
+	    check->rate_per_s / MAX(check->daemons, 1), 1, kLimitDebtMost);
+}
+
 enum limit_verdict
 limit_spender_take(struct limit_spender *ls, const struct limit_check *check,
     int32_t *ask_owner)
@@ -182,10 +196,10 @@
 	le = lease_get(ls, check->team);
 	note_demand(le, check->now_us);
 	if (check->now_us >= le->expires_us)
-		le->left = 0;
+		le->left = MIN(le->left, 0);
 	away = owner_is_away(le, check->now_us);
 	*ask_owner = wanted_now(le, check);
-	if (le->left > 0) {
+	if (le->left > 0 || (!away && le->left > -debt_most(check))) {
 		le->left--;
 		return kLimitPass;
 	}
@@ -202,7 +216,7 @@
 
 	le->asked_us = 0;
 	if (now_us >= le->expires_us)
-		le->left = 0;
+		le->left = MIN(le->left, 0);
 	le->left += leased;
 	le->size = MAX(le->left, 1);
 	le->expires_us = now_us + kLimitLeaseUs;
--- a/src/savoryflow/limits/limits.h
+++ b/src/savoryflow/limits/limits.h
@@ -11,13 +11,19 @@
  * team's rate and leases parts of it to the daemons that ask. A daemon spends
  * its lease locally. Without an owner each daemon uses the limit's even part.
  *
+ * A daemon whose lease is used up lets a few more requests through while the
+ * owner's answer is on its way; they are taken off the next lease.
+ *
  * Error: over any time t all daemons together admit at most
- * rate * (t + kLimitLeaseUs) requests under one owner, and twice this across
- * a change of owner.
+ *   rate * (t + kLimitLeaseUs) + daemons * debt,
+ * where debt is rate / daemons within 1 to kLimitDebtMost. A change of owner
+ * adds rate * kLimitLeaseUs once.
  */
 enum {
 	/** Time that a lease covers, and the burst that is allowed. */
 	kLimitLeaseUs = 1000000,
+	/** Most requests that a daemon owes to its next lease. */
+	kLimitDebtMost = 4,
 };
 
 /** Owner's side: how much of each team's rate is still to be leased. */
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -163,6 +163,30 @@
 	table[kSettingCount] = arg_end(8);
 }
 
+/* argtable takes the start of a name for the name; settings do not. */
+static bool
+check_flag_names(int argc, char **argv, GError **err)
+{
+	for (int i = 0; i < argc; i++) {
+		char *name;
+		bool known = false;
+
+		if (!g_str_has_prefix(argv[i], "--"))
+			continue;
+		name = g_strdup(argv[i] + 2);
+		g_strdelimit(name, "=", '\0');
+		for (int k = 0; k < kSettingCount && !known; k++)
+			known = strcmp(setting_rows[k].flag, name) == 0;
+		g_free(name);
+		if (!known) {
+			g_set_error(err, SF_ERROR, kErrSettingUnknown,
+			    "%s: no such setting", argv[i]);
+			return false;
+		}
+	}
+	return true;
+}
+
 static bool
 set_from_flags(struct settings *set, int argc, char **argv, GError **err)
 {
@@ -256,7 +280,8 @@
 	struct settings *set = g_new0(struct settings, 1);
 
 	set_defaults(set);
-	if (set_from_environment(set, environ, err) &&
+	if (check_flag_names(argc, argv, err) &&
+	    set_from_environment(set, environ, err) &&
 	    set_from_flags(set, argc, argv, err) && check_together(set, err))
 		return set;
 	settings_free(set);
--- a/test/functional/test_smoke.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include <gtest/gtest.h>
--- /dev/null
+++ b/test/unit/test_batch_store.cc
@@ -0,0 +1,337 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "savoryflow/batch/batch_store.h"
+#include "savoryflow/call/intent_store.h"
+#include "standin/memstore.h"
+}
+
+namespace
+{
+
+struct BatchStore : ::testing::Test {
+	struct memstore *ms = memstore_new();
+	struct platform *plat = memstore_platform(ms);
+	struct batch_session one = {}, two = {};
+	struct batch_job job = {};
+
+	void
+	SetUp() override
+	{
+		job.team = (char *)"t";
+		job.id = (char *)"j";
+		job.service = (char *)"assistant";
+		job.upload = (char *)"u";
+		job.digest = (char *)"d";
+		job.items = 5;
+		job.chunk_items = 2;
+		job.weight = 1;
+		ASSERT_EQ(kPlatformOk, batch_session_start(plat, "s1", &one));
+		ASSERT_EQ(kPlatformOk, batch_session_start(plat, "s2", &two));
+		ASSERT_EQ(kPlatformOk, batch_submit(plat, &job));
+	}
+
+	~BatchStore() override
+	{
+		batch_session_clear(&one);
+		batch_session_clear(&two);
+		memstore_free(ms);
+	}
+
+	void
+	Faults(bool outage, int lose_answers, int lose_requests)
+	{
+		struct memstore_faults f = {
+		    outage, lose_answers, lose_requests};
+
+		memstore_set_faults(ms, &f);
+	}
+
+	/* The chunk as the store shows it now. */
+	batch_chunk
+	Chunk(int n, std::string *session)
+	{
+		GPtrArray *chunks = nullptr;
+		batch_chunk copy = {};
+
+		EXPECT_EQ(kPlatformOk, batch_chunks(plat, &job, &chunks));
+		copy = *(batch_chunk *)chunks->pdata[n];
+		*session = copy.session != nullptr ? copy.session : "";
+		copy.session = (char *)session->c_str();
+		copy.claim = copy.object = nullptr;
+		g_ptr_array_unref(chunks);
+		return copy;
+	}
+
+	platform_result
+	Claim(const batch_session *s, int n, const char *claim)
+	{
+		std::string session;
+		batch_chunk chunk = Chunk(n, &session);
+
+		return batch_claim(plat, s, &job, &chunk, claim);
+	}
+
+	platform_result
+	Commit(const batch_session *s, int n, const char *claim)
+	{
+		struct batch_results r = {n, claim, "x\n", 2, 1, 0};
+
+		return batch_commit(plat, s, &job, &r);
+	}
+
+	void
+	End(const char *session)
+	{
+		bool live;
+		int64_t version;
+
+		ASSERT_EQ(kPlatformOk,
+		    batch_session_look(plat, session, &live, &version));
+		ASSERT_EQ(
+		    kPlatformOk, batch_session_end(plat, session, version));
+	}
+};
+
+TEST_F(BatchStore, ResentJobIsTheSameJobAndOtherContentConflicts)
+{
+	struct batch_job other = job;
+
+	EXPECT_EQ(kPlatformOk, batch_submit(plat, &job));
+	other.digest = (char *)"another";
+	EXPECT_EQ(kPlatformConflict, batch_submit(plat, &other));
+}
+
+TEST_F(BatchStore, OnlyOneSessionGetsAChunk)
+{
+	std::string session;
+	batch_chunk seen = Chunk(0, &session);
+
+	EXPECT_EQ(kPlatformOk, batch_claim(plat, &one, &job, &seen, "c1"));
+	EXPECT_EQ(
+	    kPlatformConflict, batch_claim(plat, &two, &job, &seen, "c2"));
+	EXPECT_EQ(kPlatformConflict, Claim(&two, 0, "c3"))
+	    << "the holder's session lives";
+}
+
+TEST_F(BatchStore, HolderThatWakesAfterItsSessionEndedCannotCommit)
+{
+	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c1"));
+	End("s1");
+	EXPECT_EQ(kPlatformConflict, Commit(&one, 0, "c1"))
+	    << "also before anyone took the chunk";
+	EXPECT_EQ(kPlatformOk, Claim(&two, 0, "c2"));
+	EXPECT_EQ(kPlatformConflict, Commit(&one, 0, "c1"));
+	EXPECT_EQ(kPlatformOk, Commit(&two, 0, "c2"));
+	EXPECT_EQ(kPlatformConflict, batch_session_beat(plat, &one));
+}
+
+TEST_F(BatchStore, HeartbeatKeepsTheSession)
+{
+	bool live;
+	int64_t version;
+
+	ASSERT_EQ(kPlatformOk, batch_session_look(plat, "s1", &live, &version));
+	EXPECT_EQ(kPlatformOk, batch_session_beat(plat, &one));
+	EXPECT_EQ(kPlatformConflict, batch_session_end(plat, "s1", version))
+	    << "an observer of the old counter is too late";
+}
+
+TEST_F(BatchStore, LostAnswersAreSettled)
+{
+	const struct {
+		const char *name;
+		int answers;
+		int requests;
+	} cases[] = {{"answer", 1, 0}, {"request", 0, 1}, {"both", 1, 1}};
+	int n = 0;
+
+	for (const auto &c : cases) {
+		std::string claim = "c" + std::to_string(n);
+
+		Faults(false, c.answers, c.requests);
+		EXPECT_EQ(kPlatformOk, Claim(&one, n, claim.c_str())) << c.name;
+		Faults(false, c.answers, c.requests);
+		EXPECT_EQ(kPlatformOk, Commit(&one, n, claim.c_str()))
+		    << c.name;
+		Faults(false, c.answers, c.requests);
+		EXPECT_EQ(kPlatformOk, batch_session_beat(plat, &one))
+		    << c.name;
+		n++;
+	}
+	Faults(false, 0, 0);
+	bool done;
+	EXPECT_EQ(kPlatformOk, batch_finish(plat, &job, &done));
+	EXPECT_TRUE(done);
+}
+
+TEST_F(BatchStore, CommitTriedAgainAfterSilenceIsOnce)
+{
+	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c1"));
+	Faults(false, 9, 0);
+	EXPECT_NE(kPlatformConflict, Commit(&one, 0, "c1"));
+	Faults(false, 0, 0);
+	EXPECT_EQ(kPlatformOk, Commit(&one, 0, "c1"));
+}
+
+TEST_F(BatchStore, NoResultAfterCancel)
+{
+	struct batch_progress p;
+
+	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c1"));
+	EXPECT_EQ(kPlatformOk, Claim(&one, 1, "c2"));
+	EXPECT_EQ(kPlatformOk, Commit(&one, 0, "c1"));
+	EXPECT_EQ(kPlatformOk, batch_cancel(plat, "t", "j"));
+	EXPECT_EQ(kPlatformOk, batch_cancel(plat, "t", "j")) << "again";
+	EXPECT_EQ(kPlatformConflict, Commit(&one, 1, "c2"));
+	EXPECT_EQ(kPlatformConflict, Claim(&two, 2, "c3"));
+	EXPECT_EQ(kPlatformOk, batch_progress(plat, "t", "j", &p));
+	EXPECT_EQ(kJobCancelled, p.state);
+	EXPECT_EQ(1, p.chunks_done);
+}
+
+TEST_F(BatchStore, DoneJobCannotBeCancelled)
+{
+	bool done;
+
+	for (int n = 0; n < 3; n++) {
+		std::string claim = "c" + std::to_string(n);
+
+		EXPECT_EQ(kPlatformOk, batch_finish(plat, &job, &done));
+		EXPECT_FALSE(done);
+		EXPECT_EQ(kPlatformOk, Claim(&one, n, claim.c_str()));
+		EXPECT_EQ(kPlatformOk, Commit(&one, n, claim.c_str()));
+	}
+	EXPECT_EQ(kPlatformOk, batch_finish(plat, &job, &done));
+	EXPECT_TRUE(done);
+	EXPECT_EQ(kPlatformConflict, batch_cancel(plat, "t", "j"));
+	EXPECT_EQ(kPlatformNotFound, batch_cancel(plat, "other", "j"));
+}
+
+TEST_F(BatchStore, OutageIsSaidAsOutage)
+{
+	struct batch_job other = job;
+
+	other.id = (char *)"k";
+	Faults(true, 0, 0);
+	EXPECT_EQ(kPlatformUnavailable, batch_submit(plat, &other));
+	Faults(false, 0, 9);
+	EXPECT_EQ(kPlatformAmbiguous, batch_submit(plat, &other));
+}
+
+struct IntentStore : ::testing::Test {
+	struct memstore *ms = memstore_new();
+	struct platform *plat = memstore_platform(ms);
+
+	~IntentStore() override
+	{
+		memstore_free(ms);
+	}
+
+	intent
+	Make(const char *key, const char *attempt, const char *digest = "d")
+	{
+		struct intent in = {};
+
+		in.team = g_strdup("t");
+		in.key = g_strdup(key);
+		in.digest = g_strdup(digest);
+		in.attempt = g_strdup(attempt);
+		in.daemon = g_strdup("127.0.0.1:1/1");
+		return in;
+	}
+
+	intent_state
+	Begin(const char *key, const char *attempt, const char *digest = "d")
+	{
+		struct intent in = Make(key, attempt, digest);
+		GPtrArray *list = g_ptr_array_new();
+
+		g_ptr_array_add(list, &in);
+		intent_begin_all(plat, list);
+		g_ptr_array_unref(list);
+		intent_state state = in.state;
+		intent_clear(&in);
+		return state;
+	}
+};
+
+TEST_F(IntentStore, AKeyRunsOnce)
+{
+	EXPECT_EQ(kIntentRun, Begin("k", "a1"));
+	EXPECT_EQ(kIntentInProgress, Begin("k", "a2"));
+	EXPECT_EQ(kIntentMismatch, Begin("k", "a3", "other"));
+	EXPECT_EQ(kIntentRun, Begin("l", "a4"));
+
+	struct intent in = Make("k", "a1");
+	in.status = 200;
+	in.body = g_strdup("answer");
+	EXPECT_EQ(kPlatformOk, intent_finish(plat, &in));
+	intent_clear(&in);
+	struct intent late = Make("k", "a9");
+	EXPECT_EQ(kPlatformConflict, intent_finish(plat, &late));
+	intent_clear(&late);
+	EXPECT_EQ(kIntentDone, Begin("k", "a5"));
+}
+
+TEST_F(IntentStore, LostAnswersAndOutages)
+{
+	const struct {
+		memstore_faults faults;
+		intent_state state;
+	} cases[] = {
+	    {{false, 1, 0}, kIntentRun},
+	    {{false, 0, 1}, kIntentRun},
+	    {{false, 3, 0}, kIntentRun},
+	    {{false, 0, 3}, kIntentStoreDown},
+	    {{true, 0, 0}, kIntentStoreDown},
+	};
+	int n = 0;
+
+	for (const auto &c : cases) {
+		std::string key = "k" + std::to_string(n++);
+
+		memstore_set_faults(ms, &c.faults);
+		EXPECT_EQ(c.state, Begin(key.c_str(), "a1")) << key;
+	}
+}
+
+TEST_F(IntentStore, AGroupIsOneWriteAndAResentKeyDoesNotSpoilIt)
+{
+	struct intent a = Make("a", "1"), b = Make("b", "2"),
+		      c = Make("c", "3"), again = Make("b", "4");
+	GPtrArray *list = g_ptr_array_new();
+	int64_t before = memstore_counts_get(ms).writes;
+
+	for (auto *in : {&a, &b, &c})
+		g_ptr_array_add(list, in);
+	intent_begin_all(plat, list);
+	EXPECT_EQ(before + 1, memstore_counts_get(ms).writes);
+	EXPECT_EQ(kIntentRun, a.state);
+	EXPECT_EQ(kIntentRun, b.state);
+	g_ptr_array_set_size(list, 0);
+	struct intent d = Make("d", "5");
+	g_ptr_array_add(list, &again);
+	g_ptr_array_add(list, &d);
+	intent_begin_all(plat, list);
+	EXPECT_EQ(kIntentInProgress, again.state);
+	EXPECT_EQ(kIntentRun, d.state);
+	g_ptr_array_unref(list);
+	for (auto *in : {&a, &b, &c, &d, &again})
+		intent_clear(in);
+}
+
+TEST_F(IntentStore, AWithdrawnKeyMayRun)
+{
+	struct intent in = Make("k", "a1");
+
+	EXPECT_EQ(kIntentRun, Begin("k", "a1"));
+	EXPECT_EQ(kPlatformOk, intent_withdraw(plat, &in));
+	EXPECT_EQ(kIntentRun, Begin("k", "a2"));
+	EXPECT_EQ(kPlatformConflict, intent_withdraw(plat, &in));
+	intent_clear(&in);
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/test_settings.cc
@@ -0,0 +1,86 @@
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "error/error.h"
+#include "settings/settings.h"
+}
+
+namespace
+{
+
+struct SettingCase {
+	const char *name;
+	std::vector<std::string> flags;
+	std::vector<std::string> vars;
+	int error; /* -1: accepted */
+	const char *mentions;
+};
+
+struct settings *
+Parse(const SettingCase &c, GError **err)
+{
+	std::vector<char *> argv, env;
+
+	for (auto &f : c.flags)
+		argv.push_back(const_cast<char *>(f.c_str()));
+	for (auto &v : c.vars)
+		env.push_back(const_cast<char *>(v.c_str()));
+	argv.push_back(nullptr);
+	env.push_back(nullptr);
+	return settings_parse(
+	    (int)c.flags.size(), argv.data(), env.data(), err);
+}
+
+TEST(Settings, Table)
+{
+	const SettingCase cases[] = {
+	    {"defaults", {}, {}, -1, ""},
+	    {"flag", {"--workers=8"}, {}, -1, ""},
+	    {"unit", {"--stall-timeout-ms=500ms"}, {}, -1, ""},
+	    {"other variables", {}, {"PATH=/bin", "SAVORYFLOW_URL=x"}, -1, ""},
+	    {"unknown flag", {"--worker=8"}, {}, kErrSettingUnknown, "worker"},
+	    {"unknown variable", {}, {"SAVORYFLOW_WORKER=8"},
+		kErrSettingUnknown, "SAVORYFLOW_WORKER"},
+	    {"bad unit", {"--stall-timeout-ms=5s"}, {}, kErrSettingUnit,
+		"stall-timeout-ms"},
+	    {"no number", {}, {"SAVORYFLOW_WORKERS=many"}, kErrSettingUnit,
+		"many"},
+	    {"below", {"--workers=0"}, {}, kErrSettingRange, "1 to 64"},
+	    {"above", {"--workers=65"}, {}, kErrSettingRange, "1 to 64"},
+	    {"no port", {"--listen=127.0.0.1"}, {}, kErrSettingRange, "listen"},
+	    {"bad peer", {"--peers=a:1,b"}, {}, kErrSettingRange, "peers"},
+	    {"lease below two periods",
+		{"--session-lease-ms=100", "--session-period-ms=80"}, {},
+		kErrSettingRange, "session-lease-ms"},
+	};
+
+	for (const auto &c : cases) {
+		GError *err = nullptr;
+		struct settings *set = Parse(c, &err);
+
+		EXPECT_EQ(c.error < 0, set != nullptr) << c.name;
+		if (c.error >= 0 && err != nullptr) {
+			EXPECT_EQ(c.error, err->code) << c.name;
+			EXPECT_NE(nullptr, strstr(err->message, c.mentions))
+			    << c.name << ": " << err->message;
+		}
+		g_clear_error(&err);
+		settings_free(set);
+	}
+}
+
+TEST(Settings, FlagGoesOverVariable)
+{
+	SettingCase c = {
+	    "", {"--workers=8"}, {"SAVORYFLOW_WORKERS=16"}, -1, ""};
+	struct settings *set = Parse(c, nullptr);
+
+	ASSERT_NE(nullptr, set);
+	EXPECT_EQ(8, set->workers);
+	settings_free(set);
+}
+
+} // namespace
