Property tests and the history checker

The property test found that a lease could be taken on a chunk that was done (three steps: claim, commit, claim): batch_claim left it to its caller to ask. It refuses now, and the condition on the row's version covers the race.

--- a/src/savoryflow/batch/batch_store.c
+++ b/src/savoryflow/batch/batch_store.c
@@ -554,29 +554,43 @@
 	return mine;
 }
 
+/* Conditions: the chunk is as it was seen, and its holder's session ended. */
+static void
+require_free(
+    struct platform_txn *txn, const char *key, const struct batch_chunk *chunk)
+{
+	char *holder;
+
+	if (chunk->version == 0)
+		platform_txn_absent(txn, key);
+	else
+		platform_txn_version(txn, key, chunk->version);
+	if (chunk->state != kChunkLeased)
+		return;
+	holder = session_key(chunk->session);
+	platform_txn_field(txn, holder, "state", "ended");
+	g_free(holder);
+}
+
 enum platform_result
 batch_claim(const struct platform *plat, const struct batch_session *session,
     const struct batch_job *job, const struct batch_chunk *chunk,
     const char *claim)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct platform_txn *txn;
 	struct chunk_identity id = {job, chunk->number, claim, kChunkLeased};
-	char *key = chunk_key(job, chunk->number);
-	char *text = g_strdup_printf("{\"state\":\"leased\",\"session\":\"%s\","
-				     "\"claim\":\"%s\"}",
-	    session->id, claim);
 	enum platform_result res;
+	char *key;
+	char *text;
 
-	if (chunk->version == 0)
-		platform_txn_absent(txn, key);
-	else
-		platform_txn_version(txn, key, chunk->version);
-	if (chunk->state == kChunkLeased) {
-		char *holder = session_key(chunk->session);
-
-		platform_txn_field(txn, holder, "state", "ended");
-		g_free(holder);
-	}
+	if (chunk->state == kChunkDone)
+		return kPlatformConflict;
+	txn = platform_txn_new();
+	key = chunk_key(job, chunk->number);
+	text = g_strdup_printf("{\"state\":\"leased\",\"session\":\"%s\","
+			       "\"claim\":\"%s\"}",
+	    session->id, claim);
+	require_free(txn, key, chunk);
 	require_right(txn, session, job);
 	platform_txn_write(txn, key, text);
 	res = platform_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
--- /dev/null
+++ b/test/history/checker.h
@@ -0,0 +1,58 @@
+#ifndef TEST_HISTORY_CHECKER_H
+#define TEST_HISTORY_CHECKER_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/*
+ * Checks what callers, stand-ins and clients saw against the promises of
+ * "What must always hold".
+ */
+
+/** One line of a history. Times are monotonic microseconds. */
+struct HistoryEvent {
+	std::string kind;
+	std::map<std::string, std::string> fields;
+	int64_t time_us = 0;
+
+	std::string
+	Get(const std::string &name) const
+	{
+		auto it = fields.find(name);
+
+		return it != fields.end() ? it->second : "";
+	}
+
+	int64_t
+	Int(const std::string &name) const
+	{
+		std::string text = Get(name);
+
+		return text.empty() ? 0 : std::stoll(text);
+	}
+};
+
+/*
+ * Kinds:
+ *  job_accepted  job items         acknowledged to the submitter
+ *  job_cancelled job               acknowledged
+ *  job_done      job               the status said so
+ *  result        job index pass    one line of results, read in this pass
+ *  chat_sent     request
+ *  chat_answer   request expected got   a whole answer
+ *  chat_cut      request           the answer broke off without an error
+ *  refused       key ran           an error answer, with Savoryflow-Ran
+ *  call_run      key               a plain service ran the call
+ *  target_leaving target           first sign
+ *  target_run    target            a target got new work
+ *  config_accepted generation digest
+ *  config_seen   daemon generation digest
+ */
+using History = std::vector<HistoryEvent>;
+
+/** Violations, one sentence each; empty if all promises hold. */
+std::vector<std::string> CheckHistory(const History &history);
+
+#endif
--- /dev/null
+++ b/test/unit/test_properties.cc
@@ -0,0 +1,431 @@
+/*
+ * Property tests over the state modules: random steps of several daemons and
+ * operators against a store that fails, and loses requests and answers, at any
+ * step. The seed is fixed, so that every run is the same.
+ */
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "error/error.h"
+#include "savoryflow/arbiter/arbiter.h"
+#include "savoryflow/batch/batch_store.h"
+#include "savoryflow/call/intent_store.h"
+#include "savoryflow/config/config_store.h"
+#include "standin/memstore.h"
+}
+#include "unit/fixtures.h"
+
+namespace
+{
+
+const int kFixedSeed =
+    setenv("RC_PARAMS", "seed=20261204 max_success=300 max_size=200", 0);
+
+struct Step {
+	int kind;
+	int who;
+	int what;
+	int fault;
+};
+
+std::vector<Step>
+DrawSteps(int kinds)
+{
+	auto step = rc::gen::build<Step>(
+	    rc::gen::set(&Step::kind, rc::gen::inRange(0, kinds)),
+	    rc::gen::set(&Step::who, rc::gen::inRange(0, 3)),
+	    rc::gen::set(&Step::what, rc::gen::inRange(0, 4)),
+	    rc::gen::set(&Step::fault, rc::gen::inRange(0, 12)));
+
+	return *rc::gen::container<std::vector<Step>>(step);
+}
+
+/* One step in three meets a fault. */
+void
+SetFault(struct memstore *ms, int fault)
+{
+	struct memstore_faults f = {
+	    fault == 0, fault == 1 || fault == 4, fault == 2 || fault == 4};
+
+	if (fault == 3)
+		f.lose_requests = 9;
+	if (fault == 5)
+		f.lose_answers = 9;
+	memstore_set_faults(ms, &f);
+}
+
+struct BatchModel {
+	static const int kChunks = 4;
+	struct memstore *ms = memstore_new();
+	struct platform *plat = memstore_platform(ms);
+	struct batch_job job = {};
+	struct batch_session sessions[3] = {};
+	int starts = 0;
+	int claims = 0;
+	/* Claims that each daemon believes to hold, by chunk. */
+	std::map<int, std::pair<std::string, std::string>> held[3];
+	/* Claim whose commit was acknowledged, by chunk. */
+	std::map<int, std::string> committed;
+	std::set<int> done_at_cancel;
+	std::vector<std::string> all_sessions;
+	bool cancelled = false;
+
+	BatchModel()
+	{
+		job.team = (char *)"t";
+		job.id = (char *)"j";
+		job.service = (char *)"s";
+		job.upload = (char *)"u";
+		job.digest = (char *)"d";
+		job.items = kChunks;
+		job.chunk_items = 1;
+		batch_submit(plat, &job);
+	}
+
+	~BatchModel()
+	{
+		for (auto &s : sessions)
+			batch_session_clear(&s);
+		memstore_free(ms);
+	}
+
+	std::set<int>
+	DoneNow()
+	{
+		GPtrArray *chunks = nullptr;
+		std::set<int> done;
+
+		SetFault(ms, -1);
+		batch_chunks(plat, &job, &chunks);
+		for (guint i = 0; i < chunks->len; i++) {
+			auto *c = (batch_chunk *)chunks->pdata[i];
+
+			if (c->state != kChunkDone)
+				continue;
+			done.insert((int)i);
+			/* What was acknowledged is what is stored. */
+			if (committed.count((int)i))
+				RC_ASSERT(committed[(int)i] == c->claim);
+		}
+		g_ptr_array_unref(chunks);
+		return done;
+	}
+
+	void
+	StartSession(int who)
+	{
+		std::string id =
+		    "d" + std::to_string(who) + "." + std::to_string(++starts);
+
+		all_sessions.push_back(id);
+		batch_session_clear(&sessions[who]);
+		if (batch_session_start(plat, id.c_str(), &sessions[who]) !=
+		    kPlatformOk)
+			batch_session_clear(&sessions[who]);
+	}
+
+	void
+	Claim(int who, int n)
+	{
+		GPtrArray *chunks = nullptr;
+		std::string claim = "c" + std::to_string(++claims);
+
+		if (batch_chunks(plat, &job, &chunks) != kPlatformOk)
+			return;
+		if (batch_claim(plat, &sessions[who], &job,
+			(batch_chunk *)chunks->pdata[n],
+			claim.c_str()) == kPlatformOk)
+			held[who][n] = {claim, sessions[who].id};
+		g_ptr_array_unref(chunks);
+	}
+
+	/* The daemon may be stale: it uses the session of its claim. */
+	void
+	Commit(int who, int n)
+	{
+		if (held[who].count(n) == 0)
+			return;
+		auto mine = held[who][n];
+		struct batch_session s = {(char *)mine.second.c_str(), 0};
+		struct batch_results r = {n, mine.first.c_str(), "x", 1, 1, 0};
+
+		if (batch_commit(plat, &s, &job, &r) != kPlatformOk)
+			return;
+		RC_ASSERT(
+		    committed.count(n) == 0 || committed[n] == mine.first);
+		committed[n] = mine.first;
+	}
+
+	/* An observer ends a session, silent or not. */
+	void
+	EndSession(const char *id)
+	{
+		bool live;
+		int64_t version;
+
+		if (id != nullptr &&
+		    batch_session_look(plat, id, &live, &version) ==
+			kPlatformOk)
+			batch_session_end(plat, id, version);
+	}
+
+	bool
+	JobRuns()
+	{
+		struct batch_job *row = nullptr;
+		bool runs =
+		    batch_get_job(plat, "t", "j", &row) == kPlatformOk &&
+		    row->state == kJobRunning;
+
+		batch_job_free(row);
+		return runs;
+	}
+
+	void
+	Cancel()
+	{
+		if (batch_cancel(plat, "t", "j") == kPlatformOk && !cancelled) {
+			cancelled = true;
+			done_at_cancel = DoneNow();
+		}
+	}
+
+	void
+	Do(const Step &st)
+	{
+		bool done;
+
+		SetFault(ms, st.fault);
+		if (st.kind == 0 || sessions[st.who].id == nullptr)
+			StartSession(st.who);
+		else if (st.kind <= 3)
+			Claim(st.who, st.what);
+		else if (st.kind <= 6)
+			Commit(st.who, st.what);
+		else if (st.kind == 7)
+			batch_session_beat(plat, &sessions[st.who]);
+		else if (st.kind == 8)
+			EndSession(sessions[st.who].id);
+		else if (st.kind == 9 && st.what == 0)
+			Cancel();
+		else
+			batch_finish(plat, &job, &done);
+	}
+};
+
+TEST(Property, BatchChunksAreCommittedOnceWhateverFails)
+{
+	EXPECT_TRUE(rc::check([] {
+		BatchModel m;
+		std::set<int> done;
+
+		for (const auto &st : DrawSteps(11)) {
+			m.Do(st);
+			auto now = m.DoneNow();
+			RC_ASSERT(std::includes(
+			    now.begin(), now.end(), done.begin(), done.end()));
+			done = now;
+			if (m.cancelled)
+				RC_ASSERT(now == m.done_at_cancel);
+		}
+		SetFault(m.ms, -1);
+		/* A cancel without an answer may have taken effect. */
+		if (!m.JobRuns())
+			return;
+		/* Without faults the rest is done by a fresh daemon. */
+		for (auto &id : m.all_sessions)
+			m.EndSession(id.c_str());
+		m.StartSession(0);
+		m.held[0].clear();
+		for (int n = 0; n < BatchModel::kChunks; n++) {
+			m.Claim(0, n);
+			m.Commit(0, n);
+		}
+		RC_ASSERT(m.DoneNow().size() == (size_t)BatchModel::kChunks);
+	}));
+}
+
+TEST(Property, AKeyedCallRunsAtMostOnceWhateverFails)
+{
+	EXPECT_TRUE(rc::check([] {
+		struct memstore *ms = memstore_new();
+		struct platform *plat = memstore_platform(ms);
+		std::map<int, int> runs;
+		int attempts = 0;
+
+		for (const auto &st : DrawSteps(2)) {
+			struct intent in[2] = {};
+			GPtrArray *list = g_ptr_array_new();
+			int n = st.kind + 1;
+
+			SetFault(ms, st.fault);
+			for (int i = 0; i < n; i++) {
+				int key = (st.what + i) % 4;
+
+				in[i].team = g_strdup("t");
+				in[i].key = g_strdup_printf("%d", key);
+				in[i].digest = g_strdup("d");
+				in[i].daemon = g_strdup("x/1");
+				in[i].attempt =
+				    g_strdup_printf("%d", ++attempts);
+				g_ptr_array_add(list, &in[i]);
+			}
+			intent_begin_all(plat, list);
+			for (int i = 0; i < n; i++) {
+				int key = (st.what + i) % 4;
+
+				if (in[i].state == kIntentRun)
+					runs[key]++;
+				RC_ASSERT(runs[key] <= 1);
+				intent_clear(&in[i]);
+			}
+			g_ptr_array_unref(list);
+		}
+		memstore_free(ms);
+	}));
+}
+
+TEST(Property, AConfigurationNeverRevertsAndHasOneWinner)
+{
+	EXPECT_TRUE(rc::check([] {
+		struct memstore *ms = memstore_new();
+		struct platform *plat = memstore_platform(ms);
+		struct config_holder *daemons[3];
+		std::map<int64_t, std::string> digest_of;
+		std::set<int64_t> acknowledged;
+		int submissions = 0;
+
+		for (auto &d : daemons)
+			d = config_holder_new();
+		for (const auto &st : DrawSteps(2)) {
+			struct config_holder *d = daemons[st.who];
+			int64_t before = config_holder_generation(d);
+
+			SetFault(ms, st.fault);
+			if (st.kind == 0) {
+				config_store_catch_up(plat, d, nullptr);
+			} else {
+				int n = ++submissions;
+				json_t *doc = SmallDocument(1 + n % 900);
+				struct config_submission sub = {
+				    doc, before, "op", n};
+				struct config *cfg =
+				    config_store_submit(plat, &sub, nullptr);
+
+				if (cfg != nullptr) {
+					RC_ASSERT(
+					    acknowledged.insert(cfg->generation)
+						.second);
+					config_holder_offer(d, cfg);
+				}
+				config_unref(cfg);
+				json_decref(doc);
+			}
+			RC_ASSERT(config_holder_generation(d) >= before);
+			struct config *now = config_holder_get(d);
+			if (now != nullptr) {
+				auto &digest = digest_of[now->generation];
+
+				RC_ASSERT(
+				    digest.empty() || digest == now->digest);
+				digest = now->digest;
+			}
+			config_unref(now);
+		}
+		SetFault(ms, -1);
+		for (auto &d : daemons) {
+			config_store_catch_up(plat, d, nullptr);
+			if (!acknowledged.empty())
+				RC_ASSERT(config_holder_generation(d) >=
+				    *acknowledged.rbegin());
+			config_holder_free(d);
+		}
+		memstore_free(ms);
+	}));
+}
+
+TEST(Property, ArbiterKeepsSlotsAndOrder)
+{
+	EXPECT_TRUE(rc::check([] {
+		struct arbiter_options opt = {};
+		std::map<uint64_t, work_class> running;
+		std::map<uint64_t, work_class> waiting;
+		std::set<uint64_t> revoked;
+		uint64_t last_id = 0;
+		int64_t now = 1000000;
+
+		opt.cost = {15000, 150, 25000, 512, 8};
+		opt.tail_budget_us = 500000;
+		opt.token_interval_us = 63000;
+		opt.online_queue_max = 100;
+		opt.batch_queue_max = 100;
+		opt.grant_lease_us = INT64_MAX / 4;
+		struct arbiter *arb = arbiter_new(&opt);
+		for (const auto &st : DrawSteps(5)) {
+			GArray *out = arbiter_actions_new();
+
+			now += st.fault * 3000;
+			if (st.kind <= 1) {
+				struct arbiter_ask ask = {};
+
+				ask.id = ++last_id;
+				ask.holder = (uint32_t)st.who;
+				ask.work_class =
+				    st.kind == 0 ? kWorkOnline : kWorkBatch;
+				ask.prompt_tokens = 100 + 50 * st.what;
+				ask.deadline_us = INT64_MAX / 4;
+				ask.weight = 1 + st.what;
+				ask.team = (uint64_t)st.what;
+				ask.due_us = INT64_MAX / 2;
+				waiting[ask.id] = ask.work_class;
+				arbiter_request(arb, &ask, now, out);
+			} else if (st.kind == 2 && !running.empty()) {
+				arbiter_first_token(
+				    arb, running.begin()->first, now, out);
+			} else if (st.kind == 3 && !running.empty()) {
+				uint64_t id = running.begin()->first;
+
+				running.erase(id);
+				revoked.erase(id);
+				arbiter_release(arb, id, now, out);
+			} else {
+				arbiter_tick(arb, now, out);
+			}
+			for (guint i = 0; i < out->len; i++) {
+				auto act =
+				    g_array_index(out, arbiter_action, i);
+
+				if (act.verdict == kArbiterRevoked) {
+					RC_ASSERT(
+					    running.at(act.id) == kWorkBatch);
+					RC_ASSERT(
+					    revoked.insert(act.id).second);
+					continue;
+				}
+				RC_ASSERT(waiting.count(act.id) == 1);
+				if (act.verdict == kArbiterGranted) {
+					if (waiting[act.id] == kWorkBatch)
+						for (auto &w : waiting)
+							RC_ASSERT(w.second ==
+							    kWorkBatch);
+					running[act.id] = waiting[act.id];
+				}
+				waiting.erase(act.id);
+			}
+			g_array_unref(out);
+			/* Only slots on their way out are over the limit. */
+			RC_ASSERT(running.size() - revoked.size() <=
+			    (size_t)arbiter_capacity(arb));
+		}
+		arbiter_free(arb);
+	}));
+}
+
+} // namespace
