--- /dev/null
+++ b/test/functional/harness.cc
@@ -0,0 +1,658 @@
+#include "functional/harness.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <jansson.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <cstring>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+extern "C" {
+#include "standin/answer.h"
+}
+
+namespace
+{
+
+const auto kGuard = std::chrono::seconds(30);
+const auto kLookAgain = std::chrono::milliseconds(5);
+
+std::string
+Env(const char *name)
+{
+	const char *value = getenv(name);
+
+	if (value == nullptr) {
+		fprintf(stderr, "%s is not set; use ctest\n", name);
+		exit(2);
+	}
+	return value;
+}
+
+size_t
+AppendBody(char *data, size_t size, size_t n, void *ctx)
+{
+	static_cast<std::string *>(ctx)->append(data, size * n);
+	return size * n;
+}
+
+size_t
+AppendHeader(char *data, size_t size, size_t n, void *ctx)
+{
+	std::string line(data, size * n);
+	size_t colon = line.find(':');
+
+	if (colon != std::string::npos) {
+		std::string name = line.substr(0, colon);
+		size_t from = line.find_first_not_of(' ', colon + 1);
+		size_t to = line.find_last_not_of("\r\n");
+
+		for (auto &c : name)
+			c = (char)tolower(c);
+		(*static_cast<std::map<std::string, std::string> *>(
+		    ctx))[name] = line.substr(from, to - from + 1);
+	}
+	return size * n;
+}
+
+std::string
+Text(const json_t *doc, const char *field)
+{
+	const char *text = json_string_value(json_object_get(doc, field));
+
+	return text != nullptr ? text : "";
+}
+
+std::string
+Messages(const std::string &prompt)
+{
+	return "[{\"content\":\"" + prompt + "\",\"role\":\"user\"}]";
+}
+
+} // namespace
+
+Reply
+Http(const std::string &method, const std::string &url, const std::string &body,
+    const Headers &headers)
+{
+	Reply reply;
+	CURL *h = curl_easy_init();
+	struct curl_slist *list = curl_slist_append(nullptr, "Expect:");
+
+	for (auto &line : headers)
+		list = curl_slist_append(list, line.c_str());
+	curl_easy_setopt(h, CURLOPT_URL, url.c_str());
+	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(h, CURLOPT_TIMEOUT, 60L);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, AppendBody);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, &reply.body);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, AppendHeader);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, &reply.headers);
+	if (method != "GET") {
+		curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, method.c_str());
+		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, (long)body.size());
+		curl_easy_setopt(h, CURLOPT_POSTFIELDS, body.c_str());
+	}
+	if (curl_easy_perform(h) == CURLE_OK)
+		curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply.status);
+	curl_slist_free_all(list);
+	curl_easy_cleanup(h);
+	return reply;
+}
+
+bool
+Eventually(const std::function<bool()> &condition)
+{
+	std::mutex lock;
+	std::condition_variable never;
+	std::unique_lock<std::mutex> held(lock);
+	auto end = std::chrono::steady_clock::now() + kGuard;
+
+	while (std::chrono::steady_clock::now() < end) {
+		if (condition())
+			return true;
+		never.wait_for(held, kLookAgain);
+	}
+	return false;
+}
+
+int64_t
+NowUs()
+{
+	return std::chrono::duration_cast<std::chrono::microseconds>(
+	    std::chrono::steady_clock::now().time_since_epoch())
+	    .count();
+}
+
+int
+FreePort()
+{
+	struct sockaddr_in addr = {};
+	socklen_t len = sizeof(addr);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	addr.sin_family = AF_INET;
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&addr, sizeof(addr));
+	getsockname(fd, (struct sockaddr *)&addr, &len);
+	close(fd);
+	return ntohs(addr.sin_port);
+}
+
+Process::Process(std::vector<std::string> argv)
+{
+	std::vector<char *> words;
+	int fds[2];
+
+	for (auto &word : argv)
+		words.push_back(const_cast<char *>(word.c_str()));
+	words.push_back(nullptr);
+	if (pipe2(fds, O_CLOEXEC) != 0)
+		abort();
+	pid_ = fork();
+	if (pid_ == 0) {
+		dup2(fds[1], STDOUT_FILENO);
+		dup2(fds[1], STDERR_FILENO);
+		execv(words[0], words.data());
+		_exit(127);
+	}
+	close(fds[1]);
+	reader_ = std::thread(&Process::Read, this, fds[0]);
+}
+
+Process::~Process()
+{
+	if (!reaped_) {
+		kill(pid_, SIGKILL);
+		Wait();
+	}
+	reader_.join();
+}
+
+void
+Process::Read(int fd)
+{
+	FILE *in = fdopen(fd, "r");
+	char *line = nullptr;
+	size_t cap = 0;
+
+	while (getline(&line, &cap, in) > 0) {
+		std::lock_guard<std::mutex> held(lock_);
+
+		lines_.push_back(line);
+		changed_.notify_all();
+	}
+	free(line);
+	fclose(in);
+	std::lock_guard<std::mutex> held(lock_);
+	closed_ = true;
+	changed_.notify_all();
+}
+
+int
+Process::Count(const std::string &text)
+{
+	std::lock_guard<std::mutex> held(lock_);
+	int n = 0;
+
+	for (auto &line : lines_)
+		n += line.find(text) != std::string::npos;
+	return n;
+}
+
+bool
+Process::WaitLine(const std::string &text, int count)
+{
+	std::unique_lock<std::mutex> held(lock_);
+
+	return changed_.wait_for(held, kGuard, [&] {
+		int n = 0;
+
+		for (auto &line : lines_)
+			n += line.find(text) != std::string::npos;
+		return n >= count;
+	});
+}
+
+void
+Process::Signal(int sig)
+{
+	kill(pid_, sig);
+}
+
+int
+Process::Wait()
+{
+	int status;
+
+	if (!reaped_) {
+		waitpid(pid_, &status, 0);
+		code_ =
+		    WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+		reaped_ = true;
+	}
+	return code_;
+}
+
+std::string
+Process::Output()
+{
+	std::lock_guard<std::mutex> held(lock_);
+	std::string all;
+
+	for (auto &line : lines_)
+		all += line;
+	return all;
+}
+
+std::string
+ExpectedAnswer(const std::string &prompt, int tokens)
+{
+	std::string text = Messages(prompt);
+	uint64_t hash = XXH3_64bits(text.data(), text.size());
+	std::string answer;
+
+	for (int i = 0; i < tokens; i++)
+		answer += "w" + std::to_string(standin_word(hash, i)) + " ";
+	return answer;
+}
+
+std::string
+ChatBody(const std::string &prompt, bool stream)
+{
+	return std::string("{\"model\":\"assistant\",\"stream\":") +
+	    (stream ? "true" : "false") + ",\"messages\":" + Messages(prompt) +
+	    "}";
+}
+
+std::string
+ItemLine(const std::string &job, int index)
+{
+	std::string id = job + "-" + std::to_string(index);
+
+	return "{\"id\":\"" + id +
+	    "\",\"body\":{\"messages\":" + Messages("notice " + id) + "}}\n";
+}
+
+Fleet::Fleet(const FleetOptions &o) : options(o)
+{
+	char dir[] = "/tmp/savoryflow-test-XXXXXX";
+
+	dir_ = mkdtemp(dir);
+	platform_port_ = FreePort();
+	plain_port_ = FreePort();
+	platform.reset(new Process({Env("SF_STANDIN"), "platform",
+	    "--port=" + std::to_string(platform_port_)}));
+	plain.reset(new Process({Env("SF_STANDIN"), "plain",
+	    "--port=" + std::to_string(plain_port_),
+	    "--history=" + dir_ + "/plain"}));
+	for (int i = 0; i < o.engines; i++)
+		engine_ports_.push_back(FreePort());
+	engines.resize((size_t)o.engines);
+	for (size_t i = 0; i < engines.size(); i++)
+		StartEngine(i);
+	for (int i = 0; i < o.daemons; i++) {
+		http_ports_.push_back(FreePort());
+		peer_ports_.push_back(FreePort());
+	}
+	daemons.resize((size_t)o.daemons);
+	EXPECT_TRUE(platform->WaitLine("listening"));
+	EXPECT_TRUE(plain->WaitLine("listening"));
+	for (size_t i = 0; i < daemons.size(); i++)
+		StartDaemon(i);
+	if (!o.submit_config)
+		return;
+	Reply r = SubmitConfig(0, 1, 0, "first-key");
+	EXPECT_EQ(200, r.status) << r.body;
+	for (size_t i = 0; i < daemons.size(); i++) {
+		EXPECT_TRUE(daemons[i]->WaitLine("daemon_ready"));
+		EXPECT_TRUE(Eventually([&] {
+			return Metric(i, "savoryflow_members_alive") ==
+			    (int64_t)daemons.size();
+		}));
+	}
+}
+
+Fleet::~Fleet()
+{
+	daemons.clear();
+	engines.clear();
+	std::string cmd = "rm -rf " + dir_;
+	if (system(cmd.c_str()) != 0)
+		abort();
+}
+
+void
+Fleet::StartEngine(size_t i)
+{
+	engines[i].reset(new Process({Env("SF_STANDIN"), "engine",
+	    "--port=" + std::to_string(engine_ports_[i]),
+	    "--name=engine-" + std::to_string(i),
+	    "--speed=" + options.engine_speed,
+	    std::string("--fencing=") + (options.fencing ? "yes" : "no"),
+	    "--history=" + dir_ + "/engine"}));
+	EXPECT_TRUE(engines[i]->WaitLine("listening"));
+}
+
+void
+Fleet::StartDaemon(size_t i)
+{
+	std::string seeds;
+	gchar *sum =
+	    g_compute_checksum_for_string(G_CHECKSUM_SHA256, "first-key", -1);
+
+	for (int port : peer_ports_)
+		seeds += (seeds.empty() ? "127.0.0.1:" : ",127.0.0.1:") +
+		    std::to_string(port);
+	std::vector<std::string> argv = {Env("SF_BIN"), "serve",
+	    "--listen=127.0.0.1:" + std::to_string(http_ports_[i]),
+	    "--peer-listen=127.0.0.1:" + std::to_string(peer_ports_[i]),
+	    "--peers=" + seeds, "--platform-url=" + Platform(),
+	    std::string("--operator-key-sha256=") + sum, "--region=north",
+	    "--data-center=dc1", "--log-level=debug", "--gossip-period-ms=100",
+	    "--member-timeout-ms=800", "--session-period-ms=200",
+	    "--session-lease-ms=800", "--batch-poll-ms=100",
+	    "--config-poll-ms=200", "--vms-poll-ms=100",
+	    "--report-period-ms=100", "--stall-timeout-ms=1000",
+	    "--drain-notice-ms=200", "--chunk-items=8",
+	    "--grant-timeout-ms=100"};
+	g_free(sum);
+	for (auto &flag : options.flags)
+		argv.push_back(flag);
+	daemons[i].reset(new Process(argv));
+	EXPECT_TRUE(daemons[i]->WaitLine("daemon_started"))
+	    << daemons[i]->Output();
+}
+
+std::string
+Fleet::Url(size_t i) const
+{
+	return "http://127.0.0.1:" + std::to_string(http_ports_[i]);
+}
+
+std::string
+Fleet::Platform() const
+{
+	return "http://127.0.0.1:" + std::to_string(platform_port_);
+}
+
+std::string
+Fleet::Engine(size_t i) const
+{
+	return "http://127.0.0.1:" + std::to_string(engine_ports_[i]);
+}
+
+std::string
+Fleet::Plain() const
+{
+	return "http://127.0.0.1:" + std::to_string(plain_port_);
+}
+
+void
+Fleet::Fault(const std::string &url, const std::string &json)
+{
+	EXPECT_EQ(200, Http("POST", url + "/fault", json).status);
+}
+
+std::string
+Fleet::Document(int weight) const
+{
+	auto team = [](const char *key, bool op, int w) {
+		gchar *sum =
+		    g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+		std::string text = std::string("{\"key_sha256\":\"") + sum +
+		    "\",\"operator\":" + (op ? "true" : "false") +
+		    ",\"rate_per_s\":0,\"concurrency\":0,\"weight\":" +
+		    std::to_string(w) + "}";
+
+		g_free(sum);
+		return text;
+	};
+	auto target = [&](const std::string &url, const char *service) {
+		return "{\"url\":\"" + url + "\",\"service\":\"" + service +
+		    "\",\"region\":\"north\",\"data_center\":\"dc1\","
+		    "\"checks_fencing\":true,\"slots\":" +
+		    std::to_string(options.slots) + "}";
+	};
+	std::string doc =
+	    "{\"schema\":1,\"services\":{\"assistant\":{\"kind\":\"engine\","
+	    "\"idempotent\":true,\"tail_budget_ms\":10000},"
+	    "\"booking\":{\"kind\":\"plain\","
+	    "\"idempotent\":false,\"tail_budget_ms\":0}},\"models\":{\"chat\":"
+	    "{\"service\":\"assistant\",\"version\":\"v" +
+	    std::to_string(weight) +
+	    "\"}},\"targets\":{\"booking-1\":" + target(Plain(), "booking");
+
+	for (size_t i = 0; i < engine_ports_.size(); i++)
+		doc += ",\"engine-" + std::to_string(i) +
+		    "\":" + target(Engine(i), "assistant");
+	return doc +
+	    "},\"teams\":{\"students\":" + team("students-key", false, weight) +
+	    ",\"studios\":" + team("studios-key", false, 1) +
+	    ",\"operators\":" + team("operators-key", true, 1) + "}}";
+}
+
+Reply
+Fleet::SubmitConfig(size_t daemon, int weight, int from, const std::string &key)
+{
+	return Http("PUT",
+	    Url(daemon) + "/v1/config?from=" + std::to_string(from),
+	    Document(weight), {"Authorization: Bearer " + key});
+}
+
+void
+Fleet::Note(const HistoryEvent &event)
+{
+	std::lock_guard<std::mutex> held(lock_);
+
+	history_.push_back(event);
+	if (event.time_us == 0)
+		history_.back().time_us = NowUs();
+}
+
+/* The text of a streamed answer; whole is set by the end marker. */
+static std::string
+StreamText(const std::string &body, bool *whole, bool *error)
+{
+	std::istringstream in(body);
+	std::string line, text;
+
+	*whole = *error = false;
+	while (std::getline(in, line)) {
+		if (line == "data: [DONE]")
+			*whole = true;
+		if (line.rfind("data: {", 0) != 0)
+			continue;
+		json_t *doc = json_loads(line.c_str() + 6, 0, nullptr);
+		json_t *choice =
+		    json_array_get(json_object_get(doc, "choices"), 0);
+
+		if (json_object_get(doc, "error") != nullptr)
+			*error = true;
+		text += Text(json_object_get(choice, "delta"), "content");
+		json_decref(doc);
+	}
+	return text;
+}
+
+Reply
+Fleet::Chat(size_t daemon, const std::string &prompt, bool stream,
+    const Headers &headers)
+{
+	static std::atomic<int> count{0};
+	std::string name = prompt + "#" + std::to_string(++count);
+	Headers all = headers;
+	bool whole = false, error = false;
+	std::string got;
+
+	all.push_back("Authorization: Bearer students-key");
+	Note({"chat_sent", {{"request", name}}});
+	Reply r = Http("POST", Url(daemon) + "/v1/chat/completions",
+	    ChatBody(prompt, stream), all);
+	if (r.status == 200 && stream) {
+		got = StreamText(r.body, &whole, &error);
+	} else if (r.status == 200) {
+		json_t *doc = json_loads(r.body.c_str(), 0, nullptr);
+
+		got =
+		    Text(json_object_get(
+			     json_array_get(json_object_get(doc, "choices"), 0),
+			     "message"),
+			"content");
+		whole = true;
+		json_decref(doc);
+	}
+	if (whole)
+		Note({"chat_answer",
+		    {{"request", name}, {"expected", ExpectedAnswer(prompt)},
+			{"got", got}}});
+	else if (r.status == 0 || (r.status == 200 && !error))
+		Note({"chat_cut", {{"request", name}}});
+	return r;
+}
+
+Reply
+Fleet::Book(size_t daemon, const std::string &key, const std::string &body)
+{
+	Reply r = Http("POST", Url(daemon) + "/v1/call/booking/" + key, body,
+	    {"Authorization: Bearer students-key", "Idempotency-Key: " + key});
+
+	if (r.status >= 400)
+		Note({"refused",
+		    {{"key", key}, {"ran", r.headers["savoryflow-ran"]}}});
+	return r;
+}
+
+Reply
+Fleet::SubmitJob(size_t daemon, const std::string &id, int items)
+{
+	std::string body;
+
+	for (int i = 0; i < items; i++)
+		body += ItemLine(id, i);
+	Reply r = Http("POST", Url(daemon) + "/v1/batches?service=assistant",
+	    body,
+	    {"Authorization: Bearer studios-key", "Savoryflow-Job-Id: " + id});
+	if (r.status == 202)
+		Note({"job_accepted",
+		    {{"job", id}, {"items", std::to_string(items)}}});
+	return r;
+}
+
+std::string
+Fleet::JobState(size_t daemon, const std::string &id)
+{
+	Reply r = Http("GET", Url(daemon) + "/v1/batches/" + id, "",
+	    {"Authorization: Bearer studios-key"});
+	json_t *doc = json_loads(r.body.c_str(), 0, nullptr);
+	std::string state = Text(doc, "state");
+
+	json_decref(doc);
+	return state;
+}
+
+bool
+Fleet::WaitJob(size_t daemon, const std::string &id)
+{
+	bool done = Eventually([&] { return JobState(daemon, id) == "done"; });
+
+	if (done)
+		Note({"job_done", {{"job", id}}});
+	return done;
+}
+
+void
+Fleet::ReadResults(size_t daemon, const std::string &id)
+{
+	std::string pass = std::to_string(++passes_);
+	std::string from = "0", complete = "no";
+
+	while (complete == "no") {
+		Reply r = Http("GET",
+		    Url(daemon) + "/v1/batches/" + id + "/results?from=" + from,
+		    "", {"Authorization: Bearer studios-key"});
+		std::istringstream in(r.body);
+		std::string line;
+
+		ASSERT_EQ(200, r.status) << r.body;
+		while (std::getline(in, line)) {
+			json_t *doc = json_loads(line.c_str(), 0, nullptr);
+			int64_t index =
+			    json_integer_value(json_object_get(doc, "index"));
+
+			Note({"result",
+			    {{"job", id}, {"pass", pass},
+				{"index", std::to_string(index)}}});
+			if (Text(doc, "status") == "ok")
+				EXPECT_EQ(ExpectedAnswer("notice " + id + "-" +
+					      std::to_string(index)),
+				    Text(doc, "answer"));
+			json_decref(doc);
+		}
+		if (r.headers["savoryflow-next"] == from)
+			break;
+		from = r.headers["savoryflow-next"];
+		complete = r.headers["savoryflow-complete"];
+	}
+}
+
+int
+Fleet::EngineRuns()
+{
+	std::ifstream in(dir_ + "/engine");
+	std::string line;
+	int n = 0;
+
+	while (std::getline(in, line))
+		n += line.find("\"kind\":\"run\"") != std::string::npos;
+	return n;
+}
+
+int64_t
+Fleet::Metric(size_t daemon, const std::string &name)
+{
+	Reply r = Http("GET", Url(daemon) + "/metrics");
+	size_t at = r.body.find("\n" + name + " ");
+
+	return at == std::string::npos
+	    ? -1
+	    : std::stoll(r.body.substr(at + name.size() + 2));
+}
+
+void
+Fleet::ExpectHistoryHolds()
+{
+	std::ifstream calls(dir_ + "/plain"), runs(dir_ + "/engine");
+	std::string line;
+
+	while (std::getline(calls, line)) {
+		json_t *doc = json_loads(line.c_str(), 0, nullptr);
+		std::string path = Text(doc, "path");
+
+		Note({"call_run", {{"key", path.substr(1)}}});
+		json_decref(doc);
+	}
+	while (std::getline(runs, line)) {
+		json_t *doc = json_loads(line.c_str(), 0, nullptr);
+
+		if (Text(doc, "kind") == "run")
+			Note({"target_run", {{"target", Text(doc, "engine")}},
+			    json_integer_value(
+				json_object_get(doc, "time_us"))});
+		json_decref(doc);
+	}
+	for (auto &violation : CheckHistory(history_))
+		ADD_FAILURE() << violation;
+}
--- /dev/null
+++ b/test/functional/harness.h
@@ -0,0 +1,133 @@
+#ifndef TEST_FUNCTIONAL_HARNESS_H
+#define TEST_FUNCTIONAL_HARNESS_H
+
+#include <sys/types.h>
+
+#include <condition_variable>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "history/checker.h"
+
+/*
+ * Runs the real binary and the stand-ins as processes on loopback. Waits are
+ * on events: lines that a process prints, or answers it gives. Each wait ends
+ * after a long guard time, which only stops a test that would hang.
+ */
+
+struct Reply {
+	long status = 0;
+	std::string body;
+	/** Names in lower case. */
+	std::map<std::string, std::string> headers;
+};
+
+using Headers = std::vector<std::string>;
+
+Reply Http(const std::string &method, const std::string &url,
+    const std::string &body = "", const Headers &headers = {});
+
+/** Looks again and again until the condition holds. @return false if never */
+bool Eventually(const std::function<bool()> &condition);
+
+int FreePort();
+int64_t NowUs();
+
+/** A child process; its standard output and error are read as lines. */
+class Process
+{
+      public:
+	explicit Process(std::vector<std::string> argv);
+	~Process();
+	/** Waits until so many lines contain the text. */
+	bool WaitLine(const std::string &text, int count = 1);
+	int Count(const std::string &text);
+	void Signal(int sig);
+	/** Waits for the end. @return exit code, or -signal */
+	int Wait();
+	std::string Output();
+
+      private:
+	void Read(int fd);
+	pid_t pid_;
+	bool reaped_ = false;
+	int code_ = 0;
+	std::thread reader_;
+	std::mutex lock_;
+	std::condition_variable changed_;
+	std::vector<std::string> lines_;
+	bool closed_ = false;
+};
+
+struct FleetOptions {
+	int engines = 1;
+	int daemons = 2;
+	std::string engine_speed = "50";
+	int slots = 64;
+	/** Extra flags for every daemon. */
+	std::vector<std::string> flags;
+	bool submit_config = true;
+	bool fencing = true;
+};
+
+/** Platform, engines, a plain service and daemons. */
+class Fleet
+{
+      public:
+	explicit Fleet(const FleetOptions &options);
+	~Fleet();
+
+	std::string Url(size_t daemon) const;
+	std::string Platform() const;
+	std::string Engine(size_t i) const;
+	std::string Plain() const;
+	void StartDaemon(size_t i);
+	void StartEngine(size_t i);
+	/** Faults of a stand-in, for example {"cut":1}. */
+	void Fault(const std::string &url, const std::string &json);
+	std::string Document(int weight = 1) const;
+	Reply SubmitConfig(size_t daemon, int weight, int from,
+	    const std::string &key = "operators-key");
+
+	/** One question; the outcome goes into the history. */
+	Reply Chat(size_t daemon, const std::string &prompt, bool stream,
+	    const Headers &headers = {});
+	/** A call with a key; runs and refusals go into the history. */
+	Reply Book(size_t daemon, const std::string &key,
+	    const std::string &body = "{}");
+	Reply SubmitJob(size_t daemon, const std::string &id, int items);
+	std::string JobState(size_t daemon, const std::string &id);
+	bool WaitJob(size_t daemon, const std::string &id);
+	/** Reads all results into the history, and checks their answers. */
+	void ReadResults(size_t daemon, const std::string &id);
+	void Note(const HistoryEvent &event);
+	/** Adds the stand-ins' lines and checks the whole history. */
+	void ExpectHistoryHolds();
+	int EngineRuns();
+	int64_t Metric(size_t daemon, const std::string &name);
+
+	std::vector<std::unique_ptr<Process>> daemons;
+	std::vector<std::unique_ptr<Process>> engines;
+	std::unique_ptr<Process> plain, platform;
+	FleetOptions options;
+
+      private:
+	std::vector<int> http_ports_, peer_ports_, engine_ports_;
+	int platform_port_, plain_port_;
+	std::string dir_;
+	std::mutex lock_;
+	History history_;
+	int passes_ = 0;
+};
+
+/** The engine's answer to a prompt. */
+std::string ExpectedAnswer(const std::string &prompt, int tokens = 16);
+std::string ChatBody(const std::string &prompt, bool stream);
+std::string ItemLine(const std::string &job, int index);
+
+#endif
--- /dev/null
+++ b/test/functional/test_api.cc
@@ -0,0 +1,161 @@
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include "functional/harness.h"
+
+namespace
+{
+
+const char *const kStudent = "Authorization: Bearer students-key";
+
+TEST(Api, BadInputGetsATypedErrorAndTheDaemonGoesOn)
+{
+	FleetOptions o;
+
+	o.daemons = 1;
+	o.flags = {"--body-max-bytes=2000", "--job-max-items=20"};
+	Fleet f(o);
+	std::string chat = "/v1/chat/completions";
+	std::string good = ChatBody("q", false);
+	std::string lines = ItemLine("j", 0) + ItemLine("j", 1);
+	std::string many;
+	for (int i = 0; i < 21; i++)
+		many += ItemLine("m", i);
+	const struct {
+		const char *method;
+		std::string path;
+		std::string body;
+		Headers headers;
+		long status;
+		const char *type;
+	} cases[] = {
+	    {"POST", chat, good, {}, 401, "unauthorized"},
+	    {"POST", chat, good, {"Authorization: Bearer nope"}, 401,
+		"unauthorized"},
+	    {"POST", chat, good, {"Authorization: Basic x"}, 401,
+		"unauthorized"},
+	    {"GET", chat, "", {kStudent}, 405, "method_not_allowed"},
+	    {"GET", "/nothing", "", {kStudent}, 404, "not_found"},
+	    {"POST", chat, "{", {kStudent}, 400, "malformed_json"},
+	    {"POST", chat, "[]", {kStudent}, 400, "malformed_json"},
+	    {"POST", chat, "{\"model\":\"assistant\"}", {kStudent}, 400,
+		"bad_request"},
+	    {"POST", chat,
+		"{\"model\":\"x\",\"messages\":[{\"role\":\"user\","
+		"\"content\":\"q\"}]}",
+		{kStudent}, 404, "unknown_service"},
+	    {"POST", chat, std::string(3000, ' '), {kStudent}, 413,
+		"body_too_large"},
+	    {"POST", "/v1/call/assistant/x", "", {kStudent}, 404,
+		"unknown_service"},
+	    {"GET", "/v1/config", "", {kStudent}, 403, "forbidden"},
+	    {"POST", "/v1/batches?service=none", lines, {kStudent}, 404,
+		"unknown_service"},
+	    {"POST", "/v1/batches?service=assistant", "", {kStudent}, 400,
+		"bad_item"},
+	    {"POST", "/v1/batches?service=assistant",
+		lines + "{\"id\":1}\n" + lines, {kStudent}, 400, "bad_item"},
+	    {"POST", "/v1/batches?service=assistant", many, {kStudent}, 413,
+		"body_too_large"},
+	    {"POST", "/v1/batches?service=assistant", lines,
+		{kStudent, "Savoryflow-Job-Id: a/b"}, 400, "bad_request"},
+	    {"GET", "/v1/batches/none", "", {kStudent}, 404, "not_found"},
+	};
+
+	for (const auto &c : cases) {
+		Reply r = Http(c.method, f.Url(0) + c.path, c.body, c.headers);
+
+		EXPECT_EQ(c.status, r.status) << c.path << ": " << r.body;
+		EXPECT_NE(std::string::npos,
+		    r.body.find(std::string("\"type\":\"") + c.type + "\""))
+		    << c.path << ": " << r.body;
+		EXPECT_EQ("no", r.headers["savoryflow-ran"]) << c.path;
+	}
+	Reply bad = Http("POST", f.Url(0) + "/v1/batches?service=assistant",
+	    lines + "{\"id\":1}\n", {kStudent});
+	EXPECT_NE(std::string::npos, bad.body.find("line 3")) << bad.body;
+	EXPECT_EQ(200, f.Chat(0, "still there", true).status);
+	f.ExpectHistoryHolds();
+}
+
+TEST(Api, AnotherTeamsJobIsNotThere)
+{
+	FleetOptions o;
+
+	o.daemons = 1;
+	Fleet f(o);
+	EXPECT_EQ(202, f.SubmitJob(0, "mine", 3).status);
+	for (const char *path : {"", "/results"})
+		EXPECT_EQ(404,
+		    Http("GET", f.Url(0) + "/v1/batches/mine" + path, "",
+			{kStudent})
+			.status);
+	EXPECT_EQ(404,
+	    Http("POST", f.Url(0) + "/v1/batches/mine/cancel", "", {kStudent})
+		.status);
+}
+
+TEST(Api, LargeJobIsTakenInParts)
+{
+	FleetOptions o;
+
+	o.daemons = 1;
+	o.engine_speed = "500";
+	o.flags = {"--chunk-items=500", "--batch-inflight-items=500"};
+	o.slots = 500;
+	Fleet f(o);
+	EXPECT_EQ(202, f.SubmitJob(0, "large", 12000).status);
+	EXPECT_EQ("running", f.JobState(0, "large"));
+	EXPECT_EQ(200,
+	    Http("POST", f.Url(0) + "/v1/batches/large/cancel", "",
+		{"Authorization: Bearer studios-key"})
+		.status);
+	EXPECT_EQ("cancelled", f.JobState(0, "large"));
+}
+
+TEST(Api, ModelOrderReachesTheTargetWithItsFence)
+{
+	FleetOptions o;
+
+	o.daemons = 2;
+	Fleet f(o);
+	auto version = [&] { return Http("GET", f.Engine(0) + "/load").body; };
+
+	EXPECT_TRUE(Eventually([&] {
+		return version().find("\"version\":\"v1\"") !=
+		    std::string::npos;
+	}));
+	EXPECT_EQ(200, f.SubmitConfig(1, 2, 1).status);
+	EXPECT_TRUE(Eventually([&] {
+		return version().find("\"version\":\"v2\"") !=
+		    std::string::npos;
+	}));
+	/* An order from the past is refused by a target that checks. */
+	EXPECT_EQ(409,
+	    Http("POST", f.Engine(0) + "/order",
+		"{\"fence\":1,\"model\":\"chat\",\"version\":\"v1\"}")
+		.status);
+}
+
+TEST(Api, LateOrderToATargetThatIgnoresFencesIsUndone)
+{
+	FleetOptions o;
+
+	o.fencing = false;
+	Fleet f(o);
+	auto has = [&](const char *version) {
+		return Http("GET", f.Engine(0) + "/load").body.find(version) !=
+		    std::string::npos;
+	};
+
+	EXPECT_EQ(200, f.SubmitConfig(0, 2, 1).status);
+	EXPECT_TRUE(Eventually([&] { return has("\"v2\""); }));
+	EXPECT_EQ(200,
+	    Http("POST", f.Engine(0) + "/order",
+		"{\"fence\":1,\"model\":\"chat\",\"version\":\"v1\"}")
+		.status);
+	EXPECT_TRUE(Eventually([&] { return has("\"v1\""); }));
+	EXPECT_TRUE(Eventually([&] { return has("\"v2\""); }));
+}
+
+} // namespace
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -17,6 +17,7 @@
 #include <unistd.h>
 #include <xxhash.h>
 
+#include "answer.h"
 #include "http.h"
 #include "os/clock.h"
 #include "savoryflow/arbiter/engine_cost.h"
@@ -26,7 +27,6 @@
 	kReportLagUs = 500000,
 	kCacheMax = 256,
 	kPrefixBytes = 256,
-	kAnswerTokens = 16,
 };
 
 enum stream_fault { kNoFault, kCut, kStall, kCross };
@@ -216,14 +216,11 @@
 	if (st->sent == st->tokens) {
 		n = snprintf(buf, max, "data: [DONE]\n\n");
 	} else {
-		uint32_t word = (uint32_t)XXH3_64bits_withSeed(
-		    &st->sent, sizeof(st->sent), st->prompt_hash);
-
 		n = snprintf(buf, max,
 		    "data: {\"id\":\"%s\",\"index\":%d,\"choices\":[{\"delta\":"
 		    "{\"content\":\"w%u \"}}]}\n\n",
 		    fault_due(st, kCross) ? "0000000000000000" : st->attempt,
-		    st->sent, word % 1000);
+		    st->sent, standin_word(st->prompt_hash, st->sent));
 	}
 	st->sent++;
 	pthread_mutex_unlock(&en->lock);
@@ -276,7 +273,7 @@
 	    st->attempt, attempt != NULL ? attempt : "", sizeof(st->attempt));
 	st->prompt_hash = XXH3_64bits(prompt, strlen(prompt));
 	st->tokens = json_is_integer(max) ? (int32_t)json_integer_value(max)
-					  : kAnswerTokens;
+					  : kStandinAnswerTokens;
 	st->first =
 	    (int32_t)json_integer_value(json_object_get(resume, "index"));
 	st->made = st->sent = st->first;
