Faults found by the failure tests, mended

- A call that may run once ran twice when its answer was lost: libcurl repeats a request on a pooled connection that was closed.
Such calls get a connection of their own now.
- For the same reason a commit can meet a conflict with its own copy without a lost answer: every conflict is settled by reading back.
- A daemon was ready before it had built its routes, and a peer refused a request for a target it did not know yet: routes are built with the configuration, and an unknown target counts as no answer.
- A stream that moves on no longer uses up its three attempts.
- The history check of refused calls confused two requests with one key; it now counts requests, refusals and runs of a key.

--- a/src/platform/commit.c
+++ b/src/platform/commit.c
@@ -14,11 +14,11 @@
 		res = plat->ops->txn(plat->ctx, cause, txn);
 		answer_lost = answer_lost || res == kPlatformAmbiguous;
 	}
-	if (!answer_lost)
-		return res;
+	/* Also without a lost answer: an earlier call, or the transport, may
+	 * have sent a copy that took effect. */
 	if (res == kPlatformConflict && is_mine(plat, ctx))
 		return kPlatformOk;
-	if (res == kPlatformUnavailable)
+	if (res == kPlatformUnavailable && answer_lost)
 		return kPlatformAmbiguous;
 	return res;
 }
--- a/src/savoryflow/batch/batch_store.c
+++ b/src/savoryflow/batch/batch_store.c
@@ -223,8 +223,6 @@
 	platform_txn_write(txn, row_key, text);
 	platform_txn_write(txn, list_key, text);
 	res = platform_commit(plat, kCauseBatch, txn, job_is_same, (void *)job);
-	if (res == kPlatformConflict && job_is_same(plat, (void *)job))
-		res = kPlatformOk;
 	platform_txn_free(txn);
 	g_free(row_key);
 	g_free(list_key);
@@ -446,9 +444,6 @@
 		require_last_beat(txn, key, session->counter);
 	platform_txn_write(txn, key, text);
 	res = platform_commit(plat, kCauseSession, txn, beat_is_mine, session);
-	/* A heartbeat that took effect unnoticed earlier is not a loss. */
-	if (res == kPlatformConflict && beat_is_mine(plat, session))
-		res = kPlatformOk;
 	if (res == kPlatformOk)
 		session->counter++;
 	platform_txn_free(txn);
@@ -594,9 +589,6 @@
 	require_right(txn, session, job);
 	platform_txn_write(txn, key, text);
 	res = platform_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
-	/* An earlier try may have taken effect without an answer. */
-	if (res == kPlatformConflict && chunk_is_mine(plat, &id))
-		res = kPlatformOk;
 	platform_txn_free(txn);
 	g_free(key);
 	g_free(text);
@@ -649,9 +641,6 @@
 	require_right(txn, session, job);
 	platform_txn_write(txn, key, text);
 	res = platform_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
-	/* An earlier try may have taken effect without an answer. */
-	if (res == kPlatformConflict && chunk_is_mine(plat, &id))
-		res = kPlatformOk;
 	platform_txn_free(txn);
 	g_free(key);
 	free(text);
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -76,6 +76,8 @@
 	bool is_suspect;
 	bool is_revoked;
 	bool first_token_told;
+	/** Index of the first token that the present attempt may bring. */
+	int64_t attempt_first_index;
 	struct retry_state retry;
 	struct answer_stream stream;
 	GByteArray *out;
@@ -214,6 +216,17 @@
 	return end != kAttemptNotSent && end != kAttemptTurnedAway;
 }
 
+/* A stream that moves on is not failing: only a standstill adds up. */
+static void
+note_failure(struct call *c, enum attempt_end end)
+{
+	if (!counts_as_failure(c, end))
+		return;
+	if (c->stream.next_index > c->attempt_first_index)
+		c->retry.failures = 0;
+	c->retry.failures++;
+}
+
 static int64_t
 wait_before_retry_us(
     const struct call *c, enum attempt_end end, int64_t delay_us)
@@ -235,8 +248,7 @@
 		pthread_mutex_unlock(&c->lock);
 		return;
 	}
-	if (counts_as_failure(c, end))
-		c->retry.failures++;
+	note_failure(c, end);
 	g_strlcpy(c->last_target, end == kAttemptRevoked ? "" : c->route.target,
 	    sizeof(c->last_target));
 	c->phase = kPhaseWaiting;
@@ -510,6 +522,7 @@
 	    .url = url,
 	    .body = body,
 	    .stall_us = c->d->set->stall_timeout_ms * kUsPerMs,
+	    .is_sent_once = !c->retry.is_idempotent,
 	    .headers = headers,
 	    .ops = &transfer_ops,
 	    .ctx = c,
@@ -532,6 +545,7 @@
 		c->phase = kPhaseRunning;
 		c->is_revoked = false;
 		c->first_token_told = false;
+		c->attempt_first_index = c->stream.next_index;
 		snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", id);
 		answer_stream_attempt(&c->stream, text);
 		body = c->is_engine ? engine_body(c) : g_bytes_ref(c->body);
--- a/src/serve/grants.c
+++ b/src/serve/grants.c
@@ -39,6 +39,8 @@
 	kWireRefused,
 	kWireRevoked,
 	kWireQueued,
+	/** The peer does not know the target (yet). */
+	kWireUnknown,
 };
 
 enum wire_note {
@@ -299,6 +301,10 @@
 	case kWireRevoked:
 		delivery_add(list, h, verdict, 0);
 		break;
+	case kWireUnknown:
+		/* As if the peer had not answered. */
+		h->asked_us = 0;
+		break;
 	}
 }
 
@@ -727,8 +733,7 @@
 	queued.holder = ask.holder;
 	arb = hosted_get(gs, wire->target);
 	if (arb == NULL) {
-		queued.retry_after_us = kRefusedLocallyRetryUs;
-		answer_peer(gs, &queued, kWireRefused, 0);
+		answer_peer(gs, &queued, kWireUnknown, 0);
 		g_array_unref(actions);
 	} else if (wire->adopt) {
 		arbiter_adopt(arb, &ask, wire->has_first_token, now, actions);
--- a/src/serve/routes.c
+++ b/src/serve/routes.c
@@ -25,7 +25,6 @@
 	struct routing *routing;
 	uint64_t epoch;
 	int64_t generation;
-	bool stale;
 	int32_t daemons;
 	/** Targets that a peer or the list says are leaving, by name or URL. */
 	GHashTable *leaving;
@@ -67,8 +66,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	rs->usable =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	rs->stale = true;
 	rs->daemons = 1;
+	rs->generation = -1;
 	for (char **s = seeds; *s != NULL; s++)
 		if (**s != '\0')
 			membership_seed(rs->members, *s, clock_mono_us(d->clk));
@@ -307,14 +306,6 @@
 	return alive;
 }
 
-void
-routes_config_changed(struct routes *rs)
-{
-	pthread_mutex_lock(&rs->lock);
-	rs->stale = true;
-	pthread_mutex_unlock(&rs->lock);
-}
-
 static void
 daemon_add(GArray *daemons, const struct member_entry *entry)
 {
@@ -405,10 +396,9 @@
 	bool changed;
 
 	pthread_mutex_lock(&rs->lock);
-	changed = rs->stale || rs->epoch != membership_epoch(rs->members) ||
+	changed = rs->epoch != membership_epoch(rs->members) ||
 	    rs->generation != generation;
 	if (changed) {
-		rs->stale = false;
 		rs->epoch = membership_epoch(rs->members);
 		rs->generation = generation;
 		gone = note_member_changes(rs);
@@ -426,6 +416,12 @@
 	grants_routes_changed(rs->d->grants);
 }
 
+void
+routes_config_changed(struct routes *rs)
+{
+	rebuild_if_changed(rs);
+}
+
 static void
 fill_wire_member(Sfpeer__Member *wire, const struct member_entry *entry)
 {
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -41,6 +41,7 @@
 	char *method;
 	int64_t stall_us;
 	int64_t progress_us;
+	bool is_sent_once;
 	bool refused_by_reader;
 	struct transfer_result result;
 	const struct target_ops *ops;
@@ -139,6 +140,7 @@
 	tr->url = g_strdup(opt->url);
 	tr->method = g_strdup(opt->method);
 	tr->stall_us = opt->stall_us;
+	tr->is_sent_once = opt->is_sent_once;
 	tr->ops = opt->ops;
 	tr->ctx = opt->ctx;
 	tr->ops->ref(tr->ctx);
@@ -177,6 +179,8 @@
 	    tr->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)kConnectTimeoutMs);
 	curl_easy_setopt(tr->easy, CURLOPT_MAXAGE_CONN, (long)kIdleMaxS);
 	curl_easy_setopt(tr->easy, CURLOPT_MAXLIFETIME_CONN, (long)kAgeMaxS);
+	if (tr->is_sent_once)
+		curl_easy_setopt(tr->easy, CURLOPT_FRESH_CONNECT, 1L);
 	set_body(tr);
 	g_hash_table_insert(tc->transfers, &tr->attempt, tr);
 	curl_multi_add_handle(tc->multi, tr->easy);
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -47,6 +47,11 @@
 	GBytes *body;
 	/** No progress for so long ends the transfer. */
 	int64_t stall_us;
+	/**
+	 * The request must not be sent twice: it gets a connection of its own,
+	 * since libcurl repeats a request on a pooled one that was closed.
+	 */
+	bool is_sent_once;
 	/** Extra header lines, or NULL. */
 	const char *const *headers;
 	const struct target_ops *ops;
--- a/test/history/checker.h
+++ b/test/history/checker.h
@@ -43,6 +43,7 @@
  *  chat_sent     request
  *  chat_answer   request expected got   a whole answer
  *  chat_cut      request           the answer broke off without an error
+ *  call_sent     key             a request with this key
  *  refused       key ran           an error answer, with Savoryflow-Ran
  *  call_run      key               a plain service ran the call
  *  target_leaving target           first sign
