Docs; batch runs when no online request has ever come

Online's own tail was 0 there, and the budget alone was less than one prompt takes in an empty engine. The tail is at least that of one prompt now; the unit test failed before.

--- a/src/savoryflow/arbiter/arbiter.c
+++ b/src/savoryflow/arbiter/arbiter.c
@@ -346,11 +346,19 @@
 	    arb->prefill_tokens + arb->mean_prompt_tokens + more_tokens);
 }
 
-/* Longest time to first token that batch may bring about. */
+/*
+ * Longest time to first token that batch may bring about. Online's own tail is
+ * at least that of one prompt in an empty engine, also before any has come.
+ */
 static int64_t
 first_token_limit_us(const struct arbiter *arb)
 {
-	return tail_tracker_p99_us(arb->tail) + arb->opt.tail_budget_us;
+	struct engine_cost cost = scaled_cost(arb);
+	int64_t least_us =
+	    engine_cost_prefill_us(&cost, 0, arb->mean_prompt_tokens);
+
+	return MAX(tail_tracker_p99_us(arb->tail), least_us) +
+	    arb->opt.tail_budget_us;
 }
 
 /*
--- a/test/unit/test_arbiter.cc
+++ b/test/unit/test_arbiter.cc
@@ -260,6 +260,15 @@
 	EXPECT_EQ(0u, got.count(2));
 }
 
+TEST_F(Arbiter, BatchRunsWhenNoOnlineHasEverCome)
+{
+	opt.tail_budget_us = 57000;
+	opt.cost.streams_max = 234;
+	arbiter_configure(arb, &opt);
+	Ask(1, kWorkBatch);
+	EXPECT_TRUE(Has(1, kArbiterGranted));
+}
+
 TEST_F(Arbiter, AdoptedGrantsCount)
 {
 	GArray *out = arbiter_actions_new();
