Slopes measured again; commits spread after an outage; dead targets ejected at once

A target that refuses connections is ejected by its first failure: an innocent request could otherwise spend its three attempts on two dead ones.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Front of the CMake build. `make run` and `make check` set everything up.
 BUILD ?= build
 
-.PHONY: deps build run check test lint format bench slopes docs clean
+.PHONY: mutants deps build run check test lint format bench slopes docs clean
 
 deps:
 	scripts/install_packages.sh
@@ -27,6 +27,7 @@
 
 slopes: build
 	python3 bench/slopes.py $(BUILD)
+	python3 bench/capacity.py
 
 docs: build
 	$(BUILD)/savoryflow settings > docs/SETTINGS.md
@@ -36,3 +37,6 @@
 
 clean:
 	rm -rf $(BUILD) run
+
+mutants: build
+	scripts/mutants.sh
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -4,7 +4,8 @@
 Starts groups of daemons and stand-ins as plain processes on loopback, reads
 their counters over a while, fits straight lines by least squares, and writes
 bench/slopes.csv, bench/slopes.txt and bench/slopes.png.
-Usage: slopes.py BUILD [part ...]   parts: daemons load targets teams models items
+Usage: slopes.py BUILD [part ...]
+Parts: daemons load targets teams models items config streams
 """
 import csv
 import json
@@ -18,7 +19,7 @@
 
 BUILD = os.path.realpath(sys.argv[1])
 PARTS = sys.argv[2:] or ["daemons", "load", "targets", "teams", "models",
-                         "items", "config"]
+                         "items", "config", "streams"]
 HERE = os.path.dirname(os.path.realpath(__file__))
 BASE = 21000
 OPERATOR = "slopes-operator"
@@ -84,7 +85,7 @@
         self.spawn([BUILD + "/standin", "platform", "--port=%d" % BASE])
         for i in range(engines):
             self.spawn([BUILD + "/standin", "engine",
-                        "--port=%d" % (BASE + 10 + i), "--speed=%d" % speed])
+                        "--port=%d" % (BASE + 10 + i), "--speed=%g" % speed])
         wait_for("http://127.0.0.1:%d/counts" % BASE)
         self.pids = []
         for i in range(daemons):
@@ -314,6 +315,52 @@
         group.stop()
 
 
+def part_streams():
+    """One daemon at its share of the peak: 24 requests a second of 240 tokens,
+    and the same load straight to the engines."""
+    rate, seconds = 24, 20
+    group = Group(1, extra=["--stall-timeout-ms=20000"], speed=0.5)
+    try:
+        group.submit(document(4))
+        group.wait_generation(1)
+        out = {}
+        most = []
+
+        def load():
+            out.update(run_load(group, rate, seconds, tokens=240))
+            most.append(group.rss_mb(0))
+        measure("streams", rate, group, while_running=load)
+        engines = ",".join("http://127.0.0.1:%d" % (BASE + 10 + i)
+                           for i in range(4))
+        direct = json.loads(subprocess.run(
+            [BUILD + "/savorybench", "load", engines, "--rate=%g" % rate,
+             "--seconds=%g" % seconds, "--tokens=240"],
+            stdout=subprocess.PIPE, check=False).stdout)
+        for name in ("first_p50_ms", "first_p95_ms", "first_p99_ms",
+                     "between_p95_ms", "tokens_per_s", "failed", "refused"):
+            record("streams", rate, "daemon_" + name, [out[name]])
+            record("streams", rate, "direct_" + name, [direct[name]])
+    finally:
+        group.stop()
+    # Added time to first token without queueing: fast engines, low rate.
+    group = Group(1, speed=50)
+    try:
+        group.submit(document(4))
+        group.wait_generation(1)
+        engines = ",".join("http://127.0.0.1:%d" % (BASE + 10 + i)
+                           for i in range(4))
+        for name, urls, key in (("daemon", group.url(0), "key-0"),
+                                ("direct", engines, "x")) * 2:
+            res = json.loads(subprocess.run(
+                [BUILD + "/savorybench", "load", urls, "--rate=50",
+                 "--seconds=6", "--key=" + key],
+                stdout=subprocess.PIPE, check=False).stdout)
+            for figure in ("first_p50_ms", "first_p99_ms"):
+                record("added", 50, name + "_" + figure, [res[figure]])
+    finally:
+        group.stop()
+
+
 def part_items():
     for n in (1000, 10000, 100000):
         group = Group(1, extra=["--batch-inflight-items=800",
@@ -439,6 +486,8 @@
                      lambda n: document(44, models=n))
     if "config" in PARTS:
         part_config()
+    if "streams" in PARTS:
+        part_streams()
     if "items" in PARTS:
         part_items()
     keep_other_parts()
--- /dev/null
+++ b/scripts/mutants.sh
@@ -0,0 +1,59 @@
+#!/usr/bin/env bash
+# Switches mechanisms off one by one in a copy of the sources and shows that a
+# test fails for each. Exits 0 only if every mutant is found.
+# Usage: mutants.sh [NAME]
+set -u
+cd "$(dirname "$0")/.."
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+cp -r CMakeLists.txt src include test bench examples proto "$work"
+cmake -S "$work" -B "$work/build" -G Ninja >/dev/null
+ninja -C "$work/build" >/dev/null || exit 1
+missed=0
+
+# mutant NAME FILE SED-EXPRESSION TEST-BINARY TEST-FILTER
+mutant() {
+	[ -z "${only:-}" ] || [ "$only" = "$1" ] || return 0
+	cp "$2" "$work/saved"
+	sed -i -E "$3" "$work/$2"
+	if cmp -s "$work/saved" "$work/$2"; then
+		echo "mutant $1: the expression changes nothing"
+		missed=1
+		return
+	fi
+	if ! ninja -C "$work/build" "$4" savoryflow >/dev/null 2>&1; then
+		echo "mutant $1: does not build"
+		missed=1
+	elif SF_BIN=$work/build/savoryflow SF_STANDIN=$work/build/standin \
+	    timeout 120 "$work/build/$4" --gtest_filter="$5" >"$work/out" 2>&1
+	then
+		echo "mutant $1: NOT FOUND by $5"
+		missed=1
+	else
+		echo "mutant $1: found by $5: $(grep -m1 -oE '(ran twice|ran though refused|item twice|item lost|wrong answer|cut answer|new work for leaving|generation went down|result after cancel|cancelled job went on)[^,]*' "$work/out" || grep -m1 Failure "$work/out" | sed 's/.*test/test/')"
+	fi
+	cp "$work/saved" "$work/$2"
+}
+
+only=${1:-}
+U=unit_tests
+F=functional_tests
+mutant no_settling src/platform/commit.c 's/res == kPlatformConflict \&\& is_mine/false \&\& is_mine/' $U 'BatchStore.LostAnswers*'
+mutant no_session_fence src/savoryflow/batch/batch_store.c 's/platform_txn_field\(txn, own, "state", "live"\);//' $U 'BatchStore.HolderThatWakes*'
+mutant no_cancel_fence src/savoryflow/batch/batch_store.c 's/platform_txn_field\(txn, row, "state", "running"\);//' $U 'BatchStore.NoResultAfterCancel'
+mutant no_claim_check src/savoryflow/batch/batch_store.c 's/chunk->state == kChunkDone\)/false)/' $U 'Property.Batch*'
+mutant no_intent src/api/api_call.c 's/key != NULL \&\& !svc->idempotent/false/' $F 'Failures.AKeyedCall*'
+mutant pooled_connection src/serve/call_run.c 's/\.is_sent_once = .*/.is_sent_once = false,/' $F 'Failures.AKeyedCall*'
+mutant no_attempt_check src/savoryflow/call/stream.c 's/id == NULL \|\| strcmp\(id, st->attempt\) != 0/false/' $U 'Stream.*'
+mutant no_resume src/savoryflow/call/stream.c 's/json_integer_value\(index\) < st->next_index/false/' $U 'Stream.*'
+mutant no_stall_check src/target/target.c 's/now_us - tr->progress_us > tr->stall_us/false/' $F 'Failures.CutSilent*'
+mutant no_local_share src/serve/grants.c 's/waited_us > timeout_us\) \{$/waited_us > 1000 * timeout_us) {/' $F 'Failures.FrozenArbiter*'
+mutant no_revocation src/savoryflow/arbiter/arbiter.c 's/return revoke_one\(arb, out\);/return false;/' $U 'Arbiter.OnlineRevokes*'
+mutant no_leaving src/savoryflow/routing/routing.c 's/if \(t->is_leaving\)/if (false)/' $U 'Routing.SkipsLeaving*'
+mutant no_condemning src/serve/call_run.c 's/verdict == kCrashCondemned/false/' $F 'Failures.ARequestThatCrashes*'
+mutant revert src/savoryflow/config/config.c 's/cfg->generation > holder->current->generation/true/' $U 'Config.HolderNeverGoesDown'
+mutant no_compare src/savoryflow/config/config_store.c 's/platform_txn_version\(txn, HEAD_KEY, head->row_version\);//; s/platform_txn_absent\(txn, audit\);//' $F 'Failures.RacingOperators*'
+mutant no_drain src/serve/daemon.c 's/api_active\(d->api\) > 0/false/' $F 'Failures.GracefulShutdown*'
+mutant no_takeover src/serve/batch_run.c 's/return lease_looks_lost\(br, chunk\)/return false \&\& lease_looks_lost(br, chunk)/' $F 'Failures.JobOfADaemonKilled*'
+mutant no_peer_config src/serve/keeper.c 's/if \(!up\)$/if (false)/' $F 'Failures.DaemonStartedDuringAnOutage*'
+exit $missed
--- a/src/savoryflow/routing/routing.c
+++ b/src/savoryflow/routing/routing.c
@@ -386,13 +386,14 @@
 }
 
 bool
-routing_note_failure(struct routing_target *target, int64_t now_us)
+routing_note_failure(struct routing_target *target, bool is_unreachable,
+    int64_t now_us)
 {
 	bool was_ejected = target->ejected_until_us != 0;
 
 	target->failures++;
 	target->is_probing = false;
-	if (target->failures < kEjectFailures)
+	if (target->failures < kEjectFailures && !is_unreachable)
 		return false;
 	target->ejected_until_us = now_us + kEjectUs;
 	return !was_ejected;
--- a/src/savoryflow/routing/routing.h
+++ b/src/savoryflow/routing/routing.h
@@ -42,8 +42,13 @@
 /** A target's answer was whole: it is healthy. @return true if it was not */
 bool routing_note_success(struct routing_target *target);
 
-/** A target failed an answer. @return true if it is ejected by this */
-bool routing_note_failure(struct routing_target *target, int64_t now_us);
+/**
+ * A target failed an answer. It is ejected after some failures one after the
+ * other, or at once if it takes no connections.
+ * @return true if it is ejected by this
+ */
+bool routing_note_failure(struct routing_target *target, bool is_unreachable,
+    int64_t now_us);
 
 /** Takes the load of a target as its arbiter or its report says it. */
 void routing_note_load(
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -25,6 +25,9 @@
 	kChunksMax = 2,
 	/* An item that has no result by then has failed. */
 	kBatchDeadlineS = 7 * 24 * 3600,
+	/* Polls over which the commits of all daemons are spread after the
+	 * store was out, so that they do not come at once. */
+	kRecoveryPolls = 2,
 	/* Period of the look whether a job was cancelled. */
 	kCancelLookUs = 5 * kUsPerS,
 };
@@ -56,6 +59,8 @@
 	int32_t failed;
 	bool is_dropped;
 	int64_t next_look_us;
+	/** No commit before this time. */
+	int64_t next_commit_us;
 };
 
 struct batch_runner {
@@ -384,12 +389,26 @@
 	return res;
 }
 
+/* The store is out: this daemon's turn comes at random over some polls. */
+static void
+put_off_commit(struct batch_runner *br, struct chunk_run *cr)
+{
+	int64_t spread_us =
+	    kRecoveryPolls * br->d->set->batch_poll_ms * kUsPerMs;
+
+	cr->next_commit_us = clock_mono_us(br->d->clk) +
+	    (int64_t)(daemon_unique_id(br->d) % (uint64_t)spread_us);
+}
+
 /* Commits a chunk whose items have all ended. */
 static void
 settle_chunk(struct batch_runner *br, struct chunk_run *cr)
 {
-	enum platform_result res = commit_chunk(br, cr);
+	enum platform_result res;
 
+	if (clock_mono_us(br->d->clk) < cr->next_commit_us)
+		return;
+	res = commit_chunk(br, cr);
 	daemon_note_store(
 	    br->d, res == kPlatformOk || res == kPlatformConflict);
 	if (res == kPlatformOk) {
@@ -400,6 +419,8 @@
 	} else if (res == kPlatformConflict) {
 		log_chunk(kEvtChunkLost, cr);
 		forget_chunk(cr);
+	} else {
+		put_off_commit(br, cr);
 	}
 }
 
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -408,6 +408,14 @@
 		g_byte_array_set_size(c->out, 0);
 }
 
+static enum route_outcome
+route_outcome(enum attempt_end end)
+{
+	if (end == kAttemptNotSent)
+		return kRouteUnreachable;
+	return end == kAttemptWhole ? kRouteWhole : kRouteFailed;
+}
+
 static void start_probe(struct call *c);
 
 static void
@@ -443,8 +451,8 @@
 		return;
 	}
 	if (end != kAttemptRevoked && end != kAttemptRejected)
-		routes_note_answer(
-		    c->d->routes, c->route.target, end == kAttemptWhole);
+		routes_note_answer(c->d->routes, c->route.target,
+		    route_outcome(end));
 	if (leaving)
 		routes_set_leaving(c->d->routes, c->route.target, true, true);
 	grants_release(c->d->grants, attempt);
@@ -478,7 +486,8 @@
 	if (crashed)
 		c->phase = kPhaseCrashed;
 	pthread_mutex_unlock(&c->lock);
-	routes_note_answer(c->d->routes, c->route.target, false);
+	routes_note_answer(c->d->routes, c->route.target,
+	    crashed ? kRouteUnreachable : kRouteFailed);
 	if (crashed) {
 		grants_report_crash(c->d->grants, cut_attempt);
 		return;
--- a/src/serve/routes.c
+++ b/src/serve/routes.c
@@ -130,20 +130,23 @@
 }
 
 void
-routes_note_answer(struct routes *rs, const char *target, bool is_whole)
+routes_note_answer(struct routes *rs, const char *target,
+    enum route_outcome outcome)
 {
 	struct routing_target *t;
 	bool changed = false;
 
 	pthread_mutex_lock(&rs->lock);
 	t = routing_find(rs->routing, target);
-	if (t != NULL)
-		changed = is_whole
-		    ? routing_note_success(t)
-		    : routing_note_failure(t, clock_mono_us(rs->d->clk));
+	if (t != NULL && outcome == kRouteWhole)
+		changed = routing_note_success(t);
+	else if (t != NULL)
+		changed = routing_note_failure(t, outcome == kRouteUnreachable,
+		    clock_mono_us(rs->d->clk));
 	pthread_mutex_unlock(&rs->lock);
 	if (changed)
-		log_event(is_whole ? kEvtTargetBack : kEvtTargetEjected,
+		log_event(outcome == kRouteWhole ? kEvtTargetBack
+						 : kEvtTargetEjected,
 		    "target", target, NULL);
 }
 
--- a/src/serve/routes.h
+++ b/src/serve/routes.h
@@ -27,8 +27,16 @@
 
 bool routes_has_service(struct routes *rs, const char *service);
 
+enum route_outcome {
+	kRouteWhole,
+	kRouteFailed,
+	/** The target takes no connections. */
+	kRouteUnreachable,
+};
+
 /** Outcome of an attempt at a target. */
-void routes_note_answer(struct routes *rs, const char *target, bool is_whole);
+void routes_note_answer(struct routes *rs, const char *target,
+    enum route_outcome outcome);
 
 /** Load of a target as its arbiter says it. */
 void routes_note_load(struct routes *rs, const char *target, int64_t load_us);
--- a/test/unit/test_routing.cc
+++ b/test/unit/test_routing.cc
@@ -121,9 +121,9 @@
 	routing_find(rt, first.c_str())->is_leaving = true;
 	EXPECT_EQ(other, Choose(7));
 	struct routing_target *t = routing_find(rt, other.c_str());
-	EXPECT_FALSE(routing_note_failure(t, kSec));
-	EXPECT_FALSE(routing_note_failure(t, kSec));
-	EXPECT_TRUE(routing_note_failure(t, kSec));
+	EXPECT_FALSE(routing_note_failure(t, false, kSec));
+	EXPECT_FALSE(routing_note_failure(t, false, kSec));
+	EXPECT_TRUE(routing_note_failure(t, false, kSec));
 	EXPECT_EQ("", Choose(7, nullptr, 2 * kSec));
 	EXPECT_EQ(other, Choose(7, nullptr, 7 * kSec)) << "one probe";
 	EXPECT_EQ("", Choose(7, nullptr, 7 * kSec)) << "only one";
@@ -131,6 +131,17 @@
 	EXPECT_EQ(other, Choose(7, nullptr, 7 * kSec));
 }
 
+TEST_F(Routing, ATargetThatTakesNoConnectionsIsEjectedAtOnce)
+{
+	Build({{"a", {"north", "dc1"}}, {"b", {"north", "dc1"}}});
+	std::string first = Choose(7);
+
+	EXPECT_TRUE(routing_note_failure(routing_find(rt, first.c_str()), true,
+	    kSec));
+	for (uint64_t prefix = 0; prefix < 20; prefix++)
+		EXPECT_NE(first, Choose(prefix, nullptr, kSec));
+}
+
 TEST_F(Routing, ArbiterIsInTheTargetsDataCenterAndMovesLittle)
 {
 	std::map<std::string, std::pair<std::string, std::string>> places;
