A keyed call whose answer was lost says so at once, not 'in progress'

Found by a test that hung: while the daemon that ran the call lives, a resent key was told 'in progress' for ever, although the attempt had ended without an answer. The row now keeps that the outcome is unknown.

--- a/src/api/api_call.c
+++ b/src/api/api_call.c
@@ -317,7 +317,7 @@
 	}
 }
 
-/* The request's answer for its key is stored; it did not run, or unknown. */
+/* Stores what became of the call: its answer, not run, or unknown. */
 static void
 settle_intent(struct request *req, const struct call_view *view)
 {
@@ -336,6 +336,9 @@
 		intents_finish(req->d->intents, &in);
 	} else if (!view->may_have_run) {
 		intents_withdraw(req->d->intents, &in);
+	} else {
+		in.is_outcome_unknown = true;
+		intents_finish(req->d->intents, &in);
 	}
 	intent_clear(&in);
 }
--- a/src/savoryflow/call/intent_store.c
+++ b/src/savoryflow/call/intent_store.c
@@ -72,6 +72,10 @@
 		in->state = kIntentMismatch;
 		return;
 	}
+	if (g_strcmp0(text_field(doc, "state"), "unknown") == 0) {
+		in->state = kIntentUnknown;
+		return;
+	}
 	if (g_strcmp0(text_field(doc, "state"), "done") != 0) {
 		in->state = kIntentInProgress;
 		in->holder = g_strdup(text_field(doc, "daemon"));
@@ -156,10 +160,10 @@
 done_text(const struct intent *in)
 {
 	json_t *doc = json_pack("{s:s,s:s,s:s,s:s,s:i,s:s,s:s}", "state",
-	    "done", "attempt", in->attempt, "digest", in->digest, "daemon",
-	    in->daemon, "status", in->status, "content_type",
-	    in->content_type != NULL ? in->content_type : "", "body",
-	    in->body != NULL ? in->body : "");
+	    in->is_outcome_unknown ? "unknown" : "done", "attempt", in->attempt,
+	    "digest", in->digest, "daemon", in->daemon, "status", in->status,
+	    "content_type", in->content_type != NULL ? in->content_type : "",
+	    "body", in->body != NULL ? in->body : "");
 	char *text = doc != NULL ? json_dumps(doc, JSON_COMPACT) : NULL;
 
 	json_decref(doc);
--- a/src/savoryflow/call/intent_store.h
+++ b/src/savoryflow/call/intent_store.h
@@ -34,6 +34,8 @@
 	char *attempt;
 	/** Peer address and incarnation of the daemon, "IP:PORT/N". */
 	char *daemon;
+	/** Finish: the call may have run, and its answer is lost. */
+	bool is_outcome_unknown;
 	/** Result of intent_begin_all. */
 	enum intent_state state;
 	/** Done: status, content type and body of the stored answer. */
@@ -53,7 +55,7 @@
  */
 void intent_begin_all(const struct platform *plat, GPtrArray *intents);
 
-/** Stores the answer. Only the attempt that began can do so. */
+/** Stores the answer, or that its outcome is unknown. Only the attempt that began can do so. */
 enum platform_result intent_finish(
     const struct platform *plat, const struct intent *in);
 
--- a/test/functional/test_failures.cc
+++ b/test/functional/test_failures.cc
@@ -131,6 +131,17 @@
 	f.ExpectHistoryHolds();
 }
 
+TEST(Failures, KilledDaemonIsNoticedByTheOnlyOther)
+{
+	FleetOptions o;
+
+	o.daemons = 2;
+	Fleet f(o);
+	f.daemons[0]->Signal(SIGKILL);
+	EXPECT_TRUE(f.daemons[1]->WaitLine("member_down"))
+	    << f.daemons[1]->Output();
+}
+
 TEST(Failures, KilledArbiterDoesNotStopOnline)
 {
 	FleetOptions o;
@@ -417,6 +428,10 @@
 	EXPECT_EQ(502, lost.status) << lost.body;
 	EXPECT_EQ("unknown", lost.headers["savoryflow-ran"]);
 	EXPECT_EQ(409, f.Book(1, "lost").status);
+	EXPECT_TRUE(Eventually([&] {
+		return f.Book(1, "lost").body.find("outcome_unknown") !=
+		    std::string::npos;
+	})) << "also while the daemon that ran it lives";
 	EXPECT_EQ(409, f.Book(2, "lost", "{\"other\":1}").status);
 	/* The daemon that began it is lost: the outcome is unknown. */
 	f.daemons[0]->Signal(SIGKILL);
--- a/test/unit/test_batch_store.cc
+++ b/test/unit/test_batch_store.cc
@@ -276,6 +276,17 @@
 	EXPECT_EQ(kIntentDone, Begin("k", "a5"));
 }
 
+TEST_F(IntentStore, AnUnknownOutcomeIsSaidAsSuch)
+{
+	struct intent in = Make("k", "a1");
+
+	EXPECT_EQ(kIntentRun, Begin("k", "a1"));
+	in.is_outcome_unknown = true;
+	EXPECT_EQ(kPlatformOk, intent_finish(plat, &in));
+	EXPECT_EQ(kIntentUnknown, Begin("k", "a2"));
+	intent_clear(&in);
+}
+
 TEST_F(IntentStore, LostAnswersAndOutages)
 {
 	const struct {
