--- a/test/functional/harness.cc
+++ b/test/functional/harness.cc
@@ -584,6 +584,18 @@
 	return done;
 }
 
+bool
+Fleet::WaitSomeChunk()
+{
+	return Eventually([&] {
+		int n = 0;
+
+		for (auto &d : daemons)
+			n += d->Count("chunk_committed");
+		return n > 0;
+	});
+}
+
 void
 Fleet::ReadResults(size_t daemon, const std::string &id)
 {
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -103,6 +103,8 @@
 	Reply SubmitJob(size_t daemon, const std::string &id, int items);
 	std::string JobState(size_t daemon, const std::string &id);
 	bool WaitJob(size_t daemon, const std::string &id);
+	/** Waits until some daemon has committed a chunk. */
+	bool WaitSomeChunk();
 	/** Reads all results into the history, and checks their answers. */
 	void ReadResults(size_t daemon, const std::string &id);
 	void Note(const HistoryEvent &event);
