A lease whose holder lost sight of it no longer blocks its chunk; a leak

Found by a run under the address sanitizer: the store went out between a lease and the reading of its items, giving the lease back failed too, and the chunk stayed leased to a living session that did not run it: the job never ended. The session may take its own lease anew; the unit test failed before. Also found: a resent key read twice leaked the first reading (65 KB in the property tests).

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -6,6 +6,7 @@
 bench/slopes.csv, bench/slopes.txt and bench/slopes.png.
 Usage: slopes.py BUILD [part ...]
 Parts: daemons load targets teams models items config streams
+chunks takeover
 """
 import csv
 import json
@@ -19,7 +20,7 @@
 
 BUILD = os.path.realpath(sys.argv[1])
 PARTS = sys.argv[2:] or ["daemons", "load", "targets", "teams", "models",
-                         "items", "config", "streams"]
+                         "items", "config", "streams", "chunks", "takeover"]
 HERE = os.path.dirname(os.path.realpath(__file__))
 BASE = 21000
 OPERATOR = "slopes-operator"
@@ -400,6 +401,71 @@
             group.stop()
 
 
+def part_chunks():
+    """Store operations and speed against the items in a chunk; a chunk of one
+    item is a row per item, the baseline."""
+    n = 4000
+    for size in (1, 50, 200, 256, 1000):
+        group = Group(2, extra=["--batch-inflight-items=400",
+                                "--batch-poll-ms=200",
+                                "--chunk-items=%d" % size], speed=200)
+        try:
+            group.submit(document(4))
+            group.wait_members()
+            group.wait_generation(1)
+            items = "".join(
+                '{"id":"i%d","body":{"max_tokens":1,"messages":[{"role":"user",'
+                '"content":"notice %d"}]}}\n' % (i, i) for i in range(n))
+            before = [group.metrics(i) for i in range(2)]
+            start = time.monotonic()
+            job, _ = http("POST",
+                          group.url(0) + "/v1/batches?service=assistant",
+                          items, key="key-0", timeout=300)
+            path = group.url(0) + "/v1/batches/" + json.loads(job)["id"]
+            status = {"state": "running"}
+            while status["state"] != "done" and \
+                    time.monotonic() - start < 60:
+                time.sleep(0.2)
+                status = json.loads(http("GET", path, key="key-0")[0])
+            passed = time.monotonic() - start
+            after = [group.metrics(i) for i in range(2)]
+            record("chunks", size, "done", [status["ok"]])
+            record("chunks", size, "items_per_s", [status["ok"] / passed])
+            for kind in ("reads", "writes"):
+                key = "savoryflow_store_%s_batch_total" % kind
+                record("chunks", size, kind + "_per_1000_items",
+                       [sum(a[key] - b[key] for a, b in zip(after, before)) *
+                        1000 / n])
+        finally:
+            group.stop()
+
+
+def part_takeover():
+    """Time from the loss of a daemon until its job is done elsewhere."""
+    group = Group(3, extra=["--batch-poll-ms=500", "--session-period-ms=1000",
+                            "--session-lease-ms=3000"], speed=20)
+    try:
+        group.submit(document(4))
+        group.wait_members()
+        group.wait_generation(1)
+        items = "".join(
+            '{"id":"i%d","body":{"messages":[{"role":"user",'
+            '"content":"notice %d"}]}}\n' % (i, i) for i in range(3000))
+        job, _ = http("POST", group.url(0) + "/v1/batches?service=assistant",
+                      items, key="key-0")
+        path = group.url(1) + "/v1/batches/" + json.loads(job)["id"]
+        while json.loads(http("GET", path, key="key-0")[0])[
+                "chunks_done"] < 2:
+            time.sleep(0.05)
+        os.kill(group.pids[0], signal.SIGKILL)
+        start = time.monotonic()
+        while json.loads(http("GET", path, key="key-0")[0])["state"] != "done":
+            time.sleep(0.05)
+        record("takeover", 3, "done_after_kill_s", [time.monotonic() - start])
+    finally:
+        group.stop()
+
+
 def fit(points):
     """Least squares line: (intercept, slope, largest residual)."""
     n = len(points)
@@ -490,6 +556,10 @@
         part_streams()
     if "items" in PARTS:
         part_items()
+    if "chunks" in PARTS:
+        part_chunks()
+    if "takeover" in PARTS:
+        part_takeover()
     keep_other_parts()
     write_results()
     plot()
--- a/src/savoryflow/batch/batch_store.c
+++ b/src/savoryflow/batch/batch_store.c
@@ -549,10 +549,13 @@
 	return mine;
 }
 
-/* Conditions: the chunk is as it was seen, and its holder's session ended. */
+/*
+ * Conditions: the chunk is as it was seen, and its holder's session ended. A
+ * session may take its own lease anew: it has lost sight of the old one.
+ */
 static void
-require_free(
-    struct platform_txn *txn, const char *key, const struct batch_chunk *chunk)
+require_free(struct platform_txn *txn, const char *key,
+    const struct batch_session *session, const struct batch_chunk *chunk)
 {
 	char *holder;
 
@@ -560,7 +563,8 @@
 		platform_txn_absent(txn, key);
 	else
 		platform_txn_version(txn, key, chunk->version);
-	if (chunk->state != kChunkLeased)
+	if (chunk->state != kChunkLeased ||
+	    strcmp(chunk->session, session->id) == 0)
 		return;
 	holder = session_key(chunk->session);
 	platform_txn_field(txn, holder, "state", "ended");
@@ -585,7 +589,7 @@
 	text = g_strdup_printf("{\"state\":\"leased\",\"session\":\"%s\","
 			       "\"claim\":\"%s\"}",
 	    session->id, claim);
-	require_free(txn, key, chunk);
+	require_free(txn, key, session, chunk);
 	require_right(txn, session, job);
 	platform_txn_write(txn, key, text);
 	res = platform_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
--- a/src/savoryflow/batch/batch_store.h
+++ b/src/savoryflow/batch/batch_store.h
@@ -68,7 +68,8 @@
     const struct platform *plat, const char *id, int64_t version);
 
 /**
- * Leases a chunk that is open or whose session has ended.
+ * Leases a chunk that is open, whose session has ended, or whose lease is this
+ * session's own.
  * @param claim unique token of this lease
  */
 enum platform_result batch_claim(const struct platform *plat,
--- a/src/savoryflow/call/intent_store.c
+++ b/src/savoryflow/call/intent_store.c
@@ -64,6 +64,10 @@
 static void
 state_of_row(struct intent *in, const json_t *doc)
 {
+	/* An earlier reading may have filled these. */
+	g_clear_pointer(&in->holder, g_free);
+	g_clear_pointer(&in->content_type, g_free);
+	g_clear_pointer(&in->body, g_free);
 	if (g_strcmp0(text_field(doc, "attempt"), in->attempt) == 0) {
 		in->state = kIntentRun;
 		return;
--- a/src/savoryflow/call/intent_store.h
+++ b/src/savoryflow/call/intent_store.h
@@ -55,7 +55,10 @@
  */
 void intent_begin_all(const struct platform *plat, GPtrArray *intents);
 
-/** Stores the answer, or that its outcome is unknown. Only the attempt that began can do so. */
+/**
+ * Stores the answer, or that the outcome is unknown. Only the attempt that
+ * began can do so.
+ */
 enum platform_result intent_finish(
     const struct platform *plat, const struct intent *in);
 
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -160,7 +160,7 @@
 	struct chunk_run *cr = run->cr;
 	struct batch_runner *br = cr->br;
 	struct call *call;
-	bool complete;
+	bool wants_poll;
 
 	if (!call_look(run->call).is_done)
 		return;
@@ -178,9 +178,9 @@
 	cr->running--;
 	cr->finished++;
 	br->inflight--;
-	complete = cr->finished == (int32_t)cr->items->len;
+	wants_poll = cr->is_dropped || cr->finished == (int32_t)cr->items->len;
 	pthread_mutex_unlock(&br->lock);
-	if (complete || cr->is_dropped)
+	if (wants_poll)
 		keeper_kick_batch(br->d->keeper);
 	else
 		start_items(cr);
@@ -442,29 +442,49 @@
 	return ended;
 }
 
+struct chunk_state {
+	bool is_complete;
+	bool is_quiet;
+	bool is_dropped;
+};
+
+static struct chunk_state
+look_at_chunk(struct chunk_run *cr)
+{
+	struct chunk_state state;
+
+	pthread_mutex_lock(&cr->br->lock);
+	state.is_complete = cr->finished == (int32_t)cr->items->len;
+	state.is_quiet = cr->running == 0;
+	state.is_dropped = cr->is_dropped;
+	pthread_mutex_unlock(&cr->br->lock);
+	return state;
+}
+
+static void
+move_chunk_on(struct batch_runner *br, struct chunk_run *cr)
+{
+	struct chunk_state state = look_at_chunk(cr);
+
+	if (!state.is_dropped && job_was_ended(br, cr)) {
+		drop_chunk(cr);
+		state = look_at_chunk(cr);
+	}
+	if (state.is_dropped && state.is_quiet)
+		forget_chunk(cr);
+	else if (state.is_complete && !state.is_dropped)
+		settle_chunk(br, cr);
+	else
+		start_items(cr);
+}
+
 static void
 move_chunks_on(struct batch_runner *br)
 {
 	GPtrArray *list = held_chunks(br);
 
-	for (guint i = 0; i < list->len; i++) {
-		struct chunk_run *cr = list->pdata[i];
-		bool complete;
-		bool quiet;
-
-		if (!cr->is_dropped && job_was_ended(br, cr))
-			drop_chunk(cr);
-		pthread_mutex_lock(&br->lock);
-		complete = cr->finished == (int32_t)cr->items->len;
-		quiet = cr->running == 0;
-		pthread_mutex_unlock(&br->lock);
-		if (cr->is_dropped && quiet)
-			forget_chunk(cr);
-		else if (complete && !cr->is_dropped)
-			settle_chunk(br, cr);
-		else
-			start_items(cr);
-	}
+	for (guint i = 0; i < list->len; i++)
+		move_chunk_on(br, list->pdata[i]);
 	g_ptr_array_unref(list);
 }
 
@@ -527,6 +547,25 @@
 	return ended;
 }
 
+/*
+ * A lease of this session that the runner does not hold: the store was out
+ * between the lease and the items.
+ */
+static bool
+holds_claim(struct batch_runner *br, const char *claim)
+{
+	bool holds = false;
+
+	pthread_mutex_lock(&br->lock);
+	for (guint i = 0; i < br->chunks->len; i++) {
+		const struct chunk_run *cr = br->chunks->pdata[i];
+
+		holds = holds || strcmp(cr->claim, claim) == 0;
+	}
+	pthread_mutex_unlock(&br->lock);
+	return holds;
+}
+
 static bool
 may_claim(struct batch_runner *br, const struct batch_chunk *chunk)
 {
@@ -535,7 +574,7 @@
 	if (chunk->state == kChunkDone || chunk->session == NULL)
 		return false;
 	if (strcmp(chunk->session, br->session.id) == 0)
-		return false;
+		return !holds_claim(br, chunk->claim);
 	return lease_looks_lost(br, chunk) && end_if_silent(br, chunk->session);
 }
 
--- a/test/unit/test_batch_store.cc
+++ b/test/unit/test_batch_store.cc
@@ -128,6 +128,15 @@
 	EXPECT_EQ(kPlatformConflict, batch_session_beat(plat, &one));
 }
 
+TEST_F(BatchStore, ALeaseThatItsOwnSessionLostSightOfIsTakenAgain)
+{
+	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c1"));
+	EXPECT_EQ(kPlatformConflict, Claim(&two, 0, "c2"));
+	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c3"));
+	EXPECT_EQ(kPlatformConflict, Commit(&one, 0, "c1"));
+	EXPECT_EQ(kPlatformOk, Commit(&one, 0, "c3"));
+}
+
 TEST_F(BatchStore, HeartbeatKeepsTheSession)
 {
 	bool live;
