--- a/test/functional/harness.cc
+++ b/test/functional/harness.cc
@@ -618,10 +618,11 @@
 			Note({"result",
 			    {{"job", id}, {"pass", pass},
 				{"index", std::to_string(index)}}});
-			if (Text(doc, "status") == "ok")
+			if (Text(doc, "status") == "ok") {
 				EXPECT_EQ(ExpectedAnswer("notice " + id + "-" +
 					      std::to_string(index)),
 				    Text(doc, "answer"));
+			}
 			json_decref(doc);
 		}
 		if (r.headers["savoryflow-next"] == from)
--- a/test/standin/memstore.c
+++ b/test/standin/memstore.c
@@ -146,6 +146,8 @@
 	row->value = g_strdup(w->value);
 	row->version = ++ms->version;
 	g_tree_replace(ms->rows, g_strdup(w->key), row);
+	/* The tree owns the row now. */
+	// cppcheck-suppress memleak
 }
 
 /* Takes one of a countdown of faults. */
--- a/test/unit/test_routing.cc
+++ b/test/unit/test_routing.cc
@@ -165,11 +165,12 @@
 	}
 	g_array_remove_index(daemons, 3);
 	routing_rebuild(rt, cfg, daemons);
-	for (auto &b : before)
-		if (routing_find(rt, b.first.c_str())->arbiter != b.second) {
-			moved++;
-			EXPECT_EQ("d3", b.second);
-		}
+	for (auto &b : before) {
+		if (routing_find(rt, b.first.c_str())->arbiter == b.second)
+			continue;
+		moved++;
+		EXPECT_EQ("d3", b.second);
+	}
 	EXPECT_GT(moved, 0);
 }
 
@@ -216,8 +217,9 @@
 		struct retry_decision d = retry_decide(&st, c.end, nullptr, 5);
 
 		EXPECT_EQ(c.action, d.action) << c.name;
-		if (d.action == kRetryGiveUp)
+		if (d.action == kRetryGiveUp) {
 			EXPECT_EQ(c.code, d.code) << c.name;
+		}
 	}
 }
 
