The frozen holder's test freezes it while it holds a lease

Seen under load: the job was done and no session was ended, as the freeze fell between a commit and the next lease. The store's rows now say when to freeze; the check itself is the same.

--- a/test/functional/harness.cc
+++ b/test/functional/harness.cc
@@ -596,6 +596,16 @@
 	});
 }
 
+bool
+Fleet::HoldsLease(size_t daemon)
+{
+	Reply r = Http("GET", Platform() + "/scan?prefix=chunk/&limit=1000");
+	std::string lease = "\\\"leased\\\",\\\"session\\\":\\\"127.0.0.1:" +
+	    std::to_string(peer_ports_[daemon]) + "/";
+
+	return r.body.find(lease) != std::string::npos;
+}
+
 void
 Fleet::ReadResults(size_t daemon, const std::string &id)
 {
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -105,6 +105,8 @@
 	bool WaitJob(size_t daemon, const std::string &id);
 	/** Waits until some daemon has committed a chunk. */
 	bool WaitSomeChunk();
+	/** True if the store shows a lease of the daemon's session. */
+	bool HoldsLease(size_t daemon);
 	/** Reads all results into the history, and checks their answers. */
 	void ReadResults(size_t daemon, const std::string &id);
 	void Note(const HistoryEvent &event);
--- a/test/functional/test_failures.cc
+++ b/test/functional/test_failures.cc
@@ -293,11 +293,16 @@
 	o.engine_speed = "2";
 	o.flags = {"--batch-inflight-items=8"};
 	Fleet f(o);
-	/* Enough chunks for both daemons to hold some at any time. */
-	EXPECT_EQ(202, f.SubmitJob(0, "lot", 400).status);
-	ASSERT_TRUE(f.daemons[0]->WaitLine("chunk_committed"));
-	ASSERT_TRUE(f.daemons[1]->WaitLine("chunk_committed"));
-	f.daemons[0]->Signal(SIGSTOP);
+	EXPECT_EQ(202, f.SubmitJob(0, "lot", 200).status);
+	ASSERT_TRUE(f.WaitSomeChunk());
+	/* Frozen while it holds a lease, not between two. */
+	ASSERT_TRUE(Eventually([&] {
+		f.daemons[0]->Signal(SIGSTOP);
+		if (f.HoldsLease(0))
+			return true;
+		f.daemons[0]->Signal(SIGCONT);
+		return false;
+	}));
 	EXPECT_TRUE(f.daemons[1]->WaitLine("session_ended"));
 	f.daemons[0]->Signal(SIGCONT);
 	EXPECT_TRUE(f.daemons[0]->WaitLine("session_lost"));
