--- a/src/savoryflow/arbiter/arbiter.c
+++ b/src/savoryflow/arbiter/arbiter.c
@@ -4,28 +4,17 @@
 #include <assert.h>
 #include <string.h>
 
-#include "savoryflow/arbiter/decay.h"
 #include "savoryflow/arbiter/engine_cost.h"
 #include "savoryflow/arbiter/fair_queue.h"
+#include "savoryflow/arbiter/forecast.h"
 #include "savoryflow/arbiter/tail_tracker.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
 enum {
-	kUsPerSecond = 1000000,
 	/* Crash reports within this time belong to one crash. */
 	kCrashWindowUs = 2 * kUsPerSecond,
 	/* Batch that is due within this time goes before the fair share. */
 	kUrgentUs = 600 * kUsPerSecond,
-	/* Time constant of the mean arrival rate. */
-	kRateWindowUs = 5 * kUsPerSecond,
-	/* Time constant of the short rate that shows a burst. */
-	kBurstWindowUs = 300000,
-	/* Time constant with which the highest rate is forgotten. */
-	kPeakWindowUs = 120 * kUsPerSecond,
-	/* Time from the start of a burst until batch is shed. */
-	kBurstNoticeUs = 400000,
-	/* Time ahead for which a burst is expected to go on. */
-	kLookAheadUs = 1000000,
 	/* A burst brings this many times the mean rate. */
 	kBurstFactor = 5,
 	/* Least and most time that a refused caller is told to wait. */
@@ -33,84 +22,11 @@
 	kRetryAfterMostUs = 30 * kUsPerSecond,
 	/* Prompt length assumed before any request was seen. */
 	kPromptTokensDefault = 500,
-	/* Share of a new observation in a moving mean, in 1/64. */
-	kMeanShift = 6,
 	/* Limits of the correction of the cost model, in 1/1024. */
-	kScaleOne = 1024,
 	kScaleLeast = 512,
 	kScaleMost = 8192,
 	/* Period of the look for grants whose lease has ended. */
 	kExpiryPeriodUs = kUsPerSecond,
-	/* Part of the room up to the limit that batch is admitted to. */
-	kAdmitPercent = 40,
-};
-
-struct grant {
-	struct arbiter_ask ask;
-	int64_t granted_us;
-	bool has_first_token;
-	bool is_revoked;
-	/** Place among the batch grants, oldest first. */
-	GList *batch_link;
-};
-
-struct queued_online {
-	struct arbiter_ask ask;
-	GSequenceIter *place;
-};
-
-struct crash {
-	int64_t at_us;
-	/** Ids of the requests that the crash made suspects. */
-	GHashTable *suspects;
-	/** The one request that is condemned, or 0. */
-	uint64_t condemned;
-};
-
-struct arbiter {
-	struct arbiter_options opt;
-	int32_t capacity;
-	/** struct grant by id. */
-	GHashTable *grants;
-	/** Batch grants that are not revoked, oldest first. */
-	GQueue batch_grants;
-	int32_t online;
-	int32_t batch;
-	/** Batch grants revoked but still in the engine. */
-	int32_t revoked;
-	int64_t online_prefill_tokens;
-	int64_t batch_prefill_tokens;
-	/** Of these, what the engine has not prefilled yet, at a time. */
-	int64_t prefill_tokens;
-	int64_t prefill_counted_us;
-	struct tail_tracker *tail;
-	/** Online streams as they would be without batch, at a time. */
-	double online_alone;
-	int64_t alone_counted_us;
-	/** Grants without a first token. */
-	int32_t unproven;
-	/** A suspect that starts alone, or 0. */
-	uint64_t lone_suspect;
-	GSequence *online_queue;
-	/** struct queued_online by id. */
-	GHashTable *online_by_id;
-	struct fair_queue *batch_queue;
-	/** Arrivals of online prompt tokens a second, over a short time. */
-	double prompt_rate;
-	int64_t prompt_rate_us;
-	/** Highest of these in the last minutes. */
-	double peak_rate;
-	/** Mean arrivals of online requests, per second, times 1024. */
-	int64_t rate_scaled;
-	int64_t rate_at_us;
-	int64_t mean_prompt_tokens;
-	/** Mean time for which a stream holds its slot. */
-	int64_t mean_hold_us;
-	/** Measured step over modelled step, times 1024. */
-	int64_t cost_scale;
-	struct crash crash;
-	int64_t next_expiry_us;
-	bool is_leaving;
 };
 
 GArray *
@@ -119,23 +35,10 @@
 	return g_array_new(FALSE, TRUE, sizeof(struct arbiter_action));
 }
 
-static struct engine_cost
-scaled_cost(const struct arbiter *arb)
-{
-	struct engine_cost cost = arb->opt.cost;
-
-	cost.step_base_us = cost.step_base_us * arb->cost_scale / kScaleOne;
-	cost.step_per_stream_us =
-	    cost.step_per_stream_us * arb->cost_scale / kScaleOne;
-	cost.step_per_prompt_token_ns =
-	    cost.step_per_prompt_token_ns * arb->cost_scale / kScaleOne;
-	return cost;
-}
-
 static void
 update_capacity(struct arbiter *arb)
 {
-	struct engine_cost cost = scaled_cost(arb);
+	struct engine_cost cost = forecast_cost(arb);
 
 	arb->capacity = arb->opt.is_plain
 	    ? cost.streams_max
@@ -189,12 +92,6 @@
 	return arb->capacity;
 }
 
-static int32_t
-streams_in_engine(const struct arbiter *arb)
-{
-	return arb->online + arb->batch + arb->revoked;
-}
-
 static void
 emit(GArray *out, enum arbiter_verdict verdict, const struct arbiter_ask *ask,
     int64_t retry_after_us)
@@ -250,35 +147,12 @@
 		arb->batch_prefill_tokens += sign * gr->ask.prompt_tokens;
 }
 
-/* Prompt tokens that the engine has still to prefill, by its rate since. */
-static int64_t
-prefill_left(const struct arbiter *arb, int64_t now_us)
-{
-	struct engine_cost cost = scaled_cost(arb);
-	int64_t step_us = engine_cost_step_us(
-	    &cost, streams_in_engine(arb), cost.prompt_tokens_per_step);
-	int64_t drained = (now_us - arb->prefill_counted_us) *
-	    cost.prompt_tokens_per_step / MAX(step_us, 1);
-
-	return MAX(arb->prefill_tokens - drained, 0);
-}
-
-/* Brings the count of prompt tokens in the engine to the present. */
-static void
-count_prefill(struct arbiter *arb, int64_t now_us)
-{
-	int64_t known = arb->online_prefill_tokens + arb->batch_prefill_tokens;
-
-	arb->prefill_tokens = MIN(prefill_left(arb, now_us), known);
-	arb->prefill_counted_us = now_us;
-}
-
 static struct grant *
 grant_add(struct arbiter *arb, const struct arbiter_ask *ask, int64_t now_us)
 {
 	struct grant *gr = g_new0(struct grant, 1);
 
-	count_prefill(arb, now_us);
+	forecast_count_prefill(arb, now_us);
 	gr->ask = *ask;
 	gr->granted_us = now_us;
 	g_hash_table_insert(arb->grants, &gr->ask.id, gr);
@@ -337,97 +211,6 @@
 	return true;
 }
 
-/*
- * Time to first token of an online request that comes now, if so many more
- * batch streams run with so many more prompt tokens.
- */
-static int64_t
-first_token_us(
-    const struct arbiter *arb, int32_t more_streams, int64_t more_tokens)
-{
-	struct engine_cost cost = scaled_cost(arb);
-
-	return engine_cost_prefill_us(&cost,
-	    arb->online + arb->batch + more_streams,
-	    arb->prefill_tokens + arb->mean_prompt_tokens + more_tokens);
-}
-
-/*
- * Longest time to first token that batch may bring about. Online's own tail is
- * at least that of one prompt in an empty engine, also before any has come.
- */
-static int64_t
-first_token_limit_us(const struct arbiter *arb)
-{
-	struct engine_cost cost = scaled_cost(arb);
-	int64_t least_us =
-	    engine_cost_prefill_us(&cost, 0, arb->mean_prompt_tokens);
-
-	return MAX(tail_tracker_p99_us(arb->tail), least_us) +
-	    arb->opt.tail_budget_us;
-}
-
-/*
- * Batch is admitted up to a part of what lies between online alone and the
- * limit at which it is shed, so that the next arrivals do not shed it again.
- */
-static int64_t
-admission_limit_us(const struct arbiter *arb)
-{
-	int64_t alone_us = first_token_us(arb, -arb->batch, 0);
-	int64_t room_us = first_token_limit_us(arb) - alone_us;
-
-	return alone_us + room_us * kAdmitPercent / 100;
-}
-
-static double
-prompt_rate_now(const struct arbiter *arb, int64_t now_us)
-{
-	int64_t passed = MAX(now_us - arb->prompt_rate_us, 0);
-
-	return arb->prompt_rate * decay((double)passed / kBurstWindowUs);
-}
-
-static double
-prefill_capacity(const struct arbiter *arb, int32_t streams)
-{
-	struct engine_cost cost = scaled_cost(arb);
-	int32_t tokens = cost.prompt_tokens_per_step;
-
-	return (double)tokens * kUsPerSecond /
-	    (double)engine_cost_step_us(&cost, streams, tokens);
-}
-
-/*
- * Delay that so many batch streams bring about if a burst like the last ones
- * starts now: what the engine cannot prefill until they are shed is still to
- * be done afterwards.
- */
-static int64_t
-burst_delay_us(const struct arbiter *arb, int32_t batch_streams)
-{
-	double alone = prefill_capacity(arb, arb->online);
-	double shared = prefill_capacity(arb, arb->online + batch_streams);
-	double left_shared = MAX(arb->peak_rate - shared, 0);
-	double left_alone = MAX(arb->peak_rate - alone, 0);
-
-	return (int64_t)((left_shared - left_alone) * kBurstNoticeUs / alone);
-}
-
-/*
- * Prompt tokens by which the engine's backlog grows in the time ahead, beside
- * so many more batch streams, if prompts go on to come as at present.
- */
-static int64_t
-backlog_growth(const struct arbiter *arb, int32_t more_streams, int64_t now_us)
-{
-	double capacity =
-	    prefill_capacity(arb, arb->online + arb->batch + more_streams);
-	double excess = prompt_rate_now(arb, now_us) - capacity;
-
-	return (int64_t)(MAX(excess, 0) * kLookAheadUs / kUsPerSecond);
-}
-
 static int32_t
 reserve_slots(const struct arbiter *arb)
 {
@@ -441,15 +224,17 @@
 batch_fits(
     const struct arbiter *arb, const struct arbiter_ask *ask, int64_t now_us)
 {
-	if (streams_in_engine(arb) + reserve_slots(arb) >= arb->capacity)
+	if (forecast_streams(arb) + reserve_slots(arb) >= arb->capacity)
 		return false;
 	if (arb->opt.is_plain)
 		return true;
-	if (burst_delay_us(arb, arb->batch + 1) > arb->opt.tail_budget_us)
+	if (forecast_burst_delay_us(arb, arb->batch + 1) >
+	    arb->opt.tail_budget_us)
 		return false;
-	return first_token_us(arb, 1,
-		   ask->prompt_tokens + backlog_growth(arb, 1, now_us)) <=
-	    admission_limit_us(arb);
+	return forecast_first_token_us(arb, 1,
+		   ask->prompt_tokens +
+		       forecast_backlog_growth(arb, 1, now_us)) <=
+	    forecast_admission_limit_us(arb);
 }
 
 /* While a suspect starts alone nothing else may start. */
@@ -466,7 +251,7 @@
 
 	if (arb->is_leaving || g_hash_table_size(arb->online_by_id) > 0)
 		return;
-	count_prefill(arb, now_us);
+	forecast_count_prefill(arb, now_us);
 	while (fair_queue_peek(arb->batch_queue, now_us + kUrgentUs, &ask)) {
 		if (!batch_fits(arb, &ask, now_us) ||
 		    start_is_blocked(arb, &ask))
@@ -484,15 +269,16 @@
 	if (arb->opt.is_plain)
 		return;
 	while (arb->batch > 0 &&
-	    first_token_us(arb, 0, backlog_growth(arb, 0, now_us)) >
-		first_token_limit_us(arb))
+	    forecast_first_token_us(
+		arb, 0, forecast_backlog_growth(arb, 0, now_us)) >
+		forecast_limit_us(arb))
 		revoke_one(arb, out);
 }
 
 static bool
 online_has_slot(struct arbiter *arb, GArray *out)
 {
-	if (streams_in_engine(arb) < arb->capacity)
+	if (forecast_streams(arb) < arb->capacity)
 		return true;
 	/* The slot of a revoked stream is free by the next step or two. */
 	return revoke_one(arb, out);
@@ -561,55 +347,11 @@
 	g_hash_table_insert(arb->online_by_id, &qo->ask.id, qo);
 }
 
-static void
-note_arrival(struct arbiter *arb, const struct arbiter_ask *ask, int64_t now_us)
-{
-	int64_t passed = MAX(now_us - arb->rate_at_us, 0);
-
-	arb->rate_scaled = (int64_t)((double)arb->rate_scaled *
-			       decay((double)passed / kRateWindowUs)) +
-	    (int64_t)kScaleOne * kUsPerSecond / kRateWindowUs;
-	arb->rate_at_us = now_us;
-	arb->prompt_rate = prompt_rate_now(arb, now_us) +
-	    (double)ask->prompt_tokens * kUsPerSecond / kBurstWindowUs;
-	arb->prompt_rate_us = now_us;
-	arb->peak_rate = MAX(arb->prompt_rate,
-	    arb->peak_rate * decay((double)passed / kPeakWindowUs));
-	arb->mean_prompt_tokens +=
-	    (ask->prompt_tokens - arb->mean_prompt_tokens) / (1 << kMeanShift);
-}
-
-/*
- * Counts an arrival among the online streams that would run without batch.
- * They end at the rate of the real ones, but sooner by the ratio of the steps.
- */
-static int32_t
-online_without_batch(struct arbiter *arb, int64_t now_us)
-{
-	struct engine_cost cost = scaled_cost(arb);
-	int64_t passed_us = now_us - arb->alone_counted_us;
-	int64_t alone_us =
-	    engine_cost_step_us(&cost, (int32_t)arb->online_alone, 0);
-	int64_t shared_us =
-	    engine_cost_step_us(&cost, streams_in_engine(arb), 0);
-	double speed = (double)shared_us / (double)MAX(alone_us, 1);
-
-	arb->online_alone *= decay(
-	    (double)passed_us * speed / (double)MAX(arb->mean_hold_us, 1));
-	arb->online_alone += 1;
-	arb->alone_counted_us = now_us;
-	return (int32_t)arb->online_alone;
-}
-
 static void
 request_online(struct arbiter *arb, const struct arbiter_ask *ask,
     int64_t now_us, GArray *out)
 {
-	struct engine_cost cost = scaled_cost(arb);
-
-	note_arrival(arb, ask, now_us);
-	tail_tracker_arrival(arb->tail, &cost,
-	    online_without_batch(arb, now_us), ask->prompt_tokens, now_us);
+	forecast_note_arrival(arb, ask, now_us);
 	if (g_sequence_is_empty(arb->online_queue) &&
 	    !start_is_blocked(arb, ask) && online_has_slot(arb, out))
 		grant_online(arb, ask, now_us, out);
@@ -874,7 +616,7 @@
 {
 	expire_queue(arb, now_us, out);
 	expire_grants(arb, now_us);
-	count_prefill(arb, now_us);
+	forecast_count_prefill(arb, now_us);
 	shed_batch(arb, now_us, out);
 	schedule(arb, now_us, out);
 }
@@ -882,7 +624,7 @@
 struct arbiter_load
 arbiter_load_get(const struct arbiter *arb)
 {
-	struct engine_cost cost = scaled_cost(arb);
+	struct engine_cost cost = forecast_cost(arb);
 	struct arbiter_load load = {
 	    .online = arb->online,
 	    .batch = arb->batch + arb->revoked,
@@ -893,7 +635,7 @@
 	};
 
 	load.first_token_us = engine_cost_prefill_us(
-	    &cost, streams_in_engine(arb), arb->prefill_tokens + 1);
+	    &cost, forecast_streams(arb), arb->prefill_tokens + 1);
 	if (load.online_queued > 0)
 		load.first_token_us += queue_wait_us(arb);
 	return load;
