A job cancelled while its items start no longer crashes the daemon

Seen twice in two test suites at once: the daemon died after a cancel. Cause: a cancel could end a call and drop the runner's reference between the taking of the item and its start; the start then used freed memory. Ruled out: the notify of a late token, which holds a reference through its transfer.

The starter holds a reference now.

--- a/src/api/api.c
+++ b/src/api/api.c
@@ -191,7 +191,6 @@
 	req->method = g_strdup(method);
 	req->body = g_string_new(NULL);
 	req->received_us = clock_mono_us(api->d->clk);
-	req->is_counted = true;
 	g_atomic_int_inc(&api->active);
 	pthread_mutex_lock(&api->lock);
 	g_hash_table_add(api->requests, req);
--- a/src/api/api_batch.c
+++ b/src/api/api_batch.c
@@ -30,10 +30,11 @@
 	GString *chunk;
 	int32_t chunk_lines;
 	int32_t chunks;
-	/** Part of req->body that is still to be split into lines. */
+	/** The whole body is there: its last line may lack a newline. */
 	bool is_last;
-	bool in_work;
+	/** The caller has named the job; else its content does. */
 	bool has_id;
+	/** The upload was refused; what still comes is ignored. */
 	bool failed;
 };
 
--- a/src/api/request.h
+++ b/src/api/request.h
@@ -53,23 +53,26 @@
 	GString *body;
 	bool is_started;
 	bool body_too_large;
-	bool is_counted;
-	/** The caller's team. */
+	/** The caller's team, and its share of batch capacity. */
 	char *team;
 	int32_t weight;
 	bool is_operator;
+	/** Monotonic time of the first byte. */
+	int64_t received_us;
 	/** The reply, once there is one. */
 	struct MHD_Response *response;
 	unsigned int status;
 	bool is_replied;
-	int64_t received_us;
 
 	/* Calls. */
 	struct call *call;
 	bool wants_stream;
+	/** Counts in its team's concurrency. */
 	bool is_limited;
+	/** Events that are not handed over yet; the last one is among them. */
 	GString *chunk;
 	bool stream_ended;
+	/** Calls that run at most once. */
 	struct intent intent;
 	bool has_intent;
 	bool intent_settled;
@@ -124,7 +127,7 @@
 void request_reply_header(
     struct request *req, const char *name, const char *value);
 
-/** "FIELD=VALUE" pairs of errors: the body of a typed error. */
+/** Body of a typed error: {"error":{"type","code","message"}}. */
 json_t *request_error_json(int code, const char *message);
 
 /* Endpoints. */
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -231,12 +231,16 @@
 	return call;
 }
 
-/* Takes the next item if the daemon may run one more. */
-static struct item_run *
+/*
+ * Takes the next item if the daemon may run one more.
+ * @return its call with a reference, or NULL
+ */
+static struct call *
 take_item(struct chunk_run *cr)
 {
 	struct batch_runner *br = cr->br;
-	struct item_run *run = NULL;
+	struct item_run *run;
+	struct call *call = NULL;
 
 	pthread_mutex_lock(&br->lock);
 	if (!cr->is_dropped && !br->stopping &&
@@ -246,21 +250,27 @@
 		run->cr = cr;
 		run->index = cr->next_item++;
 		run->call = item_call(cr, run);
+		/* For the caller: a cancel may end the call before its start.
+		 */
+		call_ref(run->call);
 		cr->running++;
 		br->inflight++;
 		g_atomic_int_inc(&cr->refs);
+		call = run->call;
 	}
 	pthread_mutex_unlock(&br->lock);
-	return run;
+	return call;
 }
 
 static void
 start_items(struct chunk_run *cr)
 {
-	struct item_run *run;
+	struct call *call;
 
-	while ((run = take_item(cr)) != NULL)
-		call_start(run->call);
+	while ((call = take_item(cr)) != NULL) {
+		call_start(call);
+		call_unref(call);
+	}
 }
 
 static GPtrArray *
--- a/src/serve/keeper.c
+++ b/src/serve/keeper.c
@@ -31,7 +31,7 @@
 	struct keeper *kp;
 	keeper_fn run;
 	int64_t period_us;
-	/** Time by which a kicked run is spread. */
+	/** A kicked run is put off by a random time. */
 	bool is_spread;
 	bool is_kicked;
 	bool has_thread;
--- a/test/functional/test_failures.cc
+++ b/test/functional/test_failures.cc
@@ -402,6 +402,27 @@
 	f.ExpectHistoryHolds();
 }
 
+TEST(Failures, JobsCancelledWhileTheirItemsStart)
+{
+	FleetOptions o;
+
+	o.daemons = 1;
+	o.slots = 500;
+	o.engine_speed = "500";
+	o.flags = {"--chunk-items=500", "--batch-inflight-items=500"};
+	Fleet f(o);
+	for (int i = 0; i < 60; i++) {
+		std::string id = "lot-" + std::to_string(i);
+
+		ASSERT_EQ(202, f.SubmitJob(0, id, 3000).status);
+		ASSERT_EQ(200,
+		    Http("POST", f.Url(0) + "/v1/batches/" + id + "/cancel", "",
+			{"Authorization: Bearer studios-key"})
+			.status);
+		ASSERT_EQ("cancelled", f.JobState(0, id));
+	}
+}
+
 TEST(Failures, ItemsThatCanNeverBeDoneEndAsFailures)
 {
 	FleetOptions o;
