--- a/bench/decision.c
+++ b/bench/decision.c
@@ -78,6 +78,19 @@
 	routing_free(rt);
 }
 
+static struct arbiter_ask
+ask_of_team(uint64_t id, int32_t i, int32_t teams)
+{
+	return (struct arbiter_ask){
+	    .id = id,
+	    .work_class = kWorkBatch,
+	    .prompt_tokens = 1,
+	    .team = (uint64_t)(i % teams),
+	    .weight = 1 + i % 5,
+	    .due_us = INT64_MAX / 2,
+	};
+}
+
 /* Batch requests of many teams wait; one is granted for each that ends. */
 static void
 bench_grant(int32_t teams)
@@ -96,12 +109,7 @@
 	int64_t start_us;
 
 	for (int32_t i = 0; i < 3 * teams + kSlots; i++) {
-		struct arbiter_ask ask = {.id = ++last_id,
-		    .work_class = kWorkBatch,
-		    .prompt_tokens = 1,
-		    .team = (uint64_t)(i % teams),
-		    .weight = 1 + i % 5,
-		    .due_us = INT64_MAX / 2};
+		struct arbiter_ask ask = ask_of_team(++last_id, i, teams);
 
 		arbiter_request(arb, &ask, 1000000, out);
 	}
@@ -109,12 +117,7 @@
 	for (int32_t i = 0; i < rounds; i++) {
 		struct arbiter_action act =
 		    g_array_index(out, struct arbiter_action, 0);
-		struct arbiter_ask ask = {.id = ++last_id,
-		    .work_class = kWorkBatch,
-		    .prompt_tokens = 1,
-		    .team = (uint64_t)(i % teams),
-		    .weight = 1 + i % 5,
-		    .due_us = INT64_MAX / 2};
+		struct arbiter_ask ask = ask_of_team(++last_id, i, teams);
 
 		g_array_remove_index_fast(out, 0);
 		arbiter_first_token(arb, act.id, 1000000, out);
