--- a/src/api/api_batch.c
+++ b/src/api/api_batch.c
@@ -140,7 +140,7 @@
 	if (up->chunk_lines == 0)
 		return;
 	if (batch_put_input(req->d->plat, up->job.upload, up->chunks,
-		up->chunk->str, up->chunk->len) != kPlatformOk) {
+		up->chunk->str, up->chunk->len) != kStoreOk) {
 		upload_fail(req, kErrStoreUnavailable,
 		    "the items cannot be stored; no job was made");
 		return;
@@ -227,17 +227,17 @@
 	struct batch_job *job = &req->upload->job;
 
 	switch (batch_submit(req->d->plat, job)) {
-	case kPlatformOk:
+	case kStoreOk:
 		log_event(
 		    kEvtJobAccepted, "team", job->team, "job", job->id, NULL);
 		request_reply_json(req, MHD_HTTP_ACCEPTED, job_json(job));
 		keeper_kick_batch(req->d->keeper);
 		break;
-	case kPlatformConflict:
+	case kStoreConflict:
 		request_reply_error(
 		    req, kErrJobConflict, "the job id has other content", 0);
 		break;
-	case kPlatformAmbiguous:
+	case kStoreAmbiguous:
 		request_reply_error_ran(req, kErrStoreAmbiguous,
 		    "the store lost the answer; send the same job again",
 		    kStoreRetryUs, true);
@@ -279,9 +279,9 @@
 }
 
 static void
-reply_store_error(struct request *req, enum platform_result res)
+reply_store_error(struct request *req, enum store_result res)
 {
-	if (res == kPlatformNotFound)
+	if (res == kStoreNotFound)
 		request_reply_error(
 		    req, kErrNotFound, "there is no such job", 0);
 	else
@@ -293,10 +293,10 @@
 get_status(struct request *req)
 {
 	struct batch_progress p;
-	enum platform_result res =
+	enum store_result res =
 	    batch_progress(req->d->plat, req->team, req->rest, &p);
 
-	if (res != kPlatformOk) {
+	if (res != kStoreOk) {
 		reply_store_error(req, res);
 		return;
 	}
@@ -314,16 +314,16 @@
 };
 
 /* Results of the done chunks from a number on, up to the first gap. */
-static enum platform_result
+static enum store_result
 read_results(struct request *req, const struct batch_job *job, int32_t from,
     struct results_page *page)
 {
 	GPtrArray *chunks = NULL;
-	enum platform_result res = batch_chunks(req->d->plat, job, &chunks);
+	enum store_result res = batch_chunks(req->d->plat, job, &chunks);
 	int32_t n = 0;
 
 	page->next = from;
-	for (; res == kPlatformOk && page->next < (int32_t)chunks->len &&
+	for (; res == kStoreOk && page->next < (int32_t)chunks->len &&
 	     n < kResultChunks;
 	     page->next++) {
 		const struct batch_chunk *chunk = chunks->pdata[page->next];
@@ -335,7 +335,7 @@
 		if (chunk->state != kChunkDone)
 			break;
 		res = batch_get_results(req->d->plat, chunk->object, &data);
-		if (res != kPlatformOk)
+		if (res != kStoreOk)
 			break;
 		g_string_append_len(page->text, g_bytes_get_data(data, &len),
 		    (gssize)g_bytes_get_size(data));
@@ -369,14 +369,14 @@
 	const char *from = request_argument(req, "from");
 	struct results_page page = {g_string_new(NULL), 0, false};
 	struct batch_job *job = NULL;
-	enum platform_result res =
+	enum store_result res =
 	    batch_get_job(req->d->plat, req->team, id, &job);
 
-	if (res == kPlatformOk)
+	if (res == kStoreOk)
 		res = read_results(req, job,
 		    from != NULL ? (int32_t)g_ascii_strtoll(from, NULL, 10) : 0,
 		    &page);
-	if (res == kPlatformOk)
+	if (res == kStoreOk)
 		reply_results(req, &page);
 	else
 		reply_store_error(req, res);
@@ -414,14 +414,14 @@
 cancel(struct request *req)
 {
 	char *id = g_strndup(req->rest, strlen(req->rest) - strlen("/cancel"));
-	enum platform_result res = batch_cancel(req->d->plat, req->team, id);
+	enum store_result res = batch_cancel(req->d->plat, req->team, id);
 
-	if (res == kPlatformOk) {
+	if (res == kStoreOk) {
 		log_event(kEvtJobCancelled, "team", req->team, "job", id, NULL);
 		tell_cancelled(req, id);
 		request_reply_json(req, MHD_HTTP_OK,
 		    json_pack("{s:s,s:s}", "id", id, "state", "cancelled"));
-	} else if (res == kPlatformConflict) {
+	} else if (res == kStoreConflict) {
 		request_reply_error(req, kErrConflict, "the job has ended", 0);
 	} else {
 		reply_store_error(req, res);
--- a/src/savoryflow/batch/batch_session.c
+++ b/src/savoryflow/batch/batch_session.c
@@ -4,7 +4,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 
-#include "platform/commit.h"
+#include "store/commit.h"
 
 void
 batch_session_clear(struct batch_session *session)
@@ -25,19 +25,19 @@
 	    "{\"state\":\"%s\",\"counter\":\"%" PRId64 "\"}", state, counter);
 }
 
-static enum platform_result
-session_read(const struct platform *plat, const char *id, bool *is_live,
+static enum store_result
+session_read(const struct store *plat, const char *id, bool *is_live,
     int64_t *counter, int64_t *version)
 {
 	char *key = batch_session_key(id);
-	struct platform_row row = {0};
-	enum platform_result res =
+	struct store_row row = {0};
+	enum store_result res =
 	    plat->ops->get(plat->ctx, kCauseSession, key, &row);
 	const char *text;
 	json_t *doc;
 
 	g_free(key);
-	if (res != kPlatformOk)
+	if (res != kStoreOk)
 		return res;
 	doc = json_loads(row.value, 0, NULL);
 	*is_live = g_strcmp0(json_string_value(json_object_get(doc, "state")),
@@ -46,13 +46,13 @@
 	*counter = text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
 	*version = row.version;
 	json_decref(doc);
-	platform_row_clear(&row);
-	return kPlatformOk;
+	store_row_clear(&row);
+	return kStoreOk;
 }
 
 /* The row shows the heartbeat that this session was writing. */
 static bool
-beat_is_mine(const struct platform *plat, void *ctx)
+beat_is_mine(const struct store *plat, void *ctx)
 {
 	const struct batch_session *session = ctx;
 	bool is_live;
@@ -60,60 +60,60 @@
 	int64_t version;
 
 	return session_read(plat, session->id, &is_live, &counter, &version) ==
-	    kPlatformOk &&
+	    kStoreOk &&
 	    is_live && counter == session->counter + 1;
 }
 
 static void
-require_last_beat(struct platform_txn *txn, const char *key, int64_t counter)
+require_last_beat(struct store_txn *txn, const char *key, int64_t counter)
 {
 	char *text = g_strdup_printf("%" PRId64, counter);
 
-	platform_txn_field(txn, key, "state", "live");
-	platform_txn_field(txn, key, "counter", text);
+	store_txn_field(txn, key, "state", "live");
+	store_txn_field(txn, key, "counter", text);
 	g_free(text);
 }
 
-static enum platform_result
-session_write(const struct platform *plat, struct batch_session *session)
+static enum store_result
+session_write(const struct store *plat, struct batch_session *session)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	char *key = batch_session_key(session->id);
 	char *text = session_text("live", session->counter + 1);
-	enum platform_result res;
+	enum store_result res;
 
 	if (session->counter == 0)
-		platform_txn_absent(txn, key);
+		store_txn_absent(txn, key);
 	else
 		require_last_beat(txn, key, session->counter);
-	platform_txn_write(txn, key, text);
-	res = platform_commit(plat, kCauseSession, txn, beat_is_mine, session);
-	if (res == kPlatformOk)
+	store_txn_write(txn, key, text);
+	res = store_commit(plat, kCauseSession, txn, beat_is_mine, session);
+	if (res == kStoreOk)
 		session->counter++;
-	platform_txn_free(txn);
+	store_txn_free(txn);
 	g_free(key);
 	g_free(text);
 	return res;
 }
 
-enum platform_result
+enum store_result
 batch_session_start(
-    const struct platform *plat, const char *id, struct batch_session *session)
+    const struct store *plat, const char *id, struct batch_session *session)
 {
 	session->id = g_strdup(id);
 	session->counter = 0;
 	return session_write(plat, session);
 }
 
-enum platform_result
-batch_session_beat(const struct platform *plat, struct batch_session *session)
+enum store_result
+batch_session_beat(const struct store *plat, struct batch_session *session)
 {
 	return session_write(plat, session);
 }
 
-enum platform_result
-batch_session_look(const struct platform *plat, const char *id, bool *is_live,
-    int64_t *version)
+enum store_result
+batch_session_look(
+    const struct store *plat, const char *id, bool *is_live, int64_t *version)
 {
 	int64_t counter;
 
@@ -121,30 +121,30 @@
 }
 
 static bool
-session_has_ended(const struct platform *plat, void *ctx)
+session_has_ended(const struct store *plat, void *ctx)
 {
 	bool is_live;
 	int64_t counter;
 	int64_t version;
 
 	return session_read(plat, ctx, &is_live, &counter, &version) ==
-	    kPlatformOk &&
+	    kStoreOk &&
 	    !is_live;
 }
 
-enum platform_result
-batch_session_end(const struct platform *plat, const char *id, int64_t version)
+enum store_result
+batch_session_end(const struct store *plat, const char *id, int64_t version)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	char *key = batch_session_key(id);
 	char *text = session_text("ended", 0);
-	enum platform_result res;
+	enum store_result res;
 
-	platform_txn_version(txn, key, version);
-	platform_txn_write(txn, key, text);
-	res = platform_commit(
+	store_txn_version(txn, key, version);
+	store_txn_write(txn, key, text);
+	res = store_commit(
 	    plat, kCauseSession, txn, session_has_ended, (void *)id);
-	platform_txn_free(txn);
+	store_txn_free(txn);
 	g_free(key);
 	g_free(text);
 	return res;
--- a/src/savoryflow/batch/batch_session.h
+++ b/src/savoryflow/batch/batch_session.h
@@ -1,8 +1,8 @@
 #ifndef SAVORYFLOW_BATCH_SESSION_H
 #define SAVORYFLOW_BATCH_SESSION_H
 
-#include "platform/platform.h"
 #include "savoryflow/batch/batch_defs.h"
+#include "store/store.h"
 
 /*
  * One row session/ID for each daemon: {"state":"live"|"ended","counter"}. The
@@ -18,19 +18,19 @@
 void batch_session_clear(struct batch_session *session);
 
 /** Starts the session of a daemon. */
-enum platform_result batch_session_start(
-    const struct platform *plat, const char *id, struct batch_session *session);
+enum store_result batch_session_start(
+    const struct store *plat, const char *id, struct batch_session *session);
 
-/** Heartbeat. @return kPlatformConflict if the session was ended */
-enum platform_result batch_session_beat(
-    const struct platform *plat, struct batch_session *session);
+/** Heartbeat. @return kStoreConflict if the session was ended */
+enum store_result batch_session_beat(
+    const struct store *plat, struct batch_session *session);
 
 /** Reads another session: whether it lives, and the row's version. */
-enum platform_result batch_session_look(const struct platform *plat,
-    const char *id, bool *is_live, int64_t *version);
+enum store_result batch_session_look(
+    const struct store *plat, const char *id, bool *is_live, int64_t *version);
 
 /** Ends a session that was silent since `version`. */
-enum platform_result batch_session_end(
-    const struct platform *plat, const char *id, int64_t version);
+enum store_result batch_session_end(
+    const struct store *plat, const char *id, int64_t version);
 
 #endif
--- a/src/savoryflow/batch/batch_store.c
+++ b/src/savoryflow/batch/batch_store.c
@@ -5,8 +5,8 @@
 #include <jansson.h>
 #include <string.h>
 
-#include "platform/commit.h"
 #include "savoryflow/batch/batch_session.h"
+#include "store/commit.h"
 
 enum {
 	/* Chunk rows read in one scan. */
@@ -136,83 +136,82 @@
 	return job;
 }
 
-enum platform_result
-batch_put_input(const struct platform *plat, const char *upload, int32_t chunk,
+enum store_result
+batch_put_input(const struct store *plat, const char *upload, int32_t chunk,
     const char *data, size_t len)
 {
 	char *key = input_key(upload, chunk);
-	enum platform_result res =
+	enum store_result res =
 	    plat->ops->put_object(plat->ctx, kCauseBatch, key, data, len);
 
 	g_free(key);
 	return res;
 }
 
-enum platform_result
-batch_get_input(const struct platform *plat, const struct batch_job *job,
+enum store_result
+batch_get_input(const struct store *plat, const struct batch_job *job,
     int32_t chunk, GBytes **data)
 {
 	char *key = input_key(job->upload, chunk);
-	enum platform_result res =
+	enum store_result res =
 	    plat->ops->get_object(plat->ctx, kCauseBatch, key, data);
 
 	g_free(key);
 	return res;
 }
 
-enum platform_result
-batch_get_results(
-    const struct platform *plat, const char *object, GBytes **data)
+enum store_result
+batch_get_results(const struct store *plat, const char *object, GBytes **data)
 {
 	return plat->ops->get_object(plat->ctx, kCauseBatch, object, data);
 }
 
-enum platform_result
-batch_get_job(const struct platform *plat, const char *team, const char *id,
+enum store_result
+batch_get_job(const struct store *plat, const char *team, const char *id,
     struct batch_job **job)
 {
 	char *key = job_key(team, id);
-	struct platform_row row = {0};
-	enum platform_result res =
+	struct store_row row = {0};
+	enum store_result res =
 	    plat->ops->get(plat->ctx, kCauseBatch, key, &row);
 
 	g_free(key);
-	if (res != kPlatformOk)
+	if (res != kStoreOk)
 		return res;
 	*job = job_of_text(row.value);
-	platform_row_clear(&row);
-	return *job != NULL ? kPlatformOk : kPlatformNotFound;
+	store_row_clear(&row);
+	return *job != NULL ? kStoreOk : kStoreNotFound;
 }
 
 /* The job in the store has this content, whoever submitted it. */
 static bool
-job_is_same(const struct platform *plat, void *ctx)
+job_is_same(const struct store *plat, void *ctx)
 {
 	const struct batch_job *job = ctx;
 	struct batch_job *stored = NULL;
 	bool same;
 
-	if (batch_get_job(plat, job->team, job->id, &stored) != kPlatformOk)
+	if (batch_get_job(plat, job->team, job->id, &stored) != kStoreOk)
 		return false;
 	same = g_strcmp0(stored->digest, job->digest) == 0;
 	batch_job_free(stored);
 	return same;
 }
 
-enum platform_result
-batch_submit(const struct platform *plat, const struct batch_job *job)
+enum store_result
+batch_submit(const struct store *plat, const struct batch_job *job)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	char *row_key = job_key(job->team, job->id);
 	char *list_key = open_key(job->team, job->id);
 	char *text = job_text(job, kJobRunning);
-	enum platform_result res;
+	enum store_result res;
 
-	platform_txn_absent(txn, row_key);
-	platform_txn_write(txn, row_key, text);
-	platform_txn_write(txn, list_key, text);
-	res = platform_commit(plat, kCauseBatch, txn, job_is_same, (void *)job);
-	platform_txn_free(txn);
+	store_txn_absent(txn, row_key);
+	store_txn_write(txn, row_key, text);
+	store_txn_write(txn, list_key, text);
+	res = store_commit(plat, kCauseBatch, txn, job_is_same, (void *)job);
+	store_txn_free(txn);
 	g_free(row_key);
 	g_free(list_key);
 	free(text);
@@ -225,29 +224,29 @@
 	batch_job_free(job);
 }
 
-enum platform_result
-batch_open_jobs(const struct platform *plat, int32_t limit, GPtrArray **jobs)
+enum store_result
+batch_open_jobs(const struct store *plat, int32_t limit, GPtrArray **jobs)
 {
 	GPtrArray *rows = NULL;
-	enum platform_result res = plat->ops->scan(
+	enum store_result res = plat->ops->scan(
 	    plat->ctx, kCauseBatch, "open/", NULL, limit, &rows);
 
-	if (res != kPlatformOk)
+	if (res != kStoreOk)
 		return res;
 	*jobs = g_ptr_array_new_with_free_func(job_destroy);
 	for (guint i = 0; i < rows->len; i++) {
-		const struct platform_row *row = rows->pdata[i];
+		const struct store_row *row = rows->pdata[i];
 		struct batch_job *job = job_of_text(row->value);
 
 		if (job != NULL)
 			g_ptr_array_add(*jobs, job);
 	}
 	g_ptr_array_unref(rows);
-	return kPlatformOk;
+	return kStoreOk;
 }
 
 static void
-chunk_read(struct batch_chunk *chunk, const struct platform_row *row)
+chunk_read(struct batch_chunk *chunk, const struct store_row *row)
 {
 	json_t *doc = json_loads(row->value, 0, NULL);
 	const char *state = json_string_value(json_object_get(doc, "state"));
@@ -285,25 +284,25 @@
 	return chunks;
 }
 
-enum platform_result
-batch_chunks(const struct platform *plat, const struct batch_job *job,
-    GPtrArray **chunks)
+enum store_result
+batch_chunks(
+    const struct store *plat, const struct batch_job *job, GPtrArray **chunks)
 {
 	char *prefix = g_strdup_printf("chunk/%s/%s/", job->team, job->id);
 	char *after = g_strdup(prefix);
-	enum platform_result res = kPlatformOk;
+	enum store_result res = kStoreOk;
 	guint got = kChunkPage;
 
 	*chunks = open_chunks_new(batch_job_chunks(job));
-	while (res == kPlatformOk && got == kChunkPage) {
+	while (res == kStoreOk && got == kChunkPage) {
 		GPtrArray *rows = NULL;
 
 		res = plat->ops->scan(
 		    plat->ctx, kCauseBatch, prefix, after, kChunkPage, &rows);
-		if (res != kPlatformOk)
+		if (res != kStoreOk)
 			break;
 		for (guint i = 0; i < rows->len; i++) {
-			const struct platform_row *row = rows->pdata[i];
+			const struct store_row *row = rows->pdata[i];
 			int64_t n = g_ascii_strtoll(
 			    row->key + strlen(prefix), NULL, 10);
 
@@ -312,14 +311,14 @@
 		}
 		got = rows->len;
 		if (got > 0) {
-			const struct platform_row *last = rows->pdata[got - 1];
+			const struct store_row *last = rows->pdata[got - 1];
 
 			g_free(after);
 			after = g_strdup(last->key);
 		}
 		g_ptr_array_unref(rows);
 	}
-	if (res != kPlatformOk) {
+	if (res != kStoreOk) {
 		g_ptr_array_unref(*chunks);
 		*chunks = NULL;
 	}
@@ -340,19 +339,19 @@
 		progress->chunks_leased++;
 }
 
-enum platform_result
-batch_progress(const struct platform *plat, const char *team, const char *id,
+enum store_result
+batch_progress(const struct store *plat, const char *team, const char *id,
     struct batch_progress *progress)
 {
 	struct batch_job *job = NULL;
 	GPtrArray *chunks = NULL;
-	enum platform_result res = batch_get_job(plat, team, id, &job);
+	enum store_result res = batch_get_job(plat, team, id, &job);
 
 	memset(progress, 0, sizeof(*progress));
-	if (res != kPlatformOk)
+	if (res != kStoreOk)
 		return res;
 	res = batch_chunks(plat, job, &chunks);
-	if (res == kPlatformOk) {
+	if (res == kStoreOk) {
 		progress->state = job->state;
 		progress->items = job->items;
 		for (guint i = 0; i < chunks->len; i++)
@@ -365,14 +364,14 @@
 
 /* Conditions: this session lives and the job runs. */
 static void
-require_right(struct platform_txn *txn, const struct batch_session *session,
+require_right(struct store_txn *txn, const struct batch_session *session,
     const struct batch_job *job)
 {
 	char *own = batch_session_key(session->id);
 	char *row = job_key(job->team, job->id);
 
-	platform_txn_field(txn, own, "state", "live");
-	platform_txn_field(txn, row, "state", "running");
+	store_txn_field(txn, own, "state", "live");
+	store_txn_field(txn, row, "state", "running");
 	g_free(own);
 	g_free(row);
 }
@@ -385,22 +384,22 @@
 };
 
 static bool
-chunk_is_mine(const struct platform *plat, void *ctx)
+chunk_is_mine(const struct store *plat, void *ctx)
 {
 	const struct chunk_identity *id = ctx;
 	struct batch_chunk chunk = {0};
-	struct platform_row row = {0};
+	struct store_row row = {0};
 	char *key = chunk_key(id->job, id->chunk);
 	bool mine = false;
 
-	if (plat->ops->get(plat->ctx, kCauseBatch, key, &row) == kPlatformOk) {
+	if (plat->ops->get(plat->ctx, kCauseBatch, key, &row) == kStoreOk) {
 		chunk_read(&chunk, &row);
 		mine = chunk.state == id->state &&
 		    g_strcmp0(chunk.claim, id->claim) == 0;
 		g_free(chunk.session);
 		g_free(chunk.claim);
 		g_free(chunk.object);
-		platform_row_clear(&row);
+		store_row_clear(&row);
 	}
 	g_free(key);
 	return mine;
@@ -411,64 +410,64 @@
  * session may take its own lease anew: it has lost sight of the old one.
  */
 static void
-require_free(struct platform_txn *txn, const char *key,
+require_free(struct store_txn *txn, const char *key,
     const struct batch_session *session, const struct batch_chunk *chunk)
 {
 	char *holder;
 
 	if (chunk->version == 0)
-		platform_txn_absent(txn, key);
+		store_txn_absent(txn, key);
 	else
-		platform_txn_version(txn, key, chunk->version);
+		store_txn_version(txn, key, chunk->version);
 	if (chunk->state != kChunkLeased ||
 	    strcmp(chunk->session, session->id) == 0)
 		return;
 	holder = batch_session_key(chunk->session);
-	platform_txn_field(txn, holder, "state", "ended");
+	store_txn_field(txn, holder, "state", "ended");
 	g_free(holder);
 }
 
-enum platform_result
-batch_claim(const struct platform *plat, const struct batch_session *session,
+enum store_result
+batch_claim(const struct store *plat, const struct batch_session *session,
     const struct batch_job *job, const struct batch_chunk *chunk,
     const char *claim)
 {
-	struct platform_txn *txn;
+	struct store_txn *txn;
 	struct chunk_identity id = {job, chunk->number, claim, kChunkLeased};
-	enum platform_result res;
+	enum store_result res;
 	char *key;
 	char *text;
 
 	if (chunk->state == kChunkDone)
-		return kPlatformConflict;
-	txn = platform_txn_new();
+		return kStoreConflict;
+	txn = store_txn_new();
 	key = chunk_key(job, chunk->number);
 	text = g_strdup_printf("{\"state\":\"leased\",\"session\":\"%s\","
 			       "\"claim\":\"%s\"}",
 	    session->id, claim);
 	require_free(txn, key, session, chunk);
 	require_right(txn, session, job);
-	platform_txn_write(txn, key, text);
-	res = platform_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
-	platform_txn_free(txn);
+	store_txn_write(txn, key, text);
+	res = store_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
+	store_txn_free(txn);
 	g_free(key);
 	g_free(text);
 	return res;
 }
 
-enum platform_result
-batch_unclaim(const struct platform *plat, const struct batch_job *job,
+enum store_result
+batch_unclaim(const struct store *plat, const struct batch_job *job,
     int32_t chunk, const char *claim)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	char *key = chunk_key(job, chunk);
-	enum platform_result res;
+	enum store_result res;
 
-	platform_txn_field(txn, key, "claim", claim);
-	platform_txn_field(txn, key, "state", "leased");
-	platform_txn_write(txn, key, "{\"state\":\"open\"}");
+	store_txn_field(txn, key, "claim", claim);
+	store_txn_field(txn, key, "state", "leased");
+	store_txn_write(txn, key, "{\"state\":\"open\"}");
 	res = plat->ops->txn(plat->ctx, kCauseBatch, txn);
-	platform_txn_free(txn);
+	store_txn_free(txn);
 	g_free(key);
 	return res;
 }
@@ -485,115 +484,114 @@
 	return text;
 }
 
-static enum platform_result
-commit_row(const struct platform *plat, const struct batch_session *session,
+static enum store_result
+commit_row(const struct store *plat, const struct batch_session *session,
     const struct batch_job *job, const struct batch_results *results,
     const char *object)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	struct chunk_identity id = {
 	    job, results->chunk, results->claim, kChunkDone};
 	char *key = chunk_key(job, results->chunk);
 	char *text = done_text(results, object);
-	enum platform_result res;
+	enum store_result res;
 
-	platform_txn_field(txn, key, "claim", results->claim);
-	platform_txn_field(txn, key, "state", "leased");
+	store_txn_field(txn, key, "claim", results->claim);
+	store_txn_field(txn, key, "state", "leased");
 	require_right(txn, session, job);
-	platform_txn_write(txn, key, text);
-	res = platform_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
-	platform_txn_free(txn);
+	store_txn_write(txn, key, text);
+	res = store_commit(plat, kCauseBatch, txn, chunk_is_mine, &id);
+	store_txn_free(txn);
 	g_free(key);
 	free(text);
 	return res;
 }
 
-enum platform_result
-batch_commit(const struct platform *plat, const struct batch_session *session,
+enum store_result
+batch_commit(const struct store *plat, const struct batch_session *session,
     const struct batch_job *job, const struct batch_results *results)
 {
 	char *object = g_strdup_printf("result/%s/%s/%06d/%s", job->team,
 	    job->id, results->chunk, results->claim);
-	enum platform_result res = plat->ops->put_object(
+	enum store_result res = plat->ops->put_object(
 	    plat->ctx, kCauseBatch, object, results->data, results->len);
 
-	if (res == kPlatformOk)
+	if (res == kStoreOk)
 		res = commit_row(plat, session, job, results, object);
 	g_free(object);
 	return res;
 }
 
 static bool
-job_has_ended(const struct platform *plat, void *ctx)
+job_has_ended(const struct store *plat, void *ctx)
 {
 	const struct batch_job *job = ctx;
 	struct batch_job *stored = NULL;
 	bool ended;
 
-	if (batch_get_job(plat, job->team, job->id, &stored) != kPlatformOk)
+	if (batch_get_job(plat, job->team, job->id, &stored) != kStoreOk)
 		return false;
 	ended = stored->state == job->state;
 	batch_job_free(stored);
 	return ended;
 }
 
-static enum platform_result
-end_job(const struct platform *plat, const struct batch_job *job,
+static enum store_result
+end_job(const struct store *plat, const struct batch_job *job,
     enum batch_job_state state)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	struct batch_job ended = *job;
 	char *row_key = job_key(job->team, job->id);
 	char *list_key = open_key(job->team, job->id);
 	char *text = job_text(job, state);
-	enum platform_result res;
+	enum store_result res;
 
 	ended.state = state;
-	platform_txn_field(txn, row_key, "state", "running");
-	platform_txn_write(txn, row_key, text);
-	platform_txn_write(txn, list_key, NULL);
-	res = platform_commit(plat, kCauseBatch, txn, job_has_ended, &ended);
-	platform_txn_free(txn);
+	store_txn_field(txn, row_key, "state", "running");
+	store_txn_write(txn, row_key, text);
+	store_txn_write(txn, list_key, NULL);
+	res = store_commit(plat, kCauseBatch, txn, job_has_ended, &ended);
+	store_txn_free(txn);
 	g_free(row_key);
 	g_free(list_key);
 	free(text);
 	return res;
 }
 
-enum platform_result
-batch_finish(
-    const struct platform *plat, const struct batch_job *job, bool *done)
+enum store_result
+batch_finish(const struct store *plat, const struct batch_job *job, bool *done)
 {
 	GPtrArray *chunks = NULL;
-	enum platform_result res = batch_chunks(plat, job, &chunks);
+	enum store_result res = batch_chunks(plat, job, &chunks);
 
 	*done = false;
-	if (res != kPlatformOk)
+	if (res != kStoreOk)
 		return res;
 	for (guint i = 0; i < chunks->len; i++) {
 		const struct batch_chunk *chunk = chunks->pdata[i];
 
 		if (chunk->state != kChunkDone) {
 			g_ptr_array_unref(chunks);
-			return kPlatformOk;
+			return kStoreOk;
 		}
 	}
 	g_ptr_array_unref(chunks);
 	res = end_job(plat, job, kJobDone);
-	*done = res == kPlatformOk;
+	*done = res == kStoreOk;
 	return res;
 }
 
-enum platform_result
-batch_cancel(const struct platform *plat, const char *team, const char *id)
+enum store_result
+batch_cancel(const struct store *plat, const char *team, const char *id)
 {
 	struct batch_job *job = NULL;
-	enum platform_result res = batch_get_job(plat, team, id, &job);
+	enum store_result res = batch_get_job(plat, team, id, &job);
 
-	if (res != kPlatformOk)
+	if (res != kStoreOk)
 		return res;
 	if (job->state == kJobCancelled)
-		res = kPlatformOk;
+		res = kStoreOk;
 	else
 		res = end_job(plat, job, kJobCancelled);
 	batch_job_free(job);
--- a/src/savoryflow/batch/batch_store.h
+++ b/src/savoryflow/batch/batch_store.h
@@ -1,8 +1,8 @@
 #ifndef SAVORYFLOW_BATCH_STORE_H
 #define SAVORYFLOW_BATCH_STORE_H
 
-#include "platform/platform.h"
 #include "savoryflow/batch/batch_defs.h"
+#include "store/store.h"
 
 /*
  * Batch jobs in the platform's table service and object store.
@@ -13,7 +13,7 @@
  *
  * Every commit names in its conditions the lease, the session and the state of
  * the job, so that a daemon that lost them cannot write, whatever it believes.
- * Functions return kPlatformAmbiguous only if the store stayed silent.
+ * Functions return kStoreAmbiguous only if the store stayed silent.
  */
 
 void batch_job_free(struct batch_job *job);
@@ -23,44 +23,44 @@
 int32_t batch_job_chunks(const struct batch_job *job);
 
 /** Stores the items (JSON lines) of one chunk of an upload. */
-enum platform_result batch_put_input(const struct platform *plat,
-    const char *upload, int32_t chunk, const char *data, size_t len);
-enum platform_result batch_get_input(const struct platform *plat,
+enum store_result batch_put_input(const struct store *plat, const char *upload,
+    int32_t chunk, const char *data, size_t len);
+enum store_result batch_get_input(const struct store *plat,
     const struct batch_job *job, int32_t chunk, GBytes **data);
 
 /**
  * Accepts a job. The same id with the same digest is the same job.
- * @return kPlatformConflict if the id has other content
+ * @return kStoreConflict if the id has other content
  */
-enum platform_result batch_submit(
-    const struct platform *plat, const struct batch_job *job);
+enum store_result batch_submit(
+    const struct store *plat, const struct batch_job *job);
 
-/** Reads a job. @param job set on kPlatformOk; free it */
-enum platform_result batch_get_job(const struct platform *plat,
-    const char *team, const char *id, struct batch_job **job);
+/** Reads a job. @param job set on kStoreOk; free it */
+enum store_result batch_get_job(const struct store *plat, const char *team,
+    const char *id, struct batch_job **job);
 
 /** Running jobs after a key; array of struct batch_job *, and the next key. */
-enum platform_result batch_open_jobs(
-    const struct platform *plat, int32_t limit, GPtrArray **jobs);
+enum store_result batch_open_jobs(
+    const struct store *plat, int32_t limit, GPtrArray **jobs);
 
 /** All chunks of a job; array of struct batch_chunk *, by number. */
-enum platform_result batch_chunks(const struct platform *plat,
-    const struct batch_job *job, GPtrArray **chunks);
+enum store_result batch_chunks(
+    const struct store *plat, const struct batch_job *job, GPtrArray **chunks);
 
-enum platform_result batch_progress(const struct platform *plat,
-    const char *team, const char *id, struct batch_progress *progress);
+enum store_result batch_progress(const struct store *plat, const char *team,
+    const char *id, struct batch_progress *progress);
 
 /**
  * Leases a chunk that is open, whose session has ended, or whose lease is this
  * session's own.
  * @param claim unique token of this lease
  */
-enum platform_result batch_claim(const struct platform *plat,
+enum store_result batch_claim(const struct store *plat,
     const struct batch_session *session, const struct batch_job *job,
     const struct batch_chunk *chunk, const char *claim);
 
 /** Gives a lease back without results. */
-enum platform_result batch_unclaim(const struct platform *plat,
+enum store_result batch_unclaim(const struct store *plat,
     const struct batch_job *job, int32_t chunk, const char *claim);
 
 struct batch_results {
@@ -75,22 +75,22 @@
 
 /**
  * Commits the results of a leased chunk once.
- * @return kPlatformConflict if the lease, the session or the job has ended
+ * @return kStoreConflict if the lease, the session or the job has ended
  */
-enum platform_result batch_commit(const struct platform *plat,
+enum store_result batch_commit(const struct store *plat,
     const struct batch_session *session, const struct batch_job *job,
     const struct batch_results *results);
 
 /** Marks the job done if all chunks are. @param done set to the outcome */
-enum platform_result batch_finish(
-    const struct platform *plat, const struct batch_job *job, bool *done);
+enum store_result batch_finish(
+    const struct store *plat, const struct batch_job *job, bool *done);
 
-/** Cancels a running job. @return kPlatformConflict if it has ended */
-enum platform_result batch_cancel(
-    const struct platform *plat, const char *team, const char *id);
+/** Cancels a running job. @return kStoreConflict if it has ended */
+enum store_result batch_cancel(
+    const struct store *plat, const char *team, const char *id);
 
-enum platform_result batch_get_results(
-    const struct platform *plat, const char *object, GBytes **data);
+enum store_result batch_get_results(
+    const struct store *plat, const char *object, GBytes **data);
 
 /** Text of a state: "running", "cancelled" or "done". */
 const char *batch_job_state_text(enum batch_job_state state);
--- a/src/savoryflow/call/intent_store.c
+++ b/src/savoryflow/call/intent_store.c
@@ -4,7 +4,7 @@
 #include <jansson.h>
 #include <string.h>
 
-#include "platform/commit.h"
+#include "store/commit.h"
 
 void
 intent_clear(struct intent *in)
@@ -43,13 +43,13 @@
 }
 
 static void
-add_begin(struct platform_txn *txn, const struct intent *in)
+add_begin(struct store_txn *txn, const struct intent *in)
 {
 	char *key = row_key(in);
 	char *text = started_text(in);
 
-	platform_txn_absent(txn, key);
-	platform_txn_write(txn, key, text);
+	store_txn_absent(txn, key);
+	store_txn_write(txn, key, text);
 	g_free(key);
 	free(text);
 }
@@ -93,26 +93,26 @@
 }
 
 static void
-read_back(const struct platform *plat, struct intent *in)
+read_back(const struct store *plat, struct intent *in)
 {
 	char *key = row_key(in);
-	struct platform_row row = {0};
-	enum platform_result res =
+	struct store_row row = {0};
+	enum store_result res =
 	    plat->ops->get(plat->ctx, kCauseIntent, key, &row);
 
 	in->state = kIntentStoreDown;
-	if (res == kPlatformOk) {
+	if (res == kStoreOk) {
 		json_t *doc = json_loads(row.value, 0, NULL);
 
 		state_of_row(in, doc);
 		json_decref(doc);
-		platform_row_clear(&row);
+		store_row_clear(&row);
 	}
 	g_free(key);
 }
 
 static bool
-begin_is_mine(const struct platform *plat, void *ctx)
+begin_is_mine(const struct store *plat, void *ctx)
 {
 	struct intent *in = ctx;
 
@@ -121,39 +121,39 @@
 }
 
 static void
-begin_one(const struct platform *plat, struct intent *in)
+begin_one(const struct store *plat, struct intent *in)
 {
-	struct platform_txn *txn = platform_txn_new();
-	enum platform_result res;
+	struct store_txn *txn = store_txn_new();
+	enum store_result res;
 
 	add_begin(txn, in);
-	res = platform_commit(plat, kCauseIntent, txn, begin_is_mine, in);
-	platform_txn_free(txn);
-	if (res == kPlatformOk)
+	res = store_commit(plat, kCauseIntent, txn, begin_is_mine, in);
+	store_txn_free(txn);
+	if (res == kStoreOk)
 		in->state = kIntentRun;
-	else if (res == kPlatformConflict)
+	else if (res == kStoreConflict)
 		read_back(plat, in);
 	else
 		in->state = kIntentStoreDown;
 }
 
 void
-intent_begin_all(const struct platform *plat, GPtrArray *intents)
+intent_begin_all(const struct store *plat, GPtrArray *intents)
 {
-	struct platform_txn *txn = platform_txn_new();
-	enum platform_result res = kPlatformConflict;
+	struct store_txn *txn = store_txn_new();
+	enum store_result res = kStoreConflict;
 
 	for (guint i = 0; i < intents->len; i++)
 		add_begin(txn, intents->pdata[i]);
 	if (intents->len > 1)
 		res = plat->ops->txn(plat->ctx, kCauseIntent, txn);
-	platform_txn_free(txn);
+	store_txn_free(txn);
 	for (guint i = 0; i < intents->len; i++) {
 		struct intent *in = intents->pdata[i];
 
-		if (res == kPlatformOk)
+		if (res == kStoreOk)
 			in->state = kIntentRun;
-		else if (res == kPlatformUnavailable)
+		else if (res == kStoreUnavailable)
 			in->state = kIntentStoreDown;
 		else
 			begin_one(plat, in);
@@ -174,36 +174,36 @@
 	return text;
 }
 
-enum platform_result
-intent_finish(const struct platform *plat, const struct intent *in)
+enum store_result
+intent_finish(const struct store *plat, const struct intent *in)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	char *key = row_key(in);
 	char *text = done_text(in);
-	enum platform_result res = kPlatformConflict;
+	enum store_result res = kStoreConflict;
 
 	if (text != NULL) {
-		platform_txn_field(txn, key, "attempt", in->attempt);
-		platform_txn_write(txn, key, text);
+		store_txn_field(txn, key, "attempt", in->attempt);
+		store_txn_write(txn, key, text);
 		res = plat->ops->txn(plat->ctx, kCauseIntent, txn);
 	}
-	platform_txn_free(txn);
+	store_txn_free(txn);
 	g_free(key);
 	free(text);
 	return res;
 }
 
-enum platform_result
-intent_withdraw(const struct platform *plat, const struct intent *in)
+enum store_result
+intent_withdraw(const struct store *plat, const struct intent *in)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	char *key = row_key(in);
-	enum platform_result res;
+	enum store_result res;
 
-	platform_txn_field(txn, key, "attempt", in->attempt);
-	platform_txn_write(txn, key, NULL);
+	store_txn_field(txn, key, "attempt", in->attempt);
+	store_txn_write(txn, key, NULL);
 	res = plat->ops->txn(plat->ctx, kCauseIntent, txn);
-	platform_txn_free(txn);
+	store_txn_free(txn);
 	g_free(key);
 	return res;
 }
--- a/src/savoryflow/config/config_store.c
+++ b/src/savoryflow/config/config_store.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #include "error/error.h"
-#include "platform/commit.h"
 #include "savoryconf/savoryconf.h"
+#include "store/commit.h"
 
 #define HEAD_KEY     "config/head"
 #define AUDIT_PREFIX "config/audit/"
@@ -36,17 +36,17 @@
 }
 
 static bool
-head_read(const struct platform *plat, struct config_head *head, GError **err)
+head_read(const struct store *plat, struct config_head *head, GError **err)
 {
-	struct platform_row row = {0};
-	enum platform_result res;
+	struct store_row row = {0};
+	enum store_result res;
 	json_t *doc;
 
 	memset(head, 0, sizeof(*head));
 	res = plat->ops->get(plat->ctx, kCauseConfig, HEAD_KEY, &row);
-	if (res == kPlatformNotFound)
+	if (res == kStoreNotFound)
 		return true;
-	if (res != kPlatformOk) {
+	if (res != kStoreOk) {
 		g_set_error(err, SF_ERROR, kErrStoreUnavailable,
 		    "the configuration's head cannot be read");
 		return false;
@@ -59,19 +59,19 @@
 	    sizeof(head->digest));
 	head->row_version = row.version;
 	json_decref(doc);
-	platform_row_clear(&row);
+	store_row_clear(&row);
 	return true;
 }
 
 static json_t *
-document_read(const struct platform *plat, const char *digest, GError **err)
+document_read(const struct store *plat, const char *digest, GError **err)
 {
 	char *key = document_key(digest);
 	GBytes *data = NULL;
 	json_t *doc = NULL;
 
 	if (plat->ops->get_object(plat->ctx, kCauseConfig, key, &data) ==
-	    kPlatformOk) {
+	    kStoreOk) {
 		gsize len;
 		const char *text = g_bytes_get_data(data, &len);
 
@@ -115,14 +115,14 @@
 
 /* The audit row of the generation says whose commit took effect. */
 static bool
-commit_is_mine(const struct platform *plat, void *ctx)
+commit_is_mine(const struct store *plat, void *ctx)
 {
 	const struct commit_identity *id = ctx;
 	char *key = audit_key(id->sub->from_generation + 1);
-	struct platform_row row = {0};
+	struct store_row row = {0};
 	bool mine = false;
 
-	if (plat->ops->get(plat->ctx, kCauseConfig, key, &row) == kPlatformOk) {
+	if (plat->ops->get(plat->ctx, kCauseConfig, key, &row) == kStoreOk) {
 		json_t *doc = json_loads(row.value, 0, NULL);
 		const char *who =
 		    json_string_value(json_object_get(doc, "who"));
@@ -135,34 +135,34 @@
 		    g_strcmp0(digest, id->digest) == 0 &&
 		    time_us == id->sub->wall_us;
 		json_decref(doc);
-		platform_row_clear(&row);
+		store_row_clear(&row);
 	}
 	g_free(key);
 	return mine;
 }
 
-static enum platform_result
-commit_head(const struct platform *plat, const struct config_head *head,
+static enum store_result
+commit_head(const struct store *plat, const struct config_head *head,
     const struct config_submission *sub, const char *digest, json_t *diff)
 {
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	struct commit_identity id = {sub, digest};
 	char *audit = audit_key(sub->from_generation + 1);
 	char *audit_row = audit_text(sub, digest, diff);
 	char *head_row =
 	    g_strdup_printf("{\"generation\":%" PRId64 ",\"digest\":\"%s\"}",
 		sub->from_generation + 1, digest);
-	enum platform_result res;
+	enum store_result res;
 
 	if (head->row_version == 0)
-		platform_txn_absent(txn, HEAD_KEY);
+		store_txn_absent(txn, HEAD_KEY);
 	else
-		platform_txn_version(txn, HEAD_KEY, head->row_version);
-	platform_txn_absent(txn, audit);
-	platform_txn_write(txn, HEAD_KEY, head_row);
-	platform_txn_write(txn, audit, audit_row);
-	res = platform_commit(plat, kCauseConfig, txn, commit_is_mine, &id);
-	platform_txn_free(txn);
+		store_txn_version(txn, HEAD_KEY, head->row_version);
+	store_txn_absent(txn, audit);
+	store_txn_write(txn, HEAD_KEY, head_row);
+	store_txn_write(txn, audit, audit_row);
+	res = store_commit(plat, kCauseConfig, txn, commit_is_mine, &id);
+	store_txn_free(txn);
 	g_free(audit);
 	g_free(head_row);
 	free(audit_row);
@@ -170,17 +170,16 @@
 }
 
 static bool
-document_write(
-    const struct platform *plat, const struct config *cfg, GError **err)
+document_write(const struct store *plat, const struct config *cfg, GError **err)
 {
 	char *text = savoryconf_dump(cfg->doc);
 	char *key = document_key(cfg->digest);
-	enum platform_result res = plat->ops->put_object(
+	enum store_result res = plat->ops->put_object(
 	    plat->ctx, kCauseConfig, key, text, strlen(text));
 
 	g_free(key);
 	free(text);
-	if (res == kPlatformOk)
+	if (res == kStoreOk)
 		return true;
 	g_set_error(err, SF_ERROR, kErrStoreUnavailable,
 	    "the configuration cannot be stored; it is not in force");
@@ -188,22 +187,21 @@
 }
 
 static bool
-commit_checked(const struct platform *plat, const struct config_head *head,
+commit_checked(const struct store *plat, const struct config_head *head,
     const struct config_submission *sub, struct config *cfg, json_t *diff,
     GError **err)
 {
 	struct config_head now;
-	enum platform_result res =
-	    commit_head(plat, head, sub, cfg->digest, diff);
+	enum store_result res = commit_head(plat, head, sub, cfg->digest, diff);
 
 	switch (res) {
-	case kPlatformOk:
+	case kStoreOk:
 		return true;
-	case kPlatformConflict:
+	case kStoreConflict:
 		if (head_read(plat, &now, err))
 			set_conflict(err, &now, sub->from_generation);
 		return false;
-	case kPlatformAmbiguous:
+	case kStoreAmbiguous:
 		g_set_error(err, SF_ERROR, kErrStoreAmbiguous,
 		    "the store lost the answer; see 'config history'");
 		return false;
@@ -215,8 +213,8 @@
 }
 
 struct config *
-config_store_submit(const struct platform *plat,
-    const struct config_submission *sub, GError **err)
+config_store_submit(
+    const struct store *plat, const struct config_submission *sub, GError **err)
 {
 	struct config_head head;
 	struct config *cfg =
@@ -249,17 +247,17 @@
 
 json_t *
 config_store_history(
-    const struct platform *plat, int64_t after, int32_t limit, GError **err)
+    const struct store *plat, int64_t after, int32_t limit, GError **err)
 {
 	char *key = audit_key(after);
 	GPtrArray *rows = NULL;
 	json_t *list = NULL;
 
 	if (plat->ops->scan(plat->ctx, kCauseConfig, AUDIT_PREFIX, key, limit,
-		&rows) == kPlatformOk) {
+		&rows) == kStoreOk) {
 		list = json_array();
 		for (guint i = 0; i < rows->len; i++) {
-			const struct platform_row *row = rows->pdata[i];
+			const struct store_row *row = rows->pdata[i];
 
 			json_array_append_new(
 			    list, json_loads(row->value, 0, NULL));
@@ -275,8 +273,8 @@
 
 /* The document of the head, by the differences since the one held. */
 static json_t *
-document_by_differences(const struct platform *plat,
-    const struct config *current, const struct config_head *head)
+document_by_differences(const struct store *plat, const struct config *current,
+    const struct config_head *head)
 {
 	json_t *list =
 	    config_store_history(plat, current->generation, kAuditPage, NULL);
@@ -308,7 +306,7 @@
 
 bool
 config_store_catch_up(
-    const struct platform *plat, struct config_holder *holder, GError **err)
+    const struct store *plat, struct config_holder *holder, GError **err)
 {
 	struct config_head head;
 	struct config *current;
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -382,14 +382,14 @@
 		log_event(kEvtJobDone, "team", job->team, "job", job->id, NULL);
 }
 
-static enum platform_result
+static enum store_result
 commit_chunk(struct batch_runner *br, struct chunk_run *cr)
 {
 	struct batch_session session = {cr->session, 0};
 	GString *data = g_string_new(NULL);
 	struct batch_results results = {
 	    cr->number, cr->claim, NULL, 0, cr->ok, cr->failed};
-	enum platform_result res;
+	enum store_result res;
 
 	for (guint i = 0; i < cr->items->len; i++)
 		g_string_append_printf(data, "%s\n", cr->results[i]);
@@ -415,19 +415,18 @@
 static void
 settle_chunk(struct batch_runner *br, struct chunk_run *cr)
 {
-	enum platform_result res;
+	enum store_result res;
 
 	if (clock_mono_us(br->d->clk) < cr->next_commit_us)
 		return;
 	res = commit_chunk(br, cr);
-	daemon_note_store(
-	    br->d, res == kPlatformOk || res == kPlatformConflict);
-	if (res == kPlatformOk) {
+	daemon_note_store(br->d, res == kStoreOk || res == kStoreConflict);
+	if (res == kStoreOk) {
 		metric_add(kMetItems, cr->items->len);
 		log_chunk(kEvtChunkCommitted, cr);
 		forget_chunk(cr);
 		keeper_kick_batch(br->d->keeper);
-	} else if (res == kPlatformConflict) {
+	} else if (res == kStoreConflict) {
 		log_chunk(kEvtChunkLost, cr);
 		forget_chunk(cr);
 	} else {
@@ -446,7 +445,7 @@
 		return false;
 	cr->next_look_us = now_us + kCancelLookUs;
 	if (batch_get_job(br->d->plat, cr->job->team, cr->job->id, &job) !=
-	    kPlatformOk)
+	    kStoreOk)
 		return false;
 	ended = job->state != kJobRunning;
 	batch_job_free(job);
@@ -534,7 +533,7 @@
 	bool ended = false;
 
 	if (batch_session_look(br->d->plat, id, &is_live, &version) !=
-	    kPlatformOk) {
+	    kStoreOk) {
 		g_free(key);
 		return false;
 	}
@@ -549,8 +548,7 @@
 		g_hash_table_replace(br->leases_seen, g_strdup(key), seen);
 	} else if (now_us - seen->since_us >
 	    br->d->set->session_lease_ms * kUsPerMs) {
-		ended =
-		    batch_session_end(br->d->plat, id, version) == kPlatformOk;
+		ended = batch_session_end(br->d->plat, id, version) == kStoreOk;
 		if (ended)
 			log_event(kEvtSessionEnded, "session", id, NULL);
 	}
@@ -614,10 +612,10 @@
 	g_snprintf(
 	    claim, sizeof(claim), "%016" PRIx64, daemon_unique_id(br->d));
 	if (batch_claim(br->d->plat, &br->session, job, chunk, claim) !=
-	    kPlatformOk)
+	    kStoreOk)
 		return false;
 	if (batch_get_input(br->d->plat, job, chunk->number, &data) !=
-	    kPlatformOk) {
+	    kStoreOk) {
 		batch_unclaim(br->d->plat, job, chunk->number, claim);
 		return false;
 	}
@@ -659,7 +657,7 @@
 	guint n;
 	guint start;
 
-	if (batch_chunks(br->d->plat, job, &chunks) != kPlatformOk)
+	if (batch_chunks(br->d->plat, job, &chunks) != kStoreOk)
 		return false;
 	n = chunks->len;
 	start = (guint)(daemon_unique_id(br->d) * 2654435761U % MAX(n, 1));
@@ -695,13 +693,13 @@
 look_for_work(struct batch_runner *br)
 {
 	GPtrArray *jobs = NULL;
-	enum platform_result res;
+	enum store_result res;
 
 	if (!wants_chunk(br))
 		return;
 	res = batch_open_jobs(br->d->plat, kJobPage, &jobs);
-	daemon_note_store(br->d, res == kPlatformOk);
-	if (res != kPlatformOk)
+	daemon_note_store(br->d, res == kStoreOk);
+	if (res != kStoreOk)
 		return;
 	g_ptr_array_sort(jobs, compare_due);
 	for (guint i = 0; i < jobs->len && wants_chunk(br); i++)
@@ -724,7 +722,7 @@
 	    br->d->set->peer_listen, br->d->incarnation, ++br->sessions);
 
 	batch_session_clear(&br->session);
-	if (batch_session_start(br->d->plat, id, &br->session) == kPlatformOk)
+	if (batch_session_start(br->d->plat, id, &br->session) == kStoreOk)
 		br->has_session = true;
 	g_free(id);
 }
@@ -744,16 +742,15 @@
 void
 batch_runner_beat(struct batch_runner *br)
 {
-	enum platform_result res;
+	enum store_result res;
 
 	if (!br->has_session) {
 		start_session(br);
 		return;
 	}
 	res = batch_session_beat(br->d->plat, &br->session);
-	daemon_note_store(
-	    br->d, res == kPlatformOk || res == kPlatformConflict);
-	if (res == kPlatformConflict)
+	daemon_note_store(br->d, res == kStoreOk || res == kStoreConflict);
+	if (res == kStoreConflict)
 		lose_session(br);
 }
 
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -12,7 +12,6 @@
 #include "error/error.h"
 #include "log/log.h"
 #include "metric/metric.h"
-#include "platform/platform_http.h"
 #include "serve/batch_run.h"
 #include "serve/grants.h"
 #include "serve/intents.h"
@@ -21,9 +20,10 @@
 #include "serve/reports.h"
 #include "serve/routes.h"
 #include "serve/timers.h"
+#include "store/store_http.h"
 
 enum {
-	kPlatformTimeoutMs = 2000,
+	kStoreTimeoutMs = 2000,
 	kWorkersWaitingMax = 1000,
 	kTickMs = 10,
 	kDrainLookMs = 20,
@@ -98,12 +98,12 @@
 static void
 make_parts(struct daemon *d)
 {
-	struct platform_http_options plat = {
-	    d->set->platform_url, kPlatformTimeoutMs};
+	struct store_http_options plat = {
+	    d->set->platform_url, kStoreTimeoutMs};
 	struct pool_options workers = {
 	    (int32_t)d->set->workers, kWorkersWaitingMax};
 
-	d->plat = platform_http_new(&plat);
+	d->plat = store_http_new(&plat);
 	d->configs = config_holder_new();
 	d->targets = target_client_new();
 	d->timers = timers_new();
@@ -152,7 +152,7 @@
 	if (d->peer != NULL)
 		peer_free(d->peer);
 	config_holder_free(d->configs);
-	platform_http_free(d->plat);
+	store_http_free(d->plat);
 }
 
 void
--- a/src/serve/daemon.h
+++ b/src/serve/daemon.h
@@ -4,9 +4,9 @@
 #include "os/clock.h"
 #include "os/pool.h"
 #include "peer/peer.h"
-#include "platform/platform.h"
 #include "savoryflow/config/config.h"
 #include "settings/settings.h"
+#include "store/store.h"
 #include "target/target.h"
 
 /*
@@ -17,7 +17,7 @@
 struct daemon {
 	struct settings *set;
 	const struct clock_source *clk;
-	struct platform *plat;
+	struct store *plat;
 	struct config_holder *configs;
 	struct peer *peer;
 	struct target_client *targets;
--- a/src/serve/intents.c
+++ b/src/serve/intents.c
@@ -107,11 +107,11 @@
 static bool
 answer_store(struct intents *ins, const struct answer *ans)
 {
-	enum platform_result res = ans->is_withdrawal
+	enum store_result res = ans->is_withdrawal
 	    ? intent_withdraw(ins->d->plat, &ans->in)
 	    : intent_finish(ins->d->plat, &ans->in);
 
-	return res == kPlatformOk || res == kPlatformConflict;
+	return res == kStoreOk || res == kStoreConflict;
 }
 
 static void
--- a/src/serve/keeper.c
+++ b/src/serve/keeper.c
@@ -139,7 +139,7 @@
 	GPtrArray *vms = NULL;
 
 	if (kp->d->plat->ops->vms(kp->d->plat->ctx, &kp->vms_cursor, &vms) !=
-	    kPlatformOk)
+	    kStoreOk)
 		return;
 	routes_on_vms(kp->d->routes, vms);
 	g_ptr_array_unref(vms);
--- a/src/serve/limiter.c
+++ b/src/serve/limiter.c
@@ -224,14 +224,14 @@
 store_condemned(void *ctx)
 {
 	struct condemned_store_task *task = ctx;
-	const struct platform *plat = task->lim->d->plat;
-	struct platform_txn *txn = platform_txn_new();
+	const struct store *plat = task->lim->d->plat;
+	struct store_txn *txn = store_txn_new();
 	char *key =
 	    g_strdup_printf(CONDEMNED_PREFIX "%016" PRIx64, task->fingerprint);
 
-	platform_txn_write(txn, key, "{}");
+	store_txn_write(txn, key, "{}");
 	plat->ops->txn(plat->ctx, kCauseIntent, txn);
-	platform_txn_free(txn);
+	store_txn_free(txn);
 	g_free(key);
 	g_free(task);
 }
@@ -263,15 +263,15 @@
 void
 limiter_load_condemned(struct limiter *lim)
 {
-	const struct platform *plat = lim->d->plat;
+	const struct store *plat = lim->d->plat;
 	GPtrArray *rows = NULL;
 
 	if (plat->ops->scan(plat->ctx, kCauseIntent, CONDEMNED_PREFIX, NULL,
-		kCondemnedPage, &rows) != kPlatformOk)
+		kCondemnedPage, &rows) != kStoreOk)
 		return;
 	pthread_mutex_lock(&lim->lock);
 	for (guint i = 0; i < rows->len; i++) {
-		const struct platform_row *row = rows->pdata[i];
+		const struct store_row *row = rows->pdata[i];
 		const char *hex = row->key + strlen(CONDEMNED_PREFIX);
 
 		condemned_add(lim->condemned, strtoull(hex, NULL, 16));
--- a/src/serve/routes.c
+++ b/src/serve/routes.c
@@ -520,7 +520,7 @@
 	int64_t now_us = clock_mono_us(rs->d->clk);
 
 	for (guint i = 0; i < vms->len; i++) {
-		const struct platform_vm *vm = vms->pdata[i];
+		const struct store_vm *vm = vms->pdata[i];
 
 		if (strstr(vm->address, "://") != NULL) {
 			routes_set_leaving(
--- a/src/platform/platform.c
+++ b/src/store/store.c
@@ -1,8 +1,8 @@
 /* Values passed to and from the platform's services. */
-#include "platform/platform.h"
+#include "store/store.h"
 
 void
-platform_row_clear(struct platform_row *row)
+store_row_clear(struct store_row *row)
 {
 	g_clear_pointer(&row->key, g_free);
 	g_clear_pointer(&row->value, g_free);
@@ -11,12 +11,12 @@
 static void
 row_free(void *p)
 {
-	platform_row_clear(p);
+	store_row_clear(p);
 	g_free(p);
 }
 
 GPtrArray *
-platform_rows_new(void)
+store_rows_new(void)
 {
 	return g_ptr_array_new_with_free_func(row_free);
 }
@@ -24,14 +24,14 @@
 static void
 vm_free(void *p)
 {
-	struct platform_vm *vm = p;
+	struct store_vm *vm = p;
 
 	g_free(vm->address);
 	g_free(vm);
 }
 
 GPtrArray *
-platform_vms_new(void)
+store_vms_new(void)
 {
 	return g_ptr_array_new_with_free_func(vm_free);
 }
@@ -39,7 +39,7 @@
 static void
 cond_free(void *p)
 {
-	struct platform_cond *cond = p;
+	struct store_cond *cond = p;
 
 	g_free(cond->key);
 	g_free(cond->field);
@@ -50,17 +50,17 @@
 static void
 write_free(void *p)
 {
-	struct platform_write *w = p;
+	struct store_write *w = p;
 
 	g_free(w->key);
 	g_free(w->value);
 	g_free(w);
 }
 
-struct platform_txn *
-platform_txn_new(void)
+struct store_txn *
+store_txn_new(void)
 {
-	struct platform_txn *txn = g_new0(struct platform_txn, 1);
+	struct store_txn *txn = g_new0(struct store_txn, 1);
 
 	txn->conds = g_ptr_array_new_with_free_func(cond_free);
 	txn->writes = g_ptr_array_new_with_free_func(write_free);
@@ -68,7 +68,7 @@
 }
 
 void
-platform_txn_free(struct platform_txn *txn)
+store_txn_free(struct store_txn *txn)
 {
 	if (txn == NULL)
 		return;
@@ -77,11 +77,10 @@
 	g_free(txn);
 }
 
-static struct platform_cond *
-cond_add(
-    struct platform_txn *txn, enum platform_cond_kind kind, const char *key)
+static struct store_cond *
+cond_add(struct store_txn *txn, enum store_cond_kind kind, const char *key)
 {
-	struct platform_cond *cond = g_new0(struct platform_cond, 1);
+	struct store_cond *cond = g_new0(struct store_cond, 1);
 
 	cond->kind = kind;
 	cond->key = g_strdup(key);
@@ -90,31 +89,31 @@
 }
 
 void
-platform_txn_absent(struct platform_txn *txn, const char *key)
+store_txn_absent(struct store_txn *txn, const char *key)
 {
 	cond_add(txn, kCondAbsent, key);
 }
 
 void
-platform_txn_version(struct platform_txn *txn, const char *key, int64_t version)
+store_txn_version(struct store_txn *txn, const char *key, int64_t version)
 {
 	cond_add(txn, kCondVersion, key)->version = version;
 }
 
 void
-platform_txn_field(struct platform_txn *txn, const char *key, const char *field,
-    const char *text)
+store_txn_field(
+    struct store_txn *txn, const char *key, const char *field, const char *text)
 {
-	struct platform_cond *cond = cond_add(txn, kCondField, key);
+	struct store_cond *cond = cond_add(txn, kCondField, key);
 
 	cond->field = g_strdup(field);
 	cond->text = g_strdup(text);
 }
 
 void
-platform_txn_write(struct platform_txn *txn, const char *key, const char *value)
+store_txn_write(struct store_txn *txn, const char *key, const char *value)
 {
-	struct platform_write *w = g_new0(struct platform_write, 1);
+	struct store_write *w = g_new0(struct store_write, 1);
 
 	w->key = g_strdup(key);
 	w->value = g_strdup(value);
--- a/src/platform/platform_http.c
+++ b/src/store/store_http.c
@@ -7,7 +7,7 @@
  * PUT  /object/KEY, GET /object/KEY
  * GET  /vms?since=N           200 {"cursor","vms":[{"address","state"}]}
  */
-#include "platform/platform_http.h"
+#include "store/store_http.h"
 
 #include <curl/curl.h>
 #include <jansson.h>
@@ -24,8 +24,8 @@
 	kConnectTimeoutMs = 1000,
 };
 
-struct platform_http {
-	struct platform base;
+struct store_http {
+	struct store base;
 	char *url;
 	long timeout_ms;
 	pthread_key_t handle_key;
@@ -50,7 +50,7 @@
 }
 
 static CURL *
-handle_get(struct platform_http *ph)
+handle_get(struct store_http *ph)
 {
 	CURL *h = pthread_getspecific(ph->handle_key);
 
@@ -73,7 +73,7 @@
 }
 
 static void
-count_operation(enum platform_cause cause, bool is_write)
+count_operation(enum store_cause cause, bool is_write)
 {
 	static const enum metric_id reads[] = {
 	    [kCauseConfig] = kMetReadsConfig,
@@ -94,7 +94,7 @@
 }
 
 static void
-count_bytes(CURL *h, enum platform_cause cause)
+count_bytes(CURL *h, enum store_cause cause)
 {
 	curl_off_t up = 0;
 	curl_off_t down = 0;
@@ -107,7 +107,7 @@
 }
 
 static void
-http_perform(struct platform_http *ph, enum platform_cause cause,
+http_perform(struct store_http *ph, enum store_cause cause,
     const struct http_request *req, const char *path, struct http_reply *reply)
 {
 	CURL *h = handle_get(ph);
@@ -138,35 +138,35 @@
 }
 
 /* Only a refused connection or a 503 says that nothing was done. */
-static enum platform_result
+static enum store_result
 reply_result(const struct http_reply *reply)
 {
 	if (reply->curl == CURLE_COULDNT_CONNECT ||
 	    reply->curl == CURLE_COULDNT_RESOLVE_HOST)
-		return kPlatformUnavailable;
+		return kStoreUnavailable;
 	if (reply->curl != CURLE_OK)
-		return kPlatformAmbiguous;
+		return kStoreAmbiguous;
 	switch (reply->status) {
 	case kHttpOk:
-		return kPlatformOk;
+		return kStoreOk;
 	case kHttpNotFound:
-		return kPlatformNotFound;
+		return kStoreNotFound;
 	case kHttpConflict:
-		return kPlatformConflict;
+		return kStoreConflict;
 	case kHttpUnavailable:
-		return kPlatformUnavailable;
+		return kStoreUnavailable;
 	default:
-		return kPlatformAmbiguous;
+		return kStoreAmbiguous;
 	}
 }
 
 /* A read has no effect, so its lost answer is only an outage. */
-static enum platform_result
+static enum store_result
 read_result(const struct http_reply *reply)
 {
-	enum platform_result res = reply_result(reply);
+	enum store_result res = reply_result(reply);
 
-	return res == kPlatformAmbiguous ? kPlatformUnavailable : res;
+	return res == kStoreAmbiguous ? kStoreUnavailable : res;
 }
 
 static json_t *
@@ -182,19 +182,19 @@
 	return g_uri_escape_string(text, "/", FALSE);
 }
 
-static enum platform_result
-http_get(void *ctx, enum platform_cause cause, const char *key,
-    struct platform_row *row)
+static enum store_result
+http_get(
+    void *ctx, enum store_cause cause, const char *key, struct store_row *row)
 {
 	struct http_request req = {0};
 	struct http_reply reply;
-	enum platform_result res;
+	enum store_result res;
 	char *esc = escaped(key);
 	char *path = g_strconcat("/table/", esc, NULL);
 
 	http_perform(ctx, cause, &req, path, &reply);
 	res = read_result(&reply);
-	if (res == kPlatformOk) {
+	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
 		const char *value =
 		    json_string_value(json_object_get(doc, "value"));
@@ -204,8 +204,8 @@
 		row->version =
 		    json_integer_value(json_object_get(doc, "version"));
 		if (value == NULL) {
-			platform_row_clear(row);
-			res = kPlatformUnavailable;
+			store_row_clear(row);
+			res = kStoreUnavailable;
 		}
 		json_decref(doc);
 	}
@@ -218,13 +218,13 @@
 static GPtrArray *
 rows_of_json(const json_t *doc)
 {
-	GPtrArray *rows = platform_rows_new();
+	GPtrArray *rows = store_rows_new();
 	json_t *elem;
 	size_t i;
 
 	json_array_foreach(doc, i, elem)
 	{
-		struct platform_row *row = g_new0(struct platform_row, 1);
+		struct store_row *row = g_new0(struct store_row, 1);
 
 		row->key =
 		    g_strdup(json_string_value(json_object_get(elem, "key")));
@@ -237,13 +237,13 @@
 	return rows;
 }
 
-static enum platform_result
-http_scan(void *ctx, enum platform_cause cause, const char *prefix,
+static enum store_result
+http_scan(void *ctx, enum store_cause cause, const char *prefix,
     const char *after, int32_t limit, GPtrArray **rows)
 {
 	struct http_request req = {0};
 	struct http_reply reply;
-	enum platform_result res;
+	enum store_result res;
 	char *esc_prefix = g_uri_escape_string(prefix, NULL, FALSE);
 	char *esc_after = g_uri_escape_string(after ? after : "", NULL, FALSE);
 	char *path = g_strdup_printf(
@@ -251,13 +251,13 @@
 
 	http_perform(ctx, cause, &req, path, &reply);
 	res = read_result(&reply);
-	if (res == kPlatformOk) {
+	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
 
 		if (json_is_array(doc))
 			*rows = rows_of_json(doc);
 		else
-			res = kPlatformUnavailable;
+			res = kStoreUnavailable;
 		json_decref(doc);
 	}
 	g_byte_array_unref(reply.body);
@@ -268,7 +268,7 @@
 }
 
 static json_t *
-json_of_cond(const struct platform_cond *cond)
+json_of_cond(const struct store_cond *cond)
 {
 	switch (cond->kind) {
 	case kCondAbsent:
@@ -284,7 +284,7 @@
 }
 
 static char *
-json_of_txn(const struct platform_txn *txn)
+json_of_txn(const struct store_txn *txn)
 {
 	json_t *conds = json_array();
 	json_t *writes = json_array();
@@ -295,7 +295,7 @@
 		json_array_append_new(
 		    conds, json_of_cond(txn->conds->pdata[i]));
 	for (guint i = 0; i < txn->writes->len; i++) {
-		const struct platform_write *w = txn->writes->pdata[i];
+		const struct store_write *w = txn->writes->pdata[i];
 
 		json_array_append_new(writes,
 		    json_pack("{s:s,s:s?}", "key", w->key, "value", w->value));
@@ -306,13 +306,13 @@
 	return text;
 }
 
-static enum platform_result
-http_txn(void *ctx, enum platform_cause cause, const struct platform_txn *txn)
+static enum store_result
+http_txn(void *ctx, enum store_cause cause, const struct store_txn *txn)
 {
 	char *body = json_of_txn(txn);
 	struct http_request req = {"POST", body, strlen(body)};
 	struct http_reply reply;
-	enum platform_result res;
+	enum store_result res;
 
 	http_perform(ctx, cause, &req, "/txn", &reply);
 	res = reply_result(&reply);
@@ -321,13 +321,13 @@
 	return res;
 }
 
-static enum platform_result
-http_put_object(void *ctx, enum platform_cause cause, const char *key,
+static enum store_result
+http_put_object(void *ctx, enum store_cause cause, const char *key,
     const char *data, size_t len)
 {
 	struct http_request req = {"PUT", data, len};
 	struct http_reply reply;
-	enum platform_result res;
+	enum store_result res;
 	char *esc = escaped(key);
 	char *path = g_strconcat("/object/", esc, NULL);
 
@@ -339,19 +339,19 @@
 	return res;
 }
 
-static enum platform_result
+static enum store_result
 http_get_object(
-    void *ctx, enum platform_cause cause, const char *key, GBytes **data)
+    void *ctx, enum store_cause cause, const char *key, GBytes **data)
 {
 	struct http_request req = {0};
 	struct http_reply reply;
-	enum platform_result res;
+	enum store_result res;
 	char *esc = escaped(key);
 	char *path = g_strconcat("/object/", esc, NULL);
 
 	http_perform(ctx, cause, &req, path, &reply);
 	res = read_result(&reply);
-	if (res == kPlatformOk)
+	if (res == kStoreOk)
 		*data = g_byte_array_free_to_bytes(reply.body);
 	else
 		g_byte_array_unref(reply.body);
@@ -360,7 +360,7 @@
 	return res;
 }
 
-static enum platform_vm_state
+static enum store_vm_state
 vm_state_of_text(const char *text)
 {
 	if (g_strcmp0(text, "leaving") == 0)
@@ -373,13 +373,13 @@
 static GPtrArray *
 vms_of_json(const json_t *list)
 {
-	GPtrArray *vms = platform_vms_new();
+	GPtrArray *vms = store_vms_new();
 	json_t *elem;
 	size_t i;
 
 	json_array_foreach(list, i, elem)
 	{
-		struct platform_vm *vm = g_new0(struct platform_vm, 1);
+		struct store_vm *vm = g_new0(struct store_vm, 1);
 
 		vm->address = g_strdup(
 		    json_string_value(json_object_get(elem, "address")));
@@ -390,17 +390,17 @@
 	return vms;
 }
 
-static enum platform_result
+static enum store_result
 http_vms(void *ctx, int64_t *cursor, GPtrArray **vms)
 {
 	struct http_request req = {0};
 	struct http_reply reply;
-	enum platform_result res;
+	enum store_result res;
 	char *path = g_strdup_printf("/vms?since=%" G_GINT64_FORMAT, *cursor);
 
 	http_perform(ctx, kCauseVms, &req, path, &reply);
 	res = read_result(&reply);
-	if (res == kPlatformOk) {
+	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
 
 		*cursor = json_integer_value(json_object_get(doc, "cursor"));
@@ -412,7 +412,7 @@
 	return res;
 }
 
-static const struct platform_ops http_ops = {
+static const struct store_ops http_ops = {
     .get = http_get,
     .scan = http_scan,
     .txn = http_txn,
@@ -421,10 +421,10 @@
     .vms = http_vms,
 };
 
-struct platform *
-platform_http_new(const struct platform_http_options *opt)
+struct store *
+store_http_new(const struct store_http_options *opt)
 {
-	struct platform_http *ph = g_new0(struct platform_http, 1);
+	struct store_http *ph = g_new0(struct store_http, 1);
 
 	ph->base.ops = &http_ops;
 	ph->base.ctx = ph;
@@ -435,9 +435,9 @@
 }
 
 void
-platform_http_free(struct platform *plat)
+store_http_free(struct store *plat)
 {
-	struct platform_http *ph = plat->ctx;
+	struct store_http *ph = plat->ctx;
 	CURL *own = pthread_getspecific(ph->handle_key);
 
 	if (own != NULL)
--- a/src/platform/platform_http.h
+++ b/src/store/store_http.h
@@ -1,9 +1,9 @@
-#ifndef SAVORYFLOW_PLATFORM_HTTP_H
-#define SAVORYFLOW_PLATFORM_HTTP_H
+#ifndef SAVORYFLOW_STORE_HTTP_H
+#define SAVORYFLOW_STORE_HTTP_H
 
-#include "platform/platform.h"
+#include "store/store.h"
 
-struct platform_http_options {
+struct store_http_options {
 	/** Base URL, without a slash at the end. */
 	const char *url;
 	/** Time for one operation, connecting included. */
@@ -14,7 +14,7 @@
  * Client of the platform's services over HTTP. Calls block; any thread may
  * make them, each thread has a connection of its own.
  */
-struct platform *platform_http_new(const struct platform_http_options *opt);
-void platform_http_free(struct platform *plat);
+struct store *store_http_new(const struct store_http_options *opt);
+void store_http_free(struct store *plat);
 
 #endif
--- a/test/standin/memstore.c
+++ b/test/standin/memstore.c
@@ -12,12 +12,12 @@
 
 struct vm_change {
 	char *address;
-	enum platform_vm_state state;
+	enum store_vm_state state;
 	int64_t seq;
 };
 
 struct memstore {
-	struct platform base;
+	struct store base;
 	pthread_mutex_t lock;
 	GTree *rows;
 	GHashTable *objects;
@@ -53,15 +53,15 @@
 	return false;
 }
 
-static enum platform_result
-ms_get(void *ctx, enum platform_cause cause, const char *key,
-    struct platform_row *row)
+static enum store_result
+ms_get(
+    void *ctx, enum store_cause cause, const char *key, struct store_row *row)
 {
 	struct memstore *ms = ctx;
 	struct stored_row *stored;
 
 	if (!read_begin(ms))
-		return kPlatformUnavailable;
+		return kStoreUnavailable;
 	stored = g_tree_lookup(ms->rows, key);
 	if (stored != NULL) {
 		row->key = g_strdup(key);
@@ -69,11 +69,11 @@
 		row->version = stored->version;
 	}
 	pthread_mutex_unlock(&ms->lock);
-	return stored != NULL ? kPlatformOk : kPlatformNotFound;
+	return stored != NULL ? kStoreOk : kStoreNotFound;
 }
 
-static enum platform_result
-ms_scan(void *ctx, enum platform_cause cause, const char *prefix,
+static enum store_result
+ms_scan(void *ctx, enum store_cause cause, const char *prefix,
     const char *after, int32_t limit, GPtrArray **rows)
 {
 	struct memstore *ms = ctx;
@@ -82,27 +82,27 @@
 	GTreeNode *node;
 
 	if (!read_begin(ms))
-		return kPlatformUnavailable;
-	*rows = platform_rows_new();
+		return kStoreUnavailable;
+	*rows = store_rows_new();
 	node = g_tree_lower_bound(ms->rows, from);
 	for (; node != NULL && (int32_t)(*rows)->len < limit;
 	     node = g_tree_node_next(node)) {
 		const char *key = g_tree_node_key(node);
 		const struct stored_row *stored = g_tree_node_value(node);
-		struct platform_row *row;
+		struct store_row *row;
 
 		if (!g_str_has_prefix(key, prefix))
 			break;
 		if (after != NULL && strcmp(key, after) <= 0)
 			continue;
-		row = g_new0(struct platform_row, 1);
+		row = g_new0(struct store_row, 1);
 		row->key = g_strdup(key);
 		row->value = g_strdup(stored->value);
 		row->version = stored->version;
 		g_ptr_array_add(*rows, row);
 	}
 	pthread_mutex_unlock(&ms->lock);
-	return kPlatformOk;
+	return kStoreOk;
 }
 
 static bool
@@ -117,7 +117,7 @@
 }
 
 static bool
-cond_holds(struct memstore *ms, const struct platform_cond *cond)
+cond_holds(struct memstore *ms, const struct store_cond *cond)
 {
 	const struct stored_row *row = g_tree_lookup(ms->rows, cond->key);
 
@@ -134,7 +134,7 @@
 }
 
 static void
-apply_write(struct memstore *ms, const struct platform_write *w)
+apply_write(struct memstore *ms, const struct store_write *w)
 {
 	struct stored_row *row;
 
@@ -160,42 +160,42 @@
 	return true;
 }
 
-static enum platform_result
-ms_txn(void *ctx, enum platform_cause cause, const struct platform_txn *txn)
+static enum store_result
+ms_txn(void *ctx, enum store_cause cause, const struct store_txn *txn)
 {
 	struct memstore *ms = ctx;
-	enum platform_result res = kPlatformOk;
+	enum store_result res = kStoreOk;
 
 	pthread_mutex_lock(&ms->lock);
 	ms->counts.writes++;
 	if (ms->faults.outage)
-		res = kPlatformUnavailable;
+		res = kStoreUnavailable;
 	else if (fault_take(&ms->faults.lose_requests))
-		res = kPlatformAmbiguous;
-	for (guint i = 0; res == kPlatformOk && i < txn->conds->len; i++)
+		res = kStoreAmbiguous;
+	for (guint i = 0; res == kStoreOk && i < txn->conds->len; i++)
 		if (!cond_holds(ms, txn->conds->pdata[i]))
-			res = kPlatformConflict;
-	if (res == kPlatformOk) {
+			res = kStoreConflict;
+	if (res == kStoreOk) {
 		for (guint i = 0; i < txn->writes->len; i++)
 			apply_write(ms, txn->writes->pdata[i]);
 		if (fault_take(&ms->faults.lose_answers))
-			res = kPlatformAmbiguous;
+			res = kStoreAmbiguous;
 	}
 	pthread_mutex_unlock(&ms->lock);
 	return res;
 }
 
-static enum platform_result
-ms_put_object(void *ctx, enum platform_cause cause, const char *key,
+static enum store_result
+ms_put_object(void *ctx, enum store_cause cause, const char *key,
     const char *data, size_t len)
 {
 	struct memstore *ms = ctx;
-	enum platform_result res = kPlatformOk;
+	enum store_result res = kStoreOk;
 
 	pthread_mutex_lock(&ms->lock);
 	ms->counts.writes++;
 	if (ms->faults.outage)
-		res = kPlatformUnavailable;
+		res = kStoreUnavailable;
 	else
 		g_hash_table_replace(
 		    ms->objects, g_strdup(key), g_bytes_new(data, len));
@@ -203,47 +203,46 @@
 	return res;
 }
 
-static enum platform_result
-ms_get_object(
-    void *ctx, enum platform_cause cause, const char *key, GBytes **data)
+static enum store_result
+ms_get_object(void *ctx, enum store_cause cause, const char *key, GBytes **data)
 {
 	struct memstore *ms = ctx;
 	GBytes *found;
 
 	if (!read_begin(ms))
-		return kPlatformUnavailable;
+		return kStoreUnavailable;
 	found = g_hash_table_lookup(ms->objects, key);
 	if (found != NULL)
 		*data = g_bytes_ref(found);
 	pthread_mutex_unlock(&ms->lock);
-	return found != NULL ? kPlatformOk : kPlatformNotFound;
+	return found != NULL ? kStoreOk : kStoreNotFound;
 }
 
-static enum platform_result
+static enum store_result
 ms_vms(void *ctx, int64_t *cursor, GPtrArray **vms)
 {
 	struct memstore *ms = ctx;
 
 	if (!read_begin(ms))
-		return kPlatformUnavailable;
-	*vms = platform_vms_new();
+		return kStoreUnavailable;
+	*vms = store_vms_new();
 	for (guint i = 0; i < ms->vms->len; i++) {
 		const struct vm_change *change = ms->vms->pdata[i];
-		struct platform_vm *vm;
+		struct store_vm *vm;
 
 		if (change->seq <= *cursor)
 			continue;
-		vm = g_new0(struct platform_vm, 1);
+		vm = g_new0(struct store_vm, 1);
 		vm->address = g_strdup(change->address);
 		vm->state = change->state;
 		g_ptr_array_add(*vms, vm);
 	}
 	*cursor = ms->version;
 	pthread_mutex_unlock(&ms->lock);
-	return kPlatformOk;
+	return kStoreOk;
 }
 
-static const struct platform_ops memstore_ops = {
+static const struct store_ops memstore_ops = {
     .get = ms_get,
     .scan = ms_scan,
     .txn = ms_txn,
@@ -286,8 +285,8 @@
 	g_free(ms);
 }
 
-struct platform *
-memstore_platform(struct memstore *ms)
+struct store *
+memstore_store(struct memstore *ms)
 {
 	return &ms->base;
 }
@@ -313,7 +312,7 @@
 
 void
 memstore_set_vm(
-    struct memstore *ms, const char *address, enum platform_vm_state state)
+    struct memstore *ms, const char *address, enum store_vm_state state)
 {
 	struct vm_change *change = g_new0(struct vm_change, 1);
 
--- a/test/standin/memstore.h
+++ b/test/standin/memstore.h
@@ -3,7 +3,7 @@
 
 #include <stdbool.h>
 
-#include "platform/platform.h"
+#include "store/store.h"
 
 /** Faults of the store; all off at first. */
 struct memstore_faults {
@@ -25,13 +25,13 @@
 void memstore_free(struct memstore *ms);
 
 /** The store behind the interface that the system uses. */
-struct platform *memstore_platform(struct memstore *ms);
+struct store *memstore_store(struct memstore *ms);
 
 void memstore_set_faults(struct memstore *ms, const struct memstore_faults *f);
 struct memstore_counts memstore_counts_get(struct memstore *ms);
 
 /** Sets a VM's state: "live", "leaving" or "gone". */
 void memstore_set_vm(
-    struct memstore *ms, const char *address, enum platform_vm_state state);
+    struct memstore *ms, const char *address, enum store_vm_state state);
 
 #endif
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -10,34 +10,34 @@
 
 struct platform_server {
 	struct memstore *ms;
-	struct platform *plat;
+	struct store *plat;
 	gint slow_ms;
 };
 
 static struct MHD_Response *
-answer(enum platform_result res, const char *text, unsigned int *status)
+answer(enum store_result res, const char *text, unsigned int *status)
 {
 	switch (res) {
-	case kPlatformOk:
+	case kStoreOk:
 		*status = 200;
 		break;
-	case kPlatformNotFound:
+	case kStoreNotFound:
 		*status = 404;
 		break;
-	case kPlatformConflict:
+	case kStoreConflict:
 		*status = 409;
 		break;
-	case kPlatformUnavailable:
+	case kStoreUnavailable:
 		*status = 503;
 		break;
-	case kPlatformAmbiguous:
+	case kStoreAmbiguous:
 		return NULL;
 	}
 	return standin_text(text != NULL ? text : "{}");
 }
 
 static struct MHD_Response *
-answer_json(enum platform_result res, json_t *doc, unsigned int *status)
+answer_json(enum store_result res, json_t *doc, unsigned int *status)
 {
 	char *text = doc != NULL ? json_dumps(doc, JSON_COMPACT) : NULL;
 	struct MHD_Response *response = answer(res, text, status);
@@ -50,15 +50,15 @@
 static struct MHD_Response *
 get_row(struct platform_server *ps, const char *key, unsigned int *status)
 {
-	struct platform_row row = {0};
-	enum platform_result res =
+	struct store_row row = {0};
+	enum store_result res =
 	    ps->plat->ops->get(ps->plat->ctx, kCauseConfig, key, &row);
 	json_t *doc = NULL;
 
-	if (res == kPlatformOk)
+	if (res == kStoreOk)
 		doc = json_pack("{s:s,s:I}", "value", row.value, "version",
 		    (json_int_t)row.version);
-	platform_row_clear(&row);
+	store_row_clear(&row);
 	return answer_json(res, doc, status);
 }
 
@@ -76,12 +76,12 @@
 	const char *limit = argument(req, "limit");
 	GPtrArray *rows = NULL;
 	json_t *list = json_array();
-	enum platform_result res = ps->plat->ops->scan(ps->plat->ctx,
-	    kCauseConfig, argument(req, "prefix"), argument(req, "after"),
+	enum store_result res = ps->plat->ops->scan(ps->plat->ctx, kCauseConfig,
+	    argument(req, "prefix"), argument(req, "after"),
 	    limit != NULL ? atoi(limit) : 100, &rows);
 
 	for (guint i = 0; rows != NULL && i < rows->len; i++) {
-		const struct platform_row *row = rows->pdata[i];
+		const struct store_row *row = rows->pdata[i];
 
 		json_array_append_new(list,
 		    json_pack("{s:s,s:s,s:I}", "key", row->key, "value",
@@ -92,11 +92,11 @@
 	return answer_json(res, list, status);
 }
 
-static struct platform_txn *
+static struct store_txn *
 parse_txn(const char *text)
 {
 	json_t *doc = json_loads(text, 0, NULL);
-	struct platform_txn *txn = platform_txn_new();
+	struct store_txn *txn = store_txn_new();
 	json_t *elem;
 	size_t i;
 
@@ -108,18 +108,18 @@
 		    json_string_value(json_object_get(elem, "field"));
 
 		if (json_is_true(json_object_get(elem, "absent")))
-			platform_txn_absent(txn, key);
+			store_txn_absent(txn, key);
 		else if (field != NULL)
-			platform_txn_field(txn, key, field,
+			store_txn_field(txn, key, field,
 			    json_string_value(json_object_get(elem, "equals")));
 		else
-			platform_txn_version(txn, key,
+			store_txn_version(txn, key,
 			    json_integer_value(
 				json_object_get(elem, "version")));
 	}
 	json_array_foreach(json_object_get(doc, "set"), i, elem)
 	{
-		platform_txn_write(txn,
+		store_txn_write(txn,
 		    json_string_value(json_object_get(elem, "key")),
 		    json_string_value(json_object_get(elem, "value")));
 	}
@@ -131,11 +131,11 @@
 run_txn(struct platform_server *ps, struct standin_request *req,
     unsigned int *status)
 {
-	struct platform_txn *txn = parse_txn(req->body->str);
-	enum platform_result res =
+	struct store_txn *txn = parse_txn(req->body->str);
+	enum store_result res =
 	    ps->plat->ops->txn(ps->plat->ctx, kCauseConfig, txn);
 
-	platform_txn_free(txn);
+	store_txn_free(txn);
 	return answer(res, NULL, status);
 }
 
@@ -144,7 +144,7 @@
     unsigned int *status)
 {
 	GBytes *data = NULL;
-	enum platform_result res;
+	enum store_result res;
 	struct MHD_Response *response;
 	gsize len;
 
@@ -155,7 +155,7 @@
 		    NULL, status);
 	res =
 	    ps->plat->ops->get_object(ps->plat->ctx, kCauseConfig, key, &data);
-	if (res != kPlatformOk)
+	if (res != kStoreOk)
 		return answer(res, NULL, status);
 	response = MHD_create_response_from_buffer(g_bytes_get_size(data),
 	    (void *)g_bytes_get_data(data, &len), MHD_RESPMEM_MUST_COPY);
@@ -172,11 +172,11 @@
 	int64_t cursor = since != NULL ? atoll(since) : 0;
 	GPtrArray *list = NULL;
 	json_t *array = json_array();
-	enum platform_result res =
+	enum store_result res =
 	    ps->plat->ops->vms(ps->plat->ctx, &cursor, &list);
 
 	for (guint i = 0; list != NULL && i < list->len; i++) {
-		const struct platform_vm *vm = list->pdata[i];
+		const struct store_vm *vm = list->pdata[i];
 
 		json_array_append_new(array,
 		    json_pack("{s:s,s:s}", "address", vm->address, "state",
@@ -215,7 +215,7 @@
 {
 	json_t *doc = json_loads(req->body->str, 0, NULL);
 	const char *state = json_string_value(json_object_get(doc, "state"));
-	enum platform_vm_state s = kVmLive;
+	enum store_vm_state s = kVmLive;
 
 	if (g_strcmp0(state, "leaving") == 0)
 		s = kVmLeaving;
@@ -232,7 +232,7 @@
 {
 	struct memstore_counts n = memstore_counts_get(ps->ms);
 
-	return answer_json(kPlatformOk,
+	return answer_json(kStoreOk,
 	    json_pack("{s:I,s:I}", "reads", (json_int_t)n.reads, "writes",
 		(json_int_t)n.writes),
 	    status);
@@ -271,7 +271,7 @@
 	struct platform_server ps = {0};
 
 	ps.ms = memstore_new();
-	ps.plat = memstore_platform(ps.ms);
+	ps.plat = memstore_store(ps.ms);
 	return standin_serve(
 	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7000")), handle,
 	    &ps);
--- a/test/unit/test_batch_store.cc
+++ b/test/unit/test_batch_store.cc
@@ -14,7 +14,7 @@
 
 struct BatchStore : ::testing::Test {
 	struct memstore *ms = memstore_new();
-	struct platform *plat = memstore_platform(ms);
+	struct store *plat = memstore_store(ms);
 	struct batch_session one = {}, two = {};
 	struct batch_job job = {};
 
@@ -29,9 +29,9 @@
 		job.items = 5;
 		job.chunk_items = 2;
 		job.weight = 1;
-		ASSERT_EQ(kPlatformOk, batch_session_start(plat, "s1", &one));
-		ASSERT_EQ(kPlatformOk, batch_session_start(plat, "s2", &two));
-		ASSERT_EQ(kPlatformOk, batch_submit(plat, &job));
+		ASSERT_EQ(kStoreOk, batch_session_start(plat, "s1", &one));
+		ASSERT_EQ(kStoreOk, batch_session_start(plat, "s2", &two));
+		ASSERT_EQ(kStoreOk, batch_submit(plat, &job));
 	}
 
 	~BatchStore() override
@@ -57,7 +57,7 @@
 		GPtrArray *chunks = nullptr;
 		batch_chunk copy = {};
 
-		EXPECT_EQ(kPlatformOk, batch_chunks(plat, &job, &chunks));
+		EXPECT_EQ(kStoreOk, batch_chunks(plat, &job, &chunks));
 		copy = *(batch_chunk *)chunks->pdata[n];
 		*session = copy.session != nullptr ? copy.session : "";
 		copy.session = (char *)session->c_str();
@@ -66,7 +66,7 @@
 		return copy;
 	}
 
-	platform_result
+	store_result
 	Claim(const batch_session *s, int n, const char *claim)
 	{
 		std::string session;
@@ -75,7 +75,7 @@
 		return batch_claim(plat, s, &job, &chunk, claim);
 	}
 
-	platform_result
+	store_result
 	Commit(const batch_session *s, int n, const char *claim)
 	{
 		struct batch_results r = {n, claim, "x\n", 2, 1, 0};
@@ -89,10 +89,9 @@
 		bool live;
 		int64_t version;
 
-		ASSERT_EQ(kPlatformOk,
+		ASSERT_EQ(kStoreOk,
 		    batch_session_look(plat, session, &live, &version));
-		ASSERT_EQ(
-		    kPlatformOk, batch_session_end(plat, session, version));
+		ASSERT_EQ(kStoreOk, batch_session_end(plat, session, version));
 	}
 };
 
@@ -100,9 +99,9 @@
 {
 	struct batch_job other = job;
 
-	EXPECT_EQ(kPlatformOk, batch_submit(plat, &job));
+	EXPECT_EQ(kStoreOk, batch_submit(plat, &job));
 	other.digest = (char *)"another";
-	EXPECT_EQ(kPlatformConflict, batch_submit(plat, &other));
+	EXPECT_EQ(kStoreConflict, batch_submit(plat, &other));
 }
 
 TEST_F(BatchStore, OnlyOneSessionGetsAChunk)
@@ -110,32 +109,31 @@
 	std::string session;
 	batch_chunk seen = Chunk(0, &session);
 
-	EXPECT_EQ(kPlatformOk, batch_claim(plat, &one, &job, &seen, "c1"));
-	EXPECT_EQ(
-	    kPlatformConflict, batch_claim(plat, &two, &job, &seen, "c2"));
-	EXPECT_EQ(kPlatformConflict, Claim(&two, 0, "c3"))
+	EXPECT_EQ(kStoreOk, batch_claim(plat, &one, &job, &seen, "c1"));
+	EXPECT_EQ(kStoreConflict, batch_claim(plat, &two, &job, &seen, "c2"));
+	EXPECT_EQ(kStoreConflict, Claim(&two, 0, "c3"))
 	    << "the holder's session lives";
 }
 
 TEST_F(BatchStore, HolderThatWakesAfterItsSessionEndedCannotCommit)
 {
-	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c1"));
+	EXPECT_EQ(kStoreOk, Claim(&one, 0, "c1"));
 	End("s1");
-	EXPECT_EQ(kPlatformConflict, Commit(&one, 0, "c1"))
+	EXPECT_EQ(kStoreConflict, Commit(&one, 0, "c1"))
 	    << "also before anyone took the chunk";
-	EXPECT_EQ(kPlatformOk, Claim(&two, 0, "c2"));
-	EXPECT_EQ(kPlatformConflict, Commit(&one, 0, "c1"));
-	EXPECT_EQ(kPlatformOk, Commit(&two, 0, "c2"));
-	EXPECT_EQ(kPlatformConflict, batch_session_beat(plat, &one));
+	EXPECT_EQ(kStoreOk, Claim(&two, 0, "c2"));
+	EXPECT_EQ(kStoreConflict, Commit(&one, 0, "c1"));
+	EXPECT_EQ(kStoreOk, Commit(&two, 0, "c2"));
+	EXPECT_EQ(kStoreConflict, batch_session_beat(plat, &one));
 }
 
 TEST_F(BatchStore, ALeaseThatItsOwnSessionLostSightOfIsTakenAgain)
 {
-	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c1"));
-	EXPECT_EQ(kPlatformConflict, Claim(&two, 0, "c2"));
-	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c3"));
-	EXPECT_EQ(kPlatformConflict, Commit(&one, 0, "c1"));
-	EXPECT_EQ(kPlatformOk, Commit(&one, 0, "c3"));
+	EXPECT_EQ(kStoreOk, Claim(&one, 0, "c1"));
+	EXPECT_EQ(kStoreConflict, Claim(&two, 0, "c2"));
+	EXPECT_EQ(kStoreOk, Claim(&one, 0, "c3"));
+	EXPECT_EQ(kStoreConflict, Commit(&one, 0, "c1"));
+	EXPECT_EQ(kStoreOk, Commit(&one, 0, "c3"));
 }
 
 TEST_F(BatchStore, HeartbeatKeepsTheSession)
@@ -143,9 +141,9 @@
 	bool live;
 	int64_t version;
 
-	ASSERT_EQ(kPlatformOk, batch_session_look(plat, "s1", &live, &version));
-	EXPECT_EQ(kPlatformOk, batch_session_beat(plat, &one));
-	EXPECT_EQ(kPlatformConflict, batch_session_end(plat, "s1", version))
+	ASSERT_EQ(kStoreOk, batch_session_look(plat, "s1", &live, &version));
+	EXPECT_EQ(kStoreOk, batch_session_beat(plat, &one));
+	EXPECT_EQ(kStoreConflict, batch_session_end(plat, "s1", version))
 	    << "an observer of the old counter is too late";
 }
 
@@ -162,42 +160,40 @@
 		std::string claim = "c" + std::to_string(n);
 
 		Faults(false, c.answers, c.requests);
-		EXPECT_EQ(kPlatformOk, Claim(&one, n, claim.c_str())) << c.name;
+		EXPECT_EQ(kStoreOk, Claim(&one, n, claim.c_str())) << c.name;
 		Faults(false, c.answers, c.requests);
-		EXPECT_EQ(kPlatformOk, Commit(&one, n, claim.c_str()))
-		    << c.name;
+		EXPECT_EQ(kStoreOk, Commit(&one, n, claim.c_str())) << c.name;
 		Faults(false, c.answers, c.requests);
-		EXPECT_EQ(kPlatformOk, batch_session_beat(plat, &one))
-		    << c.name;
+		EXPECT_EQ(kStoreOk, batch_session_beat(plat, &one)) << c.name;
 		n++;
 	}
 	Faults(false, 0, 0);
 	bool done;
-	EXPECT_EQ(kPlatformOk, batch_finish(plat, &job, &done));
+	EXPECT_EQ(kStoreOk, batch_finish(plat, &job, &done));
 	EXPECT_TRUE(done);
 }
 
 TEST_F(BatchStore, CommitTriedAgainAfterSilenceIsOnce)
 {
-	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c1"));
+	EXPECT_EQ(kStoreOk, Claim(&one, 0, "c1"));
 	Faults(false, 9, 0);
-	EXPECT_NE(kPlatformConflict, Commit(&one, 0, "c1"));
+	EXPECT_NE(kStoreConflict, Commit(&one, 0, "c1"));
 	Faults(false, 0, 0);
-	EXPECT_EQ(kPlatformOk, Commit(&one, 0, "c1"));
+	EXPECT_EQ(kStoreOk, Commit(&one, 0, "c1"));
 }
 
 TEST_F(BatchStore, NoResultAfterCancel)
 {
 	struct batch_progress p;
 
-	EXPECT_EQ(kPlatformOk, Claim(&one, 0, "c1"));
-	EXPECT_EQ(kPlatformOk, Claim(&one, 1, "c2"));
-	EXPECT_EQ(kPlatformOk, Commit(&one, 0, "c1"));
-	EXPECT_EQ(kPlatformOk, batch_cancel(plat, "t", "j"));
-	EXPECT_EQ(kPlatformOk, batch_cancel(plat, "t", "j")) << "again";
-	EXPECT_EQ(kPlatformConflict, Commit(&one, 1, "c2"));
-	EXPECT_EQ(kPlatformConflict, Claim(&two, 2, "c3"));
-	EXPECT_EQ(kPlatformOk, batch_progress(plat, "t", "j", &p));
+	EXPECT_EQ(kStoreOk, Claim(&one, 0, "c1"));
+	EXPECT_EQ(kStoreOk, Claim(&one, 1, "c2"));
+	EXPECT_EQ(kStoreOk, Commit(&one, 0, "c1"));
+	EXPECT_EQ(kStoreOk, batch_cancel(plat, "t", "j"));
+	EXPECT_EQ(kStoreOk, batch_cancel(plat, "t", "j")) << "again";
+	EXPECT_EQ(kStoreConflict, Commit(&one, 1, "c2"));
+	EXPECT_EQ(kStoreConflict, Claim(&two, 2, "c3"));
+	EXPECT_EQ(kStoreOk, batch_progress(plat, "t", "j", &p));
 	EXPECT_EQ(kJobCancelled, p.state);
 	EXPECT_EQ(1, p.chunks_done);
 }
@@ -209,15 +205,15 @@
 	for (int n = 0; n < 3; n++) {
 		std::string claim = "c" + std::to_string(n);
 
-		EXPECT_EQ(kPlatformOk, batch_finish(plat, &job, &done));
+		EXPECT_EQ(kStoreOk, batch_finish(plat, &job, &done));
 		EXPECT_FALSE(done);
-		EXPECT_EQ(kPlatformOk, Claim(&one, n, claim.c_str()));
-		EXPECT_EQ(kPlatformOk, Commit(&one, n, claim.c_str()));
+		EXPECT_EQ(kStoreOk, Claim(&one, n, claim.c_str()));
+		EXPECT_EQ(kStoreOk, Commit(&one, n, claim.c_str()));
 	}
-	EXPECT_EQ(kPlatformOk, batch_finish(plat, &job, &done));
+	EXPECT_EQ(kStoreOk, batch_finish(plat, &job, &done));
 	EXPECT_TRUE(done);
-	EXPECT_EQ(kPlatformConflict, batch_cancel(plat, "t", "j"));
-	EXPECT_EQ(kPlatformNotFound, batch_cancel(plat, "other", "j"));
+	EXPECT_EQ(kStoreConflict, batch_cancel(plat, "t", "j"));
+	EXPECT_EQ(kStoreNotFound, batch_cancel(plat, "other", "j"));
 }
 
 TEST_F(BatchStore, OutageIsSaidAsOutage)
@@ -226,14 +222,14 @@
 
 	other.id = (char *)"k";
 	Faults(true, 0, 0);
-	EXPECT_EQ(kPlatformUnavailable, batch_submit(plat, &other));
+	EXPECT_EQ(kStoreUnavailable, batch_submit(plat, &other));
 	Faults(false, 0, 9);
-	EXPECT_EQ(kPlatformAmbiguous, batch_submit(plat, &other));
+	EXPECT_EQ(kStoreAmbiguous, batch_submit(plat, &other));
 }
 
 struct IntentStore : ::testing::Test {
 	struct memstore *ms = memstore_new();
-	struct platform *plat = memstore_platform(ms);
+	struct store *plat = memstore_store(ms);
 
 	~IntentStore() override
 	{
@@ -278,10 +274,10 @@
 	struct intent in = Make("k", "a1");
 	in.status = 200;
 	in.body = g_strdup("answer");
-	EXPECT_EQ(kPlatformOk, intent_finish(plat, &in));
+	EXPECT_EQ(kStoreOk, intent_finish(plat, &in));
 	intent_clear(&in);
 	struct intent late = Make("k", "a9");
-	EXPECT_EQ(kPlatformConflict, intent_finish(plat, &late));
+	EXPECT_EQ(kStoreConflict, intent_finish(plat, &late));
 	intent_clear(&late);
 	EXPECT_EQ(kIntentDone, Begin("k", "a5"));
 }
@@ -292,7 +288,7 @@
 
 	EXPECT_EQ(kIntentRun, Begin("k", "a1"));
 	in.is_outcome_unknown = true;
-	EXPECT_EQ(kPlatformOk, intent_finish(plat, &in));
+	EXPECT_EQ(kStoreOk, intent_finish(plat, &in));
 	EXPECT_EQ(kIntentUnknown, Begin("k", "a2"));
 	intent_clear(&in);
 }
@@ -349,9 +345,9 @@
 	struct intent in = Make("k", "a1");
 
 	EXPECT_EQ(kIntentRun, Begin("k", "a1"));
-	EXPECT_EQ(kPlatformOk, intent_withdraw(plat, &in));
+	EXPECT_EQ(kStoreOk, intent_withdraw(plat, &in));
 	EXPECT_EQ(kIntentRun, Begin("k", "a2"));
-	EXPECT_EQ(kPlatformConflict, intent_withdraw(plat, &in));
+	EXPECT_EQ(kStoreConflict, intent_withdraw(plat, &in));
 	intent_clear(&in);
 }
 
--- a/test/unit/test_config.cc
+++ b/test/unit/test_config.cc
@@ -137,7 +137,7 @@
 
 struct ConfigStore : ::testing::Test {
 	struct memstore *ms = memstore_new();
-	struct platform *plat = memstore_platform(ms);
+	struct store *plat = memstore_store(ms);
 
 	~ConfigStore() override
 	{
--- a/test/unit/test_properties.cc
+++ b/test/unit/test_properties.cc
@@ -65,7 +65,7 @@
 struct BatchModel {
 	static const int kChunks = 4;
 	struct memstore *ms = memstore_new();
-	struct platform *plat = memstore_platform(ms);
+	struct store *plat = memstore_store(ms);
 	struct batch_job job = {};
 	struct batch_session sessions[3] = {};
 	int starts = 0;
@@ -128,7 +128,7 @@
 		all_sessions.push_back(id);
 		batch_session_clear(&sessions[who]);
 		if (batch_session_start(plat, id.c_str(), &sessions[who]) !=
-		    kPlatformOk)
+		    kStoreOk)
 			batch_session_clear(&sessions[who]);
 	}
 
@@ -138,11 +138,11 @@
 		GPtrArray *chunks = nullptr;
 		std::string claim = "c" + std::to_string(++claims);
 
-		if (batch_chunks(plat, &job, &chunks) != kPlatformOk)
+		if (batch_chunks(plat, &job, &chunks) != kStoreOk)
 			return;
 		if (batch_claim(plat, &sessions[who], &job,
 			(batch_chunk *)chunks->pdata[n],
-			claim.c_str()) == kPlatformOk)
+			claim.c_str()) == kStoreOk)
 			held[who][n] = {claim, sessions[who].id};
 		g_ptr_array_unref(chunks);
 	}
@@ -157,7 +157,7 @@
 		struct batch_session s = {(char *)mine.second.c_str(), 0};
 		struct batch_results r = {n, mine.first.c_str(), "x", 1, 1, 0};
 
-		if (batch_commit(plat, &s, &job, &r) != kPlatformOk)
+		if (batch_commit(plat, &s, &job, &r) != kStoreOk)
 			return;
 		RC_ASSERT(
 		    committed.count(n) == 0 || committed[n] == mine.first);
@@ -172,8 +172,7 @@
 		int64_t version;
 
 		if (id != nullptr &&
-		    batch_session_look(plat, id, &live, &version) ==
-			kPlatformOk)
+		    batch_session_look(plat, id, &live, &version) == kStoreOk)
 			batch_session_end(plat, id, version);
 	}
 
@@ -181,8 +180,7 @@
 	JobRuns()
 	{
 		struct batch_job *row = nullptr;
-		bool runs =
-		    batch_get_job(plat, "t", "j", &row) == kPlatformOk &&
+		bool runs = batch_get_job(plat, "t", "j", &row) == kStoreOk &&
 		    row->state == kJobRunning;
 
 		batch_job_free(row);
@@ -192,7 +190,7 @@
 	void
 	Cancel()
 	{
-		if (batch_cancel(plat, "t", "j") == kPlatformOk && !cancelled) {
+		if (batch_cancel(plat, "t", "j") == kStoreOk && !cancelled) {
 			cancelled = true;
 			done_at_cancel = DoneNow();
 		}
@@ -257,7 +255,7 @@
 {
 	EXPECT_TRUE(rc::check([] {
 		struct memstore *ms = memstore_new();
-		struct platform *plat = memstore_platform(ms);
+		struct store *plat = memstore_store(ms);
 		std::map<int, int> runs;
 		int attempts = 0;
 
@@ -297,7 +295,7 @@
 {
 	EXPECT_TRUE(rc::check([] {
 		struct memstore *ms = memstore_new();
-		struct platform *plat = memstore_platform(ms);
+		struct store *plat = memstore_store(ms);
 		struct config_holder *daemons[3];
 		std::map<int64_t, std::string> digest_of;
 		std::set<int64_t> acknowledged;
