--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "cli/client.h"
+#include "gateway/gateway.h"
 #include "log/log.h"
 #include "savoryconf/savoryconf.h"
 #include "serve/daemon.h"
@@ -528,7 +529,18 @@
 }
 
 static int
-serve_main(int argc, char **argv)
+run_adapter(struct settings *set, const struct cli_adapter *adapters)
+{
+	for (const struct cli_adapter *a = adapters; a->name != NULL; a++)
+		if (strcmp(a->name, set->adapter) == 0)
+			return gateway_run(set, a->ops);
+	fprintf(stderr, "savoryflow: --adapter: there is no adapter '%s'\n",
+	    set->adapter);
+	return kCliUsage;
+}
+
+static int
+serve_main(int argc, char **argv, const struct cli_adapter *adapters)
 {
 	GError *err = NULL;
 	struct settings *set;
@@ -547,13 +559,16 @@
 		g_error_free(err);
 		return kCliUsage;
 	}
-	code = daemon_run(set);
+	if (set->adapter[0] == '\0')
+		code = daemon_run(set);
+	else
+		code = run_adapter(set, adapters);
 	settings_free(set);
 	return code;
 }
 
 int
-cli_run(int argc, char **argv)
+cli_run(int argc, char **argv, const struct cli_adapter *adapters)
 {
 	const struct command *cmd;
 	int words = 0;
@@ -572,7 +587,7 @@
 		return kCliOk;
 	}
 	if (strcmp(argv[1], "serve") == 0)
-		return serve_main(argc - 2, argv + 2);
+		return serve_main(argc - 2, argv + 2, adapters);
 	cmd = command_find(argc, argv, &words);
 	if (cmd == NULL) {
 		fprintf(stderr, "savoryflow: no such command\n");
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -12,7 +12,19 @@
 	kCliUnreachable = 3,
 };
 
-/** Runs the command line. @return exit code */
-int cli_run(int argc, char **argv);
+struct adapter_ops;
+
+/** An adapter that `serve --adapter=NAME` may run through. */
+struct cli_adapter {
+	const char *name;
+	const struct adapter_ops *ops;
+};
+
+/**
+ * Runs the command line.
+ * @param adapters closed by one without a name
+ * @return exit code
+ */
+int cli_run(int argc, char **argv, const struct cli_adapter *adapters);
 
 #endif
--- a/src/error/error.h
+++ b/src/error/error.h
@@ -34,6 +34,8 @@
 	X(kErrDraining, "draining", 503, false)                       \
 	X(kErrStoreUnavailable, "store_unavailable", 503, false)      \
 	X(kErrStoreAmbiguous, "store_ambiguous", 503, false)          \
+	X(kErrNotReady, "not_ready", 503, false)                      \
+	X(kErrOutcomeLost, "store_outcome_unknown", 500, true)        \
 	X(kErrTargetFailed, "target_failed", 502, true)               \
 	X(kErrTargetRefused, "target_refused", 502, true)             \
 	X(kErrDeadline, "deadline_exceeded", 504, true)               \
--- /dev/null
+++ b/src/gateway/calls.c
@@ -0,0 +1,231 @@
+/* Online requests: what is asked of targets, and what callers are told. */
+#include "gateway/calls.h"
+
+#include <string.h>
+
+#include "error/error.h"
+#include "gateway/reply.h"
+#include "log/log.h"
+#include "metric/histogram.h"
+#include "metric/metric.h"
+
+enum {
+	/* From the start at a target to the first event at the caller: prompt,
+	 * first tokens and links. */
+	kFirstEventUs = 60 * kUsPerMs,
+	/* A target without a sign of life for half of the objective: another
+	 * one can still be in time. */
+	kSilenceDivisor = 2,
+	kSilenceLeastUs = 120 * kUsPerMs,
+	kHttpOk = 200,
+};
+
+struct calls {
+	struct relay_parts parts;
+	GRand *rand;
+};
+
+struct online_call {
+	struct front_request *req;
+	struct relay *relay;
+	struct loop *lp;
+	char attempt_id[kAttemptIdMax];
+	char route[kFleetNameMax];
+	int64_t objective_us;
+	int64_t first_us;
+	int32_t status;
+	struct header_list *headers;
+	/** Body of an answer that is no stream. */
+	GString *whole;
+	bool is_streaming;
+};
+
+struct calls *
+calls_new(const struct relay_parts *parts)
+{
+	struct calls *cs = g_new0(struct calls, 1);
+
+	cs->parts = *parts;
+	cs->rand = g_rand_new();
+	return cs;
+}
+
+void
+calls_free(struct calls *cs)
+{
+	g_rand_free(cs->rand);
+	g_free(cs);
+}
+
+static void
+call_free(struct online_call *oc)
+{
+	header_list_free(oc->headers);
+	g_string_free(oc->whole, TRUE);
+	g_free(oc);
+}
+
+static int64_t
+age_us(const struct online_call *oc)
+{
+	return loop_now_us(oc->lp) - front_received_us(oc->req);
+}
+
+static void
+on_head(void *ctx, int32_t status, const struct header_list *headers)
+{
+	struct online_call *oc = ctx;
+	const char *type = header_list_get(headers, "Content-Type");
+
+	oc->status = status;
+	oc->first_us = age_us(oc);
+	histogram_note(kHistFirstEvent, oc->first_us);
+	oc->is_streaming = status == kHttpOk && type != NULL &&
+	    g_str_has_prefix(type, "text/event-stream");
+	if (oc->is_streaming) {
+		front_stream(oc->req, status, headers);
+		return;
+	}
+	for (guint i = 0; i < header_list_len(headers); i++) {
+		const struct header *h = header_list_at(headers, i);
+
+		header_list_add(oc->headers, h->name, h->value);
+	}
+}
+
+static void
+on_data(void *ctx, const struct stream_event *ev)
+{
+	struct online_call *oc = ctx;
+
+	if (oc->is_streaming)
+		front_stream_data(oc->req, ev->text, ev->len);
+	else
+		g_string_append_len(oc->whole, ev->text, (gssize)ev->len);
+}
+
+static void
+log_end(const struct online_call *oc, const struct relay_verdict *verdict)
+{
+	static const char *const names[] = {
+	    "complete", "refused", "failed", "broken", "timeout", "revoked"};
+
+	log_event(kEvtCallEnded, "request", oc->attempt_id, "route", oc->route,
+	    "end", names[verdict->end], "cause",
+	    verdict->cause != NULL ? verdict->cause : "", "target",
+	    verdict->target, "attempts", log_number(verdict->attempts),
+	    "age_us", log_number(age_us(oc)), "first_us",
+	    log_number(oc->first_us), "retry_after_us",
+	    log_number(verdict->retry_after_us), NULL);
+}
+
+static void
+answer(struct online_call *oc, const struct relay_verdict *verdict)
+{
+	switch (verdict->end) {
+	case kRelayComplete:
+		if (oc->is_streaming)
+			front_stream_end(oc->req, true);
+		else
+			front_reply(oc->req, oc->status, oc->headers,
+			    oc->whole->str, oc->whole->len);
+		break;
+	case kRelayBroken:
+		front_stream_end(oc->req, false);
+		break;
+	case kRelayRefused:
+	case kRelayRevoked:
+		reply_error(oc->req, kErrOverloaded,
+		    "no slot at a target within the time; it did not run",
+		    verdict->retry_after_us);
+		break;
+	case kRelayFailed:
+		reply_error(oc->req, kErrTargetFailed,
+		    "the target failed; the request may have run", 0);
+		break;
+	case kRelayTimeout:
+		reply_error(oc->req, kErrDeadline,
+		    "no answer within the route's time", 0);
+		break;
+	}
+}
+
+static void
+on_end(void *ctx, const struct relay_verdict *verdict)
+{
+	struct online_call *oc = ctx;
+
+	oc->relay = NULL;
+	log_end(oc, verdict);
+	if (verdict->end == kRelayComplete)
+		histogram_note(kHistWholeAnswer, age_us(oc));
+	front_on_left(oc->req, NULL, NULL);
+	answer(oc, verdict);
+	call_free(oc);
+}
+
+static const struct relay_ops relay_ops = {on_head, on_data, on_end};
+
+static int64_t
+deadline_of(const struct front_request *req, const struct dialect_call *call,
+    const struct routebook_route *route)
+{
+	int64_t wait_us = route->timeout_us;
+
+	if (call->wait_us > 0)
+		wait_us = MIN(wait_us, call->wait_us);
+	return front_received_us(req) + wait_us;
+}
+
+static void
+on_left(void *data)
+{
+	struct online_call *oc = data;
+
+	log_event(kEvtCallerLeft, "request", oc->attempt_id, "route", oc->route,
+	    "age_us", log_number(age_us(oc)), "first_us",
+	    log_number(oc->first_us), NULL);
+	relay_cancel(oc->relay);
+	call_free(oc);
+}
+
+void
+calls_serve(struct calls *cs, struct front_request *req,
+    const struct dialect_call *call, const struct routebook_route *route)
+{
+	struct online_call *oc = g_new0(struct online_call, 1);
+	int64_t received_us = front_received_us(req);
+	struct relay_options opt = {
+	    .method = front_method(req),
+	    .uri = front_uri(req),
+	    .headers = front_headers(req),
+	    .body = front_body(req),
+	    .attempt_id = call->attempt_id,
+	    .service = routebook_service_of(route, g_rand_int(cs->rand)),
+	    .until_us = received_us +
+		MAX(route->objective_us - kFirstEventUs, kFirstEventUs),
+	    .deadline_us = deadline_of(req, call, route),
+	    .caller_deadline_us =
+		call->wait_us > 0 ? received_us + call->wait_us : 0,
+	    .attempts_max = route->attempts_max,
+	    .may_repeat = routebook_may_repeat(route),
+	    .is_resumable = route->is_resumable,
+	    .last_event_id = call->last_event_id,
+	    .prefix = call->prefix,
+	    .silence_us =
+		MAX(route->objective_us / kSilenceDivisor, kSilenceLeastUs),
+	    .ops = &relay_ops,
+	    .ctx = oc,
+	};
+
+	oc->req = req;
+	oc->lp = cs->parts.lp;
+	oc->headers = header_list_new();
+	oc->whole = g_string_new(NULL);
+	oc->objective_us = route->objective_us;
+	g_strlcpy(oc->attempt_id, call->attempt_id, sizeof(oc->attempt_id));
+	g_strlcpy(oc->route, route->name != NULL ? route->name : "",
+	    sizeof(oc->route));
+	front_on_left(req, on_left, oc);
+	oc->relay = relay_start(&cs->parts, &opt);
+}
--- /dev/null
+++ b/src/gateway/event_splitter.c
@@ -0,0 +1,142 @@
+/* Whole events of a text/event-stream body. */
+#include "gateway/event_splitter.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+void
+event_splitter_init(struct event_splitter *es, int64_t last_id)
+{
+	es->partial = g_string_new(NULL);
+	es->last_id = last_id;
+}
+
+void
+event_splitter_clear(struct event_splitter *es)
+{
+	if (es->partial != NULL)
+		g_string_free(es->partial, TRUE);
+	es->partial = NULL;
+}
+
+void
+event_splitter_restart(struct event_splitter *es)
+{
+	g_string_truncate(es->partial, 0);
+}
+
+/* Length of the event at the start of the text, with its empty line; 0 if it
+ * is not whole. Lines end with LF or CR LF. */
+static size_t
+event_len(const char *text, size_t len)
+{
+	size_t line = 0;
+
+	for (size_t i = 0; i < len; i++) {
+		size_t n;
+
+		if (text[i] != '\n')
+			continue;
+		n = i - line;
+		if (n == 0 || (n == 1 && text[line] == '\r'))
+			return i + 1;
+		line = i + 1;
+	}
+	return 0;
+}
+
+typedef void (*field_fn)(void *ctx, const char *value, size_t len);
+
+/* Calls fn for the value of each line of a field. */
+static void
+each_field(
+    const char *text, size_t len, const char *name, field_fn fn, void *ctx)
+{
+	size_t name_len = strlen(name);
+	const char *end = text + len;
+
+	while (text < end) {
+		const char *eol = memchr(text, '\n', (size_t)(end - text));
+		size_t n = (size_t)((eol != NULL ? eol : end) - text);
+
+		if (n > name_len && strncmp(text, name, name_len) == 0 &&
+		    text[name_len] == ':') {
+			const char *val = text + name_len + 1;
+			size_t val_len = n - name_len - 1;
+
+			if (val_len > 0 && val[0] == ' ') {
+				val++;
+				val_len--;
+			}
+			if (val_len > 0 && val[val_len - 1] == '\r')
+				val_len--;
+			fn(ctx, val, val_len);
+		}
+		text += n + 1;
+	}
+}
+
+static void
+take_id(void *ctx, const char *value, size_t len)
+{
+	char *text = g_strndup(value, len);
+	char *end;
+	long long id = strtoll(text, &end, 10);
+
+	if (end != text)
+		*(int64_t *)ctx = id;
+	g_free(text);
+}
+
+struct data_join {
+	GString *out;
+	bool has_line;
+};
+
+static void
+take_data(void *ctx, const char *value, size_t len)
+{
+	struct data_join *join = ctx;
+
+	if (join->has_line)
+		g_string_append_c(join->out, '\n');
+	join->has_line = true;
+	g_string_append_len(join->out, value, (gssize)len);
+}
+
+void
+stream_event_data(const struct stream_event *ev, GString *out)
+{
+	struct data_join join = {out, false};
+
+	each_field(ev->text, ev->len, "data", take_data, &join);
+}
+
+bool
+event_splitter_feed(struct event_splitter *es, const char *data, size_t len,
+    stream_event_fn fn, void *ctx)
+{
+	size_t at = 0;
+	size_t n;
+	bool goes_on = true;
+
+	g_string_append_len(es->partial, data, (gssize)len);
+	while (goes_on &&
+	    (n = event_len(es->partial->str + at, es->partial->len - at)) > 0) {
+		struct stream_event ev = {es->partial->str + at, n, -1};
+
+		at += n;
+		each_field(ev.text, ev.len, "id", take_id, &ev.id);
+		if (ev.id >= 0)
+			es->last_id = ev.id;
+		goes_on = fn(ctx, &ev);
+	}
+	g_string_erase(es->partial, 0, (gssize)at);
+	return goes_on;
+}
+
+bool
+event_splitter_is_torn(const struct event_splitter *es)
+{
+	return es->partial->len > 0;
+}
--- /dev/null
+++ b/src/gateway/front.c
@@ -0,0 +1,521 @@
+/*
+ * HTTP server for callers: libmicrohttpd driven by the loop. A request that
+ * waits is suspended; libmicrohttpd does not look at its connection then, so a
+ * timer looks whether the caller is still there.
+ */
+#include "gateway/front.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+#include "error/error.h"
+#include "settings/settings.h"
+
+enum {
+	/* Holds the head of a request, 16 KiB, and parts of its body. */
+	kConnectionMemoryBytes = 32768,
+	kConnectionsMax = 4000,
+	kBacklog = 1024,
+	/* Callers reuse connections that were idle for up to 12 s. */
+	kIdleTimeoutS = 40,
+	kStreamBlockBytes = 8192,
+	/* A caller that left is noticed within this. */
+	kLookPeriodUs = 100 * kUsPerMs,
+	kBodyMaxDefault = 8 * 1024 * 1024,
+};
+
+struct front {
+	struct front_options opt;
+	struct MHD_Daemon *mhd;
+	int epoll_fd;
+	/** Set of struct front_request. */
+	GHashTable *requests;
+	bool is_closing;
+	int64_t body_max;
+	bool needs_run;
+	uint64_t look_timer;
+	uint64_t mhd_timer;
+};
+
+struct front_request {
+	struct front *fr;
+	struct MHD_Connection *con;
+	char *uri;
+	char *method;
+	struct header_list *headers;
+	GByteArray *body;
+	GBytes *whole_body;
+	bool has_head;
+	bool is_too_large;
+	bool is_suspended;
+	/** on_request was called, and the answer is not handed over. */
+	bool is_open;
+	/** The caller was seen to have left. */
+	bool is_gone;
+	int64_t received_us;
+	front_left_fn left_fn;
+	void *left_data;
+
+	struct MHD_Response *response;
+	unsigned int status;
+	bool is_queued;
+	/** Streamed answers: bytes to be sent. */
+	bool is_streamed;
+	GString *out;
+	bool is_ended;
+	bool is_whole;
+};
+
+static void
+request_free(struct front_request *req)
+{
+	if (req->response != NULL)
+		MHD_destroy_response(req->response);
+	header_list_free(req->headers);
+	g_byte_array_unref(req->body);
+	if (req->whole_body != NULL)
+		g_bytes_unref(req->whole_body);
+	g_string_free(req->out, TRUE);
+	g_free(req->uri);
+	g_free(req->method);
+	g_free(req);
+}
+
+const char *
+front_method(const struct front_request *req)
+{
+	return req->method;
+}
+
+const char *
+front_uri(const struct front_request *req)
+{
+	return req->uri;
+}
+
+const struct header_list *
+front_headers(const struct front_request *req)
+{
+	return req->headers;
+}
+
+GBytes *
+front_body(const struct front_request *req)
+{
+	return req->whole_body;
+}
+
+int64_t
+front_received_us(const struct front_request *req)
+{
+	return req->received_us;
+}
+
+bool
+front_is_too_large(const struct front_request *req)
+{
+	return req->is_too_large;
+}
+
+void
+front_on_left(struct front_request *req, front_left_fn fn, void *data)
+{
+	req->left_fn = fn;
+	req->left_data = data;
+}
+
+/* The caller is gone, or has its answer. */
+static void
+close_request(struct front_request *req)
+{
+	front_left_fn fn = req->left_fn;
+
+	req->is_open = false;
+	req->left_fn = NULL;
+	if (fn != NULL)
+		fn(req->left_data);
+}
+
+static void
+run_soon(struct front *fr)
+{
+	fr->needs_run = true;
+	loop_again(fr->opt.lp);
+}
+
+static void
+suspend(struct front_request *req)
+{
+	if (req->is_suspended)
+		return;
+	req->is_suspended = true;
+	MHD_suspend_connection(req->con);
+}
+
+static void
+resume(struct front_request *req)
+{
+	if (!req->is_suspended)
+		return;
+	req->is_suspended = false;
+	MHD_resume_connection(req->con);
+	run_soon(req->fr);
+}
+
+static void
+add_headers(struct front_request *req, const struct header_list *headers)
+{
+	for (guint i = 0; headers != NULL && i < header_list_len(headers);
+	     i++) {
+		const struct header *h = header_list_at(headers, i);
+
+		/* libmicrohttpd writes these itself. */
+		if (g_ascii_strcasecmp(h->name, "Date") != 0 &&
+		    !header_is_hop_by_hop(h->name))
+			MHD_add_response_header(
+			    req->response, h->name, h->value);
+	}
+	if (req->fr->is_closing)
+		MHD_add_response_header(req->response, "Connection", "close");
+}
+
+void
+front_reply(struct front_request *req, int32_t status,
+    const struct header_list *headers, const char *body, size_t len)
+{
+	if (req->response != NULL)
+		return;
+	req->status = (unsigned int)status;
+	req->response = MHD_create_response_from_buffer(
+	    len, (void *)body, MHD_RESPMEM_MUST_COPY);
+	add_headers(req, headers);
+	resume(req);
+}
+
+static ssize_t
+read_stream(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct front_request *req = cls;
+	size_t n = MIN(max, req->out->len);
+
+	if (n > 0) {
+		memcpy(buf, req->out->str, n);
+		g_string_erase(req->out, 0, (gssize)n);
+		return (ssize_t)n;
+	}
+	if (req->is_gone || (req->is_ended && !req->is_whole))
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (req->is_ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	suspend(req);
+	return 0;
+}
+
+void
+front_stream(struct front_request *req, int32_t status,
+    const struct header_list *headers)
+{
+	if (req->response != NULL)
+		return;
+	req->status = (unsigned int)status;
+	req->is_streamed = true;
+	req->response = MHD_create_response_from_callback(
+	    MHD_SIZE_UNKNOWN, kStreamBlockBytes, read_stream, req, NULL);
+	add_headers(req, headers);
+	resume(req);
+}
+
+void
+front_stream_data(struct front_request *req, const char *data, size_t len)
+{
+	g_string_append_len(req->out, data, (gssize)len);
+	resume(req);
+}
+
+void
+front_stream_end(struct front_request *req, bool is_whole)
+{
+	req->is_ended = true;
+	req->is_whole = is_whole;
+	resume(req);
+}
+
+static enum MHD_Result
+take_header(
+    void *cls, enum MHD_ValueKind kind, const char *key, const char *val)
+{
+	struct front_request *req = cls;
+
+	header_list_add(req->headers, key, val != NULL ? val : "");
+	return MHD_YES;
+}
+
+/* Runs first of all for each request, with its raw path and query. */
+static void *
+on_uri(void *cls, const char *uri, struct MHD_Connection *con)
+{
+	struct front *fr = cls;
+	struct front_request *req = g_new0(struct front_request, 1);
+
+	req->fr = fr;
+	req->con = con;
+	req->uri = g_strdup(uri);
+	req->headers = header_list_new();
+	req->body = g_byte_array_new();
+	req->out = g_string_new(NULL);
+	req->received_us = loop_now_us(fr->opt.lp);
+	g_hash_table_add(fr->requests, req);
+	return req;
+}
+
+static void
+take_body(struct front_request *req, const char *data, size_t len)
+{
+	if ((int64_t)(req->body->len + len) > req->fr->body_max) {
+		req->is_too_large = true;
+		g_byte_array_set_size(req->body, 0);
+	}
+	if (!req->is_too_large)
+		g_byte_array_append(
+		    req->body, (const guint8 *)data, (guint)len);
+}
+
+static enum MHD_Result
+queue_reply(struct front_request *req)
+{
+	enum MHD_Result res;
+
+	if (req->is_queued)
+		return MHD_YES;
+	req->is_queued = true;
+	res = MHD_queue_response(req->con, req->status, req->response);
+	return res;
+}
+
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *con, const char *url,
+    const char *method, const char *version, const char *data, size_t *len,
+    void **con_cls)
+{
+	struct front *fr = cls;
+	struct front_request *req = *con_cls;
+
+	if (!req->has_head) {
+		req->has_head = true;
+		req->method = g_strdup(method);
+		MHD_get_connection_values(
+		    con, MHD_HEADER_KIND, take_header, req);
+		return MHD_YES;
+	}
+	if (*len > 0) {
+		take_body(req, data, *len);
+		*len = 0;
+		return MHD_YES;
+	}
+	if (req->whole_body == NULL) {
+		req->whole_body = g_byte_array_free_to_bytes(req->body);
+		req->body = g_byte_array_new();
+		req->is_open = true;
+		fr->opt.ops->on_request(fr->opt.ctx, req);
+	}
+	if (req->response != NULL)
+		return queue_reply(req);
+	if (req->is_gone)
+		return MHD_NO;
+	suspend(req);
+	return MHD_YES;
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *con, void **con_cls,
+    enum MHD_RequestTerminationCode code)
+{
+	struct front *fr = cls;
+	struct front_request *req = *con_cls;
+
+	if (req == NULL)
+		return;
+	*con_cls = NULL;
+	g_hash_table_remove(fr->requests, req);
+	if (req->is_open)
+		close_request(req);
+	request_free(req);
+}
+
+/* The caller has closed its side, or the connection broke. */
+static bool
+has_left(struct front_request *req)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    req->con, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct pollfd pfd = {.events = POLLRDHUP};
+
+	if (info == NULL)
+		return false;
+	pfd.fd = info->connect_fd;
+	return poll(&pfd, 1, 0) > 0 &&
+	    (pfd.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+static void
+look_for_gone(void *ctx)
+{
+	struct front *fr = ctx;
+	GPtrArray *gone = g_ptr_array_new();
+	GHashTableIter it;
+	void *key;
+
+	g_hash_table_iter_init(&it, fr->requests);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct front_request *req = key;
+
+		if (req->is_suspended && req->is_open && has_left(req))
+			g_ptr_array_add(gone, req);
+	}
+	for (guint i = 0; i < gone->len; i++) {
+		struct front_request *req = gone->pdata[i];
+
+		req->is_gone = true;
+		close_request(req);
+		resume(req);
+	}
+	g_ptr_array_unref(gone);
+	fr->look_timer = loop_timer(fr->opt.lp,
+	    loop_now_us(fr->opt.lp) + kLookPeriodUs, look_for_gone, fr);
+}
+
+static void
+on_mhd_timer(void *ctx)
+{
+	struct front *fr = ctx;
+
+	fr->mhd_timer = 0;
+	fr->needs_run = true;
+}
+
+static void
+plan_mhd_timer(struct front *fr)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	if (MHD_get_timeout(fr->mhd, &ms) != MHD_YES)
+		return;
+	if (ms == 0) {
+		run_soon(fr);
+		return;
+	}
+	loop_timer_cancel(fr->opt.lp, fr->mhd_timer);
+	fr->mhd_timer = loop_timer(fr->opt.lp,
+	    loop_now_us(fr->opt.lp) + (int64_t)ms * kUsPerMs, on_mhd_timer, fr);
+}
+
+static void
+run_if_needed(void *ctx)
+{
+	struct front *fr = ctx;
+
+	if (!fr->needs_run)
+		return;
+	fr->needs_run = false;
+	MHD_run(fr->mhd);
+	plan_mhd_timer(fr);
+}
+
+static void
+on_readable(void *ctx, uint32_t events)
+{
+	((struct front *)ctx)->needs_run = true;
+}
+
+struct front *
+front_new(const struct front_options *opt, GError **err)
+{
+	struct front *fr = g_new0(struct front, 1);
+	struct sockaddr_in addr = {.sin_family = AF_INET};
+	const union MHD_DaemonInfo *info;
+	char ip[64];
+	uint16_t port = 0;
+
+	fr->opt = *opt;
+	fr->body_max = kBodyMaxDefault;
+	fr->requests = g_hash_table_new(NULL, NULL);
+	settings_split_address(opt->listen, ip, &port);
+	inet_pton(AF_INET, ip, &addr.sin_addr);
+	addr.sin_port = htons(port);
+	fr->mhd = MHD_start_daemon(MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME,
+	    port, NULL, NULL, on_access, fr, MHD_OPTION_SOCK_ADDR,
+	    (struct sockaddr *)&addr, MHD_OPTION_URI_LOG_CALLBACK, on_uri, fr,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, fr,
+	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)kIdleTimeoutS,
+	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)kConnectionMemoryBytes,
+	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)kConnectionsMax,
+	    MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)kBacklog,
+	    MHD_OPTION_END);
+	if (fr->mhd == NULL) {
+		g_set_error(err, SF_ERROR, kErrSettingRange,
+		    "%s cannot be bound", opt->listen);
+		g_hash_table_unref(fr->requests);
+		g_free(fr);
+		return NULL;
+	}
+	info = MHD_get_daemon_info(fr->mhd, MHD_DAEMON_INFO_EPOLL_FD);
+	fr->epoll_fd = info->epoll_fd;
+	loop_watch(opt->lp, fr->epoll_fd, EPOLLIN, on_readable, fr);
+	loop_each_turn(opt->lp, run_if_needed, fr);
+	fr->look_timer = loop_timer(
+	    opt->lp, loop_now_us(opt->lp) + kLookPeriodUs, look_for_gone, fr);
+	return fr;
+}
+
+void
+front_free(struct front *fr)
+{
+	GHashTableIter it;
+	void *key;
+
+	loop_timer_cancel(fr->opt.lp, fr->look_timer);
+	loop_timer_cancel(fr->opt.lp, fr->mhd_timer);
+	loop_unwatch(fr->opt.lp, fr->epoll_fd);
+	/* libmicrohttpd must not be stopped while a connection is suspended. */
+	g_hash_table_iter_init(&it, fr->requests);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct front_request *req = key;
+
+		req->is_gone = true;
+		resume(req);
+	}
+	MHD_run(fr->mhd);
+	MHD_stop_daemon(fr->mhd);
+	g_hash_table_unref(fr->requests);
+	g_free(fr);
+}
+
+void
+front_set_closing(struct front *fr)
+{
+	fr->is_closing = true;
+}
+
+void
+front_set_body_max(struct front *fr, int64_t bytes)
+{
+	fr->body_max = bytes;
+}
+
+int32_t
+front_active(const struct front *fr)
+{
+	int32_t n = 0;
+	GHashTableIter it;
+	void *key;
+
+	g_hash_table_iter_init(&it, fr->requests);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		if (((struct front_request *)key)->is_open)
+			n++;
+	return n;
+}
--- /dev/null
+++ b/src/gateway/jobs.c
@@ -0,0 +1,625 @@
+/* What callers ask of batch jobs, and which jobs run here. */
+#include "gateway/jobs.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "error/error.h"
+#include "gateway/jobs_internal.h"
+#include "gateway/reply.h"
+#include "log/log.h"
+#include "metric/histogram.h"
+#include "metric/metric.h"
+
+enum {
+	kStoreRetryUs = 400 * kUsPerMs,
+	kPumpUs = 50 * kUsPerMs,
+	/* Jobs whose row is remembered for their readers. */
+	kKnownMax = 1000,
+};
+
+static void pump_all(void *ctx);
+
+struct jobs *
+jobs_new(const struct jobs_options *opt)
+{
+	struct jobs *js = g_new0(struct jobs, 1);
+
+	js->opt = *opt;
+	js->runs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, jobs_run_free);
+	js->loading =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	js->known = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)itemjob_free);
+	js->timer = loop_timer(
+	    opt->parts.lp, loop_now_us(opt->parts.lp) + kPumpUs, pump_all, js);
+	return js;
+}
+
+void
+jobs_free(struct jobs *js)
+{
+	loop_timer_cancel(js->opt.parts.lp, js->timer);
+	g_hash_table_unref(js->runs);
+	g_hash_table_unref(js->loading);
+	g_hash_table_unref(js->known);
+	g_free(js);
+}
+
+static void
+pump_all(void *ctx)
+{
+	struct jobs *js = ctx;
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, js->runs);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		g_ptr_array_add(list, val);
+	for (guint i = 0; i < list->len; i++)
+		jobs_run_pump(list->pdata[i]);
+	g_ptr_array_unref(list);
+	js->timer = loop_timer(js->opt.parts.lp,
+	    loop_now_us(js->opt.parts.lp) + kPumpUs, pump_all, js);
+}
+
+static struct itemjob *
+job_copy(const struct itemjob *job)
+{
+	struct itemjob *copy = itemjob_new(job->id);
+
+	copy->host = g_strdup(job->host);
+	copy->path = g_strdup(job->path);
+	copy->input = g_strdup(job->input);
+	copy->total = job->total;
+	copy->accepted_ms = job->accepted_ms;
+	return copy;
+}
+
+void
+jobs_note_known(struct jobs *js, const struct itemjob *job)
+{
+	struct itemjob *copy;
+
+	if (g_hash_table_contains(js->known, job->id))
+		return;
+	if (g_hash_table_size(js->known) >= kKnownMax)
+		g_hash_table_remove_all(js->known);
+	copy = job_copy(job);
+	g_hash_table_insert(js->known, copy->id, copy);
+}
+
+const struct itemjob *
+jobs_known(struct jobs *js, const char *id)
+{
+	return g_hash_table_lookup(js->known, id);
+}
+
+/* One request of a caller that waits for the store. */
+struct job_task {
+	struct jobs *js;
+	/** NULL once the caller has left. */
+	struct front_request *req;
+	char *id;
+	int64_t received_us;
+	void (*work)(struct job_task *task);
+	void (*done)(struct job_task *task);
+	enum store_result outcome;
+	/* Submission. */
+	struct itemjob *job;
+	GPtrArray *items;
+	bool is_new;
+	char *token;
+	/* Reads. */
+	int32_t from;
+	int32_t total;
+	char *item_id;
+	GPtrArray *results;
+	GBytes *body;
+	/* Taking a job over. */
+	struct itemjob_open *open;
+	GArray *done_items;
+};
+
+static void
+task_free(struct job_task *task)
+{
+	g_free(task->id);
+	g_free(task->token);
+	g_free(task->item_id);
+	itemjob_free(task->job);
+	itemjob_open_free(task->open);
+	if (task->items != NULL)
+		g_ptr_array_unref(task->items);
+	if (task->results != NULL)
+		g_ptr_array_unref(task->results);
+	if (task->body != NULL)
+		g_bytes_unref(task->body);
+	if (task->done_items != NULL)
+		g_array_unref(task->done_items);
+	g_free(task);
+}
+
+static void
+task_work(void *ctx)
+{
+	struct job_task *task = ctx;
+
+	task->work(task);
+}
+
+static void
+task_done(void *ctx)
+{
+	struct job_task *task = ctx;
+
+	if (task->req != NULL)
+		front_on_left(task->req, NULL, NULL);
+	task->done(task);
+	task_free(task);
+}
+
+static void
+on_left(void *data)
+{
+	((struct job_task *)data)->req = NULL;
+}
+
+static struct job_task *
+task_new(struct jobs *js, struct front_request *req, const char *id)
+{
+	struct job_task *task = g_new0(struct job_task, 1);
+
+	task->js = js;
+	task->req = req;
+	task->id = g_strdup(id);
+	task->received_us = req != NULL ? front_received_us(req)
+					: loop_now_us(js->opt.parts.lp);
+	return task;
+}
+
+static void
+reply_store_error(struct front_request *req, enum store_result res)
+{
+	switch (res) {
+	case kStoreNotFound:
+		reply_error(req, kErrNotFound, "there is no such batch job", 0);
+		break;
+	case kStoreAmbiguous:
+		reply_error(req, kErrOutcomeLost,
+		    "the store did not answer; the outcome is not known", 0);
+		break;
+	default:
+		reply_error(req, kErrStoreUnavailable,
+		    "the store does not answer", kStoreRetryUs);
+	}
+}
+
+static void
+task_start(struct job_task *task)
+{
+	if (task->req != NULL)
+		front_on_left(task->req, on_left, task);
+	if (offload_run(task->js->opt.offload, task_work, task_done, task))
+		return;
+	if (task->req != NULL) {
+		front_on_left(task->req, NULL, NULL);
+		reply_store_error(task->req, kStoreUnavailable);
+	}
+	g_hash_table_remove(task->js->loading, task->id);
+	task_free(task);
+}
+
+static void
+log_job_call(const struct job_task *task, const char *what)
+{
+	int64_t now_us = loop_now_us(task->js->opt.parts.lp);
+
+	log_event(kEvtJobCall, "job", task->id, "call", what, "store",
+	    store_result_text(task->outcome), "from", log_number(task->from),
+	    "results",
+	    log_number(task->results != NULL ? task->results->len : 0),
+	    "age_us", log_number(now_us - task->received_us), NULL);
+}
+
+static void
+submit_work(struct job_task *task)
+{
+	task->outcome = itemjob_submit(task->js->opt.store, task->job,
+	    task->items, task->token, task->js->opt.session, &task->is_new);
+}
+
+static void
+submit_done(struct job_task *task)
+{
+	struct jobs *js = task->js;
+
+	log_job_call(task, "submit");
+	g_hash_table_remove(js->loading, task->id);
+	if (task->outcome == kStoreOk && task->is_new) {
+		log_event(kEvtJobAccepted, "job", task->id, "items",
+		    log_number(task->items->len), NULL);
+		jobs_note_known(js, task->job);
+		jobs_run_start(js, g_steal_pointer(&task->job),
+		    g_steal_pointer(&task->items), NULL, task->received_us);
+	}
+	if (task->req == NULL)
+		return;
+	if (task->outcome == kStoreOk) {
+		histogram_note(kHistJobAccept,
+		    loop_now_us(js->opt.parts.lp) - task->received_us);
+		reply_json(task->req, 202, "{\"accepted\":true}");
+	} else {
+		reply_store_error(task->req, task->outcome);
+	}
+}
+
+void
+jobs_submit(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call, const struct routebook_route *route)
+{
+	GError *err = NULL;
+	gsize len;
+	const char *data = g_bytes_get_data(front_body(req), &len);
+	GPtrArray *items = js->opt.parts.dialect->read_job(data, len, &err);
+	struct job_task *task;
+
+	if (items == NULL) {
+		reply_error(req, err->code, err->message, 0);
+		g_error_free(err);
+		return;
+	}
+	task = task_new(js, req, call->attempt_id);
+	task->items = items;
+	task->job = itemjob_new(call->attempt_id);
+	task->job->host = g_strdup(route->host);
+	task->job->path =
+	    g_strndup(front_uri(req), strcspn(front_uri(req), "?"));
+	task->token = g_strdup_printf("%s-%" G_GINT64_FORMAT, js->opt.session,
+	    loop_now_us(js->opt.parts.lp));
+	task->work = submit_work;
+	task->done = submit_done;
+	g_hash_table_add(js->loading, g_strdup(task->id));
+	task_start(task);
+}
+
+static void
+results_work(struct job_task *task)
+{
+	const struct store *st = task->js->opt.store;
+
+	task->outcome = kStoreOk;
+	if (task->total < 0) {
+		task->outcome = itemjob_get(st, task->id, &task->job);
+		if (task->outcome != kStoreOk)
+			return;
+		task->total = task->job->total;
+	}
+	task->outcome =
+	    itemjob_read_results(st, task->id, task->from, &task->results);
+}
+
+static void
+results_done(struct job_task *task)
+{
+	char *text;
+
+	if (task->outcome != kStoreOk)
+		log_job_call(task, "results");
+	if (task->job != NULL)
+		jobs_note_known(task->js, task->job);
+	if (task->req == NULL)
+		return;
+	if (task->outcome != kStoreOk) {
+		reply_store_error(task->req, task->outcome);
+		return;
+	}
+	text = task->js->opt.parts.dialect->write_results(
+	    task->total, task->from, task->results);
+	reply_json(task->req, 200, text);
+	free(text);
+}
+
+void
+jobs_results(
+    struct jobs *js, struct front_request *req, const struct dialect_call *call)
+{
+	const struct itemjob *known = jobs_known(js, call->job_id);
+	struct job_task *task = task_new(js, req, call->job_id);
+
+	task->from = call->from_position;
+	task->total = known != NULL ? known->total : -1;
+	task->work = results_work;
+	task->done = results_done;
+	task_start(task);
+}
+
+static const struct itemjob_item *
+find_item(const GPtrArray *items, const char *id)
+{
+	for (guint i = 0; i < items->len; i++) {
+		const struct itemjob_item *item = items->pdata[i];
+
+		if (strcmp(item->id, id) == 0)
+			return item;
+	}
+	return NULL;
+}
+
+static void
+item_work(struct job_task *task)
+{
+	const struct store *st = task->js->opt.store;
+	const struct itemjob_item *item;
+
+	task->outcome = itemjob_get(st, task->id, &task->job);
+	if (task->outcome == kStoreOk)
+		task->outcome = itemjob_load_items(st, task->job, &task->items);
+	/* The job is known: its items cannot be missing. */
+	else
+		return;
+	if (task->outcome != kStoreOk) {
+		task->outcome = kStoreUnavailable;
+		return;
+	}
+	item = find_item(task->items, task->item_id);
+	if (item == NULL)
+		task->outcome = kStoreNotFound;
+	else
+		task->body = g_bytes_ref(item->body);
+}
+
+static void
+reply_bytes(struct front_request *req, GBytes *body)
+{
+	struct header_list *headers = header_list_new();
+	gsize len;
+	const char *data = g_bytes_get_data(body, &len);
+
+	header_list_add(headers, "Content-Type", "application/octet-stream");
+	front_reply(req, 200, headers, data, len);
+	header_list_free(headers);
+}
+
+static void
+item_done(struct job_task *task)
+{
+	if (task->outcome != kStoreOk)
+		log_job_call(task, "item");
+	if (task->req == NULL)
+		return;
+	if (task->outcome == kStoreOk)
+		reply_bytes(task->req, task->body);
+	else
+		reply_store_error(task->req, task->outcome);
+}
+
+void
+jobs_item(
+    struct jobs *js, struct front_request *req, const struct dialect_call *call)
+{
+	struct job_run *run = g_hash_table_lookup(js->runs, call->job_id);
+	const struct itemjob_item *item =
+	    run != NULL ? find_item(run->items, call->item_id) : NULL;
+	struct job_task *task;
+
+	if (item != NULL && item->body != NULL) {
+		reply_bytes(req, item->body);
+		return;
+	}
+	task = task_new(js, req, call->job_id);
+	task->item_id = g_strdup(call->item_id);
+	task->work = item_work;
+	task->done = item_done;
+	task_start(task);
+}
+
+static void
+end_work(struct job_task *task)
+{
+	task->outcome = itemjob_end(task->js->opt.store, task->id);
+}
+
+static void
+end_done(struct job_task *task)
+{
+	log_job_call(task, "end");
+	if (task->outcome == kStoreOk) {
+		jobs_on_ended(task->js, task->id);
+		task->js->opt.tell_ended(task->js->opt.ctx, task->id);
+	}
+	if (task->req == NULL)
+		return;
+	if (task->outcome == kStoreOk)
+		reply_json(task->req, 200, "{\"ended\":true}");
+	else
+		reply_store_error(task->req, task->outcome);
+}
+
+void
+jobs_end(
+    struct jobs *js, struct front_request *req, const struct dialect_call *call)
+{
+	struct job_task *task = task_new(js, req, call->job_id);
+
+	task->work = end_work;
+	task->done = end_done;
+	task_start(task);
+}
+
+static void
+close_work(struct job_task *task)
+{
+	task->outcome = itemjob_close(task->js->opt.store, task->id);
+}
+
+static void
+close_done(struct job_task *task)
+{
+	log_job_call(task, "close");
+}
+
+static void
+close_job(struct jobs *js, const char *id)
+{
+	struct job_task *task = task_new(js, NULL, id);
+
+	task->work = close_work;
+	task->done = close_done;
+	task_start(task);
+}
+
+void
+jobs_on_ended(struct jobs *js, const char *id)
+{
+	struct job_run *run = g_hash_table_lookup(js->runs, id);
+	char *copy;
+
+	if (run == NULL)
+		return;
+	log_event(kEvtJobCancelled, "job", id, "listed",
+	    log_number(run->listed), NULL);
+	copy = g_strdup(id);
+	jobs_run_drop(run, "ended");
+	close_job(js, copy);
+	g_free(copy);
+}
+
+static void
+load_work(struct job_task *task)
+{
+	const struct store *st = task->js->opt.store;
+
+	task->outcome = kStoreOk;
+	if (strcmp(task->open->owner, task->js->opt.session) != 0)
+		task->outcome =
+		    itemjob_claim(st, task->open, task->js->opt.session);
+	if (task->outcome == kStoreOk)
+		task->outcome = itemjob_get(st, task->id, &task->job);
+	if (task->outcome == kStoreOk)
+		task->outcome = itemjob_load_items(st, task->job, &task->items);
+	if (task->outcome == kStoreOk)
+		task->outcome =
+		    itemjob_read_done(st, task->id, &task->done_items);
+}
+
+static void
+load_done(struct job_task *task)
+{
+	struct jobs *js = task->js;
+	int64_t now_us = loop_now_us(js->opt.parts.lp);
+	int64_t store_ms = js->opt.store->ops->now_ms(js->opt.store->ctx);
+	int64_t age_us;
+
+	log_job_call(task, "take_over");
+	g_hash_table_remove(js->loading, task->id);
+	if (task->outcome != kStoreOk || js->is_leaving ||
+	    g_hash_table_contains(js->runs, task->id))
+		return;
+	age_us = store_ms >= 0
+	    ? MAX(store_ms - task->job->accepted_ms, 0) * kUsPerMs
+	    : 0;
+	jobs_note_known(js, task->job);
+	jobs_run_start(js, g_steal_pointer(&task->job),
+	    g_steal_pointer(&task->items), task->done_items, now_us - age_us);
+}
+
+void
+jobs_take_over(struct jobs *js, const struct itemjob_open *open)
+{
+	struct job_task *task;
+
+	if (js->is_leaving || g_hash_table_contains(js->runs, open->id) ||
+	    g_hash_table_contains(js->loading, open->id))
+		return;
+	task = task_new(js, NULL, open->id);
+	task->open = g_new0(struct itemjob_open, 1);
+	task->open->id = g_strdup(open->id);
+	task->open->owner = g_strdup(open->owner);
+	task->open->is_ended = open->is_ended;
+	task->open->version = open->version;
+	task->work = load_work;
+	task->done = load_done;
+	g_hash_table_add(js->loading, g_strdup(task->id));
+	task_start(task);
+}
+
+static const struct itemjob_open *
+find_open(const GPtrArray *list, const char *id)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct itemjob_open *open = list->pdata[i];
+
+		if (strcmp(open->id, id) == 0)
+			return open;
+	}
+	return NULL;
+}
+
+static void
+drop_lost_runs(struct jobs *js, const GPtrArray *list, int64_t read_at_us)
+{
+	GPtrArray *lost = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, js->runs);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct job_run *run = val;
+		const struct itemjob_open *open = find_open(list, run->job->id);
+
+		/* The list may be older than the job. */
+		if (run->started_us >= read_at_us)
+			continue;
+		if (open == NULL || strcmp(open->owner, js->opt.session) != 0)
+			g_ptr_array_add(lost, run);
+	}
+	for (guint i = 0; i < lost->len; i++)
+		jobs_run_drop(lost->pdata[i], "not_owned");
+	g_ptr_array_unref(lost);
+}
+
+void
+jobs_on_open_list(struct jobs *js, const GPtrArray *list, int64_t read_at_us)
+{
+	drop_lost_runs(js, list, read_at_us);
+	for (guint i = 0; i < list->len; i++) {
+		const struct itemjob_open *open = list->pdata[i];
+
+		if (strcmp(open->owner, js->opt.session) != 0)
+			continue;
+		if (!open->is_ended)
+			jobs_take_over(js, open);
+		else if (g_hash_table_contains(js->runs, open->id))
+			jobs_on_ended(js, open->id);
+		else
+			close_job(js, open->id);
+	}
+}
+
+void
+jobs_set_leaving(struct jobs *js)
+{
+	js->is_leaving = true;
+}
+
+int32_t
+jobs_active_items(const struct jobs *js)
+{
+	int32_t n = 0;
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, js->runs);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct job_run *run = val;
+
+		for (guint i = 0; i < run->items->len; i++)
+			if (run->runs[i].relay != NULL ||
+			    run->runs[i].phase == kItemReady)
+				n++;
+	}
+	return n;
+}
--- /dev/null
+++ b/src/gateway/jobs.h
@@ -0,0 +1,59 @@
+#ifndef SAVORYFLOW_GATEWAY_JOBS_H
+#define SAVORYFLOW_GATEWAY_JOBS_H
+
+#include "gateway/front.h"
+#include "gateway/offload.h"
+#include "gateway/relay.h"
+#include "savoryflow/job/itemjob_store.h"
+
+struct jobs_options {
+	struct relay_parts parts;
+	struct offload *offload;
+	const struct store *store;
+	/** Session of this daemon; jobs are run under it. */
+	const char *session;
+	/** Routing rules in force, borrowed; NULL before the first. */
+	const struct routebook *(*routes)(void *ctx);
+	/** Tells the peers that a job was ended. */
+	void (*tell_ended)(void *ctx, const char *id);
+	void *ctx;
+};
+
+/** Batch jobs: what callers ask of them, and those that run here. Loop only.
+ */
+struct jobs;
+
+struct jobs *jobs_new(const struct jobs_options *opt);
+void jobs_free(struct jobs *js);
+
+void jobs_submit(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call, const struct routebook_route *route);
+void jobs_results(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call);
+void jobs_item(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call);
+void jobs_end(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call);
+
+/** A job was ended; it stops if it runs here. */
+void jobs_on_ended(struct jobs *js, const char *id);
+
+/**
+ * Takes the list of open jobs: starts those of this session that are not
+ * running, drops those that are no longer this session's.
+ * @param list array of struct itemjob_open *
+ * @param read_at_us time before the list was read
+ */
+void jobs_on_open_list(
+    struct jobs *js, const GPtrArray *list, int64_t read_at_us);
+
+/** Takes over a job from a session that is gone. */
+void jobs_take_over(struct jobs *js, const struct itemjob_open *open);
+
+/** No new items are started; what runs goes on. */
+void jobs_set_leaving(struct jobs *js);
+
+/** Items that run at a target or wait to be listed. */
+int32_t jobs_active_items(const struct jobs *js);
+
+#endif
--- /dev/null
+++ b/src/gateway/jobs_run.c
@@ -0,0 +1,516 @@
+/* Items of the jobs that this daemon runs: attempts, results, listing. */
+#include <string.h>
+
+#include "error/error.h"
+#include "gateway/jobs_internal.h"
+#include "log/log.h"
+#include "metric/histogram.h"
+#include "metric/metric.h"
+
+enum {
+	kHttpOk = 200,
+	kHttpUnprocessable = 422,
+	kHttpServerErrorFirst = 500,
+	kDueDefaultUs = 60 * kUsPerS,
+	kTtlDefaultUs = 60 * kUsPerS,
+	/* A target without an event for so long is given up: an event takes
+	 * some 20 ms, a large prompt some 200. */
+	kSilenceUs = 700 * kUsPerMs,
+	kRetryAfterFailureUs = 100 * kUsPerMs,
+	kRetryAfterCutUs = 30 * kUsPerMs,
+	kRetryWithoutSlotUs = 200 * kUsPerMs,
+	kRetryWithoutRouteUs = 500 * kUsPerMs,
+	/* An item whose runs break off without any event may crash its
+	 * targets: after so many it waits, and is tried only a few times more.
+	 */
+	kFruitlessCutsFree = 3,
+	kFruitlessCutsMax = 5,
+	kFruitlessWaitUs = 4 * kUsPerS,
+	kCommitRetryUs = 300 * kUsPerMs,
+	kTimerUs = 50 * kUsPerMs,
+};
+
+static void commit_next(struct job_run *run);
+
+static int64_t
+now_us(const struct job_run *run)
+{
+	return loop_now_us(run->js->opt.parts.lp);
+}
+
+void
+jobs_run_free(void *p)
+{
+	struct job_run *run = p;
+
+	for (guint i = 0; i < run->items->len; i++) {
+		if (run->runs[i].relay != NULL)
+			relay_cancel(run->runs[i].relay);
+		g_string_free(run->runs[i].text, TRUE);
+	}
+	g_queue_clear(&run->ready);
+	g_free(run->runs);
+	g_ptr_array_unref(run->items);
+	itemjob_free(run->job);
+	g_free(run);
+}
+
+void
+jobs_run_drop(struct job_run *run, const char *why)
+{
+	log_event(kEvtJobDropped, "job", run->job->id, "why", why, "listed",
+	    log_number(run->listed), "items", log_number(run->items->len),
+	    NULL);
+	g_hash_table_steal(run->js->runs, run->job->id);
+	for (guint i = 0; i < run->items->len; i++) {
+		if (run->runs[i].relay != NULL)
+			relay_cancel(run->runs[i].relay);
+		run->runs[i].relay = NULL;
+	}
+	/* A commit that is on its way still names the run. */
+	run->is_dropped = true;
+	if (!run->is_committing)
+		jobs_run_free(run);
+}
+
+static void
+item_ready(struct item_run *ir, bool is_completed)
+{
+	ir->phase = kItemReady;
+	ir->is_completed = is_completed;
+	g_queue_push_tail(&ir->run->ready, ir);
+	commit_next(ir->run);
+}
+
+static void
+give_up(struct item_run *ir, const char *why)
+{
+	log_event(kEvtItemGivenUp, "job", ir->run->job->id, "item",
+	    ir->item->id, "why", why, "failures", log_number(ir->failures),
+	    "cuts", log_number(ir->fruitless_cuts), "age_us",
+	    log_number(now_us(ir->run) - ir->run->accepted_us), NULL);
+	g_string_truncate(ir->text, 0);
+	item_ready(ir, false);
+}
+
+static void
+try_again(struct item_run *ir, int64_t wait_us)
+{
+	ir->phase = kItemWaiting;
+	ir->next_try_us = now_us(ir->run) + wait_us;
+	if (wait_us == 0)
+		jobs_run_pump(ir->run);
+}
+
+static void
+on_head(void *ctx, int32_t status, const struct header_list *headers)
+{
+	struct item_run *ir = ctx;
+	const char *type = header_list_get(headers, "Content-Type");
+
+	ir->status = status;
+	ir->is_stream = status == kHttpOk && type != NULL &&
+	    g_str_has_prefix(type, "text/event-stream");
+}
+
+static void
+on_data(void *ctx, const struct stream_event *ev)
+{
+	struct item_run *ir = ctx;
+
+	if (!ir->is_stream)
+		return;
+	if (ir->has_text)
+		g_string_append_c(ir->text, '\n');
+	ir->has_text = true;
+	ir->had_event = true;
+	stream_event_data(ev, ir->text);
+	if (ev->id >= 0)
+		ir->last_event_id = ev->id;
+}
+
+static int32_t
+attempts_max(const struct item_run *ir)
+{
+	const struct routebook *book =
+	    ir->run->js->opt.routes(ir->run->js->opt.ctx);
+	const struct routebook_route *route = book != NULL
+	    ? routebook_find(book, ir->run->job->host, ir->run->job->path)
+	    : NULL;
+
+	return route != NULL ? route->attempts_max : 1;
+}
+
+static void
+on_answer(struct item_run *ir)
+{
+	if (ir->is_stream) {
+		item_ready(ir, true);
+		return;
+	}
+	if (ir->status == kHttpUnprocessable) {
+		give_up(ir, "unprocessable");
+		return;
+	}
+	ir->failures++;
+	if (ir->failures >= attempts_max(ir) &&
+	    ir->status == kHttpServerErrorFirst)
+		give_up(ir, "failed");
+	else
+		try_again(ir, kRetryAfterFailureUs);
+}
+
+static void
+on_cut(struct item_run *ir)
+{
+	if (ir->had_event) {
+		ir->fruitless_cuts = 0;
+		try_again(ir, 0);
+		return;
+	}
+	ir->fruitless_cuts++;
+	if (ir->fruitless_cuts < kFruitlessCutsFree)
+		try_again(ir, kRetryAfterCutUs);
+	else if (ir->fruitless_cuts < kFruitlessCutsMax)
+		try_again(ir, kFruitlessWaitUs);
+	else
+		/* Its time to live is waited for, so that it is not given up
+		 * too early. */
+		try_again(ir, kTtlDefaultUs);
+}
+
+static void
+on_end(void *ctx, const struct relay_verdict *verdict)
+{
+	struct item_run *ir = ctx;
+
+	ir->relay = NULL;
+	if (verdict->end != kRelayComplete)
+		log_event(kEvtItemRunEnded, "job", ir->run->job->id, "item",
+		    ir->item->id, "cause",
+		    verdict->cause != NULL ? verdict->cause : "revoked",
+		    "target", verdict->target, "last_event",
+		    log_number(ir->last_event_id), NULL);
+	switch (verdict->end) {
+	case kRelayComplete:
+		on_answer(ir);
+		break;
+	case kRelayRefused:
+	case kRelayTimeout:
+		try_again(ir, kRetryWithoutSlotUs);
+		break;
+	case kRelayRevoked:
+		try_again(ir, 0);
+		break;
+	case kRelayFailed:
+	case kRelayBroken:
+		on_cut(ir);
+		break;
+	}
+}
+
+static const struct relay_ops relay_ops = {on_head, on_data, on_end};
+
+static void
+item_start(struct item_run *ir, const struct routebook_route *route)
+{
+	struct job_run *run = ir->run;
+	struct header_list *headers = header_list_new();
+	struct relay_options opt = {
+	    .method = "POST",
+	    .uri = ir->item->path,
+	    .headers = headers,
+	    .body = ir->item->body,
+	    .attempt_id = ir->item->id,
+	    .service = routebook_service_of(route, g_str_hash(ir->item->id)),
+	    .is_batch = true,
+	    .until_us = run->due_us,
+	    .attempts_max = 1,
+	    .may_repeat = true,
+	    .is_resumable = true,
+	    .last_event_id = ir->last_event_id,
+	    .silence_us = kSilenceUs,
+	    .ops = &relay_ops,
+	    .ctx = ir,
+	};
+
+	for (guint i = 0; i < ir->item->headers->len; i++) {
+		const struct itemjob_header *h =
+		    &g_array_index(ir->item->headers, struct itemjob_header, i);
+
+		header_list_add(headers, h->name, h->value);
+	}
+	header_list_set(headers, "Host", run->job->host);
+	ir->phase = kItemRunning;
+	ir->had_event = false;
+	ir->status = 0;
+	ir->is_stream = false;
+	ir->relay = relay_start(&run->js->opt.parts, &opt);
+	header_list_free(headers);
+}
+
+void
+jobs_run_pump(struct job_run *run)
+{
+	const struct routebook *book = run->js->opt.routes(run->js->opt.ctx);
+	const struct routebook_route *route;
+	int64_t now = now_us(run);
+
+	if (book == NULL || run->js->is_leaving || run->is_dropped)
+		return;
+	route = routebook_find(book, run->job->host, run->job->path);
+	for (guint i = 0; i < run->items->len; i++) {
+		struct item_run *ir = &run->runs[i];
+
+		if (ir->phase != kItemWaiting)
+			continue;
+		if (now > run->accepted_us + run->ttl_us)
+			give_up(ir, "expired");
+		else if (ir->next_try_us > now)
+			continue;
+		else if (route == NULL)
+			ir->next_try_us = now + kRetryWithoutRouteUs;
+		else
+			item_start(ir, route);
+		if (run->is_dropped)
+			return;
+	}
+}
+
+/* One result on its way to the store. */
+struct commit {
+	struct job_run *run;
+	struct jobs *js;
+	struct item_run *ir;
+	char *job_id;
+	int32_t index;
+	struct itemjob_result result;
+	enum store_result outcome;
+	/** Set after a conflict: what is listed. */
+	GArray *done;
+};
+
+static void
+commit_work(void *ctx)
+{
+	struct commit *c = ctx;
+	const struct store *st = c->js->opt.store;
+
+	c->outcome = itemjob_commit(st, c->job_id, c->index, &c->result);
+	if (c->outcome == kStoreConflict &&
+	    itemjob_read_done(st, c->job_id, &c->done) != kStoreOk)
+		c->outcome = kStoreUnavailable;
+}
+
+static void
+commit_free(struct commit *c)
+{
+	if (c->done != NULL)
+		g_array_unref(c->done);
+	g_free(c->result.item_id);
+	g_free(c->result.text);
+	g_free(c->job_id);
+	g_free(c);
+}
+
+struct close_task {
+	struct jobs *js;
+	char *id;
+	enum store_result outcome;
+};
+
+static void
+close_work(void *ctx)
+{
+	struct close_task *task = ctx;
+
+	task->outcome = itemjob_close(task->js->opt.store, task->id);
+}
+
+static void
+close_done(void *ctx)
+{
+	struct close_task *task = ctx;
+
+	/* If it failed the job shows as open again, and is closed then. */
+	log_event(kEvtJobDone, "job", task->id, "closed",
+	    task->outcome == kStoreOk ? "yes" : "no", NULL);
+	g_free(task->id);
+	g_free(task);
+}
+
+static void
+finish_run(struct job_run *run)
+{
+	struct close_task *task = g_new0(struct close_task, 1);
+
+	task->js = run->js;
+	task->id = g_strdup(run->job->id);
+	jobs_run_drop(run, "finished");
+	if (!offload_run(task->js->opt.offload, close_work, close_done, task)) {
+		g_free(task->id);
+		g_free(task);
+	}
+}
+
+static void
+item_listed(struct item_run *ir)
+{
+	struct job_run *run = ir->run;
+
+	if (ir->phase == kItemListed)
+		return;
+	if (ir->relay != NULL)
+		relay_cancel(ir->relay);
+	ir->relay = NULL;
+	g_queue_remove(&run->ready, ir);
+	ir->phase = kItemListed;
+	run->listed++;
+	metric_add(kMetItems, 1);
+	histogram_note(kHistItemDone, now_us(run) - run->accepted_us);
+	g_string_truncate(ir->text, 0);
+	g_clear_pointer(&ir->item->body, g_bytes_unref);
+}
+
+/* Takes what the store lists: another daemon ran the job as well. */
+static void
+take_done(struct job_run *run, const GArray *done)
+{
+	for (guint i = 0; i < done->len; i++) {
+		const struct itemjob_done *d =
+		    &g_array_index(done, struct itemjob_done, i);
+
+		run->next_position = MAX(run->next_position, d->position + 1);
+		if (d->index >= 0 && d->index < (int32_t)run->items->len)
+			item_listed(&run->runs[d->index]);
+	}
+}
+
+static void
+retry_commit(void *ctx)
+{
+	struct job_run *run = ctx;
+
+	run->is_committing = false;
+	if (run->is_dropped)
+		jobs_run_free(run);
+	else
+		commit_next(run);
+}
+
+static void
+commit_done(void *ctx)
+{
+	struct commit *c = ctx;
+	struct job_run *run = c->run;
+
+	run->is_committing = false;
+	if (run->is_dropped) {
+		jobs_run_free(run);
+		commit_free(c);
+		return;
+	}
+	log_event(kEvtItemListed, "job", c->job_id, "item", c->result.item_id,
+	    "position", log_number(c->result.position), "completed",
+	    c->result.is_completed ? "yes" : "no", "store",
+	    store_result_text(c->outcome), "age_us",
+	    log_number(now_us(run) - run->accepted_us), NULL);
+	switch (c->outcome) {
+	case kStoreOk:
+		run->next_position =
+		    MAX(run->next_position, c->result.position + 1);
+		item_listed(c->ir);
+		break;
+	case kStoreConflict:
+		take_done(run, c->done);
+		break;
+	default:
+		/* Kept here until the store takes it. */
+		run->is_committing = true;
+		loop_timer(run->js->opt.parts.lp, now_us(run) + kCommitRetryUs,
+		    retry_commit, run);
+		commit_free(c);
+		return;
+	}
+	commit_free(c);
+	commit_next(run);
+}
+
+/* Lists the next result; one at a time, so that positions have no gaps. */
+static void
+commit_next(struct job_run *run)
+{
+	struct item_run *ir = g_queue_peek_head(&run->ready);
+	struct commit *c;
+
+	if (run->is_committing || run->is_dropped)
+		return;
+	if (run->listed == (int32_t)run->items->len) {
+		finish_run(run);
+		return;
+	}
+	if (ir == NULL)
+		return;
+	c = g_new0(struct commit, 1);
+	c->run = run;
+	c->js = run->js;
+	c->ir = ir;
+	c->job_id = g_strdup(run->job->id);
+	c->index = ir->index;
+	c->result.position = run->next_position;
+	c->result.item_id = g_strdup(ir->item->id);
+	c->result.is_completed = ir->is_completed;
+	c->result.text = g_strdup(ir->text->str);
+	run->is_committing = true;
+	if (offload_run(run->js->opt.offload, commit_work, commit_done, c))
+		return;
+	commit_free(c);
+	loop_timer(run->js->opt.parts.lp, now_us(run) + kCommitRetryUs,
+	    retry_commit, run);
+}
+
+static void
+init_items(struct job_run *run)
+{
+	run->runs = g_new0(struct item_run, run->items->len);
+	for (guint i = 0; i < run->items->len; i++) {
+		struct item_run *ir = &run->runs[i];
+
+		ir->run = run;
+		ir->index = (int32_t)i;
+		ir->item = run->items->pdata[i];
+		ir->text = g_string_new(NULL);
+		ir->last_event_id = -1;
+	}
+}
+
+void
+jobs_run_start(struct jobs *js, struct itemjob *job, GPtrArray *items,
+    const GArray *done, int64_t accepted_us)
+{
+	const struct routebook *book = js->opt.routes(js->opt.ctx);
+	const struct routebook_route *route =
+	    book != NULL ? routebook_find(book, job->host, job->path) : NULL;
+	struct job_run *run = g_new0(struct job_run, 1);
+
+	run->js = js;
+	run->job = job;
+	run->items = items;
+	run->started_us = loop_now_us(js->opt.parts.lp);
+	run->accepted_us = accepted_us;
+	run->due_us =
+	    accepted_us + (route != NULL ? route->job_due_us : kDueDefaultUs);
+	run->ttl_us = route != NULL ? route->item_ttl_us : kTtlDefaultUs;
+	g_queue_init(&run->ready);
+	init_items(run);
+	g_hash_table_replace(js->runs, run->job->id, run);
+	log_event(kEvtJobStarted, "job", job->id, "items",
+	    log_number(items->len), "listed",
+	    log_number(done != NULL ? done->len : 0), "age_us",
+	    log_number(run->started_us - accepted_us), NULL);
+	if (done != NULL)
+		take_done(run, done);
+	commit_next(run);
+	if (g_hash_table_lookup(js->runs, job->id) == run)
+		jobs_run_pump(run);
+}
--- /dev/null
+++ b/src/gateway/members.c
@@ -0,0 +1,185 @@
+/* Heartbeat, roster and orphaned jobs. */
+#include "gateway/members.h"
+
+#include <string.h>
+
+#include "log/log.h"
+
+enum {
+	/* The row of a daemon that was silent for so long is removed. */
+	kForgetUs = 60 * kUsPerS,
+	/* Beside the daemon that a job falls to any other one takes it over
+	 * when it was orphaned for so long. */
+	kAnybodyUs = 3 * kUsPerS,
+};
+
+struct look {
+	struct members *mb;
+	int64_t beat;
+	int64_t started_us;
+	bool is_leaving;
+	enum store_result beat_outcome;
+	GArray *rows;
+	GPtrArray *open;
+};
+
+struct members {
+	struct members_options opt;
+	int64_t beat;
+	bool is_looking;
+	bool is_leaving;
+	uint64_t timer;
+	/** int64_t: when a job was first seen without a daemon, by id. */
+	GHashTable *orphans;
+};
+
+static void look_soon(struct members *mb, int64_t wait_us);
+
+struct members *
+members_new(const struct members_options *opt)
+{
+	struct members *mb = g_new0(struct members, 1);
+
+	mb->opt = *opt;
+	mb->orphans =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	look_soon(mb, 0);
+	return mb;
+}
+
+void
+members_free(struct members *mb)
+{
+	loop_timer_cancel(mb->opt.lp, mb->timer);
+	g_hash_table_unref(mb->orphans);
+	g_free(mb);
+}
+
+static void
+look_work(void *ctx)
+{
+	struct look *look = ctx;
+	const struct store *st = look->mb->opt.store;
+
+	if (look->is_leaving) {
+		look->beat_outcome =
+		    roster_store_leave(st, &look->mb->opt.self);
+		return;
+	}
+	look->beat_outcome =
+	    roster_store_beat(st, &look->mb->opt.self, look->beat);
+	if (roster_store_read(st, &look->rows) != kStoreOk)
+		return;
+	if (itemjob_read_open(st, &look->open) != kStoreOk)
+		look->open = NULL;
+}
+
+static void
+look_free(struct look *look)
+{
+	if (look->rows != NULL)
+		g_array_unref(look->rows);
+	if (look->open != NULL)
+		g_ptr_array_unref(look->open);
+	g_free(look);
+}
+
+/* True if this daemon is to take the job over now. */
+static bool
+is_due_here(struct members *mb, const char *id, int64_t now_us)
+{
+	int64_t *since = g_hash_table_lookup(mb->orphans, id);
+	const char *owner;
+
+	if (since == NULL) {
+		since = g_new(int64_t, 1);
+		*since = now_us;
+		g_hash_table_insert(mb->orphans, g_strdup(id), since);
+	}
+	owner = roster_owner(mb->opt.roster, id, NULL, now_us);
+	return strcmp(owner, mb->opt.self.address) == 0 ||
+	    now_us - *since > kAnybodyUs;
+}
+
+static void
+take_orphans(struct members *mb, const GPtrArray *list, int64_t now_us)
+{
+	for (guint i = 0; i < list->len; i++) {
+		const struct itemjob_open *open = list->pdata[i];
+
+		if (strcmp(open->owner, mb->opt.self.session) == 0)
+			continue;
+		if (roster_session_lives(mb->opt.roster, open->owner, now_us)) {
+			g_hash_table_remove(mb->orphans, open->id);
+			continue;
+		}
+		if (!is_due_here(mb, open->id, now_us))
+			continue;
+		log_event(kEvtJobOrphaned, "job", open->id, "owner",
+		    open->owner, "version", log_number(open->version), NULL);
+		jobs_take_over(mb->opt.jobs, open);
+	}
+}
+
+static void
+look_done(void *ctx)
+{
+	struct look *look = ctx;
+	struct members *mb = look->mb;
+	int64_t now_us = loop_now_us(mb->opt.lp);
+
+	mb->is_looking = false;
+	if (look->rows != NULL) {
+		roster_take_rows(mb->opt.roster, look->rows, now_us);
+		mb->opt.on_roster(mb->opt.ctx);
+	} else if (!look->is_leaving) {
+		roster_note_blind(mb->opt.roster, now_us);
+	}
+	mb->opt.on_store(mb->opt.ctx, look->rows != NULL || look->is_leaving);
+	if (look->open != NULL && !mb->is_leaving) {
+		jobs_on_open_list(mb->opt.jobs, look->open, look->started_us);
+		take_orphans(mb, look->open, now_us);
+	}
+	if (!look->is_leaving)
+		look_soon(mb, mb->opt.period_us);
+	look_free(look);
+}
+
+static void
+start_look(void *ctx)
+{
+	struct members *mb = ctx;
+	struct look *look;
+
+	mb->timer = 0;
+	if (mb->is_looking) {
+		look_soon(mb, mb->opt.period_us / 4);
+		return;
+	}
+	look = g_new0(struct look, 1);
+	look->mb = mb;
+	look->beat = ++mb->beat;
+	look->started_us = loop_now_us(mb->opt.lp);
+	look->is_leaving = mb->is_leaving;
+	mb->is_looking = true;
+	if (offload_run(mb->opt.offload, look_work, look_done, look))
+		return;
+	mb->is_looking = false;
+	look_free(look);
+	look_soon(mb, mb->opt.period_us);
+}
+
+static void
+look_soon(struct members *mb, int64_t wait_us)
+{
+	loop_timer_cancel(mb->opt.lp, mb->timer);
+	mb->timer = loop_timer(
+	    mb->opt.lp, loop_now_us(mb->opt.lp) + wait_us, start_look, mb);
+}
+
+void
+members_leave(struct members *mb)
+{
+	mb->is_leaving = true;
+	look_soon(mb, 0);
+}
--- /dev/null
+++ b/src/gateway/outbound.c
@@ -0,0 +1,424 @@
+/* Requests to targets: a libcurl multi handle driven by the loop. */
+#include "gateway/outbound.h"
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+enum {
+	/* Pooled connections that were idle for so long are not used again:
+	 * the target may close them, or something in between has lost them. */
+	kIdleMaxS = 3,
+	kAgeMaxS = 60,
+	kConnectionsKept = 64,
+	/* Bytes that are sent and not acknowledged for so long end the
+	 * connection. */
+	kUserTimeoutMs = 2000,
+};
+
+struct outbound {
+	struct loop *lp;
+	CURLM *multi;
+	uint64_t timer;
+	int64_t connects;
+	/** Set of struct outbound_request. */
+	GHashTable *requests;
+	/** Ended, to be freed at the end of the turn. */
+	GPtrArray *dead;
+	/** Cancelled requests are among the requests. */
+	bool has_cancelled;
+};
+
+struct outbound_request {
+	struct outbound *ob;
+	CURL *easy;
+	struct curl_slist *lines;
+	GBytes *body;
+	char *url;
+	struct header_list *answer;
+	bool has_head;
+	bool is_refused;
+	bool is_dead;
+	const struct outbound_ops *ops;
+	void *ctx;
+};
+
+static void check_completed(struct outbound *ob);
+static void remove_cancelled(void *ctx);
+
+static void
+request_free(void *p)
+{
+	struct outbound_request *req = p;
+
+	curl_easy_cleanup(req->easy);
+	curl_slist_free_all(req->lines);
+	if (req->body != NULL)
+		g_bytes_unref(req->body);
+	header_list_free(req->answer);
+	g_free(req->url);
+	g_free(req);
+}
+
+static void
+on_timeout(void *ctx)
+{
+	struct outbound *ob = ctx;
+	int running;
+
+	ob->timer = 0;
+	curl_multi_socket_action(ob->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+	check_completed(ob);
+}
+
+static int
+on_timer_change(CURLM *multi, long timeout_ms, void *ctx)
+{
+	struct outbound *ob = ctx;
+
+	loop_timer_cancel(ob->lp, ob->timer);
+	ob->timer = 0;
+	if (timeout_ms >= 0)
+		ob->timer = loop_timer(ob->lp,
+		    loop_now_us(ob->lp) + timeout_ms * (int64_t)kUsPerMs,
+		    on_timeout, ob);
+	return 0;
+}
+
+struct socket_ref {
+	struct outbound *ob;
+	curl_socket_t fd;
+};
+
+static void
+on_socket(void *ctx, uint32_t events)
+{
+	struct socket_ref *ref = ctx;
+	struct outbound *ob = ref->ob;
+	int action = 0;
+	int running;
+
+	if (events & (EPOLLIN | EPOLLHUP))
+		action |= CURL_CSELECT_IN;
+	if (events & EPOLLOUT)
+		action |= CURL_CSELECT_OUT;
+	if (events & EPOLLERR)
+		action |= CURL_CSELECT_ERR;
+	curl_multi_socket_action(ob->multi, ref->fd, action, &running);
+	check_completed(ob);
+}
+
+static int
+on_socket_change(
+    CURL *easy, curl_socket_t fd, int what, void *ctx, void *socket_ctx)
+{
+	struct outbound *ob = ctx;
+	struct socket_ref *ref = socket_ctx;
+	uint32_t events = 0;
+
+	if (what == CURL_POLL_REMOVE) {
+		loop_unwatch(ob->lp, fd);
+		curl_multi_assign(ob->multi, fd, NULL);
+		g_free(ref);
+		return 0;
+	}
+	if (ref == NULL) {
+		ref = g_new0(struct socket_ref, 1);
+		ref->ob = ob;
+		ref->fd = fd;
+		curl_multi_assign(ob->multi, fd, ref);
+	}
+	if (what & CURL_POLL_IN)
+		events |= EPOLLIN;
+	if (what & CURL_POLL_OUT)
+		events |= EPOLLOUT;
+	loop_watch(ob->lp, fd, events, on_socket, ref);
+	return 0;
+}
+
+struct outbound *
+outbound_new(struct loop *lp)
+{
+	struct outbound *ob = g_new0(struct outbound, 1);
+
+	ob->lp = lp;
+	ob->multi = curl_multi_init();
+	ob->requests = g_hash_table_new(NULL, NULL);
+	ob->dead = g_ptr_array_new_with_free_func(request_free);
+	curl_multi_setopt(ob->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
+	curl_multi_setopt(ob->multi, CURLMOPT_SOCKETDATA, ob);
+	curl_multi_setopt(ob->multi, CURLMOPT_TIMERFUNCTION, on_timer_change);
+	curl_multi_setopt(ob->multi, CURLMOPT_TIMERDATA, ob);
+	curl_multi_setopt(
+	    ob->multi, CURLMOPT_MAXCONNECTS, (long)kConnectionsKept);
+	curl_multi_setopt(
+	    ob->multi, CURLMOPT_PIPELINING, (long)CURLPIPE_NOTHING);
+	loop_each_turn(lp, remove_cancelled, ob);
+	return ob;
+}
+
+void
+outbound_free(struct outbound *ob)
+{
+	GHashTableIter it;
+	void *req;
+
+	g_hash_table_iter_init(&it, ob->requests);
+	while (g_hash_table_iter_next(&it, &req, NULL)) {
+		curl_multi_remove_handle(
+		    ob->multi, ((struct outbound_request *)req)->easy);
+		g_ptr_array_add(ob->dead, req);
+	}
+	g_hash_table_unref(ob->requests);
+	g_ptr_array_unref(ob->dead);
+	curl_multi_cleanup(ob->multi);
+	loop_timer_cancel(ob->lp, ob->timer);
+	g_free(ob);
+}
+
+int64_t
+outbound_connects(const struct outbound *ob)
+{
+	return ob->connects;
+}
+
+/* The head is complete: an empty line after a final status. */
+static bool
+take_head(struct outbound_request *req)
+{
+	long status = 0;
+
+	curl_easy_getinfo(req->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status < 200)
+		return true;
+	req->has_head = true;
+	return req->ops->on_head(req->ctx, (int32_t)status, req->answer);
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct outbound_request *req = ctx;
+	size_t len = size * n;
+	const char *colon = memchr(data, ':', len);
+	char *name;
+	char *value;
+
+	if (req->has_head || req->is_dead)
+		return len;
+	if (len >= 5 && strncmp(data, "HTTP/", 5) == 0) {
+		header_list_free(req->answer);
+		req->answer = header_list_new();
+		return len;
+	}
+	if (len <= 2) {
+		req->is_refused = !take_head(req);
+		return req->is_refused ? 0 : len;
+	}
+	if (colon == NULL)
+		return len;
+	name = g_strndup(data, (gsize)(colon - data));
+	value = g_strndup(colon + 1, (gsize)(data + len - colon - 1));
+	header_list_add(req->answer, name, g_strstrip(value));
+	g_free(name);
+	g_free(value);
+	return len;
+}
+
+static size_t
+on_body(char *data, size_t size, size_t n, void *ctx)
+{
+	struct outbound_request *req = ctx;
+
+	if (!req->is_dead && req->ops->on_data(req->ctx, data, size * n))
+		return size * n;
+	req->is_refused = true;
+	return 0;
+}
+
+static int
+on_socket_made(void *ctx, curl_socket_t fd, curlsocktype type)
+{
+	struct outbound_request *req = ctx;
+	int timeout_ms = kUserTimeoutMs;
+
+	req->ob->connects++;
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	return CURL_SOCKOPT_OK;
+}
+
+static bool
+adds_line(const struct header_list *headers, const char *name)
+{
+	return header_list_get(headers, name) == NULL;
+}
+
+/* libcurl adds some fields of its own unless an empty one stands for them. */
+static struct curl_slist *
+header_lines(const struct header_list *headers)
+{
+	struct curl_slist *lines = curl_slist_append(NULL, "Expect:");
+
+	if (adds_line(headers, "Accept"))
+		lines = curl_slist_append(lines, "Accept:");
+	if (adds_line(headers, "Content-Type"))
+		lines = curl_slist_append(lines, "Content-Type:");
+	for (guint i = 0; i < header_list_len(headers); i++) {
+		const struct header *h = header_list_at(headers, i);
+		/* An empty value is written with a semicolon. */
+		char *line = *h->value != '\0'
+		    ? g_strconcat(h->name, ": ", h->value, NULL)
+		    : g_strconcat(h->name, ";", NULL);
+
+		lines = curl_slist_append(lines, line);
+		g_free(line);
+	}
+	return lines;
+}
+
+static void
+set_body(struct outbound_request *req, const char *method)
+{
+	gsize len = 0;
+	const char *data =
+	    req->body != NULL ? g_bytes_get_data(req->body, &len) : NULL;
+
+	curl_easy_setopt(req->easy, CURLOPT_CUSTOMREQUEST, method);
+	if (len == 0 &&
+	    (strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0)) {
+		if (strcmp(method, "HEAD") == 0)
+			curl_easy_setopt(req->easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	curl_easy_setopt(req->easy, CURLOPT_POSTFIELDSIZE, (long)len);
+	curl_easy_setopt(
+	    req->easy, CURLOPT_POSTFIELDS, data != NULL ? data : "");
+}
+
+struct outbound_request *
+outbound_start(struct outbound *ob, const struct outbound_options *opt)
+{
+	struct outbound_request *req = g_new0(struct outbound_request, 1);
+	CURL *h = curl_easy_init();
+
+	req->ob = ob;
+	req->easy = h;
+	req->ops = opt->ops;
+	req->ctx = opt->ctx;
+	req->body = opt->body != NULL ? g_bytes_ref(opt->body) : NULL;
+	req->url = g_strdup_printf("http://%s/", opt->address);
+	req->lines = header_lines(opt->headers);
+	req->answer = header_list_new();
+	curl_easy_setopt(h, CURLOPT_URL, req->url);
+	curl_easy_setopt(h, CURLOPT_REQUEST_TARGET, opt->uri);
+	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, req->lines);
+	curl_easy_setopt(h, CURLOPT_PRIVATE, req);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, req);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, req);
+	curl_easy_setopt(h, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+	curl_easy_setopt(h, CURLOPT_SOCKOPTDATA, req);
+	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS,
+	    (long)(opt->connect_timeout_us / kUsPerMs));
+	curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, (long)kIdleMaxS);
+	curl_easy_setopt(h, CURLOPT_MAXLIFETIME_CONN, (long)kAgeMaxS);
+	curl_easy_setopt(h, CURLOPT_BUFFERSIZE, 16384L);
+	if (opt->is_sent_once)
+		curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
+	set_body(req, opt->method);
+	g_hash_table_add(ob->requests, req);
+	curl_multi_add_handle(ob->multi, h);
+	return req;
+}
+
+static void
+bury(struct outbound_request *req)
+{
+	struct outbound *ob = req->ob;
+
+	req->is_dead = true;
+	curl_multi_remove_handle(ob->multi, req->easy);
+	g_hash_table_remove(ob->requests, req);
+	g_ptr_array_add(ob->dead, req);
+}
+
+void
+outbound_cancel(struct outbound_request *req)
+{
+	/* libcurl may be in the middle of this transfer: it is removed at the
+	 * end of the turn. */
+	req->is_dead = true;
+	req->ob->has_cancelled = true;
+}
+
+static void
+remove_cancelled(void *ctx)
+{
+	struct outbound *ob = ctx;
+	GPtrArray *list;
+	GHashTableIter it;
+	void *key;
+
+	if (ob->has_cancelled) {
+		ob->has_cancelled = false;
+		list = g_ptr_array_new();
+		g_hash_table_iter_init(&it, ob->requests);
+		while (g_hash_table_iter_next(&it, &key, NULL))
+			if (((struct outbound_request *)key)->is_dead)
+				g_ptr_array_add(list, key);
+		for (guint i = 0; i < list->len; i++)
+			bury(list->pdata[i]);
+		g_ptr_array_unref(list);
+	}
+	g_ptr_array_set_size(ob->dead, 0);
+}
+
+static enum outbound_end
+end_of_code(const struct outbound_request *req, CURLcode code)
+{
+	long status = 0;
+
+	if (req->is_refused)
+		return kOutboundRefused;
+	curl_easy_getinfo(req->easy, CURLINFO_RESPONSE_CODE, &status);
+	switch (code) {
+	case CURLE_OK:
+		return req->has_head ? kOutboundComplete : kOutboundCut;
+	case CURLE_COULDNT_CONNECT:
+	case CURLE_COULDNT_RESOLVE_HOST:
+	/* Only connecting has a timeout of curl's. */
+	case CURLE_OPERATION_TIMEDOUT:
+		return kOutboundNotSent;
+	default:
+		return kOutboundCut;
+	}
+}
+
+static void
+check_completed(struct outbound *ob)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(ob->multi, &left)) != NULL) {
+		struct outbound_request *req = NULL;
+		enum outbound_end end;
+		bool was_dead;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &req);
+		end = end_of_code(req, msg->data.result);
+		was_dead = req->is_dead;
+		bury(req);
+		if (!was_dead)
+			req->ops->on_done(req->ctx, end);
+	}
+}
--- /dev/null
+++ b/src/gateway/relay.c
@@ -0,0 +1,478 @@
+/*
+ * Carries one request to targets: a slot, the transfer, then the next attempt
+ * or the final answer. Nothing of an answer is handed over before its first
+ * event, or its whole body if it is no stream, is there.
+ */
+#include "gateway/relay.h"
+
+#include <string.h>
+
+#include "log/log.h"
+#include "metric/metric.h"
+
+enum {
+	kHttpOk = 200,
+	kHttpServerErrorFirst = 500,
+	/* Connections: within a region, and to another one. */
+	kConnectTimeoutUs = 250 * kUsPerMs,
+	/* Sends that were turned away without having run, beside the attempts
+	 * that count. */
+	kTurnedAwayMax = 3,
+	kRetryAfterDefaultUs = 300 * kUsPerMs,
+	kFieldsMax = 32,
+};
+
+enum relay_phase {
+	kPhaseAsking,
+	kPhaseRunning,
+	kPhaseDone,
+};
+
+struct relay {
+	struct relay_parts parts;
+	struct relay_options opt;
+	char *method;
+	char *uri;
+	struct header_list *headers;
+	GBytes *body;
+	char *attempt_id;
+	char *service;
+
+	enum relay_phase phase;
+	uint64_t slot;
+	char target[kFleetNameMax];
+	struct outbound_request *request;
+	uint64_t deadline_timer;
+	uint64_t silence_timer;
+	int64_t started_us;
+
+	/* Attempts that may have run, and those that did not. */
+	int32_t attempts;
+	int32_t turned_away;
+	const char *cause;
+
+	/* The present answer. */
+	int32_t status;
+	struct header_list *answer;
+	struct dialect_facts facts;
+	bool is_stream;
+	struct event_splitter events;
+	GString *whole;
+	/** The head, and maybe more, was handed over. */
+	bool is_answering;
+	bool is_revoked;
+};
+
+static void next_attempt(struct relay *rl);
+
+static void
+relay_free(struct relay *rl)
+{
+	g_free(rl->method);
+	g_free(rl->uri);
+	g_free(rl->attempt_id);
+	g_free(rl->service);
+	header_list_free(rl->headers);
+	header_list_free(rl->answer);
+	if (rl->body != NULL)
+		g_bytes_unref(rl->body);
+	event_splitter_clear(&rl->events);
+	g_string_free(rl->whole, TRUE);
+	g_free(rl);
+}
+
+static void
+stop_timers(struct relay *rl)
+{
+	loop_timer_cancel(rl->parts.lp, rl->deadline_timer);
+	loop_timer_cancel(rl->parts.lp, rl->silence_timer);
+	rl->deadline_timer = 0;
+	rl->silence_timer = 0;
+}
+
+/* Leaves the target and the slot. */
+static void
+leave_target(struct relay *rl, enum slot_outcome outcome)
+{
+	loop_timer_cancel(rl->parts.lp, rl->silence_timer);
+	rl->silence_timer = 0;
+	if (rl->request != NULL)
+		outbound_cancel(rl->request);
+	rl->request = NULL;
+	if (rl->slot != 0)
+		slots_release(rl->parts.slots, rl->slot, outcome);
+	rl->slot = 0;
+}
+
+static void
+finish(struct relay *rl, enum relay_end end, int64_t retry_after_us)
+{
+	struct relay_verdict verdict = {
+	    .end = end,
+	    .retry_after_us = retry_after_us,
+	    .attempts = rl->attempts,
+	    .cause = rl->cause,
+	    .was_cut = rl->cause != NULL && strcmp(rl->cause, "cut") == 0,
+	};
+
+	g_strlcpy(verdict.target, rl->target, sizeof(verdict.target));
+	rl->phase = kPhaseDone;
+	stop_timers(rl);
+	leave_target(rl, kSlotNeutral);
+	rl->opt.ops->on_end(rl->opt.ctx, &verdict);
+	relay_free(rl);
+}
+
+void
+relay_cancel(struct relay *rl)
+{
+	rl->phase = kPhaseDone;
+	stop_timers(rl);
+	leave_target(rl, kSlotNeutral);
+	relay_free(rl);
+}
+
+int64_t
+relay_last_event(const struct relay *rl)
+{
+	return rl->events.last_id;
+}
+
+/* No target may be tried any more. */
+static void
+give_up(struct relay *rl, int64_t retry_after_us)
+{
+	if (rl->is_answering)
+		finish(rl, kRelayBroken, 0);
+	else if (rl->attempts == 0)
+		finish(rl, kRelayRefused, retry_after_us);
+	else
+		finish(rl, kRelayFailed, 0);
+}
+
+static bool
+may_try_again(const struct relay *rl)
+{
+	bool repeats = rl->attempts == 0 || rl->opt.may_repeat;
+
+	if (rl->is_answering && !(rl->is_stream && rl->opt.is_resumable))
+		return false;
+	return repeats && rl->attempts < rl->opt.attempts_max &&
+	    rl->turned_away <= kTurnedAwayMax;
+}
+
+static void
+log_attempt(const struct relay *rl, const char *cause)
+{
+	log_event(kEvtAttemptEnded, "request", rl->attempt_id, "target",
+	    rl->target, "end", cause, "attempts", log_number(rl->attempts),
+	    "age_us", log_number(loop_now_us(rl->parts.lp) - rl->started_us),
+	    "last_event", log_number(rl->events.last_id), NULL);
+}
+
+/* The attempt did not bring the answer. */
+static void
+fail_attempt(struct relay *rl, enum slot_outcome outcome, const char *cause)
+{
+	log_attempt(rl, cause);
+	rl->cause = cause;
+	leave_target(rl, outcome);
+	if (may_try_again(rl)) {
+		metric_add(kMetRetries, 1);
+		if (rl->is_answering)
+			metric_add(kMetResumes, 1);
+		next_attempt(rl);
+	} else {
+		give_up(rl, kRetryAfterDefaultUs);
+	}
+}
+
+static void
+on_silence(void *ctx)
+{
+	struct relay *rl = ctx;
+
+	rl->silence_timer = 0;
+	fail_attempt(rl, kSlotSilent, "silent");
+}
+
+/* Silence counts only while another target may take over: here, or for a batch
+ * item in the run that follows. */
+static void
+watch_silence(struct relay *rl)
+{
+	int64_t now_us = loop_now_us(rl->parts.lp);
+
+	loop_timer_cancel(rl->parts.lp, rl->silence_timer);
+	rl->silence_timer = 0;
+	if (rl->opt.silence_us > 0 && (rl->opt.is_batch || may_try_again(rl)))
+		rl->silence_timer = loop_timer(
+		    rl->parts.lp, now_us + rl->opt.silence_us, on_silence, rl);
+}
+
+static bool
+on_head(void *ctx, int32_t status, const struct header_list *headers)
+{
+	struct relay *rl = ctx;
+
+	rl->parts.dialect->read_answer(
+	    status, headers, rl->attempt_id, &rl->facts);
+	if (!rl->facts.is_own)
+		return false;
+	rl->status = status;
+	rl->is_stream = status == kHttpOk && rl->facts.is_event_stream;
+	/* A stream that goes on keeps the head of its first target. */
+	if (rl->is_answering)
+		return rl->is_stream;
+	header_list_free(rl->answer);
+	rl->answer = header_list_new();
+	for (guint i = 0; i < header_list_len(headers); i++) {
+		const struct header *h = header_list_at(headers, i);
+
+		if (!header_is_hop_by_hop(h->name))
+			header_list_add(rl->answer, h->name, h->value);
+	}
+	return true;
+}
+
+static void
+hand_over_head(struct relay *rl)
+{
+	if (rl->is_answering)
+		return;
+	rl->is_answering = true;
+	rl->opt.ops->on_head(rl->opt.ctx, rl->status, rl->answer);
+}
+
+static bool
+on_event(void *ctx, const struct stream_event *ev)
+{
+	struct relay *rl = ctx;
+
+	hand_over_head(rl);
+	metric_add(kMetTokens, 1);
+	rl->opt.ops->on_data(rl->opt.ctx, ev);
+	return true;
+}
+
+static bool
+on_data(void *ctx, const char *data, size_t len)
+{
+	struct relay *rl = ctx;
+
+	if (!rl->is_stream) {
+		g_string_append_len(rl->whole, data, (gssize)len);
+		return true;
+	}
+	event_splitter_feed(&rl->events, data, len, on_event, rl);
+	watch_silence(rl);
+	return true;
+}
+
+static void
+hand_over_whole(struct relay *rl)
+{
+	struct stream_event body = {rl->whole->str, rl->whole->len, -1};
+
+	hand_over_head(rl);
+	if (body.len > 0)
+		rl->opt.ops->on_data(rl->opt.ctx, &body);
+}
+
+static void
+end_complete(struct relay *rl)
+{
+	bool is_error = rl->status >= kHttpServerErrorFirst;
+
+	if (rl->facts.was_not_run) {
+		rl->attempts--;
+		rl->turned_away++;
+		fail_attempt(rl,
+		    rl->facts.is_other_target ? kSlotUnreachable : kSlotFull,
+		    "turned_away");
+		return;
+	}
+	if (rl->is_stream && event_splitter_is_torn(&rl->events)) {
+		fail_attempt(rl, kSlotBroken, "torn");
+		return;
+	}
+	/* A success counts only if its target vouches for it. */
+	if (!is_error && !rl->is_answering && !rl->facts.is_signed) {
+		fail_attempt(rl, kSlotBroken, "unsigned");
+		return;
+	}
+	if (is_error && rl->opt.may_repeat && may_try_again(rl)) {
+		fail_attempt(rl, kSlotBroken, "failed");
+		return;
+	}
+	if (!rl->is_stream)
+		hand_over_whole(rl);
+	else
+		hand_over_head(rl);
+	rl->cause = is_error ? "failed" : "whole";
+	leave_target(rl, is_error ? kSlotBroken : kSlotServed);
+	finish(rl, kRelayComplete, 0);
+}
+
+static void
+on_done(void *ctx, enum outbound_end end)
+{
+	struct relay *rl = ctx;
+
+	rl->request = NULL;
+	switch (end) {
+	case kOutboundComplete:
+		end_complete(rl);
+		break;
+	case kOutboundNotSent:
+		rl->attempts--;
+		rl->turned_away++;
+		fail_attempt(rl, kSlotUnreachable, "unreachable");
+		break;
+	case kOutboundCut:
+		fail_attempt(rl, kSlotBroken, "cut");
+		break;
+	case kOutboundRefused:
+		metric_add(kMetCrossed, 1);
+		fail_attempt(rl, kSlotBroken, "crossed");
+		break;
+	}
+}
+
+static const struct outbound_ops outbound_ops = {on_head, on_data, on_done};
+
+static void
+send_request(struct relay *rl, const struct fleet_target *target)
+{
+	int64_t now_us = loop_now_us(rl->parts.lp);
+	struct dialect_forward fwd = {
+	    .attempt_id = rl->attempt_id,
+	    .target_id = target->id,
+	    .left_us = rl->opt.caller_deadline_us > 0
+		? MAX(rl->opt.caller_deadline_us - now_us, kUsPerMs)
+		: 0,
+	    .last_event_id = rl->events.last_id,
+	};
+	struct outbound_options opt = {
+	    .method = rl->method,
+	    .address = target->address,
+	    .uri = rl->uri,
+	    .headers = rl->headers,
+	    .body = rl->body,
+	    .connect_timeout_us = kConnectTimeoutUs,
+	    .is_sent_once = !rl->opt.may_repeat,
+	    .ops = &outbound_ops,
+	    .ctx = rl,
+	};
+
+	rl->parts.dialect->write_forward(rl->headers, &fwd);
+	rl->attempts++;
+	metric_add(kMetAttempts, 1);
+	rl->phase = kPhaseRunning;
+	rl->request = outbound_start(rl->parts.outbound, &opt);
+	watch_silence(rl);
+}
+
+static void
+on_granted(void *ctx, uint64_t id, const char *target_id)
+{
+	struct relay *rl = ctx;
+	const struct fleet_target *target =
+	    fleet_find(rl->parts.fleet, target_id);
+
+	g_strlcpy(rl->target, target_id, sizeof(rl->target));
+	/* The arbiter's list may be behind this daemon's. */
+	if (target == NULL || target->is_draining || target->gone_at_us != 0) {
+		rl->turned_away++;
+		fail_attempt(rl, kSlotNeutral, "left_the_list");
+		return;
+	}
+	send_request(rl, target);
+}
+
+static void
+on_refused(void *ctx, uint64_t id, int64_t retry_after_us)
+{
+	struct relay *rl = ctx;
+
+	rl->slot = 0;
+	rl->cause = "no_slot";
+	give_up(rl, retry_after_us);
+}
+
+static void
+on_revoked(void *ctx, uint64_t id)
+{
+	struct relay *rl = ctx;
+
+	if (rl->phase == kPhaseRunning)
+		finish(rl, kRelayRevoked, 0);
+}
+
+static const struct slots_ops slot_ops = {on_granted, on_refused, on_revoked};
+
+static void
+next_attempt(struct relay *rl)
+{
+	struct slots_ask ask = {
+	    .service = rl->service,
+	    .is_batch = rl->opt.is_batch,
+	    .until_us = rl->opt.until_us,
+	    .prefix = rl->opt.prefix,
+	    .but = rl->target[0] != '\0' ? rl->target : NULL,
+	};
+	int64_t now_us = loop_now_us(rl->parts.lp);
+
+	/* A late answer is better than none: what was sent once is worth
+	 * another slot as long as the caller waits. */
+	if (rl->attempts > 0 && !rl->opt.is_batch)
+		ask.until_us = MAX(ask.until_us, now_us + rl->opt.silence_us);
+	rl->phase = kPhaseAsking;
+	event_splitter_restart(&rl->events);
+	g_string_truncate(rl->whole, 0);
+	rl->slot = slots_ask(rl->parts.slots, &ask, &slot_ops, rl);
+}
+
+static void
+on_deadline(void *ctx)
+{
+	struct relay *rl = ctx;
+
+	rl->deadline_timer = 0;
+	rl->cause = "deadline";
+	if (rl->is_answering)
+		finish(rl, kRelayBroken, 0);
+	else if (rl->attempts == 0)
+		finish(rl, kRelayRefused, kRetryAfterDefaultUs);
+	else
+		finish(rl, kRelayTimeout, 0);
+}
+
+struct relay *
+relay_start(const struct relay_parts *parts, const struct relay_options *opt)
+{
+	struct relay *rl = g_new0(struct relay, 1);
+
+	rl->parts = *parts;
+	rl->opt = *opt;
+	rl->method = g_strdup(opt->method);
+	rl->uri = g_strdup(opt->uri);
+	rl->attempt_id = g_strdup(opt->attempt_id);
+	rl->service = g_strdup(opt->service);
+	rl->body = opt->body != NULL ? g_bytes_ref(opt->body) : NULL;
+	rl->headers = header_list_new();
+	for (guint i = 0; i < header_list_len(opt->headers); i++) {
+		const struct header *h = header_list_at(opt->headers, i);
+
+		if (!header_is_hop_by_hop(h->name))
+			header_list_add(rl->headers, h->name, h->value);
+	}
+	event_splitter_init(&rl->events, opt->last_event_id);
+	rl->whole = g_string_new(NULL);
+	rl->started_us = loop_now_us(parts->lp);
+	if (opt->deadline_us > 0)
+		rl->deadline_timer =
+		    loop_timer(parts->lp, opt->deadline_us, on_deadline, rl);
+	next_attempt(rl);
+	return rl;
+}
--- /dev/null
+++ b/src/gateway/relay.h
@@ -0,0 +1,98 @@
+#ifndef SAVORYFLOW_GATEWAY_RELAY_H
+#define SAVORYFLOW_GATEWAY_RELAY_H
+
+#include "gateway/dialect.h"
+#include "gateway/event_splitter.h"
+#include "gateway/outbound.h"
+#include "gateway/slots.h"
+
+/** How a request ended for the one who sent it. */
+enum relay_end {
+	/** The whole answer was handed over. */
+	kRelayComplete,
+	/** It did not run and never will. */
+	kRelayRefused,
+	/** It may have run; nothing of an answer was handed over. */
+	kRelayFailed,
+	/** Part of an answer was handed over and no more comes. */
+	kRelayBroken,
+	/** The time is up; nothing of an answer was handed over. */
+	kRelayTimeout,
+	/** Batch: the slot was taken back. */
+	kRelayRevoked,
+};
+
+struct relay_verdict {
+	enum relay_end end;
+	/** Refused: when to come back. */
+	int64_t retry_after_us;
+	/** Targets that the request was sent to. */
+	int32_t attempts;
+	/** How the last attempt ended, for the log. */
+	const char *cause;
+	/** The target took the request and broke off: it may have crashed. */
+	bool was_cut;
+	char target[kFleetNameMax];
+};
+
+/** Runs on the loop, never from within relay_start. */
+struct relay_ops {
+	/** Head of the answer that will be handed over. */
+	void (*on_head)(
+	    void *ctx, int32_t status, const struct header_list *headers);
+	/** A whole event of a stream, or part of another body. */
+	void (*on_data)(void *ctx, const struct stream_event *ev);
+	/** The last call. */
+	void (*on_end)(void *ctx, const struct relay_verdict *verdict);
+};
+
+/** What a relay works with. */
+struct relay_parts {
+	struct loop *lp;
+	struct slots *slots;
+	struct outbound *outbound;
+	const struct fleet *fleet;
+	const struct dialect_ops *dialect;
+};
+
+struct relay_options {
+	const char *method;
+	const char *uri;
+	/** Fields to be sent along; borrowed. */
+	const struct header_list *headers;
+	GBytes *body;
+	const char *attempt_id;
+	const char *service;
+	bool is_batch;
+	/** Online: latest useful start at a target. Batch: when it is due. */
+	int64_t until_us;
+	/** Time of the final answer; 0: none. */
+	int64_t deadline_us;
+	/** Passed on as the time left; 0: none. */
+	int64_t caller_deadline_us;
+	/** Targets that it may be sent to. */
+	int32_t attempts_max;
+	bool may_repeat;
+	bool is_resumable;
+	int64_t last_event_id;
+	uint64_t prefix;
+	/** A target without a sign of life for so long is given up, if another
+	 * one may take over. */
+	int64_t silence_us;
+	const struct relay_ops *ops;
+	void *ctx;
+};
+
+/** One request on its way to targets, with all its attempts. */
+struct relay;
+
+struct relay *relay_start(
+    const struct relay_parts *parts, const struct relay_options *opt);
+
+/** Ends the request; its target is left at once; no on_end follows. */
+void relay_cancel(struct relay *rl);
+
+/** Id of the last event handed over, -1 before the first. */
+int64_t relay_last_event(const struct relay *rl);
+
+#endif
--- /dev/null
+++ b/src/gateway/reply.h
@@ -0,0 +1,17 @@
+#ifndef SAVORYFLOW_GATEWAY_REPLY_H
+#define SAVORYFLOW_GATEWAY_REPLY_H
+
+#include "gateway/front.h"
+
+/**
+ * Answers with a typed error and, where waiting helps, when to come back.
+ * @param code sf_error_code
+ * @param retry_after_us 0: waiting does not help
+ */
+void reply_error(struct front_request *req, int code, const char *message,
+    int64_t retry_after_us);
+
+/** Answers with a JSON text. */
+void reply_json(struct front_request *req, int32_t status, const char *text);
+
+#endif
--- /dev/null
+++ b/src/gateway/roster.c
@@ -0,0 +1,363 @@
+/* The daemons of the installation, by their heartbeats in the store. */
+#include "gateway/roster.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "savoryflow/routing/rendezvous.h"
+
+enum { kRowsPerScan = 500 };
+
+struct roster_member {
+	struct roster_row row;
+	/** Time of the last sign of life. */
+	int64_t seen_us;
+	int64_t suspect_until_us;
+	bool is_leaving;
+};
+
+struct roster {
+	struct roster_options opt;
+	/** struct roster_member by address, without this daemon. */
+	GHashTable *members;
+	/** The store was out of reach until then. */
+	int64_t blind_until_us;
+};
+
+struct roster *
+roster_new(const struct roster_options *opt)
+{
+	struct roster *ro = g_new0(struct roster, 1);
+
+	ro->opt = *opt;
+	ro->members =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	return ro;
+}
+
+void
+roster_free(struct roster *ro)
+{
+	g_hash_table_unref(ro->members);
+	g_free(ro);
+}
+
+static void
+take_row(struct roster *ro, const struct roster_row *row, int64_t now_us)
+{
+	struct roster_member *m =
+	    g_hash_table_lookup(ro->members, row->address);
+
+	if (strcmp(row->address, ro->opt.self.address) == 0)
+		return;
+	if (m == NULL) {
+		m = g_new0(struct roster_member, 1);
+		m->row = *row;
+		m->seen_us = now_us;
+		g_hash_table_insert(ro->members, m->row.address, m);
+		return;
+	}
+	if (m->row.version == row->version)
+		return;
+	if (strcmp(m->row.session, row->session) != 0)
+		m->is_leaving = false;
+	m->row = *row;
+	m->seen_us = now_us;
+}
+
+void
+roster_take_rows(struct roster *ro, const GArray *rows, int64_t now_us)
+{
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	void *key;
+
+	for (guint i = 0; i < rows->len; i++) {
+		struct roster_row *row =
+		    &g_array_index(rows, struct roster_row, i);
+
+		g_hash_table_add(listed, row->address);
+		take_row(ro, row, now_us);
+	}
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		if (!g_hash_table_contains(listed, key))
+			g_hash_table_iter_remove(&it);
+	g_hash_table_unref(listed);
+}
+
+void
+roster_note_blind(struct roster *ro, int64_t now_us)
+{
+	GHashTableIter it;
+	void *val;
+
+	/* Nobody could beat, or it could not be seen: the leases start anew
+	 * when the store is back. */
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct roster_member *m = val;
+
+		if (now_us - m->seen_us <= ro->opt.lease_us)
+			m->seen_us = now_us;
+	}
+	ro->blind_until_us = now_us;
+}
+
+void
+roster_suspect(struct roster *ro, const char *address, int64_t until_us)
+{
+	struct roster_member *m = g_hash_table_lookup(ro->members, address);
+
+	if (m != NULL)
+		m->suspect_until_us = until_us;
+}
+
+void
+roster_note_leaving(struct roster *ro, const char *address)
+{
+	struct roster_member *m = g_hash_table_lookup(ro->members, address);
+
+	if (m != NULL)
+		m->is_leaving = true;
+}
+
+void
+roster_note_heard(struct roster *ro, const char *address, int64_t now_us)
+{
+	struct roster_member *m = g_hash_table_lookup(ro->members, address);
+
+	if (m != NULL)
+		m->suspect_until_us = 0;
+}
+
+static bool
+lives(const struct roster *ro, const struct roster_member *m, int64_t now_us)
+{
+	return now_us - m->seen_us <= ro->opt.lease_us;
+}
+
+static bool
+is_usable(
+    const struct roster *ro, const struct roster_member *m, int64_t now_us)
+{
+	return lives(ro, m, now_us) && !m->is_leaving &&
+	    m->suspect_until_us <= now_us;
+}
+
+bool
+roster_session_lives(
+    const struct roster *ro, const char *session, int64_t now_us)
+{
+	GHashTableIter it;
+	void *val;
+
+	if (strcmp(session, ro->opt.self.session) == 0)
+		return true;
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct roster_member *m = val;
+
+		if (strcmp(m->row.session, session) == 0)
+			return lives(ro, m, now_us) && !m->is_leaving;
+	}
+	return false;
+}
+
+static void
+offer(const char *key, const char *address, const char **best, uint64_t *weight)
+{
+	uint64_t w = rendezvous_weight(key, address);
+
+	if (*best != NULL && w <= *weight)
+		return;
+	*best = address;
+	*weight = w;
+}
+
+const char *
+roster_owner(const struct roster *ro, const char *key, const char *data_center,
+    int64_t now_us)
+{
+	const char *near = NULL;
+	const char *any = NULL;
+	uint64_t near_weight = 0;
+	uint64_t any_weight = 0;
+	GHashTableIter it;
+	void *val;
+
+	offer(key, ro->opt.self.address, &any, &any_weight);
+	if (data_center == NULL ||
+	    strcmp(data_center, ro->opt.self.data_center) == 0)
+		offer(key, ro->opt.self.address, &near, &near_weight);
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct roster_member *m = val;
+
+		if (!is_usable(ro, m, now_us))
+			continue;
+		offer(key, m->row.address, &any, &any_weight);
+		if (data_center == NULL ||
+		    strcmp(data_center, m->row.data_center) == 0)
+			offer(key, m->row.address, &near, &near_weight);
+	}
+	return near != NULL ? near : any;
+}
+
+GPtrArray *
+roster_peers(const struct roster *ro, int64_t now_us)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (lives(ro, val, now_us))
+			g_ptr_array_add(
+			    list, ((struct roster_member *)val)->row.address);
+	return list;
+}
+
+int32_t
+roster_count(const struct roster *ro, const char *data_center, int64_t now_us)
+{
+	int32_t n = strcmp(data_center, ro->opt.self.data_center) == 0 ? 1 : 0;
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct roster_member *m = val;
+
+		if (lives(ro, m, now_us) &&
+		    strcmp(m->row.data_center, data_center) == 0)
+			n++;
+	}
+	return n;
+}
+
+const char *
+roster_region(const struct roster *ro, const char *data_center)
+{
+	GHashTableIter it;
+	void *val;
+
+	if (strcmp(data_center, ro->opt.self.data_center) == 0)
+		return ro->opt.self.region;
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct roster_member *m = val;
+
+		if (strcmp(m->row.data_center, data_center) == 0)
+			return m->row.region;
+	}
+	return "";
+}
+
+static char *
+row_key(const char *address)
+{
+	return g_strconcat("daemon/-/", address, NULL);
+}
+
+enum store_result
+roster_store_beat(
+    const struct store *st, const struct roster_row *self, int64_t beat)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = row_key(self->address);
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:I}", "region", self->region,
+	    "data_center", self->data_center, "session", self->session, "beat",
+	    (json_int_t)beat);
+	char *text = json_dumps(doc, JSON_COMPACT);
+	enum store_result res;
+
+	store_txn_write(txn, key, text);
+	res = st->ops->txn(st->ctx, kCauseSession, txn);
+	free(text);
+	json_decref(doc);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+roster_store_leave(const struct store *st, const struct roster_row *self)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = row_key(self->address);
+	enum store_result res;
+
+	store_txn_write(txn, key, NULL);
+	res = st->ops->txn(st->ctx, kCauseSession, txn);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+roster_store_remove(
+    const struct store *st, const char *address, int64_t version)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = row_key(address);
+	enum store_result res;
+
+	store_txn_version(txn, key, version);
+	store_txn_write(txn, key, NULL);
+	res = st->ops->txn(st->ctx, kCauseSession, txn);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
+
+static void
+add_row(GArray *rows, const struct store_row *stored)
+{
+	json_t *doc = json_loads(stored->value, 0, NULL);
+	const char *session =
+	    json_string_value(json_object_get(doc, "session"));
+	const char *region = json_string_value(json_object_get(doc, "region"));
+	const char *dc = json_string_value(json_object_get(doc, "data_center"));
+	struct roster_row row = {.version = stored->version};
+
+	if (session != NULL && region != NULL && dc != NULL) {
+		g_strlcpy(row.address, strrchr(stored->key, '/') + 1,
+		    sizeof(row.address));
+		g_strlcpy(row.session, session, sizeof(row.session));
+		g_strlcpy(row.region, region, sizeof(row.region));
+		g_strlcpy(row.data_center, dc, sizeof(row.data_center));
+		g_array_append_val(rows, row);
+	}
+	json_decref(doc);
+}
+
+enum store_result
+roster_store_read(const struct store *st, GArray **rows)
+{
+	GPtrArray *page = NULL;
+	char *after = NULL;
+	enum store_result res;
+
+	*rows = g_array_new(FALSE, TRUE, sizeof(struct roster_row));
+	do {
+		g_clear_pointer(&page, g_ptr_array_unref);
+		res = st->ops->scan(st->ctx, kCauseSession, "daemon/-/", after,
+		    kRowsPerScan, &page);
+		for (guint i = 0; res == kStoreOk && i < page->len; i++) {
+			const struct store_row *row = page->pdata[i];
+
+			add_row(*rows, row);
+			g_free(after);
+			after = g_strdup(row->key);
+		}
+	} while (res == kStoreOk && page->len == kRowsPerScan);
+	if (page != NULL)
+		g_ptr_array_unref(page);
+	g_free(after);
+	if (res != kStoreOk)
+		g_clear_pointer(rows, g_array_unref);
+	return res;
+}
--- /dev/null
+++ b/src/gateway/roster.h
@@ -0,0 +1,91 @@
+#ifndef SAVORYFLOW_GATEWAY_ROSTER_H
+#define SAVORYFLOW_GATEWAY_ROSTER_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "savoryflow/fleet/fleet.h"
+#include "store/store.h"
+
+/** A daemon as its row in the store says it. */
+struct roster_row {
+	char address[kFleetAddressMax];
+	char region[kFleetNameMax];
+	char data_center[kFleetNameMax];
+	/** Unique name of this run of the daemon. */
+	char session[kFleetNameMax];
+	int64_t version;
+};
+
+struct roster_options {
+	struct roster_row self;
+	/** A daemon whose row stays unchanged for so long is gone. */
+	int64_t lease_us;
+};
+
+/**
+ * The daemons of the installation. A daemon lives while its heartbeat changes
+ * its row, as seen on this daemon's own clock. No I/O, no clock.
+ */
+struct roster;
+
+struct roster *roster_new(const struct roster_options *opt);
+void roster_free(struct roster *ro);
+
+/** Takes all rows of a read that succeeded: array of struct roster_row. */
+void roster_take_rows(struct roster *ro, const GArray *rows, int64_t now_us);
+
+/** The store did not answer: silence says nothing until it does again. */
+void roster_note_blind(struct roster *ro, int64_t now_us);
+
+/** A peer did not answer in time: it is passed over for a while. */
+void roster_suspect(struct roster *ro, const char *address, int64_t until_us);
+
+/** A peer stops soon. */
+void roster_note_leaving(struct roster *ro, const char *address);
+
+/** A message came straight from the peer. */
+void roster_note_heard(struct roster *ro, const char *address, int64_t now_us);
+
+/** True if the session is that of a daemon that lives. */
+bool roster_session_lives(
+    const struct roster *ro, const char *session, int64_t now_us);
+
+/**
+ * The daemon that a key belongs to in a data centre, by rendezvous hash; one
+ * of another data centre if none of that one lives.
+ * @param data_center NULL: any
+ * @return address, borrowed; this daemon's own if there is no other
+ */
+const char *roster_owner(const struct roster *ro, const char *key,
+    const char *data_center, int64_t now_us);
+
+/** Addresses of the peers that live: array of strings, borrowed. */
+GPtrArray *roster_peers(const struct roster *ro, int64_t now_us);
+
+/** Daemons that live in a data centre, this one among them. */
+int32_t roster_count(
+    const struct roster *ro, const char *data_center, int64_t now_us);
+
+/** Region of a data centre where a daemon is known, or "". */
+const char *roster_region(const struct roster *ro, const char *data_center);
+
+/* The rows themselves; these block in the store. */
+
+/** Writes the daemon's heartbeat. */
+enum store_result roster_store_beat(
+    const struct store *st, const struct roster_row *self, int64_t beat);
+
+/** The daemon leaves. */
+enum store_result roster_store_leave(
+    const struct store *st, const struct roster_row *self);
+
+/** Reads the rows of all daemons: array of struct roster_row. */
+enum store_result roster_store_read(const struct store *st, GArray **rows);
+
+/** Removes the row of a daemon that is long gone. */
+enum store_result roster_store_remove(
+    const struct store *st, const char *address, int64_t version);
+
+#endif
--- /dev/null
+++ b/src/gateway/slots_choice.c
@@ -0,0 +1,159 @@
+/* Which pool a request asks for a slot. */
+#include <stdio.h>
+#include <string.h>
+
+#include "gateway/slots_internal.h"
+
+enum {
+	/* Links: to the arbiter and back, then to the target and back. */
+	kLinkSameCenterUs = 1 * kUsPerMs,
+	kLinkSameRegionUs = 8 * kUsPerMs,
+	/* Regions are 30 ms apart one way. */
+	kLinkFarUs = 125 * kUsPerMs,
+	/* A load that is older says little. */
+	kLoadFreshUs = 1500 * kUsPerMs,
+	kHoldDefaultUs = 700 * kUsPerMs,
+	kNoSlotsWaitUs = 500 * kUsPerMs,
+	/* A batch item moves to another data centre for more free slots than
+	 * this only: its stream is paid by volume. */
+	kBatchFarSlots = 2,
+};
+
+struct pool_view *
+slots_view(struct slots *sl, const char *service, const char *data_center)
+{
+	char key[kPoolKeyMax];
+	struct pool_view *view;
+
+	snprintf(key, sizeof(key), "%s|%s", service, data_center);
+	view = g_hash_table_lookup(sl->views, key);
+	if (view != NULL)
+		return view;
+	view = g_new0(struct pool_view, 1);
+	g_strlcpy(view->service, service, sizeof(view->service));
+	g_strlcpy(view->data_center, data_center, sizeof(view->data_center));
+	g_strlcpy(view->key, key, sizeof(view->key));
+	g_hash_table_insert(sl->views, view->key, view);
+	return view;
+}
+
+int64_t
+slots_link_us(const struct slots *sl, const struct pool_view *view)
+{
+	const char *own = sl->opt.data_center;
+
+	if (strcmp(view->data_center, own) == 0)
+		return kLinkSameCenterUs;
+	if (strcmp(roster_region(sl->opt.roster, view->data_center),
+		roster_region(sl->opt.roster, own)) == 0)
+		return kLinkSameRegionUs;
+	return kLinkFarUs;
+}
+
+/* The load as last told, with what this daemon has asked for since. */
+static struct slotpool_load
+view_load(const struct slots *sl, const struct pool_view *view)
+{
+	struct slotpool_load load = view->load;
+	int64_t age_us = loop_now_us(sl->opt.lp) - view->load_at_us;
+
+	if (view->load_at_us == 0 || age_us > kLoadFreshUs)
+		load = (struct slotpool_load){
+		    .slots = view->listed_slots, .hold_us = kHoldDefaultUs};
+	load.slots = MIN(load.slots, view->listed_slots);
+	load.online = MAX(load.online + view->since, 0);
+	return load;
+}
+
+int64_t
+slots_view_wait_us(const struct slots *sl, const struct pool_view *view)
+{
+	struct slotpool_load load = view_load(sl, view);
+
+	if (load.slots == 0)
+		return kNoSlotsWaitUs;
+	return slotpool_wait_us(&load);
+}
+
+static bool
+was_tried(const struct hold *h, const struct pool_view *view)
+{
+	for (int32_t i = 0; i < h->tried_count; i++)
+		if (h->tried[i] == view)
+			return true;
+	return false;
+}
+
+/* Online: the pool where the first event is expected first. */
+static struct pool_view *
+choose_online(struct slots *sl, const struct hold *h, int64_t *retry_after_us)
+{
+	int64_t left_us = h->ask.until_us - loop_now_us(sl->opt.lp);
+	struct pool_view *best = NULL;
+	int64_t best_us = 0;
+	GHashTableIter it;
+	void *val;
+
+	*retry_after_us = kNoSlotsWaitUs;
+	g_hash_table_iter_init(&it, sl->views);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct pool_view *view = val;
+		int64_t wait_us;
+		int64_t cost_us;
+
+		if (strcmp(view->service, h->service) != 0 ||
+		    view->listed_slots == 0)
+			continue;
+		wait_us = slots_view_wait_us(sl, view);
+		*retry_after_us = MIN(*retry_after_us, wait_us);
+		cost_us = wait_us + slots_link_us(sl, view);
+		if (was_tried(h, view) || cost_us > left_us)
+			continue;
+		if (best == NULL || cost_us < best_us) {
+			best = view;
+			best_us = cost_us;
+		}
+	}
+	return best;
+}
+
+/* Batch: the pool with the most slots that nobody waits for. */
+static struct pool_view *
+choose_batch(struct slots *sl, const struct hold *h)
+{
+	struct pool_view *best = NULL;
+	int32_t best_free = 0;
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sl->views);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct pool_view *view = val;
+		struct slotpool_load load;
+		int32_t free_slots;
+
+		if (strcmp(view->service, h->service) != 0 ||
+		    view->listed_slots == 0)
+			continue;
+		load = view_load(sl, view);
+		free_slots = load.slots - load.online - load.batch -
+		    load.online_queued - load.batch_queued;
+		if (strcmp(view->data_center, sl->opt.data_center) != 0)
+			free_slots -= kBatchFarSlots;
+		if (best == NULL || free_slots > best_free) {
+			best = view;
+			best_free = free_slots;
+		}
+	}
+	return best;
+}
+
+struct pool_view *
+slots_choose_pool(
+    struct slots *sl, const struct hold *h, int64_t *retry_after_us)
+{
+	*retry_after_us = kNoSlotsWaitUs;
+	if (h->ask.is_batch)
+		return choose_batch(sl, h);
+	return choose_online(sl, h, retry_after_us);
+}
--- /dev/null
+++ b/src/gateway/slots_host.c
@@ -0,0 +1,304 @@
+/* The arbiters that this daemon hosts for itself and for its peers. */
+#include <stdio.h>
+#include <string.h>
+
+#include "gateway/slots_internal.h"
+#include "log/log.h"
+#include "metric/metric.h"
+
+enum {
+	/* An arbiter that nobody asks any more is dropped. */
+	kIdleUs = 20 * kUsPerS,
+	/* Changes of the load are told at most so often, and at least. */
+	kTellLeastUs = 150 * kUsPerMs,
+	kTellMostUs = 700 * kUsPerMs,
+};
+
+void
+slots_host_free(void *p)
+{
+	struct hosted_pool *hp = p;
+
+	slotpool_free(hp->pool);
+	g_free(hp);
+}
+
+uint32_t
+slots_holder(struct slots *sl, const char *address)
+{
+	for (guint i = 0; i < sl->holders->len; i++)
+		if (strcmp(sl->holders->pdata[i], address) == 0)
+			return i;
+	g_ptr_array_add(sl->holders, g_strdup(address));
+	return sl->holders->len - 1;
+}
+
+static void
+answer_peer(struct slots *sl, const struct slotpool_action *act)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__SlotAnswer answer = SFPEER__SLOT_ANSWER__INIT;
+	Sfpeer__SlotAnswer *answers[] = {&answer};
+
+	answer.id = act->id;
+	answer.verdict = act->verdict;
+	answer.target = (char *)act->target;
+	answer.retry_after_us = (uint64_t)act->retry_after_us;
+	env.n_slot_answers = 1;
+	env.slot_answers = answers;
+	sl->opt.wire->send(
+	    sl->opt.wire_ctx, sl->holders->pdata[act->holder], &env);
+}
+
+static void
+run_actions(struct slots *sl, GArray *actions)
+{
+	for (guint i = 0; i < actions->len; i++) {
+		const struct slotpool_action *act =
+		    &g_array_index(actions, struct slotpool_action, i);
+
+		if (act->verdict == kSlotGranted)
+			metric_add(kMetGrants, 1);
+		if (act->verdict == kSlotRevoked)
+			metric_add(kMetRevokes, 1);
+		if (act->holder == 0)
+			slots_deliver(sl, act->id, act->verdict, act->target,
+			    act->retry_after_us);
+		else
+			answer_peer(sl, act);
+	}
+	g_array_unref(actions);
+}
+
+static void
+take_targets(struct slots *sl, struct hosted_pool *hp, GArray *actions)
+{
+	GPtrArray *all = fleet_list(sl->opt.fleet);
+	GPtrArray *own = g_ptr_array_new();
+
+	for (guint i = 0; i < all->len; i++) {
+		struct fleet_target *t = all->pdata[i];
+
+		if (strcmp(t->service, hp->service) == 0 &&
+		    strcmp(t->data_center, hp->data_center) == 0)
+			g_ptr_array_add(own, t);
+	}
+	slotpool_set_targets(hp->pool, own, loop_now_us(sl->opt.lp), actions);
+	g_ptr_array_unref(own);
+	g_ptr_array_unref(all);
+}
+
+static struct hosted_pool *
+hosted_get(struct slots *sl, const char *service, const char *data_center)
+{
+	char key[kPoolKeyMax];
+	struct hosted_pool *hp;
+	GArray *actions;
+
+	snprintf(key, sizeof(key), "%s|%s", service, data_center);
+	hp = g_hash_table_lookup(sl->hosted, key);
+	if (hp == NULL) {
+		hp = g_new0(struct hosted_pool, 1);
+		g_strlcpy(hp->service, service, sizeof(hp->service));
+		g_strlcpy(
+		    hp->data_center, data_center, sizeof(hp->data_center));
+		hp->pool = slotpool_new();
+		g_hash_table_insert(sl->hosted, g_strdup(key), hp);
+		log_event(kEvtArbiterStarted, "service", service, "data_center",
+		    data_center, NULL);
+		actions = slotpool_actions_new();
+		take_targets(sl, hp, actions);
+		run_actions(sl, actions);
+	}
+	hp->used_us = loop_now_us(sl->opt.lp);
+	return hp;
+}
+
+void
+slots_host_ask(struct slots *sl, const struct slotpool_ask *ask,
+    const char *service, const char *data_center, const char *adopt_target)
+{
+	struct hosted_pool *hp = hosted_get(sl, service, data_center);
+	GArray *actions = slotpool_actions_new();
+	int64_t now_us = loop_now_us(sl->opt.lp);
+
+	if (adopt_target != NULL) {
+		slotpool_adopt(hp->pool, ask, adopt_target, now_us);
+	} else {
+		slotpool_request(hp->pool, ask, now_us, actions);
+		/* Tells that the request has come, so that its daemon does not
+		 * look for another arbiter. */
+		if (actions->len == 0 && ask->holder != 0) {
+			struct slotpool_action queued = {
+			    .verdict = kSlotQueued,
+			    .holder = ask->holder,
+			    .id = ask->id,
+			};
+
+			g_array_append_val(actions, queued);
+		}
+	}
+	run_actions(sl, actions);
+}
+
+void
+slots_host_release(struct slots *sl, const char *service,
+    const char *data_center, uint64_t id, enum slot_outcome outcome)
+{
+	struct hosted_pool *hp = hosted_get(sl, service, data_center);
+	GArray *actions = slotpool_actions_new();
+
+	slotpool_release(
+	    hp->pool, id, outcome, loop_now_us(sl->opt.lp), actions);
+	run_actions(sl, actions);
+}
+
+void
+slots_host_targets_changed(struct slots *sl)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sl->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		GArray *actions = slotpool_actions_new();
+
+		take_targets(sl, val, actions);
+		run_actions(sl, actions);
+	}
+}
+
+void
+slots_host_forget(struct slots *sl, const char *address)
+{
+	uint32_t holder = slots_holder(sl, address);
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sl->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		GArray *actions = slotpool_actions_new();
+
+		slotpool_forget_holder(((struct hosted_pool *)val)->pool,
+		    holder, loop_now_us(sl->opt.lp), actions);
+		run_actions(sl, actions);
+	}
+}
+
+static void
+fill_load(const struct slots *sl, const struct hosted_pool *hp,
+    const struct slotpool_load *load, Sfpeer__PoolLoad *wire)
+{
+	sfpeer__pool_load__init(wire);
+	wire->service = (char *)hp->service;
+	wire->data_center = (char *)hp->data_center;
+	wire->epoch = sl->epoch;
+	wire->slots = (uint32_t)load->slots;
+	wire->online = (uint32_t)load->online;
+	wire->batch = (uint32_t)load->batch;
+	wire->online_queued = (uint32_t)load->online_queued;
+	wire->batch_queued = (uint32_t)load->batch_queued;
+	wire->hold_us = (uint32_t)load->hold_us;
+}
+
+static void
+note_own_load(struct slots *sl, const struct hosted_pool *hp,
+    const struct slotpool_load *load, int64_t now_us)
+{
+	struct pool_view *view = slots_view(sl, hp->service, hp->data_center);
+
+	view->load = *load;
+	view->load_at_us = now_us;
+	view->epoch = sl->epoch;
+	view->since = 0;
+}
+
+static bool
+is_worth_telling(const struct hosted_pool *hp, const struct slotpool_load *load,
+    int64_t now_us)
+{
+	int64_t since_us = now_us - hp->told_us;
+
+	if (since_us > kTellMostUs)
+		return true;
+	return since_us > kTellLeastUs &&
+	    (load->slots != hp->told.slots || load->online != hp->told.online ||
+		load->online_queued != hp->told.online_queued ||
+		load->batch != hp->told.batch);
+}
+
+static void
+tell_load(struct slots *sl, struct hosted_pool *hp, int64_t now_us)
+{
+	struct slotpool_load load = slotpool_load_get(hp->pool, now_us);
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__PoolLoad wire;
+	Sfpeer__PoolLoad *list[] = {&wire};
+	GPtrArray *peers;
+
+	note_own_load(sl, hp, &load, now_us);
+	if (!is_worth_telling(hp, &load, now_us))
+		return;
+	hp->told = load;
+	hp->told_us = now_us;
+	fill_load(sl, hp, &load, &wire);
+	env.n_pool_loads = 1;
+	env.pool_loads = list;
+	peers = roster_peers(sl->opt.roster, now_us);
+	for (guint i = 0; i < peers->len; i++)
+		sl->opt.wire->send(sl->opt.wire_ctx, peers->pdata[i], &env);
+	g_ptr_array_unref(peers);
+}
+
+void
+slots_host_tick(struct slots *sl, int64_t now_us)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sl->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct hosted_pool *hp = val;
+		char key[kPoolKeyMax];
+		GArray *actions;
+
+		snprintf(
+		    key, sizeof(key), "%s|%s", hp->service, hp->data_center);
+		if (now_us - hp->used_us > kIdleUs) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		actions = slotpool_actions_new();
+		slotpool_tick(hp->pool, now_us, actions);
+		run_actions(sl, actions);
+		if (strcmp(roster_owner(
+			       sl->opt.roster, key, hp->data_center, now_us),
+			sl->opt.address) == 0)
+			tell_load(sl, hp, now_us);
+	}
+}
+
+void
+slots_host_on_ask(
+    struct slots *sl, const char *from, const Sfpeer__SlotAsk *wire)
+{
+	struct slotpool_ask ask = {
+	    .id = wire->id,
+	    .holder = slots_holder(sl, from),
+	    .is_batch = wire->batch,
+	    .until_us = loop_now_us(sl->opt.lp) + wire->left_us,
+	    .prefix = wire->prefix,
+	};
+
+	g_strlcpy(ask.but, wire->but, sizeof(ask.but));
+	slots_host_ask(sl, &ask, wire->service, wire->data_center,
+	    wire->adopt ? wire->target : NULL);
+}
+
+void
+slots_host_on_note(
+    struct slots *sl, const char *from, const Sfpeer__SlotNote *wire)
+{
+	slots_host_release(sl, wire->service, wire->data_center, wire->id,
+	    (enum slot_outcome)MIN(wire->outcome, kSlotSilent));
+}
--- /dev/null
+++ b/src/gateway/view.c
@@ -0,0 +1,147 @@
+/* Routes and targets from peers, for a daemon that the store turns away. */
+#include "gateway/view.h"
+
+#include <string.h>
+
+enum {
+	/* Changes have to be known within 3 s. */
+	kAskPeriodUs = 500 * kUsPerMs,
+	/* Rows in one message: some hundred bytes each. */
+	kRowsMax = 2000,
+};
+
+struct view_exchange {
+	struct view_options opt;
+	char **first_peers;
+	bool is_blind;
+	uint64_t timer;
+	guint next;
+};
+
+static void
+ask(void *ctx)
+{
+	struct view_exchange *vx = ctx;
+	int64_t now_us = loop_now_us(vx->opt.lp);
+	GPtrArray *peers = roster_peers(vx->opt.roster, now_us);
+	guint seeds = g_strv_length(vx->first_peers);
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__View view = SFPEER__VIEW__INIT;
+	const char *to;
+
+	view.wanted = true;
+	env.view = &view;
+	for (guint i = 0; peers->len == 0 && i < seeds; i++)
+		g_ptr_array_add(peers, vx->first_peers[i]);
+	if (vx->is_blind && peers->len > 0) {
+		to = peers->pdata[vx->next++ % peers->len];
+		if (strcmp(to, vx->opt.address) != 0)
+			vx->opt.wire->send(vx->opt.wire_ctx, to, &env);
+	}
+	g_ptr_array_unref(peers);
+	vx->timer = loop_timer(vx->opt.lp, now_us + kAskPeriodUs, ask, vx);
+}
+
+struct view_exchange *
+view_exchange_new(const struct view_options *opt)
+{
+	struct view_exchange *vx = g_new0(struct view_exchange, 1);
+
+	vx->opt = *opt;
+	vx->first_peers = g_strsplit(opt->first_peers, ",", -1);
+	/* Until the lists are read for the first time. */
+	vx->is_blind = true;
+	vx->next = g_random_int();
+	vx->timer =
+	    loop_timer(opt->lp, loop_now_us(opt->lp) + kAskPeriodUs, ask, vx);
+	return vx;
+}
+
+void
+view_exchange_free(struct view_exchange *vx)
+{
+	loop_timer_cancel(vx->opt.lp, vx->timer);
+	g_strfreev(vx->first_peers);
+	g_free(vx);
+}
+
+void
+view_exchange_set_blind(struct view_exchange *vx, bool is_blind)
+{
+	vx->is_blind = is_blind;
+}
+
+static void
+send_rows(struct view_exchange *vx, const char *to)
+{
+	GArray *rows = vx->opt.adapter->watch_rows(vx->opt.watch);
+	guint n = MIN(rows->len, kRowsMax);
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__View view = SFPEER__VIEW__INIT;
+	Sfpeer__ViewRow *wires = g_new(Sfpeer__ViewRow, n);
+	Sfpeer__ViewRow **list = g_new(Sfpeer__ViewRow *, n);
+
+	for (guint i = 0; i < n; i++) {
+		const struct view_row *row =
+		    &g_array_index(rows, struct view_row, i);
+
+		sfpeer__view_row__init(&wires[i]);
+		wires[i].table = row->table;
+		wires[i].key = row->key;
+		wires[i].version = (uint64_t)row->version;
+		wires[i].removed = row->value == NULL;
+		if (row->value != NULL) {
+			wires[i].value.data = (uint8_t *)row->value;
+			wires[i].value.len = strlen(row->value);
+		}
+		list[i] = &wires[i];
+	}
+	view.n_rows = n;
+	view.rows = list;
+	env.view = &view;
+	if (n > 0)
+		vx->opt.wire->send(vx->opt.wire_ctx, to, &env);
+	g_free(list);
+	g_free(wires);
+	g_array_unref(rows);
+}
+
+static void
+view_row_clear(void *p)
+{
+	struct view_row *row = p;
+
+	g_free(row->table);
+	g_free(row->key);
+	g_free(row->value);
+}
+
+static void
+take_rows(struct view_exchange *vx, const Sfpeer__View *view)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct view_row));
+
+	g_array_set_clear_func(rows, view_row_clear);
+	for (size_t i = 0; i < view->n_rows; i++) {
+		const Sfpeer__ViewRow *wire = view->rows[i];
+		struct view_row row = {g_strdup(wire->table),
+		    g_strdup(wire->key), NULL, (int64_t)wire->version};
+
+		if (!wire->removed)
+			row.value = g_strndup(
+			    (const char *)wire->value.data, wire->value.len);
+		g_array_append_val(rows, row);
+	}
+	vx->opt.adapter->watch_take(vx->opt.watch, rows);
+	g_array_unref(rows);
+}
+
+void
+view_exchange_on_view(
+    struct view_exchange *vx, const char *from, const Sfpeer__View *view)
+{
+	if (view->wanted && !vx->is_blind)
+		send_rows(vx, from);
+	if (view->n_rows > 0 && vx->is_blind)
+		take_rows(vx, view);
+}
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -6,6 +6,56 @@
  * Numbers are never reused. docs/EVENTS.md is printed from this table.
  */
 #define SF_EVENTS(X)                                                           \
+	X(kEvtSettingsReloaded, 1006, INFO, "settings_reloaded",               \
+	    "The settings file was read again; the fields say what changed.")  \
+	X(kEvtSettingsBad, 1007, WARN, "settings_unreadable",                  \
+	    "The settings file cannot be used; the settings in force stay.")   \
+	X(kEvtCallEnded, 1207, INFO, "call_ended",                             \
+	    "A caller's request has its final answer; the fields say why it "  \
+	    "is this one.")                                                    \
+	X(kEvtCallRefused, 1208, INFO, "call_refused",                         \
+	    "A caller's request was refused before a target was looked for.")  \
+	X(kEvtCallerLeft, 1209, INFO, "caller_left",                           \
+	    "The caller left before its whole answer was there; its target "   \
+	    "was left.")                                                       \
+	X(kEvtAttemptEnded, 1210, WARN, "attempt_ended",                       \
+	    "An attempt at a target brought no whole answer; another may "     \
+	    "follow.")                                                         \
+	X(kEvtTargetListed, 1305, INFO, "target_listed",                       \
+	    "A target's row says something new.")                              \
+	X(kEvtTargetGone, 1306, INFO, "target_gone",                           \
+	    "A target's row is gone.")                                         \
+	X(kEvtTargetList, 1307, INFO, "target_list_read",                      \
+	    "The whole list of targets was read and changed what is known.")   \
+	X(kEvtRowUnreadable, 1308, WARN, "row_unreadable",                     \
+	    "A row of the installation's lists cannot be used; it is passed "  \
+	    "over.")                                                           \
+	X(kEvtJobStarted, 1408, INFO, "job_started",                           \
+	    "This daemon runs a batch job.")                                   \
+	X(kEvtJobDropped, 1409, INFO, "job_dropped",                           \
+	    "This daemon no longer runs a batch job.")                         \
+	X(kEvtJobOrphaned, 1410, WARN, "job_orphaned",                         \
+	    "The daemon that ran a batch job is gone; this one takes it "      \
+	    "over.")                                                           \
+	X(kEvtJobCall, 1411, INFO, "job_call",                                 \
+	    "A caller's request about a batch job, or a step of its own, "     \
+	    "went to the store.")                                              \
+	X(kEvtItemRunEnded, 1412, INFO, "item_run_ended",                      \
+	    "A run of an item ended without its result; it goes on later.")    \
+	X(kEvtItemGivenUp, 1413, WARN, "item_given_up",                        \
+	    "An item has no result and is not tried again.")                   \
+	X(kEvtItemListed, 1414, INFO, "item_listed",                           \
+	    "An item's result went to the store at its position.")             \
+	X(kEvtStoreRefused, 1503, WARN, "store_refused",                       \
+	    "The store answered a call with a status that is not expected.")   \
+	X(kEvtWatchDown, 1504, WARN, "watch_down",                             \
+	    "A list of the installation cannot be read; peers are asked.")     \
+	X(kEvtWatchUp, 1505, INFO, "watch_up",                                 \
+	    "A list of the installation can be read.")                         \
+	X(kEvtArbiterStarted, 1604, INFO, "arbiter_started",                   \
+	    "This daemon arbitrates the slots of a pool.")                     \
+	X(kEvtArbiterSilent, 1605, WARN, "arbiter_silent",                     \
+	    "An arbiter did not answer in time; another one is asked.")        \
 	X(kEvtStarted, 1001, INFO, "daemon_started",                           \
 	    "The daemon listens for callers.")                                 \
 	X(kEvtReady, 1002, INFO, "daemon_ready",                               \
--- a/src/log/log.c
+++ b/src/log/log.c
@@ -69,6 +69,16 @@
 	log_daemon = g_strdup(daemon);
 }
 
+void
+log_set_level(const char *level)
+{
+	pthread_mutex_lock(&log_lock);
+	if (log_category != NULL)
+		log4c_category_set_priority(
+		    log_category, log4c_priority_to_int(level));
+	pthread_mutex_unlock(&log_lock);
+}
+
 void
 log_close(void)
 {
@@ -132,6 +142,19 @@
 	pthread_mutex_unlock(&log_lock);
 }
 
+const char *
+log_number(int64_t n)
+{
+	/* More than the fields of any one event. */
+	enum { kNumbers = 16, kNumberText = 24 };
+	static _Thread_local char texts[kNumbers][kNumberText];
+	static _Thread_local unsigned int next;
+	char *text = texts[next++ % kNumbers];
+
+	g_snprintf(text, kNumberText, "%" G_GINT64_FORMAT, n);
+	return text;
+}
+
 void
 log_print_catalogue(FILE *out)
 {
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYFLOW_LOG_LOG_H
 #define SAVORYFLOW_LOG_LOG_H
 
+#include <stdint.h>
 #include <stdio.h>
 
 #include "log/events.h"
@@ -13,6 +14,9 @@
  */
 void log_open(const char *level, const char *daemon);
 
+/** Sets the lowest level that is written. */
+void log_set_level(const char *level);
+
 /** Closes the log; later events are dropped. */
 void log_close(void);
 
@@ -22,6 +26,12 @@
  */
 void log_event(enum log_event_id id, ...) __attribute__((sentinel));
 
+/**
+ * Text of a number for a field of log_event; valid on this thread until some
+ * more numbers were written.
+ */
+const char *log_number(int64_t n);
+
 /** Prints the catalogue of events as a Markdown table. */
 void log_print_catalogue(FILE *out);
 
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -25,7 +25,7 @@
 	kHeartbeatMs = 5000,
 	kHeartbeatTimeoutMs = 15000,
 	kReconnectMs = 200,
-	kReconnectMaxMs = 5000,
+	kReconnectMaxMs = 2000,
 	kReceiveBatch = 256,
 	kMsPerS = 1000,
 };
@@ -65,10 +65,15 @@
 }
 
 static void
-set_heartbeat(void *socket)
+set_heartbeat(const struct peer *pr, void *socket)
 {
-	set_int(socket, ZMQ_HEARTBEAT_IVL, kHeartbeatMs);
-	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT, kHeartbeatTimeoutMs);
+	const struct peer_options *opt = &pr->opt;
+
+	set_int(socket, ZMQ_HEARTBEAT_IVL,
+	    opt->heartbeat_ms > 0 ? (int)opt->heartbeat_ms : kHeartbeatMs);
+	set_int(socket, ZMQ_HEARTBEAT_TIMEOUT,
+	    opt->heartbeat_timeout_ms > 0 ? (int)opt->heartbeat_timeout_ms
+					  : kHeartbeatTimeoutMs);
 	set_int(socket, ZMQ_LINGER, 0);
 }
 
@@ -83,7 +88,7 @@
 	pr->zmq = zmq_ctx_new();
 	zmq_ctx_set(pr->zmq, ZMQ_MAX_SOCKETS, 4096);
 	pr->router = zmq_socket(pr->zmq, ZMQ_ROUTER);
-	set_heartbeat(pr->router);
+	set_heartbeat(pr, pr->router);
 	pr->dealers = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, dealer_close);
 	ck_ring_init(&pr->ring, kOutboxSlots);
@@ -179,7 +184,7 @@
 	if (socket != NULL)
 		return socket;
 	socket = zmq_socket(pr->zmq, ZMQ_DEALER);
-	set_heartbeat(socket);
+	set_heartbeat(pr, socket);
 	set_int(socket, ZMQ_SNDHWM, kPeerQueueMax);
 	set_int(socket, ZMQ_RECONNECT_IVL, kReconnectMs);
 	set_int(socket, ZMQ_RECONNECT_IVL_MAX, kReconnectMaxMs);
@@ -217,9 +222,9 @@
 	metric_add(kMetPeerRecvBytes, (int64_t)len);
 	if (env == NULL)
 		return;
-	if (env->from[0] != '\0')
-		pr->opt.ops->on_message(pr->opt.ctx, env);
-	sfpeer__envelope__free_unpacked(env, NULL);
+	if (env->from[0] == '\0' ||
+	    !pr->opt.ops->on_message(pr->opt.ctx, env))
+		sfpeer__envelope__free_unpacked(env, NULL);
 }
 
 static bool
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -14,8 +14,11 @@
 };
 
 struct peer_ops {
-	/** A message has come. Runs on the peer thread. */
-	void (*on_message)(void *ctx, const Sfpeer__Envelope *env);
+	/**
+	 * A message has come. Runs on the peer thread.
+	 * @return true if the envelope is kept, to be freed by the receiver
+	 */
+	bool (*on_message)(void *ctx, Sfpeer__Envelope *env);
 	/** Runs on the peer thread once a tick. */
 	void (*on_tick)(void *ctx);
 };
@@ -24,6 +27,10 @@
 	/** Own address, IP:PORT; messages come in here. */
 	const char *address;
 	int64_t tick_ms;
+	/** Period of the probes of a connection, and the silence after which
+	 * it is given up; 0: the defaults. */
+	int64_t heartbeat_ms;
+	int64_t heartbeat_timeout_ms;
 	const struct peer_ops *ops;
 	void *ctx;
 };
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -367,6 +367,321 @@
   assert(message->base.descriptor == &sfpeer__config_hint__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__slot_ask__init
+                     (Sfpeer__SlotAsk         *message)
+{
+  static const Sfpeer__SlotAsk init_value = SFPEER__SLOT_ASK__INIT;
+  *message = init_value;
+}
+size_t sfpeer__slot_ask__get_packed_size
+                     (const Sfpeer__SlotAsk *message)
+{
+  assert(message->base.descriptor == &sfpeer__slot_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__slot_ask__pack
+                     (const Sfpeer__SlotAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__slot_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__slot_ask__pack_to_buffer
+                     (const Sfpeer__SlotAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__slot_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__SlotAsk *
+       sfpeer__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__SlotAsk *)
+     protobuf_c_message_unpack (&sfpeer__slot_ask__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__slot_ask__free_unpacked
+                     (Sfpeer__SlotAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__slot_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__slot_answer__init
+                     (Sfpeer__SlotAnswer         *message)
+{
+  static const Sfpeer__SlotAnswer init_value = SFPEER__SLOT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t sfpeer__slot_answer__get_packed_size
+                     (const Sfpeer__SlotAnswer *message)
+{
+  assert(message->base.descriptor == &sfpeer__slot_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__slot_answer__pack
+                     (const Sfpeer__SlotAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__slot_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__slot_answer__pack_to_buffer
+                     (const Sfpeer__SlotAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__slot_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__SlotAnswer *
+       sfpeer__slot_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__SlotAnswer *)
+     protobuf_c_message_unpack (&sfpeer__slot_answer__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__slot_answer__free_unpacked
+                     (Sfpeer__SlotAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__slot_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__slot_note__init
+                     (Sfpeer__SlotNote         *message)
+{
+  static const Sfpeer__SlotNote init_value = SFPEER__SLOT_NOTE__INIT;
+  *message = init_value;
+}
+size_t sfpeer__slot_note__get_packed_size
+                     (const Sfpeer__SlotNote *message)
+{
+  assert(message->base.descriptor == &sfpeer__slot_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__slot_note__pack
+                     (const Sfpeer__SlotNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__slot_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__slot_note__pack_to_buffer
+                     (const Sfpeer__SlotNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__slot_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__SlotNote *
+       sfpeer__slot_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__SlotNote *)
+     protobuf_c_message_unpack (&sfpeer__slot_note__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__slot_note__free_unpacked
+                     (Sfpeer__SlotNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__slot_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__pool_load__init
+                     (Sfpeer__PoolLoad         *message)
+{
+  static const Sfpeer__PoolLoad init_value = SFPEER__POOL_LOAD__INIT;
+  *message = init_value;
+}
+size_t sfpeer__pool_load__get_packed_size
+                     (const Sfpeer__PoolLoad *message)
+{
+  assert(message->base.descriptor == &sfpeer__pool_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__pool_load__pack
+                     (const Sfpeer__PoolLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__pool_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__pool_load__pack_to_buffer
+                     (const Sfpeer__PoolLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__pool_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__PoolLoad *
+       sfpeer__pool_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__PoolLoad *)
+     protobuf_c_message_unpack (&sfpeer__pool_load__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__pool_load__free_unpacked
+                     (Sfpeer__PoolLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__pool_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__view_row__init
+                     (Sfpeer__ViewRow         *message)
+{
+  static const Sfpeer__ViewRow init_value = SFPEER__VIEW_ROW__INIT;
+  *message = init_value;
+}
+size_t sfpeer__view_row__get_packed_size
+                     (const Sfpeer__ViewRow *message)
+{
+  assert(message->base.descriptor == &sfpeer__view_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__view_row__pack
+                     (const Sfpeer__ViewRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__view_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__view_row__pack_to_buffer
+                     (const Sfpeer__ViewRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__view_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__ViewRow *
+       sfpeer__view_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__ViewRow *)
+     protobuf_c_message_unpack (&sfpeer__view_row__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__view_row__free_unpacked
+                     (Sfpeer__ViewRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__view_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__view__init
+                     (Sfpeer__View         *message)
+{
+  static const Sfpeer__View init_value = SFPEER__VIEW__INIT;
+  *message = init_value;
+}
+size_t sfpeer__view__get_packed_size
+                     (const Sfpeer__View *message)
+{
+  assert(message->base.descriptor == &sfpeer__view__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__view__pack
+                     (const Sfpeer__View *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__view__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__view__pack_to_buffer
+                     (const Sfpeer__View *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__view__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__View *
+       sfpeer__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__View *)
+     protobuf_c_message_unpack (&sfpeer__view__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__view__free_unpacked
+                     (Sfpeer__View *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__view__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__job_note__init
+                     (Sfpeer__JobNote         *message)
+{
+  static const Sfpeer__JobNote init_value = SFPEER__JOB_NOTE__INIT;
+  *message = init_value;
+}
+size_t sfpeer__job_note__get_packed_size
+                     (const Sfpeer__JobNote *message)
+{
+  assert(message->base.descriptor == &sfpeer__job_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__job_note__pack
+                     (const Sfpeer__JobNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__job_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__job_note__pack_to_buffer
+                     (const Sfpeer__JobNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__job_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__JobNote *
+       sfpeer__job_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__JobNote *)
+     protobuf_c_message_unpack (&sfpeer__job_note__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__job_note__free_unpacked
+                     (Sfpeer__JobNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__job_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__envelope__init
                      (Sfpeer__Envelope         *message)
 {
@@ -1093,108 +1408,777 @@
   (ProtobufCMessageInit) sfpeer__config_hint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sfpeer__slot_ask__field_descriptors[9] =
 {
   {
-    "from",
+    "id",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Sfpeer__Envelope, from),
+    offsetof(Sfpeer__SlotAsk, id),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "gossip",
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sfpeer__Envelope, gossip),
-    &sfpeer__gossip__descriptor,
+    offsetof(Sfpeer__SlotAsk, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "asks",
+    "data_center",
     3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sfpeer__Envelope, n_asks),
-    offsetof(Sfpeer__Envelope, asks),
-    &sfpeer__grant_ask__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, data_center),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "answers",
+    "batch",
     4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sfpeer__Envelope, n_answers),
-    offsetof(Sfpeer__Envelope, answers),
-    &sfpeer__grant_answer__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, batch),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "notes",
+    "left_us",
     5,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sfpeer__Envelope, n_notes),
-    offsetof(Sfpeer__Envelope, notes),
-    &sfpeer__grant_note__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, left_us),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit_asks",
+    "but",
     6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sfpeer__Envelope, n_limit_asks),
-    offsetof(Sfpeer__Envelope, limit_asks),
-    &sfpeer__limit_ask__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, but),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit_leases",
+    "adopt",
     7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Sfpeer__Envelope, n_limit_leases),
-    offsetof(Sfpeer__Envelope, limit_leases),
-    &sfpeer__limit_lease__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, adopt),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "config",
+    "target",
     8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Sfpeer__Envelope, config),
-    &sfpeer__config_hint__descriptor,
+    offsetof(Sfpeer__SlotAsk, target),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "condemned",
+    "prefix",
     9,
-    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, prefix),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__slot_ask__field_indices_by_name[] = {
+  6,   /* field[6] = adopt */
+  3,   /* field[3] = batch */
+  5,   /* field[5] = but */
+  2,   /* field[2] = data_center */
+  0,   /* field[0] = id */
+  4,   /* field[4] = left_us */
+  8,   /* field[8] = prefix */
+  1,   /* field[1] = service */
+  7,   /* field[7] = target */
+};
+static const ProtobufCIntRange sfpeer__slot_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor sfpeer__slot_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.SlotAsk",
+  "SlotAsk",
+  "Sfpeer__SlotAsk",
+  "sfpeer",
+  sizeof(Sfpeer__SlotAsk),
+  9,
+  sfpeer__slot_ask__field_descriptors,
+  sfpeer__slot_ask__field_indices_by_name,
+  1,  sfpeer__slot_ask__number_ranges,
+  (ProtobufCMessageInit) sfpeer__slot_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__slot_answer__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAnswer, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAnswer, verdict),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAnswer, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAnswer, retry_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__slot_answer__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  3,   /* field[3] = retry_after_us */
+  2,   /* field[2] = target */
+  1,   /* field[1] = verdict */
+};
+static const ProtobufCIntRange sfpeer__slot_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sfpeer__slot_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.SlotAnswer",
+  "SlotAnswer",
+  "Sfpeer__SlotAnswer",
+  "sfpeer",
+  sizeof(Sfpeer__SlotAnswer),
+  4,
+  sfpeer__slot_answer__field_descriptors,
+  sfpeer__slot_answer__field_indices_by_name,
+  1,  sfpeer__slot_answer__number_ranges,
+  (ProtobufCMessageInit) sfpeer__slot_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__slot_note__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_center",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, data_center),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, held_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__slot_note__field_indices_by_name[] = {
+  2,   /* field[2] = data_center */
+  4,   /* field[4] = held_us */
+  0,   /* field[0] = id */
+  3,   /* field[3] = outcome */
+  1,   /* field[1] = service */
+  5,   /* field[5] = target */
+};
+static const ProtobufCIntRange sfpeer__slot_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor sfpeer__slot_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.SlotNote",
+  "SlotNote",
+  "Sfpeer__SlotNote",
+  "sfpeer",
+  sizeof(Sfpeer__SlotNote),
+  6,
+  sfpeer__slot_note__field_descriptors,
+  sfpeer__slot_note__field_indices_by_name,
+  1,  sfpeer__slot_note__number_ranges,
+  (ProtobufCMessageInit) sfpeer__slot_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__pool_load__field_descriptors[9] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_center",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, data_center),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "online",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, online),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, batch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "online_queued",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, online_queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "batch_queued",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, batch_queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, hold_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__pool_load__field_indices_by_name[] = {
+  5,   /* field[5] = batch */
+  7,   /* field[7] = batch_queued */
+  1,   /* field[1] = data_center */
+  2,   /* field[2] = epoch */
+  8,   /* field[8] = hold_us */
+  4,   /* field[4] = online */
+  6,   /* field[6] = online_queued */
+  0,   /* field[0] = service */
+  3,   /* field[3] = slots */
+};
+static const ProtobufCIntRange sfpeer__pool_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor sfpeer__pool_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.PoolLoad",
+  "PoolLoad",
+  "Sfpeer__PoolLoad",
+  "sfpeer",
+  sizeof(Sfpeer__PoolLoad),
+  9,
+  sfpeer__pool_load__field_descriptors,
+  sfpeer__pool_load__field_indices_by_name,
+  1,  sfpeer__pool_load__number_ranges,
+  (ProtobufCMessageInit) sfpeer__pool_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__view_row__field_descriptors[5] =
+{
+  {
+    "table",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewRow, table),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewRow, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewRow, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewRow, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__view_row__field_indices_by_name[] = {
+  1,   /* field[1] = key */
+  4,   /* field[4] = removed */
+  0,   /* field[0] = table */
+  3,   /* field[3] = value */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange sfpeer__view_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor sfpeer__view_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.ViewRow",
+  "ViewRow",
+  "Sfpeer__ViewRow",
+  "sfpeer",
+  sizeof(Sfpeer__ViewRow),
+  5,
+  sfpeer__view_row__field_descriptors,
+  sfpeer__view_row__field_indices_by_name,
+  1,  sfpeer__view_row__number_ranges,
+  (ProtobufCMessageInit) sfpeer__view_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__view__field_descriptors[3] =
+{
+  {
+    "wanted",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__View, wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "as_of",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__View, as_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__View, n_rows),
+    offsetof(Sfpeer__View, rows),
+    &sfpeer__view_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__view__field_indices_by_name[] = {
+  1,   /* field[1] = as_of */
+  2,   /* field[2] = rows */
+  0,   /* field[0] = wanted */
+};
+static const ProtobufCIntRange sfpeer__view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sfpeer__view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.View",
+  "View",
+  "Sfpeer__View",
+  "sfpeer",
+  sizeof(Sfpeer__View),
+  3,
+  sfpeer__view__field_descriptors,
+  sfpeer__view__field_indices_by_name,
+  1,  sfpeer__view__number_ranges,
+  (ProtobufCMessageInit) sfpeer__view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__job_note__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__JobNote, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__JobNote, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__job_note__field_indices_by_name[] = {
+  1,   /* field[1] = ended */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange sfpeer__job_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sfpeer__job_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.JobNote",
+  "JobNote",
+  "Sfpeer__JobNote",
+  "sfpeer",
+  sizeof(Sfpeer__JobNote),
+  2,
+  sfpeer__job_note__field_descriptors,
+  sfpeer__job_note__field_indices_by_name,
+  1,  sfpeer__job_note__number_ranges,
+  (ProtobufCMessageInit) sfpeer__job_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[18] =
+{
+  {
+    "from",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, from),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gossip",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, gossip),
+    &sfpeer__gossip__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asks",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_asks),
+    offsetof(Sfpeer__Envelope, asks),
+    &sfpeer__grant_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_answers),
+    offsetof(Sfpeer__Envelope, answers),
+    &sfpeer__grant_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "notes",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_notes),
+    offsetof(Sfpeer__Envelope, notes),
+    &sfpeer__grant_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_asks",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_limit_asks),
+    offsetof(Sfpeer__Envelope, limit_asks),
+    &sfpeer__limit_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_leases",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_limit_leases),
+    offsetof(Sfpeer__Envelope, limit_leases),
+    &sfpeer__limit_lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "config",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, config),
+    &sfpeer__config_hint__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "condemned",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
     offsetof(Sfpeer__Envelope, n_condemned),
     offsetof(Sfpeer__Envelope, condemned),
@@ -1227,6 +2211,90 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slot_asks",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_slot_asks),
+    offsetof(Sfpeer__Envelope, slot_asks),
+    &sfpeer__slot_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_answers",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_slot_answers),
+    offsetof(Sfpeer__Envelope, slot_answers),
+    &sfpeer__slot_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_notes",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_slot_notes),
+    offsetof(Sfpeer__Envelope, slot_notes),
+    &sfpeer__slot_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool_loads",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_pool_loads),
+    offsetof(Sfpeer__Envelope, pool_loads),
+    &sfpeer__pool_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, view),
+    &sfpeer__view__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_notes",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_job_notes),
+    offsetof(Sfpeer__Envelope, job_notes),
+    &sfpeer__job_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
@@ -1236,15 +2304,22 @@
   7,   /* field[7] = config */
   0,   /* field[0] = from */
   1,   /* field[1] = gossip */
+  16,   /* field[16] = job_notes */
+  17,   /* field[17] = leaving */
   9,   /* field[9] = leaving_targets */
   5,   /* field[5] = limit_asks */
   6,   /* field[6] = limit_leases */
   4,   /* field[4] = notes */
+  14,   /* field[14] = pool_loads */
+  12,   /* field[12] = slot_answers */
+  11,   /* field[11] = slot_asks */
+  13,   /* field[13] = slot_notes */
+  15,   /* field[15] = view */
 };
 static const ProtobufCIntRange sfpeer__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -1254,7 +2329,7 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  11,
+  18,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
   1,  sfpeer__envelope__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -23,6 +23,13 @@
 typedef struct Sfpeer__LimitAsk Sfpeer__LimitAsk;
 typedef struct Sfpeer__LimitLease Sfpeer__LimitLease;
 typedef struct Sfpeer__ConfigHint Sfpeer__ConfigHint;
+typedef struct Sfpeer__SlotAsk Sfpeer__SlotAsk;
+typedef struct Sfpeer__SlotAnswer Sfpeer__SlotAnswer;
+typedef struct Sfpeer__SlotNote Sfpeer__SlotNote;
+typedef struct Sfpeer__PoolLoad Sfpeer__PoolLoad;
+typedef struct Sfpeer__ViewRow Sfpeer__ViewRow;
+typedef struct Sfpeer__View Sfpeer__View;
+typedef struct Sfpeer__JobNote Sfpeer__JobNote;
 typedef struct Sfpeer__Envelope Sfpeer__Envelope;
 
 
@@ -153,6 +160,139 @@
     , 0, 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Asks the arbiter of a pool (the targets of one service in one data centre)
+ * for a slot on any of its targets.
+ */
+struct  Sfpeer__SlotAsk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *service;
+  char *data_center;
+  protobuf_c_boolean batch;
+  /*
+   * Time left until the slot is of no more use; batch: until it is due.
+   */
+  int64_t left_us;
+  /*
+   * Target that failed the request last, or empty.
+   */
+  char *but;
+  /*
+   * The slot is held already on `target`; the arbiter adopts it.
+   */
+  protobuf_c_boolean adopt;
+  char *target;
+  /*
+   * Hash of the prompt's shared parts, 0 if there are none.
+   */
+  uint64_t prefix;
+};
+#define SFPEER__SLOT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Sfpeer__SlotAnswer
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t verdict;
+  char *target;
+  uint64_t retry_after_us;
+};
+#define SFPEER__SLOT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_answer__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Sfpeer__SlotNote
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *service;
+  char *data_center;
+  uint32_t outcome;
+  /*
+   * Time the slot was held.
+   */
+  uint64_t held_us;
+  char *target;
+};
+#define SFPEER__SLOT_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_note__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Load of a pool as its arbiter sees it.
+ */
+struct  Sfpeer__PoolLoad
+{
+  ProtobufCMessage base;
+  char *service;
+  char *data_center;
+  /*
+   * Changes when the arbiter starts anew and knows no grants.
+   */
+  uint64_t epoch;
+  uint32_t slots;
+  uint32_t online;
+  uint32_t batch;
+  uint32_t online_queued;
+  uint32_t batch_queued;
+  uint32_t hold_us;
+};
+#define SFPEER__POOL_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__pool_load__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * What one daemon knows of the platform's lists, with the row versions.
+ */
+struct  Sfpeer__ViewRow
+{
+  ProtobufCMessage base;
+  char *table;
+  char *key;
+  uint64_t version;
+  ProtobufCBinaryData value;
+  protobuf_c_boolean removed;
+};
+#define SFPEER__VIEW_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__view_row__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
+
+
+struct  Sfpeer__View
+{
+  ProtobufCMessage base;
+  /*
+   * Asks the receiver for its rows.
+   */
+  protobuf_c_boolean wanted;
+  uint64_t as_of;
+  size_t n_rows;
+  Sfpeer__ViewRow **rows;
+};
+#define SFPEER__VIEW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__view__descriptor) \
+    , 0, 0, 0,NULL }
+
+
+struct  Sfpeer__JobNote
+{
+  ProtobufCMessage base;
+  char *id;
+  protobuf_c_boolean ended;
+};
+#define SFPEER__JOB_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__job_note__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Sfpeer__Envelope
 {
   ProtobufCMessage base;
@@ -175,10 +315,25 @@
   char **leaving_targets;
   size_t n_cancelled_jobs;
   char **cancelled_jobs;
+  size_t n_slot_asks;
+  Sfpeer__SlotAsk **slot_asks;
+  size_t n_slot_answers;
+  Sfpeer__SlotAnswer **slot_answers;
+  size_t n_slot_notes;
+  Sfpeer__SlotNote **slot_notes;
+  size_t n_pool_loads;
+  Sfpeer__PoolLoad **pool_loads;
+  Sfpeer__View *view;
+  size_t n_job_notes;
+  Sfpeer__JobNote **job_notes;
+  /*
+   * The sender stops soon: it arbitrates no more.
+   */
+  protobuf_c_boolean leaving;
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0 }
 
 
 /* Sfpeer__Member methods */
@@ -333,6 +488,139 @@
 void   sfpeer__config_hint__free_unpacked
                      (Sfpeer__ConfigHint *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__SlotAsk methods */
+void   sfpeer__slot_ask__init
+                     (Sfpeer__SlotAsk         *message);
+size_t sfpeer__slot_ask__get_packed_size
+                     (const Sfpeer__SlotAsk   *message);
+size_t sfpeer__slot_ask__pack
+                     (const Sfpeer__SlotAsk   *message,
+                      uint8_t             *out);
+size_t sfpeer__slot_ask__pack_to_buffer
+                     (const Sfpeer__SlotAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__SlotAsk *
+       sfpeer__slot_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__slot_ask__free_unpacked
+                     (Sfpeer__SlotAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__SlotAnswer methods */
+void   sfpeer__slot_answer__init
+                     (Sfpeer__SlotAnswer         *message);
+size_t sfpeer__slot_answer__get_packed_size
+                     (const Sfpeer__SlotAnswer   *message);
+size_t sfpeer__slot_answer__pack
+                     (const Sfpeer__SlotAnswer   *message,
+                      uint8_t             *out);
+size_t sfpeer__slot_answer__pack_to_buffer
+                     (const Sfpeer__SlotAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__SlotAnswer *
+       sfpeer__slot_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__slot_answer__free_unpacked
+                     (Sfpeer__SlotAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__SlotNote methods */
+void   sfpeer__slot_note__init
+                     (Sfpeer__SlotNote         *message);
+size_t sfpeer__slot_note__get_packed_size
+                     (const Sfpeer__SlotNote   *message);
+size_t sfpeer__slot_note__pack
+                     (const Sfpeer__SlotNote   *message,
+                      uint8_t             *out);
+size_t sfpeer__slot_note__pack_to_buffer
+                     (const Sfpeer__SlotNote   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__SlotNote *
+       sfpeer__slot_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__slot_note__free_unpacked
+                     (Sfpeer__SlotNote *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__PoolLoad methods */
+void   sfpeer__pool_load__init
+                     (Sfpeer__PoolLoad         *message);
+size_t sfpeer__pool_load__get_packed_size
+                     (const Sfpeer__PoolLoad   *message);
+size_t sfpeer__pool_load__pack
+                     (const Sfpeer__PoolLoad   *message,
+                      uint8_t             *out);
+size_t sfpeer__pool_load__pack_to_buffer
+                     (const Sfpeer__PoolLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__PoolLoad *
+       sfpeer__pool_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__pool_load__free_unpacked
+                     (Sfpeer__PoolLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__ViewRow methods */
+void   sfpeer__view_row__init
+                     (Sfpeer__ViewRow         *message);
+size_t sfpeer__view_row__get_packed_size
+                     (const Sfpeer__ViewRow   *message);
+size_t sfpeer__view_row__pack
+                     (const Sfpeer__ViewRow   *message,
+                      uint8_t             *out);
+size_t sfpeer__view_row__pack_to_buffer
+                     (const Sfpeer__ViewRow   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__ViewRow *
+       sfpeer__view_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__view_row__free_unpacked
+                     (Sfpeer__ViewRow *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__View methods */
+void   sfpeer__view__init
+                     (Sfpeer__View         *message);
+size_t sfpeer__view__get_packed_size
+                     (const Sfpeer__View   *message);
+size_t sfpeer__view__pack
+                     (const Sfpeer__View   *message,
+                      uint8_t             *out);
+size_t sfpeer__view__pack_to_buffer
+                     (const Sfpeer__View   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__View *
+       sfpeer__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__view__free_unpacked
+                     (Sfpeer__View *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__JobNote methods */
+void   sfpeer__job_note__init
+                     (Sfpeer__JobNote         *message);
+size_t sfpeer__job_note__get_packed_size
+                     (const Sfpeer__JobNote   *message);
+size_t sfpeer__job_note__pack
+                     (const Sfpeer__JobNote   *message,
+                      uint8_t             *out);
+size_t sfpeer__job_note__pack_to_buffer
+                     (const Sfpeer__JobNote   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__JobNote *
+       sfpeer__job_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__job_note__free_unpacked
+                     (Sfpeer__JobNote *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__Envelope methods */
 void   sfpeer__envelope__init
                      (Sfpeer__Envelope         *message);
@@ -378,6 +666,27 @@
 typedef void (*Sfpeer__ConfigHint_Closure)
                  (const Sfpeer__ConfigHint *message,
                   void *closure_data);
+typedef void (*Sfpeer__SlotAsk_Closure)
+                 (const Sfpeer__SlotAsk *message,
+                  void *closure_data);
+typedef void (*Sfpeer__SlotAnswer_Closure)
+                 (const Sfpeer__SlotAnswer *message,
+                  void *closure_data);
+typedef void (*Sfpeer__SlotNote_Closure)
+                 (const Sfpeer__SlotNote *message,
+                  void *closure_data);
+typedef void (*Sfpeer__PoolLoad_Closure)
+                 (const Sfpeer__PoolLoad *message,
+                  void *closure_data);
+typedef void (*Sfpeer__ViewRow_Closure)
+                 (const Sfpeer__ViewRow *message,
+                  void *closure_data);
+typedef void (*Sfpeer__View_Closure)
+                 (const Sfpeer__View *message,
+                  void *closure_data);
+typedef void (*Sfpeer__JobNote_Closure)
+                 (const Sfpeer__JobNote *message,
+                  void *closure_data);
 typedef void (*Sfpeer__Envelope_Closure)
                  (const Sfpeer__Envelope *message,
                   void *closure_data);
@@ -395,6 +704,13 @@
 extern const ProtobufCMessageDescriptor sfpeer__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__limit_lease__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__config_hint__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__slot_ask__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__slot_answer__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__slot_note__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__pool_load__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__view_row__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__view__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__job_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/src/savoryflow/fleet/fleet.c
@@ -0,0 +1,145 @@
+/* The targets that the platform lists, with the versions of their rows. */
+#include "savoryflow/fleet/fleet.h"
+
+#include <string.h>
+
+struct fleet {
+	/** struct fleet_target by id. */
+	GHashTable *targets;
+	/** Version of the removal, by id: older rows do not come back. */
+	GHashTable *removed;
+};
+
+struct fleet *
+fleet_new(void)
+{
+	struct fleet *fl = g_new0(struct fleet, 1);
+
+	fl->targets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	fl->removed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return fl;
+}
+
+void
+fleet_free(struct fleet *fl)
+{
+	g_hash_table_unref(fl->targets);
+	g_hash_table_unref(fl->removed);
+	g_free(fl);
+}
+
+static bool
+is_same(const struct fleet_target *a, const struct fleet_target *b)
+{
+	return strcmp(a->service, b->service) == 0 &&
+	    strcmp(a->address, b->address) == 0 &&
+	    strcmp(a->data_center, b->data_center) == 0 &&
+	    a->slots == b->slots && a->is_draining == b->is_draining &&
+	    a->born_ms == b->born_ms && a->gone_at_us == b->gone_at_us;
+}
+
+bool
+fleet_apply(struct fleet *fl, const struct fleet_target *t)
+{
+	struct fleet_target *known = g_hash_table_lookup(fl->targets, t->id);
+	const int64_t *removed = g_hash_table_lookup(fl->removed, t->id);
+	bool changed;
+
+	if (removed != NULL && *removed >= t->version)
+		return false;
+	if (known == NULL) {
+		known = g_new0(struct fleet_target, 1);
+		*known = *t;
+		g_hash_table_insert(fl->targets, known->id, known);
+		return true;
+	}
+	if (known->version > t->version)
+		return false;
+	changed = !is_same(known, t);
+	*known = *t;
+	return changed;
+}
+
+bool
+fleet_remove(
+    struct fleet *fl, const char *id, int64_t version, int64_t gone_at_us)
+{
+	struct fleet_target *known = g_hash_table_lookup(fl->targets, id);
+	int64_t *removed;
+
+	if (known == NULL || known->version > version || known->gone_at_us != 0)
+		return false;
+	removed = g_new(int64_t, 1);
+	*removed = version;
+	g_hash_table_replace(fl->removed, g_strdup(id), removed);
+	known->gone_at_us = gone_at_us;
+	return true;
+}
+
+bool
+fleet_replace(
+    struct fleet *fl, const GArray *list, int64_t version, int64_t gone_at_us)
+{
+	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
+	GPtrArray *known = fleet_list(fl);
+	bool changed = false;
+
+	for (guint i = 0; i < list->len; i++) {
+		struct fleet_target *t =
+		    &g_array_index(list, struct fleet_target, i);
+
+		g_hash_table_add(listed, t->id);
+		changed = fleet_apply(fl, t) || changed;
+	}
+	for (guint i = 0; i < known->len; i++) {
+		const struct fleet_target *t = known->pdata[i];
+
+		if (!g_hash_table_contains(listed, t->id))
+			changed =
+			    fleet_remove(fl, t->id, version, gone_at_us) ||
+			    changed;
+	}
+	g_ptr_array_unref(known);
+	g_hash_table_unref(listed);
+	return changed;
+}
+
+bool
+fleet_tick(struct fleet *fl, int64_t now_us)
+{
+	bool changed = false;
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, fl->targets);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct fleet_target *t = val;
+
+		if (t->gone_at_us == 0 || t->gone_at_us > now_us)
+			continue;
+		g_hash_table_iter_remove(&it);
+		changed = true;
+	}
+	return changed;
+}
+
+const struct fleet_target *
+fleet_find(const struct fleet *fl, const char *id)
+{
+	return g_hash_table_lookup(fl->targets, id);
+}
+
+GPtrArray *
+fleet_list(const struct fleet *fl)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, fl->targets);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		g_ptr_array_add(list, val);
+	return list;
+}
--- /dev/null
+++ b/src/savoryflow/job/itemjob_store.c
@@ -0,0 +1,643 @@
+/* Rows and objects of jobs whose results have stable positions. */
+#include "savoryflow/job/itemjob_store.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "store/commit.h"
+
+enum {
+	kRowsPerScan = 500,
+	kClaimTries = 4,
+};
+
+static char *
+key_of(const char *table, const char *partition, const char *name)
+{
+	return g_strdup_printf("%s/%s/%s", table, partition, name);
+}
+
+static char *
+key_of_number(const char *table, const char *id, int32_t number)
+{
+	return g_strdup_printf("%s/%s/%06d", table, id, number);
+}
+
+struct itemjob *
+itemjob_new(const char *id)
+{
+	struct itemjob *job = g_new0(struct itemjob, 1);
+
+	job->id = g_strdup(id);
+	return job;
+}
+
+void
+itemjob_free(struct itemjob *job)
+{
+	if (job == NULL)
+		return;
+	g_free(job->id);
+	g_free(job->host);
+	g_free(job->path);
+	g_free(job->input);
+	g_free(job);
+}
+
+static void
+header_clear(void *p)
+{
+	struct itemjob_header *header = p;
+
+	g_free(header->name);
+	g_free(header->value);
+}
+
+struct itemjob_item *
+itemjob_item_new(const char *id, const char *path)
+{
+	struct itemjob_item *item = g_new0(struct itemjob_item, 1);
+
+	item->id = g_strdup(id);
+	item->path = g_strdup(path);
+	item->headers = g_array_new(FALSE, TRUE, sizeof(struct itemjob_header));
+	g_array_set_clear_func(item->headers, header_clear);
+	return item;
+}
+
+static void
+item_free(void *p)
+{
+	struct itemjob_item *item = p;
+
+	g_free(item->id);
+	g_free(item->path);
+	g_array_unref(item->headers);
+	if (item->body != NULL)
+		g_bytes_unref(item->body);
+	g_free(item);
+}
+
+void
+itemjob_item_add_header(
+    struct itemjob_item *item, const char *name, const char *value)
+{
+	struct itemjob_header header = {g_strdup(name), g_strdup(value)};
+
+	g_array_append_val(item->headers, header);
+}
+
+GPtrArray *
+itemjob_items_new(void)
+{
+	return g_ptr_array_new_with_free_func(item_free);
+}
+
+static void
+result_free(void *p)
+{
+	struct itemjob_result *result = p;
+
+	g_free(result->item_id);
+	g_free(result->text);
+	g_free(result);
+}
+
+GPtrArray *
+itemjob_results_new(void)
+{
+	return g_ptr_array_new_with_free_func(result_free);
+}
+
+void
+itemjob_open_free(void *p)
+{
+	struct itemjob_open *open = p;
+
+	if (open == NULL)
+		return;
+	g_free(open->id);
+	g_free(open->owner);
+	g_free(open);
+}
+
+static json_t *
+item_to_json(const struct itemjob_item *item)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(item->body, &len);
+	char *body = g_base64_encode(data, len);
+	json_t *headers = json_array();
+	json_t *doc;
+
+	for (guint i = 0; i < item->headers->len; i++) {
+		const struct itemjob_header *h =
+		    &g_array_index(item->headers, struct itemjob_header, i);
+
+		json_array_append_new(
+		    headers, json_pack("[s,s]", h->name, h->value));
+	}
+	doc = json_pack("{s:s,s:s,s:o,s:s,s:I}", "id", item->id, "path",
+	    item->path, "headers", headers, "body", body, "tokens",
+	    (json_int_t)item->tokens);
+	g_free(body);
+	return doc;
+}
+
+static struct itemjob_item *
+item_of_json(const json_t *doc)
+{
+	struct itemjob_item *item =
+	    itemjob_item_new(json_string_value(json_object_get(doc, "id")),
+		json_string_value(json_object_get(doc, "path")));
+	const char *body = json_string_value(json_object_get(doc, "body"));
+	json_t *headers = json_object_get(doc, "headers");
+	json_t *elem;
+	gsize len = 0;
+	guchar *data;
+	size_t i;
+
+	data = g_base64_decode(body != NULL ? body : "", &len);
+	item->body = g_bytes_new_take(data, len);
+	item->tokens = json_integer_value(json_object_get(doc, "tokens"));
+	json_array_foreach(headers, i, elem)
+	{
+		itemjob_item_add_header(item,
+		    json_string_value(json_array_get(elem, 0)),
+		    json_string_value(json_array_get(elem, 1)));
+	}
+	return item;
+}
+
+static char *
+items_to_text(const GPtrArray *items)
+{
+	json_t *list = json_array();
+	char *text;
+
+	for (guint i = 0; i < items->len; i++)
+		json_array_append_new(list, item_to_json(items->pdata[i]));
+	text = json_dumps(list, JSON_COMPACT);
+	json_decref(list);
+	return text;
+}
+
+static char *
+job_to_text(const struct itemjob *job)
+{
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:i,s:I}", "host", job->host,
+	    "path", job->path, "input", job->input, "total", job->total,
+	    "accepted_ms", (json_int_t)job->accepted_ms);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	return text;
+}
+
+static char *
+open_to_text(const char *owner, bool is_ended)
+{
+	json_t *doc =
+	    json_pack("{s:s,s:b}", "owner", owner, "ended", (int)is_ended);
+	char *text = json_dumps(doc, JSON_COMPACT);
+
+	json_decref(doc);
+	return text;
+}
+
+enum store_result
+itemjob_get(const struct store *st, const char *id, struct itemjob **job)
+{
+	char *key = key_of("job", "-", id);
+	struct store_row row = {0};
+	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
+
+	if (res == kStoreOk) {
+		json_t *doc = json_loads(row.value, 0, NULL);
+
+		*job = itemjob_new(id);
+		(*job)->host =
+		    g_strdup(json_string_value(json_object_get(doc, "host")));
+		(*job)->path =
+		    g_strdup(json_string_value(json_object_get(doc, "path")));
+		(*job)->input =
+		    g_strdup(json_string_value(json_object_get(doc, "input")));
+		(*job)->total =
+		    (int32_t)json_integer_value(json_object_get(doc, "total"));
+		(*job)->accepted_ms =
+		    json_integer_value(json_object_get(doc, "accepted_ms"));
+		json_decref(doc);
+	}
+	store_row_clear(&row);
+	g_free(key);
+	return res;
+}
+
+/* Whoever made the job: it is known now. */
+static bool
+job_is_known(const struct store *st, void *ctx)
+{
+	const struct itemjob *job = ctx;
+	struct itemjob *found = NULL;
+	bool known = itemjob_get(st, job->id, &found) == kStoreOk;
+
+	itemjob_free(found);
+	return known;
+}
+
+static enum store_result
+submit_rows(const struct store *st, struct itemjob *job, const char *owner)
+{
+	struct store_txn *txn = store_txn_new();
+	char *job_key = key_of("job", "-", job->id);
+	char *open_key = key_of("open", "-", job->id);
+	char *job_text = job_to_text(job);
+	char *open_text = open_to_text(owner, false);
+	enum store_result res;
+
+	store_txn_absent(txn, job_key);
+	store_txn_write(txn, job_key, job_text);
+	store_txn_write(txn, open_key, open_text);
+	res = store_commit(st, kCauseBatch, txn, job_is_known, job);
+	free(open_text);
+	free(job_text);
+	g_free(open_key);
+	g_free(job_key);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+itemjob_submit(const struct store *st, struct itemjob *job,
+    const GPtrArray *items, const char *token, const char *owner, bool *is_new)
+{
+	struct itemjob *found = NULL;
+	char *text;
+	enum store_result res = itemjob_get(st, job->id, &found);
+
+	*is_new = false;
+	itemjob_free(found);
+	if (res != kStoreNotFound)
+		return res;
+	text = items_to_text(items);
+	job->input = g_strdup_printf("input/%s/%s", job->id, token);
+	job->total = (int32_t)items->len;
+	job->accepted_ms = st->ops->now_ms(st->ctx);
+	res = st->ops->put_object(
+	    st->ctx, kCauseBatch, job->input, text, strlen(text));
+	free(text);
+	/* No row names the object yet: nothing of the job can run. */
+	if (res != kStoreOk)
+		return kStoreUnavailable;
+	res = submit_rows(st, job, owner);
+	if (res == kStoreOk && itemjob_get(st, job->id, &found) == kStoreOk) {
+		*is_new = strcmp(found->input, job->input) == 0;
+		itemjob_free(found);
+	}
+	return res;
+}
+
+enum store_result
+itemjob_load_items(
+    const struct store *st, const struct itemjob *job, GPtrArray **items)
+{
+	GBytes *data = NULL;
+	enum store_result res =
+	    st->ops->get_object(st->ctx, kCauseBatch, job->input, &data);
+	const char *text;
+	json_t *list;
+	json_t *elem;
+	gsize len;
+	size_t i;
+
+	if (res != kStoreOk)
+		return res;
+	text = g_bytes_get_data(data, &len);
+	list = json_loadb(text, len, 0, NULL);
+	*items = itemjob_items_new();
+	json_array_foreach(list, i, elem)
+	{
+		g_ptr_array_add(*items, item_of_json(elem));
+	}
+	json_decref(list);
+	g_bytes_unref(data);
+	return kStoreOk;
+}
+
+static int32_t
+number_of_key(const char *key)
+{
+	const char *slash = strrchr(key, '/');
+
+	return slash != NULL ? (int32_t)strtol(slash + 1, NULL, 10) : -1;
+}
+
+/* Joins the parts of a text that was too long for its row. */
+static enum store_result
+read_parts(const struct store *st, const char *id,
+    struct itemjob_result *result, int64_t parts)
+{
+	char *prefix = g_strdup_printf("text/%s/%06d-", id, result->position);
+	GPtrArray *rows = NULL;
+	GString *text = g_string_new(NULL);
+	enum store_result res = st->ops->scan(
+	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
+
+	if (res == kStoreOk && rows->len != (guint)parts)
+		res = kStoreUnavailable;
+	for (guint i = 0; res == kStoreOk && i < rows->len; i++)
+		g_string_append(
+		    text, ((struct store_row *)rows->pdata[i])->value);
+	result->text = g_string_free(text, FALSE);
+	if (rows != NULL)
+		g_ptr_array_unref(rows);
+	g_free(prefix);
+	return res;
+}
+
+static enum store_result
+add_result(const struct store *st, const char *id, const struct store_row *row,
+    GPtrArray *results)
+{
+	json_t *doc = json_loads(row->value, 0, NULL);
+	struct itemjob_result *result = g_new0(struct itemjob_result, 1);
+	int64_t parts = json_integer_value(json_object_get(doc, "parts"));
+	enum store_result res = kStoreOk;
+
+	result->position = number_of_key(row->key);
+	result->item_id =
+	    g_strdup(json_string_value(json_object_get(doc, "item")));
+	result->is_completed = json_is_true(json_object_get(doc, "completed"));
+	if (parts > 0)
+		res = read_parts(st, id, result, parts);
+	else
+		result->text =
+		    g_strdup(json_string_value(json_object_get(doc, "text")));
+	g_ptr_array_add(results, result);
+	json_decref(doc);
+	return res;
+}
+
+enum store_result
+itemjob_read_results(
+    const struct store *st, const char *id, int32_t from, GPtrArray **results)
+{
+	char *prefix = key_of("result", id, "");
+	char *after = from > 0 ? key_of_number("result", id, from - 1) : NULL;
+	GPtrArray *rows = NULL;
+	enum store_result res = st->ops->scan(
+	    st->ctx, kCauseBatch, prefix, after, kItemjobResultsMax, &rows);
+
+	if (res == kStoreOk) {
+		*results = itemjob_results_new();
+		for (guint i = 0; res == kStoreOk && i < rows->len; i++)
+			res = add_result(st, id, rows->pdata[i], *results);
+		if (res != kStoreOk)
+			g_clear_pointer(results, g_ptr_array_unref);
+		g_ptr_array_unref(rows);
+	}
+	g_free(prefix);
+	g_free(after);
+	return res;
+}
+
+enum store_result
+itemjob_read_done(const struct store *st, const char *id, GArray **done)
+{
+	char *prefix = key_of("item", id, "");
+	GPtrArray *rows = NULL;
+	enum store_result res = st->ops->scan(
+	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
+
+	if (res == kStoreOk) {
+		*done = g_array_new(FALSE, TRUE, sizeof(struct itemjob_done));
+		for (guint i = 0; i < rows->len; i++) {
+			const struct store_row *row = rows->pdata[i];
+			struct itemjob_done d = {number_of_key(row->key),
+			    (int32_t)strtol(row->value, NULL, 10)};
+
+			g_array_append_val(*done, d);
+		}
+		g_ptr_array_unref(rows);
+	}
+	g_free(prefix);
+	return res;
+}
+
+struct commit_item {
+	const char *id;
+	int32_t index;
+};
+
+static bool
+item_is_listed(const struct store *st, void *ctx)
+{
+	const struct commit_item *ci = ctx;
+	char *key = key_of_number("item", ci->id, ci->index);
+	struct store_row row = {0};
+	bool listed = st->ops->get(st->ctx, kCauseBatch, key, &row) == kStoreOk;
+
+	store_row_clear(&row);
+	g_free(key);
+	return listed;
+}
+
+/* Bytes that fit in one row and end with a whole UTF-8 character. */
+static size_t
+part_len(const char *text, size_t len)
+{
+	size_t n = MIN(len, kItemjobTextRowBytes);
+
+	while (n < len && n > 1 && ((unsigned char)text[n] & 0xc0) == 0x80)
+		n--;
+	return n;
+}
+
+/* @return the number of rows, 0 if the text fits beside the result */
+static int
+write_parts(
+    struct store_txn *txn, const char *id, const struct itemjob_result *result)
+{
+	size_t len = strlen(result->text);
+	int parts = 0;
+
+	if (len <= kItemjobTextRowBytes)
+		return 0;
+	for (size_t at = 0; at < len;) {
+		size_t n = part_len(result->text + at, len - at);
+		char *key = g_strdup_printf(
+		    "text/%s/%06d-%02d", id, result->position, parts++);
+		char *part = g_strndup(result->text + at, n);
+
+		at += n;
+
+		store_txn_write(txn, key, part);
+		g_free(part);
+		g_free(key);
+	}
+	return parts;
+}
+
+static char *
+result_to_text(const struct itemjob_result *result, int parts)
+{
+	json_t *doc = json_pack("{s:s,s:b}", "item", result->item_id,
+	    "completed", (int)result->is_completed);
+	char *text;
+
+	if (parts > 0)
+		json_object_set_new(doc, "parts", json_integer(parts));
+	else
+		json_object_set_new(doc, "text", json_string(result->text));
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	return text;
+}
+
+enum store_result
+itemjob_commit(const struct store *st, const char *id, int32_t index,
+    const struct itemjob_result *result)
+{
+	struct commit_item ci = {id, index};
+	struct store_txn *txn = store_txn_new();
+	char *result_key = key_of_number("result", id, result->position);
+	char *item_key = key_of_number("item", id, index);
+	char *position = g_strdup_printf("%d", result->position);
+	char *text = result_to_text(result, write_parts(txn, id, result));
+	enum store_result res;
+
+	store_txn_absent(txn, result_key);
+	store_txn_absent(txn, item_key);
+	store_txn_write(txn, result_key, text);
+	store_txn_write(txn, item_key, position);
+	res = store_commit(st, kCauseBatch, txn, item_is_listed, &ci);
+	free(text);
+	g_free(position);
+	g_free(item_key);
+	g_free(result_key);
+	store_txn_free(txn);
+	return res;
+}
+
+static struct itemjob_open *
+open_of_row(const struct store_row *row)
+{
+	struct itemjob_open *open = g_new0(struct itemjob_open, 1);
+	json_t *doc = json_loads(row->value, 0, NULL);
+
+	open->id = g_strdup(strrchr(row->key, '/') + 1);
+	open->owner =
+	    g_strdup(json_string_value(json_object_get(doc, "owner")));
+	open->is_ended = json_is_true(json_object_get(doc, "ended"));
+	open->version = row->version;
+	json_decref(doc);
+	return open;
+}
+
+enum store_result
+itemjob_read_open(const struct store *st, GPtrArray **list)
+{
+	char *after = NULL;
+	GPtrArray *rows = NULL;
+	enum store_result res;
+
+	*list = g_ptr_array_new_with_free_func(itemjob_open_free);
+	do {
+		g_clear_pointer(&rows, g_ptr_array_unref);
+		res = st->ops->scan(st->ctx, kCauseBatch, "open/-/", after,
+		    kRowsPerScan, &rows);
+		for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
+			g_ptr_array_add(*list, open_of_row(rows->pdata[i]));
+			g_free(after);
+			after =
+			    g_strdup(((struct store_row *)rows->pdata[i])->key);
+		}
+	} while (res == kStoreOk && rows->len == kRowsPerScan);
+	if (rows != NULL)
+		g_ptr_array_unref(rows);
+	if (res != kStoreOk)
+		g_clear_pointer(list, g_ptr_array_unref);
+	g_free(after);
+	return res;
+}
+
+static enum store_result
+write_open(const struct store *st, const struct itemjob_open *open,
+    const char *owner, bool is_ended)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = key_of("open", "-", open->id);
+	char *text = open_to_text(owner, is_ended);
+	enum store_result res;
+
+	store_txn_version(txn, key, open->version);
+	store_txn_write(txn, key, text);
+	res = st->ops->txn(st->ctx, kCauseBatch, txn);
+	free(text);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+itemjob_claim(
+    const struct store *st, const struct itemjob_open *open, const char *owner)
+{
+	return write_open(st, open, owner, open->is_ended);
+}
+
+static enum store_result
+read_open_one(
+    const struct store *st, const char *id, struct itemjob_open **open)
+{
+	char *key = key_of("open", "-", id);
+	struct store_row row = {0};
+	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
+
+	if (res == kStoreOk)
+		*open = open_of_row(&row);
+	store_row_clear(&row);
+	g_free(key);
+	return res;
+}
+
+enum store_result
+itemjob_end(const struct store *st, const char *id)
+{
+	enum store_result res = kStoreAmbiguous;
+
+	/* Another daemon may take the job over in between; an answer that was
+	 * lost shows in the next look. */
+	for (int i = 0; i < kClaimTries; i++) {
+		struct itemjob_open *open = NULL;
+		struct itemjob *job = NULL;
+
+		res = read_open_one(st, id, &open);
+		if (res == kStoreNotFound) {
+			res = itemjob_get(st, id, &job);
+			itemjob_free(job);
+			return res;
+		}
+		if (res == kStoreOk && !open->is_ended)
+			res = write_open(st, open, open->owner, true);
+		itemjob_open_free(open);
+		if (res == kStoreOk || res == kStoreUnavailable)
+			return res;
+	}
+	return kStoreAmbiguous;
+}
+
+enum store_result
+itemjob_close(const struct store *st, const char *id)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = key_of("open", "-", id);
+	enum store_result res;
+
+	store_txn_write(txn, key, NULL);
+	res = st->ops->txn(st->ctx, kCauseBatch, txn);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
