--- /dev/null
+++ b/src/savoryflow/job/itemjob_store.h
@@ -0,0 +1,78 @@
+#ifndef SAVORYFLOW_ITEMJOB_STORE_H
+#define SAVORYFLOW_ITEMJOB_STORE_H
+
+#include "savoryflow/job/itemjob_defs.h"
+#include "store/store.h"
+
+/*
+ * Batch jobs whose results have stable positions, in the table service and
+ * the object store.
+ *
+ * Rows: job/-/ID; open/-/ID until the job is finished, with the session that
+ * runs it; result/ID/POSITION, and text/ID/POSITION-PART for a long text;
+ * item/ID/INDEX with the position of the item's result.
+ * Object: input/ID/TOKEN, never changed.
+ *
+ * A commit holds only if neither its position nor its item has a result, so
+ * that two daemons that run the same job cannot list an item twice or put two
+ * results at one position. Functions block; they return kStoreAmbiguous only
+ * if the store stayed silent.
+ */
+
+struct itemjob *itemjob_new(const char *id);
+void itemjob_free(struct itemjob *job);
+struct itemjob_item *itemjob_item_new(const char *id, const char *path);
+void itemjob_item_add_header(
+    struct itemjob_item *item, const char *name, const char *value);
+/** New array of struct itemjob_item *, which frees them. */
+GPtrArray *itemjob_items_new(void);
+GPtrArray *itemjob_results_new(void);
+void itemjob_open_free(void *open);
+
+/**
+ * Accepts a job; a job with the id of a known one is that one.
+ * @param token unique token of this submission
+ * @param owner session that is to run it
+ * @param is_new set to whether this submission made the job
+ */
+enum store_result itemjob_submit(const struct store *st, struct itemjob *job,
+    const GPtrArray *items, const char *token, const char *owner, bool *is_new);
+
+/** Reads a job. @param job set on kStoreOk; free it */
+enum store_result itemjob_get(
+    const struct store *st, const char *id, struct itemjob **job);
+
+enum store_result itemjob_load_items(
+    const struct store *st, const struct itemjob *job, GPtrArray **items);
+
+/** Results from a position on, kItemjobResultsMax at most. */
+enum store_result itemjob_read_results(
+    const struct store *st, const char *id, int32_t from, GPtrArray **results);
+
+/** Items that have a result: array of struct itemjob_done. */
+enum store_result itemjob_read_done(
+    const struct store *st, const char *id, GArray **done);
+
+/**
+ * Lists a result at its position.
+ * @return kStoreOk also if the item had a result already; kStoreConflict if
+ *         the position is another item's
+ */
+enum store_result itemjob_commit(const struct store *st, const char *id,
+    int32_t index, const struct itemjob_result *result);
+
+/** All jobs that are not finished: array of struct itemjob_open *. */
+enum store_result itemjob_read_open(const struct store *st, GPtrArray **list);
+
+/** Takes over a job from a session that is gone. */
+enum store_result itemjob_claim(
+    const struct store *st, const struct itemjob_open *open, const char *owner);
+
+/** Ends a job early; kStoreOk also if it is finished, kStoreNotFound if it is
+ * not known. */
+enum store_result itemjob_end(const struct store *st, const char *id);
+
+/** The job is finished: nobody has to run it any more. */
+enum store_result itemjob_close(const struct store *st, const char *id);
+
+#endif
--- /dev/null
+++ b/src/savoryflow/routebook/routebook.c
@@ -0,0 +1,168 @@
+/* Routing rules by host and path prefix. */
+#include "savoryflow/routebook/routebook.h"
+
+#include <string.h>
+
+static void
+share_clear(void *p)
+{
+	struct routebook_share *share = p;
+
+	g_free(share->service);
+}
+
+static void
+route_free(void *p)
+{
+	struct routebook_route *route = p;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_array_unref(route->shares);
+	g_free(route);
+}
+
+static void
+service_free(void *p)
+{
+	struct routebook_service *svc = p;
+
+	g_free(svc->name);
+	g_free(svc->health_path);
+	g_free(svc);
+}
+
+struct routebook *
+routebook_new(int64_t version)
+{
+	struct routebook *book = g_new0(struct routebook, 1);
+
+	book->refs = 1;
+	book->version = version;
+	book->routes = g_ptr_array_new_with_free_func(route_free);
+	book->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	return book;
+}
+
+struct routebook *
+routebook_ref(struct routebook *book)
+{
+	if (book != NULL)
+		g_atomic_int_inc(&book->refs);
+	return book;
+}
+
+void
+routebook_unref(struct routebook *book)
+{
+	if (book == NULL || !g_atomic_int_dec_and_test(&book->refs))
+		return;
+	g_ptr_array_unref(book->routes);
+	g_hash_table_unref(book->services);
+	g_free(book);
+}
+
+struct routebook_route *
+routebook_add_route(struct routebook *book)
+{
+	struct routebook_route *route = g_new0(struct routebook_route, 1);
+
+	route->shares =
+	    g_array_new(FALSE, TRUE, sizeof(struct routebook_share));
+	g_array_set_clear_func(route->shares, share_clear);
+	g_ptr_array_add(book->routes, route);
+	return route;
+}
+
+void
+routebook_add_share(
+    struct routebook_route *route, const char *service, int32_t weight)
+{
+	struct routebook_share share = {g_strdup(service), weight};
+
+	g_array_append_val(route->shares, share);
+}
+
+struct routebook_service *
+routebook_add_service(struct routebook *book, const char *name)
+{
+	struct routebook_service *svc = g_new0(struct routebook_service, 1);
+
+	svc->name = g_strdup(name);
+	g_hash_table_replace(book->services, svc->name, svc);
+	return svc;
+}
+
+const struct routebook_route *
+routebook_find(const struct routebook *book, const char *host, const char *path)
+{
+	const struct routebook_route *best = NULL;
+	size_t best_len = 0;
+
+	for (guint i = 0; i < book->routes->len; i++) {
+		const struct routebook_route *route = book->routes->pdata[i];
+		size_t len = strlen(route->prefix);
+
+		if (len <= best_len || strcmp(route->host, host) != 0 ||
+		    strncmp(path, route->prefix, len) != 0)
+			continue;
+		best = route;
+		best_len = len;
+	}
+	return best;
+}
+
+const char *
+routebook_service_of(const struct routebook_route *route, uint64_t random)
+{
+	uint64_t sum = 0;
+	uint64_t at;
+
+	for (guint i = 0; i < route->shares->len; i++)
+		sum += (uint64_t)g_array_index(
+		    route->shares, struct routebook_share, i)
+			   .weight;
+	if (sum == 0)
+		return g_array_index(route->shares, struct routebook_share, 0)
+		    .service;
+	at = random % sum;
+	for (guint i = 0; i < route->shares->len; i++) {
+		const struct routebook_share *share =
+		    &g_array_index(route->shares, struct routebook_share, i);
+
+		if (at < (uint64_t)share->weight)
+			return share->service;
+		at -= (uint64_t)share->weight;
+	}
+	return NULL;
+}
+
+bool
+routebook_route_allows(const struct routebook_route *route, const char *service)
+{
+	for (guint i = 0; i < route->shares->len; i++) {
+		const struct routebook_share *share =
+		    &g_array_index(route->shares, struct routebook_share, i);
+
+		if (share->weight > 0 && strcmp(share->service, service) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool
+routebook_may_repeat(const struct routebook_route *route)
+{
+	switch (route->kind) {
+	case kRoutebookIdempotent:
+	case kRoutebookBatch:
+		return true;
+	case kRoutebookStream:
+		return route->is_resumable;
+	case kRoutebookOnce:
+		break;
+	}
+	return false;
+}
--- /dev/null
+++ b/src/savoryflow/routebook/routebook.h
@@ -0,0 +1,37 @@
+#ifndef SAVORYFLOW_ROUTEBOOK_H
+#define SAVORYFLOW_ROUTEBOOK_H
+
+#include "savoryflow/routebook/routebook_defs.h"
+
+/** New empty version with one reference; filled before it is shared. */
+struct routebook *routebook_new(int64_t version);
+struct routebook *routebook_ref(struct routebook *book);
+void routebook_unref(struct routebook *book);
+
+/** Adds an empty route, to be filled by the caller. */
+struct routebook_route *routebook_add_route(struct routebook *book);
+void routebook_add_share(
+    struct routebook_route *route, const char *service, int32_t weight);
+struct routebook_service *routebook_add_service(
+    struct routebook *book, const char *name);
+
+/**
+ * Route of a request: of the host's routes the one with the longest prefix
+ * that begins the path.
+ * @return NULL if none matches
+ */
+const struct routebook_route *routebook_find(
+    const struct routebook *book, const char *host, const char *path);
+
+/** Service that takes a request of the route, by weight. */
+const char *routebook_service_of(
+    const struct routebook_route *route, uint64_t random);
+
+/** True if the route may send requests to the service. */
+bool routebook_route_allows(
+    const struct routebook_route *route, const char *service);
+
+/** True if a request of the route may be sent to a second target. */
+bool routebook_may_repeat(const struct routebook_route *route);
+
+#endif
--- /dev/null
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -0,0 +1,622 @@
+/* Which request gets a slot of a pool, and on which target. */
+#include "savoryflow/slotpool/slotpool.h"
+
+#include <string.h>
+
+#include "os/clock.h"
+#include "savoryflow/arbiter/u64_hash.h"
+#include "savoryflow/slotpool/target_health.h"
+
+enum {
+	/* Mean use of a slot until it is measured. */
+	kHoldDefaultUs = 500 * kUsPerMs,
+	/* Weight of one use in the mean: 1 in 16. */
+	kHoldShift = 4,
+	/* Slots that batch leaves free, one for each so many: arrivals during
+	 * the few ms that a revoked run takes to leave find one. */
+	kSlotsPerReserved = 24,
+	/* A holder that lives renews its slots more often than this. */
+	kLeaseUs = 4 * kUsPerS,
+	/* A holder that lives ends a revoked run within some ms. */
+	kRevokedLeaseUs = kUsPerS,
+	kRetryAfterLeastUs = 100 * kUsPerMs,
+	kRetryAfterMostUs = 2 * kUsPerS,
+	/* Prefixes that a target is thought to keep. */
+	kPrefixesMax = 512,
+	kNoTargetRetryUs = 500 * kUsPerMs,
+};
+
+struct slot_target {
+	struct fleet_target info;
+	struct target_health health;
+	int32_t online;
+	int32_t batch;
+	int32_t revoked;
+	/** Set of the prefixes that it has read. */
+	GHashTable *prefixes;
+	/** Seen in the list that is being taken. */
+	bool is_listed;
+};
+
+struct slot {
+	struct slotpool_ask ask;
+	char target[kFleetNameMax];
+	int64_t since_us;
+	bool is_revoked;
+	int64_t expires_us;
+};
+
+struct slotpool {
+	/** struct slot_target by id. */
+	GHashTable *targets;
+	/** struct slot by id. */
+	GHashTable *slots;
+	/** struct slotpool_ask by until_us. */
+	GSequence *online;
+	GSequence *batch;
+	/** Places in the two queues, by id. */
+	GHashTable *queued;
+	int64_t hold_us;
+};
+
+static void
+target_free(void *p)
+{
+	struct slot_target *t = p;
+
+	g_hash_table_unref(t->prefixes);
+	g_free(t);
+}
+
+struct slotpool *
+slotpool_new(void)
+{
+	struct slotpool *sp = g_new0(struct slotpool, 1);
+
+	sp->targets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
+	sp->slots = u64_hash_new(g_free);
+	sp->online = g_sequence_new(g_free);
+	sp->batch = g_sequence_new(g_free);
+	sp->queued = u64_hash_new(NULL);
+	sp->hold_us = kHoldDefaultUs;
+	return sp;
+}
+
+void
+slotpool_free(struct slotpool *sp)
+{
+	g_hash_table_unref(sp->queued);
+	g_sequence_free(sp->online);
+	g_sequence_free(sp->batch);
+	g_hash_table_unref(sp->slots);
+	g_hash_table_unref(sp->targets);
+	g_free(sp);
+}
+
+GArray *
+slotpool_actions_new(void)
+{
+	return g_array_new(FALSE, TRUE, sizeof(struct slotpool_action));
+}
+
+static void
+emit(GArray *out, enum slotpool_verdict verdict, const struct slotpool_ask *ask,
+    const char *target, int64_t retry_after_us)
+{
+	struct slotpool_action act = {
+	    .verdict = verdict,
+	    .holder = ask->holder,
+	    .id = ask->id,
+	    .retry_after_us = retry_after_us,
+	};
+
+	g_strlcpy(act.target, target != NULL ? target : "", sizeof(act.target));
+	g_array_append_val(out, act);
+}
+
+static int32_t
+used(const struct slot_target *t)
+{
+	return t->online + t->batch + t->revoked;
+}
+
+static bool
+takes_work(const struct slot_target *t, int64_t now_us)
+{
+	return !t->info.is_draining && t->info.gone_at_us == 0 &&
+	    target_health_takes(&t->health, now_us);
+}
+
+struct slotpool_load
+slotpool_load_get(const struct slotpool *sp, int64_t now_us)
+{
+	struct slotpool_load load = {
+	    .online_queued = g_sequence_get_length(sp->online),
+	    .batch_queued = g_sequence_get_length(sp->batch),
+	    .hold_us = sp->hold_us,
+	};
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sp->targets);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct slot_target *t = val;
+
+		if (!takes_work(t, now_us))
+			continue;
+		load.slots += t->info.slots;
+		load.online += t->online;
+		load.batch += t->batch + t->revoked;
+	}
+	return load;
+}
+
+int64_t
+slotpool_wait_us(const struct slotpool_load *load)
+{
+	if (load->slots == 0)
+		return kNoTargetRetryUs;
+	if (load->online < load->slots && load->online_queued == 0)
+		return 0;
+	return (load->online_queued + 1) * load->hold_us / load->slots;
+}
+
+static void
+slot_count(struct slot_target *t, const struct slot *sl, int32_t sign)
+{
+	if (!sl->ask.is_batch)
+		t->online += sign;
+	else if (sl->is_revoked)
+		t->revoked += sign;
+	else
+		t->batch += sign;
+}
+
+static void
+prefix_note(struct slot_target *t, uint64_t prefix)
+{
+	uint64_t *key;
+
+	if (prefix == 0 || g_hash_table_contains(t->prefixes, &prefix))
+		return;
+	if (g_hash_table_size(t->prefixes) >= kPrefixesMax)
+		g_hash_table_remove_all(t->prefixes);
+	key = g_new(uint64_t, 1);
+	*key = prefix;
+	g_hash_table_add(t->prefixes, key);
+}
+
+static void
+slot_add(struct slotpool *sp, struct slot_target *t,
+    const struct slotpool_ask *ask, int64_t now_us)
+{
+	struct slot *sl = g_new0(struct slot, 1);
+
+	sl->ask = *ask;
+	sl->since_us = now_us;
+	sl->expires_us = now_us + kLeaseUs;
+	g_strlcpy(sl->target, t->info.id, sizeof(sl->target));
+	g_hash_table_insert(sp->slots, &sl->ask.id, sl);
+	slot_count(t, sl, 1);
+	prefix_note(t, ask->prefix);
+	target_health_note_start(&t->health);
+}
+
+static void
+slot_remove(struct slotpool *sp, struct slot *sl)
+{
+	struct slot_target *t = g_hash_table_lookup(sp->targets, sl->target);
+
+	if (t != NULL)
+		slot_count(t, sl, -1);
+	g_hash_table_remove(sp->slots, &sl->ask.id);
+}
+
+static void
+grant(struct slotpool *sp, struct slot_target *t,
+    const struct slotpool_ask *ask, int64_t now_us, GArray *out)
+{
+	slot_add(sp, t, ask, now_us);
+	emit(out, kSlotGranted, ask, t->info.id, 0);
+}
+
+/*
+ * Of two targets with room: the less used one, by share of its slots; a kept
+ * prefix makes up for one slot.
+ */
+static int64_t
+cost_of(const struct slot_target *t, const struct slotpool_ask *ask)
+{
+	int64_t scaled = 1000 * (int64_t)used(t) / MAX(t->info.slots, 1);
+
+	if (ask->prefix != 0 &&
+	    g_hash_table_contains(t->prefixes, &ask->prefix))
+		scaled -= 1000 / MAX(t->info.slots, 1);
+	return scaled + target_health_penalty(&t->health);
+}
+
+typedef bool (*target_fits_fn)(const struct slot_target *t);
+
+static bool
+has_free_slot(const struct slot_target *t)
+{
+	return used(t) < t->info.slots;
+}
+
+/* Revoked runs leave within a few ms; more than one in place of each is late.
+ */
+static bool
+has_batch_to_revoke(const struct slot_target *t)
+{
+	return t->batch > 0;
+}
+
+static struct slot_target *
+choose(struct slotpool *sp, const struct slotpool_ask *ask, target_fits_fn fits,
+    int64_t now_us)
+{
+	struct slot_target *best = NULL;
+	int64_t best_cost = 0;
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sp->targets);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct slot_target *t = val;
+		int64_t cost;
+
+		if (!takes_work(t, now_us) || !fits(t) ||
+		    strcmp(t->info.id, ask->but) == 0)
+			continue;
+		cost = cost_of(t, ask);
+		if (best == NULL || cost < best_cost) {
+			best = t;
+			best_cost = cost;
+		}
+	}
+	return best;
+}
+
+/* Takes back the batch slot of a target that is due last. */
+static void
+revoke_one(
+    struct slotpool *sp, struct slot_target *t, int64_t now_us, GArray *out)
+{
+	struct slot *last = NULL;
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sp->slots);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct slot *sl = val;
+
+		if (!sl->ask.is_batch || sl->is_revoked ||
+		    strcmp(sl->target, t->info.id) != 0)
+			continue;
+		if (last == NULL || sl->ask.until_us > last->ask.until_us)
+			last = sl;
+	}
+	if (last == NULL)
+		return;
+	slot_count(t, last, -1);
+	last->is_revoked = true;
+	last->expires_us = now_us + kRevokedLeaseUs;
+	slot_count(t, last, 1);
+	emit(out, kSlotRevoked, &last->ask, last->target, 0);
+}
+
+static bool
+start_online(struct slotpool *sp, const struct slotpool_ask *ask,
+    int64_t now_us, GArray *out)
+{
+	struct slot_target *t = choose(sp, ask, has_free_slot, now_us);
+
+	if (t == NULL) {
+		t = choose(sp, ask, has_batch_to_revoke, now_us);
+		if (t == NULL)
+			return false;
+		revoke_one(sp, t, now_us, out);
+	}
+	grant(sp, t, ask, now_us, out);
+	return true;
+}
+
+static void
+withdraw(struct slotpool *sp, uint64_t id)
+{
+	GSequenceIter *place = g_hash_table_lookup(sp->queued, &id);
+
+	if (place == NULL)
+		return;
+	g_hash_table_remove(sp->queued, &id);
+	g_sequence_remove(place);
+}
+
+static int
+compare_until(const void *a, const void *b, void *ctx)
+{
+	const struct slotpool_ask *x = a;
+	const struct slotpool_ask *y = b;
+
+	if (x->until_us != y->until_us)
+		return x->until_us < y->until_us ? -1 : 1;
+	return (x->id > y->id) - (x->id < y->id);
+}
+
+static void
+enqueue(struct slotpool *sp, GSequence *queue, const struct slotpool_ask *ask)
+{
+	struct slotpool_ask *copy = g_new(struct slotpool_ask, 1);
+
+	*copy = *ask;
+	g_hash_table_insert(sp->queued, &copy->id,
+	    g_sequence_insert_sorted(queue, copy, compare_until, NULL));
+}
+
+static bool
+first_of(GSequence *queue, struct slotpool_ask *ask)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(queue);
+
+	if (g_sequence_iter_is_end(first))
+		return false;
+	*ask = *(struct slotpool_ask *)g_sequence_get(first);
+	return true;
+}
+
+static void
+start_queued_online(struct slotpool *sp, int64_t now_us, GArray *out)
+{
+	struct slotpool_ask ask;
+
+	while (first_of(sp->online, &ask)) {
+		if (!start_online(sp, &ask, now_us, out))
+			return;
+		withdraw(sp, ask.id);
+	}
+}
+
+static void
+start_queued_batch(struct slotpool *sp, int64_t now_us, GArray *out)
+{
+	struct slotpool_load load = slotpool_load_get(sp, now_us);
+	int32_t reserve = load.slots / kSlotsPerReserved;
+	struct slotpool_ask ask;
+
+	while (load.online_queued == 0 && first_of(sp->batch, &ask) &&
+	    load.online + load.batch + reserve < load.slots) {
+		struct slot_target *t = choose(sp, &ask, has_free_slot, now_us);
+
+		if (t == NULL)
+			return;
+		grant(sp, t, &ask, now_us, out);
+		withdraw(sp, ask.id);
+		load.batch++;
+	}
+}
+
+static void
+schedule(struct slotpool *sp, int64_t now_us, GArray *out)
+{
+	start_queued_online(sp, now_us, out);
+	start_queued_batch(sp, now_us, out);
+}
+
+static void
+refuse(struct slotpool *sp, const struct slotpool_ask *ask, int64_t now_us,
+    GArray *out)
+{
+	struct slotpool_load load = slotpool_load_get(sp, now_us);
+
+	emit(out, kSlotRefused, ask, NULL,
+	    CLAMP(slotpool_wait_us(&load), kRetryAfterLeastUs,
+		kRetryAfterMostUs));
+}
+
+static void
+request_online(struct slotpool *sp, const struct slotpool_ask *ask,
+    int64_t now_us, GArray *out)
+{
+	struct slotpool_load load;
+
+	if (g_sequence_get_length(sp->online) == 0 &&
+	    start_online(sp, ask, now_us, out))
+		return;
+	load = slotpool_load_get(sp, now_us);
+	if (load.slots == 0 || now_us + slotpool_wait_us(&load) > ask->until_us)
+		refuse(sp, ask, now_us, out);
+	else
+		enqueue(sp, sp->online, ask);
+}
+
+void
+slotpool_request(struct slotpool *sp, const struct slotpool_ask *ask,
+    int64_t now_us, GArray *out)
+{
+	const struct slot *sl = g_hash_table_lookup(sp->slots, &ask->id);
+
+	/* Asked again: the answer may have been lost. */
+	if (sl != NULL) {
+		emit(out, kSlotGranted, ask, sl->target, 0);
+		return;
+	}
+	if (g_hash_table_contains(sp->queued, &ask->id))
+		return;
+	if (!ask->is_batch) {
+		request_online(sp, ask, now_us, out);
+		return;
+	}
+	enqueue(sp, sp->batch, ask);
+	start_queued_batch(sp, now_us, out);
+}
+
+void
+slotpool_adopt(struct slotpool *sp, const struct slotpool_ask *ask,
+    const char *target, int64_t now_us)
+{
+	struct slot_target *t = g_hash_table_lookup(sp->targets, target);
+	struct slot *sl = g_hash_table_lookup(sp->slots, &ask->id);
+
+	withdraw(sp, ask->id);
+	if (sl != NULL && strcmp(sl->target, target) != 0) {
+		slot_remove(sp, sl);
+		sl = NULL;
+	}
+	if (sl == NULL && t != NULL)
+		slot_add(sp, t, ask, now_us);
+	else if (sl != NULL && !sl->is_revoked)
+		sl->expires_us = now_us + kLeaseUs;
+}
+
+static void
+note_hold(struct slotpool *sp, const struct slot *sl, int64_t now_us)
+{
+	sp->hold_us += (now_us - sl->since_us - sp->hold_us) >> kHoldShift;
+}
+
+void
+slotpool_release(struct slotpool *sp, uint64_t id, enum slot_outcome outcome,
+    int64_t now_us, GArray *out)
+{
+	struct slot *sl = g_hash_table_lookup(sp->slots, &id);
+	struct slot_target *t;
+
+	if (sl == NULL) {
+		withdraw(sp, id);
+		return;
+	}
+	if (outcome == kSlotServed && !sl->ask.is_batch)
+		note_hold(sp, sl, now_us);
+	t = g_hash_table_lookup(sp->targets, sl->target);
+	if (t != NULL)
+		target_health_note_end(&t->health, outcome, now_us);
+	slot_remove(sp, sl);
+	schedule(sp, now_us, out);
+}
+
+typedef bool (*slot_test_fn)(const struct slot *sl, const void *arg);
+
+static void
+remove_slots_if(struct slotpool *sp, slot_test_fn gone, const void *arg)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sp->slots);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (gone(val, arg))
+			g_ptr_array_add(list, val);
+	for (guint i = 0; i < list->len; i++)
+		slot_remove(sp, list->pdata[i]);
+	g_ptr_array_unref(list);
+}
+
+static void
+drop_queued_of(struct slotpool *sp, GSequence *queue, uint32_t holder)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(queue);
+
+	while (!g_sequence_iter_is_end(it)) {
+		const struct slotpool_ask *ask = g_sequence_get(it);
+
+		it = g_sequence_iter_next(it);
+		if (ask->holder == holder)
+			withdraw(sp, ask->id);
+	}
+}
+
+static bool
+is_held_by(const struct slot *sl, const void *holder)
+{
+	return sl->ask.holder == *(const uint32_t *)holder;
+}
+
+void
+slotpool_forget_holder(
+    struct slotpool *sp, uint32_t holder, int64_t now_us, GArray *out)
+{
+	remove_slots_if(sp, is_held_by, &holder);
+	drop_queued_of(sp, sp->online, holder);
+	drop_queued_of(sp, sp->batch, holder);
+	schedule(sp, now_us, out);
+}
+
+static bool
+is_expired(const struct slot *sl, const void *now_us)
+{
+	return sl->expires_us <= *(const int64_t *)now_us;
+}
+
+static void
+refuse_late_online(struct slotpool *sp, int64_t now_us, GArray *out)
+{
+	struct slotpool_ask ask;
+
+	while (first_of(sp->online, &ask) && ask.until_us <= now_us) {
+		withdraw(sp, ask.id);
+		refuse(sp, &ask, now_us, out);
+	}
+}
+
+void
+slotpool_tick(struct slotpool *sp, int64_t now_us, GArray *out)
+{
+	remove_slots_if(sp, is_expired, &now_us);
+	refuse_late_online(sp, now_us, out);
+	schedule(sp, now_us, out);
+}
+
+static void
+take_target(struct slotpool *sp, const struct fleet_target *info)
+{
+	struct slot_target *t = g_hash_table_lookup(sp->targets, info->id);
+
+	if (t == NULL) {
+		t = g_new0(struct slot_target, 1);
+		t->prefixes = u64_hash_new(g_free);
+		t->info = *info;
+		g_hash_table_insert(sp->targets, t->info.id, t);
+	}
+	/* A restart under the same id: nothing of before holds. */
+	if (t->info.born_ms != info->born_ms) {
+		target_health_reset(&t->health);
+		g_hash_table_remove_all(t->prefixes);
+	}
+	t->info = *info;
+	t->is_listed = true;
+}
+
+static bool
+is_on_lost_target(const struct slot *sl, const void *arg)
+{
+	const struct slotpool *sp = arg;
+	const struct slot_target *t =
+	    g_hash_table_lookup(sp->targets, sl->target);
+
+	return t == NULL || !t->is_listed;
+}
+
+static gboolean
+is_unlisted(void *key, void *val, void *ctx)
+{
+	return !((struct slot_target *)val)->is_listed;
+}
+
+void
+slotpool_set_targets(
+    struct slotpool *sp, const GPtrArray *targets, int64_t now_us, GArray *out)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sp->targets);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		((struct slot_target *)val)->is_listed = false;
+	for (guint i = 0; i < targets->len; i++)
+		take_target(sp, targets->pdata[i]);
+	remove_slots_if(sp, is_on_lost_target, sp);
+	g_hash_table_foreach_remove(sp->targets, is_unlisted, NULL);
+	schedule(sp, now_us, out);
+}
--- /dev/null
+++ b/src/savoryflow/slotpool/target_health.c
@@ -0,0 +1,88 @@
+/* Ejection of targets that fail, and their way back. */
+#include "savoryflow/slotpool/target_health.h"
+
+#include <string.h>
+
+#include "os/clock.h"
+
+enum {
+	/* Faults after which a target is ejected. A broken answer counts one:
+	 * a healthy target may break one now and then. */
+	kFaultsToEject = 2,
+	/* First ejection, doubled with each that follows at once. */
+	kEjectLeastUs = 400 * kUsPerMs,
+	/* A crashed target is back after some seconds. */
+	kEjectMostUs = 2 * kUsPerS,
+	kEjectDoublingsMax = 3,
+	/* A full target has room again when its next request ends. */
+	kFullUs = 60 * kUsPerMs,
+	kPenaltyPerFault = 250,
+};
+
+void
+target_health_reset(struct target_health *h)
+{
+	memset(h, 0, sizeof(*h));
+}
+
+bool
+target_health_takes(const struct target_health *h, int64_t now_us)
+{
+	if (h->ejected_until_us > now_us || h->full_until_us > now_us)
+		return false;
+	return h->ejections == 0 || !h->is_probing;
+}
+
+int64_t
+target_health_penalty(const struct target_health *h)
+{
+	return (int64_t)kPenaltyPerFault * MIN(h->faults, kFaultsToEject);
+}
+
+void
+target_health_note_start(struct target_health *h)
+{
+	if (h->ejections > 0)
+		h->is_probing = true;
+}
+
+static void
+eject(struct target_health *h, int64_t now_us)
+{
+	int64_t span_us = (int64_t)kEjectLeastUs
+	    << MIN(h->ejections, kEjectDoublingsMax);
+
+	/* Requests that were on their way when it was ejected say no more. */
+	if (h->ejected_until_us > now_us)
+		return;
+	h->ejections++;
+	h->is_probing = false;
+	h->ejected_until_us = now_us + MIN(span_us, kEjectMostUs);
+}
+
+void
+target_health_note_end(
+    struct target_health *h, enum slot_outcome outcome, int64_t now_us)
+{
+	switch (outcome) {
+	case kSlotServed:
+		target_health_reset(h);
+		return;
+	case kSlotNeutral:
+		h->is_probing = false;
+		return;
+	case kSlotFull:
+		h->is_probing = false;
+		h->full_until_us = now_us + kFullUs;
+		return;
+	case kSlotBroken:
+		h->faults++;
+		break;
+	case kSlotUnreachable:
+	case kSlotSilent:
+		h->faults += kFaultsToEject;
+		break;
+	}
+	if (h->faults >= kFaultsToEject)
+		eject(h, now_us);
+}
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -53,8 +53,8 @@
 		log_event(is_up ? kEvtStoreUp : kEvtStoreDown, NULL);
 }
 
-static void
-on_message(void *ctx, const Sfpeer__Envelope *env)
+static bool
+on_message(void *ctx, Sfpeer__Envelope *env)
 {
 	struct daemon *d = ctx;
 
@@ -79,6 +79,7 @@
 		batch_runner_cancel(d->batch, env->cancelled_jobs[i]);
 	if (env->config != NULL)
 		keeper_on_hint(d->keeper, env->from, env->config);
+	return false;
 }
 
 static void
@@ -119,7 +120,12 @@
 static bool
 start_parts(struct daemon *d, GError **err)
 {
-	struct peer_options opt = {d->set->peer_listen, kTickMs, &peer_ops, d};
+	struct peer_options opt = {
+	    .address = d->set->peer_listen,
+	    .tick_ms = kTickMs,
+	    .ops = &peer_ops,
+	    .ctx = d,
+	};
 
 	d->peer = peer_new(&opt, err);
 	if (d->peer == NULL)
--- a/src/serve/timers.c
+++ b/src/serve/timers.c
@@ -90,6 +90,20 @@
 	return place != NULL;
 }
 
+int64_t
+timers_next_us(struct timers *tm)
+{
+	GSequenceIter *first;
+	int64_t at_us = -1;
+
+	pthread_mutex_lock(&tm->lock);
+	first = g_sequence_get_begin_iter(tm->order);
+	if (!g_sequence_iter_is_end(first))
+		at_us = ((struct timer *)g_sequence_get(first))->at_us;
+	pthread_mutex_unlock(&tm->lock);
+	return at_us;
+}
+
 static bool
 take_due(struct timers *tm, int64_t now_us, struct timer *due)
 {
--- a/src/serve/timers.h
+++ b/src/serve/timers.h
@@ -20,6 +20,9 @@
 /** Drops a timer. @return false if it has run or is running */
 bool timers_cancel(struct timers *tm, uint64_t number);
 
+/** Time of the first timer; -1 if there is none. */
+int64_t timers_next_us(struct timers *tm);
+
 /** Runs what is due. */
 void timers_run(struct timers *tm, int64_t now_us);
 
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -4,11 +4,14 @@
 #include <argtable2.h>
 #include <arpa/inet.h>
 #include <inttypes.h>
+#include <jansson.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include "error/error.h"
+#include "log/log.h"
 
 enum setting_kind { kSettingText, kSettingNumber };
 
@@ -53,6 +56,20 @@
 	return name;
 }
 
+/* A duration in ms may be given in seconds: "8s", "0.5s". */
+static bool
+read_seconds(const struct setting_row *row, const char *value, int64_t *ms)
+{
+	char *end = NULL;
+	double seconds = g_ascii_strtod(value, &end);
+
+	if (strcmp(row->unit, "ms") != 0 || end == value ||
+	    strcmp(end, "s") != 0)
+		return false;
+	*ms = (int64_t)(seconds * 1000);
+	return true;
+}
+
 static bool
 set_number(struct settings *set, const struct setting_row *row,
     const char *value, GError **err)
@@ -61,6 +78,9 @@
 	char *end = NULL;
 	int64_t n = g_ascii_strtoll(value, &end, 10);
 
+	if (read_seconds(row, value, &n))
+		end = (char *)"";
+
 	if (end == value || (*end != '\0' && strcmp(end, row->unit) != 0)) {
 		g_set_error(err, SF_ERROR, kErrSettingUnit,
 		    "--%s: '%s' is not a whole number of %s (%" PRId64
@@ -120,6 +140,165 @@
 	return NULL;
 }
 
+static const struct setting_row *
+row_of_flag(const char *flag)
+{
+	for (int i = 0; i < kSettingCount; i++)
+		if (strcmp(setting_rows[i].flag, flag) == 0)
+			return &setting_rows[i];
+	return NULL;
+}
+
+/* Path of the settings file, from the flags or the variables. */
+static const char *
+find_file_path(int argc, char **argv, char **env)
+{
+	static const char flag[] = "--node-file=";
+	static const char variable[] = "SAVORYFLOW_NODE_FILE=";
+
+	for (int i = 0; i < argc; i++) {
+		if (g_str_has_prefix(argv[i], flag))
+			return argv[i] + strlen(flag);
+		if (strcmp(argv[i], "--node-file") == 0 && i + 1 < argc)
+			return argv[i + 1];
+	}
+	for (; env != NULL && *env != NULL; env++)
+		if (g_str_has_prefix(*env, variable))
+			return *env + strlen(variable);
+	return NULL;
+}
+
+static char *
+value_text(const json_t *value)
+{
+	if (json_is_string(value))
+		return g_strdup(json_string_value(value));
+	if (json_is_integer(value))
+		return g_strdup_printf(
+		    "%" JSON_INTEGER_FORMAT, json_integer_value(value));
+	return NULL;
+}
+
+/* Values of a settings file by flag; NULL and an error if it is none. */
+static GHashTable *
+read_file(const char *path, GError **err)
+{
+	json_error_t at;
+	json_t *doc = json_load_file(path, 0, &at);
+	GHashTable *values =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	const char *flag;
+	json_t *elem;
+
+	if (!json_is_object(doc)) {
+		g_set_error(err, SF_ERROR, kErrSettingUnknown,
+		    "--node-file: %s: no JSON object: line %d: %s", path,
+		    at.line, at.text);
+		json_decref(doc);
+		g_hash_table_unref(values);
+		return NULL;
+	}
+	json_object_foreach(doc, flag, elem)
+	{
+		char *text = value_text(elem);
+
+		if (text != NULL && row_of_flag(flag) != NULL) {
+			g_hash_table_replace(values, g_strdup(flag), text);
+			continue;
+		}
+		g_free(text);
+		if (err != NULL && *err == NULL)
+			g_set_error(err, SF_ERROR, kErrSettingUnknown,
+			    "--node-file: %s: '%s' is no setting, or its value "
+			    "is no text or whole number",
+			    path, flag);
+	}
+	json_decref(doc);
+	if (err == NULL || *err == NULL)
+		return values;
+	g_hash_table_unref(values);
+	return NULL;
+}
+
+static bool
+set_from_file(struct settings *set, const char *path, GError **err)
+{
+	GHashTableIter it;
+	void *flag;
+	void *value;
+
+	if (path == NULL || *path == '\0')
+		return true;
+	set->file_values = read_file(path, err);
+	if (set->file_values == NULL)
+		return false;
+	g_hash_table_iter_init(&it, set->file_values);
+	while (g_hash_table_iter_next(&it, &flag, &value))
+		if (!set_value(set, row_of_flag(flag), value, err))
+			return false;
+	return true;
+}
+
+bool
+settings_file_changed(struct settings *set)
+{
+	struct stat st;
+	int64_t mtime_ns;
+	bool changed;
+
+	if (set->file_values == NULL || stat(set->node_file, &st) != 0)
+		return false;
+	mtime_ns = (int64_t)st.st_mtim.tv_sec * 1000000000 +
+	    (int64_t)st.st_mtim.tv_nsec;
+	changed = set->file_mtime_ns != 0 && set->file_mtime_ns != mtime_ns;
+	set->file_mtime_ns = mtime_ns;
+	return changed;
+}
+
+/* Flags whose values differ, separated by commas. */
+static char *
+changed_flags(GHashTable *old, GHashTable *now)
+{
+	GString *list = g_string_new(NULL);
+	GHashTableIter it;
+	void *flag;
+	void *value;
+
+	g_hash_table_iter_init(&it, now);
+	while (g_hash_table_iter_next(&it, &flag, &value))
+		if (g_strcmp0(g_hash_table_lookup(old, flag), value) != 0)
+			g_string_append_printf(list, "%s%s",
+			    list->len > 0 ? "," : "", (const char *)flag);
+	return g_string_free(list, FALSE);
+}
+
+void
+settings_reload_and_log(struct settings *set)
+{
+	GError *err = NULL;
+	GHashTable *values;
+	const char *level;
+	char *changed;
+
+	if (set->file_values == NULL)
+		return;
+	values = read_file(set->node_file, &err);
+	if (values == NULL) {
+		log_event(kEvtSettingsBad, "error", err->message, NULL);
+		g_error_free(err);
+		return;
+	}
+	changed = changed_flags(set->file_values, values);
+	level = g_hash_table_lookup(values, "log-level");
+	if (level != NULL)
+		log_set_level(level);
+	log_event(kEvtSettingsReloaded, "file", set->node_file, "changed",
+	    changed, NULL);
+	g_free(changed);
+	g_hash_table_unref(set->file_values);
+	set->file_values = values;
+}
+
 /* Variables of the client commands. */
 static bool
 is_client_variable(const char *assignment)
@@ -255,7 +434,11 @@
 {
 	char **peers = g_strsplit(set->peers, ",", -1);
 	bool ok = check_address("listen", set->listen, err) &&
-	    check_address("peer-listen", set->peer_listen, err);
+	    check_address("peer-listen", set->peer_listen, err) &&
+	    check_address("front-listen", set->front_listen, err) &&
+	    check_address("ready-listen", set->ready_listen, err) &&
+	    (set->metrics_listen[0] == '\0' ||
+		check_address("metrics-listen", set->metrics_listen, err));
 
 	for (char **p = peers; ok && *p != NULL; p++)
 		ok = **p == '\0' || check_address("peers", *p, err);
@@ -281,6 +464,7 @@
 
 	set_defaults(set);
 	if (check_flag_names(argc, argv, err) &&
+	    set_from_file(set, find_file_path(argc, argv, environ), err) &&
 	    set_from_environment(set, environ, err) &&
 	    set_from_flags(set, argc, argv, err) && check_together(set, err))
 		return set;
@@ -299,6 +483,8 @@
 		if (row->kind == kSettingText)
 			g_free(*(char **)(void *)((char *)set + row->offset));
 	}
+	if (set->file_values != NULL)
+		g_hash_table_unref(set->file_values);
 	g_free(set);
 }
 
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -26,6 +26,18 @@
 	TEXT(operator_key_sha256, "operator-key-sha256", "",                  \
 	    "SHA-256 (hex) of the key that may submit configurations at any " \
 	    "time")                                                           \
+	TEXT(node_file, "node-file", "",                                      \
+	    "JSON file with settings by their flags' names; read again when " \
+	    "it changes")                                                     \
+	TEXT(adapter, "adapter", "",                                          \
+	    "adapter to the installation: empty for the daemon's own API, "   \
+	    "or platform")                                                    \
+	TEXT(front_listen, "front-listen", "127.0.0.1:8081",                  \
+	    "adapter: address for callers, IP:PORT")                          \
+	TEXT(ready_listen, "ready-listen", "127.0.0.1:8082",                  \
+	    "adapter: address that tells whether the daemon is ready")        \
+	TEXT(metrics_listen, "metrics-listen", "",                            \
+	    "adapter: address of the metrics; empty for none")                \
 	TEXT(log_level, "log-level", "info",                                  \
 	    "lowest level logged: debug, info, notice, warn, error")          \
 	NUM(body_max_bytes, "body-max-bytes", 1048576, 1024, 67108864,        \
@@ -73,11 +85,16 @@
 	SF_SETTINGS(TEXT, NUM)
 #undef TEXT
 #undef NUM
+	/** Values of the settings file as last read, by flag; NULL without
+	 * one. */
+	GHashTable *file_values;
+	/** When the file was last changed, as of the last look. */
+	int64_t file_mtime_ns;
 };
 
 /**
- * Reads the settings from flags and SAVORYFLOW_* variables; a flag goes over
- * its variable.
+ * Reads the settings from flags, SAVORYFLOW_* variables and the settings file;
+ * a flag goes over its variable, and that over the file.
  * @param argc, argv words after the subcommand
  * @param environ variables as NAME=VALUE, closed by NULL
  * @return NULL and a typed error naming setting, value and range otherwise
@@ -85,6 +102,16 @@
 struct settings *settings_parse(
     int argc, char **argv, char **environ, GError **err);
 
+/**
+ * Reads the settings file again, if there is one, and logs what changed. The
+ * level of the log comes into force at once, the rest with the next start.
+ * A file that cannot be used changes nothing.
+ */
+void settings_reload_and_log(struct settings *set);
+
+/** True if the settings file has changed since the last look at it. */
+bool settings_file_changed(struct settings *set);
+
 /** Frees settings; NULL is allowed. */
 void settings_free(struct settings *set);
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -1,6 +1,8 @@
 /* Values passed to and from the platform's services. */
 #include "store/store.h"
 
+#include "metric/metric.h"
+
 void
 store_row_clear(struct store_row *row)
 {
@@ -119,3 +121,33 @@
 	w->value = g_strdup(value);
 	g_ptr_array_add(txn->writes, w);
 }
+
+void
+store_count_call(enum store_cause cause, bool is_write)
+{
+	static const enum metric_id reads[] = {
+	    [kCauseConfig] = kMetReadsConfig,
+	    [kCauseBatch] = kMetReadsBatch,
+	    [kCauseSession] = kMetReadsSession,
+	    [kCauseIntent] = kMetReadsIntent,
+	    [kCauseVms] = kMetReadsVms,
+	};
+	static const enum metric_id writes[] = {
+	    [kCauseConfig] = kMetWritesConfig,
+	    [kCauseBatch] = kMetWritesBatch,
+	    [kCauseSession] = kMetWritesSession,
+	    [kCauseIntent] = kMetWritesIntent,
+	    [kCauseVms] = kMetReadsVms,
+	};
+
+	metric_add(is_write ? writes[cause] : reads[cause], 1);
+}
+
+const char *
+store_result_text(enum store_result res)
+{
+	static const char *const texts[] = {
+	    "ok", "not_found", "conflict", "unavailable", "ambiguous"};
+
+	return texts[res];
+}
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -68,6 +68,10 @@
 	enum store_vm_state state;
 };
 
+/*
+ * A key reads TABLE/PARTITION/NAME. The rows of one transaction share their
+ * partition; a store that knows no partitions takes the key as it is.
+ */
 struct store_ops {
 	enum store_result (*get)(void *ctx, enum store_cause cause,
 	    const char *key, struct store_row *row);
@@ -81,6 +85,11 @@
 	    const char *key, const char *data, size_t len);
 	enum store_result (*get_object)(
 	    void *ctx, enum store_cause cause, const char *key, GBytes **data);
+	/** Drops an object; also if there is none. */
+	enum store_result (*drop_object)(
+	    void *ctx, enum store_cause cause, const char *key);
+	/** Steady time of the store as last heard, in ms; -1 if unknown. */
+	int64_t (*now_ms)(void *ctx);
 	/** Changes of the VM list after *cursor, which is moved on. */
 	enum store_result (*vms)(void *ctx, int64_t *cursor, GPtrArray **vms);
 };
@@ -91,6 +100,12 @@
 	void *ctx;
 };
 
+/** Text of a result for the log. */
+const char *store_result_text(enum store_result res);
+
+/** Counts one call to the store by its cause; for implementations. */
+void store_count_call(enum store_cause cause, bool is_write);
+
 /** Frees what a row points to, not the row. */
 void store_row_clear(struct store_row *row);
 
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -72,27 +72,6 @@
 	return size * n;
 }
 
-static void
-count_operation(enum store_cause cause, bool is_write)
-{
-	static const enum metric_id reads[] = {
-	    [kCauseConfig] = kMetReadsConfig,
-	    [kCauseBatch] = kMetReadsBatch,
-	    [kCauseSession] = kMetReadsSession,
-	    [kCauseIntent] = kMetReadsIntent,
-	    [kCauseVms] = kMetReadsVms,
-	};
-	static const enum metric_id writes[] = {
-	    [kCauseConfig] = kMetWritesConfig,
-	    [kCauseBatch] = kMetWritesBatch,
-	    [kCauseSession] = kMetWritesSession,
-	    [kCauseIntent] = kMetWritesIntent,
-	    [kCauseVms] = kMetReadsVms,
-	};
-
-	metric_add(is_write ? writes[cause] : reads[cause], 1);
-}
-
 static void
 count_bytes(CURL *h, enum store_cause cause)
 {
@@ -129,7 +108,7 @@
 		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, (long)req->body_len);
 		curl_easy_setopt(h, CURLOPT_POSTFIELDS, req->body);
 	}
-	count_operation(cause, req->method != NULL);
+	store_count_call(cause, req->method != NULL);
 	reply->curl = curl_easy_perform(h);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply->status);
 	count_bytes(h, cause);
@@ -360,6 +339,30 @@
 	return res;
 }
 
+static enum store_result
+http_drop_object(void *ctx, enum store_cause cause, const char *key)
+{
+	struct http_request req = {"DELETE", "", 0};
+	struct http_reply reply;
+	enum store_result res;
+	char *esc = escaped(key);
+	char *path = g_strconcat("/object/", esc, NULL);
+
+	http_perform(ctx, cause, &req, path, &reply);
+	res = reply_result(&reply);
+	g_byte_array_unref(reply.body);
+	g_free(path);
+	g_free(esc);
+	return res;
+}
+
+/* These services tell no time of their own. */
+static int64_t
+http_now_ms(void *ctx)
+{
+	return -1;
+}
+
 static enum store_vm_state
 vm_state_of_text(const char *text)
 {
@@ -418,6 +421,8 @@
     .txn = http_txn,
     .put_object = http_put_object,
     .get_object = http_get_object,
+    .drop_object = http_drop_object,
+    .now_ms = http_now_ms,
     .vms = http_vms,
 };
 
--- a/test/standin/memstore.c
+++ b/test/standin/memstore.c
@@ -5,6 +5,8 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "os/clock.h"
+
 struct stored_row {
 	char *value;
 	int64_t version;
@@ -218,6 +220,28 @@
 	return found != NULL ? kStoreOk : kStoreNotFound;
 }
 
+static enum store_result
+ms_drop_object(void *ctx, enum store_cause cause, const char *key)
+{
+	struct memstore *ms = ctx;
+	enum store_result res = kStoreOk;
+
+	pthread_mutex_lock(&ms->lock);
+	ms->counts.writes++;
+	if (ms->faults.outage)
+		res = kStoreUnavailable;
+	else
+		g_hash_table_remove(ms->objects, key);
+	pthread_mutex_unlock(&ms->lock);
+	return res;
+}
+
+static int64_t
+ms_now_ms(void *ctx)
+{
+	return clock_mono_us(clock_system()) / kUsPerMs;
+}
+
 static enum store_result
 ms_vms(void *ctx, int64_t *cursor, GPtrArray **vms)
 {
@@ -248,6 +272,8 @@
     .txn = ms_txn,
     .put_object = ms_put_object,
     .get_object = ms_get_object,
+    .drop_object = ms_drop_object,
+    .now_ms = ms_now_ms,
     .vms = ms_vms,
 };
 
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -153,6 +153,10 @@
 		    ps->plat->ops->put_object(ps->plat->ctx, kCauseConfig, key,
 			req->body->str, req->body->len),
 		    NULL, status);
+	if (strcmp(req->method, "DELETE") == 0)
+		return answer(ps->plat->ops->drop_object(
+				  ps->plat->ctx, kCauseConfig, key),
+		    NULL, status);
 	res =
 	    ps->plat->ops->get_object(ps->plat->ctx, kCauseConfig, key, &data);
 	if (res != kStoreOk)
