--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -61,6 +61,7 @@
 	struct fleet *fleet;
 	struct roster *roster;
 	struct slots *slots;
+	struct target_activity *activity;
 	struct calls *calls;
 	struct jobs *jobs;
 	struct members *members;
@@ -307,8 +308,10 @@
 	Sfpeer__Envelope *env = note->env;
 
 	roster_note_heard(gw->roster, env->from, loop_now_us(gw->lp));
-	if (env->leaving)
+	if (env->leaving) {
 		roster_note_leaving(gw->roster, env->from);
+		slots_follow_arbiters(gw->slots);
+	}
 	slots_on_envelope(gw->slots, env);
 	for (size_t i = 0; i < env->n_job_notes; i++)
 		if (env->job_notes[i]->ended)
@@ -601,6 +604,8 @@
 	gw->outbound = outbound_new(gw->lp);
 	parts.slots = gw->slots;
 	parts.outbound = gw->outbound;
+	gw->activity = target_activity_new();
+	parts.activity = gw->activity;
 	gw->calls = calls_new(&parts);
 	jobs.parts = parts;
 	gw->jobs = jobs_new(&jobs);
@@ -662,13 +667,14 @@
 static void
 stop(struct gateway *gw)
 {
+	/* First of all: nobody is to wait for an answer that cannot come. */
+	if (gw->front != NULL)
+		front_free(gw->front);
 	if (gw->watch != NULL)
 		gw->adapter->watch_free(gw->watch);
 	if (gw->peer != NULL)
 		peer_stop(gw->peer);
 	offload_free(gw->offload);
-	if (gw->front != NULL)
-		front_free(gw->front);
 	if (gw->ready != NULL)
 		front_free(gw->ready);
 	if (gw->metrics != NULL)
@@ -679,6 +685,7 @@
 	jobs_free(gw->jobs);
 	calls_free(gw->calls);
 	outbound_free(gw->outbound);
+	target_activity_free(gw->activity);
 	slots_free(gw->slots);
 	if (gw->peer != NULL)
 		peer_free(gw->peer);
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -510,7 +510,8 @@
 	    log_number(run->started_us - accepted_us), NULL);
 	if (done != NULL)
 		take_done(run, done);
-	commit_next(run);
-	if (g_hash_table_lookup(js->runs, job->id) == run)
+	if (run->listed == (int32_t)run->items->len)
+		finish_run(run);
+	else
 		jobs_run_pump(run);
 }
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -19,7 +19,12 @@
 	 * that count. */
 	kTurnedAwayMax = 3,
 	kRetryAfterDefaultUs = 300 * kUsPerMs,
-	kFieldsMax = 32,
+	/* A target that was heard within this is not dead: events come every
+	 * 20 ms. */
+	kHeardUs = 75 * kUsPerMs,
+	/* Silence of a busy target that is borne, in times of the usual. */
+	kBusyFactor = 4,
+	kHeardMax = 2000,
 };
 
 enum relay_phase {
@@ -28,6 +33,11 @@
 	kPhaseDone,
 };
 
+struct target_activity {
+	/** int64_t by name. */
+	GHashTable *heard;
+};
+
 struct relay {
 	struct relay_parts parts;
 	struct relay_options opt;
@@ -45,6 +55,8 @@
 	uint64_t deadline_timer;
 	uint64_t silence_timer;
 	int64_t started_us;
+	/** Time of the last sign of life, or of the send. */
+	int64_t alive_us;
 
 	/* Attempts that may have run, and those that did not. */
 	int32_t attempts;
@@ -65,6 +77,38 @@
 
 static void next_attempt(struct relay *rl);
 
+struct target_activity *
+target_activity_new(void)
+{
+	struct target_activity *ta = g_new(struct target_activity, 1);
+
+	ta->heard =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return ta;
+}
+
+void
+target_activity_free(struct target_activity *ta)
+{
+	g_hash_table_unref(ta->heard);
+	g_free(ta);
+}
+
+static void
+note_heard(struct relay *rl)
+{
+	GHashTable *heard = rl->parts.activity->heard;
+	int64_t *at_us = g_hash_table_lookup(heard, rl->target);
+
+	if (at_us == NULL) {
+		if (g_hash_table_size(heard) >= kHeardMax)
+			g_hash_table_remove_all(heard);
+		at_us = g_new(int64_t, 1);
+		g_hash_table_insert(heard, g_strdup(rl->target), at_us);
+	}
+	*at_us = loop_now_us(rl->parts.lp);
+}
+
 static void
 relay_free(struct relay *rl)
 {
@@ -187,12 +231,29 @@
 	}
 }
 
+/* The target serves other requests of this daemon: it is busy, not dead. */
+static bool
+target_is_busy(const struct relay *rl)
+{
+	const int64_t *at_us =
+	    g_hash_table_lookup(rl->parts.activity->heard, rl->target);
+	int64_t now_us = loop_now_us(rl->parts.lp);
+
+	return at_us != NULL && now_us - *at_us < kHeardUs &&
+	    now_us - rl->alive_us < kBusyFactor * rl->opt.silence_us;
+}
+
 static void
 on_silence(void *ctx)
 {
 	struct relay *rl = ctx;
 
 	rl->silence_timer = 0;
+	if (target_is_busy(rl)) {
+		rl->silence_timer = loop_timer(rl->parts.lp,
+		    loop_now_us(rl->parts.lp) + kHeardUs, on_silence, rl);
+		return;
+	}
 	fail_attempt(rl, kSlotSilent, "silent");
 }
 
@@ -264,6 +325,8 @@
 		g_string_append_len(rl->whole, data, (gssize)len);
 		return true;
 	}
+	rl->alive_us = loop_now_us(rl->parts.lp);
+	note_heard(rl);
 	event_splitter_feed(&rl->events, data, len, on_event, rl);
 	watch_silence(rl);
 	return true;
@@ -369,6 +432,7 @@
 	rl->attempts++;
 	metric_add(kMetAttempts, 1);
 	rl->phase = kPhaseRunning;
+	rl->alive_us = now_us;
 	rl->request = outbound_start(rl->parts.outbound, &opt);
 	watch_silence(rl);
 }
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -46,6 +46,12 @@
 	void (*on_end)(void *ctx, const struct relay_verdict *verdict);
 };
 
+/** When targets were last heard, by name: struct target_activity. */
+struct target_activity;
+
+struct target_activity *target_activity_new(void);
+void target_activity_free(struct target_activity *ta);
+
 /** What a relay works with. */
 struct relay_parts {
 	struct loop *lp;
@@ -53,6 +59,7 @@
 	struct outbound *outbound;
 	const struct fleet *fleet;
 	const struct dialect_ops *dialect;
+	struct target_activity *activity;
 };
 
 struct relay_options {
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -281,7 +281,8 @@
 {
 	int64_t now_us = loop_now_us(sl->opt.lp);
 
-	if (h->phase == kHoldGranted)
+	/* The arbiter's answer may come after the own share was used. */
+	if (h->granted_us != 0)
 		return;
 	if (h->phase != kHoldLocal)
 		h->phase = kHoldGranted;
@@ -372,6 +373,22 @@
 		       h->view->data_center, now_us)) != 0;
 }
 
+void
+slots_follow_arbiters(struct slots *sl)
+{
+	int64_t now_us = loop_now_us(sl->opt.lp);
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sl->holds);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct hold *h = val;
+
+		if (h->view != NULL && has_moved(sl, h, now_us))
+			follow_arbiter(sl, h, now_us);
+	}
+}
+
 static void
 hold_tick(struct slots *sl, struct hold *h, int64_t now_us)
 {
@@ -455,10 +472,13 @@
 	slots_host_targets_changed(sl);
 }
 
-/* An arbiter that started anew does not know what is held. */
+/* An arbiter that started anew does not know what is held. It may have taken
+ * over from one that this daemon still believes in. */
 static void
-on_new_epoch(struct slots *sl, const struct pool_view *view)
+on_new_epoch(
+    struct slots *sl, const struct pool_view *view, const char *arbiter)
 {
+	char own[kFleetAddressMax];
 	GHashTableIter it;
 	void *val;
 
@@ -466,13 +486,17 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct hold *h = val;
 
-		if (h->view == view)
-			h->renewed_us = 0;
+		if (h->view != view || h->granted_us == 0)
+			continue;
+		g_strlcpy(own, h->arbiter, sizeof(own));
+		g_strlcpy(h->arbiter, arbiter, sizeof(h->arbiter));
+		send_ask(sl, h, h->target);
+		g_strlcpy(h->arbiter, own, sizeof(h->arbiter));
 	}
 }
 
 static void
-take_load(struct slots *sl, const Sfpeer__PoolLoad *wire)
+take_load(struct slots *sl, const char *from, const Sfpeer__PoolLoad *wire)
 {
 	struct pool_view *view =
 	    slots_view(sl, wire->service, wire->data_center);
@@ -489,7 +513,7 @@
 	view->since = 0;
 	if (view->epoch != wire->epoch) {
 		view->epoch = wire->epoch;
-		on_new_epoch(sl, view);
+		on_new_epoch(sl, view, from);
 	}
 }
 
@@ -514,7 +538,7 @@
 slots_on_envelope(struct slots *sl, const Sfpeer__Envelope *env)
 {
 	for (size_t i = 0; i < env->n_pool_loads; i++)
-		take_load(sl, env->pool_loads[i]);
+		take_load(sl, env->from, env->pool_loads[i]);
 	for (size_t i = 0; i < env->n_slot_notes; i++)
 		slots_host_on_note(sl, env->from, env->slot_notes[i]);
 	for (size_t i = 0; i < env->n_slot_asks; i++)
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -62,6 +62,9 @@
 /** The list of targets has changed. */
 void slots_targets_changed(struct slots *sl);
 
+/** Tells the present arbiters what is held: the daemons have changed. */
+void slots_follow_arbiters(struct slots *sl);
+
 /** Takes a peer's messages. */
 void slots_on_envelope(struct slots *sl, const Sfpeer__Envelope *env);
 
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -88,6 +88,8 @@
 	g_ptr_array_unref(all);
 }
 
+static void tell_load(struct slots *sl, struct hosted_pool *hp, int64_t now_us);
+
 static struct hosted_pool *
 hosted_get(struct slots *sl, const char *service, const char *data_center)
 {
@@ -109,6 +111,8 @@
 		actions = slotpool_actions_new();
 		take_targets(sl, hp, actions);
 		run_actions(sl, actions);
+		/* The holders of its slots are to tell what they hold. */
+		tell_load(sl, hp, loop_now_us(sl->opt.lp));
 	}
 	hp->used_us = loop_now_us(sl->opt.lp);
 	return hp;
