Tests of routes, targets, slots, jobs, events, settings file and the adapter; log to standard output, bounded

The log's lines wait in a bounded box for a thread of their own; what does not fit, or is over 200 lines of one event in a second, is counted and said.

--- a/src/log/log.c
+++ b/src/log/log.c
@@ -1,15 +1,27 @@
 /* Numbered log events as JSON lines through log4c. */
 #include "log/log.h"
 
+#include <errno.h>
 #include <glib.h>
+#include <inttypes.h>
 #include <jansson.h>
 #include <log4c.h>
 #include <pthread.h>
 #include <stdarg.h>
+#include <stdbool.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "os/clock.h"
 
+enum {
+	/* Lines that wait for the writer; more are dropped and counted. */
+	kOutboxBytes = 256 * 1024,
+	/* Lines of one event in a second: an entry of the usual size serves
+	 * some tens of requests. */
+	kLinesPerSecond = 200,
+};
+
 struct event_row {
 	int id;
 	int priority;
@@ -29,6 +41,120 @@
 static log4c_category_t *log_category;
 static char *log_daemon;
 
+/*
+ * Lines wait here for the writer, so that no caller ever waits for whoever
+ * reads the log. What does not fit is dropped and counted.
+ */
+struct log_outbox {
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	GString *lines;
+	int64_t dropped;
+	bool stopping;
+	bool has_thread;
+	pthread_t thread;
+};
+
+/* Lines of one event in the present second. */
+struct event_rate {
+	int64_t second;
+	int32_t lines;
+	int32_t suppressed;
+};
+
+static struct log_outbox outbox = {
+    .lock = PTHREAD_MUTEX_INITIALIZER, .wake = PTHREAD_COND_INITIALIZER};
+static struct event_rate event_rates[G_N_ELEMENTS(event_rows)];
+
+static void
+write_all(const char *data, size_t len)
+{
+	while (len > 0) {
+		ssize_t n = write(STDOUT_FILENO, data, len);
+
+		/* Nobody reads the log any more, or its disk is full. */
+		if (n <= 0 && errno != EINTR)
+			return;
+		if (n > 0) {
+			data += n;
+			len -= (size_t)n;
+		}
+	}
+}
+
+static void *
+writer_thread(void *arg)
+{
+	GString *batch = g_string_new(NULL);
+	bool goes_on = true;
+
+	while (goes_on) {
+		GString *swap;
+
+		pthread_mutex_lock(&outbox.lock);
+		while (outbox.lines->len == 0 && !outbox.stopping)
+			pthread_cond_wait(&outbox.wake, &outbox.lock);
+		swap = outbox.lines;
+		outbox.lines = batch;
+		batch = swap;
+		goes_on = !outbox.stopping;
+		pthread_mutex_unlock(&outbox.lock);
+		write_all(batch->str, batch->len);
+		g_string_truncate(batch, 0);
+	}
+	g_string_free(batch, TRUE);
+	return NULL;
+}
+
+static void
+outbox_open(void)
+{
+	outbox.lines = g_string_new(NULL);
+	outbox.stopping = false;
+	outbox.has_thread =
+	    pthread_create(&outbox.thread, NULL, writer_thread, NULL) == 0;
+}
+
+static void
+outbox_close(void)
+{
+	if (!outbox.has_thread)
+		return;
+	pthread_mutex_lock(&outbox.lock);
+	outbox.stopping = true;
+	pthread_cond_signal(&outbox.wake);
+	pthread_mutex_unlock(&outbox.lock);
+	pthread_join(outbox.thread, NULL);
+	outbox.has_thread = false;
+	write_all(outbox.lines->str, outbox.lines->len);
+	g_string_free(outbox.lines, TRUE);
+	outbox.lines = NULL;
+}
+
+static void
+outbox_add(const char *line)
+{
+	size_t len = strlen(line);
+	bool was_empty;
+
+	pthread_mutex_lock(&outbox.lock);
+	was_empty = outbox.lines->len == 0;
+	if (outbox.lines->len + len <= kOutboxBytes) {
+		if (outbox.dropped > 0)
+			g_string_append_printf(outbox.lines,
+			    "{\"name\":\"log_dropped\",\"lines\":%" PRId64
+			    "}\n",
+			    outbox.dropped);
+		outbox.dropped = 0;
+		g_string_append_len(outbox.lines, line, (gssize)len);
+	} else {
+		outbox.dropped++;
+	}
+	if (was_empty)
+		pthread_cond_signal(&outbox.wake);
+	pthread_mutex_unlock(&outbox.lock);
+}
+
 static const char *
 layout_format(const log4c_layout_t *layout, const log4c_logging_event_t *ev)
 {
@@ -41,11 +167,12 @@
 static int
 appender_append(log4c_appender_t *self, const log4c_logging_event_t *ev)
 {
-	return fputs(ev->evt_rendered_msg, stderr);
+	outbox_add(ev->evt_rendered_msg);
+	return 0;
 }
 
-static const log4c_appender_type_t stderr_appender = {
-    "savoryflow_stderr", NULL, appender_append, NULL};
+static const log4c_appender_type_t outbox_appender = {
+    "savoryflow_stdout", NULL, appender_append, NULL};
 
 void
 log_open(const char *level, const char *daemon)
@@ -56,11 +183,12 @@
 
 	if (log4c_init() != 0)
 		return;
+	outbox_open();
 	priority = log4c_priority_to_int(level);
 	layout = log4c_layout_get("savoryflow_json");
 	log4c_layout_set_type(layout, &json_layout);
-	app = log4c_appender_get("savoryflow_stderr");
-	log4c_appender_set_type(app, &stderr_appender);
+	app = log4c_appender_get("savoryflow_stdout");
+	log4c_appender_set_type(app, &outbox_appender);
 	log4c_appender_set_layout(app, layout);
 	log_category = log4c_category_get("savoryflow");
 	log4c_category_set_appender(log_category, app);
@@ -88,6 +216,7 @@
 	log_category = NULL;
 	g_clear_pointer(&log_daemon, g_free);
 	pthread_mutex_unlock(&log_lock);
+	outbox_close();
 }
 
 static const struct event_row *
@@ -100,7 +229,7 @@
 }
 
 static char *
-event_line(const struct event_row *row, va_list ap)
+event_line(const struct event_row *row, int32_t suppressed, va_list ap)
 {
 	json_t *line = json_object();
 	const char *key;
@@ -117,24 +246,53 @@
 
 		json_object_set_new(line, key, json_string(val ? val : ""));
 	}
+	if (suppressed > 0)
+		json_object_set_new(
+		    line, "suppressed", json_integer(suppressed));
 	text = json_dumps(line, JSON_COMPACT);
 	json_decref(line);
 	return text;
 }
 
+/*
+ * True if one more line of the event may be written in this second; the count
+ * of those that were not goes with the next one. The lock is held.
+ */
+static bool
+rate_allows(const struct event_row *row, int32_t *suppressed)
+{
+	struct event_rate *rate = &event_rates[row - event_rows];
+	int64_t second = clock_mono_us(clock_system()) / kUsPerS;
+
+	if (rate->second != second) {
+		rate->second = second;
+		rate->lines = 0;
+	}
+	if (rate->lines >= kLinesPerSecond) {
+		rate->suppressed++;
+		return false;
+	}
+	rate->lines++;
+	*suppressed = rate->suppressed;
+	rate->suppressed = 0;
+	return true;
+}
+
 void
 log_event(enum log_event_id id, ...)
 {
 	const struct event_row *row = event_find(id);
+	int32_t suppressed = 0;
 	va_list ap;
 
 	pthread_mutex_lock(&log_lock);
 	if (log_category != NULL &&
-	    log4c_category_is_priority_enabled(log_category, row->priority)) {
+	    log4c_category_is_priority_enabled(log_category, row->priority) &&
+	    rate_allows(row, &suppressed)) {
 		char *text;
 
 		va_start(ap, id);
-		text = event_line(row, ap);
+		text = event_line(row, suppressed, ap);
 		va_end(ap);
 		log4c_category_log(log_category, row->priority, "%s\n", text);
 		free(text);
--- a/src/log/log.h
+++ b/src/log/log.h
@@ -7,7 +7,8 @@
 #include "log/events.h"
 
 /**
- * Opens the log: JSON lines on standard error, through log4c.
+ * Opens the log: JSON lines on standard output, through log4c. Writers never
+ * wait: a thread writes the lines, and what it cannot keep up with is counted.
  * @param level lowest level written: "debug", "info", "notice", "warn" or
  *        "error"
  * @param daemon name put on each line; copied
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -222,8 +222,7 @@
 	metric_add(kMetPeerRecvBytes, (int64_t)len);
 	if (env == NULL)
 		return;
-	if (env->from[0] == '\0' ||
-	    !pr->opt.ops->on_message(pr->opt.ctx, env))
+	if (env->from[0] == '\0' || !pr->opt.ops->on_message(pr->opt.ctx, env))
 		sfpeer__envelope__free_unpacked(env, NULL);
 }
 
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -56,20 +56,6 @@
 	return name;
 }
 
-/* A duration in ms may be given in seconds: "8s", "0.5s". */
-static bool
-read_seconds(const struct setting_row *row, const char *value, int64_t *ms)
-{
-	char *end = NULL;
-	double seconds = g_ascii_strtod(value, &end);
-
-	if (strcmp(row->unit, "ms") != 0 || end == value ||
-	    strcmp(end, "s") != 0)
-		return false;
-	*ms = (int64_t)(seconds * 1000);
-	return true;
-}
-
 static bool
 set_number(struct settings *set, const struct setting_row *row,
     const char *value, GError **err)
@@ -78,9 +64,6 @@
 	char *end = NULL;
 	int64_t n = g_ascii_strtoll(value, &end, 10);
 
-	if (read_seconds(row, value, &n))
-		end = (char *)"";
-
 	if (end == value || (*end != '\0' && strcmp(end, row->unit) != 0)) {
 		g_set_error(err, SF_ERROR, kErrSettingUnit,
 		    "--%s: '%s' is not a whole number of %s (%" PRId64
@@ -179,6 +162,32 @@
 	return NULL;
 }
 
+/*
+ * Flag and value of an entry. A duration may be given in seconds, under the
+ * flag's name with "-s" in place of "-ms".
+ * @return false if there is no such setting, or no value for it
+ */
+static bool
+read_entry(const char *name, const json_t *value, char **flag, char **text)
+{
+	char *in_ms = NULL;
+
+	if (row_of_flag(name) != NULL) {
+		*flag = g_strdup(name);
+		*text = value_text(value);
+		return *text != NULL;
+	}
+	if (g_str_has_suffix(name, "-s") && json_is_number(value))
+		in_ms = g_strdup_printf("%.*s-ms", (int)strlen(name) - 2, name);
+	if (in_ms == NULL || row_of_flag(in_ms) == NULL) {
+		g_free(in_ms);
+		return false;
+	}
+	*flag = in_ms;
+	*text = g_strdup_printf("%.0f", json_number_value(value) * 1000);
+	return true;
+}
+
 /* Values of a settings file by flag; NULL and an error if it is none. */
 static GHashTable *
 read_file(const char *path, GError **err)
@@ -200,12 +209,14 @@
 	}
 	json_object_foreach(doc, flag, elem)
 	{
-		char *text = value_text(elem);
+		char *key = NULL;
+		char *text = NULL;
 
-		if (text != NULL && row_of_flag(flag) != NULL) {
-			g_hash_table_replace(values, g_strdup(flag), text);
+		if (read_entry(flag, elem, &key, &text)) {
+			g_hash_table_replace(values, key, text);
 			continue;
 		}
+		g_free(key);
 		g_free(text);
 		if (err != NULL && *err == NULL)
 			g_set_error(err, SF_ERROR, kErrSettingUnknown,
--- /dev/null
+++ b/test/platform/test_decode.cc
@@ -0,0 +1,287 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "decode.h"
+#include "dialect.h"
+#include "error/error.h"
+}
+
+namespace
+{
+
+const char kConfig[] = R"({"version":7,"routes":[
+ {"name":"q","host":"a.example","path_prefix":"/q/","kind":"streaming",
+  "timeout_ms":5000,"target_latency_ms":300,"priority":0,
+  "traffic_split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
+  "max_attempts":2,"sticky":true,"resumable":true,"target_gap_ms":300},
+ {"name":"b","host":"a.example","path_prefix":"/b/","kind":"batch",
+  "timeout_ms":15000,"target_latency_ms":500,"service":"s1","max_attempts":3,
+  "target_done_ms":18000,"item_ttl_s":60}],
+ "services":[{"name":"s1","health_path":"/health","max_conns":360,
+  "engine_name":{"slot_count":8}}],
+ "limits":{"header_bytes":16384,"body_bytes":4194304,
+  "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+TEST(DecodeRoutebook, FieldsGetTheirMeaning)
+{
+	GError *err = nullptr;
+	routebook *book = decode_routebook(kConfig, &err);
+
+	ASSERT_NE(nullptr, book) << err->message;
+	EXPECT_EQ(7, book->version);
+	EXPECT_EQ(4194304, book->limits.body_bytes);
+	const routebook_route *q = routebook_find(book, "a.example", "/q/1");
+	ASSERT_NE(nullptr, q);
+	EXPECT_EQ(kRoutebookStream, q->kind);
+	EXPECT_EQ(300000, q->objective_us);
+	EXPECT_EQ(5000000, q->timeout_us);
+	EXPECT_EQ(2, q->attempts_max);
+	EXPECT_TRUE(q->is_resumable);
+	EXPECT_EQ(2u, q->shares->len);
+	const routebook_route *b = routebook_find(book, "a.example", "/b/1");
+	EXPECT_EQ(18000000, b->job_due_us);
+	EXPECT_EQ(60000000, b->item_ttl_us);
+	auto *svc =
+	    (routebook_service *)g_hash_table_lookup(book->services, "s1");
+	EXPECT_EQ(8, svc->slots);
+	routebook_unref(book);
+}
+
+TEST(DecodeRoutebook, WhatCannotBeUsedIsATypedError)
+{
+	const struct {
+		const char *text;
+		const char *mentions;
+	} cases[] = {
+	    {"", "no JSON object"},
+	    {"[]", "no JSON object"},
+	    {"{\"routes\":[]}", "version"},
+	    {"{\"version\":\"7\",\"routes\":[]}", "version"},
+	    {"{\"version\":7}", "routes"},
+	    {"{\"version\":7,\"routes\":[{\"name\":\"x\"}]}", "route 'x'"},
+	    {"{\"version\":7,\"routes\":[{\"name\":\"x\",\"host\":\"h\","
+	     "\"path_prefix\":\"/\",\"kind\":\"odd\",\"service\":\"s\"}]}",
+		"kind"},
+	    {"{\"version\":7,\"routes\":[{\"name\":\"x\",\"host\":\"h\","
+	     "\"path_prefix\":\"/\",\"kind\":\"batch\"}]}",
+		"no service"},
+	};
+
+	for (const auto &c : cases) {
+		GError *err = nullptr;
+
+		EXPECT_EQ(nullptr, decode_routebook(c.text, &err)) << c.text;
+		ASSERT_NE(nullptr, err) << c.text;
+		EXPECT_EQ(kErrBadConfig, err->code);
+		EXPECT_NE(nullptr, strstr(err->message, c.mentions))
+		    << err->message;
+		g_error_free(err);
+	}
+}
+
+const char kTarget[] =
+    R"({"service":"s1","addr":"10.0.0.9:8080","zone":"dc1","version":"v1",
+ "slot_count":8,"state":"ready","cold_left_ms":0,"sequence":4,
+ "born":1791559812381})";
+
+TEST(DecodeTarget, FieldsGetTheirMeaning)
+{
+	fleet_target t;
+	GError *err = nullptr;
+
+	ASSERT_TRUE(decode_target("i-1", kTarget, 42, &t, &err));
+	EXPECT_STREQ("i-1", t.id);
+	EXPECT_STREQ("s1", t.service);
+	EXPECT_STREQ("10.0.0.9:8080", t.address);
+	EXPECT_STREQ("dc1", t.data_center);
+	EXPECT_EQ(8, t.slots);
+	EXPECT_FALSE(t.is_draining);
+	EXPECT_EQ(1791559812381, t.born_ms);
+	EXPECT_EQ(42, t.version);
+}
+
+/* An entry may come from another writer. */
+TEST(DecodeTarget, WhatNamesNoTargetIsATypedError)
+{
+	const struct {
+		const char *from;
+		const char *to;
+	} cases[] = {
+	    {"\"service\":\"s1\"", "\"service\":7"},
+	    {"\"service\":\"s1\",", ""},
+	    {"\"addr\":\"10.0.0.9:8080\",", ""},
+	    {"\"zone\":\"dc1\",", ""},
+	    {"\"state\":\"ready\"", "\"state\":\"odd\""},
+	    {"\"state\":\"ready\"", "\"state\":null"},
+	    {"\"slot_count\":8", "\"slot_count\":\"8\""},
+	    {"\"slot_count\":8", "\"slot_count\":0"},
+	    {"\"slot_count\":8", "\"slot_count\":8.5"},
+	    {"\"born\":1791559812381", "\"born\":1.5"},
+	    {"{", "["},
+	};
+
+	for (const auto &c : cases) {
+		std::string text = kTarget;
+		fleet_target t;
+		GError *err = nullptr;
+
+		text.replace(text.find(c.from), strlen(c.from), c.to);
+		EXPECT_FALSE(decode_target("i", text.c_str(), 1, &t, &err))
+		    << text;
+		ASSERT_NE(nullptr, err);
+		EXPECT_EQ(kErrBadRequest, err->code);
+		g_error_free(err);
+	}
+}
+
+struct Headers {
+	struct header_list *list = header_list_new();
+
+	Headers(std::initializer_list<std::pair<const char *, const char *>> h)
+	{
+		for (auto &p : h)
+			header_list_add(list, p.first, p.second);
+	}
+
+	~Headers()
+	{
+		header_list_free(list);
+	}
+};
+
+TEST(Dialect, CallsAreDecoded)
+{
+	const struct {
+		const char *method;
+		const char *uri;
+		dialect_endpoint endpoint;
+		const char *job;
+		int from;
+		const char *item;
+	} cases[] = {
+	    {"POST", "/q/1?a=b", kEndpointRoute, "", 0, ""},
+	    {"GET", "/api/lots/j1?after=12", kEndpointJobResults, "j1", 12, ""},
+	    {"GET", "/api/lots/j1", kEndpointJobResults, "j1", 0, ""},
+	    {"GET", "/api/lots/j1?after=-3", kEndpointJobResults, "j1", 0, ""},
+	    {"DELETE", "/api/lots/j1", kEndpointJobEnd, "j1", 0, ""},
+	    {"GET", "/api/items/j1?id=i%202", kEndpointJobItem, "j1", 0, "i 2"},
+	    {"POST", "/api/lots/j1", kEndpointRoute, "", 0, ""},
+	};
+	Headers headers = {{"x-attempt-id", "a1"}, {"X-Deadline-Ms", "1500"},
+	    {"Last-Event-Id", "12"}, {"X-Prompt-Prefix", "5c:800,91:410,e4:2"}};
+
+	for (const auto &c : cases) {
+		dialect_call call;
+
+		platform_dialect.read_call(
+		    c.method, c.uri, headers.list, &call);
+		EXPECT_EQ(c.endpoint, call.endpoint) << c.uri;
+		EXPECT_STREQ(c.job, call.job_id) << c.uri;
+		EXPECT_EQ(c.from, call.from_position) << c.uri;
+		EXPECT_STREQ(c.item, call.item_id) << c.uri;
+		EXPECT_STREQ("a1", call.attempt_id);
+		EXPECT_EQ(1500000, call.wait_us);
+		EXPECT_EQ(12, call.last_event_id);
+		EXPECT_NE(0u, call.prefix);
+	}
+}
+
+TEST(Dialect, TheOwnPartOfAPromptIsNotShared)
+{
+	Headers one = {{"X-Prompt-Prefix", "5c:800,91:410,e4:2"}};
+	Headers two = {{"X-Prompt-Prefix", "5c:800,91:410,ff:9"}};
+	Headers other = {{"X-Prompt-Prefix", "5c:800,92:410,e4:2"}};
+	Headers own = {{"X-Prompt-Prefix", "e4:2"}};
+	dialect_call a, b, c, d;
+
+	platform_dialect.read_call("POST", "/", one.list, &a);
+	platform_dialect.read_call("POST", "/", two.list, &b);
+	platform_dialect.read_call("POST", "/", other.list, &c);
+	platform_dialect.read_call("POST", "/", own.list, &d);
+	EXPECT_EQ(a.prefix, b.prefix);
+	EXPECT_NE(a.prefix, c.prefix);
+	EXPECT_EQ(0u, d.prefix);
+	EXPECT_EQ(-1, a.last_event_id);
+}
+
+TEST(Dialect, AnswersSayWhoseTheyAre)
+{
+	const struct {
+		const char *name;
+		int status;
+		Headers headers;
+		dialect_facts facts; /* own, not run, other, signed, stream */
+	} cases[] = {
+	    {"own stream", 200,
+		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"},
+		    {"Content-Type", "text/event-stream; charset=utf-8"}},
+		{true, false, false, true, true}},
+	    {"crossed", 200, {{"X-Attempt-Id", "b"}, {"X-Response-Seal", "s"}},
+		{false, false, false, true, false}},
+	    {"a success without an id", 200, {{"X-Response-Seal", "s"}},
+		{false, false, false, true, false}},
+	    {"shed", 503, {{"X-Not-Executed", "1"}},
+		{true, true, false, false, false}},
+	    {"another target", 421, {{"X-Instance-Id", "i"}},
+		{true, true, true, false, false}},
+	    {"its own failure", 500,
+		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"}},
+		{true, false, false, true, false}},
+	};
+
+	for (const auto &c : cases) {
+		dialect_facts f;
+
+		platform_dialect.read_answer(c.status, c.headers.list, "a", &f);
+		EXPECT_EQ(c.facts.is_own, f.is_own) << c.name;
+		EXPECT_EQ(c.facts.was_not_run, f.was_not_run) << c.name;
+		EXPECT_EQ(c.facts.is_other_target, f.is_other_target) << c.name;
+		EXPECT_EQ(c.facts.is_signed, f.is_signed) << c.name;
+		EXPECT_EQ(c.facts.is_event_stream, f.is_event_stream) << c.name;
+	}
+}
+
+TEST(Dialect, BadSubmissionsAreTypedErrors)
+{
+	const char *const cases[] = {
+	    "",
+	    "[]",
+	    "{\"requests\":[]}",
+	    "{\"requests\":[{\"id\":\"a\",\"target_path\":\"/p\"}]}",
+	    "{\"requests\":[{\"id\":\"a\",\"body\":\"eA==\"}]}",
+	    "{\"requests\":[7]}",
+	};
+
+	for (const char *text : cases) {
+		GError *err = nullptr;
+
+		EXPECT_EQ(nullptr,
+		    platform_dialect.read_job(text, strlen(text), &err));
+		ASSERT_NE(nullptr, err) << text;
+		EXPECT_EQ(kErrBadRequest, err->code);
+		g_error_free(err);
+	}
+}
+
+TEST(Dialect, SubmissionsAreDecoded)
+{
+	const char text[] =
+	    R"({"requests":[{"id":"i1","target_path":"/p/3","headers":
+	    {"X-Model":"m"},"body":"q80=","tokens":940}]})";
+	GError *err = nullptr;
+	GPtrArray *items = platform_dialect.read_job(text, strlen(text), &err);
+
+	ASSERT_NE(nullptr, items);
+	auto *item = (itemjob_item *)items->pdata[0];
+	EXPECT_STREQ("i1", item->id);
+	EXPECT_STREQ("/p/3", item->path);
+	EXPECT_EQ(940, item->tokens);
+	EXPECT_EQ(2u, g_bytes_get_size(item->body));
+	EXPECT_STREQ(
+	    "m", g_array_index(item->headers, itemjob_header, 0).value);
+	g_ptr_array_unref(items);
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/test_fleet.cc
@@ -0,0 +1,106 @@
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "savoryflow/fleet/fleet.h"
+}
+
+namespace
+{
+
+struct Fleet : ::testing::Test {
+	struct fleet *fl = fleet_new();
+
+	~Fleet() override
+	{
+		fleet_free(fl);
+	}
+
+	static fleet_target
+	Target(const char *id, int64_t version, bool is_draining = false)
+	{
+		fleet_target t = {};
+
+		g_strlcpy(t.id, id, sizeof(t.id));
+		g_strlcpy(t.service, "llm", sizeof(t.service));
+		g_strlcpy(t.data_center, "dc1", sizeof(t.data_center));
+		t.slots = 8;
+		t.version = version;
+		t.is_draining = is_draining;
+		return t;
+	}
+
+	bool
+	Apply(const char *id, int64_t version, bool is_draining = false)
+	{
+		fleet_target t = Target(id, version, is_draining);
+
+		return fleet_apply(fl, &t);
+	}
+
+	bool
+	Replace(std::vector<fleet_target> list, int64_t version, int64_t gone)
+	{
+		GArray *array = g_array_new(FALSE, TRUE, sizeof(fleet_target));
+		bool changed;
+
+		g_array_append_vals(array, list.data(), (guint)list.size());
+		changed = fleet_replace(fl, array, version, gone);
+		g_array_unref(array);
+		return changed;
+	}
+};
+
+TEST_F(Fleet, AnOlderRowChangesNothing)
+{
+	EXPECT_TRUE(Apply("a", 5, true));
+	EXPECT_FALSE(Apply("a", 4, false));
+	EXPECT_TRUE(fleet_find(fl, "a")->is_draining);
+	EXPECT_TRUE(Apply("a", 6, false));
+	EXPECT_FALSE(Apply("a", 7, false)) << "only the version is new";
+}
+
+TEST_F(Fleet, ARemovedTargetDoesNotComeBackWithAnOldRow)
+{
+	Apply("a", 5);
+	EXPECT_TRUE(fleet_remove(fl, "a", 6, 100));
+	EXPECT_TRUE(fleet_tick(fl, 100));
+	EXPECT_EQ(nullptr, fleet_find(fl, "a"));
+	EXPECT_FALSE(Apply("a", 6));
+	EXPECT_TRUE(Apply("a", 7));
+	EXPECT_NE(nullptr, fleet_find(fl, "a"));
+}
+
+TEST_F(Fleet, AnOldRemovalChangesNothing)
+{
+	Apply("a", 5);
+	EXPECT_FALSE(fleet_remove(fl, "a", 4, 100));
+	EXPECT_FALSE(fleet_remove(fl, "b", 4, 100));
+	EXPECT_EQ(0, fleet_find(fl, "a")->gone_at_us);
+}
+
+TEST_F(Fleet, ALapsedEntryIsKeptForItsTime)
+{
+	Apply("a", 5);
+	fleet_remove(fl, "a", 6, 1000);
+	EXPECT_FALSE(fleet_tick(fl, 999));
+	EXPECT_EQ(1000, fleet_find(fl, "a")->gone_at_us);
+	EXPECT_TRUE(Apply("a", 7)) << "it is listed again";
+	EXPECT_FALSE(fleet_tick(fl, 2000));
+}
+
+TEST_F(Fleet, AListShowsWhatIsGone)
+{
+	Apply("a", 5);
+	Apply("b", 6);
+	Apply("new", 20);
+	EXPECT_TRUE(Replace({Target("a", 5)}, 10, 50));
+	fleet_tick(fl, 50);
+	EXPECT_NE(nullptr, fleet_find(fl, "a"));
+	EXPECT_EQ(nullptr, fleet_find(fl, "b"));
+	EXPECT_NE(nullptr, fleet_find(fl, "new")) << "the list is older";
+	EXPECT_FALSE(Replace({Target("a", 5), Target("new", 20)}, 21, 50));
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/test_itemjob.cc
@@ -0,0 +1,247 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "savoryflow/job/itemjob_store.h"
+#include "standin/memstore.h"
+}
+
+namespace
+{
+
+struct Itemjob : ::testing::Test {
+	struct memstore *ms = memstore_new();
+	struct store *st = memstore_store(ms);
+
+	~Itemjob() override
+	{
+		memstore_free(ms);
+	}
+
+	void
+	Faults(bool outage, int lose_answers, int lose_requests)
+	{
+		memstore_faults f = {outage, lose_answers, lose_requests};
+
+		memstore_set_faults(ms, &f);
+	}
+
+	store_result
+	Submit(const char *token, const char *owner, bool *is_new,
+	    const char *id = "j")
+	{
+		itemjob *job = itemjob_new(id);
+		GPtrArray *items = itemjob_items_new();
+		store_result res;
+
+		job->host = g_strdup("h.example");
+		job->path = g_strdup("/p/1");
+		for (int i = 0; i < 3; i++) {
+			std::string name = "item-" + std::to_string(i);
+			itemjob_item *item =
+			    itemjob_item_new(name.c_str(), "/p/x");
+
+			itemjob_item_add_header(item, "X-A", "1");
+			item->body = g_bytes_new("\x00\xff z", 4);
+			item->tokens = 7;
+			g_ptr_array_add(items, item);
+		}
+		res = itemjob_submit(st, job, items, token, owner, is_new);
+		g_ptr_array_unref(items);
+		itemjob_free(job);
+		return res;
+	}
+
+	store_result
+	Commit(int index, int position, const std::string &text = "text")
+	{
+		std::string name = "item-" + std::to_string(index);
+		itemjob_result r = {
+		    position, (char *)name.c_str(), true, (char *)text.c_str()};
+
+		return itemjob_commit(st, "j", index, &r);
+	}
+
+	/* Items by position, "item-1=text item-0=text". */
+	std::string
+	Results(int from = 0)
+	{
+		GPtrArray *list = nullptr;
+		std::string all;
+
+		EXPECT_EQ(kStoreOk, itemjob_read_results(st, "j", from, &list));
+		for (guint i = 0; i < list->len; i++) {
+			auto *r = (itemjob_result *)list->pdata[i];
+
+			all += std::to_string(r->position) + ":" + r->item_id +
+			    " ";
+		}
+		g_ptr_array_unref(list);
+		return all;
+	}
+
+	std::string
+	Owner(bool *is_ended = nullptr)
+	{
+		GPtrArray *list = nullptr;
+		std::string owner = "none";
+
+		EXPECT_EQ(kStoreOk, itemjob_read_open(st, &list));
+		if (list->len > 0) {
+			auto *open = (itemjob_open *)list->pdata[0];
+
+			owner = open->owner;
+			if (is_ended != nullptr)
+				*is_ended = open->is_ended;
+		}
+		g_ptr_array_unref(list);
+		return owner;
+	}
+};
+
+TEST_F(Itemjob, AJobSentAgainIsTheSameJob)
+{
+	bool is_new = false;
+
+	EXPECT_EQ(kStoreOk, Submit("t1", "s1", &is_new));
+	EXPECT_TRUE(is_new);
+	EXPECT_EQ(kStoreOk, Submit("t2", "s2", &is_new));
+	EXPECT_FALSE(is_new);
+	EXPECT_EQ("s1", Owner());
+}
+
+TEST_F(Itemjob, ALostAnswerOfTheSubmissionIsSettled)
+{
+	const struct {
+		const char *name;
+		int lose_answers;
+		int lose_requests;
+	} cases[] = {{"answer", 1, 0}, {"request", 0, 1}, {"both", 1, 1}};
+
+	for (const auto &c : cases) {
+		bool is_new = false;
+
+		Faults(false, c.lose_answers, c.lose_requests);
+		EXPECT_EQ(kStoreOk, Submit("t", "s1", &is_new, c.name))
+		    << c.name;
+		EXPECT_TRUE(is_new) << c.name;
+	}
+}
+
+TEST_F(Itemjob, AnOutageRefusesForCertain)
+{
+	bool is_new = false;
+
+	Faults(true, 0, 0);
+	EXPECT_EQ(kStoreUnavailable, Submit("t", "s1", &is_new));
+	Faults(false, 0, 0);
+	EXPECT_EQ("none", Owner());
+}
+
+TEST_F(Itemjob, ItemsComeBackAsTheyWere)
+{
+	bool is_new;
+	itemjob *job = nullptr;
+	GPtrArray *items = nullptr;
+	gsize len;
+
+	Submit("t", "s1", &is_new);
+	ASSERT_EQ(kStoreOk, itemjob_get(st, "j", &job));
+	EXPECT_EQ(3, job->total);
+	EXPECT_STREQ("h.example", job->host);
+	ASSERT_EQ(kStoreOk, itemjob_load_items(st, job, &items));
+	ASSERT_EQ(3u, items->len);
+	auto *item = (itemjob_item *)items->pdata[1];
+	EXPECT_STREQ("item-1", item->id);
+	EXPECT_EQ(
+	    0, memcmp(g_bytes_get_data(item->body, &len), "\x00\xff z", 4));
+	EXPECT_EQ(4u, len);
+	EXPECT_STREQ(
+	    "X-A", g_array_index(item->headers, itemjob_header, 0).name);
+	g_ptr_array_unref(items);
+	itemjob_free(job);
+}
+
+TEST_F(Itemjob, AnItemIsListedOnceAndAPositionHoldsOneResult)
+{
+	bool is_new;
+
+	Submit("t", "s1", &is_new);
+	EXPECT_EQ(kStoreOk, Commit(0, 0));
+	EXPECT_EQ(kStoreConflict, Commit(1, 0)) << "the position is taken";
+	EXPECT_EQ(kStoreOk, Commit(0, 1)) << "the item has its result";
+	EXPECT_EQ(kStoreOk, Commit(1, 1));
+	EXPECT_EQ("0:item-0 1:item-1 ", Results());
+	EXPECT_EQ("1:item-1 ", Results(1));
+}
+
+TEST_F(Itemjob, ALostAnswerOfACommitListsOnce)
+{
+	bool is_new;
+
+	Submit("t", "s1", &is_new);
+	Faults(false, 2, 0);
+	EXPECT_EQ(kStoreOk, Commit(2, 0));
+	EXPECT_EQ("0:item-2 ", Results());
+}
+
+TEST_F(Itemjob, ALongTextIsWhole)
+{
+	const std::string texts[] = {
+	    std::string(kItemjobTextRowBytes, 'a'),
+	    std::string(kItemjobTextRowBytes + 1, 'b'),
+	    std::string(kItemjobTextRowBytes - 1, 'c') + "\xc3\xa9 end",
+	    std::string(3 * kItemjobTextRowBytes + 5, 'd'),
+	};
+	bool is_new;
+	int index = 0;
+
+	Submit("t", "s1", &is_new);
+	for (const auto &text : texts) {
+		GPtrArray *list = nullptr;
+
+		ASSERT_EQ(kStoreOk, Commit(index, index, text));
+		ASSERT_EQ(
+		    kStoreOk, itemjob_read_results(st, "j", index, &list));
+		EXPECT_EQ(text, ((itemjob_result *)list->pdata[0])->text);
+		g_ptr_array_unref(list);
+		index++;
+	}
+}
+
+TEST_F(Itemjob, OneDaemonTakesAJobOver)
+{
+	bool is_new;
+	GPtrArray *list = nullptr;
+
+	Submit("t", "s1", &is_new);
+	ASSERT_EQ(kStoreOk, itemjob_read_open(st, &list));
+	auto *open = (itemjob_open *)list->pdata[0];
+	EXPECT_EQ(kStoreOk, itemjob_claim(st, open, "s2"));
+	EXPECT_EQ(kStoreConflict, itemjob_claim(st, open, "s3"));
+	EXPECT_EQ("s2", Owner());
+	g_ptr_array_unref(list);
+}
+
+TEST_F(Itemjob, EndingIsIdempotentAndOutlivesAClaim)
+{
+	bool is_new, is_ended = false;
+	GPtrArray *list = nullptr;
+
+	EXPECT_EQ(kStoreNotFound, itemjob_end(st, "j"));
+	Submit("t", "s1", &is_new);
+	EXPECT_EQ(kStoreOk, itemjob_end(st, "j"));
+	EXPECT_EQ(kStoreOk, itemjob_end(st, "j"));
+	ASSERT_EQ(kStoreOk, itemjob_read_open(st, &list));
+	EXPECT_EQ(
+	    kStoreOk, itemjob_claim(st, (itemjob_open *)list->pdata[0], "s2"));
+	g_ptr_array_unref(list);
+	EXPECT_EQ("s2", Owner(&is_ended));
+	EXPECT_TRUE(is_ended);
+	EXPECT_EQ(kStoreOk, itemjob_close(st, "j"));
+	EXPECT_EQ(kStoreOk, itemjob_end(st, "j")) << "finished";
+	EXPECT_EQ("none", Owner());
+}
+
+} // namespace
--- /dev/null
+++ b/test/unit/test_routebook.cc
@@ -0,0 +1,107 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "savoryflow/routebook/routebook.h"
+}
+
+namespace
+{
+
+struct Routebook : ::testing::Test {
+	struct routebook *book = routebook_new(1);
+
+	~Routebook() override
+	{
+		routebook_unref(book);
+	}
+
+	routebook_route *
+	Add(const char *name, const char *host, const char *prefix)
+	{
+		routebook_route *route = routebook_add_route(book);
+
+		route->name = g_strdup(name);
+		route->host = g_strdup(host);
+		route->prefix = g_strdup(prefix);
+		return route;
+	}
+};
+
+TEST_F(Routebook, LongestPrefixOfTheHostWins)
+{
+	const struct {
+		const char *host;
+		const char *path;
+		const char *route;
+	} cases[] = {
+	    {"a.example", "/x/1", "short"},
+	    {"a.example", "/x/y/1", "long"},
+	    {"a.example", "/x/yy", "short"},
+	    {"a.example", "/x/y", "short"},
+	    {"a.example", "/z/", nullptr},
+	    {"a.example", "/", nullptr},
+	    {"b.example", "/x/y/1", "other"},
+	    {"c.example", "/x/1", nullptr},
+	    {"A.example", "/x/1", nullptr},
+	};
+
+	Add("short", "a.example", "/x/");
+	Add("long", "a.example", "/x/y/");
+	Add("other", "b.example", "/x/");
+	for (const auto &c : cases) {
+		const routebook_route *route =
+		    routebook_find(book, c.host, c.path);
+
+		EXPECT_STREQ(c.route, route != nullptr ? route->name : nullptr)
+		    << c.host << c.path;
+	}
+}
+
+TEST_F(Routebook, WeightsSplitTheRequests)
+{
+	routebook_route *route = Add("r", "a.example", "/x/");
+	int counts[2] = {};
+
+	routebook_add_share(route, "one", 90);
+	routebook_add_share(route, "two", 10);
+	for (uint64_t i = 0; i < 1000; i++)
+		counts[strcmp(routebook_service_of(route, i), "one") != 0]++;
+	EXPECT_EQ(900, counts[0]);
+	EXPECT_EQ(100, counts[1]);
+}
+
+TEST_F(Routebook, AShareOfNothingIsNotAllowed)
+{
+	routebook_route *route = Add("r", "a.example", "/x/");
+
+	routebook_add_share(route, "old", 0);
+	routebook_add_share(route, "new", 100);
+	EXPECT_FALSE(routebook_route_allows(route, "old"));
+	EXPECT_TRUE(routebook_route_allows(route, "new"));
+	EXPECT_FALSE(routebook_route_allows(route, "other"));
+}
+
+TEST_F(Routebook, WhatMayBeRepeated)
+{
+	const struct {
+		routebook_kind kind;
+		bool is_resumable;
+		bool may_repeat;
+	} cases[] = {
+	    {kRoutebookIdempotent, false, true},
+	    {kRoutebookOnce, false, false},
+	    {kRoutebookOnce, true, false},
+	    {kRoutebookStream, false, false},
+	    {kRoutebookStream, true, true},
+	    {kRoutebookBatch, false, true},
+	};
+	routebook_route *route = Add("r", "a.example", "/x/");
+
+	for (const auto &c : cases) {
+		route->kind = c.kind;
+		route->is_resumable = c.is_resumable;
+		EXPECT_EQ(c.may_repeat, routebook_may_repeat(route)) << c.kind;
+	}
+}
+
+} // namespace
--- a/test/unit/test_settings.cc
+++ b/test/unit/test_settings.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <string>
 #include <vector>
 
@@ -83,4 +85,59 @@
 	settings_free(set);
 }
 
+struct FileCase {
+	const char *name;
+	const char *text;
+	std::vector<std::string> flags;
+	int error; /* -1: accepted */
+	const char *mentions;
+	int64_t workers;
+	int64_t drain_ms;
+};
+
+/* A flag goes over the file; a file that cannot be used stops the start. */
+TEST(Settings, File)
+{
+	const FileCase cases[] = {
+	    {"values", "{\"workers\":7,\"drain-timeout-ms\":\"900\"}", {}, -1,
+		"", 7, 900},
+	    {"seconds", "{\"drain-timeout-s\":7.5}", {}, -1, "", 4, 7500},
+	    {"flag first", "{\"workers\":7}", {"--workers=9"}, -1, "", 9,
+		120000},
+	    {"no JSON", "workers = 7", {}, kErrSettingUnknown, "JSON", 0, 0},
+	    {"unknown", "{\"worker\":7}", {}, kErrSettingUnknown, "worker", 0,
+		0},
+	    {"no seconds", "{\"workers-s\":7}", {}, kErrSettingUnknown,
+		"workers-s", 0, 0},
+	    {"no value", "{\"workers\":[7]}", {}, kErrSettingUnknown, "workers",
+		0, 0},
+	    {"range", "{\"workers\":0}", {}, kErrSettingRange, "1 to 64", 0, 0},
+	};
+
+	for (const auto &c : cases) {
+		char path[] = "/tmp/savoryflow-settings-XXXXXX";
+		int fd = mkstemp(path);
+		SettingCase plain = {c.name, c.flags,
+		    {std::string("SAVORYFLOW_NODE_FILE=") + path}, 0, ""};
+		GError *err = nullptr;
+
+		ASSERT_EQ(
+		    (ssize_t)strlen(c.text), write(fd, c.text, strlen(c.text)));
+		close(fd);
+		struct settings *set = Parse(plain, &err);
+		EXPECT_EQ(c.error < 0, set != nullptr) << c.name;
+		if (set != nullptr) {
+			EXPECT_EQ(c.workers, set->workers) << c.name;
+			EXPECT_EQ(c.drain_ms, set->drain_timeout_ms) << c.name;
+		} else {
+			EXPECT_EQ(c.error, err->code) << c.name;
+			EXPECT_NE(nullptr, strstr(err->message, c.mentions))
+			    << err->message;
+			g_error_free(err);
+		}
+		settings_free(set);
+		unlink(path);
+	}
+}
+
 } // namespace
--- /dev/null
+++ b/test/unit/test_slotpool.cc
@@ -0,0 +1,299 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "savoryflow/slotpool/slotpool.h"
+#include "savoryflow/slotpool/target_health.h"
+}
+
+namespace
+{
+
+const int64_t kMs = 1000;
+const int64_t kSec = 1000 * kMs;
+
+struct Slotpool : ::testing::Test {
+	struct slotpool *sp = slotpool_new();
+	GArray *out = slotpool_actions_new();
+	std::vector<fleet_target> targets;
+	int64_t now = 0;
+
+	~Slotpool() override
+	{
+		slotpool_free(sp);
+		g_array_unref(out);
+	}
+
+	void
+	Targets(std::map<std::string, int> slots)
+	{
+		GPtrArray *list = g_ptr_array_new();
+
+		targets.clear();
+		for (auto &s : slots) {
+			fleet_target t = {};
+
+			g_strlcpy(t.id, s.first.c_str(), sizeof(t.id));
+			t.slots = s.second;
+			targets.push_back(t);
+		}
+		for (auto &t : targets)
+			g_ptr_array_add(list, &t);
+		slotpool_set_targets(sp, list, now, out);
+		g_ptr_array_unref(list);
+	}
+
+	static slotpool_ask
+	Ask(uint64_t id, bool is_batch, int64_t until, uint32_t holder)
+	{
+		slotpool_ask ask = {};
+
+		ask.id = id;
+		ask.holder = holder;
+		ask.is_batch = is_batch;
+		ask.until_us = until;
+		return ask;
+	}
+
+	/* Verdicts since the last look, by id. */
+	std::map<uint64_t, slotpool_action>
+	Take()
+	{
+		std::map<uint64_t, slotpool_action> all;
+
+		for (guint i = 0; i < out->len; i++) {
+			auto &act = g_array_index(out, slotpool_action, i);
+
+			all[act.id] = act;
+		}
+		g_array_set_size(out, 0);
+		return all;
+	}
+
+	std::map<uint64_t, slotpool_action>
+	Online(uint64_t id, int64_t left = 200 * kMs, uint32_t holder = 1)
+	{
+		slotpool_ask ask = Ask(id, false, now + left, holder);
+
+		slotpool_request(sp, &ask, now, out);
+		return Take();
+	}
+
+	std::map<uint64_t, slotpool_action>
+	Batch(uint64_t id, int64_t due = 10 * kSec, uint32_t holder = 1)
+	{
+		slotpool_ask ask = Ask(id, true, due, holder);
+
+		slotpool_request(sp, &ask, now, out);
+		return Take();
+	}
+
+	std::map<uint64_t, slotpool_action>
+	Release(uint64_t id, slot_outcome outcome = kSlotServed)
+	{
+		slotpool_release(sp, id, outcome, now, out);
+		return Take();
+	}
+};
+
+TEST_F(Slotpool, TheLessUsedTargetIsTaken)
+{
+	Targets({{"a", 8}, {"b", 8}});
+	std::map<std::string, int> used;
+
+	for (uint64_t i = 1; i <= 8; i++)
+		used[Online(i)[i].target]++;
+	EXPECT_EQ(4, used["a"]);
+	EXPECT_EQ(4, used["b"]);
+}
+
+TEST_F(Slotpool, NoMoreThanItsSlotsRunAtATarget)
+{
+	Targets({{"a", 2}});
+	EXPECT_EQ(kSlotGranted, Online(1)[1].verdict);
+	EXPECT_EQ(kSlotGranted, Online(2)[2].verdict);
+	EXPECT_EQ(0u, Online(3, kSec).count(3)) << "queued";
+	EXPECT_EQ(kSlotGranted, Release(1)[3].verdict);
+}
+
+TEST_F(Slotpool, WhatCannotStartInTimeIsRefusedAtOnce)
+{
+	Targets({{"a", 1}});
+	Online(1);
+	auto act = Online(2, 100 * kMs);
+	EXPECT_EQ(kSlotRefused, act[2].verdict);
+	EXPECT_GT(act[2].retry_after_us, 0);
+	EXPECT_EQ(0u, Online(3, 2 * kSec).count(3)) << "this one has time";
+}
+
+TEST_F(Slotpool, WhatWaitsTooLongIsRefused)
+{
+	Targets({{"a", 1}});
+	Online(1);
+	Online(2, 600 * kMs);
+	now = 600 * kMs;
+	slotpool_tick(sp, now, out);
+	EXPECT_EQ(kSlotRefused, Take()[2].verdict);
+}
+
+TEST_F(Slotpool, OnlineTakesThePlaceOfTheBatchItemDueLast)
+{
+	Targets({{"a", 3}});
+	Batch(1, 5 * kSec);
+	Batch(2, 9 * kSec);
+	Batch(3, 7 * kSec);
+	auto act = Online(4);
+	EXPECT_EQ(kSlotGranted, act[4].verdict);
+	EXPECT_EQ(kSlotRevoked, act[2].verdict);
+	EXPECT_EQ(0u, act.count(1));
+	EXPECT_EQ(0u, act.count(3));
+}
+
+TEST_F(Slotpool, BatchWaitsWhileOnlineWaits)
+{
+	Targets({{"a", 1}});
+	Online(1);
+	Online(2, 2 * kSec);
+	Batch(3);
+	auto act = Release(1);
+	EXPECT_EQ(kSlotGranted, act[2].verdict);
+	EXPECT_EQ(0u, act.count(3));
+	EXPECT_EQ(kSlotGranted, Release(2)[3].verdict);
+}
+
+TEST_F(Slotpool, TheBatchItemDueFirstComesFirst)
+{
+	Targets({{"a", 1}});
+	Batch(1);
+	Batch(2, 9 * kSec);
+	Batch(3, 5 * kSec);
+	EXPECT_EQ(kSlotGranted, Release(1)[3].verdict);
+}
+
+TEST_F(Slotpool, AnAnswerThatWasLostIsGivenAgain)
+{
+	Targets({{"a", 1}});
+	std::string target = Online(1)[1].target;
+	auto act = Online(1);
+	EXPECT_EQ(kSlotGranted, act[1].verdict);
+	EXPECT_EQ(target, act[1].target);
+}
+
+TEST_F(Slotpool, AnAdoptedSlotIsInUse)
+{
+	Targets({{"a", 1}});
+	slotpool_ask ask = Ask(1, false, 0, 1);
+
+	slotpool_adopt(sp, &ask, "a", now);
+	EXPECT_EQ(kSlotRefused, Online(2, 10 * kMs)[2].verdict);
+	Release(1);
+	EXPECT_EQ(kSlotGranted, Online(3)[3].verdict);
+}
+
+TEST_F(Slotpool, SlotsThatAreNotRenewedAreFreeAgain)
+{
+	Targets({{"a", 1}});
+	slotpool_ask ask = Ask(1, false, 0, 1);
+
+	slotpool_request(sp, &ask, now, out);
+	now = 3 * kSec;
+	slotpool_adopt(sp, &ask, "a", now);
+	now = 6 * kSec;
+	slotpool_tick(sp, now, out);
+	EXPECT_EQ(kSlotRefused, Online(2, 10 * kMs)[2].verdict) << "renewed";
+	now = 8 * kSec;
+	slotpool_tick(sp, now, out);
+	EXPECT_EQ(kSlotGranted, Online(3)[3].verdict);
+}
+
+TEST_F(Slotpool, SlotsOfALostDaemonAreFree)
+{
+	Targets({{"a", 1}});
+	Online(1, 200 * kMs, 7);
+	Online(2, 2 * kSec, 8);
+	slotpool_forget_holder(sp, 7, now, out);
+	EXPECT_EQ(kSlotGranted, Take()[2].verdict);
+}
+
+TEST_F(Slotpool, ATargetThatIsAvoidedIsNotTaken)
+{
+	Targets({{"a", 8}, {"b", 8}});
+	slotpool_ask ask = Ask(1, false, now + kSec, 1);
+
+	g_strlcpy(ask.but, "a", sizeof(ask.but));
+	slotpool_request(sp, &ask, now, out);
+	EXPECT_STREQ("b", Take()[1].target);
+}
+
+TEST_F(Slotpool, AnUnreachableTargetGetsNoWorkUntilProbed)
+{
+	Targets({{"a", 8}});
+	Online(1);
+	Release(1, kSlotUnreachable);
+	EXPECT_EQ(kSlotRefused, Online(2, 10 * kMs)[2].verdict);
+	now += 500 * kMs;
+	EXPECT_EQ(kSlotGranted, Online(3)[3].verdict) << "the probe";
+	EXPECT_EQ(kSlotRefused, Online(4, 10 * kMs)[4].verdict);
+	Release(3);
+	EXPECT_EQ(kSlotGranted, Online(5)[5].verdict);
+}
+
+TEST_F(Slotpool, KeptPrefixesAttract)
+{
+	Targets({{"a", 8}, {"b", 8}});
+	slotpool_ask first = Ask(1, false, kSec, 1);
+	slotpool_ask second = Ask(2, false, kSec, 1);
+
+	first.prefix = second.prefix = 42;
+	slotpool_request(sp, &first, now, out);
+	std::string target = Take()[1].target;
+	slotpool_release(sp, 1, kSlotServed, now, out);
+	slotpool_request(sp, &second, now, out);
+	EXPECT_EQ(target, Take()[2].target);
+}
+
+TEST_F(Slotpool, ATargetThatIsGoneGivesItsSlotsBack)
+{
+	Targets({{"a", 1}, {"b", 1}});
+	Online(1);
+	Online(2);
+	Targets({{"b", 1}});
+	slotpool_load load = slotpool_load_get(sp, now);
+	EXPECT_EQ(1, load.slots);
+	EXPECT_EQ(1, load.online);
+}
+
+TEST(TargetHealth, Table)
+{
+	const struct {
+		const char *name;
+		std::vector<slot_outcome> outcomes;
+		bool takes;
+	} cases[] = {
+	    {"fresh", {}, true},
+	    {"one break is borne", {kSlotBroken}, true},
+	    {"two breaks are not", {kSlotBroken, kSlotBroken}, false},
+	    {"a success in between", {kSlotBroken, kSlotServed, kSlotBroken},
+		true},
+	    {"silence", {kSlotSilent}, false},
+	    {"no connection", {kSlotUnreachable}, false},
+	    {"full", {kSlotFull}, false},
+	    {"a caller left", {kSlotNeutral, kSlotNeutral}, true},
+	};
+
+	for (const auto &c : cases) {
+		target_health h = {};
+
+		for (slot_outcome outcome : c.outcomes) {
+			target_health_note_start(&h);
+			target_health_note_end(&h, outcome, 0);
+		}
+		EXPECT_EQ(c.takes, target_health_takes(&h, 1)) << c.name;
+		EXPECT_TRUE(target_health_takes(&h, 10 * kSec)) << c.name;
+	}
+}
+
+} // namespace
