A leaving daemon turns late requests away; no pool ejects all its targets

Once the balancer has had its two looks (2.5 s) new requests get 503 with a time to come back, so that all that were taken are finished. Cause 2 (the new functional tests): with every target ejected callers were turned away although targets lived; all are tried then.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -42,8 +42,11 @@
 	kLapseUs = 2500 * kUsPerMs,
 	kHousekeepingUs = 100 * kUsPerMs,
 	kNoRoutesRetryUs = 500 * kUsPerMs,
-	/* The balancer needs two looks, one a second, to notice. */
+	/* The balancer needs two looks, one a second, to notice. Afterwards
+	 * new requests are turned away, so that all that were taken can be
+	 * finished. */
 	kBalancerNoticeUs = 2500 * kUsPerMs,
+	kDrainingRetryUs = 50 * kUsPerMs,
 	/* Left of the stop's time when what still runs is broken off. */
 	kStopReserveUs = 1200 * kUsPerMs,
 };
@@ -392,6 +395,13 @@
 	}
 }
 
+static bool
+is_turning_away(const struct gateway *gw)
+{
+	return gw->is_leaving &&
+	    loop_now_us(gw->lp) - gw->leaving_us > kBalancerNoticeUs;
+}
+
 static void
 on_request(void *ctx, struct front_request *req)
 {
@@ -401,6 +411,14 @@
 	metric_add(kMetRequests, 1);
 	gw->adapter->dialect->read_call(
 	    front_method(req), front_uri(req), front_headers(req), &call);
+	if (is_turning_away(gw)) {
+		log_event(kEvtCallRefused, "request", call.attempt_id, "why",
+		    "draining", NULL);
+		reply_error(req, kErrDraining,
+		    "this daemon is leaving; another one answers",
+		    kDrainingRetryUs);
+		return;
+	}
 	if (gw->routes == NULL) {
 		log_event(kEvtCallRefused, "request", call.attempt_id, "why",
 		    "no_configuration", NULL);
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -122,10 +122,36 @@
 }
 
 static bool
-takes_work(const struct slot_target *t, int64_t now_us)
+is_listed(const struct slot_target *t)
 {
-	return !t->info.is_draining && t->info.gone_at_us == 0 &&
-	    target_health_takes(&t->health, now_us);
+	return !t->info.is_draining && t->info.gone_at_us == 0;
+}
+
+/*
+ * True while no target is healthy. All are tried then: to be turned away by a
+ * target costs less than to turn the callers away.
+ */
+static bool
+ignores_health(const struct slotpool *sp, int64_t now_us)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sp->targets);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct slot_target *t = val;
+
+		if (is_listed(t) && target_health_takes(&t->health, now_us))
+			return false;
+	}
+	return true;
+}
+
+static bool
+takes_work(const struct slot_target *t, bool ignore_health, int64_t now_us)
+{
+	return is_listed(t) &&
+	    (ignore_health || target_health_takes(&t->health, now_us));
 }
 
 struct slotpool_load
@@ -136,6 +162,7 @@
 	    .batch_queued = g_sequence_get_length(sp->batch),
 	    .hold_us = sp->hold_us,
 	};
+	bool ignore_health = ignores_health(sp, now_us);
 	GHashTableIter it;
 	void *val;
 
@@ -143,7 +170,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		const struct slot_target *t = val;
 
-		if (!takes_work(t, now_us))
+		if (!takes_work(t, ignore_health, now_us))
 			continue;
 		load.slots += t->info.slots;
 		load.online += t->online;
@@ -257,6 +284,7 @@
     int64_t now_us)
 {
 	struct slot_target *best = NULL;
+	bool ignore_health = ignores_health(sp, now_us);
 	int64_t best_cost = 0;
 	GHashTableIter it;
 	void *val;
@@ -266,7 +294,7 @@
 		struct slot_target *t = val;
 		int64_t cost;
 
-		if (!takes_work(t, now_us) || !fits(t) ||
+		if (!takes_work(t, ignore_health, now_us) || !fits(t) ||
 		    strcmp(t->info.id, ask->but) == 0)
 			continue;
 		cost = cost_of(t, ask);
--- a/src/savoryflow/slotpool/target_health.c
+++ b/src/savoryflow/slotpool/target_health.c
@@ -36,6 +36,9 @@
 int64_t
 target_health_penalty(const struct target_health *h)
 {
+	/* One that was ejected is to get its probe. */
+	if (h->ejections > 0)
+		return 0;
 	return (int64_t)kPenaltyPerFault * MIN(h->faults, kFaultsToEject);
 }
 
--- a/test/standin/http.h
+++ b/test/standin/http.h
@@ -37,5 +37,7 @@
 int standin_platform(int argc, char **argv);
 int standin_engine(int argc, char **argv);
 int standin_plain(int argc, char **argv);
+int standin_rows(int argc, char **argv);
+int standin_worker(int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/test/standin/rows.c
@@ -0,0 +1,402 @@
+/*
+ * Stand-in of the users' platform: its metadata store over HTTP. Rows carry
+ * versions from one counter; transactions hold conditions; changes are fed.
+ *
+ * POST /put {"table","key","value"}: writes a row as the operator or a worker
+ * does; no value removes it.
+ * POST /fault {"outage","lose_answers","forget"}: turns all calls away, drops
+ * the answers of the next so many writes, forgets the history.
+ */
+#include <jansson.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http.h"
+#include "os/clock.h"
+
+enum { kFeedLookUs = 5000 };
+
+struct row {
+	char *table;
+	char *part;
+	char *key;
+	/** Base64, as it came; NULL: removed. */
+	char *value;
+	int64_t version;
+};
+
+struct rows {
+	pthread_mutex_t lock;
+	/** struct row by "TABLE\tPART\tKEY", ordered. */
+	GTree *rows;
+	GHashTable *objects;
+	int64_t version;
+	/** The feed knows changes after this one only. */
+	int64_t forgotten;
+	bool outage;
+	int lose_answers;
+};
+
+static int
+compare(const void *a, const void *b, void *ctx)
+{
+	return strcmp(a, b);
+}
+
+static const char *
+text(const json_t *doc, const char *name)
+{
+	const char *val = json_string_value(json_object_get(doc, name));
+
+	return val != NULL ? val : "";
+}
+
+static char *
+full_key(const char *table, const char *part, const char *key)
+{
+	return g_strdup_printf("%s\t%s\t%s", table, part, key);
+}
+
+static void
+write_row(struct rows *rs, const char *table, const char *part, const char *key,
+    const char *value)
+{
+	char *full = full_key(table, part, key);
+	struct row *row = g_tree_lookup(rs->rows, full);
+
+	if (row == NULL) {
+		row = g_new0(struct row, 1);
+		row->table = g_strdup(table);
+		row->part = g_strdup(part);
+		row->key = g_strdup(key);
+		g_tree_insert(rs->rows, g_strdup(full), row);
+	}
+	g_free(row->value);
+	row->value = g_strdup(value);
+	row->version = rs->version;
+	g_free(full);
+	/* The tree owns the row. */
+	// cppcheck-suppress memleak
+}
+
+static json_t *
+row_json(const struct row *row)
+{
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:I}", "table_name", row->table,
+	    "part", row->part, "key", row->key, "row_version",
+	    (json_int_t)row->version);
+
+	if (row->value != NULL)
+		json_object_set_new(doc, "value", json_string(row->value));
+	else
+		json_object_set_new(doc, "deleted", json_true());
+	return doc;
+}
+
+static struct MHD_Response *
+answer(struct rows *rs, json_t *doc)
+{
+	struct MHD_Response *res;
+	char *out;
+
+	json_object_set_new(doc, "row_version", json_integer(rs->version));
+	json_object_set_new(doc, "now_ms",
+	    json_integer(clock_mono_us(clock_system()) / kUsPerMs));
+	out = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	res = standin_text(out);
+	free(out);
+	return res;
+}
+
+static bool
+conditions_hold(struct rows *rs, const json_t *conds)
+{
+	const json_t *c;
+	size_t i;
+
+	json_array_foreach((json_t *)conds, i, c)
+	{
+		char *full = full_key(
+		    text(c, "table_name"), text(c, "part"), text(c, "key"));
+		const struct row *row = g_tree_lookup(rs->rows, full);
+		int64_t have =
+		    row != NULL && row->value != NULL ? row->version : 0;
+
+		g_free(full);
+		if (have !=
+		    json_integer_value(json_object_get(c, "row_version")))
+			return false;
+	}
+	return true;
+}
+
+/* One transaction keeps to one partition. */
+static bool
+is_one_part(const json_t *doc)
+{
+	static const char *const lists[] = {
+	    "expected_rev", "upserts", "remove"};
+	const char *part = NULL;
+
+	for (size_t n = 0; n < G_N_ELEMENTS(lists); n++) {
+		const json_t *e;
+		size_t i;
+
+		json_array_foreach(json_object_get(doc, lists[n]), i, e)
+		{
+			if (part != NULL && strcmp(part, text(e, "part")) != 0)
+				return false;
+			part = text(e, "part");
+		}
+	}
+	return true;
+}
+
+static struct MHD_Response *
+run_tx(struct rows *rs, struct standin_request *req, unsigned int *status)
+{
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+	const json_t *e;
+	size_t i;
+
+	if (!is_one_part(doc)) {
+		*status = 400;
+		json_decref(doc);
+		return standin_text("{}");
+	}
+	if (!conditions_hold(rs, json_object_get(doc, "expected_rev"))) {
+		*status = 412;
+		json_decref(doc);
+		return answer(rs, json_object());
+	}
+	rs->version++;
+	json_array_foreach(json_object_get(doc, "upserts"), i, e)
+	{
+		write_row(rs, text(e, "table_name"), text(e, "part"),
+		    text(e, "key"), text(e, "value"));
+	}
+	json_array_foreach(json_object_get(doc, "remove"), i, e)
+	{
+		write_row(rs, text(e, "table_name"), text(e, "part"),
+		    text(e, "key"), NULL);
+	}
+	json_decref(doc);
+	if (rs->lose_answers > 0) {
+		rs->lose_answers--;
+		return NULL;
+	}
+	return answer(rs, json_object());
+}
+
+static const char *
+argument(struct standin_request *req, const char *name)
+{
+	const char *val =
+	    MHD_lookup_connection_value(req->con, MHD_GET_ARGUMENT_KIND, name);
+
+	return val != NULL ? val : "";
+}
+
+struct range {
+	const char *table;
+	const char *part;
+	const char *from;
+	const char *until;
+	int limit;
+	json_t *list;
+	bool has_more;
+};
+
+static gboolean
+take_in_range(void *key, void *val, void *ctx)
+{
+	struct range *r = ctx;
+	const struct row *row = val;
+
+	if (strcmp(row->table, r->table) != 0 ||
+	    strcmp(row->part, r->part) != 0 || row->value == NULL ||
+	    strcmp(row->key, r->from) < 0 ||
+	    (*r->until != '\0' && strcmp(row->key, r->until) >= 0))
+		return FALSE;
+	if ((int)json_array_size(r->list) >= r->limit) {
+		r->has_more = true;
+		return TRUE;
+	}
+	json_array_append_new(r->list, row_json(row));
+	return FALSE;
+}
+
+static struct MHD_Response *
+get_range(struct rows *rs, struct standin_request *req)
+{
+	const char *limit = argument(req, "max_results");
+	struct range r = {argument(req, "table_name"), argument(req, "part"),
+	    argument(req, "from"), argument(req, "target"),
+	    *limit != '\0' ? atoi(limit) : 500, json_array(), false};
+
+	g_tree_foreach(rs->rows, take_in_range, &r);
+	return answer(rs,
+	    json_pack(
+		"{s:o,s:b}", "rows", r.list, "has_more", (int)r.has_more));
+}
+
+struct changes {
+	const char *table;
+	int64_t after;
+	json_t *list;
+};
+
+static gboolean
+take_changed(void *key, void *val, void *ctx)
+{
+	struct changes *c = ctx;
+	const struct row *row = val;
+
+	if (strcmp(row->table, c->table) == 0 && row->version > c->after)
+		json_array_append_new(c->list, row_json(row));
+	return FALSE;
+}
+
+static struct MHD_Response *
+feed(struct rows *rs, struct standin_request *req, unsigned int *status)
+{
+	struct changes c = {argument(req, "table_name"),
+	    strtoll(argument(req, "after"), NULL, 10), json_array()};
+	int64_t end_us = clock_mono_us(clock_system()) +
+	    strtoll(argument(req, "wait_ms"), NULL, 10) * kUsPerMs;
+
+	for (;;) {
+		if (c.after < rs->forgotten || rs->outage) {
+			*status = rs->outage ? 503 : 410;
+			json_decref(c.list);
+			return standin_text("{}");
+		}
+		g_tree_foreach(rs->rows, take_changed, &c);
+		if (json_array_size(c.list) > 0 ||
+		    clock_mono_us(clock_system()) >= end_us)
+			return answer(rs, json_pack("{s:o}", "rows", c.list));
+		pthread_mutex_unlock(&rs->lock);
+		g_usleep(kFeedLookUs);
+		pthread_mutex_lock(&rs->lock);
+	}
+}
+
+static struct MHD_Response *
+object(struct rows *rs, struct standin_request *req, const char *verb,
+    const char *name, unsigned int *status)
+{
+	GBytes *found = g_hash_table_lookup(rs->objects, name);
+	const void *data;
+	gsize len;
+
+	if (strcmp(verb, "put") == 0) {
+		if (found != NULL)
+			*status = 412;
+		else
+			g_hash_table_insert(rs->objects, g_strdup(name),
+			    g_bytes_new(req->body->str, req->body->len));
+		return standin_text("{}");
+	}
+	if (strcmp(verb, "drop") == 0) {
+		g_hash_table_remove(rs->objects, name);
+		return standin_text("{}");
+	}
+	if (found == NULL) {
+		*status = 404;
+		return standin_text("{}");
+	}
+	data = g_bytes_get_data(found, &len);
+	return MHD_create_response_from_buffer(
+	    len, (void *)data, MHD_RESPMEM_MUST_COPY);
+}
+
+static struct MHD_Response *
+put(struct rows *rs, struct standin_request *req)
+{
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+	const char *value = json_string_value(json_object_get(doc, "value"));
+	char *b64 = value != NULL
+	    ? g_base64_encode((const guchar *)value, strlen(value))
+	    : NULL;
+
+	rs->version++;
+	write_row(rs, text(doc, "table"), "", text(doc, "key"), b64);
+	g_free(b64);
+	json_decref(doc);
+	return standin_text("{}");
+}
+
+static struct MHD_Response *
+fault(struct rows *rs, struct standin_request *req)
+{
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+
+	rs->outage = json_is_true(json_object_get(doc, "outage"));
+	rs->lose_answers =
+	    (int)json_integer_value(json_object_get(doc, "lose_answers"));
+	if (json_is_true(json_object_get(doc, "forget")))
+		rs->forgotten = ++rs->version;
+	json_decref(doc);
+	return standin_text("{}");
+}
+
+static struct MHD_Response *
+dispatch(struct rows *rs, struct standin_request *req, unsigned int *status)
+{
+	static const struct {
+		const char *path;
+		const char *verb;
+	} objects[] = {
+	    {"/api/blob-put/", "put"},
+	    {"/api/blob-get/", "get"},
+	    {"/api/blob-drop/", "drop"},
+	};
+
+	if (strcmp(req->url, "/put") == 0)
+		return put(rs, req);
+	if (strcmp(req->url, "/fault") == 0)
+		return fault(rs, req);
+	if (rs->outage) {
+		*status = 503;
+		return standin_text("{}");
+	}
+	if (strcmp(req->url, "/api/rows-tx") == 0)
+		return run_tx(rs, req, status);
+	if (strcmp(req->url, "/api/rows-get") == 0)
+		return get_range(rs, req);
+	if (strcmp(req->url, "/api/rows-feed") == 0)
+		return feed(rs, req, status);
+	for (size_t i = 0; i < G_N_ELEMENTS(objects); i++)
+		if (g_str_has_prefix(req->url, objects[i].path))
+			return object(rs, req, objects[i].verb,
+			    req->url + strlen(objects[i].path), status);
+	*status = 404;
+	return standin_text("{}");
+}
+
+static struct MHD_Response *
+handle(void *ctx, struct standin_request *req, unsigned int *status)
+{
+	struct rows *rs = ctx;
+	struct MHD_Response *res;
+
+	pthread_mutex_lock(&rs->lock);
+	res = dispatch(rs, req, status);
+	pthread_mutex_unlock(&rs->lock);
+	return res;
+}
+
+int
+standin_rows(int argc, char **argv)
+{
+	struct rows rs = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+	rs.rows = g_tree_new_full(compare, NULL, g_free, NULL);
+	rs.objects = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+	return standin_serve(
+	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7100")), handle,
+	    &rs);
+}
--- /dev/null
+++ b/test/standin/worker.c
@@ -0,0 +1,239 @@
+/*
+ * Stand-in of one of the platform's model workers. A request's body says what
+ * is wanted: {"events":N,"pace_ms":M,"status":S}; the data of event n is
+ * "PATH-n", so that a test can tell whose answer it got and whether it is
+ * whole.
+ *
+ * POST /fault {"cut_after","silent","shed","cross","unsigned"}: each counts
+ * down: streams cut after three events, without an answer, turned away, with
+ * another attempt's id, without a signature.
+ * GET /seen: ids of the attempts that were run, and how many ended early.
+ */
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "http.h"
+
+enum {
+	kCutAfterEvents = 3,
+	kSilentUs = 3000000,
+};
+
+struct worker {
+	pthread_mutex_t lock;
+	const char *id;
+	int cut_after;
+	int silent;
+	int shed;
+	int cross;
+	int is_unsigned;
+	json_t *ran;
+	int left_early;
+};
+
+struct stream {
+	struct worker *wk;
+	char *path;
+	int64_t next;
+	int64_t total;
+	int64_t cut_at;
+	int pace_ms;
+	bool is_silent;
+	bool is_done;
+};
+
+static bool
+take(int *count)
+{
+	if (*count <= 0)
+		return false;
+	(*count)--;
+	return true;
+}
+
+static ssize_t
+read_events(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct stream *st = cls;
+	int n;
+
+	if (st->is_silent) {
+		g_usleep(kSilentUs);
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	}
+	if (st->next > st->total) {
+		st->is_done = true;
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	}
+	g_usleep((gulong)st->pace_ms * 1000);
+	n = g_snprintf(buf, max,
+	    "id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT "\n\n",
+	    st->next, st->path, st->next);
+	if (st->next == st->cut_at) {
+		/* In the middle of an event. */
+		st->cut_at = -1;
+		st->is_silent = true;
+		return n / 2;
+	}
+	st->next++;
+	return n;
+}
+
+static ssize_t
+read_cut(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct stream *st = cls;
+
+	if (st->is_silent && st->cut_at < 0)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	return read_events(cls, pos, buf, max);
+}
+
+static void
+stream_free(void *cls)
+{
+	struct stream *st = cls;
+
+	pthread_mutex_lock(&st->wk->lock);
+	if (!st->is_done)
+		st->wk->left_early++;
+	pthread_mutex_unlock(&st->wk->lock);
+	g_free(st->path);
+	g_free(st);
+}
+
+static const char *
+header(struct standin_request *req, const char *name)
+{
+	return MHD_lookup_connection_value(req->con, MHD_HEADER_KIND, name);
+}
+
+static void
+sign(struct worker *wk, struct MHD_Response *res, const char *attempt)
+{
+	bool cross = take(&wk->cross);
+
+	MHD_add_response_header(res, "X-Attempt-Id", cross ? "other" : attempt);
+	if (!take(&wk->is_unsigned))
+		MHD_add_response_header(res, "X-Response-Seal", wk->id);
+}
+
+static struct MHD_Response *
+turn_away(struct worker *wk, unsigned int code, unsigned int *status)
+{
+	struct MHD_Response *res = standin_text("{}");
+
+	*status = code;
+	if (code == 421)
+		MHD_add_response_header(res, "X-Instance-Id", wk->id);
+	else
+		MHD_add_response_header(res, "X-Not-Executed", "1");
+	return res;
+}
+
+static struct MHD_Response *
+run(struct worker *wk, struct standin_request *req, unsigned int *status)
+{
+	const char *attempt = header(req, "X-Attempt-Id");
+	const char *expect = header(req, "X-Expect-Instance");
+	const char *last = header(req, "Last-Event-Id");
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+	int64_t code = json_integer_value(json_object_get(doc, "status"));
+	int64_t pace = json_integer_value(json_object_get(doc, "pace_ms"));
+	struct MHD_Response *res;
+	struct stream *st;
+
+	if (attempt == NULL ||
+	    (expect != NULL && strcmp(expect, wk->id) != 0) ||
+	    take(&wk->shed)) {
+		json_decref(doc);
+		return turn_away(wk,
+		    expect != NULL && strcmp(expect, wk->id) != 0 ? 421 : 503,
+		    status);
+	}
+	json_array_append_new(wk->ran, json_string(attempt));
+	if (code >= 400) {
+		*status = (unsigned int)code;
+		res = standin_text("the worker's own failure");
+		sign(wk, res, attempt);
+		json_decref(doc);
+		return res;
+	}
+	st = g_new0(struct stream, 1);
+	st->wk = wk;
+	st->path = g_strdup(req->url);
+	st->next = last != NULL ? atoll(last) + 1 : 1;
+	st->total = json_integer_value(json_object_get(doc, "events"));
+	st->pace_ms = (int)pace;
+	st->cut_at = -1;
+	if (take(&wk->cut_after))
+		st->cut_at = st->next + kCutAfterEvents;
+	st->is_silent = take(&wk->silent);
+	res = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
+	    st->cut_at >= 0 ? read_cut : read_events, st, stream_free);
+	MHD_add_response_header(res, "Content-Type", "text/event-stream");
+	sign(wk, res, attempt);
+	json_decref(doc);
+	return res;
+}
+
+static struct MHD_Response *
+fault(struct worker *wk, struct standin_request *req)
+{
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+
+	wk->cut_after =
+	    (int)json_integer_value(json_object_get(doc, "cut_after"));
+	wk->silent = (int)json_integer_value(json_object_get(doc, "silent"));
+	wk->shed = (int)json_integer_value(json_object_get(doc, "shed"));
+	wk->cross = (int)json_integer_value(json_object_get(doc, "cross"));
+	wk->is_unsigned =
+	    (int)json_integer_value(json_object_get(doc, "unsigned"));
+	json_decref(doc);
+	return standin_text("{}");
+}
+
+static struct MHD_Response *
+seen(struct worker *wk)
+{
+	json_t *doc = json_pack(
+	    "{s:O,s:i}", "ran", wk->ran, "left_early", wk->left_early);
+	char *out = json_dumps(doc, JSON_COMPACT);
+	struct MHD_Response *res = standin_text(out);
+
+	free(out);
+	json_decref(doc);
+	return res;
+}
+
+static struct MHD_Response *
+handle(void *ctx, struct standin_request *req, unsigned int *status)
+{
+	struct worker *wk = ctx;
+	struct MHD_Response *res;
+
+	pthread_mutex_lock(&wk->lock);
+	if (strcmp(req->url, "/fault") == 0)
+		res = fault(wk, req);
+	else if (strcmp(req->url, "/seen") == 0)
+		res = seen(wk);
+	else
+		res = run(wk, req, status);
+	pthread_mutex_unlock(&wk->lock);
+	return res;
+}
+
+int
+standin_worker(int argc, char **argv)
+{
+	struct worker wk = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+	wk.id = standin_flag(argc, argv, "--id", "i-1");
+	wk.ran = json_array();
+	return standin_serve(
+	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7200")), handle,
+	    &wk);
+}
