A blind daemon takes its peers' view; stand-in arbiters start no batch; late rather than never

Cause 2: an arbiter that stands in for one it cannot reach filled the same free slots with batch a second time. Cause 3: slots of a lost daemon stayed taken for their whole lease.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -115,7 +115,8 @@
 	    verdict->cause != NULL ? verdict->cause : "", "target",
 	    verdict->target, "attempts", log_number(verdict->attempts),
 	    "age_us", log_number(age_us(oc)), "first_us",
-	    log_number(oc->first_us), "retry_after_us",
+	    log_number(oc->first_us), "slot_wait_us",
+	    log_number(verdict->slot_wait_us), "retry_after_us",
 	    log_number(verdict->retry_after_us), NULL);
 }
 
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -101,8 +101,8 @@
 	/** A row could not be read; it is passed over. */
 	void (*on_bad_row)(
 	    void *ctx, const char *table, const char *key, const char *why);
-	/** The store answers, or does no longer. */
-	void (*on_reachable)(void *ctx, bool is_reachable, const char *why);
+	/** All lists can be read, or one of them no longer; at first none. */
+	void (*on_reachable)(void *ctx, bool is_reachable, const char *table);
 };
 
 struct watch;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -76,8 +76,6 @@
 	struct roster_row self;
 	int signal_fd;
 	uint64_t housekeeping;
-	/** Tables of the watch that cannot be read. */
-	int32_t blind_tables;
 	bool is_store_up;
 	/** Time since which the store answers; entries may be missing. */
 	int64_t store_back_us;
@@ -267,10 +265,9 @@
 	struct watch_note *note = ctx;
 	struct gateway *gw = note->gw;
 
-	gw->blind_tables += note->is_reachable ? -1 : 1;
 	if (note->is_reachable)
 		gw->store_back_us = loop_now_us(gw->lp);
-	view_exchange_set_blind(gw->view, gw->blind_tables > 0);
+	view_exchange_set_blind(gw->view, !note->is_reachable);
 	g_free(note);
 }
 
@@ -477,11 +474,16 @@
 }
 
 static void
-on_roster(void *ctx)
+on_roster(void *ctx, const GPtrArray *lost)
 {
 	struct gateway *gw = ctx;
 	GPtrArray *peers = roster_peers(gw->roster, loop_now_us(gw->lp));
 
+	for (guint i = 0; i < lost->len; i++) {
+		log_event(kEvtMemberDown, "member", lost->pdata[i], NULL);
+		slots_forget_daemon(gw->slots, lost->pdata[i]);
+	}
+
 	metric_set(kMetMembersAlive, (int64_t)peers->len + 1);
 	g_ptr_array_unref(peers);
 }
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -121,6 +121,16 @@
 	}
 }
 
+static void
+take_roster(struct members *mb, const GArray *rows, int64_t now_us)
+{
+	GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
+
+	roster_take_rows(mb->opt.roster, rows, now_us, lost);
+	mb->opt.on_roster(mb->opt.ctx, lost);
+	g_ptr_array_unref(lost);
+}
+
 static void
 look_done(void *ctx)
 {
@@ -130,8 +140,7 @@
 
 	mb->is_looking = false;
 	if (look->rows != NULL) {
-		roster_take_rows(mb->opt.roster, look->rows, now_us);
-		mb->opt.on_roster(mb->opt.ctx);
+		take_roster(mb, look->rows, now_us);
 	} else if (!look->is_leaving) {
 		roster_note_blind(mb->opt.roster, now_us);
 	}
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -55,6 +55,8 @@
 	uint64_t deadline_timer;
 	uint64_t silence_timer;
 	int64_t started_us;
+	int64_t asked_us;
+	int64_t slot_wait_us;
 	/** Time of the last sign of life, or of the send. */
 	int64_t alive_us;
 
@@ -155,6 +157,7 @@
 	    .end = end,
 	    .retry_after_us = retry_after_us,
 	    .attempts = rl->attempts,
+	    .slot_wait_us = rl->slot_wait_us,
 	    .cause = rl->cause,
 	    .was_cut = rl->cause != NULL && strcmp(rl->cause, "cut") == 0,
 	};
@@ -444,6 +447,7 @@
 	const struct fleet_target *target =
 	    fleet_find(rl->parts.fleet, target_id);
 
+	rl->slot_wait_us = loop_now_us(rl->parts.lp) - rl->asked_us;
 	g_strlcpy(rl->target, target_id, sizeof(rl->target));
 	/* The arbiter's list may be behind this daemon's. */
 	if (target == NULL || target->is_draining || target->gone_at_us != 0) {
@@ -492,6 +496,7 @@
 	if (rl->attempts > 0 && !rl->opt.is_batch)
 		ask.until_us = MAX(ask.until_us, now_us + rl->opt.silence_us);
 	rl->phase = kPhaseAsking;
+	rl->asked_us = now_us;
 	event_splitter_restart(&rl->events);
 	g_string_truncate(rl->whole, 0);
 	rl->slot = slots_ask(rl->parts.slots, &ask, &slot_ops, rl);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -28,6 +28,8 @@
 	int64_t retry_after_us;
 	/** Targets that the request was sent to. */
 	int32_t attempts;
+	/** Time that the last attempt waited for its slot. */
+	int64_t slot_wait_us;
 	/** How the last attempt ended, for the log. */
 	const char *cause;
 	/** The target took the request and broke off: it may have crashed. */
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -15,6 +15,8 @@
 	int64_t seen_us;
 	int64_t suspect_until_us;
 	bool is_leaving;
+	/** Its lease has lapsed, and that was told. */
+	bool is_lost;
 };
 
 struct roster {
@@ -44,7 +46,8 @@
 }
 
 static void
-take_row(struct roster *ro, const struct roster_row *row, int64_t now_us)
+take_row(struct roster *ro, const struct roster_row *row, int64_t now_us,
+    GPtrArray *lost)
 {
 	struct roster_member *m =
 	    g_hash_table_lookup(ro->members, row->address);
@@ -60,30 +63,57 @@
 	}
 	if (m->row.version == row->version)
 		return;
-	if (strcmp(m->row.session, row->session) != 0)
+	if (strcmp(m->row.session, row->session) != 0) {
 		m->is_leaving = false;
+		g_ptr_array_add(lost, g_strdup(row->address));
+	}
 	m->row = *row;
 	m->seen_us = now_us;
+	m->is_lost = false;
+}
+
+static bool
+lives(const struct roster *ro, const struct roster_member *m, int64_t now_us)
+{
+	return now_us - m->seen_us <= ro->opt.lease_us;
+}
+
+/* Tells a daemon whose lease has lapsed once. */
+static void
+note_lapse(
+    struct roster *ro, struct roster_member *m, int64_t now_us, GPtrArray *lost)
+{
+	if (m->is_lost || lives(ro, m, now_us))
+		return;
+	m->is_lost = true;
+	g_ptr_array_add(lost, g_strdup(m->row.address));
 }
 
 void
-roster_take_rows(struct roster *ro, const GArray *rows, int64_t now_us)
+roster_take_rows(
+    struct roster *ro, const GArray *rows, int64_t now_us, GPtrArray *lost)
 {
 	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter it;
 	void *key;
+	void *val;
 
 	for (guint i = 0; i < rows->len; i++) {
 		struct roster_row *row =
 		    &g_array_index(rows, struct roster_row, i);
 
 		g_hash_table_add(listed, row->address);
-		take_row(ro, row, now_us);
+		take_row(ro, row, now_us, lost);
 	}
 	g_hash_table_iter_init(&it, ro->members);
-	while (g_hash_table_iter_next(&it, &key, NULL))
-		if (!g_hash_table_contains(listed, key))
-			g_hash_table_iter_remove(&it);
+	while (g_hash_table_iter_next(&it, &key, &val)) {
+		note_lapse(ro, val, now_us, lost);
+		if (g_hash_table_contains(listed, key))
+			continue;
+		if (!((struct roster_member *)val)->is_lost)
+			g_ptr_array_add(lost, g_strdup(key));
+		g_hash_table_iter_remove(&it);
+	}
 	g_hash_table_unref(listed);
 }
 
@@ -132,12 +162,6 @@
 		m->suspect_until_us = 0;
 }
 
-static bool
-lives(const struct roster *ro, const struct roster_member *m, int64_t now_us)
-{
-	return now_us - m->seen_us <= ro->opt.lease_us;
-}
-
 static bool
 is_usable(
     const struct roster *ro, const struct roster_member *m, int64_t now_us)
@@ -176,9 +200,10 @@
 	*weight = w;
 }
 
-const char *
-roster_owner(const struct roster *ro, const char *key, const char *data_center,
-    int64_t now_us)
+/* @param trusts_suspects a daemon that did not answer counts as well */
+static const char *
+find_owner(const struct roster *ro, const char *key, const char *data_center,
+    bool trusts_suspects, int64_t now_us)
 {
 	const char *near = NULL;
 	const char *any = NULL;
@@ -195,7 +220,9 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		const struct roster_member *m = val;
 
-		if (!is_usable(ro, m, now_us))
+		if (!is_usable(ro, m, now_us) &&
+		    !(trusts_suspects && lives(ro, m, now_us) &&
+			!m->is_leaving))
 			continue;
 		offer(key, m->row.address, &any, &any_weight);
 		if (data_center == NULL ||
@@ -205,6 +232,21 @@
 	return near != NULL ? near : any;
 }
 
+const char *
+roster_owner(const struct roster *ro, const char *key, const char *data_center,
+    int64_t now_us)
+{
+	return find_owner(ro, key, data_center, false, now_us);
+}
+
+bool
+roster_is_rightful_owner(const struct roster *ro, const char *key,
+    const char *data_center, int64_t now_us)
+{
+	return strcmp(find_owner(ro, key, data_center, true, now_us),
+		   ro->opt.self.address) == 0;
+}
+
 GPtrArray *
 roster_peers(const struct roster *ro, int64_t now_us)
 {
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -33,8 +33,12 @@
 struct roster *roster_new(const struct roster_options *opt);
 void roster_free(struct roster *ro);
 
-/** Takes all rows of a read that succeeded: array of struct roster_row. */
-void roster_take_rows(struct roster *ro, const GArray *rows, int64_t now_us);
+/**
+ * Takes all rows of a read that succeeded: array of struct roster_row.
+ * @param lost addresses of daemons that are gone or started anew; g_free
+ */
+void roster_take_rows(
+    struct roster *ro, const GArray *rows, int64_t now_us, GPtrArray *lost);
 
 /** The store did not answer: silence says nothing until it does again. */
 void roster_note_blind(struct roster *ro, int64_t now_us);
@@ -61,6 +65,10 @@
 const char *roster_owner(const struct roster *ro, const char *key,
     const char *data_center, int64_t now_us);
 
+/** True if the key is this daemon's also when suspicions are left aside. */
+bool roster_is_rightful_owner(const struct roster *ro, const char *key,
+    const char *data_center, int64_t now_us);
+
 /** Addresses of the peers that live: array of strings, borrowed. */
 GPtrArray *roster_peers(const struct roster *ro, int64_t now_us);
 
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -20,6 +20,9 @@
 	/* A batch request that got no slot looks at all pools again. */
 	kBatchRechooseUs = 1000 * kUsPerMs,
 	kLocalRetryUs = 300 * kUsPerMs,
+	/* An arbiter lets a queued request start late; after that it has lost
+	 * it. */
+	kLateUs = 1300 * kUsPerMs,
 };
 
 static void deliver_all(void *ctx);
@@ -389,6 +392,12 @@
 	}
 }
 
+void
+slots_forget_daemon(struct slots *sl, const char *address)
+{
+	slots_host_forget(sl, address);
+}
+
 static void
 hold_tick(struct slots *sl, struct hold *h, int64_t now_us)
 {
@@ -415,7 +424,7 @@
 				break;
 			give_back(sl, h, kSlotNeutral);
 			ask_pool(sl, h);
-		} else if (now_us > h->ask.until_us) {
+		} else if (now_us > h->ask.until_us + kLateUs) {
 			give_back(sl, h, kSlotNeutral);
 			h->view = NULL;
 			slots_deliver(
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -65,6 +65,9 @@
 /** Tells the present arbiters what is held: the daemons have changed. */
 void slots_follow_arbiters(struct slots *sl);
 
+/** A daemon is gone, or started anew: it holds nothing. */
+void slots_forget_daemon(struct slots *sl, const char *address);
+
 /** Takes a peer's messages. */
 void slots_on_envelope(struct slots *sl, const Sfpeer__Envelope *env);
 
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -105,6 +105,9 @@
 		g_strlcpy(
 		    hp->data_center, data_center, sizeof(hp->data_center));
 		hp->pool = slotpool_new();
+		slotpool_allow_batch(hp->pool,
+		    roster_is_rightful_owner(sl->opt.roster, key, data_center,
+			loop_now_us(sl->opt.lp)));
 		g_hash_table_insert(sl->hosted, g_strdup(key), hp);
 		log_event(kEvtArbiterStarted, "service", service, "data_center",
 		    data_center, NULL);
@@ -273,6 +276,9 @@
 			continue;
 		}
 		actions = slotpool_actions_new();
+		slotpool_allow_batch(hp->pool,
+		    roster_is_rightful_owner(
+			sl->opt.roster, key, hp->data_center, now_us));
 		slotpool_tick(hp->pool, now_us, actions);
 		run_actions(sl, actions);
 		if (strcmp(roster_owner(
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -140,7 +140,8 @@
 view_exchange_on_view(
     struct view_exchange *vx, const char *from, const Sfpeer__View *view)
 {
-	if (view->wanted && !vx->is_blind)
+	/* Also from one that cannot read them now: the versions decide. */
+	if (view->wanted)
 		send_rows(vx, from);
 	if (view->n_rows > 0 && vx->is_blind)
 		take_rows(vx, view);
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -24,6 +24,9 @@
 	/* Prefixes that a target is thought to keep. */
 	kPrefixesMax = 512,
 	kNoTargetRetryUs = 500 * kUsPerMs,
+	/* A caller that has waited gets a late answer rather than none for so
+	 * long; callers leave a stream that stands still for 2 s. */
+	kLateUs = 1200 * kUsPerMs,
 };
 
 struct slot_target {
@@ -57,6 +60,7 @@
 	/** Places in the two queues, by id. */
 	GHashTable *queued;
 	int64_t hold_us;
+	bool refuses_batch;
 };
 
 static void
@@ -412,7 +416,8 @@
 	int32_t reserve = load.slots / kSlotsPerReserved;
 	struct slotpool_ask ask;
 
-	while (load.online_queued == 0 && first_of(sp->batch, &ask) &&
+	while (!sp->refuses_batch && load.online_queued == 0 &&
+	    first_of(sp->batch, &ask) &&
 	    load.online + load.batch + reserve < load.slots) {
 		struct slot_target *t = choose(sp, &ask, has_free_slot, now_us);
 
@@ -577,22 +582,37 @@
 	return sl->expires_us <= *(const int64_t *)now_us;
 }
 
+/*
+ * What was queued and is late now lets those pass that can still be in time.
+ */
 static void
-refuse_late_online(struct slotpool *sp, int64_t now_us, GArray *out)
+put_back_late_online(struct slotpool *sp, int64_t now_us, GArray *out)
 {
 	struct slotpool_ask ask;
 
 	while (first_of(sp->online, &ask) && ask.until_us <= now_us) {
 		withdraw(sp, ask.id);
-		refuse(sp, &ask, now_us, out);
+		if (ask.is_late) {
+			refuse(sp, &ask, now_us, out);
+			continue;
+		}
+		ask.is_late = true;
+		ask.until_us = now_us + kLateUs;
+		enqueue(sp, sp->online, &ask);
 	}
 }
 
+void
+slotpool_allow_batch(struct slotpool *sp, bool is_allowed)
+{
+	sp->refuses_batch = !is_allowed;
+}
+
 void
 slotpool_tick(struct slotpool *sp, int64_t now_us, GArray *out)
 {
 	remove_slots_if(sp, is_expired, &now_us);
-	refuse_late_online(sp, now_us, out);
+	put_back_late_online(sp, now_us, out);
 	schedule(sp, now_us, out);
 }
 
--- a/src/savoryflow/slotpool/slotpool.h
+++ b/src/savoryflow/slotpool/slotpool.h
@@ -6,8 +6,9 @@
 /*
  * Admission to the targets of one service in one data centre, for all daemons.
  * Online goes before batch: with no slot free it takes that of the batch item
- * that is due last. What can't start in time is refused at once. All state is
- * soft. No I/O, no clock.
+ * that is due last. What can't start in time is refused at once; what was
+ * queued and could not start in time after all starts late rather than never.
+ * All state is soft. No I/O, no clock.
  *
  * Functions that take `out` append struct slotpool_action to it.
  */
@@ -23,6 +24,12 @@
 void slotpool_set_targets(
     struct slotpool *sp, const GPtrArray *targets, int64_t now_us, GArray *out);
 
+/**
+ * Whether batch may start. An arbiter that only stands in for one that it
+ * cannot reach leaves the free slots alone: the other one may fill them too.
+ */
+void slotpool_allow_batch(struct slotpool *sp, bool is_allowed);
+
 /** Asks for a slot: granted or refused at once, or queued. */
 void slotpool_request(struct slotpool *sp, const struct slotpool_ask *ask,
     int64_t now_us, GArray *out);
--- a/src/savoryflow/slotpool/slotpool_defs.h
+++ b/src/savoryflow/slotpool/slotpool_defs.h
@@ -31,6 +31,8 @@
 	char but[kFleetNameMax];
 	/** Hash of the prompt's shared parts; 0 if there are none. */
 	uint64_t prefix;
+	/** Its time has passed in the queue: it starts late, or not at all. */
+	bool is_late;
 };
 
 enum slotpool_verdict {
