A leaving daemon hands its items over where they stand

Cause: at SIGTERM items ran on for up to 6.8 s while the job's other items stood still; then the job was taken over within a second and began anew.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -332,6 +332,8 @@
 		roster_note_leaving(gw->roster, env->from);
 		slots_follow_arbiters(gw->slots);
 	}
+	if (env->left)
+		members_look_now(gw->members);
 	slots_on_envelope(gw->slots, env);
 	for (size_t i = 0; i < env->n_job_notes; i++)
 		if (env->job_notes[i]->ended)
@@ -508,6 +510,16 @@
 	g_ptr_array_unref(peers);
 }
 
+/* The row is gone: the jobs are orphans that peers may take. */
+static void
+on_left_roster(void *ctx)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+
+	env.left = true;
+	tell_peers(ctx, &env);
+}
+
 static void
 leave_roster(struct gateway *gw)
 {
@@ -530,7 +542,7 @@
 	    log_number(front_active(gw->front)), "items",
 	    log_number(jobs_active_items(gw->jobs)), NULL);
 	front_set_closing(gw->front);
-	jobs_set_leaving(gw->jobs);
+	jobs_hand_over(gw->jobs);
 	env.leaving = true;
 	tell_peers(gw, &env);
 	roster_leave(gw->roster);
@@ -664,7 +676,8 @@
 	    .sighted_front = sighted_front,
 	    .ctx = gw};
 	struct members_options members = {gw->lp, gw->offload, gw->store,
-	    gw->roster, NULL, gw->self, kBeatUs, on_store, on_roster, gw};
+	    gw->roster, NULL, gw->self, kBeatUs, on_store, on_roster,
+	    on_left_roster, gw};
 
 	gw->slots = slots_new(&slots);
 	gw->outbound = outbound_new(gw->lp);
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -127,7 +127,8 @@
 		    log_number(task->items->len), NULL);
 		jobs_note_known(js, task->job);
 		jobs_run_start(js, g_steal_pointer(&task->job),
-		    g_steal_pointer(&task->items), NULL, task->received_us);
+		    g_steal_pointer(&task->items), NULL, NULL,
+		    task->received_us);
 	}
 	if (task->req == NULL)
 		return;
@@ -387,6 +388,9 @@
 	if (task->outcome == kStoreOk)
 		task->outcome =
 		    itemjob_read_done(st, task->id, &task->done_items);
+	if (task->outcome == kStoreOk)
+		task->outcome =
+		    itemjob_read_progress(st, task->id, &task->progress);
 }
 
 static void
@@ -407,7 +411,8 @@
 	    : 0;
 	jobs_note_known(js, task->job);
 	jobs_run_start(js, g_steal_pointer(&task->job),
-	    g_steal_pointer(&task->items), task->done_items, now_us - age_us);
+	    g_steal_pointer(&task->items), task->done_items, task->progress,
+	    now_us - age_us);
 }
 
 void
@@ -483,10 +488,38 @@
 	}
 }
 
+static void
+save_work(struct job_task *task)
+{
+	task->outcome = itemjob_save_progress(
+	    task->js->opt.store, task->id, task->progress);
+}
+
+static void
+save_done(struct job_task *task)
+{
+	task->js->saving--;
+	log_job_call(task, "hand_over");
+}
+
 void
-jobs_set_leaving(struct jobs *js)
+jobs_hand_over(struct jobs *js)
 {
+	GHashTableIter it;
+	void *val;
+
 	js->is_leaving = true;
+	g_hash_table_iter_init(&it, js->runs);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct job_run *run = val;
+		struct job_task *task = job_task_new(js, NULL, run->job->id);
+
+		task->progress = jobs_run_halt(run);
+		task->work = save_work;
+		task->done = save_done;
+		js->saving++;
+		job_task_start(task);
+	}
 }
 
 int32_t
@@ -505,5 +538,5 @@
 			    run->runs[i].phase == kItemReady)
 				n++;
 	}
-	return n;
+	return n + js->saving;
 }
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -58,10 +58,11 @@
 /** Closes a job that was ended and that nobody runs. */
 void jobs_close(struct jobs *js, const char *id);
 
-/** No new items are started; what runs goes on. */
-void jobs_set_leaving(struct jobs *js);
+/** The daemon leaves: items stop, and how far they came is kept for the
+ * daemons that take the jobs over. */
+void jobs_hand_over(struct jobs *js);
 
-/** Items that run at a target or wait to be listed. */
+/** Items that run at a target, or wait to be listed or handed over. */
 int32_t jobs_active_items(const struct jobs *js);
 
 #endif
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -62,13 +62,21 @@
 	/** struct itemjob by id, as the store showed it. */
 	GHashTable *known;
 	bool is_leaving;
+	/** Jobs whose progress is on its way to the store. */
+	int32_t saving;
 	uint64_t timer;
 };
 
-/** Starts to run a job; takes job and items over.
- * @param done struct itemjob_done of the items that are listed, or NULL */
+/**
+ * Starts to run a job; takes job and items over.
+ * @param done struct itemjob_done of the items that are listed, or NULL
+ * @param progress struct itemjob_progress of a daemon before, or NULL
+ */
 void jobs_run_start(struct jobs *js, struct itemjob *job, GPtrArray *items,
-    const GArray *done, int64_t accepted_us);
+    const GArray *done, const GArray *progress, int64_t accepted_us);
+
+/** Ends the runs of items at targets. @return how far they had come */
+GArray *jobs_run_halt(struct job_run *run);
 
 /** Stops a job here; what is listed stays. */
 void jobs_run_drop(struct job_run *run, const char *why);
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -469,6 +469,49 @@
 	    retry_commit, run);
 }
 
+GArray *
+jobs_run_halt(struct job_run *run)
+{
+	GArray *list = itemjob_progress_new();
+
+	for (guint i = 0; i < run->items->len; i++) {
+		struct item_run *ir = &run->runs[i];
+		struct itemjob_progress one = {
+		    .index = ir->index,
+		    .last_event_id = ir->last_event_id,
+		};
+
+		if (ir->relay != NULL)
+			relay_cancel(ir->relay);
+		ir->relay = NULL;
+		if (ir->phase == kItemRunning)
+			ir->phase = kItemWaiting;
+		if (ir->phase != kItemWaiting || ir->last_event_id < 0)
+			continue;
+		one.text = g_strdup(ir->text->str);
+		g_array_append_val(list, one);
+	}
+	return list;
+}
+
+/* Items go on where another daemon has left them. */
+static void
+take_progress(struct job_run *run, const GArray *progress)
+{
+	for (guint i = 0; i < progress->len; i++) {
+		const struct itemjob_progress *one =
+		    &g_array_index(progress, struct itemjob_progress, i);
+		struct item_run *ir;
+
+		if (one->index < 0 || one->index >= (int32_t)run->items->len)
+			continue;
+		ir = &run->runs[one->index];
+		g_string_assign(ir->text, one->text);
+		ir->has_text = true;
+		ir->last_event_id = one->last_event_id;
+	}
+}
+
 static void
 init_items(struct job_run *run)
 {
@@ -486,7 +529,7 @@
 
 void
 jobs_run_start(struct jobs *js, struct itemjob *job, GPtrArray *items,
-    const GArray *done, int64_t accepted_us)
+    const GArray *done, const GArray *progress, int64_t accepted_us)
 {
 	const struct routebook *book = js->opt.routes(js->opt.ctx);
 	const struct routebook_route *route =
@@ -508,6 +551,8 @@
 	    log_number(items->len), "listed",
 	    log_number(done != NULL ? done->len : 0), "age_us",
 	    log_number(run->started_us - accepted_us), NULL);
+	if (progress != NULL)
+		take_progress(run, progress);
 	if (done != NULL)
 		take_done(run, done);
 	if (run->listed == (int32_t)run->items->len)
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -66,6 +66,8 @@
 		g_bytes_unref(task->body);
 	if (task->done_items != NULL)
 		g_array_unref(task->done_items);
+	if (task->progress != NULL)
+		g_array_unref(task->progress);
 	g_free(task);
 }
 
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -37,6 +37,8 @@
 	/* Taking a job over. */
 	struct itemjob_open *open;
 	GArray *done_items;
+	/** Also what is handed over when the daemon leaves. */
+	GArray *progress;
 };
 
 /** @param req NULL without a caller */
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -155,6 +155,8 @@
 	}
 	if (!look->is_leaving)
 		look_soon(mb, mb->opt.period_us);
+	else if (look->beat_outcome == kStoreOk)
+		mb->opt.on_left(mb->opt.ctx);
 	look_free(look);
 }
 
@@ -190,6 +192,13 @@
 	    mb->opt.lp, loop_now_us(mb->opt.lp) + wait_us, start_look, mb);
 }
 
+void
+members_look_now(struct members *mb)
+{
+	if (!mb->is_looking && !mb->is_leaving)
+		look_soon(mb, 0);
+}
+
 void
 members_leave(struct members *mb)
 {
--- a/src/gateway/members.h
+++ b/src/gateway/members.h
@@ -17,6 +17,8 @@
 	void (*on_store)(void *ctx, bool is_up);
 	/** The roster was read; lost: addresses of daemons that are gone. */
 	void (*on_roster)(void *ctx, const GPtrArray *lost);
+	/** This daemon's row is removed. */
+	void (*on_left)(void *ctx);
 	void *ctx;
 };
 
@@ -29,6 +31,9 @@
 struct members *members_new(const struct members_options *opt);
 void members_free(struct members *mb);
 
+/** Looks at once: a daemon has left its jobs. */
+void members_look_now(struct members *mb);
+
 /** Removes this daemon's row, so that others take its jobs at once. */
 void members_leave(struct members *mb);
 
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -205,7 +205,7 @@
 		const struct roster_member *m = val;
 
 		if (strcmp(m->row.session, session) == 0)
-			return lives(ro, m, now_us) && !m->is_leaving;
+			return lives(ro, m, now_us);
 	}
 	return false;
 }
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -61,8 +61,8 @@
  * A message came straight from the peer.
  * @param is_blind it says that it cannot reach the store
  */
-void roster_note_heard(struct roster *ro, const char *address, bool is_blind,
-    int64_t now_us);
+void roster_note_heard(
+    struct roster *ro, const char *address, bool is_blind, int64_t now_us);
 
 /**
  * Front address of a peer that reaches the store, near ones first.
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -2077,7 +2077,7 @@
   (ProtobufCMessageInit) sfpeer__job_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[19] =
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[20] =
 {
   {
     "from",
@@ -2307,6 +2307,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "left",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, left),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
@@ -2320,6 +2332,7 @@
   16,   /* field[16] = job_notes */
   17,   /* field[17] = leaving */
   9,   /* field[9] = leaving_targets */
+  19,   /* field[19] = left */
   5,   /* field[5] = limit_asks */
   6,   /* field[6] = limit_leases */
   4,   /* field[4] = notes */
@@ -2332,7 +2345,7 @@
 static const ProtobufCIntRange sfpeer__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -2342,7 +2355,7 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  19,
+  20,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
   1,  sfpeer__envelope__number_ranges,
--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -59,6 +59,13 @@
 	char *text;
 };
 
+/** How far a run of an item had come when its daemon stopped. */
+struct itemjob_progress {
+	int32_t index;
+	int64_t last_event_id;
+	char *text;
+};
+
 /** An item that has its result. */
 struct itemjob_done {
 	int32_t index;
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -10,6 +10,8 @@
 enum {
 	kRowsPerScan = 500,
 	kClaimTries = 4,
+	/* Rows that one transaction holds at most, with some to spare. */
+	kTxnRowsMax = 20,
 };
 
 static char *
@@ -520,6 +522,89 @@
 	return res;
 }
 
+static void
+progress_clear(void *p)
+{
+	g_free(((struct itemjob_progress *)p)->text);
+}
+
+GArray *
+itemjob_progress_new(void)
+{
+	GArray *list =
+	    g_array_new(FALSE, TRUE, sizeof(struct itemjob_progress));
+
+	g_array_set_clear_func(list, progress_clear);
+	return list;
+}
+
+static void
+write_progress(struct store_txn *txn, const char *id,
+    const struct itemjob_progress *progress)
+{
+	char *key = key_of_number("progress", id, progress->index);
+	json_t *doc = json_pack("{s:I,s:s}", "last",
+	    (json_int_t)progress->last_event_id, "text", progress->text);
+	char *text = doc != NULL ? json_dumps(doc, JSON_COMPACT) : NULL;
+
+	if (text != NULL)
+		store_txn_write(txn, key, text);
+	free(text);
+	json_decref(doc);
+	g_free(key);
+}
+
+enum store_result
+itemjob_save_progress(
+    const struct store *st, const char *id, const GArray *progress)
+{
+	struct store_txn *txn = store_txn_new();
+	enum store_result res = kStoreOk;
+
+	for (guint i = 0; i < progress->len; i++) {
+		const struct itemjob_progress *one =
+		    &g_array_index(progress, struct itemjob_progress, i);
+
+		if (strlen(one->text) <= kItemjobTextRowBytes &&
+		    txn->writes->len < kTxnRowsMax)
+			write_progress(txn, id, one);
+	}
+	if (txn->writes->len > 0)
+		res = st->ops->txn(st->ctx, kCauseBatch, txn);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+itemjob_read_progress(const struct store *st, const char *id, GArray **progress)
+{
+	char *prefix = key_of("progress", id, "");
+	GPtrArray *rows = NULL;
+	enum store_result res = st->ops->scan(
+	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
+
+	*progress = itemjob_progress_new();
+	for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
+		const struct store_row *row = rows->pdata[i];
+		json_t *doc = json_loads(row->value, 0, NULL);
+		struct itemjob_progress one = {
+		    .index = number_of_key(row->key),
+		    .last_event_id =
+			json_integer_value(json_object_get(doc, "last")),
+		    .text = g_strdup(
+			json_string_value(json_object_get(doc, "text"))),
+		};
+
+		if (one.text != NULL)
+			g_array_append_val(*progress, one);
+		json_decref(doc);
+	}
+	if (rows != NULL)
+		g_ptr_array_unref(rows);
+	g_free(prefix);
+	return res;
+}
+
 static struct itemjob_open *
 open_of_row(const struct store_row *row)
 {
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -10,7 +10,8 @@
  *
  * Rows: job/-/ID; open/-/ID until the job is finished, with the session that
  * runs it; result/ID/POSITION, and text/ID/POSITION-PART for a long text;
- * item/ID/INDEX with the position of the item's result.
+ * item/ID/INDEX with the position of the item's result; progress/ID/INDEX with
+ * what a daemon had of an unfinished item when it left.
  * Object: input/ID/TOKEN, never changed.
  *
  * A commit holds only if neither its position nor its item has a result, so
@@ -61,6 +62,16 @@
 enum store_result itemjob_commit(const struct store *st, const char *id,
     int32_t index, const struct itemjob_result *result);
 
+/** New array of struct itemjob_progress, which frees their texts. */
+GArray *itemjob_progress_new(void);
+
+/** Keeps unfinished work for the daemon that takes the job over. What is too
+ * long for a row is left out: that item starts anew. */
+enum store_result itemjob_save_progress(
+    const struct store *st, const char *id, const GArray *progress);
+enum store_result itemjob_read_progress(
+    const struct store *st, const char *id, GArray **progress);
+
 /** All jobs that are not finished: array of struct itemjob_open *. */
 enum store_result itemjob_read_open(const struct store *st, GPtrArray **list);
 
--- a/test/functional/test_gateway.cc
+++ b/test/functional/test_gateway.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 
 #include "functional/harness.h"
@@ -565,6 +566,24 @@
 	EXPECT_EQ(0, daemons[1]->Count("\"name\":\"job_started\""));
 }
 
+TEST_F(Gateway, ALeavingDaemonHandsItsItemsOver)
+{
+	Calm(1, 2);
+	Send(0, "POST", "/b/j1", Job("it", 2, Body(150, 20)), "j1");
+	ASSERT_TRUE(Eventually([&] { return Ran("it0") + Ran("it1") == 2; }));
+	daemons[0]->Signal(SIGTERM);
+	EXPECT_TRUE(daemons[1]->WaitLine("\"name\":\"job_started\""));
+	EXPECT_TRUE(Eventually([&] { return HasResults(1, "j1", 2); }));
+	json_t *doc = Results(1, "j1");
+	std::string text = json_string_value(json_object_get(
+	    json_array_get(json_object_get(doc, "results"), 0), "output_text"));
+
+	EXPECT_EQ(149, std::count(text.begin(), text.end(), '\n'));
+	json_decref(doc);
+	EXPECT_TRUE(daemons[0]->WaitLine("\"call\":\"hand_over\""));
+	EXPECT_EQ(0, daemons[0]->Wait());
+}
+
 TEST_F(Gateway, AJobOutlivesAllDaemons)
 {
 	Calm(1, 1);
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -210,6 +210,26 @@
 	}
 }
 
+TEST_F(Itemjob, ProgressComesBackAsItWas)
+{
+	GArray *saved = itemjob_progress_new();
+	GArray *read = nullptr;
+	itemjob_progress rows[] = {{2, 17, g_strdup("a\nb")},
+	    {0, 3, g_strdup("")},
+	    {1, 9, g_strnfill(kItemjobTextRowBytes + 1, 'x')}};
+
+	g_array_append_vals(saved, rows, 3);
+	ASSERT_EQ(kStoreOk, itemjob_save_progress(st, "j", saved));
+	ASSERT_EQ(kStoreOk, itemjob_read_progress(st, "j", &read));
+	ASSERT_EQ(2u, read->len) << "the long one starts anew";
+	auto &last = g_array_index(read, itemjob_progress, 1);
+	EXPECT_EQ(2, last.index);
+	EXPECT_EQ(17, last.last_event_id);
+	EXPECT_STREQ("a\nb", last.text);
+	g_array_unref(read);
+	g_array_unref(saved);
+}
+
 TEST_F(Itemjob, OneDaemonTakesAJobOver)
 {
 	bool is_new;
