--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -19,6 +19,8 @@
 	 * that count. */
 	kTurnedAwayMax = 3,
 	kRetryAfterDefaultUs = 300 * kUsPerMs,
+	/* A request that was sent once waits so long for another slot. */
+	kSecondSlotUs = 600 * kUsPerMs,
 	/* A target that was heard within this is not dead: events come every
 	 * 20 ms. */
 	kHeardUs = 75 * kUsPerMs,
@@ -497,7 +499,7 @@
 	/* A late answer is better than none: what was sent once is worth
 	 * another slot as long as the caller waits. */
 	if (rl->attempts > 0 && !rl->opt.is_batch)
-		ask.until_us = MAX(ask.until_us, now_us + rl->opt.silence_us);
+		ask.until_us = MAX(ask.until_us, now_us + kSecondSlotUs);
 	rl->phase = kPhaseAsking;
 	rl->asked_us = now_us;
 	event_splitter_restart(&rl->events);
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -66,17 +66,22 @@
 }
 
 void
-slots_deliver(struct slots *sl, uint64_t id, enum slotpool_verdict verdict,
-    const char *target, int64_t retry_after_us)
+slots_deliver(struct slots *sl, const struct delivery *del)
 {
-	struct delivery del = {
-	    .id = id, .verdict = verdict, .retry_after_us = retry_after_us};
-
-	g_strlcpy(del.target, target != NULL ? target : "", sizeof(del.target));
-	g_array_append_val(sl->deliveries, del);
+	g_array_append_vals(sl->deliveries, del, 1);
 	loop_again(sl->opt.lp);
 }
 
+static void
+deliver_refusal(struct slots *sl, uint64_t id, int64_t retry_after_us)
+{
+	struct delivery del = {.id = id,
+	    .verdict = kSlotRefused,
+	    .retry_after_us = retry_after_us};
+
+	slots_deliver(sl, &del);
+}
+
 static void
 send_ask(struct slots *sl, const struct hold *h, const char *adopt_target)
 {
@@ -91,6 +96,7 @@
 	wire.left_us = h->ask.until_us - loop_now_us(sl->opt.lp);
 	wire.but = (char *)h->ask.but;
 	wire.prefix = h->ask.prefix;
+	wire.last_resort = h->ask.is_last_resort;
 	wire.adopt = adopt_target != NULL;
 	wire.target = (char *)(adopt_target != NULL ? adopt_target : "");
 	env.n_slot_asks = 1;
@@ -137,9 +143,14 @@
 	int64_t retry_after_us;
 
 	h->view = slots_choose_pool(sl, h, &retry_after_us);
+	if (h->view == NULL && !h->ask.is_batch && !h->ask.is_last_resort &&
+	    slots_all_unhealthy(sl, h->service)) {
+		h->ask.is_last_resort = true;
+		h->tried_count = 0;
+		h->view = slots_choose_pool(sl, h, &retry_after_us);
+	}
 	if (h->view == NULL) {
-		slots_deliver(
-		    sl, h->ask.id, kSlotRefused, NULL, retry_after_us);
+		deliver_refusal(sl, h->ask.id, retry_after_us);
 		return;
 	}
 	h->phase = kHoldAsking;
@@ -232,6 +243,16 @@
 	return n;
 }
 
+static void
+deliver_own_share(
+    struct slots *sl, const struct hold *h, const struct fleet_target *t)
+{
+	struct delivery del = {.id = h->ask.id, .verdict = kSlotGranted};
+
+	g_strlcpy(del.target, t->id, sizeof(del.target));
+	slots_deliver(sl, &del);
+}
+
 /* No arbiter answers: this daemon's share of the targets nearby. */
 static bool
 use_own_share(struct slots *sl, struct hold *h)
@@ -262,7 +283,7 @@
 		log_event(kEvtArbiterFallback, "target", best->id, "arbiter",
 		    h->arbiter, NULL);
 		h->phase = kHoldLocal;
-		slots_deliver(sl, h->ask.id, kSlotGranted, best->id, 0);
+		deliver_own_share(sl, h, best);
 	}
 	g_ptr_array_unref(all);
 	return best != NULL;
@@ -283,7 +304,7 @@
 		return;
 	}
 	if (!use_own_share(sl, h))
-		slots_deliver(sl, h->ask.id, kSlotRefused, NULL, kLocalRetryUs);
+		deliver_refusal(sl, h->ask.id, kLocalRetryUs);
 }
 
 static void
@@ -302,6 +323,13 @@
 	h->ops->on_granted(h->ctx, h->ask.id, del->target);
 }
 
+static void
+note_dead_pool(struct slots *sl, struct pool_view *view)
+{
+	view->load.slots = 0;
+	view->load_at_us = loop_now_us(sl->opt.lp);
+}
+
 static void
 take_refusal(struct slots *sl, struct hold *h, const struct delivery *del)
 {
@@ -313,6 +341,8 @@
 	if (h->view != NULL && h->tried_count < kPoolsTriedMax &&
 	    !h->ask.is_batch) {
 		count_since(h, -1);
+		if (del->is_dead)
+			note_dead_pool(sl, h->view);
 		h->tried[h->tried_count++] = h->view;
 		ask_pool(sl, h);
 		return;
@@ -440,8 +470,7 @@
 		} else if (now_us > h->ask.until_us + kLateUs) {
 			give_back(sl, h, kSlotNeutral);
 			h->view = NULL;
-			slots_deliver(
-			    sl, h->ask.id, kSlotRefused, NULL, kLocalRetryUs);
+			deliver_refusal(sl, h->ask.id, kLocalRetryUs);
 		}
 		break;
 	case kHoldGranted:
@@ -556,6 +585,20 @@
 	send_note(sl, &gone, kSlotNeutral);
 }
 
+static void
+deliver_wire(struct slots *sl, const Sfpeer__SlotAnswer *wire)
+{
+	struct delivery del = {
+	    .id = wire->id,
+	    .verdict = (enum slotpool_verdict)wire->verdict,
+	    .retry_after_us = (int64_t)wire->retry_after_us,
+	    .is_dead = wire->is_dead,
+	};
+
+	g_strlcpy(del.target, wire->target, sizeof(del.target));
+	slots_deliver(sl, &del);
+}
+
 void
 slots_on_envelope(struct slots *sl, const Sfpeer__Envelope *env)
 {
@@ -573,8 +616,6 @@
 		    !g_hash_table_contains(sl->holds, &id))
 			return_unwanted(sl, env->from, wire);
 		else
-			slots_deliver(sl, id,
-			    (enum slotpool_verdict)wire->verdict, wire->target,
-			    (int64_t)wire->retry_after_us);
+			deliver_wire(sl, wire);
 	}
 }
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -104,7 +104,8 @@
 		if (strcmp(view->service, h->service) != 0 ||
 		    view->listed_slots == 0)
 			continue;
-		wait_us = slots_view_wait_us(sl, view);
+		wait_us =
+		    h->ask.is_last_resort ? 0 : slots_view_wait_us(sl, view);
 		*retry_after_us = MIN(*retry_after_us, wait_us);
 		/* The slot is asked for over the same link: half as much
 		 * again. */
@@ -120,6 +121,23 @@
 	return best;
 }
 
+bool
+slots_all_unhealthy(const struct slots *sl, const char *service)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sl->views);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct pool_view *view = val;
+
+		if (strcmp(view->service, service) == 0 &&
+		    view_load(sl, view).slots > 0)
+			return false;
+	}
+	return true;
+}
+
 /* Batch: the pool with the most slots that nobody waits for. */
 static struct pool_view *
 choose_batch(struct slots *sl, const struct hold *h)
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -45,12 +45,27 @@
 	answer.verdict = act->verdict;
 	answer.target = (char *)act->target;
 	answer.retry_after_us = (uint64_t)act->retry_after_us;
+	answer.is_dead = act->is_dead;
 	env.n_slot_answers = 1;
 	env.slot_answers = answers;
 	sl->opt.wire->send(
 	    sl->opt.wire_ctx, sl->holders->pdata[act->holder], &env);
 }
 
+static void
+deliver_here(struct slots *sl, const struct slotpool_action *act)
+{
+	struct delivery del = {
+	    .id = act->id,
+	    .verdict = act->verdict,
+	    .retry_after_us = act->retry_after_us,
+	    .is_dead = act->is_dead,
+	};
+
+	g_strlcpy(del.target, act->target, sizeof(del.target));
+	slots_deliver(sl, &del);
+}
+
 static void
 run_actions(struct slots *sl, GArray *actions)
 {
@@ -63,8 +78,7 @@
 		if (act->verdict == kSlotRevoked)
 			metric_add(kMetRevokes, 1);
 		if (act->holder == 0)
-			slots_deliver(sl, act->id, act->verdict, act->target,
-			    act->retry_after_us);
+			deliver_here(sl, act);
 		else
 			answer_peer(sl, act);
 	}
@@ -335,6 +349,7 @@
 	    .is_batch = wire->batch,
 	    .until_us = loop_now_us(sl->opt.lp) + wire->left_us,
 	    .prefix = wire->prefix,
+	    .is_last_resort = wire->last_resort,
 	};
 
 	g_strlcpy(ask.but, wire->but, sizeof(ask.but));
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -8,7 +8,9 @@
 
 enum {
 	kPoolKeyMax = 2 * kFleetNameMax,
-	kPoolsTriedMax = 4,
+	/* Pools that are asked one after the other: each takes its time, and
+	 * a refusal is to come early. */
+	kPoolsTriedMax = 2,
 };
 
 /** An arbiter that this daemon hosts. */
@@ -71,6 +73,8 @@
 	enum slotpool_verdict verdict;
 	char target[kFleetNameMax];
 	int64_t retry_after_us;
+	/** Refused: no target of the pool is healthy. */
+	bool is_dead;
 };
 
 struct slots {
@@ -105,6 +109,9 @@
 struct pool_view *slots_choose_pool(
     struct slots *sl, const struct hold *h, int64_t *retry_after_us);
 
+/** True if no pool of the service has a healthy target. */
+bool slots_all_unhealthy(const struct slots *sl, const char *service);
+
 /* slots_host.c */
 
 /** Passes a request for a slot to an arbiter hosted here. */
@@ -123,7 +130,6 @@
     struct slots *sl, const char *from, const Sfpeer__SlotNote *wire);
 
 /** Queues an answer to a request of this daemon. */
-void slots_deliver(struct slots *sl, uint64_t id, enum slotpool_verdict verdict,
-    const char *target, int64_t retry_after_us);
+void slots_deliver(struct slots *sl, const struct delivery *del);
 
 #endif
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1408,7 +1408,7 @@
   (ProtobufCMessageInit) sfpeer__config_hint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__slot_ask__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sfpeer__slot_ask__field_descriptors[10] =
 {
   {
     "id",
@@ -1518,6 +1518,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "last_resort",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, last_resort),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__slot_ask__field_indices_by_name[] = {
   6,   /* field[6] = adopt */
@@ -1525,6 +1537,7 @@
   5,   /* field[5] = but */
   2,   /* field[2] = data_center */
   0,   /* field[0] = id */
+  9,   /* field[9] = last_resort */
   4,   /* field[4] = left_us */
   8,   /* field[8] = prefix */
   1,   /* field[1] = service */
@@ -1533,7 +1546,7 @@
 static const ProtobufCIntRange sfpeer__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sfpeer__slot_ask__descriptor =
 {
@@ -1543,14 +1556,14 @@
   "Sfpeer__SlotAsk",
   "sfpeer",
   sizeof(Sfpeer__SlotAsk),
-  9,
+  10,
   sfpeer__slot_ask__field_descriptors,
   sfpeer__slot_ask__field_indices_by_name,
   1,  sfpeer__slot_ask__number_ranges,
   (ProtobufCMessageInit) sfpeer__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__slot_answer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor sfpeer__slot_answer__field_descriptors[5] =
 {
   {
     "id",
@@ -1600,9 +1613,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_dead",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAnswer, is_dead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__slot_answer__field_indices_by_name[] = {
   0,   /* field[0] = id */
+  4,   /* field[4] = is_dead */
   3,   /* field[3] = retry_after_us */
   2,   /* field[2] = target */
   1,   /* field[1] = verdict */
@@ -1610,7 +1636,7 @@
 static const ProtobufCIntRange sfpeer__slot_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sfpeer__slot_answer__descriptor =
 {
@@ -1620,7 +1646,7 @@
   "Sfpeer__SlotAnswer",
   "sfpeer",
   sizeof(Sfpeer__SlotAnswer),
-  4,
+  5,
   sfpeer__slot_answer__field_descriptors,
   sfpeer__slot_answer__field_indices_by_name,
   1,  sfpeer__slot_answer__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -188,10 +188,14 @@
    * Hash of the prompt's shared parts, 0 if there are none.
    */
   uint64_t prefix;
+  /*
+   * No pool has a healthy target: any one is to be tried.
+   */
+  protobuf_c_boolean last_resort;
 };
 #define SFPEER__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Sfpeer__SlotAnswer
@@ -201,10 +205,14 @@
   uint32_t verdict;
   char *target;
   uint64_t retry_after_us;
+  /*
+   * Refused since no target of the pool is healthy.
+   */
+  protobuf_c_boolean is_dead;
 };
 #define SFPEER__SLOT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_answer__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Sfpeer__SlotNote
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -131,26 +131,6 @@
 	return !t->info.is_draining && t->info.gone_at_us == 0;
 }
 
-/*
- * True while no target is healthy. All are tried then: to be turned away by a
- * target costs less than to turn the callers away.
- */
-static bool
-ignores_health(const struct slotpool *sp, int64_t now_us)
-{
-	GHashTableIter it;
-	void *val;
-
-	g_hash_table_iter_init(&it, sp->targets);
-	while (g_hash_table_iter_next(&it, NULL, &val)) {
-		const struct slot_target *t = val;
-
-		if (is_listed(t) && target_health_takes(&t->health, now_us))
-			return false;
-	}
-	return true;
-}
-
 static bool
 takes_work(const struct slot_target *t, bool ignore_health, int64_t now_us)
 {
@@ -166,7 +146,6 @@
 	    .batch_queued = g_sequence_get_length(sp->batch),
 	    .hold_us = sp->hold_us,
 	};
-	bool ignore_health = ignores_health(sp, now_us);
 	GHashTableIter it;
 	void *val;
 
@@ -174,7 +153,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		const struct slot_target *t = val;
 
-		if (!takes_work(t, ignore_health, now_us))
+		if (!takes_work(t, false, now_us))
 			continue;
 		load.slots += t->info.slots;
 		load.online += t->online;
@@ -288,7 +267,6 @@
     int64_t now_us)
 {
 	struct slot_target *best = NULL;
-	bool ignore_health = ignores_health(sp, now_us);
 	int64_t best_cost = 0;
 	GHashTableIter it;
 	void *val;
@@ -298,7 +276,7 @@
 		struct slot_target *t = val;
 		int64_t cost;
 
-		if (!takes_work(t, ignore_health, now_us) || !fits(t) ||
+		if (!takes_work(t, ask->is_last_resort, now_us) || !fits(t) ||
 		    strcmp(t->info.id, ask->but) == 0)
 			continue;
 		cost = cost_of(t, ask);
@@ -445,6 +423,8 @@
 	emit(out, kSlotRefused, ask, NULL,
 	    CLAMP(slotpool_wait_us(&load), kRetryAfterLeastUs,
 		kRetryAfterMostUs));
+	g_array_index(out, struct slotpool_action, out->len - 1).is_dead =
+	    load.slots == 0;
 }
 
 static void
--- a/src/savoryflow/slotpool/slotpool_defs.h
+++ b/src/savoryflow/slotpool/slotpool_defs.h
@@ -31,6 +31,8 @@
 	char but[kFleetNameMax];
 	/** Hash of the prompt's shared parts; 0 if there are none. */
 	uint64_t prefix;
+	/** No pool has a healthy target: any one is to be tried. */
+	bool is_last_resort;
 	/** Its time has passed in the queue: it starts late, or not at all. */
 	bool is_late;
 };
@@ -54,6 +56,8 @@
 	char target[kFleetNameMax];
 	/** Refused: when a slot is likely to be free. */
 	int64_t retry_after_us;
+	/** Refused since no target of the pool is healthy. */
+	bool is_dead;
 };
 
 struct slotpool_load {
--- a/src/savoryflow/slotpool/target_health.c
+++ b/src/savoryflow/slotpool/target_health.c
@@ -92,6 +92,8 @@
 		h->faults++;
 		break;
 	case kSlotUnreachable:
+		h->faults += kFaultsToEject;
+		break;
 	case kSlotSilent:
 		h->faults += served_lately(h, now_us) ? 1 : kFaultsToEject;
 		break;
