Requests whose runs all break off are stopped, at every daemon

Three runs that break off before they bring anything condemn a request for 60 s; the daemons tell each other of each. Members that come are logged, too.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -21,14 +21,16 @@
 };
 
 struct calls {
-	struct relay_parts parts;
+	struct calls_options opt;
 	GRand *rand;
 };
 
 struct online_call {
+	struct calls *cs;
 	struct front_request *req;
 	struct relay *relay;
 	struct loop *lp;
+	uint64_t fingerprint;
 	char attempt_id[kAttemptIdMax];
 	char route[kFleetNameMax];
 	int64_t objective_us;
@@ -41,11 +43,11 @@
 };
 
 struct calls *
-calls_new(const struct relay_parts *parts)
+calls_new(const struct calls_options *opt)
 {
 	struct calls *cs = g_new0(struct calls, 1);
 
-	cs->parts = *parts;
+	cs->opt = *opt;
 	cs->rand = g_rand_new();
 	return cs;
 }
@@ -77,6 +79,7 @@
 	struct online_call *oc = ctx;
 	const char *type = header_list_get(headers, "Content-Type");
 
+	suspects_note_progress(oc->cs->opt.suspects, oc->fingerprint);
 	oc->status = status;
 	oc->first_us = age_us(oc);
 	histogram_note(kHistFirstEvent, oc->first_us);
@@ -165,7 +168,23 @@
 	call_free(oc);
 }
 
-static const struct relay_ops relay_ops = {on_head, on_data, on_end};
+static bool
+on_fruitless(void *ctx)
+{
+	struct online_call *oc = ctx;
+	const struct calls_options *opt = &oc->cs->opt;
+
+	opt->tell_cut(opt->ctx, oc->fingerprint);
+	if (suspects_note_cut(
+		opt->suspects, oc->fingerprint, loop_now_us(oc->lp)))
+		log_event(kEvtRequestCondemned, "request", oc->attempt_id,
+		    "route", oc->route, NULL);
+	return !suspects_is_condemned(
+	    opt->suspects, oc->fingerprint, loop_now_us(oc->lp));
+}
+
+static const struct relay_ops relay_ops = {
+    on_head, on_data, on_fruitless, on_end};
 
 static int64_t
 deadline_of(const struct front_request *req, const struct dialect_call *call,
@@ -190,12 +209,22 @@
 	call_free(oc);
 }
 
+static uint64_t
+fingerprint_of(const struct front_request *req)
+{
+	gsize len;
+	const char *body = g_bytes_get_data(front_body(req), &len);
+
+	return suspects_fingerprint(front_uri(req), body, len);
+}
+
 void
 calls_serve(struct calls *cs, struct front_request *req,
     const struct dialect_call *call, const struct routebook_route *route)
 {
-	struct online_call *oc = g_new0(struct online_call, 1);
+	struct online_call *oc;
 	int64_t received_us = front_received_us(req);
+	uint64_t fingerprint = fingerprint_of(req);
 	struct relay_options opt = {
 	    .method = front_method(req),
 	    .uri = front_uri(req),
@@ -216,11 +245,22 @@
 	    .silence_us =
 		MAX(route->objective_us / kSilenceDivisor, kSilenceLeastUs),
 	    .ops = &relay_ops,
-	    .ctx = oc,
 	};
 
+	if (suspects_is_condemned(
+		cs->opt.suspects, fingerprint, loop_now_us(cs->opt.parts.lp))) {
+		log_event(kEvtCallRefused, "request", call->attempt_id, "why",
+		    "condemned", NULL);
+		reply_error(req, kErrTargetFailed,
+		    "the request crashes targets and is not run again", 0);
+		return;
+	}
+	oc = g_new0(struct online_call, 1);
+	opt.ctx = oc;
+	oc->cs = cs;
+	oc->fingerprint = fingerprint;
 	oc->req = req;
-	oc->lp = cs->parts.lp;
+	oc->lp = cs->opt.parts.lp;
 	oc->headers = header_list_new();
 	oc->whole = g_string_new(NULL);
 	oc->objective_us = route->objective_us;
@@ -228,5 +268,5 @@
 	g_strlcpy(oc->route, route->name != NULL ? route->name : "",
 	    sizeof(oc->route));
 	front_on_left(req, on_left, oc);
-	oc->relay = relay_start(&cs->parts, &opt);
+	oc->relay = relay_start(&cs->opt.parts, &opt);
 }
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -3,11 +3,20 @@
 
 #include "gateway/front.h"
 #include "gateway/relay.h"
+#include "savoryflow/retry/suspects.h"
 
 /** Online requests of callers, from the route to the answer. Loop only. */
 struct calls;
 
-struct calls *calls_new(const struct relay_parts *parts);
+struct calls_options {
+	struct relay_parts parts;
+	struct suspects *suspects;
+	/** Tells the peers that a run of a request broke off. */
+	void (*tell_cut)(void *ctx, uint64_t fingerprint);
+	void *ctx;
+};
+
+struct calls *calls_new(const struct calls_options *opt);
 
 /** Leaves what still runs. */
 void calls_free(struct calls *cs);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -103,6 +103,9 @@
 	if (env->left)
 		members_look_now(gw->members);
 	slots_on_envelope(gw->slots, env);
+	for (size_t i = 0; i < env->n_condemned; i++)
+		suspects_note_cut(
+		    gw->suspects, env->condemned[i], loop_now_us(gw->lp));
 	for (size_t i = 0; i < env->n_job_notes; i++)
 		if (env->job_notes[i]->ended)
 			jobs_on_ended(gw->jobs, env->job_notes[i]->id);
@@ -154,6 +157,16 @@
 	tell_peers(ctx, &env);
 }
 
+static void
+tell_cut(void *ctx, uint64_t fingerprint)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+
+	env.n_condemned = 1;
+	env.condemned = &fingerprint;
+	tell_peers(ctx, &env);
+}
+
 /* Start and stop. */
 
 static void
@@ -163,14 +176,19 @@
 }
 
 static void
-on_roster(void *ctx, const GPtrArray *lost)
+on_roster(void *ctx, const struct roster_changes *changes)
 {
 	struct gateway *gw = ctx;
 	GPtrArray *peers = roster_peers(gw->roster, loop_now_us(gw->lp));
 
-	for (guint i = 0; i < lost->len; i++) {
-		log_event(kEvtMemberDown, "member", lost->pdata[i], NULL);
-		slots_forget_daemon(gw->slots, lost->pdata[i]);
+	for (guint i = 0; i < changes->found->len; i++)
+		log_event(
+		    kEvtMemberUp, "member", changes->found->pdata[i], NULL);
+	for (guint i = 0; i < changes->lost->len; i++) {
+		const char *address = changes->lost->pdata[i];
+
+		log_event(kEvtMemberDown, "member", address, NULL);
+		slots_forget_daemon(gw->slots, address);
 	}
 
 	metric_set(kMetMembersAlive, (int64_t)peers->len + 1);
@@ -257,6 +275,7 @@
 	int64_t now_us = loop_now_us(gw->lp);
 
 	greet(gw, now_us);
+	suspects_tick(gw->suspects, now_us);
 
 	if (fleet_tick(gw->fleet, now_us))
 		gateway_targets_changed(gw);
@@ -333,6 +352,7 @@
 	    gw->self.address, gw->self.data_center, seed, &wire_ops, gw};
 	struct relay_parts parts = {
 	    .lp = gw->lp, .fleet = gw->fleet, .dialect = gw->adapter->dialect};
+	struct calls_options calls = {.tell_cut = tell_cut, .ctx = gw};
 	struct jobs_options jobs = {.offload = gw->offload,
 	    .store = gw->store,
 	    .session = gw->self.session,
@@ -352,7 +372,10 @@
 	parts.outbound = gw->outbound;
 	gw->activity = target_activity_new();
 	parts.activity = gw->activity;
-	gw->calls = calls_new(&parts);
+	gw->suspects = suspects_new();
+	calls.parts = parts;
+	calls.suspects = gw->suspects;
+	gw->calls = calls_new(&calls);
 	jobs.parts = parts;
 	gw->jobs = jobs_new(&jobs);
 	members.jobs = gw->jobs;
@@ -430,6 +453,7 @@
 	members_free(gw->members);
 	jobs_free(gw->jobs);
 	calls_free(gw->calls);
+	suspects_free(gw->suspects);
 	outbound_free(gw->outbound);
 	target_activity_free(gw->activity);
 	slots_free(gw->slots);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -31,6 +31,7 @@
 	struct roster *roster;
 	struct slots *slots;
 	struct target_activity *activity;
+	struct suspects *suspects;
 	struct calls *calls;
 	struct jobs *jobs;
 	struct members *members;
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -209,7 +209,7 @@
 	}
 }
 
-static const struct relay_ops relay_ops = {on_head, on_data, on_end};
+static const struct relay_ops relay_ops = {on_head, on_data, NULL, on_end};
 
 static void
 item_start(struct item_run *ir, const struct routebook_route *route)
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -128,11 +128,15 @@
 static void
 take_roster(struct members *mb, const GArray *rows, int64_t now_us)
 {
-	GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
-
-	roster_take_rows(mb->opt.roster, rows, now_us, lost);
-	mb->opt.on_roster(mb->opt.ctx, lost);
-	g_ptr_array_unref(lost);
+	struct roster_changes changes = {
+	    g_ptr_array_new_with_free_func(g_free),
+	    g_ptr_array_new_with_free_func(g_free),
+	};
+
+	roster_take_rows(mb->opt.roster, rows, now_us, &changes);
+	mb->opt.on_roster(mb->opt.ctx, &changes);
+	g_ptr_array_unref(changes.found);
+	g_ptr_array_unref(changes.lost);
 }
 
 static void
--- a/src/gateway/members.h
+++ b/src/gateway/members.h
@@ -15,8 +15,8 @@
 	int64_t period_us;
 	/** The store answered, or did not. */
 	void (*on_store)(void *ctx, bool is_up);
-	/** The roster was read; lost: addresses of daemons that are gone. */
-	void (*on_roster)(void *ctx, const GPtrArray *lost);
+	/** The roster was read. */
+	void (*on_roster)(void *ctx, const struct roster_changes *changes);
 	/** This daemon's row is removed. */
 	void (*on_left)(void *ctx);
 	void *ctx;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -163,7 +163,6 @@
 	    .attempts = rl->attempts,
 	    .slot_wait_us = rl->slot_wait_us,
 	    .cause = rl->cause,
-	    .was_cut = rl->cause != NULL && strcmp(rl->cause, "cut") == 0,
 	};
 
 	g_strlcpy(verdict.target, rl->target, sizeof(verdict.target));
@@ -400,6 +399,9 @@
 		fail_attempt(rl, kSlotUnreachable, "unreachable");
 		break;
 	case kOutboundCut:
+		if (!rl->is_answering && rl->opt.ops->on_fruitless != NULL &&
+		    !rl->opt.ops->on_fruitless(rl->opt.ctx))
+			rl->opt.attempts_max = 0;
 		fail_attempt(rl, kSlotBroken, "cut");
 		break;
 	case kOutboundRefused:
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -32,8 +32,6 @@
 	int64_t slot_wait_us;
 	/** How the last attempt ended, for the log. */
 	const char *cause;
-	/** The target took the request and broke off: it may have crashed. */
-	bool was_cut;
 	char target[kFleetNameMax];
 };
 
@@ -44,6 +42,9 @@
 	    void *ctx, int32_t status, const struct header_list *headers);
 	/** A whole event of a stream, or part of another body. */
 	void (*on_data)(void *ctx, const struct stream_event *ev);
+	/** A run broke off before it brought any part of an answer; may be
+	 * NULL. @return false if the request must not run again */
+	bool (*on_fruitless)(void *ctx);
 	/** The last call. */
 	void (*on_end)(void *ctx, const struct relay_verdict *verdict);
 };
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -50,7 +50,7 @@
 
 static void
 take_row(struct roster *ro, const struct roster_row *row, int64_t now_us,
-    GPtrArray *lost)
+    struct roster_changes *changes)
 {
 	struct roster_member *m =
 	    g_hash_table_lookup(ro->members, row->address);
@@ -62,13 +62,14 @@
 		m->row = *row;
 		m->seen_us = now_us;
 		g_hash_table_insert(ro->members, m->row.address, m);
+		g_ptr_array_add(changes->found, g_strdup(row->address));
 		return;
 	}
 	if (m->row.version == row->version)
 		return;
 	if (strcmp(m->row.session, row->session) != 0) {
 		m->is_leaving = false;
-		g_ptr_array_add(lost, g_strdup(row->address));
+		g_ptr_array_add(changes->lost, g_strdup(row->address));
 	}
 	m->row = *row;
 	m->seen_us = now_us;
@@ -83,18 +84,18 @@
 
 /* Tells a daemon whose lease has lapsed once. */
 static void
-note_lapse(
-    struct roster *ro, struct roster_member *m, int64_t now_us, GPtrArray *lost)
+note_lapse(struct roster *ro, struct roster_member *m, int64_t now_us,
+    struct roster_changes *changes)
 {
 	if (m->is_lost || lives(ro, m, now_us))
 		return;
 	m->is_lost = true;
-	g_ptr_array_add(lost, g_strdup(m->row.address));
+	g_ptr_array_add(changes->lost, g_strdup(m->row.address));
 }
 
 void
-roster_take_rows(
-    struct roster *ro, const GArray *rows, int64_t now_us, GPtrArray *lost)
+roster_take_rows(struct roster *ro, const GArray *rows, int64_t now_us,
+    struct roster_changes *changes)
 {
 	GHashTable *listed = g_hash_table_new(g_str_hash, g_str_equal);
 	GHashTableIter it;
@@ -106,15 +107,15 @@
 		    &g_array_index(rows, struct roster_row, i);
 
 		g_hash_table_add(listed, row->address);
-		take_row(ro, row, now_us, lost);
+		take_row(ro, row, now_us, changes);
 	}
 	g_hash_table_iter_init(&it, ro->members);
 	while (g_hash_table_iter_next(&it, &key, &val)) {
-		note_lapse(ro, val, now_us, lost);
+		note_lapse(ro, val, now_us, changes);
 		if (g_hash_table_contains(listed, key))
 			continue;
 		if (!((struct roster_member *)val)->is_lost)
-			g_ptr_array_add(lost, g_strdup(key));
+			g_ptr_array_add(changes->lost, g_strdup(key));
 		g_hash_table_iter_remove(&it);
 	}
 	g_hash_table_unref(listed);
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -38,12 +38,16 @@
 struct roster *roster_new(const struct roster_options *opt);
 void roster_free(struct roster *ro);
 
-/**
- * Takes all rows of a read that succeeded: array of struct roster_row.
- * @param lost addresses of daemons that are gone or started anew; g_free
- */
-void roster_take_rows(
-    struct roster *ro, const GArray *rows, int64_t now_us, GPtrArray *lost);
+/** Daemons that came or went; arrays of addresses, which free them. */
+struct roster_changes {
+	GPtrArray *found;
+	/** Also those that started anew. */
+	GPtrArray *lost;
+};
+
+/** Takes all rows of a read that succeeded: array of struct roster_row. */
+void roster_take_rows(struct roster *ro, const GArray *rows, int64_t now_us,
+    struct roster_changes *changes);
 
 /** The store did not answer: silence says nothing until it does again. */
 void roster_note_blind(struct roster *ro, int64_t now_us);
--- /dev/null
+++ b/src/savoryflow/retry/suspects.c
@@ -0,0 +1,107 @@
+/* Requests that seem to crash the targets which run them. */
+#include "savoryflow/retry/suspects.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "os/clock.h"
+#include "savoryflow/arbiter/u64_hash.h"
+
+enum {
+	/* A target that loses answers breaks one run in some tens: three of the
+	 * same request are no chance. */
+	kCutsToCondemn = 3,
+	/* Callers send such a request again within seconds; a target needs some
+	 * to come back. */
+	kForgetUs = 60 * kUsPerS,
+	kSuspectsMax = 10000,
+};
+
+struct suspect {
+	uint64_t fingerprint;
+	int32_t cuts;
+	int64_t last_us;
+};
+
+struct suspects {
+	/** struct suspect by fingerprint. */
+	GHashTable *all;
+};
+
+struct suspects *
+suspects_new(void)
+{
+	struct suspects *sus = g_new(struct suspects, 1);
+
+	sus->all = u64_hash_new(g_free);
+	return sus;
+}
+
+void
+suspects_free(struct suspects *sus)
+{
+	g_hash_table_unref(sus->all);
+	g_free(sus);
+}
+
+uint64_t
+suspects_fingerprint(const char *uri, const char *body, size_t len)
+{
+	uint64_t seed = XXH3_64bits(uri, strlen(uri));
+
+	return XXH3_64bits_withSeed(body, len, seed);
+}
+
+static bool
+is_old(const struct suspect *one, int64_t now_us)
+{
+	return now_us - one->last_us > kForgetUs;
+}
+
+bool
+suspects_note_cut(struct suspects *sus, uint64_t fingerprint, int64_t now_us)
+{
+	struct suspect *one = g_hash_table_lookup(sus->all, &fingerprint);
+
+	if (one == NULL) {
+		if (g_hash_table_size(sus->all) >= kSuspectsMax)
+			g_hash_table_remove_all(sus->all);
+		one = g_new0(struct suspect, 1);
+		one->fingerprint = fingerprint;
+		g_hash_table_insert(sus->all, &one->fingerprint, one);
+	}
+	if (is_old(one, now_us))
+		one->cuts = 0;
+	one->cuts++;
+	one->last_us = now_us;
+	return one->cuts == kCutsToCondemn;
+}
+
+void
+suspects_note_progress(struct suspects *sus, uint64_t fingerprint)
+{
+	g_hash_table_remove(sus->all, &fingerprint);
+}
+
+bool
+suspects_is_condemned(
+    const struct suspects *sus, uint64_t fingerprint, int64_t now_us)
+{
+	const struct suspect *one = g_hash_table_lookup(sus->all, &fingerprint);
+
+	return one != NULL && one->cuts >= kCutsToCondemn &&
+	    !is_old(one, now_us);
+}
+
+void
+suspects_tick(struct suspects *sus, int64_t now_us)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sus->all);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (is_old(val, now_us))
+			g_hash_table_iter_remove(&it);
+}
--- a/test/functional/test_gateway.cc
+++ b/test/functional/test_gateway.cc
@@ -383,6 +383,28 @@
 	}
 }
 
+/* Its caller sends it again, at any daemon: it is not run for ever. */
+TEST_F(Gateway, ARequestWhoseRunsAllBreakOffIsStopped)
+{
+	const std::string bad = "{\"events\":5,\"crash\":true}";
+	int runs = 0;
+
+	Calm(2, 2);
+	for (auto &daemon : daemons)
+		ASSERT_TRUE(daemon->WaitLine("\"name\":\"member_up\""));
+	for (int i = 0; i < 8; i++) {
+		std::string id = "bad" + std::to_string(i);
+		Reply r = Send((size_t)i % 2, "POST", "/q/bad", bad, id);
+
+		EXPECT_EQ(502, r.status);
+		runs += Ran(id);
+	}
+	EXPECT_GE(runs, 3);
+	/* Each daemon may learn of the cuts only from its own. */
+	EXPECT_LE(runs, 6);
+	EXPECT_EQ(200, Call(0, "/q/good", "good", 2).status);
+}
+
 TEST_F(Gateway, ADeadWorkerIsPassedOver)
 {
 	Calm(2, 1);
--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -1,8 +1,8 @@
 /*
  * Stand-in of one of the platform's model workers. A request's body says what
- * is wanted: {"events":N,"pace_ms":M,"status":S}; the data of event n is
- * "PATH-n", so that a test can tell whose answer it got and whether it is
- * whole.
+ * is wanted: {"events":N,"pace_ms":M,"status":S,"crash":true}; the data of
+ * event n is "PATH-n", so that a test can tell whose answer it got and whether
+ * it is whole.
  *
  * POST /fault {"cut_after","silent","shed","cross","unsigned"}: each counts
  * down: streams cut after three events, without an answer, turned away, with
@@ -155,6 +155,11 @@
 		    status);
 	}
 	json_array_append_new(wk->ran, json_string(attempt));
+	/* As if the process had crashed at the request's start. */
+	if (json_is_true(json_object_get(doc, "crash"))) {
+		json_decref(doc);
+		return NULL;
+	}
 	if (code >= 400) {
 		*status = (unsigned int)code;
 		res = standin_text("the worker's own failure");
