Finished jobs are removed from the store

Cause: nothing was ever removed, and the store takes 400 MB: at half a job a second with its results it would be full within the hour. The daemon that this falls to by hash removes what was submitted more than the retention ago and is not open; the job's row goes last.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -36,6 +36,8 @@
 	 * for three greetings may be cut off. */
 	kGreetUs = 500 * kUsPerMs,
 	kHeardUs = 1500 * kUsPerMs,
+	/* Jobs are kept for longer than callers may read them. */
+	kRetentionSlackUs = 60 * kUsPerS,
 	kHousekeepingUs = 100 * kUsPerMs,
 	/* Left of the stop's time when what still runs is broken off. */
 	kStopReserveUs = 1200 * kUsPerMs,
@@ -362,6 +364,9 @@
 	    .note_store = on_store,
 	    .sighted_front = sighted_front,
 	    .ctx = gw};
+	struct janitor_options janitor = {gw->lp, gw->offload, gw->store,
+	    gw->roster, gw->self.address, gw->set->janitor_period_ms * kUsPerMs,
+	    0};
 	struct members_options members = {gw->lp, gw->offload, gw->store,
 	    gw->roster, NULL, gw->self, kBeatUs, on_store, on_roster,
 	    on_left_roster, gw};
@@ -378,6 +383,9 @@
 	gw->calls = calls_new(&calls);
 	jobs.parts = parts;
 	gw->jobs = jobs_new(&jobs);
+	janitor.retention_us =
+	    gw->set->job_retention_ms * kUsPerMs + kRetentionSlackUs;
+	gw->janitor = janitor_new(&janitor);
 	members.jobs = gw->jobs;
 	gw->members = members_new(&members);
 }
@@ -450,6 +458,7 @@
 		front_free(gw->metrics);
 	if (gw->view != NULL)
 		view_exchange_free(gw->view);
+	janitor_free(gw->janitor);
 	members_free(gw->members);
 	jobs_free(gw->jobs);
 	calls_free(gw->calls);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -3,6 +3,7 @@
 
 #include "gateway/calls.h"
 #include "gateway/gateway.h"
+#include "gateway/janitor.h"
 #include "gateway/members.h"
 #include "gateway/view.h"
 #include "peer/peer.h"
@@ -35,6 +36,7 @@
 	struct calls *calls;
 	struct jobs *jobs;
 	struct members *members;
+	struct janitor *janitor;
 	struct view_exchange *view;
 	struct front *front;
 	struct front *ready;
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -48,6 +48,8 @@
 	    "An item's result went to the store at its position.")             \
 	X(kEvtJobForwarded, 1415, INFO, "job_forwarded",                       \
 	    "A request about a job went to a peer that reaches the store.")    \
+	X(kEvtJobsRemoved, 1416, INFO, "jobs_removed",                         \
+	    "Finished jobs whose time to be kept is over were removed.")       \
 	X(kEvtStoreRefused, 1503, WARN, "store_refused",                       \
 	    "The store answered a call with a status that is not expected.")   \
 	X(kEvtWatchDown, 1504, WARN, "watch_down",                             \
--- /dev/null
+++ b/src/savoryflow/job/itemjob_retention.c
@@ -0,0 +1,127 @@
+/* Removal of jobs whose time to be kept is over. */
+#include <jansson.h>
+#include <string.h>
+
+#include "savoryflow/job/itemjob_store.h"
+
+enum {
+	kRowsPerScan = 500,
+	/* Rows that one transaction removes. */
+	kRemovedTogether = 50,
+	/* Jobs of one round: the rest waits for the next. */
+	kJobsPerRound = 200,
+};
+
+static bool
+is_open(const struct store *st, const char *id, enum store_result *res)
+{
+	char *key = g_strconcat("open/-/", id, NULL);
+	struct store_row row = {0};
+
+	*res = st->ops->get(st->ctx, kCauseBatch, key, &row);
+	store_row_clear(&row);
+	g_free(key);
+	return *res == kStoreOk;
+}
+
+/* Adds the job of a row if it is old and finished. */
+static enum store_result
+add_if_old(const struct store *st, const struct store_row *row,
+    int64_t before_ms, GPtrArray *ids)
+{
+	json_t *doc = json_loads(row->value, 0, NULL);
+	const json_t *accepted = json_object_get(doc, "accepted_ms");
+	const char *id = strrchr(row->key, '/') + 1;
+	enum store_result res = kStoreOk;
+
+	if (json_is_integer(accepted) &&
+	    json_integer_value(accepted) < before_ms && !is_open(st, id, &res))
+		g_ptr_array_add(ids, g_strdup(id));
+	json_decref(doc);
+	return res == kStoreNotFound ? kStoreOk : res;
+}
+
+enum store_result
+itemjob_read_old(const struct store *st, int64_t before_ms, GPtrArray **ids)
+{
+	GPtrArray *rows = NULL;
+	char *after = NULL;
+	enum store_result res;
+	bool more;
+
+	*ids = g_ptr_array_new_with_free_func(g_free);
+	do {
+		res = st->ops->scan(
+		    st->ctx, kCauseBatch, "job/-/", after, kRowsPerScan, &rows);
+		if (res != kStoreOk)
+			break;
+		for (guint i = 0; i < rows->len && res == kStoreOk &&
+		     (*ids)->len < kJobsPerRound;
+		     i++) {
+			const struct store_row *row = rows->pdata[i];
+
+			res = add_if_old(st, row, before_ms, *ids);
+			g_free(after);
+			after = g_strdup(row->key);
+		}
+		more = rows->len == kRowsPerScan &&
+		    (*ids)->len < kJobsPerRound && res == kStoreOk;
+		g_ptr_array_unref(rows);
+	} while (more);
+	g_free(after);
+	return res;
+}
+
+static enum store_result
+remove_rows(const struct store *st, const char *table, const char *id)
+{
+	char *prefix = g_strdup_printf("%s/%s/", table, id);
+	GPtrArray *rows = NULL;
+	enum store_result res;
+	guint found;
+
+	do {
+		struct store_txn *txn = store_txn_new();
+
+		res = st->ops->scan(st->ctx, kCauseBatch, prefix, NULL,
+		    kRemovedTogether, &rows);
+		found = res == kStoreOk ? rows->len : 0;
+		for (guint i = 0; i < found; i++)
+			store_txn_write(txn,
+			    ((struct store_row *)rows->pdata[i])->key, NULL);
+		if (found > 0)
+			res = st->ops->txn(st->ctx, kCauseBatch, txn);
+		if (rows != NULL)
+			g_ptr_array_unref(rows);
+		rows = NULL;
+		store_txn_free(txn);
+	} while (res == kStoreOk && found == kRemovedTogether);
+	g_free(prefix);
+	return res;
+}
+
+enum store_result
+itemjob_remove(const struct store *st, const char *id)
+{
+	static const char *const tables[] = {
+	    "result", "text", "item", "progress"};
+	struct itemjob *job = NULL;
+	enum store_result res = itemjob_get(st, id, &job);
+	struct store_txn *txn;
+	char *key;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(tables) && res == kStoreOk; i++)
+		res = remove_rows(st, tables[i], id);
+	if (res == kStoreOk)
+		res = st->ops->drop_object(st->ctx, kCauseBatch, job->input);
+	if (res == kStoreOk) {
+		txn = store_txn_new();
+		key = g_strconcat("job/-/", id, NULL);
+		store_txn_write(txn, key, NULL);
+		res = st->ops->txn(st->ctx, kCauseBatch, txn);
+		g_free(key);
+		store_txn_free(txn);
+	}
+	itemjob_free(job);
+	return res;
+}
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -73,4 +73,15 @@
 /** The job is finished: nobody has to run it any more. */
 enum store_result itemjob_close(const struct store *st, const char *id);
 
+/**
+ * Ids of finished jobs that were submitted before a time of the store; array
+ * of strings, which frees them. Some at a time.
+ */
+enum store_result itemjob_read_old(
+    const struct store *st, int64_t before_ms, GPtrArray **ids);
+
+/** Removes a job with all that belongs to it; the job's row goes last, so that
+ * a removal that was cut short is done again. */
+enum store_result itemjob_remove(const struct store *st, const char *id);
+
 #endif
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -230,6 +230,46 @@
 	g_array_unref(saved);
 }
 
+TEST_F(Itemjob, OnlyFinishedJobsGrowOld)
+{
+	bool is_new;
+	GPtrArray *ids = nullptr;
+	int64_t later = st->ops->now_ms(st->ctx) + 1000;
+
+	Submit("t", "s1", &is_new, "open");
+	Submit("t", "s1", &is_new, "done");
+	itemjob_close(st, "done");
+	ASSERT_EQ(kStoreOk, itemjob_read_old(st, later, &ids));
+	ASSERT_EQ(1u, ids->len);
+	EXPECT_STREQ("done", (char *)ids->pdata[0]);
+	g_ptr_array_unref(ids);
+	ASSERT_EQ(kStoreOk, itemjob_read_old(st, 0, &ids));
+	EXPECT_EQ(0u, ids->len);
+	g_ptr_array_unref(ids);
+}
+
+TEST_F(Itemjob, ARemovedJobLeavesNothing)
+{
+	bool is_new;
+	itemjob *job = nullptr;
+	GPtrArray *rows = nullptr;
+	GBytes *data = nullptr;
+
+	Submit("t", "s1", &is_new);
+	for (int i = 0; i < 3; i++)
+		Commit(i, i, std::string(kItemjobTextRowBytes + 9, 'x'));
+	ASSERT_EQ(kStoreOk, itemjob_get(st, "j", &job));
+	itemjob_close(st, "j");
+	EXPECT_EQ(kStoreOk, itemjob_remove(st, "j"));
+	ASSERT_EQ(kStoreOk,
+	    st->ops->scan(st->ctx, kCauseBatch, "", nullptr, 99, &rows));
+	EXPECT_EQ(0u, rows->len);
+	EXPECT_EQ(kStoreNotFound,
+	    st->ops->get_object(st->ctx, kCauseBatch, job->input, &data));
+	g_ptr_array_unref(rows);
+	itemjob_free(job);
+}
+
 TEST_F(Itemjob, OneDaemonTakesAJobOver)
 {
 	bool is_new;
