A submission takes two calls of the store; it is forwarded to whom the store answered last

The object is written and the rows are committed, nothing is read before or after; greetings tell how long ago the store answered. Ruled out: the items' own time (none was listed after 16 s).

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -66,6 +66,8 @@
 void
 gateway_note_store(struct gateway *gw, bool is_up)
 {
+	if (is_up)
+		gw->store_seen_us = loop_now_us(gw->lp);
 	if (gw->is_store_up == is_up)
 		return;
 	gw->is_store_up = is_up;
@@ -95,9 +97,11 @@
 	struct peer_note *note = ctx;
 	struct gateway *gw = note->gw;
 	Sfpeer__Envelope *env = note->env;
+	struct roster_sight sight = {
+	    env->blind, (int64_t)env->store_age_ms * kUsPerMs};
 
-	roster_note_heard(
-	    gw->roster, env->from, env->blind, loop_now_us(gw->lp));
+	roster_note_heard(gw->roster, env->from,
+	    env->store_age_ms > 0 ? &sight : NULL, loop_now_us(gw->lp));
 	if (env->leaving) {
 		roster_note_leaving(gw->roster, env->from);
 		slots_follow_arbiters(gw->slots);
@@ -264,6 +268,9 @@
 		return;
 	gw->greeted_us = now_us;
 	env.blind = !gw->is_store_up;
+	/* Never 0, which says nothing. */
+	env.store_age_ms = (uint32_t)CLAMP(
+	    (now_us - gw->store_seen_us) / kUsPerMs, 1, UINT32_MAX);
 	list = roster_neighbours(gw->roster, gw->self.data_center, now_us);
 	for (guint i = 0; i < list->len; i++)
 		send_to_peer(gw, list->pdata[i], &env);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -46,6 +46,8 @@
 	int signal_fd;
 	uint64_t housekeeping;
 	bool is_store_up;
+	/** Time of the store's last answer. */
+	int64_t store_seen_us;
 	/** Time since which the store answers; entries may be missing. */
 	int64_t store_back_us;
 	int64_t greeted_us;
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -8,7 +8,8 @@
 
 enum {
 	kNoRoutesRetryUs = 500 * kUsPerMs,
-	kDrainingRetryUs = 50 * kUsPerMs,
+	/* Any other daemon serves it now. */
+	kDrainingRetryUs = 10 * kUsPerMs,
 };
 
 static void
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -19,6 +19,8 @@
 	bool is_leaving;
 	/** It said that it cannot reach the store. */
 	bool is_blind;
+	/** When the store last answered it, as it says. */
+	int64_t store_seen_us;
 	/** Its lease has lapsed, and that was told. */
 	bool is_lost;
 };
@@ -163,16 +165,19 @@
 }
 
 void
-roster_note_heard(
-    struct roster *ro, const char *address, bool is_blind, int64_t now_us)
+roster_note_heard(struct roster *ro, const char *address,
+    const struct roster_sight *sight, int64_t now_us)
 {
 	struct roster_member *m = g_hash_table_lookup(ro->members, address);
 
 	if (m == NULL)
 		return;
 	m->suspect_until_us = 0;
-	m->is_blind = is_blind;
 	m->heard_us = now_us;
+	if (sight == NULL)
+		return;
+	m->is_blind = sight->is_blind;
+	m->store_seen_us = now_us - sight->age_us;
 }
 
 /* May take part in arbitration. */
@@ -311,7 +316,7 @@
 {
 	const char *best = NULL;
 	bool best_is_near = false;
-	int64_t best_heard_us = 0;
+	int64_t best_seen_us = 0;
 	GHashTableIter it;
 	void *val;
 
@@ -324,15 +329,16 @@
 		if (!is_usable(ro, m, now_us) || m->is_blind ||
 		    m->row.front[0] == '\0')
 			continue;
-		/* Of the near ones the one that was heard last. */
+		/* Of the near ones that which the store answered last: one that
+		 * was cut off just now may not know it yet. */
 		if (best != NULL &&
 		    (best_is_near > is_near ||
 			(best_is_near == is_near &&
-			    m->heard_us <= best_heard_us)))
+			    m->store_seen_us <= best_seen_us)))
 			continue;
 		best = m->row.front;
 		best_is_near = is_near;
-		best_heard_us = m->heard_us;
+		best_seen_us = m->store_seen_us;
 	}
 	return best;
 }
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -61,12 +61,19 @@
 /** A peer stops soon. */
 void roster_note_leaving(struct roster *ro, const char *address);
 
+/** What a daemon says of its sight of the store. */
+struct roster_sight {
+	bool is_blind;
+	/** Time since the store last answered it. */
+	int64_t age_us;
+};
+
 /**
  * A message came straight from the peer.
- * @param is_blind it says that it cannot reach the store
+ * @param sight NULL if the message does not say
  */
-void roster_note_heard(
-    struct roster *ro, const char *address, bool is_blind, int64_t now_us);
+void roster_note_heard(struct roster *ro, const char *address,
+    const struct roster_sight *sight, int64_t now_us);
 
 /**
  * Front address of a peer that reaches the store, near ones first.
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -150,7 +150,8 @@
 		h->view = slots_choose_pool(sl, h, &retry_after_us);
 	}
 	if (h->view == NULL) {
-		deliver_refusal(sl, h->ask.id, retry_after_us);
+		deliver_refusal(
+		    sl, h->ask.id, MAX(retry_after_us, h->retry_after_us));
 		return;
 	}
 	h->phase = kHoldAsking;
@@ -342,6 +343,7 @@
 	if (h->view != NULL && h->tried_count < kPoolsTriedMax &&
 	    !h->ask.is_batch) {
 		count_since(h, -1);
+		h->retry_after_us = MAX(h->retry_after_us, del->retry_after_us);
 		if (del->is_dead)
 			note_dead_pool(sl, h->view);
 		h->tried[h->tried_count++] = h->view;
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -59,6 +59,8 @@
 	int64_t asked_us;
 	int64_t granted_us;
 	int64_t renewed_us;
+	/** When to come back, as the pools say that refused. */
+	int64_t retry_after_us;
 	/** Arbiters that did not answer. */
 	int32_t silent;
 	/** Pools that refused. */
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -2103,7 +2103,7 @@
   (ProtobufCMessageInit) sfpeer__job_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[20] =
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[21] =
 {
   {
     "from",
@@ -2345,6 +2345,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_age_ms",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, store_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
@@ -2366,12 +2378,13 @@
   12,   /* field[12] = slot_answers */
   11,   /* field[11] = slot_asks */
   13,   /* field[13] = slot_notes */
+  20,   /* field[20] = store_age_ms */
   15,   /* field[15] = view */
 };
 static const ProtobufCIntRange sfpeer__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -2381,7 +2394,7 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  20,
+  21,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
   1,  sfpeer__envelope__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -342,6 +342,10 @@
    * The sender cannot reach the store.
    */
   protobuf_c_boolean blind;
+  /*
+   * Time since the store last answered the sender.
+   */
+  uint32_t store_age_ms;
   /*
    * The sender has given its jobs up: others may take them.
    */
@@ -349,7 +353,7 @@
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 /* Sfpeer__Member methods */
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -85,21 +85,30 @@
 	return res;
 }
 
+struct submission {
+	const struct itemjob *job;
+	/** The job that is known names this submission's object. */
+	bool is_own;
+};
+
 /* Whoever made the job: it is known now. */
 static bool
 job_is_known(const struct store *st, void *ctx)
 {
-	const struct itemjob *job = ctx;
+	struct submission *sub = ctx;
 	struct itemjob *found = NULL;
-	bool known = itemjob_get(st, job->id, &found) == kStoreOk;
+	bool known = itemjob_get(st, sub->job->id, &found) == kStoreOk;
 
+	sub->is_own = known && strcmp(found->input, sub->job->input) == 0;
 	itemjob_free(found);
 	return known;
 }
 
 static enum store_result
-submit_rows(const struct store *st, struct itemjob *job, const char *owner)
+submit_rows(const struct store *st, const struct itemjob *job,
+    const char *owner, bool *is_new)
 {
+	struct submission sub = {job, true};
 	struct store_txn *txn = store_txn_new();
 	char *job_key = key_of("job", "-", job->id);
 	char *open_key = key_of("open", "-", job->id);
@@ -110,7 +119,8 @@
 	store_txn_absent(txn, job_key);
 	store_txn_write(txn, job_key, job_text);
 	store_txn_write(txn, open_key, open_text);
-	res = store_commit(st, kCauseBatch, txn, job_is_known, job);
+	res = store_commit(st, kCauseBatch, txn, job_is_known, &sub);
+	*is_new = res == kStoreOk && sub.is_own;
 	free(open_text);
 	free(job_text);
 	g_free(open_key);
@@ -119,19 +129,16 @@
 	return res;
 }
 
+/* Two calls, as the store may be a region away: the acknowledgement is due
+ * within some hundred ms. */
 enum store_result
 itemjob_submit(const struct store *st, struct itemjob *job,
     const GPtrArray *items, const char *token, const char *owner, bool *is_new)
 {
-	struct itemjob *found = NULL;
-	char *text;
-	enum store_result res = itemjob_get(st, job->id, &found);
+	char *text = itemjob_items_to_text(items);
+	enum store_result res;
 
 	*is_new = false;
-	itemjob_free(found);
-	if (res != kStoreNotFound)
-		return res;
-	text = itemjob_items_to_text(items);
 	job->input = g_strdup_printf("input/%s/%s", job->id, token);
 	job->total = (int32_t)items->len;
 	job->accepted_ms = st->ops->now_ms(st->ctx);
@@ -141,11 +148,10 @@
 	/* No row names the object yet: nothing of the job can run. */
 	if (res != kStoreOk)
 		return kStoreUnavailable;
-	res = submit_rows(st, job, owner);
-	if (res == kStoreOk && itemjob_get(st, job->id, &found) == kStoreOk) {
-		*is_new = strcmp(found->input, job->input) == 0;
-		itemjob_free(found);
-	}
+	res = submit_rows(st, job, owner, is_new);
+	/* The job was there, or the store is out: the object is of no use. */
+	if (res == kStoreUnavailable || (res == kStoreOk && !*is_new))
+		st->ops->drop_object(st->ctx, kCauseBatch, job->input);
 	return res;
 }
 
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -19,8 +19,11 @@
 	kLeaseUs = 4 * kUsPerS,
 	/* A holder that lives ends a revoked run within some ms. */
 	kRevokedLeaseUs = kUsPerS,
-	kRetryAfterLeastUs = 100 * kUsPerMs,
-	kRetryAfterMostUs = 2 * kUsPerS,
+	/* Those who are turned away come back when there is likely to be room:
+	 * a rush that has lasted for some time lasts as long again. Callers
+	 * wait for a third of their time at most, some 1.6 s. */
+	kRetryAfterLeastUs = 250 * kUsPerMs,
+	kRetryAfterMostUs = 1100 * kUsPerMs,
 	/* Prefixes that a target is thought to keep. */
 	kPrefixesMax = 512,
 	kNoTargetRetryUs = 500 * kUsPerMs,
@@ -60,6 +63,9 @@
 	/** Places in the two queues, by id. */
 	GHashTable *queued;
 	int64_t hold_us;
+	/** No online request could start at once, and since when. */
+	bool is_full;
+	int64_t full_since_us;
 	bool refuses_batch;
 };
 
@@ -324,10 +330,16 @@
 
 	if (t == NULL) {
 		t = choose(sp, ask, has_batch_to_revoke, now_us);
-		if (t == NULL)
+		if (t == NULL) {
+			if (!sp->is_full)
+				sp->full_since_us = now_us;
+			sp->is_full = true;
 			return false;
+		}
 		revoke_one(sp, t, now_us, out);
 	}
+	if (g_sequence_get_length(sp->online) == 0)
+		sp->is_full = false;
 	grant(sp, t, ask, now_us, out);
 	return true;
 }
@@ -414,6 +426,18 @@
 	start_queued_batch(sp, now_us, out);
 }
 
+/* Spread over half as much again, so that not all come back at once. */
+static int64_t
+retry_after_us(const struct slotpool *sp, const struct slotpool_ask *ask,
+    const struct slotpool_load *load, int64_t now_us)
+{
+	int64_t rush_us = sp->is_full ? now_us - sp->full_since_us : 0;
+	int64_t base_us = CLAMP(MAX(rush_us, slotpool_wait_us(load)),
+	    kRetryAfterLeastUs, kRetryAfterMostUs);
+
+	return base_us + base_us / 2 * (int64_t)(ask->id % 256) / 256;
+}
+
 static void
 refuse(struct slotpool *sp, const struct slotpool_ask *ask, int64_t now_us,
     GArray *out)
@@ -421,8 +445,7 @@
 	struct slotpool_load load = slotpool_load_get(sp, now_us);
 
 	emit(out, kSlotRefused, ask, NULL,
-	    CLAMP(slotpool_wait_us(&load), kRetryAfterLeastUs,
-		kRetryAfterMostUs));
+	    retry_after_us(sp, ask, &load, now_us));
 	g_array_index(out, struct slotpool_action, out->len - 1).is_dead =
 	    load.slots == 0;
 }
--- a/test/unit/test_slotpool.cc
+++ b/test/unit/test_slotpool.cc
@@ -170,6 +170,24 @@
 	EXPECT_EQ(kSlotGranted, Take()[1].verdict);
 }
 
+/* A rush that has lasted long will last: those turned away come back later,
+ * and not all at once. */
+TEST_F(Slotpool, TheTimeToComeBackFollowsTheRush)
+{
+	Targets({{"a", 1}});
+	Online(1);
+	int64_t early = Online(2, 10 * kMs)[2].retry_after_us;
+	now = 900 * kMs;
+	int64_t late = Online(258, 10 * kMs)[258].retry_after_us;
+	EXPECT_GT(late, early);
+	EXPECT_GE(late, 900 * kMs);
+	EXPECT_NE(late, Online(260, 10 * kMs)[260].retry_after_us);
+	Release(1);
+	Online(3);
+	EXPECT_LT(Online(514, 10 * kMs)[514].retry_after_us, late)
+	    << "the rush was over";
+}
+
 TEST_F(Slotpool, OnlineTakesThePlaceOfTheBatchItemDueLast)
 {
 	Targets({{"a", 3}});
