--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -13,11 +13,19 @@
 	kAnybodyUs = 3 * kUsPerS,
 };
 
+enum look_kind {
+	kLookBeat,
+	/** Removes this daemon's row. */
+	kLookLeave,
+	/** Only reads: the row is removed. */
+	kLookAfter,
+};
+
 struct look {
 	struct members *mb;
+	enum look_kind kind;
 	int64_t beat;
 	int64_t started_us;
-	bool is_leaving;
 	enum store_result beat_outcome;
 	GArray *rows;
 	GPtrArray *open;
@@ -28,6 +36,7 @@
 	int64_t beat;
 	bool is_looking;
 	bool is_leaving;
+	bool has_left;
 	uint64_t timer;
 	/** int64_t: when a job was first seen without a daemon, by id. */
 	GHashTable *orphans;
@@ -61,16 +70,16 @@
 	struct look *look = ctx;
 	const struct store *st = look->mb->opt.store;
 
-	if (look->is_leaving) {
+	if (look->kind == kLookLeave)
 		look->beat_outcome =
 		    roster_store_leave(st, &look->mb->opt.self);
-		return;
-	}
-	look->beat_outcome =
-	    roster_store_beat(st, &look->mb->opt.self, look->beat);
+	else if (look->kind == kLookBeat)
+		look->beat_outcome =
+		    roster_store_beat(st, &look->mb->opt.self, look->beat);
 	if (roster_store_read(st, &look->rows) != kStoreOk)
 		return;
-	if (itemjob_read_open(st, &look->open) != kStoreOk)
+	if (look->kind == kLookBeat &&
+	    itemjob_read_open(st, &look->open) != kStoreOk)
 		look->open = NULL;
 }
 
@@ -147,20 +156,20 @@
 	int64_t now_us = loop_now_us(mb->opt.lp);
 
 	mb->is_looking = false;
-	if (look->rows != NULL) {
+	if (look->rows != NULL)
 		take_roster(mb, look->rows, now_us);
-	} else if (!look->is_leaving) {
+	else
 		roster_note_blind(mb->opt.roster, now_us);
-	}
-	mb->opt.on_store(mb->opt.ctx, look->rows != NULL || look->is_leaving);
+	mb->opt.on_store(mb->opt.ctx, look->rows != NULL);
 	if (look->open != NULL && !mb->is_leaving) {
 		jobs_on_open_list(mb->opt.jobs, look->open, look->started_us);
 		take_orphans(mb, look->open, now_us);
 	}
-	if (!look->is_leaving)
-		look_soon(mb, mb->opt.period_us);
-	else if (look->beat_outcome == kStoreOk)
+	if (look->kind == kLookLeave && look->beat_outcome == kStoreOk) {
+		mb->has_left = true;
 		mb->opt.on_left(mb->opt.ctx);
+	}
+	look_soon(mb, mb->opt.period_us);
 	look_free(look);
 }
 
@@ -179,7 +188,10 @@
 	look->mb = mb;
 	look->beat = ++mb->beat;
 	look->started_us = loop_now_us(mb->opt.lp);
-	look->is_leaving = mb->is_leaving;
+	if (mb->has_left)
+		look->kind = kLookAfter;
+	else if (mb->is_leaving)
+		look->kind = kLookLeave;
 	mb->is_looking = true;
 	if (offload_run(mb->opt.offload, look_work, look_done, look))
 		return;
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -5,9 +5,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "os/clock.h"
 #include "savoryflow/routing/rendezvous.h"
 
-enum { kRowsPerScan = 500 };
+enum {
+	kRowsPerScan = 500,
+	/* A daemon that stops has about this time. */
+	kDepartUs = 8 * kUsPerS,
+};
 
 struct roster_member {
 	struct roster_row row;
@@ -21,6 +26,8 @@
 	bool is_blind;
 	/** When the store last answered it, as it says. */
 	int64_t store_seen_us;
+	/** When its row was first missing; 0: it is listed. */
+	int64_t vanished_us;
 	/** Its lease has lapsed, and that was told. */
 	bool is_lost;
 };
@@ -75,6 +82,7 @@
 	}
 	m->row = *row;
 	m->seen_us = now_us;
+	m->vanished_us = 0;
 	m->is_lost = false;
 }
 
@@ -95,6 +103,25 @@
 	g_ptr_array_add(changes->lost, g_strdup(m->row.address));
 }
 
+/*
+ * A row is gone: the daemon stops. It is told for a while who arbitrates, as it
+ * still finishes what it has. @return true if that time is over
+ */
+static bool
+note_vanished(
+    struct roster_member *m, int64_t now_us, struct roster_changes *changes)
+{
+	if (m->vanished_us != 0)
+		return now_us - m->vanished_us > kDepartUs;
+	if (!m->is_lost)
+		g_ptr_array_add(changes->lost, g_strdup(m->row.address));
+	m->is_lost = true;
+	m->vanished_us = now_us;
+	m->seen_us = INT64_MIN / 2;
+	m->heard_us = 0;
+	return false;
+}
+
 void
 roster_take_rows(struct roster *ro, const GArray *rows, int64_t now_us,
     struct roster_changes *changes)
@@ -116,9 +143,8 @@
 		note_lapse(ro, val, now_us, changes);
 		if (g_hash_table_contains(listed, key))
 			continue;
-		if (!((struct roster_member *)val)->is_lost)
-			g_ptr_array_add(changes->lost, g_strdup(key));
-		g_hash_table_iter_remove(&it);
+		if (note_vanished(val, now_us, changes))
+			g_hash_table_iter_remove(&it);
 	}
 	g_hash_table_unref(listed);
 }
@@ -185,7 +211,7 @@
 is_present(
     const struct roster *ro, const struct roster_member *m, int64_t now_us)
 {
-	return !m->is_leaving &&
+	return !m->is_leaving && m->vanished_us == 0 &&
 	    (lives(ro, m, now_us) ||
 		(m->heard_us != 0 && now_us - m->heard_us <= ro->opt.heard_us));
 }
@@ -286,7 +312,8 @@
 
 	g_hash_table_iter_init(&it, ro->members);
 	while (g_hash_table_iter_next(&it, NULL, &val))
-		if (lives(ro, val, now_us))
+		if (lives(ro, val, now_us) ||
+		    ((struct roster_member *)val)->vanished_us != 0)
 			g_ptr_array_add(
 			    list, ((struct roster_member *)val)->row.address);
 	return list;
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -98,7 +98,8 @@
 bool roster_is_rightful_owner(const struct roster *ro, const char *key,
     const char *data_center, int64_t now_us);
 
-/** Addresses of the peers that live: array of strings, borrowed. */
+/** Addresses of the peers that live or have just left: array of strings,
+ * borrowed. */
 GPtrArray *roster_peers(const struct roster *ro, int64_t now_us);
 
 /** The same for one data centre, with those that were heard lately. */
