--- /dev/null
+++ b/test/unit/test_roster.cc
@@ -0,0 +1,248 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+extern "C" {
+#include "gateway/roster.h"
+#include "standin/memstore.h"
+}
+
+namespace
+{
+
+const int64_t kSec = 1000000;
+
+struct Roster : ::testing::Test {
+	struct roster *ro;
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(roster_row));
+	roster_changes changes = {g_ptr_array_new_with_free_func(g_free),
+	    g_ptr_array_new_with_free_func(g_free)};
+	int64_t version = 0;
+
+	Roster()
+	{
+		roster_options opt = {
+		    Row("self", "dc1", "s0"), 4 * kSec, 3 * kSec / 2};
+
+		ro = roster_new(&opt);
+	}
+
+	~Roster() override
+	{
+		roster_free(ro);
+		g_array_unref(rows);
+		g_ptr_array_unref(changes.found);
+		g_ptr_array_unref(changes.lost);
+	}
+
+	roster_row
+	Row(const char *address, const char *dc, const char *session)
+	{
+		roster_row row = {};
+
+		g_strlcpy(row.address, address, sizeof(row.address));
+		g_strlcpy(row.front, address, sizeof(row.front));
+		g_strlcpy(row.data_center, dc, sizeof(row.data_center));
+		g_strlcpy(row.region, "north", sizeof(row.region));
+		g_strlcpy(row.session, session, sizeof(row.session));
+		row.version = ++version;
+		return row;
+	}
+
+	/* Reads a roster of daemons: address to data centre and session. */
+	void
+	Read(std::map<std::string, std::pair<std::string, std::string>> all,
+	    int64_t now)
+	{
+		g_array_set_size(rows, 0);
+		for (auto &d : all) {
+			roster_row row = Row(d.first.c_str(),
+			    d.second.first.c_str(), d.second.second.c_str());
+
+			g_array_append_val(rows, row);
+		}
+		g_ptr_array_set_size(changes.found, 0);
+		g_ptr_array_set_size(changes.lost, 0);
+		roster_take_rows(ro, rows, now, &changes);
+	}
+
+	/* The daemon that a key falls to, over many keys. */
+	bool
+	EverOwns(const char *address, int64_t now)
+	{
+		for (int i = 0; i < 200; i++) {
+			std::string key = "k" + std::to_string(i);
+
+			if (strcmp(roster_owner(ro, key.c_str(), "dc1", now),
+				address) == 0)
+				return true;
+		}
+		return false;
+	}
+};
+
+TEST_F(Roster, ADaemonLivesWhileItsRowChanges)
+{
+	Read({{"a", {"dc1", "s1"}}}, 0);
+	EXPECT_EQ(1u, changes.found->len);
+	EXPECT_TRUE(roster_session_lives(ro, "s1", 4 * kSec));
+	EXPECT_FALSE(roster_session_lives(ro, "s1", 5 * kSec));
+	EXPECT_TRUE(roster_session_lives(ro, "s0", 99 * kSec)) << "itself";
+	EXPECT_FALSE(roster_session_lives(ro, "other", 0));
+}
+
+TEST_F(Roster, ARestartEndsTheSessionBefore)
+{
+	Read({{"a", {"dc1", "s1"}}}, 0);
+	Read({{"a", {"dc1", "s2"}}}, kSec);
+	EXPECT_EQ(1u, changes.lost->len);
+	EXPECT_FALSE(roster_session_lives(ro, "s1", kSec));
+	EXPECT_TRUE(roster_session_lives(ro, "s2", kSec));
+}
+
+TEST_F(Roster, ALapseIsToldOnce)
+{
+	roster_row row = Row("a", "dc1", "s1");
+
+	g_array_append_val(rows, row);
+	roster_take_rows(ro, rows, 0, &changes);
+	roster_take_rows(ro, rows, 5 * kSec, &changes);
+	roster_take_rows(ro, rows, 6 * kSec, &changes);
+	EXPECT_EQ(1u, changes.lost->len);
+}
+
+/* While the store does not answer, silence says nothing. */
+TEST_F(Roster, BlindnessKeepsTheLeases)
+{
+	Read({{"a", {"dc1", "s1"}}}, 0);
+	for (int64_t now = 0; now < 20 * kSec; now += kSec)
+		roster_note_blind(ro, now);
+	EXPECT_TRUE(roster_session_lives(ro, "s1", 20 * kSec));
+}
+
+TEST_F(Roster, OwnersAreOfTheDataCentreIfAnyLives)
+{
+	Read({{"a", {"dc1", "s1"}}, {"b", {"dc2", "s2"}}}, 0);
+	EXPECT_TRUE(EverOwns("self", 0));
+	EXPECT_TRUE(EverOwns("a", 0));
+	EXPECT_FALSE(EverOwns("b", 0));
+	EXPECT_STREQ("b", roster_owner(ro, "k", "dc2", 0));
+	EXPECT_FALSE(EverOwns("a", 5 * kSec)) << "its lease is over";
+}
+
+TEST_F(Roster, ASuspectIsPassedOverUntilItIsHeard)
+{
+	Read({{"a", {"dc1", "s1"}}}, 0);
+	roster_suspect(ro, "a", 3 * kSec);
+	EXPECT_FALSE(EverOwns("a", kSec));
+	roster_note_heard(ro, "a", NULL, kSec);
+	EXPECT_TRUE(EverOwns("a", kSec));
+	roster_suspect(ro, "a", 3 * kSec);
+	EXPECT_TRUE(EverOwns("a", 3 * kSec)) << "for a while only";
+}
+
+TEST_F(Roster, AStandInIsNotTheRightfulOwner)
+{
+	Read({{"a", {"dc1", "s1"}}}, 0);
+	roster_suspect(ro, "a", 3 * kSec);
+	int rightful = 0;
+
+	for (int i = 0; i < 200; i++) {
+		std::string key = "k" + std::to_string(i);
+
+		EXPECT_STREQ(
+		    "self", roster_owner(ro, key.c_str(), "dc1", kSec));
+		rightful +=
+		    roster_is_rightful_owner(ro, key.c_str(), "dc1", kSec);
+	}
+	EXPECT_GT(rightful, 50);
+	EXPECT_LT(rightful, 150);
+}
+
+/* It may be cut off from the store only. */
+TEST_F(Roster, WhoIsHeardArbitratesWithoutItsLease)
+{
+	Read({{"a", {"dc1", "s1"}}}, 0);
+	roster_note_heard(ro, "a", NULL, 9 * kSec);
+	EXPECT_TRUE(EverOwns("a", 10 * kSec));
+	EXPECT_FALSE(roster_session_lives(ro, "s1", 10 * kSec));
+	EXPECT_FALSE(EverOwns("a", 11 * kSec));
+}
+
+TEST_F(Roster, WhoLeavesDoesNotArbitrate)
+{
+	Read({{"a", {"dc1", "s1"}}}, 0);
+	roster_note_leaving(ro, "a");
+	EXPECT_FALSE(EverOwns("a", 0));
+	EXPECT_TRUE(roster_session_lives(ro, "s1", 0)) << "till its row goes";
+	roster_leave(ro);
+	EXPECT_TRUE(EverOwns("self", 0)) << "there is nobody else";
+	Read({{"a", {"dc1", "s2"}}}, kSec);
+	EXPECT_FALSE(EverOwns("self", kSec));
+}
+
+TEST_F(Roster, WhoHasLeftIsStillTold)
+{
+	Read({{"a", {"dc1", "s1"}}}, 0);
+	Read({}, kSec);
+	EXPECT_EQ(1u, changes.lost->len);
+	EXPECT_FALSE(roster_session_lives(ro, "s1", kSec));
+	EXPECT_FALSE(EverOwns("a", kSec));
+	GPtrArray *peers = roster_peers(ro, kSec);
+	EXPECT_EQ(1u, peers->len);
+	g_ptr_array_unref(peers);
+	Read({}, 10 * kSec);
+	EXPECT_EQ(0u, changes.lost->len) << "told once";
+	peers = roster_peers(ro, 10 * kSec);
+	EXPECT_EQ(0u, peers->len);
+	g_ptr_array_unref(peers);
+}
+
+TEST_F(Roster, ThePeerThatSawTheStoreLastIsAsked)
+{
+	roster_sight old_sight = {false, 2 * kSec};
+	roster_sight new_sight = {false, kSec / 10};
+	roster_sight blind = {true, kSec / 10};
+
+	EXPECT_EQ(nullptr, roster_sighted_front(ro, 0));
+	Read({{"a", {"dc1", "s1"}}, {"b", {"dc1", "s2"}},
+		 {"far", {"dc2", "s3"}}},
+	    0);
+	roster_note_heard(ro, "a", &old_sight, kSec);
+	roster_note_heard(ro, "b", &new_sight, kSec);
+	roster_note_heard(ro, "far", &new_sight, kSec);
+	EXPECT_STREQ("b", roster_sighted_front(ro, kSec));
+	roster_note_heard(ro, "b", &blind, kSec);
+	EXPECT_STREQ("a", roster_sighted_front(ro, kSec));
+	roster_note_heard(ro, "a", &blind, kSec);
+	EXPECT_STREQ("far", roster_sighted_front(ro, kSec));
+}
+
+TEST_F(Roster, RowsComeBackFromTheStore)
+{
+	struct memstore *ms = memstore_new();
+	struct store *st = memstore_store(ms);
+	roster_row self = Row("10.0.0.1:9", "dc1", "s7");
+	GArray *read = nullptr;
+
+	ASSERT_EQ(kStoreOk, roster_store_beat(st, &self, 1));
+	ASSERT_EQ(kStoreOk, roster_store_read(st, &read));
+	ASSERT_EQ(1u, read->len);
+	auto &row = g_array_index(read, roster_row, 0);
+	EXPECT_STREQ("10.0.0.1:9", row.address);
+	EXPECT_STREQ("s7", row.session);
+	int64_t before = row.version;
+	g_array_unref(read);
+	roster_store_beat(st, &self, 2);
+	roster_store_read(st, &read);
+	EXPECT_GT(g_array_index(read, roster_row, 0).version, before);
+	g_array_unref(read);
+	ASSERT_EQ(kStoreOk, roster_store_leave(st, &self));
+	roster_store_read(st, &read);
+	EXPECT_EQ(0u, read->len);
+	g_array_unref(read);
+	memstore_free(ms);
+}
+
+} // namespace
