--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -26,6 +26,8 @@
 	enum look_kind kind;
 	int64_t beat;
 	int64_t started_us;
+	/** Rows of daemons that are long gone, to be removed. */
+	GArray *stale;
 	enum store_result beat_outcome;
 	GArray *rows;
 	GPtrArray *open;
@@ -76,6 +78,13 @@
 	else if (look->kind == kLookBeat)
 		look->beat_outcome =
 		    roster_store_beat(st, &look->mb->opt.self, look->beat);
+	/* A row that has changed meanwhile stays. */
+	for (guint i = 0; i < look->stale->len; i++) {
+		const struct roster_row *row =
+		    &g_array_index(look->stale, struct roster_row, i);
+
+		roster_store_remove(st, row->address, row->version);
+	}
 	if (roster_store_read(st, &look->rows) != kStoreOk)
 		return;
 	if (look->kind == kLookBeat &&
@@ -86,6 +95,7 @@
 static void
 look_free(struct look *look)
 {
+	g_array_unref(look->stale);
 	if (look->rows != NULL)
 		g_array_unref(look->rows);
 	if (look->open != NULL)
@@ -188,6 +198,7 @@
 	look->mb = mb;
 	look->beat = ++mb->beat;
 	look->started_us = loop_now_us(mb->opt.lp);
+	look->stale = roster_stale(mb->opt.roster, kForgetUs, look->started_us);
 	if (mb->has_left)
 		look->kind = kLookAfter;
 	else if (mb->is_leaving)
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -8,6 +8,8 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include "metric/metric.h"
+
 enum {
 	/* Pooled connections that were idle for so long are not used again:
 	 * the target may close them, or something in between has lost them. */
@@ -23,7 +25,6 @@
 	struct loop *lp;
 	CURLM *multi;
 	uint64_t timer;
-	int64_t connects;
 	/** Set of struct outbound_request. */
 	GHashTable *requests;
 	/** Ended, to be freed at the end of the turn. */
@@ -179,12 +180,6 @@
 	g_free(ob);
 }
 
-int64_t
-outbound_connects(const struct outbound *ob)
-{
-	return ob->connects;
-}
-
 /* The head is complete: an empty line after a final status. */
 static bool
 take_head(struct outbound_request *req)
@@ -242,10 +237,9 @@
 static int
 on_socket_made(void *ctx, curl_socket_t fd, curlsocktype type)
 {
-	struct outbound_request *req = ctx;
 	int timeout_ms = kUserTimeoutMs;
 
-	req->ob->connects++;
+	metric_add(kMetConnects, 1);
 	setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
 	return CURL_SOCKOPT_OK;
--- a/src/gateway/outbound.h
+++ b/src/gateway/outbound.h
@@ -59,7 +59,4 @@
 /** Ends a request and its connection; no further call of its ops. */
 void outbound_cancel(struct outbound_request *req);
 
-/** Connections made so far, for the metrics. */
-int64_t outbound_connects(const struct outbound *ob);
-
 #endif
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -78,7 +78,6 @@
 	GString *whole;
 	/** The head, and maybe more, was handed over. */
 	bool is_answering;
-	bool is_revoked;
 };
 
 static void next_attempt(struct relay *rl);
@@ -182,12 +181,6 @@
 	relay_free(rl);
 }
 
-int64_t
-relay_last_event(const struct relay *rl)
-{
-	return rl->events.last_id;
-}
-
 /* No target may be tried any more. */
 static void
 give_up(struct relay *rl, int64_t retry_after_us)
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -102,7 +102,4 @@
 /** Ends the request; its target is left at once; no on_end follows. */
 void relay_cancel(struct relay *rl);
 
-/** Id of the last event handed over, -1 before the first. */
-int64_t relay_last_event(const struct relay *rl);
-
 #endif
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -370,6 +370,23 @@
 	return best;
 }
 
+GArray *
+roster_stale(const struct roster *ro, int64_t silence_us, int64_t now_us)
+{
+	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct roster_row));
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct roster_member *m = val;
+
+		if (m->vanished_us == 0 && now_us - m->seen_us > silence_us)
+			g_array_append_val(list, m->row);
+	}
+	return list;
+}
+
 int32_t
 roster_count(const struct roster *ro, const char *data_center, int64_t now_us)
 {
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -106,6 +106,11 @@
 GPtrArray *roster_neighbours(
     const struct roster *ro, const char *data_center, int64_t now_us);
 
+/** Rows that no heartbeat has changed for so long: array of struct roster_row.
+ */
+GArray *roster_stale(
+    const struct roster *ro, int64_t silence_us, int64_t now_us);
+
 /** Daemons that live in a data centre, this one among them. */
 int32_t roster_count(
     const struct roster *ro, const char *data_center, int64_t now_us);
--- a/src/metric/metric.h
+++ b/src/metric/metric.h
@@ -13,6 +13,8 @@
 	X(kMetTokens, counter, "savoryflow_tokens_total", "Tokens relayed.")   \
 	X(kMetAttempts, counter, "savoryflow_attempts_total",                  \
 	    "Attempts at targets.")                                            \
+	X(kMetConnects, counter, "savoryflow_target_connects_total",           \
+	    "Connections made to targets and peers' fronts.")                  \
 	X(kMetRetries, counter, "savoryflow_retries_total",                    \
 	    "Attempts after the first.")                                       \
 	X(kMetResumes, counter, "savoryflow_resumes_total",                    \
--- a/src/savoryflow/routebook/routebook.c
+++ b/src/savoryflow/routebook/routebook.c
@@ -139,19 +139,6 @@
 	return NULL;
 }
 
-bool
-routebook_route_allows(const struct routebook_route *route, const char *service)
-{
-	for (guint i = 0; i < route->shares->len; i++) {
-		const struct routebook_share *share =
-		    &g_array_index(route->shares, struct routebook_share, i);
-
-		if (share->weight > 0 && strcmp(share->service, service) == 0)
-			return true;
-	}
-	return false;
-}
-
 bool
 routebook_may_repeat(const struct routebook_route *route)
 {
--- a/src/savoryflow/routebook/routebook.h
+++ b/src/savoryflow/routebook/routebook.h
@@ -27,10 +27,6 @@
 const char *routebook_service_of(
     const struct routebook_route *route, uint64_t random);
 
-/** True if the route may send requests to the service. */
-bool routebook_route_allows(
-    const struct routebook_route *route, const char *service);
-
 /** True if a request of the route may be sent to a second target. */
 bool routebook_may_repeat(const struct routebook_route *route);
 
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -5,7 +5,7 @@
 
 #include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
-#include "savoryflow/slotpool/target_health.h"
+#include "savoryflow/slotpool/slot_target.h"
 
 enum {
 	/* Mean use of a slot until it is measured. */
@@ -24,26 +24,12 @@
 	 * wait for a third of their time at most, some 1.6 s. */
 	kRetryAfterLeastUs = 250 * kUsPerMs,
 	kRetryAfterMostUs = 1100 * kUsPerMs,
-	/* Prefixes that a target is thought to keep. */
-	kPrefixesMax = 512,
 	kNoTargetRetryUs = 500 * kUsPerMs,
 	/* A caller that has waited gets a late answer rather than none for so
 	 * long; callers leave a stream that stands still for 2 s. */
 	kLateUs = 1200 * kUsPerMs,
 };
 
-struct slot_target {
-	struct fleet_target info;
-	struct target_health health;
-	int32_t online;
-	int32_t batch;
-	int32_t revoked;
-	/** Set of the prefixes that it has read. */
-	GHashTable *prefixes;
-	/** Seen in the list that is being taken. */
-	bool is_listed;
-};
-
 struct slot {
 	struct slotpool_ask ask;
 	char target[kFleetNameMax];
@@ -69,22 +55,13 @@
 	bool refuses_batch;
 };
 
-static void
-target_free(void *p)
-{
-	struct slot_target *t = p;
-
-	g_hash_table_unref(t->prefixes);
-	g_free(t);
-}
-
 struct slotpool *
 slotpool_new(void)
 {
 	struct slotpool *sp = g_new0(struct slotpool, 1);
 
-	sp->targets =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, target_free);
+	sp->targets = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, slot_target_free);
 	sp->slots = u64_hash_new(g_free);
 	sp->online = g_sequence_new(g_free);
 	sp->batch = g_sequence_new(g_free);
@@ -125,25 +102,6 @@
 	g_array_append_val(out, act);
 }
 
-static int32_t
-used(const struct slot_target *t)
-{
-	return t->online + t->batch + t->revoked;
-}
-
-static bool
-is_listed(const struct slot_target *t)
-{
-	return !t->info.is_draining && t->info.gone_at_us == 0;
-}
-
-static bool
-takes_work(const struct slot_target *t, bool ignore_health, int64_t now_us)
-{
-	return is_listed(t) &&
-	    (ignore_health || target_health_takes(&t->health, now_us));
-}
-
 struct slotpool_load
 slotpool_load_get(const struct slotpool *sp, int64_t now_us)
 {
@@ -159,7 +117,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		const struct slot_target *t = val;
 
-		if (!takes_work(t, false, now_us))
+		if (!slot_target_takes_work(t, false, now_us))
 			continue;
 		load.slots += t->info.slots;
 		load.online += t->online;
@@ -189,22 +147,6 @@
 		t->batch += sign;
 }
 
-static void
-prefix_note(struct slot_target *t, uint64_t prefix)
-{
-	uint64_t *key;
-
-	if (prefix == 0 || g_hash_table_contains(t->prefixes, &prefix))
-		return;
-	if (g_hash_table_size(t->prefixes) >= kPrefixesMax)
-		g_hash_table_remove_all(t->prefixes);
-	key = g_new(uint64_t, 1);
-	*key = prefix;
-	g_hash_table_add(t->prefixes, key);
-	/* The table owns the key. */
-	// cppcheck-suppress memleak
-}
-
 static void
 slot_add(struct slotpool *sp, struct slot_target *t,
     const struct slotpool_ask *ask, int64_t now_us)
@@ -217,7 +159,7 @@
 	g_strlcpy(sl->target, t->info.id, sizeof(sl->target));
 	g_hash_table_insert(sp->slots, &sl->ask.id, sl);
 	slot_count(t, sl, 1);
-	prefix_note(t, ask->prefix);
+	slot_target_note_prefix(t, ask->prefix);
 	target_health_note_start(&t->health);
 }
 
@@ -239,37 +181,8 @@
 	emit(out, kSlotGranted, ask, t->info.id, 0);
 }
 
-/*
- * Of two targets with room: the less used one, by share of its slots; a kept
- * prefix makes up for one slot.
- */
-static int64_t
-cost_of(const struct slot_target *t, const struct slotpool_ask *ask)
-{
-	int64_t scaled = 1000 * (int64_t)used(t) / MAX(t->info.slots, 1);
-
-	if (ask->prefix != 0 &&
-	    g_hash_table_contains(t->prefixes, &ask->prefix))
-		scaled -= 1000 / MAX(t->info.slots, 1);
-	return scaled + target_health_penalty(&t->health);
-}
-
 typedef bool (*target_fits_fn)(const struct slot_target *t);
 
-static bool
-has_free_slot(const struct slot_target *t)
-{
-	return used(t) < t->info.slots;
-}
-
-/* Revoked runs leave within a few ms; more than one in place of each is late.
- */
-static bool
-has_batch_to_revoke(const struct slot_target *t)
-{
-	return t->batch > 0;
-}
-
 static struct slot_target *
 choose(struct slotpool *sp, const struct slotpool_ask *ask, target_fits_fn fits,
     int64_t now_us)
@@ -284,10 +197,10 @@
 		struct slot_target *t = val;
 		int64_t cost;
 
-		if (!takes_work(t, ask->is_last_resort, now_us) || !fits(t) ||
-		    strcmp(t->info.id, ask->but) == 0)
+		if (!slot_target_takes_work(t, ask->is_last_resort, now_us) ||
+		    !fits(t) || strcmp(t->info.id, ask->but) == 0)
 			continue;
-		cost = cost_of(t, ask);
+		cost = slot_target_cost(t, ask);
 		if (best == NULL || cost < best_cost) {
 			best = t;
 			best_cost = cost;
@@ -328,10 +241,10 @@
 start_online(struct slotpool *sp, const struct slotpool_ask *ask,
     int64_t now_us, GArray *out)
 {
-	struct slot_target *t = choose(sp, ask, has_free_slot, now_us);
+	struct slot_target *t = choose(sp, ask, slot_target_has_free, now_us);
 
 	if (t == NULL) {
-		t = choose(sp, ask, has_batch_to_revoke, now_us);
+		t = choose(sp, ask, slot_target_has_batch, now_us);
 		if (t == NULL) {
 			if (!sp->is_full)
 				sp->full_since_us = now_us;
@@ -411,7 +324,8 @@
 	while (!sp->refuses_batch && load.online_queued == 0 &&
 	    first_of(sp->batch, &ask) &&
 	    load.online + load.batch + reserve < load.slots) {
-		struct slot_target *t = choose(sp, &ask, has_free_slot, now_us);
+		struct slot_target *t =
+		    choose(sp, &ask, slot_target_has_free, now_us);
 
 		if (t == NULL)
 			return;
@@ -627,17 +541,10 @@
 	struct slot_target *t = g_hash_table_lookup(sp->targets, info->id);
 
 	if (t == NULL) {
-		t = g_new0(struct slot_target, 1);
-		t->prefixes = u64_hash_new(g_free);
-		t->info = *info;
+		t = slot_target_new(info);
 		g_hash_table_insert(sp->targets, t->info.id, t);
 	}
-	/* A restart under the same id: nothing of before holds. */
-	if (t->info.born_ms != info->born_ms) {
-		target_health_reset(&t->health);
-		g_hash_table_remove_all(t->prefixes);
-	}
-	t->info = *info;
+	slot_target_update(t, info);
 	t->is_listed = true;
 }
 
--- a/test/functional/harness.cc
+++ b/test/functional/harness.cc
@@ -29,18 +29,6 @@
 const auto kGuard = std::chrono::seconds(30);
 const auto kLookAgain = std::chrono::milliseconds(5);
 
-std::string
-Env(const char *name)
-{
-	const char *value = getenv(name);
-
-	if (value == nullptr) {
-		fprintf(stderr, "%s is not set; use ctest\n", name);
-		exit(2);
-	}
-	return value;
-}
-
 size_t
 AppendBody(char *data, size_t size, size_t n, void *ctx)
 {
@@ -83,6 +71,24 @@
 
 } // namespace
 
+std::string
+Env(const char *name)
+{
+	const char *value = getenv(name);
+
+	if (value == nullptr) {
+		fprintf(stderr, "%s is not set; use ctest\n", name);
+		exit(2);
+	}
+	return value;
+}
+
+std::string
+Local(int port)
+{
+	return "127.0.0.1:" + std::to_string(port);
+}
+
 Reply
 Http(const std::string &method, const std::string &url, const std::string &body,
     const Headers &headers, long timeout_s)
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -37,6 +37,12 @@
 /** Looks again and again until the condition holds. @return false if never */
 bool Eventually(const std::function<bool()> &condition);
 
+/** Value of a variable that the tests need; ends the program without it. */
+std::string Env(const char *name);
+
+/** Address on loopback, IP:PORT. */
+std::string Local(int port);
+
 int FreePort();
 int64_t NowUs();
 
--- /dev/null
+++ b/test/functional/test_gateway_jobs.cc
@@ -0,0 +1,190 @@
+#include "functional/gateway_fixture.h"
+
+namespace
+{
+
+TEST_F(Gateway, AJobIsAcceptedOnceAndReadAtEveryDaemon)
+{
+	Calm(2, 2);
+	std::string doc = Job("it", 5, Body(4));
+
+	EXPECT_EQ(202, Send(0, "POST", "/b/j1", doc, "j1").status);
+	EXPECT_EQ(202, Send(1, "POST", "/b/j1", doc, "j1").status);
+	ASSERT_TRUE(Eventually([&] { return HasResults(0, "j1", 5); }));
+	EXPECT_TRUE(HasResults(1, "j1", 5));
+	json_t *doc0 = Results(0, "j1", 2);
+	json_t *first = json_array_get(json_object_get(doc0, "results"), 0);
+	std::string id = json_string_value(json_object_get(first, "id"));
+	std::string path = "/b/" + id;
+
+	EXPECT_EQ(5, json_integer_value(json_object_get(doc0, "total_count")));
+	EXPECT_EQ(5, json_integer_value(json_object_get(doc0, "next")));
+	EXPECT_STREQ(
+	    "completed", json_string_value(json_object_get(first, "state")));
+	EXPECT_EQ(path + "-1\n" + path + "-2\n" + path + "-3\n" + path + "-4",
+	    json_string_value(json_object_get(first, "output_text")));
+	json_decref(doc0);
+	for (int i = 0; i < 5; i++)
+		EXPECT_EQ(1, Ran("it" + std::to_string(i)));
+	EXPECT_EQ(404, Send(0, "GET", "/api/lots/none", "", "r").status);
+}
+
+TEST_F(Gateway, ItemBodiesAreReadBack)
+{
+	Calm(1, 2);
+	std::string body = Body(200, 20);
+
+	Send(0, "POST", "/b/j1", Job("it", 2, body), "j1");
+	for (size_t i = 0; i < 2; i++) {
+		EXPECT_EQ(
+		    body, Send(i, "GET", "/api/items/j1?id=it1", "", "r").body);
+		EXPECT_EQ(404,
+		    Send(i, "GET", "/api/items/j1?id=none", "", "r").status);
+	}
+}
+
+TEST_F(Gateway, ItemsThatCannotBeDoneAreGivenUp)
+{
+	const struct {
+		const char *job;
+		const char *body;
+		int runs;
+	} cases[] = {
+	    {"failing", "{\"status\":500}", 2},
+	    {"impossible", "{\"status\":422}", 1},
+	};
+
+	Calm(1, 1);
+	for (const auto &c : cases) {
+		Send(0, "POST", std::string("/b/") + c.job,
+		    Job(c.job, 1, c.body), c.job);
+		ASSERT_TRUE(
+		    Eventually([&] { return HasResults(0, c.job, 1); }));
+		json_t *doc = Results(0, c.job);
+		json_t *first =
+		    json_array_get(json_object_get(doc, "results"), 0);
+
+		EXPECT_STREQ("dead_letter",
+		    json_string_value(json_object_get(first, "state")));
+		EXPECT_EQ(c.runs, Ran(std::string(c.job) + "0"));
+		json_decref(doc);
+	}
+}
+
+TEST_F(Gateway, ACutItemGoesOnAndIsWhole)
+{
+	Calm(1, 1);
+	Fault(0, "{\"cut_after\":2}");
+	Send(0, "POST", "/b/j1", Job("it", 1, Body(12)), "j1");
+	ASSERT_TRUE(Eventually([&] { return HasResults(0, "j1", 1); }));
+	json_t *doc = Results(0, "j1");
+	std::string text = json_string_value(json_object_get(
+	    json_array_get(json_object_get(doc, "results"), 0), "output_text"));
+	std::string wanted;
+
+	for (int n = 1; n <= 12; n++)
+		wanted += (n > 1 ? "\n" : "") + std::string("/b/it0-") +
+		    std::to_string(n);
+	EXPECT_EQ(wanted, text);
+	json_decref(doc);
+}
+
+TEST_F(Gateway, AnEndedJobStops)
+{
+	Calm(1, 2);
+	Send(0, "POST", "/b/j1", Job("it", 6, Body(2000, 10)), "j1");
+	ASSERT_TRUE(Eventually([&] { return Ran("it0") == 1; }));
+	EXPECT_EQ(200, Send(1, "DELETE", "/api/lots/j1", "", "r").status);
+	EXPECT_TRUE(daemons[0]->WaitLine("\"why\":\"ended\""));
+	EXPECT_EQ(200, Send(0, "DELETE", "/api/lots/j1", "", "r").status);
+}
+
+TEST_F(Gateway, AJobOutlivesItsDaemon)
+{
+	Calm(2, 2);
+	Send(0, "POST", "/b/j1", Job("it", 6, Body(40, 20)), "j1");
+	ASSERT_TRUE(Eventually([&] { return Ran("it0") > 0; }));
+	daemons[0]->Signal(SIGKILL);
+	daemons[0]->Wait();
+	EXPECT_TRUE(daemons[1]->WaitLine("\"name\":\"job_orphaned\""));
+	EXPECT_TRUE(Eventually([&] { return HasResults(1, "j1", 6); }));
+}
+
+/* Whoever takes over a job that was ended runs nothing of it. */
+TEST_F(Gateway, AnEndedJobIsNotTakenOver)
+{
+	Calm(1, 2);
+	Send(0, "POST", "/b/j1", Job("it", 6, Body(2000, 10)), "j1");
+	ASSERT_TRUE(Eventually([&] { return Ran("it0") == 1; }));
+	daemons[0]->Signal(SIGSTOP);
+	EXPECT_EQ(200, Send(1, "DELETE", "/api/lots/j1", "", "r").status);
+	daemons[0]->Signal(SIGKILL);
+	daemons[0]->Wait();
+	EXPECT_TRUE(daemons[1]->WaitLine("\"call\":\"close\""));
+	EXPECT_EQ(0, daemons[1]->Count("\"name\":\"job_started\""));
+}
+
+TEST_F(Gateway, ALeavingDaemonHandsItsItemsOver)
+{
+	Calm(1, 2);
+	Send(0, "POST", "/b/j1", Job("it", 2, Body(150, 20)), "j1");
+	ASSERT_TRUE(Eventually([&] { return Ran("it0") + Ran("it1") == 2; }));
+	daemons[0]->Signal(SIGTERM);
+	EXPECT_TRUE(daemons[1]->WaitLine("\"name\":\"job_started\""));
+	EXPECT_TRUE(Eventually([&] { return HasResults(1, "j1", 2); }));
+	json_t *doc = Results(1, "j1");
+	std::string text = json_string_value(json_object_get(
+	    json_array_get(json_object_get(doc, "results"), 0), "output_text"));
+
+	EXPECT_EQ(149, std::count(text.begin(), text.end(), '\n'));
+	json_decref(doc);
+	EXPECT_TRUE(daemons[0]->WaitLine("\"call\":\"hand_over\""));
+	EXPECT_EQ(0, daemons[0]->Wait());
+}
+
+TEST_F(Gateway, AJobOutlivesAllDaemons)
+{
+	Calm(1, 1);
+	Send(0, "POST", "/b/j1", Job("it", 3, Body(30, 20)), "j1");
+	daemons[0]->Signal(SIGKILL);
+	daemons[0]->Wait();
+	Start(0);
+	EXPECT_TRUE(Eventually([&] { return HasResults(0, "j1", 3); }));
+}
+
+/* The store turns one daemon away and serves its neighbour. */
+TEST_F(Gateway, APeerAnswersForADaemonThatTheStoreTurnsAway)
+{
+	Calm(1, 2);
+	/* Daemon 1 has no store any more, but knows its neighbour. */
+	Store("/fault", "{\"turned_away\":\"d1\"}");
+	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"store_down\""));
+	EXPECT_EQ(
+	    202, Send(1, "POST", "/b/j1", Job("it", 2, Body(3)), "j1").status);
+	EXPECT_TRUE(Eventually([&] { return HasResults(1, "j1", 2); }));
+	EXPECT_EQ(
+	    Body(3), Send(1, "GET", "/api/items/j1?id=it0", "", "r").body);
+	EXPECT_EQ(200, Send(1, "DELETE", "/api/lots/j1", "", "r").status);
+	EXPECT_EQ(404, Send(1, "GET", "/api/lots/none", "", "r").status);
+	EXPECT_GT(daemons[1]->Count("\"name\":\"job_forwarded\""), 0);
+}
+
+TEST_F(Gateway, AnOutageOfTheStoreRefusesJobsAndServesTheRest)
+{
+	Calm(1, 1);
+	Store("/fault", "{\"outage\":true}");
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"store_down\""));
+	Reply r = Send(0, "POST", "/b/j1", Job("it", 1, Body(1)), "j1");
+	EXPECT_EQ(503, r.status);
+	EXPECT_NE("", r.headers["retry-after"]);
+	EXPECT_EQ(200, Call(0, "/q/x", "a1", 2).status);
+	Store("/fault", "{}");
+	EXPECT_TRUE(Eventually([&] {
+		return Send(0, "POST", "/b/j1", Job("it", 1, Body(1)), "j1")
+			   .status == 202;
+	}));
+	EXPECT_TRUE(Eventually([&] { return HasResults(0, "j1", 1); }));
+	EXPECT_EQ(1, Ran("it0"));
+}
+
+} // namespace
--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -28,12 +28,6 @@
 const long kCallTimeoutS = 6;
 const int kSettleS = 60;
 
-std::string
-Local(int port)
-{
-	return "127.0.0.1:" + std::to_string(port);
-}
-
 void
 SleepMs(int ms)
 {
@@ -150,7 +144,7 @@
 void
 Soak::StartDaemon(size_t i)
 {
-	daemons_[i].reset(new Process({getenv("SF_BIN"), "serve",
+	daemons_[i].reset(new Process({Env("SF_BIN"), "serve",
 	    "--adapter=platform", "--name=d" + std::to_string(i),
 	    "--front-listen=" + Local(fronts_[i]),
 	    "--ready-listen=" + Local(readies_[i]),
@@ -173,7 +167,7 @@
 	    {"f", "streaming", "1", "false"}, {"b", "batch", "3", "true"}};
 
 	store_port_ = FreePort();
-	store_.reset(new Process({getenv("SF_STANDIN"), "rows",
+	store_.reset(new Process({Env("SF_STANDIN"), "rows",
 	    "--port=" + std::to_string(store_port_)}));
 	store_->WaitLine("listening");
 	for (auto &k : kinds) {
@@ -191,9 +185,9 @@
 		0, nullptr));
 	for (int i = 0; i < o_.workers; i++) {
 		worker_ports_.push_back(FreePort());
-		workers_.emplace_back(new Process({getenv("SF_STANDIN"),
-		    "worker", "--id=i-" + std::to_string(i),
-		    "--port=" + std::to_string(worker_ports_[i])}));
+		workers_.emplace_back(new Process(
+		    {Env("SF_STANDIN"), "worker", "--id=i-" + std::to_string(i),
+			"--port=" + std::to_string(worker_ports_[i])}));
 		workers_[i]->WaitLine("listening");
 		to_workers_.emplace_back(new Proxy(worker_ports_[i]));
 	}
--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -219,6 +219,22 @@
 	EXPECT_STREQ("far", roster_sighted_front(ro, kSec));
 }
 
+TEST_F(Roster, RowsOfTheLongGoneAreStale)
+{
+	roster_row row = Row("a", "dc1", "s1");
+	GArray *stale;
+
+	g_array_append_val(rows, row);
+	roster_take_rows(ro, rows, 0, &changes);
+	stale = roster_stale(ro, 60 * kSec, 60 * kSec);
+	EXPECT_EQ(0u, stale->len);
+	g_array_unref(stale);
+	stale = roster_stale(ro, 60 * kSec, 61 * kSec);
+	ASSERT_EQ(1u, stale->len);
+	EXPECT_STREQ("a", g_array_index(stale, roster_row, 0).address);
+	g_array_unref(stale);
+}
+
 TEST_F(Roster, RowsComeBackFromTheStore)
 {
 	struct memstore *ms = memstore_new();
--- a/test/unit/test_routebook.cc
+++ b/test/unit/test_routebook.cc
@@ -70,15 +70,14 @@
 	EXPECT_EQ(100, counts[1]);
 }
 
-TEST_F(Routebook, AShareOfNothingIsNotAllowed)
+TEST_F(Routebook, AShareOfNothingGetsNothing)
 {
 	routebook_route *route = Add("r", "a.example", "/x/");
 
 	routebook_add_share(route, "old", 0);
 	routebook_add_share(route, "new", 100);
-	EXPECT_FALSE(routebook_route_allows(route, "old"));
-	EXPECT_TRUE(routebook_route_allows(route, "new"));
-	EXPECT_FALSE(routebook_route_allows(route, "other"));
+	for (uint64_t i = 0; i < 1000; i++)
+		EXPECT_STREQ("new", routebook_service_of(route, i));
 }
 
 TEST_F(Routebook, WhatMayBeRepeated)
