--- a/src/gateway/janitor.c
+++ b/src/gateway/janitor.c
@@ -51,9 +51,7 @@
 
 	if (jn->removed > 0 || jn->outcome != kStoreOk)
 		log_event(kEvtJobsRemoved, "jobs", log_number(jn->removed),
-		    /* NULL is a pointer in this C library. */
-		    // cppcheck-suppress varFuncNullUB
-		    "store", store_result_text(jn->outcome), NULL);
+		    "store", store_result_text(jn->outcome), (char *)NULL);
 	look_later(jn);
 }
 
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -295,9 +295,7 @@
 		return;
 	values = read_file(set->node_file, &err);
 	if (values == NULL) {
-		/* NULL is a pointer in this C library. */
-		// cppcheck-suppress varFuncNullUB
-		log_event(kEvtSettingsBad, "error", err->message, NULL);
+		log_event(kEvtSettingsBad, "error", err->message, (char *)NULL);
 		g_error_free(err);
 		return;
 	}
@@ -306,9 +304,7 @@
 	if (level != NULL)
 		log_set_level(level);
 	log_event(kEvtSettingsReloaded, "file", set->node_file, "changed",
-	    /* NULL is a pointer in this C library. */
-	    // cppcheck-suppress varFuncNullUB
-	    changed, NULL);
+	    changed, (char *)NULL);
 	g_free(changed);
 	g_hash_table_unref(set->file_values);
 	set->file_values = values;
