Batch items that can't be in time let others pass

Cause: pools ordered batch by due date alone. With more work than slots every item got its slot just too late, and a crest of online took the place of the item due last, which is the one that could still be in time.

Change: an ask carries the expected time of the rest of the run (item_pace); batch_rank puts late items last and, of those due together, the one nearest its end first; the place that online takes is the last by rank of the whole pool, not of one target. The queues moved to slot_queue.c.

The five new tests of the pool failed before the change.

--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_JOBS_INTERNAL_H
 
 #include "gateway/jobs.h"
+#include "savoryflow/job/item_pace.h"
 
 /* Shared by the files of the jobs module only. */
 
@@ -27,6 +28,9 @@
 	GString *text;
 	bool has_text;
 	int64_t last_event_id;
+	/** When its present run asked for a slot, and its last event then. */
+	int64_t run_asked_us;
+	int64_t run_first_event_id;
 	int32_t status;
 	bool is_stream;
 	bool had_event;
@@ -61,6 +65,7 @@
 	GHashTable *loading;
 	/** struct itemjob by id, as the store showed it. */
 	GHashTable *known;
+	struct item_pace pace;
 	bool is_leaving;
 	/** Jobs whose progress is on its way to the store. */
 	int32_t saving;
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -179,6 +179,21 @@
 		try_again(ir, kTtlDefaultUs);
 }
 
+static void
+note_pace(struct item_run *ir, const struct relay_verdict *verdict)
+{
+	struct item_pace_run done = {
+	    .tokens = ir->item->tokens,
+	    .events = ir->last_event_id + 1,
+	    .run_events = ir->last_event_id - ir->run_first_event_id,
+	    .run_us =
+		now_us(ir->run) - ir->run_asked_us - verdict->slot_wait_us,
+	};
+
+	if (ir->is_stream)
+		item_pace_note(&ir->run->js->pace, &done);
+}
+
 static void
 on_end(void *ctx, const struct relay_verdict *verdict)
 {
@@ -193,6 +208,7 @@
 		    log_number(ir->last_event_id), NULL);
 	switch (verdict->end) {
 	case kRelayComplete:
+		note_pace(ir, verdict);
 		on_answer(ir);
 		break;
 	case kRelayRefused:
@@ -225,6 +241,8 @@
 	    .service = routebook_service_of(route, g_str_hash(ir->item->id)),
 	    .is_batch = true,
 	    .until_us = run->due_us,
+	    .need_us = item_pace_need_us(
+		&run->js->pace, ir->item->tokens, ir->last_event_id + 1),
 	    .attempts_max = 1,
 	    .may_repeat = true,
 	    .is_resumable = true,
@@ -243,6 +261,8 @@
 	header_list_set(headers, "Host", run->job->host);
 	ir->phase = kItemRunning;
 	ir->had_event = false;
+	ir->run_asked_us = now_us(run);
+	ir->run_first_event_id = ir->last_event_id;
 	ir->status = 0;
 	ir->is_stream = false;
 	ir->relay = relay_start(&run->js->opt.parts, &opt);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -486,6 +486,7 @@
 	    .service = rl->service,
 	    .is_batch = rl->opt.is_batch,
 	    .until_us = rl->opt.until_us,
+	    .need_us = rl->opt.need_us,
 	    .prefix = rl->opt.prefix,
 	    .but = rl->target[0] != '\0' ? rl->target : NULL,
 	};
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -76,6 +76,8 @@
 	bool is_batch;
 	/** Online: latest useful start at a target. Batch: when it is due. */
 	int64_t until_us;
+	/** Batch: expected time of the run; 0 if that is not known. */
+	int64_t need_us;
 	/** Time of the final answer; 0: none. */
 	int64_t deadline_us;
 	/** Passed on as the time left; 0: none. */
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -7,6 +7,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "savoryflow/arbiter/u64_hash.h"
+#include "savoryflow/slotpool/batch_rank.h"
 
 enum {
 	kTickUs = 25 * kUsPerMs,
@@ -82,6 +83,16 @@
 	slots_deliver(sl, &del);
 }
 
+/* What is left of the need of a run that has begun. */
+static struct slotpool_ask
+present_ask(const struct slots *sl, const struct hold *h)
+{
+	if (h->granted_us == 0 || !h->ask.is_batch)
+		return h->ask;
+	return batch_rank_running(
+	    &h->ask, h->granted_us, loop_now_us(sl->opt.lp));
+}
+
 void
 slots_send_ask(struct slots *sl, const struct hold *h, const char *adopt_target)
 {
@@ -94,6 +105,7 @@
 	wire.data_center = h->view->data_center;
 	wire.batch = h->ask.is_batch;
 	wire.left_us = h->ask.until_us - loop_now_us(sl->opt.lp);
+	wire.need_us = present_ask(sl, h).need_us;
 	wire.but = (char *)h->ask.but;
 	wire.prefix = h->ask.prefix;
 	wire.last_resort = h->ask.is_last_resort;
@@ -113,9 +125,11 @@
 static void
 pass_ask(struct slots *sl, struct hold *h, const char *adopt_target)
 {
+	struct slotpool_ask ask = present_ask(sl, h);
+
 	if (is_here(sl, h))
-		slots_host_ask(sl, &h->ask, h->service, h->view->data_center,
-		    adopt_target);
+		slots_host_ask(
+		    sl, &ask, h->service, h->view->data_center, adopt_target);
 	else
 		slots_send_ask(sl, h, adopt_target);
 }
@@ -170,6 +184,7 @@
 	h->ask.id = ++sl->next_id;
 	h->ask.is_batch = ask->is_batch;
 	h->ask.until_us = ask->until_us;
+	h->ask.need_us = ask->need_us;
 	h->ask.prefix = ask->prefix;
 	g_strlcpy(
 	    h->ask.but, ask->but != NULL ? ask->but : "", sizeof(h->ask.but));
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -30,6 +30,8 @@
 	bool is_batch;
 	/** Online: a slot is of no use after that. Batch: when it is due. */
 	int64_t until_us;
+	/** Batch: expected time of the run; 0 if that is not known. */
+	int64_t need_us;
 	uint64_t prefix;
 	/** Target that is to be avoided, or NULL. */
 	const char *but;
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -348,6 +348,7 @@
 	    .holder = slots_holder(sl, from),
 	    .is_batch = wire->batch,
 	    .until_us = loop_now_us(sl->opt.lp) + wire->left_us,
+	    .need_us = wire->need_us,
 	    .prefix = wire->prefix,
 	    .is_last_resort = wire->last_resort,
 	};
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1408,7 +1408,7 @@
   (ProtobufCMessageInit) sfpeer__config_hint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__slot_ask__field_descriptors[10] =
+static const ProtobufCFieldDescriptor sfpeer__slot_ask__field_descriptors[11] =
 {
   {
     "id",
@@ -1530,6 +1530,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "need_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, need_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__slot_ask__field_indices_by_name[] = {
   6,   /* field[6] = adopt */
@@ -1539,6 +1551,7 @@
   0,   /* field[0] = id */
   9,   /* field[9] = last_resort */
   4,   /* field[4] = left_us */
+  10,   /* field[10] = need_us */
   8,   /* field[8] = prefix */
   1,   /* field[1] = service */
   7,   /* field[7] = target */
@@ -1546,7 +1559,7 @@
 static const ProtobufCIntRange sfpeer__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor sfpeer__slot_ask__descriptor =
 {
@@ -1556,7 +1569,7 @@
   "Sfpeer__SlotAsk",
   "sfpeer",
   sizeof(Sfpeer__SlotAsk),
-  10,
+  11,
   sfpeer__slot_ask__field_descriptors,
   sfpeer__slot_ask__field_indices_by_name,
   1,  sfpeer__slot_ask__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -192,10 +192,14 @@
    * No pool has a healthy target: any one is to be tried.
    */
   protobuf_c_boolean last_resort;
+  /*
+   * Batch: expected time of what is left of the run; 0 if not known.
+   */
+  int64_t need_us;
 };
 #define SFPEER__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Sfpeer__SlotAnswer
--- /dev/null
+++ b/src/savoryflow/slotpool/slot_queue.c
@@ -0,0 +1,134 @@
+/* The two queues of a pool. */
+#include "savoryflow/slotpool/slot_queue.h"
+
+#include "savoryflow/arbiter/u64_hash.h"
+#include "savoryflow/slotpool/batch_rank.h"
+
+struct slot_queue {
+	/** struct slotpool_ask. */
+	GSequence *online;
+	GSequence *batch;
+	/** Places in the two, by id. */
+	GHashTable *places;
+};
+
+struct slot_queue *
+slot_queue_new(void)
+{
+	struct slot_queue *sq = g_new(struct slot_queue, 1);
+
+	sq->online = g_sequence_new(g_free);
+	sq->batch = g_sequence_new(g_free);
+	sq->places = u64_hash_new(NULL);
+	return sq;
+}
+
+void
+slot_queue_free(struct slot_queue *sq)
+{
+	g_hash_table_unref(sq->places);
+	g_sequence_free(sq->online);
+	g_sequence_free(sq->batch);
+	g_free(sq);
+}
+
+static int
+compare_until(const void *a, const void *b, void *ctx)
+{
+	const struct slotpool_ask *x = a;
+	const struct slotpool_ask *y = b;
+
+	if (x->until_us != y->until_us)
+		return x->until_us < y->until_us ? -1 : 1;
+	return (x->id > y->id) - (x->id < y->id);
+}
+
+void
+slot_queue_add(struct slot_queue *sq, const struct slotpool_ask *ask)
+{
+	struct slotpool_ask *copy = g_new(struct slotpool_ask, 1);
+
+	*copy = *ask;
+	g_hash_table_insert(sq->places, &copy->id,
+	    g_sequence_insert_sorted(ask->is_batch ? sq->batch : sq->online,
+		copy, ask->is_batch ? batch_rank_compare : compare_until,
+		NULL));
+}
+
+void
+slot_queue_remove(struct slot_queue *sq, uint64_t id)
+{
+	GSequenceIter *place = g_hash_table_lookup(sq->places, &id);
+
+	if (place == NULL)
+		return;
+	g_hash_table_remove(sq->places, &id);
+	g_sequence_remove(place);
+}
+
+static void
+remove_holder_from(struct slot_queue *sq, GSequence *queue, uint32_t holder)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(queue);
+
+	while (!g_sequence_iter_is_end(it)) {
+		const struct slotpool_ask *ask = g_sequence_get(it);
+
+		it = g_sequence_iter_next(it);
+		if (ask->holder == holder)
+			slot_queue_remove(sq, ask->id);
+	}
+}
+
+void
+slot_queue_remove_holder(struct slot_queue *sq, uint32_t holder)
+{
+	remove_holder_from(sq, sq->online, holder);
+	remove_holder_from(sq, sq->batch, holder);
+}
+
+bool
+slot_queue_has(const struct slot_queue *sq, uint64_t id)
+{
+	return g_hash_table_contains(sq->places, &id);
+}
+
+int32_t
+slot_queue_len(const struct slot_queue *sq, bool is_batch)
+{
+	return g_sequence_get_length(is_batch ? sq->batch : sq->online);
+}
+
+bool
+slot_queue_first(
+    const struct slot_queue *sq, bool is_batch, struct slotpool_ask *ask)
+{
+	GSequenceIter *first =
+	    g_sequence_get_begin_iter(is_batch ? sq->batch : sq->online);
+
+	if (g_sequence_iter_is_end(first))
+		return false;
+	*ask = *(struct slotpool_ask *)g_sequence_get(first);
+	return true;
+}
+
+void
+slot_queue_put_back_late_batch(struct slot_queue *sq, int64_t now_us)
+{
+	GSequenceIter *it = g_sequence_get_begin_iter(sq->batch);
+
+	while (!g_sequence_iter_is_end(it)) {
+		struct slotpool_ask ask =
+		    *(struct slotpool_ask *)g_sequence_get(it);
+
+		it = g_sequence_iter_next(it);
+		/* Those that follow were put back before. */
+		if (ask.is_late)
+			return;
+		if (!batch_rank_is_late(&ask, now_us))
+			continue;
+		slot_queue_remove(sq, ask.id);
+		ask.is_late = true;
+		slot_queue_add(sq, &ask);
+	}
+}
--- /dev/null
+++ b/src/savoryflow/slotpool/slot_queue.h
@@ -0,0 +1,30 @@
+#ifndef SAVORYFLOW_SLOT_QUEUE_H
+#define SAVORYFLOW_SLOT_QUEUE_H
+
+#include "savoryflow/slotpool/slotpool_defs.h"
+
+/** Requests that wait for a slot: online by time, batch by batch_rank.h. */
+struct slot_queue;
+
+struct slot_queue *slot_queue_new(void);
+void slot_queue_free(struct slot_queue *sq);
+
+/** Adds a request; its id must not be queued yet. */
+void slot_queue_add(struct slot_queue *sq, const struct slotpool_ask *ask);
+
+/** Removes a request; none if it is not queued. */
+void slot_queue_remove(struct slot_queue *sq, uint64_t id);
+
+void slot_queue_remove_holder(struct slot_queue *sq, uint32_t holder);
+
+bool slot_queue_has(const struct slot_queue *sq, uint64_t id);
+int32_t slot_queue_len(const struct slot_queue *sq, bool is_batch);
+
+/** Copies the first request. @return false if there is none */
+bool slot_queue_first(
+    const struct slot_queue *sq, bool is_batch, struct slotpool_ask *ask);
+
+/** Puts batch items that can't be in time any more after those that can. */
+void slot_queue_put_back_late_batch(struct slot_queue *sq, int64_t now_us);
+
+#endif
--- a/src/savoryflow/slotpool/slot_target.c
+++ b/src/savoryflow/slotpool/slot_target.c
@@ -93,9 +93,3 @@
 {
 	return used(t) < t->info.slots;
 }
-
-bool
-slot_target_has_batch(const struct slot_target *t)
-{
-	return t->batch > 0;
-}
--- a/src/savoryflow/slotpool/slot_target.h
+++ b/src/savoryflow/slotpool/slot_target.h
@@ -27,7 +27,6 @@
     const struct slot_target *t, bool ignore_health, int64_t now_us);
 
 bool slot_target_has_free(const struct slot_target *t);
-bool slot_target_has_batch(const struct slot_target *t);
 
 /** The lower the better: share of slots in use, faults, kept prefixes. */
 int64_t slot_target_cost(
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -5,6 +5,8 @@
 
 #include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
+#include "savoryflow/slotpool/batch_rank.h"
+#include "savoryflow/slotpool/slot_queue.h"
 #include "savoryflow/slotpool/slot_target.h"
 
 enum {
@@ -43,11 +45,7 @@
 	GHashTable *targets;
 	/** struct slot by id. */
 	GHashTable *slots;
-	/** struct slotpool_ask by until_us. */
-	GSequence *online;
-	GSequence *batch;
-	/** Places in the two queues, by id. */
-	GHashTable *queued;
+	struct slot_queue *queue;
 	int64_t hold_us;
 	/** No online request could start at once, and since when. */
 	bool is_full;
@@ -63,9 +61,7 @@
 	sp->targets = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, slot_target_free);
 	sp->slots = u64_hash_new(g_free);
-	sp->online = g_sequence_new(g_free);
-	sp->batch = g_sequence_new(g_free);
-	sp->queued = u64_hash_new(NULL);
+	sp->queue = slot_queue_new();
 	sp->hold_us = kHoldDefaultUs;
 	return sp;
 }
@@ -73,9 +69,7 @@
 void
 slotpool_free(struct slotpool *sp)
 {
-	g_hash_table_unref(sp->queued);
-	g_sequence_free(sp->online);
-	g_sequence_free(sp->batch);
+	slot_queue_free(sp->queue);
 	g_hash_table_unref(sp->slots);
 	g_hash_table_unref(sp->targets);
 	g_free(sp);
@@ -106,8 +100,8 @@
 slotpool_load_get(const struct slotpool *sp, int64_t now_us)
 {
 	struct slotpool_load load = {
-	    .online_queued = g_sequence_get_length(sp->online),
-	    .batch_queued = g_sequence_get_length(sp->batch),
+	    .online_queued = slot_queue_len(sp->queue, false),
+	    .batch_queued = slot_queue_len(sp->queue, true),
 	    .hold_us = sp->hold_us,
 	};
 	GHashTableIter it;
@@ -181,11 +175,8 @@
 	emit(out, kSlotGranted, ask, t->info.id, 0);
 }
 
-typedef bool (*target_fits_fn)(const struct slot_target *t);
-
 static struct slot_target *
-choose(struct slotpool *sp, const struct slotpool_ask *ask, target_fits_fn fits,
-    int64_t now_us)
+choose_free(struct slotpool *sp, const struct slotpool_ask *ask, int64_t now_us)
 {
 	struct slot_target *best = NULL;
 	int64_t best_cost = 0;
@@ -198,7 +189,8 @@
 		int64_t cost;
 
 		if (!slot_target_takes_work(t, ask->is_last_resort, now_us) ||
-		    !fits(t) || strcmp(t->info.id, ask->but) == 0)
+		    !slot_target_has_free(t) ||
+		    strcmp(t->info.id, ask->but) == 0)
 			continue;
 		cost = slot_target_cost(t, ask);
 		if (best == NULL || cost < best_cost) {
@@ -209,108 +201,82 @@
 	return best;
 }
 
-/* Takes back the batch slot of a target that is due last. */
-static void
-revoke_one(
-    struct slotpool *sp, struct slot_target *t, int64_t now_us, GArray *out)
+/* The batch slot that is worth the least, where the request may run. */
+static struct slot *
+find_expendable(
+    struct slotpool *sp, const struct slotpool_ask *ask, int64_t now_us)
 {
-	struct slot *last = NULL;
+	struct slotpool_ask last;
+	struct slot *found = NULL;
 	GHashTableIter it;
 	void *val;
 
 	g_hash_table_iter_init(&it, sp->slots);
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct slot *sl = val;
+		const struct slot_target *t;
+		struct slotpool_ask item;
 
 		if (!sl->ask.is_batch || sl->is_revoked ||
-		    strcmp(sl->target, t->info.id) != 0)
+		    strcmp(sl->target, ask->but) == 0)
+			continue;
+		item = batch_rank_running(&sl->ask, sl->since_us, now_us);
+		if (found != NULL && batch_rank_compare(&item, &last, NULL) < 0)
 			continue;
-		if (last == NULL || sl->ask.until_us > last->ask.until_us)
-			last = sl;
+		t = g_hash_table_lookup(sp->targets, sl->target);
+		if (!slot_target_takes_work(t, ask->is_last_resort, now_us))
+			continue;
+		found = sl;
+		last = item;
 	}
-	if (last == NULL)
-		return;
-	slot_count(t, last, -1);
-	last->is_revoked = true;
-	last->expires_us = now_us + kRevokedLeaseUs;
-	slot_count(t, last, 1);
-	emit(out, kSlotRevoked, &last->ask, last->target, 0);
+	return found;
+}
+
+static void
+take_back(struct slotpool *sp, struct slot *sl, int64_t now_us, GArray *out)
+{
+	struct slot_target *t = g_hash_table_lookup(sp->targets, sl->target);
+
+	slot_count(t, sl, -1);
+	sl->is_revoked = true;
+	sl->expires_us = now_us + kRevokedLeaseUs;
+	slot_count(t, sl, 1);
+	emit(out, kSlotRevoked, &sl->ask, sl->target, 0);
 }
 
 static bool
 start_online(struct slotpool *sp, const struct slotpool_ask *ask,
     int64_t now_us, GArray *out)
 {
-	struct slot_target *t = choose(sp, ask, slot_target_has_free, now_us);
+	struct slot_target *t = choose_free(sp, ask, now_us);
 
 	if (t == NULL) {
-		t = choose(sp, ask, slot_target_has_batch, now_us);
-		if (t == NULL) {
+		struct slot *sl = find_expendable(sp, ask, now_us);
+
+		if (sl == NULL) {
 			if (!sp->is_full)
 				sp->full_since_us = now_us;
 			sp->is_full = true;
 			return false;
 		}
-		revoke_one(sp, t, now_us, out);
+		t = g_hash_table_lookup(sp->targets, sl->target);
+		take_back(sp, sl, now_us, out);
 	}
-	if (g_sequence_get_length(sp->online) == 0)
+	if (slot_queue_len(sp->queue, false) == 0)
 		sp->is_full = false;
 	grant(sp, t, ask, now_us, out);
 	return true;
 }
 
-static void
-withdraw(struct slotpool *sp, uint64_t id)
-{
-	GSequenceIter *place = g_hash_table_lookup(sp->queued, &id);
-
-	if (place == NULL)
-		return;
-	g_hash_table_remove(sp->queued, &id);
-	g_sequence_remove(place);
-}
-
-static int
-compare_until(const void *a, const void *b, void *ctx)
-{
-	const struct slotpool_ask *x = a;
-	const struct slotpool_ask *y = b;
-
-	if (x->until_us != y->until_us)
-		return x->until_us < y->until_us ? -1 : 1;
-	return (x->id > y->id) - (x->id < y->id);
-}
-
-static void
-enqueue(struct slotpool *sp, GSequence *queue, const struct slotpool_ask *ask)
-{
-	struct slotpool_ask *copy = g_new(struct slotpool_ask, 1);
-
-	*copy = *ask;
-	g_hash_table_insert(sp->queued, &copy->id,
-	    g_sequence_insert_sorted(queue, copy, compare_until, NULL));
-}
-
-static bool
-first_of(GSequence *queue, struct slotpool_ask *ask)
-{
-	GSequenceIter *first = g_sequence_get_begin_iter(queue);
-
-	if (g_sequence_iter_is_end(first))
-		return false;
-	*ask = *(struct slotpool_ask *)g_sequence_get(first);
-	return true;
-}
-
 static void
 start_queued_online(struct slotpool *sp, int64_t now_us, GArray *out)
 {
 	struct slotpool_ask ask;
 
-	while (first_of(sp->online, &ask)) {
+	while (slot_queue_first(sp->queue, false, &ask)) {
 		if (!start_online(sp, &ask, now_us, out))
 			return;
-		withdraw(sp, ask.id);
+		slot_queue_remove(sp->queue, ask.id);
 	}
 }
 
@@ -322,15 +288,14 @@
 	struct slotpool_ask ask;
 
 	while (!sp->refuses_batch && load.online_queued == 0 &&
-	    first_of(sp->batch, &ask) &&
+	    slot_queue_first(sp->queue, true, &ask) &&
 	    load.online + load.batch + reserve < load.slots) {
-		struct slot_target *t =
-		    choose(sp, &ask, slot_target_has_free, now_us);
+		struct slot_target *t = choose_free(sp, &ask, now_us);
 
 		if (t == NULL)
 			return;
 		grant(sp, t, &ask, now_us, out);
-		withdraw(sp, ask.id);
+		slot_queue_remove(sp->queue, ask.id);
 		load.batch++;
 	}
 }
@@ -372,14 +337,24 @@
 {
 	struct slotpool_load load;
 
-	if (g_sequence_get_length(sp->online) == 0 &&
+	if (slot_queue_len(sp->queue, false) == 0 &&
 	    start_online(sp, ask, now_us, out))
 		return;
 	load = slotpool_load_get(sp, now_us);
 	if (load.slots == 0 || now_us + slotpool_wait_us(&load) > ask->until_us)
 		refuse(sp, ask, now_us, out);
 	else
-		enqueue(sp, sp->online, ask);
+		slot_queue_add(sp->queue, ask);
+}
+
+static void
+enqueue_batch(
+    struct slotpool *sp, const struct slotpool_ask *ask, int64_t now_us)
+{
+	struct slotpool_ask item = *ask;
+
+	item.is_late = batch_rank_is_late(&item, now_us);
+	slot_queue_add(sp->queue, &item);
 }
 
 void
@@ -393,13 +368,13 @@
 		emit(out, kSlotGranted, ask, sl->target, 0);
 		return;
 	}
-	if (g_hash_table_contains(sp->queued, &ask->id))
+	if (slot_queue_has(sp->queue, ask->id))
 		return;
 	if (!ask->is_batch) {
 		request_online(sp, ask, now_us, out);
 		return;
 	}
-	enqueue(sp, sp->batch, ask);
+	enqueue_batch(sp, ask, now_us);
 	start_queued_batch(sp, now_us, out);
 }
 
@@ -410,7 +385,7 @@
 	struct slot_target *t = g_hash_table_lookup(sp->targets, target);
 	struct slot *sl = g_hash_table_lookup(sp->slots, &ask->id);
 
-	withdraw(sp, ask->id);
+	slot_queue_remove(sp->queue, ask->id);
 	if (sl != NULL && strcmp(sl->target, target) != 0) {
 		slot_remove(sp, sl);
 		sl = NULL;
@@ -435,7 +410,7 @@
 	struct slot_target *t;
 
 	if (sl == NULL) {
-		withdraw(sp, id);
+		slot_queue_remove(sp->queue, id);
 		return;
 	}
 	if (outcome == kSlotServed && !sl->ask.is_batch)
@@ -465,20 +440,6 @@
 	g_ptr_array_unref(list);
 }
 
-static void
-drop_queued_of(struct slotpool *sp, GSequence *queue, uint32_t holder)
-{
-	GSequenceIter *it = g_sequence_get_begin_iter(queue);
-
-	while (!g_sequence_iter_is_end(it)) {
-		const struct slotpool_ask *ask = g_sequence_get(it);
-
-		it = g_sequence_iter_next(it);
-		if (ask->holder == holder)
-			withdraw(sp, ask->id);
-	}
-}
-
 static bool
 is_held_by(const struct slot *sl, const void *holder)
 {
@@ -490,8 +451,7 @@
     struct slotpool *sp, uint32_t holder, int64_t now_us, GArray *out)
 {
 	remove_slots_if(sp, is_held_by, &holder);
-	drop_queued_of(sp, sp->online, holder);
-	drop_queued_of(sp, sp->batch, holder);
+	slot_queue_remove_holder(sp->queue, holder);
 	schedule(sp, now_us, out);
 }
 
@@ -509,15 +469,16 @@
 {
 	struct slotpool_ask ask;
 
-	while (first_of(sp->online, &ask) && ask.until_us <= now_us) {
-		withdraw(sp, ask.id);
+	while (slot_queue_first(sp->queue, false, &ask) &&
+	    ask.until_us <= now_us) {
+		slot_queue_remove(sp->queue, ask.id);
 		if (ask.is_late) {
 			refuse(sp, &ask, now_us, out);
 			continue;
 		}
 		ask.is_late = true;
 		ask.until_us = now_us + kLateUs;
-		enqueue(sp, sp->online, &ask);
+		slot_queue_add(sp->queue, &ask);
 	}
 }
 
@@ -532,6 +493,7 @@
 {
 	remove_slots_if(sp, is_expired, &now_us);
 	put_back_late_online(sp, now_us, out);
+	slot_queue_put_back_late_batch(sp->queue, now_us);
 	schedule(sp, now_us, out);
 }
 
--- a/src/savoryflow/slotpool/slotpool.h
+++ b/src/savoryflow/slotpool/slotpool.h
@@ -6,9 +6,9 @@
 /*
  * Admission to the targets of one service in one data centre, for all daemons.
  * Online goes before batch: with no slot free it takes that of the batch item
- * that is due last. What can't start in time is refused at once; what was
- * queued and could not start in time after all starts late rather than never.
- * All state is soft. No I/O, no clock.
+ * that batch_rank.h puts last. What can't start in time is refused at once;
+ * what was queued and could not start in time after all starts late rather than
+ * never. All state is soft. No I/O, no clock.
  *
  * Functions that take `out` append struct slotpool_action to it.
  */
--- a/src/savoryflow/slotpool/slotpool_defs.h
+++ b/src/savoryflow/slotpool/slotpool_defs.h
@@ -27,13 +27,16 @@
 	bool is_batch;
 	/** Online: the slot is of no use after that. Batch: when it is due. */
 	int64_t until_us;
+	/** Batch: expected time of its run; 0 if that is not known. */
+	int64_t need_us;
 	/** Target that is to be avoided, or empty. */
 	char but[kFleetNameMax];
 	/** Hash of the prompt's shared parts; 0 if there are none. */
 	uint64_t prefix;
 	/** No pool has a healthy target: any one is to be tried. */
 	bool is_last_resort;
-	/** Its time has passed in the queue: it starts late, or not at all. */
+	/** Online: its time has passed in the queue; it starts late, or not at
+	 * all. Batch: it can't be done in time any more. */
 	bool is_late;
 };
 
--- a/test/unit/test_slotpool.cc
+++ b/test/unit/test_slotpool.cc
@@ -91,6 +91,17 @@
 		return Take();
 	}
 
+	/* An item that has some of its run behind it. */
+	std::map<uint64_t, slotpool_action>
+	BatchNeeding(uint64_t id, int64_t due, int64_t need)
+	{
+		slotpool_ask ask = Ask(id, true, due, 1);
+
+		ask.need_us = need;
+		slotpool_request(sp, &ask, now, out);
+		return Take();
+	}
+
 	std::map<uint64_t, slotpool_action>
 	Release(uint64_t id, slot_outcome outcome = kSlotServed)
 	{
@@ -222,6 +233,53 @@
 	EXPECT_EQ(kSlotGranted, Release(1)[3].verdict);
 }
 
+TEST_F(Slotpool, OfItemsDueTogetherTheOneNearestItsEndGoesFirst)
+{
+	Targets({{"a", 1}});
+	Batch(1);
+	BatchNeeding(2, 9 * kSec, 4 * kSec);
+	BatchNeeding(3, 9 * kSec, kSec);
+	EXPECT_EQ(kSlotGranted, Release(1)[3].verdict);
+}
+
+TEST_F(Slotpool, ABatchItemThatCannotBeInTimeLetsOthersPass)
+{
+	Targets({{"a", 1}});
+	Batch(1);
+	BatchNeeding(2, 5 * kSec, 3 * kSec);
+	BatchNeeding(3, 9 * kSec, 3 * kSec);
+	now = 3 * kSec;
+	slotpool_tick(sp, now, out);
+	EXPECT_EQ(kSlotGranted, Release(1)[3].verdict);
+	EXPECT_EQ(kSlotGranted, Release(3)[2].verdict) << "late, not never";
+}
+
+TEST_F(Slotpool, OnlineTakesThePlaceOfABatchItemThatIsLate)
+{
+	Targets({{"a", 2}});
+	BatchNeeding(1, 2 * kSec, 4 * kSec);
+	BatchNeeding(2, 9 * kSec, 4 * kSec);
+	EXPECT_EQ(kSlotRevoked, Online(3)[1].verdict);
+}
+
+TEST_F(Slotpool, OfItemsDueTogetherTheOneThatStartedLastIsTakenBack)
+{
+	Targets({{"a", 2}});
+	BatchNeeding(1, 9 * kSec, 4 * kSec);
+	now = 2 * kSec;
+	BatchNeeding(2, 9 * kSec, 4 * kSec);
+	EXPECT_EQ(kSlotRevoked, Online(3)[2].verdict);
+}
+
+TEST_F(Slotpool, OnlineTakesTheMostExpendablePlaceOfAllTargets)
+{
+	Targets({{"a", 1}, {"b", 1}, {"c", 1}});
+	Batch(1, 5 * kSec);
+	Batch(2, 9 * kSec);
+	Batch(3, 7 * kSec);
+	EXPECT_EQ(kSlotRevoked, Online(4)[2].verdict);
+}
+
 TEST_F(Slotpool, AnAnswerThatWasLostIsGivenAgain)
 {
 	Targets({{"a", 1}});
