A second peer answers about a job when the first does not

Cause: a daemon that the store turns away passed a request about a job to one peer. Besides, a 503 promises that nothing of the job runs, and was also said when the peer may have read it.

Ruled out: the store (up for the neighbours), the time of the items themselves.

Change: job_forward, now a module of its own, gives a peer 200 ms (reads 1.3 s, as a read may wait for a result), then asks another one; after an ambiguous end the answer is 500 store_outcome_unknown.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -56,11 +56,11 @@
 }
 
 static const char *
-sighted_front(void *ctx)
+sighted_front(void *ctx, const char *but)
 {
 	struct gateway *gw = ctx;
 
-	return roster_sighted_front(gw->roster, loop_now_us(gw->lp));
+	return roster_sighted_front(gw->roster, but, loop_now_us(gw->lp));
 }
 
 void
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -19,8 +19,9 @@
 	/** Whether the store answers as far as is known; and news of that. */
 	bool (*store_is_up)(void *ctx);
 	void (*note_store)(void *ctx, bool is_up);
-	/** Front address of a peer that reaches the store, or NULL. */
-	const char *(*sighted_front)(void *ctx);
+	/** Front address of a peer other than `but` that reaches the store, or
+	 * NULL. */
+	const char *(*sighted_front)(void *ctx, const char *but);
 	void *ctx;
 };
 
--- /dev/null
+++ b/src/gateway/jobs_forward.c
@@ -0,0 +1,264 @@
+/* Requests about jobs that a peer answers. */
+#include "gateway/jobs_forward.h"
+
+#include <string.h>
+
+#include "gateway/jobs_task.h"
+#include "log/log.h"
+
+enum {
+	/* Peers that are asked, one after the other. */
+	kPeersMax = 2,
+	kConnectUs = 200 * kUsPerMs,
+	/* A peer answers from the store within some ms; a second one asked
+	 * after this can still answer in the usual objective of 500 ms. */
+	kAnswerUs = 200 * kUsPerMs,
+	/* A read may wait for a result for 1 s by its caller's wish. */
+	kReadAnswerUs = 1300 * kUsPerMs,
+	kHttpServerErrorFirst = 500,
+	kHttpTooMany = 429,
+	kHttpUnavailable = 503,
+};
+
+/* Marks a request that a peer passed on: it goes no further. */
+static const char kForwardedHeader[] = "Savoryflow-Forwarded";
+
+struct job_forward {
+	struct job_forward_options opt;
+	char *id;
+	bool is_detached;
+	/** The peer that is asked now, or was last. */
+	char peer[kFleetAddressMax];
+	int32_t peers;
+	bool may_have_done;
+	struct outbound_request *request;
+	uint64_t answer_timer;
+	int32_t status;
+	struct header_list *headers;
+	GString *body;
+};
+
+static bool ask_peer(struct job_forward *fwd);
+
+static void
+forward_free(struct job_forward *fwd)
+{
+	loop_timer_cancel(fwd->opt.js->opt.parts.lp, fwd->answer_timer);
+	header_list_free(fwd->headers);
+	g_string_free(fwd->body, TRUE);
+	g_free(fwd->id);
+	g_free(fwd);
+}
+
+void
+job_forward_cancel(struct job_forward *fwd)
+{
+	outbound_cancel(fwd->request);
+	forward_free(fwd);
+}
+
+static bool
+on_head(void *ctx, int32_t status, const struct header_list *headers)
+{
+	struct job_forward *fwd = ctx;
+	const char *type = header_list_get(headers, "Content-Type");
+
+	fwd->status = status;
+	if (type != NULL)
+		header_list_set(fwd->headers, "Content-Type", type);
+	return true;
+}
+
+static bool
+on_data(void *ctx, const char *data, size_t len)
+{
+	struct job_forward *fwd = ctx;
+
+	g_string_append_len(fwd->body, data, (gssize)len);
+	return true;
+}
+
+static void
+answer(struct job_forward *fwd)
+{
+	struct front_request *req = fwd->opt.req;
+
+	front_on_left(req, NULL, NULL);
+	front_reply(
+	    req, fwd->status, fwd->headers, fwd->body->str, fwd->body->len);
+	if (!fwd->is_detached)
+		fwd->opt.on_answered(fwd->opt.ctx);
+}
+
+static void
+fail(struct job_forward *fwd)
+{
+	if (!fwd->is_detached) {
+		fwd->opt.on_failed(fwd->opt.ctx, fwd->may_have_done);
+		return;
+	}
+	front_on_left(fwd->opt.req, NULL, NULL);
+	job_reply_store_error(fwd->opt.req,
+	    fwd->may_have_done ? kStoreAmbiguous : kStoreUnavailable);
+}
+
+static void
+peer_done(struct job_forward *fwd, bool is_good, const char *cause)
+{
+	struct loop *lp = fwd->opt.js->opt.parts.lp;
+
+	loop_timer_cancel(lp, fwd->answer_timer);
+	fwd->answer_timer = 0;
+	fwd->request = NULL;
+	log_event(kEvtJobForwarded, "job", fwd->id, "peer", fwd->peer, "status",
+	    log_number(fwd->status), "answered", is_good ? "yes" : "no",
+	    "cause", cause, NULL);
+	if (!is_good && fwd->peers < kPeersMax && ask_peer(fwd))
+		return;
+	if (is_good)
+		answer(fwd);
+	else
+		fail(fwd);
+	forward_free(fwd);
+}
+
+static bool
+is_read(const struct job_forward *fwd)
+{
+	return strcmp(front_method(fwd->opt.req), "GET") == 0;
+}
+
+static void
+on_done(void *ctx, enum outbound_end end)
+{
+	struct job_forward *fwd = ctx;
+
+	switch (end) {
+	case kOutboundComplete:
+		/* A peer says 503 or 429 only for what it did not do. */
+		if (fwd->status >= kHttpServerErrorFirst &&
+		    fwd->status != kHttpUnavailable)
+			fwd->may_have_done = !is_read(fwd);
+		peer_done(fwd,
+		    fwd->status < kHttpServerErrorFirst &&
+			fwd->status != kHttpTooMany,
+		    "answer");
+		break;
+	case kOutboundNotSent:
+		peer_done(fwd, false, "no_connection");
+		break;
+	case kOutboundCut:
+	case kOutboundRefused:
+		fwd->may_have_done = !is_read(fwd);
+		peer_done(fwd, false, "cut");
+		break;
+	}
+}
+
+static void
+on_answer_timeout(void *ctx)
+{
+	struct job_forward *fwd = ctx;
+
+	fwd->answer_timer = 0;
+	outbound_cancel(fwd->request);
+	fwd->may_have_done = !is_read(fwd);
+	peer_done(fwd, false, "timeout");
+}
+
+static const struct outbound_ops forward_ops = {on_head, on_data, on_done};
+
+static struct header_list *
+forwarded_headers(const struct front_request *req)
+{
+	const struct header_list *from = front_headers(req);
+	struct header_list *headers = header_list_new();
+
+	for (guint i = 0; i < header_list_len(from); i++) {
+		const struct header *h = header_list_at(from, i);
+
+		if (!header_is_hop_by_hop(h->name))
+			header_list_add(headers, h->name, h->value);
+	}
+	header_list_add(headers, kForwardedHeader, "1");
+	return headers;
+}
+
+static void
+restart_answer(struct job_forward *fwd)
+{
+	header_list_free(fwd->headers);
+	fwd->headers = header_list_new();
+	g_string_truncate(fwd->body, 0);
+	fwd->status = 0;
+}
+
+/* @return false if no other peer is known that reaches the store */
+static bool
+ask_peer(struct job_forward *fwd)
+{
+	struct jobs *js = fwd->opt.js;
+	struct front_request *req = fwd->opt.req;
+	const char *peer = js->opt.sighted_front(js->opt.ctx, fwd->peer);
+	struct header_list *headers;
+	struct outbound_options out = {
+	    .method = front_method(req),
+	    .uri = front_uri(req),
+	    .body = front_body(req),
+	    .connect_timeout_us = kConnectUs,
+	    .ops = &forward_ops,
+	    .ctx = fwd,
+	};
+
+	if (peer == NULL)
+		return false;
+	g_strlcpy(fwd->peer, peer, sizeof(fwd->peer));
+	fwd->peers++;
+	restart_answer(fwd);
+	headers = forwarded_headers(req);
+	out.address = fwd->peer;
+	out.headers = headers;
+	fwd->request = outbound_start(js->opt.parts.outbound, &out);
+	header_list_free(headers);
+	fwd->answer_timer = loop_timer(js->opt.parts.lp,
+	    loop_now_us(js->opt.parts.lp) +
+		(is_read(fwd) ? kReadAnswerUs : kAnswerUs),
+	    on_answer_timeout, fwd);
+	return true;
+}
+
+bool
+job_forward_may(const struct front_request *req)
+{
+	return header_list_get(front_headers(req), kForwardedHeader) == NULL;
+}
+
+struct job_forward *
+job_forward_start(const struct job_forward_options *opt)
+{
+	struct job_forward *fwd;
+
+	if (!job_forward_may(opt->req))
+		return NULL;
+	fwd = g_new0(struct job_forward, 1);
+	fwd->opt = *opt;
+	fwd->id = g_strdup(opt->id);
+	fwd->body = g_string_new(NULL);
+	if (ask_peer(fwd))
+		return fwd;
+	forward_free(fwd);
+	return NULL;
+}
+
+static void
+on_caller_left(void *data)
+{
+	job_forward_cancel(data);
+}
+
+void
+job_forward_detach(struct job_forward *fwd)
+{
+	fwd->is_detached = true;
+	front_on_left(fwd->opt.req, on_caller_left, fwd);
+}
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "error/error.h"
+#include "gateway/jobs_forward.h"
 #include "gateway/reply.h"
 #include "log/log.h"
 
@@ -12,43 +13,8 @@
 	/* The store answers within some ms. A peer that is asked after this
 	 * can still answer in the usual objective of 500 ms. */
 	kPatienceUs = 150 * kUsPerMs,
-	kForwardConnectUs = 200 * kUsPerMs,
-	kHttpServerErrorFirst = 500,
-	kHttpTooMany = 429,
 };
 
-/* Marks a request that a peer passed on: it goes no further. */
-static const char kForwardedHeader[] = "Savoryflow-Forwarded";
-
-/** A request that a peer answers. */
-struct job_forward {
-	struct jobs *js;
-	struct front_request *req;
-	char *id;
-	/** The task that waits for the store meanwhile, or NULL. */
-	struct job_task *task;
-	struct outbound_request *request;
-	int32_t status;
-	struct header_list *headers;
-	GString *body;
-};
-
-static void
-forward_free(struct job_forward *fwd)
-{
-	header_list_free(fwd->headers);
-	g_string_free(fwd->body, TRUE);
-	g_free(fwd->id);
-	g_free(fwd);
-}
-
-static void
-forward_cancel(struct job_forward *fwd)
-{
-	outbound_cancel(fwd->request);
-	forward_free(fwd);
-}
-
 static void
 task_free(struct job_task *task)
 {
@@ -101,103 +67,39 @@
 	}
 }
 
-static bool
-on_head(void *ctx, int32_t status, const struct header_list *headers)
-{
-	struct job_forward *fwd = ctx;
-	const char *type = header_list_get(headers, "Content-Type");
-
-	fwd->status = status;
-	if (type != NULL)
-		header_list_set(fwd->headers, "Content-Type", type);
-	return true;
-}
-
-static bool
-on_data(void *ctx, const char *data, size_t len)
+static void
+on_forward_answered(void *ctx)
 {
-	struct job_forward *fwd = ctx;
+	struct job_task *task = ctx;
 
-	g_string_append_len(fwd->body, data, (gssize)len);
-	return true;
+	task->forward = NULL;
+	task->req = NULL;
 }
 
 static void
-on_done(void *ctx, enum outbound_end end)
+on_forward_failed(void *ctx, bool may_have_done)
 {
-	struct job_forward *fwd = ctx;
-	bool is_good = end == kOutboundComplete &&
-	    fwd->status < kHttpServerErrorFirst && fwd->status != kHttpTooMany;
-
-	log_event(kEvtJobForwarded, "job", fwd->id, "status",
-	    log_number(fwd->status), "answered", is_good ? "yes" : "no", NULL);
-	if (fwd->task != NULL)
-		fwd->task->forward = NULL;
-	if (is_good) {
-		if (fwd->task != NULL)
-			fwd->task->req = NULL;
-		front_on_left(fwd->req, NULL, NULL);
-		front_reply(fwd->req, fwd->status, fwd->headers, fwd->body->str,
-		    fwd->body->len);
-	} else if (fwd->task == NULL) {
-		front_on_left(fwd->req, NULL, NULL);
-		job_reply_store_error(fwd->req, kStoreUnavailable);
-	}
-	forward_free(fwd);
-}
-
-static const struct outbound_ops forward_ops = {on_head, on_data, on_done};
+	struct job_task *task = ctx;
 
-static bool
-may_forward(const struct front_request *req)
-{
-	return header_list_get(front_headers(req), kForwardedHeader) == NULL;
+	task->forward = NULL;
+	task->peer_may_have_done = may_have_done;
 }
 
 /* @return NULL if no peer is known that reaches the store */
 static struct job_forward *
-forward_start(struct jobs *js, struct front_request *req, const char *id)
-{
-	const char *peer = js->opt.sighted_front(js->opt.ctx);
-	const struct header_list *from = front_headers(req);
-	struct header_list *headers;
-	struct job_forward *fwd;
-	struct outbound_options opt = {
-	    .method = front_method(req),
-	    .address = peer,
-	    .uri = front_uri(req),
-	    .body = front_body(req),
-	    .connect_timeout_us = kForwardConnectUs,
-	    .ops = &forward_ops,
+forward_start(struct job_task *task)
+{
+	struct job_forward_options opt = {
+	    .js = task->js,
+	    .req = task->req,
+	    .id = task->id,
+	    .on_answered = on_forward_answered,
+	    .on_failed = on_forward_failed,
+	    .ctx = task,
 	};
 
-	if (peer == NULL || !may_forward(req))
-		return NULL;
-	fwd = g_new0(struct job_forward, 1);
-	fwd->js = js;
-	fwd->req = req;
-	fwd->id = g_strdup(id);
-	fwd->headers = header_list_new();
-	fwd->body = g_string_new(NULL);
-	headers = header_list_new();
-	for (guint i = 0; i < header_list_len(from); i++) {
-		const struct header *h = header_list_at(from, i);
-
-		if (!header_is_hop_by_hop(h->name))
-			header_list_add(headers, h->name, h->value);
-	}
-	header_list_add(headers, kForwardedHeader, "1");
-	opt.headers = headers;
-	opt.ctx = fwd;
-	fwd->request = outbound_start(js->opt.parts.outbound, &opt);
-	header_list_free(headers);
-	return fwd;
-}
-
-static void
-on_caller_left_forward(void *data)
-{
-	forward_cancel(data);
+	task->was_forwarded = true;
+	return job_forward_start(&opt);
 }
 
 static void
@@ -207,7 +109,7 @@
 
 	task->req = NULL;
 	if (task->forward != NULL)
-		forward_cancel(task->forward);
+		job_forward_cancel(task->forward);
 	task->forward = NULL;
 }
 
@@ -217,13 +119,12 @@
 {
 	struct job_forward *fwd = task->forward;
 
-	if (fwd == NULL)
-		fwd = forward_start(task->js, task->req, task->id);
+	if (fwd == NULL && !task->was_forwarded)
+		fwd = forward_start(task);
 	if (fwd == NULL)
 		return false;
-	fwd->task = NULL;
+	job_forward_detach(fwd);
 	task->forward = NULL;
-	front_on_left(task->req, on_caller_left_forward, fwd);
 	task->req = NULL;
 	return true;
 }
@@ -236,9 +137,7 @@
 	task->patience_timer = 0;
 	if (task->req == NULL)
 		return;
-	task->forward = forward_start(task->js, task->req, task->id);
-	if (task->forward != NULL)
-		task->forward->task = task;
+	task->forward = forward_start(task);
 }
 
 static void
@@ -262,10 +161,11 @@
 	struct job_task *task = ctx;
 
 	task->js->opt.note_store(task->js->opt.ctx, !store_failed(task));
-	if (task->req != NULL && store_failed(task))
-		leave_to_forward(task);
+	if (task->req != NULL && store_failed(task) &&
+	    !leave_to_forward(task) && task->peer_may_have_done)
+		task->outcome = kStoreAmbiguous;
 	if (task->forward != NULL)
-		forward_cancel(task->forward);
+		job_forward_cancel(task->forward);
 	if (task->req != NULL)
 		front_on_left(task->req, NULL, NULL);
 	task->done(task);
@@ -294,7 +194,7 @@
 			start_without_store(task);
 			return;
 		}
-		if (may_forward(task->req))
+		if (job_forward_may(task->req))
 			task->patience_timer = loop_timer(js->opt.parts.lp,
 			    loop_now_us(js->opt.parts.lp) + kPatienceUs,
 			    on_patience_end, task);
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -22,6 +22,9 @@
 	void (*done)(struct job_task *task);
 	enum store_result outcome;
 	struct job_forward *forward;
+	/** Peers were asked; without an answer one may have done it. */
+	bool was_forwarded;
+	bool peer_may_have_done;
 	uint64_t patience_timer;
 	/* Submission. */
 	struct itemjob *job;
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -339,7 +339,7 @@
 }
 
 const char *
-roster_sighted_front(const struct roster *ro, int64_t now_us)
+roster_sighted_front(const struct roster *ro, const char *but, int64_t now_us)
 {
 	const char *best = NULL;
 	bool best_is_near = false;
@@ -354,7 +354,7 @@
 		    strcmp(m->row.data_center, ro->opt.self.data_center) == 0;
 
 		if (!is_usable(ro, m, now_us) || m->is_blind ||
-		    m->row.front[0] == '\0')
+		    m->row.front[0] == '\0' || strcmp(m->row.front, but) == 0)
 			continue;
 		/* Of the near ones that which the store answered last: one that
 		 * was cut off just now may not know it yet. */
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -77,9 +77,11 @@
 
 /**
  * Front address of a peer that reaches the store, near ones first.
+ * @param but front address of a peer that is not to be returned, or empty
  * @return NULL if none is known
  */
-const char *roster_sighted_front(const struct roster *ro, int64_t now_us);
+const char *roster_sighted_front(
+    const struct roster *ro, const char *but, int64_t now_us);
 
 /** True if the session is that of a daemon that lives. */
 bool roster_session_lives(
--- a/test/functional/test_gateway_jobs.cc
+++ b/test/functional/test_gateway_jobs.cc
@@ -169,6 +169,53 @@
 	EXPECT_GT(daemons[1]->Count("\"name\":\"job_forwarded\""), 0);
 }
 
+/* The peer that is asked is killed or frozen at that moment: another one is. */
+TEST_F(Gateway, ASecondPeerAnswersWhenTheFirstDoesNot)
+{
+	const struct {
+		int signal;
+		size_t peer;
+	} cases[] = {{SIGSTOP, 0}, {SIGSTOP, 2}, {SIGKILL, 0}, {SIGKILL, 2}};
+
+	Calm(1, 3);
+	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"member_up\"", 2));
+	Store("/fault", "{\"turned_away\":\"d1\"}");
+	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"store_down\""));
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		std::string job = "j" + std::to_string(i);
+		size_t peer = cases[i].peer;
+
+		daemons[peer]->Signal(cases[i].signal);
+		EXPECT_EQ(202,
+		    Send(1, "POST", "/b/" + job, Job(job, 1, Body(1)), job)
+			.status)
+		    << "case " << i;
+		if (cases[i].signal == SIGSTOP) {
+			daemons[peer]->Signal(SIGCONT);
+		} else {
+			daemons[peer]->Wait();
+			Start(peer);
+		}
+		ASSERT_TRUE(Eventually([&] {
+			return Ready(peer) == 200 &&
+			    Call(peer, "/q/x", "w", 1).status == 200;
+		}));
+	}
+}
+
+/* A refusal promises that nothing runs; a frozen peer may have read the job. */
+TEST_F(Gateway, AJobThatAPeerMayHaveTakenIsNotRefused)
+{
+	Calm(1, 2);
+	Store("/fault", "{\"turned_away\":\"d1\"}");
+	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"store_down\""));
+	daemons[0]->Signal(SIGSTOP);
+	Reply r = Send(1, "POST", "/b/j1", Job("it", 1, Body(1)), "j1");
+	EXPECT_EQ(500, r.status);
+	EXPECT_NE(std::string::npos, r.body.find("store_outcome_unknown"));
+	daemons[0]->Signal(SIGCONT);
+}
+
 TEST_F(Gateway, AnOutageOfTheStoreRefusesJobsAndServesTheRest)
 {
 	Calm(1, 1);
--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -205,18 +205,20 @@
 	roster_sight new_sight = {false, kSec / 10};
 	roster_sight blind = {true, kSec / 10};
 
-	EXPECT_EQ(nullptr, roster_sighted_front(ro, 0));
+	EXPECT_EQ(nullptr, roster_sighted_front(ro, "", 0));
 	Read({{"a", {"dc1", "s1"}}, {"b", {"dc1", "s2"}},
 		 {"far", {"dc2", "s3"}}},
 	    0);
 	roster_note_heard(ro, "a", &old_sight, kSec);
 	roster_note_heard(ro, "b", &new_sight, kSec);
 	roster_note_heard(ro, "far", &new_sight, kSec);
-	EXPECT_STREQ("b", roster_sighted_front(ro, kSec));
+	EXPECT_STREQ("b", roster_sighted_front(ro, "", kSec));
+	EXPECT_STREQ("a", roster_sighted_front(ro, "b", kSec))
+	    << "one that did not answer";
 	roster_note_heard(ro, "b", &blind, kSec);
-	EXPECT_STREQ("a", roster_sighted_front(ro, kSec));
+	EXPECT_STREQ("a", roster_sighted_front(ro, "", kSec));
 	roster_note_heard(ro, "a", &blind, kSec);
-	EXPECT_STREQ("far", roster_sighted_front(ro, kSec));
+	EXPECT_STREQ("far", roster_sighted_front(ro, "", kSec));
 }
 
 TEST_F(Roster, RowsOfTheLongGoneAreStale)
