The items of a small job are a row of its submission

Cause: a submission was two store calls, the object with the items and the rows; from another region 170 to 190 ms, and a repeat, with the object put and dropped again, 340 to 370 ms.

Ruled out: threads for store calls (6, not all in use on calm seconds).

Change: items that fit a row are written in the transaction of the job; larger ones stay an object.

Test: Itemjob.ASmallJobIsOneWriteAndALargeOneTwo.

--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -35,8 +35,10 @@
 	/** Host and path of the submission; they select the route. */
 	char *host;
 	char *path;
-	/** Object that holds the items. */
+	/** Unique name of the submission; of the object with the items, unless
+	 * they are in a row beside the job's. */
 	char *input;
+	bool is_inline;
 	int32_t total;
 	/** Steady time of the store at the submission. */
 	int64_t accepted_ms;
--- /dev/null
+++ b/src/savoryflow/job/itemjob_open.c
@@ -0,0 +1,139 @@
+/* Rows of the jobs that are not finished: who runs them, and their end. */
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "savoryflow/job/itemjob_rows.h"
+#include "savoryflow/job/itemjob_store.h"
+#include "store/commit.h"
+
+enum {
+	kRowsPerScan = 500,
+	kClaimTries = 4,
+};
+
+static struct itemjob_open *
+open_of_row(const struct store_row *row)
+{
+	struct itemjob_open *open = g_new0(struct itemjob_open, 1);
+	json_t *doc = json_loads(row->value, 0, NULL);
+
+	open->id = g_strdup(strrchr(row->key, '/') + 1);
+	open->owner =
+	    g_strdup(json_string_value(json_object_get(doc, "owner")));
+	open->is_ended = json_is_true(json_object_get(doc, "ended"));
+	open->version = row->version;
+	json_decref(doc);
+	return open;
+}
+
+enum store_result
+itemjob_read_open(const struct store *st, GPtrArray **list)
+{
+	char *after = NULL;
+	GPtrArray *rows = NULL;
+	enum store_result res;
+
+	*list = g_ptr_array_new_with_free_func(itemjob_open_free);
+	do {
+		if (rows != NULL)
+			g_ptr_array_unref(rows);
+		rows = NULL;
+		res = st->ops->scan(st->ctx, kCauseBatch, "open/-/", after,
+		    kRowsPerScan, &rows);
+		for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
+			g_ptr_array_add(*list, open_of_row(rows->pdata[i]));
+			g_free(after);
+			after =
+			    g_strdup(((struct store_row *)rows->pdata[i])->key);
+		}
+	} while (res == kStoreOk && rows->len == kRowsPerScan);
+	if (rows != NULL)
+		g_ptr_array_unref(rows);
+	if (res != kStoreOk) {
+		g_ptr_array_unref(*list);
+		*list = NULL;
+	}
+	g_free(after);
+	return res;
+}
+
+static enum store_result
+write_open(const struct store *st, const struct itemjob_open *open,
+    const char *owner, bool is_ended)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = itemjob_key("open", "-", open->id);
+	char *text = itemjob_open_text(owner, is_ended);
+	enum store_result res;
+
+	store_txn_version(txn, key, open->version);
+	store_txn_write(txn, key, text);
+	res = st->ops->txn(st->ctx, kCauseBatch, txn);
+	free(text);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+itemjob_claim(
+    const struct store *st, const struct itemjob_open *open, const char *owner)
+{
+	return write_open(st, open, owner, open->is_ended);
+}
+
+static enum store_result
+read_open_one(
+    const struct store *st, const char *id, struct itemjob_open **open)
+{
+	char *key = itemjob_key("open", "-", id);
+	struct store_row row = {0};
+	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
+
+	if (res == kStoreOk)
+		*open = open_of_row(&row);
+	store_row_clear(&row);
+	g_free(key);
+	return res;
+}
+
+enum store_result
+itemjob_end(const struct store *st, const char *id)
+{
+	enum store_result res = kStoreAmbiguous;
+
+	/* Another daemon may take the job over in between; an answer that was
+	 * lost shows in the next look. */
+	for (int i = 0; i < kClaimTries; i++) {
+		struct itemjob_open *open = NULL;
+		struct itemjob *job = NULL;
+
+		res = read_open_one(st, id, &open);
+		if (res == kStoreNotFound) {
+			res = itemjob_get(st, id, &job);
+			itemjob_free(job);
+			return res;
+		}
+		if (res == kStoreOk && !open->is_ended)
+			res = write_open(st, open, open->owner, true);
+		itemjob_open_free(open);
+		if (res == kStoreOk || res == kStoreUnavailable)
+			return res;
+	}
+	return kStoreAmbiguous;
+}
+
+enum store_result
+itemjob_close(const struct store *st, const char *id)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = itemjob_key("open", "-", id);
+	enum store_result res;
+
+	store_txn_write(txn, key, NULL);
+	res = st->ops->txn(st->ctx, kCauseBatch, txn);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
--- a/src/savoryflow/job/itemjob_retention.c
+++ b/src/savoryflow/job/itemjob_retention.c
@@ -100,6 +100,23 @@
 	return res;
 }
 
+static enum store_result
+remove_job_row(const struct store *st, const char *id)
+{
+	struct store_txn *txn = store_txn_new();
+	char *input_key = g_strconcat("input/-/", id, NULL);
+	char *job_key = g_strconcat("job/-/", id, NULL);
+	enum store_result res;
+
+	store_txn_write(txn, input_key, NULL);
+	store_txn_write(txn, job_key, NULL);
+	res = st->ops->txn(st->ctx, kCauseBatch, txn);
+	g_free(job_key);
+	g_free(input_key);
+	store_txn_free(txn);
+	return res;
+}
+
 enum store_result
 itemjob_remove(const struct store *st, const char *id)
 {
@@ -107,21 +124,13 @@
 	    "result", "text", "item", "progress"};
 	struct itemjob *job = NULL;
 	enum store_result res = itemjob_get(st, id, &job);
-	struct store_txn *txn;
-	char *key;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(tables) && res == kStoreOk; i++)
 		res = remove_rows(st, tables[i], id);
-	if (res == kStoreOk)
+	if (res == kStoreOk && !job->is_inline)
 		res = st->ops->drop_object(st->ctx, kCauseBatch, job->input);
-	if (res == kStoreOk) {
-		txn = store_txn_new();
-		key = g_strconcat("job/-/", id, NULL);
-		store_txn_write(txn, key, NULL);
-		res = st->ops->txn(st->ctx, kCauseBatch, txn);
-		g_free(key);
-		store_txn_free(txn);
-	}
+	if (res == kStoreOk)
+		res = remove_job_row(st, id);
 	itemjob_free(job);
 	return res;
 }
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -5,52 +5,22 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "savoryflow/job/itemjob_rows.h"
 #include "store/commit.h"
 
 enum {
 	kRowsPerScan = 500,
-	kClaimTries = 4,
 	/* Rows that one transaction holds at most, with some to spare. */
 	kTxnRowsMax = 20,
 };
 
-static char *
-key_of(const char *table, const char *partition, const char *name)
-{
-	return g_strdup_printf("%s/%s/%s", table, partition, name);
-}
-
-static void
-drop_rows(GPtrArray **rows)
-{
-	if (*rows != NULL)
-		g_ptr_array_unref(*rows);
-	*rows = NULL;
-}
-
-static char *
-key_of_number(const char *table, const char *id, int32_t number)
-{
-	return g_strdup_printf("%s/%s/%06d", table, id, number);
-}
-
 static char *
 job_to_text(const struct itemjob *job)
 {
-	json_t *doc = json_pack("{s:s,s:s,s:s,s:i,s:I}", "host", job->host,
-	    "path", job->path, "input", job->input, "total", job->total,
-	    "accepted_ms", (json_int_t)job->accepted_ms);
-	char *text = json_dumps(doc, JSON_COMPACT);
-
-	json_decref(doc);
-	return text;
-}
-
-static char *
-open_to_text(const char *owner, bool is_ended)
-{
-	json_t *doc =
-	    json_pack("{s:s,s:b}", "owner", owner, "ended", (int)is_ended);
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:b,s:i,s:I}", "host", job->host,
+	    "path", job->path, "input", job->input, "inline",
+	    (int)job->is_inline, "total", job->total, "accepted_ms",
+	    (json_int_t)job->accepted_ms);
 	char *text = json_dumps(doc, JSON_COMPACT);
 
 	json_decref(doc);
@@ -60,7 +30,7 @@
 enum store_result
 itemjob_get(const struct store *st, const char *id, struct itemjob **job)
 {
-	char *key = key_of("job", "-", id);
+	char *key = itemjob_key("job", "-", id);
 	struct store_row row = {0};
 	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
 
@@ -74,6 +44,8 @@
 		    g_strdup(json_string_value(json_object_get(doc, "path")));
 		(*job)->input =
 		    g_strdup(json_string_value(json_object_get(doc, "input")));
+		(*job)->is_inline =
+		    json_is_true(json_object_get(doc, "inline"));
 		(*job)->total =
 		    (int32_t)json_integer_value(json_object_get(doc, "total"));
 		(*job)->accepted_ms =
@@ -104,33 +76,55 @@
 	return known;
 }
 
+/* @param items text of the items if they are in a row, or NULL */
 static enum store_result
 submit_rows(const struct store *st, const struct itemjob *job,
-    const char *owner, bool *is_new)
+    const char *items, const char *owner, bool *is_new)
 {
 	struct submission sub = {job, true};
 	struct store_txn *txn = store_txn_new();
-	char *job_key = key_of("job", "-", job->id);
-	char *open_key = key_of("open", "-", job->id);
+	char *job_key = itemjob_key("job", "-", job->id);
+	char *open_key = itemjob_key("open", "-", job->id);
+	char *input_key = itemjob_key("input", "-", job->id);
 	char *job_text = job_to_text(job);
-	char *open_text = open_to_text(owner, false);
+	char *open_text = itemjob_open_text(owner, false);
 	enum store_result res;
 
 	store_txn_absent(txn, job_key);
 	store_txn_write(txn, job_key, job_text);
 	store_txn_write(txn, open_key, open_text);
+	if (items != NULL)
+		store_txn_write(txn, input_key, items);
 	res = store_commit(st, kCauseBatch, txn, job_is_known, &sub);
 	*is_new = res == kStoreOk && sub.is_own;
 	free(open_text);
 	free(job_text);
+	g_free(input_key);
 	g_free(open_key);
 	g_free(job_key);
 	store_txn_free(txn);
 	return res;
 }
 
-/* Two calls, as the store may be a region away: the acknowledgement is due
- * within some hundred ms. */
+static enum store_result
+submit_with_object(const struct store *st, const struct itemjob *job,
+    const char *items, const char *owner, bool *is_new)
+{
+	enum store_result res = st->ops->put_object(
+	    st->ctx, kCauseBatch, job->input, items, strlen(items));
+
+	/* No row names the object yet: nothing of the job can run. */
+	if (res != kStoreOk)
+		return kStoreUnavailable;
+	res = submit_rows(st, job, NULL, owner, is_new);
+	/* The job was there, or the store is out: the object is of no use. */
+	if (res == kStoreUnavailable || (res == kStoreOk && !*is_new))
+		st->ops->drop_object(st->ctx, kCauseBatch, job->input);
+	return res;
+}
+
+/* The store may be a region away and the acknowledgement is due within some
+ * hundred ms: one call if the items fit a row, else two. */
 enum store_result
 itemjob_submit(const struct store *st, struct itemjob *job,
     const GPtrArray *items, const char *token, const char *owner, bool *is_new)
@@ -140,23 +134,34 @@
 
 	*is_new = false;
 	job->input = g_strdup_printf("input/%s/%s", job->id, token);
+	job->is_inline = strlen(text) <= kItemjobTextRowBytes;
 	job->total = (int32_t)items->len;
 	job->accepted_ms = st->ops->now_ms(st->ctx);
-	res = st->ops->put_object(
-	    st->ctx, kCauseBatch, job->input, text, strlen(text));
+	if (job->is_inline)
+		res = submit_rows(st, job, text, owner, is_new);
+	else
+		res = submit_with_object(st, job, text, owner, is_new);
 	free(text);
-	/* No row names the object yet: nothing of the job can run. */
-	if (res != kStoreOk)
-		return kStoreUnavailable;
-	res = submit_rows(st, job, owner, is_new);
-	/* The job was there, or the store is out: the object is of no use. */
-	if (res == kStoreUnavailable || (res == kStoreOk && !*is_new))
-		st->ops->drop_object(st->ctx, kCauseBatch, job->input);
 	return res;
 }
 
-enum store_result
-itemjob_load_items(
+static enum store_result
+load_items_row(
+    const struct store *st, const struct itemjob *job, GPtrArray **items)
+{
+	char *key = itemjob_key("input", "-", job->id);
+	struct store_row row = {0};
+	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
+
+	if (res == kStoreOk)
+		*items = itemjob_items_of_text(row.value, strlen(row.value));
+	store_row_clear(&row);
+	g_free(key);
+	return res;
+}
+
+static enum store_result
+load_items_object(
     const struct store *st, const struct itemjob *job, GPtrArray **items)
 {
 	GBytes *data = NULL;
@@ -173,12 +178,12 @@
 	return kStoreOk;
 }
 
-static int32_t
-number_of_key(const char *key)
+enum store_result
+itemjob_load_items(
+    const struct store *st, const struct itemjob *job, GPtrArray **items)
 {
-	const char *slash = strrchr(key, '/');
-
-	return slash != NULL ? (int32_t)strtol(slash + 1, NULL, 10) : -1;
+	return job->is_inline ? load_items_row(st, job, items)
+			      : load_items_object(st, job, items);
 }
 
 /* Joins the parts of a text that was too long for its row. */
@@ -213,7 +218,7 @@
 	int64_t parts = json_integer_value(json_object_get(doc, "parts"));
 	enum store_result res = kStoreOk;
 
-	result->position = number_of_key(row->key);
+	result->position = itemjob_number_of_key(row->key);
 	result->item_id =
 	    g_strdup(json_string_value(json_object_get(doc, "item")));
 	result->is_completed = json_is_true(json_object_get(doc, "completed"));
@@ -231,8 +236,9 @@
 itemjob_read_results(
     const struct store *st, const char *id, int32_t from, GPtrArray **results)
 {
-	char *prefix = key_of("result", id, "");
-	char *after = from > 0 ? key_of_number("result", id, from - 1) : NULL;
+	char *prefix = itemjob_key("result", id, "");
+	char *after =
+	    from > 0 ? itemjob_key_number("result", id, from - 1) : NULL;
 	GPtrArray *rows = NULL;
 	enum store_result res = st->ops->scan(
 	    st->ctx, kCauseBatch, prefix, after, kItemjobResultsMax, &rows);
@@ -241,8 +247,10 @@
 		*results = itemjob_results_new();
 		for (guint i = 0; res == kStoreOk && i < rows->len; i++)
 			res = add_result(st, id, rows->pdata[i], *results);
-		if (res != kStoreOk)
-			drop_rows(results);
+		if (res != kStoreOk) {
+			g_ptr_array_unref(*results);
+			*results = NULL;
+		}
 		g_ptr_array_unref(rows);
 	}
 	g_free(prefix);
@@ -253,7 +261,7 @@
 enum store_result
 itemjob_read_done(const struct store *st, const char *id, GArray **done)
 {
-	char *prefix = key_of("item", id, "");
+	char *prefix = itemjob_key("item", id, "");
 	GPtrArray *rows = NULL;
 	enum store_result res = st->ops->scan(
 	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
@@ -262,7 +270,8 @@
 		*done = g_array_new(FALSE, TRUE, sizeof(struct itemjob_done));
 		for (guint i = 0; i < rows->len; i++) {
 			const struct store_row *row = rows->pdata[i];
-			struct itemjob_done d = {number_of_key(row->key),
+			struct itemjob_done d = {
+			    itemjob_number_of_key(row->key),
 			    (int32_t)strtol(row->value, NULL, 10)};
 
 			g_array_append_val(*done, d);
@@ -282,7 +291,7 @@
 item_is_listed(const struct store *st, void *ctx)
 {
 	const struct commit_item *ci = ctx;
-	char *key = key_of_number("item", ci->id, ci->index);
+	char *key = itemjob_key_number("item", ci->id, ci->index);
 	struct store_row row = {0};
 	bool listed = st->ops->get(st->ctx, kCauseBatch, key, &row) == kStoreOk;
 
@@ -349,8 +358,8 @@
 {
 	struct commit_item ci = {id, index};
 	struct store_txn *txn = store_txn_new();
-	char *result_key = key_of_number("result", id, result->position);
-	char *item_key = key_of_number("item", id, index);
+	char *result_key = itemjob_key_number("result", id, result->position);
+	char *item_key = itemjob_key_number("item", id, index);
 	char *position = g_strdup_printf("%d", result->position);
 	char *text = result_to_text(result, write_parts(txn, id, result));
 	enum store_result res;
@@ -372,7 +381,7 @@
 write_progress(struct store_txn *txn, const char *id,
     const struct itemjob_progress *progress)
 {
-	char *key = key_of_number("progress", id, progress->index);
+	char *key = itemjob_key_number("progress", id, progress->index);
 	json_t *doc = json_pack("{s:I,s:s}", "last",
 	    (json_int_t)progress->last_event_id, "text", progress->text);
 	char *text = doc != NULL ? json_dumps(doc, JSON_COMPACT) : NULL;
@@ -408,7 +417,7 @@
 enum store_result
 itemjob_read_progress(const struct store *st, const char *id, GArray **progress)
 {
-	char *prefix = key_of("progress", id, "");
+	char *prefix = itemjob_key("progress", id, "");
 	GPtrArray *rows = NULL;
 	enum store_result res = st->ops->scan(
 	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
@@ -418,7 +427,7 @@
 		const struct store_row *row = rows->pdata[i];
 		json_t *doc = json_loads(row->value, 0, NULL);
 		struct itemjob_progress one = {
-		    .index = number_of_key(row->key),
+		    .index = itemjob_number_of_key(row->key),
 		    .last_event_id =
 			json_integer_value(json_object_get(doc, "last")),
 		    .text = g_strdup(
@@ -434,125 +443,3 @@
 	g_free(prefix);
 	return res;
 }
-
-static struct itemjob_open *
-open_of_row(const struct store_row *row)
-{
-	struct itemjob_open *open = g_new0(struct itemjob_open, 1);
-	json_t *doc = json_loads(row->value, 0, NULL);
-
-	open->id = g_strdup(strrchr(row->key, '/') + 1);
-	open->owner =
-	    g_strdup(json_string_value(json_object_get(doc, "owner")));
-	open->is_ended = json_is_true(json_object_get(doc, "ended"));
-	open->version = row->version;
-	json_decref(doc);
-	return open;
-}
-
-enum store_result
-itemjob_read_open(const struct store *st, GPtrArray **list)
-{
-	char *after = NULL;
-	GPtrArray *rows = NULL;
-	enum store_result res;
-
-	*list = g_ptr_array_new_with_free_func(itemjob_open_free);
-	do {
-		drop_rows(&rows);
-		res = st->ops->scan(st->ctx, kCauseBatch, "open/-/", after,
-		    kRowsPerScan, &rows);
-		for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
-			g_ptr_array_add(*list, open_of_row(rows->pdata[i]));
-			g_free(after);
-			after =
-			    g_strdup(((struct store_row *)rows->pdata[i])->key);
-		}
-	} while (res == kStoreOk && rows->len == kRowsPerScan);
-	if (rows != NULL)
-		g_ptr_array_unref(rows);
-	if (res != kStoreOk)
-		drop_rows(list);
-	g_free(after);
-	return res;
-}
-
-static enum store_result
-write_open(const struct store *st, const struct itemjob_open *open,
-    const char *owner, bool is_ended)
-{
-	struct store_txn *txn = store_txn_new();
-	char *key = key_of("open", "-", open->id);
-	char *text = open_to_text(owner, is_ended);
-	enum store_result res;
-
-	store_txn_version(txn, key, open->version);
-	store_txn_write(txn, key, text);
-	res = st->ops->txn(st->ctx, kCauseBatch, txn);
-	free(text);
-	g_free(key);
-	store_txn_free(txn);
-	return res;
-}
-
-enum store_result
-itemjob_claim(
-    const struct store *st, const struct itemjob_open *open, const char *owner)
-{
-	return write_open(st, open, owner, open->is_ended);
-}
-
-static enum store_result
-read_open_one(
-    const struct store *st, const char *id, struct itemjob_open **open)
-{
-	char *key = key_of("open", "-", id);
-	struct store_row row = {0};
-	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
-
-	if (res == kStoreOk)
-		*open = open_of_row(&row);
-	store_row_clear(&row);
-	g_free(key);
-	return res;
-}
-
-enum store_result
-itemjob_end(const struct store *st, const char *id)
-{
-	enum store_result res = kStoreAmbiguous;
-
-	/* Another daemon may take the job over in between; an answer that was
-	 * lost shows in the next look. */
-	for (int i = 0; i < kClaimTries; i++) {
-		struct itemjob_open *open = NULL;
-		struct itemjob *job = NULL;
-
-		res = read_open_one(st, id, &open);
-		if (res == kStoreNotFound) {
-			res = itemjob_get(st, id, &job);
-			itemjob_free(job);
-			return res;
-		}
-		if (res == kStoreOk && !open->is_ended)
-			res = write_open(st, open, open->owner, true);
-		itemjob_open_free(open);
-		if (res == kStoreOk || res == kStoreUnavailable)
-			return res;
-	}
-	return kStoreAmbiguous;
-}
-
-enum store_result
-itemjob_close(const struct store *st, const char *id)
-{
-	struct store_txn *txn = store_txn_new();
-	char *key = key_of("open", "-", id);
-	enum store_result res;
-
-	store_txn_write(txn, key, NULL);
-	res = st->ops->txn(st->ctx, kCauseBatch, txn);
-	g_free(key);
-	store_txn_free(txn);
-	return res;
-}
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -29,8 +29,10 @@
 
 	store_result
 	Submit(const char *token, const char *owner, bool *is_new,
-	    const char *id = "j")
+	    const char *id = "j", size_t body_bytes = 4)
 	{
+		std::string body("\x00\xff z", 4);
+
 		itemjob *job = itemjob_new(id);
 		GPtrArray *items = itemjob_items_new();
 		store_result res;
@@ -43,7 +45,8 @@
 			    itemjob_item_new(name.c_str(), "/p/x");
 
 			itemjob_item_add_header(item, "X-A", "1");
-			item->body = g_bytes_new("\x00\xff z", 4);
+			body.resize(body_bytes, 'x');
+			item->body = g_bytes_new(body.data(), body.size());
 			item->tokens = 7;
 			g_ptr_array_add(items, item);
 		}
@@ -230,6 +233,34 @@
 	g_array_unref(saved);
 }
 
+TEST_F(Itemjob, ASmallJobIsOneWriteAndALargeOneTwo)
+{
+	const struct {
+		const char *id;
+		size_t body_bytes;
+		int64_t writes;
+	} cases[] = {{"small", 100, 1}, {"large", kItemjobTextRowBytes, 2}};
+
+	for (const auto &c : cases) {
+		int64_t before = memstore_counts_get(ms).writes;
+		bool is_new;
+		itemjob *job = nullptr;
+		GPtrArray *items = nullptr;
+		gsize len;
+
+		EXPECT_EQ(
+		    kStoreOk, Submit("t", "s1", &is_new, c.id, c.body_bytes));
+		EXPECT_EQ(c.writes, memstore_counts_get(ms).writes - before);
+		ASSERT_EQ(kStoreOk, itemjob_get(st, c.id, &job));
+		ASSERT_EQ(kStoreOk, itemjob_load_items(st, job, &items));
+		ASSERT_EQ(3u, items->len);
+		g_bytes_get_data(((itemjob_item *)items->pdata[2])->body, &len);
+		EXPECT_EQ(c.body_bytes, len);
+		g_ptr_array_unref(items);
+		itemjob_free(job);
+	}
+}
+
 TEST_F(Itemjob, OnlyFinishedJobsGrowOld)
 {
 	bool is_new;
@@ -255,19 +286,24 @@
 	GPtrArray *rows = nullptr;
 	GBytes *data = nullptr;
 
-	Submit("t", "s1", &is_new);
-	for (int i = 0; i < 3; i++)
-		Commit(i, i, std::string(kItemjobTextRowBytes + 9, 'x'));
-	ASSERT_EQ(kStoreOk, itemjob_get(st, "j", &job));
-	itemjob_close(st, "j");
-	EXPECT_EQ(kStoreOk, itemjob_remove(st, "j"));
-	ASSERT_EQ(kStoreOk,
-	    st->ops->scan(st->ctx, kCauseBatch, "", nullptr, 99, &rows));
-	EXPECT_EQ(0u, rows->len);
-	EXPECT_EQ(kStoreNotFound,
-	    st->ops->get_object(st->ctx, kCauseBatch, job->input, &data));
-	g_ptr_array_unref(rows);
-	itemjob_free(job);
+	for (size_t body_bytes : {(size_t)4, (size_t)kItemjobTextRowBytes}) {
+		Submit("t", "s1", &is_new, "j", body_bytes);
+		for (int i = 0; i < 3; i++)
+			Commit(
+			    i, i, std::string(kItemjobTextRowBytes + 9, 'x'));
+		ASSERT_EQ(kStoreOk, itemjob_get(st, "j", &job));
+		itemjob_close(st, "j");
+		EXPECT_EQ(kStoreOk, itemjob_remove(st, "j"));
+		ASSERT_EQ(kStoreOk,
+		    st->ops->scan(
+			st->ctx, kCauseBatch, "", nullptr, 99, &rows));
+		EXPECT_EQ(0u, rows->len);
+		EXPECT_EQ(kStoreNotFound,
+		    st->ops->get_object(
+			st->ctx, kCauseBatch, job->input, &data));
+		g_ptr_array_unref(rows);
+		itemjob_free(job);
+	}
 }
 
 TEST_F(Itemjob, OneDaemonTakesAJobOver)
