Rows of jobs are in a partition of their own

Cause: the store takes the writes of one partition one after the other, 200 a second, and turns them away when a second of them waits. Submissions shared the partition of the heartbeats.

Ruled out: the timeouts of the client; the threads for store calls.

Change: job, open and input rows are in the partition 'jobs'.

Test: Itemjob.NoRowOfAJobIsInThePartitionOfHeartbeats.

--- a/src/savoryflow/job/itemjob_retention.c
+++ b/src/savoryflow/job/itemjob_retention.c
@@ -2,6 +2,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "savoryflow/job/itemjob_rows.h"
 #include "savoryflow/job/itemjob_store.h"
 
 enum {
@@ -15,7 +16,7 @@
 static bool
 is_open(const struct store *st, const char *id, enum store_result *res)
 {
-	char *key = g_strconcat("open/-/", id, NULL);
+	char *key = itemjob_key_listed("open", id);
 	struct store_row row = {0};
 
 	*res = st->ops->get(st->ctx, kCauseBatch, key, &row);
@@ -44,6 +45,7 @@
 enum store_result
 itemjob_read_old(const struct store *st, int64_t before_ms, GPtrArray **ids)
 {
+	char *prefix = itemjob_key_listed("job", "");
 	GPtrArray *rows = NULL;
 	char *after = NULL;
 	enum store_result res;
@@ -52,7 +54,7 @@
 	*ids = g_ptr_array_new_with_free_func(g_free);
 	do {
 		res = st->ops->scan(
-		    st->ctx, kCauseBatch, "job/-/", after, kRowsPerScan, &rows);
+		    st->ctx, kCauseBatch, prefix, after, kRowsPerScan, &rows);
 		if (res != kStoreOk)
 			break;
 		for (guint i = 0; i < rows->len && res == kStoreOk &&
@@ -69,6 +71,7 @@
 		g_ptr_array_unref(rows);
 	} while (more);
 	g_free(after);
+	g_free(prefix);
 	return res;
 }
 
@@ -104,8 +107,8 @@
 remove_job_row(const struct store *st, const char *id)
 {
 	struct store_txn *txn = store_txn_new();
-	char *input_key = g_strconcat("input/-/", id, NULL);
-	char *job_key = g_strconcat("job/-/", id, NULL);
+	char *input_key = itemjob_key_listed("input", id);
+	char *job_key = itemjob_key_listed("job", id);
 	enum store_result res;
 
 	store_txn_write(txn, input_key, NULL);
--- a/src/savoryflow/job/itemjob_rows.c
+++ b/src/savoryflow/job/itemjob_rows.c
@@ -6,10 +6,18 @@
 #include <stdlib.h>
 #include <string.h>
 
+static const char kListPartition[] = "jobs";
+
+char *
+itemjob_key(const char *table, const char *id, const char *name)
+{
+	return g_strdup_printf("%s/%s/%s", table, id, name);
+}
+
 char *
-itemjob_key(const char *table, const char *partition, const char *name)
+itemjob_key_listed(const char *table, const char *id)
 {
-	return g_strdup_printf("%s/%s/%s", table, partition, name);
+	return itemjob_key(table, kListPartition, id);
 }
 
 char *
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -8,12 +8,12 @@
  * Batch jobs whose results have stable positions, in the table service and
  * the object store.
  *
- * Rows: job/-/ID; input/-/ID with the items if they fit; open/-/ID until the
- * job is finished, with the session that runs it; result/ID/POSITION, and
- * text/ID/POSITION-PART for a long text; item/ID/INDEX with the position of the
- * item's result; progress/ID/INDEX with what a daemon had of an unfinished item
- * when it left. Object: input/ID/TOKEN with the items if they don't fit a row,
- * never changed.
+ * Rows: job/jobs/ID; input/jobs/ID with the items if they fit; open/jobs/ID
+ * until the job is finished, with the session that runs it; result/ID/POSITION,
+ * and text/ID/POSITION-PART for a long text; item/ID/INDEX with the position of
+ * the item's result; progress/ID/INDEX with what a daemon had of an unfinished
+ * item when it left. Object: input/ID/TOKEN with the items if they don't fit a
+ * row, never changed.
  *
  * A commit holds only if neither its position nor its item has a result, so
  * that two daemons that run the same job cannot list an item twice or put two
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -261,6 +261,24 @@
 	}
 }
 
+/* The store takes the writes of a partition one after the other; that of
+ * heartbeats is called "-". */
+TEST_F(Itemjob, NoRowOfAJobIsInThePartitionOfHeartbeats)
+{
+	bool is_new;
+	GPtrArray *rows = nullptr;
+
+	Submit("t", "s1", &is_new);
+	Commit(0, 0);
+	ASSERT_EQ(kStoreOk,
+	    st->ops->scan(st->ctx, kCauseBatch, "", nullptr, 99, &rows));
+	EXPECT_LT(3u, rows->len);
+	for (guint i = 0; i < rows->len; i++)
+		EXPECT_EQ(
+		    nullptr, strstr(((store_row *)rows->pdata[i])->key, "/-/"));
+	g_ptr_array_unref(rows);
+}
+
 TEST_F(Itemjob, OnlyFinishedJobsGrowOld)
 {
 	bool is_new;
