Heartbeats slow down with the number of daemons

Cause: each daemon wrote a heartbeat and read the whole roster every second, all in one partition that takes 200 writes a second: at 300 daemons heartbeats alone are 1.5 times that, and docs/CAPACITY.md works out 2,770 store calls a second at 380, over the 2,300 there are, and 100 KB/s for each daemon.

Change: 100 heartbeats a second of all daemons together, each at least one in 10 s and at most one a second; the row says its period and the lease is four of them. Daemons that run jobs still read the open jobs every second, as the end of a job has to be known within 3 s.

Worked out at 380: a heartbeat and a read of the roster in 3.8 s; 1,930 calls a second, 26 KB/s of roster. Up to 100 daemons nothing changes. Tests: Roster.ALeaseIsAsLongAsTheRowsOwnPeriodNeeds and the table of periods.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -29,8 +29,7 @@
 	/* Store calls at once, and those that may wait for a thread. */
 	kStoreThreads = 6,
 	kStoreWaitingMax = 200,
-	/* Heartbeats in the store, and the silence that ends a session. */
-	kBeatUs = kUsPerS,
+	/* Least silence of a row in the store that ends a session. */
 	kMemberLeaseUs = 4 * kUsPerS,
 	/* Daemons of one data centre greet each other; one that was not heard
 	 * for three greetings may be cut off. */
@@ -375,8 +374,8 @@
 	    gw->roster, gw->self.address, gw->set->janitor_period_ms * kUsPerMs,
 	    0};
 	struct members_options members = {gw->lp, gw->offload, gw->store,
-	    gw->roster, NULL, gw->self, kBeatUs, on_store, on_roster,
-	    on_left_roster, gw};
+	    gw->roster, NULL, gw->self, on_store, on_roster, on_left_roster,
+	    gw};
 
 	gw->slots = slots_new(&slots);
 	gw->outbound = outbound_new(gw->lp);
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -19,6 +19,12 @@
 
 static void pump_all(void *ctx);
 
+bool
+jobs_run_here(const struct jobs *js)
+{
+	return g_hash_table_size(js->runs) > 0;
+}
+
 struct jobs *
 jobs_new(const struct jobs_options *opt)
 {
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -32,6 +32,9 @@
 struct jobs *jobs_new(const struct jobs_options *opt);
 void jobs_free(struct jobs *js);
 
+/** True if items of any job run here. */
+bool jobs_run_here(const struct jobs *js);
+
 void jobs_submit(struct jobs *js, struct front_request *req,
     const struct dialect_call *call, const struct routebook_route *route);
 void jobs_results(struct jobs *js, struct front_request *req,
--- a/src/gateway/members.c
+++ b/src/gateway/members.c
@@ -11,10 +11,15 @@
 	/* Beside the daemon that a job falls to any other one takes it over
 	 * when it was orphaned for so long. */
 	kAnybodyUs = 3 * kUsPerS,
+	/* Open jobs are read so often while some run here: a job that was ended
+	 * elsewhere has to stop within 3 s, also if no peer tells. */
+	kOpenPeriodUs = kUsPerS,
 };
 
 enum look_kind {
 	kLookBeat,
+	/** Reads the open jobs only. */
+	kLookOpen,
 	/** Removes this daemon's row. */
 	kLookLeave,
 	/** Only reads: the row is removed. */
@@ -25,6 +30,8 @@
 	struct members *mb;
 	enum look_kind kind;
 	int64_t beat;
+	/** Row of this daemon, with its period. */
+	struct roster_row self;
 	int64_t started_us;
 	/** Rows of daemons that are long gone, to be removed. */
 	GArray *stale;
@@ -36,6 +43,9 @@
 struct members {
 	struct members_options opt;
 	int64_t beat;
+	/** Time between two heartbeats, and when the next one is due. */
+	int64_t period_us;
+	int64_t next_beat_us;
 	bool is_looking;
 	bool is_leaving;
 	bool has_left;
@@ -77,7 +87,7 @@
 		    roster_store_leave(st, &look->mb->opt.self);
 	else if (look->kind == kLookBeat)
 		look->beat_outcome =
-		    roster_store_beat(st, &look->mb->opt.self, look->beat);
+		    roster_store_beat(st, &look->self, look->beat);
 	/* A row that has changed meanwhile stays. */
 	for (guint i = 0; i < look->stale->len; i++) {
 		const struct roster_row *row =
@@ -85,9 +95,10 @@
 
 		roster_store_remove(st, row->address, row->version);
 	}
-	if (roster_store_read(st, &look->rows) != kStoreOk)
+	if (look->kind != kLookOpen &&
+	    roster_store_read(st, &look->rows) != kStoreOk)
 		return;
-	if (look->kind == kLookBeat &&
+	if ((look->kind == kLookBeat || look->kind == kLookOpen) &&
 	    itemjob_read_open(st, &look->open) != kStoreOk)
 		look->open = NULL;
 }
@@ -168,9 +179,9 @@
 	mb->is_looking = false;
 	if (look->rows != NULL)
 		take_roster(mb, look->rows, now_us);
-	else
+	else if (look->kind != kLookOpen)
 		roster_note_blind(mb->opt.roster, now_us);
-	mb->opt.on_store(mb->opt.ctx, look->rows != NULL);
+	mb->opt.on_store(mb->opt.ctx, look->rows != NULL || look->open != NULL);
 	if (look->open != NULL && !mb->is_leaving) {
 		jobs_on_open_list(mb->opt.jobs, look->open, look->started_us);
 		take_orphans(mb, look->open, now_us);
@@ -179,36 +190,64 @@
 		mb->has_left = true;
 		mb->opt.on_left(mb->opt.ctx);
 	}
-	look_soon(mb, mb->opt.period_us);
+	look_soon(mb, kOpenPeriodUs);
 	look_free(look);
 }
 
+static enum look_kind
+next_kind(const struct members *mb, int64_t now_us)
+{
+	if (mb->has_left)
+		return kLookAfter;
+	if (mb->is_leaving)
+		return kLookLeave;
+	return now_us >= mb->next_beat_us ? kLookBeat : kLookOpen;
+}
+
+static struct look *
+look_new(struct members *mb, enum look_kind kind, int64_t now_us)
+{
+	struct look *look = g_new0(struct look, 1);
+
+	look->mb = mb;
+	look->kind = kind;
+	look->started_us = now_us;
+	look->stale = roster_stale(mb->opt.roster, kForgetUs, now_us);
+	if (kind != kLookBeat)
+		return look;
+	mb->period_us =
+	    roster_beat_period_us(roster_count_all(mb->opt.roster, now_us));
+	mb->next_beat_us = now_us + mb->period_us;
+	look->beat = ++mb->beat;
+	look->self = mb->opt.self;
+	look->self.period_us = mb->period_us;
+	return look;
+}
+
 static void
 start_look(void *ctx)
 {
 	struct members *mb = ctx;
+	int64_t now_us = loop_now_us(mb->opt.lp);
+	enum look_kind kind = next_kind(mb, now_us);
 	struct look *look;
 
 	mb->timer = 0;
 	if (mb->is_looking) {
-		look_soon(mb, mb->opt.period_us / 4);
+		look_soon(mb, kOpenPeriodUs / 4);
 		return;
 	}
-	look = g_new0(struct look, 1);
-	look->mb = mb;
-	look->beat = ++mb->beat;
-	look->started_us = loop_now_us(mb->opt.lp);
-	look->stale = roster_stale(mb->opt.roster, kForgetUs, look->started_us);
-	if (mb->has_left)
-		look->kind = kLookAfter;
-	else if (mb->is_leaving)
-		look->kind = kLookLeave;
+	if (kind == kLookOpen && !jobs_run_here(mb->opt.jobs)) {
+		look_soon(mb, kOpenPeriodUs);
+		return;
+	}
+	look = look_new(mb, kind, now_us);
 	mb->is_looking = true;
 	if (offload_run(mb->opt.offload, look_work, look_done, look))
 		return;
 	mb->is_looking = false;
 	look_free(look);
-	look_soon(mb, mb->opt.period_us);
+	look_soon(mb, kOpenPeriodUs);
 }
 
 static void
@@ -222,6 +261,7 @@
 void
 members_look_now(struct members *mb)
 {
+	mb->next_beat_us = 0;
 	if (!mb->is_looking && !mb->is_leaving)
 		look_soon(mb, 0);
 }
--- a/src/gateway/members.h
+++ b/src/gateway/members.h
@@ -12,7 +12,6 @@
 	struct roster *roster;
 	struct jobs *jobs;
 	struct roster_row self;
-	int64_t period_us;
 	/** The store answered, or did not. */
 	void (*on_store)(void *ctx, bool is_up);
 	/** The roster was read. */
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -10,6 +10,13 @@
 
 enum {
 	kRowsPerScan = 500,
+	/* Heartbeats of all daemons together: half of what the store takes in
+	 * one partition, so that they get through when it is slow. */
+	kBeatsPerS = 100,
+	kBeatLeastUs = kUsPerS,
+	kBeatMostUs = 10 * kUsPerS,
+	/* Heartbeats that may be missed before a daemon counts as gone. */
+	kLeasePeriods = 4,
 	/* A daemon that stops has about this time. */
 	kDepartUs = 8 * kUsPerS,
 };
@@ -89,7 +96,8 @@
 static bool
 lives(const struct roster *ro, const struct roster_member *m, int64_t now_us)
 {
-	return now_us - m->seen_us <= ro->opt.lease_us;
+	return now_us - m->seen_us <=
+	    MAX(ro->opt.lease_us, kLeasePeriods * m->row.period_us);
 }
 
 /* Tells a daemon whose lease has lapsed once. */
@@ -161,7 +169,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct roster_member *m = val;
 
-		if (now_us - m->seen_us <= ro->opt.lease_us)
+		if (lives(ro, m, now_us))
 			m->seen_us = now_us;
 	}
 }
@@ -405,6 +413,26 @@
 	return n;
 }
 
+int32_t
+roster_count_all(const struct roster *ro, int64_t now_us)
+{
+	int32_t n = 1;
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		n += lives(ro, val, now_us);
+	return n;
+}
+
+int64_t
+roster_beat_period_us(int32_t daemons)
+{
+	return CLAMP(
+	    (int64_t)daemons * kUsPerS / kBeatsPerS, kBeatLeastUs, kBeatMostUs);
+}
+
 const char *
 roster_region(const struct roster *ro, const char *data_center)
 {
@@ -435,9 +463,10 @@
 {
 	struct store_txn *txn = store_txn_new();
 	char *key = row_key(self->address);
-	json_t *doc = json_pack("{s:s,s:s,s:s,s:s,s:I}", "front", self->front,
-	    "region", self->region, "data_center", self->data_center, "session",
-	    self->session, "beat", (json_int_t)beat);
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:s,s:I,s:I}", "front",
+	    self->front, "region", self->region, "data_center",
+	    self->data_center, "session", self->session, "beat",
+	    (json_int_t)beat, "period_us", (json_int_t)self->period_us);
 	char *text = json_dumps(doc, JSON_COMPACT);
 	enum store_result res;
 
@@ -489,7 +518,12 @@
 	const char *front = json_string_value(json_object_get(doc, "front"));
 	const char *region = json_string_value(json_object_get(doc, "region"));
 	const char *dc = json_string_value(json_object_get(doc, "data_center"));
-	struct roster_row row = {.version = stored->version};
+	struct roster_row row = {
+	    .version = stored->version,
+	    .period_us =
+		CLAMP(json_integer_value(json_object_get(doc, "period_us")), 0,
+		    kBeatMostUs),
+	};
 
 	if (session != NULL && region != NULL && dc != NULL) {
 		g_strlcpy(row.address, strrchr(stored->key, '/') + 1,
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -18,11 +18,14 @@
 	/** Unique name of this run of the daemon. */
 	char session[kFleetNameMax];
 	int64_t version;
+	/** Time between its heartbeats; 0 if the row does not tell. */
+	int64_t period_us;
 };
 
 struct roster_options {
 	struct roster_row self;
-	/** A daemon whose row stays unchanged for so long is gone. */
+	/** A daemon whose row stays unchanged for so long is gone, unless its
+	 * own period asks for more. */
 	int64_t lease_us;
 	/** A daemon that was heard within this arbitrates, whatever its row
 	 * says: it may be cut off from the store only. */
@@ -113,6 +116,12 @@
 GArray *roster_stale(
     const struct roster *ro, int64_t silence_us, int64_t now_us);
 
+/** Daemons that live anywhere, this one among them. */
+int32_t roster_count_all(const struct roster *ro, int64_t now_us);
+
+/** Time between heartbeats at so many daemons. */
+int64_t roster_beat_period_us(int32_t daemons);
+
 /** Daemons that live in a data centre, this one among them. */
 int32_t roster_count(
     const struct roster *ro, const char *data_center, int64_t now_us);
@@ -122,7 +131,7 @@
 
 /* The rows themselves; these block in the store. */
 
-/** Writes the daemon's heartbeat. */
+/** Writes the daemon's heartbeat, with its period. */
 enum store_result roster_store_beat(
     const struct store *st, const struct roster_row *self, int64_t beat);
 
--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -92,6 +92,36 @@
 	EXPECT_FALSE(roster_session_lives(ro, "other", 0));
 }
 
+/* The more daemons, the slower they beat; each row says how slowly. */
+TEST_F(Roster, ALeaseIsAsLongAsTheRowsOwnPeriodNeeds)
+{
+	roster_row slow = Row("a", "dc1", "s1");
+
+	slow.period_us = 3 * kSec;
+	g_array_append_val(rows, slow);
+	roster_take_rows(ro, rows, 0, &changes);
+	EXPECT_TRUE(roster_session_lives(ro, "s1", 11 * kSec));
+	EXPECT_FALSE(roster_session_lives(ro, "s1", 13 * kSec));
+}
+
+TEST_F(Roster, HeartbeatsTogetherStayUnderHalfOfAPartitionsWrites)
+{
+	const struct {
+		int32_t daemons;
+		int64_t period_us;
+	} cases[] = {
+	    {1, kSec},
+	    {100, kSec},
+	    {300, 3 * kSec},
+	    {380, 3800000},
+	    {5000, 10 * kSec},
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(c.period_us, roster_beat_period_us(c.daemons))
+		    << c.daemons;
+}
+
 TEST_F(Roster, ARestartEndsTheSessionBefore)
 {
 	Read({{"a", {"dc1", "s1"}}}, 0);
