--- /dev/null
+++ b/test/functional/harness_process.cc
@@ -0,0 +1,243 @@
+/* Processes and HTTP requests of the functional tests. */
+#include "functional/harness.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <glib.h>
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstring>
+
+namespace
+{
+
+const auto kGuard = std::chrono::seconds(30);
+const auto kLookAgain = std::chrono::milliseconds(5);
+
+size_t
+AppendBody(char *data, size_t size, size_t n, void *ctx)
+{
+	static_cast<std::string *>(ctx)->append(data, size * n);
+	return size * n;
+}
+
+size_t
+AppendHeader(char *data, size_t size, size_t n, void *ctx)
+{
+	std::string line(data, size * n);
+	size_t colon = line.find(':');
+
+	if (colon != std::string::npos) {
+		std::string name = line.substr(0, colon);
+		size_t from = line.find_first_not_of(' ', colon + 1);
+		size_t to = line.find_last_not_of("\r\n");
+
+		for (auto &c : name)
+			c = (char)tolower(c);
+		(*static_cast<std::map<std::string, std::string> *>(
+		    ctx))[name] = line.substr(from, to - from + 1);
+	}
+	return size * n;
+}
+
+} // namespace
+
+std::string
+Env(const char *name)
+{
+	const char *value = getenv(name);
+
+	if (value == nullptr) {
+		fprintf(stderr, "%s is not set; use ctest\n", name);
+		exit(2);
+	}
+	return value;
+}
+
+std::string
+Local(int port)
+{
+	return "127.0.0.1:" + std::to_string(port);
+}
+
+Reply
+Http(const std::string &method, const std::string &url, const std::string &body,
+    const Headers &headers, long timeout_s)
+{
+	Reply reply;
+	CURL *h = curl_easy_init();
+	struct curl_slist *list = curl_slist_append(nullptr, "Expect:");
+
+	for (auto &line : headers)
+		list = curl_slist_append(list, line.c_str());
+	curl_easy_setopt(h, CURLOPT_URL, url.c_str());
+	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h, CURLOPT_HTTPHEADER, list);
+	curl_easy_setopt(h, CURLOPT_TIMEOUT, timeout_s);
+	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, AppendBody);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, &reply.body);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, AppendHeader);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, &reply.headers);
+	if (method != "GET") {
+		curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, method.c_str());
+		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, (long)body.size());
+		curl_easy_setopt(h, CURLOPT_POSTFIELDS, body.c_str());
+	}
+	if (curl_easy_perform(h) == CURLE_OK)
+		curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply.status);
+	curl_slist_free_all(list);
+	curl_easy_cleanup(h);
+	return reply;
+}
+
+bool
+Eventually(const std::function<bool()> &condition)
+{
+	std::mutex lock;
+	std::condition_variable never;
+	std::unique_lock<std::mutex> held(lock);
+	auto end = std::chrono::steady_clock::now() + kGuard;
+
+	while (std::chrono::steady_clock::now() < end) {
+		if (condition())
+			return true;
+		never.wait_for(held, kLookAgain);
+	}
+	return false;
+}
+
+int64_t
+NowUs()
+{
+	return std::chrono::duration_cast<std::chrono::microseconds>(
+	    std::chrono::steady_clock::now().time_since_epoch())
+	    .count();
+}
+
+int
+FreePort()
+{
+	struct sockaddr_in addr = {};
+	socklen_t len = sizeof(addr);
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	addr.sin_family = AF_INET;
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&addr, sizeof(addr));
+	getsockname(fd, (struct sockaddr *)&addr, &len);
+	close(fd);
+	return ntohs(addr.sin_port);
+}
+
+Process::Process(std::vector<std::string> argv)
+{
+	std::vector<char *> words;
+	int fds[2];
+
+	for (auto &word : argv)
+		words.push_back(const_cast<char *>(word.c_str()));
+	words.push_back(nullptr);
+	if (pipe2(fds, O_CLOEXEC) != 0)
+		abort();
+	pid_ = fork();
+	if (pid_ == 0) {
+		dup2(fds[1], STDOUT_FILENO);
+		dup2(fds[1], STDERR_FILENO);
+		execv(words[0], words.data());
+		_exit(127);
+	}
+	close(fds[1]);
+	reader_ = std::thread(&Process::Read, this, fds[0]);
+}
+
+Process::~Process()
+{
+	if (!reaped_) {
+		kill(pid_, SIGKILL);
+		Wait();
+	}
+	reader_.join();
+}
+
+void
+Process::Read(int fd)
+{
+	FILE *in = fdopen(fd, "r");
+	char *line = nullptr;
+	size_t cap = 0;
+
+	while (getline(&line, &cap, in) > 0) {
+		std::lock_guard<std::mutex> held(lock_);
+
+		lines_.push_back(line);
+		changed_.notify_all();
+	}
+	free(line);
+	fclose(in);
+	std::lock_guard<std::mutex> held(lock_);
+	closed_ = true;
+	changed_.notify_all();
+}
+
+int
+Process::Count(const std::string &text)
+{
+	std::lock_guard<std::mutex> held(lock_);
+	int n = 0;
+
+	for (auto &line : lines_)
+		n += line.find(text) != std::string::npos;
+	return n;
+}
+
+bool
+Process::WaitLine(const std::string &text, int count)
+{
+	std::unique_lock<std::mutex> held(lock_);
+	int n = 0;
+
+	changed_.wait_for(held, kGuard, [&] {
+		n = 0;
+		for (auto &line : lines_)
+			n += line.find(text) != std::string::npos;
+		return n >= count || closed_;
+	});
+	return n >= count;
+}
+
+void
+Process::Signal(int sig)
+{
+	kill(pid_, sig);
+}
+
+int
+Process::Wait()
+{
+	int status;
+
+	if (!reaped_) {
+		waitpid(pid_, &status, 0);
+		code_ =
+		    WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+		reaped_ = true;
+	}
+	return code_;
+}
+
+std::string
+Process::Output()
+{
+	std::lock_guard<std::mutex> held(lock_);
+	std::string all;
+
+	for (auto &line : lines_)
+		all += line;
+	return all;
+}
--- /dev/null
+++ b/test/functional/test_failures_jobs.cc
@@ -0,0 +1,283 @@
+/* The promises about jobs and keyed calls under kills, freezes and outages. */
+#include <gtest/gtest.h>
+#include <signal.h>
+
+#include <atomic>
+#include <thread>
+
+#include "functional/harness.h"
+
+namespace
+{
+
+TEST(Failures, JobOfADaemonKilledAfterItsAcknowledgementIsDone)
+{
+	FleetOptions o;
+
+	o.daemons = 3;
+	Fleet f(o);
+	EXPECT_EQ(202, f.SubmitJob(0, "lot", 100).status);
+	f.daemons[0]->Signal(SIGKILL);
+	EXPECT_EQ(202, f.SubmitJob(1, "lot", 100).status) << "resent";
+	EXPECT_TRUE(f.WaitJob(1, "lot"));
+	f.ReadResults(2, "lot");
+	f.ReadResults(1, "lot");
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, ResentJobWithOtherContentConflicts)
+{
+	FleetOptions o;
+	Fleet f(o);
+
+	EXPECT_EQ(202, f.SubmitJob(0, "lot", 20).status);
+	Reply r = f.SubmitJob(1, "lot", 21);
+	EXPECT_EQ(409, r.status);
+	EXPECT_NE(std::string::npos, r.body.find("job_content_conflict"));
+	EXPECT_TRUE(f.WaitJob(1, "lot"));
+	f.ReadResults(0, "lot");
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, HolderFrozenPastItsLeaseDoublesNothing)
+{
+	FleetOptions o;
+
+	o.daemons = 2;
+	o.engine_speed = "2";
+	o.flags = {"--batch-inflight-items=8"};
+	Fleet f(o);
+	EXPECT_EQ(202, f.SubmitJob(0, "lot", 200).status);
+	ASSERT_TRUE(f.WaitSomeChunk());
+	/* Frozen while it holds a lease, not between two. */
+	ASSERT_TRUE(Eventually([&] {
+		f.daemons[0]->Signal(SIGSTOP);
+		if (f.HoldsLease(0))
+			return true;
+		f.daemons[0]->Signal(SIGCONT);
+		return false;
+	}));
+	EXPECT_TRUE(f.daemons[1]->WaitLine("session_ended"));
+	f.daemons[0]->Signal(SIGCONT);
+	EXPECT_TRUE(f.daemons[0]->WaitLine("session_lost"));
+	EXPECT_TRUE(f.WaitJob(1, "lot"));
+	f.ReadResults(0, "lot");
+	f.ReadResults(1, "lot");
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, LostAnswersOfTheStoreLoseAndDoubleNothing)
+{
+	FleetOptions o;
+	Fleet f(o);
+
+	for (const char *fault :
+	    {"{\"lose_answers\":1}", "{\"lose_requests\":1}",
+		"{\"lose_answers\":2,\"lose_requests\":2}"}) {
+		std::string id = std::string("lot-") +
+		    std::to_string(fault[2]) + std::to_string(fault[8]) +
+		    std::to_string(fault[17]);
+
+		f.Fault(f.Platform(), fault);
+		EXPECT_EQ(202, f.SubmitJob(0, id, 40).status) << fault;
+		f.Fault(f.Platform(), fault);
+		EXPECT_TRUE(f.WaitJob(1, id)) << fault;
+		f.ReadResults(1, id);
+	}
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, OutageOfTheStore)
+{
+	FleetOptions o;
+
+	o.daemons = 2;
+	o.engine_speed = "5";
+	Fleet f(o);
+	EXPECT_EQ(202, f.SubmitJob(0, "before", 64).status);
+	ASSERT_TRUE(f.WaitSomeChunk());
+	f.Fault(f.Platform(), "{\"outage\":true}");
+	ASSERT_TRUE(f.daemons[0]->WaitLine("store_down"));
+	EXPECT_EQ(200, f.Chat(0, "online goes on", true).status);
+	Reply job = f.SubmitJob(1, "during", 5);
+	EXPECT_EQ(503, job.status) << job.body;
+	EXPECT_EQ("no", job.headers["savoryflow-ran"]);
+	EXPECT_NE("", job.headers["retry-after"]);
+	Reply call = f.Book(1, "in-outage");
+	EXPECT_EQ(503, call.status) << call.body;
+	EXPECT_EQ("no", call.headers["savoryflow-ran"]);
+	Reply conf = f.SubmitConfig(0, 2, 1);
+	EXPECT_EQ(503, conf.status) << conf.body;
+	f.Fault(f.Platform(), "{}");
+	EXPECT_TRUE(f.WaitJob(0, "before"));
+	f.ReadResults(0, "before");
+	EXPECT_EQ(202, f.SubmitJob(1, "during", 5).status);
+	EXPECT_TRUE(f.WaitJob(0, "during"));
+	f.ReadResults(1, "during");
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, OutageAndAKilledHolderAtOnce)
+{
+	FleetOptions o;
+
+	o.daemons = 3;
+	o.engine_speed = "5";
+	Fleet f(o);
+	EXPECT_EQ(202, f.SubmitJob(0, "lot", 96).status);
+	ASSERT_TRUE(f.WaitSomeChunk());
+	f.Fault(f.Platform(), "{\"outage\":true}");
+	f.daemons[0]->Signal(SIGKILL);
+	ASSERT_TRUE(f.daemons[1]->WaitLine("store_down"));
+	f.Fault(f.Platform(), "{\"lose_answers\":2}");
+	EXPECT_TRUE(f.WaitJob(1, "lot"));
+	f.ReadResults(2, "lot");
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, CancelledJobStops)
+{
+	FleetOptions o;
+
+	o.daemons = 2;
+	o.engine_speed = "2";
+	o.flags = {"--batch-inflight-items=8"};
+	Fleet f(o);
+	EXPECT_EQ(202, f.SubmitJob(0, "lot", 200).status);
+	ASSERT_TRUE(f.WaitSomeChunk());
+	EXPECT_EQ(200,
+	    Http("POST", f.Url(1) + "/v1/batches/lot/cancel", "",
+		{"Authorization: Bearer studios-key"})
+		.status);
+	f.Note({"job_cancelled", {{"job", "lot"}}});
+	f.ReadResults(0, "lot");
+	/* In-flight items stop: the engine is idle. */
+	EXPECT_TRUE(Eventually([&] {
+		return f.Metric(0, "savoryflow_active_calls") == 0 &&
+		    f.Metric(1, "savoryflow_active_calls") == 0;
+	}));
+	int runs = f.EngineRuns();
+	EXPECT_EQ(200, f.Chat(0, "after", false).status);
+	f.ReadResults(1, "lot");
+	EXPECT_EQ(runs + 1, f.EngineRuns());
+	EXPECT_EQ("cancelled", f.JobState(1, "lot"));
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, JobsCancelledWhileTheirItemsStart)
+{
+	FleetOptions o;
+
+	o.daemons = 1;
+	o.slots = 500;
+	o.engine_speed = "500";
+	o.flags = {"--chunk-items=500", "--batch-inflight-items=500"};
+	Fleet f(o);
+	for (int i = 0; i < 60; i++) {
+		std::string id = "lot-" + std::to_string(i);
+
+		ASSERT_EQ(202, f.SubmitJob(0, id, 3000).status);
+		ASSERT_EQ(200,
+		    Http("POST", f.Url(0) + "/v1/batches/" + id + "/cancel", "",
+			{"Authorization: Bearer studios-key"})
+			.status);
+		ASSERT_EQ("cancelled", f.JobState(0, id));
+	}
+}
+
+TEST(Failures, ItemsThatCanNeverBeDoneEndAsFailures)
+{
+	FleetOptions o;
+
+	o.engines = 4;
+	Fleet f(o);
+	std::string body = ItemLine("lot", 0) +
+	    "{\"id\":\"bad\",\"body\":{\"messages\":[{\"role\":\"user\","
+	    "\"content\":\"CRASH\"}]}}\n" +
+	    ItemLine("lot", 2);
+	EXPECT_EQ(202,
+	    Http("POST", f.Url(0) + "/v1/batches?service=assistant", body,
+		{"Authorization: Bearer studios-key", "Savoryflow-Job-Id: lot"})
+		.status);
+	f.Note({"job_accepted", {{"job", "lot"}, {"items", "3"}}});
+	EXPECT_TRUE(f.WaitJob(0, "lot"));
+	f.ReadResults(1, "lot");
+	Reply r = Http("GET", f.Url(0) + "/v1/batches/lot/results", "",
+	    {"Authorization: Bearer studios-key"});
+	EXPECT_NE(std::string::npos,
+	    r.body.find("\"error\":\"request_crashes_targets\""))
+	    << r.body;
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, AKeyedCallRunsOnceWhoeverResendsItAndWhereTo)
+{
+	FleetOptions o;
+
+	o.daemons = 3;
+	Fleet f(o);
+	EXPECT_EQ(200, f.Book(0, "whole").status);
+	EXPECT_TRUE(
+	    Eventually([&] { return f.Book(1, "whole").status == 200; }));
+	/* It ran and its answer was lost: never again. */
+	f.Fault(f.Plain(), "{\"cut\":1}");
+	Reply lost = f.Book(0, "lost");
+	EXPECT_EQ(502, lost.status) << lost.body;
+	EXPECT_EQ("unknown", lost.headers["savoryflow-ran"]);
+	EXPECT_EQ(409, f.Book(1, "lost").status);
+	EXPECT_TRUE(Eventually([&] {
+		return f.Book(1, "lost").body.find("outcome_unknown") !=
+		    std::string::npos;
+	})) << "also while the daemon that ran it lives";
+	EXPECT_EQ(409, f.Book(2, "lost", "{\"other\":1}").status);
+	/* The daemon that began it is lost: the outcome is unknown. */
+	f.daemons[0]->Signal(SIGKILL);
+	EXPECT_TRUE(Eventually([&] {
+		return f.Book(1, "lost").body.find("outcome_unknown") !=
+		    std::string::npos;
+	}));
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, DaemonKilledWhileAKeyedCallRuns)
+{
+	FleetOptions o;
+
+	o.daemons = 2;
+	Fleet f(o);
+	f.Fault(f.Plain(), "{\"delay_ms\":1500}");
+	std::thread caller([&] { f.Book(0, "slow"); });
+	/* Daemon 0 has begun it: its run is in the plain service's history. */
+	ASSERT_TRUE(Eventually([&] { return f.PlainRuns() == 1; }));
+	EXPECT_EQ(409, f.Book(1, "slow").status);
+	f.daemons[0]->Signal(SIGKILL);
+	caller.join();
+	Reply last;
+	EXPECT_TRUE(Eventually([&] {
+		last = f.Book(1, "slow");
+		return last.body.find("outcome_unknown") != std::string::npos;
+	})) << last.status
+	    << " " << last.body << f.daemons[1]->Output();
+	f.ExpectHistoryHolds();
+}
+
+TEST(Failures, LostAnswersOfTheStoreAroundAKeyedCall)
+{
+	FleetOptions o;
+	Fleet f(o);
+	int n = 0;
+
+	for (const char *fault : {"{\"lose_answers\":1}",
+		 "{\"lose_requests\":1}", "{\"lose_requests\":30}"}) {
+		std::string key = "key-" + std::to_string(n++);
+
+		f.Fault(f.Platform(), fault);
+		f.Book(0, key);
+		f.Book(1, key);
+		f.Fault(f.Platform(), "{}");
+		f.Book(1, key);
+	}
+	f.ExpectHistoryHolds();
+}
+
+} // namespace
