A target is kept from the daemons that do not reach it, not from all

Cause: the outcomes of all daemons count together, so a cut between some of them and a target ejected it for those that reach it: with three of nine targets cut off from half of the daemons the pools lost a third of their slots (pool_load).

Ruled out: a loss of the targets themselves; other daemons' requests ended whole there in the same seconds.

Change: an unreachable or silent end blocks the path from that daemon, if the target served another one within 400 ms; else it ejects as before. A request whose daemon reaches no target of the pool is refused at once, and one that does not reach what is free is passed over in the queue.

Tests: Slotpool.ATargetThatOthersReachIsKeptForThem, .ATargetThatNobody..., .WhoCannotReachATargetHoldsNobodyUp.

--- a/src/savoryflow/slotpool/slot_queue.c
+++ b/src/savoryflow/slotpool/slot_queue.c
@@ -100,15 +100,15 @@
 }
 
 bool
-slot_queue_first(
-    const struct slot_queue *sq, bool is_batch, struct slotpool_ask *ask)
+slot_queue_at(const struct slot_queue *sq, bool is_batch, int32_t place,
+    struct slotpool_ask *ask)
 {
-	GSequenceIter *first =
-	    g_sequence_get_begin_iter(is_batch ? sq->batch : sq->online);
+	GSequence *queue = is_batch ? sq->batch : sq->online;
 
-	if (g_sequence_iter_is_end(first))
+	if (place >= g_sequence_get_length(queue))
 		return false;
-	*ask = *(struct slotpool_ask *)g_sequence_get(first);
+	*ask = *(struct slotpool_ask *)g_sequence_get(
+	    g_sequence_get_iter_at_pos(queue, place));
 	return true;
 }
 
--- a/src/savoryflow/slotpool/slot_queue.h
+++ b/src/savoryflow/slotpool/slot_queue.h
@@ -20,9 +20,10 @@
 bool slot_queue_has(const struct slot_queue *sq, uint64_t id);
 int32_t slot_queue_len(const struct slot_queue *sq, bool is_batch);
 
-/** Copies the first request. @return false if there is none */
-bool slot_queue_first(
-    const struct slot_queue *sq, bool is_batch, struct slotpool_ask *ask);
+/** Copies a request by its place from the front. @return false if there is
+ * none */
+bool slot_queue_at(const struct slot_queue *sq, bool is_batch, int32_t place,
+    struct slotpool_ask *ask);
 
 /** Puts batch items that can't be in time any more after those that can. */
 void slot_queue_put_back_late_batch(struct slot_queue *sq, int64_t now_us);
--- a/src/savoryflow/slotpool/slot_target.c
+++ b/src/savoryflow/slotpool/slot_target.c
@@ -1,11 +1,26 @@
 /* One target of a pool: what is in use, and how well it suits a request. */
 #include "savoryflow/slotpool/slot_target.h"
 
+#include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
 enum {
 	/* Prefixes that a target is thought to keep. */
 	kPrefixesMax = 512,
+	/* A target that served another daemon within this is alive: with load
+	 * it serves one every 100 ms. */
+	kReachedUs = 400 * kUsPerMs,
+	/* First time without requests of a daemon that does not reach it,
+	 * doubled with each that follows at once. */
+	kBlockLeastUs = kUsPerS,
+	kBlockDoublingsMax = 2,
+};
+
+/** How requests of one daemon fare at the target. */
+struct slot_path {
+	int64_t served_us;
+	int64_t blocked_until_us;
+	int32_t blocks;
 };
 
 struct slot_target *
@@ -14,6 +29,8 @@
 	struct slot_target *t = g_new0(struct slot_target, 1);
 
 	t->prefixes = u64_hash_new(g_free);
+	t->paths =
+	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	t->info = *info;
 	return t;
 }
@@ -23,6 +40,7 @@
 {
 	struct slot_target *t = p;
 
+	g_hash_table_unref(t->paths);
 	g_hash_table_unref(t->prefixes);
 	g_free(t);
 }
@@ -33,6 +51,7 @@
 	if (t->info.born_ms != info->born_ms) {
 		target_health_reset(&t->health);
 		g_hash_table_remove_all(t->prefixes);
+		g_hash_table_remove_all(t->paths);
 	}
 	t->info = *info;
 }
@@ -57,6 +76,93 @@
 	    (ignore_health || target_health_takes(&t->health, now_us));
 }
 
+bool
+slot_target_is_reached_by(
+    const struct slot_target *t, uint32_t holder, int64_t now_us)
+{
+	const struct slot_path *path =
+	    g_hash_table_lookup(t->paths, GUINT_TO_POINTER(holder));
+
+	return path == NULL || path->blocked_until_us <= now_us;
+}
+
+void
+slot_targets_count_reached(GHashTable *targets, uint32_t holder, int64_t now_us,
+    int32_t *all, int32_t *reached)
+{
+	GHashTableIter it;
+	void *val;
+
+	*all = 0;
+	*reached = 0;
+	g_hash_table_iter_init(&it, targets);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		if (!slot_target_takes_work(val, false, now_us))
+			continue;
+		*all += 1;
+		*reached += slot_target_is_reached_by(val, holder, now_us);
+	}
+}
+
+static struct slot_path *
+path_get(struct slot_target *t, uint32_t holder)
+{
+	void *key = GUINT_TO_POINTER(holder);
+	struct slot_path *path = g_hash_table_lookup(t->paths, key);
+
+	if (path == NULL) {
+		path = g_new0(struct slot_path, 1);
+		g_hash_table_insert(t->paths, key, path);
+	}
+	return path;
+}
+
+static bool
+others_reach(
+    const struct slot_target *t, const struct slot_path *own, int64_t now_us)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, t->paths);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct slot_path *path = val;
+
+		if (path != own && path->served_us != 0 &&
+		    now_us - path->served_us < kReachedUs)
+			return true;
+	}
+	return false;
+}
+
+static void
+path_block(struct slot_path *path, int64_t now_us)
+{
+	/* Requests that were on their way when it was blocked say no more. */
+	if (path->blocked_until_us > now_us)
+		return;
+	path->blocked_until_us = now_us +
+	    ((int64_t)kBlockLeastUs << MIN(path->blocks, kBlockDoublingsMax));
+	path->blocks++;
+}
+
+void
+slot_target_note_end(struct slot_target *t, uint32_t holder,
+    enum slot_outcome outcome, int64_t now_us)
+{
+	struct slot_path *path = path_get(t, holder);
+
+	if (outcome == kSlotServed) {
+		/* 0 stands for never. */
+		*path = (struct slot_path){.served_us = MAX(now_us, 1)};
+	} else if ((outcome == kSlotUnreachable || outcome == kSlotSilent) &&
+	    others_reach(t, path, now_us)) {
+		path_block(path, now_us);
+		outcome = kSlotNeutral;
+	}
+	target_health_note_end(&t->health, outcome, now_us);
+}
+
 void
 slot_target_note_prefix(struct slot_target *t, uint64_t prefix)
 {
--- a/src/savoryflow/slotpool/slot_target.h
+++ b/src/savoryflow/slotpool/slot_target.h
@@ -10,6 +10,8 @@
 	int32_t online;
 	int32_t batch;
 	int32_t revoked;
+	/** Paths from daemons to it: struct slot_path by holder. */
+	GHashTable *paths;
 	/** Set of the prefixes that it has read. */
 	GHashTable *prefixes;
 	/** Seen in the list that is being taken. */
@@ -26,6 +28,20 @@
 bool slot_target_takes_work(
     const struct slot_target *t, bool ignore_health, int64_t now_us);
 
+/** True unless requests of the daemon have just failed to reach it, while
+ * those of others did not. */
+bool slot_target_is_reached_by(
+    const struct slot_target *t, uint32_t holder, int64_t now_us);
+
+/** Counts the targets that may be given work, and those of them that the daemon
+ * reaches. @param targets struct slot_target by id */
+void slot_targets_count_reached(GHashTable *targets, uint32_t holder,
+    int64_t now_us, int32_t *all, int32_t *reached);
+
+/** The use of a slot by a daemon has ended. */
+void slot_target_note_end(struct slot_target *t, uint32_t holder,
+    enum slot_outcome outcome, int64_t now_us);
+
 bool slot_target_has_free(const struct slot_target *t);
 
 /** The lower the better: share of slots in use, faults, kept prefixes. */
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -17,6 +17,9 @@
 	/* Slots that batch leaves free, one for each so many: arrivals during
 	 * the few ms that a revoked run takes to leave find one. */
 	kSlotsPerReserved = 24,
+	/* Queued requests that are passed over if their daemons do not reach
+	 * what is free. */
+	kLookPastMax = 16,
 	/* A holder that lives renews its slots more often than this. */
 	kLeaseUs = 4 * kUsPerS,
 	/* A holder that lives ends a revoked run within some ms. */
@@ -175,6 +178,16 @@
 	emit(out, kSlotGranted, ask, t->info.id, 0);
 }
 
+static bool
+may_run_at(
+    const struct slot_target *t, const struct slotpool_ask *ask, int64_t now_us)
+{
+	return slot_target_takes_work(t, ask->is_last_resort, now_us) &&
+	    (ask->is_last_resort ||
+		slot_target_is_reached_by(t, ask->holder, now_us)) &&
+	    strcmp(t->info.id, ask->but) != 0;
+}
+
 static struct slot_target *
 choose_free(struct slotpool *sp, const struct slotpool_ask *ask, int64_t now_us)
 {
@@ -188,9 +201,7 @@
 		struct slot_target *t = val;
 		int64_t cost;
 
-		if (!slot_target_takes_work(t, ask->is_last_resort, now_us) ||
-		    !slot_target_has_free(t) ||
-		    strcmp(t->info.id, ask->but) == 0)
+		if (!may_run_at(t, ask, now_us) || !slot_target_has_free(t))
 			continue;
 		cost = slot_target_cost(t, ask);
 		if (best == NULL || cost < best_cost) {
@@ -217,14 +228,13 @@
 		const struct slot_target *t;
 		struct slotpool_ask item;
 
-		if (!sl->ask.is_batch || sl->is_revoked ||
-		    strcmp(sl->target, ask->but) == 0)
+		if (!sl->ask.is_batch || sl->is_revoked)
 			continue;
 		item = batch_rank_running(&sl->ask, sl->since_us, now_us);
 		if (found != NULL && batch_rank_compare(&item, &last, NULL) < 0)
 			continue;
 		t = g_hash_table_lookup(sp->targets, sl->target);
-		if (!slot_target_takes_work(t, ask->is_last_resort, now_us))
+		if (!may_run_at(t, ask, now_us))
 			continue;
 		found = sl;
 		last = item;
@@ -244,6 +254,27 @@
 	emit(out, kSlotRevoked, &sl->ask, sl->target, 0);
 }
 
+static bool
+reaches_all(
+    const struct slotpool *sp, const struct slotpool_ask *ask, int64_t now_us)
+{
+	int32_t targets;
+	int32_t reached;
+
+	slot_targets_count_reached(
+	    sp->targets, ask->holder, now_us, &targets, &reached);
+	return reached == targets;
+}
+
+static void
+note_full(struct slotpool *sp, const struct slotpool_ask *ask, int64_t now_us)
+{
+	if (sp->is_full || !reaches_all(sp, ask, now_us))
+		return;
+	sp->full_since_us = now_us;
+	sp->is_full = true;
+}
+
 static bool
 start_online(struct slotpool *sp, const struct slotpool_ask *ask,
     int64_t now_us, GArray *out)
@@ -254,9 +285,7 @@
 		struct slot *sl = find_expendable(sp, ask, now_us);
 
 		if (sl == NULL) {
-			if (!sp->is_full)
-				sp->full_since_us = now_us;
-			sp->is_full = true;
+			note_full(sp, ask, now_us);
 			return false;
 		}
 		t = g_hash_table_lookup(sp->targets, sl->target);
@@ -268,15 +297,21 @@
 	return true;
 }
 
+/* Whoever does not reach all targets holds up none that does. */
 static void
 start_queued_online(struct slotpool *sp, int64_t now_us, GArray *out)
 {
 	struct slotpool_ask ask;
+	int32_t place = 0;
 
-	while (slot_queue_first(sp->queue, false, &ask)) {
-		if (!start_online(sp, &ask, now_us, out))
+	while (place < kLookPastMax &&
+	    slot_queue_at(sp->queue, false, place, &ask)) {
+		if (start_online(sp, &ask, now_us, out))
+			slot_queue_remove(sp->queue, ask.id);
+		else if (reaches_all(sp, &ask, now_us))
 			return;
-		slot_queue_remove(sp->queue, ask.id);
+		else
+			place++;
 	}
 }
 
@@ -286,14 +321,20 @@
 	struct slotpool_load load = slotpool_load_get(sp, now_us);
 	int32_t reserve = load.slots / kSlotsPerReserved;
 	struct slotpool_ask ask;
+	int32_t place = 0;
 
 	while (!sp->refuses_batch && load.online_queued == 0 &&
-	    slot_queue_first(sp->queue, true, &ask) &&
+	    place < kLookPastMax &&
+	    slot_queue_at(sp->queue, true, place, &ask) &&
 	    load.online + load.batch + reserve < load.slots) {
 		struct slot_target *t = choose_free(sp, &ask, now_us);
 
-		if (t == NULL)
+		if (t == NULL && reaches_all(sp, &ask, now_us))
 			return;
+		if (t == NULL) {
+			place++;
+			continue;
+		}
 		grant(sp, t, &ask, now_us, out);
 		slot_queue_remove(sp->queue, ask.id);
 		load.batch++;
@@ -325,10 +366,15 @@
 {
 	struct slotpool_load load = slotpool_load_get(sp, now_us);
 
+	int32_t targets;
+	int32_t reached;
+
+	slot_targets_count_reached(
+	    sp->targets, ask->holder, now_us, &targets, &reached);
 	emit(out, kSlotRefused, ask, NULL,
 	    retry_after_us(sp, ask, &load, now_us));
 	g_array_index(out, struct slotpool_action, out->len - 1).is_dead =
-	    load.slots == 0;
+	    reached == 0;
 }
 
 static void
@@ -336,15 +382,21 @@
     int64_t now_us, GArray *out)
 {
 	struct slotpool_load load;
+	int32_t targets;
+	int32_t reached;
 
 	if (slot_queue_len(sp->queue, false) == 0 &&
 	    start_online(sp, ask, now_us, out))
 		return;
 	load = slotpool_load_get(sp, now_us);
-	if (load.slots == 0 || now_us + slotpool_wait_us(&load) > ask->until_us)
+	slot_targets_count_reached(
+	    sp->targets, ask->holder, now_us, &targets, &reached);
+	if (reached == 0 || now_us + slotpool_wait_us(&load) > ask->until_us) {
 		refuse(sp, ask, now_us, out);
-	else
-		slot_queue_add(sp->queue, ask);
+		return;
+	}
+	slot_queue_add(sp->queue, ask);
+	start_queued_online(sp, now_us, out);
 }
 
 static void
@@ -417,7 +469,7 @@
 		note_hold(sp, sl, now_us);
 	t = g_hash_table_lookup(sp->targets, sl->target);
 	if (t != NULL)
-		target_health_note_end(&t->health, outcome, now_us);
+		slot_target_note_end(t, sl->ask.holder, outcome, now_us);
 	slot_remove(sp, sl);
 	schedule(sp, now_us, out);
 }
@@ -469,7 +521,7 @@
 {
 	struct slotpool_ask ask;
 
-	while (slot_queue_first(sp->queue, false, &ask) &&
+	while (slot_queue_at(sp->queue, false, 0, &ask) &&
 	    ask.until_us <= now_us) {
 		slot_queue_remove(sp->queue, ask.id);
 		if (ask.is_late) {
--- a/test/unit/test_slotpool.cc
+++ b/test/unit/test_slotpool.cc
@@ -102,6 +102,16 @@
 		return Take();
 	}
 
+	/* An online request of a daemon that is served at once. */
+	std::string
+	Served(uint64_t id, uint32_t holder)
+	{
+		std::string target = Online(id, 200 * kMs, holder)[id].target;
+
+		Release(id);
+		return target;
+	}
+
 	std::map<uint64_t, slotpool_action>
 	Release(uint64_t id, slot_outcome outcome = kSlotServed)
 	{
@@ -350,6 +360,62 @@
 	EXPECT_EQ(bad, Online(6)[6].target);
 }
 
+/* A path is cut, not the target: it serves the other daemons. */
+TEST_F(Slotpool, ATargetThatOthersReachIsKeptForThem)
+{
+	Targets({{"a", 2}});
+	EXPECT_EQ("a", Served(1, 1));
+	now += 100 * kMs;
+	EXPECT_STREQ("a", Online(2, 200 * kMs, 2)[2].target);
+	Release(2, kSlotUnreachable);
+	EXPECT_EQ("a", Served(3, 1));
+	auto act = Online(4, 200 * kMs, 2);
+	EXPECT_EQ(kSlotRefused, act[4].verdict) << "no target that it reaches";
+	EXPECT_TRUE(act[4].is_dead);
+	now += 1100 * kMs;
+	EXPECT_EQ("a", Served(5, 2)) << "tried again";
+}
+
+TEST_F(Slotpool, ATargetThatNobodyReachesIsEjected)
+{
+	Targets({{"a", 2}});
+	Served(1, 1);
+	now += kSec;
+	EXPECT_STREQ("a", Online(2, 200 * kMs, 2)[2].target);
+	Release(2, kSlotUnreachable);
+	EXPECT_EQ(kSlotRefused, Online(3, 200 * kMs, 1)[3].verdict);
+}
+
+/* The first in the queue cannot use the slot that is free, the second can. */
+TEST_F(Slotpool, WhoCannotReachATargetHoldsNobodyUp)
+{
+	Targets({{"a", 1}, {"b", 1}});
+	std::string far = Online(1, 200 * kMs, 2)[1].target;
+	Release(1);
+	std::map<uint64_t, std::string> held;
+
+	/* Daemon 1 is served at both; daemon 2 fails at one of them. */
+	held[2] = Online(2, 200 * kMs, 1)[2].target;
+	held[3] = Online(3, 200 * kMs, 1)[3].target;
+	Release(2);
+	Release(3);
+	uint64_t id = 10;
+	while (Online(id, 200 * kMs, 2)[id].target != far)
+		id++;
+	Release(id, kSlotUnreachable);
+	for (uint64_t i = 10; i < id; i++)
+		Release(i);
+	std::string near = Online(100, kSec, 1)[100].target;
+	std::string other = Online(101, kSec, 1)[101].target;
+	Online(102, 2 * kSec, 2);
+	Online(103, 3 * kSec, 1);
+	uint64_t at_far = near == far ? 100 : 101;
+	auto act = Release(at_far);
+	EXPECT_EQ(0u, act.count(102));
+	EXPECT_EQ(far, act[103].target);
+	EXPECT_NE(near, other);
+}
+
 TEST_F(Slotpool, WithoutAHealthyTargetOnlyTheLastResortIsTried)
 {
 	Targets({{"a", 8}, {"b", 8}});
