Soak: a path that is cut one way holds answers back, and drops nothing of them

The proxy dropped what came while the path was cut and went on with the same connection afterwards. TCP sends again or ends; no network leaves a hole.

Change: answers wait while the path is cut.

--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -79,7 +79,7 @@
 
 /* @return false if the connection has ended */
 bool
-Proxy::Pump(int from, int to, bool is_answer)
+Proxy::Pump(int from, int to)
 {
 	char buf[16384];
 	ssize_t n = recv(from, buf, sizeof(buf), 0);
@@ -89,8 +89,6 @@
 		return false;
 	if (link_ == Link::kDelay)
 		std::this_thread::sleep_for(kDelay);
-	if (link_ == Link::kOneWay && is_answer)
-		return true;
 	while (at < n) {
 		ssize_t sent =
 		    send(to, buf + at, (size_t)(n - at), MSG_NOSIGNAL);
@@ -111,8 +109,11 @@
 	    connect(server, (struct sockaddr *)&addr, sizeof(addr)) == 0;
 
 	while (goes_on && !stopping_ && link_ != Link::kReset) {
+		/* What is lost on a path that is cut one way TCP sends again
+		 * afterwards: answers wait, no byte is missing in between. */
+		int answers = link_ == Link::kOneWay ? -1 : server;
 		struct pollfd pfds[] = {
-		    {client, POLLIN, 0}, {server, POLLIN, 0}};
+		    {client, POLLIN, 0}, {answers, POLLIN, 0}};
 
 		if (link_ == Link::kSilent) {
 			std::this_thread::sleep_for(kLook);
@@ -121,9 +122,9 @@
 		if (poll(pfds, 2, kPollMs) <= 0)
 			continue;
 		if (pfds[0].revents != 0)
-			goes_on = Pump(client, server, false);
+			goes_on = Pump(client, server);
 		if (goes_on && pfds[1].revents != 0)
-			goes_on = Pump(server, client, true);
+			goes_on = Pump(server, client);
 	}
 	/* An answer without a length ends with its connection: only a server
 	 * that ended it may make it look whole. */
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -40,7 +40,7 @@
       private:
 	void Accept();
 	void Carry(int client);
-	bool Pump(int from, int to, bool is_answer);
+	bool Pump(int from, int to);
 
 	int server_port_;
 	int port_;
