Tests take ports that no outgoing connection gets

In a run that was caught so the daemon had exited with code 1 at its start: its port came from the range of outgoing connections, and another process had it while the daemon was down.

Ruled out: a daemon that hangs; the others answered, this one was gone.

Change: ports of 10000 and up, 97 to a process, tried by binding.

The message of the failed start itself was not seen.

--- a/test/functional/harness_process.cc
+++ b/test/functional/harness_process.cc
@@ -11,12 +11,17 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <cstring>
 
 namespace
 {
 
+const int kFirstPort = 10000;
+const int kPorts = 22000;
+/* Ports between the first ones of processes with neighbouring ids. */
+const int kPortsOfProcess = 97;
 const auto kGuard = std::chrono::seconds(30);
 const auto kLookAgain = std::chrono::milliseconds(5);
 
@@ -120,19 +125,28 @@
 	    .count();
 }
 
+/* A port under those that the kernel gives to outgoing connections: one of
+ * these could take it while a daemon is down. */
 int
 FreePort()
 {
-	struct sockaddr_in addr = {};
-	socklen_t len = sizeof(addr);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-
-	addr.sin_family = AF_INET;
-	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&addr, sizeof(addr));
-	getsockname(fd, (struct sockaddr *)&addr, &len);
-	close(fd);
-	return ntohs(addr.sin_port);
+	static std::atomic<int> next(getpid() % kPorts * kPortsOfProcess);
+
+	for (int i = 0; i < kPorts; i++) {
+		struct sockaddr_in addr = {};
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		int port = kFirstPort + next++ % kPorts;
+		bool is_free;
+
+		addr.sin_family = AF_INET;
+		addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		addr.sin_port = htons((uint16_t)port);
+		is_free = bind(fd, (struct sockaddr *)&addr, sizeof(addr)) == 0;
+		close(fd);
+		if (is_free)
+			return port;
+	}
+	abort();
 }
 
 Process::Process(std::vector<std::string> argv)
