--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -174,9 +174,12 @@
 	struct online_call *oc = ctx;
 	const struct calls_options *opt = &oc->cs->opt;
 
-	opt->notify_run_interrupted(opt->ctx, oc->fingerprint);
-	if (suspects_record_interrupted(
-		opt->suspects, oc->fingerprint, loop_now_us(oc->lp)))
+	bool is_quarantined = suspects_record_interrupted(
+	    opt->suspects, oc->fingerprint, loop_now_us(oc->lp));
+
+	opt->notify_run_interrupted(
+	    opt->ctx, oc->fingerprint, is_quarantined);
+	if (is_quarantined)
 		log_event(kEvtRequestCondemned, "request", oc->attempt_id,
 		    "route", oc->route, NULL);
 	return !suspects_is_quarantined(
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -11,8 +11,10 @@
 struct calls_options {
 	struct relay_deps deps;
 	struct suspects *suspects;
-	/** Notifies the peers that a run of a request was interrupted. */
-	void (*notify_run_interrupted)(void *ctx, uint64_t fingerprint);
+	/** Notifies the peers that a run of a request was interrupted, and
+	 * whether this quarantines the request. */
+	void (*notify_run_interrupted)(
+	    void *ctx, uint64_t fingerprint, bool is_quarantined);
 	void *ctx;
 };
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -25,21 +25,24 @@
 	kExitFailed = 1,
 	kPeerTickMs = 500,
 	/* An unresponsive connection between daemons is replaced. */
-	kPeerHeartbeatMs = 1000,
-	kPeerHeartbeatTimeoutMs = 3000,
+	kPeerHeartbeatMs = 2000,
+	kPeerHeartbeatTimeoutMs = 4000,
+	kPeerIdleCloseMs = 20000,
 	/* Concurrent store calls, and those that may wait for a thread. */
 	kStoreThreads = 6,
 	kStoreWaitingMax = 200,
 	/* A session ends when its row in the store stays unchanged for at least
 	 * this time. */
 	kMemberLeaseUs = 4 * kUsPerS,
-	/* Daemons of one data centre send each other keep-alives; one that
-	 * misses three of them may be cut off from the network. */
-	kKeepalivePeriodUs = 500 * kUsPerMs,
-	kKeepaliveTimeoutUs = 1500 * kUsPerMs,
+	/* A daemon that its neighbours have not heard for this time may be cut
+	 * off from the network. */
+	kContactTimeoutUs = 1500 * kUsPerMs,
+	kSettingsCheckUs = 500 * kUsPerMs,
 	/* Jobs are kept longer than callers may read them. */
 	kRetentionSlackUs = 60 * kUsPerS,
 	kHousekeepingUs = 100 * kUsPerMs,
+	/* More daemons that join at once are logged as a number. */
+	kMembersLoggedMax = 8,
 	/* Requests still running this long before the drain timeout are
 	 * aborted. */
 	kStopReserveUs = 1200 * kUsPerMs,
@@ -79,103 +82,6 @@
 	log_event(is_up ? kEvtStoreUp : kEvtStoreDown, NULL);
 }
 
-/* Peers. */
-
-static void
-send_to_peer(void *ctx, const char *to, Sfpeer__Envelope *env)
-{
-	peer_send(((struct gateway *)ctx)->peer, to, env, kPeerControl);
-}
-
-static const struct slots_wire_ops wire_ops = {send_to_peer};
-
-struct peer_message {
-	struct gateway *gw;
-	Sfpeer__Envelope *env;
-};
-
-static void
-handle_envelope(void *ctx)
-{
-	struct peer_message *msg = ctx;
-	struct gateway *gw = msg->gw;
-	Sfpeer__Envelope *env = msg->env;
-	struct roster_store_status store_status = {
-	    env->blind, (int64_t)env->store_age_ms * kUsPerMs};
-
-	roster_record_message(gw->roster, env->from,
-	    env->store_age_ms > 0 ? &store_status : NULL, loop_now_us(gw->lp));
-	if (env->leaving) {
-		roster_record_leaving(gw->roster, env->from);
-		slots_reassign_arbiters(gw->slots);
-	}
-	if (env->left)
-		members_poll_now(gw->members);
-	slots_on_envelope(gw->slots, env);
-	for (size_t i = 0; i < env->n_condemned; i++)
-		suspects_record_interrupted(
-		    gw->suspects, env->condemned[i], loop_now_us(gw->lp));
-	for (size_t i = 0; i < env->n_job_notes; i++)
-		if (env->job_notes[i]->ended)
-			jobs_on_ended(gw->jobs, env->job_notes[i]->id);
-	if (env->view != NULL)
-		view_exchange_on_view(gw->view, env->from, env->view);
-	sfpeer__envelope__free_unpacked(env, NULL);
-	g_free(msg);
-}
-
-static bool
-on_message(void *ctx, Sfpeer__Envelope *env)
-{
-	struct peer_message *msg = g_new(struct peer_message, 1);
-
-	msg->gw = ctx;
-	msg->env = env;
-	loop_post(msg->gw->lp, handle_envelope, msg);
-	return true;
-}
-
-static void
-on_peer_tick(void *ctx)
-{
-}
-
-static const struct peer_ops peer_ops = {on_message, on_peer_tick};
-
-static void
-broadcast(struct gateway *gw, Sfpeer__Envelope *env)
-{
-	GPtrArray *peers = roster_peers(gw->roster, loop_now_us(gw->lp));
-
-	for (guint i = 0; i < peers->len; i++)
-		send_to_peer(gw, peers->pdata[i], env);
-	g_ptr_array_unref(peers);
-}
-
-static void
-notify_ended(void *ctx, const char *id)
-{
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	Sfpeer__JobNote note = SFPEER__JOB_NOTE__INIT;
-	Sfpeer__JobNote *notes[] = {&note};
-
-	note.id = (char *)id;
-	note.ended = true;
-	env.n_job_notes = 1;
-	env.job_notes = notes;
-	broadcast(ctx, &env);
-}
-
-static void
-notify_run_interrupted(void *ctx, uint64_t fingerprint)
-{
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-
-	env.n_condemned = 1;
-	env.condemned = &fingerprint;
-	broadcast(ctx, &env);
-}
-
 /* Store and roster changes, draining, start and stop. */
 
 static void
@@ -188,9 +94,15 @@
 on_roster(void *ctx, const struct roster_changes *changes)
 {
 	struct gateway *gw = ctx;
-	GPtrArray *peers = roster_peers(gw->roster, loop_now_us(gw->lp));
-
-	for (guint i = 0; i < changes->joined->len; i++)
+	GPtrArray *peers = roster_peers(gw->roster, NULL, loop_now_us(gw->lp));
+
+	if (changes->joined->len > kMembersLoggedMax)
+		log_event(kEvtMembersUp, "joined",
+		    log_number(changes->joined->len), "members",
+		    log_number(peers->len + 1), NULL);
+	for (guint i = 0; changes->joined->len <= kMembersLoggedMax &&
+	     i < changes->joined->len;
+	     i++)
 		log_event(
 		    kEvtMemberUp, "member", changes->joined->pdata[i], NULL);
 	for (guint i = 0; i < changes->removed->len; i++) {
@@ -204,16 +116,6 @@
 	g_ptr_array_unref(peers);
 }
 
-/* This daemon's row was removed: peers may take over its orphaned jobs. */
-static void
-on_left_roster(void *ctx)
-{
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-
-	env.left = true;
-	broadcast(ctx, &env);
-}
-
 static void
 leave_roster(struct gateway *gw)
 {
@@ -226,8 +128,6 @@
 static void
 begin_drain(struct gateway *gw)
 {
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-
 	if (gw->is_draining)
 		return;
 	gw->is_draining = true;
@@ -237,8 +137,7 @@
 	    log_number(jobs_active_items(gw->jobs)), NULL);
 	front_set_closing(gw->front);
 	jobs_hand_over(gw->jobs);
-	env.leaving = true;
-	broadcast(gw, &env);
+	gateway_notify_draining(gw);
 	roster_leave(gw->roster);
 	slots_reassign_arbiters(gw->slots);
 }
@@ -260,44 +159,23 @@
 		loop_stop(gw->lp);
 }
 
-/* Announces to the daemons of this data centre that this one is alive; works
- * without the store. */
-static void
-send_keepalives(struct gateway *gw, int64_t now_us)
-{
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	GPtrArray *list;
-
-	if (now_us - gw->keepalive_sent_us < kKeepalivePeriodUs ||
-	    gw->is_draining || fleet_is_empty(gw->fleet))
-		return;
-	gw->keepalive_sent_us = now_us;
-	env.blind = !gw->is_store_up;
-	/* Never 0, which means unknown. */
-	env.store_age_ms = (uint32_t)CLAMP(
-	    (now_us - gw->store_answered_us) / kUsPerMs, 1, UINT32_MAX);
-	list = roster_peers_in_data_center(
-	    gw->roster, gw->self.data_center, now_us);
-	for (guint i = 0; i < list->len; i++)
-		send_to_peer(gw, list->pdata[i], &env);
-	g_ptr_array_unref(list);
-}
-
 static void
 housekeeping(void *ctx)
 {
 	struct gateway *gw = ctx;
 	int64_t now_us = loop_now_us(gw->lp);
 
-	send_keepalives(gw, now_us);
+	gateway_send_contacts(gw);
 	suspects_tick(gw->suspects, now_us);
-
 	if (fleet_tick(gw->fleet, now_us))
 		gateway_targets_changed(gw);
 	if (gw->is_draining)
 		continue_drain(gw);
-	if (settings_file_changed(gw->set))
-		settings_reload_and_log(gw->set);
+	if (now_us - gw->settings_checked_us > kSettingsCheckUs) {
+		gw->settings_checked_us = now_us;
+		if (settings_file_changed(gw->set))
+			settings_reload_and_log(gw->set);
+	}
 	gw->housekeeping =
 	    loop_timer(gw->lp, now_us + kHousekeepingUs, housekeeping, gw);
 }
@@ -343,6 +221,7 @@
 	    sizeof(gw->self.data_center));
 	snprintf(gw->self.session, sizeof(gw->self.session), "%s-%08x%08x",
 	    set->peer_listen, g_random_int(), g_random_int());
+	gw->self.cpu_millicores = (int32_t)set->cpu_millicores;
 }
 
 static void
@@ -350,7 +229,7 @@
 {
 	struct thread_pool_options threads = {kStoreThreads, kStoreWaitingMax};
 	struct roster_options roster = {
-	    gw->self, kMemberLeaseUs, kKeepaliveTimeoutUs};
+	    gw->self, kMemberLeaseUs, kContactTimeoutUs};
 
 	gw->lp = loop_new(gw->clk);
 	gw->store = gw->adapter->store_new(gw->set->platform_url);
@@ -358,6 +237,8 @@
 	gw->fleet = fleet_new();
 	gw->roster = roster_new(&roster);
 	gw->is_store_up = true;
+	gw->reconnects =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 static void
@@ -365,16 +246,21 @@
 {
 	uint64_t seed = XXH3_64bits(gw->self.session, strlen(gw->self.session));
 	struct slots_options slots = {gw->lp, gw->roster, gw->fleet,
-	    gw->self.address, gw->self.data_center, seed, &wire_ops, gw};
+	    gw->self.address, gw->self.data_center, seed,
+	    &gateway_wire_ops, gw};
 	struct relay_deps deps = {
 	    .lp = gw->lp, .fleet = gw->fleet, .dialect = gw->adapter->dialect};
+	struct contact_exchange_options contact = {gw->lp, gw->roster,
+	    gw->self.address, gw->self.session, gw->self.data_center,
+	    &gateway_wire_ops, gw};
 	struct calls_options calls = {
-	    .notify_run_interrupted = notify_run_interrupted, .ctx = gw};
+	    .notify_run_interrupted = gateway_notify_run_interrupted,
+	    .ctx = gw};
 	struct jobs_options jobs = {.offload = gw->offload,
 	    .store = gw->store,
 	    .session = gw->self.session,
 	    .routes = current_routes,
-	    .notify_ended = notify_ended,
+	    .notify_ended = gateway_notify_job_ended,
 	    .store_is_up = store_is_up,
 	    .report_store = on_store,
 	    .front_reaching_store = front_reaching_store,
@@ -383,10 +269,11 @@
 	    gw->roster, gw->self.address, gw->set->janitor_period_ms * kUsPerMs,
 	    0};
 	struct members_options members = {gw->lp, gw->offload, gw->store,
-	    gw->roster, NULL, gw->self, on_store, on_roster, on_left_roster,
-	    gw};
+	    gw->roster, NULL, gw->self, on_store, on_roster,
+	    gateway_notify_left, gw};
 
 	gw->slots = slots_new(&slots);
+	gw->contact = contact_exchange_new(&contact);
 	gw->outbound = outbound_new(gw->lp);
 	deps.slots = gw->slots;
 	deps.outbound = gw->outbound;
@@ -419,7 +306,8 @@
 	    .tick_ms = kPeerTickMs,
 	    .heartbeat_ms = kPeerHeartbeatMs,
 	    .heartbeat_timeout_ms = kPeerHeartbeatTimeoutMs,
-	    .ops = &peer_ops,
+	    .idle_close_ms = kPeerIdleCloseMs,
+	    .ops = &gateway_peer_ops,
 	    .ctx = gw,
 	};
 
@@ -442,7 +330,7 @@
 start(struct gateway *gw)
 {
 	struct view_options view = {gw->lp, gw->roster, gw->set->peers,
-	    gw->self.address, &wire_ops, gw};
+	    gw->self.address, gw->self.data_center, &gateway_wire_ops, gw};
 
 	peer_start(gw->peer);
 	gw->watch = gw->adapter->watch_new(gw->store, &gateway_watch_ops, gw);
@@ -481,6 +369,8 @@
 	outbound_free(gw->outbound);
 	target_activity_free(gw->activity);
 	slots_free(gw->slots);
+	contact_exchange_free(gw->contact);
+	g_hash_table_unref(gw->reconnects);
 	if (gw->peer != NULL)
 		peer_free(gw->peer);
 	roster_free(gw->roster);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_GATEWAY_INTERNAL_H
 
 #include "gateway/calls.h"
+#include "gateway/contact_exchange.h"
 #include "gateway/gateway.h"
 #include "gateway/janitor.h"
 #include "gateway/members.h"
@@ -38,6 +39,9 @@
 	struct members *members;
 	struct janitor *janitor;
 	struct view_exchange *view;
+	struct contact_exchange *contact;
+	/** int64_t: time of the last reconnect, by peer. */
+	GHashTable *reconnects;
 	struct front *front;
 	struct front *ready;
 	struct front *metrics;
@@ -52,7 +56,9 @@
 	int64_t store_recovered_us;
 	/** An update of the pools is posted to the loop. */
 	bool is_pool_update_pending;
-	int64_t keepalive_sent_us;
+	int64_t settings_checked_us;
+	/** The complete list of targets has been read. */
+	bool has_target_list;
 	bool is_draining;
 	int64_t drain_started_us;
 	bool has_left_roster;
@@ -64,6 +70,30 @@
 /** Records whether the store answers; logs changes. */
 void gateway_record_store_state(struct gateway *gw, bool is_up);
 
+/* gateway_peers.c */
+
+/** Sends the contacts of this data centre to the neighbours, if due. */
+void gateway_send_contacts(struct gateway *gw);
+
+/** Notifies those who depend on this daemon that it stops soon. */
+void gateway_notify_draining(struct gateway *gw);
+
+/** This daemon's row was removed: its successors may take its jobs over. */
+void gateway_notify_left(void *ctx);
+
+/**
+ * Notifies the daemon that runs a job that it was ended.
+ * @param owner session of that daemon
+ */
+void gateway_notify_job_ended(void *ctx, const char *id, const char *owner);
+
+/** Reports a run that returned nothing to the daemons that count these, or to
+ * all if it quarantines the request. */
+void gateway_notify_run_interrupted(
+    void *ctx, uint64_t fingerprint, bool is_quarantined);
+
+extern const struct slots_wire_ops gateway_wire_ops;
+extern const struct peer_ops gateway_peer_ops;
 extern const struct watch_ops gateway_watch_ops;
 extern const struct front_ops gateway_front_ops;
 extern const struct front_ops gateway_ready_ops;
--- a/src/gateway/gateway_watch.c
+++ b/src/gateway/gateway_watch.c
@@ -95,8 +95,10 @@
 	struct watch_update *update = ctx;
 
 	if (fleet_apply(update->gw->fleet, &update->target)) {
-		log_target(&update->target,
-		    update->target.is_draining ? "draining" : "ready");
+		/* The first list is logged as a whole. */
+		if (update->gw->has_target_list)
+			log_target(&update->target,
+			    update->target.is_draining ? "draining" : "ready");
 		gateway_targets_changed(update->gw);
 	}
 	g_free(update);
@@ -152,8 +154,12 @@
 	struct watch_update *update = ctx;
 	struct gateway *gw = update->gw;
 
-	if (fleet_replace(
-		gw->fleet, update->list, update->version, expiry_us(gw))) {
+	bool is_first = !gw->has_target_list;
+	bool is_changed = fleet_replace(
+	    gw->fleet, update->list, update->version, expiry_us(gw));
+
+	gw->has_target_list = true;
+	if (is_changed || is_first) {
 		log_event(kEvtTargetList, "targets",
 		    log_number(update->list->len), "version",
 		    log_number(update->version), NULL);
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -13,12 +13,27 @@
 
 enum {
 	kStartDuePeriodUs = 50 * kUsPerMs,
+	/* Period without a job; a new job starts its items at once. */
+	kIdlePeriodUs = 250 * kUsPerMs,
 	/* Jobs whose row is cached for reads of their results. */
 	kCachedJobsMax = 1000,
 };
 
 static void start_due_items(void *ctx);
 
+GPtrArray *
+jobs_running_ids(const struct jobs *js)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter it;
+	void *id;
+
+	g_hash_table_iter_init(&it, js->runs);
+	while (g_hash_table_iter_next(&it, &id, NULL))
+		g_ptr_array_add(list, id);
+	return list;
+}
+
 bool
 jobs_has_running(const struct jobs *js)
 {
@@ -57,6 +72,7 @@
 {
 	struct jobs *js = ctx;
 	GPtrArray *list = g_ptr_array_new();
+	bool list_is_empty;
 	GHashTableIter it;
 	void *val;
 
@@ -65,10 +81,12 @@
 		g_ptr_array_add(list, val);
 	for (guint i = 0; i < list->len; i++)
 		jobs_run_start_due(list->pdata[i]);
+	list_is_empty = list->len == 0;
 	g_ptr_array_unref(list);
 	js->timer = loop_timer(js->opt.deps.lp,
-	    loop_now_us(js->opt.deps.lp) + kStartDuePeriodUs, start_due_items,
-	    js);
+	    loop_now_us(js->opt.deps.lp) +
+		(list_is_empty ? kIdlePeriodUs : kStartDuePeriodUs),
+	    start_due_items, js);
 }
 
 static struct itemjob *
@@ -312,7 +330,8 @@
 static void
 end_work(struct job_task *task)
 {
-	task->outcome = itemjob_end(task->js->opt.store, task->id);
+	task->outcome = itemjob_end(
+	    task->js->opt.store, task->id, &task->owner);
 }
 
 static void
@@ -321,7 +340,9 @@
 	log_job_call(task, "end");
 	if (task->outcome == kStoreOk) {
 		jobs_on_ended(task->js, task->id);
-		task->js->opt.notify_ended(task->js->opt.ctx, task->id);
+		if (task->owner != NULL)
+			task->js->opt.notify_ended(
+			    task->js->opt.ctx, task->id, task->owner);
 	}
 	if (task->req == NULL)
 		return;
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -15,8 +15,10 @@
 	/** Routing rules in force, borrowed; NULL before the first are
 	 * loaded. */
 	const struct routebook *(*routes)(void *ctx);
-	/** Notifies the peers that a job was ended. */
-	void (*notify_ended)(void *ctx, const char *id);
+	/** Notifies the daemon with the owner's session that its job was
+	 * ended. */
+	void (*notify_ended)(
+	    void *ctx, const char *id, const char *owner);
 	/** Whether the store is believed to answer, and a report of whether it
 	 * did. */
 	bool (*store_is_up)(void *ctx);
@@ -36,6 +38,9 @@
 struct jobs *jobs_new(const struct jobs_options *opt);
 void jobs_free(struct jobs *js);
 
+/** Ids of the jobs that this daemon runs: array of strings, borrowed. */
+GPtrArray *jobs_running_ids(const struct jobs *js);
+
 /** True if this daemon runs any job. */
 bool jobs_has_running(const struct jobs *js);
 
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -22,6 +22,7 @@
 	g_free(task->id);
 	g_free(task->token);
 	g_free(task->item_id);
+	g_free(task->owner);
 	itemjob_free(task->job);
 	itemjob_open_free(task->open);
 	if (task->items != NULL)
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -38,6 +38,8 @@
 	char *item_id;
 	GPtrArray *results;
 	GBytes *body;
+	/** Ended: session of the daemon that runs the job, or NULL. */
+	char *owner;
 	/* Takeover. */
 	struct itemjob_open *open;
 	GArray *done_items;
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -1,28 +1,32 @@
 /* Daemons of the installation, tracked by their heartbeats in the store. */
 #include "gateway/roster.h"
 
-#include <jansson.h>
-#include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #include "os/clock.h"
+#include "savoryflow/arbiter/u64_hash.h"
+#include "savoryflow/membership/contacts.h"
 #include "savoryflow/routing/rendezvous.h"
 
 enum {
-	kRowsPerScan = 500,
 	/* Heartbeats of all daemons together: half of the write rate of one
 	 * store partition, so that they get through while it is slow. */
 	kHeartbeatsPerS = 100,
 	kHeartbeatMinUs = kUsPerS,
-	kHeartbeatMaxUs = 10 * kUsPerS,
 	/* Heartbeats that may be missed before the lease expires. */
 	kLeasePeriods = 4,
 	/* A daemon takes about this long to stop. */
 	kDepartureUs = 8 * kUsPerS,
+	/* A daemon takes roles that serve others if it has at least this share,
+	 * in percent, of the processor capacity of the largest one. */
+	kRoleCapacityPercent = 50,
 };
 
 struct roster_member {
 	struct roster_row row;
+	/** Hash of the row's session. */
+	uint64_t session;
 	/** Time of the last lease renewal. */
 	int64_t renewed_us;
 	/** Time of the last message received directly from it. */
@@ -43,7 +47,11 @@
 	struct roster_options opt;
 	/** struct roster_member by address, excluding this daemon. */
 	GHashTable *members;
+	/** struct roster_member by session, borrowed. */
+	GHashTable *sessions;
+	int64_t contact_timeout_us;
 	bool is_self_leaving;
+	uint64_t epoch;
 };
 
 struct roster *
@@ -52,18 +60,43 @@
 	struct roster *ro = g_new0(struct roster, 1);
 
 	ro->opt = *opt;
+	ro->contact_timeout_us = opt->contact_timeout_us;
 	ro->members =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	ro->sessions = u64_hash_new(NULL);
 	return ro;
 }
 
 void
 roster_free(struct roster *ro)
 {
+	g_hash_table_unref(ro->sessions);
 	g_hash_table_unref(ro->members);
 	g_free(ro);
 }
 
+uint64_t
+roster_session_hash(const char *session)
+{
+	return XXH3_64bits(session, strlen(session));
+}
+
+uint64_t
+roster_epoch(const struct roster *ro)
+{
+	return ro->epoch;
+}
+
+static void
+set_session(struct roster *ro, struct roster_member *m)
+{
+	if (g_hash_table_lookup(ro->sessions, &m->session) == m)
+		g_hash_table_remove(ro->sessions, &m->session);
+	m->session = roster_session_hash(m->row.session);
+	g_hash_table_replace(ro->sessions, &m->session, m);
+	ro->epoch++;
+}
+
 static void
 apply_row(struct roster *ro, const struct roster_row *row, int64_t now_us,
     struct roster_changes *changes)
@@ -78,6 +111,7 @@
 		m->row = *row;
 		m->renewed_us = now_us;
 		g_hash_table_insert(ro->members, m->row.address, m);
+		set_session(ro, m);
 		g_ptr_array_add(changes->joined, g_strdup(row->address));
 		return;
 	}
@@ -85,8 +119,12 @@
 		return;
 	if (strcmp(m->row.session, row->session) != 0) {
 		m->is_leaving = false;
+		m->row = *row;
+		set_session(ro, m);
 		g_ptr_array_add(changes->removed, g_strdup(row->address));
 	}
+	if (m->unlisted_us != 0)
+		ro->epoch++;
 	m->row = *row;
 	m->renewed_us = now_us;
 	m->unlisted_us = 0;
@@ -108,6 +146,7 @@
 	if (m->is_removal_reported || is_alive(ro, m, now_us))
 		return;
 	m->is_removal_reported = true;
+	ro->epoch++;
 	g_ptr_array_add(changes->removed, g_strdup(m->row.address));
 }
 
@@ -117,11 +156,12 @@
  * @return true once that time is over
  */
 static bool
-record_unlisted(
-    struct roster_member *m, int64_t now_us, struct roster_changes *changes)
+record_unlisted(struct roster *ro, struct roster_member *m, int64_t now_us,
+    struct roster_changes *changes)
 {
 	if (m->unlisted_us != 0)
 		return now_us - m->unlisted_us > kDepartureUs;
+	ro->epoch++;
 	if (!m->is_removal_reported)
 		g_ptr_array_add(changes->removed, g_strdup(m->row.address));
 	m->is_removal_reported = true;
@@ -152,10 +192,18 @@
 		record_expiry(ro, val, now_us, changes);
 		if (g_hash_table_contains(listed, key))
 			continue;
-		if (record_unlisted(val, now_us, changes))
-			g_hash_table_iter_remove(&it);
+		if (!record_unlisted(ro, val, now_us, changes))
+			continue;
+		if (g_hash_table_lookup(ro->sessions,
+			&((struct roster_member *)val)->session) == val)
+			g_hash_table_remove(ro->sessions,
+			    &((struct roster_member *)val)->session);
+		g_hash_table_iter_remove(&it);
 	}
 	g_hash_table_unref(listed);
+	ro->contact_timeout_us = MAX(ro->opt.contact_timeout_us,
+	    contacts_timeout_us(
+		roster_count(ro, ro->opt.self.data_center, now_us)));
 }
 
 void
@@ -180,14 +228,17 @@
 {
 	struct roster_member *m = g_hash_table_lookup(ro->members, address);
 
-	if (m != NULL)
-		m->suspect_until_us = until_us;
+	if (m == NULL)
+		return;
+	m->suspect_until_us = until_us;
+	ro->epoch++;
 }
 
 void
 roster_leave(struct roster *ro)
 {
 	ro->is_self_leaving = true;
+	ro->epoch++;
 }
 
 void
@@ -195,8 +246,10 @@
 {
 	struct roster_member *m = g_hash_table_lookup(ro->members, address);
 
-	if (m != NULL)
-		m->is_leaving = true;
+	if (m == NULL || m->is_leaving)
+		return;
+	m->is_leaving = true;
+	ro->epoch++;
 }
 
 void
@@ -207,6 +260,8 @@
 
 	if (m == NULL)
 		return;
+	if (m->suspect_until_us != 0)
+		ro->epoch++;
 	m->suspect_until_us = 0;
 	m->last_message_us = now_us;
 	if (status == NULL)
@@ -215,6 +270,41 @@
 	m->store_answered_us = now_us - status->age_us;
 }
 
+static void
+record_indirect(struct roster *ro, struct roster_member *m, int64_t at_us)
+{
+	if (m->unlisted_us == 0)
+		m->last_message_us = MAX(m->last_message_us, at_us);
+}
+
+void
+roster_record_relayed(struct roster *ro, const char *address, int64_t at_us)
+{
+	struct roster_member *m = g_hash_table_lookup(ro->members, address);
+
+	if (m != NULL)
+		record_indirect(ro, m, at_us);
+}
+
+void
+roster_record_contact(struct roster *ro, const struct contact *contact)
+{
+	struct roster_member *m =
+	    g_hash_table_lookup(ro->sessions, &contact->session);
+
+	if (m == NULL)
+		return;
+	record_indirect(ro, m, contact->beat_us);
+	if (contact->is_leaving && !m->is_leaving) {
+		m->is_leaving = true;
+		ro->epoch++;
+	}
+	if (contact->store_answered_us == 0)
+		return;
+	m->is_store_unreachable = contact->is_store_unreachable;
+	m->store_answered_us = contact->store_answered_us;
+}
+
 /* True if the daemon may be an arbiter. */
 static bool
 is_eligible(
@@ -223,7 +313,7 @@
 	return !m->is_leaving && m->unlisted_us == 0 &&
 	    (is_alive(ro, m, now_us) ||
 		(m->last_message_us != 0 &&
-		    now_us - m->last_message_us <= ro->opt.contact_timeout_us));
+		    now_us - m->last_message_us <= ro->contact_timeout_us));
 }
 
 static bool
@@ -252,52 +342,87 @@
 	return false;
 }
 
+/* Daemons among which the owner of a key is elected. */
+struct candidates {
+	const char *key;
+	/** Highest processor capacity of a candidate. */
+	int32_t cpu_millicores;
+	const char *best;
+	uint64_t weight;
+};
+
 static void
-consider(
-    const char *key, const char *address, const char **best, uint64_t *weight)
+consider_capacity(struct candidates *c, const struct roster_row *row)
 {
-	uint64_t w = rendezvous_weight(key, address);
+	c->cpu_millicores = MAX(c->cpu_millicores, row->cpu_millicores);
+}
 
-	if (*best != NULL && w <= *weight)
+static void
+consider(struct candidates *c, const struct roster_row *row)
+{
+	uint64_t weight;
+
+	if ((int64_t)row->cpu_millicores * 100 <
+	    (int64_t)c->cpu_millicores * kRoleCapacityPercent)
+		return;
+	weight = rendezvous_weight(c->key, row->address);
+	if (c->best != NULL && weight <= c->weight)
 		return;
-	*best = address;
-	*weight = w;
+	c->best = row->address;
+	c->weight = weight;
 }
 
+typedef void (*consider_fn)(
+    struct candidates *c, const struct roster_row *row);
+
 /* @param include_suspects also consider daemons that did not answer in time */
-static const char *
-find_owner(const struct roster *ro, const char *key, const char *data_center,
-    bool include_suspects, int64_t now_us)
+static void
+for_each_candidate(const struct roster *ro, const char *data_center,
+    bool include_suspects, int64_t now_us, consider_fn fn, struct candidates *c)
 {
-	const char *near = NULL;
-	const char *any = NULL;
-	uint64_t near_weight = 0;
-	uint64_t any_weight = 0;
 	GHashTableIter it;
 	void *val;
 
-	if (!ro->is_self_leaving) {
-		consider(key, ro->opt.self.address, &any, &any_weight);
-		if (data_center == NULL ||
-		    strcmp(data_center, ro->opt.self.data_center) == 0)
-			consider(
-			    key, ro->opt.self.address, &near, &near_weight);
-	}
+	if (!ro->is_self_leaving &&
+	    (data_center == NULL ||
+		strcmp(data_center, ro->opt.self.data_center) == 0))
+		fn(c, &ro->opt.self);
 	g_hash_table_iter_init(&it, ro->members);
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		const struct roster_member *m = val;
 
-		if (!is_usable(ro, m, now_us) &&
-		    !(include_suspects && is_eligible(ro, m, now_us)))
+		if (data_center != NULL &&
+		    strcmp(data_center, m->row.data_center) != 0)
 			continue;
-		consider(key, m->row.address, &any, &any_weight);
-		if (data_center == NULL ||
-		    strcmp(data_center, m->row.data_center) == 0)
-			consider(key, m->row.address, &near, &near_weight);
+		if (include_suspects ? is_eligible(ro, m, now_us)
+				     : is_usable(ro, m, now_us))
+			fn(c, &m->row);
 	}
-	if (near != NULL)
-		return near;
-	return any != NULL ? any : ro->opt.self.address;
+}
+
+static const char *
+elect(const struct roster *ro, const char *key, const char *data_center,
+    bool include_suspects, int64_t now_us)
+{
+	struct candidates c = {.key = key};
+
+	for_each_candidate(
+	    ro, data_center, include_suspects, now_us, consider_capacity, &c);
+	for_each_candidate(
+	    ro, data_center, include_suspects, now_us, consider, &c);
+	return c.best;
+}
+
+static const char *
+find_owner(const struct roster *ro, const char *key, const char *data_center,
+    bool include_suspects, int64_t now_us)
+{
+	const char *owner =
+	    elect(ro, key, data_center, include_suspects, now_us);
+
+	if (owner == NULL && data_center != NULL)
+		owner = elect(ro, key, NULL, include_suspects, now_us);
+	return owner != NULL ? owner : ro->opt.self.address;
 }
 
 const char *
@@ -316,21 +441,34 @@
 }
 
 GPtrArray *
-roster_peers(const struct roster *ro, int64_t now_us)
+roster_peers(const struct roster *ro, const char *data_center, int64_t now_us)
 {
 	GPtrArray *list = g_ptr_array_new();
 	GHashTableIter it;
 	void *val;
 
 	g_hash_table_iter_init(&it, ro->members);
-	while (g_hash_table_iter_next(&it, NULL, &val))
-		if (is_alive(ro, val, now_us) ||
-		    ((struct roster_member *)val)->unlisted_us != 0)
-			g_ptr_array_add(
-			    list, ((struct roster_member *)val)->row.address);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct roster_member *m = val;
+
+		if (data_center != NULL &&
+		    strcmp(data_center, m->row.data_center) != 0)
+			continue;
+		if (is_alive(ro, m, now_us) || m->unlisted_us != 0)
+			g_ptr_array_add(list, m->row.address);
+	}
 	return list;
 }
 
+const char *
+roster_data_center(const struct roster *ro, const char *address)
+{
+	const struct roster_member *m =
+	    g_hash_table_lookup(ro->members, address);
+
+	return m != NULL ? m->row.data_center : "";
+}
+
 GPtrArray *
 roster_peers_in_data_center(
     const struct roster *ro, const char *data_center, int64_t now_us)
@@ -385,6 +523,16 @@
 	return best;
 }
 
+const char *
+roster_session_address(const struct roster *ro, const char *session)
+{
+	uint64_t hash = roster_session_hash(session);
+	const struct roster_member *m =
+	    g_hash_table_lookup(ro->sessions, &hash);
+
+	return m != NULL ? m->row.address : NULL;
+}
+
 GArray *
 roster_stale(const struct roster *ro, int64_t max_age_us, int64_t now_us)
 {
@@ -437,7 +585,7 @@
 roster_heartbeat_period_us(int32_t daemons)
 {
 	return CLAMP((int64_t)daemons * kUsPerS / kHeartbeatsPerS,
-	    kHeartbeatMinUs, kHeartbeatMaxUs);
+	    kHeartbeatMinUs, kRosterHeartbeatMaxUs);
 }
 
 const char *
@@ -457,122 +605,3 @@
 	}
 	return "";
 }
-
-static char *
-row_key(const char *address)
-{
-	return g_strconcat("daemon/-/", address, NULL);
-}
-
-enum store_result
-roster_store_heartbeat(
-    const struct store *st, const struct roster_row *self, int64_t sequence)
-{
-	struct store_txn *txn = store_txn_new();
-	char *key = row_key(self->address);
-	json_t *doc = json_pack("{s:s,s:s,s:s,s:s,s:I,s:I}", "front",
-	    self->front, "region", self->region, "data_center",
-	    self->data_center, "session", self->session, "beat",
-	    (json_int_t)sequence, "period_us", (json_int_t)self->period_us);
-	char *text = json_dumps(doc, JSON_COMPACT);
-	enum store_result res;
-
-	store_txn_write(txn, key, text);
-	res = st->ops->txn(st->ctx, kCauseSession, txn);
-	free(text);
-	json_decref(doc);
-	g_free(key);
-	store_txn_free(txn);
-	return res;
-}
-
-enum store_result
-roster_store_leave(const struct store *st, const struct roster_row *self)
-{
-	struct store_txn *txn = store_txn_new();
-	char *key = row_key(self->address);
-	enum store_result res;
-
-	store_txn_write(txn, key, NULL);
-	res = st->ops->txn(st->ctx, kCauseSession, txn);
-	g_free(key);
-	store_txn_free(txn);
-	return res;
-}
-
-enum store_result
-roster_store_remove(
-    const struct store *st, const char *address, int64_t version)
-{
-	struct store_txn *txn = store_txn_new();
-	char *key = row_key(address);
-	enum store_result res;
-
-	store_txn_version(txn, key, version);
-	store_txn_write(txn, key, NULL);
-	res = st->ops->txn(st->ctx, kCauseSession, txn);
-	g_free(key);
-	store_txn_free(txn);
-	return res;
-}
-
-static void
-add_row(GArray *rows, const struct store_row *stored)
-{
-	json_t *doc = json_loads(stored->value, 0, NULL);
-	const char *session =
-	    json_string_value(json_object_get(doc, "session"));
-	const char *front = json_string_value(json_object_get(doc, "front"));
-	const char *region = json_string_value(json_object_get(doc, "region"));
-	const char *dc = json_string_value(json_object_get(doc, "data_center"));
-	struct roster_row row = {
-	    .version = stored->version,
-	    .period_us =
-		CLAMP(json_integer_value(json_object_get(doc, "period_us")), 0,
-		    kHeartbeatMaxUs),
-	};
-
-	if (session != NULL && region != NULL && dc != NULL) {
-		g_strlcpy(row.address, strrchr(stored->key, '/') + 1,
-		    sizeof(row.address));
-		g_strlcpy(
-		    row.front, front != NULL ? front : "", sizeof(row.front));
-		g_strlcpy(row.session, session, sizeof(row.session));
-		g_strlcpy(row.region, region, sizeof(row.region));
-		g_strlcpy(row.data_center, dc, sizeof(row.data_center));
-		g_array_append_val(rows, row);
-	}
-	json_decref(doc);
-}
-
-enum store_result
-roster_store_read(const struct store *st, GArray **rows)
-{
-	GPtrArray *page = NULL;
-	char *after = NULL;
-	enum store_result res;
-
-	*rows = g_array_new(FALSE, TRUE, sizeof(struct roster_row));
-	do {
-		if (page != NULL)
-			g_ptr_array_unref(page);
-		page = NULL;
-		res = st->ops->scan(st->ctx, kCauseSession, "daemon/-/", after,
-		    kRowsPerScan, &page);
-		for (guint i = 0; res == kStoreOk && i < page->len; i++) {
-			const struct store_row *row = page->pdata[i];
-
-			add_row(*rows, row);
-			g_free(after);
-			after = g_strdup(row->key);
-		}
-	} while (res == kStoreOk && page->len == kRowsPerScan);
-	if (page != NULL)
-		g_ptr_array_unref(page);
-	g_free(after);
-	if (res != kStoreOk) {
-		g_array_unref(*rows);
-		*rows = NULL;
-	}
-	return res;
-}
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -6,8 +6,14 @@
 #include <stdint.h>
 
 #include "savoryflow/fleet/fleet.h"
+#include "savoryflow/membership/contacts.h"
 #include "store/store.h"
 
+enum {
+	/** Longest heartbeat period. */
+	kRosterHeartbeatMaxUs = 10000000,
+};
+
 /** A daemon as described by its row in the store. */
 struct roster_row {
 	char address[kFleetAddressMax];
@@ -20,6 +26,8 @@
 	int64_t version;
 	/** Heartbeat period; 0 if the row does not contain it. */
 	int64_t period_us;
+	/** Processor capacity; 0 if the row does not contain it. */
+	int32_t cpu_millicores;
 };
 
 struct roster_options {
@@ -27,8 +35,9 @@
 	/** Lease of a daemon whose row does not change, unless its own
 	 * heartbeat period requires a longer one. */
 	int64_t lease_us;
-	/** A daemon that sent a message within this time may arbitrate even if
-	 * its lease has expired: it may merely be cut off from the store. */
+	/** A daemon known to run within this time may arbitrate even if its
+	 * lease has expired: it may merely be cut off from the store. Extended
+	 * to the time that contacts need in a large data centre. */
 	int64_t contact_timeout_us;
 };
 
@@ -88,6 +97,23 @@
 void roster_record_message(struct roster *ro, const char *address,
     const struct roster_store_status *status, int64_t now_us);
 
+/** Records that a peer passed on a report of a daemon from a time. */
+void roster_record_relayed(
+    struct roster *ro, const char *address, int64_t at_us);
+
+/** Records what neighbours passed on about a daemon. */
+void roster_record_contact(struct roster *ro, const struct contact *contact);
+
+/** Hash that identifies a session in contacts. */
+uint64_t roster_session_hash(const char *session);
+
+/** Address of the daemon with a session, borrowed; NULL if it is unknown. */
+const char *roster_session_address(
+    const struct roster *ro, const char *session);
+
+/** Changes whenever the owner of a key may have changed, except by time. */
+uint64_t roster_epoch(const struct roster *ro);
+
 /**
  * Front address of a peer that reaches the store, preferably a nearby one.
  * @param excluded_front front address of a peer to exclude, or ""
@@ -101,8 +127,9 @@
     const struct roster *ro, const char *session, int64_t now_us);
 
 /**
- * The daemon in a data centre that owns a key, by rendezvous hashing; one of
- * another data centre if none is available there.
+ * The daemon in a data centre that owns a key, by rendezvous hashing among the
+ * daemons with the most processor capacity; one of another data centre if none
+ * is available there.
  * @param data_center NULL: any
  * @return address, borrowed; this daemon's own if there is no other
  */
@@ -116,8 +143,13 @@
 /**
  * Addresses of the peers that are alive or have just left: array of strings,
  * borrowed.
+ * @param data_center NULL: any
  */
-GPtrArray *roster_peers(const struct roster *ro, int64_t now_us);
+GPtrArray *roster_peers(
+    const struct roster *ro, const char *data_center, int64_t now_us);
+
+/** Data centre of a peer, or "" if it is unknown. */
+const char *roster_data_center(const struct roster *ro, const char *address);
 
 /**
  * Addresses of the peers in a data centre that are alive or have recently sent
--- /dev/null
+++ b/src/gateway/roster_store.c
@@ -0,0 +1,133 @@
+/* Rows of daemons in the store. */
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway/roster.h"
+#include "os/clock.h"
+
+enum {
+	kRowsPerScan = 500,
+};
+
+static char *
+row_key(const char *address)
+{
+	return g_strconcat("daemon/-/", address, NULL);
+}
+
+enum store_result
+roster_store_heartbeat(
+    const struct store *st, const struct roster_row *self, int64_t sequence)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = row_key(self->address);
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:s,s:i,s:I,s:I}", "front",
+	    self->front, "region", self->region, "data_center",
+	    self->data_center, "session", self->session, "cpu",
+	    (int)self->cpu_millicores, "beat", (json_int_t)sequence,
+	    "period_us", (json_int_t)self->period_us);
+	char *text = json_dumps(doc, JSON_COMPACT);
+	enum store_result res;
+
+	store_txn_write(txn, key, text);
+	res = st->ops->txn(st->ctx, kCauseSession, txn);
+	free(text);
+	json_decref(doc);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+roster_store_leave(const struct store *st, const struct roster_row *self)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = row_key(self->address);
+	enum store_result res;
+
+	store_txn_write(txn, key, NULL);
+	res = st->ops->txn(st->ctx, kCauseSession, txn);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+roster_store_remove(
+    const struct store *st, const char *address, int64_t version)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = row_key(address);
+	enum store_result res;
+
+	store_txn_version(txn, key, version);
+	store_txn_write(txn, key, NULL);
+	res = st->ops->txn(st->ctx, kCauseSession, txn);
+	g_free(key);
+	store_txn_free(txn);
+	return res;
+}
+
+static void
+add_row(GArray *rows, const struct store_row *stored)
+{
+	json_t *doc = json_loads(stored->value, 0, NULL);
+	const char *session =
+	    json_string_value(json_object_get(doc, "session"));
+	const char *front = json_string_value(json_object_get(doc, "front"));
+	const char *region = json_string_value(json_object_get(doc, "region"));
+	const char *dc = json_string_value(json_object_get(doc, "data_center"));
+	struct roster_row row = {
+	    .version = stored->version,
+	    .period_us =
+		CLAMP(json_integer_value(json_object_get(doc, "period_us")), 0,
+		    kRosterHeartbeatMaxUs),
+	    .cpu_millicores =
+		(int32_t)json_integer_value(json_object_get(doc, "cpu")),
+	};
+
+	if (session != NULL && region != NULL && dc != NULL) {
+		g_strlcpy(row.address, strrchr(stored->key, '/') + 1,
+		    sizeof(row.address));
+		g_strlcpy(
+		    row.front, front != NULL ? front : "", sizeof(row.front));
+		g_strlcpy(row.session, session, sizeof(row.session));
+		g_strlcpy(row.region, region, sizeof(row.region));
+		g_strlcpy(row.data_center, dc, sizeof(row.data_center));
+		g_array_append_val(rows, row);
+	}
+	json_decref(doc);
+}
+
+enum store_result
+roster_store_read(const struct store *st, GArray **rows)
+{
+	GPtrArray *page = NULL;
+	char *after = NULL;
+	enum store_result res;
+
+	*rows = g_array_new(FALSE, TRUE, sizeof(struct roster_row));
+	do {
+		if (page != NULL)
+			g_ptr_array_unref(page);
+		page = NULL;
+		res = st->ops->scan(st->ctx, kCauseSession, "daemon/-/", after,
+		    kRowsPerScan, &page);
+		for (guint i = 0; res == kStoreOk && i < page->len; i++) {
+			const struct store_row *row = page->pdata[i];
+
+			add_row(*rows, row);
+			g_free(after);
+			after = g_strdup(row->key);
+		}
+	} while (res == kStoreOk && page->len == kRowsPerScan);
+	if (page != NULL)
+		g_ptr_array_unref(page);
+	g_free(after);
+	if (res != kStoreOk) {
+		g_array_unref(*rows);
+		*rows = NULL;
+	}
+	return res;
+}
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -11,6 +11,8 @@
 
 enum {
 	kTickUs = 25 * kUsPerMs,
+	/* Period while no answer is awaited. */
+	kSlowTickUs = 150 * kUsPerMs,
 	/* An arbiter answers within one loop iteration; this is allowed for on
 	 * top of the link latency. */
 	kAnswerMarginUs = 40 * kUsPerMs,
@@ -34,6 +36,14 @@
 
 static void tick(void *ctx);
 
+static void
+schedule_tick(struct slots *sl, int64_t at_us)
+{
+	loop_timer_cancel(sl->opt.lp, sl->timer);
+	sl->next_tick_us = at_us;
+	sl->timer = loop_timer(sl->opt.lp, at_us, tick, sl);
+}
+
 struct slots *
 slots_new(const struct slots_options *opt)
 {
@@ -52,8 +62,7 @@
 	/* Holder 0 is this daemon. */
 	slots_holder_index(sl, opt->address);
 	loop_on_iteration_end(opt->lp, deliver_all, sl);
-	sl->timer =
-	    loop_timer(opt->lp, loop_now_us(opt->lp) + kTickUs, tick, sl);
+	schedule_tick(sl, loop_now_us(opt->lp) + kTickUs);
 	return sl;
 }
 
@@ -141,10 +150,7 @@
 static void
 assign_arbiter(struct slots *sl, struct hold *h)
 {
-	g_strlcpy(h->arbiter,
-	    roster_owner(sl->opt.roster, h->view->key, h->view->data_center,
-		loop_now_us(sl->opt.lp)),
-	    sizeof(h->arbiter));
+	g_strlcpy(h->arbiter, slots_arbiter(sl, h->view), sizeof(h->arbiter));
 }
 
 static void
@@ -174,6 +180,8 @@
 	}
 	h->phase = kHoldRequested;
 	h->requested_us = loop_now_us(sl->opt.lp);
+	if (sl->next_tick_us > h->requested_us + kTickUs)
+		schedule_tick(sl, h->requested_us + kTickUs);
 	add_local_delta(h, 1);
 	assign_arbiter(sl, h);
 	request_from_arbiter(sl, h, NULL);
@@ -318,6 +326,7 @@
 	log_event(kEvtArbiterSilent, "arbiter", h->arbiter, "waited_us",
 	    log_number(now_us - h->requested_us), NULL);
 	roster_suspect(sl->opt.roster, h->arbiter, now_us + kSuspectUs);
+	sl->opt.wire->reconnect(sl->opt.wire_ctx, h->arbiter);
 	h->unresponsive_count++;
 	if (h->unresponsive_count < kUnresponsiveMax || h->request.is_batch) {
 		/* The unresponsive arbiter may still grant a slot later. */
@@ -436,12 +445,9 @@
 }
 
 static bool
-has_arbiter_changed(
-    const struct slots *sl, const struct hold *h, int64_t now_us)
+has_arbiter_changed(struct slots *sl, const struct hold *h)
 {
-	return strcmp(h->arbiter,
-		   roster_owner(sl->opt.roster, h->view->key,
-		       h->view->data_center, now_us)) != 0;
+	return strcmp(h->arbiter, slots_arbiter(sl, h->view)) != 0;
 }
 
 void
@@ -455,11 +461,17 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct hold *h = val;
 
-		if (h->view != NULL && has_arbiter_changed(sl, h, now_us))
+		if (h->view != NULL && has_arbiter_changed(sl, h))
 			switch_arbiter(sl, h, now_us);
 	}
 }
 
+bool
+slots_is_arbiter(const struct slots *sl)
+{
+	return g_hash_table_size(sl->hosted) > 0;
+}
+
 void
 slots_remove_daemon(struct slots *sl, const char *address)
 {
@@ -473,7 +485,7 @@
 
 	if (h->view == NULL)
 		return;
-	if (has_arbiter_changed(sl, h, now_us)) {
+	if (has_arbiter_changed(sl, h)) {
 		switch_arbiter(sl, h, now_us);
 		return;
 	}
@@ -509,6 +521,22 @@
 	}
 }
 
+/* True while an answer is awaited or given here. */
+static bool
+needs_tick_soon(const struct slots *sl)
+{
+	GHashTableIter it;
+	void *val;
+
+	if (g_hash_table_size(sl->hosted) > 0)
+		return true;
+	g_hash_table_iter_init(&it, sl->holds);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (((struct hold *)val)->phase == kHoldRequested)
+			return true;
+	return false;
+}
+
 static void
 tick(void *ctx)
 {
@@ -524,8 +552,8 @@
 		g_ptr_array_add(list, val);
 	for (guint i = 0; i < list->len; i++)
 		hold_tick(sl, list->pdata[i], now_us);
+	schedule_tick(sl, now_us + (needs_tick_soon(sl) ? kTickUs : kSlowTickUs));
 	g_ptr_array_unref(list);
-	sl->timer = loop_timer(sl->opt.lp, now_us + kTickUs, tick, sl);
 }
 
 void
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -7,9 +7,13 @@
 #include "savoryflow/fleet/fleet.h"
 #include "savoryflow/slotpool/slotpool_defs.h"
 
-/** Sends a message to another daemon; delivery is not guaranteed. */
 struct slots_wire_ops {
+	/** Sends a message to another daemon; delivery is not guaranteed. */
 	void (*send)(void *ctx, const char *to, Sfpeer__Envelope *env);
+	/** Opens the connection to a daemon that messages will follow to. */
+	void (*connect)(void *ctx, const char *to);
+	/** Replaces the connection to a daemon that does not answer. */
+	void (*reconnect)(void *ctx, const char *to);
 };
 
 struct slots_options {
@@ -78,6 +82,9 @@
 /** Frees the slots held by a daemon that was removed or has restarted. */
 void slots_remove_daemon(struct slots *sl, const char *address);
 
+/** True if this daemon arbitrates a pool. */
+bool slots_is_arbiter(const struct slots *sl);
+
 /** Handles the slot messages of a peer's envelope. */
 void slots_on_envelope(struct slots *sl, const Sfpeer__Envelope *env);
 
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -11,6 +11,8 @@
 	kLinkSameCenterUs = 1 * kUsPerMs,
 	kLinkSameRegionUs = 8 * kUsPerMs,
 	kLinkOtherRegionUs = 120 * kUsPerMs,
+	/* Leases and suspicions that expire change the owner of a pool. */
+	kOwnerCheckUs = 50 * kUsPerMs,
 	/* An older load report is disregarded. */
 	kLoadMaxAgeUs = 1500 * kUsPerMs,
 	kHoldDefaultUs = 700 * kUsPerMs,
@@ -38,6 +40,24 @@
 	return view;
 }
 
+const char *
+slots_arbiter(struct slots *sl, struct pool_view *view)
+{
+	uint64_t epoch = roster_epoch(sl->opt.roster);
+	int64_t now_us = loop_now_us(sl->opt.lp);
+
+	if (view->owner_at_us != 0 && view->owner_epoch == epoch &&
+	    now_us - view->owner_at_us < kOwnerCheckUs)
+		return view->owner;
+	view->owner_epoch = epoch;
+	view->owner_at_us = now_us;
+	g_strlcpy(view->owner,
+	    roster_owner(
+		sl->opt.roster, view->key, view->data_center, now_us),
+	    sizeof(view->owner));
+	return view->owner;
+}
+
 int64_t
 slots_link_us(const struct slots *sl, const char *data_center)
 {
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -9,11 +9,11 @@
 enum {
 	/* An arbiter without requests for this time is removed. */
 	kIdleUs = 20 * kUsPerS,
-	/* Bounds of the time between load reports; before the maximum, only
-	 * changes are reported. */
-	kReportPeriodMinUs = 150 * kUsPerMs,
-	kReportPeriodMaxUs = 700 * kUsPerMs,
 	kLogPeriodUs = kUsPerS,
+	/* An owner of a pool for this time arbitrates it before the first
+	 * request, so that all daemons are connected to it then. A daemon that
+	 * starts knows no others at first. */
+	kEarlyStartUs = 2 * kUsPerS,
 };
 
 void
@@ -104,9 +104,6 @@
 	g_ptr_array_unref(all);
 }
 
-static void report_load(
-    struct slots *sl, struct hosted_pool *hp, int64_t now_us);
-
 static struct hosted_pool *
 hosted_get(struct slots *sl, const char *service, const char *data_center)
 {
@@ -132,7 +129,7 @@
 		update_targets(sl, hp, actions);
 		run_actions(sl, actions);
 		/* Makes the holders of its slots report what they hold. */
-		report_load(sl, hp, loop_now_us(sl->opt.lp));
+		slots_report_load(sl, hp, loop_now_us(sl->opt.lp));
 	}
 	hp->used_us = loop_now_us(sl->opt.lp);
 	return hp;
@@ -209,72 +206,6 @@
 	}
 }
 
-static void
-fill_load(const struct slots *sl, const struct hosted_pool *hp,
-    const struct slotpool_load *load, Sfpeer__PoolLoad *wire)
-{
-	sfpeer__pool_load__init(wire);
-	wire->service = (char *)hp->service;
-	wire->data_center = (char *)hp->data_center;
-	wire->epoch = sl->epoch;
-	wire->slots = (uint32_t)load->slots;
-	wire->online = (uint32_t)load->online;
-	wire->batch = (uint32_t)load->batch;
-	wire->online_queued = (uint32_t)load->online_queued;
-	wire->batch_queued = (uint32_t)load->batch_queued;
-	wire->hold_us = (uint32_t)load->hold_us;
-}
-
-static void
-record_own_load(struct slots *sl, const struct hosted_pool *hp,
-    const struct slotpool_load *load, int64_t now_us)
-{
-	struct pool_view *view = slots_view(sl, hp->service, hp->data_center);
-
-	view->load = *load;
-	view->load_at_us = now_us;
-	view->epoch = sl->epoch;
-	view->local_delta = 0;
-}
-
-static bool
-is_report_due(const struct hosted_pool *hp, const struct slotpool_load *load,
-    int64_t now_us)
-{
-	int64_t since_us = now_us - hp->reported_us;
-
-	if (since_us > kReportPeriodMaxUs)
-		return true;
-	return since_us > kReportPeriodMinUs &&
-	    (load->slots != hp->reported.slots ||
-		load->online != hp->reported.online ||
-		load->online_queued != hp->reported.online_queued ||
-		load->batch != hp->reported.batch);
-}
-
-static void
-report_load(struct slots *sl, struct hosted_pool *hp, int64_t now_us)
-{
-	struct slotpool_load load = slotpool_load_get(hp->pool, now_us);
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	Sfpeer__PoolLoad wire;
-	Sfpeer__PoolLoad *list[] = {&wire};
-	GPtrArray *peers;
-
-	record_own_load(sl, hp, &load, now_us);
-	if (!is_report_due(hp, &load, now_us))
-		return;
-	hp->reported = load;
-	hp->reported_us = now_us;
-	fill_load(sl, hp, &load, &wire);
-	env.n_pool_loads = 1;
-	env.pool_loads = list;
-	peers = roster_peers(sl->opt.roster, now_us);
-	for (guint i = 0; i < peers->len; i++)
-		sl->opt.wire->send(sl->opt.wire_ctx, peers->pdata[i], &env);
-	g_ptr_array_unref(peers);
-}
-
 static void
 log_load(struct hosted_pool *hp, bool is_elected, int64_t now_us)
 {
@@ -293,12 +224,41 @@
 	    NULL);
 }
 
+static bool
+is_own(struct slots *sl, struct pool_view *view)
+{
+	return strcmp(slots_arbiter(sl, view), sl->opt.address) == 0;
+}
+
+/* Starts to arbitrate the pools that this daemon has owned for a while. */
+static void
+host_owned_pools(struct slots *sl, int64_t now_us)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sl->views);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct pool_view *view = val;
+
+		if (view->listed_slots == 0 || !is_own(sl, view)) {
+			view->owned_since_us = 0;
+			continue;
+		}
+		if (view->owned_since_us == 0)
+			view->owned_since_us = now_us;
+		if (now_us - view->owned_since_us > kEarlyStartUs)
+			hosted_get(sl, view->service, view->data_center);
+	}
+}
+
 void
 slots_host_tick(struct slots *sl, int64_t now_us)
 {
 	GHashTableIter it;
 	void *val;
 
+	host_owned_pools(sl, now_us);
 	g_hash_table_iter_init(&it, sl->hosted);
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct hosted_pool *hp = val;
@@ -319,10 +279,8 @@
 		slotpool_tick(hp->pool, now_us, actions);
 		run_actions(sl, actions);
 		log_load(hp, is_elected, now_us);
-		if (strcmp(roster_owner(
-			       sl->opt.roster, key, hp->data_center, now_us),
-			sl->opt.address) == 0)
-			report_load(sl, hp, now_us);
+		if (is_own(sl, slots_view(sl, hp->service, hp->data_center)))
+			slots_report_load(sl, hp, now_us);
 	}
 }
 
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -20,6 +20,8 @@
 	struct slotpool *pool;
 	struct slotpool_load reported;
 	int64_t reported_us;
+	/** Time of the last report to the arbiters of other data centres. */
+	int64_t reported_far_us;
 	int64_t logged_us;
 	int64_t used_us;
 };
@@ -35,6 +37,16 @@
 	int64_t load_at_us;
 	/** Epoch of the arbiter that reported the load. */
 	uint64_t epoch;
+	/** The arbiter that reported the load to this one, which is to pass it
+	 * on to its data centre. */
+	char reporter[kFleetAddressMax];
+	bool is_relay_due;
+	/** Owner of the pool's key, and when it was determined. */
+	char owner[kFleetAddressMax];
+	uint64_t owner_epoch;
+	int64_t owner_at_us;
+	/** Since when this daemon owns the pool; 0 if it does not. */
+	int64_t owned_since_us;
 	/** Online slots requested or granted since the last load report, minus
 	 * those released. */
 	int32_t local_delta;
@@ -93,6 +105,7 @@
 	GPtrArray *holders;
 	GArray *deliveries;
 	uint64_t timer;
+	int64_t next_tick_us;
 };
 
 /* slots.c */
@@ -110,6 +123,9 @@
 
 /* slots_choice.c */
 
+/** The daemon that arbitrates a pool, borrowed. */
+const char *slots_arbiter(struct slots *sl, struct pool_view *view);
+
 /** Returns the view of a pool; creates it if needed. */
 struct pool_view *slots_view(
     struct slots *sl, const char *service, const char *data_center);
@@ -129,6 +145,12 @@
 /** True if no pool of the service has a healthy target. */
 bool slots_all_unhealthy(const struct slots *sl, const char *service);
 
+/* slots_report.c */
+
+/** Reports the load of a hosted pool to the daemons that use it, if due. */
+void slots_report_load(
+    struct slots *sl, struct hosted_pool *hp, int64_t now_us);
+
 /* slots_host.c */
 
 /** Passes a slot request to an arbiter hosted by this daemon. */
--- a/src/gateway/slots_wire.c
+++ b/src/gateway/slots_wire.c
@@ -33,6 +33,9 @@
 {
 	struct pool_view *view =
 	    slots_view(sl, wire->service, wire->data_center);
+	bool is_relayed = wire->arbiter[0] != '\0';
+	const char *arbiter = is_relayed ? wire->arbiter : from;
+	int64_t now_us = loop_now_us(sl->opt.lp);
 
 	view->load = (struct slotpool_load){
 	    .slots = (int32_t)wire->slots,
@@ -42,12 +45,19 @@
 	    .batch_queued = (int32_t)wire->batch_queued,
 	    .hold_us = wire->hold_us,
 	};
-	view->load_at_us = loop_now_us(sl->opt.lp);
+	view->load_at_us = now_us;
 	view->local_delta = 0;
-	if (view->epoch != wire->epoch) {
-		view->epoch = wire->epoch;
-		on_new_epoch(sl, view, from);
-	}
+	if (is_relayed)
+		roster_record_relayed(sl->opt.roster, arbiter, now_us);
+	view->is_relay_due = !is_relayed &&
+	    strcmp(view->data_center, sl->opt.data_center) != 0;
+	g_strlcpy(view->reporter, arbiter, sizeof(view->reporter));
+	if (view->epoch == wire->epoch)
+		return;
+	view->epoch = wire->epoch;
+	on_new_epoch(sl, view, arbiter);
+	if (strcmp(view->data_center, sl->opt.data_center) == 0)
+		sl->opt.wire->connect(sl->opt.wire_ctx, arbiter);
 }
 
 /* Releases a slot whose request no longer exists. */
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -11,6 +11,9 @@
 	kRequestPeriodUs = 500 * kUsPerMs,
 	/* Limits the size of a message; a row has a few hundred bytes. */
 	kRowsMax = 2000,
+	/* One of this many requests goes to any daemon, the others to those of
+	 * this data centre: all of it may be cut off from the store. */
+	kFarRequestEvery = 3,
 };
 
 struct view_exchange {
@@ -26,12 +29,18 @@
 {
 	struct view_exchange *vx = ctx;
 	int64_t now_us = loop_now_us(vx->opt.lp);
-	GPtrArray *peers = roster_peers(vx->opt.roster, now_us);
+	bool is_far = vx->next_peer % kFarRequestEvery == 0;
+	GPtrArray *peers = roster_peers(
+	    vx->opt.roster, is_far ? NULL : vx->opt.data_center, now_us);
 	guint seed_count = g_strv_length(vx->seed_peers);
 	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
 	Sfpeer__View view = SFPEER__VIEW__INIT;
 	const char *to;
 
+	if (peers->len == 0) {
+		g_ptr_array_unref(peers);
+		peers = roster_peers(vx->opt.roster, NULL, now_us);
+	}
 	view.wanted = true;
 	env.view = &view;
 	for (guint i = 0; peers->len == 0 && i < seed_count; i++)
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -13,6 +13,7 @@
 	 * while the store is unreachable. */
 	const char *seed_peers;
 	const char *address;
+	const char *data_center;
 	const struct slots_wire_ops *wire;
 	void *wire_ctx;
 	const struct adapter_ops *adapter;
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -125,6 +125,8 @@
 	X(kEvtStoreUp, 1502, INFO, "store_up",                                 \
 	    "The platform's table service responds again.")                    \
 	X(kEvtMemberUp, 1601, INFO, "member_up", "A peer daemon is alive.")    \
+	X(kEvtMembersUp, 1608, INFO, "members_up",                             \
+	    "Many peer daemons are alive that were not known before.")         \
 	X(kEvtMemberDown, 1602, INFO, "member_down",                           \
 	    "A peer daemon is unresponsive or has left.")                      \
 	X(kEvtArbiterFallback, 1603, WARN, "arbiter_fallback",                 \
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -30,19 +30,27 @@
 	kMsPerS = 1000,
 };
 
+enum outgoing_kind { kOutgoingMessage, kOutgoingConnect, kOutgoingDisconnect };
+
 struct outgoing {
-	/** Peer address. If the payload is NULL, its connection is closed. */
+	enum outgoing_kind kind;
 	char *to;
 	uint8_t *payload;
 	size_t len;
 };
 
+/** Connection to a peer. */
+struct dealer {
+	void *socket;
+	int64_t used_us;
+};
+
 struct peer {
 	struct peer_options opt;
 	char *address;
 	void *zmq;
 	void *router;
-	/** DEALER sockets by peer address; peer thread only. */
+	/** struct dealer by peer address; peer thread only. */
 	GHashTable *dealers;
 	ck_ring_t ring;
 	ck_ring_buffer_t *slots;
@@ -53,9 +61,12 @@
 };
 
 static void
-dealer_close(void *socket)
+dealer_close(void *p)
 {
-	zmq_close(socket);
+	struct dealer *dl = p;
+
+	zmq_close(dl->socket);
+	g_free(dl);
 }
 
 static void
@@ -167,23 +178,41 @@
 	enqueue(pr, msg);
 }
 
-void
-peer_disconnect(struct peer *pr, const char *address)
+static void
+enqueue_control(
+    struct peer *pr, enum outgoing_kind kind, const char *address)
 {
 	struct outgoing *msg = g_new0(struct outgoing, 1);
 
+	msg->kind = kind;
 	msg->to = g_strdup(address);
 	enqueue(pr, msg);
 }
 
+void
+peer_connect(struct peer *pr, const char *address)
+{
+	enqueue_control(pr, kOutgoingConnect, address);
+}
+
+void
+peer_disconnect(struct peer *pr, const char *address)
+{
+	enqueue_control(pr, kOutgoingDisconnect, address);
+}
+
 static void *
 dealer_get(struct peer *pr, const char *to)
 {
-	void *socket = g_hash_table_lookup(pr->dealers, to);
+	struct dealer *dl = g_hash_table_lookup(pr->dealers, to);
+	int64_t now_us = clock_mono_us(clock_system());
+	void *socket;
 	char *endpoint;
 
-	if (socket != NULL)
-		return socket;
+	if (dl != NULL) {
+		dl->used_us = now_us;
+		return dl->socket;
+	}
 	socket = zmq_socket(pr->zmq, ZMQ_DEALER);
 	set_heartbeat(pr, socket);
 	set_int_option(socket, ZMQ_SNDHWM, kPeerQueueMax);
@@ -192,7 +221,9 @@
 	endpoint = g_strdup_printf("tcp://%s", to);
 	zmq_connect(socket, endpoint);
 	g_free(endpoint);
-	g_hash_table_insert(pr->dealers, g_strdup(to), socket);
+	dl = g_new(struct dealer, 1);
+	*dl = (struct dealer){socket, now_us};
+	g_hash_table_insert(pr->dealers, g_strdup(to), dl);
 	return socket;
 }
 
@@ -205,15 +236,37 @@
 
 	(void)n;
 	while (ck_ring_dequeue_mpsc(&pr->ring, pr->slots, (void *)&msg)) {
-		if (msg->payload == NULL)
-			g_hash_table_remove(pr->dealers, msg->to);
-		else
+		switch (msg->kind) {
+		case kOutgoingMessage:
 			zmq_send(dealer_get(pr, msg->to), msg->payload,
 			    msg->len, ZMQ_DONTWAIT);
+			break;
+		case kOutgoingConnect:
+			dealer_get(pr, msg->to);
+			break;
+		case kOutgoingDisconnect:
+			g_hash_table_remove(pr->dealers, msg->to);
+			break;
+		}
 		outgoing_free(msg);
 	}
 }
 
+static gboolean
+is_idle(void *to, void *p, void *before_us)
+{
+	return ((struct dealer *)p)->used_us < *(int64_t *)before_us;
+}
+
+static void
+close_idle_dealers(struct peer *pr, int64_t now_us)
+{
+	int64_t before_us = now_us - pr->opt.idle_close_ms * kUsPerMs;
+
+	if (pr->opt.idle_close_ms > 0)
+		g_hash_table_foreach_remove(pr->dealers, is_idle, &before_us);
+}
+
 static void
 handle_message(struct peer *pr, const void *data, size_t len)
 {
@@ -267,6 +320,7 @@
 			next_tick_us =
 			    clock_mono_us(clk) + pr->opt.tick_ms * kUsPerMs;
 			pr->opt.ops->on_tick(pr->opt.ctx);
+			close_idle_dealers(pr, next_tick_us);
 			cpu_account_control_thread();
 		}
 		send_queued(pr);
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -31,6 +31,8 @@
 	 * after which a connection is closed; 0 selects the defaults. */
 	int64_t heartbeat_ms;
 	int64_t heartbeat_timeout_ms;
+	/** Connections without a message for this time are closed; 0: none. */
+	int64_t idle_close_ms;
 	const struct peer_ops *ops;
 	void *ctx;
 };
@@ -54,7 +56,10 @@
 void peer_send(struct peer *pr, const char *to, Sfpeer__Envelope *env,
     enum peer_traffic traffic);
 
-/** Closes the connection to a peer that was removed. */
+/** Opens the connection to a peer that messages will follow to. */
+void peer_connect(struct peer *pr, const char *address);
+
+/** Closes the connection to a peer; the next message opens a new one. */
 void peer_disconnect(struct peer *pr, const char *address);
 
 #endif
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &sfpeer__pool_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__target_note__init
+                     (Sfpeer__TargetNote         *message)
+{
+  static const Sfpeer__TargetNote init_value = SFPEER__TARGET_NOTE__INIT;
+  *message = init_value;
+}
+size_t sfpeer__target_note__get_packed_size
+                     (const Sfpeer__TargetNote *message)
+{
+  assert(message->base.descriptor == &sfpeer__target_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__target_note__pack
+                     (const Sfpeer__TargetNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__target_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__target_note__pack_to_buffer
+                     (const Sfpeer__TargetNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__target_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__TargetNote *
+       sfpeer__target_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__TargetNote *)
+     protobuf_c_message_unpack (&sfpeer__target_note__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__target_note__free_unpacked
+                     (Sfpeer__TargetNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__target_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__view_row__init
                      (Sfpeer__ViewRow         *message)
 {
@@ -637,6 +682,51 @@
   assert(message->base.descriptor == &sfpeer__view__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__contact__init
+                     (Sfpeer__Contact         *message)
+{
+  static const Sfpeer__Contact init_value = SFPEER__CONTACT__INIT;
+  *message = init_value;
+}
+size_t sfpeer__contact__get_packed_size
+                     (const Sfpeer__Contact *message)
+{
+  assert(message->base.descriptor == &sfpeer__contact__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__contact__pack
+                     (const Sfpeer__Contact *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__contact__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__contact__pack_to_buffer
+                     (const Sfpeer__Contact *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__contact__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__Contact *
+       sfpeer__contact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__Contact *)
+     protobuf_c_message_unpack (&sfpeer__contact__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__contact__free_unpacked
+                     (Sfpeer__Contact *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__contact__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__job_note__init
                      (Sfpeer__JobNote         *message)
 {
@@ -1769,7 +1859,7 @@
   (ProtobufCMessageInit) sfpeer__slot_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__pool_load__field_descriptors[9] =
+static const ProtobufCFieldDescriptor sfpeer__pool_load__field_descriptors[10] =
 {
   {
     "service",
@@ -1879,8 +1969,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "arbiter",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, arbiter),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__pool_load__field_indices_by_name[] = {
+  9,   /* field[9] = arbiter */
   5,   /* field[5] = batch */
   7,   /* field[7] = batch_queued */
   1,   /* field[1] = data_center */
@@ -1894,7 +1997,7 @@
 static const ProtobufCIntRange sfpeer__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sfpeer__pool_load__descriptor =
 {
@@ -1904,13 +2007,64 @@
   "Sfpeer__PoolLoad",
   "sfpeer",
   sizeof(Sfpeer__PoolLoad),
-  9,
+  10,
   sfpeer__pool_load__field_descriptors,
   sfpeer__pool_load__field_indices_by_name,
   1,  sfpeer__pool_load__number_ranges,
   (ProtobufCMessageInit) sfpeer__pool_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sfpeer__target_note__field_descriptors[2] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__TargetNote, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__TargetNote, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__target_note__field_indices_by_name[] = {
+  1,   /* field[1] = started_ms */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange sfpeer__target_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor sfpeer__target_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.TargetNote",
+  "TargetNote",
+  "Sfpeer__TargetNote",
+  "sfpeer",
+  sizeof(Sfpeer__TargetNote),
+  2,
+  sfpeer__target_note__field_descriptors,
+  sfpeer__target_note__field_indices_by_name,
+  1,  sfpeer__target_note__number_ranges,
+  (ProtobufCMessageInit) sfpeer__target_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sfpeer__view_row__field_descriptors[5] =
 {
   {
@@ -2065,6 +2219,109 @@
   (ProtobufCMessageInit) sfpeer__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sfpeer__contact__field_descriptors[6] =
+{
+  {
+    "session",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Contact, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Contact, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Contact, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Contact, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blind",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Contact, blind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "store_age_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Contact, store_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__contact__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  4,   /* field[4] = blind */
+  3,   /* field[3] = leaving */
+  1,   /* field[1] = sequence */
+  0,   /* field[0] = session */
+  5,   /* field[5] = store_age_ms */
+};
+static const ProtobufCIntRange sfpeer__contact__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor sfpeer__contact__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.Contact",
+  "Contact",
+  "Sfpeer__Contact",
+  "sfpeer",
+  sizeof(Sfpeer__Contact),
+  6,
+  sfpeer__contact__field_descriptors,
+  sfpeer__contact__field_indices_by_name,
+  1,  sfpeer__contact__number_ranges,
+  (ProtobufCMessageInit) sfpeer__contact__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sfpeer__job_note__field_descriptors[2] =
 {
   {
@@ -2116,7 +2373,7 @@
   (ProtobufCMessageInit) sfpeer__job_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[21] =
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[24] =
 {
   {
     "from",
@@ -2370,6 +2627,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "contacts",
+    22,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_contacts),
+    offsetof(Sfpeer__Envelope, contacts),
+    &sfpeer__contact__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Sfpeer__Envelope, n_quarantined),
+    offsetof(Sfpeer__Envelope, quarantined),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_notes",
+    24,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_target_notes),
+    offsetof(Sfpeer__Envelope, target_notes),
+    &sfpeer__target_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
@@ -2378,6 +2671,7 @@
   10,   /* field[10] = cancelled_jobs */
   8,   /* field[8] = condemned */
   7,   /* field[7] = config */
+  21,   /* field[21] = contacts */
   0,   /* field[0] = from */
   1,   /* field[1] = gossip */
   16,   /* field[16] = job_notes */
@@ -2388,16 +2682,18 @@
   6,   /* field[6] = limit_leases */
   4,   /* field[4] = notes */
   14,   /* field[14] = pool_loads */
+  22,   /* field[22] = quarantined */
   12,   /* field[12] = slot_answers */
   11,   /* field[11] = slot_asks */
   13,   /* field[13] = slot_notes */
   20,   /* field[20] = store_age_ms */
+  23,   /* field[23] = target_notes */
   15,   /* field[15] = view */
 };
 static const ProtobufCIntRange sfpeer__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -2407,7 +2703,7 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  21,
+  24,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
   1,  sfpeer__envelope__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -27,8 +27,10 @@
 typedef struct Sfpeer__SlotAnswer Sfpeer__SlotAnswer;
 typedef struct Sfpeer__SlotNote Sfpeer__SlotNote;
 typedef struct Sfpeer__PoolLoad Sfpeer__PoolLoad;
+typedef struct Sfpeer__TargetNote Sfpeer__TargetNote;
 typedef struct Sfpeer__ViewRow Sfpeer__ViewRow;
 typedef struct Sfpeer__View Sfpeer__View;
+typedef struct Sfpeer__Contact Sfpeer__Contact;
 typedef struct Sfpeer__JobNote Sfpeer__JobNote;
 typedef struct Sfpeer__Envelope Sfpeer__Envelope;
 
@@ -255,10 +257,28 @@
   uint32_t online_queued;
   uint32_t batch_queued;
   uint32_t hold_us;
+  /*
+   * The pool's arbiter, if the sender only passes its report on.
+   */
+  char *arbiter;
 };
 #define SFPEER__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__pool_load__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * A target that leaves, as its answers say; a later start of it is sound.
+ */
+struct  Sfpeer__TargetNote
+{
+  ProtobufCMessage base;
+  char *target;
+  int64_t started_ms;
+};
+#define SFPEER__TARGET_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__target_note__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -294,6 +314,36 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * When a daemon was last known to run, as passed on by its neighbours.
+ */
+struct  Sfpeer__Contact
+{
+  ProtobufCMessage base;
+  /*
+   * Hash of the daemon's session.
+   */
+  uint64_t session;
+  /*
+   * Increases with each period of the daemon.
+   */
+  uint32_t sequence;
+  /*
+   * Time since the daemon started that period.
+   */
+  uint32_t age_ms;
+  protobuf_c_boolean leaving;
+  protobuf_c_boolean blind;
+  /*
+   * Time between the store's last answer and that period; 0: not known.
+   */
+  uint32_t store_age_ms;
+};
+#define SFPEER__CONTACT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__contact__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
 struct  Sfpeer__JobNote
 {
   ProtobufCMessage base;
@@ -354,10 +404,22 @@
    * The sender has given its jobs up: others may take them.
    */
   protobuf_c_boolean left;
+  size_t n_contacts;
+  Sfpeer__Contact **contacts;
+  /*
+   * Fingerprints of requests that crash targets: no run is to follow.
+   */
+  size_t n_quarantined;
+  uint64_t *quarantined;
+  /*
+   * Targets that said in an answer that they leave.
+   */
+  size_t n_target_notes;
+  Sfpeer__TargetNote **target_notes;
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Sfpeer__Member methods */
@@ -588,6 +650,25 @@
 void   sfpeer__pool_load__free_unpacked
                      (Sfpeer__PoolLoad *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__TargetNote methods */
+void   sfpeer__target_note__init
+                     (Sfpeer__TargetNote         *message);
+size_t sfpeer__target_note__get_packed_size
+                     (const Sfpeer__TargetNote   *message);
+size_t sfpeer__target_note__pack
+                     (const Sfpeer__TargetNote   *message,
+                      uint8_t             *out);
+size_t sfpeer__target_note__pack_to_buffer
+                     (const Sfpeer__TargetNote   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__TargetNote *
+       sfpeer__target_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__target_note__free_unpacked
+                     (Sfpeer__TargetNote *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__ViewRow methods */
 void   sfpeer__view_row__init
                      (Sfpeer__ViewRow         *message);
@@ -626,6 +707,25 @@
 void   sfpeer__view__free_unpacked
                      (Sfpeer__View *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__Contact methods */
+void   sfpeer__contact__init
+                     (Sfpeer__Contact         *message);
+size_t sfpeer__contact__get_packed_size
+                     (const Sfpeer__Contact   *message);
+size_t sfpeer__contact__pack
+                     (const Sfpeer__Contact   *message,
+                      uint8_t             *out);
+size_t sfpeer__contact__pack_to_buffer
+                     (const Sfpeer__Contact   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__Contact *
+       sfpeer__contact__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__contact__free_unpacked
+                     (Sfpeer__Contact *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__JobNote methods */
 void   sfpeer__job_note__init
                      (Sfpeer__JobNote         *message);
@@ -702,12 +802,18 @@
 typedef void (*Sfpeer__PoolLoad_Closure)
                  (const Sfpeer__PoolLoad *message,
                   void *closure_data);
+typedef void (*Sfpeer__TargetNote_Closure)
+                 (const Sfpeer__TargetNote *message,
+                  void *closure_data);
 typedef void (*Sfpeer__ViewRow_Closure)
                  (const Sfpeer__ViewRow *message,
                   void *closure_data);
 typedef void (*Sfpeer__View_Closure)
                  (const Sfpeer__View *message,
                   void *closure_data);
+typedef void (*Sfpeer__Contact_Closure)
+                 (const Sfpeer__Contact *message,
+                  void *closure_data);
 typedef void (*Sfpeer__JobNote_Closure)
                  (const Sfpeer__JobNote *message,
                   void *closure_data);
@@ -732,8 +838,10 @@
 extern const ProtobufCMessageDescriptor sfpeer__slot_answer__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__slot_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__pool_load__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__target_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__view_row__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__view__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__contact__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__job_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__envelope__descriptor;
 
--- a/src/savoryflow/job/itemjob_open.c
+++ b/src/savoryflow/job/itemjob_open.c
@@ -101,10 +101,12 @@
 }
 
 enum store_result
-itemjob_end(const struct store *st, const char *id)
+itemjob_end(const struct store *st, const char *id, char **owner)
 {
 	enum store_result res = kStoreAmbiguous;
 
+	*owner = NULL;
+
 	/* Another daemon may claim the job in between; if an answer was lost,
 	 * the next read shows the outcome. */
 	for (int i = 0; i < kEndAttemptsMax; i++) {
@@ -119,6 +121,8 @@
 		}
 		if (res == kStoreOk && !open->is_ended)
 			res = write_open(st, open, open->owner, true);
+		g_free(*owner);
+		*owner = open != NULL ? g_strdup(open->owner) : NULL;
 		itemjob_open_free(open);
 		if (res == kStoreOk || res == kStoreUnavailable)
 			return res;
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -68,9 +68,14 @@
 enum store_result itemjob_claim(
     const struct store *st, const struct itemjob_open *open, const char *owner);
 
-/** Ends a job early. @return kStoreOk also if it is finished, kStoreNotFound if
- * it is unknown */
-enum store_result itemjob_end(const struct store *st, const char *id);
+/**
+ * Ends a job early.
+ * @param owner set to the session of the daemon that runs the job, or NULL if it
+ *        is finished; free with g_free
+ * @return kStoreOk also if it is finished, kStoreNotFound if it is unknown
+ */
+enum store_result itemjob_end(
+    const struct store *st, const char *id, char **owner);
 
 /** Marks the job as finished: it needs no owner any more. */
 enum store_result itemjob_close(const struct store *st, const char *id);
--- a/src/savoryflow/retry/suspects.c
+++ b/src/savoryflow/retry/suspects.c
@@ -59,9 +59,8 @@
 	return now_us - entry->last_us > kSuspectExpiryUs;
 }
 
-bool
-suspects_record_interrupted(
-    struct suspects *sus, uint64_t fingerprint, int64_t now_us)
+static struct suspect *
+suspect_get(struct suspects *sus, uint64_t fingerprint, int64_t now_us)
 {
 	struct suspect *entry = g_hash_table_lookup(sus->all, &fingerprint);
 
@@ -74,6 +73,24 @@
 	}
 	if (is_expired(entry, now_us))
 		entry->interruptions = 0;
+	return entry;
+}
+
+void
+suspects_quarantine(struct suspects *sus, uint64_t fingerprint, int64_t now_us)
+{
+	struct suspect *entry = suspect_get(sus, fingerprint, now_us);
+
+	entry->interruptions = MAX(entry->interruptions, kQuarantineThreshold);
+	entry->last_us = now_us;
+}
+
+bool
+suspects_record_interrupted(
+    struct suspects *sus, uint64_t fingerprint, int64_t now_us)
+{
+	struct suspect *entry = suspect_get(sus, fingerprint, now_us);
+
 	entry->interruptions++;
 	entry->last_us = now_us;
 	return entry->interruptions == kQuarantineThreshold;
--- a/src/savoryflow/retry/suspects.h
+++ b/src/savoryflow/retry/suspects.h
@@ -26,6 +26,10 @@
 bool suspects_record_interrupted(
     struct suspects *sus, uint64_t fingerprint, int64_t now_us);
 
+/** Quarantines a request, as a daemon that counts its interruptions says. */
+void suspects_quarantine(
+    struct suspects *sus, uint64_t fingerprint, int64_t now_us);
+
 /** Records a run that returned part of an answer; clears the request. */
 void suspects_record_progress(struct suspects *sus, uint64_t fingerprint);
 
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -163,31 +163,57 @@
 	return NULL;
 }
 
+/* Units that a settings file may use, with the unit of the flag. */
+static const struct {
+	const char *suffix;
+	const char *flag_suffix;
+	int32_t factor;
+} file_units[] = {
+    {"-s", "-ms", 1000},
+    {"-cores", "-millicores", 1000},
+};
+
+/* @return flag of which the entry gives the value in a larger unit, or NULL */
+static char *
+flag_in_smaller_unit(const char *name, int32_t *factor)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(file_units); i++) {
+		size_t base;
+		char *flag;
+
+		if (!g_str_has_suffix(name, file_units[i].suffix))
+			continue;
+		base = strlen(name) - strlen(file_units[i].suffix);
+		flag = g_strdup_printf(
+		    "%.*s%s", (int)base, name, file_units[i].flag_suffix);
+		*factor = file_units[i].factor;
+		if (find_row_by_flag(flag) != NULL)
+			return flag;
+		g_free(flag);
+	}
+	return NULL;
+}
+
 /*
- * Parses an entry into flag and value. A duration may be given in seconds,
- * under the flag's name with "-s" in place of "-ms".
+ * Parses an entry into flag and value. Durations may be given in seconds and
+ * processor capacity in cores, under the flag's name with that unit.
  * @return false for an unknown setting or a value of the wrong type
  */
 static bool
 parse_entry(const char *name, const json_t *value, char **flag, char **text)
 {
-	char *ms_flag = NULL;
+	int32_t factor = 1;
 
 	if (find_row_by_flag(name) != NULL) {
 		*flag = g_strdup(name);
 		*text = value_to_text(value);
 		return *text != NULL;
 	}
-	if (g_str_has_suffix(name, "-s") && json_is_number(value))
-		ms_flag =
-		    g_strdup_printf("%.*s-ms", (int)strlen(name) - 2, name);
-	if (ms_flag == NULL || find_row_by_flag(ms_flag) == NULL) {
-		g_free(ms_flag);
+	if (!json_is_number(value))
 		return false;
-	}
-	*flag = ms_flag;
-	*text = g_strdup_printf("%.0f", json_number_value(value) * 1000);
-	return true;
+	*flag = flag_in_smaller_unit(name, &factor);
+	*text = g_strdup_printf("%.0f", json_number_value(value) * factor);
+	return *flag != NULL;
 }
 
 /* Reads a settings file. @return values by flag, or NULL and an error */
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -83,6 +83,9 @@
 	    "submission")                                                      \
 	NUM(janitor_period_ms, "janitor-period-ms", 30000, 100, 3600000, "ms", \
 	    "adapter: period of the removal of finished jobs")                 \
+	NUM(cpu_millicores, "cpu-millicores", 1000, 1, 1024000, "millicores",  \
+	    "processor capacity of this VM; the daemons with the most take "   \
+	    "the roles that serve others")                                     \
 	NUM(workers, "workers", 4, 1, 64, "threads",                           \
 	    "threads for requests that wait for the platform")
 
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -56,6 +56,16 @@
 		return res;
 	}
 
+	store_result
+	End(const char *id)
+	{
+		char *owner = nullptr;
+		store_result res = itemjob_end(st, id, &owner);
+
+		g_free(owner);
+		return res;
+	}
+
 	store_result
 	Commit(int index, int position, const std::string &text = "text")
 	{
@@ -343,10 +353,13 @@
 	bool is_new, is_ended = false;
 	GPtrArray *list = nullptr;
 
-	EXPECT_EQ(kStoreNotFound, itemjob_end(st, "j"));
+	EXPECT_EQ(kStoreNotFound, End("j"));
 	Submit("t", "s1", &is_new);
-	EXPECT_EQ(kStoreOk, itemjob_end(st, "j"));
-	EXPECT_EQ(kStoreOk, itemjob_end(st, "j"));
+	char *owner = nullptr;
+	EXPECT_EQ(kStoreOk, itemjob_end(st, "j", &owner));
+	EXPECT_STREQ("s1", owner) << "who is to be told";
+	g_free(owner);
+	EXPECT_EQ(kStoreOk, End("j"));
 	ASSERT_EQ(kStoreOk, itemjob_read_open(st, &list));
 	EXPECT_EQ(
 	    kStoreOk, itemjob_claim(st, (itemjob_open *)list->pdata[0], "s2"));
@@ -354,7 +367,7 @@
 	EXPECT_EQ("s2", Owner(&is_ended));
 	EXPECT_TRUE(is_ended);
 	EXPECT_EQ(kStoreOk, itemjob_close(st, "j"));
-	EXPECT_EQ(kStoreOk, itemjob_end(st, "j")) << "finished";
+	EXPECT_EQ(kStoreOk, End("j")) << "finished";
 	EXPECT_EQ("none", Owner());
 }
 
--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -223,12 +223,12 @@
 	EXPECT_EQ(1u, changes.removed->len);
 	EXPECT_FALSE(roster_is_session_alive(ro, "s1", kSec));
 	EXPECT_FALSE(OwnsAnyKey("a", kSec));
-	GPtrArray *peers = roster_peers(ro, kSec);
+	GPtrArray *peers = roster_peers(ro, NULL, kSec);
 	EXPECT_EQ(1u, peers->len);
 	g_ptr_array_unref(peers);
 	Apply({}, 10 * kSec);
 	EXPECT_EQ(0u, changes.removed->len) << "reported once";
-	peers = roster_peers(ro, 10 * kSec);
+	peers = roster_peers(ro, NULL, 10 * kSec);
 	EXPECT_EQ(0u, peers->len);
 	g_ptr_array_unref(peers);
 }
