slotpool: of equal targets each daemon prefers others

Cause: targets of equal cost were chosen in the order of a hash table, so all daemons began with the same one: a connection was rarely used twice and the first targets got more than their share. The rank of a target for a daemon breaks ties now. Test: 54 of 54 daemons chose one target of 27 before, at least 20 targets are used now and each daemon keeps its own.

--- a/src/savoryflow/slotpool/slot_target.c
+++ b/src/savoryflow/slotpool/slot_target.c
@@ -1,6 +1,9 @@
 /* One target of a pool: slots in use, and how well it suits a request. */
 #include "savoryflow/slotpool/slot_target.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 #include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
@@ -195,6 +198,12 @@
 	return scaled + target_health_penalty(&t->health);
 }
 
+uint64_t
+slot_target_rank(const struct slot_target *t, uint32_t holder)
+{
+	return XXH3_64bits_withSeed(t->info.id, strlen(t->info.id), holder);
+}
+
 bool
 slot_target_has_free_slot(const struct slot_target *t)
 {
--- a/src/savoryflow/slotpool/slot_target.h
+++ b/src/savoryflow/slotpool/slot_target.h
@@ -49,6 +49,10 @@
 int64_t slot_target_cost(
     const struct slot_target *t, const struct slot_request *req);
 
+/** Rank of the target for a daemon among targets of equal cost, higher is
+ * better; always the same, so that the daemon uses its connections again. */
+uint64_t slot_target_rank(const struct slot_target *t, uint32_t holder);
+
 /** Records that the target processes a prompt prefix. */
 void slot_target_record_prefix(struct slot_target *t, uint64_t prefix);
 
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -189,27 +189,34 @@
 	    strcmp(t->info.id, req->excluded_target) != 0;
 }
 
+/* The target of the lowest cost; of equal ones, each daemon prefers others. */
 static struct slot_target *
 choose_free(struct slotpool *sp, const struct slot_request *req, int64_t now_us)
 {
 	struct slot_target *best = NULL;
 	int64_t best_cost = 0;
+	uint64_t best_rank = 0;
 	GHashTableIter it;
 	void *val;
 
 	g_hash_table_iter_init(&it, sp->targets);
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct slot_target *t = val;
+		uint64_t rank;
 		int64_t cost;
 
 		if (!may_run_on(t, req, now_us) ||
 		    !slot_target_has_free_slot(t))
 			continue;
 		cost = slot_target_cost(t, req);
-		if (best == NULL || cost < best_cost) {
-			best = t;
-			best_cost = cost;
-		}
+		if (best != NULL && cost > best_cost)
+			continue;
+		rank = slot_target_rank(t, req->holder);
+		if (best != NULL && cost == best_cost && rank <= best_rank)
+			continue;
+		best = t;
+		best_cost = cost;
+		best_rank = rank;
 	}
 	return best;
 }
--- a/test/unit/test_slotpool.cc
+++ b/test/unit/test_slotpool.cc
@@ -497,4 +497,30 @@
 	}
 }
 
+/*
+ * Of equally loaded targets a daemon uses the same one each time, so that its
+ * connections are used again; different daemons prefer different ones, so that
+ * no target gets more than its share.
+ */
+TEST_F(Slotpool, EqualTargetsAreSharedOutByDaemon)
+{
+	std::map<std::string, int> slots;
+	std::map<std::string, int> daemons_at;
+	uint64_t id = 0;
+
+	for (int i = 0; i < 27; i++)
+		slots["t" + std::to_string(i)] = 8;
+	Targets(slots);
+	for (uint32_t holder = 1; holder <= 54; holder++) {
+		std::string first = Served(++id, holder);
+
+		for (int i = 0; i < 10; i++)
+			EXPECT_EQ(first, Served(++id, holder)) << holder;
+		daemons_at[first]++;
+	}
+	EXPECT_GE(daemons_at.size(), 20u) << "of 27";
+	for (const auto &t : daemons_at)
+		EXPECT_LE(t.second, 7) << t.first << ", mean 2";
+}
+
 } // namespace
