fleet: a target that says in its answers that it leaves drains at once

Cause: the new rule on draining counts from the answer that a daemon passed on, whether the row says so or not; the header was not read. The adapter decodes it on streams, failures and refusals, not on the answer of another target at the address. The mark holds for that start of the target, whatever older or equal rows say; the pool's arbiter is told, so that no other daemon is sent there.

Test: a worker whose row stays ready says so in a stream, a failure and a refusal; none of 40 later calls at two daemons reaches it. Unit tests: rows of the same start, a row that returns, another start.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -64,6 +64,8 @@
 	/** The target has signed the response. */
 	bool is_signed;
 	bool is_event_stream;
+	/** The target leaves: it is to get no new requests. */
+	bool is_target_leaving;
 };
 
 struct dialect_ops {
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -249,7 +249,12 @@
 	    gw->self.address, gw->self.data_center, seed,
 	    &gateway_wire_ops, gw};
 	struct relay_deps deps = {
-	    .lp = gw->lp, .fleet = gw->fleet, .dialect = gw->adapter->dialect};
+	    .on_target_leaving = gateway_on_target_leaving,
+	    .ctx = gw,
+	    .lp = gw->lp,
+	    .fleet = gw->fleet,
+	    .dialect = gw->adapter->dialect,
+	};
 	struct contact_exchange_options contact = {gw->lp, gw->roster,
 	    gw->self.address, gw->self.session, gw->self.data_center,
 	    &gateway_wire_ops, gw};
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -92,6 +92,9 @@
 void gateway_notify_run_interrupted(
     void *ctx, uint64_t fingerprint, bool is_quarantined);
 
+/** A target said in an answer that it leaves: notifies its arbiter. */
+void gateway_on_target_leaving(void *ctx, const char *id, int64_t started_ms);
+
 extern const struct slots_wire_ops gateway_wire_ops;
 extern const struct peer_ops gateway_peer_ops;
 extern const struct watch_ops gateway_watch_ops;
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -102,6 +102,39 @@
 		members_poll_now(gw->members);
 }
 
+static bool
+record_target_leaving(struct gateway *gw, const char *id, int64_t started_ms,
+    const char *said_by)
+{
+	if (!fleet_record_leaving(gw->fleet, id, started_ms))
+		return false;
+	log_event(kEvtTargetLeaving, "target", id, "told_by", said_by, NULL);
+	gateway_targets_changed(gw);
+	return true;
+}
+
+void
+gateway_on_target_leaving(void *ctx, const char *id, int64_t started_ms)
+{
+	struct gateway *gw = ctx;
+	const struct fleet_target *t = fleet_find(gw->fleet, id);
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__TargetNote note = SFPEER__TARGET_NOTE__INIT;
+	Sfpeer__TargetNote *notes[] = {&note};
+	const char *arbiter;
+
+	if (t == NULL || !record_target_leaving(gw, id, started_ms, "answer"))
+		return;
+	arbiter = slots_pool_arbiter(gw->slots, t->service, t->data_center);
+	if (strcmp(arbiter, gw->self.address) == 0)
+		return;
+	note.target = (char *)id;
+	note.started_ms = started_ms;
+	env.n_target_notes = 1;
+	env.target_notes = notes;
+	send_to_peer(gw, arbiter, &env);
+}
+
 struct peer_message {
 	struct gateway *gw;
 	Sfpeer__Envelope *env;
@@ -115,6 +148,9 @@
 	Sfpeer__Envelope *env = msg->env;
 
 	handle_status(gw, env);
+	for (size_t i = 0; i < env->n_target_notes; i++)
+		record_target_leaving(gw, env->target_notes[i]->target,
+		    env->target_notes[i]->started_ms, env->from);
 	slots_on_envelope(gw->slots, env);
 	handle_interrupted(gw, env);
 	for (size_t i = 0; i < env->n_job_notes; i++)
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -54,6 +54,8 @@
 	enum relay_phase phase;
 	uint64_t slot;
 	char target[kFleetNameMax];
+	/** Start of the target, to which its answer refers. */
+	int64_t target_started_ms;
 	struct outbound_request *request;
 	uint64_t deadline_timer;
 	uint64_t stall_timer;
@@ -280,6 +282,9 @@
 
 	rl->deps.dialect->decode_response(
 	    status, headers, rl->attempt_id, &rl->response);
+	if (rl->response.is_target_leaving)
+		rl->deps.on_target_leaving(
+		    rl->deps.ctx, rl->target, rl->target_started_ms);
 	if (!rl->response.has_matching_attempt)
 		return false;
 	rl->status = status;
@@ -436,6 +441,7 @@
 
 	rl->link_us = slots_link_us(rl->deps.slots, target->data_center);
 	rl->deps.dialect->encode_forward(rl->headers, &fwd);
+	rl->target_started_ms = target->started_ms;
 	rl->attempts++;
 	metric_add(kMetAttempts, 1);
 	rl->phase = kPhaseRunning;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -58,6 +58,9 @@
 
 /** Modules that a relay uses. */
 struct relay_deps {
+	/** A target said in an answer that it leaves. */
+	void (*on_target_leaving)(void *ctx, const char *id, int64_t started_ms);
+	void *ctx;
 	struct loop *lp;
 	struct slots *slots;
 	struct outbound *outbound;
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -82,6 +82,10 @@
 /** Frees the slots held by a daemon that was removed or has restarted. */
 void slots_remove_daemon(struct slots *sl, const char *address);
 
+/** The daemon that arbitrates a pool, borrowed. */
+const char *slots_pool_arbiter(
+    struct slots *sl, const char *service, const char *data_center);
+
 /** True if this daemon arbitrates a pool. */
 bool slots_is_arbiter(const struct slots *sl);
 
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -58,6 +58,13 @@
 	return view->owner;
 }
 
+const char *
+slots_pool_arbiter(
+    struct slots *sl, const char *service, const char *data_center)
+{
+	return slots_arbiter(sl, slots_view(sl, service, data_center));
+}
+
 int64_t
 slots_link_us(const struct slots *sl, const char *data_center)
 {
--- a/src/savoryflow/fleet/fleet.c
+++ b/src/savoryflow/fleet/fleet.c
@@ -8,6 +8,8 @@
 	GHashTable *targets;
 	/** int64_t version of the removal by id; older rows are ignored. */
 	GHashTable *removed;
+	/** int64_t start of a target that said that it leaves, by id. */
+	GHashTable *leaving;
 };
 
 struct fleet *
@@ -19,6 +21,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	fl->removed =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fl->leaving =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fl;
 }
 
@@ -27,6 +31,7 @@
 {
 	g_hash_table_unref(fl->targets);
 	g_hash_table_unref(fl->removed);
+	g_hash_table_unref(fl->leaving);
 	g_free(fl);
 }
 
@@ -41,8 +46,24 @@
 	    a->expires_at_us == b->expires_at_us;
 }
 
-bool
-fleet_apply(struct fleet *fl, const struct fleet_target *t)
+/* The row, with what the target said itself. */
+static struct fleet_target
+effective_row(struct fleet *fl, const struct fleet_target *t)
+{
+	const int64_t *leaving = g_hash_table_lookup(fl->leaving, t->id);
+	struct fleet_target row = *t;
+
+	if (leaving == NULL)
+		return row;
+	if (*leaving == t->started_ms)
+		row.is_draining = true;
+	else if (*leaving < t->started_ms)
+		g_hash_table_remove(fl->leaving, t->id);
+	return row;
+}
+
+static bool
+apply_row(struct fleet *fl, const struct fleet_target *t)
 {
 	struct fleet_target *known = g_hash_table_lookup(fl->targets, t->id);
 	const int64_t *removed = g_hash_table_lookup(fl->removed, t->id);
@@ -63,6 +84,31 @@
 	return changed;
 }
 
+bool
+fleet_apply(struct fleet *fl, const struct fleet_target *t)
+{
+	struct fleet_target row = effective_row(fl, t);
+
+	return apply_row(fl, &row);
+}
+
+bool
+fleet_record_leaving(struct fleet *fl, const char *id, int64_t started_ms)
+{
+	struct fleet_target *known = g_hash_table_lookup(fl->targets, id);
+	int64_t *start;
+
+	if (known == NULL || known->started_ms != started_ms)
+		return false;
+	start = g_new(int64_t, 1);
+	*start = started_ms;
+	g_hash_table_replace(fl->leaving, g_strdup(id), start);
+	if (known->is_draining)
+		return false;
+	known->is_draining = true;
+	return true;
+}
+
 bool
 fleet_remove(
     struct fleet *fl, const char *id, int64_t version, int64_t expires_at_us)
--- a/src/savoryflow/fleet/fleet.h
+++ b/src/savoryflow/fleet/fleet.h
@@ -61,6 +61,14 @@
 /** Drops expired targets. @return true if there were any */
 bool fleet_tick(struct fleet *fl, int64_t now_us);
 
+/**
+ * Records that a target said in an answer that it leaves. Rows of the same start
+ * do not revoke this.
+ * @param started_ms start of the target that said so
+ * @return true if the target was not known to leave
+ */
+bool fleet_record_leaving(struct fleet *fl, const char *id, int64_t started_ms);
+
 /** Finds a target by id; NULL if it is not known. */
 const struct fleet_target *fleet_find(const struct fleet *fl, const char *id);
 
--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -201,24 +201,33 @@
 			.status);
 	}
 
+	/* How many attempts whose ids begin so a worker ran. */
+	int
+	CountRunsAt(size_t worker, const std::string &prefix)
+	{
+		std::string body = Http("GET",
+		    "http://" + LoopbackAddress(worker_ports[worker]) +
+			"/seen")
+				       .body;
+		size_t pos = 0;
+		int n = 0;
+
+		while ((pos = body.find("\"" + prefix, pos)) !=
+		    std::string::npos) {
+			n++;
+			pos++;
+		}
+		return n;
+	}
+
 	/* How many times the workers ran an attempt or item. */
 	int
 	CountRuns(const std::string &id)
 	{
 		int n = 0;
 
-		for (int port : worker_ports) {
-			std::string body = Http(
-			    "GET", "http://" + LoopbackAddress(port) + "/seen")
-					       .body;
-			size_t pos = 0;
-
-			while ((pos = body.find("\"" + id + "\"", pos)) !=
-			    std::string::npos) {
-				n++;
-				pos++;
-			}
-		}
+		for (size_t w = 0; w < worker_ports.size(); w++)
+			n += CountRunsAt(w, id + "\"");
 		return n;
 	}
 
--- a/test/functional/test_gateway.cc
+++ b/test/functional/test_gateway.cc
@@ -69,6 +69,40 @@
 	EXPECT_EQ(200, Call(0, "/q/1", "a1", 2).status);
 }
 
+/*
+ * A worker says in its answers that it leaves, while its row still says that it
+ * is ready: whichever answer says so, no daemon sends it another request.
+ */
+TEST_F(Gateway, AWorkerThatSaysItLeavesGetsNoMoreRequests)
+{
+	const struct {
+		const char *name;
+		std::string body;
+		const char *fault;
+	} answers[] = {
+	    {"stream", RequestBody(2), "{\"leaving\":1}"},
+	    {"failure", "{\"status\":500}", "{\"leaving\":1}"},
+	    {"refusal", RequestBody(2), "{\"leaving\":1,\"shed\":1}"},
+	};
+
+	StartReadyFleet(4, 2);
+	for (size_t w = 0; w < 3; w++) {
+		InjectFault(w, answers[w].fault);
+		ASSERT_TRUE(Eventually([&] {
+			Send(0, "POST", "/q/x", answers[w].body, "until");
+			return daemons[0]->Count("\"target\":\"i-" +
+				   std::to_string(w) +
+				   "\",\"told_by\":\"answer\"") == 1;
+		})) << answers[w].name;
+	}
+	for (int i = 0; i < 40; i++)
+		EXPECT_EQ(200,
+		    Call(i % 2, "/q/y", "after" + std::to_string(i), 1).status);
+	EXPECT_EQ(40, CountRunsAt(3, "after"));
+	EXPECT_EQ(0, CountRunsAt(0, "after") + CountRunsAt(1, "after") +
+		CountRunsAt(2, "after"));
+}
+
 TEST_F(Gateway, ACutStreamIsResumedAtAnotherWorker)
 {
 	StartReadyFleet(2, 1);
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -212,7 +212,8 @@
 		const char *name;
 		int status;
 		Headers headers;
-		/* matching, not executed, misdirected, signed, stream */
+		/* matching, not executed, misdirected, signed, stream,
+		 * leaving */
 		dialect_response response;
 	} cases[] = {
 	    {"own stream", 200,
@@ -228,6 +229,17 @@
 		{true, true, false, false, false}},
 	    {"another target", 421, {{"X-Instance-Id", "i"}},
 		{true, true, true, false, false}},
+	    {"refusal of a leaving target", 503,
+		{{"X-Not-Executed", "1"}, {"Server-Leaving", "1"}},
+		{true, true, false, false, false, true}},
+	    {"answer of a leaving target", 200,
+		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"},
+		    {"server-leaving", "1"}},
+		{true, false, false, true, false, true}},
+	    {"another target, which leaves", 421, {{"Server-Leaving", "1"}},
+		{true, true, true, false, false, false}},
+	    {"no announcement", 500, {{"Server-Leaving", "0"}},
+		{true, false, false, false, false, false}},
 	    {"failure of this attempt", 500,
 		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"}},
 		{true, false, false, true, false}},
@@ -248,6 +260,8 @@
 		EXPECT_EQ(c.response.is_signed, f.is_signed) << c.name;
 		EXPECT_EQ(c.response.is_event_stream, f.is_event_stream)
 		    << c.name;
+		EXPECT_EQ(c.response.is_target_leaving, f.is_target_leaving)
+		    << c.name;
 	}
 }
 
--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -4,9 +4,10 @@
  * data of event n is "PATH-n", so a test can tell which request an answer
  * belongs to and whether it is complete.
  *
- * POST /fault {"cut_after","silent","shed","cross","unsigned"}: number of
+ * POST /fault {"cut_after","silent","shed","cross","unsigned","leaving"}: number of
  * answers to come that are cut after three events, send no event, are
- * rejections, carry another attempt's id, or have no signature.
+ * rejections, carry another attempt's id, have no signature, or say that the
+ * worker leaves.
  * GET /seen: ids of the attempts that ran, and how many streams were closed
  * before their end.
  */
@@ -31,6 +32,7 @@
 	int rejects_left;
 	int crosses_left;
 	int unsigned_left;
+	int leaving_left;
 	json_t *attempts_run;
 	int closed_early;
 };
@@ -113,6 +115,13 @@
 	return MHD_lookup_connection_value(req->con, MHD_HEADER_KIND, name);
 }
 
+static void
+add_leaving(struct worker *wk, struct MHD_Response *res)
+{
+	if (consume_fault(&wk->leaving_left))
+		MHD_add_response_header(res, "Server-Leaving", "1");
+}
+
 static void
 add_signature(struct worker *wk, struct MHD_Response *res, const char *attempt)
 {
@@ -120,6 +129,7 @@
 
 	MHD_add_response_header(
 	    res, "X-Attempt-Id", is_crossed ? "other" : attempt);
+	add_leaving(wk, res);
 	if (!consume_fault(&wk->unsigned_left))
 		MHD_add_response_header(res, "X-Response-Seal", wk->id);
 }
@@ -130,6 +140,7 @@
 	struct MHD_Response *res = standin_text_response("{}");
 
 	*status = code;
+	add_leaving(wk, res);
 	if (code == 421)
 		MHD_add_response_header(res, "X-Instance-Id", wk->id);
 	else
@@ -202,6 +213,8 @@
 	    (int)json_integer_value(json_object_get(doc, "shed"));
 	wk->crosses_left =
 	    (int)json_integer_value(json_object_get(doc, "cross"));
+	wk->leaving_left =
+	    (int)json_integer_value(json_object_get(doc, "leaving"));
 	wk->unsigned_left =
 	    (int)json_integer_value(json_object_get(doc, "unsigned"));
 	json_decref(doc);
--- a/test/unit/test_fleet.cc
+++ b/test/unit/test_fleet.cc
@@ -53,6 +53,51 @@
 	}
 };
 
+/* A target's own word outlives its rows, which may be older or never change. */
+TEST_F(Fleet, ATargetThatSaidItLeavesDrainsUntilItsNextStart)
+{
+	const struct {
+		int64_t version, started_ms;
+		bool is_draining;
+	} rows[] = {
+	    {2, 100, true},
+	    {3, 100, true},
+	    {4, 200, false},
+	    {5, 200, false},
+	};
+	fleet_target t = Target("a", 1);
+
+	t.started_ms = 100;
+	fleet_apply(fl, &t);
+	EXPECT_FALSE(fleet_record_leaving(fl, "a", 99)) << "another start";
+	EXPECT_FALSE(fleet_record_leaving(fl, "none", 100));
+	EXPECT_TRUE(fleet_record_leaving(fl, "a", 100));
+	EXPECT_FALSE(fleet_record_leaving(fl, "a", 100)) << "known";
+	EXPECT_TRUE(fleet_find(fl, "a")->is_draining);
+	for (const auto &row : rows) {
+		t.version = row.version;
+		t.started_ms = row.started_ms;
+		fleet_apply(fl, &t);
+		EXPECT_EQ(row.is_draining, fleet_find(fl, "a")->is_draining)
+		    << row.version;
+	}
+}
+
+/* An entry that was lost with the store comes back for the same start. */
+TEST_F(Fleet, ATargetThatLeavesStaysSoWhenItsRowReturns)
+{
+	fleet_target t = Target("a", 1);
+
+	t.started_ms = 100;
+	fleet_apply(fl, &t);
+	fleet_record_leaving(fl, "a", 100);
+	fleet_remove(fl, "a", 2, 5);
+	fleet_tick(fl, 6);
+	t.version = 3;
+	fleet_apply(fl, &t);
+	EXPECT_TRUE(fleet_find(fl, "a")->is_draining);
+}
+
 TEST_F(Fleet, IgnoresAnOlderRow)
 {
 	EXPECT_TRUE(Apply("a", 5, true));
