--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -166,6 +166,7 @@
 	int64_t now_us = loop_now_us(gw->lp);
 
 	gateway_send_contacts(gw);
+	quota_tick(gw->quota);
 	suspects_tick(gw->suspects, now_us);
 	if (fleet_tick(gw->fleet, now_us))
 		gateway_targets_changed(gw);
@@ -261,6 +262,8 @@
 	struct calls_options calls = {
 	    .notify_run_interrupted = gateway_notify_run_interrupted,
 	    .ctx = gw};
+	struct quota_options quota = {gw->lp, gw->offload, gw->store, gw->roster,
+	    gw->self.address, gw->self.session, &gateway_wire_ops, gw};
 	struct jobs_options jobs = {.offload = gw->offload,
 	    .store = gw->store,
 	    .session = gw->self.session,
@@ -288,7 +291,9 @@
 	calls.deps = deps;
 	calls.suspects = gw->suspects;
 	gw->calls = calls_new(&calls);
+	gw->quota = quota_new(&quota);
 	jobs.deps = deps;
+	jobs.quota = gw->quota;
 	gw->jobs = jobs_new(&jobs);
 	janitor.retention_us =
 	    gw->set->job_retention_ms * kUsPerMs + kRetentionSlackUs;
@@ -369,6 +374,7 @@
 	janitor_free(gw->janitor);
 	members_free(gw->members);
 	jobs_free(gw->jobs);
+	quota_free(gw->quota);
 	calls_free(gw->calls);
 	suspects_free(gw->suspects);
 	outbound_free(gw->outbound);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -6,6 +6,7 @@
 #include "gateway/gateway.h"
 #include "gateway/janitor.h"
 #include "gateway/members.h"
+#include "gateway/quota.h"
 #include "gateway/view.h"
 #include "peer/peer.h"
 
@@ -40,6 +41,7 @@
 	struct janitor *janitor;
 	struct view_exchange *view;
 	struct contact_exchange *contact;
+	struct quota *quota;
 	/** int64_t: time of the last reconnect, by peer. */
 	GHashTable *reconnects;
 	struct front *front;
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -152,6 +152,7 @@
 		record_target_leaving(gw, env->target_notes[i]->target,
 		    env->target_notes[i]->started_ms, env->from);
 	slots_on_envelope(gw->slots, env);
+	quota_on_envelope(gw->quota, env);
 	handle_interrupted(gw, env);
 	for (size_t i = 0; i < env->n_job_notes; i++)
 		if (env->job_notes[i]->ended)
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -79,8 +79,10 @@
 	g_hash_table_iter_init(&it, js->runs);
 	while (g_hash_table_iter_next(&it, NULL, &val))
 		g_ptr_array_add(list, val);
-	for (guint i = 0; i < list->len; i++)
+	for (guint i = 0; i < list->len; i++) {
+		jobs_quota_report(list->pdata[i]);
 		jobs_run_start_due(list->pdata[i]);
+	}
 	list_is_empty = list->len == 0;
 	g_ptr_array_unref(list);
 	js->timer = loop_timer(js->opt.deps.lp,
@@ -147,6 +149,9 @@
 
 	log_job_call(task, "submit");
 	g_hash_table_remove(js->loading, task->id);
+	if (task->outcome == kStoreUnavailable ||
+	    task->outcome == kStoreConflict)
+		jobs_quota_release(task);
 	if (task->outcome == kStoreOk && task->is_new) {
 		log_event(kEvtJobAccepted, "job", task->id, "items",
 		    log_number(task->items->len), NULL);
@@ -191,7 +196,16 @@
 	    loop_now_us(js->opt.deps.lp));
 	task->work = submit_work;
 	task->done = submit_done;
-	g_hash_table_add(js->loading, g_strdup(task->id));
+	if (route->waiting_tokens_max > 0)
+		jobs_quota_submit(task, route);
+	else
+		jobs_submit_start(task);
+}
+
+void
+jobs_submit_start(struct job_task *task)
+{
+	g_hash_table_add(task->js->loading, g_strdup(task->id));
 	job_task_start(task);
 }
 
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -9,6 +9,7 @@
 struct jobs_options {
 	struct relay_deps deps;
 	struct offload *offload;
+	struct quota *quota;
 	const struct store *store;
 	/** Session of this daemon, which owns the jobs it runs. */
 	const char *session;
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -54,6 +54,9 @@
 	/** Results that wait to be listed: struct item_run *, in order. */
 	GQueue ready;
 	int32_t next_position;
+	/** Waiting tokens last reported to the route's quota, and when. */
+	int64_t reported_tokens;
+	int64_t reported_us;
 	bool is_committing;
 	bool is_dropped;
 	int32_t listed;
@@ -97,6 +100,9 @@
 
 void jobs_run_free(void *p);
 
+/** Reports the job's waiting tokens to its route's quota, if due. */
+void jobs_quota_report(struct job_run *run);
+
 /** Caches a job that was read from the store. */
 void jobs_cache_job(struct jobs *js, const struct itemjob *job);
 const struct itemjob *jobs_cached_job(struct jobs *js, const char *id);
--- /dev/null
+++ b/src/gateway/jobs_quota.c
@@ -0,0 +1,164 @@
+/* Limit of the tokens that wait on a route: submissions and reports. */
+#include "error/error.h"
+#include "gateway/jobs_task.h"
+#include "gateway/quota.h"
+#include "gateway/reply.h"
+#include "log/log.h"
+
+enum {
+	kUnavailableRetryUs = 500 * kUsPerMs,
+	/* Submissions whose fence was taken by another daemon meanwhile. */
+	kConflictsMax = 2,
+	/* Jobs are reported again, as a report may be lost. */
+	kReportPeriodUs = kUsPerS,
+};
+
+void
+jobs_quota_release(struct job_task *task)
+{
+	if (task->job != NULL && task->job->quota_route != NULL)
+		quota_report(task->js->opt.quota, task->job->quota_route,
+		    task->id, 0);
+}
+
+static void
+lookup_work(struct job_task *task)
+{
+	struct itemjob *found = NULL;
+
+	task->outcome = itemjob_get(task->js->opt.store, task->id, &found);
+	itemjob_free(found);
+}
+
+static void
+lookup_done(struct job_task *task)
+{
+	log_event(kEvtCallRefused, "request", task->id, "why",
+	    task->outcome == kStoreOk ? "known_job" : "tokens_waiting", NULL);
+	if (task->req == NULL)
+		return;
+	if (task->outcome == kStoreOk)
+		reply_json(task->req, 202, "{\"accepted\":true}");
+	else if (task->outcome == kStoreNotFound)
+		reply_error(task->req, kErrRateLimited,
+		    "the route's limit of waiting tokens is reached",
+		    task->quota_retry_us);
+	else
+		job_reply_store_error(task->req, task->outcome);
+}
+
+/* A job that was accepted before is acknowledged again, whether it would fit
+ * or not. */
+static void
+refuse_unless_known(struct job_task *task, int64_t retry_after_us)
+{
+	task->quota_retry_us = retry_after_us;
+	task->work = lookup_work;
+	task->done = lookup_done;
+	job_task_start(task);
+}
+
+static void
+on_answer(void *ctx, const struct quota_answer *answer)
+{
+	struct job_task *task = ctx;
+
+	task->quota_wait = 0;
+	front_on_disconnect(task->req, NULL, NULL);
+	switch (answer->verdict) {
+	case kQuotaGranted:
+		task->job->quota_fence = answer->fence;
+		jobs_submit_start(task);
+		break;
+	case kQuotaRefused:
+		refuse_unless_known(task, answer->retry_after_us);
+		break;
+	case kQuotaUnavailable:
+		log_event(kEvtCallRefused, "request", task->id, "why",
+		    "quota_unavailable", NULL);
+		reply_error(task->req, kErrOverloaded,
+		    "the tokens that wait on the route cannot be counted",
+		    kUnavailableRetryUs);
+		job_task_free(task);
+		break;
+	}
+}
+
+static void
+on_disconnect(void *data)
+{
+	struct job_task *task = data;
+
+	quota_cancel(task->js->opt.quota, task->quota_wait);
+	job_task_free(task);
+}
+
+static void
+ask(struct job_task *task, int64_t stale_fence)
+{
+	struct quota_request request = {
+	    .route = task->job->quota_route,
+	    .job = task->id,
+	    .tokens = task->job->quota_tokens,
+	    .limit = task->quota_limit,
+	    .stale_fence = stale_fence,
+	};
+
+	front_on_disconnect(task->req, on_disconnect, task);
+	task->quota_wait = quota_reserve(
+	    task->js->opt.quota, &request, on_answer, task);
+}
+
+void
+jobs_quota_submit(struct job_task *task, const struct routebook_route *route)
+{
+	task->quota_limit = route->waiting_tokens_max;
+	task->job->quota_route = quota_route_name(route->host, route->prefix);
+	for (guint i = 0; i < task->items->len; i++)
+		task->job->quota_tokens +=
+		    ((struct itemjob_item *)task->items->pdata[i])->tokens;
+	ask(task, 0);
+}
+
+bool
+jobs_quota_retry(struct job_task *task)
+{
+	if (task->job == NULL || task->job->quota_route == NULL ||
+	    task->req == NULL || task->quota_conflicts >= kConflictsMax)
+		return false;
+	loop_timer_cancel(task->js->opt.deps.lp, task->hedge_timer);
+	task->hedge_timer = 0;
+	task->quota_conflicts++;
+	ask(task, task->job->quota_fence);
+	return true;
+}
+
+static int64_t
+waiting_tokens(const struct job_run *run)
+{
+	int64_t n = 0;
+
+	for (guint i = 0; i < run->items->len; i++)
+		if (run->runs[i].phase == kItemWaiting ||
+		    run->runs[i].phase == kItemRunning)
+			n += run->runs[i].item->tokens;
+	return n;
+}
+
+void
+jobs_quota_report(struct job_run *run)
+{
+	int64_t now_us = loop_now_us(run->js->opt.deps.lp);
+	int64_t waiting;
+
+	if (run->job->quota_route == NULL)
+		return;
+	waiting = run->is_dropped ? 0 : waiting_tokens(run);
+	if (waiting == run->reported_tokens &&
+	    now_us - run->reported_us < kReportPeriodUs)
+		return;
+	run->reported_tokens = waiting;
+	run->reported_us = now_us;
+	quota_report(run->js->opt.quota, run->job->quota_route, run->job->id,
+	    waiting);
+}
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -62,13 +62,16 @@
 	    log_number(run->listed), "items", log_number(run->items->len),
 	    NULL);
 	g_hash_table_steal(run->js->runs, run->job->id);
+	run->is_dropped = true;
+	/* The daemon that runs the job from now on reports its tokens. */
+	if (strcmp(reason, "not_owned") != 0)
+		jobs_quota_report(run);
 	for (guint i = 0; i < run->items->len; i++) {
 		if (run->runs[i].relay != NULL)
 			relay_cancel(run->runs[i].relay);
 		run->runs[i].relay = NULL;
 	}
 	/* A commit in progress still refers to the run. */
-	run->is_dropped = true;
 	if (!run->is_committing)
 		jobs_run_free(run);
 }
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -15,8 +15,8 @@
 	kHedgeDelayUs = 150 * kUsPerMs,
 };
 
-static void
-task_free(struct job_task *task)
+void
+job_task_free(struct job_task *task)
 {
 	loop_timer_cancel(task->js->opt.deps.lp, task->hedge_timer);
 	g_free(task->id);
@@ -172,8 +172,12 @@
 		job_forward_cancel(task->forward);
 	if (task->req != NULL)
 		front_on_disconnect(task->req, NULL, NULL);
+	if (task->outcome == kStoreConflict && jobs_quota_retry(task)) {
+		g_hash_table_remove(task->js->loading, task->id);
+		return;
+	}
 	task->done(task);
-	task_free(task);
+	job_task_free(task);
 }
 
 /*
@@ -187,7 +191,7 @@
 	if (!delegate_to_forward(task))
 		front_on_disconnect(task->req, NULL, NULL);
 	task->done(task);
-	task_free(task);
+	job_task_free(task);
 }
 
 void
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -32,6 +32,11 @@
 	GPtrArray *items;
 	bool is_new;
 	char *token;
+	/** Request for the job's tokens, while it waits; 0: none. */
+	uint64_t quota_wait;
+	int64_t quota_limit;
+	int32_t quota_conflicts;
+	int64_t quota_retry_us;
 	/* Reads. */
 	int32_t from;
 	int32_t total;
@@ -51,6 +56,25 @@
 struct job_task *job_task_new(
     struct jobs *js, struct front_request *req, const char *id);
 
+/** Frees a task that was not started. */
+void job_task_free(struct job_task *task);
+
+/* jobs_quota.c */
+
+/** Asks for the tokens of a submission, then starts it or refuses it. */
+void jobs_quota_submit(
+    struct job_task *task, const struct routebook_route *route);
+
+/** Another daemon counts the tokens by now: asks that one.
+ * @return false if the submission is to fail */
+bool jobs_quota_retry(struct job_task *task);
+
+/** The submission had no effect: its tokens are free. */
+void jobs_quota_release(struct job_task *task);
+
+/** Stores a submission that may be accepted. */
+void jobs_submit_start(struct job_task *task);
+
 /** Starts the task, which frees itself when done. */
 void job_task_start(struct job_task *task);
 
--- /dev/null
+++ b/src/gateway/quota.c
@@ -0,0 +1,345 @@
+/* Requests for the tokens of a route, and reports of those that wait. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "gateway/quota_internal.h"
+#include "log/log.h"
+#include "savoryflow/arbiter/u64_hash.h"
+
+enum {
+	/* The counting daemon may be in another region, and may first have to
+	 * read the open jobs. */
+	kAnswerTimeoutUs = 450 * kUsPerMs,
+	kAsksMax = 2,
+	kSuspectUs = 4 * kUsPerS,
+	kReportsPerMessage = 100,
+};
+
+struct quota_wait {
+	uint64_t id;
+	char *route;
+	struct quota_ask ask;
+	char counter[kFleetAddressMax];
+	int64_t asked_us;
+	int32_t asks;
+	quota_answer_fn fn;
+	void *ctx;
+};
+
+static void
+wait_free(void *p)
+{
+	struct quota_wait *qw = p;
+
+	g_free(qw->route);
+	g_free(qw->ask.job);
+	g_free(qw);
+}
+
+struct quota *
+quota_new(const struct quota_options *opt)
+{
+	struct quota *qt = g_new0(struct quota, 1);
+
+	qt->opt = *opt;
+	qt->next_id = roster_session_hash(opt->session);
+	qt->waits = u64_hash_new(wait_free);
+	qt->reports =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	qt->hosted = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, NULL, quota_host_free);
+	return qt;
+}
+
+void
+quota_free(struct quota *qt)
+{
+	g_hash_table_unref(qt->waits);
+	g_hash_table_unref(qt->reports);
+	g_hash_table_unref(qt->hosted);
+	g_free(qt);
+}
+
+char *
+quota_route_name(const char *host, const char *prefix)
+{
+	uint64_t seed = XXH3_64bits(host, strlen(host));
+
+	return g_strdup_printf("%016" PRIx64,
+	    (uint64_t)XXH3_64bits_withSeed(prefix, strlen(prefix), seed));
+}
+
+static const char *
+counter_of(const struct quota *qt, const char *route)
+{
+	char key[64];
+
+	snprintf(key, sizeof(key), "quota-%s", route);
+	return roster_owner(
+	    qt->opt.roster, key, NULL, loop_now_us(qt->opt.lp));
+}
+
+static void
+send_ask(struct quota *qt, const struct quota_wait *qw)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__QuotaAsk wire = SFPEER__QUOTA_ASK__INIT;
+	Sfpeer__QuotaAsk *list[] = {&wire};
+
+	wire.id = qw->id;
+	wire.route = qw->route;
+	wire.job = qw->ask.job;
+	wire.tokens = qw->ask.tokens;
+	wire.limit = qw->ask.limit;
+	wire.stale_fence = qw->ask.stale_fence;
+	env.n_quota_asks = 1;
+	env.quota_asks = list;
+	qt->opt.wire->send(qt->opt.wire_ctx, qw->counter, &env);
+}
+
+static void
+ask_counter(struct quota *qt, struct quota_wait *qw)
+{
+	g_strlcpy(qw->counter, counter_of(qt, qw->route), sizeof(qw->counter));
+	qw->asked_us = loop_now_us(qt->opt.lp);
+	qw->asks++;
+	if (strcmp(qw->counter, qt->opt.address) == 0)
+		quota_host_ask(qt, qw->route, &qw->ask);
+	else
+		send_ask(qt, qw);
+}
+
+struct posted_ask {
+	struct quota *qt;
+	uint64_t id;
+};
+
+static void
+ask_posted(void *ctx)
+{
+	struct posted_ask *posted = ctx;
+	struct quota_wait *qw =
+	    g_hash_table_lookup(posted->qt->waits, &posted->id);
+
+	if (qw != NULL)
+		ask_counter(posted->qt, qw);
+	g_free(posted);
+}
+
+uint64_t
+quota_reserve(struct quota *qt, const struct quota_request *request,
+    quota_answer_fn fn, void *ctx)
+{
+	struct quota_wait *qw = g_new0(struct quota_wait, 1);
+	struct posted_ask *posted = g_new(struct posted_ask, 1);
+
+	qw->id = ++qt->next_id;
+	qw->route = g_strdup(request->route);
+	g_strlcpy(qw->ask.from, qt->opt.address, sizeof(qw->ask.from));
+	qw->ask.id = qw->id;
+	qw->ask.job = g_strdup(request->job);
+	qw->ask.tokens = request->tokens;
+	qw->ask.limit = request->limit;
+	qw->ask.stale_fence = request->stale_fence;
+	qw->fn = fn;
+	qw->ctx = ctx;
+	g_hash_table_insert(qt->waits, &qw->id, qw);
+	*posted = (struct posted_ask){qt, qw->id};
+	loop_post(qt->opt.lp, ask_posted, posted);
+	return qw->id;
+}
+
+void
+quota_cancel(struct quota *qt, uint64_t id)
+{
+	g_hash_table_remove(qt->waits, &id);
+}
+
+static void
+deliver(struct quota *qt, uint64_t id, const struct quota_answer *answer)
+{
+	struct quota_wait *qw = g_hash_table_lookup(qt->waits, &id);
+	quota_answer_fn fn;
+	void *ctx;
+
+	if (qw == NULL)
+		return;
+	fn = qw->fn;
+	ctx = qw->ctx;
+	g_hash_table_remove(qt->waits, &id);
+	fn(ctx, answer);
+}
+
+void
+quota_send_answer(struct quota *qt, const struct quota_ask *ask,
+    const struct quota_answer *answer)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__QuotaAnswer wire = SFPEER__QUOTA_ANSWER__INIT;
+	Sfpeer__QuotaAnswer *list[] = {&wire};
+
+	if (strcmp(ask->from, qt->opt.address) == 0) {
+		deliver(qt, ask->id, answer);
+		return;
+	}
+	wire.id = ask->id;
+	wire.verdict = answer->verdict;
+	wire.fence = answer->fence;
+	wire.retry_after_us = answer->retry_after_us;
+	env.n_quota_answers = 1;
+	env.quota_answers = list;
+	qt->opt.wire->send(qt->opt.wire_ctx, ask->from, &env);
+}
+
+void
+quota_report(
+    struct quota *qt, const char *route, const char *job, int64_t tokens)
+{
+	int64_t *value = g_new(int64_t, 1);
+
+	*value = tokens;
+	g_hash_table_replace(
+	    qt->reports, g_strdup_printf("%s %s", route, job), value);
+}
+
+/* A message under construction for the counter of one route. */
+struct report_batch {
+	Sfpeer__QuotaReport wire[kReportsPerMessage];
+	Sfpeer__QuotaReport *refs[kReportsPerMessage];
+	char *texts[kReportsPerMessage];
+	guint count;
+	char counter[kFleetAddressMax];
+};
+
+static void
+send_batch(struct quota *qt, struct report_batch *batch)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+
+	if (batch->count == 0)
+		return;
+	env.n_quota_reports = batch->count;
+	env.quota_reports = batch->refs;
+	qt->opt.wire->send(qt->opt.wire_ctx, batch->counter, &env);
+	for (guint i = 0; i < batch->count; i++)
+		g_free(batch->texts[i]);
+	batch->count = 0;
+}
+
+static void
+add_report(struct quota *qt, struct report_batch *batch, const char *name,
+    int64_t tokens)
+{
+	char *text = g_strdup(name);
+	char *job = strchr(text, ' ');
+	const char *counter;
+	Sfpeer__QuotaReport *wire;
+
+	*job++ = '\0';
+	counter = counter_of(qt, text);
+	if (strcmp(counter, qt->opt.address) == 0) {
+		quota_host_report(qt, text, job, tokens);
+		g_free(text);
+		return;
+	}
+	if (batch->count == kReportsPerMessage ||
+	    strcmp(batch->counter, counter) != 0)
+		send_batch(qt, batch);
+	g_strlcpy(batch->counter, counter, sizeof(batch->counter));
+	wire = &batch->wire[batch->count];
+	sfpeer__quota_report__init(wire);
+	wire->route = text;
+	wire->job = job;
+	wire->tokens = tokens;
+	batch->refs[batch->count] = wire;
+	batch->texts[batch->count++] = text;
+}
+
+static void
+send_reports(struct quota *qt)
+{
+	struct report_batch batch = {.count = 0};
+	GHashTableIter it;
+	void *name;
+	void *tokens;
+
+	g_hash_table_iter_init(&it, qt->reports);
+	while (g_hash_table_iter_next(&it, &name, &tokens))
+		add_report(qt, &batch, name, *(int64_t *)tokens);
+	send_batch(qt, &batch);
+	g_hash_table_remove_all(qt->reports);
+}
+
+static void
+on_timeout(struct quota *qt, struct quota_wait *qw, int64_t now_us)
+{
+	struct quota_answer answer = {.verdict = kQuotaUnavailable};
+
+	log_event(kEvtQuotaSilent, "job", qw->ask.job, "counter", qw->counter,
+	    "waited_us", log_number(now_us - qw->asked_us), NULL);
+	roster_suspect(qt->opt.roster, qw->counter, now_us + kSuspectUs);
+	qt->opt.wire->reconnect(qt->opt.wire_ctx, qw->counter);
+	if (qw->asks < kAsksMax)
+		ask_counter(qt, qw);
+	else
+		deliver(qt, qw->id, &answer);
+}
+
+void
+quota_tick(struct quota *qt)
+{
+	int64_t now_us = loop_now_us(qt->opt.lp);
+	GPtrArray *overdue = g_ptr_array_new();
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, qt->waits);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct quota_wait *qw = val;
+
+		if (qw->asks > 0 && now_us - qw->asked_us > kAnswerTimeoutUs)
+			g_ptr_array_add(overdue, qw);
+	}
+	for (guint i = 0; i < overdue->len; i++)
+		on_timeout(qt, overdue->pdata[i], now_us);
+	g_ptr_array_unref(overdue);
+	send_reports(qt);
+	quota_host_tick(qt, now_us);
+}
+
+static void
+on_wire_ask(struct quota *qt, const char *from, const Sfpeer__QuotaAsk *wire)
+{
+	struct quota_ask ask = {
+	    .id = wire->id,
+	    .job = wire->job,
+	    .tokens = wire->tokens,
+	    .limit = wire->limit,
+	    .stale_fence = wire->stale_fence,
+	};
+
+	g_strlcpy(ask.from, from, sizeof(ask.from));
+	quota_host_ask(qt, wire->route, &ask);
+}
+
+void
+quota_on_envelope(struct quota *qt, const Sfpeer__Envelope *env)
+{
+	for (size_t i = 0; i < env->n_quota_reports; i++)
+		quota_host_report(qt, env->quota_reports[i]->route,
+		    env->quota_reports[i]->job, env->quota_reports[i]->tokens);
+	for (size_t i = 0; i < env->n_quota_asks; i++)
+		on_wire_ask(qt, env->from, env->quota_asks[i]);
+	for (size_t i = 0; i < env->n_quota_answers; i++) {
+		const Sfpeer__QuotaAnswer *wire = env->quota_answers[i];
+		struct quota_answer answer = {
+		    .verdict = (enum quota_verdict)wire->verdict,
+		    .fence = wire->fence,
+		    .retry_after_us = wire->retry_after_us,
+		};
+
+		deliver(qt, wire->id, &answer);
+	}
+}
--- /dev/null
+++ b/src/gateway/quota_host.c
@@ -0,0 +1,251 @@
+/* Quotas that this daemon counts for all. */
+#include <string.h>
+
+#include "gateway/quota_internal.h"
+#include "log/log.h"
+
+enum {
+	/* Period of the comparison with the open jobs in the store. */
+	kSyncPeriodUs = 3 * kUsPerS,
+	/* A quota without requests for this time is dropped. */
+	kIdleUs = 60 * kUsPerS,
+};
+
+struct hosted_quota {
+	struct quota *qt;
+	char *route;
+	/** Counted only once it is loaded. */
+	bool is_loaded;
+	bool is_busy;
+	struct token_quota *count;
+	int64_t fence;
+	int64_t used_us;
+	int64_t synced_us;
+	/** struct quota_ask that wait for the load. */
+	GArray *pending;
+};
+
+/* Work at the store for a hosted quota. */
+struct load {
+	struct quota *qt;
+	char *route;
+	bool takes_fence;
+	int64_t started_us;
+	int64_t fence;
+	enum store_result outcome;
+	/** struct itemjob_open *. */
+	GPtrArray *open;
+};
+
+static void
+pending_clear(struct hosted_quota *hq)
+{
+	for (guint i = 0; i < hq->pending->len; i++)
+		g_free(g_array_index(hq->pending, struct quota_ask, i).job);
+	g_array_set_size(hq->pending, 0);
+}
+
+void
+quota_host_free(void *p)
+{
+	struct hosted_quota *hq = p;
+
+	pending_clear(hq);
+	g_array_unref(hq->pending);
+	token_quota_free(hq->count);
+	g_free(hq->route);
+	g_free(hq);
+}
+
+static struct hosted_quota *
+hosted_get(struct quota *qt, const char *route)
+{
+	struct hosted_quota *hq = g_hash_table_lookup(qt->hosted, route);
+
+	if (hq == NULL) {
+		hq = g_new0(struct hosted_quota, 1);
+		hq->qt = qt;
+		hq->route = g_strdup(route);
+		hq->count = token_quota_new();
+		hq->pending =
+		    g_array_new(FALSE, TRUE, sizeof(struct quota_ask));
+		g_hash_table_insert(qt->hosted, hq->route, hq);
+	}
+	hq->used_us = loop_now_us(qt->opt.lp);
+	return hq;
+}
+
+static void
+answer_ask(struct hosted_quota *hq, const struct quota_ask *ask)
+{
+	int64_t now_us = loop_now_us(hq->qt->opt.lp);
+	struct quota_answer answer = {
+	    .verdict = kQuotaGranted, .fence = hq->fence};
+
+	if (!token_quota_reserve(
+		hq->count, ask->job, ask->tokens, ask->limit, now_us)) {
+		answer.verdict = kQuotaRefused;
+		answer.retry_after_us = token_quota_retry_after_us(
+		    hq->count, ask->tokens, ask->limit);
+	}
+	log_event(kEvtQuotaAnswered, "job", ask->job, "route", hq->route,
+	    "granted", answer.verdict == kQuotaGranted ? "yes" : "no", "tokens",
+	    log_number(ask->tokens), "waiting",
+	    log_number(token_quota_waiting(hq->count)), "limit",
+	    log_number(ask->limit), NULL);
+	quota_send_answer(hq->qt, ask, &answer);
+}
+
+static void
+answer_pending(struct hosted_quota *hq)
+{
+	struct quota_answer unavailable = {.verdict = kQuotaUnavailable};
+
+	for (guint i = 0; i < hq->pending->len; i++) {
+		const struct quota_ask *ask =
+		    &g_array_index(hq->pending, struct quota_ask, i);
+
+		if (hq->is_loaded)
+			answer_ask(hq, ask);
+		else
+			quota_send_answer(hq->qt, ask, &unavailable);
+	}
+	pending_clear(hq);
+}
+
+static void
+load_work(void *ctx)
+{
+	struct load *ld = ctx;
+	const struct store *st = ld->qt->opt.store;
+
+	ld->outcome = kStoreOk;
+	if (ld->takes_fence)
+		ld->outcome = itemjob_take_quota_fence(
+		    st, ld->route, ld->qt->opt.session, &ld->fence);
+	if (ld->outcome == kStoreOk)
+		ld->outcome = itemjob_read_open(st, &ld->open);
+}
+
+static GArray *
+jobs_of_route(const GPtrArray *open, const char *route)
+{
+	GArray *jobs =
+	    g_array_new(FALSE, TRUE, sizeof(struct token_quota_job));
+
+	for (guint i = 0; i < open->len; i++) {
+		const struct itemjob_open *row = open->pdata[i];
+		struct token_quota_job job = {row->id, row->quota_tokens};
+
+		if (!row->is_ended && g_strcmp0(row->quota_route, route) == 0)
+			g_array_append_val(jobs, job);
+	}
+	return jobs;
+}
+
+static void
+load_free(struct load *ld)
+{
+	if (ld->open != NULL)
+		g_ptr_array_unref(ld->open);
+	g_free(ld->route);
+	g_free(ld);
+}
+
+static void
+load_done(void *ctx)
+{
+	struct load *ld = ctx;
+	struct hosted_quota *hq = hosted_get(ld->qt, ld->route);
+	int64_t now_us = loop_now_us(ld->qt->opt.lp);
+
+	hq->is_busy = false;
+	if (ld->takes_fence) {
+		hq->is_loaded = ld->outcome == kStoreOk;
+		hq->fence = ld->fence;
+	}
+	if (ld->outcome == kStoreOk) {
+		GArray *jobs = jobs_of_route(ld->open, ld->route);
+
+		token_quota_sync(hq->count, jobs, ld->started_us, now_us);
+		g_array_unref(jobs);
+	}
+	if (ld->takes_fence)
+		log_event(kEvtQuotaLoaded, "route", hq->route, "store",
+		    store_result_text(ld->outcome), "fence",
+		    log_number(hq->fence), "waiting",
+		    log_number(token_quota_waiting(hq->count)), NULL);
+	answer_pending(hq);
+	load_free(ld);
+}
+
+static void
+start_load(struct hosted_quota *hq, bool takes_fence)
+{
+	struct load *ld = g_new0(struct load, 1);
+
+	ld->qt = hq->qt;
+	ld->route = g_strdup(hq->route);
+	ld->takes_fence = takes_fence;
+	ld->started_us = loop_now_us(hq->qt->opt.lp);
+	hq->synced_us = ld->started_us;
+	hq->is_busy = true;
+	if (takes_fence)
+		hq->is_loaded = false;
+	if (offload_run(hq->qt->opt.offload, load_work, load_done, ld))
+		return;
+	hq->is_busy = false;
+	answer_pending(hq);
+	load_free(ld);
+}
+
+void
+quota_host_ask(
+    struct quota *qt, const char *route, const struct quota_ask *ask)
+{
+	struct hosted_quota *hq = hosted_get(qt, route);
+	bool is_stale = hq->is_loaded && ask->stale_fence != 0 &&
+	    ask->stale_fence == hq->fence;
+	struct quota_ask copy = *ask;
+
+	if (hq->is_loaded && !is_stale) {
+		answer_ask(hq, ask);
+		return;
+	}
+	copy.job = g_strdup(ask->job);
+	g_array_append_val(hq->pending, copy);
+	if (!hq->is_busy)
+		start_load(hq, true);
+}
+
+void
+quota_host_report(
+    struct quota *qt, const char *route, const char *job, int64_t tokens)
+{
+	struct hosted_quota *hq = g_hash_table_lookup(qt->hosted, route);
+
+	if (hq != NULL)
+		token_quota_record(
+		    hq->count, job, tokens, loop_now_us(qt->opt.lp));
+}
+
+void
+quota_host_tick(struct quota *qt, int64_t now_us)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, qt->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct hosted_quota *hq = val;
+
+		token_quota_tick(hq->count, now_us);
+		if (hq->is_busy)
+			continue;
+		if (now_us - hq->used_us > kIdleUs)
+			g_hash_table_iter_remove(&it);
+		else if (hq->is_loaded &&
+		    now_us - hq->synced_us > kSyncPeriodUs)
+			start_load(hq, false);
+	}
+}
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -59,6 +59,14 @@
 	    "instead.")                                                        \
 	X(kEvtWatchUp, 1505, INFO, "watch_up",                                 \
 	    "A list of the installation can be read.")                         \
+	X(kEvtQuotaLoaded, 1417, INFO, "quota_loaded",                         \
+	    "This daemon counts the waiting tokens of a route from now on.")   \
+	X(kEvtQuotaAnswered, 1418, INFO, "quota_answered",                     \
+	    "This daemon decided whether a job fits the limit of waiting "     \
+	    "tokens.")                                                         \
+	X(kEvtQuotaSilent, 1419, WARN, "quota_silent",                         \
+	    "The daemon that counts the waiting tokens did not respond in "    \
+	    "time.")                                                           \
 	X(kEvtPoolLoad, 1606, INFO, "pool_load",                               \
 	    "Load of a pool that this daemon arbitrates, logged once a "       \
 	    "second.")                                                         \
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -727,6 +727,141 @@
   assert(message->base.descriptor == &sfpeer__contact__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__quota_ask__init
+                     (Sfpeer__QuotaAsk         *message)
+{
+  static const Sfpeer__QuotaAsk init_value = SFPEER__QUOTA_ASK__INIT;
+  *message = init_value;
+}
+size_t sfpeer__quota_ask__get_packed_size
+                     (const Sfpeer__QuotaAsk *message)
+{
+  assert(message->base.descriptor == &sfpeer__quota_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__quota_ask__pack
+                     (const Sfpeer__QuotaAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__quota_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__quota_ask__pack_to_buffer
+                     (const Sfpeer__QuotaAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__quota_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__QuotaAsk *
+       sfpeer__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__QuotaAsk *)
+     protobuf_c_message_unpack (&sfpeer__quota_ask__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__quota_ask__free_unpacked
+                     (Sfpeer__QuotaAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__quota_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__quota_answer__init
+                     (Sfpeer__QuotaAnswer         *message)
+{
+  static const Sfpeer__QuotaAnswer init_value = SFPEER__QUOTA_ANSWER__INIT;
+  *message = init_value;
+}
+size_t sfpeer__quota_answer__get_packed_size
+                     (const Sfpeer__QuotaAnswer *message)
+{
+  assert(message->base.descriptor == &sfpeer__quota_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__quota_answer__pack
+                     (const Sfpeer__QuotaAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__quota_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__quota_answer__pack_to_buffer
+                     (const Sfpeer__QuotaAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__quota_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__QuotaAnswer *
+       sfpeer__quota_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__QuotaAnswer *)
+     protobuf_c_message_unpack (&sfpeer__quota_answer__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__quota_answer__free_unpacked
+                     (Sfpeer__QuotaAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__quota_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__quota_report__init
+                     (Sfpeer__QuotaReport         *message)
+{
+  static const Sfpeer__QuotaReport init_value = SFPEER__QUOTA_REPORT__INIT;
+  *message = init_value;
+}
+size_t sfpeer__quota_report__get_packed_size
+                     (const Sfpeer__QuotaReport *message)
+{
+  assert(message->base.descriptor == &sfpeer__quota_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__quota_report__pack
+                     (const Sfpeer__QuotaReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__quota_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__quota_report__pack_to_buffer
+                     (const Sfpeer__QuotaReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__quota_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__QuotaReport *
+       sfpeer__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__QuotaReport *)
+     protobuf_c_message_unpack (&sfpeer__quota_report__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__quota_report__free_unpacked
+                     (Sfpeer__QuotaReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__quota_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__job_note__init
                      (Sfpeer__JobNote         *message)
 {
@@ -2322,6 +2457,250 @@
   (ProtobufCMessageInit) sfpeer__contact__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sfpeer__quota_ask__field_descriptors[6] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAsk, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAsk, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAsk, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAsk, limit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stale_fence",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAsk, stale_fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__quota_ask__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  2,   /* field[2] = job */
+  4,   /* field[4] = limit */
+  1,   /* field[1] = route */
+  5,   /* field[5] = stale_fence */
+  3,   /* field[3] = tokens */
+};
+static const ProtobufCIntRange sfpeer__quota_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor sfpeer__quota_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.QuotaAsk",
+  "QuotaAsk",
+  "Sfpeer__QuotaAsk",
+  "sfpeer",
+  sizeof(Sfpeer__QuotaAsk),
+  6,
+  sfpeer__quota_ask__field_descriptors,
+  sfpeer__quota_ask__field_indices_by_name,
+  1,  sfpeer__quota_ask__number_ranges,
+  (ProtobufCMessageInit) sfpeer__quota_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__quota_answer__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAnswer, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAnswer, verdict),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fence",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAnswer, fence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaAnswer, retry_after_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__quota_answer__field_indices_by_name[] = {
+  2,   /* field[2] = fence */
+  0,   /* field[0] = id */
+  3,   /* field[3] = retry_after_us */
+  1,   /* field[1] = verdict */
+};
+static const ProtobufCIntRange sfpeer__quota_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sfpeer__quota_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.QuotaAnswer",
+  "QuotaAnswer",
+  "Sfpeer__QuotaAnswer",
+  "sfpeer",
+  sizeof(Sfpeer__QuotaAnswer),
+  4,
+  sfpeer__quota_answer__field_descriptors,
+  sfpeer__quota_answer__field_indices_by_name,
+  1,  sfpeer__quota_answer__number_ranges,
+  (ProtobufCMessageInit) sfpeer__quota_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__quota_report__field_descriptors[3] =
+{
+  {
+    "route",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaReport, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaReport, job),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__QuotaReport, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__quota_report__field_indices_by_name[] = {
+  1,   /* field[1] = job */
+  0,   /* field[0] = route */
+  2,   /* field[2] = tokens */
+};
+static const ProtobufCIntRange sfpeer__quota_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sfpeer__quota_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.QuotaReport",
+  "QuotaReport",
+  "Sfpeer__QuotaReport",
+  "sfpeer",
+  sizeof(Sfpeer__QuotaReport),
+  3,
+  sfpeer__quota_report__field_descriptors,
+  sfpeer__quota_report__field_indices_by_name,
+  1,  sfpeer__quota_report__number_ranges,
+  (ProtobufCMessageInit) sfpeer__quota_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sfpeer__job_note__field_descriptors[2] =
 {
   {
@@ -2373,7 +2752,7 @@
   (ProtobufCMessageInit) sfpeer__job_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[24] =
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[27] =
 {
   {
     "from",
@@ -2663,6 +3042,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quota_asks",
+    25,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_quota_asks),
+    offsetof(Sfpeer__Envelope, quota_asks),
+    &sfpeer__quota_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_answers",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_quota_answers),
+    offsetof(Sfpeer__Envelope, quota_answers),
+    &sfpeer__quota_answer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quota_reports",
+    27,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_quota_reports),
+    offsetof(Sfpeer__Envelope, quota_reports),
+    &sfpeer__quota_report__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
@@ -2683,6 +3098,9 @@
   4,   /* field[4] = notes */
   14,   /* field[14] = pool_loads */
   22,   /* field[22] = quarantined */
+  25,   /* field[25] = quota_answers */
+  24,   /* field[24] = quota_asks */
+  26,   /* field[26] = quota_reports */
   12,   /* field[12] = slot_answers */
   11,   /* field[11] = slot_asks */
   13,   /* field[13] = slot_notes */
@@ -2693,7 +3111,7 @@
 static const ProtobufCIntRange sfpeer__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -2703,7 +3121,7 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  24,
+  27,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
   1,  sfpeer__envelope__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -31,6 +31,9 @@
 typedef struct Sfpeer__ViewRow Sfpeer__ViewRow;
 typedef struct Sfpeer__View Sfpeer__View;
 typedef struct Sfpeer__Contact Sfpeer__Contact;
+typedef struct Sfpeer__QuotaAsk Sfpeer__QuotaAsk;
+typedef struct Sfpeer__QuotaAnswer Sfpeer__QuotaAnswer;
+typedef struct Sfpeer__QuotaReport Sfpeer__QuotaReport;
 typedef struct Sfpeer__JobNote Sfpeer__JobNote;
 typedef struct Sfpeer__Envelope Sfpeer__Envelope;
 
@@ -344,6 +347,59 @@
     , 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Asks the daemon that counts the waiting tokens of a route to reserve those of
+ * a job.
+ */
+struct  Sfpeer__QuotaAsk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *route;
+  char *job;
+  int64_t tokens;
+  int64_t limit;
+  /*
+   * Fence of an answer that the store did not accept; 0: none.
+   */
+  int64_t stale_fence;
+};
+#define SFPEER__QUOTA_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__quota_ask__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Sfpeer__QuotaAnswer
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint32_t verdict;
+  /*
+   * Version of the route's fence row, on which the submission depends.
+   */
+  int64_t fence;
+  int64_t retry_after_us;
+};
+#define SFPEER__QUOTA_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__quota_answer__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Tokens of a job's items that wait for a run.
+ */
+struct  Sfpeer__QuotaReport
+{
+  ProtobufCMessage base;
+  char *route;
+  char *job;
+  int64_t tokens;
+};
+#define SFPEER__QUOTA_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__quota_report__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+
+
 struct  Sfpeer__JobNote
 {
   ProtobufCMessage base;
@@ -416,10 +472,16 @@
    */
   size_t n_target_notes;
   Sfpeer__TargetNote **target_notes;
+  size_t n_quota_asks;
+  Sfpeer__QuotaAsk **quota_asks;
+  size_t n_quota_answers;
+  Sfpeer__QuotaAnswer **quota_answers;
+  size_t n_quota_reports;
+  Sfpeer__QuotaReport **quota_reports;
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Sfpeer__Member methods */
@@ -726,6 +788,63 @@
 void   sfpeer__contact__free_unpacked
                      (Sfpeer__Contact *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__QuotaAsk methods */
+void   sfpeer__quota_ask__init
+                     (Sfpeer__QuotaAsk         *message);
+size_t sfpeer__quota_ask__get_packed_size
+                     (const Sfpeer__QuotaAsk   *message);
+size_t sfpeer__quota_ask__pack
+                     (const Sfpeer__QuotaAsk   *message,
+                      uint8_t             *out);
+size_t sfpeer__quota_ask__pack_to_buffer
+                     (const Sfpeer__QuotaAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__QuotaAsk *
+       sfpeer__quota_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__quota_ask__free_unpacked
+                     (Sfpeer__QuotaAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__QuotaAnswer methods */
+void   sfpeer__quota_answer__init
+                     (Sfpeer__QuotaAnswer         *message);
+size_t sfpeer__quota_answer__get_packed_size
+                     (const Sfpeer__QuotaAnswer   *message);
+size_t sfpeer__quota_answer__pack
+                     (const Sfpeer__QuotaAnswer   *message,
+                      uint8_t             *out);
+size_t sfpeer__quota_answer__pack_to_buffer
+                     (const Sfpeer__QuotaAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__QuotaAnswer *
+       sfpeer__quota_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__quota_answer__free_unpacked
+                     (Sfpeer__QuotaAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__QuotaReport methods */
+void   sfpeer__quota_report__init
+                     (Sfpeer__QuotaReport         *message);
+size_t sfpeer__quota_report__get_packed_size
+                     (const Sfpeer__QuotaReport   *message);
+size_t sfpeer__quota_report__pack
+                     (const Sfpeer__QuotaReport   *message,
+                      uint8_t             *out);
+size_t sfpeer__quota_report__pack_to_buffer
+                     (const Sfpeer__QuotaReport   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__QuotaReport *
+       sfpeer__quota_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__quota_report__free_unpacked
+                     (Sfpeer__QuotaReport *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__JobNote methods */
 void   sfpeer__job_note__init
                      (Sfpeer__JobNote         *message);
@@ -814,6 +933,15 @@
 typedef void (*Sfpeer__Contact_Closure)
                  (const Sfpeer__Contact *message,
                   void *closure_data);
+typedef void (*Sfpeer__QuotaAsk_Closure)
+                 (const Sfpeer__QuotaAsk *message,
+                  void *closure_data);
+typedef void (*Sfpeer__QuotaAnswer_Closure)
+                 (const Sfpeer__QuotaAnswer *message,
+                  void *closure_data);
+typedef void (*Sfpeer__QuotaReport_Closure)
+                 (const Sfpeer__QuotaReport *message,
+                  void *closure_data);
 typedef void (*Sfpeer__JobNote_Closure)
                  (const Sfpeer__JobNote *message,
                   void *closure_data);
@@ -842,6 +970,9 @@
 extern const ProtobufCMessageDescriptor sfpeer__view_row__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__view__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__contact__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__quota_ask__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__quota_answer__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__quota_report__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__job_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__envelope__descriptor;
 
--- a/src/savoryflow/job/itemjob.c
+++ b/src/savoryflow/job/itemjob.c
@@ -22,6 +22,7 @@
 	g_free(job->host);
 	g_free(job->path);
 	g_free(job->input);
+	g_free(job->quota_route);
 	g_free(job);
 }
 
@@ -99,6 +100,7 @@
 		return;
 	g_free(open->id);
 	g_free(open->owner);
+	g_free(open->quota_route);
 	g_free(open);
 }
 
--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -43,6 +43,12 @@
 	int32_t total;
 	/** Time of the submission by the store's monotonic clock. */
 	int64_t accepted_ms;
+	/** Route whose waiting tokens are limited; NULL: they are not. */
+	char *quota_route;
+	/** Tokens of all items. */
+	int64_t quota_tokens;
+	/** Version of the quota's fence row on which the submission depends. */
+	int64_t quota_fence;
 };
 
 /** Row of an unfinished job. */
@@ -53,6 +59,9 @@
 	/** Ended early: no further item is to run. */
 	bool is_ended;
 	int64_t version;
+	/** As in struct itemjob. */
+	char *quota_route;
+	int64_t quota_tokens;
 };
 
 struct itemjob_result {
--- a/src/savoryflow/job/itemjob_open.c
+++ b/src/savoryflow/job/itemjob_open.c
@@ -23,6 +23,10 @@
 	    g_strdup(json_string_value(json_object_get(doc, "owner")));
 	open->is_ended = json_is_true(json_object_get(doc, "ended"));
 	open->version = row->version;
+	open->quota_route =
+	    g_strdup(json_string_value(json_object_get(doc, "quota")));
+	open->quota_tokens =
+	    json_integer_value(json_object_get(doc, "tokens"));
 	json_decref(doc);
 	return open;
 }
@@ -66,9 +70,13 @@
 {
 	struct store_txn *txn = store_txn_new();
 	char *key = itemjob_list_key("open", open->id);
-	char *text = itemjob_open_text(owner, is_ended);
+	struct itemjob_open row = *open;
+	char *text;
 	enum store_result res;
 
+	row.owner = (char *)owner;
+	row.is_ended = is_ended;
+	text = itemjob_open_text(&row);
 	store_txn_version(txn, key, open->version);
 	store_txn_write(txn, key, text);
 	res = st->ops->txn(st->ctx, kCauseBatch, txn);
@@ -130,6 +138,69 @@
 	return kStoreAmbiguous;
 }
 
+static enum store_result
+read_fence(
+    const struct store *st, const char *key, char **owner, int64_t *version)
+{
+	struct store_row row = {0};
+	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
+	json_t *doc;
+
+	*owner = NULL;
+	*version = 0;
+	if (res != kStoreOk)
+		return res == kStoreNotFound ? kStoreOk : res;
+	doc = json_loads(row.value, 0, NULL);
+	*owner = g_strdup(json_string_value(json_object_get(doc, "owner")));
+	*version = row.version;
+	json_decref(doc);
+	store_row_clear(&row);
+	return kStoreOk;
+}
+
+static enum store_result
+write_fence(const struct store *st, const char *key, const char *owner,
+    int64_t version)
+{
+	struct store_txn *txn = store_txn_new();
+	json_t *doc = json_pack("{s:s}", "owner", owner);
+	char *text = json_dumps(doc, JSON_COMPACT);
+	enum store_result res;
+
+	if (version == 0)
+		store_txn_absent(txn, key);
+	else
+		store_txn_version(txn, key, version);
+	store_txn_write(txn, key, text);
+	res = st->ops->txn(st->ctx, kCauseBatch, txn);
+	free(text);
+	json_decref(doc);
+	store_txn_free(txn);
+	return res;
+}
+
+enum store_result
+itemjob_take_quota_fence(const struct store *st, const char *route,
+    const char *owner, int64_t *fence)
+{
+	char *key = itemjob_list_key("quota", route);
+	char *holder = NULL;
+	enum store_result res = read_fence(st, key, &holder, fence);
+
+	if (res == kStoreOk)
+		res = write_fence(st, key, owner, *fence);
+	g_free(holder);
+	holder = NULL;
+	/* Also after a lost answer or a conflict: the row tells who has it. */
+	if (res != kStoreUnavailable)
+		res = read_fence(st, key, &holder, fence);
+	if (res == kStoreOk && g_strcmp0(holder, owner) != 0)
+		res = kStoreConflict;
+	g_free(holder);
+	g_free(key);
+	return res;
+}
+
 enum store_result
 itemjob_close(const struct store *st, const char *id)
 {
--- a/src/savoryflow/job/itemjob_rows.c
+++ b/src/savoryflow/job/itemjob_rows.c
@@ -35,12 +35,19 @@
 }
 
 char *
-itemjob_open_text(const char *owner, bool is_ended)
+itemjob_open_text(const struct itemjob_open *open)
 {
-	json_t *doc =
-	    json_pack("{s:s,s:b}", "owner", owner, "ended", (int)is_ended);
-	char *text = json_dumps(doc, JSON_COMPACT);
-
+	json_t *doc = json_pack("{s:s,s:b}", "owner", open->owner, "ended",
+	    (int)open->is_ended);
+	char *text;
+
+	if (open->quota_route != NULL) {
+		json_object_set_new(
+		    doc, "quota", json_string(open->quota_route));
+		json_object_set_new(
+		    doc, "tokens", json_integer(open->quota_tokens));
+	}
+	text = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	return text;
 }
--- a/src/savoryflow/job/itemjob_rows.h
+++ b/src/savoryflow/job/itemjob_rows.h
@@ -1,8 +1,7 @@
 #ifndef SAVORYFLOW_ITEMJOB_ROWS_H
 #define SAVORYFLOW_ITEMJOB_ROWS_H
 
-#include <stdbool.h>
-#include <stdint.h>
+#include "savoryflow/job/itemjob_defs.h"
 
 /* Keys and values of the rows of jobs, for the files that access them. */
 
@@ -25,6 +24,6 @@
 int32_t itemjob_number_of_key(const char *key);
 
 /** Value of an open job's row; free with free(). */
-char *itemjob_open_text(const char *owner, bool is_ended);
+char *itemjob_open_text(const struct itemjob_open *open);
 
 #endif
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -21,8 +21,12 @@
 	    "path", job->path, "input", job->input, "inline",
 	    (int)job->is_inline, "total", job->total, "accepted_ms",
 	    (json_int_t)job->accepted_ms);
-	char *text = json_dumps(doc, JSON_COMPACT);
+	char *text;
 
+	if (job->quota_route != NULL)
+		json_object_set_new(
+		    doc, "quota", json_string(job->quota_route));
+	text = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	return text;
 }
@@ -48,6 +52,8 @@
 		    json_is_true(json_object_get(doc, "inline"));
 		(*job)->total =
 		    (int32_t)json_integer_value(json_object_get(doc, "total"));
+		(*job)->quota_route =
+		    g_strdup(json_string_value(json_object_get(doc, "quota")));
 		(*job)->accepted_ms =
 		    json_integer_value(json_object_get(doc, "accepted_ms"));
 		json_decref(doc);
@@ -87,10 +93,19 @@
 	char *open_key = itemjob_list_key("open", job->id);
 	char *input_key = itemjob_list_key("input", job->id);
 	char *job_text = job_to_text(job);
-	char *open_text = itemjob_open_text(owner, false);
+	struct itemjob_open open = {.owner = (char *)owner,
+	    .quota_route = job->quota_route,
+	    .quota_tokens = job->quota_tokens};
+	char *open_text = itemjob_open_text(&open);
 	enum store_result res;
 
 	store_txn_absent(txn, job_key);
+	if (job->quota_route != NULL) {
+		char *fence_key = itemjob_list_key("quota", job->quota_route);
+
+		store_txn_version(txn, fence_key, job->quota_fence);
+		g_free(fence_key);
+	}
 	store_txn_write(txn, job_key, job_text);
 	store_txn_write(txn, open_key, open_text);
 	if (items != NULL)
@@ -119,7 +134,8 @@
 	res = submit_rows(st, job, NULL, owner, is_new);
 	/* The job existed already, or the store is unavailable: the object is
 	 * unused. */
-	if (res == kStoreUnavailable || (res == kStoreOk && !*is_new))
+	if (res == kStoreUnavailable || res == kStoreConflict ||
+	    (res == kStoreOk && !*is_new))
 		st->ops->delete_object(st->ctx, kCauseBatch, job->input);
 	return res;
 }
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -22,7 +22,8 @@
  */
 
 /**
- * Accepts a job; a known id refers to the existing job.
+ * Accepts a job; a known id refers to the existing job. Returns kStoreConflict
+ * if the job's quota is counted by another daemon by now; nothing was written.
  * @param token unique token of this submission
  * @param owner session that is to run it
  * @param is_new set to whether this submission created the job
@@ -77,6 +78,15 @@
 enum store_result itemjob_end(
     const struct store *st, const char *id, char **owner);
 
+/**
+ * Makes this daemon the one that counts the waiting tokens of a route:
+ * submissions that depend on an earlier fence fail from now on.
+ * @param owner session of this daemon
+ * @param fence version of the fence row
+ */
+enum store_result itemjob_take_quota_fence(const struct store *st,
+    const char *route, const char *owner, int64_t *fence);
+
 /** Marks the job as finished: it needs no owner any more. */
 enum store_result itemjob_close(const struct store *st, const char *id);
 
--- a/src/savoryflow/routebook/routebook_defs.h
+++ b/src/savoryflow/routebook/routebook_defs.h
@@ -44,6 +44,9 @@
 	int64_t job_due_us;
 	/** Batch: time after which an item may be abandoned. */
 	int64_t item_ttl_us;
+	/** Batch: maximum tokens of accepted items that wait for a run; 0: no
+	 * limit. */
+	int64_t waiting_tokens_max;
 	/** struct routebook_share; at least one. */
 	GArray *shares;
 };
--- /dev/null
+++ b/test/functional/test_gateway_quota.cc
@@ -0,0 +1,108 @@
+#include <atomic>
+#include <thread>
+
+#include "functional/gateway_fixture.h"
+
+namespace
+{
+
+/* A batch route on which at most 100 tokens may wait. */
+const char kLimitedRoute[] =
+    R"(,{"name":"l","host":"a.example","path_prefix":"/l/",
+    "kind":"batch","timeout_ms":15000,"target_latency_ms":500,
+    "service":"llm","max_attempts":2,"target_done_ms":18000,
+    "item_ttl_s":60,"max_count":100})";
+
+struct GatewayQuota : Gateway {
+	void
+	StartLimitedFleet(int daemon_count)
+	{
+		Configure(1, kLimitedRoute);
+		for (int i = 0; i < 2; i++)
+			AddWorker();
+		for (int i = 0; i < daemon_count; i++)
+			AddDaemon();
+		for (size_t i = 0; i < daemons.size(); i++)
+			ASSERT_TRUE(Eventually([&] {
+				return Call(i, "/q/warm", "w", 1).status == 200;
+			}));
+		/* Until all daemons know each other, several may count. */
+		for (auto &d : daemons)
+			ASSERT_TRUE(daemon_count == 1 ||
+			    d->WaitLine("\"name\":\"member_up\"",
+				daemon_count - 1));
+	}
+
+	/* A job of 9 tokens an item; its items run for seconds. */
+	long
+	Submit(size_t daemon, const std::string &id, int items,
+	    int events = 400, int pace_ms = 20)
+	{
+		std::string job =
+		    JobBody(id + "-", items, RequestBody(events, pace_ms));
+
+		return Send(daemon, "POST", "/l/" + id, job, id).status;
+	}
+};
+
+TEST_F(GatewayQuota, JobsBeyondTheLimitAreRefusedUntilItemsFinish)
+{
+	StartLimitedFleet(1);
+	EXPECT_EQ(202, Submit(0, "a", 8, 40));
+	EXPECT_EQ(429, Submit(0, "b", 4)) << "72 + 36 tokens";
+	EXPECT_EQ(202, Submit(0, "a", 8, 40)) << "accepted before";
+	EXPECT_EQ(202, Submit(0, "c", 3)) << "72 + 27 tokens";
+	ASSERT_TRUE(Eventually([&] { return HasResults(0, "a", 8); }));
+	EXPECT_TRUE(
+	    Eventually([&] { return Submit(0, "b", 4) == 202; }));
+	EXPECT_EQ(0, CountRuns("d-0"));
+	EXPECT_EQ(429, Submit(0, "d", 8));
+	EXPECT_EQ(0, CountRuns("d-0")) << "refused, so it does not run";
+}
+
+TEST_F(GatewayQuota, AnEndedJobFreesItsTokens)
+{
+	StartLimitedFleet(2);
+	EXPECT_EQ(202, Submit(0, "a", 10));
+	EXPECT_EQ(429, Submit(1, "b", 10));
+	EXPECT_EQ(200, Send(1, "DELETE", "/api/lots/a", "", "r").status);
+	EXPECT_TRUE(
+	    Eventually([&] { return Submit(1, "b", 10) == 202; }));
+}
+
+/* Submissions at all daemons at once, while the counting one is killed. */
+TEST_F(GatewayQuota, RacingSubmissionsNeverExceedTheLimit)
+{
+	StartLimitedFleet(3);
+	std::atomic<int> accepted{0};
+	std::vector<std::thread> clients;
+
+	for (size_t c = 0; c < 6; c++)
+		clients.emplace_back([&, c] {
+			for (int i = 0; i < 10; i++)
+				if (Submit(c % 3,
+					"r" + std::to_string(c) + "x" +
+					    std::to_string(i),
+					2) == 202)
+					accepted++;
+		});
+	daemons[0]->Signal(SIGKILL);
+	for (auto &t : clients)
+		t.join();
+	/* What daemon 0 accepted without an answer counts as well. */
+	EXPECT_LE(accepted.load() * 18, 100);
+	EXPECT_GE(accepted.load(), 1);
+	int open = 0;
+	for (int c = 0; c < 6; c++)
+		for (int i = 0; i < 10; i++) {
+			json_t *doc = FetchResults(1,
+			    "r" + std::to_string(c) + "x" + std::to_string(i));
+
+			open += doc != nullptr;
+			json_decref(doc);
+		}
+	EXPECT_LE(open * 18, 100);
+	EXPECT_GE(open, accepted.load());
+}
+
+} // namespace
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -13,6 +13,7 @@
 struct Itemjob : ::testing::Test {
 	struct memstore *ms = memstore_new();
 	struct store *st = memstore_store(ms);
+	int submissions = 0;
 
 	~Itemjob() override
 	{
@@ -56,6 +57,29 @@
 		return res;
 	}
 
+	store_result
+	SubmitWithQuota(const char *id, int64_t fence, bool *is_new)
+	{
+		itemjob *job = itemjob_new(id);
+		GPtrArray *items = itemjob_items_new();
+		store_result res;
+
+		job->host = g_strdup("h.example");
+		job->path = g_strdup("/p/1");
+		job->quota_route = g_strdup("r");
+		job->quota_tokens = 21;
+		job->quota_fence = fence;
+		itemjob_item *item = itemjob_item_new("i", "/p/x");
+		item->body = g_bytes_new("x", 1);
+		g_ptr_array_add(items, item);
+		std::string token = "t" + std::to_string(++submissions);
+		res = itemjob_submit(
+		    st, job, items, token.c_str(), "s1", is_new);
+		g_ptr_array_unref(items);
+		itemjob_free(job);
+		return res;
+	}
+
 	store_result
 	End(const char *id)
 	{
@@ -348,6 +372,54 @@
 	g_ptr_array_unref(list);
 }
 
+/*
+ * A daemon that counts a route's tokens reads the open jobs after it took the
+ * fence. A submission that its predecessor granted must not appear after that.
+ */
+TEST_F(Itemjob, ASubmissionDependsOnTheFenceOfItsQuota)
+{
+	int64_t first, second;
+	GPtrArray *list = nullptr;
+	bool is_new;
+
+	ASSERT_EQ(kStoreOk, itemjob_take_quota_fence(st, "r", "s1", &first));
+	EXPECT_EQ(kStoreOk, SubmitWithQuota("j1", first, &is_new));
+	EXPECT_TRUE(is_new);
+	ASSERT_EQ(kStoreOk, itemjob_take_quota_fence(st, "r", "s2", &second));
+	EXPECT_NE(first, second);
+	EXPECT_EQ(kStoreConflict, SubmitWithQuota("j2", first, &is_new));
+	EXPECT_FALSE(is_new);
+	EXPECT_EQ(kStoreOk, SubmitWithQuota("j1", first, &is_new))
+	    << "accepted before";
+	EXPECT_FALSE(is_new);
+	EXPECT_EQ(kStoreOk, SubmitWithQuota("j2", second, &is_new));
+	ASSERT_EQ(kStoreOk, itemjob_read_open(st, &list));
+	ASSERT_EQ(2u, list->len);
+	for (guint i = 0; i < list->len; i++) {
+		auto *open = (itemjob_open *)list->pdata[i];
+
+		EXPECT_STREQ("r", open->quota_route);
+		EXPECT_EQ(21, open->quota_tokens);
+		EXPECT_EQ(kStoreOk, itemjob_claim(st, open, "s3"));
+	}
+	g_ptr_array_unref(list);
+	ASSERT_EQ(kStoreOk, itemjob_read_open(st, &list));
+	EXPECT_EQ(21, ((itemjob_open *)list->pdata[0])->quota_tokens)
+	    << "kept by a claim";
+	g_ptr_array_unref(list);
+}
+
+TEST_F(Itemjob, TheFenceIsTakenThoughAnswersAreLost)
+{
+	int64_t fence;
+
+	Faults(false, 1, 0);
+	EXPECT_EQ(kStoreOk, itemjob_take_quota_fence(st, "r", "s1", &fence));
+	Faults(true, 0, 0);
+	EXPECT_EQ(
+	    kStoreUnavailable, itemjob_take_quota_fence(st, "r", "s1", &fence));
+}
+
 TEST_F(Itemjob, EndingIsIdempotentAndOutlivesAClaim)
 {
 	bool is_new, is_ended = false;
