quota: counted and connected before the first submission

Logs: the first ask waited for the connection to another region (some 230 ms each way, 450 ms allowed) and for the fence; the asker turned to another daemon, whose fence made the first grant fail; the repeated submission kept a pointer to a cancelled forward and freed it twice (the exits). Change: the elected daemon counts after 2 s without being asked, it and the others keep their connections open, and the forward is cleared.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -174,6 +174,7 @@
 		continue_drain(gw);
 	if (now_us - gw->settings_checked_us > kSettingsCheckUs) {
 		gw->settings_checked_us = now_us;
+		jobs_prepare_quotas(gw->jobs);
 		if (settings_file_changed(gw->set))
 			settings_reload_and_log(gw->set);
 	}
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -39,6 +39,10 @@
 struct jobs *jobs_new(const struct jobs_options *opt);
 void jobs_free(struct jobs *js);
 
+/** Has the quotas counted here for which this daemon is elected; about once a
+ * second. */
+void jobs_prepare_quotas(struct jobs *js);
+
 /** Ids of the jobs that this daemon runs: array of strings, borrowed. */
 GPtrArray *jobs_running_ids(const struct jobs *js);
 
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -75,6 +75,8 @@
 	/** Jobs whose progress is being stored. */
 	int32_t saves_in_flight;
 	uint64_t timer;
+	/** Time when the connections of quotas were last used. */
+	int64_t quotas_connected_us;
 };
 
 /**
--- a/src/gateway/jobs_quota.c
+++ b/src/gateway/jobs_quota.c
@@ -9,6 +9,8 @@
 	kUnavailableRetryUs = 500 * kUsPerMs,
 	/* Submissions whose fence was taken by another daemon meanwhile. */
 	kConflictsMax = 2,
+	/* Shorter than the time after which idle connections are closed. */
+	kConnectPeriodUs = 3 * kUsPerS,
 	/* Jobs are reported again, as a report may be lost. */
 	kReportPeriodUs = kUsPerS,
 };
@@ -133,6 +135,27 @@
 	return true;
 }
 
+void
+jobs_prepare_quotas(struct jobs *js)
+{
+	const struct routebook *book = js->opt.routes(js->opt.ctx);
+	int64_t now_us = loop_now_us(js->opt.deps.lp);
+	bool must_connect = now_us - js->quotas_connected_us > kConnectPeriodUs;
+
+	if (must_connect)
+		js->quotas_connected_us = now_us;
+	for (guint i = 0; book != NULL && i < book->routes->len; i++) {
+		const struct routebook_route *route = book->routes->pdata[i];
+		char *name;
+
+		if (route->waiting_tokens_max == 0)
+			continue;
+		name = quota_route_name(route->host, route->prefix);
+		quota_prepare(js->opt.quota, name, must_connect);
+		g_free(name);
+	}
+}
+
 static int64_t
 waiting_tokens(const struct job_run *run)
 {
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -170,6 +170,7 @@
 		task->outcome = kStoreAmbiguous;
 	if (task->forward != NULL)
 		job_forward_cancel(task->forward);
+	task->forward = NULL;
 	if (task->req != NULL)
 		front_on_disconnect(task->req, NULL, NULL);
 	if (task->outcome == kStoreConflict && jobs_quota_retry(task)) {
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -193,6 +193,32 @@
 	qt->opt.wire->send(qt->opt.wire_ctx, ask->from, &env);
 }
 
+static void
+connect_all(struct quota *qt)
+{
+	GPtrArray *peers =
+	    roster_peers(qt->opt.roster, NULL, loop_now_us(qt->opt.lp));
+
+	for (guint i = 0; i < peers->len; i++)
+		qt->opt.wire->connect(qt->opt.wire_ctx, peers->pdata[i]);
+	g_ptr_array_unref(peers);
+}
+
+/* A connection to another region takes longer to open than an answer may
+ * take, so both directions are kept open. */
+void
+quota_prepare(struct quota *qt, const char *route, bool must_connect)
+{
+	const char *counter = counter_of(qt, route);
+	bool is_elected = strcmp(counter, qt->opt.address) == 0;
+
+	quota_host_prepare(qt, route, is_elected);
+	if (must_connect && is_elected)
+		connect_all(qt);
+	else if (must_connect)
+		qt->opt.wire->connect(qt->opt.wire_ctx, counter);
+}
+
 void
 quota_report(
     struct quota *qt, const char *route, const char *job, int64_t tokens)
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -66,6 +66,14 @@
 /** No answer is wanted any more. */
 void quota_cancel(struct quota *qt, uint64_t id);
 
+/**
+ * Counts the tokens of a route here if this daemon is elected for it, so that
+ * the first submission does not wait for the store; several times a second.
+ * @param must_connect also keep the connections open that answers need
+ */
+void quota_prepare(
+    struct quota *qt, const char *route, bool must_connect);
+
 /** Reports how many tokens of a job wait for a run, with the next message. */
 void quota_report(
     struct quota *qt, const char *route, const char *job, int64_t tokens);
--- a/src/gateway/quota_host.c
+++ b/src/gateway/quota_host.c
@@ -9,6 +9,9 @@
 	kSyncPeriodUs = 3 * kUsPerS,
 	/* A quota without requests for this time is dropped. */
 	kIdleUs = 60 * kUsPerS,
+	/* A daemon that starts knows no others at first: it counts before it is
+	 * asked only if it stays elected for this time. */
+	kPrepareUs = 2 * kUsPerS,
 };
 
 struct hosted_quota {
@@ -17,6 +20,8 @@
 	/** Counted only once it is loaded. */
 	bool is_loaded;
 	bool is_busy;
+	/** Since when this daemon is elected; 0 if it is not. */
+	int64_t elected_us;
 	struct token_quota *count;
 	int64_t fence;
 	int64_t used_us;
@@ -218,6 +223,25 @@
 		start_load(hq, true);
 }
 
+void
+quota_host_prepare(struct quota *qt, const char *route, bool is_elected)
+{
+	struct hosted_quota *hq = g_hash_table_lookup(qt->hosted, route);
+	int64_t now_us = loop_now_us(qt->opt.lp);
+
+	if (!is_elected) {
+		if (hq != NULL)
+			hq->elected_us = 0;
+		return;
+	}
+	hq = hosted_get(qt, route);
+	if (hq->elected_us == 0)
+		hq->elected_us = now_us;
+	if (!hq->is_loaded && !hq->is_busy &&
+	    now_us - hq->elected_us > kPrepareUs)
+		start_load(hq, true);
+}
+
 void
 quota_host_report(
     struct quota *qt, const char *route, const char *job, int64_t tokens)
--- a/src/gateway/quota_internal.h
+++ b/src/gateway/quota_internal.h
@@ -38,6 +38,8 @@
 void quota_host_free(void *p);
 void quota_host_ask(
     struct quota *qt, const char *route, const struct quota_ask *ask);
+/** @param is_elected this daemon is to count the route's tokens */
+void quota_host_prepare(struct quota *qt, const char *route, bool is_elected);
 void quota_host_report(
     struct quota *qt, const char *route, const char *job, int64_t tokens);
 void quota_host_tick(struct quota *qt, int64_t now_us);
