quota: counted by a daemon that reaches the store; rows to peers by version

Other causes found on the way: with contacts by gossip no connection to the arbiters of other regions was open, so requests for slots timed out after 177 ms (82 of 92 arbiter_silent), and the stand-ins, which start no batch, took their place. Change: the counting daemon is elected among those that reach the store; one that cannot count is not asked for 5 s. Fleets of up to 100 daemons get load reports directly, and daemons keep a connection to who reports; a request to an arbiter without one is given the time to open it, which also counts when pools are chosen. A daemon that the store turns away asks its peers, those of its data centre first, only for rows newer than it has; long lists are read again less often.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -121,11 +121,18 @@
 	struct watch *(*watch_new)(
 	    struct store *st, const struct watch_ops *ops, void *ctx);
 	void (*watch_free)(struct watch *w);
-	/** Applies rows received from a peer: array of struct view_row. */
-	void (*watch_apply_rows)(struct watch *w, const GArray *rows);
-	/** Copies of all known rows: array of struct view_row, which owns its
-	 * strings. */
-	GArray *(*watch_rows)(struct watch *w);
+	/**
+	 * Applies rows received from a peer.
+	 * @param rows array of struct view_row
+	 * @param version with these rows, all changes up to it are known
+	 */
+	void (*watch_apply_rows)(
+	    struct watch *w, const GArray *rows, int64_t version);
+	/** Copies of the known rows that are newer than a version: array of
+	 * struct view_row, which owns its strings. */
+	GArray *(*watch_rows)(struct watch *w, int64_t after);
+	/** Version up to which all changes are known. */
+	int64_t (*watch_version)(struct watch *w);
 };
 
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -77,6 +77,7 @@
 	if (gw->is_store_up == is_up)
 		return;
 	gw->is_store_up = is_up;
+	roster_set_store_status(gw->roster, !is_up);
 	if (is_up)
 		gw->store_recovered_us = loop_now_us(gw->lp);
 	log_event(is_up ? kEvtStoreUp : kEvtStoreDown, NULL);
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -12,8 +12,12 @@
 	/* The counting daemon may be in another region, and may first have to
 	 * read the open jobs. */
 	kAnswerTimeoutUs = 450 * kUsPerMs,
-	kAsksMax = 2,
+	kAsksMax = 3,
 	kSuspectUs = 4 * kUsPerS,
+	/* A daemon that could not count is not asked for this time. */
+	kAvoidUs = 5 * kUsPerS,
+	/* Daemons that may count a route's tokens, in order. */
+	kCountersMax = 4,
 	kReportsPerMessage = 100,
 };
 
@@ -48,6 +52,8 @@
 	qt->waits = u64_hash_new(wait_free);
 	qt->reports =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	qt->avoided =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	qt->hosted = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, quota_host_free);
 	return qt;
@@ -58,6 +64,7 @@
 {
 	g_hash_table_unref(qt->waits);
 	g_hash_table_unref(qt->reports);
+	g_hash_table_unref(qt->avoided);
 	g_hash_table_unref(qt->hosted);
 	g_free(qt);
 }
@@ -71,14 +78,41 @@
 	    (uint64_t)XXH3_64bits_withSeed(prefix, strlen(prefix), seed));
 }
 
+static bool
+is_avoided(const struct quota *qt, const char *address, int64_t now_us)
+{
+	const int64_t *until_us = g_hash_table_lookup(qt->avoided, address);
+
+	return until_us != NULL && *until_us > now_us;
+}
+
+static void
+avoid(struct quota *qt, const char *address)
+{
+	int64_t *until_us = g_new(int64_t, 1);
+
+	*until_us = loop_now_us(qt->opt.lp) + kAvoidUs;
+	g_hash_table_replace(qt->avoided, g_strdup(address), until_us);
+}
+
+/* The daemon that counts a route's tokens: the first of those elected that has
+ * not failed to. */
 static const char *
 counter_of(const struct quota *qt, const char *route)
 {
-	char key[64];
+	int64_t now_us = loop_now_us(qt->opt.lp);
+	const char *counter = NULL;
+
+	for (int i = 0; i < kCountersMax; i++) {
+		char key[64];
 
-	snprintf(key, sizeof(key), "quota-%s", route);
-	return roster_owner(
-	    qt->opt.roster, key, NULL, loop_now_us(qt->opt.lp));
+		snprintf(key, sizeof(key), "quota-%d-%s", i, route);
+		counter = roster_owner_reaching_store(
+		    qt->opt.roster, key, now_us);
+		if (!is_avoided(qt, counter, now_us))
+			break;
+	}
+	return counter;
 }
 
 static void
@@ -172,6 +206,29 @@
 	fn(ctx, answer);
 }
 
+/* @return false if no other daemon is to be asked */
+static bool
+ask_another(struct quota *qt, struct quota_wait *qw)
+{
+	avoid(qt, qw->counter);
+	if (qw->asks >= kAsksMax)
+		return false;
+	ask_counter(qt, qw);
+	return true;
+}
+
+static void
+handle_answer(struct quota *qt, uint64_t id, const struct quota_answer *answer)
+{
+	struct quota_wait *qw = g_hash_table_lookup(qt->waits, &id);
+
+	if (qw == NULL)
+		return;
+	if (answer->verdict == kQuotaUnavailable && ask_another(qt, qw))
+		return;
+	deliver(qt, id, answer);
+}
+
 void
 quota_send_answer(struct quota *qt, const struct quota_ask *ask,
     const struct quota_answer *answer)
@@ -181,7 +238,7 @@
 	Sfpeer__QuotaAnswer *list[] = {&wire};
 
 	if (strcmp(ask->from, qt->opt.address) == 0) {
-		deliver(qt, ask->id, answer);
+		handle_answer(qt, ask->id, answer);
 		return;
 	}
 	wire.id = ask->id;
@@ -307,9 +364,7 @@
 	    "waited_us", log_number(now_us - qw->asked_us), NULL);
 	roster_suspect(qt->opt.roster, qw->counter, now_us + kSuspectUs);
 	qt->opt.wire->reconnect(qt->opt.wire_ctx, qw->counter);
-	if (qw->asks < kAsksMax)
-		ask_counter(qt, qw);
-	else
+	if (!ask_another(qt, qw))
 		deliver(qt, qw->id, &answer);
 }
 
@@ -366,6 +421,6 @@
 		    .retry_after_us = wire->retry_after_us,
 		};
 
-		deliver(qt, wire->id, &answer);
+		handle_answer(qt, wire->id, &answer);
 	}
 }
--- a/src/gateway/quota_internal.h
+++ b/src/gateway/quota_internal.h
@@ -14,6 +14,8 @@
 	GHashTable *waits;
 	/** int64_t tokens to report, by "ROUTE JOB". */
 	GHashTable *reports;
+	/** int64_t: time until which a daemon is not asked, by address. */
+	GHashTable *avoided;
 	/** struct hosted_quota by route. */
 	GHashTable *hosted;
 };
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -51,6 +51,7 @@
 	GHashTable *sessions;
 	int64_t contact_timeout_us;
 	bool is_self_leaving;
+	bool is_self_cut_off;
 	uint64_t epoch;
 };
 
@@ -345,6 +346,13 @@
 /* Daemons among which the owner of a key is elected. */
 struct candidates {
 	const char *key;
+	/** NULL: any. */
+	const char *data_center;
+	/** Daemons that did not answer in time count as well. */
+	bool include_suspects;
+	/** Only daemons that are believed to reach the store. */
+	bool needs_store;
+	int64_t now_us;
 	/** Highest processor capacity of a candidate. */
 	int32_t cpu_millicores;
 	const char *best;
@@ -375,53 +383,66 @@
 typedef void (*consider_fn)(
     struct candidates *c, const struct roster_row *row);
 
-/* @param include_suspects also consider daemons that did not answer in time */
+static bool
+is_candidate(const struct roster *ro, const struct candidates *c,
+    const struct roster_member *m)
+{
+	if (c->data_center != NULL &&
+	    strcmp(c->data_center, m->row.data_center) != 0)
+		return false;
+	if (c->needs_store &&
+	    (m->is_store_unreachable || !is_alive(ro, m, c->now_us)))
+		return false;
+	return c->include_suspects ? is_eligible(ro, m, c->now_us)
+				   : is_usable(ro, m, c->now_us);
+}
+
+static bool
+is_self_candidate(const struct roster *ro, const struct candidates *c)
+{
+	return !ro->is_self_leaving &&
+	    !(c->needs_store && ro->is_self_cut_off) &&
+	    (c->data_center == NULL ||
+		strcmp(c->data_center, ro->opt.self.data_center) == 0);
+}
+
 static void
-for_each_candidate(const struct roster *ro, const char *data_center,
-    bool include_suspects, int64_t now_us, consider_fn fn, struct candidates *c)
+for_each_candidate(
+    const struct roster *ro, consider_fn fn, struct candidates *c)
 {
 	GHashTableIter it;
 	void *val;
 
-	if (!ro->is_self_leaving &&
-	    (data_center == NULL ||
-		strcmp(data_center, ro->opt.self.data_center) == 0))
+	if (is_self_candidate(ro, c))
 		fn(c, &ro->opt.self);
 	g_hash_table_iter_init(&it, ro->members);
-	while (g_hash_table_iter_next(&it, NULL, &val)) {
-		const struct roster_member *m = val;
-
-		if (data_center != NULL &&
-		    strcmp(data_center, m->row.data_center) != 0)
-			continue;
-		if (include_suspects ? is_eligible(ro, m, now_us)
-				     : is_usable(ro, m, now_us))
-			fn(c, &m->row);
-	}
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (is_candidate(ro, c, val))
+			fn(c, &((struct roster_member *)val)->row);
 }
 
 static const char *
-elect(const struct roster *ro, const char *key, const char *data_center,
-    bool include_suspects, int64_t now_us)
+elect(const struct roster *ro, struct candidates *c)
 {
-	struct candidates c = {.key = key};
-
-	for_each_candidate(
-	    ro, data_center, include_suspects, now_us, consider_capacity, &c);
-	for_each_candidate(
-	    ro, data_center, include_suspects, now_us, consider, &c);
-	return c.best;
+	for_each_candidate(ro, consider_capacity, c);
+	for_each_candidate(ro, consider, c);
+	return c->best;
 }
 
 static const char *
 find_owner(const struct roster *ro, const char *key, const char *data_center,
     bool include_suspects, int64_t now_us)
 {
-	const char *owner =
-	    elect(ro, key, data_center, include_suspects, now_us);
+	struct candidates near = {.key = key,
+	    .data_center = data_center,
+	    .include_suspects = include_suspects,
+	    .now_us = now_us};
+	struct candidates any = near;
+	const char *owner = elect(ro, &near);
 
+	any.data_center = NULL;
 	if (owner == NULL && data_center != NULL)
-		owner = elect(ro, key, NULL, include_suspects, now_us);
+		owner = elect(ro, &any);
 	return owner != NULL ? owner : ro->opt.self.address;
 }
 
@@ -432,6 +453,23 @@
 	return find_owner(ro, key, data_center, false, now_us);
 }
 
+void
+roster_set_store_status(struct roster *ro, bool is_store_unreachable)
+{
+	ro->is_self_cut_off = is_store_unreachable;
+}
+
+const char *
+roster_owner_reaching_store(
+    const struct roster *ro, const char *key, int64_t now_us)
+{
+	struct candidates c = {
+	    .key = key, .needs_store = true, .now_us = now_us};
+	const char *owner = elect(ro, &c);
+
+	return owner != NULL ? owner : roster_owner(ro, key, NULL, now_us);
+}
+
 bool
 roster_is_elected_owner(const struct roster *ro, const char *key,
     const char *data_center, int64_t now_us)
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -136,6 +136,16 @@
 const char *roster_owner(const struct roster *ro, const char *key,
     const char *data_center, int64_t now_us);
 
+/** Sets whether this daemon reaches the store. */
+void roster_set_store_status(struct roster *ro, bool is_store_unreachable);
+
+/**
+ * The daemon of any data centre that owns a key, among those that are believed
+ * to reach the store.
+ */
+const char *roster_owner_reaching_store(
+    const struct roster *ro, const char *key, int64_t now_us);
+
 /** True if this daemon owns the key even if suspected daemons are counted. */
 bool roster_is_elected_owner(const struct roster *ro, const char *key,
     const char *data_center, int64_t now_us);
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -489,7 +489,7 @@
 		switch_arbiter(sl, h, now_us);
 		return;
 	}
-	answer_us = kAnswerMarginUs + slots_link_us(sl, h->view->data_center);
+	answer_us = kAnswerMarginUs + 2 * slots_request_us(sl, h->view);
 	switch (h->phase) {
 	case kHoldRequested:
 		if (!is_hosted_here(sl, h) &&
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -13,6 +13,12 @@
 	kLinkOtherRegionUs = 120 * kUsPerMs,
 	/* Leases and suspicions that expire change the owner of a pool. */
 	kOwnerCheckUs = 50 * kUsPerMs,
+	/* A connection between daemons without messages may be closed after
+	 * this. */
+	kConnectionIdleUs = 15 * kUsPerS,
+	/* Round trips of a request whose connections in both directions are to
+	 * be opened first: three each, and the request itself. */
+	kColdRoundTrips = 7,
 	/* An older load report is disregarded. */
 	kLoadMaxAgeUs = 1500 * kUsPerMs,
 	kHoldDefaultUs = 700 * kUsPerMs,
@@ -45,19 +51,50 @@
 {
 	uint64_t epoch = roster_epoch(sl->opt.roster);
 	int64_t now_us = loop_now_us(sl->opt.lp);
+	const char *owner;
 
 	if (view->owner_at_us != 0 && view->owner_epoch == epoch &&
 	    now_us - view->owner_at_us < kOwnerCheckUs)
 		return view->owner;
 	view->owner_epoch = epoch;
 	view->owner_at_us = now_us;
-	g_strlcpy(view->owner,
-	    roster_owner(
-		sl->opt.roster, view->key, view->data_center, now_us),
-	    sizeof(view->owner));
+	owner = roster_owner(
+	    sl->opt.roster, view->key, view->data_center, now_us);
+	if (strcmp(view->owner, owner) == 0)
+		return view->owner;
+	view->owner_heard_us = 0;
+	g_strlcpy(view->owner, owner, sizeof(view->owner));
 	return view->owner;
 }
 
+void
+slots_record_contact(struct slots *sl, const char *arbiter)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, sl->views);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct pool_view *view = val;
+
+		if (strcmp(view->owner, arbiter) == 0)
+			view->owner_heard_us = loop_now_us(sl->opt.lp);
+	}
+}
+
+int64_t
+slots_request_us(struct slots *sl, struct pool_view *view)
+{
+	int64_t link_us = slots_link_us(sl, view->data_center);
+	int64_t now_us = loop_now_us(sl->opt.lp);
+
+	slots_arbiter(sl, view);
+	if (view->owner_heard_us != 0 &&
+	    now_us - view->owner_heard_us < kConnectionIdleUs)
+		return link_us / 2;
+	return link_us / 2 * kColdRoundTrips;
+}
+
 const char *
 slots_pool_arbiter(
     struct slots *sl, const char *service, const char *data_center)
@@ -136,10 +173,8 @@
 		    ? 0
 		    : slots_view_wait_us(sl, view);
 		*retry_after_us = MIN(*retry_after_us, wait_us);
-		/* The slot request crosses the same link once more, which adds
-		 * half of the latency again. */
-		cost_us =
-		    wait_us + slots_link_us(sl, view->data_center) * 3 / 2;
+		cost_us = wait_us + slots_link_us(sl, view->data_center) +
+		    slots_request_us(sl, view);
 		if (was_tried(h, view) || cost_us > remaining_us)
 			continue;
 		if (best == NULL || cost_us < best_us) {
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -40,11 +40,15 @@
 	/** The arbiter that reported the load to this one, which is to pass it
 	 * on to its data centre. */
 	char reporter[kFleetAddressMax];
+	/** Time when the connection to the reporter was last used. */
+	int64_t connected_us;
 	bool is_relay_due;
 	/** Owner of the pool's key, and when it was determined. */
 	char owner[kFleetAddressMax];
 	uint64_t owner_epoch;
 	int64_t owner_at_us;
+	/** Time of the owner's last message. */
+	int64_t owner_heard_us;
 	/** Since when this daemon owns the pool; 0 if it does not. */
 	int64_t owned_since_us;
 	/** Online slots requested or granted since the last load report, minus
@@ -130,6 +134,13 @@
 struct pool_view *slots_view(
     struct slots *sl, const char *service, const char *data_center);
 
+/** Records a message of a daemon that arbitrates. */
+void slots_record_contact(struct slots *sl, const char *arbiter);
+
+/** Time that a request to the pool's arbiter and its answer take, in
+ * microseconds, including the connections that have to be opened first. */
+int64_t slots_request_us(struct slots *sl, struct pool_view *view);
+
 /** Expected wait of another online request at the pool, in microseconds. */
 int64_t slots_view_wait_us(
     const struct slots *sl, const struct pool_view *view);
--- a/src/gateway/slots_report.c
+++ b/src/gateway/slots_report.c
@@ -1,8 +1,9 @@
 /*
- * Load reports of the pools that this daemon arbitrates. They go to the daemons
- * of its data centre and to the arbiters of the service elsewhere, which pass
- * them on to their own data centres with their own reports: an arbiter's
- * messages do not grow with the whole fleet.
+ * Load reports of the pools that this daemon arbitrates. In a small fleet they
+ * go to all daemons. In a larger one they go to the daemons of its data centre
+ * and to the arbiters of the service elsewhere, which pass them on to their own
+ * data centres with their own reports: an arbiter's messages do not grow with
+ * the whole fleet.
  */
 #include <string.h>
 
@@ -13,7 +14,10 @@
 	 * changes are reported. */
 	kReportPeriodMinUs = 150 * kUsPerMs,
 	kReportPeriodMaxUs = 700 * kUsPerMs,
-	/* Reports to one data centre, all daemons together. */
+	/* Daemons that are all reported to directly. */
+	kDirectReportsMax = 100,
+	/* Reports to one data centre of a larger fleet, all daemons
+	 * together. */
 	kReportsPerS = 200,
 	/* Period of the reports to arbiters of other data centres. */
 	kFarReportPeriodUs = 400 * kUsPerMs,
@@ -77,11 +81,9 @@
 
 static bool
 is_report_due(const struct hosted_pool *hp, const struct slotpool_load *load,
-    guint peers, int64_t now_us)
+    int64_t min_us, int64_t now_us)
 {
 	int64_t since_us = now_us - hp->reported_us;
-	int64_t min_us =
-	    MAX((int64_t)peers * kUsPerS / kReportsPerS, kReportPeriodMinUs);
 
 	if (since_us > kReportPeriodMaxUs)
 		return true;
@@ -168,24 +170,52 @@
 	g_ptr_array_unref(to);
 }
 
+static void
+report_directly(
+    struct slots *sl, const struct pool_view *view, const GPtrArray *all)
+{
+	struct report rep;
+
+	report_init(&rep);
+	report_add(&rep, view);
+	send_report(sl, &rep, all);
+}
+
+static void
+report_by_relay(struct slots *sl, struct hosted_pool *hp,
+    const struct pool_view *view, const GPtrArray *near, int64_t now_us)
+{
+	struct report rep;
+
+	report_init(&rep);
+	report_add(&rep, view);
+	add_relayed(sl, hp->service, &rep);
+	send_report(sl, &rep, near);
+	report_far(sl, hp, view, now_us);
+}
+
 void
 slots_report_load(struct slots *sl, struct hosted_pool *hp, int64_t now_us)
 {
 	struct slotpool_load load = slotpool_load_get(hp->pool, now_us);
 	struct pool_view *view = record_own_load(sl, hp, &load, now_us);
-	GPtrArray *peers =
+	GPtrArray *all = roster_peers(sl->opt.roster, NULL, now_us);
+	GPtrArray *near =
 	    roster_peers(sl->opt.roster, hp->data_center, now_us);
+	bool is_direct = all->len <= kDirectReportsMax;
+	int64_t min_us = is_direct
+	    ? kReportPeriodMinUs
+	    : MAX((int64_t)near->len * kUsPerS / kReportsPerS,
+		  kReportPeriodMinUs);
 
-	if (is_report_due(hp, &load, peers->len, now_us)) {
-		struct report rep;
-
+	if (is_report_due(hp, &load, min_us, now_us)) {
 		hp->reported = load;
 		hp->reported_us = now_us;
-		report_init(&rep);
-		report_add(&rep, view);
-		add_relayed(sl, hp->service, &rep);
-		send_report(sl, &rep, peers);
-		report_far(sl, hp, view, now_us);
+		if (is_direct)
+			report_directly(sl, view, all);
+		else
+			report_by_relay(sl, hp, view, near, now_us);
 	}
-	g_ptr_array_unref(peers);
+	g_ptr_array_unref(near);
+	g_ptr_array_unref(all);
 }
--- a/src/gateway/slots_wire.c
+++ b/src/gateway/slots_wire.c
@@ -3,6 +3,11 @@
 
 #include "gateway/slots_internal.h"
 
+enum {
+	/* Shorter than the time after which idle connections are closed. */
+	kConnectPeriodUs = 5 * kUsPerS,
+};
+
 /*
  * Reports held slots to an arbiter that has just started. It may have replaced
  * one that this daemon still takes for the arbiter.
@@ -28,6 +33,19 @@
 	}
 }
 
+/* Who reports directly has a connection to here; one in the other direction lets
+ * it answer a request without delay. */
+static void
+keep_connected(struct slots *sl, struct pool_view *view, const char *arbiter,
+    int64_t now_us)
+{
+	if (strcmp(view->reporter, arbiter) == 0 &&
+	    now_us - view->connected_us < kConnectPeriodUs)
+		return;
+	view->connected_us = now_us;
+	sl->opt.wire->connect(sl->opt.wire_ctx, arbiter);
+}
+
 static void
 apply_load(struct slots *sl, const char *from, const Sfpeer__PoolLoad *wire)
 {
@@ -51,13 +69,13 @@
 		roster_record_relayed(sl->opt.roster, arbiter, now_us);
 	view->is_relay_due = !is_relayed &&
 	    strcmp(view->data_center, sl->opt.data_center) != 0;
+	if (!is_relayed)
+		keep_connected(sl, view, arbiter, now_us);
 	g_strlcpy(view->reporter, arbiter, sizeof(view->reporter));
 	if (view->epoch == wire->epoch)
 		return;
 	view->epoch = wire->epoch;
 	on_new_epoch(sl, view, arbiter);
-	if (strcmp(view->data_center, sl->opt.data_center) == 0)
-		sl->opt.wire->connect(sl->opt.wire_ctx, arbiter);
 }
 
 /* Releases a slot whose request no longer exists. */
@@ -100,6 +118,8 @@
 		slots_host_on_release(sl, env->from, env->slot_notes[i]);
 	for (size_t i = 0; i < env->n_slot_asks; i++)
 		slots_host_on_request(sl, env->from, env->slot_asks[i]);
+	if (env->n_slot_answers > 0 || env->n_pool_loads > 0)
+		slots_record_contact(sl, env->from);
 	for (size_t i = 0; i < env->n_slot_answers; i++) {
 		const Sfpeer__SlotAnswer *wire = env->slot_answers[i];
 		uint64_t id = wire->id;
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -42,6 +42,8 @@
 		peers = roster_peers(vx->opt.roster, NULL, now_us);
 	}
 	view.wanted = true;
+	view.as_of =
+	    (uint64_t)vx->opt.adapter->watch_version(vx->opt.watch);
 	env.view = &view;
 	for (guint i = 0; peers->len == 0 && i < seed_count; i++)
 		g_ptr_array_add(peers, vx->seed_peers[i]);
@@ -86,9 +88,11 @@
 }
 
 static void
-send_rows(struct view_exchange *vx, const char *to)
+send_rows(struct view_exchange *vx, const char *to, int64_t after)
 {
-	GArray *rows = vx->opt.adapter->watch_rows(vx->opt.watch);
+	/* Read first: rows that change meanwhile are sent beside it. */
+	int64_t version = vx->opt.adapter->watch_version(vx->opt.watch);
+	GArray *rows = vx->opt.adapter->watch_rows(vx->opt.watch, after);
 	guint n = MIN(rows->len, kRowsMax);
 	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
 	Sfpeer__View view = SFPEER__VIEW__INIT;
@@ -110,6 +114,8 @@
 		}
 		list[i] = &wire_rows[i];
 	}
+	/* An incomplete message brings the receiver up to no version. */
+	view.as_of = n == rows->len ? (uint64_t)version : 0;
 	view.n_rows = n;
 	view.rows = list;
 	env.view = &view;
@@ -146,7 +152,8 @@
 			    (const char *)wire->value.data, wire->value.len);
 		g_array_append_val(rows, row);
 	}
-	vx->opt.adapter->watch_apply_rows(vx->opt.watch, rows);
+	vx->opt.adapter->watch_apply_rows(
+	    vx->opt.watch, rows, (int64_t)view->as_of);
 	g_array_unref(rows);
 }
 
@@ -157,7 +164,7 @@
 	/* Sent even while this daemon cannot read the lists: the receiver
 	 * ignores a row of which it knows this or a newer version. */
 	if (view->wanted)
-		send_rows(vx, from);
+		send_rows(vx, from, (int64_t)view->as_of);
 	if (view->n_rows > 0 && vx->is_store_unreachable)
 		apply_rows(vx, view);
 }
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -308,6 +308,10 @@
    * Asks the receiver for its rows.
    */
   protobuf_c_boolean wanted;
+  /*
+   * Version up to which the sender knows all changes; asking, it wants those
+   * after it.
+   */
   uint64_t as_of;
   size_t n_rows;
   Sfpeer__ViewRow **rows;
--- a/test/functional/test_gateway.cc
+++ b/test/functional/test_gateway.cc
@@ -59,6 +59,32 @@
 	}
 }
 
+/* A daemon that the store turns away asks its peers for what is newer than it
+ * knows: each change arrives, and a removed target as well. */
+TEST_F(Gateway, ARejectedDaemonLearnsChangesFromItsPeers)
+{
+	StartReadyFleet(2, 2);
+	PostToStore("/fault", "{\"turned_away\":\"d1\"}");
+	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"watch_down\""));
+	for (int version = 2; version <= 3; version++) {
+		std::string path = "/n" + std::to_string(version) + "/";
+
+		Configure(version,
+		    R"(,{"name":"n","host":"a.example","path_prefix":")" +
+			path + R"(","kind":"idempotent","timeout_ms":5000,
+		    "target_latency_ms":400,"service":"llm",
+		    "max_attempts":2})");
+		EXPECT_TRUE(Eventually([&] {
+			return Call(1, path + "1", "n", 1).status == 200;
+		})) << version;
+	}
+	PutRow("servers", "i-0", nullptr);
+	EXPECT_TRUE(daemons[1]->WaitLine("\"name\":\"target_gone\""));
+	PostToStore("/fault", "{}");
+	EXPECT_TRUE(daemons[1]->WaitLine("\"name\":\"watch_up\"", 2));
+	EXPECT_EQ(200, Call(1, "/q/1", "a1", 2).status);
+}
+
 TEST_F(Gateway, MalformedRowsDoNotAffectTheOthers)
 {
 	StartReadyFleet(1, 1);
