relay: only events are progress; allowed pauses are no stall

Cause, shown by tests that failed before: a worker that sent a byte now and then kept its stream for ever (a call ended with 504 at its deadline, an item would have waited for its time to live), and a stream with pauses that its route allows (240 ms of 600) was moved to another worker twice. Change: the stall timer starts again at complete events only, an event of more than 1 MiB ends the attempt, and after the first event the timer allows half of the longest pause of the route.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -13,8 +13,8 @@
 	/* Time from the start at a target to the first event at the caller:
 	 * prompt processing, first tokens and network. */
 	kFirstEventUs = 60 * kUsPerMs,
-	/* The stall timeout is half of the latency objective, so that another
-	 * target can still meet the objective. */
+	/* The stall timeout is half of the latency objective, or of the longest
+	 * pause between events, so that another target can still meet it. */
 	kStallTimeoutDivisor = 2,
 	kStallTimeoutMinUs = 120 * kUsPerMs,
 	kHttpOk = 200,
@@ -177,8 +177,7 @@
 	bool is_quarantined = suspects_record_interrupted(
 	    opt->suspects, oc->fingerprint, loop_now_us(oc->lp));
 
-	opt->notify_run_interrupted(
-	    opt->ctx, oc->fingerprint, is_quarantined);
+	opt->notify_run_interrupted(opt->ctx, oc->fingerprint, is_quarantined);
 	if (is_quarantined)
 		log_event(kEvtRequestCondemned, "request", oc->attempt_id,
 		    "route", oc->route, NULL);
@@ -247,6 +246,7 @@
 	    .prefix = call->prefix,
 	    .stall_timeout_us = MAX(
 		route->objective_us / kStallTimeoutDivisor, kStallTimeoutMinUs),
+	    .pause_timeout_us = route->event_gap_max_us / kStallTimeoutDivisor,
 	    .ops = &relay_ops,
 	};
 
--- a/src/gateway/contact_exchange.c
+++ b/src/gateway/contact_exchange.c
@@ -35,8 +35,7 @@
 }
 
 static void
-fill_wire(
-    const struct contact *contact, int64_t now_us, Sfpeer__Contact *wire)
+fill_wire(const struct contact *contact, int64_t now_us, Sfpeer__Contact *wire)
 {
 	sfpeer__contact__init(wire);
 	wire->session = contact->session;
@@ -51,8 +50,7 @@
 }
 
 static void
-send_contacts(
-    struct contact_exchange *ce, const GPtrArray *to, int64_t now_us)
+send_contacts(struct contact_exchange *ce, const GPtrArray *to, int64_t now_us)
 {
 	GArray *list = g_array_new(FALSE, TRUE, sizeof(struct contact));
 	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
@@ -61,8 +59,8 @@
 
 	contacts_select(ce->contacts, now_us, list);
 	for (guint i = 0; i < list->len; i++) {
-		fill_wire(&g_array_index(list, struct contact, i), now_us,
-		    &wire[i]);
+		fill_wire(
+		    &g_array_index(list, struct contact, i), now_us, &wire[i]);
 		refs[i] = &wire[i];
 	}
 	env.n_contacts = list->len;
--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -135,6 +135,12 @@
 	return is_continued;
 }
 
+size_t
+event_splitter_partial_len(const struct event_splitter *es)
+{
+	return es->partial->len;
+}
+
 bool
 event_splitter_has_partial(const struct event_splitter *es)
 {
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -33,6 +33,9 @@
 bool event_splitter_feed(struct event_splitter *es, const char *data,
     size_t len, stream_event_fn fn, void *ctx);
 
+/** Bytes received of an event that is not complete. */
+size_t event_splitter_partial_len(const struct event_splitter *es);
+
 /** True if an incomplete event is buffered. */
 bool event_splitter_has_partial(const struct event_splitter *es);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -249,8 +249,8 @@
 {
 	uint64_t seed = XXH3_64bits(gw->self.session, strlen(gw->self.session));
 	struct slots_options slots = {gw->lp, gw->roster, gw->fleet,
-	    gw->self.address, gw->self.data_center, seed,
-	    &gateway_wire_ops, gw};
+	    gw->self.address, gw->self.data_center, seed, &gateway_wire_ops,
+	    gw};
 	struct relay_deps deps = {
 	    .on_target_leaving = gateway_on_target_leaving,
 	    .ctx = gw,
@@ -264,8 +264,9 @@
 	struct calls_options calls = {
 	    .notify_run_interrupted = gateway_notify_run_interrupted,
 	    .ctx = gw};
-	struct quota_options quota = {gw->lp, gw->offload, gw->store, gw->roster,
-	    gw->self.address, gw->self.session, &gateway_wire_ops, gw};
+	struct quota_options quota = {gw->lp, gw->offload, gw->store,
+	    gw->roster, gw->self.address, gw->self.session, &gateway_wire_ops,
+	    gw};
 	struct jobs_options jobs = {.offload = gw->offload,
 	    .store = gw->store,
 	    .session = gw->self.session,
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -81,8 +81,7 @@
 			gw->suspects, env->condemned[i], now_us))
 			broadcast_quarantine(gw, env->condemned[i]);
 	for (size_t i = 0; i < env->n_quarantined; i++)
-		suspects_quarantine(
-		    gw->suspects, env->quarantined[i], now_us);
+		suspects_quarantine(gw->suspects, env->quarantined[i], now_us);
 }
 
 static void
@@ -103,8 +102,8 @@
 }
 
 static bool
-record_target_leaving(struct gateway *gw, const char *id, int64_t started_ms,
-    const char *said_by)
+record_target_leaving(
+    struct gateway *gw, const char *id, int64_t started_ms, const char *said_by)
 {
 	if (!fleet_record_leaving(gw->fleet, id, started_ms))
 		return false;
@@ -272,7 +271,8 @@
 		char key[40];
 		const char *witness;
 
-		snprintf(key, sizeof(key), "run-%d-%016" PRIx64, i, fingerprint);
+		snprintf(
+		    key, sizeof(key), "run-%d-%016" PRIx64, i, fingerprint);
 		witness = roster_owner(gw->roster, key, NULL, now_us);
 		if (strcmp(witness, gw->self.address) != 0 &&
 		    strcmp(witness, told) != 0)
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -344,8 +344,8 @@
 static void
 end_work(struct job_task *task)
 {
-	task->outcome = itemjob_end(
-	    task->js->opt.store, task->id, &task->owner);
+	task->outcome =
+	    itemjob_end(task->js->opt.store, task->id, &task->owner);
 }
 
 static void
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -18,8 +18,7 @@
 	const struct routebook *(*routes)(void *ctx);
 	/** Notifies the daemon with the owner's session that its job was
 	 * ended. */
-	void (*notify_ended)(
-	    void *ctx, const char *id, const char *owner);
+	void (*notify_ended)(void *ctx, const char *id, const char *owner);
 	/** Whether the store is believed to answer, and a report of whether it
 	 * did. */
 	bool (*store_is_up)(void *ctx);
--- a/src/gateway/jobs_quota.c
+++ b/src/gateway/jobs_quota.c
@@ -19,8 +19,8 @@
 jobs_quota_release(struct job_task *task)
 {
 	if (task->job != NULL && task->job->quota_route != NULL)
-		quota_report(task->js->opt.quota, task->job->quota_route,
-		    task->id, 0);
+		quota_report(
+		    task->js->opt.quota, task->job->quota_route, task->id, 0);
 }
 
 static void
@@ -107,8 +107,8 @@
 	};
 
 	front_on_disconnect(task->req, on_disconnect, task);
-	task->quota_wait = quota_reserve(
-	    task->js->opt.quota, &request, on_answer, task);
+	task->quota_wait =
+	    quota_reserve(task->js->opt.quota, &request, on_answer, task);
 }
 
 void
@@ -182,6 +182,6 @@
 		return;
 	run->reported_tokens = waiting;
 	run->reported_us = now_us;
-	quota_report(run->js->opt.quota, run->job->quota_route, run->job->id,
-	    waiting);
+	quota_report(
+	    run->js->opt.quota, run->job->quota_route, run->job->id, waiting);
 }
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -107,8 +107,8 @@
 		char key[64];
 
 		snprintf(key, sizeof(key), "quota-%d-%s", i, route);
-		counter = roster_owner_reaching_store(
-		    qt->opt.roster, key, now_us);
+		counter =
+		    roster_owner_reaching_store(qt->opt.roster, key, now_us);
 		if (!is_avoided(qt, counter, now_us))
 			break;
 	}
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -71,8 +71,7 @@
  * the first submission does not wait for the store; several times a second.
  * @param must_connect also keep the connections open that answers need
  */
-void quota_prepare(
-    struct quota *qt, const char *route, bool must_connect);
+void quota_prepare(struct quota *qt, const char *route, bool must_connect);
 
 /** Reports how many tokens of a job wait for a run, with the next message. */
 void quota_report(
--- a/src/gateway/quota_host.c
+++ b/src/gateway/quota_host.c
@@ -135,8 +135,7 @@
 static GArray *
 jobs_of_route(const GPtrArray *open, const char *route)
 {
-	GArray *jobs =
-	    g_array_new(FALSE, TRUE, sizeof(struct token_quota_job));
+	GArray *jobs = g_array_new(FALSE, TRUE, sizeof(struct token_quota_job));
 
 	for (guint i = 0; i < open->len; i++) {
 		const struct itemjob_open *row = open->pdata[i];
@@ -205,8 +204,7 @@
 }
 
 void
-quota_host_ask(
-    struct quota *qt, const char *route, const struct quota_ask *ask)
+quota_host_ask(struct quota *qt, const char *route, const struct quota_ask *ask)
 {
 	struct hosted_quota *hq = hosted_get(qt, route);
 	bool is_stale = hq->is_loaded && ask->stale_fence != 0 &&
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -28,6 +28,8 @@
 	/* Stall timeout of a busy target, as a multiple of the usual one. */
 	kBusyStallFactor = 4,
 	kActivityTargetsMax = 2000,
+	/* Longest event of a stream. */
+	kEventBytesMax = 1024 * 1024,
 };
 
 enum relay_phase {
@@ -65,8 +67,10 @@
 	 * target. */
 	int64_t link_us;
 	int64_t slot_wait_us;
-	/** Time of the last data from the target, or of the send. */
+	/** Time of the last event from the target, or of the send. */
 	int64_t last_activity_us;
+	/** The current data completed an event. */
+	bool has_new_event;
 
 	/* Attempts that may have been executed, and those that were not. */
 	int32_t attempts;
@@ -234,6 +238,14 @@
 	}
 }
 
+static int64_t
+stall_timeout_us(const struct relay *rl)
+{
+	return rl->is_answering
+	    ? MAX(rl->opt.stall_timeout_us, rl->opt.pause_timeout_us)
+	    : rl->opt.stall_timeout_us;
+}
+
 /* The target serves other requests of this daemon: it is busy, not failed. */
 static bool
 is_target_busy(const struct relay *rl)
@@ -244,7 +256,7 @@
 
 	return at_us != NULL && now_us - *at_us < kActiveWithinUs &&
 	    now_us - rl->last_activity_us <
-	    kBusyStallFactor * rl->opt.stall_timeout_us;
+	    kBusyStallFactor * stall_timeout_us(rl);
 }
 
 static void
@@ -271,8 +283,8 @@
 	loop_timer_cancel(rl->deps.lp, rl->stall_timer);
 	rl->stall_timer = 0;
 	if (rl->opt.stall_timeout_us > 0 && (rl->opt.is_batch || may_retry(rl)))
-		rl->stall_timer = loop_timer(rl->deps.lp,
-		    now_us + rl->opt.stall_timeout_us, on_stall, rl);
+		rl->stall_timer = loop_timer(
+		    rl->deps.lp, now_us + stall_timeout_us(rl), on_stall, rl);
 }
 
 static bool
@@ -318,6 +330,8 @@
 	struct relay *rl = ctx;
 
 	deliver_head(rl);
+	rl->last_activity_us = loop_now_us(rl->deps.lp);
+	rl->has_new_event = true;
 	metric_add(kMetTokens, 1);
 	rl->opt.ops->on_data(rl->opt.ctx, ev);
 	return true;
@@ -332,11 +346,13 @@
 		g_string_append_len(rl->answer_body, data, (gssize)len);
 		return true;
 	}
-	rl->last_activity_us = loop_now_us(rl->deps.lp);
 	record_activity(rl);
+	rl->has_new_event = false;
 	event_splitter_feed(&rl->events, data, len, on_event, rl);
-	restart_stall_timer(rl);
-	return true;
+	/* Bytes that complete no event are no progress. */
+	if (rl->has_new_event)
+		restart_stall_timer(rl);
+	return event_splitter_partial_len(&rl->events) <= kEventBytesMax;
 }
 
 static void
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -59,7 +59,8 @@
 /** Modules that a relay uses. */
 struct relay_deps {
 	/** A target said in an answer that it leaves. */
-	void (*on_target_leaving)(void *ctx, const char *id, int64_t started_ms);
+	void (*on_target_leaving)(
+	    void *ctx, const char *id, int64_t started_ms);
 	void *ctx;
 	struct loop *lp;
 	struct slots *slots;
@@ -92,9 +93,11 @@
 	bool is_resumable;
 	int64_t last_event_id;
 	uint64_t prefix;
-	/** A target that sends no data for this long is abandoned if another
+	/** A target that sends no event for this long is abandoned if another
 	 * one may take over. */
 	int64_t stall_timeout_us;
+	/** The same after the first event; 0: as before it. */
+	int64_t pause_timeout_us;
 	const struct relay_ops *ops;
 	void *ctx;
 };
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -380,8 +380,7 @@
 	c->weight = weight;
 }
 
-typedef void (*consider_fn)(
-    struct candidates *c, const struct roster_row *row);
+typedef void (*consider_fn)(struct candidates *c, const struct roster_row *row);
 
 static bool
 is_candidate(const struct roster *ro, const struct candidates *c,
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -552,7 +552,8 @@
 		g_ptr_array_add(list, val);
 	for (guint i = 0; i < list->len; i++)
 		hold_tick(sl, list->pdata[i], now_us);
-	schedule_tick(sl, now_us + (needs_tick_soon(sl) ? kTickUs : kSlowTickUs));
+	schedule_tick(
+	    sl, now_us + (needs_tick_soon(sl) ? kTickUs : kSlowTickUs));
 	g_ptr_array_unref(list);
 }
 
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -58,8 +58,8 @@
 		return view->owner;
 	view->owner_epoch = epoch;
 	view->owner_at_us = now_us;
-	owner = roster_owner(
-	    sl->opt.roster, view->key, view->data_center, now_us);
+	owner =
+	    roster_owner(sl->opt.roster, view->key, view->data_center, now_us);
 	if (strcmp(view->owner, owner) == 0)
 		return view->owner;
 	view->owner_heard_us = 0;
--- a/src/gateway/slots_report.c
+++ b/src/gateway/slots_report.c
@@ -94,7 +94,8 @@
 		load->batch != hp->reported.batch);
 }
 
-/* Adds the reports of other arbiters of the service that are to be passed on. */
+/* Adds the reports of other arbiters of the service that are to be passed on.
+ */
 static void
 add_relayed(struct slots *sl, const char *service, struct report *rep)
 {
@@ -124,8 +125,7 @@
 /* Arbiters of the service in other data centres, and the daemons of those
  * without one. */
 static GPtrArray *
-far_receivers(
-    struct slots *sl, const struct hosted_pool *hp, int64_t now_us)
+far_receivers(struct slots *sl, const struct hosted_pool *hp, int64_t now_us)
 {
 	GPtrArray *list = g_ptr_array_new();
 	GPtrArray *all = roster_peers(sl->opt.roster, NULL, now_us);
@@ -200,8 +200,7 @@
 	struct slotpool_load load = slotpool_load_get(hp->pool, now_us);
 	struct pool_view *view = record_own_load(sl, hp, &load, now_us);
 	GPtrArray *all = roster_peers(sl->opt.roster, NULL, now_us);
-	GPtrArray *near =
-	    roster_peers(sl->opt.roster, hp->data_center, now_us);
+	GPtrArray *near = roster_peers(sl->opt.roster, hp->data_center, now_us);
 	bool is_direct = all->len <= kDirectReportsMax;
 	int64_t min_us = is_direct
 	    ? kReportPeriodMinUs
--- a/src/gateway/slots_wire.c
+++ b/src/gateway/slots_wire.c
@@ -33,8 +33,8 @@
 	}
 }
 
-/* Who reports directly has a connection to here; one in the other direction lets
- * it answer a request without delay. */
+/* Who reports directly has a connection to here; one in the other direction
+ * lets it answer a request without delay. */
 static void
 keep_connected(struct slots *sl, struct pool_view *view, const char *arbiter,
     int64_t now_us)
@@ -67,8 +67,8 @@
 	view->local_delta = 0;
 	if (is_relayed)
 		roster_record_relayed(sl->opt.roster, arbiter, now_us);
-	view->is_relay_due = !is_relayed &&
-	    strcmp(view->data_center, sl->opt.data_center) != 0;
+	view->is_relay_due =
+	    !is_relayed && strcmp(view->data_center, sl->opt.data_center) != 0;
 	if (!is_relayed)
 		keep_connected(sl, view, arbiter, now_us);
 	g_strlcpy(view->reporter, arbiter, sizeof(view->reporter));
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -42,8 +42,7 @@
 		peers = roster_peers(vx->opt.roster, NULL, now_us);
 	}
 	view.wanted = true;
-	view.as_of =
-	    (uint64_t)vx->opt.adapter->watch_version(vx->opt.watch);
+	view.as_of = (uint64_t)vx->opt.adapter->watch_version(vx->opt.watch);
 	env.view = &view;
 	for (guint i = 0; peers->len == 0 && i < seed_count; i++)
 		g_ptr_array_add(peers, vx->seed_peers[i]);
--- a/src/peer/peer.c
+++ b/src/peer/peer.c
@@ -179,8 +179,7 @@
 }
 
 static void
-enqueue_control(
-    struct peer *pr, enum outgoing_kind kind, const char *address)
+enqueue_control(struct peer *pr, enum outgoing_kind kind, const char *address)
 {
 	struct outgoing *msg = g_new0(struct outgoing, 1);
 
--- a/src/savoryflow/fleet/fleet.h
+++ b/src/savoryflow/fleet/fleet.h
@@ -62,8 +62,8 @@
 bool fleet_tick(struct fleet *fl, int64_t now_us);
 
 /**
- * Records that a target said in an answer that it leaves. Rows of the same start
- * do not revoke this.
+ * Records that a target said in an answer that it leaves. Rows of the same
+ * start do not revoke this.
  * @param started_ms start of the target that said so
  * @return true if the target was not known to leave
  */
--- a/src/savoryflow/job/itemjob_open.c
+++ b/src/savoryflow/job/itemjob_open.c
@@ -25,8 +25,7 @@
 	open->version = row->version;
 	open->quota_route =
 	    g_strdup(json_string_value(json_object_get(doc, "quota")));
-	open->quota_tokens =
-	    json_integer_value(json_object_get(doc, "tokens"));
+	open->quota_tokens = json_integer_value(json_object_get(doc, "tokens"));
 	json_decref(doc);
 	return open;
 }
@@ -159,8 +158,8 @@
 }
 
 static enum store_result
-write_fence(const struct store *st, const char *key, const char *owner,
-    int64_t version)
+write_fence(
+    const struct store *st, const char *key, const char *owner, int64_t version)
 {
 	struct store_txn *txn = store_txn_new();
 	json_t *doc = json_pack("{s:s}", "owner", owner);
--- a/src/savoryflow/job/itemjob_rows.c
+++ b/src/savoryflow/job/itemjob_rows.c
@@ -37,8 +37,8 @@
 char *
 itemjob_open_text(const struct itemjob_open *open)
 {
-	json_t *doc = json_pack("{s:s,s:b}", "owner", open->owner, "ended",
-	    (int)open->is_ended);
+	json_t *doc = json_pack(
+	    "{s:s,s:b}", "owner", open->owner, "ended", (int)open->is_ended);
 	char *text;
 
 	if (open->quota_route != NULL) {
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -71,8 +71,8 @@
 
 /**
  * Ends a job early.
- * @param owner set to the session of the daemon that runs the job, or NULL if it
- *        is finished; free with g_free
+ * @param owner set to the session of the daemon that runs the job, or NULL if
+ * it is finished; free with g_free
  * @return kStoreOk also if it is finished, kStoreNotFound if it is unknown
  */
 enum store_result itemjob_end(
--- a/src/savoryflow/job/token_quota.c
+++ b/src/savoryflow/job/token_quota.c
@@ -64,8 +64,7 @@
 }
 
 static struct quota_job *
-job_add(
-    struct token_quota *tq, const char *job, int64_t tokens, int64_t now_us)
+job_add(struct token_quota *tq, const char *job, int64_t tokens, int64_t now_us)
 {
 	struct quota_job *qj = g_new0(struct quota_job, 1);
 
@@ -142,15 +141,16 @@
 is_listed(const GArray *jobs, const char *job)
 {
 	for (guint i = 0; i < jobs->len; i++)
-		if (g_strcmp0(g_array_index(jobs, struct token_quota_job, i).job,
+		if (g_strcmp0(
+			g_array_index(jobs, struct token_quota_job, i).job,
 			job) == 0)
 			return true;
 	return false;
 }
 
 void
-token_quota_sync(struct token_quota *tq, const GArray *jobs,
-    int64_t read_at_us, int64_t now_us)
+token_quota_sync(struct token_quota *tq, const GArray *jobs, int64_t read_at_us,
+    int64_t now_us)
 {
 	GHashTableIter it;
 	void *val;
@@ -168,8 +168,7 @@
 	for (guint i = 0; i < jobs->len; i++) {
 		const struct token_quota_job *open =
 		    &g_array_index(jobs, struct token_quota_job, i);
-		struct quota_job *qj =
-		    g_hash_table_lookup(tq->jobs, open->job);
+		struct quota_job *qj = g_hash_table_lookup(tq->jobs, open->job);
 
 		if (qj == NULL)
 			job_add(tq, open->job, open->tokens, now_us);
--- a/src/savoryflow/job/token_quota.h
+++ b/src/savoryflow/job/token_quota.h
@@ -6,9 +6,9 @@
 #include <stdint.h>
 
 /**
- * Tokens of a route's batch items that wait for a run, counted by one daemon for
- * all. A job counts from its reservation until its tokens are reported as done;
- * a reservation that no report confirms expires. No I/O, no clock.
+ * Tokens of a route's batch items that wait for a run, counted by one daemon
+ * for all. A job counts from its reservation until its tokens are reported as
+ * done; a reservation that no report confirms expires. No I/O, no clock.
  */
 struct token_quota;
 
--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -4,10 +4,11 @@
  * data of event n is "PATH-n", so a test can tell which request an answer
  * belongs to and whether it is complete.
  *
- * POST /fault {"cut_after","silent","shed","cross","unsigned","leaving"}: number of
- * answers to come that are cut after three events, send no event, are
+ * POST /fault {"cut_after","silent","shed","cross","unsigned","leaving",
+ * "trickle"}:
+ * number of answers to come that are cut after three events, send no event, are
  * rejections, carry another attempt's id, have no signature, or say that the
- * worker leaves.
+ * worker leaves; or that send a byte now and then and never an event.
  * GET /seen: ids of the attempts that ran, and how many streams were closed
  * before their end.
  */
@@ -22,6 +23,8 @@
 enum {
 	kCutAfterEvents = 3,
 	kStallUs = 3000000,
+	kTrickleUs = 60000,
+	kTrickleBytes = 200,
 };
 
 struct worker {
@@ -33,6 +36,7 @@
 	int crosses_left;
 	int unsigned_left;
 	int leaving_left;
+	int trickles_left;
 	json_t *attempts_run;
 	int closed_early;
 };
@@ -40,12 +44,15 @@
 struct stream {
 	struct worker *wk;
 	char *path;
+	int64_t first;
 	int64_t next;
 	int64_t total;
 	/** Event in the middle of which the stream is cut; -1: none. */
 	int64_t cut_at;
 	int pace_ms;
 	bool is_stalled;
+	/** Sends a byte now and then, and never a complete event. */
+	bool is_trickling;
 	bool is_done;
 };
 
@@ -64,6 +71,12 @@
 	struct stream *st = cls;
 	int n;
 
+	if (st->is_trickling) {
+		g_usleep(kTrickleUs);
+		buf[0] = 'x';
+		return pos < kTrickleBytes ? 1
+					   : MHD_CONTENT_READER_END_WITH_ERROR;
+	}
 	if (st->is_stalled) {
 		g_usleep(kStallUs);
 		return MHD_CONTENT_READER_END_WITH_ERROR;
@@ -72,7 +85,8 @@
 		st->is_done = true;
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	}
-	g_usleep((gulong)st->pace_ms * 1000);
+	if (st->next > st->first)
+		g_usleep((gulong)st->pace_ms * 1000);
 	n = g_snprintf(buf, max,
 	    "id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT "\n\n",
 	    st->next, st->path, st->next);
@@ -186,12 +200,14 @@
 	st->wk = wk;
 	st->path = g_strdup(req->url);
 	st->next = last != NULL ? atoll(last) + 1 : 1;
+	st->first = st->next;
 	st->total = json_integer_value(json_object_get(doc, "events"));
 	st->pace_ms = (int)pace;
 	st->cut_at = -1;
 	if (consume_fault(&wk->cuts_left))
 		st->cut_at = st->next + kCutAfterEvents;
 	st->is_stalled = consume_fault(&wk->stalls_left);
+	st->is_trickling = consume_fault(&wk->trickles_left);
 	res = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
 	    st->cut_at >= 0 ? read_cut : read_events, st, stream_free);
 	MHD_add_response_header(res, "Content-Type", "text/event-stream");
@@ -215,6 +231,8 @@
 	    (int)json_integer_value(json_object_get(doc, "cross"));
 	wk->leaving_left =
 	    (int)json_integer_value(json_object_get(doc, "leaving"));
+	wk->trickles_left =
+	    (int)json_integer_value(json_object_get(doc, "trickle"));
 	wk->unsigned_left =
 	    (int)json_integer_value(json_object_get(doc, "unsigned"));
 	json_decref(doc);
