--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -56,4 +56,13 @@
 mutant no_drain src/serve/daemon.c 's/api_active\(d->api\) > 0/false/' $F 'Failures.GracefulShutdown*'
 mutant no_takeover src/serve/batch_run.c 's/return is_lease_stale\(br, chunk\)/return false \&\& is_lease_stale(br, chunk)/' $F 'Failures.JobOfADaemonKilled*'
 mutant no_peer_config src/serve/poller.c 's/hint->want_document \&\& own/false \&\& own/' $F 'Failures.DaemonStartedDuringAnOutage*'
+mutant no_leaving_header platform/dialect.c 's/strcmp\(leaving, "1"\) == 0/false/' $F 'Gateway.AWorkerThatSaysItLeaves*'
+mutant no_leaving_mark src/savoryflow/fleet/fleet.c 's/if \(\*leaving == t->started_ms\)/if (false)/' $U 'Fleet.ATargetThat*'
+mutant no_quota_fence src/savoryflow/job/itemjob_store.c 's/store_txn_version\(txn, fence_key, job->quota_fence\);//' $U 'Itemjob.ASubmissionDepends*'
+mutant no_quota src/savoryflow/job/token_quota.c 's/if \(tq->waiting \+ tokens > limit\)/if (false)/' $F 'GatewayQuota.*'
+mutant bytes_are_progress src/gateway/relay.c 's/if \(rl->has_new_event\)/if (true)/' $F 'Gateway.ATrickling*'
+mutant pauses_are_stalls src/gateway/calls.c 's/\.pause_timeout_us = .*/.pause_timeout_us = 0,/' $F 'Gateway.ASlowSound*'
+mutant roles_by_hash src/gateway/roster.c 's/kRoleCapacityPercent = 50/kRoleCapacityPercent = 0/' $U 'Roster.RolesGo*'
+mutant no_relay src/gateway/slots_report.c 's/kDirectReportsMax = 100/kDirectReportsMax = 100000/' $U 'SlotsReport.*'
+mutant no_successor src/savoryflow/membership/contacts.c 's/find_successor\(self, peers\)\);/find_heaviest(self, peers, out));/' $U 'Contacts.*'
 exit $failed
--- a/src/gateway/slots_report.c
+++ b/src/gateway/slots_report.c
@@ -85,7 +85,7 @@
 {
 	int64_t since_us = now_us - hp->reported_us;
 
-	if (since_us > kReportPeriodMaxUs)
+	if (since_us > MAX(kReportPeriodMaxUs, min_us))
 		return true;
 	return since_us > min_us &&
 	    (load->slots != hp->reported.slots ||
--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -255,6 +255,79 @@
 	EXPECT_STREQ("far", roster_front_reaching_store(ro, "", kSec));
 }
 
+/* A machine with a quarter of the processor time must not serve all others. */
+TEST_F(Roster, RolesGoToTheDaemonsWithTheMostCapacity)
+{
+	const struct {
+		const char *address;
+		int32_t cpu_millicores;
+		bool owns;
+	} cases[] = {{"large1", 500, true}, {"large2", 500, true},
+	    {"middle", 250, true}, {"small1", 120, false},
+	    {"small2", 120, false}};
+
+	for (const auto &c : cases) {
+		roster_row row = Row(c.address, "dc1", c.address);
+
+		row.cpu_millicores = c.cpu_millicores;
+		g_array_append_val(rows, row);
+	}
+	roster_apply_rows(ro, rows, 0, &changes);
+	for (const auto &c : cases)
+		EXPECT_EQ(c.owns, OwnsAnyKey(c.address, 0)) << c.address;
+	EXPECT_FALSE(OwnsAnyKey("self", 0)) << "its capacity is unknown";
+	for (const char *large : {"large1", "large2", "middle"})
+		roster_suspect(ro, large, kSec);
+	EXPECT_TRUE(OwnsAnyKey("small1", 0)) << "the larger ones are silent";
+}
+
+/* What neighbours say keeps a daemon eligible, but a daemon that did not answer
+ * this one stays suspected. */
+TEST_F(Roster, ContactsKeepADaemonEligibleWithoutALease)
+{
+	contact heard = {};
+
+	Apply({{"a", {"dc1", "s1"}}}, 0);
+	heard.session = roster_session_hash("s1");
+	heard.beat_us = 9 * kSec;
+	roster_record_contact(ro, &heard);
+	EXPECT_TRUE(OwnsAnyKey("a", 10 * kSec));
+	EXPECT_FALSE(OwnsAnyKey("a", 11 * kSec));
+	roster_suspect(ro, "a", 20 * kSec);
+	heard.beat_us = 12 * kSec;
+	roster_record_contact(ro, &heard);
+	EXPECT_FALSE(OwnsAnyKey("a", 12 * kSec)) << "not heard directly";
+	roster_record_message(ro, "a", NULL, 12 * kSec);
+	EXPECT_TRUE(OwnsAnyKey("a", 12 * kSec));
+	heard.is_leaving = true;
+	heard.beat_us = 13 * kSec;
+	roster_record_contact(ro, &heard);
+	EXPECT_FALSE(OwnsAnyKey("a", 13 * kSec));
+	EXPECT_STREQ("a", roster_session_address(ro, "s1"));
+	EXPECT_EQ(nullptr, roster_session_address(ro, "unknown"));
+}
+
+TEST_F(Roster, RolesThatNeedTheStoreGoToDaemonsThatReachIt)
+{
+	roster_store_status cut_off = {true, kSec};
+	int own = 0;
+
+	Apply({{"a", {"dc1", "s1"}}, {"b", {"dc2", "s2"}}}, 0);
+	roster_record_message(ro, "a", &cut_off, 0);
+	for (int i = 0; i < 100; i++) {
+		std::string key = "k" + std::to_string(i);
+		const char *owner =
+		    roster_owner_reaching_store(ro, key.c_str(), 0);
+
+		EXPECT_STRNE("a", owner);
+		own += strcmp("self", owner) == 0;
+	}
+	EXPECT_GT(own, 20);
+	EXPECT_LT(own, 80);
+	roster_set_store_status(ro, true);
+	EXPECT_STREQ("b", roster_owner_reaching_store(ro, "k", 0));
+}
+
 TEST_F(Roster, RowsWithoutHeartbeatsBecomeStale)
 {
 	roster_row row = Row("a", "dc1", "s1");
@@ -278,12 +351,14 @@
 	roster_row self = Row("10.0.0.1:9", "dc1", "s7");
 	GArray *read = nullptr;
 
+	self.cpu_millicores = 250;
 	ASSERT_EQ(kStoreOk, roster_store_heartbeat(st, &self, 1));
 	ASSERT_EQ(kStoreOk, roster_store_read(st, &read));
 	ASSERT_EQ(1u, read->len);
 	auto &row = g_array_index(read, roster_row, 0);
 	EXPECT_STREQ("10.0.0.1:9", row.address);
 	EXPECT_STREQ("s7", row.session);
+	EXPECT_EQ(250, row.cpu_millicores);
 	int64_t before = row.version;
 	g_array_unref(read);
 	roster_store_heartbeat(st, &self, 2);
