Tests: takeover of a held lease, answers cut at any byte, mutated answers

An answer cut at each byte and resumed is whole and delivered once; 20,000 seeded mutations of a recorded answer deliver a prefix of their own bytes.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -65,4 +65,5 @@
 mutant roles_by_hash src/gateway/roster.c 's/kRoleCapacityPercent = 50/kRoleCapacityPercent = 0/' $U 'Roster.RolesGo*'
 mutant no_relay src/gateway/slots_report.c 's/kDirectReportsMax = 100/kDirectReportsMax = 100000/' $U 'SlotsReport.*'
 mutant no_successor src/savoryflow/membership/contacts.c 's/find_successor\(self, peers\)\);/find_heaviest(self, peers, out));/' $U 'Contacts.*'
+mutant crossed_answer platform/dialect.c 's/strcmp\(echo, attempt_id\) == 0/true/' $U 'Dialect.Responses*'
 exit $failed
--- a/test/functional/test_failures_jobs.cc
+++ b/test/functional/test_failures_jobs.cc
@@ -25,6 +25,31 @@
 	f.ExpectHistoryValid();
 }
 
+/* Its chunks are released only by the end of its session. */
+TEST(Failures, JobOfADaemonKilledWhileItHoldsALeaseCompletes)
+{
+	FleetOptions o;
+
+	o.daemons = 2;
+	o.engine_speed = "2";
+	o.flags = {"--batch-inflight-items=8"};
+	Fleet f(o);
+	EXPECT_EQ(202, f.SubmitJob(0, "lot", 200).status);
+	ASSERT_TRUE(f.WaitChunkCommitted());
+	ASSERT_TRUE(Eventually([&] {
+		f.daemons[0]->Signal(SIGSTOP);
+		if (f.HasChunkLease(0))
+			return true;
+		f.daemons[0]->Signal(SIGCONT);
+		return false;
+	}));
+	f.daemons[0]->Signal(SIGKILL);
+	f.daemons[0]->Wait();
+	EXPECT_TRUE(f.WaitJob(1, "lot"));
+	f.ReadResults(1, "lot");
+	f.ExpectHistoryValid();
+}
+
 TEST(Failures, ResentJobWithOtherContentConflicts)
 {
 	FleetOptions o;
--- a/test/unit/test_event_splitter.cc
+++ b/test/unit/test_event_splitter.cc
@@ -65,6 +65,87 @@
 	}
 }
 
+const char kRecorded[] =
+    "id: 1\ndata: a\n\nid: 2\nx-weight-versions: 3\ndata: b\ndata: c\n\n"
+    "id: 3\r\ndata: d\r\n\r\nid: 4\ndata:\n\n";
+
+std::string
+Joined(const std::vector<std::string> &events)
+{
+	std::string all;
+
+	for (const auto &ev : events)
+		all += ev;
+	return all;
+}
+
+/*
+ * An answer that is cut at any byte and resumed after its last whole event is
+ * delivered once, without a byte of the torn event.
+ */
+TEST(EventSplitter, AnAnswerCutAtAnyByteIsJoinedWithItsResumption)
+{
+	std::string body = kRecorded;
+
+	for (size_t cut = 0; cut <= body.size(); cut++) {
+		std::vector<std::string> events;
+		event_splitter es;
+
+		event_splitter_init(&es, -1);
+		event_splitter_feed(&es, body.data(), cut, Collect, &events);
+		size_t whole = Joined(events).size();
+		EXPECT_EQ(cut > whole, event_splitter_has_partial(&es)) << cut;
+		event_splitter_restart(&es);
+		event_splitter_feed(&es, body.data() + whole,
+		    body.size() - whole, Collect, &events);
+		EXPECT_EQ(body, Joined(events)) << cut;
+		EXPECT_EQ(4, es.last_id) << cut;
+		event_splitter_clear(&es);
+	}
+}
+
+/* Whatever a faulty target sends, only its own bytes are delivered, in order
+ * and none twice. */
+TEST(EventSplitter, MutatedAnswersDeliverAPrefixOfTheirBytes)
+{
+	uint32_t rng = 20261204;
+	auto random = [&rng](size_t n) {
+		rng = rng * 1664525 + 1013904223;
+		return (size_t)(rng >> 8) % n;
+	};
+
+	for (int i = 0; i < 20000; i++) {
+		std::string body = kRecorded;
+		std::vector<std::string> events;
+		event_splitter es;
+
+		for (size_t n = random(6); n > 0; n--) {
+			size_t at = random(body.size());
+
+			if (random(3) == 0)
+				body.erase(at, random(9));
+			else if (random(2) == 0)
+				body.insert(at, body.substr(0, random(30)));
+			else
+				body[at] = (char)random(256);
+		}
+		event_splitter_init(&es, -1);
+		for (size_t at = 0; at < body.size();) {
+			size_t n = std::min(1 + random(20), body.size() - at);
+
+			event_splitter_feed(
+			    &es, body.data() + at, n, Collect, &events);
+			at += n;
+		}
+		std::string all = Joined(events);
+		EXPECT_EQ(body.substr(0, all.size()), all) << i;
+		EXPECT_EQ(
+		    body.size() - all.size(), event_splitter_partial_len(&es))
+		    << i;
+		event_splitter_clear(&es);
+	}
+}
+
 TEST(EventSplitter, RestartDiscardsAnIncompleteEvent)
 {
 	event_splitter es;
