--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -62,7 +62,7 @@
 mutant no_quota src/savoryflow/job/token_quota.c 's/if \(tq->waiting \+ tokens > limit\)/if (false)/' $F 'GatewayQuota.*'
 mutant bytes_are_progress src/gateway/relay.c 's/if \(rl->has_new_event\)/if (true)/' $F 'Gateway.ATrickling*'
 mutant pauses_are_stalls src/gateway/calls.c 's/\.pause_timeout_us = .*/.pause_timeout_us = 0,/' $F 'Gateway.ASlowSound*'
-mutant roles_by_hash src/gateway/roster.c 's/kRoleCapacityPercent = 50/kRoleCapacityPercent = 0/' $U 'Roster.RolesGo*'
+mutant roles_by_hash src/gateway/roster_election.c 's/kRoleCapacityPercent = 50/kRoleCapacityPercent = 0/' $U 'Roster.RolesGo*'
 mutant no_relay src/gateway/slots_report.c 's/kDirectReportsMax = 100/kDirectReportsMax = 100000/' $U 'SlotsReport.*'
 mutant no_successor src/savoryflow/membership/contacts.c 's/find_successor\(self, peers\)\);/find_heaviest(self, peers, out));/' $U 'Contacts.*'
 mutant crossed_answer platform/dialect.c 's/strcmp\(echo, attempt_id\) == 0/true/' $U 'Dialect.Responses*'
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -4,10 +4,10 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "gateway/roster_internal.h"
 #include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
 #include "savoryflow/membership/contacts.h"
-#include "savoryflow/routing/rendezvous.h"
 
 enum {
 	/* Heartbeats of all daemons together: half of the write rate of one
@@ -18,41 +18,6 @@
 	kLeasePeriods = 4,
 	/* A daemon takes about this long to stop. */
 	kDepartureUs = 8 * kUsPerS,
-	/* A daemon takes roles that serve others if it has at least this share,
-	 * in percent, of the processor capacity of the largest one. */
-	kRoleCapacityPercent = 50,
-};
-
-struct roster_member {
-	struct roster_row row;
-	/** Hash of the row's session. */
-	uint64_t session;
-	/** Time of the last lease renewal. */
-	int64_t renewed_us;
-	/** Time of the last message received directly from it. */
-	int64_t last_message_us;
-	int64_t suspect_until_us;
-	bool is_leaving;
-	/** It reported that it cannot reach the store. */
-	bool is_store_unreachable;
-	/** Time of the store's last answer to it, as it reported. */
-	int64_t store_answered_us;
-	/** Time when its row was first missing; 0 while it is listed. */
-	int64_t unlisted_us;
-	/** Its expiry or removal was reported. */
-	bool is_removal_reported;
-};
-
-struct roster {
-	struct roster_options opt;
-	/** struct roster_member by address, excluding this daemon. */
-	GHashTable *members;
-	/** struct roster_member by session, borrowed. */
-	GHashTable *sessions;
-	int64_t contact_timeout_us;
-	bool is_self_leaving;
-	bool is_self_cut_off;
-	uint64_t epoch;
 };
 
 struct roster *
@@ -132,8 +97,9 @@
 	m->is_removal_reported = false;
 }
 
-static bool
-is_alive(const struct roster *ro, const struct roster_member *m, int64_t now_us)
+bool
+roster_member_is_alive(
+    const struct roster *ro, const struct roster_member *m, int64_t now_us)
 {
 	return now_us - m->renewed_us <=
 	    MAX(ro->opt.lease_us, kLeasePeriods * m->row.period_us);
@@ -144,7 +110,7 @@
 record_expiry(struct roster *ro, struct roster_member *m, int64_t now_us,
     struct roster_changes *changes)
 {
-	if (m->is_removal_reported || is_alive(ro, m, now_us))
+	if (m->is_removal_reported || roster_member_is_alive(ro, m, now_us))
 		return;
 	m->is_removal_reported = true;
 	ro->epoch++;
@@ -219,7 +185,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct roster_member *m = val;
 
-		if (is_alive(ro, m, now_us))
+		if (roster_member_is_alive(ro, m, now_us))
 			m->renewed_us = now_us;
 	}
 }
@@ -306,22 +272,22 @@
 	m->store_answered_us = contact->store_answered_us;
 }
 
-/* True if the daemon may be an arbiter. */
-static bool
-is_eligible(
+bool
+roster_member_is_eligible(
     const struct roster *ro, const struct roster_member *m, int64_t now_us)
 {
 	return !m->is_leaving && m->unlisted_us == 0 &&
-	    (is_alive(ro, m, now_us) ||
+	    (roster_member_is_alive(ro, m, now_us) ||
 		(m->last_message_us != 0 &&
 		    now_us - m->last_message_us <= ro->contact_timeout_us));
 }
 
-static bool
-is_usable(
+bool
+roster_member_is_usable(
     const struct roster *ro, const struct roster_member *m, int64_t now_us)
 {
-	return is_eligible(ro, m, now_us) && m->suspect_until_us <= now_us;
+	return roster_member_is_eligible(ro, m, now_us) &&
+	    m->suspect_until_us <= now_us;
 }
 
 bool
@@ -338,145 +304,11 @@
 		const struct roster_member *m = val;
 
 		if (strcmp(m->row.session, session) == 0)
-			return is_alive(ro, m, now_us);
+			return roster_member_is_alive(ro, m, now_us);
 	}
 	return false;
 }
 
-/* Daemons among which the owner of a key is elected. */
-struct candidates {
-	const char *key;
-	/** NULL: any. */
-	const char *data_center;
-	/** Daemons that did not answer in time count as well. */
-	bool include_suspects;
-	/** Only daemons that are believed to reach the store. */
-	bool needs_store;
-	int64_t now_us;
-	/** Highest processor capacity of a candidate. */
-	int32_t cpu_millicores;
-	const char *best;
-	uint64_t weight;
-};
-
-static void
-consider_capacity(struct candidates *c, const struct roster_row *row)
-{
-	c->cpu_millicores = MAX(c->cpu_millicores, row->cpu_millicores);
-}
-
-static void
-consider(struct candidates *c, const struct roster_row *row)
-{
-	uint64_t weight;
-
-	if ((int64_t)row->cpu_millicores * 100 <
-	    (int64_t)c->cpu_millicores * kRoleCapacityPercent)
-		return;
-	weight = rendezvous_weight(c->key, row->address);
-	if (c->best != NULL && weight <= c->weight)
-		return;
-	c->best = row->address;
-	c->weight = weight;
-}
-
-typedef void (*consider_fn)(struct candidates *c, const struct roster_row *row);
-
-static bool
-is_candidate(const struct roster *ro, const struct candidates *c,
-    const struct roster_member *m)
-{
-	if (c->data_center != NULL &&
-	    strcmp(c->data_center, m->row.data_center) != 0)
-		return false;
-	if (c->needs_store &&
-	    (m->is_store_unreachable || !is_alive(ro, m, c->now_us)))
-		return false;
-	return c->include_suspects ? is_eligible(ro, m, c->now_us)
-				   : is_usable(ro, m, c->now_us);
-}
-
-static bool
-is_self_candidate(const struct roster *ro, const struct candidates *c)
-{
-	return !ro->is_self_leaving &&
-	    !(c->needs_store && ro->is_self_cut_off) &&
-	    (c->data_center == NULL ||
-		strcmp(c->data_center, ro->opt.self.data_center) == 0);
-}
-
-static void
-for_each_candidate(
-    const struct roster *ro, consider_fn fn, struct candidates *c)
-{
-	GHashTableIter it;
-	void *val;
-
-	if (is_self_candidate(ro, c))
-		fn(c, &ro->opt.self);
-	g_hash_table_iter_init(&it, ro->members);
-	while (g_hash_table_iter_next(&it, NULL, &val))
-		if (is_candidate(ro, c, val))
-			fn(c, &((struct roster_member *)val)->row);
-}
-
-static const char *
-elect(const struct roster *ro, struct candidates *c)
-{
-	for_each_candidate(ro, consider_capacity, c);
-	for_each_candidate(ro, consider, c);
-	return c->best;
-}
-
-static const char *
-find_owner(const struct roster *ro, const char *key, const char *data_center,
-    bool include_suspects, int64_t now_us)
-{
-	struct candidates near = {.key = key,
-	    .data_center = data_center,
-	    .include_suspects = include_suspects,
-	    .now_us = now_us};
-	struct candidates any = near;
-	const char *owner = elect(ro, &near);
-
-	any.data_center = NULL;
-	if (owner == NULL && data_center != NULL)
-		owner = elect(ro, &any);
-	return owner != NULL ? owner : ro->opt.self.address;
-}
-
-const char *
-roster_owner(const struct roster *ro, const char *key, const char *data_center,
-    int64_t now_us)
-{
-	return find_owner(ro, key, data_center, false, now_us);
-}
-
-void
-roster_set_store_status(struct roster *ro, bool is_store_unreachable)
-{
-	ro->is_self_cut_off = is_store_unreachable;
-}
-
-const char *
-roster_owner_reaching_store(
-    const struct roster *ro, const char *key, int64_t now_us)
-{
-	struct candidates c = {
-	    .key = key, .needs_store = true, .now_us = now_us};
-	const char *owner = elect(ro, &c);
-
-	return owner != NULL ? owner : roster_owner(ro, key, NULL, now_us);
-}
-
-bool
-roster_is_elected_owner(const struct roster *ro, const char *key,
-    const char *data_center, int64_t now_us)
-{
-	return strcmp(find_owner(ro, key, data_center, true, now_us),
-		   ro->opt.self.address) == 0;
-}
-
 GPtrArray *
 roster_peers(const struct roster *ro, const char *data_center, int64_t now_us)
 {
@@ -491,7 +323,8 @@
 		if (data_center != NULL &&
 		    strcmp(data_center, m->row.data_center) != 0)
 			continue;
-		if (is_alive(ro, m, now_us) || m->unlisted_us != 0)
+		if (roster_member_is_alive(ro, m, now_us) ||
+		    m->unlisted_us != 0)
 			g_ptr_array_add(list, m->row.address);
 	}
 	return list;
@@ -518,7 +351,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct roster_member *m = val;
 
-		if (is_eligible(ro, m, now_us) &&
+		if (roster_member_is_eligible(ro, m, now_us) &&
 		    strcmp(m->row.data_center, data_center) == 0)
 			g_ptr_array_add(list, m->row.address);
 	}
@@ -541,8 +374,8 @@
 		bool is_near =
 		    strcmp(m->row.data_center, ro->opt.self.data_center) == 0;
 
-		if (!is_usable(ro, m, now_us) || m->is_store_unreachable ||
-		    m->row.front[0] == '\0' ||
+		if (!roster_member_is_usable(ro, m, now_us) ||
+		    m->is_store_unreachable || m->row.front[0] == '\0' ||
 		    strcmp(m->row.front, excluded_front) == 0)
 			continue;
 		/* Of the nearby peers, prefers the one that the store answered
@@ -598,7 +431,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		const struct roster_member *m = val;
 
-		if (is_alive(ro, m, now_us) &&
+		if (roster_member_is_alive(ro, m, now_us) &&
 		    strcmp(m->row.data_center, data_center) == 0)
 			n++;
 	}
@@ -614,7 +447,7 @@
 
 	g_hash_table_iter_init(&it, ro->members);
 	while (g_hash_table_iter_next(&it, NULL, &val))
-		n += is_alive(ro, val, now_us);
+		n += roster_member_is_alive(ro, val, now_us);
 	return n;
 }
 
