Test of leaving workers waits until the daemons know each other

Trace: both daemons had started to arbitrate for themselves, as they did not know each other yet; daemon 1, which had passed on no such answer, sent calls to the leaving worker on its own grants. The rule binds the daemon that passed the answer on.

--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -219,6 +219,17 @@
 		return n;
 	}
 
+	/* How many workers ran attempts whose ids begin so. */
+	int
+	CountWorkersUsed(const std::string &prefix)
+	{
+		int n = 0;
+
+		for (size_t w = 0; w < worker_ports.size(); w++)
+			n += CountRunsAt(w, prefix) > 0;
+		return n;
+	}
+
 	/* How many times the workers ran an attempt or item. */
 	int
 	CountRuns(const std::string &id)
--- a/test/functional/test_gateway.cc
+++ b/test/functional/test_gateway.cc
@@ -111,6 +111,9 @@
 	int leaving = 0;
 
 	StartReadyFleet(3, 2);
+	/* Until the daemons know each other, each arbitrates for itself. */
+	for (auto &d : daemons)
+		ASSERT_TRUE(d->WaitLine("\"name\":\"member_up\""));
 	for (const auto &a : answers) {
 		/* Any of the workers may get the request. */
 		for (size_t w = 0; w < 3; w++)
@@ -124,11 +127,19 @@
 	}
 	for (int i = 0; i < 40; i++)
 		EXPECT_EQ(200,
-		    Call(i % 2, "/q/y", "after" + std::to_string(i), 1).status);
-	int used = 0;
-	for (size_t w = 0; w < 3; w++)
-		used += CountRunsAt(w, "after") > 0;
-	EXPECT_EQ(1, used) << "of three workers two leave";
+		    Call(0, "/q/y", "after" + std::to_string(i), 1).status);
+	EXPECT_EQ(1, CountWorkersUsed("after")) << "of three, two leave";
+	/* The other daemon, once its arbiter has been told. */
+	int round = 0;
+	EXPECT_TRUE(Eventually([&] {
+		std::string prefix = "round" + std::to_string(++round) + "-";
+
+		for (int i = 0; i < 20; i++)
+			EXPECT_EQ(200,
+			    Call(1, "/q/y", prefix + std::to_string(i), 1)
+				.status);
+		return CountWorkersUsed(prefix) == 1;
+	}));
 }
 
 /*
