--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -29,7 +29,6 @@
 	 * wait for at most a third of their timeout, some 1.6 s. */
 	kRetryAfterMinUs = 250 * kUsPerMs,
 	kRetryAfterMaxUs = 1100 * kUsPerMs,
-	kNoTargetRetryUs = 500 * kUsPerMs,
 	/* An overdue request may start this late, as a late answer is better
 	 * than none; callers abandon a stream that stalls for 2 s. */
 	kLateStartUs = 1200 * kUsPerMs,
@@ -124,16 +123,6 @@
 	return load;
 }
 
-int64_t
-slotpool_wait_us(const struct slotpool_load *load)
-{
-	if (load->slots == 0)
-		return kNoTargetRetryUs;
-	if (load->online < load->slots && load->online_queued == 0)
-		return 0;
-	return (load->online_queued + 1) * load->hold_us / load->slots;
-}
-
 static void
 count_slot(struct slot_target *t, const struct slot *sl, int32_t sign)
 {
--- a/test/functional/test_failures_jobs.cc
+++ b/test/functional/test_failures_jobs.cc
@@ -10,6 +10,19 @@
 namespace
 {
 
+/* Freezes daemon 0 while it holds a lease, not between two leases. */
+bool
+FreezeHolder(Fleet &f)
+{
+	return Eventually([&] {
+		f.daemons[0]->Signal(SIGSTOP);
+		if (f.HasChunkLease(0))
+			return true;
+		f.daemons[0]->Signal(SIGCONT);
+		return false;
+	});
+}
+
 TEST(Failures, JobOfADaemonKilledAfterItsAcknowledgementCompletes)
 {
 	FleetOptions o;
@@ -36,13 +49,7 @@
 	Fleet f(o);
 	EXPECT_EQ(202, f.SubmitJob(0, "lot", 200).status);
 	ASSERT_TRUE(f.WaitChunkCommitted());
-	ASSERT_TRUE(Eventually([&] {
-		f.daemons[0]->Signal(SIGSTOP);
-		if (f.HasChunkLease(0))
-			return true;
-		f.daemons[0]->Signal(SIGCONT);
-		return false;
-	}));
+	ASSERT_TRUE(FreezeHolder(f));
 	f.daemons[0]->Signal(SIGKILL);
 	f.daemons[0]->Wait();
 	EXPECT_TRUE(f.WaitJob(1, "lot"));
@@ -74,14 +81,7 @@
 	Fleet f(o);
 	EXPECT_EQ(202, f.SubmitJob(0, "lot", 200).status);
 	ASSERT_TRUE(f.WaitChunkCommitted());
-	/* Freeze it while it holds a lease, not between two leases. */
-	ASSERT_TRUE(Eventually([&] {
-		f.daemons[0]->Signal(SIGSTOP);
-		if (f.HasChunkLease(0))
-			return true;
-		f.daemons[0]->Signal(SIGCONT);
-		return false;
-	}));
+	ASSERT_TRUE(FreezeHolder(f));
 	EXPECT_TRUE(f.daemons[1]->WaitLine("session_ended"));
 	f.daemons[0]->Signal(SIGCONT);
 	EXPECT_TRUE(f.daemons[0]->WaitLine("session_lost"));
