job_started: log the stored submission time and the store's time

Cause: whether a job's age is wrong, and why, could not be told from the logs: they had the age alone. No logic changes.

--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -577,7 +577,9 @@
 	log_event(kEvtJobStarted, "job", job->id, "items",
 	    log_number(items->len), "listed",
 	    log_number(done != NULL ? done->len : 0), "age_us",
-	    log_number(run->started_us - accepted_us), NULL);
+	    log_number(run->started_us - accepted_us), "accepted_store_ms",
+	    log_number(job->accepted_ms), "store_ms",
+	    log_number(js->opt.store->ops->now_ms(js->opt.store->ctx)), NULL);
 	if (progress != NULL)
 		restore_progress(run, progress);
 	if (done != NULL)
