Tests that fail: a job accepted while the store's time is unknown

What callers see: items are listed as dead long before their time to live, after the job's daemon was lost; finished jobs are removed before their retention. Change: the stand-ins can leave out the store's time; one unit test of submission and retention, one with the real daemons. Result on this code: both fail. The unit test reads accepted_ms -1 and finds the finished jobs among the expired ones; with the daemons 3 of 3 items are given up as expired at the take-over.

--- a/test/functional/test_gateway_jobs.cc
+++ b/test/functional/test_gateway_jobs.cc
@@ -153,6 +153,26 @@
 	EXPECT_TRUE(Eventually([&] { return HasResults(0, "j1", 3); }));
 }
 
+TEST_F(Gateway, AJobAcceptedBeforeTheStoreToldTheTimeIsNotExpiredAtATakeOver)
+{
+	StartReadyFleet(2, 1);
+	PostToStore("/fault", "{\"timeless\":\"d1\"}");
+	AddDaemon();
+	ASSERT_TRUE(Eventually([&] {
+		return ReadyStatus(1) == 200 &&
+		    Call(1, "/q/warm", "w", 1).status == 200;
+	}));
+	EXPECT_EQ(202,
+	    Send(
+		1, "POST", "/b/j1", JobBody("it", 3, RequestBody(40, 20)), "j1")
+		.status);
+	ASSERT_TRUE(Eventually([&] { return CountRuns("it0") > 0; }));
+	daemons[1]->Signal(SIGKILL);
+	daemons[1]->Wait();
+	ASSERT_TRUE(Eventually([&] { return HasResults(0, "j1", 3); }));
+	EXPECT_EQ(0, daemons[0]->Count("\"why\":\"expired\""));
+}
+
 /* The store rejects one daemon and serves its peer. */
 TEST_F(Gateway, APeerServesJobsForADaemonThatTheStoreRejects)
 {
--- a/test/standin/memstore.c
+++ b/test/standin/memstore.c
@@ -50,8 +50,10 @@
 {
 	pthread_mutex_lock(&ms->lock);
 	ms->counts.reads++;
-	if (!ms->faults.outage)
+	if (!ms->faults.outage) {
+		ms->faults.hides_time = false;
 		return true;
+	}
 	pthread_mutex_unlock(&ms->lock);
 	return false;
 }
@@ -240,6 +242,14 @@
 static int64_t
 ms_now_ms(void *ctx)
 {
+	struct memstore *ms = ctx;
+	bool is_hidden;
+
+	pthread_mutex_lock(&ms->lock);
+	is_hidden = ms->faults.hides_time;
+	pthread_mutex_unlock(&ms->lock);
+	if (is_hidden)
+		return -1;
 	return clock_mono_us(clock_system()) / kUsPerMs;
 }
 
--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -6,9 +6,10 @@
  * does; without a value, deletes it.
  * The path of a call may start with a segment that names the calling daemon.
  *
- * POST /fault {"outage","turned_away","lose_answers","forget"}: rejects all
- * calls, or those of one daemon; drops the answers of the next N transactions;
- * discards the change history of the feed.
+ * POST /fault {"outage","turned_away","lose_answers","forget","timeless"}:
+ * rejects all calls, or those of one daemon; drops the answers of the next N
+ * transactions; discards the change history of the feed; leaves the time out of
+ * the answers to one daemon, except those to reads of jobs.
  */
 #include <jansson.h>
 #include <pthread.h>
@@ -18,7 +19,11 @@
 #include "http.h"
 #include "os/clock.h"
 
-enum { kFeedPollUs = 5000 };
+enum {
+	kFeedPollUs = 5000,
+	/* The store started long before the tests. */
+	kStoreUptimeMs = 3600000,
+};
 
 struct row {
 	char *table;
@@ -40,6 +45,8 @@
 	bool outage;
 	/** Calls whose path starts with this name of a daemon are rejected. */
 	char *rejected_daemon;
+	/** Answers to this daemon tell no time. */
+	char *timeless_daemon;
 	int lose_answers;
 };
 
@@ -99,15 +106,35 @@
 	return doc;
 }
 
+static const char *
+argument(struct standin_request *req, const char *name)
+{
+	const char *val =
+	    MHD_lookup_connection_value(req->con, MHD_GET_ARGUMENT_KIND, name);
+
+	return val != NULL ? val : "";
+}
+
+static bool
+is_from(const struct standin_request *req, const char *daemon)
+{
+	return daemon != NULL && daemon[0] != '\0' &&
+	    g_str_has_prefix(req->url + 1, daemon);
+}
+
 static struct MHD_Response *
-respond(struct rows *rs, json_t *doc)
+respond(struct rows *rs, struct standin_request *req, json_t *doc)
 {
+	bool is_timeless = is_from(req, rs->timeless_daemon) &&
+	    strcmp(argument(req, "table_name"), "job") != 0;
 	struct MHD_Response *res;
 	char *out;
 
 	json_object_set_new(doc, "row_version", json_integer(rs->version));
-	json_object_set_new(doc, "now_ms",
-	    json_integer(clock_mono_us(clock_system()) / kUsPerMs));
+	if (!is_timeless)
+		json_object_set_new(doc, "now_ms",
+		    json_integer(clock_mono_us(clock_system()) / kUsPerMs +
+			kStoreUptimeMs));
 	out = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	res = standin_text_response(out);
@@ -175,7 +202,7 @@
 	if (!conditions_hold(rs, json_object_get(doc, "expected_rev"))) {
 		*status = 412;
 		json_decref(doc);
-		return respond(rs, json_object());
+		return respond(rs, req, json_object());
 	}
 	rs->version++;
 	json_array_foreach(json_object_get(doc, "upserts"), i, e)
@@ -194,16 +221,7 @@
 		rs->lose_answers--;
 		return NULL;
 	}
-	return respond(rs, json_object());
-}
-
-static const char *
-argument(struct standin_request *req, const char *name)
-{
-	const char *val =
-	    MHD_lookup_connection_value(req->con, MHD_GET_ARGUMENT_KIND, name);
-
-	return val != NULL ? val : "";
+	return respond(rs, req, json_object());
 }
 
 struct range {
@@ -244,7 +262,7 @@
 	    *limit != '\0' ? atoi(limit) : 500, json_array(), false};
 
 	g_tree_foreach(rs->rows, collect_in_range, &r);
-	return respond(rs,
+	return respond(rs, req,
 	    json_pack(
 		"{s:o,s:b}", "rows", r.list, "has_more", (int)r.has_more));
 }
@@ -283,7 +301,8 @@
 		g_tree_foreach(rs->rows, collect_changed, &c);
 		if (json_array_size(c.list) > 0 ||
 		    clock_mono_us(clock_system()) >= deadline_us)
-			return respond(rs, json_pack("{s:o}", "rows", c.list));
+			return respond(
+			    rs, req, json_pack("{s:o}", "rows", c.list));
 		pthread_mutex_unlock(&rs->lock);
 		g_usleep(kFeedPollUs);
 		pthread_mutex_lock(&rs->lock);
@@ -344,6 +363,8 @@
 	rs->outage = json_is_true(json_object_get(doc, "outage"));
 	g_free(rs->rejected_daemon);
 	rs->rejected_daemon = g_strdup(member_text(doc, "turned_away"));
+	g_free(rs->timeless_daemon);
+	rs->timeless_daemon = g_strdup(member_text(doc, "timeless"));
 	rs->lose_answers =
 	    (int)json_integer_value(json_object_get(doc, "lose_answers"));
 	if (json_is_true(json_object_get(doc, "forget")))
@@ -352,13 +373,6 @@
 	return standin_text_response("{}");
 }
 
-static bool
-is_rejected(const struct rows *rs, const char *url)
-{
-	return rs->rejected_daemon != NULL && rs->rejected_daemon[0] != '\0' &&
-	    g_str_has_prefix(url + 1, rs->rejected_daemon);
-}
-
 static struct MHD_Response *
 dispatch(struct rows *rs, struct standin_request *req, unsigned int *status)
 {
@@ -370,28 +384,29 @@
 	    {"/api/blob-get/", "get"},
 	    {"/api/blob-drop/", "drop"},
 	};
+	const char *path;
 
 	if (strcmp(req->url, "/put") == 0)
 		return handle_put(rs, req);
 	if (strcmp(req->url, "/fault") == 0)
 		return set_fault(rs, req);
-	if (rs->outage || is_rejected(rs, req->url)) {
+	if (rs->outage || is_from(req, rs->rejected_daemon)) {
 		*status = 503;
 		return standin_text_response("{}");
 	}
-	req->url = strstr(req->url, "/api/");
-	if (req->url == NULL)
+	path = strstr(req->url, "/api/");
+	if (path == NULL)
 		return NULL;
-	if (strcmp(req->url, "/api/rows-tx") == 0)
+	if (strcmp(path, "/api/rows-tx") == 0)
 		return run_tx(rs, req, status);
-	if (strcmp(req->url, "/api/rows-get") == 0)
+	if (strcmp(path, "/api/rows-get") == 0)
 		return get_range(rs, req);
-	if (strcmp(req->url, "/api/rows-feed") == 0)
+	if (strcmp(path, "/api/rows-feed") == 0)
 		return handle_feed(rs, req, status);
 	for (size_t i = 0; i < G_N_ELEMENTS(objects); i++)
-		if (g_str_has_prefix(req->url, objects[i].path))
+		if (g_str_has_prefix(path, objects[i].path))
 			return handle_object(rs, req, objects[i].verb,
-			    req->url + strlen(objects[i].path), status);
+			    path + strlen(objects[i].path), status);
 	*status = 404;
 	return standin_text_response("{}");
 }
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -28,6 +28,12 @@
 		memstore_set_faults(ms, &f);
 	}
 
+	int64_t
+	NowMs()
+	{
+		return st->ops->now_ms(st->ctx);
+	}
+
 	store_result
 	Submit(const char *token, const char *owner, bool *is_new,
 	    const char *id = "j", size_t body_bytes = 4)
@@ -317,7 +323,7 @@
 {
 	bool is_new;
 	GPtrArray *ids = nullptr;
-	int64_t later = st->ops->now_ms(st->ctx) + 1000;
+	int64_t later = NowMs() + 1000;
 
 	Submit("t", "s1", &is_new, "open");
 	Submit("t", "s1", &is_new, "done");
@@ -331,6 +337,38 @@
 	g_ptr_array_unref(ids);
 }
 
+TEST_F(Itemjob, AJobSubmittedWhileTheStoresTimeIsUnknownIsNotTooOld)
+{
+	const struct {
+		const char *id;
+		bool hides_time;
+		size_t body_bytes;
+	} cases[] = {{"known", false, 4}, {"row", true, 4},
+	    {"object", true, kItemjobTextRowBytes}};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.id);
+		memstore_faults faults = {};
+		int64_t before_ms = NowMs();
+		itemjob *job = nullptr;
+		GPtrArray *ids = nullptr;
+		bool is_new;
+
+		faults.hides_time = c.hides_time;
+		memstore_set_faults(ms, &faults);
+		ASSERT_EQ(
+		    kStoreOk, Submit("t", "s1", &is_new, c.id, c.body_bytes));
+		EXPECT_TRUE(is_new);
+		ASSERT_EQ(kStoreOk, itemjob_get(st, c.id, &job));
+		EXPECT_LE(before_ms, job->accepted_ms);
+		itemjob_free(job);
+		itemjob_close(st, c.id);
+		ASSERT_EQ(kStoreOk, itemjob_read_expired(st, before_ms, &ids));
+		EXPECT_EQ(0u, ids->len);
+		g_ptr_array_unref(ids);
+	}
+}
+
 TEST_F(Itemjob, RemovedJobLeavesNoRowsOrObjects)
 {
 	bool is_new;
