itemjob: a job is submitted only with a known time of the store

What callers saw: items listed as dead 30 s after their job was sent, with a time to live of 60 s, once the job's first daemon was lost. Cause: until a daemon has had an answer that tells the store's time, now_ms returned -1, and itemjob_submit stored it as the time of submission. A daemon that took the job over computed the age from -1, so the job was as old as the store; the removal of finished jobs did the same and ended their retention. Change: now_ms tells by its result whether the time is known, so that no value stands for unknown; a submission reads the job's row first if it is not, and is refused if the store does not answer; a row without a time has no age and is not removed.

--- a/src/gateway/janitor.c
+++ b/src/gateway/janitor.c
@@ -27,12 +27,12 @@
 {
 	struct janitor *jn = ctx;
 	const struct store *st = jn->opt.store;
-	int64_t now_ms = st->ops->now_ms(st->ctx);
+	int64_t now_ms;
 	GPtrArray *ids = NULL;
 
 	jn->removed = 0;
 	jn->outcome = kStoreUnavailable;
-	if (now_ms < 0)
+	if (!st->ops->now_ms(st->ctx, &now_ms))
 		return;
 	jn->outcome = itemjob_read_expired(
 	    st, now_ms - jn->opt.retention_us / kUsPerMs, &ids);
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -441,7 +441,6 @@
 {
 	struct jobs *js = task->js;
 	int64_t now_us = loop_now_us(js->opt.deps.lp);
-	int64_t store_ms = js->opt.store->ops->now_ms(js->opt.store->ctx);
 	int64_t age_us;
 
 	log_job_call(task, "take_over");
@@ -449,9 +448,7 @@
 	if (task->outcome != kStoreOk || js->is_leaving ||
 	    g_hash_table_contains(js->runs, task->id))
 		return;
-	age_us = store_ms >= 0
-	    ? MAX(store_ms - task->job->accepted_ms, 0) * kUsPerMs
-	    : 0;
+	age_us = itemjob_age_us(js->opt.store, task->job);
 	jobs_cache_job(js, task->job);
 	jobs_run_start(js, g_steal_pointer(&task->job),
 	    g_steal_pointer(&task->items), task->done_items, task->progress,
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -562,7 +562,9 @@
 	const struct routebook_route *route =
 	    book != NULL ? routebook_find(book, job->host, job->path) : NULL;
 	struct job_run *run = g_new0(struct job_run, 1);
+	int64_t store_ms = -1;
 
+	js->opt.store->ops->now_ms(js->opt.store->ctx, &store_ms);
 	run->js = js;
 	run->job = job;
 	run->items = items;
@@ -578,8 +580,8 @@
 	    log_number(items->len), "listed",
 	    log_number(done != NULL ? done->len : 0), "age_us",
 	    log_number(run->started_us - accepted_us), "accepted_store_ms",
-	    log_number(job->accepted_ms), "store_ms",
-	    log_number(js->opt.store->ops->now_ms(js->opt.store->ctx)), NULL);
+	    log_number(job->accepted_ms), "store_ms", log_number(store_ms),
+	    NULL);
 	if (progress != NULL)
 		restore_progress(run, progress);
 	if (done != NULL)
--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -41,7 +41,8 @@
 	/** The items are in a row beside the job's. */
 	bool is_inline;
 	int32_t total;
-	/** Time of the submission by the store's monotonic clock. */
+	/** Time of the submission by the store's monotonic clock; -1 if it is
+	 * unknown, as in rows of earlier versions. */
 	int64_t accepted_ms;
 	/** Route whose waiting tokens are limited; NULL: they are not. */
 	char *quota_route;
--- a/src/savoryflow/job/itemjob_retention.c
+++ b/src/savoryflow/job/itemjob_retention.c
@@ -25,7 +25,8 @@
 	return *res == kStoreOk;
 }
 
-/* Adds the row's job if it is finished and was submitted before `before_ms`. */
+/* Adds the row's job if it is finished and was submitted before `before_ms`; a
+ * job whose time of submission is unknown stays. */
 static enum store_result
 add_if_expired(const struct store *st, const struct store_row *row,
     int64_t before_ms, GPtrArray *ids)
@@ -35,7 +36,7 @@
 	const char *id = strrchr(row->key, '/') + 1;
 	enum store_result res = kStoreOk;
 
-	if (json_is_integer(accepted) &&
+	if (json_is_integer(accepted) && json_integer_value(accepted) >= 0 &&
 	    json_integer_value(accepted) < before_ms && !is_open(st, id, &res))
 		g_ptr_array_add(ids, g_strdup(id));
 	json_decref(doc);
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "os/clock.h"
 #include "savoryflow/job/itemjob_rows.h"
 #include "store/commit.h"
 
@@ -40,6 +41,7 @@
 
 	if (res == kStoreOk) {
 		json_t *doc = json_loads(row.value, 0, NULL);
+		const json_t *accepted = json_object_get(doc, "accepted_ms");
 
 		*job = itemjob_new(id);
 		(*job)->host =
@@ -54,8 +56,9 @@
 		    (int32_t)json_integer_value(json_object_get(doc, "total"));
 		(*job)->quota_route =
 		    g_strdup(json_string_value(json_object_get(doc, "quota")));
-		(*job)->accepted_ms =
-		    json_integer_value(json_object_get(doc, "accepted_ms"));
+		(*job)->accepted_ms = json_is_integer(accepted)
+		    ? json_integer_value(accepted)
+		    : -1;
 		json_decref(doc);
 	}
 	store_row_clear(&row);
@@ -140,20 +143,40 @@
 	return res;
 }
 
+/* Sets the time of submission. A daemon that has just started may have had no
+ * answer yet that tells the store's time: reading the job's row gets one. */
+static enum store_result
+set_accepted_time(const struct store *st, struct itemjob *job)
+{
+	struct itemjob *found = NULL;
+	enum store_result res;
+
+	if (st->ops->now_ms(st->ctx, &job->accepted_ms))
+		return kStoreOk;
+	res = itemjob_get(st, job->id, &found);
+	itemjob_free(found);
+	if (res != kStoreOk && res != kStoreNotFound)
+		return kStoreUnavailable;
+	return st->ops->now_ms(st->ctx, &job->accepted_ms) ? kStoreOk
+							   : kStoreUnavailable;
+}
+
 /* The store may be in another region and the acknowledgement is due within a
  * few hundred ms: one call if the items fit in a row, two otherwise. */
 enum store_result
 itemjob_submit(const struct store *st, struct itemjob *job,
     const GPtrArray *items, const char *token, const char *owner, bool *is_new)
 {
-	char *text = itemjob_items_to_text(items);
-	enum store_result res;
+	enum store_result res = set_accepted_time(st, job);
+	char *text;
 
 	*is_new = false;
+	if (res != kStoreOk)
+		return res;
+	text = itemjob_items_to_text(items);
 	job->input = g_strdup_printf("input/%s/%s", job->id, token);
 	job->is_inline = strlen(text) <= kItemjobTextRowBytes;
 	job->total = (int32_t)items->len;
-	job->accepted_ms = st->ops->now_ms(st->ctx);
 	if (job->is_inline)
 		res = submit_rows(st, job, text, owner, is_new);
 	else
@@ -195,6 +218,16 @@
 	return kStoreOk;
 }
 
+int64_t
+itemjob_age_us(const struct store *st, const struct itemjob *job)
+{
+	int64_t now_ms;
+
+	if (job->accepted_ms < 0 || !st->ops->now_ms(st->ctx, &now_ms))
+		return 0;
+	return MAX(now_ms - job->accepted_ms, 0) * kUsPerMs;
+}
+
 enum store_result
 itemjob_load_items(
     const struct store *st, const struct itemjob *job, GPtrArray **items)
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -23,7 +23,8 @@
 
 /**
  * Accepts a job; a known id refers to the existing job. Returns kStoreConflict
- * if the job's quota is counted by another daemon by now; nothing was written.
+ * if the job's quota is counted by another daemon by now, and
+ * kStoreUnavailable if the store's time cannot be learnt; nothing was written.
  * @param token unique token of this submission
  * @param owner session that is to run it
  * @param is_new set to whether this submission created the job
@@ -35,6 +36,10 @@
 enum store_result itemjob_get(
     const struct store *st, const char *id, struct itemjob **job);
 
+/** Time since the submission in us; 0 if it is unknown, so that no item is
+ * given up too early. */
+int64_t itemjob_age_us(const struct store *st, const struct itemjob *job);
+
 enum store_result itemjob_load_items(
     const struct store *st, const struct itemjob *job, GPtrArray **items);
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -91,9 +91,9 @@
 	/** Deletes an object; succeeds if there is none. */
 	enum store_result (*delete_object)(
 	    void *ctx, enum store_cause cause, const char *key);
-	/** Monotonic time of the store as of its last answer, in ms; -1 if
-	 * unknown. */
-	int64_t (*now_ms)(void *ctx);
+	/** Monotonic time of the store in ms. @return false until an answer has
+	 * told it; now_ms is unchanged then */
+	bool (*now_ms)(void *ctx, int64_t *now_ms);
 	/** Lists changes of the VM list after *cursor, and advances *cursor. */
 	enum store_result (*vms)(void *ctx, int64_t *cursor, GPtrArray **vms);
 };
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -357,10 +357,10 @@
 }
 
 /* These services do not report a time of their own. */
-static int64_t
-http_now_ms(void *ctx)
+static bool
+http_now_ms(void *ctx, int64_t *now_ms)
 {
-	return -1;
+	return false;
 }
 
 static enum store_vm_state
--- a/test/standin/memstore.c
+++ b/test/standin/memstore.c
@@ -239,8 +239,8 @@
 	return res;
 }
 
-static int64_t
-ms_now_ms(void *ctx)
+static bool
+ms_now_ms(void *ctx, int64_t *now_ms)
 {
 	struct memstore *ms = ctx;
 	bool is_hidden;
@@ -248,9 +248,9 @@
 	pthread_mutex_lock(&ms->lock);
 	is_hidden = ms->faults.hides_time;
 	pthread_mutex_unlock(&ms->lock);
-	if (is_hidden)
-		return -1;
-	return clock_mono_us(clock_system()) / kUsPerMs;
+	if (!is_hidden)
+		*now_ms = clock_mono_us(clock_system()) / kUsPerMs;
+	return !is_hidden;
 }
 
 static enum store_result
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -31,7 +31,10 @@
 	int64_t
 	NowMs()
 	{
-		return st->ops->now_ms(st->ctx);
+		int64_t now_ms = 0;
+
+		EXPECT_TRUE(st->ops->now_ms(st->ctx, &now_ms));
+		return now_ms;
 	}
 
 	store_result
@@ -369,6 +372,48 @@
 	}
 }
 
+TEST_F(Itemjob, AJobIsRefusedIfTheStoresTimeCannotBeLearnt)
+{
+	memstore_faults faults = {};
+	bool is_new = true;
+
+	faults.outage = true;
+	faults.hides_time = true;
+	memstore_set_faults(ms, &faults);
+	EXPECT_EQ(kStoreUnavailable, Submit("t", "s1", &is_new));
+	EXPECT_FALSE(is_new);
+	Faults(false, 0, 0);
+	EXPECT_EQ("none", Owner());
+}
+
+TEST_F(Itemjob, AJobWhoseRowTellsNoTimeHasNoAgeAndStays)
+{
+	const char *const times[] = {
+	    ",\"accepted_ms\":-1", "", ",\"accepted_ms\":\"5\""};
+
+	for (const char *time : times) {
+		SCOPED_TRACE(time);
+		std::string text = std::string("{\"host\":\"h\",\"path\":\"/\","
+					       "\"input\":\"input/j/t\","
+					       "\"total\":3") +
+		    time + "}";
+		store_txn *txn = store_txn_new();
+		GPtrArray *ids = nullptr;
+		itemjob *job = nullptr;
+
+		store_txn_write(txn, "job/jobs/j", text.c_str());
+		ASSERT_EQ(kStoreOk, st->ops->txn(st->ctx, kCauseBatch, txn));
+		ASSERT_EQ(kStoreOk, itemjob_get(st, "j", &job));
+		EXPECT_EQ(0, itemjob_age_us(st, job));
+		ASSERT_EQ(
+		    kStoreOk, itemjob_read_expired(st, NowMs() + 1, &ids));
+		EXPECT_EQ(0u, ids->len);
+		g_ptr_array_unref(ids);
+		itemjob_free(job);
+		store_txn_free(txn);
+	}
+}
+
 TEST_F(Itemjob, RemovedJobLeavesNoRowsOrObjects)
 {
 	bool is_new;
