commit: a conflict that cannot be read back is an unknown outcome

What callers saw: a submission whose first answer was lost, whose copy then met a conflict, and whose read of the row failed, was answered 503, did not run, though the job was stored and ran; with items too long for a row, the object that the stored job refers to was deleted, and the job could never be loaded again. In the product's own API the same sequence reads as an id with other content. Cause: the callback that tells whose commit is stored returned false both for another's and for a read that failed; store_commit took either for a sure conflict. Change: the callback returns own, foreign or unknown; unknown makes the result ambiguous, which is never a refusal and deletes nothing. The mutant unread_is_foreign is this code as it was; the one of commit.c is adapted to the new text.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -38,7 +38,8 @@
 only=${1:-}
 U=unit_tests
 F=functional_tests
-mutant no_outcome_resolution src/store/commit.c 's/res == kStoreConflict \&\& is_mine/false \&\& is_mine/' $U 'BatchStore.LostAnswers*'
+mutant no_outcome_resolution src/store/commit.c 's/if \(res == kStoreConflict\)/if (false)/' $U 'BatchStore.LostAnswers*'
+mutant unread_is_foreign src/store/commit.c 's/return kCommitUnknown;/return kCommitForeign;/' $U 'Itemjob.AJobThatMayBeStored*'
 mutant no_session_fence src/savoryflow/batch/batch_store.c 's/store_txn_field\(txn, own, "state", "live"\);//' $U 'BatchStore.HolderThatWakes*'
 mutant no_cancel_fence src/savoryflow/batch/batch_store.c 's/store_txn_field\(txn, row, "state", "running"\);//' $U 'BatchStore.NoResultAfterCancel'
 mutant no_claim_check src/savoryflow/batch/batch_store.c 's/chunk->state == kChunkDone\)/false)/' $U 'Property.Batch*'
--- a/src/savoryflow/batch/batch_session.c
+++ b/src/savoryflow/batch/batch_session.c
@@ -51,17 +51,17 @@
 }
 
 /* The row holds the heartbeat that this session was writing. */
-static bool
+static enum commit_owner
 is_own_heartbeat(const struct store *store, void *ctx)
 {
 	const struct batch_session *session = ctx;
-	bool is_live;
-	int64_t counter;
+	bool is_live = false;
+	int64_t counter = 0;
 	int64_t version;
+	enum store_result res =
+	    session_read(store, session->id, &is_live, &counter, &version);
 
-	return session_read(store, session->id, &is_live, &counter, &version) ==
-	    kStoreOk &&
-	    is_live && counter == session->counter + 1;
+	return commit_owner_of(res, is_live && counter == session->counter + 1);
 }
 
 static void
@@ -122,16 +122,16 @@
 	return session_read(store, id, is_live, &counter, version);
 }
 
-static bool
+static enum commit_owner
 has_session_ended(const struct store *store, void *ctx)
 {
-	bool is_live;
+	bool is_live = true;
 	int64_t counter;
 	int64_t version;
+	enum store_result res =
+	    session_read(store, ctx, &is_live, &counter, &version);
 
-	return session_read(store, ctx, &is_live, &counter, &version) ==
-	    kStoreOk &&
-	    !is_live;
+	return commit_owner_of(res, !is_live);
 }
 
 enum store_result
--- a/src/savoryflow/batch/batch_store.c
+++ b/src/savoryflow/batch/batch_store.c
@@ -184,18 +184,18 @@
 }
 
 /* The stored job has this content, whoever submitted it. */
-static bool
+static enum commit_owner
 is_same_job(const struct store *store, void *ctx)
 {
 	const struct batch_job *job = ctx;
 	struct batch_job *stored = NULL;
-	bool same;
+	enum store_result res =
+	    batch_get_job(store, job->team, job->id, &stored);
+	bool same =
+	    res == kStoreOk && g_strcmp0(stored->digest, job->digest) == 0;
 
-	if (batch_get_job(store, job->team, job->id, &stored) != kStoreOk)
-		return false;
-	same = g_strcmp0(stored->digest, job->digest) == 0;
 	batch_job_free(stored);
-	return same;
+	return commit_owner_of(res, same);
 }
 
 enum store_result
@@ -383,16 +383,18 @@
 	enum batch_chunk_state state;
 };
 
-static bool
+static enum commit_owner
 is_own_chunk(const struct store *store, void *ctx)
 {
 	const struct chunk_identity *id = ctx;
 	struct batch_chunk chunk = {0};
 	struct store_row row = {0};
 	char *key = chunk_key(id->job, id->chunk);
+	enum store_result res =
+	    store->ops->get(store->ctx, kCauseBatch, key, &row);
 	bool is_own = false;
 
-	if (store->ops->get(store->ctx, kCauseBatch, key, &row) == kStoreOk) {
+	if (res == kStoreOk) {
 		chunk_read(&chunk, &row);
 		is_own = chunk.state == id->state &&
 		    g_strcmp0(chunk.claim, id->claim) == 0;
@@ -402,7 +404,7 @@
 		store_row_clear(&row);
 	}
 	g_free(key);
-	return is_own;
+	return commit_owner_of(res, is_own);
 }
 
 /*
@@ -522,18 +524,17 @@
 	return res;
 }
 
-static bool
+static enum commit_owner
 has_job_ended(const struct store *store, void *ctx)
 {
 	const struct batch_job *job = ctx;
 	struct batch_job *stored = NULL;
-	bool ended;
+	enum store_result res =
+	    batch_get_job(store, job->team, job->id, &stored);
+	bool ended = res == kStoreOk && stored->state == job->state;
 
-	if (batch_get_job(store, job->team, job->id, &stored) != kStoreOk)
-		return false;
-	ended = stored->state == job->state;
 	batch_job_free(stored);
-	return ended;
+	return commit_owner_of(res, ended);
 }
 
 static enum store_result
--- a/src/savoryflow/call/intent_store.c
+++ b/src/savoryflow/call/intent_store.c
@@ -111,13 +111,15 @@
 	g_free(key);
 }
 
-static bool
+static enum commit_owner
 is_own_begin(const struct store *store, void *ctx)
 {
 	struct intent *in = ctx;
 
 	read_back(store, in);
-	return in->state == kIntentAcquired;
+	return commit_owner_of(
+	    in->state == kIntentStoreDown ? kStoreUnavailable : kStoreOk,
+	    in->state == kIntentAcquired);
 }
 
 static void
--- a/src/savoryflow/config/config_store.c
+++ b/src/savoryflow/config/config_store.c
@@ -115,15 +115,17 @@
 };
 
 /* The generation's audit row identifies the commit that took effect. */
-static bool
+static enum commit_owner
 is_own_commit(const struct store *store, void *ctx)
 {
 	const struct commit_identity *id = ctx;
 	char *key = audit_key(id->sub->base_generation + 1);
 	struct store_row row = {0};
+	enum store_result res =
+	    store->ops->get(store->ctx, kCauseConfig, key, &row);
 	bool is_own = false;
 
-	if (store->ops->get(store->ctx, kCauseConfig, key, &row) == kStoreOk) {
+	if (res == kStoreOk) {
 		json_t *doc = json_loads(row.value, 0, NULL);
 		const char *author =
 		    json_string_value(json_object_get(doc, "who"));
@@ -139,7 +141,7 @@
 		store_row_clear(&row);
 	}
 	g_free(key);
-	return is_own;
+	return commit_owner_of(res, is_own);
 }
 
 static enum store_result
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -73,16 +73,17 @@
 };
 
 /* The job is stored, whether by this submission or an earlier one. */
-static bool
+static enum commit_owner
 job_is_stored(const struct store *st, void *ctx)
 {
 	struct submission *sub = ctx;
 	struct itemjob *found = NULL;
-	bool known = itemjob_get(st, sub->job->id, &found) == kStoreOk;
+	enum store_result res = itemjob_get(st, sub->job->id, &found);
 
-	sub->is_own = known && strcmp(found->input, sub->job->input) == 0;
+	sub->is_own =
+	    res == kStoreOk && strcmp(found->input, sub->job->input) == 0;
 	itemjob_free(found);
-	return known;
+	return commit_owner_of(res, true);
 }
 
 /* @param items text of the items to store in a row, or NULL */
@@ -338,17 +339,17 @@
 };
 
 /* The item has a result, from this commit or another one. */
-static bool
+static enum commit_owner
 item_has_result(const struct store *st, void *ctx)
 {
 	const struct commit_item *ci = ctx;
 	char *key = itemjob_key_number("item", ci->id, ci->index);
 	struct store_row row = {0};
-	bool found = st->ops->get(st->ctx, kCauseBatch, key, &row) == kStoreOk;
+	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
 
 	store_row_clear(&row);
 	g_free(key);
-	return found;
+	return commit_owner_of(res, true);
 }
 
 /* Bytes that fit in one row without splitting a UTF-8 character. */
--- a/src/store/commit.c
+++ b/src/store/commit.c
@@ -3,9 +3,31 @@
 
 enum { kCommitAttemptsMax = 3 };
 
+enum commit_owner
+commit_owner_of(enum store_result res, bool is_own)
+{
+	if (res != kStoreOk && res != kStoreNotFound)
+		return kCommitUnknown;
+	return res == kStoreOk && is_own ? kCommitOwn : kCommitForeign;
+}
+
+static enum store_result
+resolve_conflict(
+    const struct store *store, commit_find_owner_fn find_owner, void *ctx)
+{
+	switch (find_owner(store, ctx)) {
+	case kCommitOwn:
+		return kStoreOk;
+	case kCommitForeign:
+		return kStoreConflict;
+	default:
+		return kStoreAmbiguous;
+	}
+}
+
 enum store_result
 store_commit(const struct store *store, enum store_cause cause,
-    const struct store_txn *txn, commit_is_mine_fn is_mine, void *ctx)
+    const struct store_txn *txn, commit_find_owner_fn find_owner, void *ctx)
 {
 	enum store_result res = kStoreAmbiguous;
 	bool was_ambiguous = false;
@@ -16,8 +38,8 @@
 	}
 	/* Checked even if no answer was lost: an earlier call, or the
 	 * transport, may have sent a copy that took effect. */
-	if (res == kStoreConflict && is_mine(store, ctx))
-		return kStoreOk;
+	if (res == kStoreConflict)
+		return resolve_conflict(store, find_owner, ctx);
 	if (res == kStoreUnavailable && was_ambiguous)
 		return kStoreAmbiguous;
 	return res;
--- a/src/store/commit.h
+++ b/src/store/commit.h
@@ -5,17 +5,30 @@
 
 #include "store/store.h"
 
+/** Whose commit the store holds. */
+enum commit_owner {
+	kCommitOwn,
+	kCommitForeign,
+	/** The store could not be read. */
+	kCommitUnknown,
+};
+
+typedef enum commit_owner (*commit_find_owner_fn)(
+    const struct store *store, void *ctx);
+
 /**
- * @return true if the store holds the caller's own commit; false if that cannot
- * be determined
+ * Owner of a commit after reading its row.
+ * @param res result of the read
+ * @param is_own whether the row, if it was read, is of the caller's commit
  */
-typedef bool (*commit_is_mine_fn)(const struct store *store, void *ctx);
+enum commit_owner commit_owner_of(enum store_result res, bool is_own);
 
 /**
  * Runs a conditional transaction and resolves its outcome if an answer is lost.
  * The transaction is retried, which its conditions make safe: only one copy can
  * take effect, even if the first is still in transit. If a copy then fails with
- * a conflict, is_mine reads the store to determine whose commit was applied.
+ * a conflict, find_owner reads the store to determine whose commit was
+ * applied.
  *
  * The transaction must invalidate its own conditions.
  * @return kStoreOk, kStoreConflict, kStoreUnavailable (certainly not applied)
@@ -23,6 +36,6 @@
  */
 enum store_result store_commit(const struct store *store,
     enum store_cause cause, const struct store_txn *txn,
-    commit_is_mine_fn is_mine, void *ctx);
+    commit_find_owner_fn find_owner, void *ctx);
 
 #endif
--- a/test/standin/memstore.c
+++ b/test/standin/memstore.c
@@ -44,13 +44,23 @@
 	return strcmp(a, b);
 }
 
+/* @return true, and counts down, if a fault is due */
+static bool
+consume_fault(int32_t *remaining)
+{
+	if (*remaining <= 0)
+		return false;
+	(*remaining)--;
+	return true;
+}
+
 /* @return true with the lock held, false during an outage */
 static bool
 lock_for_read(struct memstore *ms)
 {
 	pthread_mutex_lock(&ms->lock);
 	ms->counts.reads++;
-	if (!ms->faults.outage) {
+	if (!ms->faults.outage && !consume_fault(&ms->faults.fail_reads)) {
 		ms->faults.hides_time = false;
 		return true;
 	}
@@ -155,16 +165,6 @@
 	// cppcheck-suppress memleak
 }
 
-/* @return true, and counts down, if a fault is due */
-static bool
-consume_fault(int32_t *remaining)
-{
-	if (*remaining <= 0)
-		return false;
-	(*remaining)--;
-	return true;
-}
-
 static enum store_result
 ms_txn(void *ctx, enum store_cause cause, const struct store_txn *txn)
 {
--- a/test/standin/memstore.h
+++ b/test/standin/memstore.h
@@ -13,6 +13,8 @@
 	int32_t lose_answers;
 	/** The next N transactions are lost: not applied, not answered. */
 	int32_t lose_requests;
+	/** The next N reads fail with kStoreUnavailable. */
+	int32_t fail_reads;
 	/** The store's time is unknown until the next answered read. */
 	bool hides_time;
 };
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -175,6 +175,33 @@
 	}
 }
 
+TEST_F(Itemjob, AJobThatMayBeStoredIsNotRefusedAndKeepsItsItems)
+{
+	const struct {
+		const char *id;
+		size_t body_bytes;
+	} cases[] = {{"row", 4}, {"object", kItemjobTextRowBytes}};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.id);
+		memstore_faults faults = {};
+		itemjob *job = nullptr;
+		GPtrArray *items = nullptr;
+		bool is_new = false;
+
+		faults.lose_answers = 1;
+		faults.fail_reads = 1;
+		memstore_set_faults(ms, &faults);
+		EXPECT_EQ(kStoreAmbiguous,
+		    Submit("t", "s1", &is_new, c.id, c.body_bytes));
+		ASSERT_EQ(kStoreOk, itemjob_get(st, c.id, &job));
+		EXPECT_EQ(kStoreOk, itemjob_load_items(st, job, &items));
+		if (items != nullptr)
+			g_ptr_array_unref(items);
+		itemjob_free(job);
+	}
+}
+
 TEST_F(Itemjob, SubmissionDuringAnOutageStoresNothing)
 {
 	bool is_new = false;
