store_clock: a wrong estimate lasts a minute at most

Cause: the estimate kept the maximum for ever. A daemon whose clock is 50 ppm fast would be a minute ahead of the store after two weeks, and after a jump of its clock at once; it would give up items and remove results that much too early. Change: the maximum is taken over the current and the previous window of 30 s.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -57,6 +57,7 @@
 mutant no_drain src/serve/daemon.c 's/api_active\(d->api\) > 0/false/' $F 'Failures.GracefulShutdown*'
 mutant no_takeover src/serve/batch_run.c 's/return is_lease_stale\(br, chunk\)/return false \&\& is_lease_stale(br, chunk)/' $F 'Failures.JobOfADaemonKilled*'
 mutant no_peer_config src/serve/poller.c 's/hint->want_document \&\& own/false \&\& own/' $F 'Failures.DaemonStartedDuringAnOutage*'
+mutant wrong_time_lasts src/store/store_clock.c 's/received_us - sc->window_start_us > kWindowUs/false/' $U 'StoreClock.*'
 mutant unknown_time src/savoryflow/job/itemjob_store.c 's/if \(st->ops->now_ms\(st->ctx, &job->accepted_ms\)\)/job->accepted_ms = 0; if (true)/' $U 'Itemjob.AJobSubmittedWhile*'
 mutant time_goes_back src/store/store_clock.c 's/MAX\(sc->offset_us, offset_us\)/offset_us/' $U 'StoreClock.*'
 mutant no_leaving_header platform/dialect.c 's/strcmp\(leaving, "1"\) == 0/false/' $F 'Gateway.AWorkerThatSaysItLeaves*'
--- a/src/store/store_clock.h
+++ b/src/store/store_clock.h
@@ -6,13 +6,17 @@
 
 /**
  * The store's monotonic time, estimated from its answers. Initialize with zero.
- * An answer was sent before it is received, so an estimate is never ahead of
- * the store; the latest of them is the best.
+ * An answer was sent before it is received, so the latest of the recent
+ * estimates is the best. Estimates are dropped after some time, since the
+ * clocks of the store and of this machine differ in rate and may jump.
  */
 struct store_clock {
 	bool is_known;
-	/** Store's time minus this machine's monotonic time. */
+	/** Store's time minus this machine's monotonic time: the maximum of the
+	 * current window, and of the one before it. */
 	int64_t offset_us;
+	int64_t previous_offset_us;
+	int64_t window_start_us;
 };
 
 /**
