Batch items are owed until their route's limits end them, and wait a second at most

Seen by callers: after a burst of crashes, items under which several servers had died were never placed again though the servers had room; other items were listed as dead after one 500. Cause: after five interrupted runs in a row an item waited a minute, which with the time to live meant for ever; failures of any status counted towards the one 500 that ended an item; while the route was not in the configuration one 500 was enough, and a daemon that had not yet seen the route used a time to live of 60 s from the submission. Change: the decision is a module of its own, item_retry, without I/O or clock. Only 422, max_attempts answers of 500 by a known route, and the time to live end an item; all else is retried after a wait that doubles up to 1 s, shortened by up to a quarter so that the items of one crash do not return at once. The end of each run that returned no result is logged with status, counts and next wait, also after an answer with an error status, which left no line before.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -66,4 +66,9 @@
 mutant no_relay src/gateway/slots_report.c 's/kDirectReportsMax = 100/kDirectReportsMax = 100000/' $U 'SlotsReport.*'
 mutant no_successor src/savoryflow/membership/contacts.c 's/find_successor\(self, peers\)\);/find_heaviest(self, peers, out));/' $U 'Contacts.*'
 mutant crossed_answer platform/dialect.c 's/strcmp\(echo, attempt_id\) == 0/true/' $U 'Dialect.Responses*'
+mutant unbounded_item_wait src/savoryflow/job/item_retry.c 's/MIN\(first_us << doublings, kItemRetryWaitMaxUs\)/first_us << doublings/' $U 'ItemRetry.WaitsAreBounded'
+mutant items_in_lockstep src/savoryflow/job/item_retry.c 's/return wait_us - .*/return wait_us;/' $U 'ItemRetry.ItemsOfOneCrash*'
+mutant any_failure_counts src/savoryflow/job/item_retry.c 's/if \(status == kHttpServerError\)$/if (true)/' $U 'ItemRetry.WhatEndsAnItem'
+mutant unknown_route_ends_items src/savoryflow/job/item_retry.c 's/attempts_max > 0 \&\&/true \&\&/' $U 'ItemRetry.WhatEndsAnItem'
+mutant default_ttl_from_submission src/savoryflow/job/item_retry.c 's/started_us \+ kTtlDefaultUs/accepted_us + kTtlDefaultUs/' $U 'ItemRetry.TimeToLive'
 exit $failed
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -3,6 +3,7 @@
 
 #include "gateway/jobs.h"
 #include "savoryflow/job/item_pace.h"
+#include "savoryflow/job/item_retry.h"
 
 /* Internal to the jobs module. */
 
@@ -21,10 +22,7 @@
 	enum item_phase phase;
 	struct relay *relay;
 	int64_t next_attempt_us;
-	/** Error responses, and runs in a row that were interrupted before any
-	 * event. */
-	int32_t failures;
-	int32_t empty_runs;
+	struct item_retry retry;
 	/** Data of the events received so far. */
 	GString *text;
 	bool has_text;
@@ -35,7 +33,6 @@
 	int64_t run_first_event_id;
 	int32_t status;
 	bool is_stream;
-	bool has_event;
 	bool is_completed;
 };
 
@@ -50,6 +47,7 @@
 	int64_t started_us;
 	int64_t accepted_us;
 	int64_t due_us;
+	/** Time to live of the items by the route last known; 0: none. */
 	int64_t ttl_us;
 	/** Results that wait to be listed: struct item_run *, in order. */
 	GQueue ready;
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -9,23 +9,11 @@
 
 enum {
 	kHttpOk = 200,
-	kHttpUnprocessable = 422,
-	kHttpServerErrorFirst = 500,
 	kDueDefaultUs = 60 * kUsPerS,
-	kTtlDefaultUs = 60 * kUsPerS,
 	/* Maximum time without an event before a target is abandoned: an event
 	 * takes about 20 ms, a large prompt about 200 ms. */
 	kStallTimeoutUs = 700 * kUsPerMs,
-	kRetryAfterFailureUs = 100 * kUsPerMs,
-	kRetryAfterInterruptionUs = 30 * kUsPerMs,
-	kRetryWithoutSlotUs = 200 * kUsPerMs,
 	kRetryWithoutRouteUs = 500 * kUsPerMs,
-	/* An item whose runs are interrupted before any event may crash its
-	 * targets. After this many such runs it waits, and is retried a few
-	 * more times only. */
-	kEmptyRunsBeforeWait = 3,
-	kEmptyRunsMax = 5,
-	kEmptyRunWaitUs = 4 * kUsPerS,
 	kCommitRetryUs = 300 * kUsPerMs,
 	kTimerUs = 50 * kUsPerMs,
 };
@@ -89,8 +77,9 @@
 fail_item(struct item_run *ir, const char *reason)
 {
 	log_event(kEvtItemGivenUp, "job", ir->run->job->id, "item",
-	    ir->item->id, "why", reason, "failures", log_number(ir->failures),
-	    "cuts", log_number(ir->empty_runs), "age_us",
+	    ir->item->id, "why", reason, "failures",
+	    log_number(ir->retry.failures), "cuts",
+	    log_number(ir->retry.setbacks), "age_us",
 	    log_number(now_us(ir->run) - ir->run->accepted_us), NULL);
 	g_string_truncate(ir->text, 0);
 	item_ready(ir, false);
@@ -126,60 +115,75 @@
 	if (ir->has_text)
 		g_string_append_c(ir->text, '\n');
 	ir->has_text = true;
-	ir->has_event = true;
 	stream_event_data(ev, ir->text);
 	if (ev->id >= 0)
 		ir->last_event_id = ev->id;
 }
 
-static int32_t
-attempts_max(const struct item_run *ir)
+static const struct routebook_route *
+find_route(const struct job_run *run)
 {
-	const struct routebook *book =
-	    ir->run->js->opt.routes(ir->run->js->opt.ctx);
-	const struct routebook_route *route = book != NULL
-	    ? routebook_find(book, ir->run->job->host, ir->run->job->path)
+	const struct routebook *book = run->js->opt.routes(run->js->opt.ctx);
+
+	return book != NULL
+	    ? routebook_find(book, run->job->host, run->job->path)
 	    : NULL;
+}
 
-	return route != NULL ? route->attempts_max : 1;
+/* Keeps the route's time to live for when the route is unknown. */
+static struct item_retry_limits
+retry_limits(struct job_run *run, const struct routebook_route *route)
+{
+	if (route != NULL)
+		run->ttl_us = route->item_ttl_us;
+	return (struct item_retry_limits){
+	    .attempts_max = route != NULL ? route->attempts_max : 0,
+	    .expires_us = item_retry_expires_us(
+		run->accepted_us, run->started_us, run->ttl_us),
+	};
 }
 
 static void
-on_answer(struct item_run *ir)
+log_run_ended(const struct item_run *ir, const struct relay_result *result,
+    const struct item_retry_decision *decision)
 {
-	if (ir->is_stream) {
-		item_ready(ir, true);
-		return;
-	}
-	if (ir->status == kHttpUnprocessable) {
-		fail_item(ir, "unprocessable");
-		return;
-	}
-	ir->failures++;
-	if (ir->failures >= attempts_max(ir) &&
-	    ir->status == kHttpServerErrorFirst)
-		fail_item(ir, "failed");
-	else
-		schedule_retry(ir, kRetryAfterFailureUs);
+	log_event(kEvtItemRunEnded, "job", ir->run->job->id, "item",
+	    ir->item->id, "cause",
+	    result->cause != NULL ? result->cause : "revoked", "target",
+	    result->target, "status", log_number(ir->status), "last_event",
+	    log_number(ir->last_event_id), "failures",
+	    log_number(ir->retry.failures), "cuts",
+	    log_number(ir->retry.setbacks), "wait_us",
+	    log_number(decision->wait_us), NULL);
 }
 
+/* A run returned no result. */
 static void
-on_interrupted(struct item_run *ir)
+on_no_result(struct item_run *ir, const struct relay_result *result)
 {
-	if (ir->has_event) {
-		ir->empty_runs = 0;
-		schedule_retry(ir, 0);
-		return;
-	}
-	ir->empty_runs++;
-	if (ir->empty_runs < kEmptyRunsBeforeWait)
-		schedule_retry(ir, kRetryAfterInterruptionUs);
-	else if (ir->empty_runs < kEmptyRunsMax)
-		schedule_retry(ir, kEmptyRunWaitUs);
+	static const enum item_run_outcome outcomes[] = {
+	    [kRelayComplete] = kItemRunAnswered,
+	    [kRelayRefused] = kItemRunNotStarted,
+	    [kRelayFailed] = kItemRunInterrupted,
+	    [kRelayInterrupted] = kItemRunInterrupted,
+	    [kRelayTimeout] = kItemRunNotStarted,
+	    [kRelayRevoked] = kItemRunRevoked,
+	};
+	struct item_run_end end = {
+	    .outcome = outcomes[result->outcome],
+	    .status = ir->status,
+	    .has_progress = ir->last_event_id > ir->run_first_event_id,
+	};
+	struct item_retry_limits limits =
+	    retry_limits(ir->run, find_route(ir->run));
+	struct item_retry_decision decision =
+	    item_retry_decide(&ir->retry, &end, &limits, now_us(ir->run));
+
+	log_run_ended(ir, result, &decision);
+	if (decision.give_up != NULL)
+		fail_item(ir, decision.give_up);
 	else
-		/* Waits out the time to live, so that the item does not fail
-		 * too early. */
-		schedule_retry(ir, kTtlDefaultUs);
+		schedule_retry(ir, decision.wait_us);
 }
 
 static void
@@ -193,8 +197,7 @@
 		now_us(ir->run) - ir->run_requested_us - result->slot_wait_us,
 	};
 
-	if (ir->is_stream)
-		item_pace_record(&ir->run->js->pace, &done);
+	item_pace_record(&ir->run->js->pace, &done);
 }
 
 static void
@@ -203,29 +206,12 @@
 	struct item_run *ir = ctx;
 
 	ir->relay = NULL;
-	if (result->outcome != kRelayComplete)
-		log_event(kEvtItemRunEnded, "job", ir->run->job->id, "item",
-		    ir->item->id, "cause",
-		    result->cause != NULL ? result->cause : "revoked", "target",
-		    result->target, "last_event", log_number(ir->last_event_id),
-		    NULL);
-	switch (result->outcome) {
-	case kRelayComplete:
-		record_pace(ir, result);
-		on_answer(ir);
-		break;
-	case kRelayRefused:
-	case kRelayTimeout:
-		schedule_retry(ir, kRetryWithoutSlotUs);
-		break;
-	case kRelayRevoked:
-		schedule_retry(ir, 0);
-		break;
-	case kRelayFailed:
-	case kRelayInterrupted:
-		on_interrupted(ir);
-		break;
+	if (result->outcome != kRelayComplete || !ir->is_stream) {
+		on_no_result(ir, result);
+		return;
 	}
+	record_pace(ir, result);
+	item_ready(ir, true);
 }
 
 static const struct relay_ops relay_ops = {on_head, on_data, NULL, on_end};
@@ -263,7 +249,6 @@
 	}
 	header_list_set(headers, "Host", run->job->host);
 	ir->phase = kItemRunning;
-	ir->has_event = false;
 	ir->run_requested_us = now_us(run);
 	ir->run_first_event_id = ir->last_event_id;
 	ir->status = 0;
@@ -275,19 +260,19 @@
 void
 jobs_run_start_due(struct job_run *run)
 {
-	const struct routebook *book = run->js->opt.routes(run->js->opt.ctx);
-	const struct routebook_route *route;
+	const struct routebook_route *route = find_route(run);
+	struct item_retry_limits limits = retry_limits(run, route);
 	int64_t now = now_us(run);
 
-	if (book == NULL || run->js->is_leaving || run->is_dropped)
+	if (run->js->opt.routes(run->js->opt.ctx) == NULL ||
+	    run->js->is_leaving || run->is_dropped)
 		return;
-	route = routebook_find(book, run->job->host, run->job->path);
 	for (guint i = 0; i < run->items->len; i++) {
 		struct item_run *ir = &run->runs[i];
 
 		if (ir->phase != kItemWaiting)
 			continue;
-		if (now > run->accepted_us + run->ttl_us)
+		if (item_retry_is_expired(&limits, now))
 			fail_item(ir, "expired");
 		else if (ir->next_attempt_us > now)
 			continue;
@@ -551,6 +536,7 @@
 		ir->item = run->items->pdata[i];
 		ir->text = g_string_new(NULL);
 		ir->last_event_id = -1;
+		ir->retry.seed = g_str_hash(ir->item->id);
 	}
 }
 
@@ -558,9 +544,7 @@
 jobs_run_start(struct jobs *js, struct itemjob *job, GPtrArray *items,
     const GArray *done, const GArray *progress, int64_t accepted_us)
 {
-	const struct routebook *book = js->opt.routes(js->opt.ctx);
-	const struct routebook_route *route =
-	    book != NULL ? routebook_find(book, job->host, job->path) : NULL;
+	const struct routebook_route *route;
 	struct job_run *run = g_new0(struct job_run, 1);
 
 	run->js = js;
@@ -568,9 +552,9 @@
 	run->items = items;
 	run->started_us = loop_now_us(js->opt.deps.lp);
 	run->accepted_us = accepted_us;
+	route = find_route(run);
 	run->due_us =
 	    accepted_us + (route != NULL ? route->job_due_us : kDueDefaultUs);
-	run->ttl_us = route != NULL ? route->item_ttl_us : kTtlDefaultUs;
 	g_queue_init(&run->ready);
 	init_items(run);
 	g_hash_table_replace(js->runs, run->job->id, run);
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -41,8 +41,8 @@
 	    "A request about a batch job, from a caller or a step of the job " \
 	    "itself, went to the store.")                                      \
 	X(kEvtItemRunEnded, 1412, INFO, "item_run_ended",                      \
-	    "A run of an item ended without a result; the item is resumed "    \
-	    "later.")                                                          \
+	    "A run of an item ended without a result; the fields give the "    \
+	    "answer's status, the counts and the wait before the next run.")   \
 	X(kEvtItemGivenUp, 1413, WARN, "item_given_up",                        \
 	    "An item failed: it has no result and is not retried.")            \
 	X(kEvtItemListed, 1414, INFO, "item_listed",                           \
