The answers of 500 of an item are kept at a hand-over

Seen: an item that fails at each run got 40 answers of 500 over six hand-overs with max_attempts 10; three times that many, 30, is the most that may reach a worker. Cause: the progress that a draining daemon stores held the text only, and nothing for an item without an event; the next daemon counted from zero.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -71,4 +71,5 @@
 mutant any_failure_counts src/savoryflow/job/item_retry.c 's/if \(status == kHttpServerError\)$/if (true)/' $U 'ItemRetry.WhatEndsAnItem'
 mutant unknown_route_ends_items src/savoryflow/job/item_retry.c 's/attempts_max > 0 \&\&/true \&\&/' $U 'ItemRetry.WhatEndsAnItem'
 mutant default_ttl_from_submission src/savoryflow/job/item_retry.c 's/started_us \+ kTtlDefaultUs/accepted_us + kTtlDefaultUs/' $U 'ItemRetry.TimeToLive'
+mutant no_failures_handed_over src/gateway/jobs_run.c 's/ir->retry.failures = entry->failures;//' $F 'Items.AnItemThatAlwaysFails*'
 exit $failed
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -88,7 +88,8 @@
 
 /**
  * Cancels the runs of all items.
- * @return progress of the unfinished items: array of struct itemjob_progress
+ * @return progress and failures of the unfinished items: array of struct
+ *         itemjob_progress
  */
 GArray *jobs_run_halt(struct job_run *run);
 
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -490,6 +490,7 @@
 		struct itemjob_progress entry = {
 		    .index = ir->index,
 		    .last_event_id = ir->last_event_id,
+		    .failures = ir->retry.failures,
 		};
 
 		if (ir->relay != NULL)
@@ -497,7 +498,8 @@
 		ir->relay = NULL;
 		if (ir->phase == kItemRunning)
 			ir->phase = kItemWaiting;
-		if (ir->phase != kItemWaiting || ir->last_event_id < 0)
+		if (ir->phase != kItemWaiting ||
+		    (ir->last_event_id < 0 && ir->retry.failures == 0))
 			continue;
 		entry.text = g_strdup(ir->text->str);
 		g_array_append_val(list, entry);
@@ -519,8 +521,9 @@
 			continue;
 		ir = &run->runs[entry->index];
 		g_string_assign(ir->text, entry->text);
-		ir->has_text = true;
+		ir->has_text = entry->last_event_id >= 0;
 		ir->last_event_id = entry->last_event_id;
+		ir->retry.failures = entry->failures;
 	}
 }
 
--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -75,7 +75,10 @@
 /** Progress of an item's run when its daemon stopped. */
 struct itemjob_progress {
 	int32_t index;
+	/** -1: none, the text is empty. */
 	int64_t last_event_id;
+	/** Answers of 500 so far. */
+	int32_t failures;
 	char *text;
 };
 
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -395,13 +395,23 @@
 	return res;
 }
 
+static bool
+is_text_stored(const struct itemjob_progress *progress)
+{
+	return progress->last_event_id >= 0 &&
+	    strlen(progress->text) <= kItemjobTextRowBytes;
+}
+
 static void
 write_progress(struct store_txn *txn, const char *id,
     const struct itemjob_progress *progress)
 {
 	char *key = itemjob_key_number("progress", id, progress->index);
-	json_t *doc = json_pack("{s:I,s:s}", "last",
-	    (json_int_t)progress->last_event_id, "text", progress->text);
+	bool has_text = is_text_stored(progress);
+	/* A row without a text tells only the failures. */
+	json_t *doc = json_pack("{s:I,s:s*,s:i}", "last",
+	    (json_int_t)(has_text ? progress->last_event_id : -1), "text",
+	    has_text ? progress->text : NULL, "failures", progress->failures);
 	char *text = doc != NULL ? json_dumps(doc, JSON_COMPACT) : NULL;
 
 	if (text != NULL)
@@ -422,7 +432,7 @@
 		const struct itemjob_progress *one =
 		    &g_array_index(progress, struct itemjob_progress, i);
 
-		if (strlen(one->text) <= kItemjobTextRowBytes &&
+		if ((is_text_stored(one) || one->failures > 0) &&
 		    txn->writes->len < kTxnRowsMax)
 			write_progress(txn, id, one);
 	}
@@ -432,6 +442,23 @@
 	return res;
 }
 
+static void
+append_progress(GArray *list, int32_t index, const json_t *doc)
+{
+	const char *text = json_string_value(json_object_get(doc, "text"));
+	struct itemjob_progress one = {
+	    .index = index,
+	    .last_event_id = text != NULL
+		? json_integer_value(json_object_get(doc, "last"))
+		: -1,
+	    .failures =
+		(int32_t)json_integer_value(json_object_get(doc, "failures")),
+	    .text = g_strdup(text != NULL ? text : ""),
+	};
+
+	g_array_append_val(list, one);
+}
+
 enum store_result
 itemjob_read_progress(const struct store *st, const char *id, GArray **progress)
 {
@@ -444,16 +471,10 @@
 	for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
 		const struct store_row *row = rows->pdata[i];
 		json_t *doc = json_loads(row->value, 0, NULL);
-		struct itemjob_progress one = {
-		    .index = itemjob_number_of_key(row->key),
-		    .last_event_id =
-			json_integer_value(json_object_get(doc, "last")),
-		    .text = g_strdup(
-			json_string_value(json_object_get(doc, "text"))),
-		};
-
-		if (one.text != NULL)
-			g_array_append_val(*progress, one);
+
+		if (doc != NULL)
+			append_progress(
+			    *progress, itemjob_number_of_key(row->key), doc);
 		json_decref(doc);
 	}
 	if (rows != NULL)
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -56,7 +56,7 @@
 
 /** Saves the progress of unfinished items for the daemon that takes over the
  * job. A text that is too long for a row is left out: that item restarts from
- * the beginning. */
+ * the beginning; its failures are kept. */
 enum store_result itemjob_save_progress(
     const struct store *st, const char *id, const GArray *progress);
 enum store_result itemjob_read_progress(
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -251,9 +251,9 @@
 {
 	GArray *saved = itemjob_progress_new();
 	GArray *read = nullptr;
-	itemjob_progress rows[] = {{2, 17, g_strdup("a\nb")},
-	    {0, 3, g_strdup("")},
-	    {1, 9, g_strnfill(kItemjobTextRowBytes + 1, 'x')}};
+	itemjob_progress rows[] = {{2, 17, 0, g_strdup("a\nb")},
+	    {0, 3, 0, g_strdup("")},
+	    {1, 9, 0, g_strnfill(kItemjobTextRowBytes + 1, 'x')}};
 
 	g_array_append_vals(saved, rows, 3);
 	ASSERT_EQ(kStoreOk, itemjob_save_progress(st, "j", saved));
@@ -267,6 +267,42 @@
 	g_array_unref(saved);
 }
 
+TEST_F(Itemjob, FailuresOutliveAHandOver)
+{
+	const std::string longest(kItemjobTextRowBytes, 'x');
+	const struct {
+		const char *name;
+		int64_t last_event_id;
+		int32_t failures;
+		std::string text;
+		int64_t read_last;
+		std::string read_text;
+	} cases[] = {
+	    {"before any event", -1, 2, "", -1, ""},
+	    {"after events", 7, 1, "a\nb", 7, "a\nb"},
+	    {"with the longest text", 7, 3, longest, 7, longest},
+	    {"with a text too long for a row", 7, 4, longest + "x", -1, ""},
+	};
+
+	for (const auto &c : cases) {
+		GArray *saved = itemjob_progress_new();
+		GArray *read = nullptr;
+		itemjob_progress row = {
+		    0, c.last_event_id, c.failures, g_strdup(c.text.c_str())};
+
+		g_array_append_val(saved, row);
+		ASSERT_EQ(kStoreOk, itemjob_save_progress(st, c.name, saved));
+		ASSERT_EQ(kStoreOk, itemjob_read_progress(st, c.name, &read));
+		ASSERT_EQ(1U, read->len) << c.name;
+		auto &got = g_array_index(read, itemjob_progress, 0);
+		EXPECT_EQ(c.failures, got.failures) << c.name;
+		EXPECT_EQ(c.read_last, got.last_event_id) << c.name;
+		EXPECT_EQ(c.read_text, got.text) << c.name;
+		g_array_unref(read);
+		g_array_unref(saved);
+	}
+}
+
 TEST_F(Itemjob, SmallJobIsOneWriteAndLargeJobTwo)
 {
 	const struct {
