Batch items of the own interface are not condemned for crashes

Seen by callers: a batch item under which two engines had crashed ended as failed with request_crashes_targets. By the code, one whose runs were interrupted or stalled five times in a row, or that got five answers of 503, failed too, and one with the body of a blocked online request was blocked with it. Cause: batch items were suspects of crashes as online requests are, the block was by body only, and any failed attempt counted. Change: the arbiter takes only online requests for suspects; a blocked fingerprint holds for online only; batch_retry decides about batch items by item_retry: only a rejection and five answers of 500 without progress end one, all else waits at most a second. An item that did crash its engines would go on doing so, once a second at most, until its job is cancelled.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,4 +72,7 @@
 mutant unknown_route_ends_items src/savoryflow/job/item_retry.c 's/attempts_max > 0 \&\&/true \&\&/' $U 'ItemRetry.WhatEndsAnItem'
 mutant default_ttl_from_submission src/savoryflow/job/item_retry.c 's/started_us \+ kTtlDefaultUs/accepted_us + kTtlDefaultUs/' $U 'ItemRetry.TimeToLive'
 mutant no_failures_handed_over src/gateway/jobs_run.c 's/ir->retry.failures = entry->failures;//' $F 'Items.AnItemThatAlwaysFails*'
+mutant batch_is_suspect src/savoryflow/arbiter/arbiter_crash.c 's/gr->req.work_class == kWorkBatch \|\|/false ||/' $U 'Arbiter.BatchIsNeverASuspect*'
+mutant batch_is_blocked src/serve/call_run.c 's/c->work_class == kWorkOnline \&\&$/true \&\&/' $F 'Failures.AnItemIsOwedThough*'
+mutant crashes_end_batch src/savoryflow/retry/batch_retry.c 's/return kItemRunInterrupted;/return kItemRunAnswered;/; s/\.status = attempt->status/.status = 500/' $U 'BatchRetry.*'
 exit $failed
--- a/src/savoryflow/arbiter/arbiter.h
+++ b/src/savoryflow/arbiter/arbiter.h
@@ -43,9 +43,9 @@
 
 /**
  * Handles a report that the target crashed while it ran a granted request.
- * Suspects are the requests still in prefill, or all in flight if there are
- * none. An earlier suspect that is the only one at a second crash is
- * quarantined.
+ * Suspects are the online requests still in prefill, or all online ones in
+ * flight if no request is. An earlier suspect that is the only one at a second
+ * crash is quarantined.
  */
 enum arbiter_crash_verdict arbiter_crash(
     struct arbiter *arb, uint64_t id, int64_t now_us, GArray *out);
--- a/src/savoryflow/arbiter/arbiter_crash.c
+++ b/src/savoryflow/arbiter/arbiter_crash.c
@@ -33,7 +33,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct grant *gr = val;
 
-		if (only_prefilling && gr->has_first_token)
+		/* A batch item never crashes a target: it is owed until its
+		 * job ends. */
+		if (gr->req.work_class == kWorkBatch ||
+		    (only_prefilling && gr->has_first_token))
 			continue;
 		suspect_add(&arb->crash, gr->req.id);
 		if (gr->req.is_suspect)
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -15,6 +15,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "savoryflow/call/stream.h"
+#include "savoryflow/retry/batch_retry.h"
 #include "savoryflow/retry/quarantine.h"
 #include "savoryflow/retry/retry.h"
 #include "serve/grants.h"
@@ -24,13 +25,11 @@
 
 enum {
 	kFailuresMaxOnline = 3,
-	kFailuresMaxBatch = 5,
 	/* Approximate body bytes per token. */
 	kBytesPerToken = 4,
 	/* Leading bytes of a body that a prefix cache is likely to hold. */
 	kPrefixBytes = 256,
 	kNoTargetRetryUs = kUsPerS,
-	kBatchNoTargetWaitUs = 500 * kUsPerMs,
 	kHttpErrorFirst = 400,
 	kHttpServerErrorFirst = 500,
 };
@@ -80,6 +79,10 @@
 	/** Index of the first token that the current attempt may return. */
 	int64_t attempt_first_index;
 	struct retry_state retry;
+	/** Batch: what its attempts returned so far. */
+	struct item_retry item_retry;
+	/** HTTP status of the current attempt's answer; 0 without one. */
+	long attempt_status;
 	struct answer_stream stream;
 	GByteArray *out;
 	long status;
@@ -127,9 +130,8 @@
 	c->retry.is_idempotent = opt->is_idempotent;
 	c->retry.is_resumable = opt->is_engine;
 	c->retry.deadline_us = opt->deadline_us;
-	c->retry.failures_max = opt->work_class == kWorkBatch
-	    ? kFailuresMaxBatch
-	    : kFailuresMaxOnline;
+	c->retry.failures_max = kFailuresMaxOnline;
+	c->item_retry.seed = (uint32_t)c->fingerprint;
 	c->error = -1;
 	c->out = g_byte_array_new();
 	answer_stream_init(&c->stream);
@@ -203,45 +205,43 @@
 		c->notify(c->ctx);
 }
 
-/*
- * A batch item without an available target waits for one; only attempts that
- * reached a target count towards its failure.
- */
-static bool
-counts_as_failure(const struct call *c, enum attempt_outcome outcome)
+/* The lock is held. */
+static struct retry_decision
+decide_batch(struct call *c, enum attempt_outcome outcome, int64_t now_us)
 {
-	if (outcome == kAttemptRevoked || outcome == kAttemptComplete)
-		return false;
-	if (c->work_class == kWorkOnline)
-		return true;
-	return outcome != kAttemptNotSent && outcome != kAttemptNotExecuted;
-}
+	struct batch_attempt attempt = {
+	    .outcome = outcome,
+	    .status = (int32_t)c->attempt_status,
+	    .has_progress = c->stream.next_index > c->attempt_first_index,
+	};
 
-/* Failures accumulate only while the stream makes no progress. */
-static void
-record_failure(struct call *c, enum attempt_outcome outcome)
-{
-	if (!counts_as_failure(c, outcome))
-		return;
-	if (c->stream.next_index > c->attempt_first_index)
-		c->retry.failures = 0;
-	c->retry.failures++;
+	return batch_retry_decide(
+	    &c->item_retry, &attempt, c->retry.deadline_us, now_us);
 }
 
-static int64_t
-retry_delay_us(
-    const struct call *c, enum attempt_outcome outcome, int64_t delay_us)
+/* Failures accumulate only while the stream makes no progress. The lock is
+ * held. */
+static struct retry_decision
+decide_online(struct call *c, enum attempt_outcome outcome, int64_t now_us)
 {
-	if (outcome == kAttemptRevoked || counts_as_failure(c, outcome))
-		return delay_us;
-	return kBatchNoTargetWaitUs;
+	struct retry_budget *budget =
+	    limiter_retry_budget_lock(c->d->limiter, c->service);
+	struct retry_decision decision;
+
+	if (outcome != kAttemptRevoked && outcome != kAttemptComplete) {
+		if (c->stream.next_index > c->attempt_first_index)
+			c->retry.failures = 0;
+		c->retry.failures++;
+	}
+	decision = retry_decide(&c->retry, outcome, budget, now_us);
+	limiter_retry_budget_unlock(c->d->limiter);
+	return decision;
 }
 
 static void
 end_attempt(struct call *c, enum attempt_outcome outcome)
 {
 	struct retry_decision decision;
-	struct retry_budget *budget = NULL;
 	int64_t now_us = clock_mono_us(c->d->clk);
 
 	pthread_mutex_lock(&c->lock);
@@ -249,16 +249,13 @@
 		pthread_mutex_unlock(&c->lock);
 		return;
 	}
-	record_failure(c, outcome);
 	g_strlcpy(c->last_target,
 	    outcome == kAttemptRevoked ? "" : c->route.target,
 	    sizeof(c->last_target));
 	c->phase = kPhaseBackoff;
-	if (c->work_class == kWorkOnline)
-		budget = limiter_retry_budget_lock(c->d->limiter, c->service);
-	decision = retry_decide(&c->retry, outcome, budget, now_us);
-	if (budget != NULL)
-		limiter_retry_budget_unlock(c->d->limiter);
+	decision = c->work_class == kWorkBatch
+	    ? decide_batch(c, outcome, now_us)
+	    : decide_online(c, outcome, now_us);
 	pthread_mutex_unlock(&c->lock);
 	switch (decision.action) {
 	case kRetryDone:
@@ -272,9 +269,8 @@
 		if (c->is_engine && c->stream.next_index > 0)
 			metric_add(kMetResumes, 1);
 		call_ref(c);
-		timers_add(c->d->timers,
-		    now_us + retry_delay_us(c, outcome, decision.delay_us),
-		    attempt_begin, c);
+		timers_add(
+		    c->d->timers, now_us + decision.delay_us, attempt_begin, c);
 		break;
 	}
 }
@@ -443,6 +439,7 @@
 		return;
 	}
 	outcome = classify_transfer(c, res);
+	c->attempt_status = res->status;
 	if (outcome != kAttemptNotSent && outcome != kAttemptNotExecuted)
 		c->retry.may_have_run = true;
 	if (outcome == kAttemptComplete) {
@@ -688,7 +685,8 @@
 	};
 	bool found;
 
-	if (limiter_is_quarantined(c->d->limiter, c->fingerprint)) {
+	if (c->work_class == kWorkOnline &&
+	    limiter_is_quarantined(c->d->limiter, c->fingerprint)) {
 		finish(c, kErrRequestCondemned, 0);
 		call_unref(c);
 		return;
--- a/test/unit/test_arbiter.cc
+++ b/test/unit/test_arbiter.cc
@@ -239,6 +239,36 @@
 	EXPECT_TRUE(HasVerdict(3, kArbiterGranted));
 }
 
+TEST_F(Arbiter, BatchIsNeverASuspectOfACrash)
+{
+	const struct {
+		const char *name;
+		bool has_online;
+		bool was_suspect;
+	} cases[] = {
+	    {"alone", false, false},
+	    {"alone, suspected by an older daemon", false, true},
+	    {"beside an online request", true, false},
+	};
+	uint64_t id = 1;
+
+	for (const auto &c : cases) {
+		uint64_t online = id++;
+		uint64_t batch = id++;
+
+		if (c.has_online)
+			Request(online, kWorkOnline);
+		Request(batch, kWorkBatch, c.was_suspect);
+		ASSERT_TRUE(HasVerdict(batch, kArbiterGranted)) << c.name;
+		EXPECT_EQ(kCrashUnrelated, Crash(batch)) << c.name;
+		if (c.has_online) {
+			EXPECT_EQ(kCrashSuspect, Crash(online)) << c.name;
+		}
+		now += 10 * kSec;
+		Tick();
+	}
+}
+
 TEST_F(Arbiter, SuspectWaitsUntilNoOtherRequestIsPrefilling)
 {
 	Request(1, kWorkOnline);
