--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -3,6 +3,7 @@
 
 #include "gateway/jobs.h"
 #include "savoryflow/job/item_pace.h"
+#include "savoryflow/job/item_retry.h"
 
 /* Internal to the jobs module. */
 
@@ -21,10 +22,7 @@
 	enum item_phase phase;
 	struct relay *relay;
 	int64_t next_attempt_us;
-	/** Error responses, and runs in a row that were interrupted before any
-	 * event. */
-	int32_t failures;
-	int32_t empty_runs;
+	struct item_retry retry;
 	/** Data of the events received so far. */
 	GString *text;
 	bool has_text;
@@ -35,7 +33,6 @@
 	int64_t run_first_event_id;
 	int32_t status;
 	bool is_stream;
-	bool has_event;
 	bool is_completed;
 };
 
@@ -50,6 +47,7 @@
 	int64_t started_us;
 	int64_t accepted_us;
 	int64_t due_us;
+	/** Time to live of the items by the route last known; 0: none. */
 	int64_t ttl_us;
 	/** Results that wait to be listed: struct item_run *, in order. */
 	GQueue ready;
@@ -90,9 +88,22 @@
 
 /**
  * Cancels the runs of all items.
- * @return progress of the unfinished items: array of struct itemjob_progress
+ * @return progress and failures of the unfinished items: array of struct
+ *         itemjob_progress
  */
-GArray *jobs_run_halt(struct job_run *run);
+GArray *jobs_progress_halt(struct job_run *run);
+
+/** Resumes items where the previous daemon stopped them. */
+void jobs_progress_restore(struct job_run *run, const GArray *progress);
+
+/** Saves the failures of an item in case this daemon is killed. */
+void jobs_progress_save_failures(const struct item_run *ir);
+
+/**
+ * Stores progress of a job's items for the daemon that takes it over.
+ * @param progress array of struct itemjob_progress; takes ownership
+ */
+void jobs_save_progress(struct jobs *js, const char *id, GArray *progress);
 
 /** Stops running a job here; listed results stay. */
 void jobs_run_drop(struct job_run *run, const char *reason);
