--- a/test/standin/http.h
+++ b/test/standin/http.h
@@ -12,6 +12,11 @@
 	const char *method;
 	const char *url;
 	GString *body;
+	/** Set by the handler: bytes written to the connection some time after
+	 * the complete response, with a pause in the middle; or NULL. */
+	char *surplus;
+	int surplus_delay_ms;
+	int surplus_split_ms;
 };
 
 /**
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "http.h"
@@ -16,21 +17,26 @@
 {
 	void **binding = cls;
 	standin_handler handler = (standin_handler)binding[0];
-	struct standin_request req = {con, method, url, *con_cls};
+	struct standin_request *req = *con_cls;
 	unsigned int status = 200;
 	struct MHD_Response *res;
 	enum MHD_Result queued;
 
-	if (*con_cls == NULL) {
-		*con_cls = g_string_new(NULL);
+	if (req == NULL) {
+		req = g_new0(struct standin_request, 1);
+		req->body = g_string_new(NULL);
+		*con_cls = req;
 		return MHD_YES;
 	}
 	if (*len > 0) {
-		g_string_append_len(req.body, data, (gssize)*len);
+		g_string_append_len(req->body, data, (gssize)*len);
 		*len = 0;
 		return MHD_YES;
 	}
-	res = handler(binding[1], &req, &status);
+	req->con = con;
+	req->method = method;
+	req->url = url;
+	res = handler(binding[1], req, &status);
 	if (res == NULL)
 		return MHD_NO;
 	queued = MHD_queue_response(con, status, res);
@@ -38,12 +44,34 @@
 	return queued;
 }
 
+/* Each connection has its own thread, which reads no request meanwhile. */
+static void
+write_surplus(const struct standin_request *req)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    req->con, MHD_CONNECTION_INFO_CONNECTION_FD);
+	size_t len = strlen(req->surplus);
+	size_t half = req->surplus_split_ms > 0 ? len / 2 : len;
+
+	g_usleep((gulong)req->surplus_delay_ms * 1000);
+	send(info->connect_fd, req->surplus, half, MSG_NOSIGNAL);
+	g_usleep((gulong)req->surplus_split_ms * 1000);
+	send(info->connect_fd, req->surplus + half, len - half, MSG_NOSIGNAL);
+}
+
 static void
 on_completed(void *cls, struct MHD_Connection *con, void **con_cls,
     enum MHD_RequestTerminationCode code)
 {
-	if (*con_cls != NULL)
-		g_string_free(*con_cls, TRUE);
+	struct standin_request *req = *con_cls;
+
+	if (req == NULL)
+		return;
+	if (req->surplus != NULL && code == MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		write_surplus(req);
+	g_string_free(req->body, TRUE);
+	g_free(req->surplus);
+	g_free(req);
 	*con_cls = NULL;
 }
 
--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -9,8 +9,9 @@
  * number of answers to come that are cut after three events, send no event, are
  * rejections, carry another attempt's id, have no signature, or say that the
  * worker leaves; or that send a byte now and then and never an event.
- * GET /seen: ids of the attempts that ran, and how many streams were closed
- * before their end.
+ * "surplus":{...} makes complete answers followed by further bytes, see
+ * surplus.h. GET /seen: ids of the attempts that ran, and how many streams were
+ * closed before their end.
  */
 #include <jansson.h>
 #include <pthread.h>
@@ -19,6 +20,7 @@
 #include <string.h>
 
 #include "http.h"
+#include "surplus.h"
 
 enum {
 	kCutAfterEvents = 3,
@@ -37,6 +39,7 @@
 	int unsigned_left;
 	int leaving_left;
 	int trickles_left;
+	struct surplus_fault surplus;
 	json_t *attempts_run;
 	int closed_early;
 };
@@ -149,11 +152,18 @@
 }
 
 static struct MHD_Response *
-reject(struct worker *wk, unsigned int code, unsigned int *status)
+reject(struct worker *wk, struct standin_request *req, unsigned int code,
+    unsigned int *status)
 {
 	struct MHD_Response *res = standin_text_response("{}");
+	struct surplus_answer answer = {
+	    .status = code,
+	    .headers = code == 421 ? "" : "X-Not-Executed: 1\r\n",
+	    .body = "{}",
+	};
 
 	*status = code;
+	surplus_apply(&wk->surplus, req, &answer);
 	add_leaving(wk, res);
 	if (code == 421)
 		MHD_add_response_header(res, "X-Instance-Id", wk->id);
@@ -162,6 +172,47 @@
 	return res;
 }
 
+static struct MHD_Response *
+fail(struct worker *wk, struct standin_request *req, const char *attempt,
+    unsigned int code, unsigned int *status)
+{
+	struct MHD_Response *res =
+	    standin_text_response("injected worker error");
+	struct surplus_answer answer = {
+	    .status = code,
+	    .attempt = attempt,
+	    .headers = "X-Response-Seal: copy\r\n",
+	    .body = "injected worker error",
+	};
+
+	*status = code;
+	add_signature(wk, res, attempt);
+	surplus_apply(&wk->surplus, req, &answer);
+	return res;
+}
+
+static void
+repeat_stream(struct worker *wk, struct standin_request *req,
+    const char *attempt, const struct stream *st)
+{
+	GString *body = g_string_new(NULL);
+	struct surplus_answer answer = {
+	    .status = 200,
+	    .attempt = attempt,
+	    .headers = "X-Response-Seal: copy\r\n"
+		       "Content-Type: text/event-stream\r\n",
+	};
+
+	for (int64_t n = st->first; wk->surplus.left > 0 && n <= st->total; n++)
+		g_string_append_printf(body,
+		    "id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT
+		    "\n\n",
+		    n, st->path, n);
+	answer.body = body->str;
+	surplus_apply(&wk->surplus, req, &answer);
+	g_string_free(body, TRUE);
+}
+
 static struct MHD_Response *
 handle_run(struct worker *wk, struct standin_request *req, unsigned int *status)
 {
@@ -178,7 +229,7 @@
 	    (expect != NULL && strcmp(expect, wk->id) != 0) ||
 	    consume_fault(&wk->rejects_left)) {
 		json_decref(doc);
-		return reject(wk,
+		return reject(wk, req,
 		    expect != NULL && strcmp(expect, wk->id) != 0 ? 421 : 503,
 		    status);
 	}
@@ -190,11 +241,8 @@
 		return NULL;
 	}
 	if (code >= 400) {
-		*status = (unsigned int)code;
-		res = standin_text_response("injected worker error");
-		add_signature(wk, res, attempt);
 		json_decref(doc);
-		return res;
+		return fail(wk, req, attempt, (unsigned int)code, status);
 	}
 	st = g_new0(struct stream, 1);
 	st->wk = wk;
@@ -212,6 +260,7 @@
 	    st->cut_at >= 0 ? read_cut : read_events, st, stream_free);
 	MHD_add_response_header(res, "Content-Type", "text/event-stream");
 	add_signature(wk, res, attempt);
+	repeat_stream(wk, req, attempt, st);
 	json_decref(doc);
 	return res;
 }
@@ -235,6 +284,7 @@
 	    (int)json_integer_value(json_object_get(doc, "trickle"));
 	wk->unsigned_left =
 	    (int)json_integer_value(json_object_get(doc, "unsigned"));
+	surplus_fault_parse(&wk->surplus, json_object_get(doc, "surplus"));
 	json_decref(doc);
 	return standin_text_response("{}");
 }
