--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -27,7 +27,6 @@
 	kActiveWithinUs = 75 * kUsPerMs,
 	/* Stall timeout of a busy target, as a multiple of the usual one. */
 	kBusyStallFactor = 4,
-	kActivityTargetsMax = 2000,
 	/* Longest event of a stream. */
 	kEventBytesMax = 1024 * 1024,
 };
@@ -38,11 +37,6 @@
 	kPhaseDone,
 };
 
-struct target_activity {
-	/** Time of the last data, int64_t, by target id. */
-	GHashTable *last_data;
-};
-
 struct relay {
 	struct relay_deps deps;
 	struct relay_options opt;
@@ -90,38 +84,6 @@
 
 static void start_attempt(struct relay *rl);
 
-struct target_activity *
-target_activity_new(void)
-{
-	struct target_activity *ta = g_new(struct target_activity, 1);
-
-	ta->last_data =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	return ta;
-}
-
-void
-target_activity_free(struct target_activity *ta)
-{
-	g_hash_table_unref(ta->last_data);
-	g_free(ta);
-}
-
-static void
-record_activity(struct relay *rl)
-{
-	GHashTable *last_data = rl->deps.activity->last_data;
-	int64_t *at_us = g_hash_table_lookup(last_data, rl->target);
-
-	if (at_us == NULL) {
-		if (g_hash_table_size(last_data) >= kActivityTargetsMax)
-			g_hash_table_remove_all(last_data);
-		at_us = g_new(int64_t, 1);
-		g_hash_table_insert(last_data, g_strdup(rl->target), at_us);
-	}
-	*at_us = loop_now_us(rl->deps.lp);
-}
-
 static void
 relay_free(struct relay *rl)
 {
@@ -250,11 +212,10 @@
 static bool
 is_target_busy(const struct relay *rl)
 {
-	const int64_t *at_us =
-	    g_hash_table_lookup(rl->deps.activity->last_data, rl->target);
+	int64_t at_us = target_activity_last_us(rl->deps.activity, rl->target);
 	int64_t now_us = loop_now_us(rl->deps.lp);
 
-	return at_us != NULL && now_us - *at_us < kActiveWithinUs &&
+	return at_us >= 0 && now_us - at_us < kActiveWithinUs &&
 	    now_us - rl->last_activity_us <
 	    kBusyStallFactor * stall_timeout_us(rl);
 }
@@ -346,7 +307,8 @@
 		g_string_append_len(rl->answer_body, data, (gssize)len);
 		return true;
 	}
-	record_activity(rl);
+	target_activity_record(
+	    rl->deps.activity, rl->target, loop_now_us(rl->deps.lp));
 	rl->has_new_event = false;
 	event_splitter_feed(&rl->events, data, len, on_event, rl);
 	/* Bytes that complete no event are no progress. */
