An answer without the attempt id decides nothing about an attempt

Callers saw: another request's 422, 500 or 504 as their own; an item listed dead for another's 422; "did not run" for a request that ran, after the copy of another's refusal. Cause: a status of 400 and more counted as the answer to the attempt that was sent though it had no id; a worker's late second copy, on a connection in use again, was taken for the next request's answer. Change: answer_judge. Only a response with the attempt's id decides. Any other closes its connection and is logged as answer_crossed with both ids; the attempt may have run. A refusal without the id, which targets may send, counts on a connection that no response came on before: it can be no copy there, and requests that may run only once always have a connection of their own. Elsewhere a request that may repeat goes to another target, and its caller is not told any more that it did not run; batch items are tried again as after any refusal, nobody is told anything of these. Tests: Dialect.ResponsesAreDecoded expected "matching" for refusals without an id; it now expects what the head says, and Dialect.OnlyAnswersThatIdentifyThemselvesDecide what follows from it, on a first and on a later response. A caller's second request in two tests goes to the route of one attempt, which hides nothing. Result: 45 tests of Gateway*, 175 unit tests pass, lint ok.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -55,7 +55,7 @@
 
 /** What the head of a target's response states. */
 struct dialect_response {
-	/** The response belongs to the attempt that was sent. */
+	/** The response carries the id of the attempt that was sent. */
 	bool has_matching_attempt;
 	/** The target reports that it did not execute the request. */
 	bool was_not_executed;
@@ -66,6 +66,8 @@
 	bool is_event_stream;
 	/** The target leaves: it is to get no new requests. */
 	bool is_target_leaving;
+	/** The attempt id that the response carries; empty if it has none. */
+	char attempt_id[kAttemptIdMax];
 };
 
 struct dialect_ops {
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -43,6 +43,8 @@
 	bool has_head;
 	bool is_refused;
 	bool is_done;
+	/** The connection was created for this request. */
+	bool is_first_on_connection;
 	const struct outbound_ops *ops;
 	void *ctx;
 };
@@ -238,8 +240,10 @@
 static int
 on_socket_created(void *ctx, curl_socket_t fd, curlsocktype type)
 {
+	struct outbound_request *req = ctx;
 	int timeout_ms = kUserTimeoutMs;
 
+	req->is_first_on_connection = true;
 	metric_add(kMetConnects, 1);
 	setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
@@ -344,6 +348,12 @@
 	g_ptr_array_add(ob->done, req);
 }
 
+bool
+outbound_is_first_answer(const struct outbound_request *req)
+{
+	return req->is_first_on_connection;
+}
+
 void
 outbound_cancel(struct outbound_request *req)
 {
--- a/src/gateway/outbound.h
+++ b/src/gateway/outbound.h
@@ -56,6 +56,9 @@
 struct outbound_request *outbound_start(
     struct outbound *ob, const struct outbound_options *opt);
 
+/** @return no other response came on the request's connection before */
+bool outbound_is_first_answer(const struct outbound_request *req);
+
 /** Cancels a request and closes its connection; no callback follows. */
 void outbound_cancel(struct outbound_request *req);
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "gateway/answer.h"
 #include "log/log.h"
 #include "metric/metric.h"
 
@@ -75,6 +76,9 @@
 	int32_t status;
 	struct header_list *answer_headers;
 	struct dialect_response response;
+	enum answer_verdict verdict;
+	/** An attempt not counted in attempts may have been executed. */
+	bool has_unproven_refusal;
 	bool is_stream;
 	struct event_splitter events;
 	GString *answer_body;
@@ -151,13 +155,21 @@
 	relay_free(rl);
 }
 
+/* Batch items are repeated anyway, and nobody is told that they did not run. */
+static bool
+did_not_run(const struct relay *rl)
+{
+	return rl->attempts == 0 &&
+	    (rl->opt.is_batch || !rl->has_unproven_refusal);
+}
+
 /* Ends the request: no target may be tried any more. */
 static void
 fail_request(struct relay *rl, int64_t retry_after_us)
 {
 	if (rl->is_answering)
 		finish(rl, kRelayInterrupted, 0);
-	else if (rl->attempts == 0)
+	else if (did_not_run(rl))
 		finish(rl, kRelayRefused, retry_after_us);
 	else
 		finish(rl, kRelayFailed, 0);
@@ -248,6 +260,21 @@
 		    rl->deps.lp, now_us + stall_timeout_us(rl), on_stall, rl);
 }
 
+/* Judges a response; one that is not this attempt's ends its connection. */
+static bool
+is_own_answer(struct relay *rl, int32_t status)
+{
+	bool is_first = outbound_is_first_answer(rl->request);
+
+	rl->verdict = answer_judge(&rl->response, is_first);
+	if (rl->verdict != kAnswerOwn)
+		log_event(kEvtAnswerCrossed, "request", rl->attempt_id,
+		    "received", rl->response.attempt_id, "status",
+		    log_number(status), "target", rl->target, "is_first",
+		    is_first ? "yes" : "no", NULL);
+	return rl->verdict == kAnswerOwn;
+}
+
 static bool
 on_head(void *ctx, int32_t status, const struct header_list *headers)
 {
@@ -258,7 +285,7 @@
 	if (rl->response.is_target_leaving)
 		rl->deps.on_target_leaving(
 		    rl->deps.ctx, rl->target, rl->target_started_ms);
-	if (!rl->response.has_matching_attempt)
+	if (!is_own_answer(rl, status))
 		return false;
 	rl->status = status;
 	rl->is_stream = status == kHttpOk && rl->response.is_event_stream;
@@ -328,17 +355,34 @@
 		rl->opt.ops->on_data(rl->opt.ctx, &body);
 }
 
+static void
+handle_refusal(struct relay *rl, const char *cause)
+{
+	rl->attempts--;
+	rl->not_executed_count++;
+	fail_attempt(rl,
+	    rl->response.is_misdirected ? kSlotUnreachable : kSlotFull, cause);
+}
+
+static void
+handle_crossed(struct relay *rl)
+{
+	metric_add(kMetCrossed, 1);
+	if (rl->verdict == kAnswerUnproven && rl->opt.may_repeat) {
+		rl->has_unproven_refusal = true;
+		handle_refusal(rl, "turned_away_unproven");
+		return;
+	}
+	fail_attempt(rl, kSlotFailed, "crossed");
+}
+
 static void
 handle_complete(struct relay *rl)
 {
 	bool is_error = rl->status >= kHttpServerErrorFirst;
 
 	if (rl->response.was_not_executed) {
-		rl->attempts--;
-		rl->not_executed_count++;
-		fail_attempt(rl,
-		    rl->response.is_misdirected ? kSlotUnreachable : kSlotFull,
-		    "turned_away");
+		handle_refusal(rl, "turned_away");
 		return;
 	}
 	if (rl->is_stream && event_splitter_has_partial(&rl->events)) {
@@ -385,8 +429,7 @@
 		fail_attempt(rl, kSlotFailed, "cut");
 		break;
 	case kOutboundRefused:
-		metric_add(kMetCrossed, 1);
-		fail_attempt(rl, kSlotFailed, "crossed");
+		handle_crossed(rl);
 		break;
 	}
 }
@@ -503,7 +546,7 @@
 	rl->cause = "deadline";
 	if (rl->is_answering)
 		finish(rl, kRelayInterrupted, 0);
-	else if (rl->attempts == 0)
+	else if (did_not_run(rl))
 		finish(rl, kRelayRefused, kRetryAfterDefaultUs);
 	else
 		finish(rl, kRelayTimeout, 0);
--- a/test/functional/test_gateway_surplus.cc
+++ b/test/functional/test_gateway_surplus.cc
@@ -126,9 +126,9 @@
 		std::string id = std::to_string(n++);
 
 		SendFirst(c, "/o/a", "a" + id);
-		Reply r = Call(0, "/q/b" + id, "b" + id, 3);
+		Reply r = Call(0, "/o/b" + id, "b" + id, 3);
 
-		ExpectOwnOrError(r, "/q/b" + id, 3, c.name);
+		ExpectOwnOrError(r, "/o/b" + id, 3, c.name);
 	}
 }
 
@@ -162,9 +162,9 @@
 
 		Reply a = SendFirst(c, "/o/a" + id, "a" + id);
 		EXPECT_EQ(ExpectedStream("/o/a" + id, 3), a.body) << c.name;
-		Reply r = Call(0, "/q/b" + id, "b" + id, 3);
+		Reply r = Call(0, "/o/b" + id, "b" + id, 3);
 
-		ExpectOwnOrError(r, "/q/b" + id, 3, c.name);
+		ExpectOwnOrError(r, "/o/b" + id, 3, c.name);
 	}
 }
 
@@ -233,6 +233,25 @@
 	}
 }
 
+TEST_F(GatewaySurplus, AForeignAnswerIsLoggedAndItsConnectionClosed)
+{
+	const Surplus late = {
+	    "late", "{\"status\":422}", R"({"count":1,"delay_ms":200})"};
+	const char kLine[] = "\"request\":\"b\",\"received\":\"a\","
+			     "\"status\":\"422\"";
+
+	StartFleet(1);
+	SendFirst(late, "/o/a", "a");
+	EXPECT_EQ(502, Call(0, "/o/b", "b", 3).status);
+	EXPECT_TRUE(daemons[0]->WaitLine(kLine));
+	for (int i = 0; i < 3; i++) {
+		std::string path = "/o/c" + std::to_string(i);
+
+		EXPECT_EQ(ExpectedStream(path, 3), Call(0, path, path, 3).body);
+	}
+	EXPECT_EQ(1, daemons[0]->Count("\"name\":\"answer_crossed\""));
+}
+
 /* A request that may run only once, after a refusal that was sent twice. */
 TEST_F(GatewaySurplus, ARequestThatRunsOnceIsNotSentAgain)
 {
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -6,6 +6,7 @@
 #include "decode.h"
 #include "dialect.h"
 #include "error/error.h"
+#include "gateway/answer.h"
 }
 
 namespace
@@ -213,36 +214,36 @@
 		int status;
 		Headers headers;
 		/* matching, not executed, misdirected, signed, stream,
-		 * leaving */
+		 * leaving, id */
 		dialect_response response;
 	} cases[] = {
 	    {"own stream", 200,
 		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"},
 		    {"Content-Type", "text/event-stream; charset=utf-8"}},
-		{true, false, false, true, true}},
+		{true, false, false, true, true, false, "a"}},
 	    {"id of another attempt", 200,
 		{{"X-Attempt-Id", "b"}, {"X-Response-Seal", "s"}},
-		{false, false, false, true, false}},
+		{false, false, false, true, false, false, "b"}},
 	    {"success without an id", 200, {{"X-Response-Seal", "s"}},
 		{false, false, false, true, false}},
 	    {"not executed", 503, {{"X-Not-Executed", "1"}},
-		{true, true, false, false, false}},
+		{false, true, false, false, false}},
 	    {"another target", 421, {{"X-Instance-Id", "i"}},
-		{true, true, true, false, false}},
+		{false, true, true, false, false}},
 	    {"refusal of a leaving target", 503,
 		{{"X-Not-Executed", "1"}, {"Server-Leaving", "1"}},
-		{true, true, false, false, false, true}},
+		{false, true, false, false, false, true}},
 	    {"answer of a leaving target", 200,
 		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"},
 		    {"server-leaving", "1"}},
-		{true, false, false, true, false, true}},
+		{true, false, false, true, false, true, "a"}},
 	    {"another target, which leaves", 421, {{"Server-Leaving", "1"}},
-		{true, true, true, false, false, false}},
+		{false, true, true, false, false, false}},
 	    {"no announcement", 500, {{"Server-Leaving", "0"}},
-		{true, false, false, false, false, false}},
+		{false, false, false, false, false, false}},
 	    {"failure of this attempt", 500,
 		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"}},
-		{true, false, false, true, false}},
+		{true, false, false, true, false, false, "a"}},
 	};
 
 	for (const auto &c : cases) {
@@ -262,6 +263,55 @@
 		    << c.name;
 		EXPECT_EQ(c.response.is_target_leaving, f.is_target_leaving)
 		    << c.name;
+		EXPECT_STREQ(c.response.attempt_id, f.attempt_id) << c.name;
+	}
+}
+
+TEST(Dialect, OnlyAnswersThatIdentifyThemselvesDecide)
+{
+	const struct {
+		const char *name;
+		int status;
+		Headers headers;
+		answer_verdict first, later;
+	} cases[] = {
+	    {"own success", 200, {{"X-Attempt-Id", "a"}}, kAnswerOwn,
+		kAnswerOwn},
+	    {"own 422", 422, {{"x-attempt-id", "a"}}, kAnswerOwn, kAnswerOwn},
+	    {"own 500", 500, {{"X-Attempt-Id", "a"}}, kAnswerOwn, kAnswerOwn},
+	    {"own refusal", 503,
+		{{"X-Attempt-Id", "a"}, {"X-Not-Executed", "1"}}, kAnswerOwn,
+		kAnswerOwn},
+	    {"success without an id", 200, {}, kAnswerForeign, kAnswerForeign},
+	    {"400 without an id", 400, {}, kAnswerForeign, kAnswerForeign},
+	    {"422 without an id", 422, {}, kAnswerForeign, kAnswerForeign},
+	    {"500 without an id", 500, {}, kAnswerForeign, kAnswerForeign},
+	    {"503 without an id", 503, {}, kAnswerForeign, kAnswerForeign},
+	    {"504 with an empty id", 504, {{"X-Attempt-Id", ""}},
+		kAnswerForeign, kAnswerForeign},
+	    {"refusal without an id", 503, {{"X-Not-Executed", "1"}},
+		kAnswerOwn, kAnswerUnproven},
+	    {"421 without an id", 421, {}, kAnswerOwn, kAnswerUnproven},
+	    {"another's success", 200, {{"X-Attempt-Id", "b"}}, kAnswerForeign,
+		kAnswerForeign},
+	    {"another's 422", 422, {{"X-Attempt-Id", "b"}}, kAnswerForeign,
+		kAnswerForeign},
+	    {"another's refusal", 503,
+		{{"X-Attempt-Id", "b"}, {"X-Not-Executed", "1"}},
+		kAnswerForeign, kAnswerForeign},
+	    {"another's 421", 421, {{"X-Attempt-Id", "b"}}, kAnswerForeign,
+		kAnswerForeign},
+	    {"a longer id", 500, {{"X-Attempt-Id", "a1"}}, kAnswerForeign,
+		kAnswerForeign},
+	};
+
+	for (const auto &c : cases) {
+		dialect_response f;
+
+		platform_dialect.decode_response(
+		    c.status, c.headers.list, "a", &f);
+		EXPECT_EQ(c.first, answer_judge(&f, true)) << c.name;
+		EXPECT_EQ(c.later, answer_judge(&f, false)) << c.name;
 	}
 }
 
