Bytes on an idle connection close it before the next request is sent

Callers saw: a 502 on a route of one attempt, or a retry elsewhere, though the worker was sound by then: the bytes of a second answer, there before the request was sent, were taken for its answer and refused. Cause: libcurl 7.88 reuses a connection with unread bytes (it looks only for its end), and gives no access to its socket at that point. Change: outbound remembers each connection's socket by its ends and looks at it before a request is sent on a reused one; with bytes, or at its end, the request starts on a new connection. Nothing was sent by then, so no attempt is counted. New event 1215 surplus_bytes.

--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -7,7 +7,10 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include "gateway/outbound_sockets.h"
+#include "log/log.h"
 #include "metric/metric.h"
 
 enum {
@@ -24,6 +27,7 @@
 struct outbound {
 	struct loop *lp;
 	CURLM *multi;
+	struct outbound_sockets *sockets;
 	uint64_t timer;
 	/** Set of struct outbound_request. */
 	GHashTable *requests;
@@ -45,6 +49,9 @@
 	bool is_done;
 	/** The connection was created for this request. */
 	bool is_first_on_connection;
+	int fd;
+	/** The connection in the pool had ended, or had unread bytes. */
+	bool is_pooled_unfit;
 	const struct outbound_ops *ops;
 	void *ctx;
 };
@@ -149,6 +156,7 @@
 
 	ob->lp = lp;
 	ob->multi = curl_multi_init();
+	ob->sockets = outbound_sockets_new();
 	ob->requests = g_hash_table_new(NULL, NULL);
 	ob->done = g_ptr_array_new_with_free_func(request_free);
 	curl_multi_setopt(ob->multi, CURLMOPT_SOCKETFUNCTION, on_socket_change);
@@ -178,6 +186,7 @@
 	g_hash_table_unref(ob->requests);
 	g_ptr_array_unref(ob->done);
 	curl_multi_cleanup(ob->multi);
+	outbound_sockets_free(ob->sockets);
 	loop_timer_cancel(ob->lp, ob->timer);
 	g_free(ob);
 }
@@ -196,6 +205,13 @@
 	return req->ops->on_head(req->ctx, (int32_t)status, req->answer);
 }
 
+static void
+log_surplus(const struct outbound_request *req, const char *found)
+{
+	log_event(kEvtSurplusBytes, "url", req->url, "found", found,
+	    (const char *)NULL);
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
@@ -244,12 +260,43 @@
 	int timeout_ms = kUserTimeoutMs;
 
 	req->is_first_on_connection = true;
+	req->fd = fd;
 	metric_add(kMetConnects, 1);
 	setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
 	return CURL_SOCKOPT_OK;
 }
 
+static int
+on_socket_close(void *ctx, curl_socket_t fd)
+{
+	outbound_sockets_remove(ctx, fd);
+	return close(fd);
+}
+
+/* What arrived on an idle connection is no answer to the next request. */
+static int
+before_request(
+    /* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's prototype */
+    void *ctx, char *remote_ip, char *local_ip, int remote_port, int local_port)
+{
+	struct outbound_request *req = ctx;
+	struct outbound_path path = {remote_ip, remote_port, local_port};
+	enum socket_input input;
+
+	if (req->is_first_on_connection) {
+		outbound_sockets_add(req->ob->sockets, req->fd, &path);
+		return CURL_PREREQFUNC_OK;
+	}
+	input = outbound_sockets_input(req->ob->sockets, &path);
+	if (input == kSocketQuiet)
+		return CURL_PREREQFUNC_OK;
+	if (input == kSocketHasBytes)
+		log_surplus(req, "before_request");
+	req->is_pooled_unfit = true;
+	return CURL_PREREQFUNC_ABORT;
+}
+
 static bool
 lacks_field(const struct header_list *headers, const char *name)
 {
@@ -324,6 +371,10 @@
 	curl_easy_setopt(h, CURLOPT_HEADERDATA, req);
 	curl_easy_setopt(h, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
 	curl_easy_setopt(h, CURLOPT_SOCKOPTDATA, req);
+	curl_easy_setopt(h, CURLOPT_CLOSESOCKETFUNCTION, on_socket_close);
+	curl_easy_setopt(h, CURLOPT_CLOSESOCKETDATA, ob->sockets);
+	curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, before_request);
+	curl_easy_setopt(h, CURLOPT_PREREQDATA, req);
 	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS,
 	    (long)(opt->connect_timeout_us / kUsPerMs));
 	curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, (long)kIdleMaxS);
@@ -406,6 +457,16 @@
 	}
 }
 
+/* Nothing was sent yet; libcurl has closed the connection. */
+static void
+start_on_new_connection(struct outbound_request *req)
+{
+	req->is_pooled_unfit = false;
+	curl_multi_remove_handle(req->ob->multi, req->easy);
+	curl_easy_setopt(req->easy, CURLOPT_FRESH_CONNECT, 1L);
+	curl_multi_add_handle(req->ob->multi, req->easy);
+}
+
 static void
 check_completed(struct outbound *ob)
 {
@@ -420,6 +481,10 @@
 		if (msg->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &req);
+		if (req->is_pooled_unfit && !req->is_done) {
+			start_on_new_connection(req);
+			continue;
+		}
 		outcome = outcome_of(req, msg->data.result);
 		was_done = req->is_done;
 		retire(req);
--- /dev/null
+++ b/src/gateway/outbound_sockets.h
@@ -0,0 +1,37 @@
+#ifndef SAVORYFLOW_GATEWAY_OUTBOUND_SOCKETS_H
+#define SAVORYFLOW_GATEWAY_OUTBOUND_SOCKETS_H
+
+/*
+ * The sockets of connections to targets. libcurl reuses a connection with
+ * unread bytes and gives no access to its socket before it sends a request.
+ */
+struct outbound_sockets;
+
+/** Ends of an open connection. */
+struct outbound_path {
+	const char *remote_ip;
+	int remote_port;
+	int local_port;
+};
+
+struct outbound_sockets *outbound_sockets_new(void);
+void outbound_sockets_free(struct outbound_sockets *os);
+
+/** @param path copied */
+void outbound_sockets_add(
+    struct outbound_sockets *os, int fd, const struct outbound_path *path);
+
+/** To be called before the socket is closed; unknown ones are allowed. */
+void outbound_sockets_remove(struct outbound_sockets *os, int fd);
+
+enum socket_input {
+	kSocketQuiet,
+	kSocketHasBytes,
+	kSocketEnded,
+};
+
+/** What can be read from a connection; reads nothing. */
+enum socket_input outbound_sockets_input(
+    const struct outbound_sockets *os, const struct outbound_path *path);
+
+#endif
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -21,6 +21,9 @@
 	X(kEvtAttemptEnded, 1210, WARN, "attempt_ended",                       \
 	    "An attempt at a target returned no complete response; another "   \
 	    "may follow.")                                                     \
+	X(kEvtSurplusBytes, 1215, WARN, "surplus_bytes",                       \
+	    "A connection to a target carried bytes that belong to no "        \
+	    "request; it was closed.")                                         \
 	X(kEvtTargetListed, 1305, INFO, "target_listed",                       \
 	    "A target's row is new or has changed.")                           \
 	X(kEvtTargetGone, 1306, INFO, "target_gone",                           \
--- a/test/functional/test_gateway_surplus.cc
+++ b/test/functional/test_gateway_surplus.cc
@@ -233,6 +233,63 @@
 	}
 }
 
+const Surplus kEarly[] = {
+    {"422", "{\"status\":422}", R"({"count":1,"no_id":true})", 50},
+    {"stream", Gateway::RequestBody(3), R"({"count":1})", 50},
+    {"half a stream", Gateway::RequestBody(3), R"({"count":1,"split_ms":200})",
+	50},
+    {"no answer", Gateway::RequestBody(3),
+	R"({"count":1,"delay_ms":10,"text":"surplus\r\n\r\n"})", 50},
+    {"status line", Gateway::RequestBody(3),
+	R"({"count":1,"delay_ms":10,"text":"HTTP/1.1 422 X\r\n"})", 50},
+    {"part of a head", Gateway::RequestBody(3),
+	R"({"count":1,"delay_ms":10,"text":"HTTP/1.1 422 X\r\nY: "})", 50},
+};
+
+TEST_F(GatewaySurplus, BytesThatAreThereBeforeARequestCostItNoAttempt)
+{
+	int n = 0;
+
+	StartFleet(1);
+	for (const auto &c : kEarly) {
+		std::string path = "/o/b" + std::to_string(n++);
+
+		SendFirst(c, "/o/a", "a" + path);
+		Reply r = Call(0, path, path, 3);
+
+		EXPECT_EQ(200, r.status) << c.name << ": " << r.body;
+		EXPECT_EQ(ExpectedStream(path, 3), r.body) << c.name;
+		EXPECT_EQ(1, CountRuns(path)) << c.name;
+	}
+}
+
+/* The head of the request's own answer follows upon it. */
+TEST_F(GatewaySurplus, ACallerGetsNoAnswerWithPartOfAnothersHead)
+{
+	const Surplus cases[] = {
+	    {"status line", RequestBody(3),
+		R"({"count":1,"delay_ms":200,"text":"HTTP/1.1 422 X\r\n"})"},
+	    {"part of a field", RequestBody(3),
+		R"({"count":1,"delay_ms":200,
+		    "text":"HTTP/1.1 422 X\r\nY: "})"},
+	    {"part of a name", RequestBody(3),
+		R"({"count":1,"delay_ms":200,
+		    "text":"HTTP/1.1 422 X\r\nX-Y"})"},
+	    {"id", RequestBody(3),
+		R"({"count":1,"delay_ms":200,
+		    "text":"HTTP/1.1 422 X\r\nX-Attempt-Id: c\r\n"})"},
+	};
+	int n = 0;
+
+	StartFleet(1);
+	for (const auto &c : cases) {
+		std::string path = "/o/b" + std::to_string(n++);
+
+		SendFirst(c, "/o/a", "a" + path);
+		ExpectOwnOrError(Call(0, path, path, 3), path, 3, c.name);
+	}
+}
+
 TEST_F(GatewaySurplus, AForeignAnswerIsLoggedAndItsConnectionClosed)
 {
 	const Surplus late = {
