A head that holds a second status line is refused

Callers saw: status 422 with the body of their own successful answer; an item would be listed dead for it. Cause: a worker's second answer broke off within a field of its head, after the next request had been sent; libcurl took the head of the right answer, with the right id, for the rest of it. Evidence: GatewaySurplus.ACallerGetsNoAnswerWithPartOfAnothersHead failed for a head cut off within a field's value; a cut in a name or after a line libcurl refuses itself. Change: outbound refuses a response with a status line within its head and logs surplus_bytes; the attempt may have run, its connection is closed. A head that is not judged leaves no verdict of an earlier attempt behind.

--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -45,6 +45,8 @@
 	char *url;
 	struct header_list *answer;
 	bool has_head;
+	/** Within the head of a response, interim ones included. */
+	bool is_in_head;
 	bool is_refused;
 	bool is_done;
 	/** The connection was created for this request. */
@@ -212,6 +214,30 @@
 	    (const char *)NULL);
 }
 
+/* "HTTP/1.x NNN" */
+static bool
+has_status_line(const char *data, size_t len)
+{
+	static const char version[] = "HTTP/1.";
+	const char *at = g_strstr_len(data, (gssize)len, version);
+	const size_t code_at = sizeof(version) + 1;
+
+	return at != NULL && (size_t)(data + len - at) >= code_at + 3 &&
+	    at[code_at - 1] == ' ' && g_ascii_isdigit(at[code_at]) &&
+	    g_ascii_isdigit(at[code_at + 1]) &&
+	    g_ascii_isdigit(at[code_at + 2]);
+}
+
+/* A status line within a head: that of another response was cut off. */
+static bool
+is_head_mixed(struct outbound_request *req, const char *data, size_t len)
+{
+	if (!req->is_in_head || !has_status_line(data, len))
+		return false;
+	log_surplus(req, "in_head");
+	return true;
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
@@ -223,6 +249,11 @@
 
 	if (req->has_head || req->is_done)
 		return len;
+	if (is_head_mixed(req, data, len)) {
+		req->is_refused = true;
+		return 0;
+	}
+	req->is_in_head = len > 2;
 	if (len >= 5 && strncmp(data, "HTTP/", 5) == 0) {
 		header_list_free(req->answer);
 		req->answer = header_list_new();
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -466,6 +466,7 @@
 	rl->attempts++;
 	metric_add(kMetAttempts, 1);
 	rl->phase = kPhaseRunning;
+	rl->verdict = kAnswerForeign;
 	rl->last_activity_us = now_us;
 	rl->request = outbound_start(rl->deps.outbound, &opt);
 	restart_stall_timer(rl);
