--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "gateway/answer.h"
 #include "log/log.h"
 #include "metric/metric.h"
 
@@ -27,7 +28,6 @@
 	kActiveWithinUs = 75 * kUsPerMs,
 	/* Stall timeout of a busy target, as a multiple of the usual one. */
 	kBusyStallFactor = 4,
-	kActivityTargetsMax = 2000,
 	/* Longest event of a stream. */
 	kEventBytesMax = 1024 * 1024,
 };
@@ -38,11 +38,6 @@
 	kPhaseDone,
 };
 
-struct target_activity {
-	/** Time of the last data, int64_t, by target id. */
-	GHashTable *last_data;
-};
-
 struct relay {
 	struct relay_deps deps;
 	struct relay_options opt;
@@ -81,6 +76,9 @@
 	int32_t status;
 	struct header_list *answer_headers;
 	struct dialect_response response;
+	enum answer_verdict verdict;
+	/** An attempt not counted in attempts may have been executed. */
+	bool has_unproven_refusal;
 	bool is_stream;
 	struct event_splitter events;
 	GString *answer_body;
@@ -90,38 +88,6 @@
 
 static void start_attempt(struct relay *rl);
 
-struct target_activity *
-target_activity_new(void)
-{
-	struct target_activity *ta = g_new(struct target_activity, 1);
-
-	ta->last_data =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	return ta;
-}
-
-void
-target_activity_free(struct target_activity *ta)
-{
-	g_hash_table_unref(ta->last_data);
-	g_free(ta);
-}
-
-static void
-record_activity(struct relay *rl)
-{
-	GHashTable *last_data = rl->deps.activity->last_data;
-	int64_t *at_us = g_hash_table_lookup(last_data, rl->target);
-
-	if (at_us == NULL) {
-		if (g_hash_table_size(last_data) >= kActivityTargetsMax)
-			g_hash_table_remove_all(last_data);
-		at_us = g_new(int64_t, 1);
-		g_hash_table_insert(last_data, g_strdup(rl->target), at_us);
-	}
-	*at_us = loop_now_us(rl->deps.lp);
-}
-
 static void
 relay_free(struct relay *rl)
 {
@@ -189,13 +155,21 @@
 	relay_free(rl);
 }
 
+/* Batch items are repeated anyway, and nobody is told that they did not run. */
+static bool
+did_not_run(const struct relay *rl)
+{
+	return rl->attempts == 0 &&
+	    (rl->opt.is_batch || !rl->has_unproven_refusal);
+}
+
 /* Ends the request: no target may be tried any more. */
 static void
 fail_request(struct relay *rl, int64_t retry_after_us)
 {
 	if (rl->is_answering)
 		finish(rl, kRelayInterrupted, 0);
-	else if (rl->attempts == 0)
+	else if (did_not_run(rl))
 		finish(rl, kRelayRefused, retry_after_us);
 	else
 		finish(rl, kRelayFailed, 0);
@@ -250,11 +224,10 @@
 static bool
 is_target_busy(const struct relay *rl)
 {
-	const int64_t *at_us =
-	    g_hash_table_lookup(rl->deps.activity->last_data, rl->target);
+	int64_t at_us = target_activity_last_us(rl->deps.activity, rl->target);
 	int64_t now_us = loop_now_us(rl->deps.lp);
 
-	return at_us != NULL && now_us - *at_us < kActiveWithinUs &&
+	return at_us >= 0 && now_us - at_us < kActiveWithinUs &&
 	    now_us - rl->last_activity_us <
 	    kBusyStallFactor * stall_timeout_us(rl);
 }
@@ -287,6 +260,21 @@
 		    rl->deps.lp, now_us + stall_timeout_us(rl), on_stall, rl);
 }
 
+/* Judges a response; one that is not this attempt's ends its connection. */
+static bool
+is_own_answer(struct relay *rl, int32_t status)
+{
+	bool is_first = outbound_is_first_answer(rl->request);
+
+	rl->verdict = answer_judge(&rl->response, is_first);
+	if (rl->verdict != kAnswerOwn)
+		log_event(kEvtAnswerCrossed, "request", rl->attempt_id,
+		    "received", rl->response.attempt_id, "status",
+		    log_number(status), "target", rl->target, "is_first",
+		    is_first ? "yes" : "no", NULL);
+	return rl->verdict == kAnswerOwn;
+}
+
 static bool
 on_head(void *ctx, int32_t status, const struct header_list *headers)
 {
@@ -297,7 +285,7 @@
 	if (rl->response.is_target_leaving)
 		rl->deps.on_target_leaving(
 		    rl->deps.ctx, rl->target, rl->target_started_ms);
-	if (!rl->response.has_matching_attempt)
+	if (!is_own_answer(rl, status))
 		return false;
 	rl->status = status;
 	rl->is_stream = status == kHttpOk && rl->response.is_event_stream;
@@ -346,7 +334,8 @@
 		g_string_append_len(rl->answer_body, data, (gssize)len);
 		return true;
 	}
-	record_activity(rl);
+	target_activity_record(
+	    rl->deps.activity, rl->target, loop_now_us(rl->deps.lp));
 	rl->has_new_event = false;
 	event_splitter_feed(&rl->events, data, len, on_event, rl);
 	/* Bytes that complete no event are no progress. */
@@ -366,17 +355,34 @@
 		rl->opt.ops->on_data(rl->opt.ctx, &body);
 }
 
+static void
+handle_refusal(struct relay *rl, const char *cause)
+{
+	rl->attempts--;
+	rl->not_executed_count++;
+	fail_attempt(rl,
+	    rl->response.is_misdirected ? kSlotUnreachable : kSlotFull, cause);
+}
+
+static void
+handle_crossed(struct relay *rl)
+{
+	metric_add(kMetCrossed, 1);
+	if (rl->verdict == kAnswerUnproven && rl->opt.may_repeat) {
+		rl->has_unproven_refusal = true;
+		handle_refusal(rl, "turned_away_unproven");
+		return;
+	}
+	fail_attempt(rl, kSlotFailed, "crossed");
+}
+
 static void
 handle_complete(struct relay *rl)
 {
 	bool is_error = rl->status >= kHttpServerErrorFirst;
 
 	if (rl->response.was_not_executed) {
-		rl->attempts--;
-		rl->not_executed_count++;
-		fail_attempt(rl,
-		    rl->response.is_misdirected ? kSlotUnreachable : kSlotFull,
-		    "turned_away");
+		handle_refusal(rl, "turned_away");
 		return;
 	}
 	if (rl->is_stream && event_splitter_has_partial(&rl->events)) {
@@ -423,8 +429,7 @@
 		fail_attempt(rl, kSlotFailed, "cut");
 		break;
 	case kOutboundRefused:
-		metric_add(kMetCrossed, 1);
-		fail_attempt(rl, kSlotFailed, "crossed");
+		handle_crossed(rl);
 		break;
 	}
 }
@@ -461,6 +466,7 @@
 	rl->attempts++;
 	metric_add(kMetAttempts, 1);
 	rl->phase = kPhaseRunning;
+	rl->verdict = kAnswerForeign;
 	rl->last_activity_us = now_us;
 	rl->request = outbound_start(rl->deps.outbound, &opt);
 	restart_stall_timer(rl);
@@ -541,7 +547,7 @@
 	rl->cause = "deadline";
 	if (rl->is_answering)
 		finish(rl, kRelayInterrupted, 0);
-	else if (rl->attempts == 0)
+	else if (did_not_run(rl))
 		finish(rl, kRelayRefused, kRetryAfterDefaultUs);
 	else
 		finish(rl, kRelayTimeout, 0);
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -21,6 +21,9 @@
 	X(kEvtAttemptEnded, 1210, WARN, "attempt_ended",                       \
 	    "An attempt at a target returned no complete response; another "   \
 	    "may follow.")                                                     \
+	X(kEvtSurplusBytes, 1215, WARN, "surplus_bytes",                       \
+	    "A connection to a target carried bytes that belong to no "        \
+	    "request; it was closed.")                                         \
 	X(kEvtTargetListed, 1305, INFO, "target_listed",                       \
 	    "A target's row is new or has changed.")                           \
 	X(kEvtTargetGone, 1306, INFO, "target_gone",                           \
@@ -97,8 +100,8 @@
 	X(kEvtAttemptFailed, 1203, WARN, "attempt_failed",                     \
 	    "An attempt at a target failed; a retry may follow.")              \
 	X(kEvtAnswerCrossed, 1204, WARN, "answer_crossed",                     \
-	    "A target sent a response that belongs to another attempt; it "    \
-	    "was dropped.")                                                    \
+	    "A target sent a response that belongs to another attempt, or "    \
+	    "does not identify itself as this one's; it was dropped.")         \
 	X(kEvtStreamResumed, 1205, INFO, "stream_resumed",                     \
 	    "A cut, stalled or revoked stream resumed at its token index.")    \
 	X(kEvtRequestCondemned, 1206, ERROR, "request_condemned",              \
