Tests: an answer that belongs to another request, own front door

The stand-ins of engine and plain service can give the next requests an answer of another attempt, or one without an id, with any status.

--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -5,8 +5,9 @@
  * prompt, so a test can tell which request an answer belongs to.
  *
  * Faults: POST /fault {"cut","stall","cross"}: the next N streams are cut,
- * stall, or carry another attempt's id after three tokens. A prompt that
- * contains CRASH ends the process once its prefill is complete.
+ * stall, or carry another attempt's id after three tokens; {"foreign"}: the
+ * next N streams are not run and get an answer of another request (http.h). A
+ * prompt that contains CRASH ends the process once its prefill is complete.
  */
 #include <inttypes.h>
 #include <jansson.h>
@@ -60,6 +61,7 @@
 	GPtrArray *streams;
 	GHashTable *cache;
 	int32_t faults[4];
+	struct standin_foreign foreign;
 	bool is_leaving;
 	int64_t fence;
 	char model[64];
@@ -303,6 +305,11 @@
 		*status = 400;
 		return standin_text_response("{\"error\":\"not JSON\"}");
 	}
+	res = standin_foreign_take(&en->foreign, "text/event-stream", status);
+	if (res != NULL) {
+		json_decref(doc);
+		return res;
+	}
 	pthread_mutex_lock(&en->lock);
 	if (en->is_leaving) {
 		pthread_mutex_unlock(&en->lock);
@@ -383,6 +390,7 @@
 		en->faults[i] =
 		    (int32_t)json_integer_value(json_object_get(doc, names[i]));
 	pthread_mutex_unlock(&en->lock);
+	standin_foreign_set(&en->foreign, req->body->str);
 	json_decref(doc);
 	return standin_text_response("{}");
 }
--- a/test/standin/http.h
+++ b/test/standin/http.h
@@ -31,6 +31,24 @@
 /** @return response whose body is a copy of the text */
 struct MHD_Response *standin_text_response(const char *text);
 
+/** Answers as a late second copy of another request's answer does. */
+struct standin_foreign {
+	/** Number of requests that get it. */
+	gint left;
+	unsigned int status;
+	/** Attempt that the answer names; empty: none. */
+	char attempt[40];
+	/** It says that the request was not executed. */
+	bool is_not_run;
+};
+
+/** Sets it from {"foreign","status","attempt","not_run"}. */
+void standin_foreign_set(struct standin_foreign *fo, const char *json);
+
+/** @return the answer if one is left, otherwise NULL; sets the status */
+struct MHD_Response *standin_foreign_take(
+    struct standin_foreign *fo, const char *type, unsigned int *status);
+
 /** Appends one line to the history file; does nothing without a path. Write
  * errors are ignored. */
 void standin_append_history(const char *path, const char *line);
--- a/test/standin/plain.c
+++ b/test/standin/plain.c
@@ -3,7 +3,8 @@
  * one booking and is appended to the history file.
  *
  * Faults: POST /fault {"cut","delay_ms"}: the next N calls run, but get no
- * response; all calls are delayed.
+ * response; all calls are delayed. {"foreign"}: the next N calls run, but get
+ * an answer of another request (http.h).
  */
 #include <jansson.h>
 #include <stdio.h>
@@ -18,6 +19,7 @@
 	/** The next N calls run, but get no response. */
 	gint cuts_left;
 	gint delay_ms;
+	struct standin_foreign foreign;
 };
 
 static void
@@ -30,6 +32,7 @@
 	g_atomic_int_set(&pl->delay_ms,
 	    (gint)json_integer_value(json_object_get(doc, "delay_ms")));
 	json_decref(doc);
+	standin_foreign_set(&pl->foreign, text);
 }
 
 static struct MHD_Response *
@@ -62,6 +65,9 @@
 		g_atomic_int_add(&pl->cuts_left, -1);
 		return NULL;
 	}
+	res = standin_foreign_take(&pl->foreign, "application/json", status);
+	if (res != NULL)
+		return res;
 	text = g_strdup_printf("{\"confirmed\":true,\"run\":%d}", run);
 	res = standin_text_response(text);
 	MHD_add_response_header(res, "Content-Type", "application/json");
