target: an answer counts only once it is known to be the attempt's

Callers saw an empty answer as a complete one, 502 for a sound request, and "did not run" for a booking that had run; a sound engine was marked as leaving. Cause: the id that an answer names was compared after its bytes had been used and after "Savoryflow-Ran: no" had been believed, and an answer without an id passed. Now the head decides: it names the attempt, or names none and is the first answer on its connection, which is then closed; otherwise the transfer ends without a byte passed on and the attempt counts as crossed. Load reports, orders and the probe after a cut take a connection of their own: they need not name an attempt, and an open connection said nothing about new ones.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -45,6 +45,8 @@
 mutant no_intent src/api/api_call.c 's/key != NULL \&\& !svc->idempotent/false/' $F 'Failures.AKeyedCall*'
 mutant pooled_connection src/serve/call_run.c 's/\.is_sent_once = .*/.is_sent_once = false,/' $F 'Failures.AKeyedCall*'
 mutant no_attempt_check src/savoryflow/call/stream.c 's/id == NULL \|\| strcmp\(id, st->attempt\) != 0/false/' $U 'Stream.*'
+mutant no_head_check src/target/target.c 's/return strcmp\(tr->echoed_attempt, own\) == 0;/return true;/' $F 'Failures.AnEngines*:Failures.ABooking*'
+mutant no_first_answer src/target/target.c 's/return connects > 0;/return true;/' $F 'Failures.AnEngines*'
 mutant no_resume src/savoryflow/call/stream.c 's/json_integer_value\(index\) < st->next_index/false/' $U 'Stream.*'
 mutant no_stall_check src/target/target.c 's/now_us - tr->progress_us > tr->stall_timeout_us/false/' $F 'Failures.CutSilent*'
 mutant no_local_share src/serve/grants.c 's/waited_us > timeout_us\) \{$/waited_us > 1000 * timeout_us) {/' $F 'Failures.FrozenArbiter*'
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -362,12 +362,10 @@
 static enum attempt_outcome
 classify_transfer(const struct call *c, const struct transfer_result *res)
 {
-	char own[32];
-
-	snprintf(own, sizeof(own), "%016" G_GINT64_MODIFIER "x", c->attempt);
 	if (c->is_revoked)
 		return kAttemptRevoked;
-	if (c->is_engine && c->stream.status == kStreamIdMismatch)
+	if (res->is_foreign ||
+	    (c->is_engine && c->stream.status == kStreamIdMismatch))
 		return kAttemptIdMismatch;
 	if (c->is_engine && c->stream.status == kStreamComplete)
 		return kAttemptComplete;
@@ -384,9 +382,6 @@
 	}
 	if (res->is_not_executed)
 		return kAttemptNotExecuted;
-	if (res->echoed_attempt[0] != '\0' &&
-	    strcmp(res->echoed_attempt, own) != 0)
-		return kAttemptIdMismatch;
 	if (res->status >= kHttpServerErrorFirst)
 		return kAttemptFailed;
 	/* A plain service's 4xx is its answer; an engine's is a rejection. */
@@ -521,6 +516,8 @@
 	    .method = "GET",
 	    .url = url,
 	    .stall_timeout_us = c->d->set->stall_timeout_ms * kUsPerMs,
+	    /* An open connection says nothing about new ones. */
+	    .is_sent_once = true,
 	    .ops = &probe_ops,
 	    .ctx = c,
 	};
--- a/src/serve/reports.c
+++ b/src/serve/reports.c
@@ -84,6 +84,9 @@
 	    .url = url,
 	    .body = g_bytes_new_take(text, strlen(text)),
 	    .stall_timeout_us = kReportTimeoutUs,
+	    /* Reports need not name the attempt: each has a connection of its
+	     * own. */
+	    .is_sent_once = true,
 	    .ops = &order_ops,
 	    .ctx = rep,
 	};
@@ -146,6 +149,9 @@
 	    .method = "GET",
 	    .url = url,
 	    .stall_timeout_us = kReportTimeoutUs,
+	    /* Reports need not name the attempt: each has a connection of its
+	     * own. */
+	    .is_sent_once = true,
 	    .ops = &report_ops,
 	    .ctx = rep,
 	};
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -21,6 +21,7 @@
 	 * middlebox may have dropped their state. */
 	kConnIdleMaxS = 20,
 	kConnAgeMaxS = 300,
+	kHttpFinalFirst = 200,
 	kHttpUnavailable = 503,
 };
 
@@ -43,6 +44,10 @@
 	int64_t progress_us;
 	bool is_sent_once;
 	bool is_aborted_by_reader;
+	/** Attempt id that the answer names, or empty. */
+	char echoed_attempt[32];
+	/** The head of the final status is complete. */
+	bool has_head;
 	struct transfer_result result;
 	const struct target_ops *ops;
 	void *ctx;
@@ -97,6 +102,34 @@
 	g_free(text);
 }
 
+static bool
+is_own_answer(struct transfer *tr)
+{
+	char own[32];
+	long connects = 0;
+
+	g_snprintf(own, sizeof(own), "%016" G_GINT64_MODIFIER "x", tr->attempt);
+	if (tr->echoed_attempt[0] != '\0')
+		return strcmp(tr->echoed_attempt, own) == 0;
+	/* Without an id only the first answer on a connection is certain, so
+	 * it must be the last one, too. */
+	curl_easy_setopt(tr->easy, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_getinfo(tr->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return connects > 0;
+}
+
+/* Called at the empty line that ends a head, also that of an interim status. */
+static bool
+accept_head(struct transfer *tr)
+{
+	long status = 0;
+
+	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &status);
+	tr->has_head = status >= kHttpFinalFirst;
+	tr->result.is_foreign = tr->has_head && !is_own_answer(tr);
+	return !tr->result.is_foreign;
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
@@ -106,11 +139,14 @@
 	struct transfer *tr = ctx;
 	size_t len = size * n;
 
+	if (tr->has_head)
+		return len;
+	if (len <= 2)
+		return accept_head(tr) ? len : 0;
 	if (len > sizeof(attempt) &&
 	    g_ascii_strncasecmp(data, attempt, sizeof(attempt) - 1) == 0)
-		header_copy(tr->result.echoed_attempt,
-		    sizeof(tr->result.echoed_attempt), data, len,
-		    sizeof(attempt) - 1);
+		header_copy(tr->echoed_attempt, sizeof(tr->echoed_attempt),
+		    data, len, sizeof(attempt) - 1);
 	if (len > sizeof(type) &&
 	    g_ascii_strncasecmp(data, type, sizeof(type) - 1) == 0)
 		header_copy(tr->result.content_type,
@@ -193,7 +229,7 @@
 {
 	tr->result.end = end;
 	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &tr->result.status);
-	if (tr->result.status != kHttpUnavailable)
+	if (tr->result.status != kHttpUnavailable || tr->result.is_foreign)
 		tr->result.is_not_executed = false;
 	curl_multi_remove_handle(tc->multi, tr->easy);
 	tr->ops->on_done(tr->ctx, tr->attempt, &tr->result);
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -20,8 +20,10 @@
 	enum transfer_end end;
 	/** HTTP status, 0 if none was received. */
 	long status;
-	/** Attempt id echoed by the target, or empty. */
-	char echoed_attempt[32];
+	/** The answer names another attempt, or names none and is not the first
+	 * one on its connection: it may be a late copy of another's. Neither
+	 * its bytes nor its status are passed on. */
+	bool is_foreign;
 	char content_type[64];
 	/** The target reports that it did not execute the request. */
 	bool is_not_executed;
