rows_http: a late copy of the store's answer is not the next call's

What callers saw is that of the tests listed red before this: an applied transaction told as a conflict ("did not run"), a refused one as applied, a present row as not found, a read's text as a job's input, and from then on each answer of the thread one call late. Cause: libcurl 7.88 uses a connection on which bytes wait, and nothing in an answer was compared with its call. Now a thread whose idle connection has bytes opens a new one; an answer other than 200 ends its connection; objects have a connection of their own; an answer that tells an older time than the last one, or equals it, is a copy, and so are rows of another table, partition or range. A copy makes a write ambiguous and a read is repeated once on a new connection; the first answer on a connection is always the call's own, so a store whose clock goes back costs one repetition. Cost: one connection more for each input stored as an object and after each answer other than 200. Not told apart: two answers without a time and of the same shape.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -68,4 +68,8 @@
 mutant no_relay src/gateway/slots_report.c 's/kDirectReportsMax = 100/kDirectReportsMax = 100000/' $U 'SlotsReport.*'
 mutant no_successor src/savoryflow/membership/contacts.c 's/find_successor\(self, peers\)\);/find_heaviest(self, peers, out));/' $U 'Contacts.*'
 mutant crossed_answer platform/dialect.c 's/strcmp\(echo, attempt_id\) == 0/true/' $U 'Dialect.Responses*'
+mutant unasked_bytes platform/rows_http.c 's/h != NULL \&\& has_unasked_bytes\(h\)/false/' $U 'RowsLate.ACopyOnAnIdle*'
+mutant copied_answer platform/rows_http.c 's/!call->is_first \&\& is_copy\(h, call, now_ms\)/false/' $U 'RowsLate.ACopyBefore*'
+mutant reused_after_error platform/rows_http.c 's/status >= kHttpOk \&\& status != kHttpOk/false/' $U 'RowsLate.ACopyBefore*'
+mutant rows_of_another platform/rows_client.c 's/return is_own;/return true;/' $U 'RowsLate.RowsOfAnother*'
 exit $failed
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -97,8 +97,8 @@
 	X(kEvtAttemptFailed, 1203, WARN, "attempt_failed",                     \
 	    "An attempt at a target failed; a retry may follow.")              \
 	X(kEvtAnswerCrossed, 1204, WARN, "answer_crossed",                     \
-	    "A target sent a response that belongs to another attempt; it "    \
-	    "was dropped.")                                                    \
+	    "A target or the store sent a response that belongs to another "   \
+	    "request; it was dropped.")                                        \
 	X(kEvtStreamResumed, 1205, INFO, "stream_resumed",                     \
 	    "A cut, stalled or revoked stream resumed at its token index.")    \
 	X(kEvtRequestCondemned, 1206, ERROR, "request_condemned",              \
--- a/test/platform/test_rows_late.cc
+++ b/test/platform/test_rows_late.cc
@@ -14,6 +14,7 @@
 struct RowsLate : ::testing::Test {
 	int64_t now_ms = 1000;
 	int64_t version = 10;
+	bool tells_time = true;
 	CopyingServer server{[this](const std::string &r) { return Reply(r); }};
 	struct store *st = rows_client_new(server.Address().c_str());
 
@@ -32,7 +33,9 @@
 	Json(json_t *doc)
 	{
 		json_object_set_new(doc, "row_version", json_integer(version));
-		json_object_set_new(doc, "now_ms", json_integer(now_ms));
+		if (tells_time)
+			json_object_set_new(
+			    doc, "now_ms", json_integer(now_ms));
 		char *out = json_dumps(doc, 0);
 		std::string text = out;
 
@@ -167,10 +170,19 @@
     {"get a", "put full", "unavailable", "ambiguous"},
 };
 
+/* Those that the rows alone tell apart. */
+const Case kRowCases[] = {
+    {"get a", "get b", "ok b", "unavailable"},
+    {"get a", "get new", "not_found", "unavailable"},
+    {"txn new", "get b", "ok b", "unavailable"},
+    {"get a", "txn a", "conflict", "ambiguous"},
+};
+
+template <size_t N>
 void
-ExpectOwnAnswers(RowsLate *t, Copy copy)
+ExpectOwnAnswers(RowsLate *t, Copy copy, const Case (&cases)[N])
 {
-	for (const Case &c : kCases) {
+	for (const Case &c : cases) {
 		std::string name = std::string(c.first) + ", " + c.second;
 
 		t->server.CopyNext(copy);
@@ -188,12 +200,18 @@
 
 TEST_F(RowsLate, ACopyOnAnIdleConnectionIsNotTheNextCallsAnswer)
 {
-	ExpectOwnAnswers(this, Copy::kIdle);
+	ExpectOwnAnswers(this, Copy::kIdle, kCases);
 }
 
 TEST_F(RowsLate, ACopyBeforeTheAnswerIsNotTakenForIt)
 {
-	ExpectOwnAnswers(this, Copy::kAfterNextRequest);
+	ExpectOwnAnswers(this, Copy::kAfterNextRequest, kCases);
+}
+
+TEST_F(RowsLate, RowsOfAnotherRangeAreNotTakenIfNoTimeIsTold)
+{
+	tells_time = false;
+	ExpectOwnAnswers(this, Copy::kAfterNextRequest, kRowCases);
 }
 
 TEST_F(RowsLate, WithoutACopyEachCallHasItsAnswer)
