jobs_forward: a peer's answer names the forwarded request

A caller whose daemon has lost the store got the results of another job, after a peer's answer had come twice on a connection in use again, and each caller after it got those of the one before. Cause: nothing in a peer's answer said to which request it belongs. Now each forwarded request carries an id of its own in the field that marked it as forwarded, the front repeats it in any answer, and an answer with another id or none ends the connection; the next peer is asked. While two versions run side by side, forwarded requests to the older one fail with 503.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -72,4 +72,5 @@
 mutant copied_answer platform/rows_http.c 's/!call->is_first \&\& is_copy\(h, call, now_ms\)/false/' $U 'RowsLate.ACopyBefore*'
 mutant reused_after_error platform/rows_http.c 's/status >= kHttpOk \&\& status != kHttpOk/false/' $U 'RowsLate.ACopyBefore*'
 mutant rows_of_another platform/rows_client.c 's/return is_own;/return true;/' $U 'RowsLate.RowsOfAnother*'
+mutant no_forward_id src/gateway/jobs_forward.c 's/g_strcmp0\(echo, fwd->attempt\) != 0/false/' $F 'Gateway.APeersAnswer*'
 exit $failed
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -28,6 +28,8 @@
 	kBodyMaxDefault = 8 * 1024 * 1024,
 };
 
+const char kFrontForwardedHeader[] = "Savoryflow-Forwarded";
+
 struct front {
 	struct front_options opt;
 	struct MHD_Daemon *mhd;
@@ -170,6 +172,9 @@
 static void
 add_headers(struct front_request *req, const struct header_list *headers)
 {
+	const char *forwarded =
+	    header_list_get(req->headers, kFrontForwardedHeader);
+
 	for (guint i = 0; headers != NULL && i < header_list_len(headers);
 	     i++) {
 		const struct header *h = header_list_at(headers, i);
@@ -180,6 +185,9 @@
 			MHD_add_response_header(
 			    req->response, h->name, h->value);
 	}
+	if (forwarded != NULL)
+		MHD_add_response_header(
+		    req->response, kFrontForwardedHeader, forwarded);
 	if (req->fr->is_closing)
 		MHD_add_response_header(req->response, "Connection", "close");
 }
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -6,6 +6,9 @@
 #include "gateway/dialect.h"
 #include "gateway/loop.h"
 
+/** Id of a request that a peer forwards; the answer repeats it. */
+extern const char kFrontForwardedHeader[];
+
 /** One request of a caller, from its head to the end of its answer. */
 struct front_request;
 
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -21,12 +21,11 @@
 	kHttpUnavailable = 503,
 };
 
-/* Marks a request forwarded by a peer, which is not forwarded again. */
-static const char kForwardedHeader[] = "Savoryflow-Forwarded";
-
 struct job_forward {
 	struct job_forward_options opt;
 	char *id;
+	/** Of the current attempt; the peer's answer repeats it. */
+	char attempt[20];
 	bool is_detached;
 	/** Front address of the current or last peer. */
 	char peer[kFleetAddressMax];
@@ -63,7 +62,14 @@
 {
 	struct job_forward *fwd = ctx;
 	const char *type = header_list_get(headers, "Content-Type");
+	const char *echo = header_list_get(headers, kFrontForwardedHeader);
 
+	/* Another one's, late, on a connection that is in use again. */
+	if (g_strcmp0(echo, fwd->attempt) != 0) {
+		log_event(kEvtAnswerCrossed, "target", fwd->peer, "end",
+		    "forwarded", (char *)NULL);
+		return false;
+	}
 	fwd->status = status;
 	if (type != NULL)
 		header_list_set(fwd->headers, "Content-Type", type);
@@ -152,7 +158,8 @@
 	case kOutboundInterrupted:
 	case kOutboundRefused:
 		fwd->may_have_executed = !is_read(fwd);
-		on_peer_done(fwd, false, "cut");
+		on_peer_done(fwd, false,
+		    outcome == kOutboundRefused ? "crossed" : "cut");
 		break;
 	}
 }
@@ -171,9 +178,9 @@
 static const struct outbound_ops forward_ops = {on_head, on_data, on_done};
 
 static struct header_list *
-forwarded_headers(const struct front_request *req)
+forwarded_headers(const struct job_forward *fwd)
 {
-	const struct header_list *from = front_headers(req);
+	const struct header_list *from = front_headers(fwd->opt.req);
 	struct header_list *headers = header_list_new();
 
 	for (guint i = 0; i < header_list_len(from); i++) {
@@ -182,7 +189,8 @@
 		if (!header_is_hop_by_hop(h->name))
 			header_list_add(headers, h->name, h->value);
 	}
-	header_list_add(headers, kForwardedHeader, "1");
+	/* Also tells the peer not to forward the request again. */
+	header_list_add(headers, kFrontForwardedHeader, fwd->attempt);
 	return headers;
 }
 
@@ -217,7 +225,9 @@
 	g_strlcpy(fwd->peer, peer, sizeof(fwd->peer));
 	fwd->peers_tried++;
 	reset_answer(fwd);
-	headers = forwarded_headers(req);
+	g_snprintf(fwd->attempt, sizeof(fwd->attempt), "%08x%08x",
+	    g_random_int(), g_random_int());
+	headers = forwarded_headers(fwd);
 	out.address = fwd->peer;
 	out.headers = headers;
 	fwd->request = outbound_start(js->opt.deps.outbound, &out);
@@ -232,7 +242,8 @@
 bool
 job_forward_is_allowed(const struct front_request *req)
 {
-	return header_list_get(front_headers(req), kForwardedHeader) == NULL;
+	return header_list_get(front_headers(req), kFrontForwardedHeader) ==
+	    NULL;
 }
 
 struct job_forward *
