--- /dev/null
+++ b/test/unit/test_store_http.cc
@@ -0,0 +1,150 @@
+/* A second copy of the store's answer, late, on a connection in use again. */
+#include "platform/late_copies.h"
+
+extern "C" {
+#include "store/store_http.h"
+}
+
+namespace
+{
+
+const char kCall[] = "Savoryflow-Call: ";
+
+/* Rows "t/p/a" and "t/p/b" exist; a transaction on the first one conflicts. */
+std::string
+Answer(const std::string &request, bool names_call)
+{
+	std::string status = "200";
+	std::string body = "{}";
+	size_t at = request.find(kCall);
+	std::string id;
+
+	if (at != std::string::npos && names_call)
+		id = request.substr(at, request.find("\r\n", at) + 2 - at);
+	if (request.find("GET /table/t/p/a ") == 0)
+		body = "{\"value\":\"a\",\"version\":1}";
+	else if (request.find("GET /table/t/p/b ") == 0)
+		body = "{\"value\":\"b\",\"version\":2}";
+	else if (request.find("GET /table/") == 0)
+		status = "404";
+	else if (request.find("GET /object/") == 0)
+		body = "object";
+	else if (request.find("t/p/a\"") != std::string::npos)
+		status = "409";
+	return "HTTP/1.1 " + status + " X\r\n" + id +
+	    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	    body;
+}
+
+struct StoreHttpLate : ::testing::Test {
+	bool names_call = true;
+	CopyingServer server{
+	    [this](const std::string &r) { return Answer(r, names_call); }};
+	std::string url = "http://" + server.Address();
+	struct store_http_options opt = {url.c_str(), 2000};
+	struct store *st = store_http_new(&opt);
+
+	~StoreHttpLate()
+	{
+		store_http_free(st);
+	}
+
+	std::string
+	Get(const std::string &key)
+	{
+		struct store_row row = {};
+		std::string text = store_result_text(
+		    st->ops->get(st->ctx, kCauseBatch, key.c_str(), &row));
+
+		if (row.value != nullptr)
+			text += std::string(" ") + row.value;
+		store_row_clear(&row);
+		return text;
+	}
+
+	std::string
+	Txn(const std::string &key)
+	{
+		struct store_txn *txn = store_txn_new();
+
+		store_txn_absent(txn, key.c_str());
+		store_txn_write(txn, key.c_str(), "v");
+		std::string text =
+		    store_result_text(st->ops->txn(st->ctx, kCauseBatch, txn));
+		store_txn_free(txn);
+		return text;
+	}
+
+	std::string
+	Object()
+	{
+		GBytes *data = nullptr;
+		std::string text = store_result_text(
+		    st->ops->get_object(st->ctx, kCauseBatch, "o", &data));
+		gsize len = 0;
+
+		if (data != nullptr) {
+			const char *s =
+			    (const char *)g_bytes_get_data(data, &len);
+
+			text += " " + std::string(s, len);
+			g_bytes_unref(data);
+		}
+		return text;
+	}
+
+	std::string
+	Call(const std::string &call)
+	{
+		if (call == "object")
+			return Object();
+		std::string key = "t/p/" + call.substr(4);
+		return call.substr(0, 3) == "get" ? Get(key) : Txn(key);
+	}
+
+	void
+	ExpectOwnAnswers(Copy copy)
+	{
+		const struct {
+			const char *first;
+			const char *second;
+			const char *expected;
+			const char *unknown;
+		} cases[] = {
+		    {"get a", "get b", "ok b", "ok b"},
+		    {"get a", "get new", "not_found", "not_found"},
+		    {"get new", "get b", "ok b", "ok b"},
+		    {"txn a", "get b", "ok b", "ok b"},
+		    {"get a", "txn a", "conflict", "ambiguous"},
+		    {"txn new", "txn a", "conflict", "ambiguous"},
+		    {"txn a", "txn new", "ok", "ambiguous"},
+		    {"get a", "object", "ok object", "ok object"},
+		};
+
+		for (const auto &c : cases) {
+			std::string name =
+			    std::string(c.first) + ", " + c.second;
+
+			server.CopyNext(copy);
+			Call(c.first);
+			if (copy == Copy::kIdle)
+				server.AwaitIdleCopy();
+			std::string got = Call(c.second);
+			EXPECT_TRUE(got == c.expected || got == c.unknown)
+			    << name << ": " << got;
+			EXPECT_EQ("ok a", Call("get a")) << name;
+			EXPECT_EQ("conflict", Call("txn a")) << name;
+		}
+	}
+};
+
+TEST_F(StoreHttpLate, ACopyIsNotTheNextCallsAnswer)
+{
+	for (bool names : {true, false}) {
+		names_call = names;
+		ExpectOwnAnswers(Copy::kIdle);
+		ExpectOwnAnswers(Copy::kAfterNextRequest);
+	}
+}
+
+} // namespace
