store_http: a late copy of an answer is not the next call's

Callers and daemons saw, on the product's own platform, what the test lists: a transaction that was not applied told as applied and the reverse, a row as not found or as another's. Cause: as for the users' platform, libcurl uses a connection on which bytes wait, and an answer said nothing of its call. The service is ours to define: each call has an id that the answer should repeat; an answer with another id ends the connection, and one without an id counts only as the first and last one on its connection. A write is then ambiguous, a read is repeated once. A service that repeats no id works as before, with a connection for each call.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -73,4 +73,6 @@
 mutant reused_after_error platform/rows_http.c 's/status >= kHttpOk \&\& status != kHttpOk/false/' $U 'RowsLate.ACopyBefore*'
 mutant rows_of_another platform/rows_client.c 's/return is_own;/return true;/' $U 'RowsLate.RowsOfAnother*'
 mutant no_forward_id src/gateway/jobs_forward.c 's/g_strcmp0\(echo, fwd->attempt\) != 0/false/' $F 'Gateway.APeersAnswer*'
+mutant no_call_id src/store/store_http.c 's/return strcmp\(reply->named, reply->call\) == 0;/return true;/' $U 'StoreHttpLate.*'
+mutant no_first_reply src/store/store_http.c 's/return connects > 0;/return true;/' $U 'StoreHttpLate.*'
 exit $failed
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -6,6 +6,9 @@
  * POST /txn {"if":[],"set":[]}    200 | 409
  * PUT  /object/KEY, GET /object/KEY
  * GET  /vms?since=N           200 {"cursor","vms":[{"address","state"}]}
+ *
+ * Each call has an id of its own, Savoryflow-Call; an answer should repeat it.
+ * A connection is used again only after an answer that did.
  */
 #include "store/store_http.h"
 
@@ -14,9 +17,11 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "log/log.h"
 #include "metric/metric.h"
 
 enum {
+	kHttpFinalFirst = 200,
 	kHttpOk = 200,
 	kHttpNotFound = 404,
 	kHttpConflict = 409,
@@ -35,6 +40,13 @@
 	long status;
 	CURLcode curl;
 	GByteArray *body;
+	CURL *easy;
+	/** Id of the call, and the one that the answer names, or empty. */
+	char call[20];
+	char named[20];
+	bool has_head;
+	/** The answer is one to another call; nothing of it is used. */
+	bool is_foreign;
 };
 
 struct http_request {
@@ -72,6 +84,46 @@
 	return size * n;
 }
 
+/* Without an id only the first answer on a connection is certain, so it must be
+ * the last one, too. */
+static bool
+is_own_answer(const struct http_reply *reply)
+{
+	long connects = 0;
+
+	if (reply->named[0] != '\0')
+		return strcmp(reply->named, reply->call) == 0;
+	curl_easy_setopt(reply->easy, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_getinfo(reply->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return connects > 0;
+}
+
+static size_t
+reply_header(char *data, size_t size, size_t n, void *ctx)
+{
+	static const char name[] = "Savoryflow-Call:";
+	struct http_reply *reply = ctx;
+	size_t len = size * n;
+	long status = 0;
+
+	if (reply->has_head)
+		return len;
+	if (len > sizeof(name) &&
+	    g_ascii_strncasecmp(data, name, sizeof(name) - 1) == 0) {
+		char *text = g_strndup(
+		    data + sizeof(name) - 1, len - (sizeof(name) - 1));
+
+		g_strlcpy(reply->named, g_strstrip(text), sizeof(reply->named));
+		g_free(text);
+	}
+	if (len > 2)
+		return len;
+	curl_easy_getinfo(reply->easy, CURLINFO_RESPONSE_CODE, &status);
+	reply->has_head = status >= kHttpFinalFirst;
+	reply->is_foreign = reply->has_head && !is_own_answer(reply);
+	return reply->is_foreign ? 0 : len;
+}
+
 static void
 count_bytes(CURL *h, enum store_cause cause)
 {
@@ -86,15 +138,19 @@
 }
 
 static void
-http_perform(struct store_http *sh, enum store_cause cause,
+perform_once(struct store_http *sh, enum store_cause cause,
     const struct http_request *req, const char *path, struct http_reply *reply)
 {
 	CURL *h = handle_get(sh);
 	char *url = g_strconcat(sh->url, path, NULL);
 	struct curl_slist *headers = NULL;
+	char line[64];
 
-	reply->body = g_byte_array_new();
-	reply->status = 0;
+	*reply = (struct http_reply){.body = g_byte_array_new(), .easy = h};
+	g_snprintf(reply->call, sizeof(reply->call), "%08x%08x", g_random_int(),
+	    g_random_int());
+	g_snprintf(line, sizeof(line), "Savoryflow-Call: %s", reply->call);
+	headers = curl_slist_append(headers, line);
 	headers = curl_slist_append(headers, "Expect:");
 	curl_easy_setopt(h, CURLOPT_URL, url);
 	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
@@ -103,6 +159,8 @@
 	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, (long)kConnectTimeoutMs);
 	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, reply_append);
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, reply);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, reply_header);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, reply);
 	if (req->method != NULL) {
 		curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, req->method);
 		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, (long)req->body_len);
@@ -114,6 +172,21 @@
 	count_bytes(h, cause);
 	curl_slist_free_all(headers);
 	g_free(url);
+	if (reply->is_foreign)
+		log_event(kEvtAnswerCrossed, "target", "store", "end", path,
+		    (char *)NULL);
+}
+
+static void
+http_perform(struct store_http *sh, enum store_cause cause,
+    const struct http_request *req, const char *path, struct http_reply *reply)
+{
+	perform_once(sh, cause, req, path, reply);
+	if (!reply->is_foreign || req->method != NULL)
+		return;
+	/* A read may be repeated; no copy waits on a new connection. */
+	g_byte_array_unref(reply->body);
+	perform_once(sh, cause, req, path, reply);
 }
 
 /* Only a refused connection or a 503 proves that nothing was applied. */
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -243,7 +243,7 @@
 }
 
 static struct MHD_Response *
-handle(void *ctx, struct standin_request *req, unsigned int *status)
+dispatch(void *ctx, struct standin_request *req, unsigned int *status)
 {
 	struct platform_server *ps = ctx;
 
@@ -270,6 +270,19 @@
 	return standin_text_response("{}");
 }
 
+/* An answer names the call that it belongs to. */
+static struct MHD_Response *
+handle(void *ctx, struct standin_request *req, unsigned int *status)
+{
+	struct MHD_Response *res = dispatch(ctx, req, status);
+	const char *call = MHD_lookup_connection_value(
+	    req->con, MHD_HEADER_KIND, "Savoryflow-Call");
+
+	if (res != NULL && call != NULL)
+		MHD_add_response_header(res, "Savoryflow-Call", call);
+	return res;
+}
+
 int
 standin_platform(int argc, char **argv)
 {
