--- a/test/unit/test_store_http.cc
+++ b/test/unit/test_store_http.cc
@@ -1,4 +1,4 @@
-/* A second copy of the store's answer, late, on a connection in use again. */
+/* Answers of the store that are late copies, or lack what they must tell. */
 #include "platform/late_copies.h"
 
 extern "C" {
@@ -138,6 +138,84 @@
 	}
 };
 
+/* What is missing is not 0, live or empty. */
+TEST(StoreHttpMalformed, AnAnswerThatLacksAFieldIsUnavailable)
+{
+	const struct {
+		const char *call;
+		const char *body;
+		bool is_sound;
+		/* Of those listed; an entry of the VM list that cannot be read
+		 * is left out. */
+		guint count;
+	} cases[] = {
+	    {"get", "{\"value\":\"x\",\"version\":3}", true},
+	    {"get", "{\"value\":\"x\"}", false},
+	    {"get", "{\"value\":\"x\",\"version\":\"3\"}", false},
+	    {"get", "{\"version\":3}", false},
+	    {"get", "[]", false},
+	    {"scan", "[{\"key\":\"k\",\"value\":\"x\",\"version\":3}]", true,
+		1},
+	    {"scan", "[]", true},
+	    {"scan", "[{\"value\":\"x\",\"version\":3}]", false},
+	    {"scan", "[{\"key\":\"k\",\"version\":3}]", false},
+	    {"scan", "[{\"key\":\"k\",\"value\":\"x\"}]", false},
+	    {"scan", "[7]", false},
+	    {"scan", "{}", false},
+	    {"vms",
+		"{\"cursor\":9,\"vms\":[{\"address\":\"a\",\"state\":\"gone\"}]"
+		"}",
+		true, 1},
+	    {"vms", "{\"cursor\":9,\"vms\":[]}", true},
+	    {"vms", "{\"vms\":[]}", false},
+	    {"vms", "{\"cursor\":\"9\",\"vms\":[]}", false},
+	    {"vms", "{\"cursor\":9}", false},
+	    {"vms", "{\"cursor\":9,\"vms\":[{\"state\":\"gone\"}]}", true, 0},
+	    {"vms", "{\"cursor\":9,\"vms\":[{\"address\":\"a\"}]}", true, 0},
+	    {"vms",
+		"{\"cursor\":9,\"vms\":[{\"address\":\"a\",\"state\":\"odd\"},"
+		"{\"address\":\"b\",\"state\":\"live\"}]}",
+		true, 1},
+	    {"vms", "no JSON", false},
+	};
+	std::string body;
+	CopyingServer server([&](const std::string &) {
+		return CopyingServer::Http(200, body);
+	});
+	std::string url = "http://" + server.Address();
+	struct store_http_options opt = {url.c_str(), 2000};
+	struct store *st = store_http_new(&opt);
+
+	for (const auto &c : cases) {
+		struct store_row row = {};
+		GPtrArray *list = nullptr;
+		int64_t cursor = 5;
+		enum store_result res;
+
+		body = c.body;
+		if (std::string(c.call) == "get")
+			res = st->ops->get(st->ctx, kCauseBatch, "k", &row);
+		else if (std::string(c.call) == "scan")
+			res = st->ops->scan(
+			    st->ctx, kCauseBatch, "", nullptr, 9, &list);
+		else
+			res = st->ops->vms(st->ctx, &cursor, &list);
+		EXPECT_EQ(c.is_sound ? kStoreOk : kStoreUnavailable, res)
+		    << c.call << " " << c.body;
+		EXPECT_EQ(
+		    c.is_sound && std::string(c.call) == "vms" ? 9 : 5, cursor)
+		    << c.call << " " << c.body;
+		EXPECT_EQ(c.is_sound && row.key == nullptr, list != nullptr)
+		    << c.call << " " << c.body;
+		EXPECT_EQ(c.count, list != nullptr ? list->len : 0)
+		    << c.call << " " << c.body;
+		store_row_clear(&row);
+		if (list != nullptr)
+			g_ptr_array_unref(list);
+	}
+	store_http_free(st);
+}
+
 TEST_F(StoreHttpLate, ACopyIsNotTheNextCallsAnswer)
 {
 	for (bool names : {true, false}) {
