store_http: what an answer lacks is not 0, live or empty

A daemon on the product's own platform ended when an entry of the VM list had no address, took a VM of an unknown state for a live one, read the whole list again when the cursor was missing, and compared a missing version as 0. Cause: the decoder took json_integer_value of nothing. Now a row without key, value or an integer version makes the read unavailable (left out, it would be taken for one that does not exist), and so does a list without cursor; an entry of the VM list that cannot be read is skipped with row_unreadable.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -75,4 +75,5 @@
 mutant no_forward_id src/gateway/jobs_forward.c 's/g_strcmp0\(echo, fwd->attempt\) != 0/false/' $F 'Gateway.APeersAnswer*'
 mutant no_call_id src/store/store_http.c 's/return strcmp\(reply->named, reply->call\) == 0;/return true;/' $U 'StoreHttpLate.*'
 mutant no_first_reply src/store/store_http.c 's/return connects > 0;/return true;/' $U 'StoreHttpLate.*'
+mutant missing_is_zero src/store/store_http.c 's/ \&\& json_is_integer\(version\)\)/)/; s/json_is_integer\(next\) \&\& //' $U 'StoreHttpMalformed.*'
 exit $failed
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -251,12 +251,13 @@
 		const char *value =
 		    json_string_value(json_object_get(doc, "value"));
 
-		row->key = g_strdup(key);
-		row->value = g_strdup(value);
-		row->version =
-		    json_integer_value(json_object_get(doc, "version"));
-		if (value == NULL) {
-			store_row_clear(row);
+		const json_t *version = json_object_get(doc, "version");
+
+		if (value != NULL && json_is_integer(version)) {
+			row->key = g_strdup(key);
+			row->value = g_strdup(value);
+			row->version = json_integer_value(version);
+		} else {
 			res = kStoreUnavailable;
 		}
 		json_decref(doc);
@@ -267,26 +268,34 @@
 	return res;
 }
 
+/* @return NULL if it is not a list of complete rows: a row that is left out
+ * would be taken for one that does not exist */
 static GPtrArray *
 rows_from_json(const json_t *doc)
 {
 	GPtrArray *rows = store_rows_new();
+	bool is_sound = json_is_array(doc);
 	json_t *elem;
 	size_t i;
 
 	json_array_foreach(doc, i, elem)
 	{
+		const json_t *version = json_object_get(elem, "version");
 		struct store_row *row = g_new0(struct store_row, 1);
 
 		row->key =
 		    g_strdup(json_string_value(json_object_get(elem, "key")));
 		row->value =
 		    g_strdup(json_string_value(json_object_get(elem, "value")));
-		row->version =
-		    json_integer_value(json_object_get(elem, "version"));
+		row->version = json_integer_value(version);
 		g_ptr_array_add(rows, row);
+		is_sound = is_sound && row->key != NULL && row->value != NULL &&
+		    json_is_integer(version);
 	}
-	return rows;
+	if (is_sound)
+		return rows;
+	g_ptr_array_unref(rows);
+	return NULL;
 }
 
 static enum store_result
@@ -306,9 +315,8 @@
 	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
 
-		if (json_is_array(doc))
-			*rows = rows_from_json(doc);
-		else
+		*rows = rows_from_json(doc);
+		if (*rows == NULL)
 			res = kStoreUnavailable;
 		json_decref(doc);
 	}
@@ -436,16 +444,22 @@
 	return -1;
 }
 
-static enum store_vm_state
-vm_state_from_text(const char *text)
+static bool
+vm_state_from_text(const char *text, enum store_vm_state *state)
 {
-	if (g_strcmp0(text, "leaving") == 0)
-		return kVmLeaving;
-	if (g_strcmp0(text, "gone") == 0)
-		return kVmGone;
-	return kVmLive;
+	static const char *const names[] = {
+	    [kVmLive] = "live", [kVmLeaving] = "leaving", [kVmGone] = "gone"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (g_strcmp0(text, names[i]) != 0)
+			continue;
+		*state = (enum store_vm_state)i;
+		return true;
+	}
+	return false;
 }
 
+/* An entry of an unknown state says nothing about its VM. */
 static GPtrArray *
 vms_from_json(const json_t *list)
 {
@@ -455,12 +469,22 @@
 
 	json_array_foreach(list, i, elem)
 	{
-		struct store_vm *vm = g_new0(struct store_vm, 1);
-
-		vm->address = g_strdup(
-		    json_string_value(json_object_get(elem, "address")));
-		vm->state = vm_state_from_text(
-		    json_string_value(json_object_get(elem, "state")));
+		const char *address =
+		    json_string_value(json_object_get(elem, "address"));
+		const char *text =
+		    json_string_value(json_object_get(elem, "state"));
+		enum store_vm_state state;
+		struct store_vm *vm;
+
+		if (address == NULL || !vm_state_from_text(text, &state)) {
+			log_event(kEvtRowUnreadable, "table", "vms", "key",
+			    address != NULL ? address : "", "error",
+			    "no address or unknown state", (char *)NULL);
+			continue;
+		}
+		vm = g_new0(struct store_vm, 1);
+		vm->address = g_strdup(address);
+		vm->state = state;
 		g_ptr_array_add(vms, vm);
 	}
 	return vms;
@@ -478,9 +502,15 @@
 	res = read_result(&reply);
 	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
+		const json_t *next = json_object_get(doc, "cursor");
+		const json_t *list = json_object_get(doc, "vms");
 
-		*cursor = json_integer_value(json_object_get(doc, "cursor"));
-		*vms = vms_from_json(json_object_get(doc, "vms"));
+		if (json_is_integer(next) && json_is_array(list)) {
+			*cursor = json_integer_value(next);
+			*vms = vms_from_json(list);
+		} else {
+			res = kStoreUnavailable;
+		}
 		json_decref(doc);
 	}
 	g_byte_array_unref(reply.body);
