slots_wire: only the arbiter that is asked answers a request

Callers could be refused by an arbiter that had been given up, or their request was sent to a target whose slot had been given back meanwhile, beyond its slots. Cause: a request keeps its id when a second arbiter is asked, and an answer was matched by the id alone. Now an answer to a request without a grant counts only if it comes from the arbiter that is asked; another's grant is given back to it. Answers to a granted request count from any arbiter as before: one that is new may adopt the slot before its epoch is known here.

--- a/src/gateway/slots_wire.c
+++ b/src/gateway/slots_wire.c
@@ -109,6 +109,28 @@
 	slots_deliver(sl, &del);
 }
 
+/*
+ * A request keeps its id when another arbiter is asked. Once granted, it may be
+ * adopted by an arbiter that this daemon does not know yet.
+ */
+static bool
+is_of_arbiter(const struct hold *h, const char *from)
+{
+	return h->granted_us != 0 || strcmp(h->arbiter, from) == 0;
+}
+
+static void
+on_answer(struct slots *sl, const char *from, const Sfpeer__SlotAnswer *wire)
+{
+	uint64_t id = wire->id;
+	const struct hold *h = g_hash_table_lookup(sl->holds, &id);
+
+	if (h != NULL && is_of_arbiter(h, from))
+		deliver_wire(sl, wire);
+	else if (wire->verdict == kSlotGranted)
+		release_unclaimed(sl, from, wire);
+}
+
 void
 slots_on_envelope(struct slots *sl, const Sfpeer__Envelope *env)
 {
@@ -120,14 +142,6 @@
 		slots_host_on_request(sl, env->from, env->slot_asks[i]);
 	if (env->n_slot_answers > 0 || env->n_pool_loads > 0)
 		slots_record_contact(sl, env->from);
-	for (size_t i = 0; i < env->n_slot_answers; i++) {
-		const Sfpeer__SlotAnswer *wire = env->slot_answers[i];
-		uint64_t id = wire->id;
-
-		if (wire->verdict == kSlotGranted &&
-		    !g_hash_table_contains(sl->holds, &id))
-			release_unclaimed(sl, env->from, wire);
-		else
-			deliver_wire(sl, wire);
-	}
+	for (size_t i = 0; i < env->n_slot_answers; i++)
+		on_answer(sl, env->from, env->slot_answers[i]);
 }
