quota: only the daemon that is asked answers for a job's tokens

A submission could be refused by a daemon that had been given up as a counter, and the failure of that one kept the daemon away from the one asked now for a while. Cause: an ask keeps its id when another daemon is asked, and an answer was matched by the id alone. A wrong grant took no effect before: its fence is checked by the store.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -77,4 +77,5 @@
 mutant no_first_reply src/store/store_http.c 's/return connects > 0;/return true;/' $U 'StoreHttpLate.*'
 mutant missing_is_zero src/store/store_http.c 's/ \&\& json_is_integer\(version\)\)/)/; s/json_is_integer\(next\) \&\& //' $U 'StoreHttpMalformed.*'
 mutant any_arbiter src/gateway/slots_wire.c 's/strcmp\(h->arbiter, from\) == 0/true/' $U 'SlotsAnswers.*'
+mutant any_counter src/gateway/quota.c 's/return qw != NULL \&\& strcmp\(qw->counter, from\) == 0;/return true;/' $U 'QuotaAnswers.*'
 exit $failed
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -405,6 +405,15 @@
 	quota_host_ask(qt, wire->route, &ask);
 }
 
+/* An ask keeps its id when another daemon is asked. */
+static bool
+is_counter(const struct quota *qt, uint64_t id, const char *from)
+{
+	const struct quota_wait *qw = g_hash_table_lookup(qt->waits, &id);
+
+	return qw != NULL && strcmp(qw->counter, from) == 0;
+}
+
 void
 quota_on_envelope(struct quota *qt, const Sfpeer__Envelope *env)
 {
@@ -421,6 +430,7 @@
 		    .retry_after_us = wire->retry_after_us,
 		};
 
-		handle_answer(qt, wire->id, &answer);
+		if (is_counter(qt, wire->id, env->from))
+			handle_answer(qt, wire->id, &answer);
 	}
 }
