Tests: a daemon that has had no answer of the store

Its row may stand, as only the answer to the write was lost. The test fails on this code: what such a daemon says of itself, that it cannot reach the store, is ignored, so it is elected to count tokens and gets forwarded requests.

--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -307,6 +307,29 @@
 	EXPECT_EQ(nullptr, roster_session_address(ro, "unknown"));
 }
 
+/* Its row was written, but the answer was lost: it has had none so far. */
+TEST_F(Roster, ADaemonThatNeverHeardTheStoreIsNotTakenToReachIt)
+{
+	contact heard = {};
+
+	Apply({{"a", {"dc1", "s1"}}}, 0);
+	heard.session = roster_session_hash("s1");
+	heard.beat_us = kSec;
+	roster_record_contact(ro, &heard);
+	EXPECT_STREQ("a", roster_front_reaching_store(ro, "", kSec))
+	    << "nothing is known";
+	heard.is_store_unreachable = true;
+	roster_record_contact(ro, &heard);
+	EXPECT_EQ(nullptr, roster_front_reaching_store(ro, "", kSec));
+	for (const char *key : {"k0", "k1", "k2", "k3", "k4", "k5", "k6"})
+		EXPECT_STREQ(
+		    "self", roster_owner_reaching_store(ro, key, kSec));
+	heard.is_store_unreachable = false;
+	heard.store_answered_us = kSec;
+	roster_record_contact(ro, &heard);
+	EXPECT_STREQ("a", roster_front_reaching_store(ro, "", kSec));
+}
+
 TEST_F(Roster, RolesThatNeedTheStoreGoToDaemonsThatReachIt)
 {
 	roster_store_status cut_off = {true, kSec};
