roster: who says that it has had no answer of the store does not reach it

Requests about jobs were forwarded to such a daemon, and it was elected to count tokens, so callers waited for a second peer or got 503. Cause: 0, the unknown time of the store's last answer, made its neighbours ignore the whole word about the store, and who nothing is known of is taken to reach it. It comes about when only the answer to the write of its row is lost. Now the unknown time is left out and the word counts.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -78,4 +78,5 @@
 mutant missing_is_zero src/store/store_http.c 's/ \&\& json_is_integer\(version\)\)/)/; s/json_is_integer\(next\) \&\& //' $U 'StoreHttpMalformed.*'
 mutant any_arbiter src/gateway/slots_wire.c 's/strcmp\(h->arbiter, from\) == 0/true/' $U 'SlotsAnswers.*'
 mutant any_counter src/gateway/quota.c 's/return qw != NULL \&\& strcmp\(qw->counter, from\) == 0;/return true;/' $U 'QuotaAnswers.*'
+mutant unknown_reaches src/gateway/roster.c 's/store_answered_us != 0 \|\| contact->is_store_unreachable/store_answered_us != 0/' $U 'Roster.ADaemonThatNever*'
 exit $failed
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -266,10 +266,11 @@
 		m->is_leaving = true;
 		ro->epoch++;
 	}
-	if (contact->store_answered_us == 0)
-		return;
-	m->is_store_unreachable = contact->is_store_unreachable;
-	m->store_answered_us = contact->store_answered_us;
+	/* Who has had no answer yet knows only that it has none. */
+	if (contact->store_answered_us != 0)
+		m->store_answered_us = contact->store_answered_us;
+	if (contact->store_answered_us != 0 || contact->is_store_unreachable)
+		m->is_store_unreachable = contact->is_store_unreachable;
 }
 
 bool
