Tests: copies on an idle connection also where no time is told

The test now runs all pairs a second time without one; only the look at the idle connection helps there.

--- a/test/platform/test_rows_late.cc
+++ b/test/platform/test_rows_late.cc
@@ -200,7 +200,10 @@
 
 TEST_F(RowsLate, ACopyOnAnIdleConnectionIsNotTheNextCallsAnswer)
 {
-	ExpectOwnAnswers(this, Copy::kIdle, kCases);
+	for (bool tells : {true, false}) {
+		tells_time = tells;
+		ExpectOwnAnswers(this, Copy::kIdle, kCases);
+	}
 }
 
 TEST_F(RowsLate, ACopyBeforeTheAnswerIsNotTakenForIt)
