--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -6,6 +6,9 @@
  * POST /txn {"if":[],"set":[]}    200 | 409
  * PUT  /object/KEY, GET /object/KEY
  * GET  /vms?since=N           200 {"cursor","vms":[{"address","state"}]}
+ *
+ * Each call has an id of its own, Savoryflow-Call; an answer should repeat it.
+ * A connection is used again only after an answer that did.
  */
 #include "store/store_http.h"
 
@@ -14,9 +17,11 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "log/log.h"
 #include "metric/metric.h"
 
 enum {
+	kHttpFinalFirst = 200,
 	kHttpOk = 200,
 	kHttpNotFound = 404,
 	kHttpConflict = 409,
@@ -35,6 +40,13 @@
 	long status;
 	CURLcode curl;
 	GByteArray *body;
+	CURL *easy;
+	/** Id of the call, and the one that the answer names, or empty. */
+	char call[20];
+	char named[20];
+	bool has_head;
+	/** The answer is one to another call; nothing of it is used. */
+	bool is_foreign;
 };
 
 struct http_request {
@@ -72,6 +84,46 @@
 	return size * n;
 }
 
+/* Without an id only the first answer on a connection is certain, so it must be
+ * the last one, too. */
+static bool
+is_own_answer(const struct http_reply *reply)
+{
+	long connects = 0;
+
+	if (reply->named[0] != '\0')
+		return strcmp(reply->named, reply->call) == 0;
+	curl_easy_setopt(reply->easy, CURLOPT_FORBID_REUSE, 1L);
+	curl_easy_getinfo(reply->easy, CURLINFO_NUM_CONNECTS, &connects);
+	return connects > 0;
+}
+
+static size_t
+reply_header(char *data, size_t size, size_t n, void *ctx)
+{
+	static const char name[] = "Savoryflow-Call:";
+	struct http_reply *reply = ctx;
+	size_t len = size * n;
+	long status = 0;
+
+	if (reply->has_head)
+		return len;
+	if (len > sizeof(name) &&
+	    g_ascii_strncasecmp(data, name, sizeof(name) - 1) == 0) {
+		char *text = g_strndup(
+		    data + sizeof(name) - 1, len - (sizeof(name) - 1));
+
+		g_strlcpy(reply->named, g_strstrip(text), sizeof(reply->named));
+		g_free(text);
+	}
+	if (len > 2)
+		return len;
+	curl_easy_getinfo(reply->easy, CURLINFO_RESPONSE_CODE, &status);
+	reply->has_head = status >= kHttpFinalFirst;
+	reply->is_foreign = reply->has_head && !is_own_answer(reply);
+	return reply->is_foreign ? 0 : len;
+}
+
 static void
 count_bytes(CURL *h, enum store_cause cause)
 {
@@ -86,15 +138,19 @@
 }
 
 static void
-http_perform(struct store_http *sh, enum store_cause cause,
+perform_once(struct store_http *sh, enum store_cause cause,
     const struct http_request *req, const char *path, struct http_reply *reply)
 {
 	CURL *h = handle_get(sh);
 	char *url = g_strconcat(sh->url, path, NULL);
 	struct curl_slist *headers = NULL;
+	char line[64];
 
-	reply->body = g_byte_array_new();
-	reply->status = 0;
+	*reply = (struct http_reply){.body = g_byte_array_new(), .easy = h};
+	g_snprintf(reply->call, sizeof(reply->call), "%08x%08x", g_random_int(),
+	    g_random_int());
+	g_snprintf(line, sizeof(line), "Savoryflow-Call: %s", reply->call);
+	headers = curl_slist_append(headers, line);
 	headers = curl_slist_append(headers, "Expect:");
 	curl_easy_setopt(h, CURLOPT_URL, url);
 	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
@@ -103,6 +159,8 @@
 	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, (long)kConnectTimeoutMs);
 	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, reply_append);
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, reply);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, reply_header);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, reply);
 	if (req->method != NULL) {
 		curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, req->method);
 		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, (long)req->body_len);
@@ -114,6 +172,21 @@
 	count_bytes(h, cause);
 	curl_slist_free_all(headers);
 	g_free(url);
+	if (reply->is_foreign)
+		log_event(kEvtAnswerCrossed, "target", "store", "end", path,
+		    (char *)NULL);
+}
+
+static void
+http_perform(struct store_http *sh, enum store_cause cause,
+    const struct http_request *req, const char *path, struct http_reply *reply)
+{
+	perform_once(sh, cause, req, path, reply);
+	if (!reply->is_foreign || req->method != NULL)
+		return;
+	/* A read may be repeated; no copy waits on a new connection. */
+	g_byte_array_unref(reply->body);
+	perform_once(sh, cause, req, path, reply);
 }
 
 /* Only a refused connection or a 503 proves that nothing was applied. */
@@ -178,12 +251,13 @@
 		const char *value =
 		    json_string_value(json_object_get(doc, "value"));
 
-		row->key = g_strdup(key);
-		row->value = g_strdup(value);
-		row->version =
-		    json_integer_value(json_object_get(doc, "version"));
-		if (value == NULL) {
-			store_row_clear(row);
+		const json_t *version = json_object_get(doc, "version");
+
+		if (value != NULL && json_is_integer(version)) {
+			row->key = g_strdup(key);
+			row->value = g_strdup(value);
+			row->version = json_integer_value(version);
+		} else {
 			res = kStoreUnavailable;
 		}
 		json_decref(doc);
@@ -194,26 +268,34 @@
 	return res;
 }
 
+/* @return NULL if it is not a list of complete rows: a row that is left out
+ * would be taken for one that does not exist */
 static GPtrArray *
 rows_from_json(const json_t *doc)
 {
 	GPtrArray *rows = store_rows_new();
+	bool is_sound = json_is_array(doc);
 	json_t *elem;
 	size_t i;
 
 	json_array_foreach(doc, i, elem)
 	{
+		const json_t *version = json_object_get(elem, "version");
 		struct store_row *row = g_new0(struct store_row, 1);
 
 		row->key =
 		    g_strdup(json_string_value(json_object_get(elem, "key")));
 		row->value =
 		    g_strdup(json_string_value(json_object_get(elem, "value")));
-		row->version =
-		    json_integer_value(json_object_get(elem, "version"));
+		row->version = json_integer_value(version);
 		g_ptr_array_add(rows, row);
+		is_sound = is_sound && row->key != NULL && row->value != NULL &&
+		    json_is_integer(version);
 	}
-	return rows;
+	if (is_sound)
+		return rows;
+	g_ptr_array_unref(rows);
+	return NULL;
 }
 
 static enum store_result
@@ -233,9 +315,8 @@
 	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
 
-		if (json_is_array(doc))
-			*rows = rows_from_json(doc);
-		else
+		*rows = rows_from_json(doc);
+		if (*rows == NULL)
 			res = kStoreUnavailable;
 		json_decref(doc);
 	}
@@ -363,16 +444,22 @@
 	return false;
 }
 
-static enum store_vm_state
-vm_state_from_text(const char *text)
+static bool
+vm_state_from_text(const char *text, enum store_vm_state *state)
 {
-	if (g_strcmp0(text, "leaving") == 0)
-		return kVmLeaving;
-	if (g_strcmp0(text, "gone") == 0)
-		return kVmGone;
-	return kVmLive;
+	static const char *const names[] = {
+	    [kVmLive] = "live", [kVmLeaving] = "leaving", [kVmGone] = "gone"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (g_strcmp0(text, names[i]) != 0)
+			continue;
+		*state = (enum store_vm_state)i;
+		return true;
+	}
+	return false;
 }
 
+/* An entry of an unknown state says nothing about its VM. */
 static GPtrArray *
 vms_from_json(const json_t *list)
 {
@@ -382,12 +469,22 @@
 
 	json_array_foreach(list, i, elem)
 	{
-		struct store_vm *vm = g_new0(struct store_vm, 1);
-
-		vm->address = g_strdup(
-		    json_string_value(json_object_get(elem, "address")));
-		vm->state = vm_state_from_text(
-		    json_string_value(json_object_get(elem, "state")));
+		const char *address =
+		    json_string_value(json_object_get(elem, "address"));
+		const char *text =
+		    json_string_value(json_object_get(elem, "state"));
+		enum store_vm_state state;
+		struct store_vm *vm;
+
+		if (address == NULL || !vm_state_from_text(text, &state)) {
+			log_event(kEvtRowUnreadable, "table", "vms", "key",
+			    address != NULL ? address : "", "error",
+			    "no address or unknown state", (char *)NULL);
+			continue;
+		}
+		vm = g_new0(struct store_vm, 1);
+		vm->address = g_strdup(address);
+		vm->state = state;
 		g_ptr_array_add(vms, vm);
 	}
 	return vms;
@@ -405,9 +502,15 @@
 	res = read_result(&reply);
 	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
+		const json_t *next = json_object_get(doc, "cursor");
+		const json_t *list = json_object_get(doc, "vms");
 
-		*cursor = json_integer_value(json_object_get(doc, "cursor"));
-		*vms = vms_from_json(json_object_get(doc, "vms"));
+		if (json_is_integer(next) && json_is_array(list)) {
+			*cursor = json_integer_value(next);
+			*vms = vms_from_json(list);
+		} else {
+			res = kStoreUnavailable;
+		}
 		json_decref(doc);
 	}
 	g_byte_array_unref(reply.body);
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -6,8 +6,9 @@
  *
  * Faults: POST /fault {"cut","stall","cross","die"}: the next N streams are
  * cut, stall, or carry another attempt's id after three tokens, or end the
- * process once their prefill is complete. A prompt that contains CRASH always
- * does; one that contains REJECT is answered with 400.
+ * process once their prefill is complete; {"foreign"}: the next N streams are
+ * not run and get an answer of another request (http.h). A prompt that contains
+ * CRASH always ends the process; one that contains REJECT is answered with 400.
  */
 #include <inttypes.h>
 #include <jansson.h>
@@ -61,6 +62,7 @@
 	GPtrArray *streams;
 	GHashTable *cache;
 	int32_t faults[kDie + 1];
+	struct standin_foreign foreign;
 	bool is_leaving;
 	int64_t fence;
 	char model[64];
@@ -320,6 +322,11 @@
 		*status = 400;
 		return standin_text_response("{\"error\":\"rejected\"}");
 	}
+	res = standin_foreign_take(&en->foreign, "text/event-stream", status);
+	if (res != NULL) {
+		json_decref(doc);
+		return res;
+	}
 	pthread_mutex_lock(&en->lock);
 	if (en->is_leaving) {
 		pthread_mutex_unlock(&en->lock);
@@ -400,6 +407,7 @@
 		en->faults[i] =
 		    (int32_t)json_integer_value(json_object_get(doc, names[i]));
 	pthread_mutex_unlock(&en->lock);
+	standin_foreign_set(&en->foreign, req->body->str);
 	json_decref(doc);
 	return standin_text_response("{}");
 }
