--- a/test/unit/test_store_http.cc
+++ b/test/unit/test_store_http.cc
@@ -38,8 +38,15 @@
 
 struct StoreHttpLate : ::testing::Test {
 	bool names_call = true;
-	CopyingServer server{
-	    [this](const std::string &r) { return Answer(r, names_call); }};
+	/* Body of the next answer, which names no call. */
+	std::string stray;
+	CopyingServer server{[this](const std::string &r) {
+		std::string body;
+
+		stray.swap(body);
+		return body.empty() ? Answer(r, names_call)
+				    : CopyingServer::Http(200, body);
+	}};
 	std::string url = "http://" + server.Address();
 	struct store_http_options opt = {url.c_str(), 2000};
 	struct store *st = store_http_new(&opt);
@@ -225,4 +232,15 @@
 	}
 }
 
+/* As of something between the daemon and the store. */
+TEST_F(StoreHttpLate, AnAnswerWithoutAnIdIsNotTakenOnAUsedConnection)
+{
+	EXPECT_EQ("ok a", Call("get a"));
+	stray = "{\"value\":\"a\",\"version\":1}";
+	EXPECT_EQ("ok b", Call("get b"));
+	stray = "{}";
+	EXPECT_EQ("ambiguous", Call("txn a"));
+	EXPECT_EQ("conflict", Call("txn a"));
+}
+
 } // namespace
