Mutants for answers of another request; the refusal's copy arrives in time

Cause: in the test of another's refusal the copy came before the callers' requests, so that only the check of idle connections was tested: two of the new mutants, refusal_without_id and no_refusal_doubt, passed it. Change: the callers' requests are sent as soon as the refusal is logged, the copy comes 100 ms after it, and the test expects the line that tells of it, in each of three cases.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -66,4 +66,9 @@
 mutant no_relay src/gateway/slots_report.c 's/kDirectReportsMax = 100/kDirectReportsMax = 100000/' $U 'SlotsReport.*'
 mutant no_successor src/savoryflow/membership/contacts.c 's/find_successor\(self, peers\)\);/find_heaviest(self, peers, out));/' $U 'Contacts.*'
 mutant crossed_answer platform/dialect.c 's/strcmp\(echo, attempt_id\) == 0/true/' $U 'Dialect.Responses*'
+mutant failure_without_id src/gateway/answer.c 's/return kAnswerForeign;/return lacks_attempt ? kAnswerOwn : kAnswerForeign;/' $F 'GatewaySurplus.AnItem*:GatewaySurplus.ACallerGetsNoFailure*'
+mutant refusal_without_id src/gateway/answer.c 's/is_first \? kAnswerOwn : kAnswerUnproven/kAnswerOwn/' $F 'GatewaySurplus.ACallerIsNotTold*'
+mutant no_refusal_doubt src/gateway/relay.c 's/rl->has_unproven_refusal = true;//' $F 'GatewaySurplus.ACallerIsNotTold*'
+mutant unread_bytes src/gateway/outbound.c 's/if \(input == kSocketQuiet\)/if (true)/' $F 'GatewaySurplus.BytesThat*'
+mutant second_status_line src/gateway/outbound.c 's/if \(is_head_mixed\(req, data, len\)\)/if (false)/' $F 'GatewaySurplus.ACallerGetsNoAnswerWithPart*'
 exit $failed
--- a/test/functional/test_gateway_surplus.cc
+++ b/test/functional/test_gateway_surplus.cc
@@ -168,31 +168,34 @@
 	}
 }
 
-/* The refused request has a connection of its own, the second oldest; without
- * another worker, none of the callers' requests is sent twice. */
+/* The copy arrives while the callers' requests wait for their answers, on the
+ * connection of the refused request. Without another worker none of them is
+ * sent twice. */
 TEST_F(GatewaySurplus, ACallerIsNotToldThatItDidNotRunByAnothersRefusal)
 {
-	const Surplus cases[] = {
-	    {"late", RequestBody(1), R"({"count":1,"delay_ms":300},"shed":1)"},
-	    {"late, chunked", RequestBody(1),
-		R"({"count":1,"delay_ms":300,"chunked":true},"shed":1)"},
-	    {"early", RequestBody(1), R"({"count":1},"shed":1)", 50},
+	const char *const cases[] = {
+	    R"({"count":1,"delay_ms":100})",
+	    R"({"count":1,"delay_ms":100,"chunked":true})",
+	    R"({"count":1,"delay_ms":50,"split_ms":50})",
 	};
 	const int kCallers = 4;
 	int n = 0;
 
 	StartFleet(1);
-	for (const auto &c : cases) {
+	for (const char *fault : cases) {
 		std::string prefix = "b" + std::to_string(n++);
 		std::vector<std::thread> callers;
 		Reply replies[kCallers];
 
-		EXPECT_EQ(503, SendFirst(c, "/f/a", "a" + prefix).status)
-		    << c.name;
+		InjectFault(
+		    0, std::string("{\"shed\":1,\"surplus\":") + fault + "}");
+		callers.emplace_back([&] { Call(0, "/f/a", "a" + prefix, 1); });
+		EXPECT_TRUE(daemons[0]->WaitLine("\"request\":\"a" + prefix +
+		    "\",\"target\":\"i-0\",\"end\":\"turned_away\""));
 		for (int i = 0; i < kCallers; i++)
 			callers.emplace_back([&, i] {
 				replies[i] = Call(0, "/q/b",
-				    prefix + std::to_string(i), 3, 60);
+				    prefix + std::to_string(i), 3, 20);
 			});
 		for (auto &t : callers)
 			t.join();
@@ -200,7 +203,9 @@
 			EXPECT_FALSE(
 			    CountRuns(prefix + std::to_string(i)) > 0 &&
 			    replies[i].headers["savoryflow-ran"] == "no")
-			    << c.name << ", caller " << i;
+			    << fault << ", caller " << i;
+		ASSERT_TRUE(daemons[0]->WaitLine(
+		    "\"end\":\"turned_away_unproven\"", n));
 	}
 }
 
