--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -93,4 +93,9 @@
 mutant any_arbiter src/gateway/slots_wire.c 's/strcmp\(h->arbiter, from\) == 0/true/' $U 'SlotsAnswers.*'
 mutant any_counter src/gateway/quota.c 's/return qw != NULL \&\& strcmp\(qw->counter, from\) == 0;/return true;/' $U 'QuotaAnswers.*'
 mutant unknown_reaches src/gateway/roster.c 's/store_answered_us != 0 \|\| contact->is_store_unreachable/store_answered_us != 0/' $U 'Roster.ADaemonThatNever*'
+mutant failure_without_id src/gateway/answer.c 's/return kAnswerForeign;/return lacks_attempt ? kAnswerOwn : kAnswerForeign;/' $F 'GatewaySurplus.AnItem*:GatewaySurplus.ACallerGetsNoFailure*'
+mutant refusal_without_id src/gateway/answer.c 's/is_first \? kAnswerOwn : kAnswerUnproven/kAnswerOwn/' $F 'GatewaySurplus.ACallerIsNotTold*'
+mutant no_refusal_doubt src/gateway/relay.c 's/rl->has_unproven_refusal = true;//' $F 'GatewaySurplus.ACallerIsNotTold*'
+mutant unread_bytes src/gateway/outbound.c 's/if \(input == kSocketQuiet\)/if (true)/' $F 'GatewaySurplus.BytesThat*'
+mutant second_status_line src/gateway/outbound.c 's/if \(is_head_mixed\(req, data, len\)\)/if (false)/' $F 'GatewaySurplus.ACallerGetsNoAnswerWithPart*'
 exit $failed
