--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -62,6 +62,8 @@
 	/** Waits until it exits. @return exit code, or negated signal number */
 	int Wait();
 	std::string Output();
+	/** Peak resident memory so far, KiB; -1 if unknown. */
+	long PeakMemoryKib();
 
       private:
 	void Read(int fd);
--- a/test/functional/harness_process.cc
+++ b/test/functional/harness_process.cc
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <chrono>
 #include <cstring>
+#include <fstream>
 
 namespace
 {
@@ -255,3 +256,15 @@
 		all += line;
 	return all;
 }
+
+long
+Process::PeakMemoryKib()
+{
+	std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
+	std::string line;
+
+	while (std::getline(in, line))
+		if (line.compare(0, 6, "VmHWM:") == 0)
+			return atol(line.c_str() + 6);
+	return -1;
+}
--- a/test/standin/http.h
+++ b/test/standin/http.h
@@ -44,5 +44,6 @@
 int standin_plain(int argc, char **argv);
 int standin_rows(int argc, char **argv);
 int standin_worker(int argc, char **argv);
+int standin_endless(int argc, char **argv);
 
 #endif
--- a/test/standin/main.c
+++ b/test/standin/main.c
@@ -125,7 +125,10 @@
 		return standin_rows(argc, argv);
 	if (argc > 1 && strcmp(argv[1], "worker") == 0)
 		return standin_worker(argc, argv);
+	if (argc > 1 && strcmp(argv[1], "endless") == 0)
+		return standin_endless(argc, argv);
 	fprintf(stderr,
-	    "usage: standin engine|plain|platform|rows|worker --port=N ...\n");
+	    "usage: standin engine|plain|platform|rows|worker|endless "
+	    "--port=N ...\n");
 	return 2;
 }
