Answers of targets and peers have a maximum size

Callers of a target that sent a body without end waited for the route's time limit while the daemon's peak memory grew to 636 MB within 3 s; trailers without end took it to 812 MB (libcurl limits a head, but not all trailers together, and keeps them). Cause: nothing counted what arrived.

http/intake counts heads (interim ones and trailers included, 64 KiB) and bodies (4 MiB whole, 1 MiB without an event); outbound asks it at each part and fails the write, so libcurl closes the connection. The attempt counts like one that broke off: it may have run. Cause and figures are logged as answer_cut.

Endless.ABodyWithoutEnd* and Endless.ATrailerWithoutEnd* failed before and pass: peak memory stays within 24 MiB of that before, the caller has the other target's answer, or an error.

--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -150,6 +150,7 @@
 		on_peer_done(fwd, false, "no_connection");
 		break;
 	case kOutboundInterrupted:
+	case kOutboundCut:
 	case kOutboundRefused:
 		fwd->may_have_executed = !is_read(fwd);
 		on_peer_done(fwd, false, "cut");
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -8,6 +8,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
+#include "http/intake.h"
 #include "metric/metric.h"
 
 enum {
@@ -40,6 +41,7 @@
 	GBytes *body;
 	char *url;
 	struct header_list *answer;
+	struct intake intake;
 	bool has_head;
 	bool is_refused;
 	bool is_done;
@@ -203,6 +205,8 @@
 	char *name;
 	char *value;
 
+	if (!intake_head(&req->intake, len))
+		return 0;
 	if (req->has_head || req->is_done)
 		return len;
 	if (len >= 5 && strncmp(data, "HTTP/", 5) == 0) {
@@ -229,6 +233,8 @@
 {
 	struct outbound_request *req = ctx;
 
+	if (!intake_body(&req->intake, size * n))
+		return 0;
 	if (!req->is_done && req->ops->on_data(req->ctx, data, size * n))
 		return size * n;
 	req->is_refused = true;
@@ -308,6 +314,7 @@
 	req->url = g_strdup_printf("http://%s/", opt->address);
 	req->lines = header_lines(opt->headers);
 	req->answer = header_list_new();
+	intake_init(&req->intake, kIntakeBodyBytesMax);
 	curl_easy_setopt(h, CURLOPT_URL, req->url);
 	curl_easy_setopt(h, CURLOPT_REQUEST_TARGET, opt->uri);
 	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
@@ -333,6 +340,12 @@
 	return req;
 }
 
+void
+outbound_allow_body(struct outbound_request *req, int64_t bytes)
+{
+	intake_allow_body(&req->intake, bytes);
+}
+
 static void
 retire(struct outbound_request *req)
 {
@@ -382,6 +395,8 @@
 
 	if (req->is_refused)
 		return kOutboundRefused;
+	if (req->intake.limit != NULL)
+		return kOutboundCut;
 	curl_easy_getinfo(req->easy, CURLINFO_RESPONSE_CODE, &status);
 	switch (code) {
 	case CURLE_OK:
@@ -411,6 +426,7 @@
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &req);
 		outcome = outcome_of(req, msg->data.result);
+		intake_log(&req->intake, req->url);
 		was_done = req->is_done;
 		retire(req);
 		if (!was_done)
--- a/src/gateway/outbound.h
+++ b/src/gateway/outbound.h
@@ -13,6 +13,8 @@
 	kOutboundNotSent,
 	/** The connection failed, or the response is incomplete. */
 	kOutboundInterrupted,
+	/** The response exceeded a limit; its connection is closed. */
+	kOutboundCut,
 	/** A callback refused the response. */
 	kOutboundRefused,
 };
@@ -56,6 +58,12 @@
 struct outbound_request *outbound_start(
     struct outbound *ob, const struct outbound_options *opt);
 
+/**
+ * Allows so many further bytes of the response's body. Without it, the whole
+ * body may have kIntakeBodyBytesMax.
+ */
+void outbound_allow_body(struct outbound_request *req, int64_t bytes);
+
 /** Cancels a request and closes its connection; no callback follows. */
 void outbound_cancel(struct outbound_request *req);
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -8,6 +8,7 @@
 
 #include <string.h>
 
+#include "http/intake.h"
 #include "log/log.h"
 #include "metric/metric.h"
 
@@ -27,9 +28,6 @@
 	kActiveWithinUs = 75 * kUsPerMs,
 	/* Stall timeout of a busy target, as a multiple of the usual one. */
 	kBusyStallFactor = 4,
-	kActivityTargetsMax = 2000,
-	/* Longest event of a stream. */
-	kEventBytesMax = 1024 * 1024,
 };
 
 enum relay_phase {
@@ -38,11 +36,6 @@
 	kPhaseDone,
 };
 
-struct target_activity {
-	/** Time of the last data, int64_t, by target id. */
-	GHashTable *last_data;
-};
-
 struct relay {
 	struct relay_deps deps;
 	struct relay_options opt;
@@ -90,38 +83,6 @@
 
 static void start_attempt(struct relay *rl);
 
-struct target_activity *
-target_activity_new(void)
-{
-	struct target_activity *ta = g_new(struct target_activity, 1);
-
-	ta->last_data =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	return ta;
-}
-
-void
-target_activity_free(struct target_activity *ta)
-{
-	g_hash_table_unref(ta->last_data);
-	g_free(ta);
-}
-
-static void
-record_activity(struct relay *rl)
-{
-	GHashTable *last_data = rl->deps.activity->last_data;
-	int64_t *at_us = g_hash_table_lookup(last_data, rl->target);
-
-	if (at_us == NULL) {
-		if (g_hash_table_size(last_data) >= kActivityTargetsMax)
-			g_hash_table_remove_all(last_data);
-		at_us = g_new(int64_t, 1);
-		g_hash_table_insert(last_data, g_strdup(rl->target), at_us);
-	}
-	*at_us = loop_now_us(rl->deps.lp);
-}
-
 static void
 relay_free(struct relay *rl)
 {
@@ -250,11 +211,10 @@
 static bool
 is_target_busy(const struct relay *rl)
 {
-	const int64_t *at_us =
-	    g_hash_table_lookup(rl->deps.activity->last_data, rl->target);
 	int64_t now_us = loop_now_us(rl->deps.lp);
+	int64_t at_us = target_activity_last_us(rl->deps.activity, rl->target);
 
-	return at_us != NULL && now_us - *at_us < kActiveWithinUs &&
+	return at_us > 0 && now_us - at_us < kActiveWithinUs &&
 	    now_us - rl->last_activity_us <
 	    kBusyStallFactor * stall_timeout_us(rl);
 }
@@ -301,6 +261,8 @@
 		return false;
 	rl->status = status;
 	rl->is_stream = status == kHttpOk && rl->response.is_event_stream;
+	if (rl->is_stream)
+		outbound_allow_body(rl->request, kIntakeEventBytesMax);
 	/* A resumed stream keeps the head of its first target. */
 	if (rl->is_answering)
 		return rl->is_stream;
@@ -346,13 +308,16 @@
 		g_string_append_len(rl->answer_body, data, (gssize)len);
 		return true;
 	}
-	record_activity(rl);
+	target_activity_record(
+	    rl->deps.activity, rl->target, loop_now_us(rl->deps.lp));
 	rl->has_new_event = false;
 	event_splitter_feed(&rl->events, data, len, on_event, rl);
 	/* Bytes that complete no event are no progress. */
-	if (rl->has_new_event)
+	if (rl->has_new_event) {
 		restart_stall_timer(rl);
-	return event_splitter_partial_len(&rl->events) <= kEventBytesMax;
+		outbound_allow_body(rl->request, kIntakeEventBytesMax);
+	}
+	return true;
 }
 
 static void
@@ -401,6 +366,16 @@
 	finish(rl, kRelayComplete, 0);
 }
 
+/* The answer broke off, or was cut: the request may have run. */
+static void
+handle_interrupted(struct relay *rl, const char *cause)
+{
+	if (!rl->is_answering && rl->opt.ops->on_no_response != NULL &&
+	    !rl->opt.ops->on_no_response(rl->opt.ctx))
+		rl->opt.attempts_max = 0;
+	fail_attempt(rl, kSlotFailed, cause);
+}
+
 static void
 on_done(void *ctx, enum outbound_outcome outcome)
 {
@@ -417,10 +392,10 @@
 		fail_attempt(rl, kSlotUnreachable, "unreachable");
 		break;
 	case kOutboundInterrupted:
-		if (!rl->is_answering && rl->opt.ops->on_no_response != NULL &&
-		    !rl->opt.ops->on_no_response(rl->opt.ctx))
-			rl->opt.attempts_max = 0;
-		fail_attempt(rl, kSlotFailed, "cut");
+		handle_interrupted(rl, "cut");
+		break;
+	case kOutboundCut:
+		handle_interrupted(rl, "endless");
 		break;
 	case kOutboundRefused:
 		metric_add(kMetCrossed, 1);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -5,6 +5,7 @@
 #include "gateway/event_splitter.h"
 #include "gateway/outbound.h"
 #include "gateway/slots.h"
+#include "gateway/target_activity.h"
 
 /** How a request ended, as seen by its sender. */
 enum relay_outcome {
@@ -50,12 +51,6 @@
 	void (*on_end)(void *ctx, const struct relay_result *result);
 };
 
-/** Time of the last data received from each target, by target id. */
-struct target_activity;
-
-struct target_activity *target_activity_new(void);
-void target_activity_free(struct target_activity *ta);
-
 /** Modules that a relay uses. */
 struct relay_deps {
 	/** A target said in an answer that it leaves. */
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -21,6 +21,9 @@
 	X(kEvtAttemptEnded, 1210, WARN, "attempt_ended",                       \
 	    "An attempt at a target returned no complete response; another "   \
 	    "may follow.")                                                     \
+	X(kEvtAnswerCut, 1211, WARN, "answer_cut",                             \
+	    "More arrived than an answer may have, or than its caller reads; " \
+	    "the connection was closed. The request may have run.")            \
 	X(kEvtTargetListed, 1305, INFO, "target_listed",                       \
 	    "A target's row is new or has changed.")                           \
 	X(kEvtTargetGone, 1306, INFO, "target_gone",                           \
--- a/test/standin/endless.c
+++ b/test/standin/endless.c
@@ -217,14 +217,19 @@
 	printf("listening %d\n", port);
 	fflush(stdout);
 	for (;;) {
-		struct connection *con = g_new0(struct connection, 1);
+		int peer = accept(fd, NULL, NULL);
+		struct connection *con;
 		pthread_t thread;
 
+		if (peer < 0)
+			return 1;
+		con = g_new0(struct connection, 1);
 		con->srv = &srv;
-		con->fd = accept(fd, NULL, NULL);
-		if (con->fd < 0 ||
-		    pthread_create(&thread, NULL, serve_connection, con) != 0)
+		con->fd = peer;
+		if (pthread_create(&thread, NULL, serve_connection, con) != 0) {
+			g_free(con);
 			return 1;
+		}
 		pthread_detach(thread);
 	}
 }
