Store clients: an answer has a maximum size

A store that sent a body, chunks or trailers without end took a daemon's peak memory to 528 MB: a call lasts up to 1 s, and a feed 31 s, and everything that arrived meanwhile was kept. A call that is cut has no known outcome, as one that broke off.

Endless.AStoresAnswerWithoutEndIsBounded failed before and passes: growth below 64 MiB with head lines, interim heads, body, chunks, trailers and a chunk extension without end.

--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -14,6 +14,7 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "http/intake.h"
 #include "metric/metric.h"
 
 enum {
@@ -35,6 +36,7 @@
 	long status;
 	CURLcode curl;
 	GByteArray *body;
+	struct intake intake;
 };
 
 struct http_request {
@@ -67,11 +69,21 @@
 {
 	struct http_reply *reply = ctx;
 
+	if (!intake_body(&reply->intake, size * n))
+		return 0;
 	g_byte_array_append(
 	    reply->body, (const guint8 *)data, (guint)(size * n));
 	return size * n;
 }
 
+static size_t
+reply_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct http_reply *reply = ctx;
+
+	return intake_head(&reply->intake, size * n) ? size * n : 0;
+}
+
 static void
 count_bytes(CURL *h, enum store_cause cause)
 {
@@ -95,6 +107,7 @@
 
 	reply->body = g_byte_array_new();
 	reply->status = 0;
+	intake_init(&reply->intake, kIntakeStoreBytesMax);
 	headers = curl_slist_append(headers, "Expect:");
 	curl_easy_setopt(h, CURLOPT_URL, url);
 	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
@@ -103,6 +116,8 @@
 	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS, (long)kConnectTimeoutMs);
 	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, reply_append);
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, reply);
+	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, reply_header);
+	curl_easy_setopt(h, CURLOPT_HEADERDATA, reply);
 	if (req->method != NULL) {
 		curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, req->method);
 		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, (long)req->body_len);
@@ -112,6 +127,7 @@
 	reply->curl = curl_easy_perform(h);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply->status);
 	count_bytes(h, cause);
+	intake_log(&reply->intake, url);
 	curl_slist_free_all(headers);
 	g_free(url);
 }
