front: a stream's unread bytes are bounded, and sent in linear time

A target that sent valid events faster than its caller read them left the caller without an end for more than 8 s at a time limit of 3 s: hundreds of MB waited in the daemon, and each block of 8 KiB that was sent moved all the rest, which held up the loop and its deadlines. Now a stream with more than 4 MiB unread is cut (answer_cut, unread_bytes) and its work stopped, and the sent bytes are dropped only once they are the larger part. What was dropped never looks like a whole answer: the connection is closed.

Endless.EventsWithoutEndEndWithinTheTimeLimit failed before (8.0 s, the test's own limit) and passes.

--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -13,6 +13,7 @@
 #include <sys/epoll.h>
 
 #include "error/error.h"
+#include "log/log.h"
 #include "settings/settings.h"
 
 enum {
@@ -26,6 +27,8 @@
 	/* A disconnected caller is detected within this time. */
 	kDisconnectCheckUs = 100 * kUsPerMs,
 	kBodyMaxDefault = 8 * 1024 * 1024,
+	/* Bytes of a stream that its caller has not read: it is cut. */
+	kUnreadBytesMax = 4 * 1024 * 1024,
 };
 
 struct front {
@@ -66,6 +69,10 @@
 	/** Streamed answers: bytes not sent yet. */
 	bool is_streamed;
 	GString *out;
+	/** Bytes of out that are sent already. */
+	size_t out_sent;
+	/** More bytes wait than a caller may leave unread. */
+	bool is_overrun;
 	bool is_ended;
 	bool is_complete;
 };
@@ -197,18 +204,32 @@
 	resume(req);
 }
 
+/* Moves the unsent bytes to the front once they are the smaller part, so that
+ * their copies cost no more than the bytes themselves. */
+static void
+trim_sent(struct front_request *req)
+{
+	if (req->out_sent < req->out->len - req->out_sent)
+		return;
+	g_string_erase(req->out, 0, (gssize)req->out_sent);
+	req->out_sent = 0;
+}
+
 static ssize_t
 read_stream(void *cls, uint64_t pos, char *buf, size_t max)
 {
 	struct front_request *req = cls;
-	size_t n = MIN(max, req->out->len);
+	size_t n = MIN(max, req->out->len - req->out_sent);
 
+	if (req->is_disconnected || req->is_overrun)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (n > 0) {
-		memcpy(buf, req->out->str, n);
-		g_string_erase(req->out, 0, (gssize)n);
+		memcpy(buf, req->out->str + req->out_sent, n);
+		req->out_sent += n;
+		trim_sent(req);
 		return (ssize_t)n;
 	}
-	if (req->is_disconnected || (req->is_ended && !req->is_complete))
+	if (req->is_ended && !req->is_complete)
 		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (req->is_ended)
 		return MHD_CONTENT_READER_END_OF_STREAM;
@@ -233,7 +254,15 @@
 void
 front_stream_data(struct front_request *req, const char *data, size_t len)
 {
-	g_string_append_len(req->out, data, (gssize)len);
+	size_t unread = req->out->len - req->out_sent;
+
+	if (!req->is_overrun && unread + len > kUnreadBytesMax) {
+		req->is_overrun = true;
+		log_event(kEvtAnswerCut, "limit", "unread_bytes", "body_bytes",
+		    log_number((int64_t)unread), NULL);
+	}
+	if (!req->is_overrun)
+		g_string_append_len(req->out, data, (gssize)len);
 	resume(req);
 }
 
@@ -373,7 +402,9 @@
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		struct front_request *req = key;
 
-		if (req->is_suspended && req->is_open && has_disconnected(req))
+		if (req->is_open &&
+		    (req->is_overrun ||
+			(req->is_suspended && has_disconnected(req))))
 			g_ptr_array_add(closed, req);
 	}
 	for (guint i = 0; i < closed->len; i++) {
