Repeated events and comments are no progress of a stream

A target that sent the same event again and again held a caller until long past its time limit and a batch item for ever: each copy was passed on and counted as progress, the item's text grew (peak memory 497 MB), and no limit of time ended it. Comments did the same, and put empty lines into an item's text.

A run whose event ids do not rise is now stopped at the first such event, which is not passed on; the attempt counts like one that broke off and the stream resumes elsewhere after its last good event. An event without id and data restarts no stall timer, begins no answer, and is no part of an item's text. An item's text has a maximum of 1 MiB.

Endless.EventsThatRepeat*, Endless.Comments* and Endless.AnItemsAnswer* failed before and pass: the whole answer from the other target, growth of peak memory below 24 MiB. EventSplitter.ARunThatRepeatsAnEventIsStopped and EventSplitter.CommentsHaveNoContent are new.

--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -9,6 +9,8 @@
 {
 	es->partial = g_string_new(NULL);
 	es->last_id = last_id;
+	es->run_id = -1;
+	es->is_repeating = false;
 }
 
 void
@@ -23,6 +25,8 @@
 event_splitter_restart(struct event_splitter *es)
 {
 	g_string_truncate(es->partial, 0);
+	es->run_id = -1;
+	es->is_repeating = false;
 }
 
 /* Length of the event at the start of the text, with its empty line; 0 if it is
@@ -88,6 +92,27 @@
 	g_free(text);
 }
 
+static void
+note_field(void *ctx, const char *value, size_t len)
+{
+	*(bool *)ctx = true;
+}
+
+/* @return false if the run repeats an event */
+static bool
+take_id(struct event_splitter *es, int64_t id)
+{
+	if (id < 0)
+		return true;
+	if (id <= es->run_id) {
+		es->is_repeating = true;
+		return false;
+	}
+	es->run_id = id;
+	es->last_id = id;
+	return true;
+}
+
 struct data_join {
 	GString *out;
 	bool has_line;
@@ -123,12 +148,18 @@
 	g_string_append_len(es->partial, data, (gssize)len);
 	while (is_continued &&
 	    (n = event_len(es->partial->str + at, es->partial->len - at)) > 0) {
-		struct stream_event ev = {es->partial->str + at, n, -1};
+		struct stream_event ev = {es->partial->str + at, n, -1, false};
 
-		at += n;
 		each_field(ev.text, ev.len, "id", parse_id, &ev.id);
-		if (ev.id >= 0)
-			es->last_id = ev.id;
+		each_field(
+		    ev.text, ev.len, "data", note_field, &ev.has_content);
+		ev.has_content = ev.has_content || ev.id >= 0;
+		/* What is refused stays, as an incomplete event does. */
+		if (!take_id(es, ev.id)) {
+			is_continued = false;
+			break;
+		}
+		at += n;
 		is_continued = fn(ctx, &ev);
 	}
 	g_string_erase(es->partial, 0, (gssize)at);
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -10,6 +10,10 @@
 	GString *partial;
 	/** Id of the last complete event; -1 before the first. */
 	int64_t last_id;
+	/** Id of the last complete event of this run; -1 before the first. */
+	int64_t run_id;
+	/** The run sent an event whose id is no higher than the one before. */
+	bool is_repeating;
 };
 
 /** A complete event, borrowed: its raw bytes, with the empty line. */
@@ -18,6 +22,8 @@
 	size_t len;
 	/** -1 if the event has none. */
 	int64_t id;
+	/** Has an id or data: is no mere comment. */
+	bool has_content;
 };
 
 void event_splitter_init(struct event_splitter *es, int64_t last_id);
@@ -29,7 +35,7 @@
 /** Called for each complete event, in order. @return false to stop */
 typedef bool (*stream_event_fn)(void *ctx, const struct stream_event *ev);
 
-/** @return false if fn stopped */
+/** @return false if fn stopped, or the run repeats an event */
 bool event_splitter_feed(struct event_splitter *es, const char *data,
     size_t len, stream_event_fn fn, void *ctx);
 
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -28,6 +28,8 @@
 	kEmptyRunWaitUs = 4 * kUsPerS,
 	kCommitRetryUs = 300 * kUsPerMs,
 	kTimerUs = 50 * kUsPerMs,
+	/* Longest text of an item: a page of results holds at least one. */
+	kItemTextBytesMax = 1024 * 1024,
 };
 
 static void commit_next(struct job_run *run);
@@ -251,6 +253,8 @@
 	    .is_resumable = true,
 	    .last_event_id = ir->last_event_id,
 	    .stall_timeout_us = kStallTimeoutUs,
+	    .stream_bytes_max =
+		MAX(kItemTextBytesMax - (int64_t)ir->text->len, 1),
 	    .ops = &relay_ops,
 	    .ctx = ir,
 	};
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -64,6 +64,7 @@
 	int64_t last_activity_us;
 	/** The current data completed an event. */
 	bool has_new_event;
+	int64_t stream_bytes;
 
 	/* Attempts that may have been executed, and those that were not. */
 	int32_t attempts;
@@ -291,6 +292,15 @@
 {
 	struct relay *rl = ctx;
 
+	/* A comment is no progress; no answer begins with it. */
+	if (!ev->has_content) {
+		if (rl->is_answering && !rl->opt.is_batch)
+			rl->opt.ops->on_data(rl->opt.ctx, ev);
+		return true;
+	}
+	if (rl->opt.stream_bytes_max > 0 &&
+	    (rl->stream_bytes += (int64_t)ev->len) > rl->opt.stream_bytes_max)
+		return false;
 	deliver_head(rl);
 	rl->last_activity_us = loop_now_us(rl->deps.lp);
 	rl->has_new_event = true;
@@ -311,7 +321,8 @@
 	target_activity_record(
 	    rl->deps.activity, rl->target, loop_now_us(rl->deps.lp));
 	rl->has_new_event = false;
-	event_splitter_feed(&rl->events, data, len, on_event, rl);
+	if (!event_splitter_feed(&rl->events, data, len, on_event, rl))
+		return false;
 	/* Bytes that complete no event are no progress. */
 	if (rl->has_new_event) {
 		restart_stall_timer(rl);
@@ -324,7 +335,7 @@
 deliver_body(struct relay *rl)
 {
 	struct stream_event body = {
-	    rl->answer_body->str, rl->answer_body->len, -1};
+	    rl->answer_body->str, rl->answer_body->len, -1, true};
 
 	deliver_head(rl);
 	if (body.len > 0)
@@ -376,6 +387,21 @@
 	fail_attempt(rl, kSlotFailed, cause);
 }
 
+/* A callback has refused the answer: too much, too often or another's. */
+static void
+handle_refused(struct relay *rl)
+{
+	bool is_full = rl->opt.stream_bytes_max > 0 &&
+	    rl->stream_bytes > rl->opt.stream_bytes_max;
+
+	if (rl->events.is_repeating || is_full) {
+		handle_interrupted(rl, is_full ? "endless" : "repeating");
+		return;
+	}
+	metric_add(kMetCrossed, 1);
+	fail_attempt(rl, kSlotFailed, "crossed");
+}
+
 static void
 on_done(void *ctx, enum outbound_outcome outcome)
 {
@@ -398,8 +424,7 @@
 		handle_interrupted(rl, "endless");
 		break;
 	case kOutboundRefused:
-		metric_add(kMetCrossed, 1);
-		fail_attempt(rl, kSlotFailed, "crossed");
+		handle_refused(rl);
 		break;
 	}
 }
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -93,6 +93,8 @@
 	int64_t stall_timeout_us;
 	/** The same after the first event; 0: as before it. */
 	int64_t pause_timeout_us;
+	/** Maximum bytes of all events of a stream; 0: no limit. */
+	int64_t stream_bytes_max;
 	const struct relay_ops *ops;
 	void *ctx;
 };
--- a/test/unit/test_event_splitter.cc
+++ b/test/unit/test_event_splitter.cc
@@ -164,6 +164,74 @@
 	event_splitter_clear(&es);
 }
 
+/* Ids start again only with a new run. */
+TEST(EventSplitter, ARunThatRepeatsAnEventIsStopped)
+{
+	const struct {
+		const char *name;
+		std::string body;
+		bool is_restarted;
+		bool is_continued;
+		int64_t last_id;
+	} repeats[] = {
+	    {"same id", "id: 4\ndata: b\n\n", false, false, 4},
+	    {"lower id", "id: 1\ndata: b\n\n", false, false, 4},
+	    {"no id", "data: b\n\n", false, true, 4},
+	    {"next id", "id: 9\ndata: b\n\n", false, true, 9},
+	    {"new run", "id: 4\ndata: b\n\n", true, true, 4},
+	};
+	const std::string first = "id: 4\ndata: a\n\n";
+
+	for (const auto &r : repeats) {
+		event_splitter es;
+		std::vector<std::string> events;
+
+		event_splitter_init(&es, -1);
+		EXPECT_TRUE(event_splitter_feed(
+		    &es, first.data(), first.size(), Collect, &events));
+		if (r.is_restarted)
+			event_splitter_restart(&es);
+		EXPECT_EQ(r.is_continued,
+		    event_splitter_feed(
+			&es, r.body.data(), r.body.size(), Collect, &events))
+		    << r.name;
+		EXPECT_EQ(r.last_id, es.last_id) << r.name;
+		EXPECT_EQ(r.is_continued ? 2u : 1u, events.size()) << r.name;
+		event_splitter_clear(&es);
+	}
+}
+
+bool
+CountContent(void *ctx, const stream_event *ev)
+{
+	*(int *)ctx += ev->has_content;
+	return true;
+}
+
+TEST(EventSplitter, CommentsHaveNoContent)
+{
+	const struct {
+		std::string body;
+		int count;
+	} bodies[] = {
+	    {": a\n\n\n\nevent: ping\n\n", 0},
+	    {"data:\n\n", 1},
+	    {"id: 1\n\n", 1},
+	    {": a\ndata: b\n\n", 1},
+	};
+
+	for (const auto &b : bodies) {
+		event_splitter es;
+		int count = 0;
+
+		event_splitter_init(&es, -1);
+		event_splitter_feed(
+		    &es, b.body.data(), b.body.size(), CountContent, &count);
+		EXPECT_EQ(b.count, count) << b.body;
+		event_splitter_clear(&es);
+	}
+}
+
 TEST(EventSplitter, DataLinesAreJoined)
 {
 	const struct {
