A call that runs at its deadline is not said not to have run

A keyed call to a plain service whose answer was still on its way when the deadline passed was answered with "Savoryflow-Ran: no", and its intent withdrawn, although the service had run it: the end of the call replaced the phase "running", from which the answer was derived. The end now records first that the call may have run.

EndlessOwn.AServicesAnswerWithoutEndIsAnError failed before at a body that trickles ("no" instead of "unknown") and passes.

--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -184,6 +184,8 @@
 static void
 finish_locked(struct call *c, int error, int64_t retry_after_us)
 {
+	if (c->phase == kPhaseRunning)
+		c->retry.may_have_run = true;
 	c->phase = kPhaseDone;
 	c->error = error;
 	c->retry_after_us = retry_after_us;
