Command line: an answer has a maximum size

A daemon's address that served a body without end took the command's memory to 4 GB, where the test's limit ended it by a signal, 22 s later; without one it goes on for 120 s.

EndlessOwn.TheCommandLineReadsABoundedAnswer failed before (signal 5) and passes.

--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -10,7 +10,11 @@
 static size_t
 append_body(char *data, size_t size, size_t n, void *ctx)
 {
-	g_string_append_len(ctx, data, (gssize)(size * n));
+	struct client_reply *reply = ctx;
+
+	if (!intake_body(&reply->intake, size * n))
+		return 0;
+	g_string_append_len(reply->body, data, (gssize)(size * n));
 	return size * n;
 }
 
@@ -18,8 +22,11 @@
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
 	struct client_reply *reply = ctx;
-	char *line = g_strndup(data, size * n);
+	char *line;
 
+	if (!intake_head(&reply->intake, size * n))
+		return 0;
+	line = g_strndup(data, size * n);
 	if (g_ascii_strncasecmp(line, "Savoryflow-Next:", 16) == 0)
 		reply->next = strtol(line + 16, NULL, 10);
 	if (g_ascii_strncasecmp(line, "Savoryflow-Complete: yes", 24) == 0)
@@ -55,6 +62,7 @@
 	CURLcode res;
 
 	reply->body = g_string_new(NULL);
+	intake_init(&reply->intake, kIntakeStoreBytesMax);
 	reply->next = -1;
 	reply->is_complete = false;
 	reply->status = 0;
@@ -62,7 +70,7 @@
 	curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(h, CURLOPT_TIMEOUT, (long)kClientTimeoutS);
 	curl_easy_setopt(h, CURLOPT_WRITEFUNCTION, append_body);
-	curl_easy_setopt(h, CURLOPT_WRITEDATA, reply->body);
+	curl_easy_setopt(h, CURLOPT_WRITEDATA, reply);
 	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(h, CURLOPT_HEADERDATA, reply);
 	if (strcmp(req->method, "GET") != 0) {
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "http/intake.h"
+
 /** Address and API key for requests to one daemon. */
 struct client {
 	/** Base URL, for example http://127.0.0.1:8080. */
@@ -27,6 +29,7 @@
 	/** Value of the Savoryflow-Next header; -1 if absent. */
 	long next;
 	bool is_complete;
+	struct intake intake;
 };
 
 /**
--- a/test/functional/test_endless.cc
+++ b/test/functional/test_endless.cc
@@ -331,6 +331,20 @@
 	}
 }
 
+/* Such events are not to be told from an answer: the item's text is bounded. */
+TEST_F(Endless, AnItemsTextWithoutEndIsBounded)
+{
+	const Case c = {"events", false};
+
+	StartSoundFleet();
+	ListServer(c);
+	Send(0, "POST", "/b/job", JobBody("job", 6, RequestBody(kEvents)),
+	    "job");
+	EXPECT_TRUE(server->WaitLine("closed ", 3));
+	ExpectOthersServed(c);
+	ExpectBoundedMemory(c);
+}
+
 /* The store's calls have a time limit; what they read within it must be
  * bounded as well. */
 TEST_F(Endless, AStoresAnswerWithoutEndIsBounded)
@@ -473,4 +487,23 @@
 	}
 }
 
+TEST_F(EndlessOwn, TheCommandLineReadsABoundedAnswer)
+{
+	const Case cases[] = {
+	    {"head_lines", false}, {"trailer", false}, {"body", false}};
+
+	for (const auto &c : cases) {
+		int port = FreePort();
+
+		server.reset(new Process({Env("SF_STANDIN"), "endless",
+		    "--port=" + std::to_string(port),
+		    std::string("--mode=") + c.mode}));
+		ASSERT_TRUE(server->WaitLine("listening"));
+		Process command({Env("SF_BIN"), "status",
+		    "--url=http://" + LoopbackAddress(port)});
+		EXPECT_TRUE(server->WaitLine("closed ")) << c.mode;
+		EXPECT_GT(command.Wait(), 0) << c.mode;
+	}
+}
+
 } // namespace
