Targets and peers: limits of framing bytes and of a head's time

A chunk extension without end reaches no callback of libcurl, nor does a head whose lines never end or come a byte at a time: with a route that allows no other attempt, only the route's time limit ended them (more than 8 s in the test, at a limit of 60 s), at full speed with a busy loop.

At each read, outbound compares the bytes read from the connection (TCP_INFO, less what is unread) with those of heads and body: more than 64 KiB, and 16 for each byte of the body, is no sound framing. A head must be complete 2 s after its first byte; time before it does not count, so late answers and interim heads are not cut.

--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -2,10 +2,11 @@
 #include "gateway/outbound.h"
 
 #include <curl/curl.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "http/intake.h"
@@ -42,6 +43,10 @@
 	char *url;
 	struct header_list *answer;
 	struct intake intake;
+	/** Its connection; -1: not known yet. */
+	curl_socket_t fd;
+	/** Bytes that the connection had read before this request. */
+	int64_t read_before;
 	bool has_head;
 	bool is_refused;
 	bool is_done;
@@ -190,6 +195,7 @@
 	long status = 0;
 
 	curl_easy_getinfo(req->easy, CURLINFO_RESPONSE_CODE, &status);
+	intake_head_end(&req->intake, status >= 200);
 	if (status < 200)
 		return true;
 	req->has_head = true;
@@ -241,11 +247,48 @@
 	return 0;
 }
 
+/* @return bytes that were read from a connection; -1 if unknown */
+static int64_t
+connection_read_bytes(curl_socket_t fd)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+	int unread = 0;
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0 ||
+	    ioctl(fd, FIONREAD, &unread) != 0)
+		return -1;
+	return (int64_t)info.tcpi_bytes_received - unread;
+}
+
+/* Called at each read of the connection. */
+static int
+on_progress(void *ctx, curl_off_t down_total, curl_off_t down,
+    curl_off_t up_total, curl_off_t up)
+{
+	struct outbound_request *req = ctx;
+	int64_t bytes;
+
+	if (req->fd == CURL_SOCKET_BAD) {
+		curl_easy_getinfo(req->easy, CURLINFO_ACTIVESOCKET, &req->fd);
+		if (req->fd != CURL_SOCKET_BAD)
+			req->read_before = connection_read_bytes(req->fd);
+	}
+	if (req->fd == CURL_SOCKET_BAD)
+		return 0;
+	bytes = connection_read_bytes(req->fd) - req->read_before;
+	return intake_wire(&req->intake, bytes, loop_now_us(req->ob->lp)) ? 0
+									  : 1;
+}
+
 static int
 on_socket_created(void *ctx, curl_socket_t fd, curlsocktype type)
 {
+	struct outbound_request *req = ctx;
 	int timeout_ms = kUserTimeoutMs;
 
+	req->fd = fd;
+	req->read_before = 0;
 	metric_add(kMetConnects, 1);
 	setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
@@ -308,6 +351,7 @@
 
 	req->ob = ob;
 	req->easy = h;
+	req->fd = CURL_SOCKET_BAD;
 	req->ops = opt->ops;
 	req->ctx = opt->ctx;
 	req->body = opt->body != NULL ? g_bytes_ref(opt->body) : NULL;
@@ -325,6 +369,9 @@
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, req);
 	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(h, CURLOPT_HEADERDATA, req);
+	curl_easy_setopt(h, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(h, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(h, CURLOPT_XFERINFODATA, req);
 	curl_easy_setopt(h, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
 	curl_easy_setopt(h, CURLOPT_SOCKOPTDATA, req);
 	curl_easy_setopt(h, CURLOPT_CONNECTTIMEOUT_MS,
--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -18,6 +18,36 @@
 	return in->limit == NULL;
 }
 
+void
+intake_head_end(struct intake *in, bool is_final)
+{
+	in->interim_bytes = in->head_bytes;
+	in->has_head = is_final;
+	in->head_since_us = 0;
+}
+
+static bool
+is_head_late(struct intake *in, int64_t now_us)
+{
+	if (in->has_head || in->wire_bytes <= in->interim_bytes)
+		return false;
+	if (in->head_since_us == 0)
+		in->head_since_us = now_us;
+	return now_us - in->head_since_us > kIntakeHeadTimeUs;
+}
+
+bool
+intake_wire(struct intake *in, int64_t wire_bytes, int64_t now_us)
+{
+	in->wire_bytes = wire_bytes;
+	if (wire_bytes - in->head_bytes - in->body_bytes >
+	    kIntakeFramingBytesMax + kIntakeFramingPerBodyByte * in->body_bytes)
+		in->limit = "framing_bytes";
+	else if (is_head_late(in, now_us))
+		in->limit = "head_time";
+	return in->limit == NULL;
+}
+
 bool
 intake_body(struct intake *in, size_t len)
 {
@@ -40,5 +70,6 @@
 	if (in->limit != NULL)
 		log_event(kEvtAnswerCut, "server", server, "limit", in->limit,
 		    "head_bytes", log_number(in->head_bytes), "body_bytes",
-		    log_number(in->body_bytes), NULL);
+		    log_number(in->body_bytes), "wire_bytes",
+		    log_number(in->wire_bytes), NULL);
 }
--- a/test/functional/test_endless.cc
+++ b/test/functional/test_endless.cc
@@ -331,6 +331,46 @@
 	}
 }
 
+/* Each limit closes the connection by itself, long before the time limit of the
+ * route, and is logged. */
+TEST_F(Endless, EachLimitIsLogged)
+{
+	const struct {
+		Case served;
+		const char *limit;
+	} cases[] = {
+	    {{"head_lines", false}, "head_bytes"},
+	    {{"interim_heads", false}, "head_bytes"},
+	    {{"trailer", false}, "head_bytes"},
+	    {{"body", false}, "body_bytes"},
+	    {{"event", false}, "body_bytes"},
+	    {{"chunk_extension", false}, "framing_bytes"},
+	    {{"stream_chunk_extension", false}, "framing_bytes"},
+	    {{"head_lines", true}, "head_time"},
+	    {{"header_line", true}, "head_time"},
+	    {{"status_line", true}, "head_time"},
+	};
+
+	StartSoundFleet();
+	Configure(3,
+	    R"(,{"name":"l","host":"a.example","path_prefix":"/l/",
+	    "kind":"non_idempotent","timeout_ms":60000,
+	    "target_latency_ms":400,"service":"llm","max_attempts":1})");
+	ASSERT_TRUE(Eventually(
+	    [&] { return Call(0, "/l/warm", "w3", 1).status == 200; }));
+	for (const auto &c : cases) {
+		std::string line = "\"limit\":\"" + std::string(c.limit);
+		int before = daemons[0]->Count(line);
+
+		ListServer(c.served);
+		CallServer(c.served, "l", false);
+		EXPECT_TRUE(daemons[0]->WaitLine(line, before + 1))
+		    << c.served.mode;
+		ExpectAllClosed(c.served);
+		RemoveServer();
+	}
+}
+
 /* Such events are not to be told from an answer: the item's text is bounded. */
 TEST_F(Endless, AnItemsTextWithoutEndIsBounded)
 {
