--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -66,7 +66,7 @@
 mutant no_leaving_mark src/savoryflow/fleet/fleet.c 's/if \(\*leaving == t->started_ms\)/if (false)/' $U 'Fleet.ATargetThat*'
 mutant no_quota_fence src/savoryflow/job/itemjob_store.c 's/store_txn_version\(txn, fence_key, job->quota_fence\);//' $U 'Itemjob.ASubmissionDepends*'
 mutant no_quota src/savoryflow/job/token_quota.c 's/if \(tq->waiting \+ tokens > limit\)/if (false)/' $F 'GatewayQuota.*'
-mutant bytes_are_progress src/gateway/relay.c 's/if \(rl->has_new_event\)/if (true)/' $F 'Gateway.ATrickling*'
+mutant bytes_are_progress src/gateway/relay_answer.c 's/if \(rl->has_new_event\)/if (true)/' $F 'Gateway.ATrickling*'
 mutant pauses_are_stalls src/gateway/calls.c 's/\.pause_timeout_us = .*/.pause_timeout_us = 0,/' $F 'Gateway.ASlowSound*'
 mutant roles_by_hash src/gateway/roster_election.c 's/kRoleCapacityPercent = 50/kRoleCapacityPercent = 0/' $U 'Roster.RolesGo*'
 mutant no_relay src/gateway/slots_report.c 's/kDirectReportsMax = 100/kDirectReportsMax = 100000/' $U 'SlotsReport.*'
@@ -95,7 +95,7 @@
 mutant unknown_reaches src/gateway/roster.c 's/store_answered_us != 0 \|\| contact->is_store_unreachable/store_answered_us != 0/' $U 'Roster.ADaemonThatNever*'
 mutant failure_without_id src/gateway/answer.c 's/return kAnswerForeign;/return lacks_attempt ? kAnswerOwn : kAnswerForeign;/' $F 'GatewaySurplus.AnItem*:GatewaySurplus.ACallerGetsNoFailure*'
 mutant refusal_without_id src/gateway/answer.c 's/is_first \? kAnswerOwn : kAnswerUnproven/kAnswerOwn/' $F 'GatewaySurplus.ACallerIsNotTold*'
-mutant no_refusal_doubt src/gateway/relay.c 's/rl->has_unproven_refusal = true;//' $F 'GatewaySurplus.ACallerIsNotTold*'
+mutant no_refusal_doubt src/gateway/relay_answer.c 's/rl->has_unproven_refusal = true;//' $F 'GatewaySurplus.ACallerIsNotTold*'
 mutant unread_bytes src/gateway/outbound.c 's/if \(input == kSocketQuiet\)/if (true)/' $F 'GatewaySurplus.BytesThat*'
 mutant second_status_line src/gateway/outbound.c 's/if \(is_head_mixed\(req, data, len\)\)/if (false)/' $F 'GatewaySurplus.ACallerGetsNoAnswerWithPart*'
 exit $failed
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -2,14 +2,16 @@
 #include "gateway/outbound.h"
 
 #include <curl/curl.h>
+#include <linux/tcp.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include "gateway/outbound_sockets.h"
+#include "http/intake.h"
 #include "log/log.h"
 #include "metric/metric.h"
 
@@ -44,6 +46,11 @@
 	GBytes *body;
 	char *url;
 	struct header_list *answer;
+	struct intake intake;
+	/** Its connection; -1: not known yet. */
+	curl_socket_t fd;
+	/** Bytes that the connection had read before this request. */
+	int64_t read_before;
 	bool has_head;
 	/** Within the head of a response, interim ones included. */
 	bool is_in_head;
@@ -51,7 +58,6 @@
 	bool is_done;
 	/** The connection was created for this request. */
 	bool is_first_on_connection;
-	int fd;
 	/** The connection in the pool had ended, or had unread bytes. */
 	bool is_pooled_unfit;
 	const struct outbound_ops *ops;
@@ -201,6 +207,7 @@
 	long status = 0;
 
 	curl_easy_getinfo(req->easy, CURLINFO_RESPONSE_CODE, &status);
+	intake_head_end(&req->intake, status >= 200);
 	if (status < 200)
 		return true;
 	req->has_head = true;
@@ -247,6 +254,8 @@
 	char *name;
 	char *value;
 
+	if (!intake_head(&req->intake, len))
+		return 0;
 	if (req->has_head || req->is_done)
 		return len;
 	if (is_head_mixed(req, data, len)) {
@@ -278,12 +287,48 @@
 {
 	struct outbound_request *req = ctx;
 
+	if (!intake_body(&req->intake, size * n))
+		return 0;
 	if (!req->is_done && req->ops->on_data(req->ctx, data, size * n))
 		return size * n;
 	req->is_refused = true;
 	return 0;
 }
 
+/* @return bytes that were read from a connection; -1 if unknown */
+static int64_t
+connection_read_bytes(curl_socket_t fd)
+{
+	struct tcp_info info = {0};
+	socklen_t len = sizeof(info);
+	int unread = 0;
+
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0 ||
+	    ioctl(fd, FIONREAD, &unread) != 0)
+		return -1;
+	return (int64_t)info.tcpi_bytes_received - unread;
+}
+
+/* Called at each read of the connection. */
+static int
+on_progress(void *ctx, curl_off_t down_total, curl_off_t down,
+    curl_off_t up_total, curl_off_t up)
+{
+	struct outbound_request *req = ctx;
+	int64_t bytes;
+
+	if (req->fd == CURL_SOCKET_BAD) {
+		curl_easy_getinfo(req->easy, CURLINFO_ACTIVESOCKET, &req->fd);
+		if (req->fd != CURL_SOCKET_BAD)
+			req->read_before = connection_read_bytes(req->fd);
+	}
+	if (req->fd == CURL_SOCKET_BAD)
+		return 0;
+	bytes = connection_read_bytes(req->fd) - req->read_before;
+	return intake_wire(&req->intake, bytes, loop_now_us(req->ob->lp)) ? 0
+									  : 1;
+}
+
 static int
 on_socket_created(void *ctx, curl_socket_t fd, curlsocktype type)
 {
@@ -292,6 +337,7 @@
 
 	req->is_first_on_connection = true;
 	req->fd = fd;
+	req->read_before = 0;
 	metric_add(kMetConnects, 1);
 	setsockopt(
 	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
@@ -384,12 +430,14 @@
 
 	req->ob = ob;
 	req->easy = h;
+	req->fd = CURL_SOCKET_BAD;
 	req->ops = opt->ops;
 	req->ctx = opt->ctx;
 	req->body = opt->body != NULL ? g_bytes_ref(opt->body) : NULL;
 	req->url = g_strdup_printf("http://%s/", opt->address);
 	req->lines = header_lines(opt->headers);
 	req->answer = header_list_new();
+	intake_init(&req->intake, kIntakeBodyBytesMax);
 	curl_easy_setopt(h, CURLOPT_URL, req->url);
 	curl_easy_setopt(h, CURLOPT_REQUEST_TARGET, opt->uri);
 	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
@@ -400,6 +448,9 @@
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, req);
 	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(h, CURLOPT_HEADERDATA, req);
+	curl_easy_setopt(h, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(h, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(h, CURLOPT_XFERINFODATA, req);
 	curl_easy_setopt(h, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
 	curl_easy_setopt(h, CURLOPT_SOCKOPTDATA, req);
 	curl_easy_setopt(h, CURLOPT_CLOSESOCKETFUNCTION, on_socket_close);
@@ -419,6 +470,12 @@
 	return req;
 }
 
+void
+outbound_allow_body(struct outbound_request *req, int64_t bytes)
+{
+	intake_allow_body(&req->intake, bytes);
+}
+
 static void
 retire(struct outbound_request *req)
 {
@@ -474,6 +531,8 @@
 
 	if (req->is_refused)
 		return kOutboundRefused;
+	if (req->intake.limit != NULL)
+		return kOutboundCut;
 	curl_easy_getinfo(req->easy, CURLINFO_RESPONSE_CODE, &status);
 	switch (code) {
 	case CURLE_OK:
@@ -517,6 +576,7 @@
 			continue;
 		}
 		outcome = outcome_of(req, msg->data.result);
+		intake_log(&req->intake, req->url);
 		was_done = req->is_done;
 		retire(req);
 		if (!was_done)
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -8,13 +8,11 @@
 
 #include <string.h>
 
-#include "gateway/answer.h"
+#include "gateway/relay_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
 
 enum {
-	kHttpOk = 200,
-	kHttpServerErrorFirst = 500,
 	/* Covers connections within a region and to another one. */
 	kConnectTimeoutUs = 250 * kUsPerMs,
 	/* Limit of attempts that were not executed; these do not count towards
@@ -28,62 +26,6 @@
 	kActiveWithinUs = 75 * kUsPerMs,
 	/* Stall timeout of a busy target, as a multiple of the usual one. */
 	kBusyStallFactor = 4,
-	/* Longest event of a stream. */
-	kEventBytesMax = 1024 * 1024,
-};
-
-enum relay_phase {
-	kPhaseAcquiring,
-	kPhaseRunning,
-	kPhaseDone,
-};
-
-struct relay {
-	struct relay_deps deps;
-	struct relay_options opt;
-	char *method;
-	char *uri;
-	struct header_list *headers;
-	GBytes *body;
-	char *attempt_id;
-	char *service;
-
-	enum relay_phase phase;
-	uint64_t slot;
-	char target[kFleetNameMax];
-	/** Start of the target, to which its answer refers. */
-	int64_t target_started_ms;
-	struct outbound_request *request;
-	uint64_t deadline_timer;
-	uint64_t stall_timer;
-	int64_t started_us;
-	int64_t slot_requested_us;
-	/** Network time of a new connection and a request to the current
-	 * target. */
-	int64_t link_us;
-	int64_t slot_wait_us;
-	/** Time of the last event from the target, or of the send. */
-	int64_t last_activity_us;
-	/** The current data completed an event. */
-	bool has_new_event;
-
-	/* Attempts that may have been executed, and those that were not. */
-	int32_t attempts;
-	int32_t not_executed_count;
-	const char *cause;
-
-	/* The current response. */
-	int32_t status;
-	struct header_list *answer_headers;
-	struct dialect_response response;
-	enum answer_verdict verdict;
-	/** An attempt not counted in attempts may have been executed. */
-	bool has_unproven_refusal;
-	bool is_stream;
-	struct event_splitter events;
-	GString *answer_body;
-	/** The head, and possibly body data, was passed on. */
-	bool is_answering;
 };
 
 static void start_attempt(struct relay *rl);
@@ -114,8 +56,8 @@
 }
 
 /* Cancels the transfer and releases the slot. */
-static void
-release_target(struct relay *rl, enum slot_outcome outcome)
+void
+relay_release_target(struct relay *rl, enum slot_outcome outcome)
 {
 	loop_timer_cancel(rl->deps.lp, rl->stall_timer);
 	rl->stall_timer = 0;
@@ -127,8 +69,9 @@
 	rl->slot = 0;
 }
 
-static void
-finish(struct relay *rl, enum relay_outcome outcome, int64_t retry_after_us)
+void
+relay_finish(
+    struct relay *rl, enum relay_outcome outcome, int64_t retry_after_us)
 {
 	struct relay_result result = {
 	    .outcome = outcome,
@@ -141,7 +84,7 @@
 	g_strlcpy(result.target, rl->target, sizeof(result.target));
 	rl->phase = kPhaseDone;
 	stop_timers(rl);
-	release_target(rl, kSlotNeutral);
+	relay_release_target(rl, kSlotNeutral);
 	rl->opt.ops->on_end(rl->opt.ctx, &result);
 	relay_free(rl);
 }
@@ -151,7 +94,7 @@
 {
 	rl->phase = kPhaseDone;
 	stop_timers(rl);
-	release_target(rl, kSlotNeutral);
+	relay_release_target(rl, kSlotNeutral);
 	relay_free(rl);
 }
 
@@ -168,15 +111,15 @@
 fail_request(struct relay *rl, int64_t retry_after_us)
 {
 	if (rl->is_answering)
-		finish(rl, kRelayInterrupted, 0);
+		relay_finish(rl, kRelayInterrupted, 0);
 	else if (did_not_run(rl))
-		finish(rl, kRelayRefused, retry_after_us);
+		relay_finish(rl, kRelayRefused, retry_after_us);
 	else
-		finish(rl, kRelayFailed, 0);
+		relay_finish(rl, kRelayFailed, 0);
 }
 
-static bool
-may_retry(const struct relay *rl)
+bool
+relay_may_retry(const struct relay *rl)
 {
 	bool repeats = rl->attempts == 0 || rl->opt.may_repeat;
 
@@ -196,13 +139,14 @@
 }
 
 /* The attempt did not return a usable answer: retries, or ends the request. */
-static void
-fail_attempt(struct relay *rl, enum slot_outcome outcome, const char *cause)
+void
+relay_fail_attempt(
+    struct relay *rl, enum slot_outcome outcome, const char *cause)
 {
 	log_attempt(rl, cause);
 	rl->cause = cause;
-	release_target(rl, outcome);
-	if (may_retry(rl)) {
+	relay_release_target(rl, outcome);
+	if (relay_may_retry(rl)) {
 		metric_add(kMetRetries, 1);
 		if (rl->is_answering)
 			metric_add(kMetResumes, 1);
@@ -243,199 +187,24 @@
 		    loop_now_us(rl->deps.lp) + kActiveWithinUs, on_stall, rl);
 		return;
 	}
-	fail_attempt(rl, kSlotUnresponsive, "silent");
+	relay_fail_attempt(rl, kSlotUnresponsive, "silent");
 }
 
 /* The stall timer runs only while another target may take over: in this relay
  * or, for a batch item, in its next run. */
-static void
-restart_stall_timer(struct relay *rl)
+void
+relay_restart_stall_timer(struct relay *rl)
 {
 	int64_t now_us = loop_now_us(rl->deps.lp);
 
 	loop_timer_cancel(rl->deps.lp, rl->stall_timer);
 	rl->stall_timer = 0;
-	if (rl->opt.stall_timeout_us > 0 && (rl->opt.is_batch || may_retry(rl)))
+	if (rl->opt.stall_timeout_us > 0 &&
+	    (rl->opt.is_batch || relay_may_retry(rl)))
 		rl->stall_timer = loop_timer(
 		    rl->deps.lp, now_us + stall_timeout_us(rl), on_stall, rl);
 }
 
-/* Judges a response; one that is not this attempt's ends its connection. */
-static bool
-is_own_answer(struct relay *rl, int32_t status)
-{
-	bool is_first = outbound_is_first_answer(rl->request);
-
-	rl->verdict = answer_judge(&rl->response, is_first);
-	if (rl->verdict != kAnswerOwn)
-		log_event(kEvtAnswerCrossed, "request", rl->attempt_id,
-		    "received", rl->response.attempt_id, "status",
-		    log_number(status), "target", rl->target, "is_first",
-		    is_first ? "yes" : "no", NULL);
-	return rl->verdict == kAnswerOwn;
-}
-
-static bool
-on_head(void *ctx, int32_t status, const struct header_list *headers)
-{
-	struct relay *rl = ctx;
-
-	rl->deps.dialect->decode_response(
-	    status, headers, rl->attempt_id, &rl->response);
-	if (rl->response.is_target_leaving)
-		rl->deps.on_target_leaving(
-		    rl->deps.ctx, rl->target, rl->target_started_ms);
-	if (!is_own_answer(rl, status))
-		return false;
-	rl->status = status;
-	rl->is_stream = status == kHttpOk && rl->response.is_event_stream;
-	/* A resumed stream keeps the head of its first target. */
-	if (rl->is_answering)
-		return rl->is_stream;
-	header_list_free(rl->answer_headers);
-	rl->answer_headers = header_list_new();
-	for (guint i = 0; i < header_list_len(headers); i++) {
-		const struct header *h = header_list_at(headers, i);
-
-		if (!header_is_hop_by_hop(h->name))
-			header_list_add(rl->answer_headers, h->name, h->value);
-	}
-	return true;
-}
-
-static void
-deliver_head(struct relay *rl)
-{
-	if (rl->is_answering)
-		return;
-	rl->is_answering = true;
-	rl->opt.ops->on_head(rl->opt.ctx, rl->status, rl->answer_headers);
-}
-
-static bool
-on_event(void *ctx, const struct stream_event *ev)
-{
-	struct relay *rl = ctx;
-
-	deliver_head(rl);
-	rl->last_activity_us = loop_now_us(rl->deps.lp);
-	rl->has_new_event = true;
-	metric_add(kMetTokens, 1);
-	rl->opt.ops->on_data(rl->opt.ctx, ev);
-	return true;
-}
-
-static bool
-on_data(void *ctx, const char *data, size_t len)
-{
-	struct relay *rl = ctx;
-
-	if (!rl->is_stream) {
-		g_string_append_len(rl->answer_body, data, (gssize)len);
-		return true;
-	}
-	target_activity_record(
-	    rl->deps.activity, rl->target, loop_now_us(rl->deps.lp));
-	rl->has_new_event = false;
-	event_splitter_feed(&rl->events, data, len, on_event, rl);
-	/* Bytes that complete no event are no progress. */
-	if (rl->has_new_event)
-		restart_stall_timer(rl);
-	return event_splitter_partial_len(&rl->events) <= kEventBytesMax;
-}
-
-static void
-deliver_body(struct relay *rl)
-{
-	struct stream_event body = {
-	    rl->answer_body->str, rl->answer_body->len, -1};
-
-	deliver_head(rl);
-	if (body.len > 0)
-		rl->opt.ops->on_data(rl->opt.ctx, &body);
-}
-
-static void
-handle_refusal(struct relay *rl, const char *cause)
-{
-	rl->attempts--;
-	rl->not_executed_count++;
-	fail_attempt(rl,
-	    rl->response.is_misdirected ? kSlotUnreachable : kSlotFull, cause);
-}
-
-static void
-handle_crossed(struct relay *rl)
-{
-	metric_add(kMetCrossed, 1);
-	if (rl->verdict == kAnswerUnproven && rl->opt.may_repeat) {
-		rl->has_unproven_refusal = true;
-		handle_refusal(rl, "turned_away_unproven");
-		return;
-	}
-	fail_attempt(rl, kSlotFailed, "crossed");
-}
-
-static void
-handle_complete(struct relay *rl)
-{
-	bool is_error = rl->status >= kHttpServerErrorFirst;
-
-	if (rl->response.was_not_executed) {
-		handle_refusal(rl, "turned_away");
-		return;
-	}
-	if (rl->is_stream && event_splitter_has_partial(&rl->events)) {
-		fail_attempt(rl, kSlotFailed, "torn");
-		return;
-	}
-	/* A success is accepted only if the target has signed it. */
-	if (!is_error && !rl->is_answering && !rl->response.is_signed) {
-		fail_attempt(rl, kSlotFailed, "unsigned");
-		return;
-	}
-	if (is_error && rl->opt.may_repeat && may_retry(rl)) {
-		fail_attempt(rl, kSlotFailed, "failed");
-		return;
-	}
-	if (!rl->is_stream)
-		deliver_body(rl);
-	else
-		deliver_head(rl);
-	rl->cause = is_error ? "failed" : "whole";
-	release_target(rl, is_error ? kSlotFailed : kSlotServed);
-	finish(rl, kRelayComplete, 0);
-}
-
-static void
-on_done(void *ctx, enum outbound_outcome outcome)
-{
-	struct relay *rl = ctx;
-
-	rl->request = NULL;
-	switch (outcome) {
-	case kOutboundComplete:
-		handle_complete(rl);
-		break;
-	case kOutboundNotSent:
-		rl->attempts--;
-		rl->not_executed_count++;
-		fail_attempt(rl, kSlotUnreachable, "unreachable");
-		break;
-	case kOutboundInterrupted:
-		if (!rl->is_answering && rl->opt.ops->on_no_response != NULL &&
-		    !rl->opt.ops->on_no_response(rl->opt.ctx))
-			rl->opt.attempts_max = 0;
-		fail_attempt(rl, kSlotFailed, "cut");
-		break;
-	case kOutboundRefused:
-		handle_crossed(rl);
-		break;
-	}
-}
-
-static const struct outbound_ops outbound_ops = {on_head, on_data, on_done};
-
 static void
 send_request(struct relay *rl, const struct fleet_target *target)
 {
@@ -456,7 +225,7 @@
 	    .body = rl->body,
 	    .connect_timeout_us = kConnectTimeoutUs,
 	    .is_sent_once = !rl->opt.may_repeat,
-	    .ops = &outbound_ops,
+	    .ops = &relay_transfer_ops,
 	    .ctx = rl,
 	};
 
@@ -469,7 +238,7 @@
 	rl->verdict = kAnswerForeign;
 	rl->last_activity_us = now_us;
 	rl->request = outbound_start(rl->deps.outbound, &opt);
-	restart_stall_timer(rl);
+	relay_restart_stall_timer(rl);
 }
 
 static void
@@ -485,7 +254,7 @@
 	if (target == NULL || target->is_draining ||
 	    target->expires_at_us != 0) {
 		rl->not_executed_count++;
-		fail_attempt(rl, kSlotNeutral, "left_the_list");
+		relay_fail_attempt(rl, kSlotNeutral, "left_the_list");
 		return;
 	}
 	send_request(rl, target);
@@ -507,7 +276,7 @@
 	struct relay *rl = ctx;
 
 	if (rl->phase == kPhaseRunning)
-		finish(rl, kRelayRevoked, 0);
+		relay_finish(rl, kRelayRevoked, 0);
 }
 
 static const struct slots_ops slot_ops = {on_granted, on_refused, on_revoked};
@@ -546,11 +315,11 @@
 	rl->deadline_timer = 0;
 	rl->cause = "deadline";
 	if (rl->is_answering)
-		finish(rl, kRelayInterrupted, 0);
+		relay_finish(rl, kRelayInterrupted, 0);
 	else if (did_not_run(rl))
-		finish(rl, kRelayRefused, kRetryAfterDefaultUs);
+		relay_finish(rl, kRelayRefused, kRetryAfterDefaultUs);
 	else
-		finish(rl, kRelayTimeout, 0);
+		relay_finish(rl, kRelayTimeout, 0);
 }
 
 struct relay *
--- /dev/null
+++ b/src/gateway/relay_answer.c
@@ -0,0 +1,224 @@
+/* What a target's answer means for an attempt, and what of it is passed on. */
+#include "gateway/relay_internal.h"
+#include "http/intake.h"
+#include "log/log.h"
+#include "metric/metric.h"
+
+enum {
+	kHttpOk = 200,
+	kHttpServerErrorFirst = 500,
+};
+
+/* Judges a response; one that is not this attempt's ends its connection. */
+static bool
+is_own_answer(struct relay *rl, int32_t status)
+{
+	bool is_first = outbound_is_first_answer(rl->request);
+
+	rl->verdict = answer_judge(&rl->response, is_first);
+	if (rl->verdict != kAnswerOwn)
+		log_event(kEvtAnswerCrossed, "request", rl->attempt_id,
+		    "received", rl->response.attempt_id, "status",
+		    log_number(status), "target", rl->target, "is_first",
+		    is_first ? "yes" : "no", NULL);
+	return rl->verdict == kAnswerOwn;
+}
+
+static bool
+on_head(void *ctx, int32_t status, const struct header_list *headers)
+{
+	struct relay *rl = ctx;
+
+	rl->deps.dialect->decode_response(
+	    status, headers, rl->attempt_id, &rl->response);
+	if (rl->response.is_target_leaving)
+		rl->deps.on_target_leaving(
+		    rl->deps.ctx, rl->target, rl->target_started_ms);
+	if (!is_own_answer(rl, status))
+		return false;
+	rl->status = status;
+	rl->is_stream = status == kHttpOk && rl->response.is_event_stream;
+	if (rl->is_stream)
+		outbound_allow_body(rl->request, kIntakeEventBytesMax);
+	/* A resumed stream keeps the head of its first target. */
+	if (rl->is_answering)
+		return rl->is_stream;
+	header_list_free(rl->answer_headers);
+	rl->answer_headers = header_list_new();
+	for (guint i = 0; i < header_list_len(headers); i++) {
+		const struct header *h = header_list_at(headers, i);
+
+		if (!header_is_hop_by_hop(h->name))
+			header_list_add(rl->answer_headers, h->name, h->value);
+	}
+	return true;
+}
+
+static void
+deliver_head(struct relay *rl)
+{
+	if (rl->is_answering)
+		return;
+	rl->is_answering = true;
+	rl->opt.ops->on_head(rl->opt.ctx, rl->status, rl->answer_headers);
+}
+
+static bool
+on_event(void *ctx, const struct stream_event *ev)
+{
+	struct relay *rl = ctx;
+
+	/* A comment is no progress; no answer begins with it. */
+	if (!ev->has_content) {
+		if (rl->is_answering && !rl->opt.is_batch)
+			rl->opt.ops->on_data(rl->opt.ctx, ev);
+		return true;
+	}
+	if (rl->opt.stream_bytes_max > 0 &&
+	    (rl->stream_bytes += (int64_t)ev->len) > rl->opt.stream_bytes_max)
+		return false;
+	deliver_head(rl);
+	rl->last_activity_us = loop_now_us(rl->deps.lp);
+	rl->has_new_event = true;
+	metric_add(kMetTokens, 1);
+	rl->opt.ops->on_data(rl->opt.ctx, ev);
+	return true;
+}
+
+static bool
+on_data(void *ctx, const char *data, size_t len)
+{
+	struct relay *rl = ctx;
+
+	if (!rl->is_stream) {
+		g_string_append_len(rl->answer_body, data, (gssize)len);
+		return true;
+	}
+	target_activity_record(
+	    rl->deps.activity, rl->target, loop_now_us(rl->deps.lp));
+	rl->has_new_event = false;
+	if (!event_splitter_feed(&rl->events, data, len, on_event, rl))
+		return false;
+	/* Bytes that complete no event are no progress. */
+	if (rl->has_new_event) {
+		relay_restart_stall_timer(rl);
+		outbound_allow_body(rl->request, kIntakeEventBytesMax);
+	}
+	return true;
+}
+
+static void
+deliver_body(struct relay *rl)
+{
+	struct stream_event body = {
+	    rl->answer_body->str, rl->answer_body->len, -1, true};
+
+	deliver_head(rl);
+	if (body.len > 0)
+		rl->opt.ops->on_data(rl->opt.ctx, &body);
+}
+
+static void
+handle_refusal(struct relay *rl, const char *cause)
+{
+	rl->attempts--;
+	rl->not_executed_count++;
+	relay_fail_attempt(rl,
+	    rl->response.is_misdirected ? kSlotUnreachable : kSlotFull, cause);
+}
+
+static void
+handle_crossed(struct relay *rl)
+{
+	metric_add(kMetCrossed, 1);
+	if (rl->verdict == kAnswerUnproven && rl->opt.may_repeat) {
+		rl->has_unproven_refusal = true;
+		handle_refusal(rl, "turned_away_unproven");
+		return;
+	}
+	relay_fail_attempt(rl, kSlotFailed, "crossed");
+}
+
+static void
+handle_complete(struct relay *rl)
+{
+	bool is_error = rl->status >= kHttpServerErrorFirst;
+
+	if (rl->response.was_not_executed) {
+		handle_refusal(rl, "turned_away");
+		return;
+	}
+	if (rl->is_stream && event_splitter_has_partial(&rl->events)) {
+		relay_fail_attempt(rl, kSlotFailed, "torn");
+		return;
+	}
+	/* A success is accepted only if the target has signed it. */
+	if (!is_error && !rl->is_answering && !rl->response.is_signed) {
+		relay_fail_attempt(rl, kSlotFailed, "unsigned");
+		return;
+	}
+	if (is_error && rl->opt.may_repeat && relay_may_retry(rl)) {
+		relay_fail_attempt(rl, kSlotFailed, "failed");
+		return;
+	}
+	if (!rl->is_stream)
+		deliver_body(rl);
+	else
+		deliver_head(rl);
+	rl->cause = is_error ? "failed" : "whole";
+	relay_release_target(rl, is_error ? kSlotFailed : kSlotServed);
+	relay_finish(rl, kRelayComplete, 0);
+}
+
+/* The answer broke off, or was cut: the request may have run. */
+static void
+handle_interrupted(struct relay *rl, const char *cause)
+{
+	if (!rl->is_answering && rl->opt.ops->on_no_response != NULL &&
+	    !rl->opt.ops->on_no_response(rl->opt.ctx))
+		rl->opt.attempts_max = 0;
+	relay_fail_attempt(rl, kSlotFailed, cause);
+}
+
+/* A callback has refused the answer: too much, too often or another's. */
+static void
+handle_refused(struct relay *rl)
+{
+	bool is_full = rl->opt.stream_bytes_max > 0 &&
+	    rl->stream_bytes > rl->opt.stream_bytes_max;
+
+	if (rl->events.is_repeating || is_full) {
+		handle_interrupted(rl, is_full ? "endless" : "repeating");
+		return;
+	}
+	handle_crossed(rl);
+}
+
+static void
+on_done(void *ctx, enum outbound_outcome outcome)
+{
+	struct relay *rl = ctx;
+
+	rl->request = NULL;
+	switch (outcome) {
+	case kOutboundComplete:
+		handle_complete(rl);
+		break;
+	case kOutboundNotSent:
+		rl->attempts--;
+		rl->not_executed_count++;
+		relay_fail_attempt(rl, kSlotUnreachable, "unreachable");
+		break;
+	case kOutboundInterrupted:
+		handle_interrupted(rl, "cut");
+		break;
+	case kOutboundCut:
+		handle_interrupted(rl, "endless");
+		break;
+	case kOutboundRefused:
+		handle_refused(rl);
+		break;
+	}
+}
+
+const struct outbound_ops relay_transfer_ops = {on_head, on_data, on_done};
--- /dev/null
+++ b/src/gateway/relay_internal.h
@@ -0,0 +1,83 @@
+#ifndef SAVORYFLOW_GATEWAY_RELAY_INTERNAL_H
+#define SAVORYFLOW_GATEWAY_RELAY_INTERNAL_H
+
+#include "gateway/answer.h"
+#include "gateway/relay.h"
+
+/* Internal to the relay module. */
+
+enum relay_phase {
+	kPhaseAcquiring,
+	kPhaseRunning,
+	kPhaseDone,
+};
+
+struct relay {
+	struct relay_deps deps;
+	struct relay_options opt;
+	char *method;
+	char *uri;
+	struct header_list *headers;
+	GBytes *body;
+	char *attempt_id;
+	char *service;
+
+	enum relay_phase phase;
+	uint64_t slot;
+	char target[kFleetNameMax];
+	/** Start of the target, to which its answer refers. */
+	int64_t target_started_ms;
+	struct outbound_request *request;
+	uint64_t deadline_timer;
+	uint64_t stall_timer;
+	int64_t started_us;
+	int64_t slot_requested_us;
+	/** Network time of a new connection and a request to the current
+	 * target. */
+	int64_t link_us;
+	int64_t slot_wait_us;
+	/** Time of the last event from the target, or of the send. */
+	int64_t last_activity_us;
+	/** The current data completed an event. */
+	bool has_new_event;
+	int64_t stream_bytes;
+
+	/* Attempts that may have been executed, and those that were not. */
+	int32_t attempts;
+	int32_t not_executed_count;
+	const char *cause;
+
+	/* The current response. */
+	int32_t status;
+	struct header_list *answer_headers;
+	struct dialect_response response;
+	enum answer_verdict verdict;
+	/** An attempt not counted in attempts may have been executed. */
+	bool has_unproven_refusal;
+	bool is_stream;
+	struct event_splitter events;
+	GString *answer_body;
+	/** The head, and possibly body data, was passed on. */
+	bool is_answering;
+};
+
+/** What happens to an attempt's transfer. */
+extern const struct outbound_ops relay_transfer_ops;
+
+/** The attempt did not return a usable answer: retries, or ends the request. */
+void relay_fail_attempt(
+    struct relay *rl, enum slot_outcome outcome, const char *cause);
+
+/** Cancels the transfer and releases the slot. */
+void relay_release_target(struct relay *rl, enum slot_outcome outcome);
+
+/** Ends the request. */
+void relay_finish(
+    struct relay *rl, enum relay_outcome outcome, int64_t retry_after_us);
+
+/** Whether a further attempt is allowed. */
+bool relay_may_retry(const struct relay *rl);
+
+void relay_restart_stall_timer(struct relay *rl);
+
+#endif
--- a/src/gateway/target_activity.h
+++ b/src/gateway/target_activity.h
@@ -9,6 +9,7 @@
 struct target_activity *target_activity_new(void);
 void target_activity_free(struct target_activity *ta);
 
+/** Records that a target has sent data. */
 void target_activity_record(
     struct target_activity *ta, const char *target, int64_t now_us);
 
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -24,6 +24,9 @@
 	X(kEvtSurplusBytes, 1215, WARN, "surplus_bytes",                       \
 	    "A connection to a target carried bytes that belong to no "        \
 	    "request; it was closed.")                                         \
+	X(kEvtAnswerCut, 1211, WARN, "answer_cut",                             \
+	    "More arrived than an answer may have, or than its caller reads; " \
+	    "the connection was closed. The request may have run.")            \
 	X(kEvtTargetListed, 1305, INFO, "target_listed",                       \
 	    "A target's row is new or has changed.")                           \
 	X(kEvtTargetGone, 1306, INFO, "target_gone",                           \
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -17,6 +17,7 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "http/intake.h"
 #include "log/log.h"
 #include "metric/metric.h"
 
@@ -47,6 +48,7 @@
 	bool has_head;
 	/** The answer is one to another call; nothing of it is used. */
 	bool is_foreign;
+	struct intake intake;
 };
 
 struct http_request {
@@ -79,6 +81,8 @@
 {
 	struct http_reply *reply = ctx;
 
+	if (!intake_body(&reply->intake, size * n))
+		return 0;
 	g_byte_array_append(
 	    reply->body, (const guint8 *)data, (guint)(size * n));
 	return size * n;
@@ -106,6 +110,8 @@
 	size_t len = size * n;
 	long status = 0;
 
+	if (!intake_head(&reply->intake, len))
+		return 0;
 	if (reply->has_head)
 		return len;
 	if (len > sizeof(name) &&
@@ -151,6 +157,7 @@
 	    g_random_int());
 	g_snprintf(line, sizeof(line), "Savoryflow-Call: %s", reply->call);
 	headers = curl_slist_append(headers, line);
+	intake_init(&reply->intake, kIntakeStoreBytesMax);
 	headers = curl_slist_append(headers, "Expect:");
 	curl_easy_setopt(h, CURLOPT_URL, url);
 	curl_easy_setopt(h, CURLOPT_NOSIGNAL, 1L);
@@ -170,6 +177,7 @@
 	reply->curl = curl_easy_perform(h);
 	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply->status);
 	count_bytes(h, cause);
+	intake_log(&reply->intake, url);
 	curl_slist_free_all(headers);
 	g_free(url);
 	if (reply->is_foreign)
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -10,6 +10,7 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "http/intake.h"
 #include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
@@ -48,6 +49,7 @@
 	char echoed_attempt[32];
 	/** The head of the final status is complete. */
 	bool has_head;
+	struct intake intake;
 	struct transfer_result result;
 	const struct target_ops *ops;
 	void *ctx;
@@ -85,12 +87,25 @@
 	struct transfer *tr = ctx;
 	long status = 0;
 
-	tr->progress_us = clock_mono_us(clock_system());
+	if (!intake_body(&tr->intake, size * n))
+		return 0;
 	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (tr->ops->on_data(tr->ctx, tr->attempt, status, data, size * n))
-		return size * n;
-	tr->is_aborted_by_reader = true;
-	return 0;
+	switch (
+	    tr->ops->on_data(tr->ctx, tr->attempt, status, data, size * n)) {
+	case kTargetDataRefused:
+		tr->is_aborted_by_reader = true;
+		return 0;
+	case kTargetDataIdle:
+		break;
+	case kTargetDataEvent:
+		intake_allow_body(&tr->intake, kIntakeEventBytesMax);
+		tr->progress_us = clock_mono_us(clock_system());
+		break;
+	case kTargetDataPart:
+		tr->progress_us = clock_mono_us(clock_system());
+		break;
+	}
+	return size * n;
 }
 
 static void
@@ -139,6 +154,8 @@
 	struct transfer *tr = ctx;
 	size_t len = size * n;
 
+	if (!intake_head(&tr->intake, len))
+		return 0;
 	if (tr->has_head)
 		return len;
 	if (len <= 2)
@@ -202,6 +219,7 @@
 transfer_begin(struct target_client *tc, struct transfer *tr)
 {
 	tr->easy = curl_easy_init();
+	intake_init(&tr->intake, kIntakeBodyBytesMax);
 	tr->progress_us = clock_mono_us(clock_system());
 	curl_easy_setopt(tr->easy, CURLOPT_URL, tr->url);
 	curl_easy_setopt(tr->easy, CURLOPT_NOSIGNAL, 1L);
@@ -228,6 +246,7 @@
     struct target_client *tc, struct transfer *tr, enum transfer_end end)
 {
 	tr->result.end = end;
+	intake_log(&tr->intake, tr->url);
 	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &tr->result.status);
 	if (tr->result.status != kHttpUnavailable || tr->result.is_foreign)
 		tr->result.is_not_executed = false;
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -63,6 +63,8 @@
 	int Wait();
 	bool HasExited();
 	std::string Output();
+	/** Peak resident memory so far, KiB; -1 if unknown. */
+	long PeakMemoryKib();
 
       private:
 	void Read(int fd);
