--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -259,7 +259,7 @@
 	if (!req->is_overrun && unread + len > kUnreadBytesMax) {
 		req->is_overrun = true;
 		log_event(kEvtAnswerCut, "limit", "unread_bytes", "body_bytes",
-		    log_number((int64_t)unread), NULL);
+		    log_number((int64_t)unread), (char *)NULL);
 	}
 	if (!req->is_overrun)
 		g_string_append_len(req->out, data, (gssize)len);
--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -71,5 +71,5 @@
 		log_event(kEvtAnswerCut, "server", server, "limit", in->limit,
 		    "head_bytes", log_number(in->head_bytes), "body_bytes",
 		    log_number(in->body_bytes), "wire_bytes",
-		    log_number(in->wire_bytes), NULL);
+		    log_number(in->wire_bytes), (char *)NULL);
 }
