The test of requests that run once meets the copy of a refusal

Cause: the copy came too late for the next request in ARequestThatRunsOnceIsNotSentAgain, which passed with single sending switched off. Change: four callers wait for their answers while the copy arrives, as in the test before it. Evidence: with is_sent_once switched off by hand the test fails now, at the refusal itself: on a connection in use before it is not trusted.

--- a/test/functional/test_gateway_surplus.cc
+++ b/test/functional/test_gateway_surplus.cc
@@ -314,20 +314,33 @@
 	EXPECT_EQ(1, daemons[0]->Count("\"name\":\"answer_crossed\""));
 }
 
-/* A request that may run only once, after a refusal that was sent twice. */
+/* As above; requests that may run only once have connections of their own. */
 TEST_F(GatewaySurplus, ARequestThatRunsOnceIsNotSentAgain)
 {
-	StartFleet(2);
-	for (int i = 0; i < 4; i++) {
-		std::string id = "b" + std::to_string(i);
+	const int kCallers = 4;
 
-		InjectFault(0,
-		    "{\"shed\":1,\"surplus\":{\"count\":1,\"delay_ms\":200}}");
-		Call(0, "/f/a", "a" + id, 1);
-		Reply r = Call(0, "/f/" + id, id, 3);
+	StartFleet(1);
+	for (int n = 0; n < 3; n++) {
+		std::string prefix = "b" + std::to_string(n);
+		std::vector<std::thread> callers;
+		Reply replies[kCallers];
 
-		EXPECT_EQ(ExpectedStream("/f/" + id, 3), r.body);
-		EXPECT_EQ(1, CountRuns(id));
+		InjectFault(0,
+		    "{\"shed\":1,\"surplus\":{\"count\":1,\"delay_ms\":100}}");
+		callers.emplace_back([&] { Call(0, "/f/a", "a" + prefix, 1); });
+		EXPECT_TRUE(daemons[0]->WaitLine("\"request\":\"a" + prefix +
+		    "\",\"target\":\"i-0\",\"end\":\"turned_away\""));
+		for (int i = 0; i < kCallers; i++)
+			callers.emplace_back([&, i] {
+				replies[i] = Call(0, "/f/b",
+				    prefix + std::to_string(i), 3, 20);
+			});
+		for (auto &t : callers)
+			t.join();
+		for (int i = 0; i < kCallers; i++) {
+			EXPECT_EQ(ExpectedStream("/f/b", 3), replies[i].body);
+			EXPECT_EQ(1, CountRuns(prefix + std::to_string(i)));
+		}
 	}
 }
 
