Peers: a daemon that comes up is connected to at once

Seen: Failures.KilledArbiterDoesNotStopOnlineRequests and its sibling with SIGSTOP found no arbiter after the first request (ArbiterOf is -1), now and then. The log has arbiter_fallback 100 ms after the request, though the arbiter's daemon was up and configured, and that daemon never saw the request.

Cause: a daemon dials its seeds when it starts. If a seed is not up yet, ZeroMQ tries again after 200 ms, later after up to 2 s. The seed dials in the other direction as soon as it starts, so it counts as up, and gets requests for grants, while the connection to it waits for its next attempt. The requests wait in its queue past the grant timeout, and the daemon uses its local share. So after a restart of a daemon, its peers went without its arbiters for up to 2 s.

Fix: when a member comes up, its connection is closed, and the next message opens a new one; the peer has bound its socket before it sends. No grant is lost with the old connection, as none is requested of a daemon that is not up. The members are updated before the replies to gossip are sent, as those may be the next message.

--- a/src/serve/routes.c
+++ b/src/serve/routes.c
@@ -322,14 +322,10 @@
 	g_array_append_val(daemons, rd);
 }
 
-/*
- * Logs members that became usable or unusable.
- * @return addresses of the latter
- */
-static GPtrArray *
-log_member_changes(struct routes *rs)
+/* Logs members that became usable or unusable, and adds their addresses. */
+static void
+log_member_changes(struct routes *rs, GPtrArray *added, GPtrArray *removed)
 {
-	GPtrArray *removed = g_ptr_array_new_with_free_func(g_free);
 	GPtrArray *list = membership_list(rs->members);
 
 	for (guint i = 0; i < list->len; i++) {
@@ -346,10 +342,10 @@
 			g_ptr_array_add(removed, g_strdup(address));
 		} else {
 			g_hash_table_add(rs->usable, g_strdup(address));
+			g_ptr_array_add(added, g_strdup(address));
 		}
 	}
 	g_ptr_array_unref(list);
-	return removed;
 }
 
 static void
@@ -400,7 +396,8 @@
 {
 	struct config *cfg = config_holder_get(rs->d->configs);
 	int64_t generation = cfg != NULL ? cfg->generation : 0;
-	GPtrArray *removed = NULL;
+	GPtrArray *added = g_ptr_array_new_with_free_func(g_free);
+	GPtrArray *removed = g_ptr_array_new_with_free_func(g_free);
 	bool changed;
 
 	pthread_mutex_lock(&rs->lock);
@@ -409,19 +406,23 @@
 	if (changed) {
 		rs->epoch = membership_epoch(rs->members);
 		rs->generation = generation;
-		removed = log_member_changes(rs);
+		log_member_changes(rs, added, removed);
+		/* An earlier connection may be waiting for its next attempt,
+		 * with requests for grants behind it. */
+		for (guint i = 0; i < added->len; i++)
+			peer_disconnect(rs->d->peer, added->pdata[i]);
 		rebuild(rs, cfg);
 	}
 	pthread_mutex_unlock(&rs->lock);
 	config_unref(cfg);
-	if (!changed)
-		return;
 	for (guint i = 0; i < removed->len; i++) {
 		grants_remove_daemon(rs->d->grants, removed->pdata[i]);
 		peer_disconnect(rs->d->peer, removed->pdata[i]);
 	}
+	g_ptr_array_unref(added);
 	g_ptr_array_unref(removed);
-	grants_routes_changed(rs->d->grants);
+	if (changed)
+		grants_routes_changed(rs->d->grants);
 }
 
 void
@@ -514,9 +515,10 @@
 	pthread_mutex_lock(&rs->lock);
 	membership_receive(rs->members, msg, clock_mono_us(rs->d->clk), out);
 	pthread_mutex_unlock(&rs->lock);
+	/* Before the replies, as it may replace their connection. */
+	rebuild_if_changed(rs);
 	send_all(rs, out);
 	membership_message_free(msg);
-	rebuild_if_changed(rs);
 }
 
 void
--- a/test/functional/test_failures.cc
+++ b/test/functional/test_failures.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <atomic>
+#include <chrono>
 #include <thread>
 
 #include "functional/harness.h"
@@ -144,6 +145,40 @@
 	    << f.daemons[1]->Output();
 }
 
+/* The connection to a daemon that was away is not left waiting for its next
+ * attempt, at intervals of up to 2 s, once the daemon is up. */
+TEST(Failures, ADaemonThatWasAwayIsAskedForGrantsAtOnce)
+{
+	FleetOptions o;
+
+	o.engines = 8;
+	o.flags = {"--grant-timeout-ms=500"};
+	Fleet f(o);
+	for (int round = 1; round <= 2; round++) {
+		f.daemons[1]->Signal(SIGKILL);
+		f.daemons[1]->Wait();
+		ASSERT_TRUE(f.daemons[0]->WaitLine("member_down", round));
+		/* The intervals grow meanwhile. */
+		std::this_thread::sleep_for(std::chrono::seconds(2));
+		f.StartDaemon(1);
+		ASSERT_TRUE(f.daemons[0]->WaitLine("member_up", round + 1));
+		/* Without a configuration it knows no targets. */
+		ASSERT_TRUE(f.daemons[1]->WaitLine("daemon_ready"));
+		int before = f.daemons[0]->Count("arbiter_fallback");
+		/* Some engines have their arbiter at the other daemon. */
+		std::vector<std::thread> callers;
+		for (int i = 0; i < 16; i++)
+			callers.emplace_back([&f, i] {
+				std::string prompt = "q" + std::to_string(i);
+
+				EXPECT_EQ(200, f.Chat(0, prompt, false).status);
+			});
+		for (auto &caller : callers)
+			caller.join();
+		EXPECT_EQ(before, f.daemons[0]->Count("arbiter_fallback"));
+	}
+}
+
 /* Online requests continue at the other daemons when the arbiter's daemon is
  * killed (SIGKILL) or frozen (SIGSTOP). */
 void
