Gateway: a daemon that was stopped reads before it judges

Seen: Gateway.AShutdownCutsNoAnswer and Gateway.ASlowSoundStreamIsNotMoved had part of a stream, once each, on a busy machine; no logs of the daemons were kept. To find out what could end these streams, processes of the tests were stopped in the middle of the stream and continued. When only the daemon had been stopped, it cut or moved its streams, though the worker had completed them.

Cause: after SIGCONT epoll_wait fails with EINTR. The loop took that for no events, and ran the timers: each stream was past its stall timeout or its deadline, and what the worker had sent was still in the socket.

Fix: epoll_wait is called a second time, without waiting. The data is read before the timers run, and restarts or ends them.

--- a/src/gateway/loop.c
+++ b/src/gateway/loop.c
@@ -231,6 +231,10 @@
 	int n =
 	    epoll_wait(lp->epoll_fd, events, kEventsPerIteration, wait_ms(lp));
 
+	/* A process that was stopped continues here. What arrived meanwhile is
+	 * read before the timers that it would have restarted. */
+	if (n < 0)
+		n = epoll_wait(lp->epoll_fd, events, kEventsPerIteration, 0);
 	lp->is_wait_skipped = false;
 	for (int i = 0; i < n; i++) {
 		struct watched *w = events[i].data.ptr;
--- a/test/functional/test_gateway.cc
+++ b/test/functional/test_gateway.cc
@@ -186,6 +186,26 @@
 	}
 }
 
+/* What the worker sent meanwhile is passed on, and the worker is not blamed. */
+TEST_F(Gateway, AStreamGoesOnAfterItsDaemonWasStopped)
+{
+	StartReadyFleet(2, 1);
+	for (const char *path : {"/q/stopped", "/f/stopped"}) {
+		Reply r;
+		std::thread caller([&] { r = Call(0, path, path, 30, 20); });
+
+		ASSERT_TRUE(Eventually([&] { return CountRuns(path) == 1; }));
+		daemons[0]->Signal(SIGSTOP);
+		/* The worker needs 600 ms; the deadline is not reached. */
+		std::this_thread::sleep_for(std::chrono::seconds(3));
+		daemons[0]->Signal(SIGCONT);
+		caller.join();
+		EXPECT_EQ(ExpectedStream(path, 30), r.body)
+		    << daemons[0]->Output();
+		EXPECT_EQ(1, CountRuns(path)) << daemons[0]->Output();
+	}
+}
+
 TEST_F(Gateway, ACutStreamIsResumedAtAnotherWorker)
 {
 	StartReadyFleet(2, 1);
