Tests: jobs at a daemon that never reached the store; peers are known first

Seen: Gateway.APeerServesJobsForADaemonThatTheStoreRejects failed in 5 of 49 runs on a busy machine, with 503. Cause: it says that the daemon knows its peer but did not wait for that; the store turned the daemon away 6 to 18 ms after its start, and a daemon that loses the store before it knows a peer never learns of one, as the roster comes from the store only. The premise is waited for now, in this test and in the next one that has it.

--- a/test/functional/test_gateway_jobs.cc
+++ b/test/functional/test_gateway_jobs.cc
@@ -178,6 +178,7 @@
 {
 	StartReadyFleet(1, 2);
 	/* Daemon 1 has lost the store but knows its peer. */
+	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"member_up\""));
 	PostToStore("/fault", "{\"turned_away\":\"d1\"}");
 	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"store_down\""));
 	EXPECT_EQ(202,
@@ -191,6 +192,20 @@
 	EXPECT_GT(daemons[1]->Count("\"name\":\"job_forwarded\""), 0);
 }
 
+TEST_F(Gateway, ADaemonThatNeverReachedTheStoreServesJobsThroughItsSeed)
+{
+	StartReadyFleet(1, 1);
+	PostToStore("/fault", "{\"turned_away\":\"d1\"}");
+	AddDaemon();
+	EXPECT_TRUE(
+	    Eventually([&] { return Call(1, "/q/x", "w", 1).status == 200; }));
+	EXPECT_TRUE(Eventually([&] {
+		return Send(1, "POST", "/b/j1",
+			   JobBody("it", 1, RequestBody(1)), "j1")
+			   .status == 202;
+	}));
+}
+
 /* If the peer that gets the forwarded job is killed or frozen, the job goes to
  * another one. */
 TEST_F(Gateway, ASecondPeerAnswersWhenTheFirstDoesNot)
@@ -232,6 +247,7 @@
 TEST_F(Gateway, AJobThatAPeerMayHaveAcceptedIsNotRefused)
 {
 	StartReadyFleet(1, 2);
+	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"member_up\""));
 	PostToStore("/fault", "{\"turned_away\":\"d1\"}");
 	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"store_down\""));
 	daemons[0]->Signal(SIGSTOP);
