Tests: one fixture of a daemon with a roster, one of store calls as texts

Cause: the tests of answers of arbiters, counters and both store clients each had a copy of the same fixture code. Change: daemon_fixture.h and store_texts.h; the checks are untouched.

--- a/test/platform/test_rows_late.cc
+++ b/test/platform/test_rows_late.cc
@@ -2,6 +2,7 @@
 #include <jansson.h>
 
 #include "platform/late_copies.h"
+#include "platform/store_texts.h"
 
 extern "C" {
 #include "rows_client.h"
@@ -95,38 +96,6 @@
 		return text;
 	}
 
-	std::string
-	Txn(const char *key)
-	{
-		struct store_txn *txn = store_txn_new();
-		std::string name = std::string("t/p/") + key;
-
-		store_txn_absent(txn, name.c_str());
-		store_txn_write(txn, name.c_str(), "v");
-		std::string text =
-		    store_result_text(st->ops->txn(st->ctx, kCauseBatch, txn));
-		store_txn_free(txn);
-		return text;
-	}
-
-	std::string
-	Object()
-	{
-		GBytes *data = nullptr;
-		std::string text = store_result_text(
-		    st->ops->get_object(st->ctx, kCauseBatch, "o", &data));
-		gsize len = 0;
-
-		if (data != nullptr) {
-			const char *s =
-			    (const char *)g_bytes_get_data(data, &len);
-
-			text += " " + std::string(s, len);
-			g_bytes_unref(data);
-		}
-		return text;
-	}
-
 	std::string
 	Put(const char *key)
 	{
@@ -140,8 +109,9 @@
 		if (call == "get a" || call == "get b" || call == "get new")
 			return Get(call.c_str() + 4);
 		if (call == "txn a" || call == "txn new")
-			return Txn(call.c_str() + 4);
-		return call == "object" ? Object() : Put(call.c_str() + 4);
+			return StoreTxnText(st, "t/p/" + call.substr(4));
+		return call == "object" ? StoreObjectText(st)
+					: Put(call.c_str() + 4);
 	}
 };
 
--- a/test/unit/test_quota_answers.cc
+++ b/test/unit/test_quota_answers.cc
@@ -1,8 +1,6 @@
-#include <gtest/gtest.h>
-
-#include <functional>
 #include <string>
-#include <vector>
+
+#include "unit/daemon_fixture.h"
 
 extern "C" {
 #include "gateway/quota.h"
@@ -11,16 +9,6 @@
 namespace
 {
 
-const int64_t kSec = 1000000;
-
-timespec
-FakeNow(void *ctx)
-{
-	return {1, 0};
-}
-
-const clock_ops fake_clock = {FakeNow, FakeNow};
-
 /* The last ask, and whom it went to. */
 struct Ask {
 	std::string to;
@@ -48,34 +36,13 @@
 const slots_wire_ops wire_ops = {Send, Connect, Connect};
 
 /* A daemon with so little capacity that others count. */
-struct QuotaAnswers : ::testing::Test {
+struct QuotaAnswers : DaemonFixture {
 	Ask ask;
 	std::string outcome = "waits";
-	struct clock_source clk = {&fake_clock, nullptr};
-	struct loop *lp = loop_new(&clk);
-	struct roster *ro;
 	struct quota *qt;
-	std::vector<std::function<void()>> steps;
-	size_t step = 0;
-
 	QuotaAnswers()
 	{
-		roster_options opt = {Row(0), 60 * kSec, kSec};
-		GArray *rows = g_array_new(FALSE, TRUE, sizeof(roster_row));
-		roster_changes changes = {
-		    g_ptr_array_new_with_free_func(g_free),
-		    g_ptr_array_new_with_free_func(g_free)};
-
-		ro = roster_new(&opt);
-		for (int i = 1; i < 4; i++) {
-			roster_row row = Row(i);
-
-			g_array_append_val(rows, row);
-		}
-		roster_apply_rows(ro, rows, kSec, &changes);
-		g_array_unref(rows);
-		g_ptr_array_unref(changes.joined);
-		g_ptr_array_unref(changes.removed);
+		MakeRoster(Row);
 		quota_options qopt = {};
 		qopt.lp = lp;
 		qopt.roster = ro;
@@ -86,23 +53,17 @@
 		qt = quota_new(&qopt);
 	}
 
-	~QuotaAnswers()
+	~QuotaAnswers() override
 	{
 		quota_free(qt);
-		roster_free(ro);
-		loop_free(lp);
 	}
 
 	static roster_row
 	Row(int i)
 	{
-		roster_row row = {};
+		roster_row row = BaseRow(i);
 
-		g_snprintf(row.address, sizeof(row.address), "d%d", i);
-		g_snprintf(row.session, sizeof(row.session), "s%d", i);
 		g_strlcpy(row.data_center, "dc", sizeof(row.data_center));
-		g_strlcpy(row.region, "r", sizeof(row.region));
-		row.version = i + 1;
 		row.cpu_millicores = i > 0 ? 1000 : 10;
 		return row;
 	}
@@ -141,20 +102,6 @@
 		env.quota_answers = list;
 		quota_on_envelope(qt, &env);
 	}
-
-	/* One step in each iteration of the loop: asks are sent in the next. */
-	static void
-	NextStep(void *ctx)
-	{
-		auto *t = (QuotaAnswers *)ctx;
-
-		if (t->step == t->steps.size()) {
-			loop_stop(t->lp);
-			return;
-		}
-		t->steps[t->step++]();
-		loop_post(t->lp, NextStep, t);
-	}
 };
 
 /* One that was asked before and took too long, for example. */
@@ -176,8 +123,7 @@
 			EXPECT_EQ("verdict 1", outcome) << v;
 		});
 	}
-	loop_post(lp, NextStep, this);
-	loop_run(lp);
+	Run();
 }
 
 } // namespace
--- a/test/unit/test_slots_answers.cc
+++ b/test/unit/test_slots_answers.cc
@@ -1,9 +1,7 @@
-#include <gtest/gtest.h>
-
-#include <functional>
 #include <set>
 #include <string>
-#include <vector>
+
+#include "unit/daemon_fixture.h"
 
 extern "C" {
 #include "gateway/slots_internal.h"
@@ -12,16 +10,6 @@
 namespace
 {
 
-const int64_t kSec = 1000000;
-
-timespec
-FakeNow(void *ctx)
-{
-	return {1, 0};
-}
-
-const clock_ops fake_clock = {FakeNow, FakeNow};
-
 /* Receivers of releases. */
 void
 Send(void *ctx, const char *to, Sfpeer__Envelope *env)
@@ -38,35 +26,18 @@
 const slots_wire_ops wire_ops = {Send, Connect, Connect};
 
 /* A daemon that asks for a slot of a target elsewhere. */
-struct SlotsAnswers : ::testing::Test {
+struct SlotsAnswers : DaemonFixture {
 	std::set<std::string> released;
 	std::string outcome = "waits";
-	struct clock_source clk = {&fake_clock, nullptr};
-	struct loop *lp = loop_new(&clk);
-	struct roster *ro;
 	struct fleet *fl = fleet_new();
 	struct slots *sl;
 	uint64_t id;
 
 	SlotsAnswers()
 	{
-		roster_options opt = {Row(0), 60 * kSec, kSec};
-		GArray *rows = g_array_new(FALSE, TRUE, sizeof(roster_row));
-		roster_changes changes = {
-		    g_ptr_array_new_with_free_func(g_free),
-		    g_ptr_array_new_with_free_func(g_free)};
 		fleet_target t = {};
 
-		ro = roster_new(&opt);
-		for (int i = 1; i < 4; i++) {
-			roster_row row = Row(i);
-
-			g_array_append_val(rows, row);
-		}
-		roster_apply_rows(ro, rows, kSec, &changes);
-		g_array_unref(rows);
-		g_ptr_array_unref(changes.joined);
-		g_ptr_array_unref(changes.removed);
+		MakeRoster(Row);
 		g_strlcpy(t.id, "t1", sizeof(t.id));
 		g_strlcpy(t.service, "llm", sizeof(t.service));
 		g_strlcpy(t.data_center, "dc1", sizeof(t.data_center));
@@ -79,26 +50,20 @@
 		slots_targets_changed(sl);
 	}
 
-	~SlotsAnswers()
+	~SlotsAnswers() override
 	{
 		slots_free(sl);
 		fleet_free(fl);
-		roster_free(ro);
-		loop_free(lp);
 	}
 
 	/* d0 is in another data centre than the others. */
 	static roster_row
 	Row(int i)
 	{
-		roster_row row = {};
+		roster_row row = BaseRow(i);
 
-		g_snprintf(row.address, sizeof(row.address), "d%d", i);
-		g_snprintf(row.session, sizeof(row.session), "s%d", i);
 		g_snprintf(
 		    row.data_center, sizeof(row.data_center), "dc%d", i > 0);
-		g_strlcpy(row.region, "r", sizeof(row.region));
-		row.version = i + 1;
 		row.cpu_millicores = 1000;
 		return row;
 	}
@@ -156,31 +121,6 @@
 		env.slot_answers = list;
 		slots_on_envelope(sl, &env);
 	}
-
-	/* One step in each iteration of the loop: answers are delivered at its
-	 * end. */
-	static void
-	NextStep(void *ctx)
-	{
-		auto *t = (SlotsAnswers *)ctx;
-
-		if (t->step == t->steps.size()) {
-			loop_stop(t->lp);
-			return;
-		}
-		t->steps[t->step++]();
-		loop_post(t->lp, NextStep, t);
-	}
-
-	void
-	Run()
-	{
-		loop_post(lp, NextStep, this);
-		loop_run(lp);
-	}
-
-	std::vector<std::function<void()>> steps;
-	size_t step = 0;
 };
 
 /* One that was asked before, for example, and took too long. */
--- a/test/unit/test_store_http.cc
+++ b/test/unit/test_store_http.cc
@@ -1,5 +1,6 @@
 /* Answers of the store that are late copies, or lack what they must tell. */
 #include "platform/late_copies.h"
+#include "platform/store_texts.h"
 
 extern "C" {
 #include "store/store_http.h"
@@ -69,44 +70,14 @@
 		return text;
 	}
 
-	std::string
-	Txn(const std::string &key)
-	{
-		struct store_txn *txn = store_txn_new();
-
-		store_txn_absent(txn, key.c_str());
-		store_txn_write(txn, key.c_str(), "v");
-		std::string text =
-		    store_result_text(st->ops->txn(st->ctx, kCauseBatch, txn));
-		store_txn_free(txn);
-		return text;
-	}
-
-	std::string
-	Object()
-	{
-		GBytes *data = nullptr;
-		std::string text = store_result_text(
-		    st->ops->get_object(st->ctx, kCauseBatch, "o", &data));
-		gsize len = 0;
-
-		if (data != nullptr) {
-			const char *s =
-			    (const char *)g_bytes_get_data(data, &len);
-
-			text += " " + std::string(s, len);
-			g_bytes_unref(data);
-		}
-		return text;
-	}
-
 	std::string
 	Call(const std::string &call)
 	{
 		if (call == "object")
-			return Object();
+			return StoreObjectText(st);
 		std::string key = "t/p/" + call.substr(4);
-		return call.substr(0, 3) == "get" ? Get(key) : Txn(key);
+		return call.substr(0, 3) == "get" ? Get(key)
+						  : StoreTxnText(st, key);
 	}
 
 	void
