--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -82,7 +82,7 @@
 mutant batch_is_suspect src/savoryflow/arbiter/arbiter_crash.c 's/gr->req.work_class == kWorkBatch \|\|/false ||/' $U 'Arbiter.BatchIsNeverASuspect*'
 mutant batch_is_blocked src/serve/call_run.c 's/c->work_class == kWorkOnline \&\&$/true \&\&/' $F 'Failures.AnItemIsOwedThough*'
 mutant crashes_end_batch src/savoryflow/retry/batch_retry.c 's/return kItemRunInterrupted;/return kItemRunAnswered;/; s/\.status = attempt->status/.status = 500/' $U 'BatchRetry.*'
-mutant unasked_bytes platform/rows_http.c 's/h != NULL \&\& has_unasked_bytes\(h\)/false/' $U 'RowsLate.ACopyOnAnIdle*'
+mutant unsolicited_bytes platform/rows_http.c 's/h != NULL \&\& has_unsolicited_bytes\(h\)/false/' $U 'RowsLate.ACopyOnAnIdle*'
 mutant copied_answer platform/rows_http.c 's/!call->is_first \&\& is_copy\(h, hash, now_ms\)/false/' $U 'RowsLate.ACopyBefore*'
 mutant reused_after_error platform/rows_http.c 's/status >= kHttpOk \&\& status != kHttpOk/false/' $U 'RowsLate.ACopyBefore*'
 mutant rows_of_another platform/rows_client.c 's/return is_own;/return true;/' $U 'RowsLate.RowsOfAnother*'
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -64,7 +64,7 @@
 	const char *type = header_list_get(headers, "Content-Type");
 	const char *echo = header_list_get(headers, kFrontForwardedHeader);
 
-	/* Another one's, late, on a connection that is in use again. */
+	/* A late answer to another request on a reused connection. */
 	if (g_strcmp0(echo, fwd->attempt) != 0) {
 		log_event(kEvtAnswerCrossed, "target", fwd->peer, "end",
 		    "forwarded", (char *)NULL);
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -266,7 +266,8 @@
 		m->is_leaving = true;
 		ro->epoch++;
 	}
-	/* Who has had no answer yet knows only that it has none. */
+	/* A daemon that has had no answer of the store yet has no time to
+	 * report, but its report that it cannot reach the store counts. */
 	if (contact->store_answered_us != 0)
 		m->store_answered_us = contact->store_answered_us;
 	if (contact->store_answered_us != 0 || contact->is_store_unreachable)
