View: a daemon that knows no peer asks its seed for the daemons

A daemon that the store turned away from its start on got routes and targets from its seed, but its roster came from the store only. It knew no peer to forward jobs to and answered 503 for as long as the store turned it away, and took itself for the only arbiter. It now asks for the daemons as well while it knows none; a daemon that is known already is not changed, as the store's rows are newer.

--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -349,6 +349,8 @@
 	gw->watch = gw->adapter->watch_new(gw->store, &gateway_watch_ops, gw);
 	view.adapter = gw->adapter;
 	view.watch = gw->watch;
+	view.on_roster = on_roster;
+	view.ctx = gw;
 	gw->view = view_exchange_new(&view);
 	loop_watch(gw->lp, gw->signal_fd, EPOLLIN, on_signal, gw);
 	housekeeping(gw);
--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -138,6 +138,14 @@
 	return false;
 }
 
+static void
+update_contact_timeout(struct roster *ro, int64_t now_us)
+{
+	ro->contact_timeout_us = MAX(ro->opt.contact_timeout_us,
+	    contacts_timeout_us(
+		roster_count(ro, ro->opt.self.data_center, now_us)));
+}
+
 void
 roster_apply_rows(struct roster *ro, const GArray *rows, int64_t now_us,
     struct roster_changes *changes)
@@ -168,9 +176,39 @@
 		g_hash_table_iter_remove(&it);
 	}
 	g_hash_table_unref(listed);
-	ro->contact_timeout_us = MAX(ro->opt.contact_timeout_us,
-	    contacts_timeout_us(
-		roster_count(ro, ro->opt.self.data_center, now_us)));
+	update_contact_timeout(ro, now_us);
+}
+
+void
+roster_learn(struct roster *ro, const GArray *rows, int64_t now_us,
+    struct roster_changes *changes)
+{
+	for (guint i = 0; i < rows->len; i++) {
+		const struct roster_row *row =
+		    &g_array_index(rows, struct roster_row, i);
+
+		if (!g_hash_table_contains(ro->members, row->address))
+			apply_row(ro, row, now_us, changes);
+	}
+	update_contact_timeout(ro, now_us);
+}
+
+GArray *
+roster_rows(const struct roster *ro, int64_t now_us)
+{
+	GArray *rows = g_array_new(FALSE, FALSE, sizeof(struct roster_row));
+	GHashTableIter it;
+	void *val;
+
+	g_array_append_val(rows, ro->opt.self);
+	g_hash_table_iter_init(&it, ro->members);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct roster_member *m = val;
+
+		if (roster_member_is_alive(ro, m, now_us))
+			g_array_append_val(rows, m->row);
+	}
+	return rows;
 }
 
 void
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -62,6 +62,20 @@
 void roster_apply_rows(struct roster *ro, const GArray *rows, int64_t now_us,
     struct roster_changes *changes);
 
+/**
+ * Adds the daemons that a peer knows, for a daemon that has not read the rows
+ * from the store: array of struct roster_row. Daemons already known stay as
+ * they are.
+ */
+void roster_learn(struct roster *ro, const GArray *rows, int64_t now_us,
+    struct roster_changes *changes);
+
+/**
+ * Rows of this daemon and of all that are alive: array of struct roster_row,
+ * owned by the caller.
+ */
+GArray *roster_rows(const struct roster *ro, int64_t now_us);
+
 /**
  * Renews all leases that have not expired: while the store is unreachable, a
  * missing heartbeat does not show that a daemon is down.
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -1,6 +1,6 @@
 /*
- * Exchange of routes and targets between peers while the store rejects a
- * daemon.
+ * Exchange of routes, targets and daemons between peers while the store rejects
+ * a daemon.
  */
 #include "gateway/view.h"
 
@@ -42,6 +42,7 @@
 		peers = roster_peers(vx->opt.roster, NULL, now_us);
 	}
 	view.wanted = true;
+	view.daemons_wanted = peers->len == 0;
 	view.as_of = (uint64_t)vx->opt.adapter->watch_version(vx->opt.watch);
 	env.view = &view;
 	for (guint i = 0; peers->len == 0 && i < seed_count; i++)
@@ -86,6 +87,67 @@
 	vx->is_store_unreachable = is_store_unreachable;
 }
 
+static void
+send_daemons(struct view_exchange *vx, const char *to)
+{
+	GArray *rows = roster_rows(vx->opt.roster, loop_now_us(vx->opt.lp));
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__View view = SFPEER__VIEW__INIT;
+	Sfpeer__ViewDaemon *daemons = g_new(Sfpeer__ViewDaemon, rows->len);
+	Sfpeer__ViewDaemon **list = g_new(Sfpeer__ViewDaemon *, rows->len);
+
+	for (guint i = 0; i < rows->len; i++) {
+		struct roster_row *row =
+		    &g_array_index(rows, struct roster_row, i);
+
+		sfpeer__view_daemon__init(&daemons[i]);
+		daemons[i].address = row->address;
+		daemons[i].front = row->front;
+		daemons[i].region = row->region;
+		daemons[i].data_center = row->data_center;
+		daemons[i].session = row->session;
+		daemons[i].period_us = row->period_us;
+		daemons[i].cpu_millicores = (uint32_t)row->cpu_millicores;
+		list[i] = &daemons[i];
+	}
+	view.n_daemons = rows->len;
+	view.daemons = list;
+	env.view = &view;
+	vx->opt.wire->send(vx->opt.wire_ctx, to, &env);
+	g_free(list);
+	g_free(daemons);
+	g_array_unref(rows);
+}
+
+static void
+learn_daemons(struct view_exchange *vx, const Sfpeer__View *view)
+{
+	GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct roster_row));
+	struct roster_changes changes = {
+	    g_ptr_array_new_with_free_func(g_free),
+	    g_ptr_array_new_with_free_func(g_free),
+	};
+
+	for (size_t i = 0; i < view->n_daemons; i++) {
+		const Sfpeer__ViewDaemon *d = view->daemons[i];
+		struct roster_row row = {.period_us = d->period_us,
+		    .cpu_millicores = (int32_t)d->cpu_millicores};
+
+		g_strlcpy(row.address, d->address, sizeof(row.address));
+		g_strlcpy(row.front, d->front, sizeof(row.front));
+		g_strlcpy(row.region, d->region, sizeof(row.region));
+		g_strlcpy(
+		    row.data_center, d->data_center, sizeof(row.data_center));
+		g_strlcpy(row.session, d->session, sizeof(row.session));
+		g_array_append_val(rows, row);
+	}
+	roster_learn(vx->opt.roster, rows, loop_now_us(vx->opt.lp), &changes);
+	vx->opt.on_roster(vx->opt.ctx, &changes);
+	g_ptr_array_unref(changes.joined);
+	g_ptr_array_unref(changes.removed);
+	g_array_unref(rows);
+}
+
 static void
 send_rows(struct view_exchange *vx, const char *to, int64_t after)
 {
@@ -164,6 +226,10 @@
 	 * ignores a row of which it knows this or a newer version. */
 	if (view->wanted)
 		send_rows(vx, from, (int64_t)view->as_of);
+	if (view->daemons_wanted)
+		send_daemons(vx, from);
 	if (view->n_rows > 0 && vx->is_store_unreachable)
 		apply_rows(vx, view);
+	if (view->n_daemons > 0 && vx->is_store_unreachable)
+		learn_daemons(vx, view);
 }
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -18,12 +18,15 @@
 	void *wire_ctx;
 	const struct adapter_ops *adapter;
 	struct watch *watch;
+	/** The roster has changed by what a peer knows. */
+	void (*on_roster)(void *ctx, const struct roster_changes *changes);
+	void *ctx;
 };
 
 /**
  * Fetches the installation's lists from peers while this daemon cannot read
- * them from the store. The higher version of a row wins. Must be used on the
- * event loop only.
+ * them from the store, and the daemons if it knows none. The higher version of
+ * a row wins. Must be used on the event loop only.
  */
 struct view_exchange;
 
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &sfpeer__view_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__view_daemon__init
+                     (Sfpeer__ViewDaemon         *message)
+{
+  static const Sfpeer__ViewDaemon init_value = SFPEER__VIEW_DAEMON__INIT;
+  *message = init_value;
+}
+size_t sfpeer__view_daemon__get_packed_size
+                     (const Sfpeer__ViewDaemon *message)
+{
+  assert(message->base.descriptor == &sfpeer__view_daemon__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__view_daemon__pack
+                     (const Sfpeer__ViewDaemon *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__view_daemon__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__view_daemon__pack_to_buffer
+                     (const Sfpeer__ViewDaemon *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__view_daemon__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__ViewDaemon *
+       sfpeer__view_daemon__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__ViewDaemon *)
+     protobuf_c_message_unpack (&sfpeer__view_daemon__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__view_daemon__free_unpacked
+                     (Sfpeer__ViewDaemon *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__view_daemon__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__view__init
                      (Sfpeer__View         *message)
 {
@@ -2290,7 +2335,123 @@
   (ProtobufCMessageInit) sfpeer__view_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__view__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sfpeer__view_daemon__field_descriptors[7] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewDaemon, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "front",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewDaemon, front),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewDaemon, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_center",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewDaemon, data_center),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "session",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewDaemon, session),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "period_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewDaemon, period_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu_millicores",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ViewDaemon, cpu_millicores),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__view_daemon__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  6,   /* field[6] = cpu_millicores */
+  3,   /* field[3] = data_center */
+  1,   /* field[1] = front */
+  5,   /* field[5] = period_us */
+  2,   /* field[2] = region */
+  4,   /* field[4] = session */
+};
+static const ProtobufCIntRange sfpeer__view_daemon__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor sfpeer__view_daemon__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.ViewDaemon",
+  "ViewDaemon",
+  "Sfpeer__ViewDaemon",
+  "sfpeer",
+  sizeof(Sfpeer__ViewDaemon),
+  7,
+  sfpeer__view_daemon__field_descriptors,
+  sfpeer__view_daemon__field_indices_by_name,
+  1,  sfpeer__view_daemon__number_ranges,
+  (ProtobufCMessageInit) sfpeer__view_daemon__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__view__field_descriptors[5] =
 {
   {
     "wanted",
@@ -2328,16 +2489,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "daemons_wanted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__View, daemons_wanted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "daemons",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__View, n_daemons),
+    offsetof(Sfpeer__View, daemons),
+    &sfpeer__view_daemon__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__view__field_indices_by_name[] = {
   1,   /* field[1] = as_of */
+  4,   /* field[4] = daemons */
+  3,   /* field[3] = daemons_wanted */
   2,   /* field[2] = rows */
   0,   /* field[0] = wanted */
 };
 static const ProtobufCIntRange sfpeer__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor sfpeer__view__descriptor =
 {
@@ -2347,7 +2534,7 @@
   "Sfpeer__View",
   "sfpeer",
   sizeof(Sfpeer__View),
-  3,
+  5,
   sfpeer__view__field_descriptors,
   sfpeer__view__field_indices_by_name,
   1,  sfpeer__view__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Sfpeer__PoolLoad Sfpeer__PoolLoad;
 typedef struct Sfpeer__TargetNote Sfpeer__TargetNote;
 typedef struct Sfpeer__ViewRow Sfpeer__ViewRow;
+typedef struct Sfpeer__ViewDaemon Sfpeer__ViewDaemon;
 typedef struct Sfpeer__View Sfpeer__View;
 typedef struct Sfpeer__Contact Sfpeer__Contact;
 typedef struct Sfpeer__QuotaAsk Sfpeer__QuotaAsk;
@@ -301,6 +302,25 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
 
 
+/*
+ * A daemon that the sender knows to be alive.
+ */
+struct  Sfpeer__ViewDaemon
+{
+  ProtobufCMessage base;
+  char *address;
+  char *front;
+  char *region;
+  char *data_center;
+  char *session;
+  int64_t period_us;
+  uint32_t cpu_millicores;
+};
+#define SFPEER__VIEW_DAEMON__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__view_daemon__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
+
+
 struct  Sfpeer__View
 {
   ProtobufCMessage base;
@@ -315,10 +335,16 @@
   uint64_t as_of;
   size_t n_rows;
   Sfpeer__ViewRow **rows;
+  /*
+   * Asks the receiver for the daemons that it knows.
+   */
+  protobuf_c_boolean daemons_wanted;
+  size_t n_daemons;
+  Sfpeer__ViewDaemon **daemons;
 };
 #define SFPEER__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__view__descriptor) \
-    , 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -754,6 +780,25 @@
 void   sfpeer__view_row__free_unpacked
                      (Sfpeer__ViewRow *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__ViewDaemon methods */
+void   sfpeer__view_daemon__init
+                     (Sfpeer__ViewDaemon         *message);
+size_t sfpeer__view_daemon__get_packed_size
+                     (const Sfpeer__ViewDaemon   *message);
+size_t sfpeer__view_daemon__pack
+                     (const Sfpeer__ViewDaemon   *message,
+                      uint8_t             *out);
+size_t sfpeer__view_daemon__pack_to_buffer
+                     (const Sfpeer__ViewDaemon   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__ViewDaemon *
+       sfpeer__view_daemon__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__view_daemon__free_unpacked
+                     (Sfpeer__ViewDaemon *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__View methods */
 void   sfpeer__view__init
                      (Sfpeer__View         *message);
@@ -931,6 +976,9 @@
 typedef void (*Sfpeer__ViewRow_Closure)
                  (const Sfpeer__ViewRow *message,
                   void *closure_data);
+typedef void (*Sfpeer__ViewDaemon_Closure)
+                 (const Sfpeer__ViewDaemon *message,
+                  void *closure_data);
 typedef void (*Sfpeer__View_Closure)
                  (const Sfpeer__View *message,
                   void *closure_data);
@@ -972,6 +1020,7 @@
 extern const ProtobufCMessageDescriptor sfpeer__pool_load__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__target_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__view_row__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__view_daemon__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__view__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__contact__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__quota_ask__descriptor;
--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -92,6 +92,37 @@
 	EXPECT_FALSE(roster_is_session_alive(ro, "other", 0));
 }
 
+TEST_F(Roster, DaemonsLearnedFromAPeerChangeNoneThatAreKnown)
+{
+	const struct {
+		const char *address;
+		const char *session;
+		const char *alive;
+	} cases[] = {
+	    {"a", "s9", "s1"},
+	    {"b", "s2", "s2"},
+	    {"self", "s8", "s0"},
+	};
+
+	Apply({{"a", {"dc1", "s1"}}}, 0);
+	g_array_set_size(rows, 0);
+	for (auto &c : cases) {
+		roster_row row = Row(c.address, "dc1", c.session);
+
+		row.version = 0;
+		g_array_append_val(rows, row);
+	}
+	g_ptr_array_set_size(changes.joined, 0);
+	roster_learn(ro, rows, kSec, &changes);
+	ASSERT_EQ(1u, changes.joined->len);
+	EXPECT_STREQ("b", (const char *)changes.joined->pdata[0]);
+	for (auto &c : cases)
+		EXPECT_TRUE(roster_is_session_alive(ro, c.alive, 2 * kSec))
+		    << c.address;
+	EXPECT_FALSE(roster_is_session_alive(ro, "s9", 2 * kSec));
+	EXPECT_EQ(3, roster_count_all(ro, 2 * kSec));
+}
+
 /*
  * The heartbeat period grows with the number of daemons and stands in the row.
  * A fixed lease would expire between two heartbeats.
