View: all seeds are asked in turn, not only the first

The loop that adds the seeds stopped when the list was no longer empty, that is after the first one. A daemon that the store turned away and whose first seed was down had no routes: 503 to all callers.

Gateway.ADaemonThatNeverReachedTheStoreTriesAllItsSeeds failed before (30 s) and passes.

--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -45,7 +45,7 @@
 	view.daemons_wanted = peers->len == 0;
 	view.as_of = (uint64_t)vx->opt.adapter->watch_version(vx->opt.watch);
 	env.view = &view;
-	for (guint i = 0; peers->len == 0 && i < seed_count; i++)
+	for (guint i = 0; view.daemons_wanted && i < seed_count; i++)
 		g_ptr_array_add(peers, vx->seed_peers[i]);
 	if (vx->is_store_unreachable && peers->len > 0) {
 		to = peers->pdata[vx->next_peer++ % peers->len];
--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -19,6 +19,8 @@
 	std::vector<int> worker_ports;
 	std::vector<std::unique_ptr<Process>> daemons;
 	std::vector<int> front_ports, ready_ports, peer_ports;
+	/* Seeds before the first daemon, each followed by a comma. */
+	std::string first_seed;
 	/* Limits of the online routes, of calls and of a drain. */
 	int timeout_ms = 5000, gap_ms = 300, drain_timeout_ms = 6000;
 
@@ -138,7 +140,7 @@
 		    "--peer-listen=" + LoopbackAddress(peer_ports[i]),
 		    "--platform-url=http://" + LoopbackAddress(store_port) +
 			"/d" + std::to_string(i),
-		    "--peers=" + LoopbackAddress(peer_ports[0]),
+		    "--peers=" + first_seed + LoopbackAddress(peer_ports[0]),
 		    "--drain-timeout-ms=" + std::to_string(drain_timeout_ms)}));
 	}
 
--- a/test/functional/test_gateway_jobs.cc
+++ b/test/functional/test_gateway_jobs.cc
@@ -206,6 +206,16 @@
 	}));
 }
 
+TEST_F(Gateway, ADaemonThatNeverReachedTheStoreTriesAllItsSeeds)
+{
+	StartReadyFleet(1, 1);
+	PostToStore("/fault", "{\"turned_away\":\"d1\"}");
+	first_seed = LoopbackAddress(FreePort()) + ",";
+	AddDaemon();
+	EXPECT_TRUE(
+	    Eventually([&] { return Call(1, "/q/x", "w", 1).status == 200; }));
+}
+
 /* If the peer that gets the forwarded job is killed or frozen, the job goes to
  * another one. */
 TEST_F(Gateway, ASecondPeerAnswersWhenTheFirstDoesNot)
