Log a silent target

When a target was silent for the stall timeout, the log had one line, at the end of the attempt: neither how long the target had been silent nor whether the daemon itself was late was known. attempt_silent tells both. No change of logic.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -176,6 +176,26 @@
 	    kBusyStallFactor * stall_timeout_us(rl);
 }
 
+static void
+log_silent(const struct relay *rl)
+{
+	int64_t now_us = loop_now_us(rl->deps.lp);
+
+	log_event(kEvtAttemptSilent, "request", rl->attempt_id, "target",
+	    rl->target, "silent_us", log_number(now_us - rl->last_activity_us),
+	    "late_us", log_number(now_us - rl->stall_due_us), "last_event",
+	    log_number(rl->events.last_id), NULL);
+}
+
+static void on_stall(void *ctx);
+
+static void
+start_stall_timer(struct relay *rl, int64_t due_us)
+{
+	rl->stall_due_us = due_us;
+	rl->stall_timer = loop_timer(rl->deps.lp, due_us, on_stall, rl);
+}
+
 static void
 on_stall(void *ctx)
 {
@@ -183,10 +203,11 @@
 
 	rl->stall_timer = 0;
 	if (is_target_busy(rl)) {
-		rl->stall_timer = loop_timer(rl->deps.lp,
-		    loop_now_us(rl->deps.lp) + kActiveWithinUs, on_stall, rl);
+		start_stall_timer(
+		    rl, loop_now_us(rl->deps.lp) + kActiveWithinUs);
 		return;
 	}
+	log_silent(rl);
 	relay_fail_attempt(rl, kSlotUnresponsive, "silent");
 }
 
@@ -201,8 +222,7 @@
 	rl->stall_timer = 0;
 	if (rl->opt.stall_timeout_us > 0 &&
 	    (rl->opt.is_batch || relay_may_retry(rl)))
-		rl->stall_timer = loop_timer(
-		    rl->deps.lp, now_us + stall_timeout_us(rl), on_stall, rl);
+		start_stall_timer(rl, now_us + stall_timeout_us(rl));
 }
 
 static void
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -30,6 +30,8 @@
 	struct outbound_request *request;
 	uint64_t deadline_timer;
 	uint64_t stall_timer;
+	/** When the stall timer is due. */
+	int64_t stall_due_us;
 	int64_t started_us;
 	int64_t slot_requested_us;
 	/** Network time of a new connection and a request to the current
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -21,6 +21,9 @@
 	X(kEvtAttemptEnded, 1210, WARN, "attempt_ended",                       \
 	    "An attempt at a target returned no complete response; another "   \
 	    "may follow.")                                                     \
+	X(kEvtAttemptSilent, 1216, INFO, "attempt_silent",                     \
+	    "A target sent no event for the stall timeout; the fields tell "   \
+	    "for how long, and by how much the loop was late to notice.")      \
 	X(kEvtSurplusBytes, 1215, WARN, "surplus_bytes",                       \
 	    "A connection to a target carried bytes that belong to no "        \
 	    "request; it was closed.")                                         \
