--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -5,14 +5,15 @@
  * belongs to and whether it is complete.
  *
  * POST /fault {"cut_after","silent","shed","cross","unsigned","leaving",
- * "trickle","crashes","statuses"}:
+ * "trickle","crashes","statuses","pauses","pause_ms","pause_after"}:
  * number of answers to come that are cut after three events, send no event, are
  * rejections, carry another attempt's id, have no signature, or say that the
  * worker leaves; that send a byte now and then and never an event; or that
- * close the connection without an answer. "statuses" lists the statuses of the
- * answers to come. "surplus":{...} makes complete answers followed by further
- * bytes, see surplus.h. GET /seen: ids of the attempts that ran, and how many
- * streams were closed before their end.
+ * close the connection without an answer. "pauses" streams fall silent for
+ * "pause_ms" after "pause_after" events and then go on. "statuses" lists the
+ * statuses of the answers to come. "surplus":{...} makes complete answers
+ * followed by further bytes, see surplus.h. GET /seen: ids of the attempts that
+ * ran, and how many streams were closed before their end.
  */
 #include <jansson.h>
 #include <pthread.h>
@@ -41,6 +42,9 @@
 	int leaving_left;
 	int trickles_left;
 	int crashes_left;
+	int pauses_left;
+	int pause_ms;
+	int pause_after;
 	/* Statuses of the answers to come. */
 	json_t *statuses_left;
 	struct surplus_fault surplus;
@@ -57,6 +61,9 @@
 	/** Event in the middle of which the stream is cut; -1: none. */
 	int64_t cut_at;
 	int pace_ms;
+	/** Silence before the event pause_at; 0: none. */
+	int pause_ms;
+	int64_t pause_at;
 	bool is_stalled;
 	/** Sends a byte now and then, and never a complete event. */
 	bool is_trickling;
@@ -94,6 +101,8 @@
 	}
 	if (st->next > st->first)
 		g_usleep((gulong)st->pace_ms * 1000);
+	if (st->next == st->pause_at)
+		g_usleep((gulong)st->pause_ms * 1000);
 	n = g_snprintf(buf, max,
 	    "id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT "\n\n",
 	    st->next, st->path, st->next);
@@ -274,6 +283,10 @@
 	st->cut_at = -1;
 	if (consume_fault(&wk->cuts_left))
 		st->cut_at = st->next + kCutAfterEvents;
+	if (consume_fault(&wk->pauses_left)) {
+		st->pause_ms = wk->pause_ms;
+		st->pause_at = st->next + wk->pause_after;
+	}
 	st->is_stalled = consume_fault(&wk->stalls_left);
 	st->is_trickling = consume_fault(&wk->trickles_left);
 	res = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
@@ -306,6 +319,12 @@
 	    (int)json_integer_value(json_object_get(doc, "unsigned"));
 	wk->crashes_left =
 	    (int)json_integer_value(json_object_get(doc, "crashes"));
+	wk->pauses_left =
+	    (int)json_integer_value(json_object_get(doc, "pauses"));
+	wk->pause_ms =
+	    (int)json_integer_value(json_object_get(doc, "pause_ms"));
+	wk->pause_after =
+	    (int)json_integer_value(json_object_get(doc, "pause_after"));
 	json_decref(wk->statuses_left);
 	wk->statuses_left = json_incref(json_object_get(doc, "statuses"));
 	surplus_fault_parse(&wk->surplus, json_object_get(doc, "surplus"));
