A silent target keeps its request until another one is granted

What callers saw: beside targets that fall silent for a second, streams that were cut in the middle and 502, though every target went on.

Cause: at the stall timeout the relay released the attempt, and only then asked for a slot elsewhere. With none free in time there was nothing left to wait for. A batch item lost its run in the same way.

Evidence: attempt_ended silent, then call_ended broken, no_slot 68 ms later, 0.8 s before the target went on; with one worker and an event each 1.2 s one event of three.

Change: the attempt stays, and a second slot is requested beside it. The next event withdraws that request; its grant moves the request (cancel first, then send, from the last event on); a refusal is followed by another request after 300 ms. An attempt that breaks meanwhile waits for the slot already requested. Requests that may not be repeated still never move, and the route's limit still bounds the targets. The run of a batch item stays as well; where it moves, the next answer is judged afresh, so that a 500 counts.

--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -10,8 +10,8 @@
 enum {
 	kHttpOk = 200,
 	kDueDefaultUs = 60 * kUsPerS,
-	/* Maximum time without an event before a target is abandoned: an event
-	 * takes about 20 ms, a large prompt about 200 ms. */
+	/* Maximum time without an event before another target is looked for: an
+	 * event takes about 20 ms, a large prompt about 200 ms. */
 	kStallTimeoutUs = 700 * kUsPerMs,
 	kRetryWithoutRouteUs = 500 * kUsPerMs,
 	kCommitRetryUs = 300 * kUsPerMs,
@@ -203,6 +203,9 @@
 		now_us(ir->run) - ir->run_requested_us - result->slot_wait_us,
 	};
 
+	/* The silence of another target says nothing of the pace. */
+	if (result->attempts > 1)
+		return;
 	item_pace_record(&ir->run->js->pace, &done);
 }
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -21,14 +21,9 @@
 	kRetryAfterDefaultUs = 300 * kUsPerMs,
 	/* Wait for another slot, after the first attempt. */
 	kRetrySlotWaitUs = 600 * kUsPerMs,
-	/* A target that sent data within this time is responsive: events arrive
-	 * every 20 ms. */
-	kActiveWithinUs = 75 * kUsPerMs,
-	/* Stall timeout of a busy target, as a multiple of the usual one. */
-	kBusyStallFactor = 4,
 };
 
-static void start_attempt(struct relay *rl);
+static void await_attempt(struct relay *rl);
 
 static void
 relay_free(struct relay *rl)
@@ -46,21 +41,13 @@
 	g_free(rl);
 }
 
-static void
-stop_timers(struct relay *rl)
-{
-	loop_timer_cancel(rl->deps.lp, rl->deadline_timer);
-	loop_timer_cancel(rl->deps.lp, rl->stall_timer);
-	rl->deadline_timer = 0;
-	rl->stall_timer = 0;
-}
-
 /* Cancels the transfer and releases the slot. */
 void
 relay_release_target(struct relay *rl, enum slot_outcome outcome)
 {
 	loop_timer_cancel(rl->deps.lp, rl->stall_timer);
 	rl->stall_timer = 0;
+	rl->silent_since_us = 0;
 	if (rl->request != NULL)
 		outbound_cancel(rl->request);
 	rl->request = NULL;
@@ -69,6 +56,17 @@
 	rl->slot = 0;
 }
 
+/* Stops the timers and gives everything back. */
+static void
+end_work(struct relay *rl)
+{
+	rl->phase = kPhaseDone;
+	loop_timer_cancel(rl->deps.lp, rl->deadline_timer);
+	rl->deadline_timer = 0;
+	relay_withdraw_takeover(rl);
+	relay_release_target(rl, kSlotNeutral);
+}
+
 void
 relay_finish(
     struct relay *rl, enum relay_outcome outcome, int64_t retry_after_us)
@@ -82,9 +80,7 @@
 	};
 
 	g_strlcpy(result.target, rl->target, sizeof(result.target));
-	rl->phase = kPhaseDone;
-	stop_timers(rl);
-	relay_release_target(rl, kSlotNeutral);
+	end_work(rl);
 	rl->opt.ops->on_end(rl->opt.ctx, &result);
 	relay_free(rl);
 }
@@ -92,9 +88,7 @@
 void
 relay_cancel(struct relay *rl)
 {
-	rl->phase = kPhaseDone;
-	stop_timers(rl);
-	relay_release_target(rl, kSlotNeutral);
+	end_work(rl);
 	relay_free(rl);
 }
 
@@ -129,8 +123,8 @@
 	    rl->not_executed_count <= kNotExecutedMax;
 }
 
-static void
-log_attempt(const struct relay *rl, const char *cause)
+void
+relay_log_attempt(const struct relay *rl, const char *cause)
 {
 	log_event(kEvtAttemptEnded, "request", rl->attempt_id, "target",
 	    rl->target, "end", cause, "attempts", log_number(rl->attempts),
@@ -143,90 +137,21 @@
 relay_fail_attempt(
     struct relay *rl, enum slot_outcome outcome, const char *cause)
 {
-	log_attempt(rl, cause);
+	relay_log_attempt(rl, cause);
 	rl->cause = cause;
 	relay_release_target(rl, outcome);
 	if (relay_may_retry(rl)) {
 		metric_add(kMetRetries, 1);
 		if (rl->is_answering)
 			metric_add(kMetResumes, 1);
-		start_attempt(rl);
+		await_attempt(rl);
 	} else {
 		fail_request(rl, kRetryAfterDefaultUs);
 	}
 }
 
-static int64_t
-stall_timeout_us(const struct relay *rl)
-{
-	return rl->is_answering
-	    ? MAX(rl->opt.stall_timeout_us, rl->opt.pause_timeout_us)
-	    : rl->opt.stall_timeout_us;
-}
-
-/* The target serves other requests of this daemon: it is busy, not failed. */
-static bool
-is_target_busy(const struct relay *rl)
-{
-	int64_t at_us = target_activity_last_us(rl->deps.activity, rl->target);
-	int64_t now_us = loop_now_us(rl->deps.lp);
-
-	return at_us >= 0 && now_us - at_us < kActiveWithinUs &&
-	    now_us - rl->last_activity_us <
-	    kBusyStallFactor * stall_timeout_us(rl);
-}
-
-static void
-log_silent(const struct relay *rl)
-{
-	int64_t now_us = loop_now_us(rl->deps.lp);
-
-	log_event(kEvtAttemptSilent, "request", rl->attempt_id, "target",
-	    rl->target, "silent_us", log_number(now_us - rl->last_activity_us),
-	    "late_us", log_number(now_us - rl->stall_due_us), "last_event",
-	    log_number(rl->events.last_id), NULL);
-}
-
-static void on_stall(void *ctx);
-
-static void
-start_stall_timer(struct relay *rl, int64_t due_us)
-{
-	rl->stall_due_us = due_us;
-	rl->stall_timer = loop_timer(rl->deps.lp, due_us, on_stall, rl);
-}
-
-static void
-on_stall(void *ctx)
-{
-	struct relay *rl = ctx;
-
-	rl->stall_timer = 0;
-	if (is_target_busy(rl)) {
-		start_stall_timer(
-		    rl, loop_now_us(rl->deps.lp) + kActiveWithinUs);
-		return;
-	}
-	log_silent(rl);
-	relay_fail_attempt(rl, kSlotUnresponsive, "silent");
-}
-
-/* The stall timer runs only while another target may take over: in this relay
- * or, for a batch item, in its next run. */
 void
-relay_restart_stall_timer(struct relay *rl)
-{
-	int64_t now_us = loop_now_us(rl->deps.lp);
-
-	loop_timer_cancel(rl->deps.lp, rl->stall_timer);
-	rl->stall_timer = 0;
-	if (rl->opt.stall_timeout_us > 0 &&
-	    (rl->opt.is_batch || relay_may_retry(rl)))
-		start_stall_timer(rl, now_us + stall_timeout_us(rl));
-}
-
-static void
-send_request(struct relay *rl, const struct fleet_target *target)
+relay_send(struct relay *rl, const struct fleet_target *target)
 {
 	int64_t now_us = loop_now_us(rl->deps.lp);
 	struct dialect_forward fwd = {
@@ -251,6 +176,10 @@
 
 	rl->link_us = slots_link_us(rl->deps.slots, target->data_center);
 	rl->deps.dialect->encode_forward(rl->headers, &fwd);
+	rl->slot_wait_us = now_us - rl->slot_requested_us;
+	g_strlcpy(rl->target, target->id, sizeof(rl->target));
+	event_splitter_restart(&rl->events);
+	g_string_truncate(rl->answer_body, 0);
 	rl->target_started_ms = target->started_ms;
 	rl->attempts++;
 	metric_add(kMetAttempts, 1);
@@ -258,26 +187,39 @@
 	rl->verdict = kAnswerForeign;
 	rl->last_activity_us = now_us;
 	rl->request = outbound_start(rl->deps.outbound, &opt);
-	relay_restart_stall_timer(rl);
+	relay_watch_silence(rl);
+}
+
+/* @return NULL if the target takes no requests: the arbiter's list may be older
+ * than this daemon's */
+static const struct fleet_target *
+find_usable(const struct relay *rl, const char *id)
+{
+	const struct fleet_target *target = fleet_find(rl->deps.fleet, id);
+	bool is_usable = target != NULL && !target->is_draining &&
+	    target->expires_at_us == 0;
+
+	return is_usable ? target : NULL;
 }
 
 static void
 on_granted(void *ctx, uint64_t id, const char *target_id)
 {
 	struct relay *rl = ctx;
-	const struct fleet_target *target =
-	    fleet_find(rl->deps.fleet, target_id);
+	const struct fleet_target *target = find_usable(rl, target_id);
 
-	rl->slot_wait_us = loop_now_us(rl->deps.lp) - rl->slot_requested_us;
-	g_strlcpy(rl->target, target_id, sizeof(rl->target));
-	/* The arbiter's list may be older than this daemon's. */
-	if (target == NULL || target->is_draining ||
-	    target->expires_at_us != 0) {
-		rl->not_executed_count++;
-		relay_fail_attempt(rl, kSlotNeutral, "left_the_list");
+	if (id == rl->takeover_slot) {
+		relay_on_takeover_granted(rl, target);
 		return;
 	}
-	send_request(rl, target);
+	rl->has_adopted_slot = false;
+	if (target != NULL) {
+		relay_send(rl, target);
+		return;
+	}
+	g_strlcpy(rl->target, target_id, sizeof(rl->target));
+	rl->not_executed_count++;
+	relay_fail_attempt(rl, kSlotNeutral, "left_the_list");
 }
 
 static void
@@ -285,7 +227,17 @@
 {
 	struct relay *rl = ctx;
 
+	if (id == rl->takeover_slot) {
+		relay_on_takeover_refused(rl);
+		return;
+	}
 	rl->slot = 0;
+	/* It had been requested for a silent attempt, which ended since. */
+	if (rl->has_adopted_slot) {
+		rl->has_adopted_slot = false;
+		await_attempt(rl);
+		return;
+	}
 	rl->cause = "no_slot";
 	fail_request(rl, retry_after_us);
 }
@@ -295,14 +247,14 @@
 {
 	struct relay *rl = ctx;
 
-	if (rl->phase == kPhaseRunning)
+	if (rl->phase == kPhaseRunning && id == rl->slot)
 		relay_finish(rl, kRelayRevoked, 0);
 }
 
 static const struct slots_ops slot_ops = {on_granted, on_refused, on_revoked};
 
-static void
-start_attempt(struct relay *rl)
+uint64_t
+relay_acquire_slot(struct relay *rl)
 {
 	struct slots_acquire_options slot_opt = {
 	    .service = rl->service,
@@ -320,11 +272,18 @@
 	if (rl->attempts > 0 && !rl->opt.is_batch)
 		slot_opt.deadline_us =
 		    MAX(slot_opt.deadline_us, now_us + kRetrySlotWaitUs);
+	return slots_acquire(rl->deps.slots, &slot_opt, &slot_ops, rl);
+}
+
+/* The next attempt begins with the grant of a slot. */
+static void
+await_attempt(struct relay *rl)
+{
 	rl->phase = kPhaseAcquiring;
-	rl->slot_requested_us = now_us;
-	event_splitter_restart(&rl->events);
-	g_string_truncate(rl->answer_body, 0);
-	rl->slot = slots_acquire(rl->deps.slots, &slot_opt, &slot_ops, rl);
+	if (relay_adopt_takeover(rl))
+		return;
+	rl->slot_requested_us = loop_now_us(rl->deps.lp);
+	rl->slot = relay_acquire_slot(rl);
 }
 
 static void
@@ -367,6 +326,6 @@
 	if (opt->answer_deadline_us > 0)
 		rl->deadline_timer = loop_timer(
 		    deps->lp, opt->answer_deadline_us, on_deadline, rl);
-	start_attempt(rl);
+	await_attempt(rl);
 	return rl;
 }
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -82,14 +82,15 @@
 	int64_t answer_deadline_us;
 	/** Sent to the target as the time remaining; 0: none. */
 	int64_t caller_deadline_us;
-	/** Maximum number of attempts. */
+	/** Maximum number of attempts; a batch item that leaves a silent target
+	 * may have more. */
 	int32_t attempts_max;
 	bool may_repeat;
 	bool is_resumable;
 	int64_t last_event_id;
 	uint64_t prefix;
-	/** A target that sends no event for this long is abandoned if another
-	 * one may take over. */
+	/** A target that sends no event for this long keeps the request until
+	 * another one is granted. */
 	int64_t stall_timeout_us;
 	/** The same after the first event; 0: as before it. */
 	int64_t pause_timeout_us;
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -101,7 +101,7 @@
 		return false;
 	/* Bytes that complete no event are no progress. */
 	if (rl->has_new_event) {
-		relay_restart_stall_timer(rl);
+		relay_watch_silence(rl);
 		outbound_allow_body(rl->request, kIntakeEventBytesMax);
 	}
 	return true;
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -30,8 +30,15 @@
 	struct outbound_request *request;
 	uint64_t deadline_timer;
 	uint64_t stall_timer;
-	/** When the stall timer is due. */
-	int64_t stall_due_us;
+	/** Time of the last event before the target was found silent; 0 while
+	 * it is not. */
+	int64_t silent_since_us;
+	int32_t silences;
+	/** Slot requested beside a silent attempt; 0: none. */
+	uint64_t takeover_slot;
+	int64_t takeover_requested_us;
+	/** The slot waited for was requested as takeover_slot. */
+	bool has_adopted_slot;
 	int64_t started_us;
 	int64_t slot_requested_us;
 	/** Network time of a new connection and a request to the current
@@ -80,6 +87,37 @@
 /** Whether a further attempt is allowed. */
 bool relay_may_retry(const struct relay *rl);
 
-void relay_restart_stall_timer(struct relay *rl);
+/** Requests a slot at another target than the current one. */
+uint64_t relay_acquire_slot(struct relay *rl);
+
+/** Sends the request to a target whose slot is held. */
+void relay_send(struct relay *rl, const struct fleet_target *target);
+
+void relay_log_attempt(const struct relay *rl, const char *cause);
+
+/* relay_takeover.c */
+
+/** The target has sent an event, or was sent the request: watches for silence
+ * from now on, if another target may take over. */
+void relay_watch_silence(struct relay *rl);
+
+/** Stops watching, and withdraws the request for another slot. */
+void relay_withdraw_takeover(struct relay *rl);
+
+/**
+ * After the end of a silent attempt, the slot that was requested beside it is
+ * waited for.
+ * @return false if there is none
+ */
+bool relay_adopt_takeover(struct relay *rl);
+
+void relay_on_takeover_refused(struct relay *rl);
+
+/**
+ * Moves the request from the silent target.
+ * @param target NULL if the granted one cannot be used
+ */
+void relay_on_takeover_granted(
+    struct relay *rl, const struct fleet_target *target);
 
 #endif
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -22,8 +22,11 @@
 	    "An attempt at a target returned no complete response; another "   \
 	    "may follow.")                                                     \
 	X(kEvtAttemptSilent, 1216, INFO, "attempt_silent",                     \
-	    "A target sent no event for the stall timeout; the fields tell "   \
-	    "for how long, and by how much the loop was late to notice.")      \
+	    "A target sent no event for the stall timeout; it keeps the "      \
+	    "request until another one is granted.")                           \
+	X(kEvtAttemptResumed, 1217, INFO, "attempt_resumed",                   \
+	    "A silent target sent its next event before another one was "      \
+	    "granted; the attempt goes on.")                                   \
 	X(kEvtSurplusBytes, 1215, WARN, "surplus_bytes",                       \
 	    "A connection to a target carried bytes that belong to no "        \
 	    "request; it was closed.")                                         \
