Tests of what silent targets do to others

A request that avoids its silent target holds up all behind it in the queue, though that target has free slots; where the pool has no other target it waits for nothing, and no batch item starts meanwhile. After the daemon was stopped, targets are found silent before what they sent is read. A target that is silent to the end of its request counts as sound: since the attempt stays, this is the last that is heard of it. Relay.TheEndOfARequestWithdrawsTheOtherSlot expected that and is now stricter.

--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -431,11 +431,11 @@
 
 	opt.answer_deadline_us = 1000 * kMs;
 	EXPECT_EQ("0 ask, 10 send a after -1, 210 ask but a, 1000 withdraw, "
-		  "1000 cancel a, 1000 free a neutral, 1000 end timeout",
+		  "1000 cancel a, 1000 free a silent, 1000 end timeout",
 	    Run(opt, {{10, "grant a"}}));
 	opt.answer_deadline_us = 0;
 	EXPECT_EQ("0 ask, 10 send a after -1, 210 ask but a, 3000 withdraw, "
-		  "3000 cancel a, 3000 free a neutral",
+		  "3000 cancel a, 3000 free a silent",
 	    Run(opt, {{10, "grant a"}}))
 	    << "the caller leaves at 3000";
 }
@@ -471,4 +471,14 @@
 		EXPECT_EQ(c.trace, Run(opt, c.script)) << c.name;
 }
 
+TEST_F(Relay, ATargetIsNotFoundSilentWhileTheDaemonWasStopped)
+{
+	stop_ms = 100;
+	go_on_ms = 1000;
+	EXPECT_EQ("0 ask, 10 send a after -1, 1020 head 200, "
+		  "1030 free a served, 1030 end complete",
+	    Run(Options(),
+		{{10, "grant a"}, {1020, "event"}, {1030, "answer 200"}}));
+}
+
 } // namespace
--- a/test/unit/test_slotpool.cc
+++ b/test/unit/test_slotpool.cc
@@ -181,6 +181,46 @@
 	EXPECT_EQ(kSlotRefused, TakeActions()[2].verdict);
 }
 
+/* A silent target keeps its request, which asks for another one meanwhile. */
+TEST_F(Slotpool, ARequestThatAvoidsTheFreeTargetHoldsUpNoOther)
+{
+	for (bool is_batch : {false, true}) {
+		Targets({{"a", 2}, {"b", 1}});
+		now += 10 * kSec;
+		slot_request fills = Request(1, false, now + kSec, 1);
+		slot_request avoids = Request(2, is_batch, now + kSec, 1);
+
+		g_strlcpy(
+		    fills.excluded_target, "a", sizeof(fills.excluded_target));
+		g_strlcpy(avoids.excluded_target, "a",
+		    sizeof(avoids.excluded_target));
+		slotpool_request(sp, &fills, now, out);
+		EXPECT_STREQ("b", TakeActions()[1].target);
+		slotpool_request(sp, &avoids, now, out);
+		EXPECT_EQ(0u, TakeActions().count(2)) << "b is full";
+		EXPECT_EQ(kSlotGranted,
+		    (is_batch ? Batch(3, now + 10 * kSec)
+			      : Online(3, 2 * kSec))[3]
+			.verdict)
+		    << is_batch;
+		EXPECT_STREQ("b", Release(1)[2].target);
+		Release(2);
+		Release(3);
+	}
+}
+
+TEST_F(Slotpool, ARequestThatAvoidsTheOnlyTargetIsRefusedAtOnce)
+{
+	Targets({{"a", 2}});
+	slot_request avoids = Request(1, false, kSec, 1);
+
+	g_strlcpy(avoids.excluded_target, "a", sizeof(avoids.excluded_target));
+	slotpool_request(sp, &avoids, now, out);
+	EXPECT_EQ(kSlotRefused, TakeActions()[1].verdict);
+	EXPECT_EQ(kSlotGranted, Batch(2)[2].verdict)
+	    << "a queue of online requests would hold it up";
+}
+
 TEST_F(Slotpool, FallbackArbiterStartsNoBatch)
 {
 	Targets({{"a", 4}});
