A request that avoids its silent target holds up no other

What callers saw: beside silent targets, requests waited or were refused though slots were free.

Cause: the head of the queue blocks those behind it unless its daemon does not reach all targets. A request that avoids a target was taken to be able to use every free slot. Where the avoided target is the pool's only one, it waited for 1.8 s for nothing, and no batch item starts while an online request waits.

Change: such a request is passed over, up to kSkippedMax of them, and is no sign of a full pool; it is refused at once if there is no other target.

--- a/src/savoryflow/slotpool/slot_target.c
+++ b/src/savoryflow/slotpool/slot_target.c
@@ -107,6 +107,13 @@
 	}
 }
 
+bool
+slot_targets_has_only(GHashTable *targets, const char *id)
+{
+	return g_hash_table_size(targets) == 1 &&
+	    g_hash_table_contains(targets, id);
+}
+
 static struct slot_path *
 path_get(struct slot_target *t, uint32_t holder)
 {
--- a/src/savoryflow/slotpool/slot_target.h
+++ b/src/savoryflow/slotpool/slot_target.h
@@ -38,6 +38,9 @@
 void slot_targets_count_reachable(GHashTable *targets, uint32_t holder,
     int64_t now_us, int32_t *all, int32_t *reached);
 
+/** Whether a target, by id, is the only one. */
+bool slot_targets_has_only(GHashTable *targets, const char *id);
+
 /** Records how a daemon's use of a slot ended. */
 void slot_target_record_outcome(struct slot_target *t, uint32_t holder,
     enum slot_outcome outcome, int64_t now_us);
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -17,8 +17,8 @@
 	/* Batch leaves one of this many slots free, for online arrivals during
 	 * the few ms that a revoked run takes to end. */
 	kSlotsPerReserved = 24,
-	/* Queued requests that are skipped if their daemons do not reach the
-	 * free slots. */
+	/* Queued requests that are skipped if they may not run on the targets
+	 * with free slots. */
 	kSkippedMax = 16,
 	/* A live holder renews its slots more often than this. */
 	kLeaseUs = 4 * kUsPerS,
@@ -252,13 +252,16 @@
 	add_action(out, kSlotRevoked, &sl->req, sl->target, 0);
 }
 
+/* Whether the request may run on every target that accepts work. */
 static bool
-reaches_all(
+may_run_on_all(
     const struct slotpool *sp, const struct slot_request *req, int64_t now_us)
 {
 	int32_t targets;
 	int32_t reached;
 
+	if (req->excluded_target[0] != '\0')
+		return false;
 	slot_targets_count_reachable(
 	    sp->targets, req->holder, now_us, &targets, &reached);
 	return reached == targets;
@@ -267,7 +270,7 @@
 static void
 record_full(struct slotpool *sp, const struct slot_request *req, int64_t now_us)
 {
-	if (sp->is_full || !reaches_all(sp, req, now_us))
+	if (sp->is_full || !may_run_on_all(sp, req, now_us))
 		return;
 	sp->full_since_us = now_us;
 	sp->is_full = true;
@@ -295,8 +298,7 @@
 	return true;
 }
 
-/* A request whose daemon does not reach all targets does not block those behind
- * it. */
+/* A request that may not run on all targets does not block those behind it. */
 static void
 start_queued_online(struct slotpool *sp, int64_t now_us, GArray *out)
 {
@@ -307,7 +309,7 @@
 	    pos < kSkippedMax && slot_queue_at(sp->queue, false, pos, &req)) {
 		if (start_online(sp, &req, now_us, out))
 			slot_queue_remove(sp->queue, req.id);
-		else if (reaches_all(sp, &req, now_us))
+		else if (may_run_on_all(sp, &req, now_us))
 			return;
 		else
 			pos++;
@@ -327,7 +329,7 @@
 	    load.online + load.batch + reserve < load.slots) {
 		struct slot_target *t = choose_free(sp, &req, now_us);
 
-		if (t == NULL && reaches_all(sp, &req, now_us))
+		if (t == NULL && may_run_on_all(sp, &req, now_us))
 			return;
 		if (t == NULL) {
 			pos++;
@@ -390,6 +392,7 @@
 	slot_targets_count_reachable(
 	    sp->targets, req->holder, now_us, &targets, &reached);
 	if (reached == 0 ||
+	    slot_targets_has_only(sp->targets, req->excluded_target) ||
 	    now_us + slotpool_wait_us(&load) > req->deadline_us) {
 		refuse(sp, req, now_us, out);
 		return;
