Silence of a target is not judged by a late timer

Cause: after a stop of the daemon the loop may run timers before it has read what targets sent meanwhile; each request then looked silent, and another slot was requested for all of them at once.

--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -30,6 +30,8 @@
 	struct outbound_request *request;
 	uint64_t deadline_timer;
 	uint64_t stall_timer;
+	/** When the stall timer is due. */
+	int64_t stall_due_us;
 	/** Time of the last event before the target was found silent; 0 while
 	 * it is not. */
 	int64_t silent_since_us;
--- a/src/gateway/relay_takeover.c
+++ b/src/gateway/relay_takeover.c
@@ -14,6 +14,9 @@
 	kBusyStallFactor = 4,
 	/* Time between two requests for another slot. */
 	kTakeoverRetryUs = 300 * kUsPerMs,
+	/* A timer this late follows a stop of the process: what arrived
+	 * meanwhile is read before it counts. */
+	kLoopLateUs = 40 * kUsPerMs,
 	/* Silences of one request that are logged. */
 	kSilencesLoggedMax = 4,
 };
@@ -23,8 +26,9 @@
 static void
 start_stall_timer(struct relay *rl, int64_t wait_us)
 {
-	rl->stall_timer = loop_timer(
-	    rl->deps.lp, loop_now_us(rl->deps.lp) + wait_us, on_stall, rl);
+	rl->stall_due_us = loop_now_us(rl->deps.lp) + wait_us;
+	rl->stall_timer =
+	    loop_timer(rl->deps.lp, rl->stall_due_us, on_stall, rl);
 }
 
 static int64_t
@@ -66,7 +70,7 @@
 	int64_t now_us = loop_now_us(rl->deps.lp);
 
 	rl->stall_timer = 0;
-	if (is_target_busy(rl)) {
+	if (now_us - rl->stall_due_us > kLoopLateUs || is_target_busy(rl)) {
 		start_stall_timer(rl, kActiveWithinUs);
 		return;
 	}
