A target that is silent to the end of a request counts as such

Cause: since a silent attempt stays, its slot was released as neutral when the caller left or the time was up: a target that is gone would get new requests again and again.

Change: such a slot is released as unresponsive; a revoked one stays neutral.

--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -58,13 +58,16 @@
 
 /* Stops the timers and gives everything back. */
 static void
-end_work(struct relay *rl)
+end_work(struct relay *rl, bool is_revoked)
 {
+	/* A target that is silent to the end may be gone. */
+	bool is_silent = rl->silent_since_us != 0 && !is_revoked;
+
 	rl->phase = kPhaseDone;
 	loop_timer_cancel(rl->deps.lp, rl->deadline_timer);
 	rl->deadline_timer = 0;
 	relay_withdraw_takeover(rl);
-	relay_release_target(rl, kSlotNeutral);
+	relay_release_target(rl, is_silent ? kSlotUnresponsive : kSlotNeutral);
 }
 
 void
@@ -80,7 +83,7 @@
 	};
 
 	g_strlcpy(result.target, rl->target, sizeof(result.target));
-	end_work(rl);
+	end_work(rl, outcome == kRelayRevoked);
 	rl->opt.ops->on_end(rl->opt.ctx, &result);
 	relay_free(rl);
 }
@@ -88,7 +91,7 @@
 void
 relay_cancel(struct relay *rl)
 {
-	end_work(rl);
+	end_work(rl, false);
 	relay_free(rl);
 }
 
