--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -38,6 +38,7 @@
 only=${1:-}
 U=unit_tests
 F=functional_tests
+R=relay_tests
 mutant no_outcome_resolution src/store/commit.c 's/if \(res == kStoreConflict\)/if (false)/' $U 'BatchStore.LostAnswers*'
 mutant unread_is_foreign src/store/commit.c 's/return kCommitUnknown;/return kCommitForeign;/' $U 'Itemjob.AJobThatMayBeStored*'
 mutant no_session_fence src/savoryflow/batch/batch_store.c 's/store_txn_field\(txn, own, "state", "live"\);//' $U 'BatchStore.HolderThatWakes*'
@@ -68,6 +69,10 @@
 mutant no_quota src/savoryflow/job/token_quota.c 's/if \(tq->waiting \+ tokens > limit\)/if (false)/' $F 'GatewayQuota.*'
 mutant bytes_are_progress src/gateway/relay_answer.c 's/if \(rl->has_new_event\)/if (true)/' $F 'Gateway.ATrickling*'
 mutant pauses_are_stalls src/gateway/calls.c 's/\.pause_timeout_us = .*/.pause_timeout_us = 0,/' $F 'Gateway.ASlowSound*'
+mutant silence_ends_attempt src/gateway/relay_takeover.c 's/rl->takeover_slot = relay_acquire_slot\(rl\);/relay_fail_attempt(rl, kSlotUnresponsive, "silent");/' $R 'Relay.ASilent*'
+mutant late_timers_judge src/gateway/relay_takeover.c 's/now_us - rl->stall_due_us > kLoopLateUs \|\| //' $R 'Relay.ATargetIsNot*'
+mutant silent_to_the_end src/gateway/relay.c 's/is_silent \? kSlotUnresponsive : //' $R 'Relay.TheEnd*'
+mutant avoiding_blocks src/savoryflow/slotpool/slotpool.c 's/if \(req->excluded_target\[0\] != .*\)/if (false)/' $U 'Slotpool.ARequestThatAvoidsTheFree*'
 mutant roles_by_hash src/gateway/roster_election.c 's/kRoleCapacityPercent = 50/kRoleCapacityPercent = 0/' $U 'Roster.RolesGo*'
 mutant no_relay src/gateway/slots_report.c 's/kDirectReportsMax = 100/kDirectReportsMax = 100000/' $U 'SlotsReport.*'
 mutant no_successor src/savoryflow/membership/contacts.c 's/find_successor\(self, peers\)\);/find_heaviest(self, peers, out));/' $U 'Contacts.*'
