Log callers of jobs that leave, and the routes a new version changes

caller_left was written for calls only: a caller that left while its job was being counted, stored, read or asked for at a peer left no line. job_caller_left names the job, the method, the step and the age. config_in_force gives the limits and the number of changed routes, and config_route_changed names up to eight of them, so that a request can be followed through a change.

--- a/src/gateway/gateway_watch.c
+++ b/src/gateway/gateway_watch.c
@@ -9,6 +9,8 @@
 	/* Entries of targets that expired while the store was unavailable are
 	 * restored within about 2 s of its recovery. */
 	kEntryRestoreUs = 2500 * kUsPerMs,
+	/* Routes logged by name for one version. */
+	kRoutesLoggedMax = 8,
 };
 
 struct watch_update {
@@ -30,6 +32,97 @@
 	return update;
 }
 
+static const struct routebook_route *
+same_route(const struct routebook *book, const struct routebook_route *route)
+{
+	for (guint i = 0; book != NULL && i < book->routes->len; i++) {
+		const struct routebook_route *r = book->routes->pdata[i];
+
+		if (strcmp(r->host, route->host) == 0 &&
+		    strcmp(r->prefix, route->prefix) == 0)
+			return r;
+	}
+	return NULL;
+}
+
+static bool
+has_same_shares(
+    const struct routebook_route *a, const struct routebook_route *b)
+{
+	if (a->shares->len != b->shares->len)
+		return false;
+	for (guint i = 0; i < a->shares->len; i++) {
+		const struct routebook_share *x =
+		    &g_array_index(a->shares, struct routebook_share, i);
+		const struct routebook_share *y =
+		    &g_array_index(b->shares, struct routebook_share, i);
+
+		if (strcmp(x->service, y->service) != 0 ||
+		    x->weight != y->weight)
+			return false;
+	}
+	return true;
+}
+
+/* @return NULL if requests are handled as before */
+static const char *
+route_change(
+    const struct routebook_route *old, const struct routebook_route *now)
+{
+	if (old == NULL)
+		return "added";
+	if (now == NULL)
+		return "removed";
+	if (!has_same_shares(old, now))
+		return "services";
+	if (old->timeout_us != now->timeout_us)
+		return "timeout";
+	if (old->waiting_tokens_max != now->waiting_tokens_max)
+		return "quota";
+	return NULL;
+}
+
+/* @return the number of routes that changed so far */
+static int32_t
+log_route_change(const struct routebook_route *old,
+    const struct routebook_route *now, int32_t count)
+{
+	const struct routebook_route *route = now != NULL ? now : old;
+	const char *change = route_change(old, now);
+
+	if (change == NULL)
+		return count;
+	if (count < kRoutesLoggedMax)
+		log_event(kEvtConfigRoute, "route",
+		    route->name != NULL ? route->name : "", "change", change,
+		    "service",
+		    g_array_index(route->shares, struct routebook_share, 0)
+			.service,
+		    "shares", log_number(route->shares->len), "timeout_us",
+		    log_number(route->timeout_us), "waiting_tokens_max",
+		    log_number(route->waiting_tokens_max), NULL);
+	return count + 1;
+}
+
+/* The first version is logged as a number of routes. */
+static void
+log_config(const struct routebook *old, const struct routebook *now)
+{
+	int32_t n = 0;
+
+	for (guint i = 0; old != NULL && i < now->routes->len; i++)
+		n = log_route_change(same_route(old, now->routes->pdata[i]),
+		    now->routes->pdata[i], n);
+	for (guint i = 0; old != NULL && i < old->routes->len; i++)
+		if (same_route(now, old->routes->pdata[i]) == NULL)
+			n = log_route_change(old->routes->pdata[i], NULL, n);
+	log_event(kEvtConfigInForce, "version", log_number(now->version),
+	    "from", log_number(old != NULL ? old->version : -1), "routes",
+	    log_number(now->routes->len), "changed", log_number(n),
+	    "body_bytes", log_number(now->limits.body_bytes), "idle_us",
+	    log_number(now->limits.idle_timeout_us), NULL);
+}
+
 static void
 apply_routes(void *ctx)
 {
@@ -39,13 +132,11 @@
 
 	/* Never goes back to an older version, whatever a late answer shows. */
 	if (update->book->version > old) {
+		log_config(gw->routes, update->book);
 		routebook_unref(gw->routes);
 		gw->routes = update->book;
 		front_set_body_max(gw->front, gw->routes->limits.body_bytes);
 		metric_set(kMetGeneration, gw->routes->version);
-		log_event(kEvtConfigInForce, "version",
-		    log_number(gw->routes->version), "from", log_number(old),
-		    "routes", log_number(gw->routes->routes->len), NULL);
 	} else {
 		routebook_unref(update->book);
 	}
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -267,7 +267,10 @@
 static void
 on_caller_disconnected(void *data)
 {
-	job_forward_cancel(data);
+	struct job_forward *fwd = data;
+
+	job_log_caller_left(fwd->opt.js, fwd->opt.req, fwd->id, "peer");
+	job_forward_cancel(fwd);
 }
 
 void
--- a/src/gateway/jobs_quota.c
+++ b/src/gateway/jobs_quota.c
@@ -91,6 +91,7 @@
 {
 	struct job_task *task = data;
 
+	job_log_caller_left(task->js, task->req, task->id, "quota");
 	quota_cancel(task->js->opt.quota, task->quota_wait);
 	job_task_free(task);
 }
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -86,6 +86,16 @@
 	task->peer_may_have_executed = may_have_executed;
 }
 
+void
+job_log_caller_left(const struct jobs *js, const struct front_request *req,
+    const char *id, const char *step)
+{
+	log_event(kEvtJobCallerLeft, "job", id, "method", front_method(req),
+	    "step", step, "age_us",
+	    log_number(loop_now_us(js->opt.deps.lp) - front_received_us(req)),
+	    NULL);
+}
+
 /* @return NULL if no peer is known to reach the store */
 static struct job_forward *
 forward_start(struct job_task *task)
@@ -108,6 +118,8 @@
 {
 	struct job_task *task = data;
 
+	job_log_caller_left(task->js, task->req, task->id,
+	    task->forward != NULL ? "store_and_peer" : "store");
 	task->req = NULL;
 	if (task->forward != NULL)
 		job_forward_cancel(task->forward);
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -59,6 +59,14 @@
 /** Frees a task that was not started. */
 void job_task_free(struct job_task *task);
 
+/**
+ * Logs that the caller of a request about a job is gone without an answer.
+ * @param step what was in progress: "quota", "store",
+ *        "store_and_peer" or "peer"
+ */
+void job_log_caller_left(const struct jobs *js, const struct front_request *req,
+    const char *id, const char *step);
+
 /* jobs_quota.c */
 
 /** Asks for the tokens of a submission, then starts it or refuses it. */
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -56,6 +56,9 @@
 	X(kEvtJobForwarded, 1415, INFO, "job_forwarded",                       \
 	    "A request about a job was forwarded to a peer that reaches the "  \
 	    "store.")                                                          \
+	X(kEvtJobCallerLeft, 1421, INFO, "job_caller_left",                    \
+	    "The caller of a request about a job disconnected without an "     \
+	    "answer; the step tells what was in progress.")                    \
 	X(kEvtJobsRemoved, 1416, INFO, "jobs_removed",                         \
 	    "Finished jobs were removed after their retention period.")        \
 	X(kEvtStoreRefused, 1503, WARN, "store_refused",                       \
@@ -92,6 +95,8 @@
 	    "The daemon could not start; the error field gives the reason.")   \
 	X(kEvtConfigInForce, 1101, INFO, "config_in_force",                    \
 	    "A newer configuration generation is in force on this daemon.")    \
+	X(kEvtConfigRoute, 1109, INFO, "config_route_changed",                 \
+	    "A route that the newer configuration adds, removes or changes.")  \
 	X(kEvtConfigAccepted, 1102, NOTICE, "config_accepted",                 \
 	    "An operator's configuration was committed; see the audit trail.") \
 	X(kEvtConfigRejected, 1103, WARN, "config_rejected",                   \
