--- a/test/functional/test_gateway_quota.cc
+++ b/test/functional/test_gateway_quota.cc
@@ -68,6 +68,22 @@
 	EXPECT_TRUE(Eventually([&] { return Submit(1, "b", 10) == 202; }));
 }
 
+TEST_F(GatewayQuota, AnAcceptedJobIsAcceptedAgainAfterItsQuotaIsLowered)
+{
+	std::string lowered = kLimitedRoute;
+
+	StartLimitedFleet(2);
+	EXPECT_EQ(202, Submit(0, "a", 10));
+	lowered.replace(lowered.find("100}"), 4, "10}");
+	Configure(2, lowered);
+	for (size_t i = 0; i < 2; i++) {
+		ASSERT_TRUE(
+		    daemons[i]->WaitLine("\"version\":\"2\",\"from\":\"1\""));
+		EXPECT_EQ(202, Submit(i, "a", 10)) << "accepted before";
+		EXPECT_EQ(429, Submit(i, "b", 1));
+	}
+}
+
 /* Submissions at all daemons at once, while the counting one is killed. */
 TEST_F(GatewayQuota, RacingSubmissionsNeverExceedTheLimit)
 {
