Tests that fail: accepted jobs and their callers without an answer

Items of a job whose route is gone are neither run nor listed; a reader waits 8.0 s for its answer while the store is silent, and 2.6 s while the peers asked are silent, longer than it stays.

--- a/test/functional/test_gateway_accepted.cc
+++ b/test/functional/test_gateway_accepted.cc
@@ -1,5 +1,6 @@
 /* Callers of jobs beside a store or peers that are silent, and accepted jobs
  * beside changes of the configuration. */
+#include <atomic>
 #include <thread>
 
 #include "functional/gateway_fixture.h"
@@ -7,6 +8,11 @@
 namespace
 {
 
+/* Callers read twice a second and give up 1.5 s after what they allow. */
+const int64_t kReaderWaitUs = 1500000;
+/* Results of an open job are due this long after the traffic has ended. */
+const int64_t kListedUs = 18000000;
+
 /* More submissions than threads that call the store. */
 TEST_F(Gateway, CallersThatLeaveDuringTheirSubmissionsAreLogged)
 {
@@ -31,4 +37,74 @@
 	store->Signal(SIGCONT);
 }
 
+/* The items of a job whose route is gone are listed: nothing runs them. */
+TEST_F(Gateway, ItemsOfARouteThatIsGoneAreListed)
+{
+	ConfigureRoutes(1, "," + JobRoute("b", 2));
+	AddDaemon();
+	ASSERT_TRUE(Eventually([&] { return ReadyStatus(0) == 200; }));
+	EXPECT_EQ(202,
+	    Send(0, "POST", "/b/j1", JobBody("it", 3, RequestBody(1)), "j1")
+		.status);
+	ConfigureRoutes(2, "");
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"config_in_force\"", 2));
+	int64_t start_us = NowUs();
+
+	EXPECT_TRUE(Eventually([&] { return HasResults(0, "j1", 3); }));
+	EXPECT_LT(NowUs() - start_us, kListedUs);
+}
+
+/* More callers than threads that call the store. */
+TEST_F(Gateway, ReadersAreAnsweredWhileTheStoreIsSilent)
+{
+	const int kReaders = 48;
+	std::vector<std::thread> readers;
+	std::atomic<int64_t> longest_us{0};
+	std::atomic<int> unanswered{0};
+
+	StartReadyFleet(1, 1);
+	Send(0, "POST", "/b/j1", JobBody("it", 1, RequestBody(1)), "j1");
+	ASSERT_TRUE(Eventually([&] { return HasResults(0, "j1", 1); }));
+	store->Signal(SIGSTOP);
+	for (int i = 0; i < kReaders; i++)
+		readers.emplace_back([&] {
+			int64_t start_us = NowUs();
+			long status =
+			    Send(0, "GET", "/api/items/j1?id=it0", "", "r")
+				.status;
+			int64_t took_us = NowUs() - start_us;
+			int64_t seen_us = longest_us.load();
+
+			unanswered += status != 503 && status != 200;
+			while (took_us > seen_us &&
+			    !longest_us.compare_exchange_weak(seen_us, took_us))
+				;
+		});
+	for (auto &t : readers)
+		t.join();
+	store->Signal(SIGCONT);
+	EXPECT_EQ(0, unanswered.load());
+	EXPECT_LT(longest_us.load(), kReaderWaitUs);
+}
+
+/* The store rejects daemon 0, and its peers stand still. */
+TEST_F(Gateway, AReaderIsAnsweredWhileThePeersAskedAreSilent)
+{
+	StartReadyFleet(1, 3);
+	Send(0, "POST", "/b/j1", JobBody("it", 1, RequestBody(1)), "j1");
+	ASSERT_TRUE(Eventually([&] { return HasResults(0, "j1", 1); }));
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"member_up\"", 2));
+	PostToStore("/fault", "{\"turned_away\":\"d0\"}");
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"store_down\""));
+	daemons[1]->Signal(SIGSTOP);
+	daemons[2]->Signal(SIGSTOP);
+	int64_t start_us = NowUs();
+	Reply r = Send(0, "GET", "/api/lots/j1", "", "r");
+
+	EXPECT_EQ(503, r.status);
+	EXPECT_LT(NowUs() - start_us, kReaderWaitUs);
+	daemons[1]->Signal(SIGCONT);
+	daemons[2]->Signal(SIGCONT);
+}
+
 } // namespace
