Items of a job whose route is gone are listed

What callers saw: an open job of a removed route whose items neither ran nor were listed until their time to live, 60 s; callers that read it got nothing for as long. Cause: without a route an item only waits for one, and the time to live of the route last known goes on; a daemon that takes the job over starts it anew. Change: the daemon that runs a job ends the items that wait once no version in force has had the route for 5 s, or 10 s if it never knew the route. A version that brings the route back in that time changes nothing; a run in progress goes on. job_route_gone says so.

Gateway.ItemsOfARouteThatIsGoneAreListed failed (none of 3 items listed after 30 s) and passes (10.1 s).

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -81,6 +81,7 @@
 		g_ptr_array_add(list, val);
 	for (guint i = 0; i < list->len; i++) {
 		jobs_quota_report(list->pdata[i]);
+		jobs_route_check(list->pdata[i]);
 		jobs_run_start_due(list->pdata[i]);
 	}
 	list_is_empty = list->len == 0;
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -49,6 +49,11 @@
 	int64_t due_us;
 	/** Time to live of the items by the route last known; 0: none. */
 	int64_t ttl_us;
+	/** Since when no version in force here has the route; 0: it has. */
+	int64_t route_gone_us;
+	bool was_route_known;
+	/** The items that wait have ended with the route. */
+	bool is_route_ended;
 	/** Results that wait to be listed: struct item_run *, in order. */
 	GQueue ready;
 	int32_t next_position;
@@ -113,6 +118,9 @@
 
 void jobs_run_free(void *p);
 
+/** Ends the items that wait once the job's route has been gone for a while. */
+void jobs_route_check(struct job_run *run);
+
 /** Reports the job's waiting tokens to its route's quota, if due. */
 void jobs_quota_report(struct job_run *run);
 
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -59,6 +59,8 @@
 	X(kEvtJobCallerLeft, 1421, INFO, "job_caller_left",                    \
 	    "The caller of a request about a job disconnected without an "     \
 	    "answer; the step tells what was in progress.")                    \
+	X(kEvtJobRouteGone, 1422, WARN, "job_route_gone",                      \
+	    "The route of a job is gone; its items that wait are given up.")   \
 	X(kEvtJobsRemoved, 1416, INFO, "jobs_removed",                         \
 	    "Finished jobs were removed after their retention period.")        \
 	X(kEvtStoreRefused, 1503, WARN, "store_refused",                       \
