Callers of jobs do not wait for a thread that calls the store

What callers saw: while the store is silent, six calls of up to a second take all threads, and each further read or submission waits in the queue: the last of 48 readers got its answer after 8.0 s, the last of 24 submitters after 12.0 s, long after they had left. Cause: neither the wait for a thread nor that for a read has a bound; the hedge to a peer helps only while a peer reaches the store. Change: after 1.25 s a task that no thread has begun is skipped and refused with 503, which is true as it never runs; a read that has begun is answered 503 and its late result is dropped. A change in progress is awaited, as it may succeed; the store's timeouts bound it. If a peer may have executed it, the answer stays 500. call_refused says store_threads_taken or store_silent.

Gateway.ReadersAreAnsweredWhileTheStoreIsSilent failed (8.0 s against 1.5 s) and passes (1.3 s with its start). Gateway.SubmissionsAreAnsweredWhileTheStoreIsSilent is new: run without the change, 12.0 s against 4 s; with it 3.1 s with its start, and what got 503 did not exist when the store went on.

--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -13,12 +13,15 @@
 	/* The store answers within milliseconds. A peer tried after this can
 	 * still meet the usual objective of 500 ms. */
 	kHedgeDelayUs = 150 * kUsPerMs,
+	/* Readers stay for 1.5 s. By then peers were asked in vain. */
+	kAnswerMaxUs = 1250 * kUsPerMs,
 };
 
 void
 job_task_free(struct job_task *task)
 {
 	loop_timer_cancel(task->js->opt.deps.lp, task->hedge_timer);
+	loop_timer_cancel(task->js->opt.deps.lp, task->answer_timer);
 	g_free(task->id);
 	g_free(task->token);
 	g_free(task->item_id);
@@ -156,12 +159,53 @@
 	task->forward = forward_start(task);
 }
 
+static bool
+is_read(const struct job_task *task)
+{
+	return strcmp(front_method(task->req), "GET") == 0;
+}
+
+/*
+ * The caller is not to wait any longer: for a thread, which a silent store may
+ * keep from all, or for a read. A change in progress may succeed, so its
+ * outcome is awaited: the store's timeouts bound that.
+ */
+static void
+on_answer_due(void *ctx)
+{
+	struct job_task *task = ctx;
+	bool is_skipped = g_atomic_int_compare_and_exchange(
+	    &task->state, kTaskWaiting, kTaskSkipped);
+	bool may_have_executed;
+
+	task->answer_timer = 0;
+	if (task->req == NULL || (!is_skipped && !is_read(task)))
+		return;
+	may_have_executed = !is_read(task) &&
+	    (task->forward != NULL || task->peer_may_have_executed);
+	log_event(kEvtCallRefused, "request", task->id, "why",
+	    is_skipped ? "store_threads_taken" : "store_silent", "age_us",
+	    log_number(loop_now_us(task->js->opt.deps.lp) - task->received_us),
+	    NULL);
+	if (task->forward != NULL)
+		job_forward_cancel(task->forward);
+	task->forward = NULL;
+	front_on_disconnect(task->req, NULL, NULL);
+	job_reply_store_error(
+	    task->req, may_have_executed ? kStoreAmbiguous : kStoreUnavailable);
+	task->req = NULL;
+}
+
 static void
 run_work(void *ctx)
 {
 	struct job_task *task = ctx;
 
-	task->work(task);
+	if (g_atomic_int_compare_and_exchange(
+		&task->state, kTaskWaiting, kTaskRunning))
+		task->work(task);
+	else
+		task->outcome = kStoreUnavailable;
 }
 
 static bool
@@ -176,7 +220,10 @@
 {
 	struct job_task *task = ctx;
 
-	task->js->opt.report_store(task->js->opt.ctx, !store_failed(task));
+	/* A skipped task tells nothing of the store. */
+	if (g_atomic_int_get(&task->state) != kTaskSkipped)
+		task->js->opt.report_store(
+		    task->js->opt.ctx, !store_failed(task));
 	if (task->req != NULL && store_failed(task) &&
 	    !delegate_to_forward(task) && task->peer_may_have_executed)
 		task->outcome = kStoreAmbiguous;
@@ -212,6 +259,10 @@
 {
 	struct jobs *js = task->js;
 
+	/* A submission starts again if another daemon counts its tokens. */
+	loop_timer_cancel(js->opt.deps.lp, task->answer_timer);
+	task->answer_timer = 0;
+	g_atomic_int_set(&task->state, kTaskWaiting);
 	if (task->req != NULL) {
 		front_on_disconnect(task->req, on_caller_disconnected, task);
 		if (!js->opt.store_is_up(js->opt.ctx)) {
@@ -222,6 +273,9 @@
 			task->hedge_timer = loop_timer(js->opt.deps.lp,
 			    loop_now_us(js->opt.deps.lp) + kHedgeDelayUs,
 			    on_hedge_delay, task);
+		task->answer_timer = loop_timer(js->opt.deps.lp,
+		    loop_now_us(js->opt.deps.lp) + kAnswerMaxUs, on_answer_due,
+		    task);
 	}
 	if (offload_run(js->opt.offload, run_work, finish, task))
 		return;
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -5,6 +5,13 @@
 
 struct job_forward;
 
+/** A task waits for a thread, then runs on it unless it was skipped. */
+enum job_task_state {
+	kTaskWaiting,
+	kTaskRunning,
+	kTaskSkipped,
+};
+
 /**
  * A request about a job that is executed at the store. If the store rejects
  * this daemon, or does not answer for a while, a peer that reaches it is tried
@@ -27,6 +34,10 @@
 	bool was_forwarded;
 	bool peer_may_have_executed;
 	uint64_t hedge_timer;
+	/** Ends the wait of the caller. */
+	uint64_t answer_timer;
+	/** enum job_task_state; also used by the thread. */
+	gint state;
 	/* Submission. */
 	struct itemjob *job;
 	GPtrArray *items;
--- a/test/functional/test_gateway_accepted.cc
+++ b/test/functional/test_gateway_accepted.cc
@@ -10,6 +10,7 @@
 
 /* Callers read twice a second and give up 1.5 s after what they allow. */
 const int64_t kReaderWaitUs = 1500000;
+const int64_t kSubmitterWaitUs = 4000000;
 /* Results of an open job are due this long after the traffic has ended. */
 const int64_t kListedUs = 18000000;
 
@@ -87,6 +88,47 @@
 	EXPECT_LT(longest_us.load(), kReaderWaitUs);
 }
 
+/* What was refused does not exist, whatever the store does when it goes on. */
+TEST_F(Gateway, SubmissionsAreAnsweredWhileTheStoreIsSilent)
+{
+	std::vector<std::thread> callers;
+	std::vector<long> status(24);
+	std::atomic<int64_t> longest_us{0};
+
+	StartReadyFleet(1, 1);
+	store->Signal(SIGSTOP);
+	for (size_t i = 0; i < status.size(); i++)
+		callers.emplace_back([&, i] {
+			int64_t start_us = NowUs();
+			std::string id = "j" + std::to_string(i);
+
+			status[i] = Send(0, "POST", "/b/" + id,
+			    JobBody(id, 1, RequestBody(1)), id)
+					.status;
+			int64_t took_us = NowUs() - start_us;
+			int64_t seen_us = longest_us.load();
+
+			while (took_us > seen_us &&
+			    !longest_us.compare_exchange_weak(seen_us, took_us))
+				;
+		});
+	for (auto &t : callers)
+		t.join();
+	store->Signal(SIGCONT);
+	EXPECT_LT(longest_us.load(), kSubmitterWaitUs);
+	for (size_t i = 0; i < status.size(); i++) {
+		std::string path = "/api/lots/j" + std::to_string(i);
+		Reply r;
+
+		EXPECT_TRUE(status[i] == 503 || status[i] == 500) << status[i];
+		ASSERT_TRUE(Eventually([&] {
+			r = Send(0, "GET", path, "", "r");
+			return r.status == 200 || r.status == 404;
+		}));
+		EXPECT_TRUE(status[i] != 503 || r.status == 404) << i;
+	}
+}
+
 /* The store rejects daemon 0, and its peers stand still. */
 TEST_F(Gateway, AReaderIsAnsweredWhileThePeersAskedAreSilent)
 {
