--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -94,7 +94,8 @@
     const char *id, const char *step)
 {
 	log_event(kEvtJobCallerLeft, "job", id, "method", front_method(req),
-	    "step", step, "age_us",
+	    "step", step, "by", job_forward_is_allowed(req) ? "client" : "peer",
+	    "age_us",
 	    log_number(loop_now_us(js->opt.deps.lp) - front_received_us(req)),
 	    NULL);
 }
