A test that fails: a refusal sent when the caller has just left

Such a route has a time limit of 1 s; the slot is waited for until the objective, which is longer, and the 503 leaves at the end of the caller's time, so that it arrives after it.

--- a/test/functional/test_gateway_changes.cc
+++ b/test/functional/test_gateway_changes.cc
@@ -110,6 +110,34 @@
 		    << r.status << r.body;
 }
 
+/* A route that a version adds, with a time limit shorter than its objective:
+ * a call that finds no slot is refused while its caller waits. */
+TEST_F(GatewayChanges, ACallThatCannotRunIsRefusedBeforeItsCallerLeaves)
+{
+	const int kRunning = 4;
+	std::vector<std::thread> callers;
+
+	StartReadyFleet(1, 1);
+	Put(Route(kLlm, 5000) +
+	    R"({"name":"p","host":"a.example","path_prefix":"/p/",
+	    "kind":"idempotent","target_latency_ms":4000,"service":"llm",
+	    "max_attempts":2,"timeout_ms":1000},)");
+	for (int i = 0; i < kRunning; i++)
+		callers.emplace_back([&, i] {
+			Call(0, "/q/run", "run" + std::to_string(i), 60, 50);
+		});
+	ASSERT_TRUE(
+	    Eventually([&] { return CountRunsAt(0, "run") == kRunning; }));
+	Reply r = Http("POST",
+	    "http://" + LoopbackAddress(front_ports[0]) + "/p/new",
+	    RequestBody(1),
+	    {"Host: a.example", "X-Attempt-Id: p1", "X-Deadline-Ms: 1000"}, 1);
+
+	EXPECT_EQ(503, r.status);
+	for (auto &t : callers)
+		t.join();
+}
+
 /* Some versions a second, while streams run. */
 TEST_F(GatewayChanges, AStormOfVersionsCutsNoStream)
 {
