--- a/test/functional/test_gateway_accepted.cc
+++ b/test/functional/test_gateway_accepted.cc
@@ -67,6 +67,31 @@
 	EXPECT_LT(NowUs() - start_us, kListedUs);
 }
 
+/* A daemon that drains accepts jobs until it is out of rotation; by then its
+ * session may have ended. */
+TEST_F(Gateway, AJobAcceptedByADrainingDaemonIsTakenOver)
+{
+	StartReadyFleet(2, 2);
+	ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"member_up\""));
+	daemons[0]->Signal(SIGTERM);
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"drain_started\""));
+	for (int i = 0; i < 3; i++) {
+		std::string job = "j" + std::to_string(i);
+		long status = Send(0, "POST", "/b/" + job,
+		    JobBody(job, 2, RequestBody(2)), job)
+				  .status;
+
+		EXPECT_EQ(202, status) << i;
+		/* After the first one, its row is gone. */
+		ASSERT_TRUE(daemons[1]->WaitLine("\"name\":\"member_down\""));
+	}
+	EXPECT_EQ(0, daemons[0]->Wait());
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(Eventually([&] {
+			return HasResults(1, "j" + std::to_string(i), 2);
+		})) << i;
+}
+
 /* More callers than threads that call the store. */
 TEST_F(Gateway, ReadersAreAnsweredWhileTheStoreIsSilent)
 {
