--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -13,9 +13,8 @@
 	/* A peer answers from the store within milliseconds; a second one tried
 	 * after this can still meet the usual objective of 500 ms. */
 	kAnswerTimeoutUs = 200 * kUsPerMs,
-	/* Leaves room for a read that waits up to 1 s for a result at its
-	 * caller's request. No endpoint offers such a wait at present. */
-	kReadAnswerTimeoutUs = 1300 * kUsPerMs,
+	/* A read may take two calls of the store; a reader stays for 1.5 s. */
+	kReadAnswerTimeoutUs = 500 * kUsPerMs,
 	kHttpServerErrorFirst = 500,
 	kHttpTooMany = 429,
 	kHttpUnavailable = 503,
@@ -267,7 +266,10 @@
 static void
 on_caller_disconnected(void *data)
 {
-	job_forward_cancel(data);
+	struct job_forward *fwd = data;
+
+	job_log_caller_left(fwd->opt.js, fwd->opt.req, fwd->id, "peer");
+	job_forward_cancel(fwd);
 }
 
 void
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -13,12 +13,17 @@
 	/* The store answers within milliseconds. A peer tried after this can
 	 * still meet the usual objective of 500 ms. */
 	kHedgeDelayUs = 150 * kUsPerMs,
+	/* Readers stay for 1.5 s, some submitters for 1 s. By then peers were
+	 * asked in vain. */
+	kReadAnswerMaxUs = 1250 * kUsPerMs,
+	kChangeAnswerMaxUs = 850 * kUsPerMs,
 };
 
 void
 job_task_free(struct job_task *task)
 {
 	loop_timer_cancel(task->js->opt.deps.lp, task->hedge_timer);
+	loop_timer_cancel(task->js->opt.deps.lp, task->answer_timer);
 	g_free(task->id);
 	g_free(task->token);
 	g_free(task->item_id);
@@ -86,6 +91,17 @@
 	task->peer_may_have_executed = may_have_executed;
 }
 
+void
+job_log_caller_left(const struct jobs *js, const struct front_request *req,
+    const char *id, const char *step)
+{
+	log_event(kEvtJobCallerLeft, "job", id, "method", front_method(req),
+	    "step", step, "by", job_forward_is_allowed(req) ? "client" : "peer",
+	    "age_us",
+	    log_number(loop_now_us(js->opt.deps.lp) - front_received_us(req)),
+	    NULL);
+}
+
 /* @return NULL if no peer is known to reach the store */
 static struct job_forward *
 forward_start(struct job_task *task)
@@ -108,6 +124,8 @@
 {
 	struct job_task *task = data;
 
+	job_log_caller_left(task->js, task->req, task->id,
+	    task->forward != NULL ? "store_and_peer" : "store");
 	task->req = NULL;
 	if (task->forward != NULL)
 		job_forward_cancel(task->forward);
@@ -144,12 +162,53 @@
 	task->forward = forward_start(task);
 }
 
+static bool
+is_read(const struct job_task *task)
+{
+	return strcmp(front_method(task->req), "GET") == 0;
+}
+
+/*
+ * The caller is not to wait any longer: for a thread, which a silent store may
+ * keep from all, or for a read. A change in progress may succeed, so its
+ * outcome is awaited: the store's timeouts bound that.
+ */
+static void
+on_answer_due(void *ctx)
+{
+	struct job_task *task = ctx;
+	bool is_skipped = g_atomic_int_compare_and_exchange(
+	    &task->state, kTaskWaiting, kTaskSkipped);
+	bool may_have_executed;
+
+	task->answer_timer = 0;
+	if (task->req == NULL || (!is_skipped && !is_read(task)))
+		return;
+	may_have_executed = !is_read(task) &&
+	    (task->forward != NULL || task->peer_may_have_executed);
+	log_event(kEvtCallRefused, "request", task->id, "why",
+	    is_skipped ? "store_threads_taken" : "store_silent", "age_us",
+	    log_number(loop_now_us(task->js->opt.deps.lp) - task->received_us),
+	    NULL);
+	if (task->forward != NULL)
+		job_forward_cancel(task->forward);
+	task->forward = NULL;
+	front_on_disconnect(task->req, NULL, NULL);
+	job_reply_store_error(
+	    task->req, may_have_executed ? kStoreAmbiguous : kStoreUnavailable);
+	task->req = NULL;
+}
+
 static void
 run_work(void *ctx)
 {
 	struct job_task *task = ctx;
 
-	task->work(task);
+	if (g_atomic_int_compare_and_exchange(
+		&task->state, kTaskWaiting, kTaskRunning))
+		task->work(task);
+	else
+		task->outcome = kStoreUnavailable;
 }
 
 static bool
@@ -164,7 +223,10 @@
 {
 	struct job_task *task = ctx;
 
-	task->js->opt.report_store(task->js->opt.ctx, !store_failed(task));
+	/* A skipped task tells nothing of the store. */
+	if (g_atomic_int_get(&task->state) != kTaskSkipped)
+		task->js->opt.report_store(
+		    task->js->opt.ctx, !store_failed(task));
 	if (task->req != NULL && store_failed(task) &&
 	    !delegate_to_forward(task) && task->peer_may_have_executed)
 		task->outcome = kStoreAmbiguous;
@@ -200,6 +262,10 @@
 {
 	struct jobs *js = task->js;
 
+	/* A submission starts again if another daemon counts its tokens. */
+	loop_timer_cancel(js->opt.deps.lp, task->answer_timer);
+	task->answer_timer = 0;
+	g_atomic_int_set(&task->state, kTaskWaiting);
 	if (task->req != NULL) {
 		front_on_disconnect(task->req, on_caller_disconnected, task);
 		if (!js->opt.store_is_up(js->opt.ctx)) {
@@ -210,6 +276,10 @@
 			task->hedge_timer = loop_timer(js->opt.deps.lp,
 			    loop_now_us(js->opt.deps.lp) + kHedgeDelayUs,
 			    on_hedge_delay, task);
+		task->answer_timer = loop_timer(js->opt.deps.lp,
+		    loop_now_us(js->opt.deps.lp) +
+			(is_read(task) ? kReadAnswerMaxUs : kChangeAnswerMaxUs),
+		    on_answer_due, task);
 	}
 	if (offload_run(js->opt.offload, run_work, finish, task))
 		return;
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -5,6 +5,13 @@
 
 struct job_forward;
 
+/** A task waits for a thread, then runs on it unless it was skipped. */
+enum job_task_state {
+	kTaskWaiting,
+	kTaskRunning,
+	kTaskSkipped,
+};
+
 /**
  * A request about a job that is executed at the store. If the store rejects
  * this daemon, or does not answer for a while, a peer that reaches it is tried
@@ -27,6 +34,10 @@
 	bool was_forwarded;
 	bool peer_may_have_executed;
 	uint64_t hedge_timer;
+	/** Ends the wait of the caller. */
+	uint64_t answer_timer;
+	/** enum job_task_state; also used by the thread. */
+	gint state;
 	/* Submission. */
 	struct itemjob *job;
 	GPtrArray *items;
@@ -59,6 +70,14 @@
 /** Frees a task that was not started. */
 void job_task_free(struct job_task *task);
 
+/**
+ * Logs that the caller of a request about a job is gone without an answer.
+ * @param step what was in progress: "quota", "store",
+ *        "store_and_peer" or "peer"
+ */
+void job_log_caller_left(const struct jobs *js, const struct front_request *req,
+    const char *id, const char *step);
+
 /* jobs_quota.c */
 
 /** Asks for the tokens of a submission, then starts it or refuses it. */
