Log: the wait of an online request for a slot, if it was long

An attempt was seen to end 1.5 to 1.8 s before the decision on its request; nothing in the log said who had been asked meanwhile. Event 1609 tells the end of the wait, its age and its time past the slot deadline, the requests sent to arbiters, those that stayed silent, the refusals and the phase in which it ended. No change of logic.

--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -140,6 +140,7 @@
 {
 	struct slot_request request = remaining_request(sl, h);
 
+	h->requested_count++;
 	if (is_hosted_here(sl, h))
 		slots_host_request(sl, &request, h->service,
 		    h->view->data_center, adopt_target);
@@ -194,6 +195,7 @@
 	struct hold *h = g_new0(struct hold, 1);
 
 	h->request.id = ++sl->next_id;
+	h->acquired_us = loop_now_us(sl->opt.lp);
 	h->request.is_batch = request->is_batch;
 	h->request.deadline_us = request->deadline_us;
 	h->request.expected_run_us = request->expected_run_us;
@@ -255,6 +257,8 @@
 
 	if (h == NULL)
 		return;
+	if (h->granted_us == 0)
+		slots_log_wait(sl, h, "withdrawn");
 	release_hold(sl, h, outcome);
 	g_hash_table_remove(sl->holds, &id);
 }
@@ -347,6 +351,7 @@
 	/* The arbiter's answer may arrive after a local grant. */
 	if (h->granted_us != 0)
 		return;
+	slots_log_wait(sl, h, "granted");
 	if (h->phase != kHoldLocal)
 		h->phase = kHoldGranted;
 	h->granted_us = now_us;
@@ -380,6 +385,7 @@
 		request_from_pool(sl, h);
 		return;
 	}
+	slots_log_wait(sl, h, "refused");
 	g_hash_table_remove(sl->holds, &del->id);
 	ops->on_refused(ctx, del->id, del->retry_after_us);
 }
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -72,7 +72,11 @@
 	struct pool_view *view;
 	char arbiter[kFleetAddressMax];
 	char target[kFleetNameMax];
+	/** Time of slots_acquire, and of the request at the current arbiter. */
+	int64_t acquired_us;
 	int64_t requested_us;
+	/** Requests sent to arbiters. */
+	int32_t requested_count;
 	int64_t granted_us;
 	int64_t renewed_us;
 	/** Longest retry delay of the pools that refused. */
@@ -110,6 +114,9 @@
 	GArray *deliveries;
 	uint64_t timer;
 	int64_t next_tick_us;
+	/** Lines logged about long waits in the second that began then. */
+	int64_t wait_logged_us;
+	int32_t wait_logged_count;
 };
 
 /* slots.c */
@@ -125,6 +132,14 @@
 void slots_send_release(
     struct slots *sl, const struct hold *h, enum slot_outcome outcome);
 
+/* slots_wait.c */
+
+/**
+ * Logs the end of an online request's wait, if it was long.
+ * @param end the decision, or that the request was withdrawn
+ */
+void slots_log_wait(struct slots *sl, const struct hold *h, const char *end);
+
 /* slots_choice.c */
 
 /** The daemon that arbitrates a pool, borrowed. */
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -80,6 +80,9 @@
 	    "This daemon is now the arbiter of a pool's slots.")               \
 	X(kEvtArbiterSilent, 1605, WARN, "arbiter_silent",                     \
 	    "An arbiter did not respond in time; another one is used.")        \
+	X(kEvtSlotWaitLong, 1609, WARN, "slot_wait_long",                      \
+	    "An online request waited long for the decision on its slot, or "  \
+	    "past its slot deadline; at most 32 lines a second.")              \
 	X(kEvtStarted, 1001, INFO, "daemon_started",                           \
 	    "The daemon listens for callers.")                                 \
 	X(kEvtReady, 1002, INFO, "daemon_ready",                               \
