--- a/test/unit/daemon_fixture.h
+++ b/test/unit/daemon_fixture.h
@@ -16,7 +16,8 @@
 	static constexpr int64_t kSec = 1000000;
 	static constexpr int kDaemons = 4;
 
-	struct clock_source clk = {&FakeClock(), nullptr};
+	int64_t now_us = kSec;
+	struct clock_source clk = {&FakeClock(), &now_us};
 	struct loop *lp = loop_new(&clk);
 	struct roster *ro = nullptr;
 	/* One is run in each iteration of the loop: what a step sends or
@@ -75,7 +76,9 @@
 	static timespec
 	FakeNow(void *ctx)
 	{
-		return {1, 0};
+		int64_t us = *(int64_t *)ctx;
+
+		return {(time_t)(us / kSec), (long)(us % kSec * 1000)};
 	}
 
 	static const clock_ops &
