Slots: an arbiter in another region than its pool has the time to answer

What callers saw: in a roll of all daemons, requests at draining ones waited through up to 31 requests for a slot, or ran on the local share, and their connections between daemons were replaced all the while.

Cause: the time allowed for an arbiter's answer was computed from the data centre of the pool. While all daemons of a data centre leave, one elsewhere arbitrates its pool: with 30 ms between regions its answer takes 60 ms, and it was taken for silent after 41 to 51 ms, each time. It was then suspected until its next report, so the arbiter changed with each report.

The time is now computed from the data centre of the arbiter, and an arbiter that is connected for another pool counts as connected.

Test: SlotsWait.AnArbiterInAnotherRegionHasTheTimeToAnswer failed before and passes.

--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -13,9 +13,6 @@
 	kTickUs = 25 * kUsPerMs,
 	/* Period while no answer is awaited. */
 	kSlowTickUs = 150 * kUsPerMs,
-	/* An arbiter answers within one loop iteration; this is allowed for on
-	 * top of the link latency. */
-	kAnswerMarginUs = 40 * kUsPerMs,
 	/* An arbiter that timed out is skipped for this time, or until a
 	 * message from it arrives: an arbiter in use reports its load more
 	 * often. */
@@ -495,7 +492,7 @@
 		switch_arbiter(sl, h, now_us);
 		return;
 	}
-	answer_us = kAnswerMarginUs + 2 * slots_request_us(sl, h->view);
+	answer_us = slots_answer_us(sl, h->view);
 	switch (h->phase) {
 	case kHoldRequested:
 		if (!is_hosted_here(sl, h) &&
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -19,6 +19,9 @@
 	/* Round trips of a request whose connections in both directions are to
 	 * be opened first: three each, and the request itself. */
 	kColdRoundTrips = 7,
+	/* An arbiter answers within one loop iteration; this is allowed for on
+	 * top of the link latency. */
+	kAnswerMarginUs = 40 * kUsPerMs,
 	/* An older load report is disregarded. */
 	kLoadMaxAgeUs = 1500 * kUsPerMs,
 	kHoldDefaultUs = 700 * kUsPerMs,
@@ -82,17 +85,57 @@
 	}
 }
 
+static bool
+was_heard(const struct slots *sl, const struct pool_view *view)
+{
+	return view->owner_heard_us != 0 &&
+	    loop_now_us(sl->opt.lp) - view->owner_heard_us < kConnectionIdleUs;
+}
+
 int64_t
 slots_request_us(struct slots *sl, struct pool_view *view)
 {
 	int64_t link_us = slots_link_us(sl, view->data_center);
-	int64_t now_us = loop_now_us(sl->opt.lp);
 
 	slots_arbiter(sl, view);
-	if (view->owner_heard_us != 0 &&
-	    now_us - view->owner_heard_us < kConnectionIdleUs)
-		return link_us / 2;
-	return link_us / 2 * kColdRoundTrips;
+	return link_us / 2 * (was_heard(sl, view) ? 1 : kColdRoundTrips);
+}
+
+/* True if the pool's arbiter was heard lately, for this pool or another one. */
+static bool
+is_owner_connected(const struct slots *sl, const struct pool_view *view)
+{
+	GHashTableIter it;
+	void *val;
+
+	if (was_heard(sl, view))
+		return true;
+	g_hash_table_iter_init(&it, sl->views);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct pool_view *other = val;
+
+		if (strcmp(other->reporter, view->owner) == 0 &&
+		    other->connected_us != 0 &&
+		    loop_now_us(sl->opt.lp) - other->connected_us <
+			kConnectionIdleUs)
+			return true;
+	}
+	return false;
+}
+
+int64_t
+slots_answer_us(struct slots *sl, struct pool_view *view)
+{
+	const char *owner = slots_arbiter(sl, view);
+	const char *data_center = roster_data_center(sl->opt.roster, owner);
+	int64_t round_trip_us =
+	    slots_link_us(
+		sl, data_center[0] != '\0' ? data_center : view->data_center) /
+	    2;
+
+	return kAnswerMarginUs +
+	    2 * round_trip_us *
+	    (is_owner_connected(sl, view) ? 1 : kColdRoundTrips);
 }
 
 const char *
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -156,6 +156,10 @@
  * microseconds, including the connections that have to be opened first. */
 int64_t slots_request_us(struct slots *sl, struct pool_view *view);
 
+/** Time after which the pool's arbiter, which may be in another data centre
+ * than the pool, is taken not to answer a request, in microseconds. */
+int64_t slots_answer_us(struct slots *sl, struct pool_view *view);
+
 /** Expected wait of another online request at the pool, in microseconds. */
 int64_t slots_view_wait_us(
     const struct slots *sl, const struct pool_view *view);
