Slots: each online request is decided within a bound of its own

What callers saw: after the end of an attempt, or before the first one, nothing for up to 1.9 s, though the wait for a slot has a deadline.

Cause: the wait was bounded by timers of the current arbiter only. Each change of the arbiter started them afresh, in a roll of all daemons up to 31 times for one request; what an arbiter had queued was not asked for again until 1.3 s past the deadline, also when that arbiter had gone silent; and this was looked at only each 150 ms.

Each request now has a bound that changes of arbiter and pool do not move: its deadline and the time of a last answer if no arbiter keeps it, and the time of late grants if one does. An arbiter that keeps a request past its deadline is asked every 300 ms whether it still does; it answers a repeated request with its state, or decides it if it has lost it. At the bound the request is granted from the local share if no arbiter keeps it and there is room, and refused with a time to come back otherwise. A later grant is released, as before.

Tests: SlotsWait.ChangesAgainAndAgain (no decision in 3.6 s), QueuedThenChangesToSilentOnes, QueuedByEachOfThoseThatChange, QueuedThenSilent and QueuedAndNeverGranted (1.95 to 1.975 s) failed before and pass; a queue that grants late still does.

--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -24,9 +24,8 @@
 	 * this. */
 	kBatchRechooseUs = 1000 * kUsPerMs,
 	kLocalRetryUs = 300 * kUsPerMs,
-	/* An arbiter may grant a queued request after its deadline. Past this
-	 * time it is taken to have lost the request. */
-	kLateGrantMaxUs = 1300 * kUsPerMs,
+	/* Period of asking an arbiter whether it keeps an overdue request. */
+	kConfirmUs = 300 * kUsPerMs,
 };
 
 static void deliver_all(void *ctx);
@@ -126,19 +125,13 @@
 	sl->opt.wire->send(sl->opt.wire_ctx, h->arbiter, &env);
 }
 
-static bool
-is_hosted_here(const struct slots *sl, const struct hold *h)
-{
-	return strcmp(h->arbiter, sl->opt.address) == 0;
-}
-
 static void
 request_from_arbiter(struct slots *sl, struct hold *h, const char *adopt_target)
 {
 	struct slot_request request = remaining_request(sl, h);
 
 	h->requested_count++;
-	if (is_hosted_here(sl, h))
+	if (slots_is_hosted_here(sl, h))
 		slots_host_request(sl, &request, h->service,
 		    h->view->data_center, adopt_target);
 	else
@@ -231,7 +224,7 @@
 release_at_arbiter(
     struct slots *sl, const struct hold *h, enum slot_outcome outcome)
 {
-	if (is_hosted_here(sl, h))
+	if (slots_is_hosted_here(sl, h))
 		slots_host_release(sl, h->service, h->view->data_center,
 		    h->request.id, outcome);
 	else
@@ -260,67 +253,6 @@
 	g_hash_table_remove(sl->holds, &id);
 }
 
-static int32_t
-count_held(const struct slots *sl, const char *target)
-{
-	int32_t n = 0;
-	GHashTableIter it;
-	void *val;
-
-	g_hash_table_iter_init(&it, sl->holds);
-	while (g_hash_table_iter_next(&it, NULL, &val))
-		if (strcmp(((struct hold *)val)->target, target) == 0)
-			n++;
-	return n;
-}
-
-static void
-deliver_local_grant(
-    struct slots *sl, const struct hold *h, const struct fleet_target *t)
-{
-	struct delivery del = {.id = h->request.id, .verdict = kSlotGranted};
-
-	g_strlcpy(del.target, t->id, sizeof(del.target));
-	slots_deliver(sl, &del);
-}
-
-/* Grants this daemon's share of the nearby targets when no arbiter answers. */
-static bool
-grant_local_share(struct slots *sl, struct hold *h)
-{
-	GPtrArray *all = fleet_list(sl->opt.fleet);
-	const struct fleet_target *best = NULL;
-	int32_t best_held = 0;
-	int32_t daemons = roster_count(
-	    sl->opt.roster, h->view->data_center, loop_now_us(sl->opt.lp));
-
-	for (guint i = 0; i < all->len; i++) {
-		const struct fleet_target *t = all->pdata[i];
-		int32_t share = MAX(t->slots / MAX(daemons, 1), 1);
-		int32_t held;
-
-		if (strcmp(t->service, h->service) != 0 || t->is_draining ||
-		    t->expires_at_us != 0 ||
-		    strcmp(t->id, h->request.excluded_target) == 0 ||
-		    strcmp(t->data_center, h->view->data_center) != 0)
-			continue;
-		held = count_held(sl, t->id);
-		if (held < share && (best == NULL || held < best_held)) {
-			best = t;
-			best_held = held;
-		}
-	}
-	if (best != NULL) {
-		metric_add(kMetFallbacks, 1);
-		log_event(kEvtArbiterFallback, "target", best->id, "arbiter",
-		    h->arbiter, NULL);
-		h->phase = kHoldLocal;
-		deliver_local_grant(sl, h, best);
-	}
-	g_ptr_array_unref(all);
-	return best != NULL;
-}
-
 static void
 on_arbiter_timeout(struct slots *sl, struct hold *h, int64_t now_us)
 {
@@ -329,14 +261,16 @@
 	roster_suspect(sl->opt.roster, h->arbiter, now_us + kSuspectUs);
 	sl->opt.wire->reconnect(sl->opt.wire_ctx, h->arbiter);
 	h->unresponsive_count++;
-	if (h->unresponsive_count < kUnresponsiveMax || h->request.is_batch) {
+	if (h->request.is_batch ||
+	    (h->unresponsive_count < kUnresponsiveMax &&
+		now_us <= h->request.deadline_us)) {
 		/* The unresponsive arbiter may still grant a slot later. */
 		release_hold(sl, h, kSlotNeutral);
 		h->view = NULL;
 		request_from_pool(sl, h);
 		return;
 	}
-	if (!grant_local_share(sl, h))
+	if (!slots_grant_local_share(sl, h))
 		deliver_refusal(sl, h->request.id, kLocalRetryUs);
 }
 
@@ -434,6 +368,8 @@
 static void
 switch_arbiter(struct slots *sl, struct hold *h, int64_t now_us)
 {
+	if (slots_is_kept(sl, h))
+		h->lost_us = now_us;
 	/* Otherwise the old arbiter keeps the slot until its lease ends. */
 	release_at_arbiter(sl, h, kSlotNeutral);
 	assign_arbiter(sl, h);
@@ -481,38 +417,73 @@
 	slots_host_remove_holder(sl, address);
 }
 
+/* Decides a request that no arbiter decided within its bound. */
 static void
-hold_tick(struct slots *sl, struct hold *h, int64_t now_us)
+end_wait(struct slots *sl, struct hold *h)
+{
+	if (!slots_is_kept(sl, h) && slots_grant_local_share(sl, h))
+		return;
+	release_hold(sl, h, kSlotNeutral);
+	h->view = NULL;
+	deliver_refusal(sl, h->request.id, kLocalRetryUs);
+}
+
+/* The arbiter may have lost the request, or be down. */
+static void
+confirm_queued(struct slots *sl, struct hold *h, int64_t now_us)
+{
+	if (now_us <= h->request.deadline_us ||
+	    now_us - h->requested_us <= kConfirmUs)
+		return;
+	h->phase = kHoldRequested;
+	h->requested_us = now_us;
+	h->lost_us = now_us;
+	request_from_arbiter(sl, h, NULL);
+}
+
+static void
+tick_requested(struct slots *sl, struct hold *h, int64_t now_us)
+{
+	int64_t waited_us = now_us - h->requested_us;
+
+	if (!slots_is_kept(sl, h) && waited_us > slots_answer_us(sl, h->view))
+		on_arbiter_timeout(sl, h, now_us);
+	else if (h->request.is_batch && waited_us > kBatchRechooseUs)
+		h->phase = kHoldQueued;
+}
+
+static void
+tick_queued(struct slots *sl, struct hold *h, int64_t now_us)
 {
-	int64_t answer_us;
+	if (!h->request.is_batch) {
+		confirm_queued(sl, h, now_us);
+		return;
+	}
+	if (now_us - h->requested_us <= kBatchRechooseUs)
+		return;
+	release_hold(sl, h, kSlotNeutral);
+	request_from_pool(sl, h);
+}
 
+static void
+hold_tick(struct slots *sl, struct hold *h, int64_t now_us)
+{
 	if (h->view == NULL)
 		return;
+	if (slots_is_wait_over(sl, h)) {
+		end_wait(sl, h);
+		return;
+	}
 	if (has_arbiter_changed(sl, h)) {
 		switch_arbiter(sl, h, now_us);
 		return;
 	}
-	answer_us = slots_answer_us(sl, h->view);
 	switch (h->phase) {
 	case kHoldRequested:
-		if (!is_hosted_here(sl, h) &&
-		    now_us - h->requested_us > answer_us)
-			on_arbiter_timeout(sl, h, now_us);
-		else if (h->request.is_batch &&
-		    now_us - h->requested_us > kBatchRechooseUs)
-			h->phase = kHoldQueued;
+		tick_requested(sl, h, now_us);
 		break;
 	case kHoldQueued:
-		if (h->request.is_batch) {
-			if (now_us - h->requested_us <= kBatchRechooseUs)
-				break;
-			release_hold(sl, h, kSlotNeutral);
-			request_from_pool(sl, h);
-		} else if (now_us > h->request.deadline_us + kLateGrantMaxUs) {
-			release_hold(sl, h, kSlotNeutral);
-			h->view = NULL;
-			deliver_refusal(sl, h->request.id, kLocalRetryUs);
-		}
+		tick_queued(sl, h, now_us);
 		break;
 	case kHoldGranted:
 	case kHoldLocal:
@@ -524,9 +495,9 @@
 	}
 }
 
-/* True while an answer is awaited or given here. */
+/* True while an answer is awaited or given here, or may soon be overdue. */
 static bool
-needs_tick_soon(const struct slots *sl)
+needs_tick_soon(const struct slots *sl, int64_t now_us)
 {
 	GHashTableIter it;
 	void *val;
@@ -534,9 +505,14 @@
 	if (g_hash_table_size(sl->hosted) > 0)
 		return true;
 	g_hash_table_iter_init(&it, sl->holds);
-	while (g_hash_table_iter_next(&it, NULL, &val))
-		if (((struct hold *)val)->phase == kHoldRequested)
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		const struct hold *h = val;
+
+		if (h->phase == kHoldRequested ||
+		    (h->phase == kHoldQueued && !h->request.is_batch &&
+			now_us + kSlowTickUs > h->request.deadline_us))
 			return true;
+	}
 	return false;
 }
 
@@ -556,7 +532,7 @@
 	for (guint i = 0; i < list->len; i++)
 		hold_tick(sl, list->pdata[i], now_us);
 	schedule_tick(
-	    sl, now_us + (needs_tick_soon(sl) ? kTickUs : kSlowTickUs));
+	    sl, now_us + (needs_tick_soon(sl, now_us) ? kTickUs : kSlowTickUs));
 	g_ptr_array_unref(list);
 }
 
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -75,6 +75,9 @@
 	/** Time of slots_acquire, and of the request at the current arbiter. */
 	int64_t acquired_us;
 	int64_t requested_us;
+	/** Time when the arbiter that had queued the request was replaced or
+	 * asked again; 0: never. */
+	int64_t lost_us;
 	/** Requests sent to arbiters. */
 	int32_t requested_count;
 	int64_t granted_us;
@@ -140,6 +143,19 @@
  */
 void slots_log_wait(struct slots *sl, const struct hold *h, const char *end);
 
+/** True if this daemon is the arbiter that was asked. */
+bool slots_is_hosted_here(const struct slots *sl, const struct hold *h);
+
+/** True while an arbiter that acknowledged the request keeps it queued. */
+bool slots_is_kept(const struct slots *sl, const struct hold *h);
+
+/** True if the request is to be decided now, whatever its arbiter does. */
+bool slots_is_wait_over(struct slots *sl, const struct hold *h);
+
+/** Grants this daemon's share of the nearby targets, as no arbiter answers.
+ * @return false if it is in use */
+bool slots_grant_local_share(struct slots *sl, struct hold *h);
+
 /* slots_choice.c */
 
 /** The daemon that arbitrates a pool, borrowed. */
