Tests: the local share holds for requests of one moment

Twenty requests whose arbiters change again and again are decided at the same moment, their bound: all twenty are granted on a target of eight slots, of which this daemon's share is two.

--- a/test/unit/test_slots_wait.cc
+++ b/test/unit/test_slots_wait.cc
@@ -52,7 +52,7 @@
 	std::set<std::string> released;
 	uint64_t id = 0;
 	int64_t start_us = 0, changed_us = 0;
-	int decisions = 0;
+	int decisions = 0, granted = 0;
 	int64_t decided_us = 0;
 	std::string outcome;
 	struct Pending {
@@ -200,6 +200,7 @@
 	static void
 	OnGranted(void *ctx, uint64_t, const char *)
 	{
+		((SlotsWait *)ctx)->granted++;
 		((SlotsWait *)ctx)->Decide("granted");
 	}
 
@@ -373,4 +374,22 @@
 	EXPECT_EQ(kHoldGranted, Hold()->phase) << "not the local share";
 }
 
+/* Requests that end at the same moment. */
+TEST_F(SlotsWait, TheLocalShareHoldsForRequestsOfOneMoment)
+{
+	const int n = 20;
+
+	c.change_us = 20 * kMs;
+	Make(Row, "dc1");
+	steps.push_back([this] {
+		for (int i = 0; i < n; i++)
+			Acquire(kRetryWaitUs);
+	});
+	for (int64_t t = 0; t < kEndUs; t += kStepUs)
+		steps.push_back([this] { Step(); });
+	Run();
+	EXPECT_EQ(n, decisions);
+	EXPECT_EQ(2, granted) << "8 slots, 3 daemons";
+}
+
 } // namespace
