Slots: the local share counts grants that are not delivered yet

Without an answer of an arbiter, a daemon grants its share of the near targets. What it had granted was counted by the target of each slot, which was set only when the grant was delivered, at the end of the loop's iteration: of requests that were decided together, all got the same share. The target is now set when the share is granted.

Test: SlotsWait.TheLocalShareHoldsForRequestsOfOneMoment: 20 grants before, 2 after, with 8 slots and 3 daemons.

--- a/src/gateway/slots_wait.c
+++ b/src/gateway/slots_wait.c
@@ -109,12 +109,15 @@
 	return n;
 }
 
+/* The share is in use from now on, not only when the grant is delivered. */
 static void
 deliver_local_grant(
-    struct slots *sl, const struct hold *h, const struct fleet_target *t)
+    struct slots *sl, struct hold *h, const struct fleet_target *t)
 {
 	struct delivery del = {.id = h->request.id, .verdict = kSlotGranted};
 
+	h->phase = kHoldLocal;
+	g_strlcpy(h->target, t->id, sizeof(h->target));
 	g_strlcpy(del.target, t->id, sizeof(del.target));
 	slots_deliver(sl, &del);
 }
@@ -148,7 +151,6 @@
 		metric_add(kMetFallbacks, 1);
 		log_event(kEvtArbiterFallback, "target", best->id, "arbiter",
 		    h->arbiter, NULL);
-		h->phase = kHoldLocal;
 		deliver_local_grant(sl, h, best);
 	}
 	g_ptr_array_unref(all);
