Tests: a queue decides before the caller leaves

Callers leave a stream after 2 s without an event. A request for a slot that follows 0.6 s of silence has 1.4 s left; it is refused after 1.8 s.

--- a/test/unit/test_slots_wait.cc
+++ b/test/unit/test_slots_wait.cc
@@ -392,4 +392,27 @@
 	EXPECT_EQ(2, granted) << "8 slots, 3 daemons";
 }
 
+/* A caller leaves a stream after 2 s without an event. A second attempt, after
+ * 0.6 s of silence, is of no use to it later. */
+TEST_F(SlotsWait, AQueueDecidesBeforeTheCallerLeaves)
+{
+	const int64_t patience_us = 2 * kSec - 600 * kMs;
+
+	Make(Row, "dc0");
+	steps.push_back([this] {
+		for (int i = 0; i < 8; i++)
+			Acquire(kRetryWaitUs);
+	});
+	steps.push_back([this] {
+		EXPECT_EQ(8, granted);
+		Acquire(kRetryWaitUs);
+	});
+	for (int64_t t = 0; t < kEndUs; t += kStepUs)
+		steps.push_back([this] { Step(); });
+	Run();
+	EXPECT_EQ(9, decisions);
+	EXPECT_EQ("refused", outcome);
+	EXPECT_LT(decided_us - start_us, patience_us);
+}
+
 } // namespace
