--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -72,7 +72,14 @@
 	struct pool_view *view;
 	char arbiter[kFleetAddressMax];
 	char target[kFleetNameMax];
+	/** Time of slots_acquire, and of the request at the current arbiter. */
+	int64_t acquired_us;
 	int64_t requested_us;
+	/** Time when the arbiter that had queued the request was replaced or
+	 * asked again; 0: never. */
+	int64_t lost_us;
+	/** Requests sent to arbiters. */
+	int32_t requested_count;
 	int64_t granted_us;
 	int64_t renewed_us;
 	/** Longest retry delay of the pools that refused. */
@@ -110,6 +117,9 @@
 	GArray *deliveries;
 	uint64_t timer;
 	int64_t next_tick_us;
+	/** Lines logged about long waits in the second that began then. */
+	int64_t wait_logged_us;
+	int32_t wait_logged_count;
 };
 
 /* slots.c */
@@ -125,6 +135,27 @@
 void slots_send_release(
     struct slots *sl, const struct hold *h, enum slot_outcome outcome);
 
+/* slots_wait.c */
+
+/**
+ * Logs the end of an online request's wait, if it was long.
+ * @param end the decision, or that the request was withdrawn
+ */
+void slots_log_wait(struct slots *sl, const struct hold *h, const char *end);
+
+/** True if this daemon is the arbiter that was asked. */
+bool slots_is_hosted_here(const struct slots *sl, const struct hold *h);
+
+/** True while an arbiter that acknowledged the request keeps it queued. */
+bool slots_is_kept(const struct slots *sl, const struct hold *h);
+
+/** True if the request is to be decided now, whatever its arbiter does. */
+bool slots_is_wait_over(struct slots *sl, const struct hold *h);
+
+/** Grants this daemon's share of the nearby targets, as no arbiter answers.
+ * @return false if it is in use */
+bool slots_grant_local_share(struct slots *sl, struct hold *h);
+
 /* slots_choice.c */
 
 /** The daemon that arbitrates a pool, borrowed. */
@@ -141,6 +172,10 @@
  * microseconds, including the connections that have to be opened first. */
 int64_t slots_request_us(struct slots *sl, struct pool_view *view);
 
+/** Time after which the pool's arbiter, which may be in another data centre
+ * than the pool, is taken not to answer a request, in microseconds. */
+int64_t slots_answer_us(struct slots *sl, struct pool_view *view);
+
 /** Expected wait of another online request at the pool, in microseconds. */
 int64_t slots_view_wait_us(
     const struct slots *sl, const struct pool_view *view);
