--- /dev/null
+++ b/test/functional/test_failures_silent.cc
@@ -0,0 +1,139 @@
+/* Sound servers that fall silent for a while and then go on. */
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <thread>
+
+#include "functional/harness.h"
+
+namespace
+{
+
+/* All streams of all engines are silent for 1 s, five stall timeouts. */
+Fleet &
+SilenceEngines(Fleet &f, int after_tokens)
+{
+	for (size_t e = 0; e < f.engines.size(); e++)
+		f.InjectFault(f.EngineUrl(e),
+		    "{\"pause\":1000,\"pause_ms\":1000,\"pause_at\":" +
+			std::to_string(after_tokens) + "}");
+	return f;
+}
+
+FleetOptions
+ShortStallTimeout(int engines, int slots)
+{
+	FleetOptions o;
+
+	o.engines = engines;
+	o.slots = slots;
+	o.daemons = 1;
+	o.flags = {"--stall-timeout-ms=200"};
+	return o;
+}
+
+/* True if no arbiter counts a running or queued request. */
+bool
+AreSlotsFree(Fleet &f)
+{
+	std::string text = Http("GET", f.DaemonUrl(0) + "/v1/status", "",
+	    {"Authorization: Bearer operators-key"})
+			       .body;
+
+	for (const char *field : {"\"online\":", "\"batch\":",
+		 "\"online_queued\":", "\"batch_queued\":"})
+		for (size_t at = text.find(field); at != std::string::npos;
+		     at = text.find(field, at + 1))
+			if (text[at + strlen(field)] != '0')
+				return false;
+	return true;
+}
+
+/* Without another engine a silent one keeps its request. */
+TEST(Failures, AStreamOfASilentEngineIsNotGivenUp)
+{
+	for (int after_tokens : {0, 3}) {
+		for (bool is_streamed : {false, true}) {
+			Fleet f(ShortStallTimeout(1, 64));
+
+			SilenceEngines(f, after_tokens);
+			Reply r = f.Chat(0, "question", is_streamed);
+			EXPECT_EQ(200, r.status) << r.body;
+			EXPECT_EQ(std::string::npos, r.body.find("error"))
+			    << r.body;
+			EXPECT_EQ(1, f.EngineRuns()) << after_tokens;
+			EXPECT_TRUE(
+			    Eventually([&] { return AreSlotsFree(f); }));
+			f.ExpectHistoryValid();
+		}
+	}
+}
+
+/* With one slot each, the requests wait for each other's engines. */
+TEST(Failures, RequestsOfEnginesThatAreAllSilentAreAnswered)
+{
+	for (int after_tokens : {0, 3}) {
+		Fleet f(ShortStallTimeout(2, 1));
+		std::vector<std::thread> callers;
+
+		SilenceEngines(f, after_tokens);
+		for (int i = 0; i < 4; i++)
+			callers.emplace_back([&f, i] {
+				Reply r = f.Chat(
+				    0, "q" + std::to_string(i), i % 2 == 0);
+
+				EXPECT_EQ(200, r.status) << r.body;
+				EXPECT_EQ(
+				    std::string::npos, r.body.find("error"))
+				    << r.body;
+			});
+		for (auto &caller : callers)
+			caller.join();
+		EXPECT_TRUE(Eventually([&] { return AreSlotsFree(f); }));
+		f.ExpectHistoryValid();
+	}
+}
+
+/* A stream that never goes on still moves, and its slot is free again. */
+TEST(Failures, AStreamOfAHungEngineMovesToAnotherOne)
+{
+	Fleet f(ShortStallTimeout(2, 1));
+
+	for (int i = 0; i < 4; i++) {
+		for (size_t e = 0; e < 2; e++)
+			f.InjectFault(f.EngineUrl(e),
+			    "{\"stall\":" + std::to_string(i % 2) + "}");
+		Reply r = f.Chat(0, "q" + std::to_string(i), true);
+		EXPECT_EQ(200, r.status) << r.body;
+		EXPECT_TRUE(Eventually([&] { return AreSlotsFree(f); })) << i;
+	}
+	f.ExpectHistoryValid();
+}
+
+/* A call that may run once only is neither repeated nor given up. */
+TEST(Failures, ASlowBookingIsNotGivenUp)
+{
+	Fleet f(ShortStallTimeout(1, 64));
+
+	f.InjectFault(f.PlainServiceUrl(), "{\"delay_ms\":1000}");
+	Reply r = f.CallBooking(0, "table-1");
+	EXPECT_EQ(200, r.status) << r.body;
+	EXPECT_EQ(1, f.PlainRuns());
+	EXPECT_TRUE(Eventually([&] { return AreSlotsFree(f); }));
+	f.ExpectHistoryValid();
+}
+
+/* Items of a job keep the runs that they have on a silent engine. */
+TEST(Failures, ItemsOfASilentEngineAreNotGivenUp)
+{
+	Fleet f(ShortStallTimeout(1, 64));
+
+	SilenceEngines(f, 3);
+	EXPECT_EQ(202, f.SubmitJob(0, "lot", 8).status);
+	EXPECT_TRUE(f.WaitJob(0, "lot"));
+	f.ReadResults(0, "lot");
+	EXPECT_EQ(8, f.EngineRuns());
+	f.ExpectHistoryValid();
+}
+
+} // namespace
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -7,7 +7,9 @@
  * Faults: POST /fault {"cut","stall","cross","die"}: the next N streams are
  * cut, stall, or carry another attempt's id after three tokens, or end the
  * process once their prefill is complete; {"foreign"}: the next N streams are
- * not run and get an answer of another request (http.h). A prompt that contains
+ * not run and get an answer of another request (http.h); {"pause","pause_ms",
+ * "pause_at"}: the next N streams are silent for so long after so many tokens,
+ * and then go on. A prompt that contains
  * CRASH always ends the process; one that contains REJECT is answered with 400.
  */
 #include <inttypes.h>
@@ -47,6 +49,9 @@
 	bool is_crash_prompt;
 	bool is_closed;
 	enum stream_fault fault;
+	/** Silence that is still to come, and the tokens before it. */
+	int32_t pause_ms;
+	int32_t pause_at;
 	struct engine *en;
 };
 
@@ -62,6 +67,9 @@
 	GPtrArray *streams;
 	GHashTable *cache;
 	int32_t faults[kDie + 1];
+	int32_t pauses_left;
+	int32_t pause_ms;
+	int32_t pause_at;
 	struct standin_foreign foreign;
 	bool is_leaving;
 	int64_t fence;
@@ -200,6 +208,20 @@
 	    st->sent - st->first_index >= kFaultAfterTokens;
 }
 
+/* The lock is held, but not during the silence. */
+static void
+pause_if_due(struct stream *st)
+{
+	int32_t pause_ms = st->pause_ms;
+
+	if (pause_ms == 0 || st->sent - st->first_index < st->pause_at)
+		return;
+	st->pause_ms = 0;
+	pthread_mutex_unlock(&st->en->lock);
+	g_usleep((gulong)pause_ms * 1000);
+	pthread_mutex_lock(&st->en->lock);
+}
+
 static ssize_t
 read_stream(void *cls, uint64_t pos, char *buf, size_t max)
 {
@@ -208,6 +230,7 @@
 	int n;
 
 	pthread_mutex_lock(&en->lock);
+	pause_if_due(st);
 	while (st->sent <= st->tokens &&
 	    (is_fault_due(st, kStall) ||
 		(st->sent == st->generated && st->generated < st->tokens)))
@@ -287,6 +310,11 @@
 	st->prompt_tokens_left =
 	    cache_hit(en, prompt) ? 1 : (int32_t)strlen(prompt) / 4 + 1;
 	st->fault = consume_fault(en);
+	st->pause_at = en->pause_at;
+	if (en->pauses_left > 0) {
+		en->pauses_left--;
+		st->pause_ms = en->pause_ms;
+	}
 	st->is_crash_prompt =
 	    st->fault == kDie || strstr(prompt, "CRASH") != NULL;
 	free(prompt);
@@ -406,6 +434,12 @@
 	for (int i = kCut; i <= kDie; i++)
 		en->faults[i] =
 		    (int32_t)json_integer_value(json_object_get(doc, names[i]));
+	en->pauses_left =
+	    (int32_t)json_integer_value(json_object_get(doc, "pause"));
+	en->pause_ms =
+	    (int32_t)json_integer_value(json_object_get(doc, "pause_ms"));
+	en->pause_at =
+	    (int32_t)json_integer_value(json_object_get(doc, "pause_at"));
 	pthread_mutex_unlock(&en->lock);
 	standin_foreign_set(&en->foreign, req->body->str);
 	json_decref(doc);
