Calls of the own API: one module each for a request and its attempts

Functions are moved, unchanged, into call_attempt (target, grant, retry) and call_transfer (request, answer, probe); what was the start of on_granted is call_transfer_prepare.

--- /dev/null
+++ b/src/serve/call_internal.h
@@ -0,0 +1,108 @@
+#ifndef SAVORYFLOW_SERVE_CALL_INTERNAL_H
+#define SAVORYFLOW_SERVE_CALL_INTERNAL_H
+
+#include <pthread.h>
+
+#include "savoryflow/call/stream.h"
+#include "savoryflow/retry/batch_retry.h"
+#include "savoryflow/retry/retry.h"
+#include "serve/call_run.h"
+#include "serve/routes.h"
+
+/* Shared by call_run, call_attempt and call_transfer. A call's lock is held
+ * while its fields are used, and never while another module is called that may
+ * call back. */
+
+enum {
+	kNoTargetRetryUs = kUsPerS,
+};
+
+enum call_phase {
+	kPhaseIdle,
+	kPhaseAcquiring,
+	kPhaseRunning,
+	/** The connection was lost; probes whether the target still accepts
+	 * connections. */
+	kPhaseProbing,
+	/** The target crashed; waits for the arbiter's verdict. */
+	kPhaseAwaitingVerdict,
+	kPhaseBackoff,
+	kPhaseDone,
+};
+
+struct call {
+	gint refs;
+	struct daemon *d;
+	pthread_mutex_t lock;
+	enum work_class work_class;
+	bool is_engine;
+	/** Tokens are kept for call_next_token. */
+	bool is_streamed;
+	char *service;
+	char *team;
+	int32_t weight;
+	int64_t due_us;
+	char *method;
+	char *path;
+	GBytes *body;
+	uint64_t prefix_hash;
+	uint64_t fingerprint;
+	int32_t prompt_tokens;
+	void (*notify)(void *ctx);
+	void (*release)(void *ctx);
+	void *ctx;
+
+	enum call_phase phase;
+	uint64_t attempt;
+	struct route route;
+	char last_target[kMemberAddressMax];
+	bool is_suspect;
+	bool is_revoked;
+	bool is_first_token_reported;
+	/** Index of the first token that the current attempt may return. */
+	int64_t attempt_first_index;
+	struct retry_state retry;
+	/** Batch: what its attempts returned so far. */
+	struct item_retry item_retry;
+	/** HTTP status of the current attempt's answer; 0 without one. */
+	long attempt_status;
+	struct answer_stream stream;
+	GByteArray *out;
+	long status;
+	char content_type[64];
+	int error;
+	int64_t retry_after_us;
+	/** Timer of the deadline, 0 if there is none. */
+	uint64_t deadline_timer;
+};
+
+/** @return true if the attempt is the current one, in this phase */
+bool call_is_current(
+    const struct call *c, uint64_t attempt, enum call_phase phase);
+
+/** Ends the call. The lock is held. */
+void call_finish_locked(struct call *c, int error, int64_t retry_after_us);
+
+/** Ends the call unless it has ended, and notifies its reader. */
+void call_finish(struct call *c, int error, int64_t retry_after_us);
+
+/** References for callbacks; ctx is the call. */
+void call_ref_ctx(void *ctx);
+void call_unref_ctx(void *ctx);
+
+/** Starts the next attempt; ctx is the call and loses one reference. */
+void call_attempt_begin(void *ctx);
+
+/** Continues or ends the call after its current attempt. */
+void call_attempt_end(struct call *c, enum attempt_outcome outcome);
+
+/**
+ * Makes the current attempt the running one. The lock is held.
+ * @return new body of its request, for call_transfer_start
+ */
+GBytes *call_transfer_prepare(struct call *c);
+
+/** Sends the request of an attempt to its target. */
+void call_transfer_start(struct call *c, uint64_t attempt, GBytes *body);
+
+#endif
