A silent target of the own API keeps its request until another one takes it

Callers whose engine or service was silent for longer than the stall timeout lost their attempt: with one engine, or several that were silent at once, they got 502 or a stream that ended with an error; a booking that took longer got 502 although it was made; items were run again and again.

Cause: target_client ended a transfer at the stall timeout, and only then a new target was chosen and asked for a slot. A call that may not run twice had no further attempt at all.

Now a transfer that is silent is reported at each stall timeout and goes on. call_takeover asks another target for a slot meanwhile. Progress, the end of the attempt, the deadline and a caller that leaves withdraw the request. The keepalive of TCP ends connections to a machine that is gone. attempt_silent tells both targets.

--- a/src/log/events.h
+++ b/src/log/events.h
@@ -102,6 +102,9 @@
 	    "A caller's request was refused.")                                 \
 	X(kEvtAttemptFailed, 1203, WARN, "attempt_failed",                     \
 	    "An attempt at a target failed; a retry may follow.")              \
+	X(kEvtAttemptSilent, 1220, INFO, "attempt_silent",                     \
+	    "A target is silent. Its attempt goes on while another target, "   \
+	    "if there is one, is asked for a slot.")                           \
 	X(kEvtAnswerCrossed, 1204, WARN, "answer_crossed",                     \
 	    "A target, a peer or the store sent a response that belongs to "   \
 	    "another request, or does not identify itself as this one's; it "  \
--- a/src/serve/call_attempt.c
+++ b/src/serve/call_attempt.c
@@ -45,6 +45,15 @@
 	return decision;
 }
 
+struct retry_decision
+call_decide_locked(struct call *c, enum attempt_outcome outcome)
+{
+	int64_t now_us = clock_mono_us(c->d->clk);
+
+	return c->work_class == kWorkBatch ? decide_batch(c, outcome, now_us)
+					   : decide_online(c, outcome, now_us);
+}
+
 void
 call_attempt_end(struct call *c, enum attempt_outcome outcome)
 {
@@ -60,9 +69,7 @@
 	    outcome == kAttemptRevoked ? "" : c->route.target,
 	    sizeof(c->last_target));
 	c->phase = kPhaseBackoff;
-	decision = c->work_class == kWorkBatch
-	    ? decide_batch(c, outcome, now_us)
-	    : decide_online(c, outcome, now_us);
+	decision = call_decide_locked(c, outcome);
 	pthread_mutex_unlock(&c->lock);
 	switch (decision.action) {
 	case kRetryDone:
@@ -137,8 +144,8 @@
 	call_attempt_end(c, kAttemptNotExecuted);
 }
 
-static void
-on_revoked(void *ctx, uint64_t id)
+void
+call_on_revoked(void *ctx, uint64_t id)
 {
 	struct call *c = ctx;
 	bool current;
@@ -152,8 +159,9 @@
 		target_client_cancel(c->d->targets, id);
 }
 
-static void
-on_crash_verdict(void *ctx, uint64_t id, enum arbiter_crash_verdict verdict)
+void
+call_on_crash_verdict(
+    void *ctx, uint64_t id, enum arbiter_crash_verdict verdict)
 {
 	struct call *c = ctx;
 	bool current;
@@ -174,13 +182,14 @@
 }
 
 static const struct grant_ops grant_ops = {on_granted, on_refused, on_leaving,
-    on_revoked, on_crash_verdict, call_ref_ctx, call_unref_ctx};
+    call_on_revoked, call_on_crash_verdict, call_ref_ctx, call_unref_ctx};
 
-static void
-fill_admission_request(const struct call *c, struct admission_request *req)
+void
+call_fill_admission_request(
+    const struct call *c, uint64_t attempt, struct admission_request *req)
 {
 	*req = (struct admission_request){
-	    .id = c->attempt,
+	    .id = attempt,
 	    .work_class = c->work_class,
 	    .prompt_tokens = c->prompt_tokens + (int32_t)c->stream.next_index,
 	    .deadline_us = c->retry.deadline_us,
@@ -218,7 +227,7 @@
 		c->phase = kPhaseAcquiring;
 		c->attempt = daemon_unique_id(c->d);
 		c->route = route;
-		fill_admission_request(c, &req);
+		call_fill_admission_request(c, c->attempt, &req);
 	}
 	found = found && c->phase != kPhaseDone;
 	pthread_mutex_unlock(&c->lock);
--- a/src/serve/call_internal.h
+++ b/src/serve/call_internal.h
@@ -9,7 +9,7 @@
 #include "serve/call_run.h"
 #include "serve/routes.h"
 
-/* Shared by call_run, call_attempt and call_transfer. A call's lock is held
+/* Shared by the modules that run a call. A call's lock is held
  * while its fields are used, and never while another module is called that may
  * call back. */
 
@@ -74,6 +74,10 @@
 	int64_t retry_after_us;
 	/** Timer of the deadline, 0 if there is none. */
 	uint64_t deadline_timer;
+	/** The attempt that follows a silent one, while it waits for a slot; 0
+	 * without one. Set only while an attempt is running. */
+	uint64_t next_attempt;
+	struct route next_route;
 };
 
 /** @return true if the attempt is the current one, in this phase */
@@ -102,6 +106,33 @@
  */
 GBytes *call_transfer_prepare(struct call *c);
 
+/** Drops the part of a plain service's answer that has arrived. */
+void call_discard_partial_answer(struct call *c);
+
+/** Decides how to go on after an attempt. The lock is held. */
+struct retry_decision call_decide_locked(
+    struct call *c, enum attempt_outcome outcome);
+
+/** Request for the slot of an attempt. The lock is held. */
+void call_fill_admission_request(
+    const struct call *c, uint64_t attempt, struct admission_request *req);
+
+void call_on_revoked(void *ctx, uint64_t id);
+void call_on_crash_verdict(
+    void *ctx, uint64_t id, enum arbiter_crash_verdict verdict);
+
+/** Logs an attempt that returned no answer. */
+void call_log_failed_attempt(const char *target, enum attempt_outcome outcome);
+
+/** on_silent of a call's attempt. */
+bool call_takeover_on_silent(void *ctx, uint64_t attempt, int64_t silent_us);
+
+/**
+ * Forgets the next attempt, if there is one. The lock is held.
+ * @return its id, to be released without the lock, or 0
+ */
+uint64_t call_takeover_withdraw(struct call *c);
+
 /** Sends the request of an attempt to its target. */
 void call_transfer_start(struct call *c, uint64_t attempt, GBytes *body);
 
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -138,9 +138,11 @@
 {
 	struct call *c = ctx;
 	uint64_t attempt;
+	uint64_t withdrawn;
 	enum call_phase phase;
 
 	pthread_mutex_lock(&c->lock);
+	withdrawn = call_takeover_withdraw(c);
 	phase = c->phase;
 	attempt = c->attempt;
 	if (phase != kPhaseDone)
@@ -150,6 +152,8 @@
 			: kErrOverloaded,
 		    kNoTargetRetryUs);
 	pthread_mutex_unlock(&c->lock);
+	if (withdrawn != 0)
+		grants_release(c->d->grants, withdrawn);
 	if (phase == kPhaseRunning)
 		target_client_cancel(c->d->targets, attempt);
 	else if (phase == kPhaseAcquiring)
@@ -176,13 +180,17 @@
 {
 	enum call_phase phase;
 	uint64_t attempt;
+	uint64_t withdrawn;
 
 	pthread_mutex_lock(&c->lock);
+	withdrawn = call_takeover_withdraw(c);
 	phase = c->phase;
 	attempt = c->attempt;
 	if (phase != kPhaseDone)
 		call_finish_locked(c, kErrCancelled, 0);
 	pthread_mutex_unlock(&c->lock);
+	if (withdrawn != 0)
+		grants_release(c->d->grants, withdrawn);
 	if (phase == kPhaseRunning)
 		target_client_cancel(c->d->targets, attempt);
 	else if (phase == kPhaseAcquiring || phase == kPhaseProbing)
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -99,14 +99,19 @@
 	struct call *c = ctx;
 	enum target_data res = kTargetDataRefused;
 	bool is_first_data = false;
+	uint64_t withdrawn = 0;
 
 	pthread_mutex_lock(&c->lock);
 	if (call_is_current(c, attempt, kPhaseRunning)) {
 		res = append_data(c, status, data, len);
 		is_first_data = !c->is_first_token_reported;
 		c->is_first_token_reported = true;
+		if (res == kTargetDataPart || res == kTargetDataEvent)
+			withdrawn = call_takeover_withdraw(c);
 	}
 	pthread_mutex_unlock(&c->lock);
+	if (withdrawn != 0)
+		grants_release(c->d->grants, withdrawn);
 	if (is_first_data)
 		grants_first_token(c->d->grants, attempt);
 	if (res != kTargetDataRefused && c->is_engine)
@@ -146,8 +151,8 @@
 	return c->is_engine ? kAttemptInterrupted : kAttemptComplete;
 }
 
-static void
-log_failed_attempt(const struct call *c, enum attempt_outcome outcome)
+void
+call_log_failed_attempt(const char *target, enum attempt_outcome outcome)
 {
 	static const char *const names[] = {"whole", "not_sent", "turned_away",
 	    "cut", "stalled", "crossed", "failed", "rejected", "revoked",
@@ -157,14 +162,13 @@
 		return;
 	log_event(outcome == kAttemptIdMismatch ? kEvtAnswerCrossed
 						: kEvtAttemptFailed,
-	    "target", c->route.target, "end", names[outcome], NULL);
+	    "target", target, "end", names[outcome], NULL);
 	if (outcome == kAttemptIdMismatch)
 		metric_add(kMetCrossed, 1);
 }
 
-/* A partial answer of a plain service must not be returned. */
-static void
-discard_partial_answer(struct call *c)
+void
+call_discard_partial_answer(struct call *c)
 {
 	if (!c->is_engine)
 		g_byte_array_set_size(c->out, 0);
@@ -185,6 +189,7 @@
 {
 	struct call *c = ctx;
 	enum attempt_outcome outcome;
+	uint64_t withdrawn;
 	bool is_leaving;
 
 	pthread_mutex_lock(&c->lock);
@@ -193,6 +198,7 @@
 		grants_release(c->d->grants, attempt);
 		return;
 	}
+	withdrawn = call_takeover_withdraw(c);
 	outcome = classify_transfer(c, res);
 	c->attempt_status = res->status;
 	if (outcome != kAttemptNotSent && outcome != kAttemptNotExecuted)
@@ -202,13 +208,15 @@
 		g_strlcpy(c->content_type, res->content_type,
 		    sizeof(c->content_type));
 	} else {
-		discard_partial_answer(c);
+		call_discard_partial_answer(c);
 	}
 	if (outcome == kAttemptInterrupted)
 		c->phase = kPhaseProbing;
 	is_leaving = outcome == kAttemptNotExecuted;
 	pthread_mutex_unlock(&c->lock);
-	log_failed_attempt(c, outcome);
+	if (withdrawn != 0)
+		grants_release(c->d->grants, withdrawn);
+	call_log_failed_attempt(c->route.target, outcome);
 	if (outcome == kAttemptInterrupted) {
 		start_probe(c);
 		return;
@@ -223,7 +231,7 @@
 }
 
 static const struct target_ops transfer_ops = {
-    on_data, on_done, call_ref_ctx, call_unref_ctx};
+    on_data, on_done, call_ref_ctx, call_unref_ctx, call_takeover_on_silent};
 
 static enum target_data
 probe_on_data(
--- a/src/serve/routes.c
+++ b/src/serve/routes.c
@@ -120,6 +120,21 @@
 	return t != NULL;
 }
 
+bool
+routes_choose_other(
+    struct routes *rs, struct routing_query *query, struct route *route)
+{
+	const struct routing_target *t;
+
+	pthread_mutex_lock(&rs->lock);
+	query->now_us = clock_mono_us(rs->d->clk);
+	t = routing_choose(rs->routing, query);
+	if (t != NULL)
+		route_fill(rs, t, route);
+	pthread_mutex_unlock(&rs->lock);
+	return t != NULL;
+}
+
 bool
 routes_has_service(struct routes *rs, const char *service)
 {
--- a/src/serve/routes.h
+++ b/src/serve/routes.h
@@ -25,6 +25,10 @@
 bool routes_choose(
     struct routes *rs, struct routing_query *query, struct route *route);
 
+/** Like routes_choose, but never the excluded target. */
+bool routes_choose_other(
+    struct routes *rs, struct routing_query *query, struct route *route);
+
 bool routes_has_service(struct routes *rs, const char *service);
 
 enum route_outcome {
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -22,6 +22,10 @@
 	 * middlebox may have dropped their state. */
 	kConnIdleMaxS = 20,
 	kConnAgeMaxS = 300,
+	/* A silent connection is kept, so the kernel must notice a machine that
+	 * is gone. */
+	kKeepaliveIdleS = 5,
+	kKeepaliveIntervalS = 1,
 	kHttpFinalFirst = 200,
 	kHttpUnavailable = 503,
 };
@@ -43,6 +47,8 @@
 	char *method;
 	int64_t stall_timeout_us;
 	int64_t progress_us;
+	/** When on_silent was last called. */
+	int64_t silent_call_us;
 	bool is_sent_once;
 	bool is_aborted_by_reader;
 	/** Attempt id that the answer names, or empty. */
@@ -234,6 +240,10 @@
 	curl_easy_setopt(tr->easy, CURLOPT_MAXAGE_CONN, (long)kConnIdleMaxS);
 	curl_easy_setopt(
 	    tr->easy, CURLOPT_MAXLIFETIME_CONN, (long)kConnAgeMaxS);
+	curl_easy_setopt(tr->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(tr->easy, CURLOPT_TCP_KEEPIDLE, (long)kKeepaliveIdleS);
+	curl_easy_setopt(
+	    tr->easy, CURLOPT_TCP_KEEPINTVL, (long)kKeepaliveIntervalS);
 	if (tr->is_sent_once)
 		curl_easy_setopt(tr->easy, CURLOPT_FRESH_CONNECT, 1L);
 	set_body(tr);
@@ -290,6 +300,17 @@
 	}
 }
 
+/* @return false if the transfer is to end */
+static bool
+is_silence_allowed(struct transfer *tr, int64_t now_us)
+{
+	if (tr->ops->on_silent == NULL)
+		return false;
+	tr->silent_call_us = now_us;
+	return tr->ops->on_silent(
+	    tr->ctx, tr->attempt, now_us - tr->progress_us);
+}
+
 static void
 finish_stalled(struct target_client *tc)
 {
@@ -302,7 +323,9 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct transfer *tr = val;
 
-		if (now_us - tr->progress_us > tr->stall_timeout_us)
+		if (now_us - MAX(tr->progress_us, tr->silent_call_us) >
+			tr->stall_timeout_us &&
+		    !is_silence_allowed(tr, now_us))
 			g_ptr_array_add(stalled, tr);
 	}
 	for (guint i = 0; i < stalled->len; i++)
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -12,6 +12,7 @@
 	kTransferNotSent,
 	/** The connection was lost, or the answer is shorter than announced. */
 	kTransferInterrupted,
+	/** Silent for too long. */
 	kTransferStalled,
 	kTransferCancelled,
 };
@@ -50,6 +51,11 @@
 	    void *ctx, uint64_t attempt, const struct transfer_result *res);
 	void (*ref)(void *ctx);
 	void (*unref)(void *ctx);
+	/** Called at each stall timeout that passes without progress. A
+	 * transfer without this function ends at the first one.
+	 * @param silent_us time since the last progress
+	 * @return false if the transfer is to end as stalled */
+	bool (*on_silent)(void *ctx, uint64_t attempt, int64_t silent_us);
 };
 
 struct transfer_options {
@@ -57,7 +63,7 @@
 	const char *method;
 	const char *url;
 	GBytes *body;
-	/** The transfer is aborted after this time without progress. */
+	/** Time without progress after which a target counts as silent. */
 	int64_t stall_timeout_us;
 	/** The request must not be sent twice: it uses a new connection,
 	 * because libcurl resends a request if a pooled connection was closed
--- a/test/functional/test_failures_silent.cc
+++ b/test/functional/test_failures_silent.cc
@@ -27,7 +27,6 @@
 
 	o.engines = engines;
 	o.slots = slots;
-	o.daemons = 1;
 	o.flags = {"--stall-timeout-ms=200"};
 	return o;
 }
@@ -36,10 +35,12 @@
 bool
 AreSlotsFree(Fleet &f)
 {
-	std::string text = Http("GET", f.DaemonUrl(0) + "/v1/status", "",
-	    {"Authorization: Bearer operators-key"})
-			       .body;
+	std::string text;
 
+	for (size_t d = 0; d < f.daemons.size(); d++)
+		text += Http("GET", f.DaemonUrl(d) + "/v1/status", "",
+		    {"Authorization: Bearer operators-key"})
+			    .body;
 	for (const char *field : {"\"online\":", "\"batch\":",
 		 "\"online_queued\":", "\"batch_queued\":"})
 		for (size_t at = text.find(field); at != std::string::npos;
@@ -79,8 +80,8 @@
 		SilenceEngines(f, after_tokens);
 		for (int i = 0; i < 4; i++)
 			callers.emplace_back([&f, i] {
-				Reply r = f.Chat(
-				    0, "q" + std::to_string(i), i % 2 == 0);
+				Reply r = f.Chat((size_t)i % 2,
+				    "q" + std::to_string(i), i % 2 == 0);
 
 				EXPECT_EQ(200, r.status) << r.body;
 				EXPECT_EQ(
@@ -94,6 +95,30 @@
 	}
 }
 
+/* Engines that were all silent at once are not out of use after it. */
+TEST(Failures, RequestsAfterASilenceOfAllEnginesAreAnswered)
+{
+	Fleet f(ShortStallTimeout(2, 64));
+	std::vector<std::thread> callers;
+
+	SilenceEngines(f, 0);
+	for (int i = 0; i < 8; i++)
+		callers.emplace_back([&f, i] {
+			EXPECT_EQ(200,
+			    f.Chat(0, "q" + std::to_string(i), false).status);
+		});
+	EXPECT_TRUE(f.daemons[0]->WaitLine("target_ejected"));
+	for (size_t e = 0; e < 2; e++)
+		f.InjectFault(f.EngineUrl(e), "{}");
+	for (int i = 0; i < 4; i++) {
+		Reply r = f.Chat(0, "later" + std::to_string(i), false);
+		EXPECT_EQ(200, r.status) << r.body;
+	}
+	for (auto &caller : callers)
+		caller.join();
+	f.ExpectHistoryValid();
+}
+
 /* A stream that never goes on still moves, and its slot is free again. */
 TEST(Failures, AStreamOfAHungEngineMovesToAnotherOne)
 {
@@ -103,7 +128,7 @@
 		for (size_t e = 0; e < 2; e++)
 			f.InjectFault(f.EngineUrl(e),
 			    "{\"stall\":" + std::to_string(i % 2) + "}");
-		Reply r = f.Chat(0, "q" + std::to_string(i), true);
+		Reply r = f.Chat((size_t)i % 2, "q" + std::to_string(i), true);
 		EXPECT_EQ(200, r.status) << r.body;
 		EXPECT_TRUE(Eventually([&] { return AreSlotsFree(f); })) << i;
 	}
