Test of sessions through an outage of the store

A daemon that runs a job's only chunk lives on while the store is away, or answers after 1.5 s, three times for 1.5 s.

--- a/test/functional/test_failures_silent.cc
+++ b/test/functional/test_failures_silent.cc
@@ -1,6 +1,7 @@
 /* Sound servers that fall silent for a while and then go on. */
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <cstring>
 #include <thread>
 
@@ -161,4 +162,35 @@
 	f.ExpectHistoryValid();
 }
 
+/* Nobody can write a heartbeat while the store is away or silent. */
+TEST(Failures, SessionsOutliveAnOutageOfTheStore)
+{
+	for (const char *fault : {"{\"outage\":true}", "{\"slow_ms\":1500}"}) {
+		FleetOptions o;
+
+		o.engine_speed = "0.03";
+		o.flags = {"--stall-timeout-ms=10000",
+		    "--session-period-ms=500", "--session-lease-ms=1000"};
+		Fleet f(o);
+		EXPECT_EQ(202, f.SubmitJob(0, "lot", 8).status);
+		ASSERT_TRUE(Eventually(
+		    [&] { return f.HasChunkLease(0) || f.HasChunkLease(1); }));
+		for (int i = 0; i < 3; i++) {
+			/* The other daemon reads the heartbeats meanwhile. */
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(1200));
+			f.InjectFault(f.PlatformUrl(), fault);
+			std::this_thread::sleep_for(
+			    std::chrono::milliseconds(1500));
+			f.InjectFault(f.PlatformUrl(), "{}");
+		}
+		EXPECT_TRUE(f.WaitJob(0, "lot"));
+		for (auto &d : f.daemons)
+			EXPECT_EQ(0, d->Count("session_ended")) << fault;
+		EXPECT_EQ(8, f.EngineRuns()) << fault;
+		f.ReadResults(0, "lot");
+		f.ExpectHistoryValid();
+	}
+}
+
 } // namespace
