Time without a usable store is no time without a heartbeat

After an outage of the store, or while it answers slowly, the daemon that read the unchanged heartbeat first ended the live session, and the session's items ran again.

Cause: batch_run compared the heartbeat's age with the lease by its own clock, although nobody could write a heartbeat during the outage.

session_watch, taken out of batch_run, counts a clock that stands still from the last usable call of the store before a failed or slow one until the slow one's duration after it: another daemon may have begun such a call just then. With a store that fails now and then the clock goes on between.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -52,6 +52,7 @@
 mutant no_stall_check src/target/target.c 's/tr->stall_timeout_us \&\&$/INT64_MAX \&\&/' $F 'Failures.CutSilent*'
 mutant silence_is_an_end src/target/target.c 's/tr->ops->on_silent == NULL/true/' $F 'Failures.AStreamOfASilent*'
 mutant no_takeover_ask src/serve/call_takeover.c 's/if \(!found\)$/if (true)/' $F 'Failures.AStreamOfAHung*'
+mutant outage_counts src/serve/session_watch.c 's/if \(!is_usable\)/if (false)/' $F 'Failures.SessionsOutlive*'
 mutant no_local_share src/serve/grants.c 's/waited_us > timeout_us\) \{$/waited_us > 1000 * timeout_us) {/' $F 'Failures.FrozenArbiter*'
 mutant no_revocation src/savoryflow/arbiter/arbiter.c 's/return revoke_one\(arb, out\);/return false;/' $U 'Arbiter.OnlineRevokes*'
 mutant no_leaving src/savoryflow/routing/routing.c 's/if \(t->is_leaving\)/if (false)/' $U 'Routing.SkipsLeaving*'
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -17,7 +17,7 @@
 #include "savoryflow/batch/batch_store.h"
 #include "serve/call_run.h"
 #include "serve/poller.h"
-#include "serve/routes.h"
+#include "serve/session_watch.h"
 
 enum {
 	/* Open jobs read in one poll. */
@@ -74,14 +74,7 @@
 	GPtrArray *chunks;
 	int32_t inflight;
 	bool is_stopping;
-	/** When each foreign lease was first seen, by claim; struct
-	 * session_seen by "session ID". */
-	GHashTable *first_seen;
-};
-
-struct session_seen {
-	int64_t since_us;
-	int64_t version;
+	struct session_watch *watch;
 };
 
 static void start_items(struct chunk_run *cr);
@@ -110,8 +103,7 @@
 	br->d = d;
 	pthread_mutex_init(&br->lock, NULL);
 	br->chunks = g_ptr_array_new();
-	br->first_seen =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	br->watch = session_watch_new(d);
 	return br;
 }
 
@@ -121,7 +113,7 @@
 	for (guint i = 0; i < br->chunks->len; i++)
 		chunk_run_unref(br->chunks->pdata[i]);
 	g_ptr_array_unref(br->chunks);
-	g_hash_table_unref(br->first_seen);
+	session_watch_free(br->watch);
 	batch_session_clear(&br->session);
 	pthread_mutex_destroy(&br->lock);
 	g_free(br);
@@ -501,69 +493,6 @@
 	g_ptr_array_unref(list);
 }
 
-/*
- * @return true if the lease was first seen more than a session lease ago, or if
- * its daemon is not alive
- */
-static bool
-is_lease_stale(struct batch_runner *br, const struct batch_chunk *chunk)
-{
-	int64_t now_us = clock_mono_us(br->d->clk);
-	char **parts = g_strsplit(chunk->session, "/", 2);
-	bool alive = routes_is_alive(br->d->routes, parts[0]);
-	int64_t *since = g_hash_table_lookup(br->first_seen, chunk->claim);
-	int64_t lease_us = br->d->set->session_lease_ms * kUsPerMs;
-
-	g_strfreev(parts);
-	if (since == NULL) {
-		since = g_new(int64_t, 1);
-		*since = now_us;
-		g_hash_table_insert(
-		    br->first_seen, g_strdup(chunk->claim), since);
-	}
-	return !alive || now_us - *since > lease_us;
-}
-
-/*
- * Ends a session whose heartbeat did not advance for a full lease, measured by
- * this daemon's clock.
- * @return true if the session has ended
- */
-static bool
-end_session_if_stale(struct batch_runner *br, const char *id)
-{
-	int64_t now_us = clock_mono_us(br->d->clk);
-	char *key = g_strconcat("session ", id, NULL);
-	struct session_seen *seen = g_hash_table_lookup(br->first_seen, key);
-	int64_t version = 0;
-	bool is_live = true;
-	bool ended = false;
-
-	if (batch_session_read(br->d->store, id, &is_live, &version) !=
-	    kStoreOk) {
-		g_free(key);
-		return false;
-	}
-	if (!is_live) {
-		g_free(key);
-		return true;
-	}
-	if (seen == NULL || seen->version != version) {
-		seen = g_new0(struct session_seen, 1);
-		seen->since_us = now_us;
-		seen->version = version;
-		g_hash_table_replace(br->first_seen, g_strdup(key), seen);
-	} else if (now_us - seen->since_us >
-	    br->d->set->session_lease_ms * kUsPerMs) {
-		ended =
-		    batch_session_end(br->d->store, id, version) == kStoreOk;
-		if (ended)
-			log_event(kEvtSessionEnded, "session", id, NULL);
-	}
-	g_free(key);
-	return ended;
-}
-
 /*
  * A claim of this session that is not held here was left over when the store
  * failed between the claim and reading the input.
@@ -592,8 +521,8 @@
 		return false;
 	if (strcmp(chunk->session, br->session.id) == 0)
 		return !holds_claim(br, chunk->claim);
-	return is_lease_stale(br, chunk) &&
-	    end_session_if_stale(br, chunk->session);
+	return session_watch_is_lease_stale(br->watch, chunk) &&
+	    session_watch_end_if_stale(br->watch, chunk->session);
 }
 
 static struct batch_job *
@@ -702,11 +631,13 @@
 claim_work(struct batch_runner *br)
 {
 	GPtrArray *jobs = NULL;
+	int64_t began_us = clock_mono_us(br->d->clk);
 	enum store_result res;
 
 	if (!has_capacity_for_chunk(br))
 		return;
 	res = batch_open_jobs(br->d->store, kOpenJobsMax, &jobs);
+	session_watch_record_call(br->watch, began_us, res);
 	daemon_record_store_state(br->d, res == kStoreOk);
 	if (res != kStoreOk)
 		return;
@@ -752,6 +683,7 @@
 void
 batch_runner_heartbeat(struct batch_runner *br)
 {
+	int64_t began_us = clock_mono_us(br->d->clk);
 	enum store_result res;
 
 	if (!br->has_session) {
@@ -759,6 +691,7 @@
 		return;
 	}
 	res = batch_session_heartbeat(br->d->store, &br->session);
+	session_watch_record_call(br->watch, began_us, res);
 	daemon_record_store_state(
 	    br->d, res == kStoreOk || res == kStoreConflict);
 	if (res == kStoreConflict)
