Tests of a target that is removed while requests wait for it

With two engines of one slot each, one of which is taken out of the configuration, 4 of 24 calls get 503 at their deadline of 20 s (120 s by default), and a job of 16 items is not done after 30 s, with one daemon and with two.

--- a/test/functional/test_failures_silent.cc
+++ b/test/functional/test_failures_silent.cc
@@ -1,4 +1,5 @@
-/* Sound servers that fall silent for a while and then go on. */
+/* Servers that are silent for a while and go on, and targets that are removed.
+ */
 #include <gtest/gtest.h>
 
 #include <chrono>
@@ -193,4 +194,72 @@
 	}
 }
 
+/* The configuration without the engine of this number. */
+std::string
+WithoutEngine(const Fleet &f, const std::string &number)
+{
+	std::string doc = f.ConfigDocument(2);
+	size_t at = doc.find(",\"engine-" + number + "\":");
+	size_t end = doc.find('}', at);
+
+	return doc.erase(at, end + 1 - at);
+}
+
+Reply
+RemoveEngine(Fleet &f, const std::string &number)
+{
+	return Http("PUT", f.DaemonUrl(0) + "/v1/config?from=1",
+	    WithoutEngine(f, number), {"Authorization: Bearer operators-key"});
+}
+
+/* What waits for a slot of a target that is removed runs elsewhere. */
+TEST(Failures, RequestsThatWaitForARemovedTargetAreAnswered)
+{
+	for (int daemons : {1, 2}) {
+		FleetOptions o;
+
+		o.engines = 2;
+		o.daemons = daemons;
+		o.slots = 1;
+		o.engine_speed = "1";
+		o.flags = {"--online-deadline-ms=20000"};
+		Fleet f(o);
+		std::vector<std::thread> callers;
+
+		for (int i = 0; i < 12; i++)
+			callers.emplace_back([&f, i] {
+				Reply r =
+				    f.Chat(0, "q" + std::to_string(i), false);
+
+				EXPECT_EQ(200, r.status) << r.body;
+			});
+		ASSERT_TRUE(Eventually([&] { return f.EngineRuns() >= 3; }));
+		Reply r = RemoveEngine(f, "1");
+		EXPECT_EQ(200, r.status) << r.body;
+		for (auto &caller : callers)
+			caller.join();
+		f.ExpectHistoryValid();
+	}
+}
+
+TEST(Failures, ItemsThatWaitForARemovedTargetAreRun)
+{
+	for (int daemons : {1, 2}) {
+		FleetOptions o;
+
+		o.engines = 2;
+		o.daemons = daemons;
+		o.slots = 1;
+		o.engine_speed = "2";
+		Fleet f(o);
+		EXPECT_EQ(202, f.SubmitJob(0, "lot", 16).status);
+		ASSERT_TRUE(Eventually([&] { return f.EngineRuns() >= 3; }));
+		Reply r = RemoveEngine(f, "1");
+		EXPECT_EQ(200, r.status) << r.body;
+		EXPECT_TRUE(f.WaitJob(0, "lot")) << daemons;
+		f.ReadResults(0, "lot");
+		f.ExpectHistoryValid();
+	}
+}
+
 } // namespace
