--- a/src/serve/call_attempt.c
+++ b/src/serve/call_attempt.c
@@ -129,6 +129,16 @@
 	    call_attempt_begin, c);
 }
 
+void
+call_record_leaving(struct call *c, const char *target)
+{
+	struct route route;
+	int64_t budget_us;
+
+	if (routes_target(c->d->routes, target, &route, &budget_us))
+		routes_set_leaving(c->d->routes, target, true, false);
+}
+
 static void
 on_leaving(void *ctx, uint64_t id)
 {
@@ -140,7 +150,7 @@
 	pthread_mutex_unlock(&c->lock);
 	if (!current)
 		return;
-	routes_set_leaving(c->d->routes, c->route.target, true, false);
+	call_record_leaving(c, c->route.target);
 	call_attempt_end(c, kAttemptNotExecuted);
 }
 
--- a/src/serve/call_internal.h
+++ b/src/serve/call_internal.h
@@ -117,6 +117,10 @@
 void call_fill_admission_request(
     const struct call *c, uint64_t attempt, struct admission_request *req);
 
+/** Records that a target leaves, unless it was removed: a later one of its name
+ * does not leave. */
+void call_record_leaving(struct call *c, const char *target);
+
 void call_on_revoked(void *ctx, uint64_t id);
 void call_on_crash_verdict(
     void *ctx, uint64_t id, enum arbiter_crash_verdict verdict);
--- a/src/serve/call_takeover.c
+++ b/src/serve/call_takeover.c
@@ -102,7 +102,7 @@
 	}
 	pthread_mutex_unlock(&c->lock);
 	if (target[0] != '\0')
-		routes_set_leaving(c->d->routes, target, true, false);
+		call_record_leaving(c, target);
 }
 
 static const struct grant_ops takeover_ops = {on_granted, on_refused,
--- a/src/serve/grants.c
+++ b/src/serve/grants.c
@@ -278,6 +278,17 @@
 	h->uses_local_share = false;
 }
 
+/* @return true if the configuration has the target of a request */
+static bool
+is_listed(const struct grants *gs, const struct held *h)
+{
+	struct route route;
+	int64_t budget_us;
+
+	return routes_target(
+	    gs->d->routes, h->route.target, &route, &budget_us);
+}
+
 /* Applies an arbiter's verdict to a request of this daemon. */
 static void
 apply_verdict(struct grants *gs, uint64_t id, enum wire_verdict verdict,
@@ -312,6 +323,11 @@
 		delivery_add(list, h, verdict, 0);
 		break;
 	case kWireUnknown:
+		if (!was_running && !is_listed(gs, h)) {
+			delivery_add(list, h, kWireLeaving, 0);
+			g_hash_table_remove(gs->held, &id);
+			break;
+		}
 		/* Treated like a peer that did not answer. */
 		h->requested_us = 0;
 		break;
@@ -400,7 +416,7 @@
 	GArray *actions;
 
 	if (arb == NULL) {
-		delivery_add(list, h, kWireRefused, kLocalRefusalRetryUs);
+		delivery_add(list, h, kWireLeaving, 0);
 		g_hash_table_remove(gs->held, &h->req.id);
 		return;
 	}
@@ -669,6 +685,25 @@
 	}
 }
 
+/* Requests for targets that exist no more; nothing else would answer them. */
+static void
+turn_away_from_removed(struct grants *gs, GArray *list)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, gs->held);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct held *h = val;
+
+		if ((h->phase != kHeldRequested && h->phase != kHeldQueued) ||
+		    is_listed(gs, h))
+			continue;
+		delivery_add(list, h, kWireLeaving, 0);
+		g_hash_table_iter_remove(&it);
+	}
+}
+
 static GPtrArray *
 held_with_moved_arbiter(struct grants *gs)
 {
@@ -700,6 +735,7 @@
 
 	pthread_mutex_lock(&gs->lock);
 	update_hosted(gs);
+	turn_away_from_removed(gs, list);
 	moved = held_with_moved_arbiter(gs);
 	for (guint i = 0; i < moved->len; i++)
 		move_to_arbiter(gs, moved->pdata[i], list);
--- a/src/serve/grants.h
+++ b/src/serve/grants.h
@@ -9,7 +9,8 @@
 struct grant_ops {
 	void (*on_granted)(void *ctx, uint64_t id);
 	void (*on_refused)(void *ctx, uint64_t id, int64_t retry_after_us);
-	/** The target is leaving; request a slot on another one. */
+	/** The target is leaving or was removed; request a slot on another
+	 * one. */
 	void (*on_leaving)(void *ctx, uint64_t id);
 	/** The grant was revoked and must be released. */
 	void (*on_revoked)(void *ctx, uint64_t id);
