front, gateway: a stop logs what it closes

daemon_stopped gets the numbers of connections that were open, idle, with unread bytes or not accepted yet, of requests that had not been received completely and of requests that were cut. A request that the server closes before its answer is complete, while it stops or because the rest of it did not arrive in time, is logged as request_cut with its id if its head was read; 32 lines a stop at most.

Needed to tell requests that cross a close from those that were read: a request was named only when it was decided.

--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -3,16 +3,14 @@
  * waits is suspended; libmicrohttpd does not poll its connection then, so a
  * timer checks whether the caller is still connected.
  */
-#include "gateway/front.h"
-
 #include <arpa/inet.h>
-#include <microhttpd.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 
 #include "error/error.h"
+#include "gateway/front_internal.h"
 #include "log/log.h"
 #include "settings/settings.h"
 
@@ -33,52 +31,6 @@
 
 const char kFrontForwardedHeader[] = "Savoryflow-Forwarded";
 
-struct front {
-	struct front_options opt;
-	struct MHD_Daemon *mhd;
-	int epoll_fd;
-	/** Set of struct front_request. */
-	GHashTable *requests;
-	bool is_closing;
-	int64_t body_max;
-	bool needs_run;
-	uint64_t disconnect_timer;
-	uint64_t mhd_timer;
-};
-
-struct front_request {
-	struct front *fr;
-	struct MHD_Connection *con;
-	char *uri;
-	char *method;
-	struct header_list *headers;
-	GByteArray *body;
-	GBytes *received_body;
-	bool has_head;
-	bool is_too_large;
-	bool is_suspended;
-	/** on_request was called, and the answer is not complete. */
-	bool is_open;
-	/** The caller has disconnected, or the server stops. */
-	bool is_disconnected;
-	int64_t received_us;
-	front_disconnect_fn disconnect_fn;
-	void *disconnect_data;
-
-	struct MHD_Response *response;
-	unsigned int status;
-	bool is_queued;
-	/** Streamed answers: bytes not sent yet. */
-	bool is_streamed;
-	GString *out;
-	/** Bytes of out that are sent already. */
-	size_t out_sent;
-	/** More bytes wait than a caller may leave unread. */
-	bool is_overrun;
-	bool is_ended;
-	bool is_complete;
-};
-
 static void
 request_free(struct front_request *req)
 {
@@ -166,8 +118,8 @@
 	MHD_suspend_connection(req->con);
 }
 
-static void
-resume(struct front_request *req)
+void
+front_resume(struct front_request *req)
 {
 	if (!req->is_suspended)
 		return;
@@ -209,7 +161,7 @@
 	req->response = MHD_create_response_from_buffer(
 	    len, (void *)body, MHD_RESPMEM_MUST_COPY);
 	add_headers(req, headers);
-	resume(req);
+	front_resume(req);
 }
 
 /* Moves the unsent bytes to the front once they are the smaller part, so that
@@ -256,7 +208,7 @@
 	req->response = MHD_create_response_from_callback(
 	    MHD_SIZE_UNKNOWN, kStreamBlockBytes, read_stream, req, NULL);
 	add_headers(req, headers);
-	resume(req);
+	front_resume(req);
 }
 
 void
@@ -271,7 +223,7 @@
 	}
 	if (!req->is_overrun)
 		g_string_append_len(req->out, data, (gssize)len);
-	resume(req);
+	front_resume(req);
 }
 
 void
@@ -279,7 +231,7 @@
 {
 	req->is_ended = true;
 	req->is_complete = is_complete;
-	resume(req);
+	front_resume(req);
 }
 
 static enum MHD_Result
@@ -305,6 +257,10 @@
 	req->body = g_byte_array_new();
 	req->out = g_string_new(NULL);
 	req->received_us = loop_now_us(fr->opt.lp);
+	req->peer =
+	    MHD_get_connection_info(con, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+		->socket_context;
+	req->peer->request_count++;
 	g_hash_table_add(fr->requests, req);
 	return req;
 }
@@ -378,11 +334,34 @@
 		return;
 	*con_cls = NULL;
 	g_hash_table_remove(fr->requests, req);
+	req->peer->request_count--;
+	if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED ||
+	    (fr->is_stopping && code != MHD_REQUEST_TERMINATED_COMPLETED_OK))
+		front_record_cut(req);
 	if (req->is_open)
 		close_request(req);
 	request_free(req);
 }
 
+static void
+on_connection(void *cls, struct MHD_Connection *con, void **context,
+    enum MHD_ConnectionNotificationCode code)
+{
+	struct front *fr = cls;
+	struct front_connection *peer = *context;
+
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		g_hash_table_remove(fr->connections, peer);
+		return;
+	}
+	peer = g_new0(struct front_connection, 1);
+	peer->fd =
+	    MHD_get_connection_info(con, MHD_CONNECTION_INFO_CONNECTION_FD)
+		->connect_fd;
+	g_hash_table_add(fr->connections, peer);
+	*context = peer;
+}
+
 /* The caller has closed its side, or the connection failed. */
 static bool
 has_disconnected(struct front_request *req)
@@ -420,7 +399,7 @@
 
 		req->is_disconnected = true;
 		close_request(req);
-		resume(req);
+		front_resume(req);
 	}
 	g_ptr_array_unref(closed);
 	fr->disconnect_timer =
@@ -483,6 +462,7 @@
 	fr->opt = *opt;
 	fr->body_max = kBodyMaxDefault;
 	fr->requests = g_hash_table_new(NULL, NULL);
+	fr->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	settings_parse_address(opt->listen, ip, &port);
 	inet_pton(AF_INET, ip, &addr.sin_addr);
 	addr.sin_port = htons(port);
@@ -490,6 +470,7 @@
 	    port, NULL, NULL, on_access, fr, MHD_OPTION_SOCK_ADDR,
 	    (struct sockaddr *)&addr, MHD_OPTION_URI_LOG_CALLBACK, on_uri, fr,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, fr,
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, fr,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)kIdleTimeoutS,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)kConnectionMemoryBytes,
 	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)kConnectionsMax,
@@ -499,6 +480,7 @@
 		g_set_error(err, SF_ERROR, kErrSettingRange, "cannot bind %s",
 		    opt->listen);
 		g_hash_table_unref(fr->requests);
+		g_hash_table_unref(fr->connections);
 		g_free(fr);
 		return NULL;
 	}
@@ -511,29 +493,6 @@
 	return fr;
 }
 
-void
-front_free(struct front *fr)
-{
-	GHashTableIter it;
-	void *key;
-
-	loop_timer_cancel(fr->opt.lp, fr->disconnect_timer);
-	loop_timer_cancel(fr->opt.lp, fr->mhd_timer);
-	loop_unwatch(fr->opt.lp, fr->epoll_fd);
-	/* libmicrohttpd must not be stopped while a connection is suspended. */
-	g_hash_table_iter_init(&it, fr->requests);
-	while (g_hash_table_iter_next(&it, &key, NULL)) {
-		struct front_request *req = key;
-
-		req->is_disconnected = true;
-		resume(req);
-	}
-	MHD_run(fr->mhd);
-	MHD_stop_daemon(fr->mhd);
-	g_hash_table_unref(fr->requests);
-	g_free(fr);
-}
-
 void
 front_set_closing(struct front *fr)
 {
@@ -545,17 +504,3 @@
 {
 	fr->body_max = bytes;
 }
-
-int32_t
-front_active(const struct front *fr)
-{
-	int32_t n = 0;
-	GHashTableIter it;
-	void *key;
-
-	g_hash_table_iter_init(&it, fr->requests);
-	while (g_hash_table_iter_next(&it, &key, NULL))
-		if (((struct front_request *)key)->is_open)
-			n++;
-	return n;
-}
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -17,6 +17,9 @@
 	/** The request has been received completely. It is answered by
 	 * front_reply or front_stream, now or later. */
 	void (*on_request)(void *ctx, struct front_request *req);
+	/** The connection is closed before the answer is complete, because the
+	 * server stops or the request did not arrive in time; may be NULL. */
+	void (*on_cut)(void *ctx, struct front_request *req);
 };
 
 /** The caller has disconnected before its answer was complete. */
@@ -33,9 +36,27 @@
 /** The HTTP server for callers. */
 struct front;
 
+/** Connections and requests when the server stopped. */
+struct front_counts {
+	int32_t open;
+	/** Open, without a request. */
+	int32_t idle;
+	/** Requests that had not been received completely. */
+	int32_t unfinished;
+	/** Connections with bytes that were not read. */
+	int32_t unread;
+	/** Connections that were not accepted. */
+	int32_t not_accepted;
+	/** Requests whose connection was closed before their answer was
+	 * complete. */
+	int32_t cut;
+};
+
 /** @return NULL and kErrSettingRange if the address cannot be bound */
 struct front *front_new(const struct front_options *opt, GError **err);
-void front_free(struct front *fr);
+
+/** @param counts receives what was open at the end; may be NULL */
+void front_free(struct front *fr, struct front_counts *counts);
 
 /** From now on, answers ask callers to close their connections. */
 void front_set_closing(struct front *fr);
@@ -50,6 +71,7 @@
 /** Path and query, unchanged from the request line. */
 const char *front_uri(const struct front_request *req);
 const struct header_list *front_headers(const struct front_request *req);
+/** NULL until the request has been received completely. */
 GBytes *front_body(const struct front_request *req);
 /** Time at which the request began to arrive. */
 int64_t front_received_us(const struct front_request *req);
--- /dev/null
+++ b/src/gateway/front_internal.h
@@ -0,0 +1,77 @@
+#ifndef SAVORYFLOW_GATEWAY_FRONT_INTERNAL_H
+#define SAVORYFLOW_GATEWAY_FRONT_INTERNAL_H
+
+#include <microhttpd.h>
+
+#include "gateway/front.h"
+
+/* Shared by front*.c. */
+
+struct front {
+	struct front_options opt;
+	struct MHD_Daemon *mhd;
+	int epoll_fd;
+	/** Set of struct front_request. */
+	GHashTable *requests;
+	/** Set of struct front_connection. */
+	GHashTable *connections;
+	bool is_closing;
+	/** The server stops: a request that it closes now is cut. */
+	bool is_stopping;
+	struct front_counts counts;
+	int64_t body_max;
+	bool needs_run;
+	uint64_t disconnect_timer;
+	uint64_t mhd_timer;
+};
+
+struct front_connection {
+	int fd;
+	/** Number of its requests from their first line on, 0 or 1. */
+	int32_t request_count;
+};
+
+struct front_request {
+	struct front *fr;
+	struct front_connection *peer;
+	struct MHD_Connection *con;
+	char *uri;
+	char *method;
+	struct header_list *headers;
+	GByteArray *body;
+	GBytes *received_body;
+	bool has_head;
+	bool is_too_large;
+	bool is_suspended;
+	/** on_request was called, and the answer is not complete. */
+	bool is_open;
+	/** The caller has disconnected, or the server stops. */
+	bool is_disconnected;
+	int64_t received_us;
+	front_disconnect_fn disconnect_fn;
+	void *disconnect_data;
+
+	struct MHD_Response *response;
+	unsigned int status;
+	bool is_queued;
+	/** Streamed answers: bytes not sent yet. */
+	bool is_streamed;
+	GString *out;
+	/** Bytes of out that are sent already. */
+	size_t out_sent;
+	/** More bytes wait than a caller may leave unread. */
+	bool is_overrun;
+	bool is_ended;
+	bool is_complete;
+};
+
+/** Resumes the connection of a request that waits. */
+void front_resume(struct front_request *req);
+
+/** Records a request that ends without a complete answer. */
+void front_record_cut(struct front_request *req);
+
+/** Counts the connections and requests as they are. */
+void front_count(struct front *fr);
+
+#endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -362,16 +362,16 @@
 {
 	/* First, so that no caller waits for an answer that cannot come. */
 	if (gw->front != NULL)
-		front_free(gw->front);
+		front_free(gw->front, &gw->front_counts);
 	if (gw->watch != NULL)
 		gw->adapter->watch_free(gw->watch);
 	if (gw->peer != NULL)
 		peer_stop(gw->peer);
 	offload_free(gw->offload);
 	if (gw->ready != NULL)
-		front_free(gw->ready);
+		front_free(gw->ready, NULL);
 	if (gw->metrics != NULL)
-		front_free(gw->metrics);
+		front_free(gw->metrics, NULL);
 	if (gw->view != NULL)
 		view_exchange_free(gw->view);
 	janitor_free(gw->janitor);
@@ -395,6 +395,15 @@
 	close(gw->signal_fd);
 }
 
+static void
+log_stopped(const struct front_counts *n)
+{
+	log_event(kEvtStopped, "open", log_number(n->open), "idle",
+	    log_number(n->idle), "unfinished", log_number(n->unfinished),
+	    "unread", log_number(n->unread), "not_accepted",
+	    log_number(n->not_accepted), "cut", log_number(n->cut), NULL);
+}
+
 int
 gateway_run(struct settings *set, const struct adapter_ops *adapter)
 {
@@ -419,7 +428,7 @@
 		code = kExitFailed;
 	}
 	stop(&gw);
-	log_event(kEvtStopped, NULL);
+	log_stopped(&gw.front_counts);
 	log_close();
 	curl_global_cleanup();
 	return code;
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -45,6 +45,8 @@
 	/** int64_t: time of the last reconnect, by peer. */
 	GHashTable *reconnects;
 	struct front *front;
+	/** When the server for callers stopped. */
+	struct front_counts front_counts;
 	struct front *ready;
 	struct front *metrics;
 	struct routebook *routes;
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -88,7 +88,23 @@
 	}
 }
 
-const struct front_ops gateway_front_ops = {on_request};
+/* A request without its head has no id yet. */
+static void
+on_cut(void *ctx, struct front_request *req)
+{
+	struct gateway *gw = ctx;
+	struct dialect_call call = {0};
+
+	if (front_method(req) != NULL)
+		gw->adapter->dialect->decode_call(front_method(req),
+		    front_uri(req), front_headers(req), &call);
+	log_event(kEvtRequestCut, "request", call.attempt_id, "uri",
+	    front_uri(req), "received", log_number(front_body(req) != NULL),
+	    "age_us", log_number(loop_now_us(gw->lp) - front_received_us(req)),
+	    NULL);
+}
+
+const struct front_ops gateway_front_ops = {on_request, on_cut};
 
 static void
 on_ready_request(void *ctx, struct front_request *req)
@@ -111,5 +127,5 @@
 	g_string_free(text, TRUE);
 }
 
-const struct front_ops gateway_ready_ops = {on_ready_request};
-const struct front_ops gateway_metrics_ops = {on_metrics_request};
+const struct front_ops gateway_ready_ops = {.on_request = on_ready_request};
+const struct front_ops gateway_metrics_ops = {.on_request = on_metrics_request};
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -27,6 +27,10 @@
 	X(kEvtAnswerCut, 1211, WARN, "answer_cut",                             \
 	    "More arrived than an answer may have, or than its caller reads; " \
 	    "the connection was closed. The request may have run.")            \
+	X(kEvtRequestCut, 1217, WARN, "request_cut",                           \
+	    "The daemon closed a connection on which it had read a request "   \
+	    "or a part of one, before the answer was complete; the first 32 "  \
+	    "of a stop are logged.")                                           \
 	X(kEvtTargetListed, 1305, INFO, "target_listed",                       \
 	    "A target's row is new or has changed.")                           \
 	X(kEvtTargetGone, 1306, INFO, "target_gone",                           \
@@ -87,7 +91,8 @@
 	X(kEvtDrainStarted, 1003, INFO, "drain_started",                       \
 	    "The daemon is no longer ready and finishes its active work.")     \
 	X(kEvtStopped, 1004, INFO, "daemon_stopped",                           \
-	    "The daemon has finished its work and exits.")                     \
+	    "The daemon has finished its work and exits; the fields count "    \
+	    "its callers' connections when it closed them.")                   \
 	X(kEvtStartFailed, 1005, ERROR, "start_failed",                        \
 	    "The daemon could not start; the error field gives the reason.")   \
 	X(kEvtConfigInForce, 1101, INFO, "config_in_force",                    \
