front, gateway: a stop leaves no request unanswered

Cause, by the four tests: the drain counted a request only from its last byte on and stopped the loop at 0. libmicrohttpd then ran once more and all connections were closed: under requests that had arrived in part, under what was in the listen queue (10 connections are accepted a run) and on connections just accepted whose request was still on its way. At the drain timeout, running requests got no answer either.

Now the server closes only when nobody would notice. Once no request runs, it accepts what is in the listen queue and closes that; then it serves, and closes the rest at a moment when no request has begun to arrive, no connection has unread bytes and none was accepted or answered in the last 500 ms. It does not read after that check. The limit is the drain timeout as before: what has arrived by then is served, a request without any part of its answer gets 502 (it may have run), streams are broken.

A request of which only a part of the first line has arrived is not seen.

--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -90,9 +90,8 @@
 	req->disconnect_data = data;
 }
 
-/* The caller has disconnected or has its answer. */
-static void
-close_request(struct front_request *req)
+void
+front_close_request(struct front_request *req)
 {
 	front_disconnect_fn fn = req->disconnect_fn;
 
@@ -102,8 +101,8 @@
 		fn(req->disconnect_data);
 }
 
-static void
-schedule_run(struct front *fr)
+void
+front_schedule_run(struct front *fr)
 {
 	fr->needs_run = true;
 	loop_skip_wait(fr->opt.lp);
@@ -125,7 +124,7 @@
 		return;
 	req->is_suspended = false;
 	MHD_resume_connection(req->con);
-	schedule_run(req->fr);
+	front_schedule_run(req->fr);
 }
 
 static void
@@ -335,11 +334,12 @@
 	*con_cls = NULL;
 	g_hash_table_remove(fr->requests, req);
 	req->peer->request_count--;
+	req->peer->idle_since_us = loop_now_us(fr->opt.lp);
 	if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED ||
 	    (fr->is_stopping && code != MHD_REQUEST_TERMINATED_COMPLETED_OK))
 		front_record_cut(req);
 	if (req->is_open)
-		close_request(req);
+		front_close_request(req);
 	request_free(req);
 }
 
@@ -358,6 +358,7 @@
 	peer->fd =
 	    MHD_get_connection_info(con, MHD_CONNECTION_INFO_CONNECTION_FD)
 		->connect_fd;
+	peer->idle_since_us = loop_now_us(fr->opt.lp);
 	g_hash_table_add(fr->connections, peer);
 	*context = peer;
 }
@@ -398,7 +399,7 @@
 		struct front_request *req = closed->pdata[i];
 
 		req->is_disconnected = true;
-		close_request(req);
+		front_close_request(req);
 		front_resume(req);
 	}
 	g_ptr_array_unref(closed);
@@ -424,7 +425,7 @@
 	if (MHD_get_timeout(fr->mhd, &ms) != MHD_YES)
 		return;
 	if (ms == 0) {
-		schedule_run(fr);
+		front_schedule_run(fr);
 		return;
 	}
 	loop_timer_cancel(fr->opt.lp, fr->mhd_timer);
@@ -437,7 +438,7 @@
 {
 	struct front *fr = ctx;
 
-	if (!fr->needs_run)
+	if (!fr->needs_run || fr->mhd == NULL)
 		return;
 	fr->needs_run = false;
 	MHD_run(fr->mhd);
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -17,6 +17,9 @@
 	/** The request has been received completely. It is answered by
 	 * front_reply or front_stream, now or later. */
 	void (*on_request)(void *ctx, struct front_request *req);
+	/** The server stops before there is any part of an answer; it must be
+	 * answered at once. NULL if all requests are answered at once. */
+	void (*on_abort)(void *ctx, struct front_request *req);
 	/** The connection is closed before the answer is complete, because the
 	 * server stops or the request did not arrive in time; may be NULL. */
 	void (*on_cut)(void *ctx, struct front_request *req);
@@ -41,6 +44,8 @@
 	int32_t open;
 	/** Open, without a request. */
 	int32_t idle;
+	/** Idle, and accepted or answered a moment ago. */
+	int32_t recent;
 	/** Requests that had not been received completely. */
 	int32_t unfinished;
 	/** Connections with bytes that were not read. */
@@ -55,7 +60,21 @@
 /** @return NULL and kErrSettingRange if the address cannot be bound */
 struct front *front_new(const struct front_options *opt, GError **err);
 
-/** @param counts receives what was open at the end; may be NULL */
+/**
+ * Accepts no more connections and, if no caller would notice, closes the
+ * others: all requests that have begun to arrive are answered, all bytes are
+ * read, and callers that have just connected or had an answer had the time to
+ * send a request.
+ * Connections and requests that arrived by now are served first.
+ * @return true if the server is closed; otherwise it is to be called again
+ */
+bool front_close_if_quiet(struct front *fr);
+
+/**
+ * Closes the server if it is not closed: what has arrived is answered, running
+ * requests are aborted.
+ * @param counts receives what was open at the end; may be NULL
+ */
 void front_free(struct front *fr, struct front_counts *counts);
 
 /** From now on, answers ask callers to close their connections. */
--- a/src/gateway/front_drain.c
+++ b/src/gateway/front_drain.c
@@ -3,12 +3,19 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "gateway/front_internal.h"
 
 enum {
 	/* Requests cut by one stop that are logged one by one. */
 	kCutsLoggedMax = 32,
+	/* Most callers send their request within this time of connecting, or
+	 * the next one of an answer that did not ask them to close. */
+	kNextRequestUs = 500 * kUsPerMs,
+	/* Runs of libmicrohttpd that serve what has arrived. One accepts ten
+	 * connections, or reads a part of each request. */
+	kServeRunsMax = 200,
 };
 
 void
@@ -50,6 +57,14 @@
 	return MAX(1, (int32_t)tcp.tcpi_unacked);
 }
 
+/* Its caller may be about to send a request. */
+static bool
+is_recent(struct front *fr, const struct front_connection *peer)
+{
+	return peer->request_count == 0 &&
+	    loop_now_us(fr->opt.lp) - peer->idle_since_us < kNextRequestUs;
+}
+
 void
 front_count(struct front *fr)
 {
@@ -58,42 +73,136 @@
 	void *key;
 
 	n->open = (int32_t)g_hash_table_size(fr->connections);
-	n->idle = n->unread = n->unfinished = 0;
+	n->idle = n->recent = n->unread = n->unfinished = 0;
 	g_hash_table_iter_init(&it, fr->connections);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		const struct front_connection *peer = key;
 
 		n->idle += peer->request_count == 0;
+		n->recent += is_recent(fr, peer);
 		n->unread += has_unread(peer->fd);
 	}
 	g_hash_table_iter_init(&it, fr->requests);
 	while (g_hash_table_iter_next(&it, &key, NULL))
 		n->unfinished +=
 		    ((struct front_request *)key)->received_body == NULL;
-	n->not_accepted = count_not_accepted(fr);
 }
 
-void
-front_free(struct front *fr, struct front_counts *counts)
+/* Accepts what is in the listen queue, then closes that. */
+static void
+stop_accepting(struct front *fr)
+{
+	MHD_socket fd;
+
+	if (fr->is_quiesced)
+		return;
+	for (int i = 0; i < kServeRunsMax && count_not_accepted(fr) > 0; i++)
+		MHD_run(fr->mhd);
+	fr->counts.not_accepted = count_not_accepted(fr);
+	fd = MHD_quiesce_daemon(fr->mhd);
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+	fr->is_quiesced = true;
+}
+
+/* All requests that have begun to arrive are answered, all bytes read. */
+static bool
+is_served(struct front *fr)
 {
 	GHashTableIter it;
 	void *key;
 
+	if (g_hash_table_size(fr->requests) > 0)
+		return false;
+	g_hash_table_iter_init(&it, fr->connections);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		if (has_unread(((struct front_connection *)key)->fd))
+			return false;
+	return true;
+}
+
+static bool
+has_recent(struct front *fr)
+{
+	GHashTableIter it;
+	void *key;
+
+	g_hash_table_iter_init(&it, fr->connections);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		if (is_recent(fr, key))
+			return true;
+	return false;
+}
+
+/* Nothing is read from now on: it would not be answered. */
+static void
+close_all(struct front *fr)
+{
+	front_count(fr);
+	fr->is_stopping = true;
 	loop_timer_cancel(fr->opt.lp, fr->disconnect_timer);
 	loop_timer_cancel(fr->opt.lp, fr->mhd_timer);
 	loop_unwatch(fr->opt.lp, fr->epoll_fd);
-	front_count(fr);
+	MHD_stop_daemon(fr->mhd);
+	fr->mhd = NULL;
+}
+
+bool
+front_close_if_quiet(struct front *fr)
+{
+	if (fr->mhd == NULL)
+		return true;
+	stop_accepting(fr);
+	MHD_run(fr->mhd);
+	if (!is_served(fr) || has_recent(fr)) {
+		front_schedule_run(fr);
+		return false;
+	}
+	close_all(fr);
+	return true;
+}
+
+/* Answers those that wait; ends the streams. */
+static void
+abort_requests(struct front *fr)
+{
+	GList *all = g_hash_table_get_keys(fr->requests);
+
+	for (GList *it = all; it != NULL; it = it->next) {
+		struct front_request *req = it->data;
+
+		if (req->is_open && req->response == NULL &&
+		    fr->opt.ops->on_abort != NULL) {
+			front_close_request(req);
+			fr->opt.ops->on_abort(fr->opt.ctx, req);
+		} else {
+			req->is_disconnected = true;
+			front_resume(req);
+		}
+	}
+	g_list_free(all);
+}
+
+static void
+serve_rest(struct front *fr)
+{
+	stop_accepting(fr);
 	fr->is_stopping = true;
+	abort_requests(fr);
+	for (int i = 0; i < kServeRunsMax && !is_served(fr); i++)
+		MHD_run(fr->mhd);
 	/* libmicrohttpd must not be stopped while a connection is suspended. */
-	g_hash_table_iter_init(&it, fr->requests);
-	while (g_hash_table_iter_next(&it, &key, NULL)) {
-		struct front_request *req = key;
+	abort_requests(fr);
+	MHD_run(fr->mhd);
+}
 
-		req->is_disconnected = true;
-		front_resume(req);
+void
+front_free(struct front *fr, struct front_counts *counts)
+{
+	if (fr->mhd != NULL) {
+		serve_rest(fr);
+		close_all(fr);
 	}
-	MHD_run(fr->mhd);
-	MHD_stop_daemon(fr->mhd);
 	if (counts != NULL)
 		*counts = fr->counts;
 	g_hash_table_unref(fr->requests);
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -9,6 +9,7 @@
 
 struct front {
 	struct front_options opt;
+	/** NULL once it is closed. */
 	struct MHD_Daemon *mhd;
 	int epoll_fd;
 	/** Set of struct front_request. */
@@ -18,6 +19,8 @@
 	bool is_closing;
 	/** The server stops: a request that it closes now is cut. */
 	bool is_stopping;
+	/** No more connections are accepted. */
+	bool is_quiesced;
 	struct front_counts counts;
 	int64_t body_max;
 	bool needs_run;
@@ -29,6 +32,8 @@
 	int fd;
 	/** Number of its requests from their first line on, 0 or 1. */
 	int32_t request_count;
+	/** Time at which it was accepted or its last answer ended. */
+	int64_t idle_since_us;
 };
 
 struct front_request {
@@ -65,9 +70,15 @@
 	bool is_complete;
 };
 
+/** The caller has disconnected or gets no answer of its target. */
+void front_close_request(struct front_request *req);
+
 /** Resumes the connection of a request that waits. */
 void front_resume(struct front_request *req);
 
+/** Runs libmicrohttpd at the end of this iteration. */
+void front_schedule_run(struct front *fr);
+
 /** Records a request that ends without a complete answer. */
 void front_record_cut(struct front_request *req);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -155,8 +155,9 @@
 		leave_roster(gw);
 	if (since_us < kGatewayBalancerDetectUs)
 		return;
-	if ((front_active(gw->front) == 0 && gw->has_left_roster) ||
-	    since_us > timeout_us)
+	if (since_us > timeout_us ||
+	    (front_active(gw->front) == 0 && gw->has_left_roster &&
+		front_close_if_quiet(gw->front)))
 		loop_stop(gw->lp);
 }
 
@@ -360,6 +361,7 @@
 static void
 stop(struct gateway *gw)
 {
+	gw->is_stopping = true;
 	/* First, so that no caller waits for an answer that cannot come. */
 	if (gw->front != NULL)
 		front_free(gw->front, &gw->front_counts);
@@ -399,9 +401,10 @@
 log_stopped(const struct front_counts *n)
 {
 	log_event(kEvtStopped, "open", log_number(n->open), "idle",
-	    log_number(n->idle), "unfinished", log_number(n->unfinished),
-	    "unread", log_number(n->unread), "not_accepted",
-	    log_number(n->not_accepted), "cut", log_number(n->cut), NULL);
+	    log_number(n->idle), "recent", log_number(n->recent), "unfinished",
+	    log_number(n->unfinished), "unread", log_number(n->unread),
+	    "not_accepted", log_number(n->not_accepted), "cut",
+	    log_number(n->cut), NULL);
 }
 
 int
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -64,6 +64,8 @@
 	/** The complete list of targets has been read. */
 	bool has_target_list;
 	bool is_draining;
+	/** Nothing can be forwarded any more. */
+	bool is_stopping;
 	int64_t drain_started_us;
 	bool has_left_roster;
 };
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -43,9 +43,10 @@
 static bool
 is_rejecting_requests(const struct gateway *gw)
 {
-	return gw->is_draining &&
-	    loop_now_us(gw->lp) - gw->drain_started_us >
-	    kGatewayBalancerDetectUs;
+	return gw->is_stopping ||
+	    (gw->is_draining &&
+		loop_now_us(gw->lp) - gw->drain_started_us >
+		    kGatewayBalancerDetectUs);
 }
 
 static void
@@ -88,6 +89,24 @@
 	}
 }
 
+/* The drain timeout has expired. An attempt may have reached a target. */
+static void
+on_abort(void *ctx, struct front_request *req)
+{
+	struct gateway *gw = ctx;
+	struct dialect_call call;
+
+	gw->adapter->dialect->decode_call(
+	    front_method(req), front_uri(req), front_headers(req), &call);
+	log_event(kEvtCallEnded, "request", call.attempt_id, "end", "failed",
+	    "cause", "drain_timeout", "age_us",
+	    log_number(loop_now_us(gw->lp) - front_received_us(req)), NULL);
+	reply_error(req, kErrTargetFailed,
+	    "this daemon stops before there is an answer; the request may "
+	    "have run",
+	    0);
+}
+
 /* A request without its head has no id yet. */
 static void
 on_cut(void *ctx, struct front_request *req)
@@ -104,7 +123,7 @@
 	    NULL);
 }
 
-const struct front_ops gateway_front_ops = {on_request, on_cut};
+const struct front_ops gateway_front_ops = {on_request, on_abort, on_cut};
 
 static void
 on_ready_request(void *ctx, struct front_request *req)
