test: a body keeps the limit under which it began

A configuration that lowers the limit of bodies while one arrives: the request is refused with 413, though it fits the limit under which it began and a part of it was read.

--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -21,6 +21,7 @@
 	std::vector<int> front_ports, ready_ports, peer_ports;
 	/* Limits of the online routes, of calls and of a drain. */
 	int timeout_ms = 5000, gap_ms = 300, drain_timeout_ms = 6000;
+	int body_bytes_max = 100000;
 
 	/* For tests of what ends before the limits, on a machine of any
 	 * speed. */
@@ -92,7 +93,8 @@
 		std::string doc = "{\"version\":" + std::to_string(version) +
 		    ",\"routes\":[" + routes +
 		    "],\"services\":[{\"name\":\"llm\"}],\"limits\":"
-		    "{\"body_bytes\":100000}}";
+		    "{\"body_bytes\":" +
+		    std::to_string(body_bytes_max) + "}}";
 
 		PutRow("op", "config", doc.c_str());
 	}
--- a/test/functional/test_gateway_stop.cc
+++ b/test/functional/test_gateway_stop.cc
@@ -242,6 +242,28 @@
 	EXPECT_EQ(0, lost) << "of " << sent;
 }
 
+/* A configuration lowers the limit of bodies while one arrives. */
+TEST_F(GatewayStop, ABodyKeepsTheLimitOfItsBeginning)
+{
+	RaiseLimits();
+	StartReadyFleet(1, 1);
+	std::string pad(5000, ' ');
+	std::string body = RequestBody(1) + pad;
+	std::string head = "POST /q/x HTTP/1.1\r\nHost: a.example\r\n"
+			   "X-Attempt-Id: b\r\nContent-Length: " +
+	    std::to_string(body.size()) + "\r\n\r\n";
+	Connection con(front_ports[0]);
+
+	con.Send(head + body.substr(0, 3000));
+	body_bytes_max = 1000;
+	Configure(2);
+	EXPECT_TRUE(Eventually([&] {
+		return Send(0, "POST", "/q/x", body, "later").status == 413;
+	}));
+	con.Send(body.substr(3000));
+	EXPECT_EQ(0u, con.Read().find("HTTP/1.1 200 "));
+}
+
 /* At the drain timeout, a request without any part of an answer gets one. */
 TEST_F(GatewayStop, ARequestThatOutlastsTheDrainIsAnswered)
 {
