front: a body keeps the limit under which it began

Callers saw 413 for a request that fits the limit that was in force when it began, if a configuration lowered the limit while its body arrived: each part was compared with the current limit. Now the larger one of both limits decides, so a raised limit counts at once.

--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -252,6 +252,7 @@
 	req->fr = fr;
 	req->con = con;
 	req->uri = g_strdup(uri);
+	req->body_max = fr->body_max;
 	req->headers = header_list_new();
 	req->body = g_byte_array_new();
 	req->out = g_string_new(NULL);
@@ -267,7 +268,10 @@
 static void
 append_body(struct front_request *req, const char *data, size_t len)
 {
-	if ((int64_t)(req->body->len + len) > req->fr->body_max) {
+	/* A smaller limit applies to requests that begin after it. */
+	int64_t max = MAX(req->body_max, req->fr->body_max);
+
+	if ((int64_t)(req->body->len + len) > max) {
 		req->is_too_large = true;
 		g_byte_array_set_size(req->body, 0);
 	}
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -44,6 +44,8 @@
 	char *method;
 	struct header_list *headers;
 	GByteArray *body;
+	/** Limit when it began to arrive. */
+	int64_t body_max;
 	GBytes *received_body;
 	bool has_head;
 	bool is_too_large;
