test: a kept connection serves for the time that its answer names

An answer that began before the drain does not ask its caller to close. It names no time for which the connection may be used either; the next request, 1.5 s after the end of the answer, finds the connection closed by the stop.

--- a/test/functional/test_gateway_stop.cc
+++ b/test/functional/test_gateway_stop.cc
@@ -104,9 +104,9 @@
 };
 
 std::string
-Request(const std::string &id, const std::string &path = "/q/x")
+Request(const std::string &id, const std::string &path = "/q/x",
+    const std::string &body = "{\"events\":1,\"pace_ms\":0}")
 {
-	std::string body = "{\"events\":1,\"pace_ms\":0}";
 
 	return "POST " + path +
 	    " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " + id +
@@ -242,6 +242,27 @@
 	EXPECT_EQ(0, lost) << "of " << sent;
 }
 
+/* The answer began before the drain, so that it does not ask to close; the next
+ * request comes within the time that it names. */
+TEST_F(GatewayStop, AKeptConnectionServesForTheTimeThatItsAnswerNames)
+{
+	RaiseLimits();
+	gap_ms = 20000;
+	StartReadyFleet(1, 1);
+	Connection con(front_ports[0]);
+
+	con.Send(Request("a", "/q/long", RequestBody(60, 50)));
+	ASSERT_TRUE(Eventually([&] { return CountRuns("a") == 1; }));
+	daemons[0]->Signal(SIGTERM);
+	std::string answer = con.Read();
+	EXPECT_TRUE(Connection::IsWhole(answer)) << answer;
+	EXPECT_NE(std::string::npos, answer.find("Keep-Alive: timeout=2\r\n"));
+	std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+	con.Send(Request("next"));
+	EXPECT_TRUE(IsRefusal(con.Read()));
+	EXPECT_EQ(0, daemons[0]->Wait());
+}
+
 /* A configuration lowers the limit of bodies while one arrives. */
 TEST_F(GatewayStop, ABodyKeepsTheLimitOfItsBeginning)
 {
