api: a stop leaves no request unanswered

The cause found in the gateway, at the own API: a request counted from its head on, the listening socket was closed with the connections that waited on it, and a connection without a request was closed whatever was on its way. Besides, no answer in the drain asked its caller to close, and a refusal was sent before the body was read: with a long body, the close reset the connection and the caller lost the 503.

Now a request counts from its first line on; connections that wait are accepted before the socket closes; the daemon leaves when no request has begun to arrive, nothing is unread and callers that have just connected had 500 ms to send, at the drain timeout as before; answers in the drain say Connection: close; a refusal follows the body, unless the caller asked with Expect. The server has a thread of its own, so a request may still arrive between that check and the close, some microseconds; it is refused in the same run.

Failures.GracefulShutdownCutsNothing passes. The mutant no_drain follows the renamed condition.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -56,7 +56,7 @@
 mutant no_condemning src/serve/call_run.c 's/verdict == kCrashQuarantined/false/' $F 'Failures.ARequestThatCrashes*'
 mutant revert src/savoryflow/config/config.c 's/cfg->generation > holder->current->generation/true/' $U 'Config.HolderNeverGoesDown'
 mutant no_compare src/savoryflow/config/config_store.c 's/store_txn_version\(txn, HEAD_KEY, head->row_version\);//; s/store_txn_absent\(txn, audit\);//' $F 'Failures.RacingOperators*'
-mutant no_drain src/serve/daemon.c 's/api_active\(d->api\) > 0/false/' $F 'Failures.GracefulShutdown*'
+mutant no_drain src/serve/daemon.c 's/!api_is_quiet\(d->api\)/false/' $F 'Failures.GracefulShutdown*'
 mutant no_takeover src/serve/batch_run.c 's/return is_lease_stale\(br, chunk\)/return false \&\& is_lease_stale(br, chunk)/' $F 'Failures.JobOfADaemonKilled*'
 mutant no_peer_config src/serve/poller.c 's/hint->want_document \&\& own/false \&\& own/' $F 'Failures.DaemonStartedDuringAnOutage*'
 mutant wrong_time_lasts src/store/store_clock.c 's/received_us - sc->window_start_us > kWindowUs/false/' $U 'StoreClock.*'
--- a/src/api/api.c
+++ b/src/api/api.c
@@ -6,8 +6,10 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "api/request.h"
@@ -21,6 +23,17 @@
 	kAuthorizationMax = 512,
 	kMaxAbortPolls = 1000,
 	kAbortPollUs = 5000,
+	/* A caller sends its first request within this time of connecting. */
+	kFirstRequestUs = 500 * kUsPerMs,
+	/* Waits for a moment without a request that arrives. */
+	kMaxQuietPolls = 200,
+	kQuietPollUs = 1000,
+};
+
+struct api_connection {
+	int fd;
+	/** It has had a request. */
+	bool is_used;
 };
 
 struct api {
@@ -30,7 +43,12 @@
 	pthread_mutex_t lock;
 	/** Set of struct request whose connections have not completed them. */
 	GHashTable *requests;
-	gint active_requests;
+	/** Guards connections; no other lock is taken while it is held. */
+	pthread_mutex_t connections_lock;
+	/** Set of struct api_connection. */
+	GHashTable *connections;
+	/** Time at which the last connection was accepted; 0: not yet. */
+	int64_t quiesced_us;
 	gint is_refusing_new;
 };
 
@@ -148,6 +166,13 @@
 	return false;
 }
 
+static void
+refuse_draining(struct request *req)
+{
+	request_reply_error(req, kErrDraining,
+	    "this daemon is draining; retry with another one", kUsPerS);
+}
+
 static void
 check_headers(struct api *api, struct request *req)
 {
@@ -165,37 +190,48 @@
 	req->subpath = req->url + strlen(req->ep->path);
 	if (!authorize(req) || !check_length(req))
 		return;
-	if (req->ep->access != kAccessAnyone &&
-	    g_atomic_int_get(&api->is_refusing_new))
-		request_reply_error(req, kErrDraining,
-		    "this daemon is draining; retry with another one", kUsPerS);
+	if (req->ep->access == kAccessAnyone ||
+	    !g_atomic_int_get(&api->is_refusing_new))
+		return;
+	/* A connection that is closed with a part of the body unread is reset,
+	 * and the caller may lose the answer. */
+	if (request_header(req, "Expect") == NULL)
+		req->is_refused = true;
+	else
+		refuse_draining(req);
 }
 
 static enum MHD_Result
 queue_reply(struct request *req)
 {
-	enum MHD_Result res =
-	    MHD_queue_response(req->con, req->status, req->response);
+	enum MHD_Result res;
 
+	if (g_atomic_int_get(&req->d->is_draining))
+		request_reply_header(req, "Connection", "close");
+	res = MHD_queue_response(req->con, req->status, req->response);
 	req->is_replied = true;
 	return res;
 }
 
-static struct request *
-request_new(struct api *api, struct MHD_Connection *con, const char *url,
-    const char *method)
+/* Called first for each request, once its first line has arrived. */
+static void *
+on_uri(void *cls, const char *uri, struct MHD_Connection *con)
 {
+	struct api *api = cls;
 	struct request *req = g_new0(struct request, 1);
+	struct api_connection *peer =
+	    MHD_get_connection_info(con, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+		->socket_context;
 
 	req->refs = 1;
 	req->d = api->d;
 	pthread_mutex_init(&req->lock, NULL);
 	req->con = con;
-	req->url = g_strdup(url);
-	req->method = g_strdup(method);
 	req->body = g_string_new(NULL);
 	req->received_us = clock_mono_us(api->d->clk);
-	g_atomic_int_inc(&api->active_requests);
+	pthread_mutex_lock(&api->connections_lock);
+	peer->is_used = true;
+	pthread_mutex_unlock(&api->connections_lock);
 	pthread_mutex_lock(&api->lock);
 	g_hash_table_add(api->requests, req);
 	pthread_mutex_unlock(&api->lock);
@@ -203,10 +239,31 @@
 	return req;
 }
 
+static void
+on_connection(void *cls, struct MHD_Connection *con, void **context,
+    enum MHD_ConnectionNotificationCode code)
+{
+	struct api *api = cls;
+	struct api_connection *peer = *context;
+
+	pthread_mutex_lock(&api->connections_lock);
+	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		g_hash_table_remove(api->connections, peer);
+	} else {
+		peer = g_new0(struct api_connection, 1);
+		peer->fd = MHD_get_connection_info(
+		    con, MHD_CONNECTION_INFO_CONNECTION_FD)
+			       ->connect_fd;
+		g_hash_table_add(api->connections, peer);
+		*context = peer;
+	}
+	pthread_mutex_unlock(&api->connections_lock);
+}
+
 static void
 append_body(struct request *req, const char *data, size_t len)
 {
-	if (req->response != NULL || req->is_body_too_large)
+	if (req->response != NULL || req->is_body_too_large || req->is_refused)
 		return;
 	if (!req->ep->is_body_streamed &&
 	    (int64_t)(req->body->len + len) > req->d->set->body_max_bytes) {
@@ -223,7 +280,9 @@
 {
 	if (!req->is_started) {
 		req->is_started = true;
-		if (req->is_body_too_large)
+		if (req->is_refused)
+			refuse_draining(req);
+		else if (req->is_body_too_large)
 			request_reply_error(req, kErrTooLarge,
 			    "the request body exceeds the limit", 0);
 		else
@@ -241,9 +300,9 @@
 	struct api *api = cls;
 	struct request *req = *con_cls;
 
-	if (req == NULL) {
-		req = request_new(api, con, url, method);
-		*con_cls = req;
+	if (req->method == NULL) {
+		req->url = g_strdup(url);
+		req->method = g_strdup(method);
 		check_headers(api, req);
 		return req->response != NULL ? queue_reply(req) : MHD_YES;
 	}
@@ -274,7 +333,6 @@
 	req->con = NULL;
 	pthread_mutex_unlock(&req->lock);
 	request_release_call(req);
-	g_atomic_int_add(&api->active_requests, -1);
 	request_unref(req);
 }
 
@@ -288,7 +346,9 @@
 
 	api->d = d;
 	pthread_mutex_init(&api->lock, NULL);
+	pthread_mutex_init(&api->connections_lock, NULL);
 	api->requests = g_hash_table_new(NULL, NULL);
+	api->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
 	settings_parse_address(d->set->listen, ip, &port);
 	inet_pton(AF_INET, ip, &addr.sin_addr);
 	addr.sin_port = htons(port);
@@ -296,7 +356,9 @@
 	    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, port,
 	    NULL, NULL, on_access, api, MHD_OPTION_SOCK_ADDR,
 	    (struct sockaddr *)&addr, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-	    api, MHD_OPTION_CONNECTION_TIMEOUT,
+	    api, MHD_OPTION_NOTIFY_CONNECTION, on_connection, api,
+	    MHD_OPTION_URI_LOG_CALLBACK, on_uri, api,
+	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned int)d->set->client_timeout_s,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)kConnectionMemoryBytes,
 	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)kConnectionsMax,
@@ -304,12 +366,33 @@
 	if (api->mhd == NULL) {
 		g_set_error(err, SF_ERROR, kErrSettingRange,
 		    "--listen: cannot bind %s", d->set->listen);
+		g_hash_table_unref(api->requests);
+		g_hash_table_unref(api->connections);
 		g_free(api);
 		return NULL;
 	}
 	return api;
 }
 
+/* Hands over the connections that wait in the listen queue. */
+static void
+accept_waiting(struct api *api, MHD_socket fd)
+{
+	struct pollfd pfd = {.fd = fd, .events = POLLIN};
+	struct sockaddr_in addr;
+
+	for (int i = 0; i < kConnectionsMax && poll(&pfd, 1, 0) > 0; i++) {
+		socklen_t len = sizeof(addr);
+		int con = accept4(fd, (struct sockaddr *)&addr, &len,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+		if (con < 0)
+			return;
+		MHD_add_connection(
+		    api->mhd, con, (struct sockaddr *)&addr, len);
+	}
+}
+
 void
 api_refuse_new(struct api *api)
 {
@@ -317,14 +400,42 @@
 
 	g_atomic_int_set(&api->is_refusing_new, 1);
 	fd = MHD_quiesce_daemon(api->mhd);
-	if (fd != MHD_INVALID_SOCKET)
+	if (fd != MHD_INVALID_SOCKET) {
+		accept_waiting(api, fd);
 		close(fd);
+	}
+	api->quiesced_us = clock_mono_us(api->d->clk);
 }
 
-int32_t
-api_active(struct api *api)
+static bool
+has_unread(const struct api_connection *peer)
 {
-	return g_atomic_int_get(&api->active_requests);
+	char c;
+
+	return recv(peer->fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+bool
+api_is_quiet(struct api *api)
+{
+	bool is_waiting =
+	    clock_mono_us(api->d->clk) - api->quiesced_us < kFirstRequestUs;
+	bool is_quiet;
+	GHashTableIter it;
+	void *key;
+
+	pthread_mutex_lock(&api->lock);
+	is_quiet = g_hash_table_size(api->requests) == 0;
+	pthread_mutex_unlock(&api->lock);
+	pthread_mutex_lock(&api->connections_lock);
+	g_hash_table_iter_init(&it, api->connections);
+	while (is_quiet && g_hash_table_iter_next(&it, &key, NULL)) {
+		const struct api_connection *peer = key;
+
+		is_quiet = !has_unread(peer) && (peer->is_used || !is_waiting);
+	}
+	pthread_mutex_unlock(&api->connections_lock);
+	return is_quiet;
 }
 
 /* @return true if a connection was still suspended */
@@ -349,8 +460,12 @@
 	/* MHD_stop_daemon must not run while a connection is suspended. */
 	for (int i = 0; i < kMaxAbortPolls && abort_requests(api); i++)
 		g_usleep(kAbortPollUs);
+	for (int i = 0; i < kMaxQuietPolls && !api_is_quiet(api); i++)
+		g_usleep(kQuietPollUs);
 	MHD_stop_daemon(api->mhd);
 	g_hash_table_unref(api->requests);
+	g_hash_table_unref(api->connections);
 	pthread_mutex_destroy(&api->lock);
+	pthread_mutex_destroy(&api->connections_lock);
 	g_free(api);
 }
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -9,11 +9,16 @@
 /** Listens on the address of --listen. @return NULL and an error on failure */
 struct api *api_new(struct daemon *d, GError **err);
 
-/** Closes the listening socket and refuses new requests. */
+/** Accepts what is in the listen queue, closes that, and refuses new requests.
+ */
 void api_refuse_new(struct api *api);
 
-/** Number of requests whose response is not complete. */
-int32_t api_active(struct api *api);
+/**
+ * After api_refuse_new: true if no caller would notice that the connections are
+ * closed. All requests that have begun to arrive are answered, all bytes are
+ * read, and callers that have just connected had the time to send a request.
+ */
+bool api_is_quiet(struct api *api);
 
 /** Aborts the remaining requests, then stops the server. */
 void api_free(struct api *api);
--- a/src/api/request.h
+++ b/src/api/request.h
@@ -53,6 +53,8 @@
 	GString *body;
 	bool is_started;
 	bool is_body_too_large;
+	/** The daemon drains; the answer follows the body. */
+	bool is_refused;
 	/** The caller's team and its weight in shares of batch capacity. */
 	char *team;
 	int32_t weight;
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -198,7 +198,7 @@
 	batch_runner_stop(d->batch);
 	g_usleep((gulong)(d->set->drain_notice_ms * kUsPerMs));
 	api_refuse_new(d->api);
-	while (api_active(d->api) > 0 &&
+	while (!api_is_quiet(d->api) &&
 	    clock_mono_us(d->clk) - start_us <
 		d->set->drain_timeout_ms * kUsPerMs)
 		g_usleep(kDrainPollMs * kUsPerMs);
