api: a stop logs what it closes

daemon_stopped of the own API gets the number of open connections, of requests that had not been received, of connections with unread bytes and of requests that were cut; request_cut names up to 32 of these by their path. The check before the close looks at unread bytes first and at requests after it, so that what is read meanwhile counts.

--- a/src/api/api.c
+++ b/src/api/api.c
@@ -28,6 +28,8 @@
 	/* Waits for a moment without a request that arrives. */
 	kMaxQuietPolls = 200,
 	kQuietPollUs = 1000,
+	/* Requests cut by one stop that are logged one by one. */
+	kCutsLoggedMax = 32,
 };
 
 struct api_connection {
@@ -50,6 +52,8 @@
 	/** Time at which the last connection was accepted; 0: not yet. */
 	int64_t quiesced_us;
 	gint is_refusing_new;
+	gint is_stopping;
+	struct api_counts counts;
 };
 
 static const struct endpoint endpoints[] = {
@@ -316,6 +320,19 @@
 	return req->response != NULL ? queue_reply(req) : MHD_YES;
 }
 
+/* Requests of the own API have no id: the path is logged. */
+static void
+record_cut(struct api *api, const struct request *req)
+{
+	api->counts.cut++;
+	if (api->counts.cut <= kCutsLoggedMax)
+		log_event(kEvtRequestCut, "uri",
+		    req->url != NULL ? req->url : "", "received",
+		    log_number(req->is_started), "age_us",
+		    log_number(clock_mono_us(api->d->clk) - req->received_us),
+		    NULL);
+}
+
 static void
 on_completed(void *cls, struct MHD_Connection *con, void **con_cls,
     enum MHD_RequestTerminationCode code)
@@ -326,6 +343,9 @@
 	if (req == NULL)
 		return;
 	*con_cls = NULL;
+	if (g_atomic_int_get(&api->is_stopping) &&
+	    code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+		record_cut(api, req);
 	pthread_mutex_lock(&api->lock);
 	g_hash_table_remove(api->requests, req);
 	pthread_mutex_unlock(&api->lock);
@@ -420,13 +440,10 @@
 {
 	bool is_waiting =
 	    clock_mono_us(api->d->clk) - api->quiesced_us < kFirstRequestUs;
-	bool is_quiet;
+	bool is_quiet = true;
 	GHashTableIter it;
 	void *key;
 
-	pthread_mutex_lock(&api->lock);
-	is_quiet = g_hash_table_size(api->requests) == 0;
-	pthread_mutex_unlock(&api->lock);
 	pthread_mutex_lock(&api->connections_lock);
 	g_hash_table_iter_init(&it, api->connections);
 	while (is_quiet && g_hash_table_iter_next(&it, &key, NULL)) {
@@ -435,6 +452,10 @@
 		is_quiet = !has_unread(peer) && (peer->is_used || !is_waiting);
 	}
 	pthread_mutex_unlock(&api->connections_lock);
+	/* After the connections: what is read meanwhile is a request. */
+	pthread_mutex_lock(&api->lock);
+	is_quiet = is_quiet && g_hash_table_size(api->requests) == 0;
+	pthread_mutex_unlock(&api->lock);
 	return is_quiet;
 }
 
@@ -454,15 +475,38 @@
 	return has_suspended;
 }
 
+static void
+count(struct api *api)
+{
+	struct api_counts *n = &api->counts;
+	GHashTableIter it;
+	void *key;
+
+	pthread_mutex_lock(&api->connections_lock);
+	n->open = (int32_t)g_hash_table_size(api->connections);
+	g_hash_table_iter_init(&it, api->connections);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		n->unread += has_unread(key);
+	pthread_mutex_unlock(&api->connections_lock);
+	pthread_mutex_lock(&api->lock);
+	g_hash_table_iter_init(&it, api->requests);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		n->unfinished += !((struct request *)key)->is_started;
+	pthread_mutex_unlock(&api->lock);
+}
+
 void
-api_free(struct api *api)
+api_free(struct api *api, struct api_counts *counts)
 {
+	g_atomic_int_set(&api->is_stopping, 1);
 	/* MHD_stop_daemon must not run while a connection is suspended. */
 	for (int i = 0; i < kMaxAbortPolls && abort_requests(api); i++)
 		g_usleep(kAbortPollUs);
 	for (int i = 0; i < kMaxQuietPolls && !api_is_quiet(api); i++)
 		g_usleep(kQuietPollUs);
+	count(api);
 	MHD_stop_daemon(api->mhd);
+	*counts = api->counts;
 	g_hash_table_unref(api->requests);
 	g_hash_table_unref(api->connections);
 	pthread_mutex_destroy(&api->lock);
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -20,7 +20,19 @@
  */
 bool api_is_quiet(struct api *api);
 
+/** Connections and requests when the server stopped. */
+struct api_counts {
+	int32_t open;
+	/** Requests that had not been received completely. */
+	int32_t unfinished;
+	/** Connections with bytes that were not read. */
+	int32_t unread;
+	/** Requests whose connection was closed before their answer was
+	 * complete. */
+	int32_t cut;
+};
+
 /** Aborts the remaining requests, then stops the server. */
-void api_free(struct api *api);
+void api_free(struct api *api, struct api_counts *counts);
 
 #endif
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -140,11 +140,11 @@
 }
 
 static void
-free_components(struct daemon *d)
+free_components(struct daemon *d, struct api_counts *counts)
 {
 	poller_stop(d->poller);
 	if (d->api != NULL)
-		api_free(d->api);
+		api_free(d->api, counts);
 	target_client_free(d->targets);
 	thread_pool_free(d->workers);
 	intents_free(d->intents);
@@ -210,6 +210,7 @@
 daemon_run(struct settings *set)
 {
 	struct daemon d = {.set = set, .clk = clock_system()};
+	struct api_counts counts = {0};
 	GError *err = NULL;
 	sigset_t signals;
 	int sig;
@@ -223,15 +224,17 @@
 		log_event(kEvtStartFailed, "error", err->message, NULL);
 		fprintf(stderr, "savoryflow: %s\n", err->message);
 		g_error_free(err);
-		free_components(&d);
+		free_components(&d, &counts);
 		return kExitFailed;
 	}
 	log_event(kEvtStarted, "listen", set->listen, "peer_listen",
 	    set->peer_listen, NULL);
 	sigwait(&signals, &sig);
 	drain_and_leave(&d);
-	free_components(&d);
-	log_event(kEvtStopped, NULL);
+	free_components(&d, &counts);
+	log_event(kEvtStopped, "open", log_number(counts.open), "unfinished",
+	    log_number(counts.unfinished), "unread", log_number(counts.unread),
+	    "cut", log_number(counts.cut), NULL);
 	log_close();
 	curl_global_cleanup();
 	return kExitOk;
