test: a daemon that queries its targets often exits

Found in a run of all tests: a daemon with the own API ended with SIGSEGV in ApiStop.AConnectionThatWasAcceptedMaySendItsRequest; 3 of 128 runs beside busy processes did so, too. With a period of 20 ms between reports, one of the first 20 stops does (the 7th in this run). The tests of the stop check that no request was cut as well.

--- a/test/functional/test_api_stop.cc
+++ b/test/functional/test_api_stop.cc
@@ -65,6 +65,8 @@
 		EXPECT_NE(std::string::npos, answer.find("Connection: close"))
 		    << c.name;
 		EXPECT_EQ(0, f.daemons[0]->Wait());
+		EXPECT_EQ(0, f.daemons[0]->Count("request_cut")) << c.name;
+		EXPECT_EQ(1, f.daemons[0]->Count("\"cut\":\"0\"")) << c.name;
 	}
 }
 
@@ -100,4 +102,18 @@
 	EXPECT_EQ(0, res.lost) << "of " << res.sent;
 }
 
+/* Its thread of peers queries targets, up to its end. */
+TEST(ApiStop, ADaemonThatQueriesItsTargetsOftenExits)
+{
+	FleetOptions o = OneDaemon();
+
+	o.flags = {"--drain-notice-ms=0", "--report-period-ms=20"};
+	for (int i = 0; i < 20; i++) {
+		Fleet f(o);
+
+		f.daemons[0]->Signal(SIGTERM);
+		ASSERT_EQ(0, f.daemons[0]->Wait()) << "stop " << i;
+	}
+}
+
 } // namespace
