serve: the thread of peers ends before the client that it uses

Callers and operators saw a daemon with the own API end with SIGSEGV at a stop. Cause, from two cores: free_components freed the client of targets, then the thread of peers, whose tick starts a report with that client; a use after free that is older than this change. Now that thread ends first.

--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -145,11 +145,12 @@
 	poller_stop(d->poller);
 	if (d->api != NULL)
 		api_free(d->api, counts);
+	/* Its thread starts reports at targets. */
+	if (d->peer != NULL)
+		peer_stop(d->peer);
 	target_client_free(d->targets);
 	thread_pool_free(d->workers);
 	intents_free(d->intents);
-	if (d->peer != NULL)
-		peer_stop(d->peer);
 	timers_free(d->timers);
 	batch_runner_free(d->batch);
 	poller_free(d->poller);
