--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -45,6 +45,8 @@
 	/** int64_t: time of the last reconnect, by peer. */
 	GHashTable *reconnects;
 	struct front *front;
+	/** When the server for callers stopped. */
+	struct front_counts front_counts;
 	struct front *ready;
 	struct front *metrics;
 	struct routebook *routes;
@@ -62,6 +64,8 @@
 	/** The complete list of targets has been read. */
 	bool has_target_list;
 	bool is_draining;
+	/** Nothing can be forwarded any more. */
+	bool is_stopping;
 	int64_t drain_started_us;
 	bool has_left_roster;
 };
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -43,9 +43,10 @@
 static bool
 is_rejecting_requests(const struct gateway *gw)
 {
-	return gw->is_draining &&
-	    loop_now_us(gw->lp) - gw->drain_started_us >
-	    kGatewayBalancerDetectUs;
+	return gw->is_stopping ||
+	    (gw->is_draining &&
+		loop_now_us(gw->lp) - gw->drain_started_us >
+		    kGatewayBalancerDetectUs);
 }
 
 static void
@@ -88,7 +89,41 @@
 	}
 }
 
-const struct front_ops gateway_front_ops = {on_request};
+/* The drain timeout has expired. An attempt may have reached a target. */
+static void
+on_abort(void *ctx, struct front_request *req)
+{
+	struct gateway *gw = ctx;
+	struct dialect_call call;
+
+	gw->adapter->dialect->decode_call(
+	    front_method(req), front_uri(req), front_headers(req), &call);
+	log_event(kEvtCallEnded, "request", call.attempt_id, "end", "failed",
+	    "cause", "drain_timeout", "age_us",
+	    log_number(loop_now_us(gw->lp) - front_received_us(req)), NULL);
+	reply_error(req, kErrTargetFailed,
+	    "this daemon stops before there is an answer; the request may "
+	    "have run",
+	    0);
+}
+
+/* A request without its head has no id yet. */
+static void
+on_cut(void *ctx, struct front_request *req)
+{
+	struct gateway *gw = ctx;
+	struct dialect_call call = {0};
+
+	if (front_method(req) != NULL)
+		gw->adapter->dialect->decode_call(front_method(req),
+		    front_uri(req), front_headers(req), &call);
+	log_event(kEvtRequestCut, "request", call.attempt_id, "uri",
+	    front_uri(req), "received", log_number(front_body(req) != NULL),
+	    "age_us", log_number(loop_now_us(gw->lp) - front_received_us(req)),
+	    NULL);
+}
+
+const struct front_ops gateway_front_ops = {on_request, on_abort, on_cut};
 
 static void
 on_ready_request(void *ctx, struct front_request *req)
@@ -111,5 +146,5 @@
 	g_string_free(text, TRUE);
 }
 
-const struct front_ops gateway_ready_ops = {on_ready_request};
-const struct front_ops gateway_metrics_ops = {on_metrics_request};
+const struct front_ops gateway_ready_ops = {.on_request = on_ready_request};
+const struct front_ops gateway_metrics_ops = {.on_request = on_metrics_request};
