Slots: an answer that arrives as the wait ends decides nothing

Found by review. When a wait ends by its bound, the slot or the request is given back and the refusal is queued. An answer of the arbiter read in the same iteration stood before it: a grant started the request on a slot that had been given back, and the answer of an arbiter that did not know the pool used the view that was gone, which ended the daemon.

Only that refusal is delivered now. SlotsWait.AnAnswerReadAsTheWaitEndsDecidesNothing failed before (granted) and passes; the review's own tests showed the crash and a request without a slot.

--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -328,6 +328,10 @@
 
 	if (h == NULL)
 		return;
+	/* The slot or the request was given back already; the refusal of this
+	 * daemon follows. */
+	if (h->view == NULL && del->verdict != kSlotRefused)
+		return;
 	switch (del->verdict) {
 	case kSlotGranted:
 		handle_grant(sl, h, del);
--- a/test/unit/test_slots_wait.cc
+++ b/test/unit/test_slots_wait.cc
@@ -392,6 +392,34 @@
 	EXPECT_EQ(2, granted) << "8 slots, 3 daemons";
 }
 
+/* Read in the iteration that ends the wait, before the refusal is delivered. */
+TEST_F(SlotsWait, AnAnswerReadAsTheWaitEndsDecidesNothing)
+{
+	for (slotpool_verdict v :
+	    {kSlotGranted, kSlotQueued, kSlotUnknownPool, kSlotRevoked}) {
+		steps.push_back([this, v] {
+			struct delivery del = {};
+
+			decisions = 0;
+			Acquire(kRetryWaitUs);
+			Hold()->view = nullptr;
+			del.id = id;
+			del.verdict = v;
+			slots_deliver(sl, &del);
+			del.verdict = kSlotRefused;
+			del.retry_after_us = 300 * kMs;
+			slots_deliver(sl, &del);
+		});
+		steps.push_back([this, v] {
+			EXPECT_EQ(1, decisions) << v;
+			EXPECT_EQ("refused", outcome) << v;
+		});
+	}
+	c.first = c.later = kSilent;
+	Make(Row, "dc1");
+	Run();
+}
+
 /* A caller leaves a stream after 2 s without an event. A second attempt, after
  * 0.6 s of silence, is of no use to it later. */
 TEST_F(SlotsWait, AQueueDecidesBeforeTheCallerLeaves)
