Slots: a daemon that was stopped reads its answers before it judges arbiters

After a stop, the tick ran before the answers that peers had sent were handed over: each arbiter that was awaited counted as silent, was suspected for 8 s and its connection replaced, and waits past their bound ended. A tick that is over 40 ms late is now put off once, and the time of the stop is not counted against arbiters.

SlotsWait.AnArbiterIsNotSuspectedWhileTheDaemonWasStopped failed before (asked twice, not granted) and passes.

--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -26,6 +26,9 @@
 	kLocalRetryUs = 300 * kUsPerMs,
 	/* Period of asking an arbiter whether it keeps an overdue request. */
 	kConfirmUs = 300 * kUsPerMs,
+	/* A tick that is later than this may run before what has arrived is
+	 * read. */
+	kTickLateUs = 40 * kUsPerMs,
 };
 
 static void deliver_all(void *ctx);
@@ -520,15 +523,38 @@
 	return false;
 }
 
+/* The daemon was stopped: its arbiters had no time to answer it.
+ * @return true if the tick is put off, once, until their answers are read */
+static bool
+put_off_late_tick(struct slots *sl, int64_t now_us)
+{
+	int64_t late_us = now_us - sl->next_tick_us;
+	GHashTableIter it;
+	void *val;
+
+	sl->is_tick_put_off = late_us > kTickLateUs && !sl->is_tick_put_off;
+	if (!sl->is_tick_put_off)
+		return false;
+	g_hash_table_iter_init(&it, sl->holds);
+	while (g_hash_table_iter_next(&it, NULL, &val))
+		if (((struct hold *)val)->phase == kHoldRequested)
+			((struct hold *)val)->requested_us += late_us;
+	schedule_tick(sl, now_us + kTickUs);
+	return true;
+}
+
 static void
 tick(void *ctx)
 {
 	struct slots *sl = ctx;
 	int64_t now_us = loop_now_us(sl->opt.lp);
-	GPtrArray *list = g_ptr_array_new();
+	GPtrArray *list;
 	GHashTableIter it;
 	void *val;
 
+	if (put_off_late_tick(sl, now_us))
+		return;
+	list = g_ptr_array_new();
 	slots_host_tick(sl, now_us);
 	g_hash_table_iter_init(&it, sl->holds);
 	while (g_hash_table_iter_next(&it, NULL, &val))
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -117,6 +117,8 @@
 	GArray *deliveries;
 	uint64_t timer;
 	int64_t next_tick_us;
+	/** The last tick was late and judged nothing. */
+	bool is_tick_put_off;
 	/** Lines logged about long waits in the second that began then. */
 	int64_t wait_logged_us;
 	int32_t wait_logged_count;
--- a/test/unit/test_slots_wait.cc
+++ b/test/unit/test_slots_wait.cc
@@ -420,6 +420,31 @@
 	Run();
 }
 
+/* What arrived during the stop is read after the late tick. */
+TEST_F(SlotsWait, AnArbiterIsNotSuspectedWhileTheDaemonWasStopped)
+{
+	for (int64_t stop_us : {300 * kMs, 2500 * kMs}) {
+		steps.push_back([this, stop_us] {
+			decisions = 0;
+			asked = 0;
+			Acquire(kRetryWaitUs);
+			pending.clear();
+			now_us += stop_us;
+		});
+		steps.push_back([this] { Answer(first, kSlotGranted); });
+		for (int64_t t = 0; t < 100 * kMs; t += kStepUs)
+			steps.push_back([this] { Step(); });
+		steps.push_back([this, stop_us] {
+			EXPECT_EQ(1, asked) << stop_us;
+			EXPECT_EQ("granted", outcome) << stop_us;
+			slots_release(sl, id, kSlotServed);
+		});
+	}
+	c.first = c.later = kQueues;
+	Make(Row, "dc1");
+	Run();
+}
+
 /* A caller leaves a stream after 2 s without an event. A second attempt, after
  * 0.6 s of silence, is of no use to it later. */
 TEST_F(SlotsWait, AQueueDecidesBeforeTheCallerLeaves)
