Slotpool: requests that avoid the free targets hold up no other, at any number

A target that falls silent makes all its requests ask for another one at once. From the 16th that waited, a request behind them got no slot though the silent target had free ones; and they counted as a queue before it, so it was refused at once.

Requests that avoid a target are skipped up to 256, counted apart from those that cannot reach the free targets, and a request is refused for its expected wait only if it did not start. Slotpool.ManyRequestsThatAvoidTheFreeTargetHoldUpNoOther failed before (refused) and passes.

--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -17,9 +17,12 @@
 	/* Batch leaves one of this many slots free, for online arrivals during
 	 * the few ms that a revoked run takes to end. */
 	kSlotsPerReserved = 24,
-	/* Queued requests that are skipped if they may not run on the targets
-	 * with free slots. */
+	/* Queued requests that are skipped if their daemons do not reach the
+	 * free slots. */
 	kSkippedMax = 16,
+	/* The same if they avoid the targets with free slots: a target that
+	 * falls silent makes all its requests do so at once. */
+	kAvoidingSkippedMax = 256,
 	/* A live holder renews its slots more often than this. */
 	kLeaseUs = 4 * kUsPerS,
 	/* A live holder ends a revoked run within a few ms. */
@@ -298,21 +301,46 @@
 	return true;
 }
 
+/* Requests at the head of the queue that cannot start yet. */
+struct skipped {
+	int32_t unreachable;
+	int32_t avoiding;
+};
+
+static void
+skip(struct skipped *skipped, const struct slot_request *req)
+{
+	if (req->excluded_target[0] != '\0')
+		skipped->avoiding++;
+	else
+		skipped->unreachable++;
+}
+
+/* The first queued request after the skipped ones. */
+static bool
+next_queued(const struct slotpool *sp, bool is_batch,
+    const struct skipped *skipped, struct slot_request *req)
+{
+	return skipped->unreachable < kSkippedMax &&
+	    skipped->avoiding < kAvoidingSkippedMax &&
+	    slot_queue_at(sp->queue, is_batch,
+		skipped->unreachable + skipped->avoiding, req);
+}
+
 /* A request that may not run on all targets does not block those behind it. */
 static void
 start_queued_online(struct slotpool *sp, int64_t now_us, GArray *out)
 {
 	struct slot_request req;
-	int32_t pos = 0;
+	struct skipped skipped = {0, 0};
 
-	while (
-	    pos < kSkippedMax && slot_queue_at(sp->queue, false, pos, &req)) {
+	while (next_queued(sp, false, &skipped, &req)) {
 		if (start_online(sp, &req, now_us, out))
 			slot_queue_remove(sp->queue, req.id);
 		else if (may_run_on_all(sp, &req, now_us))
 			return;
 		else
-			pos++;
+			skip(&skipped, &req);
 	}
 }
 
@@ -322,17 +350,17 @@
 	struct slotpool_load load = slotpool_load_get(sp, now_us);
 	int32_t reserve = load.slots / kSlotsPerReserved;
 	struct slot_request req;
-	int32_t pos = 0;
+	struct skipped skipped = {0, 0};
 
 	while (!sp->is_batch_paused && load.online_queued == 0 &&
-	    pos < kSkippedMax && slot_queue_at(sp->queue, true, pos, &req) &&
+	    next_queued(sp, true, &skipped, &req) &&
 	    load.online + load.batch + reserve < load.slots) {
 		struct slot_target *t = choose_free(sp, &req, now_us);
 
 		if (t == NULL && may_run_on_all(sp, &req, now_us))
 			return;
 		if (t == NULL) {
-			pos++;
+			skip(&skipped, &req);
 			continue;
 		}
 		grant(sp, t, &req, now_us, out);
@@ -392,13 +420,19 @@
 	slot_targets_count_reachable(
 	    sp->targets, req->holder, now_us, &targets, &reached);
 	if (reached == 0 ||
-	    slot_targets_has_only(sp->targets, req->excluded_target) ||
-	    now_us + slotpool_wait_us(&load) > req->deadline_us) {
+	    slot_targets_has_only(sp->targets, req->excluded_target)) {
 		refuse(sp, req, now_us, out);
 		return;
 	}
 	slot_queue_add(sp->queue, req);
 	start_queued_online(sp, now_us, out);
+	/* Those before it may be unable to use the free slots, so it is refused
+	 * only if it did not start. */
+	if (slot_queue_has(sp->queue, req->id) &&
+	    now_us + slotpool_wait_us(&load) > req->deadline_us) {
+		slot_queue_remove(sp->queue, req->id);
+		refuse(sp, req, now_us, out);
+	}
 }
 
 static void
--- a/test/unit/test_slotpool.cc
+++ b/test/unit/test_slotpool.cc
@@ -209,6 +209,23 @@
 	}
 }
 
+TEST_F(Slotpool, ManyRequestsThatAvoidTheFreeTargetHoldUpNoOther)
+{
+	const uint64_t n = 40;
+
+	Targets({{"a", 2}, {"b", 1}});
+	now += 10 * kSec;
+	for (uint64_t id = 1; id <= n; id++) {
+		slot_request avoids = Request(id, false, now + 5 * kSec, 1);
+
+		g_strlcpy(avoids.excluded_target, "a",
+		    sizeof(avoids.excluded_target));
+		slotpool_request(sp, &avoids, now, out);
+		TakeActions();
+	}
+	EXPECT_EQ(kSlotGranted, Online(n + 1, 2 * kSec)[n + 1].verdict);
+}
+
 TEST_F(Slotpool, ARequestThatAvoidsTheOnlyTargetIsRefusedAtOnce)
 {
 	Targets({{"a", 2}});
