An item is not kept for ever at a silent target

Found by review.

After 5 s of silence the run ends and the item runs again like after a cut. Online requests end at the deadline of their route. Relay.AnItemIsNotKeptForEverAtASilentTarget failed before (the attempt was still there after 9 s) and passes.

--- a/src/gateway/relay_takeover.c
+++ b/src/gateway/relay_takeover.c
@@ -17,6 +17,9 @@
 	/* A timer this late follows a stop of the process: what arrived
 	 * meanwhile is read before it counts. */
 	kLoopLateUs = 40 * kUsPerMs,
+	/* A batch item has no deadline of its own. Past this time its target is
+	 * taken to have lost it. */
+	kItemSilentMaxUs = 5 * kUsPerS,
 	/* Silences of one request that are logged. */
 	kSilencesLoggedMax = 4,
 };
@@ -79,8 +82,17 @@
 		rl->silences++;
 		log_silence(rl, kEvtAttemptSilent);
 	}
+	if (rl->opt.is_batch &&
+	    now_us - rl->silent_since_us >= kItemSilentMaxUs) {
+		relay_fail_attempt(rl, kSlotUnresponsive, "silent");
+		return;
+	}
 	rl->takeover_requested_us = now_us;
 	rl->takeover_slot = relay_acquire_slot(rl);
+	/* The slot of an item may take any time to come. */
+	if (rl->opt.is_batch)
+		start_stall_timer(
+		    rl, rl->silent_since_us + kItemSilentMaxUs - now_us);
 }
 
 void
@@ -121,6 +133,7 @@
 relay_on_takeover_refused(struct relay *rl)
 {
 	rl->takeover_slot = 0;
+	loop_timer_cancel(rl->deps.lp, rl->stall_timer);
 	start_stall_timer(rl, kTakeoverRetryUs);
 }
 
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -18,6 +18,7 @@
 const int64_t kMs = 1000;
 const int kTickMs = 10;
 const int kEndMs = 3000;
+const int kItemEndMs = 9000;
 
 /* One play: what happens at which ms, and what the relay did. */
 struct Play {
@@ -188,7 +189,8 @@
 	struct relay *rl = nullptr;
 	std::vector<Step> steps;
 	/* While it is stopped, the loop runs nothing. */
-	int stop_ms = kEndMs, go_on_ms = kEndMs;
+	int end_ms = kEndMs;
+	int stop_ms = kItemEndMs, go_on_ms = kItemEndMs;
 	int tick_ms = 0;
 
 	Relay()
@@ -272,7 +274,7 @@
 		for (const Step &s : t->steps)
 			if (s.at_ms == t->tick_ms && !t->state.is_ended)
 				t->Apply(s.what);
-		if (t->tick_ms >= kEndMs || t->state.is_ended)
+		if (t->tick_ms >= t->end_ms || t->state.is_ended)
 			loop_stop(t->lp);
 		else
 			loop_post(t->lp, Tick, t);
@@ -471,6 +473,21 @@
 		EXPECT_EQ(c.trace, Run(opt, c.script)) << c.name;
 }
 
+TEST_F(Relay, AnItemIsNotKeptForEverAtASilentTarget)
+{
+	relay_options opt = Options();
+	std::string trace;
+
+	opt.is_batch = true;
+	opt.attempts_max = 1;
+	end_ms = kItemEndMs;
+	trace = Run(opt,
+	    {{10, "grant a"}, {100, "event"}, {300, "refuse"}, {700, "refuse"},
+		{1100, "refuse"}});
+	EXPECT_NE(std::string::npos, trace.find("free a silent")) << trace;
+	EXPECT_NE(std::string::npos, trace.find("end broken")) << trace;
+}
+
 TEST_F(Relay, ATargetIsNotFoundSilentWhileTheDaemonWasStopped)
 {
 	stop_ms = 100;
