Outbound: a connection whose other end is gone is closed also while nothing is sent

Found by review, by reading. TCP_USER_TIMEOUT covers only bytes that are on their way; a request that waits for its answer behind a cut link was never told that the connection was dead, and since silence alone does not end an attempt any more, it waited for its deadline. Probes after 3 s without a byte end such a connection after 5 s. No test: the loopback acknowledges.

--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -21,9 +21,6 @@
 	kIdleMaxS = 3,
 	kAgeMaxS = 60,
 	kConnectionsKept = 64,
-	/* A connection is closed when sent bytes stay unacknowledged for this
-	 * long. */
-	kUserTimeoutMs = 2000,
 };
 
 struct outbound {
@@ -333,14 +330,12 @@
 on_socket_created(void *ctx, curl_socket_t fd, curlsocktype type)
 {
 	struct outbound_request *req = ctx;
-	int timeout_ms = kUserTimeoutMs;
 
 	req->is_first_on_connection = true;
 	req->fd = fd;
 	req->read_before = 0;
 	metric_add(kMetConnects, 1);
-	setsockopt(
-	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	outbound_sockets_detect_loss(fd);
 	return CURL_SOCKOPT_OK;
 }
 
--- a/src/gateway/outbound_sockets.c
+++ b/src/gateway/outbound_sockets.c
@@ -2,10 +2,21 @@
 #include "gateway/outbound_sockets.h"
 
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdbool.h>
 #include <string.h>
 #include <sys/socket.h>
 
+enum {
+	/* A connection is closed when sent bytes or probes stay unacknowledged
+	 * for this long. */
+	kUserTimeoutMs = 2000,
+	/* Time without a byte before the first probe, and between probes. */
+	kKeepAliveIdleS = 3,
+	kKeepAliveIntervalS = 1,
+};
+
 struct outbound_sockets {
 	/** struct outbound_path by descriptor. */
 	GHashTable *paths;
@@ -86,3 +97,19 @@
 			return input_of(GPOINTER_TO_INT(fd));
 	return kSocketQuiet;
 }
+
+void
+outbound_sockets_detect_loss(int fd)
+{
+	const int is_probed = 1;
+	const int idle_s = kKeepAliveIdleS;
+	const int interval_s = kKeepAliveIntervalS;
+	const int timeout_ms = kUserTimeoutMs;
+
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &is_probed, sizeof(is_probed));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof(idle_s));
+	setsockopt(
+	    fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof(interval_s));
+}
--- a/src/gateway/outbound_sockets.h
+++ b/src/gateway/outbound_sockets.h
@@ -34,4 +34,8 @@
 enum socket_input outbound_sockets_input(
     const struct outbound_sockets *os, const struct outbound_path *path);
 
+/** Makes the kernel close a connection whose other end does not acknowledge,
+ * also while nothing is sent. */
+void outbound_sockets_detect_loss(int fd);
+
 #endif
