Own API: a grant that moves no call costs it no failure

Found by review, by reading. The grant beside a silent attempt asked the retry rules whether the call may move, which counted a failure also when it stayed, for example for want of retry budget; two such grants used up the failures of the call, and a real break then ended it at once. It is decided on a copy now. No test of its own; the tests of silent engines pass.

--- a/src/serve/call_takeover.c
+++ b/src/serve/call_takeover.c
@@ -34,6 +34,24 @@
 	    c->retry.failures + 1 < c->retry.failures_max;
 }
 
+/* Whether the silent attempt ends now; counts it only if it does. The lock is
+ * held. */
+static bool
+decide_move(struct call *c)
+{
+	struct retry_state retry = c->retry;
+	struct item_retry item_retry = c->item_retry;
+	long status = c->attempt_status;
+
+	c->attempt_status = 0;
+	if (call_decide_locked(c, kAttemptStalled).action == kRetryAgain)
+		return true;
+	c->retry = retry;
+	c->item_retry = item_retry;
+	c->attempt_status = status;
+	return false;
+}
+
 /* Moves the call to the granted attempt; its first one ends at the cancel. */
 static void
 on_granted(void *ctx, uint64_t id)
@@ -48,9 +66,7 @@
 	if (c->next_attempt == id && c->phase == kPhaseRunning &&
 	    !c->is_revoked) {
 		c->next_attempt = 0;
-		c->attempt_status = 0;
-		if (call_decide_locked(c, kAttemptStalled).action ==
-		    kRetryAgain) {
+		if (decide_move(c)) {
 			silent_attempt = c->attempt;
 			g_strlcpy(silent_target, c->route.target,
 			    sizeof(silent_target));
