Tests: a stopped daemon that starts again has its targets before it is asked

GatewayStop.ARequestThatArrivesInPartsIsAnswered failed one of eleven runs at its first call after a restart. A daemon is ready with its configuration, possibly before it has read the list of targets, and then answers 503 at once. The test waits for a served call as the fixture does at the first start, and prints an answer that it does not expect.

--- a/test/functional/test_gateway_stop.cc
+++ b/test/functional/test_gateway_stop.cc
@@ -55,7 +55,9 @@
 
 		for (Connection *con : {&idle, &piped}) {
 			con->Send(Request("kept"));
-			EXPECT_EQ(0u, con->Read().find("HTTP/1.1 200 "));
+			std::string answer = con->Read();
+			EXPECT_EQ(0u, answer.find("HTTP/1.1 200 "))
+			    << c.name << ": " << answer;
 		}
 		parts.Send(text.substr(0, c.sent));
 		StopUntilRefusing();
@@ -69,7 +71,11 @@
 		EXPECT_EQ(0, daemons[0]->Count("request_cut")) << c.name;
 		EXPECT_EQ(0, CountRuns("late") + CountRuns("p"));
 		StartDaemon(0);
-		ASSERT_TRUE(Eventually([&] { return ReadyStatus(0) == 200; }));
+		/* Ready before it has read the list of targets. */
+		ASSERT_TRUE(Eventually([&] {
+			return ReadyStatus(0) == 200 &&
+			    Call(0, "/q/warm", "w", 1).status == 200;
+		}));
 	}
 }
 
