--- a/src/log/events.h
+++ b/src/log/events.h
@@ -33,7 +33,7 @@
 	X(kEvtAnswerCut, 1211, WARN, "answer_cut",                             \
 	    "More arrived than an answer may have, or than its caller reads; " \
 	    "the connection was closed. The request may have run.")            \
-	X(kEvtRequestCut, 1217, WARN, "request_cut",                           \
+	X(kEvtRequestCut, 1218, WARN, "request_cut",                           \
 	    "The daemon closed a connection on which it had read a request "   \
 	    "or a part of one, before the answer was complete; the first 32 "  \
 	    "of a stop are logged.")                                           \
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -52,7 +52,7 @@
 	NUM(online_deadline_ms, "online-deadline-ms", 120000, 100, 3600000,    \
 	    "ms", "time for an online request when its caller gives none")     \
 	NUM(stall_timeout_ms, "stall-timeout-ms", 3000, 100, 600000, "ms",     \
-	    "a stream without progress for so long is taken as cut")           \
+	    "time without progress after which another target is asked")       \
 	NUM(client_timeout_s, "client-timeout-s", 30, 1, 3600, "s",            \
 	    "a caller that sends or reads nothing for so long is dropped")     \
 	NUM(grant_timeout_ms, "grant-timeout-ms", 40, 1, 10000, "ms",          \
