--- a/src/savoryflow/slotpool/slot_queue.c
+++ b/src/savoryflow/slotpool/slot_queue.c
@@ -4,6 +4,12 @@
 #include "savoryflow/arbiter/u64_hash.h"
 #include "savoryflow/slotpool/batch_rank.h"
 
+enum {
+	kUnreachableSkippedMax = 16,
+	/* All requests of a target that falls silent avoid it at once. */
+	kAvoidingSkippedMax = 256,
+};
+
 struct slot_queue {
 	/** struct slot_request. */
 	GSequence *online;
@@ -112,6 +118,26 @@
 	return true;
 }
 
+void
+slot_queue_skip(
+    struct slot_queue_skipped *skipped, const struct slot_request *req)
+{
+	if (req->excluded_target[0] != '\0')
+		skipped->avoiding++;
+	else
+		skipped->unreachable++;
+}
+
+bool
+slot_queue_next(const struct slot_queue *sq, bool is_batch,
+    const struct slot_queue_skipped *skipped, struct slot_request *req)
+{
+	return skipped->unreachable < kUnreachableSkippedMax &&
+	    skipped->avoiding < kAvoidingSkippedMax &&
+	    slot_queue_at(
+		sq, is_batch, skipped->unreachable + skipped->avoiding, req);
+}
+
 void
 slot_queue_demote_late_batch(struct slot_queue *sq, int64_t now_us)
 {
--- a/src/savoryflow/slotpool/slot_queue.h
+++ b/src/savoryflow/slotpool/slot_queue.h
@@ -25,6 +25,22 @@
 bool slot_queue_at(const struct slot_queue *sq, bool is_batch, int32_t pos,
     struct slot_request *req);
 
+/** Requests at the front of a queue that cannot start yet. */
+struct slot_queue_skipped {
+	/** Their daemons do not reach the free slots. */
+	int32_t unreachable;
+	/** They avoid the targets with free slots. */
+	int32_t avoiding;
+};
+
+void slot_queue_skip(
+    struct slot_queue_skipped *skipped, const struct slot_request *req);
+
+/** Copies the first request after the skipped ones. @return false if there is
+ * none or too many were skipped */
+bool slot_queue_next(const struct slot_queue *sq, bool is_batch,
+    const struct slot_queue_skipped *skipped, struct slot_request *req);
+
 /** Moves batch items that can no longer meet their deadline behind those that
  * can. */
 void slot_queue_demote_late_batch(struct slot_queue *sq, int64_t now_us);
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -17,12 +17,6 @@
 	/* Batch leaves one of this many slots free, for online arrivals during
 	 * the few ms that a revoked run takes to end. */
 	kSlotsPerReserved = 24,
-	/* Queued requests that are skipped if their daemons do not reach the
-	 * free slots. */
-	kSkippedMax = 16,
-	/* The same if they avoid the targets with free slots: a target that
-	 * falls silent makes all its requests do so at once. */
-	kAvoidingSkippedMax = 256,
 	/* A live holder renews its slots more often than this. */
 	kLeaseUs = 4 * kUsPerS,
 	/* A live holder ends a revoked run within a few ms. */
@@ -301,46 +295,20 @@
 	return true;
 }
 
-/* Requests at the head of the queue that cannot start yet. */
-struct skipped {
-	int32_t unreachable;
-	int32_t avoiding;
-};
-
-static void
-skip(struct skipped *skipped, const struct slot_request *req)
-{
-	if (req->excluded_target[0] != '\0')
-		skipped->avoiding++;
-	else
-		skipped->unreachable++;
-}
-
-/* The first queued request after the skipped ones. */
-static bool
-next_queued(const struct slotpool *sp, bool is_batch,
-    const struct skipped *skipped, struct slot_request *req)
-{
-	return skipped->unreachable < kSkippedMax &&
-	    skipped->avoiding < kAvoidingSkippedMax &&
-	    slot_queue_at(sp->queue, is_batch,
-		skipped->unreachable + skipped->avoiding, req);
-}
-
 /* A request that may not run on all targets does not block those behind it. */
 static void
 start_queued_online(struct slotpool *sp, int64_t now_us, GArray *out)
 {
 	struct slot_request req;
-	struct skipped skipped = {0, 0};
+	struct slot_queue_skipped skipped = {0, 0};
 
-	while (next_queued(sp, false, &skipped, &req)) {
+	while (slot_queue_next(sp->queue, false, &skipped, &req)) {
 		if (start_online(sp, &req, now_us, out))
 			slot_queue_remove(sp->queue, req.id);
 		else if (may_run_on_all(sp, &req, now_us))
 			return;
 		else
-			skip(&skipped, &req);
+			slot_queue_skip(&skipped, &req);
 	}
 }
 
@@ -350,17 +318,17 @@
 	struct slotpool_load load = slotpool_load_get(sp, now_us);
 	int32_t reserve = load.slots / kSlotsPerReserved;
 	struct slot_request req;
-	struct skipped skipped = {0, 0};
+	struct slot_queue_skipped skipped = {0, 0};
 
 	while (!sp->is_batch_paused && load.online_queued == 0 &&
-	    next_queued(sp, true, &skipped, &req) &&
+	    slot_queue_next(sp->queue, true, &skipped, &req) &&
 	    load.online + load.batch + reserve < load.slots) {
 		struct slot_target *t = choose_free(sp, &req, now_us);
 
 		if (t == NULL && may_run_on_all(sp, &req, now_us))
 			return;
 		if (t == NULL) {
-			skip(&skipped, &req);
+			slot_queue_skip(&skipped, &req);
 			continue;
 		}
 		grant(sp, t, &req, now_us, out);
--- a/src/serve/routes.c
+++ b/src/serve/routes.c
@@ -101,7 +101,7 @@
 }
 
 bool
-routes_choose(
+routes_choose_other(
     struct routes *rs, struct routing_query *query, struct route *route)
 {
 	const struct routing_target *t;
@@ -109,11 +109,6 @@
 	pthread_mutex_lock(&rs->lock);
 	query->now_us = clock_mono_us(rs->d->clk);
 	t = routing_choose(rs->routing, query);
-	if (t == NULL && query->excluded_target != NULL) {
-		/* The target that failed last is the only one available. */
-		query->excluded_target = NULL;
-		t = routing_choose(rs->routing, query);
-	}
 	if (t != NULL)
 		route_fill(rs, t, route);
 	pthread_mutex_unlock(&rs->lock);
@@ -121,18 +116,16 @@
 }
 
 bool
-routes_choose_other(
+routes_choose(
     struct routes *rs, struct routing_query *query, struct route *route)
 {
-	const struct routing_target *t;
-
-	pthread_mutex_lock(&rs->lock);
-	query->now_us = clock_mono_us(rs->d->clk);
-	t = routing_choose(rs->routing, query);
-	if (t != NULL)
-		route_fill(rs, t, route);
-	pthread_mutex_unlock(&rs->lock);
-	return t != NULL;
+	if (routes_choose_other(rs, query, route))
+		return true;
+	if (query->excluded_target == NULL)
+		return false;
+	/* The target that failed last is the only one available. */
+	query->excluded_target = NULL;
+	return routes_choose_other(rs, query, route);
 }
 
 bool
