--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -31,6 +31,7 @@
 	struct relay *relay;
 	struct loop *lp;
 	uint64_t fingerprint;
+	struct prompt_parts parts;
 	char attempt_id[kAttemptIdMax];
 	char route[kFleetNameMax];
 	int64_t objective_us;
@@ -169,11 +170,12 @@
 }
 
 static bool
-on_no_response(void *ctx)
+on_no_response(void *ctx, const struct relay_lost_run *run)
 {
 	struct online_call *oc = ctx;
 	const struct calls_options *opt = &oc->cs->opt;
 
+	crash_guard_on_lost_run(opt->guard, oc->attempt_id, &oc->parts, run);
 	bool is_quarantined = suspects_record_interrupted(
 	    opt->suspects, oc->fingerprint, loop_now_us(oc->lp));
 
@@ -262,6 +264,7 @@
 	opt.ctx = oc;
 	oc->cs = cs;
 	oc->fingerprint = fingerprint;
+	oc->parts = call->parts;
 	oc->req = req;
 	oc->lp = cs->opt.deps.lp;
 	oc->headers = header_list_new();
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYFLOW_GATEWAY_CALLS_H
 #define SAVORYFLOW_GATEWAY_CALLS_H
 
+#include "gateway/crash_guard.h"
 #include "gateway/front.h"
 #include "gateway/relay.h"
 #include "savoryflow/retry/suspects.h"
@@ -11,6 +12,7 @@
 struct calls_options {
 	struct relay_deps deps;
 	struct suspects *suspects;
+	struct crash_guard *guard;
 	/** Notifies the peers that a run of a request was interrupted, and
 	 * whether this quarantines the request. */
 	void (*notify_run_interrupted)(
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -15,6 +15,14 @@
 enum {
 	/** Longest attempt id of a caller, including the terminating NUL. */
 	kAttemptIdMax = 128,
+	/** Parts of a prompt that are told apart. */
+	kPromptPartsMax = 15,
+};
+
+/** Parts of a prompt that other requests may share, in order. */
+struct prompt_parts {
+	uint64_t ids[kPromptPartsMax];
+	int32_t count;
 };
 
 enum dialect_endpoint {
@@ -36,6 +44,7 @@
 	int64_t last_event_id;
 	/** Hash of the prompt's shared prefix; 0 if there is none. */
 	uint64_t prefix;
+	struct prompt_parts parts;
 	/** Jobs: job id, position of the first result requested, item id. */
 	char job_id[kAttemptIdMax];
 	int32_t from_position;
@@ -73,6 +82,8 @@
 struct dialect_ops {
 	void (*decode_call)(const char *method, const char *uri,
 	    const struct header_list *headers, struct dialect_call *call);
+	void (*decode_parts)(
+	    const struct header_list *headers, struct prompt_parts *parts);
 	/** Sets the header fields of a request to a target. */
 	void (*encode_forward)(
 	    struct header_list *headers, const struct dialect_forward *fwd);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -265,6 +265,7 @@
 	struct calls_options calls = {
 	    .notify_run_interrupted = gateway_notify_run_interrupted,
 	    .ctx = gw};
+	struct crash_guard_options guard = {gw->lp};
 	struct quota_options quota = {gw->lp, gw->offload, gw->store,
 	    gw->roster, gw->self.address, gw->self.session, &gateway_wire_ops,
 	    gw};
@@ -294,6 +295,8 @@
 	gw->suspects = suspects_new();
 	calls.deps = deps;
 	calls.suspects = gw->suspects;
+	gw->guard = crash_guard_new(&guard);
+	calls.guard = gw->guard;
 	gw->calls = calls_new(&calls);
 	gw->quota = quota_new(&quota);
 	jobs.deps = deps;
@@ -384,6 +387,7 @@
 	quota_free(gw->quota);
 	calls_free(gw->calls);
 	suspects_free(gw->suspects);
+	crash_guard_free(gw->guard);
 	outbound_free(gw->outbound);
 	target_activity_free(gw->activity);
 	slots_free(gw->slots);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -35,6 +35,7 @@
 	struct slots *slots;
 	struct target_activity *activity;
 	struct suspects *suspects;
+	struct crash_guard *guard;
 	struct calls *calls;
 	struct jobs *jobs;
 	struct members *members;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -183,6 +183,9 @@
 	rl->deps.dialect->encode_forward(rl->headers, &fwd);
 	rl->slot_wait_us = now_us - rl->slot_requested_us;
 	g_strlcpy(rl->target, target->id, sizeof(rl->target));
+	g_strlcpy(rl->target_address, target->address,
+	    sizeof(rl->target_address));
+	rl->sent_us = now_us;
 	event_splitter_restart(&rl->events);
 	g_string_truncate(rl->answer_body, 0);
 	rl->target_started_ms = target->started_ms;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -37,6 +37,16 @@
 	char target[kFleetNameMax];
 };
 
+/** A run at a target that was interrupted before it returned any part of an
+ * answer. */
+struct relay_lost_run {
+	const char *target;
+	/** IP:PORT. */
+	const char *address;
+	int64_t target_started_ms;
+	int64_t sent_us;
+};
+
 /** Callbacks; they run on the loop, never from within relay_start. */
 struct relay_ops {
 	/** Head of the answer that will be passed on. */
@@ -46,7 +56,7 @@
 	void (*on_data)(void *ctx, const struct stream_event *ev);
 	/** A run was interrupted before it returned any part of an answer; may
 	 * be NULL. @return false if the request must not run again */
-	bool (*on_no_response)(void *ctx);
+	bool (*on_no_response)(void *ctx, const struct relay_lost_run *run);
 	/** The last callback. */
 	void (*on_end)(void *ctx, const struct relay_result *result);
 };
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -174,8 +174,11 @@
 static void
 handle_interrupted(struct relay *rl, const char *cause)
 {
+	struct relay_lost_run run = {rl->target, rl->target_address,
+	    rl->target_started_ms, rl->sent_us};
+
 	if (!rl->is_answering && rl->opt.ops->on_no_response != NULL &&
-	    !rl->opt.ops->on_no_response(rl->opt.ctx))
+	    !rl->opt.ops->on_no_response(rl->opt.ctx, &run))
 		rl->opt.attempts_max = 0;
 	relay_fail_attempt(rl, kSlotFailed, cause);
 }
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -25,6 +25,9 @@
 	enum relay_phase phase;
 	uint64_t slot;
 	char target[kFleetNameMax];
+	char target_address[kFleetAddressMax];
+	/** When the request was sent to it. */
+	int64_t sent_us;
 	/** Start of the target, to which its answer refers. */
 	int64_t target_started_ms;
 	struct outbound_request *request;
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -37,6 +37,9 @@
 	    "The daemon closed a connection on which it had read a request "   \
 	    "or a part of one, before the answer was complete; the first 32 "  \
 	    "of a stop are logged.")                                           \
+	X(kEvtRunLost, 1219, WARN, "run_lost",                                 \
+	    "A run was interrupted before its answer began; the fields list "  \
+	    "the shared parts of its prompt and whether the target ended.")    \
 	X(kEvtTargetListed, 1305, INFO, "target_listed",                       \
 	    "A target's row is new or has changed.")                           \
 	X(kEvtTargetGone, 1306, INFO, "target_gone",                           \
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "decode.h"
@@ -357,4 +358,34 @@
 	g_ptr_array_unref(items);
 }
 
+TEST(Dialect, PartsOfAPromptAreDecodedButTheLast)
+{
+	const struct {
+		const char *text;
+		std::vector<uint64_t> ids;
+	} cases[] = {
+	    {"5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+		{0x5c1e07a2, 0x91bd3f06}},
+	    {"a:1, b:2,c:3", {0xa, 0xb}},
+	    {"a:1", {}},
+	    {"", {}},
+	    {",", {0}},
+	    {"1:1,2:1,3:1,4:1,5:1,6:1,7:1,8:1,9:1,a:1,b:1,c:1,d:1,e:1,f:1,"
+	     "10:1,11:1",
+		{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15}},
+	};
+
+	for (const auto &c : cases) {
+		header_list *headers = header_list_new();
+		prompt_parts parts;
+
+		header_list_add(headers, "X-Prompt-Prefix", c.text);
+		platform_dialect.decode_parts(headers, &parts);
+		EXPECT_EQ(c.ids,
+		    std::vector<uint64_t>(parts.ids, parts.ids + parts.count))
+		    << c.text;
+		header_list_free(headers);
+	}
+}
+
 } // namespace
