--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -12,7 +12,9 @@
  * close the connection without an answer. "pauses" streams fall silent for
  * "pause_ms" after "pause_after" events and then go on. "statuses" lists the
  * statuses of the answers to come. "surplus":{...} makes complete answers
- * followed by further bytes, see surplus.h. GET /seen: ids of the attempts that
+ * followed by further bytes, see surplus.h. With --crash-part=ID, the process
+ * ends as it begins to answer a request whose prompt has that part, other than
+ * as its last one. GET /seen: ids of the attempts that
  * ran, and how many streams were closed before their end.
  */
 #include <jansson.h>
@@ -20,6 +22,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "http.h"
 #include "surplus.h"
@@ -29,11 +32,16 @@
 	kStallUs = 3000000,
 	kTrickleUs = 60000,
 	kTrickleBytes = 200,
+	/* Time that a prompt takes to be read. */
+	kPromptUs = 15000,
+	kExitCrashed = 3,
 };
 
 struct worker {
 	pthread_mutex_t lock;
 	const char *id;
+	/** Part of prompts that ends the process; empty: none. */
+	const char *crash_part;
 	int cuts_left;
 	int stalls_left;
 	int rejects_left;
@@ -240,6 +248,32 @@
 	g_string_free(body, TRUE);
 }
 
+static bool
+has_crash_part(const struct worker *wk, struct standin_request *req)
+{
+	const char *text = request_header(req, "X-Prompt-Prefix");
+	char **parts = g_strsplit(text != NULL ? text : "", ",", -1);
+	char *entry = g_strconcat(wk->crash_part, ":", NULL);
+	bool has = false;
+
+	for (char **p = parts; !has && *p != NULL && p[1] != NULL; p++)
+		has = wk->crash_part[0] != '\0' && g_str_has_prefix(*p, entry);
+	g_free(entry);
+	g_strfreev(parts);
+	return has;
+}
+
+/* Other connections are served meanwhile. */
+static void
+crash_by_part(struct worker *wk, const char *attempt)
+{
+	printf("crashed by %s\n", attempt);
+	fflush(stdout);
+	pthread_mutex_unlock(&wk->lock);
+	g_usleep(kPromptUs);
+	_exit(kExitCrashed);
+}
+
 static struct MHD_Response *
 handle_run(struct worker *wk, struct standin_request *req, unsigned int *status)
 {
@@ -261,6 +295,8 @@
 		    status);
 	}
 	json_array_append_new(wk->attempts_run, json_string(attempt));
+	if (has_crash_part(wk, req))
+		crash_by_part(wk, attempt);
 	/* Closes the connection, as if the process had crashed at the start
 	 * of the request. */
 	if (json_is_true(json_object_get(doc, "crash")) ||
@@ -368,6 +404,7 @@
 	struct worker wk = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
 	wk.id = standin_flag(argc, argv, "--id", "i-1");
+	wk.crash_part = standin_flag(argc, argv, "--crash-part", "");
 	wk.attempts_run = json_array();
 	return standin_serve(
 	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7200")), handle,
