--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -1,6 +1,7 @@
 /* Online requests: relays them to targets and answers the callers. */
 #include "gateway/calls.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "error/error.h"
@@ -30,8 +31,7 @@
 	struct front_request *req;
 	struct relay *relay;
 	struct loop *lp;
-	uint64_t fingerprint;
-	struct prompt_parts parts;
+	struct blame_keys keys;
 	char attempt_id[kAttemptIdMax];
 	char route[kFleetNameMax];
 	int64_t objective_us;
@@ -80,7 +80,6 @@
 	struct online_call *oc = ctx;
 	const char *type = header_list_get(headers, "Content-Type");
 
-	suspects_record_progress(oc->cs->opt.suspects, oc->fingerprint);
 	oc->status = status;
 	oc->first_us = age_us(oc);
 	histogram_record(kHistFirstEvent, oc->first_us);
@@ -111,8 +110,8 @@
 static void
 log_end(const struct online_call *oc, const struct relay_result *result)
 {
-	static const char *const outcome_names[] = {
-	    "complete", "refused", "failed", "broken", "timeout", "revoked"};
+	static const char *const outcome_names[] = {"complete", "refused",
+	    "failed", "broken", "timeout", "revoked", "blocked"};
 
 	log_event(kEvtCallEnded, "request", oc->attempt_id, "route", oc->route,
 	    "end", outcome_names[result->outcome], "cause",
@@ -123,6 +122,15 @@
 	    log_number(result->retry_after_us), NULL);
 }
 
+static void
+reply_blocked(struct front_request *req)
+{
+	reply_error(req, kErrTargetFailed,
+	    "the request, or a part of its prompt, crashes targets and is not "
+	    "run",
+	    0);
+}
+
 static void
 send_answer(struct online_call *oc, const struct relay_result *result)
 {
@@ -144,6 +152,9 @@
 		    "not run",
 		    result->retry_after_us);
 		break;
+	case kRelayBlocked:
+		reply_blocked(oc->req);
+		break;
 	case kRelayFailed:
 		reply_error(oc->req, kErrTargetFailed,
 		    "the target failed; the request may have run", 0);
@@ -170,25 +181,38 @@
 }
 
 static bool
-on_no_response(void *ctx, const struct relay_lost_run *run)
+may_run(void *ctx, bool is_repeat)
 {
 	struct online_call *oc = ctx;
-	const struct calls_options *opt = &oc->cs->opt;
-
-	crash_guard_on_lost_run(opt->guard, oc->attempt_id, &oc->parts, run);
-	bool is_quarantined = suspects_record_interrupted(
-	    opt->suspects, oc->fingerprint, loop_now_us(oc->lp));
-
-	opt->notify_run_interrupted(opt->ctx, oc->fingerprint, is_quarantined);
-	if (is_quarantined)
-		log_event(kEvtRequestCondemned, "request", oc->attempt_id,
-		    "route", oc->route, NULL);
-	return !suspects_is_quarantined(
-	    opt->suspects, oc->fingerprint, loop_now_us(oc->lp));
+	uint64_t key;
+	enum blame_verdict verdict =
+	    crash_guard_check(oc->cs->opt.guard, &oc->keys, true, &key);
+
+	return verdict == kBlameNone ||
+	    (verdict == kBlameSuspected && !is_repeat);
+}
+
+static void
+on_begun(void *ctx)
+{
+	struct online_call *oc = ctx;
+
+	crash_guard_on_begun(oc->cs->opt.guard, &oc->keys);
+}
+
+static bool
+on_lost_run(void *ctx, const struct relay_lost_run *run)
+{
+	struct online_call *oc = ctx;
+	struct crash_guard *guard = oc->cs->opt.guard;
+	uint64_t key;
+
+	crash_guard_on_lost_run(guard, oc->attempt_id, &oc->keys, run);
+	return crash_guard_check(guard, &oc->keys, false, &key) == kBlameNone;
 }
 
 static const struct relay_ops relay_ops = {
-    on_head, on_data, on_no_response, on_end};
+    on_head, on_data, may_run, on_begun, on_lost_run, on_end};
 
 static int64_t
 answer_deadline(const struct front_request *req,
@@ -213,13 +237,22 @@
 	call_free(oc);
 }
 
-static uint64_t
-request_fingerprint(const struct front_request *req)
+/* Refuses a request that crashes targets. */
+static bool
+refuse_blocked(struct calls *cs, struct front_request *req,
+    const struct dialect_call *call, const struct blame_keys *keys)
 {
-	gsize len;
-	const char *body = g_bytes_get_data(front_body(req), &len);
-
-	return suspects_fingerprint(front_uri(req), body, len);
+	char text[20];
+	uint64_t key;
+
+	if (crash_guard_check(cs->opt.guard, keys, false, &key) !=
+	    kBlameBlocked)
+		return false;
+	g_snprintf(text, sizeof(text), "%" PRIx64, key);
+	log_event(kEvtCallRefused, "request", call->attempt_id, "why",
+	    "crashes_targets", "key", text, NULL);
+	reply_blocked(req);
+	return true;
 }
 
 void
@@ -228,7 +261,7 @@
 {
 	struct online_call *oc;
 	int64_t received_us = front_received_us(req);
-	uint64_t fingerprint = request_fingerprint(req);
+	struct blame_keys keys;
 	struct relay_options opt = {
 	    .method = front_method(req),
 	    .uri = front_uri(req),
@@ -252,19 +285,14 @@
 	    .ops = &relay_ops,
 	};
 
-	if (suspects_is_quarantined(
-		cs->opt.suspects, fingerprint, loop_now_us(cs->opt.deps.lp))) {
-		log_event(kEvtCallRefused, "request", call->attempt_id, "why",
-		    "condemned", NULL);
-		reply_error(req, kErrTargetFailed,
-		    "the request crashes targets and is not run again", 0);
+	crash_guard_keys(
+	    front_uri(req), front_body(req), &call->parts, false, &keys);
+	if (refuse_blocked(cs, req, call, &keys))
 		return;
-	}
 	oc = g_new0(struct online_call, 1);
 	opt.ctx = oc;
 	oc->cs = cs;
-	oc->fingerprint = fingerprint;
-	oc->parts = call->parts;
+	oc->keys = keys;
 	oc->req = req;
 	oc->lp = cs->opt.deps.lp;
 	oc->headers = header_list_new();
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -4,20 +4,13 @@
 #include "gateway/crash_guard.h"
 #include "gateway/front.h"
 #include "gateway/relay.h"
-#include "savoryflow/retry/suspects.h"
 
 /** Online requests of callers, from the route to the answer. Loop only. */
 struct calls;
 
 struct calls_options {
 	struct relay_deps deps;
-	struct suspects *suspects;
 	struct crash_guard *guard;
-	/** Notifies the peers that a run of a request was interrupted, and
-	 * whether this quarantines the request. */
-	void (*notify_run_interrupted)(
-	    void *ctx, uint64_t fingerprint, bool is_quarantined);
-	void *ctx;
 };
 
 struct calls *calls_new(const struct calls_options *opt);
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -1,25 +1,34 @@
-/* Runs that are lost with their target, and what their prompts consist of. */
+/* Keeps requests from targets that they would crash. */
 #include "gateway/crash_guard.h"
 
 #include <inttypes.h>
 #include <string.h>
 
 #include "gateway/connect_probe.h"
+#include "gateway/crash_guard_internal.h"
 #include "log/log.h"
+#include "metric/metric.h"
+
+enum {
+	/* Keys that name the coordinators, until two daemons are found. */
+	kCoordinatorKeysMax = 8,
+};
 
 struct crash_guard {
 	struct crash_guard_options opt;
 	struct connect_probes *probes;
+	struct blame *blame;
+	struct blame_out *out;
+	/** Addresses of the coordinators other than this daemon. */
+	GPtrArray *coordinators;
+	bool is_closing;
 };
 
 /** A lost run whose target is being probed. */
 struct lost_run {
 	struct crash_guard *cg;
 	char request[kAttemptIdMax];
-	char target[kFleetNameMax];
-	struct prompt_parts parts;
-	int64_t sent_us;
-	int64_t ended_us;
+	struct blame_run run;
 };
 
 struct crash_guard *
@@ -29,16 +38,116 @@
 
 	cg->opt = *opt;
 	cg->probes = connect_probes_new(opt->lp);
+	cg->blame = blame_new(opt->address);
+	cg->out = blame_out_new();
+	cg->coordinators = g_ptr_array_new_with_free_func(g_free);
 	return cg;
 }
 
 void
 crash_guard_free(struct crash_guard *cg)
 {
+	cg->is_closing = true;
 	connect_probes_free(cg->probes);
+	g_ptr_array_unref(cg->coordinators);
+	blame_out_free(cg->out);
+	blame_free(cg->blame);
 	g_free(cg);
 }
 
+void
+crash_guard_keys(const char *uri, GBytes *body,
+    const struct prompt_parts *parts, bool is_owed, struct blame_keys *keys)
+{
+	gsize len = 0;
+	const char *data = body != NULL ? g_bytes_get_data(body, &len) : NULL;
+
+	/* An item is not blocked by calls that are like it. */
+	keys->keys[0] = blame_request_key(uri, data, len) ^ (uint64_t)is_owed;
+	keys->count = 1;
+	keys->is_owed = is_owed;
+	for (int32_t i = 0; i < parts->count && keys->count < kBlameKeysMax;
+	     i++)
+		keys->keys[keys->count++] = parts->ids[i];
+}
+
+static void
+format_key(char *text, size_t size, uint64_t key)
+{
+	g_snprintf(text, size, "%" PRIx64, key);
+}
+
+/* Keys that this daemon itself has blocked. */
+static void
+log_cases(struct crash_guard *cg)
+{
+	struct blame_case found;
+
+	while (blame_take_case(cg->blame, &found)) {
+		char key[20];
+
+		format_key(key, sizeof(key), found.key);
+		log_event(
+		    found.is_part ? kEvtPartBlocked : kEvtRequestCondemned,
+		    found.is_part ? "part" : "fingerprint", key, "lost_runs",
+		    log_number(found.lost_runs), "targets", found.targets->str,
+		    "seen_by", found.seen_by->str, NULL);
+		blame_case_clear(&found);
+	}
+}
+
+static GPtrArray *
+all_peers(struct crash_guard *cg)
+{
+	return roster_peers(cg->opt.roster, NULL, loop_now_us(cg->opt.lp));
+}
+
+/* Sends what the last call on the blame module left, and logs its verdicts. */
+static void
+flush(struct crash_guard *cg)
+{
+	GArray *verdicts = g_array_new(FALSE, TRUE, sizeof(struct blame_note));
+	GArray *reports = g_array_new(FALSE, TRUE, sizeof(struct blame_note));
+	GPtrArray *peers;
+
+	for (guint i = 0; i < cg->out->notes->len; i++) {
+		const struct blame_note *note =
+		    &g_array_index(cg->out->notes, struct blame_note, i);
+		GArray *list =
+		    note->kind == kBlameNoteVerdict ? verdicts : reports;
+
+		g_array_append_vals(list, note, 1);
+	}
+	crash_guard_send(&cg->opt, cg->out->runs, reports, cg->coordinators);
+	if (verdicts->len > 0) {
+		peers = all_peers(cg);
+		crash_guard_send(&cg->opt, NULL, verdicts, peers);
+		g_ptr_array_unref(peers);
+	}
+	g_array_unref(verdicts);
+	g_array_unref(reports);
+	blame_out_clear(cg->out);
+	log_cases(cg);
+}
+
+enum blame_verdict
+crash_guard_check(struct crash_guard *cg, const struct blame_keys *keys,
+    bool will_send, uint64_t *key)
+{
+	enum blame_verdict verdict = blame_check(
+	    cg->blame, keys, will_send, loop_now_us(cg->opt.lp), cg->out, key);
+
+	flush(cg);
+	return verdict;
+}
+
+void
+crash_guard_on_begun(struct crash_guard *cg, const struct blame_keys *keys)
+{
+	blame_record_begun(cg->blame, keys, loop_now_us(cg->opt.lp), cg->out);
+	flush(cg);
+}
+
 static void
 log_lost_run(const struct lost_run *lost, enum connect_result result)
 {
@@ -47,14 +156,15 @@
 	    [kConnectRefused] = "yes",
 	    [kConnectUnknown] = "unknown",
 	};
+	const struct blame_run *run = &lost->run;
 	GString *parts = g_string_new(NULL);
 
-	for (int32_t i = 0; i < lost->parts.count; i++)
+	for (int32_t i = 1; i < run->keys.count; i++)
 		g_string_append_printf(
-		    parts, "%s%" PRIx64, i > 0 ? "," : "", lost->parts.ids[i]);
-	log_event(kEvtRunLost, "request", lost->request, "target", lost->target,
+		    parts, "%s%" PRIx64, i > 1 ? "," : "", run->keys.keys[i]);
+	log_event(kEvtRunLost, "request", lost->request, "target", run->target,
 	    "target_ended", result_names[result], "parts", parts->str, "run_us",
-	    log_number(lost->ended_us - lost->sent_us), NULL);
+	    log_number(run->ended_us - run->sent_us), NULL);
 	g_string_free(parts, TRUE);
 }
 
@@ -62,22 +172,106 @@
 on_probed(void *ctx, enum connect_result result)
 {
 	struct lost_run *lost = ctx;
+	struct crash_guard *cg = lost->cg;
 
-	log_lost_run(lost, result);
+	if (!cg->is_closing) {
+		lost->run.has_target_ended = result == kConnectRefused;
+		log_lost_run(lost, result);
+		blame_record_run(
+		    cg->blame, &lost->run, loop_now_us(cg->opt.lp), cg->out);
+		flush(cg);
+	}
 	g_free(lost);
 }
 
 void
 crash_guard_on_lost_run(struct crash_guard *cg, const char *request,
-    const struct prompt_parts *parts, const struct relay_lost_run *run)
+    const struct blame_keys *keys, const struct relay_lost_run *run)
 {
 	struct lost_run *lost = g_new0(struct lost_run, 1);
 
 	lost->cg = cg;
-	lost->parts = *parts;
-	lost->sent_us = run->sent_us;
-	lost->ended_us = loop_now_us(cg->opt.lp);
+	lost->run.keys = *keys;
+	lost->run.target_started_ms = run->target_started_ms;
+	lost->run.sent_us = run->sent_us;
+	lost->run.ended_us = loop_now_us(cg->opt.lp);
 	g_strlcpy(lost->request, request, sizeof(lost->request));
-	g_strlcpy(lost->target, run->target, sizeof(lost->target));
+	g_strlcpy(lost->run.target, run->target, sizeof(lost->run.target));
+	g_strlcpy(
+	    lost->run.seen_by, cg->opt.address, sizeof(lost->run.seen_by));
 	connect_probe_start(cg->probes, run->address, on_probed, lost);
 }
+
+static void
+log_told(const struct blame_note *note, const char *from)
+{
+	char key[20];
+
+	format_key(key, sizeof(key), note->key);
+	log_event(kEvtBlockTold, note->is_part ? "part" : "fingerprint", key,
+	    "lost_runs", log_number(note->lost_runs), "told_by", from, NULL);
+}
+
+void
+crash_guard_on_envelope(struct crash_guard *cg, const Sfpeer__Envelope *env)
+{
+	int64_t now_us = loop_now_us(cg->opt.lp);
+
+	for (size_t i = 0; i < env->n_lost_runs; i++) {
+		struct blame_run run;
+
+		if (crash_guard_decode_run(
+			env->lost_runs[i], env->from, now_us, &run))
+			blame_on_run(cg->blame, &run, now_us, cg->out);
+	}
+	for (size_t i = 0; i < env->n_blame_notes; i++) {
+		struct blame_note note;
+
+		if (crash_guard_decode_note(
+			env->blame_notes[i], now_us, &note) &&
+		    blame_on_note(cg->blame, blame_daemon_hash(env->from),
+			&note, now_us, cg->out))
+			log_told(&note, env->from);
+	}
+	if (env->n_lost_runs > 0 || env->n_blame_notes > 0)
+		flush(cg);
+}
+
+/* Finds the coordinators; the first one is the primary. */
+static void
+update_role(struct crash_guard *cg)
+{
+	const char *found[kCoordinators];
+	int32_t count = 0;
+	bool is_coordinator = false;
+
+	for (int32_t i = 0; i < kCoordinatorKeysMax && count < kCoordinators;
+	     i++) {
+		char key[16];
+		const char *owner;
+
+		g_snprintf(key, sizeof(key), "blame-%d", i);
+		owner = roster_owner(
+		    cg->opt.roster, key, NULL, loop_now_us(cg->opt.lp));
+		if (count == 0 || strcmp(owner, found[0]) != 0)
+			found[count++] = owner;
+	}
+	g_ptr_array_set_size(cg->coordinators, 0);
+	for (int32_t i = 0; i < count; i++) {
+		if (strcmp(found[i], cg->opt.address) == 0)
+			is_coordinator = true;
+		else
+			g_ptr_array_add(cg->coordinators, g_strdup(found[i]));
+	}
+	blame_set_role(cg->blame, is_coordinator,
+	    is_coordinator && strcmp(found[0], cg->opt.address) == 0);
+}
+
+void
+crash_guard_tick(struct crash_guard *cg)
+{
+	update_role(cg);
+	blame_tick(cg->blame, loop_now_us(cg->opt.lp), cg->out);
+	flush(cg);
+	metric_set(kMetBlockedKeys, blame_blocked_count(cg->blame));
+}
--- /dev/null
+++ b/src/gateway/crash_guard_wire.c
@@ -0,0 +1,171 @@
+/* Lost runs and verdicts in messages between daemons. */
+#include <string.h>
+
+#include "gateway/crash_guard_internal.h"
+
+enum {
+	/* Ages that a sender cannot mean; guards the arithmetic. */
+	kAgeMaxUs = INT32_MAX,
+};
+
+/* 0 stands for a time that is not known. */
+static uint64_t
+age_us(int64_t at_us, int64_t now_us)
+{
+	return at_us == INT64_MIN ? 0 : (uint64_t)MAX(now_us - at_us, 1);
+}
+
+static int64_t
+time_us(uint64_t age, int64_t now_us)
+{
+	return age == 0 ? INT64_MIN : now_us - (int64_t)MIN(age, kAgeMaxUs);
+}
+
+bool
+crash_guard_decode_run(const Sfpeer__LostRun *wire, const char *from,
+    int64_t now_us, struct blame_run *run)
+{
+	*run = (struct blame_run){
+	    .keys.count = (int32_t)MIN(wire->n_keys, kBlameKeysMax),
+	    .keys.is_owed = wire->owed,
+	    .target_started_ms = wire->target_started_ms,
+	    .sent_us = time_us(wire->sent_age_us, now_us),
+	    .ended_us = time_us(wire->ended_age_us, now_us),
+	    .has_target_ended = wire->target_ended,
+	};
+	for (int32_t i = 0; i < run->keys.count; i++) {
+		uint64_t age = (size_t)i < wire->n_begun_age_us
+		    ? wire->begun_age_us[i]
+		    : 0;
+
+		run->keys.keys[i] = wire->keys[i];
+		run->begun_us[i] = time_us(age, now_us);
+	}
+	g_strlcpy(run->target, wire->target, sizeof(run->target));
+	g_strlcpy(run->seen_by, from, sizeof(run->seen_by));
+	return run->keys.count > 0 && run->sent_us != INT64_MIN &&
+	    run->ended_us != INT64_MIN;
+}
+
+bool
+crash_guard_decode_note(
+    const Sfpeer__BlameNote *wire, int64_t now_us, struct blame_note *note)
+{
+	*note = (struct blame_note){
+	    .kind = (enum blame_note_kind)wire->kind,
+	    .key = wire->key,
+	    .at_us = time_us(wire->age_us, now_us),
+	    .verdict = (enum blame_verdict)wire->verdict,
+	    .is_part = wire->part,
+	    .lost_runs = (int32_t)wire->lost_runs,
+	    .last_end_us = time_us(wire->last_end_age_us, now_us),
+	    .refused_us = time_us(wire->refused_age_us, now_us),
+	    .trials = (int32_t)MIN(wire->trials, INT32_MAX),
+	    .trial_by = wire->trial_by,
+	    .trial_until_us =
+		now_us + (int64_t)MIN(wire->trial_left_us, kAgeMaxUs),
+	};
+	return wire->kind >= kBlameNoteBegun &&
+	    wire->kind <= kBlameNoteVerdict && wire->verdict <= kBlameBlocked &&
+	    note->at_us != INT64_MIN;
+}
+
+static void
+encode_run(const struct blame_run *run, int64_t now_us, uint64_t *begun,
+    Sfpeer__LostRun *wire)
+{
+	sfpeer__lost_run__init(wire);
+	for (int32_t i = 0; i < run->keys.count; i++)
+		begun[i] = age_us(run->begun_us[i], now_us);
+	wire->n_keys = (size_t)run->keys.count;
+	wire->keys = (uint64_t *)run->keys.keys;
+	wire->n_begun_age_us = (size_t)run->keys.count;
+	wire->begun_age_us = begun;
+	wire->owed = run->keys.is_owed;
+	wire->target = (char *)run->target;
+	wire->target_started_ms = run->target_started_ms;
+	wire->sent_age_us = age_us(run->sent_us, now_us);
+	wire->ended_age_us = age_us(run->ended_us, now_us);
+	wire->target_ended = run->has_target_ended;
+}
+
+static void
+encode_note(
+    const struct blame_note *note, int64_t now_us, Sfpeer__BlameNote *wire)
+{
+	sfpeer__blame_note__init(wire);
+	wire->kind = note->kind;
+	wire->key = note->key;
+	wire->age_us = age_us(note->at_us, now_us);
+	wire->verdict = note->verdict;
+	wire->part = note->is_part;
+	wire->lost_runs = (uint32_t)note->lost_runs;
+	wire->last_end_age_us = age_us(note->last_end_us, now_us);
+	wire->refused_age_us = age_us(note->refused_us, now_us);
+	wire->trials = (uint32_t)note->trials;
+	wire->trial_by = note->trial_by;
+	wire->trial_left_us = (uint64_t)MAX(note->trial_until_us - now_us, 0);
+}
+
+static void
+send_to_all(const struct crash_guard_options *opt, const GPtrArray *to,
+    Sfpeer__Envelope *env)
+{
+	for (guint i = 0; i < to->len; i++)
+		opt->wire->send(opt->wire_ctx, to->pdata[i], env);
+}
+
+static void
+send_runs(const struct crash_guard_options *opt, const GArray *runs,
+    guint first, const GPtrArray *to)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__LostRun wire[kGuardPerMessageMax];
+	Sfpeer__LostRun *refs[kGuardPerMessageMax];
+	uint64_t begun[kGuardPerMessageMax][kBlameKeysMax];
+	int64_t now_us = loop_now_us(opt->lp);
+
+	env.lost_runs = refs;
+	for (guint i = first;
+	     i < runs->len && env.n_lost_runs < kGuardPerMessageMax; i++) {
+		size_t n = env.n_lost_runs++;
+
+		encode_run(&g_array_index(runs, struct blame_run, i), now_us,
+		    begun[n], &wire[n]);
+		refs[n] = &wire[n];
+	}
+	send_to_all(opt, to, &env);
+}
+
+static void
+send_notes(const struct crash_guard_options *opt, const GArray *notes,
+    guint first, const GPtrArray *to)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__BlameNote wire[kGuardPerMessageMax];
+	Sfpeer__BlameNote *refs[kGuardPerMessageMax];
+	int64_t now_us = loop_now_us(opt->lp);
+
+	env.blame_notes = refs;
+	for (guint i = first;
+	     i < notes->len && env.n_blame_notes < kGuardPerMessageMax; i++) {
+		size_t n = env.n_blame_notes++;
+
+		encode_note(&g_array_index(notes, struct blame_note, i), now_us,
+		    &wire[n]);
+		refs[n] = &wire[n];
+	}
+	send_to_all(opt, to, &env);
+}
+
+void
+crash_guard_send(const struct crash_guard_options *opt, const GArray *runs,
+    const GArray *notes, const GPtrArray *to)
+{
+	for (guint i = 0; runs != NULL && to->len > 0 && i < runs->len;
+	     i += kGuardPerMessageMax)
+		send_runs(opt, runs, i, to);
+	for (guint i = 0; notes != NULL && to->len > 0 && i < notes->len;
+	     i += kGuardPerMessageMax)
+		send_notes(opt, notes, i, to);
+}
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -169,7 +169,7 @@
 
 	gateway_send_contacts(gw);
 	quota_tick(gw->quota);
-	suspects_tick(gw->suspects, now_us);
+	crash_guard_tick(gw->guard);
 	if (fleet_tick(gw->fleet, now_us))
 		gateway_targets_changed(gw);
 	if (gw->is_draining)
@@ -262,10 +262,9 @@
 	struct contact_exchange_options contact = {gw->lp, gw->roster,
 	    gw->self.address, gw->self.session, gw->self.data_center,
 	    &gateway_wire_ops, gw};
-	struct calls_options calls = {
-	    .notify_run_interrupted = gateway_notify_run_interrupted,
-	    .ctx = gw};
-	struct crash_guard_options guard = {gw->lp};
+	struct calls_options calls = {0};
+	struct crash_guard_options guard = {
+	    gw->lp, gw->roster, gw->self.address, &gateway_wire_ops, gw};
 	struct quota_options quota = {gw->lp, gw->offload, gw->store,
 	    gw->roster, gw->self.address, gw->self.session, &gateway_wire_ops,
 	    gw};
@@ -292,14 +291,13 @@
 	deps.outbound = gw->outbound;
 	gw->activity = target_activity_new();
 	deps.activity = gw->activity;
-	gw->suspects = suspects_new();
-	calls.deps = deps;
-	calls.suspects = gw->suspects;
 	gw->guard = crash_guard_new(&guard);
+	calls.deps = deps;
 	calls.guard = gw->guard;
 	gw->calls = calls_new(&calls);
 	gw->quota = quota_new(&quota);
 	jobs.deps = deps;
+	jobs.guard = gw->guard;
 	jobs.quota = gw->quota;
 	gw->jobs = jobs_new(&jobs);
 	janitor.retention_us =
@@ -386,7 +384,6 @@
 	jobs_free(gw->jobs);
 	quota_free(gw->quota);
 	calls_free(gw->calls);
-	suspects_free(gw->suspects);
 	crash_guard_free(gw->guard);
 	outbound_free(gw->outbound);
 	target_activity_free(gw->activity);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -34,7 +34,6 @@
 	struct roster *roster;
 	struct slots *slots;
 	struct target_activity *activity;
-	struct suspects *suspects;
 	struct crash_guard *guard;
 	struct calls *calls;
 	struct jobs *jobs;
@@ -94,11 +93,6 @@
  */
 void gateway_notify_job_ended(void *ctx, const char *id, const char *owner);
 
-/** Reports a run that returned nothing to the daemons that count these, or to
- * all if it quarantines the request. */
-void gateway_notify_run_interrupted(
-    void *ctx, uint64_t fingerprint, bool is_quarantined);
-
 /** A target said in an answer that it leaves: notifies its arbiter. */
 void gateway_on_target_leaving(void *ctx, const char *id, int64_t started_ms);
 
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -2,8 +2,6 @@
  * Messages from and to other daemons. Each goes to those that need it; only
  * what must be known everywhere is sent to all, and that is rare.
  */
-#include <inttypes.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "gateway/gateway_internal.h"
@@ -13,9 +11,6 @@
 	/* A peer that is slow rather than cut off must not be made slower by
 	 * new connections. */
 	kReconnectPeriodUs = 2 * kUsPerS,
-	/* Daemons that count the interrupted runs of a request: one may be
-	 * down. */
-	kWitnesses = 2,
 };
 
 static void
@@ -60,30 +55,6 @@
 	g_ptr_array_unref(peers);
 }
 
-static void
-broadcast_quarantine(struct gateway *gw, uint64_t fingerprint)
-{
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-
-	env.n_quarantined = 1;
-	env.quarantined = &fingerprint;
-	broadcast(gw, &env);
-}
-
-/* This daemon counts the interrupted runs of these requests for all. */
-static void
-handle_interrupted(struct gateway *gw, const Sfpeer__Envelope *env)
-{
-	int64_t now_us = loop_now_us(gw->lp);
-
-	for (size_t i = 0; i < env->n_condemned; i++)
-		if (suspects_record_interrupted(
-			gw->suspects, env->condemned[i], now_us))
-			broadcast_quarantine(gw, env->condemned[i]);
-	for (size_t i = 0; i < env->n_quarantined; i++)
-		suspects_quarantine(gw->suspects, env->quarantined[i], now_us);
-}
-
 static void
 handle_status(struct gateway *gw, const Sfpeer__Envelope *env)
 {
@@ -152,7 +123,7 @@
 		    env->target_notes[i]->started_ms, env->from);
 	slots_on_envelope(gw->slots, env);
 	quota_on_envelope(gw->quota, env);
-	handle_interrupted(gw, env);
+	crash_guard_on_envelope(gw->guard, env);
 	for (size_t i = 0; i < env->n_job_notes; i++)
 		if (env->job_notes[i]->ended)
 			jobs_on_ended(gw->jobs, env->job_notes[i]->id);
@@ -251,32 +222,3 @@
 	env.job_notes = notes;
 	send_to_peer(gw, address, &env);
 }
-
-void
-gateway_notify_run_interrupted(
-    void *ctx, uint64_t fingerprint, bool is_quarantined)
-{
-	struct gateway *gw = ctx;
-	int64_t now_us = loop_now_us(gw->lp);
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	const char *told = gw->self.address;
-
-	if (is_quarantined) {
-		broadcast_quarantine(gw, fingerprint);
-		return;
-	}
-	env.n_condemned = 1;
-	env.condemned = &fingerprint;
-	for (int i = 0; i < kWitnesses; i++) {
-		char key[40];
-		const char *witness;
-
-		snprintf(
-		    key, sizeof(key), "run-%d-%016" PRIx64, i, fingerprint);
-		witness = roster_owner(gw->roster, key, NULL, now_us);
-		if (strcmp(witness, gw->self.address) != 0 &&
-		    strcmp(witness, told) != 0)
-			send_to_peer(gw, witness, &env);
-		told = witness;
-	}
-}
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYFLOW_GATEWAY_JOBS_H
 #define SAVORYFLOW_GATEWAY_JOBS_H
 
+#include "gateway/crash_guard.h"
 #include "gateway/front.h"
 #include "gateway/offload.h"
 #include "gateway/relay.h"
@@ -10,6 +11,7 @@
 	struct relay_deps deps;
 	struct offload *offload;
 	struct quota *quota;
+	struct crash_guard *guard;
 	const struct store *store;
 	/** Session of this daemon, which owns the jobs it runs. */
 	const char *session;
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -23,6 +23,9 @@
 	struct relay *relay;
 	int64_t next_attempt_us;
 	struct item_retry retry;
+	struct blame_keys keys;
+	/** It waits as it would crash targets. */
+	bool is_blocked;
 	/** Data of the events received so far. */
 	GString *text;
 	bool has_text;
@@ -121,6 +124,22 @@
 /** Ends the items that wait once the job's route has been gone for a while. */
 void jobs_route_check(struct job_run *run);
 
+/** Header fields of an item; free with header_list_free. */
+struct header_list *jobs_item_headers(const struct itemjob_item *item);
+
+/* jobs_guard.c */
+
+/** Fills in the keys of an item. */
+void jobs_guard_init(struct item_run *ir);
+
+/** True if an item that is due must wait as it would crash targets. */
+bool jobs_guard_is_blocked(struct item_run *ir, int64_t now_us);
+
+/** Callbacks of an item's relay; ctx is the struct item_run. */
+bool jobs_guard_may_run(void *ctx, bool is_repeat);
+void jobs_guard_on_begun(void *ctx);
+bool jobs_guard_on_lost_run(void *ctx, const struct relay_lost_run *run);
+
 /** Reports the job's waiting tokens to its route's quota, if due. */
 void jobs_quota_report(struct job_run *run);
 
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -170,6 +170,7 @@
 	    [kRelayInterrupted] = kItemRunInterrupted,
 	    [kRelayTimeout] = kItemRunNotStarted,
 	    [kRelayRevoked] = kItemRunRevoked,
+	    [kRelayBlocked] = kItemRunNotStarted,
 	};
 	struct item_run_end end = {
 	    .outcome = outcomes[result->outcome],
@@ -223,13 +224,14 @@
 	item_ready(ir, true);
 }
 
-static const struct relay_ops relay_ops = {on_head, on_data, NULL, on_end};
+static const struct relay_ops relay_ops = {on_head, on_data, jobs_guard_may_run,
+    jobs_guard_on_begun, jobs_guard_on_lost_run, on_end};
 
 static void
 item_start(struct item_run *ir, const struct routebook_route *route)
 {
 	struct job_run *run = ir->run;
-	struct header_list *headers = header_list_new();
+	struct header_list *headers = jobs_item_headers(ir->item);
 	struct relay_options opt = {
 	    .method = "POST",
 	    .uri = ir->item->path,
@@ -252,12 +254,6 @@
 	    .ctx = ir,
 	};
 
-	for (guint i = 0; i < ir->item->headers->len; i++) {
-		const struct itemjob_header *h =
-		    &g_array_index(ir->item->headers, struct itemjob_header, i);
-
-		header_list_add(headers, h->name, h->value);
-	}
 	header_list_set(headers, "Host", run->job->host);
 	ir->phase = kItemRunning;
 	ir->run_requested_us = now_us(run);
@@ -289,7 +285,7 @@
 			continue;
 		else if (route == NULL)
 			ir->next_attempt_us = now + kRetryWithoutRouteUs;
-		else
+		else if (!jobs_guard_is_blocked(ir, now))
 			item_start(ir, route);
 		if (run->is_dropped)
 			return;
@@ -504,6 +500,7 @@
 		ir->text = g_string_new(NULL);
 		ir->last_event_id = -1;
 		ir->retry.seed = g_str_hash(ir->item->id);
+		jobs_guard_init(ir);
 	}
 }
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -155,8 +155,25 @@
 	}
 }
 
-void
-relay_send(struct relay *rl, const struct fleet_target *target)
+/* The slot that was granted is given back. */
+static void
+block_request(struct relay *rl)
+{
+	rl->cause = "blocked";
+	relay_release_target(rl, kSlotNeutral);
+	relay_finish(
+	    rl, rl->is_answering ? kRelayInterrupted : kRelayBlocked, 0);
+}
+
+static bool
+may_run(const struct relay *rl)
+{
+	return rl->opt.ops->may_run == NULL ||
+	    rl->opt.ops->may_run(rl->opt.ctx, rl->has_lost_run);
+}
+
+static void
+start_run(struct relay *rl, const struct fleet_target *target)
 {
 	int64_t now_us = loop_now_us(rl->deps.lp);
 	struct dialect_forward fwd = {
@@ -183,9 +200,10 @@
 	rl->deps.dialect->encode_forward(rl->headers, &fwd);
 	rl->slot_wait_us = now_us - rl->slot_requested_us;
 	g_strlcpy(rl->target, target->id, sizeof(rl->target));
-	g_strlcpy(rl->target_address, target->address,
-	    sizeof(rl->target_address));
+	g_strlcpy(
+	    rl->target_address, target->address, sizeof(rl->target_address));
 	rl->sent_us = now_us;
+	rl->run_events = 0;
 	event_splitter_restart(&rl->events);
 	g_string_truncate(rl->answer_body, 0);
 	rl->target_started_ms = target->started_ms;
@@ -198,6 +216,15 @@
 	relay_watch_silence(rl);
 }
 
+void
+relay_send(struct relay *rl, const struct fleet_target *target)
+{
+	if (may_run(rl))
+		start_run(rl, target);
+	else
+		block_request(rl);
+}
+
 /* @return NULL if the target takes no requests: the arbiter's list may be older
  * than this daemon's */
 static const struct fleet_target *
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -22,6 +22,9 @@
 	kRelayTimeout,
 	/** Batch: the slot was revoked. */
 	kRelayRevoked,
+	/** The owner did not allow a run; no part of an answer was passed on.
+	 */
+	kRelayBlocked,
 };
 
 struct relay_result {
@@ -37,8 +40,7 @@
 	char target[kFleetNameMax];
 };
 
-/** A run at a target that was interrupted before it returned any part of an
- * answer. */
+/** A run at a target that was interrupted before its answer began. */
 struct relay_lost_run {
 	const char *target;
 	/** IP:PORT. */
@@ -54,9 +56,15 @@
 	    void *ctx, int32_t status, const struct header_list *headers);
 	/** A complete event of a stream, or part of another body. */
 	void (*on_data)(void *ctx, const struct stream_event *ev);
-	/** A run was interrupted before it returned any part of an answer; may
-	 * be NULL. @return false if the request must not run again */
-	bool (*on_no_response)(void *ctx, const struct relay_lost_run *run);
+	/** Asked before the request is sent to a target; may be NULL.
+	 * @param is_repeat a run was lost before its answer began
+	 * @return false if it must not run */
+	bool (*may_run)(void *ctx, bool is_repeat);
+	/** The answer of a run has begun; may be NULL. */
+	void (*on_begun)(void *ctx);
+	/** A run was interrupted before its answer began; may be NULL.
+	 * @return false if no other run may follow */
+	bool (*on_lost_run)(void *ctx, const struct relay_lost_run *run);
 	/** The last callback. */
 	void (*on_end)(void *ctx, const struct relay_result *result);
 };
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -7,6 +7,8 @@
 enum {
 	kHttpOk = 200,
 	kHttpServerErrorFirst = 500,
+	/* A target that crashes as it begins to answer may send one event. */
+	kEventsBegun = 2,
 };
 
 /* Judges a response; one that is not this attempt's ends its connection. */
@@ -63,6 +65,14 @@
 	rl->opt.ops->on_head(rl->opt.ctx, rl->status, rl->answer_headers);
 }
 
+static void
+record_begun(struct relay *rl)
+{
+	rl->has_begun = true;
+	if (rl->opt.ops->on_begun != NULL)
+		rl->opt.ops->on_begun(rl->opt.ctx);
+}
+
 static bool
 on_event(void *ctx, const struct stream_event *ev)
 {
@@ -82,6 +92,8 @@
 	rl->has_new_event = true;
 	metric_add(kMetTokens, 1);
 	rl->opt.ops->on_data(rl->opt.ctx, ev);
+	if (++rl->run_events == kEventsBegun)
+		record_begun(rl);
 	return true;
 }
 
@@ -161,6 +173,8 @@
 		relay_fail_attempt(rl, kSlotFailed, "failed");
 		return;
 	}
+	if (rl->status == kHttpOk && rl->run_events < kEventsBegun)
+		record_begun(rl);
 	if (!rl->is_stream)
 		deliver_body(rl);
 	else
@@ -174,12 +188,15 @@
 static void
 handle_interrupted(struct relay *rl, const char *cause)
 {
-	struct relay_lost_run run = {rl->target, rl->target_address,
-	    rl->target_started_ms, rl->sent_us};
-
-	if (!rl->is_answering && rl->opt.ops->on_no_response != NULL &&
-	    !rl->opt.ops->on_no_response(rl->opt.ctx, &run))
-		rl->opt.attempts_max = 0;
+	struct relay_lost_run run = {
+	    rl->target, rl->target_address, rl->target_started_ms, rl->sent_us};
+
+	if (!rl->has_begun) {
+		rl->has_lost_run = true;
+		if (rl->opt.ops->on_lost_run != NULL &&
+		    !rl->opt.ops->on_lost_run(rl->opt.ctx, &run))
+			rl->opt.attempts_max = 0;
+	}
 	relay_fail_attempt(rl, kSlotFailed, cause);
 }
 
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -73,6 +73,10 @@
 	GString *answer_body;
 	/** The head, and possibly body data, was passed on. */
 	bool is_answering;
+	/** Events of the current run, and whether one has begun its answer. */
+	int32_t run_events;
+	bool has_begun;
+	bool has_lost_run;
 };
 
 /** What happens to an attempt's transfer. */
@@ -95,7 +99,8 @@
 /** Requests a slot at another target than the current one. */
 uint64_t relay_acquire_slot(struct relay *rl);
 
-/** Sends the request to a target whose slot is held. */
+/** Sends the request to a target whose slot is held, or ends it if it must not
+ * run. */
 void relay_send(struct relay *rl, const struct fleet_target *target);
 
 void relay_log_attempt(const struct relay *rl, const char *cause);
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -40,6 +40,13 @@
 	X(kEvtRunLost, 1219, WARN, "run_lost",                                 \
 	    "A run was interrupted before its answer began; the fields list "  \
 	    "the shared parts of its prompt and whether the target ended.")    \
+	X(kEvtPartBlocked, 1220, ERROR, "part_blocked",                        \
+	    "Requests with a part of a prompt crash targets and are blocked "  \
+	    "from now on; the fields list the targets and the daemons that "   \
+	    "saw them end.")                                                   \
+	X(kEvtBlockTold, 1221, WARN, "block_told",                             \
+	    "Another daemon has blocked requests with a part of a prompt, or " \
+	    "one request, as they crash targets.")                             \
 	X(kEvtTargetListed, 1305, INFO, "target_listed",                       \
 	    "A target's row is new or has changed.")                           \
 	X(kEvtTargetGone, 1306, INFO, "target_gone",                           \
@@ -64,6 +71,8 @@
 	    "answer's status, the counts and the wait before the next run.")   \
 	X(kEvtItemGivenUp, 1413, WARN, "item_given_up",                        \
 	    "An item failed: it has no result and is not retried.")            \
+	X(kEvtItemBlocked, 1423, WARN, "item_blocked",                         \
+	    "An item waits: it, or a part of its prompt, crashes targets.")    \
 	X(kEvtItemListed, 1414, INFO, "item_listed",                           \
 	    "An item's result was written to the store at its position.")      \
 	X(kEvtJobForwarded, 1415, INFO, "job_forwarded",                       \
--- a/src/metric/metric.h
+++ b/src/metric/metric.h
@@ -68,6 +68,8 @@
 	    "Calls without their final answer.")                               \
 	X(kMetGeneration, gauge, "savoryflow_config_generation",               \
 	    "Configuration generation in force.")                              \
+	X(kMetBlockedKeys, gauge, "savoryflow_blocked_keys",                   \
+	    "Requests and parts of prompts that crash targets.")               \
 	X(kMetMembersAlive, gauge, "savoryflow_members_alive",                 \
 	    "Daemons believed alive, this one included.")
 
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -952,6 +952,96 @@
   assert(message->base.descriptor == &sfpeer__job_note__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__lost_run__init
+                     (Sfpeer__LostRun         *message)
+{
+  static const Sfpeer__LostRun init_value = SFPEER__LOST_RUN__INIT;
+  *message = init_value;
+}
+size_t sfpeer__lost_run__get_packed_size
+                     (const Sfpeer__LostRun *message)
+{
+  assert(message->base.descriptor == &sfpeer__lost_run__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__lost_run__pack
+                     (const Sfpeer__LostRun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__lost_run__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__lost_run__pack_to_buffer
+                     (const Sfpeer__LostRun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__lost_run__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__LostRun *
+       sfpeer__lost_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__LostRun *)
+     protobuf_c_message_unpack (&sfpeer__lost_run__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__lost_run__free_unpacked
+                     (Sfpeer__LostRun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__lost_run__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__blame_note__init
+                     (Sfpeer__BlameNote         *message)
+{
+  static const Sfpeer__BlameNote init_value = SFPEER__BLAME_NOTE__INIT;
+  *message = init_value;
+}
+size_t sfpeer__blame_note__get_packed_size
+                     (const Sfpeer__BlameNote *message)
+{
+  assert(message->base.descriptor == &sfpeer__blame_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__blame_note__pack
+                     (const Sfpeer__BlameNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__blame_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__blame_note__pack_to_buffer
+                     (const Sfpeer__BlameNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__blame_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__BlameNote *
+       sfpeer__blame_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__BlameNote *)
+     protobuf_c_message_unpack (&sfpeer__blame_note__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__blame_note__free_unpacked
+                     (Sfpeer__BlameNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__blame_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__envelope__init
                      (Sfpeer__Envelope         *message)
 {
@@ -2939,7 +3029,304 @@
   (ProtobufCMessageInit) sfpeer__job_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[27] =
+static const ProtobufCFieldDescriptor sfpeer__lost_run__field_descriptors[8] =
+{
+  {
+    "keys",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Sfpeer__LostRun, n_keys),
+    offsetof(Sfpeer__LostRun, keys),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun_age_us",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Sfpeer__LostRun, n_begun_age_us),
+    offsetof(Sfpeer__LostRun, begun_age_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LostRun, owed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LostRun, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_started_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LostRun, target_started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_age_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LostRun, sent_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_age_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LostRun, ended_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_ended",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LostRun, target_ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__lost_run__field_indices_by_name[] = {
+  1,   /* field[1] = begun_age_us */
+  6,   /* field[6] = ended_age_us */
+  0,   /* field[0] = keys */
+  2,   /* field[2] = owed */
+  5,   /* field[5] = sent_age_us */
+  3,   /* field[3] = target */
+  7,   /* field[7] = target_ended */
+  4,   /* field[4] = target_started_ms */
+};
+static const ProtobufCIntRange sfpeer__lost_run__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor sfpeer__lost_run__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.LostRun",
+  "LostRun",
+  "Sfpeer__LostRun",
+  "sfpeer",
+  sizeof(Sfpeer__LostRun),
+  8,
+  sfpeer__lost_run__field_descriptors,
+  sfpeer__lost_run__field_indices_by_name,
+  1,  sfpeer__lost_run__number_ranges,
+  (ProtobufCMessageInit) sfpeer__lost_run__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__blame_note__field_descriptors[11] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, verdict),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lost_runs",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, lost_runs),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_end_age_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, last_end_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_age_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, refused_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trials",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, trials),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_by",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, trial_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "trial_left_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, trial_left_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__blame_note__field_indices_by_name[] = {
+  2,   /* field[2] = age_us */
+  1,   /* field[1] = key */
+  0,   /* field[0] = kind */
+  6,   /* field[6] = last_end_age_us */
+  5,   /* field[5] = lost_runs */
+  4,   /* field[4] = part */
+  7,   /* field[7] = refused_age_us */
+  9,   /* field[9] = trial_by */
+  10,   /* field[10] = trial_left_us */
+  8,   /* field[8] = trials */
+  3,   /* field[3] = verdict */
+};
+static const ProtobufCIntRange sfpeer__blame_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor sfpeer__blame_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.BlameNote",
+  "BlameNote",
+  "Sfpeer__BlameNote",
+  "sfpeer",
+  sizeof(Sfpeer__BlameNote),
+  11,
+  sfpeer__blame_note__field_descriptors,
+  sfpeer__blame_note__field_indices_by_name,
+  1,  sfpeer__blame_note__number_ranges,
+  (ProtobufCMessageInit) sfpeer__blame_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[28] =
 {
   {
     "from",
@@ -3205,18 +3592,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "quarantined",
-    23,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Sfpeer__Envelope, n_quarantined),
-    offsetof(Sfpeer__Envelope, quarantined),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "target_notes",
     24,
@@ -3265,10 +3640,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_runs",
+    28,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_lost_runs),
+    offsetof(Sfpeer__Envelope, lost_runs),
+    &sfpeer__lost_run__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "blame_notes",
+    29,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_blame_notes),
+    offsetof(Sfpeer__Envelope, blame_notes),
+    &sfpeer__blame_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
   2,   /* field[2] = asks */
+  27,   /* field[27] = blame_notes */
   18,   /* field[18] = blind */
   10,   /* field[10] = cancelled_jobs */
   8,   /* field[8] = condemned */
@@ -3282,23 +3682,24 @@
   19,   /* field[19] = left */
   5,   /* field[5] = limit_asks */
   6,   /* field[6] = limit_leases */
+  26,   /* field[26] = lost_runs */
   4,   /* field[4] = notes */
   14,   /* field[14] = pool_loads */
-  22,   /* field[22] = quarantined */
-  25,   /* field[25] = quota_answers */
-  24,   /* field[24] = quota_asks */
-  26,   /* field[26] = quota_reports */
+  24,   /* field[24] = quota_answers */
+  23,   /* field[23] = quota_asks */
+  25,   /* field[25] = quota_reports */
   12,   /* field[12] = slot_answers */
   11,   /* field[11] = slot_asks */
   13,   /* field[13] = slot_notes */
   20,   /* field[20] = store_age_ms */
-  23,   /* field[23] = target_notes */
+  22,   /* field[22] = target_notes */
   15,   /* field[15] = view */
 };
-static const ProtobufCIntRange sfpeer__envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange sfpeer__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 27 }
+  { 24, 22 },
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -3308,10 +3709,10 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  27,
+  28,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
-  1,  sfpeer__envelope__number_ranges,
+  2,  sfpeer__envelope__number_ranges,
   (ProtobufCMessageInit) sfpeer__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -36,6 +36,8 @@
 typedef struct Sfpeer__QuotaAnswer Sfpeer__QuotaAnswer;
 typedef struct Sfpeer__QuotaReport Sfpeer__QuotaReport;
 typedef struct Sfpeer__JobNote Sfpeer__JobNote;
+typedef struct Sfpeer__LostRun Sfpeer__LostRun;
+typedef struct Sfpeer__BlameNote Sfpeer__BlameNote;
 typedef struct Sfpeer__Envelope Sfpeer__Envelope;
 
 
@@ -441,6 +443,66 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A run that was lost before its answer began. Times are ages, in microseconds.
+ */
+struct  Sfpeer__LostRun
+{
+  ProtobufCMessage base;
+  /*
+   * The request as a whole, then the shared parts of its prompt.
+   */
+  size_t n_keys;
+  uint64_t *keys;
+  /*
+   * Since an answer last began, by key; 0: not known.
+   */
+  size_t n_begun_age_us;
+  uint64_t *begun_age_us;
+  /*
+   * An item of a job.
+   */
+  protobuf_c_boolean owed;
+  char *target;
+  int64_t target_started_ms;
+  uint64_t sent_age_us;
+  uint64_t ended_age_us;
+  /*
+   * The target's process has ended.
+   */
+  protobuf_c_boolean target_ended;
+};
+#define SFPEER__LOST_RUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__lost_run__descriptor) \
+    , 0,NULL, 0,NULL, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * What is said of a request or a part of prompts that may crash targets.
+ */
+struct  Sfpeer__BlameNote
+{
+  ProtobufCMessage base;
+  uint32_t kind;
+  uint64_t key;
+  uint64_t age_us;
+  uint32_t verdict;
+  protobuf_c_boolean part;
+  uint32_t lost_runs;
+  uint64_t last_end_age_us;
+  uint64_t refused_age_us;
+  uint32_t trials;
+  /*
+   * The daemon that may send one request all the same, and for how long.
+   */
+  uint64_t trial_by;
+  uint64_t trial_left_us;
+};
+#define SFPEER__BLAME_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__blame_note__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
 struct  Sfpeer__Envelope
 {
   ProtobufCMessage base;
@@ -492,11 +554,6 @@
   protobuf_c_boolean left;
   size_t n_contacts;
   Sfpeer__Contact **contacts;
-  /*
-   * Fingerprints of requests that crash targets: no run is to follow.
-   */
-  size_t n_quarantined;
-  uint64_t *quarantined;
   /*
    * Targets that said in an answer that they leave.
    */
@@ -508,10 +565,14 @@
   Sfpeer__QuotaAnswer **quota_answers;
   size_t n_quota_reports;
   Sfpeer__QuotaReport **quota_reports;
+  size_t n_lost_runs;
+  Sfpeer__LostRun **lost_runs;
+  size_t n_blame_notes;
+  Sfpeer__BlameNote **blame_notes;
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Sfpeer__Member methods */
@@ -913,6 +974,44 @@
 void   sfpeer__job_note__free_unpacked
                      (Sfpeer__JobNote *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__LostRun methods */
+void   sfpeer__lost_run__init
+                     (Sfpeer__LostRun         *message);
+size_t sfpeer__lost_run__get_packed_size
+                     (const Sfpeer__LostRun   *message);
+size_t sfpeer__lost_run__pack
+                     (const Sfpeer__LostRun   *message,
+                      uint8_t             *out);
+size_t sfpeer__lost_run__pack_to_buffer
+                     (const Sfpeer__LostRun   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__LostRun *
+       sfpeer__lost_run__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__lost_run__free_unpacked
+                     (Sfpeer__LostRun *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__BlameNote methods */
+void   sfpeer__blame_note__init
+                     (Sfpeer__BlameNote         *message);
+size_t sfpeer__blame_note__get_packed_size
+                     (const Sfpeer__BlameNote   *message);
+size_t sfpeer__blame_note__pack
+                     (const Sfpeer__BlameNote   *message,
+                      uint8_t             *out);
+size_t sfpeer__blame_note__pack_to_buffer
+                     (const Sfpeer__BlameNote   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__BlameNote *
+       sfpeer__blame_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__blame_note__free_unpacked
+                     (Sfpeer__BlameNote *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__Envelope methods */
 void   sfpeer__envelope__init
                      (Sfpeer__Envelope         *message);
@@ -997,6 +1096,12 @@
 typedef void (*Sfpeer__JobNote_Closure)
                  (const Sfpeer__JobNote *message,
                   void *closure_data);
+typedef void (*Sfpeer__LostRun_Closure)
+                 (const Sfpeer__LostRun *message,
+                  void *closure_data);
+typedef void (*Sfpeer__BlameNote_Closure)
+                 (const Sfpeer__BlameNote *message,
+                  void *closure_data);
 typedef void (*Sfpeer__Envelope_Closure)
                  (const Sfpeer__Envelope *message,
                   void *closure_data);
@@ -1027,6 +1132,8 @@
 extern const ProtobufCMessageDescriptor sfpeer__quota_answer__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__quota_report__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__job_note__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__lost_run__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__blame_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- /dev/null
+++ b/src/savoryflow/retry/blame_evidence.c
@@ -0,0 +1,379 @@
+/* Lost runs, and the evidence that they are against requests and parts. */
+#include "savoryflow/retry/blame_evidence.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "os/clock.h"
+#include "savoryflow/arbiter/u64_hash.h"
+
+enum {
+	kRunsMax = 512,
+	/* Ends of one key that are told apart. */
+	kEndsMax = 16,
+	/* Weight of a lost run whose target has ended, and of one that may have
+	 * lost its connection only. */
+	kWeightEnded = 2,
+	kWeightCut = 1,
+	kWeightSuspect = 2 * kWeightEnded,
+	kWeightBlock = 3 * kWeightEnded,
+	/* A call that is interrupted so often is to blame, whether or not its
+	 * targets have ended. */
+	kCallEnds = 3,
+	/* Times reported by different daemons are exact to about this. */
+	kReportErrorUs = 100 * kUsPerMs,
+};
+
+struct lost_run {
+	struct blame_run run;
+	/** Identifies the start of the target. */
+	uint64_t target;
+	uint64_t seen_by;
+	/** Caused by another request or part that is known. */
+	bool is_explained;
+};
+
+/** The end of one target, as far as it concerns a key. */
+struct target_end {
+	uint64_t target;
+	uint64_t seen_by;
+	int64_t ended_us;
+	int32_t weight;
+};
+
+struct blame_evidence {
+	const struct begun_times *begun;
+	/** struct lost_run, ordered by end. */
+	GArray *runs;
+};
+
+static struct lost_run *
+run_at(const struct blame_evidence *ev, guint i)
+{
+	return &g_array_index(ev->runs, struct lost_run, i);
+}
+
+struct blame_evidence *
+blame_evidence_new(const struct begun_times *begun)
+{
+	struct blame_evidence *ev = g_new0(struct blame_evidence, 1);
+
+	ev->begun = begun;
+	ev->runs = g_array_new(FALSE, TRUE, sizeof(struct lost_run));
+	return ev;
+}
+
+void
+blame_evidence_free(struct blame_evidence *ev)
+{
+	g_array_unref(ev->runs);
+	g_free(ev);
+}
+
+void
+blame_evidence_add(struct blame_evidence *ev, const struct blame_run *run)
+{
+	struct lost_run lost = {.run = *run};
+	guint i;
+
+	lost.target = XXH3_64bits_withSeed(
+	    run->target, strlen(run->target), (uint64_t)run->target_started_ms);
+	lost.seen_by = XXH3_64bits(run->seen_by, strlen(run->seen_by));
+	if (ev->runs->len >= kRunsMax)
+		g_array_remove_index(ev->runs, 0);
+	for (i = ev->runs->len;
+	     i > 0 && run_at(ev, i - 1)->run.ended_us > run->ended_us;)
+		i--;
+	g_array_insert_val(ev->runs, i, lost);
+}
+
+void
+blame_evidence_expire(struct blame_evidence *ev, int64_t before_us)
+{
+	guint n = 0;
+
+	while (n < ev->runs->len && run_at(ev, n)->run.ended_us < before_us)
+		n++;
+	if (n > 0)
+		g_array_remove_range(ev->runs, 0, n);
+}
+
+/* @return position of the key among those of the request, or -1 */
+static int32_t
+position_of(const struct blame_keys *keys, uint64_t key)
+{
+	for (int32_t i = 0; i < keys->count; i++)
+		if (keys->keys[i] == key)
+			return i;
+	return -1;
+}
+
+/* Whether another suspect of the same run is more likely to blame: answers
+ * began with it longer ago, or it is shared by fewer requests. */
+static bool
+has_likelier_key(const struct blame_evidence *ev, const struct blame_run *run,
+    int32_t position, const GArray *suspects)
+{
+	int64_t begun_us = begun_times_get(ev->begun, run->keys.keys[position]);
+
+	for (guint i = 0; suspects != NULL && i < suspects->len; i++) {
+		uint64_t other = g_array_index(suspects, uint64_t, i);
+		int32_t other_position = position_of(&run->keys, other);
+		int64_t other_us = begun_times_get(ev->begun, other);
+
+		if (other_position > 0 && other_position != position &&
+		    (other_us < begun_us ||
+			(other_us == begun_us && other_position > position)))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether a run was sent after the end of another target. Runs that were sent
+ * before it end together when many targets crash at once, and say no more than
+ * one of them.
+ */
+static bool
+is_later(const struct lost_run *lost, const struct target_end *last)
+{
+	int64_t error_us = lost->seen_by == last->seen_by ? 0 : kReportErrorUs;
+
+	return lost->run.sent_us >= last->ended_us + error_us;
+}
+
+static void
+add_end(struct target_end *ends, int32_t *count, const struct lost_run *lost)
+{
+	struct target_end end = {lost->target, lost->seen_by,
+	    lost->run.ended_us,
+	    lost->run.has_target_ended ? kWeightEnded : kWeightCut};
+
+	struct target_end *last = *count > 0 ? &ends[*count - 1] : NULL;
+
+	if (last == NULL || is_later(lost, last)) {
+		if (*count < kEndsMax)
+			ends[(*count)++] = end;
+	} else if (last->target == lost->target) {
+		last->weight = MAX(last->weight, end.weight);
+	}
+}
+
+/**
+ * @param suspects runs that a likelier key among these explains are left out;
+ *        may be NULL
+ */
+static struct blame_score
+score(const struct blame_evidence *ev, uint64_t key, const GArray *suspects)
+{
+	struct blame_score found = {0};
+	struct target_end ends[kEndsMax];
+	int64_t begun_us = begun_times_get(ev->begun, key);
+	uint64_t first_request = 0;
+
+	for (guint i = 0; i < ev->runs->len; i++) {
+		const struct lost_run *lost = run_at(ev, i);
+		int32_t position = position_of(&lost->run.keys, key);
+		uint64_t request = lost->run.keys.keys[0];
+
+		if (position < 0 || lost->is_explained ||
+		    lost->run.ended_us <= begun_us ||
+		    has_likelier_key(ev, &lost->run, position, suspects))
+			continue;
+		if (found.runs == 0)
+			first_request = request;
+		found.has_several_requests |= request != first_request;
+		add_end(ends, &found.ends, lost);
+		found.runs++;
+		found.last_end_us = lost->run.ended_us;
+	}
+	for (int32_t i = 0; i < found.ends; i++)
+		found.weight += ends[i].weight;
+	return found;
+}
+
+struct blame_score
+blame_evidence_score(const struct blame_evidence *ev, uint64_t key)
+{
+	return score(ev, key, NULL);
+}
+
+/* Counts a key; adds it to the list when it is met a second time. */
+static void
+count_key(GHashTable *counts, uint64_t *key, GArray *list)
+{
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(counts, key)) + 1;
+
+	g_hash_table_insert(counts, key, GINT_TO_POINTER(n));
+	if (n == 2)
+		g_array_append_val(list, *key);
+}
+
+/* Keys of more than one run. */
+static GArray *
+repeated_keys(const struct blame_evidence *ev)
+{
+	GHashTable *counts = g_hash_table_new(g_int64_hash, g_int64_equal);
+	GArray *list = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+
+	for (guint i = 0; i < ev->runs->len; i++) {
+		struct lost_run *lost = run_at(ev, i);
+
+		for (int32_t k = 0;
+		     !lost->is_explained && k < lost->run.keys.count; k++)
+			count_key(counts, &lost->run.keys.keys[k], list);
+	}
+	g_hash_table_unref(counts);
+	return list;
+}
+
+static bool
+is_part(const struct blame_evidence *ev, uint64_t key)
+{
+	for (guint i = 0; i < ev->runs->len; i++) {
+		int32_t position = position_of(&run_at(ev, i)->run.keys, key);
+
+		if (position >= 0)
+			return position > 0;
+	}
+	return false;
+}
+
+static bool
+may_be_blocked(const struct blame_score *sc)
+{
+	return sc->weight >= kWeightBlock && sc->has_several_requests;
+}
+
+bool
+blame_evidence_is_call(const struct blame_evidence *ev, uint64_t key)
+{
+	return blame_evidence_score(ev, key).ends >= kCallEnds;
+}
+
+typedef bool (*score_test_fn)(const struct blame_score *sc);
+
+static GArray *
+find_parts(const struct blame_evidence *ev, score_test_fn matches)
+{
+	GArray *keys = repeated_keys(ev);
+
+	for (guint i = keys->len; i > 0; i--) {
+		uint64_t key = g_array_index(keys, uint64_t, i - 1);
+		struct blame_score sc = blame_evidence_score(ev, key);
+
+		if (!is_part(ev, key) || !matches(&sc))
+			g_array_remove_index(keys, i - 1);
+	}
+	return keys;
+}
+
+static bool
+may_be_suspected(const struct blame_score *sc)
+{
+	return sc->weight >= kWeightSuspect;
+}
+
+bool
+blame_evidence_is_suspect(const struct blame_evidence *ev, uint64_t key)
+{
+	struct blame_score sc = blame_evidence_score(ev, key);
+
+	return may_be_suspected(&sc);
+}
+
+GArray *
+blame_evidence_suspects(const struct blame_evidence *ev)
+{
+	return find_parts(ev, may_be_suspected);
+}
+
+/* A part that sound requests share has the same ends as the one that causes
+ * them: what a likelier one explains does not count. */
+bool
+blame_evidence_find_part(const struct blame_evidence *ev, uint64_t *key)
+{
+	GArray *suspects = find_parts(ev, may_be_blocked);
+	struct blame_score best = {0};
+
+	for (guint i = 0; i < suspects->len; i++) {
+		uint64_t k = g_array_index(suspects, uint64_t, i);
+		struct blame_score sc = score(ev, k, suspects);
+
+		if (!may_be_blocked(&sc) || sc.weight < best.weight ||
+		    (sc.weight == best.weight &&
+			begun_times_get(ev->begun, k) >=
+			    begun_times_get(ev->begun, *key)))
+			continue;
+		best = sc;
+		*key = k;
+	}
+	g_array_unref(suspects);
+	return best.weight > 0;
+}
+
+/* Targets that ended while they had runs with the key: set of uint64_t. */
+static GHashTable *
+targets_of(const struct blame_evidence *ev, uint64_t key)
+{
+	GHashTable *targets = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+	for (guint i = 0; i < ev->runs->len; i++) {
+		struct lost_run *lost = run_at(ev, i);
+
+		if (position_of(&lost->run.keys, key) >= 0)
+			g_hash_table_add(targets, &lost->target);
+	}
+	return targets;
+}
+
+void
+blame_evidence_explain(
+    struct blame_evidence *ev, uint64_t key, bool is_for_part)
+{
+	GHashTable *targets = targets_of(ev, key);
+
+	for (guint i = 0; i < ev->runs->len; i++) {
+		struct lost_run *lost = run_at(ev, i);
+		bool is_own = position_of(&lost->run.keys, key) >= 0;
+
+		if (is_own ? is_for_part
+			   : g_hash_table_contains(targets, &lost->target))
+			lost->is_explained = true;
+	}
+	g_hash_table_unref(targets);
+}
+
+static void
+add_name(GString *list, GHashTable *seen, const char *name)
+{
+	if (!g_hash_table_add(seen, (void *)name))
+		return;
+	if (list->len > 0)
+		g_string_append_c(list, ',');
+	g_string_append(list, name);
+}
+
+void
+blame_evidence_describe(
+    const struct blame_evidence *ev, uint64_t key, struct blame_case *found)
+{
+	GHashTable *targets = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *daemons = g_hash_table_new(g_str_hash, g_str_equal);
+
+	found->lost_runs = 0;
+
+	found->targets = g_string_new(NULL);
+	found->seen_by = g_string_new(NULL);
+	for (guint i = 0; i < ev->runs->len; i++) {
+		const struct blame_run *run = &run_at(ev, i)->run;
+
+		if (position_of(&run->keys, key) < 0)
+			continue;
+		found->lost_runs++;
+		add_name(found->targets, targets, run->target);
+		add_name(found->seen_by, daemons, run->seen_by);
+	}
+	g_hash_table_unref(targets);
+	g_hash_table_unref(daemons);
+}
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -182,7 +182,7 @@
 	clock_ops time_ops = {PlayTime, PlayTime};
 	clock_source clk = {&time_ops, nullptr};
 	dialect_ops dialect = {};
-	relay_ops ops = {OnHead, OnData, nullptr, OnEnd};
+	relay_ops ops = {OnHead, OnData, nullptr, nullptr, nullptr, OnEnd};
 	Play state;
 	struct loop *lp = nullptr;
 	struct fleet *fl = fleet_new();
