--- a/bench/bench.h
+++ b/bench/bench.h
@@ -33,6 +33,9 @@
 void bench_membership(void);
 void bench_decision(void);
 
+/** @param seeds plays of each scenario */
+void bench_crash(int32_t seeds);
+
 /**
  * Load generator, see load.c.
  * @return exit code, 1 if a request failed
--- /dev/null
+++ b/bench/crash_fleet.c
@@ -0,0 +1,573 @@
+/* Daemons, workers and requests that crash workers, in virtual time. */
+#include "crash_fleet.h"
+
+#include <string.h>
+
+#include "savoryflow/retry/blame.h"
+
+enum {
+	kMs = 1000,
+	kSecond = 1000 * kMs,
+	kSlots = 8,
+	kAttemptsMax = 2,
+	kCoordinators = 2,
+	kTickMs = 100,
+	kHoldCheckMs = 20,
+	/* One way, within a region and to another one. */
+	kNearMs = 3,
+	kFarMs = 33,
+	kRegions = 3,
+	/* Time from a request's start at a worker to its answer, and to the
+	 * end. */
+	kBeginMinMs = 20,
+	kBeginMaxMs = 120,
+	kRunMinMs = 400,
+	kRunMaxMs = 1100,
+	kRestartMinMs = 1500,
+	kRestartMaxMs = 4000,
+	kDaemonDownMs = 500,
+	/* Sessions of sound requests, each a part of its own. */
+	kSessions = 300,
+	/* The users' bound, and the ends after which it begins. */
+	kContactMs = 4000,
+	kEndsBound = 5,
+	/* Keys: bases of the parts and requests. */
+	kSharedPart = 7,
+	kBadPart = 1000,
+	kSessionPart = 100000,
+};
+
+struct worker {
+	int32_t start;
+	int64_t up_at_ms;
+	int32_t running;
+};
+
+struct daemon {
+	struct blame *bl;
+	struct blame_out *out;
+	char name[32];
+	int64_t up_at_ms;
+};
+
+struct run {
+	struct blame_keys keys;
+	int32_t daemon;
+	int32_t worker;
+	int32_t worker_start;
+	int32_t attempts;
+	int64_t sent_ms;
+	int64_t begin_ms;
+	int64_t end_ms;
+	bool is_bad;
+	bool is_cut;
+	bool has_begun;
+	bool is_counted;
+	/** A trial: its verdict is known. */
+	bool is_trial;
+	int64_t arrived_ms;
+};
+
+/** Something that a daemon gets later. */
+struct message {
+	int64_t at_ms;
+	int32_t to;
+	uint64_t from;
+	bool is_run;
+	/** A lost run of the daemon itself, after its worker was probed. */
+	bool is_own;
+	struct blame_run run;
+	struct blame_note note;
+};
+
+struct fleet {
+	const struct crash_scenario *sc;
+	GRand *rand;
+	int64_t now_ms;
+	struct daemon *daemons;
+	struct worker *workers;
+	/** struct run, and struct message ordered by time. */
+	GArray *runs;
+	/** struct run, requests that are held. */
+	GArray *held;
+	GQueue messages;
+	uint64_t next_request;
+	int64_t fifth_end_ms;
+	struct crash_result res;
+};
+
+static int64_t
+now_us(const struct fleet *fl)
+{
+	return fl->now_ms * kMs;
+}
+
+static int32_t
+pick(struct fleet *fl, int32_t from, int32_t to)
+{
+	return g_rand_int_range(fl->rand, from, to + 1);
+}
+
+static bool
+is_up(const struct fleet *fl, int32_t daemon)
+{
+	return fl->daemons[daemon].up_at_ms <= fl->now_ms;
+}
+
+static bool
+is_coordinator(const struct fleet *fl, int32_t daemon, bool *is_primary)
+{
+	int32_t before = 0;
+
+	for (int32_t i = 0; i < daemon; i++)
+		before += is_up(fl, i);
+	*is_primary = before == 0;
+	return before < kCoordinators;
+}
+
+static int64_t
+delay_ms(int32_t a, int32_t b)
+{
+	return a % kRegions == b % kRegions ? kNearMs : kFarMs;
+}
+
+static gint
+compare_messages(const void *a, const void *b, void *ctx)
+{
+	const struct message *x = a;
+	const struct message *y = b;
+
+	return x->at_ms < y->at_ms ? -1 : x->at_ms > y->at_ms;
+}
+
+static void
+post(struct fleet *fl, const struct message *msg)
+{
+	struct message *copy = g_new(struct message, 1);
+	GList *at = fl->messages.tail;
+
+	*copy = *msg;
+	while (at != NULL && compare_messages(at->data, copy, NULL) > 0)
+		at = at->prev;
+	if (at == NULL)
+		g_queue_push_head(&fl->messages, copy);
+	else
+		g_queue_insert_after(&fl->messages, at, copy);
+}
+
+static void
+post_to_peers(struct fleet *fl, int32_t from, bool to_all, struct message *msg)
+{
+	for (int32_t i = 0; i < fl->sc->daemons; i++) {
+		bool is_primary;
+
+		if (i == from || !is_up(fl, i) ||
+		    (!to_all && !is_coordinator(fl, i, &is_primary)))
+			continue;
+		msg->to = i;
+		msg->at_ms = fl->now_ms + delay_ms(from, i);
+		fl->res.messages++;
+		post(fl, msg);
+	}
+}
+
+static void
+count_blocked(struct fleet *fl, struct daemon *d)
+{
+	struct blame_case found;
+
+	while (blame_take_case(d->bl, &found)) {
+		bool is_bad = found.is_part && found.key >= kBadPart &&
+		    found.key < kSessionPart;
+
+		if (is_bad && fl->res.ends_until_known == 0)
+			fl->res.ends_until_known = fl->res.ends;
+		if (!is_bad && found.is_part)
+			fl->res.wrong_parts++;
+		if (!found.is_part)
+			fl->res.wrong_requests++;
+		blame_case_clear(&found);
+	}
+}
+
+/* Sends what a daemon's blame module has left. */
+static void
+flush(struct fleet *fl, int32_t daemon)
+{
+	struct daemon *d = &fl->daemons[daemon];
+	struct message msg = {.from = blame_daemon_hash(d->name)};
+
+	for (guint i = 0; i < d->out->runs->len; i++) {
+		msg.is_run = true;
+		msg.run = g_array_index(d->out->runs, struct blame_run, i);
+		post_to_peers(fl, daemon, false, &msg);
+	}
+	for (guint i = 0; i < d->out->notes->len; i++) {
+		msg.is_run = false;
+		msg.note = g_array_index(d->out->notes, struct blame_note, i);
+		post_to_peers(
+		    fl, daemon, msg.note.kind == kBlameNoteVerdict, &msg);
+	}
+	blame_out_clear(d->out);
+	count_blocked(fl, d);
+}
+
+static void
+deliver(struct fleet *fl)
+{
+	struct message *msg;
+
+	while ((msg = g_queue_peek_head(&fl->messages)) != NULL &&
+	    msg->at_ms <= fl->now_ms) {
+		struct daemon *d = &fl->daemons[msg->to];
+
+		g_queue_pop_head(&fl->messages);
+		if (!is_up(fl, msg->to)) {
+			g_free(msg);
+			continue;
+		}
+		if (msg->is_own)
+			blame_record_run(d->bl, &msg->run, now_us(fl), d->out);
+		else if (msg->is_run)
+			blame_on_run(d->bl, &msg->run, now_us(fl), d->out);
+		else
+			blame_on_note(
+			    d->bl, msg->from, &msg->note, now_us(fl), d->out);
+		flush(fl, msg->to);
+		g_free(msg);
+	}
+}
+
+static enum blame_verdict
+check(struct fleet *fl, const struct run *run, bool will_send)
+{
+	struct daemon *d = &fl->daemons[run->daemon];
+	uint64_t key;
+	enum blame_verdict verdict =
+	    blame_check(d->bl, &run->keys, will_send, now_us(fl), d->out, &key);
+
+	flush(fl, run->daemon);
+	return verdict;
+}
+
+/* @return -1 if no worker is up with a free slot */
+static int32_t
+choose_worker(struct fleet *fl)
+{
+	int32_t n = fl->sc->workers;
+	int32_t first = pick(fl, 0, n - 1);
+
+	for (int32_t i = 0; i < n; i++) {
+		int32_t w = (first + i) % n;
+
+		if (fl->workers[w].up_at_ms <= fl->now_ms &&
+		    fl->workers[w].running < kSlots)
+			return w;
+	}
+	return -1;
+}
+
+static void
+count_sent(struct fleet *fl, const struct run *run)
+{
+	/* Daemons that have just started are not bound yet. */
+	if (run->is_bad && fl->fifth_end_ms != 0 &&
+	    fl->now_ms > fl->fifth_end_ms + kContactMs &&
+	    fl->now_ms > fl->daemons[run->daemon].up_at_ms + kContactMs)
+		fl->res.let_through++;
+}
+
+/* Sends a request to a worker, if it may run and one is free. */
+static void
+start_run(struct fleet *fl, struct run run)
+{
+	enum blame_verdict verdict =
+	    run.is_trial ? kBlameSuspected : check(fl, &run, false);
+
+	if (verdict == kBlameBlocked ||
+	    (verdict != kBlameNone && run.attempts > 0)) {
+		fl->res.sound_refused +=
+		    !run.is_bad && verdict == kBlameBlocked;
+		return;
+	}
+	run.worker = choose_worker(fl);
+	if (run.worker < 0)
+		return;
+	run.worker_start = fl->workers[run.worker].start;
+	fl->workers[run.worker].running++;
+	run.attempts++;
+	run.sent_ms = fl->now_ms;
+	run.begin_ms = fl->now_ms + pick(fl, kBeginMinMs, kBeginMaxMs);
+	run.end_ms = run.begin_ms + pick(fl, kRunMinMs, kRunMaxMs);
+	run.is_cut = pick(fl, 1, 100) <= fl->sc->cut_percent;
+	run.has_begun = false;
+	count_sent(fl, &run);
+	g_array_append_val(fl->runs, run);
+}
+
+static void
+report_lost(struct fleet *fl, const struct run *run, bool has_target_ended)
+{
+	struct message msg = {
+	    .to = run->daemon,
+	    .is_own = true,
+	    .at_ms = fl->now_ms + 2 * delay_ms(run->daemon, run->worker),
+	    .run =
+		{
+		    .keys = run->keys,
+		    .target_started_ms = run->worker_start,
+		    .sent_us = run->sent_ms * kMs,
+		    .ended_us = now_us(fl),
+		    .has_target_ended = has_target_ended,
+		},
+	};
+
+	g_snprintf(msg.run.target, sizeof(msg.run.target), "w%d", run->worker);
+	g_strlcpy(msg.run.seen_by, fl->daemons[run->daemon].name,
+	    sizeof(msg.run.seen_by));
+	post(fl, &msg);
+	if (run->attempts < kAttemptsMax && is_up(fl, run->daemon))
+		start_run(fl, *run);
+}
+
+static struct run
+take_run(struct fleet *fl, guint i)
+{
+	struct run run = g_array_index(fl->runs, struct run, i);
+	struct worker *w = &fl->workers[run.worker];
+
+	if (w->start == run.worker_start && w->running > 0)
+		w->running--;
+	g_array_remove_index_fast(fl->runs, i);
+	return run;
+}
+
+static void
+crash_worker(struct fleet *fl, int32_t worker, int32_t down_ms)
+{
+	struct worker *w = &fl->workers[worker];
+	int32_t start = w->start;
+
+	if (w->up_at_ms > fl->now_ms)
+		return;
+	w->start++;
+	w->running = 0;
+	w->up_at_ms = fl->now_ms + down_ms;
+	for (guint i = fl->runs->len; i > 0; i--) {
+		const struct run *at =
+		    &g_array_index(fl->runs, struct run, i - 1);
+		struct run run;
+
+		if (at->worker != worker || at->worker_start != start)
+			continue;
+		run = take_run(fl, i - 1);
+		if (!run.has_begun)
+			report_lost(fl, &run, true);
+	}
+}
+
+static void
+crash_by_request(struct fleet *fl, int32_t worker)
+{
+	fl->res.ends++;
+	if (fl->res.ends == kEndsBound)
+		fl->fifth_end_ms = fl->now_ms;
+	crash_worker(fl, worker, pick(fl, kRestartMinMs, kRestartMaxMs));
+}
+
+static void
+begin_answer(struct fleet *fl, struct run *run)
+{
+	struct daemon *d = &fl->daemons[run->daemon];
+
+	run->has_begun = true;
+	if (run->is_counted && run->attempts == 1)
+		fl->res.sound_served++;
+	if (!is_up(fl, run->daemon))
+		return;
+	blame_record_begun(d->bl, &run->keys, now_us(fl), d->out);
+	flush(fl, run->daemon);
+}
+
+/* Runs that begin to answer, end, or crash their worker now. */
+static void
+step_runs(struct fleet *fl)
+{
+	for (guint i = fl->runs->len; i > 0; i--) {
+		struct run *run;
+
+		if (i > fl->runs->len)
+			continue;
+		run = &g_array_index(fl->runs, struct run, i - 1);
+		if (run->end_ms <= fl->now_ms) {
+			take_run(fl, i - 1);
+		} else if (!run->has_begun && run->begin_ms <= fl->now_ms) {
+			if (run->is_bad) {
+				crash_by_request(fl, run->worker);
+			} else if (run->is_cut) {
+				struct run lost = take_run(fl, i - 1);
+
+				report_lost(fl, &lost, false);
+			} else {
+				begin_answer(fl, run);
+			}
+		}
+	}
+}
+
+/* @return true if the request is not held any more */
+static bool
+admit(struct fleet *fl, struct run run)
+{
+	enum blame_verdict verdict = check(fl, &run, true);
+
+	if (verdict == kBlameHeld && is_up(fl, run.daemon) &&
+	    fl->now_ms < run.arrived_ms + kBlameHoldUs / kMs)
+		return false;
+	run.is_trial = verdict == kBlameTrial;
+	start_run(fl, run);
+	return true;
+}
+
+static void
+retry_held(struct fleet *fl)
+{
+	for (guint i = fl->held->len; i > 0; i--)
+		if (admit(fl, g_array_index(fl->held, struct run, i - 1)))
+			g_array_remove_index_fast(fl->held, i - 1);
+}
+
+static void
+arrive(struct fleet *fl, bool is_bad)
+{
+	struct run run = {.is_bad = is_bad};
+	uint64_t part = is_bad
+	    ? kBadPart + (uint64_t)pick(fl, 0, fl->sc->bad_parts - 1)
+	    : kSessionPart + (uint64_t)pick(fl, 0, kSessions - 1);
+	bool is_late = fl->fifth_end_ms != 0 &&
+	    fl->now_ms > fl->fifth_end_ms + 2 * kContactMs;
+
+	run.daemon = pick(fl, 0, fl->sc->daemons - 1);
+	if (!is_up(fl, run.daemon))
+		return;
+	run.keys.keys[0] = (uint64_t)INT64_MAX + fl->next_request++;
+	run.keys.keys[1] = fl->sc->is_bad_first ? part : kSharedPart;
+	run.keys.keys[2] = fl->sc->is_bad_first ? kSharedPart : part;
+	run.keys.count = 3;
+	run.is_counted = !is_bad && is_late;
+	fl->res.sound += run.is_counted;
+	fl->res.sound_all += !is_bad;
+	run.arrived_ms = fl->now_ms;
+	if (!admit(fl, run))
+		g_array_append_val(fl->held, run);
+}
+
+static void
+restart_daemon(struct fleet *fl, int32_t daemon)
+{
+	struct daemon *d = &fl->daemons[daemon];
+
+	blame_free(d->bl);
+	d->bl = blame_new(d->name);
+	blame_out_clear(d->out);
+	d->up_at_ms = fl->now_ms + kDaemonDownMs;
+}
+
+static void
+step_faults(struct fleet *fl)
+{
+	const struct crash_scenario *sc = fl->sc;
+	int64_t restarts;
+
+	if (sc->crash_period_ms > 0 && fl->now_ms % sc->crash_period_ms == 0)
+		for (int32_t w = 0; w < sc->workers; w++)
+			if (pick(fl, 1, 100) <= sc->crash_percent)
+				crash_worker(fl, w, kRestartMinMs);
+	if (sc->restart_period_ms == 0 ||
+	    fl->now_ms % sc->restart_period_ms != 0)
+		return;
+	restarts = fl->now_ms / sc->restart_period_ms;
+	if (restarts > 0 && restarts <= sc->daemons)
+		restart_daemon(fl, (int32_t)restarts - 1);
+}
+
+static void
+tick_daemons(struct fleet *fl)
+{
+	for (int32_t i = 0; i < fl->sc->daemons; i++) {
+		struct daemon *d = &fl->daemons[i];
+		bool is_primary;
+		bool coordinates;
+
+		if (!is_up(fl, i) || (fl->now_ms + i) % kTickMs != 0)
+			continue;
+		coordinates = is_coordinator(fl, i, &is_primary);
+		if (fl->now_ms - d->up_at_ms <= kTickMs)
+			blame_ask(d->bl, now_us(fl), d->out);
+		blame_set_role(d->bl, coordinates, is_primary);
+		blame_tick(d->bl, now_us(fl), d->out);
+		flush(fl, i);
+	}
+}
+
+static void
+step(struct fleet *fl)
+{
+	const struct crash_scenario *sc = fl->sc;
+
+	fl->now_ms++;
+	step_faults(fl);
+	deliver(fl);
+	step_runs(fl);
+	if (fl->now_ms % kHoldCheckMs == 0)
+		retry_held(fl);
+	if (pick(fl, 1, kSecond / kMs) <= sc->sound_per_s)
+		arrive(fl, false);
+	if (pick(fl, 1, kSecond / kMs) <= sc->bad_per_s)
+		arrive(fl, true);
+	tick_daemons(fl);
+}
+
+static void
+fleet_init(struct fleet *fl)
+{
+	fl->daemons = g_new0(struct daemon, fl->sc->daemons);
+	fl->workers = g_new0(struct worker, fl->sc->workers);
+	fl->runs = g_array_new(FALSE, TRUE, sizeof(struct run));
+	fl->held = g_array_new(FALSE, TRUE, sizeof(struct run));
+	g_queue_init(&fl->messages);
+	for (int32_t i = 0; i < fl->sc->daemons; i++) {
+		struct daemon *d = &fl->daemons[i];
+
+		g_snprintf(d->name, sizeof(d->name), "d%d", i);
+		d->bl = blame_new(d->name);
+		d->out = blame_out_new();
+	}
+}
+
+static void
+fleet_clear(struct fleet *fl)
+{
+	for (int32_t i = 0; i < fl->sc->daemons; i++) {
+		blame_free(fl->daemons[i].bl);
+		blame_out_free(fl->daemons[i].out);
+	}
+	g_queue_clear_full(&fl->messages, g_free);
+	g_array_unref(fl->runs);
+	g_array_unref(fl->held);
+	g_free(fl->daemons);
+	g_free(fl->workers);
+	g_rand_free(fl->rand);
+}
+
+struct crash_result
+crash_fleet_run(const struct crash_scenario *sc, uint32_t seed)
+{
+	struct fleet fl = {.sc = sc, .rand = g_rand_new_with_seed(seed)};
+
+	fleet_init(&fl);
+	while (fl.now_ms < (int64_t)sc->seconds * kSecond / kMs)
+		step(&fl);
+	fleet_clear(&fl);
+	return fl.res;
+}
--- a/bench/main.c
+++ b/bench/main.c
@@ -4,10 +4,15 @@
  */
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "bench.h"
 
+enum {
+	kCrashSeeds = 100,
+};
+
 static bool has_failed;
 
 static bool
@@ -71,6 +76,8 @@
 		bench_policy();
 	if (run_all || strcmp(command, "membership") == 0)
 		bench_membership();
+	if (run_all || strcmp(command, "crash") == 0)
+		bench_crash(argc > 2 ? atoi(argv[2]) : kCrashSeeds);
 	if (run_all || strcmp(command, "decision") == 0)
 		bench_decision();
 	return bench_has_failed() ? 1 : 0;
--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -18,6 +18,10 @@
 	 * pause between events, so that another target can still meet it. */
 	kStallTimeoutDivisor = 2,
 	kStallTimeoutMinUs = 120 * kUsPerMs,
+	/* A held request is looked at again so often. */
+	kHeldCheckUs = 20 * kUsPerMs,
+	/* Latest useful start of a request that was held, from then on. */
+	kHeldStartUs = 300 * kUsPerMs,
 	kHttpOk = 200,
 };
 
@@ -31,7 +35,15 @@
 	struct front_request *req;
 	struct relay *relay;
 	struct loop *lp;
+	struct relay_options opt;
+	char service[kFleetNameMax];
 	struct blame_keys keys;
+	/** It runs to find out whether it still crashes targets. */
+	bool is_trial;
+	/** Until when it may be held, and the timer; 0: it is not held. */
+	int64_t hold_until_us;
+	uint64_t hold_timer;
+	bool was_held;
 	char attempt_id[kAttemptIdMax];
 	char route[kFleetNameMax];
 	int64_t objective_us;
@@ -186,10 +198,11 @@
 	struct online_call *oc = ctx;
 	uint64_t key;
 	enum blame_verdict verdict =
-	    crash_guard_check(oc->cs->opt.guard, &oc->keys, true, &key);
+	    crash_guard_check(oc->cs->opt.guard, &oc->keys, false, &key);
 
-	return verdict == kBlameNone ||
-	    (verdict == kBlameSuspected && !is_repeat);
+	if (verdict == kBlameBlocked && !oc->is_trial)
+		return false;
+	return verdict == kBlameNone || !is_repeat;
 }
 
 static void
@@ -233,42 +246,92 @@
 	log_event(kEvtCallerLeft, "request", oc->attempt_id, "route", oc->route,
 	    "age_us", log_number(age_us(oc)), "first_us",
 	    log_number(oc->first_us), NULL);
-	relay_cancel(oc->relay);
+	loop_timer_cancel(oc->lp, oc->hold_timer);
+	if (oc->relay != NULL)
+		relay_cancel(oc->relay);
 	call_free(oc);
 }
 
 /* Refuses a request that crashes targets. */
-static bool
-refuse_blocked(struct calls *cs, struct front_request *req,
-    const struct dialect_call *call, const struct blame_keys *keys)
+static void
+refuse_blocked(struct online_call *oc, uint64_t key)
 {
 	char text[20];
-	uint64_t key;
 
-	if (crash_guard_check(cs->opt.guard, keys, false, &key) !=
-	    kBlameBlocked)
-		return false;
 	g_snprintf(text, sizeof(text), "%" PRIx64, key);
-	log_event(kEvtCallRefused, "request", call->attempt_id, "why",
+	log_event(kEvtCallRefused, "request", oc->attempt_id, "why",
 	    "crashes_targets", "key", text, NULL);
-	reply_blocked(req);
-	return true;
+	front_on_disconnect(oc->req, NULL, NULL);
+	reply_blocked(oc->req);
+	call_free(oc);
+}
+
+/* Starts the request, unless it is to wait or must not run. */
+static void
+admit(void *ctx)
+{
+	struct online_call *oc = ctx;
+	int64_t now_us = loop_now_us(oc->lp);
+	uint64_t key;
+	enum blame_verdict verdict =
+	    crash_guard_check(oc->cs->opt.guard, &oc->keys, true, &key);
+
+	oc->hold_timer = 0;
+	if (verdict == kBlameBlocked) {
+		refuse_blocked(oc, key);
+		return;
+	}
+	if (verdict == kBlameHeld && now_us < oc->hold_until_us) {
+		oc->was_held = true;
+		oc->hold_timer =
+		    loop_timer(oc->lp, now_us + kHeldCheckUs, admit, oc);
+		return;
+	}
+	oc->is_trial = verdict == kBlameTrial;
+	if (oc->was_held)
+		oc->opt.deadline_us =
+		    MAX(oc->opt.deadline_us, now_us + kHeldStartUs);
+	oc->relay = relay_start(&oc->cs->opt.deps, &oc->opt);
+}
+
+static struct online_call *
+call_new(struct calls *cs, struct front_request *req,
+    const struct dialect_call *call, const struct routebook_route *route)
+{
+	struct online_call *oc = g_new0(struct online_call, 1);
+
+	oc->cs = cs;
+	oc->req = req;
+	oc->lp = cs->opt.deps.lp;
+	oc->headers = header_list_new();
+	oc->answer_body = g_string_new(NULL);
+	oc->objective_us = route->objective_us;
+	oc->hold_until_us = loop_now_us(oc->lp) + kBlameHoldUs;
+	g_strlcpy(oc->attempt_id, call->attempt_id, sizeof(oc->attempt_id));
+	g_strlcpy(oc->route, route->name != NULL ? route->name : "",
+	    sizeof(oc->route));
+	g_strlcpy(oc->service,
+	    routebook_pick_service(route, g_rand_int(cs->rand)),
+	    sizeof(oc->service));
+	crash_guard_keys(
+	    front_uri(req), front_body(req), &call->parts, false, &oc->keys);
+	return oc;
 }
 
 void
 calls_serve(struct calls *cs, struct front_request *req,
     const struct dialect_call *call, const struct routebook_route *route)
 {
-	struct online_call *oc;
+	struct online_call *oc = call_new(cs, req, call, route);
 	int64_t received_us = front_received_us(req);
-	struct blame_keys keys;
-	struct relay_options opt = {
+
+	oc->opt = (struct relay_options){
 	    .method = front_method(req),
 	    .uri = front_uri(req),
 	    .headers = front_headers(req),
 	    .body = front_body(req),
-	    .attempt_id = call->attempt_id,
-	    .service = routebook_pick_service(route, g_rand_int(cs->rand)),
+	    .attempt_id = oc->attempt_id,
+	    .service = oc->service,
 	    .deadline_us = received_us +
 		MAX(route->objective_us - kFirstEventUs, kFirstEventUs),
 	    .answer_deadline_us = answer_deadline(req, call, route),
@@ -283,24 +346,8 @@
 		route->objective_us / kStallTimeoutDivisor, kStallTimeoutMinUs),
 	    .pause_timeout_us = route->event_gap_max_us / kStallTimeoutDivisor,
 	    .ops = &relay_ops,
+	    .ctx = oc,
 	};
-
-	crash_guard_keys(
-	    front_uri(req), front_body(req), &call->parts, false, &keys);
-	if (refuse_blocked(cs, req, call, &keys))
-		return;
-	oc = g_new0(struct online_call, 1);
-	opt.ctx = oc;
-	oc->cs = cs;
-	oc->keys = keys;
-	oc->req = req;
-	oc->lp = cs->opt.deps.lp;
-	oc->headers = header_list_new();
-	oc->answer_body = g_string_new(NULL);
-	oc->objective_us = route->objective_us;
-	g_strlcpy(oc->attempt_id, call->attempt_id, sizeof(oc->attempt_id));
-	g_strlcpy(oc->route, route->name != NULL ? route->name : "",
-	    sizeof(oc->route));
 	front_on_disconnect(req, on_disconnect, oc);
-	oc->relay = relay_start(&cs->opt.deps, &opt);
+	admit(oc);
 }
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -19,6 +19,9 @@
 	struct connect_probes *probes;
 	struct blame *blame;
 	struct blame_out *out;
+	/** The coordinators; empty if there is none. */
+	char primary[kFleetAddressMax];
+	char second[kFleetAddressMax];
 	/** Addresses of the coordinators other than this daemon. */
 	GPtrArray *coordinators;
 	bool is_closing;
@@ -241,7 +244,7 @@
 static void
 update_role(struct crash_guard *cg)
 {
-	const char *found[kCoordinators];
+	const char *found[kCoordinators] = {"", ""};
 	int32_t count = 0;
 	bool is_coordinator = false;
 
@@ -256,6 +259,11 @@
 		if (count == 0 || strcmp(owner, found[0]) != 0)
 			found[count++] = owner;
 	}
+	if (strcmp(found[0], cg->primary) != 0 ||
+	    strcmp(found[1], cg->second) != 0)
+		blame_ask(cg->blame, loop_now_us(cg->opt.lp), cg->out);
+	g_strlcpy(cg->primary, found[0], sizeof(cg->primary));
+	g_strlcpy(cg->second, found[1], sizeof(cg->second));
 	g_ptr_array_set_size(cg->coordinators, 0);
 	for (int32_t i = 0; i < count; i++) {
 		if (strcmp(found[i], cg->opt.address) == 0)
--- a/src/gateway/crash_guard_wire.c
+++ b/src/gateway/crash_guard_wire.c
@@ -55,6 +55,7 @@
 	    .kind = (enum blame_note_kind)wire->kind,
 	    .key = wire->key,
 	    .at_us = time_us(wire->age_us, now_us),
+	    .version = wire->version,
 	    .verdict = (enum blame_verdict)wire->verdict,
 	    .is_part = wire->part,
 	    .lost_runs = (int32_t)wire->lost_runs,
@@ -97,6 +98,7 @@
 	wire->kind = note->kind;
 	wire->key = note->key;
 	wire->age_us = age_us(note->at_us, now_us);
+	wire->version = note->version;
 	wire->verdict = note->verdict;
 	wire->part = note->is_part;
 	wire->lost_runs = (uint32_t)note->lost_runs;
--- a/src/gateway/jobs_guard.c
+++ b/src/gateway/jobs_guard.c
@@ -5,8 +5,9 @@
 #include "log/log.h"
 
 enum {
-	/* Time until a blocked item is looked at again. */
+	/* Time until an item that is blocked, or held, is looked at again. */
 	kBlockedWaitUs = kUsPerS,
+	kHeldWaitUs = 100 * kUsPerMs,
 };
 
 struct header_list *
@@ -41,9 +42,15 @@
 {
 	char text[20];
 	uint64_t key;
+	enum blame_verdict verdict =
+	    crash_guard_check(ir->run->js->opt.guard, &ir->keys, true, &key);
 
-	if (crash_guard_check(ir->run->js->opt.guard, &ir->keys, false, &key) !=
-	    kBlameBlocked) {
+	ir->is_trial = verdict == kBlameTrial;
+	if (verdict == kBlameHeld) {
+		ir->next_attempt_us = now_us + kHeldWaitUs;
+		return true;
+	}
+	if (verdict != kBlameBlocked) {
 		ir->is_blocked = false;
 		return false;
 	}
@@ -63,8 +70,9 @@
 	struct item_run *ir = ctx;
 	uint64_t key;
 
-	return crash_guard_check(ir->run->js->opt.guard, &ir->keys, true,
-		   &key) != kBlameBlocked;
+	return ir->is_trial ||
+	    crash_guard_check(ir->run->js->opt.guard, &ir->keys, false, &key) !=
+	    kBlameBlocked;
 }
 
 void
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -26,6 +26,8 @@
 	struct blame_keys keys;
 	/** It waits as it would crash targets. */
 	bool is_blocked;
+	/** It runs to find out whether it still crashes targets. */
+	bool is_trial;
 	/** Data of the events received so far. */
 	GString *text;
 	bool has_text;
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -3158,7 +3158,7 @@
   (ProtobufCMessageInit) sfpeer__lost_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__blame_note__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sfpeer__blame_note__field_descriptors[12] =
 {
   {
     "kind",
@@ -3292,6 +3292,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__blame_note__field_indices_by_name[] = {
   2,   /* field[2] = age_us */
@@ -3305,11 +3317,12 @@
   10,   /* field[10] = trial_left_us */
   8,   /* field[8] = trials */
   3,   /* field[3] = verdict */
+  11,   /* field[11] = version */
 };
 static const ProtobufCIntRange sfpeer__blame_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor sfpeer__blame_note__descriptor =
 {
@@ -3319,7 +3332,7 @@
   "Sfpeer__BlameNote",
   "sfpeer",
   sizeof(Sfpeer__BlameNote),
-  11,
+  12,
   sfpeer__blame_note__field_descriptors,
   sfpeer__blame_note__field_indices_by_name,
   1,  sfpeer__blame_note__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -497,10 +497,14 @@
    */
   uint64_t trial_by;
   uint64_t trial_left_us;
+  /*
+   * Of the verdict; increases with each change.
+   */
+  uint64_t version;
 };
 #define SFPEER__BLAME_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__blame_note__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sfpeer__Envelope
--- a/src/savoryflow/retry/blame.c
+++ b/src/savoryflow/retry/blame.c
@@ -6,51 +6,17 @@
 
 #include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
-#include "savoryflow/retry/blame_evidence.h"
+#include "savoryflow/retry/blame_internal.h"
 
 enum {
-	/* Lost runs without a verdict count for this long. */
-	kEvidenceUs = 60 * kUsPerS,
-	/* Time for all daemons to hear of a suspicion and to report answers
-	 * that speak against it. */
-	kObjectionUs = 250 * kUsPerMs,
 	/* Time for a daemon that has just refused a request to get another one
-	 * that it may send. */
+	 * that it may send; and for a held request to be sent and answered. */
 	kTrialWindowUs = 5 * kUsPerS,
+	kHeldTrialWindowUs = 500 * kUsPerMs,
 	kTrialDoublingsMax = 4,
-	/* A blocked key that no request has had for this long is forgotten. */
-	kForgetUs = 600 * kUsPerS,
-	/* Lifted verdicts are repeated for this long. */
-	kLiftedUs = 10 * kUsPerS,
 	kVerdictsMax = 512,
 };
 
-struct verdict {
-	/** Verdict and key as told to others. */
-	struct blame_note note;
-	/** Coordinator: when the key became suspect; 0: it is not. */
-	int64_t suspected_us;
-	/** When this daemon last reported that it refused a request. */
-	int64_t reported_us;
-	bool is_trial_used;
-};
-
-struct blame {
-	char self[kBlameNameMax];
-	uint64_t self_hash;
-	bool is_coordinator;
-	bool is_primary;
-	struct begun_times *begun;
-	struct blame_evidence *evidence;
-	/** struct verdict by key. */
-	GHashTable *verdicts;
-	/** Keys blocked here, for the log: array of uint64_t. */
-	GArray *cases;
-	/** There is evidence that was not judged yet. */
-	bool has_new_evidence;
-	int64_t repeated_us;
-};
-
 struct blame *
 blame_new(const char *self)
 {
@@ -130,18 +96,12 @@
 	g_array_append_val(out->notes, note);
 }
 
-static struct verdict *
-verdict_find(const struct blame *bl, uint64_t key)
+struct verdict *
+blame_verdict_find(const struct blame *bl, uint64_t key)
 {
 	return g_hash_table_lookup(bl->verdicts, &key);
 }
 
-static int64_t
-last_use_us(const struct verdict *v)
-{
-	return MAX(v->note.at_us, MAX(v->note.last_end_us, v->note.refused_us));
-}
-
 static void
 evict_oldest(struct blame *bl)
 {
@@ -151,16 +111,17 @@
 
 	g_hash_table_iter_init(&it, bl->verdicts);
 	while (g_hash_table_iter_next(&it, NULL, &val))
-		if (oldest == NULL || last_use_us(val) < last_use_us(oldest))
+		if (oldest == NULL ||
+		    blame_last_use_us(val) < blame_last_use_us(oldest))
 			oldest = val;
 	if (oldest != NULL)
 		g_hash_table_remove(bl->verdicts, &oldest->note.key);
 }
 
-static struct verdict *
-verdict_get(struct blame *bl, uint64_t key)
+struct verdict *
+blame_verdict_get(struct blame *bl, uint64_t key)
 {
-	struct verdict *v = verdict_find(bl, key);
+	struct verdict *v = blame_verdict_find(bl, key);
 
 	if (v != NULL)
 		return v;
@@ -174,65 +135,33 @@
 	    .last_end_us = INT64_MIN,
 	    .refused_us = INT64_MIN,
 	};
+	v->others_us = INT64_MIN;
 	g_hash_table_insert(bl->verdicts, &v->note.key, v);
 	return v;
 }
 
-/* Coordinator: tells all daemons of a verdict that has changed. */
-static void
-announce(
-    struct blame *bl, struct verdict *v, int64_t now_us, struct blame_out *out)
-{
-	v->note.at_us = now_us;
-	if (bl->is_coordinator)
-		g_array_append_val(out->notes, v->note);
-}
-
-static void
-block(struct blame *bl, uint64_t key, bool is_part, int64_t now_us,
-    struct blame_out *out)
-{
-	struct blame_score sc = blame_evidence_score(bl->evidence, key);
-	struct verdict *v = verdict_get(bl, key);
-
-	v->note.verdict = kBlameBlocked;
-	v->note.is_part = is_part;
-	v->note.lost_runs = sc.runs;
-	v->note.last_end_us = sc.last_end_us;
-	v->note.refused_us = now_us;
-	announce(bl, v, now_us, out);
-	blame_evidence_explain(bl->evidence, key, is_part);
-	g_array_append_val(bl->cases, key);
-}
-
-static void
-lift(struct blame *bl, struct verdict *v, int64_t now_us, struct blame_out *out)
-{
-	v->note.verdict = kBlameNone;
-	v->note.trial_by = 0;
-	v->suspected_us = 0;
-	announce(bl, v, now_us, out);
-}
-
-/* A run of a blocked key was lost: if it was the trial, the next one waits
- * longer. */
+/* A run was lost though the key is known: if it was the trial, the next one
+ * of a blocked key waits longer. */
 static void
 count_lost_run(struct blame *bl, struct verdict *v, const struct blame_run *run,
     struct blame_out *out, int64_t now_us)
 {
+	bool is_blocked = v->note.verdict == kBlameBlocked;
+
 	v->note.lost_runs++;
 	v->note.last_end_us = MAX(v->note.last_end_us, run->ended_us);
 	if (v->note.trial_by == 0)
 		return;
 	v->note.trial_by = 0;
-	v->note.trials++;
-	announce(bl, v, now_us, out);
+	v->note.trial_until_us = now_us;
+	v->note.trials += is_blocked;
+	blame_announce(bl, v, now_us, out);
 }
 
 static bool
 is_blocked(const struct blame *bl, uint64_t key)
 {
-	const struct verdict *v = verdict_find(bl, key);
+	const struct verdict *v = blame_verdict_find(bl, key);
 
 	return v != NULL && v->note.verdict == kBlameBlocked;
 }
@@ -248,17 +177,20 @@
 	blame_evidence_add(bl->evidence, run);
 	bl->has_new_evidence = true;
 	for (int32_t i = 0; i < run->keys.count; i++) {
-		struct verdict *v = verdict_find(bl, run->keys.keys[i]);
+		struct verdict *v = blame_verdict_find(bl, run->keys.keys[i]);
 
-		if (v == NULL || v->note.verdict != kBlameBlocked)
+		if (v == NULL || v->note.verdict == kBlameNone)
 			continue;
-		blame_evidence_explain(
-		    bl->evidence, v->note.key, v->note.is_part);
+		if (v->note.verdict == kBlameBlocked)
+			blame_evidence_explain(
+			    bl->evidence, v->note.key, v->note.is_part);
 		count_lost_run(bl, v, run, out, now_us);
 	}
+	if (bl->is_coordinator)
+		blame_suspect_parts(bl, &run->keys, now_us, out);
 	if (!run->keys.is_owed && !is_blocked(bl, whole) &&
 	    blame_evidence_is_call(bl->evidence, whole))
-		block(bl, whole, false, now_us, out);
+		blame_block(bl, whole, false, now_us, out);
 }
 
 void
@@ -273,6 +205,12 @@
 	g_array_append_val(out->runs, own);
 }
 
+void
+blame_ask(struct blame *bl, int64_t now_us, struct blame_out *out)
+{
+	send_note(out, kBlameNoteAsk, 0, now_us);
+}
+
 /* An answer began after the last run that speaks against the key. */
 static bool
 is_refuted(const struct verdict *v, int64_t begun_us)
@@ -284,23 +222,55 @@
 apply_begun(struct blame *bl, uint64_t key, int64_t at_us, int64_t now_us,
     struct blame_out *out)
 {
-	struct verdict *v = verdict_find(bl, key);
+	struct verdict *v = blame_verdict_find(bl, key);
 
 	begun_times_record(bl->begun, key, at_us);
 	if (v == NULL || !is_refuted(v, at_us))
 		return;
 	if (bl->is_coordinator)
-		lift(bl, v, now_us, out);
+		blame_lift(bl, v, now_us, out);
 	else
 		send_note(out, kBlameNoteBegun, key, at_us);
 }
 
+static bool
+has_key(const struct blame_keys *keys, uint64_t key)
+{
+	for (int32_t i = 0; i < keys->count; i++)
+		if (keys->keys[i] == key)
+			return true;
+	return false;
+}
+
+/* Targets answer requests without the suspected keys. */
+static void
+record_others(struct blame *bl, const struct blame_keys *keys, int64_t now_us,
+    struct blame_out *out)
+{
+	GHashTableIter it;
+	void *val;
+
+	g_hash_table_iter_init(&it, bl->verdicts);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct verdict *v = val;
+
+		if (v->note.verdict != kBlameSuspected ||
+		    v->others_us != INT64_MIN || has_key(keys, v->note.key))
+			continue;
+		v->others_us = now_us;
+		if (!bl->is_coordinator)
+			send_note(out, kBlameNoteOthers, v->note.key, now_us);
+	}
+}
+
 void
 blame_record_begun(struct blame *bl, const struct blame_keys *keys,
     int64_t now_us, struct blame_out *out)
 {
 	for (int32_t i = 0; i < keys->count; i++)
 		apply_begun(bl, keys->keys[i], now_us, now_us, out);
+	if (bl->has_suspects)
+		record_others(bl, keys, now_us, out);
 }
 
 void
@@ -314,34 +284,47 @@
 	add_evidence(bl, run, now_us, out);
 }
 
-/* Primary coordinator: a daemon that has just refused a request may send the
- * next one, if a trial is due. */
+static int64_t
+next_trial_us(const struct verdict *v)
+{
+	int64_t wait_us = (int64_t)kBlameTrialUs
+	    << MIN(v->note.trials, kTrialDoublingsMax);
+
+	if (v->note.verdict == kBlameSuspected)
+		return v->note.trial_until_us;
+	return MAX(v->note.last_end_us + wait_us, v->note.trial_until_us);
+}
+
+/* Primary coordinator: a daemon that has just held or refused a request may
+ * send it, or the next one, if a trial is due. */
 static void
 allow_trial(struct blame *bl, struct verdict *v, uint64_t daemon,
     int64_t now_us, struct blame_out *out)
 {
-	int64_t wait_us = (int64_t)kBlameTrialUs
-	    << MIN(v->note.trials, kTrialDoublingsMax);
+	bool is_suspected = v->note.verdict == kBlameSuspected;
 
-	if (!bl->is_primary || v->note.verdict != kBlameBlocked ||
-	    now_us < v->note.last_end_us + wait_us ||
-	    now_us < v->note.trial_until_us)
+	if (!bl->is_primary || v->note.verdict == kBlameNone ||
+	    now_us < next_trial_us(v))
 		return;
 	v->note.trial_by = daemon;
-	v->note.trial_until_us = now_us + kTrialWindowUs;
+	v->note.trial_until_us =
+	    now_us + (is_suspected ? kHeldTrialWindowUs : kTrialWindowUs);
 	v->is_trial_used = false;
-	announce(bl, v, now_us, out);
+	blame_announce(bl, v, now_us, out);
 }
 
 static void
 record_refused(
     struct blame *bl, struct verdict *v, int64_t now_us, struct blame_out *out)
 {
+	int64_t period_us = v->note.verdict == kBlameSuspected
+	    ? kBlameHeldReportPeriodUs
+	    : kBlameReportPeriodUs;
+
 	v->note.refused_us = now_us;
 	if (bl->is_coordinator)
 		allow_trial(bl, v, bl->self_hash, now_us, out);
-	if (v->reported_us != 0 &&
-	    now_us - v->reported_us < kBlameReportPeriodUs)
+	if (v->reported_us != 0 && now_us - v->reported_us < period_us)
 		return;
 	v->reported_us = now_us;
 	send_note(out, kBlameNoteRefused, v->note.key, now_us);
@@ -361,18 +344,20 @@
 check_key(struct blame *bl, uint64_t key, bool will_send, int64_t now_us,
     struct blame_out *out)
 {
-	struct verdict *v = verdict_find(bl, key);
+	struct verdict *v = blame_verdict_find(bl, key);
+	enum blame_verdict verdict = v != NULL ? v->note.verdict : kBlameNone;
 
-	if (v != NULL && v->note.verdict == kBlameBlocked) {
-		if (take_trial(bl, v, will_send, now_us))
-			return kBlameSuspected;
-		record_refused(bl, v, now_us, out);
-		return kBlameBlocked;
-	}
-	if ((v != NULL && v->note.verdict == kBlameSuspected) ||
-	    blame_evidence_is_suspect(bl->evidence, key))
-		return kBlameSuspected;
-	return kBlameNone;
+	if (verdict == kBlameNone)
+		return blame_evidence_is_suspect(bl->evidence, key)
+		    ? kBlameSuspected
+		    : kBlameNone;
+	if (take_trial(bl, v, will_send, now_us))
+		return kBlameTrial;
+	record_refused(bl, v, now_us, out);
+	/* The primary coordinator may have allowed itself the trial. */
+	if (take_trial(bl, v, will_send, now_us))
+		return kBlameTrial;
+	return verdict == kBlameBlocked ? kBlameBlocked : kBlameHeld;
 }
 
 enum blame_verdict
@@ -393,18 +378,28 @@
 	return worst;
 }
 
+/* Of two changes that coordinators made at once, the stricter one holds. */
+static bool
+is_newer(const struct blame_note *known, const struct blame_note *note)
+{
+	if (note->version != known->version)
+		return note->version > known->version;
+	return note->verdict > known->verdict;
+}
+
 static bool
 apply_verdict(struct blame *bl, const struct blame_note *note, int64_t now_us,
     struct blame_out *out)
 {
-	struct verdict *v = verdict_get(bl, note->key);
+	struct verdict *v = blame_verdict_get(bl, note->key);
 	int64_t refused_us = MAX(v->note.refused_us, note->refused_us);
 	bool was_blocked = v->note.verdict == kBlameBlocked;
 	bool is_new_trial = note->trial_by != 0 &&
-	    note->trial_until_us > v->note.trial_until_us + kTrialWindowUs / 2;
+	    note->trial_until_us >
+		v->note.trial_until_us + kHeldTrialWindowUs / 2;
 	int64_t begun_us = begun_times_get(bl->begun, note->key);
 
-	if (note->at_us > v->note.at_us) {
+	if (is_newer(&v->note, note)) {
 		v->note = *note;
 		if (is_new_trial)
 			v->is_trial_used = false;
@@ -414,6 +409,9 @@
 		begun_times_record(
 		    bl->begun, note->key, v->note.last_end_us + 1);
 	v->note.refused_us = refused_us;
+	bl->has_suspects |= v->note.verdict == kBlameSuspected;
+	if (v->note.verdict == kBlameNone)
+		v->others_us = INT64_MIN;
 	if (is_refuted(v, begun_us) && !bl->is_coordinator)
 		send_note(out, kBlameNoteBegun, note->key, begun_us);
 	if (v->note.verdict != kBlameBlocked || was_blocked)
@@ -426,7 +424,7 @@
 blame_on_note(struct blame *bl, uint64_t from, const struct blame_note *note,
     int64_t now_us, struct blame_out *out)
 {
-	struct verdict *v = verdict_find(bl, note->key);
+	struct verdict *v = blame_verdict_find(bl, note->key);
 
 	switch (note->kind) {
 	case kBlameNoteBegun:
@@ -438,104 +436,19 @@
 		v->note.refused_us = MAX(v->note.refused_us, note->at_us);
 		allow_trial(bl, v, from, now_us, out);
 		break;
+	case kBlameNoteOthers:
+		if (v != NULL)
+			v->others_us = MAX(v->others_us, note->at_us);
+		break;
+	case kBlameNoteAsk:
+		bl->is_repeat_wanted = true;
+		break;
 	case kBlameNoteVerdict:
 		return apply_verdict(bl, note, now_us, out);
 	}
 	return false;
 }
 
-/* Coordinator: parts with enough evidence are suspect, so that the daemons
- * report answers that speak against it. */
-static void
-suspect_parts(struct blame *bl, int64_t now_us, struct blame_out *out)
-{
-	GArray *parts = blame_evidence_suspects(bl->evidence);
-
-	for (guint i = 0; i < parts->len; i++) {
-		uint64_t key = g_array_index(parts, uint64_t, i);
-		struct verdict *v = verdict_get(bl, key);
-
-		v->note.last_end_us = MAX(v->note.last_end_us,
-		    blame_evidence_score(bl->evidence, key).last_end_us);
-		if (v->suspected_us != 0 || v->note.verdict == kBlameBlocked)
-			continue;
-		v->suspected_us = now_us;
-		v->note.verdict = kBlameSuspected;
-		v->note.is_part = true;
-		announce(bl, v, now_us, out);
-	}
-	g_array_unref(parts);
-}
-
-static void
-judge_parts(struct blame *bl, int64_t now_us, struct blame_out *out)
-{
-	uint64_t key;
-
-	while (blame_evidence_find_part(bl->evidence, &key)) {
-		const struct verdict *v = verdict_find(bl, key);
-
-		if (v == NULL || v->suspected_us == 0 ||
-		    now_us - v->suspected_us < kObjectionUs)
-			return;
-		block(bl, key, true, now_us, out);
-	}
-	bl->has_new_evidence = false;
-}
-
-/* @return true if the verdict is to be dropped */
-static bool
-expire_verdict(
-    struct blame *bl, struct verdict *v, int64_t now_us, struct blame_out *out)
-{
-	switch (v->note.verdict) {
-	case kBlameNone:
-		return now_us - v->note.at_us > kLiftedUs;
-	case kBlameSuspected:
-		if (bl->is_coordinator && v->suspected_us != 0 &&
-		    !blame_evidence_is_suspect(bl->evidence, v->note.key))
-			lift(bl, v, now_us, out);
-		return now_us - v->note.at_us > kEvidenceUs;
-	case kBlameBlocked:
-		return now_us - last_use_us(v) > kForgetUs;
-	}
-	return true;
-}
-
-static void
-update_verdicts(
-    struct blame *bl, bool is_repeat_due, int64_t now_us, struct blame_out *out)
-{
-	GHashTableIter it;
-	void *val;
-
-	g_hash_table_iter_init(&it, bl->verdicts);
-	while (g_hash_table_iter_next(&it, NULL, &val)) {
-		struct verdict *v = val;
-
-		if (expire_verdict(bl, v, now_us, out))
-			g_hash_table_iter_remove(&it);
-		else if (is_repeat_due)
-			g_array_append_val(out->notes, v->note);
-	}
-}
-
-void
-blame_tick(struct blame *bl, int64_t now_us, struct blame_out *out)
-{
-	bool is_repeat_due = bl->is_coordinator &&
-	    now_us - bl->repeated_us >= kBlameRepeatPeriodUs;
-
-	blame_evidence_expire(bl->evidence, now_us - kEvidenceUs);
-	if (bl->is_coordinator && bl->has_new_evidence) {
-		suspect_parts(bl, now_us, out);
-		judge_parts(bl, now_us, out);
-	}
-	if (is_repeat_due)
-		bl->repeated_us = now_us;
-	update_verdicts(bl, is_repeat_due, now_us, out);
-}
-
 bool
 blame_take_case(struct blame *bl, struct blame_case *found)
 {
@@ -545,7 +458,7 @@
 		return false;
 	found->key = g_array_index(bl->cases, uint64_t, 0);
 	g_array_remove_index(bl->cases, 0);
-	v = verdict_find(bl, found->key);
+	v = blame_verdict_find(bl, found->key);
 	found->is_part = v != NULL && v->note.is_part;
 	blame_evidence_describe(bl->evidence, found->key, found);
 	return true;
--- a/src/savoryflow/retry/blame.h
+++ b/src/savoryflow/retry/blame.h
@@ -22,8 +22,11 @@
 	kBlameKeysMax = 16,
 	kBlameNameMax = 96,
 	/** Requests that are refused because of a key are reported to the
-	 * coordinators once in this time. */
+	 * coordinators once in this time; those that are held, more often. */
 	kBlameReportPeriodUs = 2000000,
+	kBlameHeldReportPeriodUs = 100000,
+	/** A request is held no longer than this. */
+	kBlameHoldUs = 600000,
 	/** The coordinators repeat their verdicts, for daemons that missed them
 	 * or have started since. */
 	kBlameRepeatPeriodUs = 2000000,
@@ -65,6 +68,11 @@
 	kBlameNone,
 	/** A run is allowed, but no second one after it. */
 	kBlameSuspected,
+	/** One run is allowed in spite of what is known. */
+	kBlameTrial,
+	/** A run may be allowed soon: requests with a suspected key run one at
+	 * a time in the whole fleet. */
+	kBlameHeld,
 	/** No run is allowed. */
 	kBlameBlocked,
 };
@@ -72,8 +80,14 @@
 enum blame_note_kind {
 	/** To the coordinators: an answer began. */
 	kBlameNoteBegun = 1,
-	/** To the coordinators: a request was refused because of the key. */
+	/** To the coordinators: a request was held or refused because of the
+	 * key. */
 	kBlameNoteRefused,
+	/** To the coordinators: an answer began to a request without the
+	 * suspected key. */
+	kBlameNoteOthers,
+	/** To the coordinators: the daemon needs all verdicts. */
+	kBlameNoteAsk,
 	/** To all daemons: a verdict of a coordinator. */
 	kBlameNoteVerdict,
 };
@@ -81,16 +95,17 @@
 struct blame_note {
 	enum blame_note_kind kind;
 	uint64_t key;
-	/** Begun, refused: when. Verdict: when it was reached. */
+	/** Verdict: when it was reached. Otherwise when it happened. */
 	int64_t at_us;
-	/** The rest is for verdicts. */
+	/** The rest is for verdicts. The version increases with each change. */
+	uint64_t version;
 	enum blame_verdict verdict;
 	/** The key is a part of prompts rather than a whole request. */
 	bool is_part;
 	/** Lost runs of requests with the key, and when the last one ended. */
 	int32_t lost_runs;
 	int64_t last_end_us;
-	/** Last request that was refused because of the key. */
+	/** Last request that was held or refused because of the key. */
 	int64_t refused_us;
 	/** Trials that crashed a target. */
 	int32_t trials;
@@ -153,6 +168,10 @@
 enum blame_verdict blame_check(struct blame *bl, const struct blame_keys *keys,
     bool will_send, int64_t now_us, struct blame_out *out, uint64_t *key);
 
+/** Asks the coordinators for their verdicts: this daemon has started, or they
+ * have changed. */
+void blame_ask(struct blame *bl, int64_t now_us, struct blame_out *out);
+
 /** Handles a run that another daemon has reported. */
 void blame_on_run(struct blame *bl, const struct blame_run *run, int64_t now_us,
     struct blame_out *out);
--- a/src/savoryflow/retry/blame_evidence.c
+++ b/src/savoryflow/retry/blame_evidence.c
@@ -9,17 +9,21 @@
 
 enum {
 	kRunsMax = 512,
-	/* Ends of one key that are told apart. */
-	kEndsMax = 16,
+	/* Lost runs of one key that are compared. */
+	kChainsMax = 64,
 	/* Weight of a lost run whose target has ended, and of one that may have
 	 * lost its connection only. */
-	kWeightEnded = 2,
+	kWeightEnded = 4,
 	kWeightCut = 1,
 	kWeightSuspect = 2 * kWeightEnded,
 	kWeightBlock = 3 * kWeightEnded,
+	/* Suffices even if no other request was answered meanwhile. */
+	kWeightAlone = 6 * kWeightEnded,
 	/* A call that is interrupted so often is to blame, whether or not its
 	 * targets have ended. */
 	kCallEnds = 3,
+	/* A target that ends sooner was ending when it got the request. */
+	kRunMinUs = 2 * kUsPerMs,
 	/* Times reported by different daemons are exact to about this. */
 	kReportErrorUs = 100 * kUsPerMs,
 };
@@ -33,12 +37,17 @@
 	bool is_explained;
 };
 
-/** The end of one target, as far as it concerns a key. */
-struct target_end {
-	uint64_t target;
-	uint64_t seen_by;
-	int64_t ended_us;
+/** The runs of a key that followed from one another, up to one of them. */
+struct chain {
+	const struct lost_run *last;
 	int32_t weight;
+	int32_t ends;
+};
+
+/** The latest lost runs of a key, each with its heaviest chain. */
+struct chains {
+	struct chain all[kChainsMax];
+	int32_t count;
 };
 
 struct blame_evidence {
@@ -130,33 +139,45 @@
 }
 
 /*
- * Whether a run was sent after the end of another target. Runs that were sent
+ * Whether a run was sent after the end of another one. Runs that were sent
  * before it end together when many targets crash at once, and say no more than
  * one of them.
  */
 static bool
-is_later(const struct lost_run *lost, const struct target_end *last)
+is_later(const struct lost_run *lost, const struct lost_run *earlier)
 {
-	int64_t error_us = lost->seen_by == last->seen_by ? 0 : kReportErrorUs;
+	int64_t error_us =
+	    lost->seen_by == earlier->seen_by ? 0 : kReportErrorUs;
 
-	return lost->run.sent_us >= last->ended_us + error_us;
+	return lost->run.sent_us >= earlier->run.ended_us + error_us;
 }
 
+/* Adds a run, which ended later than those before it. */
 static void
-add_end(struct target_end *ends, int32_t *count, const struct lost_run *lost)
+chains_add(struct chains *ch, const struct lost_run *lost)
 {
-	struct target_end end = {lost->target, lost->seen_by,
-	    lost->run.ended_us,
-	    lost->run.has_target_ended ? kWeightEnded : kWeightCut};
+	struct chain own = {.last = lost};
 
-	struct target_end *last = *count > 0 ? &ends[*count - 1] : NULL;
+	for (int32_t i = 0; i < ch->count; i++) {
+		const struct chain *c = &ch->all[i];
 
-	if (last == NULL || is_later(lost, last)) {
-		if (*count < kEndsMax)
-			ends[(*count)++] = end;
-	} else if (last->target == lost->target) {
-		last->weight = MAX(last->weight, end.weight);
+		if (c->weight > own.weight && is_later(lost, c->last)) {
+			own.weight = c->weight;
+			own.ends = c->ends;
+		}
 	}
+	own.weight += lost->run.has_target_ended ? kWeightEnded : kWeightCut;
+	own.ends++;
+	if (ch->count == kChainsMax)
+		memmove(&ch->all[0], &ch->all[1],
+		    sizeof(ch->all[0]) * (size_t)--ch->count);
+	ch->all[ch->count++] = own;
+}
+
+static bool
+is_too_short(const struct blame_run *run)
+{
+	return run->ended_us - run->sent_us < kRunMinUs;
 }
 
 /**
@@ -167,7 +188,7 @@
 score(const struct blame_evidence *ev, uint64_t key, const GArray *suspects)
 {
 	struct blame_score found = {0};
-	struct target_end ends[kEndsMax];
+	struct chains chains = {.count = 0};
 	int64_t begun_us = begun_times_get(ev->begun, key);
 	uint64_t first_request = 0;
 
@@ -177,18 +198,24 @@
 		uint64_t request = lost->run.keys.keys[0];
 
 		if (position < 0 || lost->is_explained ||
+		    (position > 0 && is_too_short(&lost->run)) ||
 		    lost->run.ended_us <= begun_us ||
 		    has_likelier_key(ev, &lost->run, position, suspects))
 			continue;
-		if (found.runs == 0)
+		if (found.runs == 0) {
 			first_request = request;
+			found.first_end_us = lost->run.ended_us;
+		}
 		found.has_several_requests |= request != first_request;
-		add_end(ends, &found.ends, lost);
+		chains_add(&chains, lost);
 		found.runs++;
 		found.last_end_us = lost->run.ended_us;
 	}
-	for (int32_t i = 0; i < found.ends; i++)
-		found.weight += ends[i].weight;
+	for (int32_t i = 0; i < chains.count; i++) {
+		found.weight = MAX(found.weight, chains.all[i].weight);
+		found.ends = MAX(found.ends, chains.all[i].ends);
+	}
+	found.is_enough_alone = found.weight >= kWeightAlone;
 	return found;
 }
 
@@ -251,10 +278,9 @@
 	return blame_evidence_score(ev, key).ends >= kCallEnds;
 }
 
-typedef bool (*score_test_fn)(const struct blame_score *sc);
-
+/* Parts with enough evidence against them, likelier ones included. */
 static GArray *
-find_parts(const struct blame_evidence *ev, score_test_fn matches)
+find_suspects(const struct blame_evidence *ev)
 {
 	GArray *keys = repeated_keys(ev);
 
@@ -262,38 +288,25 @@
 		uint64_t key = g_array_index(keys, uint64_t, i - 1);
 		struct blame_score sc = blame_evidence_score(ev, key);
 
-		if (!is_part(ev, key) || !matches(&sc))
+		if (!is_part(ev, key) || !may_be_blocked(&sc))
 			g_array_remove_index(keys, i - 1);
 	}
 	return keys;
 }
 
-static bool
-may_be_suspected(const struct blame_score *sc)
-{
-	return sc->weight >= kWeightSuspect;
-}
-
 bool
 blame_evidence_is_suspect(const struct blame_evidence *ev, uint64_t key)
 {
-	struct blame_score sc = blame_evidence_score(ev, key);
-
-	return may_be_suspected(&sc);
-}
-
-GArray *
-blame_evidence_suspects(const struct blame_evidence *ev)
-{
-	return find_parts(ev, may_be_suspected);
+	return blame_evidence_score(ev, key).weight >= kWeightSuspect;
 }
 
 /* A part that sound requests share has the same ends as the one that causes
  * them: what a likelier one explains does not count. */
 bool
-blame_evidence_find_part(const struct blame_evidence *ev, uint64_t *key)
+blame_evidence_find_part(
+    const struct blame_evidence *ev, uint64_t *key, struct blame_score *found)
 {
-	GArray *suspects = find_parts(ev, may_be_blocked);
+	GArray *suspects = find_suspects(ev);
 	struct blame_score best = {0};
 
 	for (guint i = 0; i < suspects->len; i++) {
@@ -309,6 +322,7 @@
 		*key = k;
 	}
 	g_array_unref(suspects);
+	*found = best;
 	return best.weight > 0;
 }
 
--- a/src/savoryflow/retry/blame_evidence.h
+++ b/src/savoryflow/retry/blame_evidence.h
@@ -15,7 +15,10 @@
 	bool has_several_requests;
 	/** Lost runs with the key. */
 	int32_t runs;
+	int64_t first_end_us;
 	int64_t last_end_us;
+	/** Nothing but the key can be to blame. */
+	bool is_enough_alone;
 };
 
 struct blame_evidence;
@@ -33,14 +36,13 @@
 struct blame_score blame_evidence_score(
     const struct blame_evidence *ev, uint64_t key);
 
-/** Parts that may be to blame: array of uint64_t. */
-GArray *blame_evidence_suspects(const struct blame_evidence *ev);
-
 /**
- * Finds the part of prompts that is to blame, if any.
+ * Finds the part of prompts that is most likely to blame, if any.
+ * @param found receives what speaks against it
  * @return false if there is none
  */
-bool blame_evidence_find_part(const struct blame_evidence *ev, uint64_t *key);
+bool blame_evidence_find_part(
+    const struct blame_evidence *ev, uint64_t *key, struct blame_score *found);
 
 /** True if the evidence against a key suffices to suspect it. */
 bool blame_evidence_is_suspect(const struct blame_evidence *ev, uint64_t key);
--- a/test/functional/test_gateway_crashes.cc
+++ b/test/functional/test_gateway_crashes.cc
@@ -160,6 +160,17 @@
 		});
 	}
 
+	bool
+	IsBlockedEverywhere()
+	{
+		for (auto &daemon : daemons)
+			if (daemon->Count("\"name\":\"part_blocked\"") +
+				daemon->Count("\"name\":\"block_told\"") ==
+			    0)
+				return false;
+		return true;
+	}
+
 	/* Sends crashing requests, ten a second, until the time. */
 	void
 	SendCrashingUntil(int *n, int64_t end_us)
@@ -181,11 +192,11 @@
 
 	StartFleet(6, 4);
 	StartSoundCallers();
-	while (fifth_end_us == 0 && NowUs() < start_us + 30000000) {
+	while (fifth_end_us == 0 && !IsBlockedEverywhere()) {
+		ASSERT_LT(NowUs(), start_us + 60000000);
 		SendCrashing(n++);
 		SleepMs(100);
 	}
-	/* Without a fifth end, nothing more may be asked. */
 	int64_t since_us = fifth_end_us != 0 ? fifth_end_us.load() : NowUs();
 
 	SendCrashingUntil(&n, since_us + kContactUs);
