--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -10,7 +10,10 @@
  * rejections, carry another attempt's id, have no signature, or say that the
  * worker leaves; that send a byte now and then and never an event; or that
  * close the connection without an answer. "pauses" streams fall silent for
- * "pause_ms" after "pause_after" events and then go on. "statuses" lists the
+ * "pause_ms" after "pause_after" events and then go on. "unframed" streams have
+ * neither a length nor chunks and end with their connection: as whole ones, or
+ * with "unframed_end" "inside" in the middle of an event, or with "reset" by a
+ * reset after three events. "statuses" lists the
  * statuses of the answers to come. "surplus":{...} makes complete answers
  * followed by further bytes, see surplus.h. With --crash-part=ID, the process
  * ends as it begins to answer a request whose prompt has that part, other than
@@ -22,6 +25,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "http.h"
@@ -53,6 +57,8 @@
 	int pauses_left;
 	int pause_ms;
 	int pause_after;
+	int unframed_left;
+	char unframed_end[16];
 	/* Statuses of the answers to come. */
 	json_t *statuses_left;
 	struct surplus_fault surplus;
@@ -76,6 +82,10 @@
 	/** Sends a byte now and then, and never a complete event. */
 	bool is_trickling;
 	bool is_done;
+	/** Descriptor that the cut resets; -1: the cut closes it. */
+	int reset_fd;
+	/** The stream ends at the cut as if it was whole. */
+	bool ends_at_cut;
 };
 
 static bool
@@ -124,13 +134,26 @@
 	return n;
 }
 
+/* Closing the connection then sends a reset. */
+static void
+reset_connection(int fd)
+{
+	struct linger now = {.l_onoff = 1, .l_linger = 0};
+
+	if (fd >= 0)
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
 static ssize_t
 read_cut(void *cls, uint64_t pos, char *buf, size_t max)
 {
 	struct stream *st = cls;
 
-	if (st->is_stalled && st->cut_at < 0)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (st->is_stalled && st->cut_at < 0) {
+		reset_connection(st->reset_fd);
+		return st->ends_at_cut ? MHD_CONTENT_READER_END_OF_STREAM
+				       : MHD_CONTENT_READER_END_WITH_ERROR;
+	}
 	return read_events(cls, pos, buf, max);
 }
 
@@ -274,6 +297,20 @@
 	_exit(kExitCrashed);
 }
 
+static void
+unframe(struct worker *wk, struct standin_request *req, struct stream *st)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    req->con, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	if (strcmp(wk->unframed_end, "whole") == 0)
+		return;
+	st->cut_at = st->next + kCutAfterEvents;
+	st->ends_at_cut = strcmp(wk->unframed_end, "inside") == 0;
+	if (!st->ends_at_cut)
+		st->reset_fd = info->connect_fd;
+}
+
 static struct MHD_Response *
 handle_run(struct worker *wk, struct standin_request *req, unsigned int *status)
 {
@@ -285,6 +322,7 @@
 	int64_t pace = json_integer_value(json_object_get(doc, "pace_ms"));
 	struct MHD_Response *res;
 	struct stream *st;
+	bool is_unframed;
 
 	if (attempt == NULL ||
 	    (expect != NULL && strcmp(expect, wk->id) != 0) ||
@@ -317,6 +355,10 @@
 	st->total = json_integer_value(json_object_get(doc, "events"));
 	st->pace_ms = (int)pace;
 	st->cut_at = -1;
+	st->reset_fd = -1;
+	is_unframed = consume_fault(&wk->unframed_left);
+	if (is_unframed)
+		unframe(wk, req, st);
 	if (consume_fault(&wk->cuts_left))
 		st->cut_at = st->next + kCutAfterEvents;
 	if (consume_fault(&wk->pauses_left)) {
@@ -327,6 +369,9 @@
 	st->is_trickling = consume_fault(&wk->trickles_left);
 	res = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
 	    st->cut_at >= 0 ? read_cut : read_events, st, stream_free);
+	if (is_unframed)
+		MHD_set_response_options(
+		    res, MHD_RF_HTTP_1_0_COMPATIBLE_STRICT, MHD_RO_END);
 	MHD_add_response_header(res, "Content-Type", "text/event-stream");
 	add_signature(wk, res, attempt);
 	repeat_stream(wk, req, attempt, st);
@@ -361,6 +406,13 @@
 	    (int)json_integer_value(json_object_get(doc, "pause_ms"));
 	wk->pause_after =
 	    (int)json_integer_value(json_object_get(doc, "pause_after"));
+	wk->unframed_left =
+	    (int)json_integer_value(json_object_get(doc, "unframed"));
+	g_strlcpy(wk->unframed_end,
+	    json_is_string(json_object_get(doc, "unframed_end"))
+		? json_string_value(json_object_get(doc, "unframed_end"))
+		: "whole",
+	    sizeof(wk->unframed_end));
 	json_decref(wk->statuses_left);
 	wk->statuses_left = json_incref(json_object_get(doc, "statuses"));
 	surplus_fault_parse(&wk->surplus, json_object_get(doc, "surplus"));
