--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -5,13 +5,16 @@
 #include <string.h>
 
 #include "gateway/connect_probe.h"
-#include "gateway/crash_guard_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "peer/blame_wire.h"
 
 enum {
 	/* Keys that name the coordinators, until two daemons are found. */
 	kCoordinatorKeysMax = 8,
+	/* Daemons stop being alive with time; other changes of the roster are
+	 * seen at once. */
+	kRolePeriodUs = kUsPerS,
 };
 
 struct crash_guard {
@@ -22,6 +25,8 @@
 	/** The coordinators; empty if there is none. */
 	char primary[kFleetAddressMax];
 	char second[kFleetAddressMax];
+	uint64_t roster_epoch;
+	int64_t role_at_us;
 	/** Addresses of the coordinators other than this daemon. */
 	GPtrArray *coordinators;
 	bool is_closing;
@@ -74,63 +79,31 @@
 		keys->keys[keys->count++] = parts->ids[i];
 }
 
-static void
-format_key(char *text, size_t size, uint64_t key)
+static GPtrArray *
+all_peers(struct crash_guard *cg)
 {
-	g_snprintf(text, size, "%" PRIx64, key);
+	return roster_peers(cg->opt.roster, NULL, loop_now_us(cg->opt.lp));
 }
 
-/* Keys that this daemon itself has blocked. */
+/* Sends what the last call on the blame module left. */
 static void
-log_cases(struct crash_guard *cg)
+send_out(struct crash_guard *cg)
 {
-	struct blame_case found;
-
-	while (blame_take_case(cg->blame, &found)) {
-		char key[20];
+	struct blame_wire_options opt = {
+	    loop_now_us(cg->opt.lp), cg->opt.wire->send, cg->opt.wire_ctx};
+	GPtrArray *peers = all_peers(cg);
 
-		format_key(key, sizeof(key), found.key);
-		log_event(
-		    found.is_part ? kEvtPartBlocked : kEvtRequestCondemned,
-		    found.is_part ? "part" : "fingerprint", key, "lost_runs",
-		    log_number(found.lost_runs), "targets", found.targets->str,
-		    "seen_by", found.seen_by->str, NULL);
-		blame_case_clear(&found);
-	}
-}
-
-static GPtrArray *
-all_peers(struct crash_guard *cg)
-{
-	return roster_peers(cg->opt.roster, NULL, loop_now_us(cg->opt.lp));
+	blame_wire_send(&opt, cg->out, cg->coordinators, peers);
+	g_ptr_array_unref(peers);
+	blame_out_clear(cg->out);
 }
 
-/* Sends what the last call on the blame module left, and logs its verdicts. */
 static void
 flush(struct crash_guard *cg)
 {
-	GArray *verdicts = g_array_new(FALSE, TRUE, sizeof(struct blame_note));
-	GArray *reports = g_array_new(FALSE, TRUE, sizeof(struct blame_note));
-	GPtrArray *peers;
-
-	for (guint i = 0; i < cg->out->notes->len; i++) {
-		const struct blame_note *note =
-		    &g_array_index(cg->out->notes, struct blame_note, i);
-		GArray *list =
-		    note->kind == kBlameNoteVerdict ? verdicts : reports;
-
-		g_array_append_vals(list, note, 1);
-	}
-	crash_guard_send(&cg->opt, cg->out->runs, reports, cg->coordinators);
-	if (verdicts->len > 0) {
-		peers = all_peers(cg);
-		crash_guard_send(&cg->opt, NULL, verdicts, peers);
-		g_ptr_array_unref(peers);
-	}
-	g_array_unref(verdicts);
-	g_array_unref(reports);
-	blame_out_clear(cg->out);
-	log_cases(cg);
+	if (cg->out->runs->len > 0 || cg->out->notes->len > 0)
+		send_out(cg);
+	blame_wire_log_cases(cg->blame);
 }
 
 enum blame_verdict
@@ -205,51 +178,25 @@
 	connect_probe_start(cg->probes, run->address, on_probed, lost);
 }
 
-static void
-log_told(const struct blame_note *note, const char *from)
-{
-	char key[20];
-
-	format_key(key, sizeof(key), note->key);
-	log_event(kEvtBlockTold, note->is_part ? "part" : "fingerprint", key,
-	    "lost_runs", log_number(note->lost_runs), "told_by", from, NULL);
-}
-
 void
 crash_guard_on_envelope(struct crash_guard *cg, const Sfpeer__Envelope *env)
 {
-	int64_t now_us = loop_now_us(cg->opt.lp);
-
-	for (size_t i = 0; i < env->n_lost_runs; i++) {
-		struct blame_run run;
-
-		if (crash_guard_decode_run(
-			env->lost_runs[i], env->from, now_us, &run))
-			blame_on_run(cg->blame, &run, now_us, cg->out);
-	}
-	for (size_t i = 0; i < env->n_blame_notes; i++) {
-		struct blame_note note;
-
-		if (crash_guard_decode_note(
-			env->blame_notes[i], now_us, &note) &&
-		    blame_on_note(cg->blame, blame_daemon_hash(env->from),
-			&note, now_us, cg->out))
-			log_told(&note, env->from);
-	}
-	if (env->n_lost_runs > 0 || env->n_blame_notes > 0)
-		flush(cg);
+	if (env->n_lost_runs == 0 && env->n_blame_notes == 0)
+		return;
+	blame_wire_receive(cg->blame, env, loop_now_us(cg->opt.lp), cg->out);
+	flush(cg);
 }
 
 /* Finds the coordinators; the first one is the primary. */
 static void
 update_role(struct crash_guard *cg)
 {
-	const char *found[kCoordinators] = {"", ""};
+	const char *found[kBlameCoordinators] = {"", ""};
 	int32_t count = 0;
 	bool is_coordinator = false;
 
-	for (int32_t i = 0; i < kCoordinatorKeysMax && count < kCoordinators;
-	     i++) {
+	for (int32_t i = 0;
+	     i < kCoordinatorKeysMax && count < kBlameCoordinators; i++) {
 		char key[16];
 		const char *owner;
 
@@ -275,11 +222,25 @@
 	    is_coordinator && strcmp(found[0], cg->opt.address) == 0);
 }
 
+static bool
+is_role_due(const struct crash_guard *cg, int64_t now_us)
+{
+	return cg->role_at_us == 0 ||
+	    roster_epoch(cg->opt.roster) != cg->roster_epoch ||
+	    now_us - cg->role_at_us >= kRolePeriodUs;
+}
+
 void
 crash_guard_tick(struct crash_guard *cg)
 {
-	update_role(cg);
-	blame_tick(cg->blame, loop_now_us(cg->opt.lp), cg->out);
+	int64_t now_us = loop_now_us(cg->opt.lp);
+
+	if (is_role_due(cg, now_us)) {
+		cg->role_at_us = now_us;
+		cg->roster_epoch = roster_epoch(cg->opt.roster);
+		update_role(cg);
+	}
+	blame_tick(cg->blame, now_us, cg->out);
 	flush(cg);
 	metric_set(kMetBlockedKeys, blame_blocked_count(cg->blame));
 }
--- a/src/gateway/crash_guard_wire.c
+++ b/src/peer/blame_wire.c
@@ -1,7 +1,9 @@
 /* Lost runs and verdicts in messages between daemons. */
+#include <inttypes.h>
 #include <string.h>
 
-#include "gateway/crash_guard_internal.h"
+#include "log/log.h"
+#include "peer/blame_wire.h"
 
 enum {
 	/* Ages that a sender cannot mean; guards the arithmetic. */
@@ -22,7 +24,7 @@
 }
 
 bool
-crash_guard_decode_run(const Sfpeer__LostRun *wire, const char *from,
+blame_wire_decode_run(const Sfpeer__LostRun *wire, const char *from,
     int64_t now_us, struct blame_run *run)
 {
 	*run = (struct blame_run){
@@ -48,7 +50,7 @@
 }
 
 bool
-crash_guard_decode_note(
+blame_wire_decode_note(
     const Sfpeer__BlameNote *wire, int64_t now_us, struct blame_note *note)
 {
 	*note = (struct blame_note){
@@ -110,26 +112,26 @@
 }
 
 static void
-send_to_all(const struct crash_guard_options *opt, const GPtrArray *to,
+send_to_all(const struct blame_wire_options *opt, const GPtrArray *to,
     Sfpeer__Envelope *env)
 {
 	for (guint i = 0; i < to->len; i++)
-		opt->wire->send(opt->wire_ctx, to->pdata[i], env);
+		opt->send(opt->ctx, to->pdata[i], env);
 }
 
 static void
-send_runs(const struct crash_guard_options *opt, const GArray *runs,
-    guint first, const GPtrArray *to)
+send_runs(const struct blame_wire_options *opt, const GArray *runs, guint first,
+    const GPtrArray *to)
 {
 	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	Sfpeer__LostRun wire[kGuardPerMessageMax];
-	Sfpeer__LostRun *refs[kGuardPerMessageMax];
-	uint64_t begun[kGuardPerMessageMax][kBlameKeysMax];
-	int64_t now_us = loop_now_us(opt->lp);
+	Sfpeer__LostRun wire[kBlamePerMessageMax];
+	Sfpeer__LostRun *refs[kBlamePerMessageMax];
+	uint64_t begun[kBlamePerMessageMax][kBlameKeysMax];
+	int64_t now_us = opt->now_us;
 
 	env.lost_runs = refs;
 	for (guint i = first;
-	     i < runs->len && env.n_lost_runs < kGuardPerMessageMax; i++) {
+	     i < runs->len && env.n_lost_runs < kBlamePerMessageMax; i++) {
 		size_t n = env.n_lost_runs++;
 
 		encode_run(&g_array_index(runs, struct blame_run, i), now_us,
@@ -140,17 +142,17 @@
 }
 
 static void
-send_notes(const struct crash_guard_options *opt, const GArray *notes,
+send_notes(const struct blame_wire_options *opt, const GArray *notes,
     guint first, const GPtrArray *to)
 {
 	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	Sfpeer__BlameNote wire[kGuardPerMessageMax];
-	Sfpeer__BlameNote *refs[kGuardPerMessageMax];
-	int64_t now_us = loop_now_us(opt->lp);
+	Sfpeer__BlameNote wire[kBlamePerMessageMax];
+	Sfpeer__BlameNote *refs[kBlamePerMessageMax];
+	int64_t now_us = opt->now_us;
 
 	env.blame_notes = refs;
 	for (guint i = first;
-	     i < notes->len && env.n_blame_notes < kGuardPerMessageMax; i++) {
+	     i < notes->len && env.n_blame_notes < kBlamePerMessageMax; i++) {
 		size_t n = env.n_blame_notes++;
 
 		encode_note(&g_array_index(notes, struct blame_note, i), now_us,
@@ -160,14 +162,89 @@
 	send_to_all(opt, to, &env);
 }
 
-void
-crash_guard_send(const struct crash_guard_options *opt, const GArray *runs,
+static void
+send_lists(const struct blame_wire_options *opt, const GArray *runs,
     const GArray *notes, const GPtrArray *to)
 {
-	for (guint i = 0; runs != NULL && to->len > 0 && i < runs->len;
-	     i += kGuardPerMessageMax)
+	for (guint i = 0; to->len > 0 && i < runs->len;
+	     i += kBlamePerMessageMax)
 		send_runs(opt, runs, i, to);
-	for (guint i = 0; notes != NULL && to->len > 0 && i < notes->len;
-	     i += kGuardPerMessageMax)
+	for (guint i = 0; to->len > 0 && i < notes->len;
+	     i += kBlamePerMessageMax)
 		send_notes(opt, notes, i, to);
 }
+
+void
+blame_wire_send(const struct blame_wire_options *opt,
+    const struct blame_out *out, const GPtrArray *coordinators,
+    const GPtrArray *all)
+{
+	GArray *verdicts = g_array_new(FALSE, TRUE, sizeof(struct blame_note));
+	GArray *reports = g_array_new(FALSE, TRUE, sizeof(struct blame_note));
+	GArray *no_runs = g_array_new(FALSE, TRUE, sizeof(struct blame_run));
+
+	for (guint i = 0; i < out->notes->len; i++) {
+		const struct blame_note *note =
+		    &g_array_index(out->notes, struct blame_note, i);
+
+		g_array_append_vals(
+		    note->kind == kBlameNoteVerdict ? verdicts : reports, note,
+		    1);
+	}
+	send_lists(opt, out->runs, reports, coordinators);
+	send_lists(opt, no_runs, verdicts, all);
+	g_array_unref(verdicts);
+	g_array_unref(reports);
+	g_array_unref(no_runs);
+}
+
+static void
+log_told(const struct blame_note *note, const char *from)
+{
+	char key[20];
+
+	g_snprintf(key, sizeof(key), "%" PRIx64, note->key);
+	log_event(kEvtBlockTold, note->is_part ? "part" : "fingerprint", key,
+	    "lost_runs", log_number(note->lost_runs), "told_by", from, NULL);
+}
+
+void
+blame_wire_receive(struct blame *bl, const Sfpeer__Envelope *env,
+    int64_t now_us, struct blame_out *out)
+{
+	uint64_t from = blame_daemon_hash(env->from);
+
+	for (size_t i = 0; i < env->n_lost_runs; i++) {
+		struct blame_run run;
+
+		if (blame_wire_decode_run(
+			env->lost_runs[i], env->from, now_us, &run))
+			blame_on_run(bl, &run, now_us, out);
+	}
+	for (size_t i = 0; i < env->n_blame_notes; i++) {
+		struct blame_note note;
+
+		if (blame_wire_decode_note(
+			env->blame_notes[i], now_us, &note) &&
+		    blame_on_note(bl, from, &note, now_us, out))
+			log_told(&note, env->from);
+	}
+}
+
+void
+blame_wire_log_cases(struct blame *bl)
+{
+	struct blame_case found;
+
+	while (blame_take_case(bl, &found)) {
+		char key[20];
+
+		g_snprintf(key, sizeof(key), "%" PRIx64, found.key);
+		log_event(
+		    found.is_part ? kEvtPartBlocked : kEvtRequestCondemned,
+		    found.is_part ? "part" : "fingerprint", key, "lost_runs",
+		    log_number(found.lost_runs), "targets", found.targets->str,
+		    "seen_by", found.seen_by->str, NULL);
+		blame_case_clear(&found);
+	}
+}
--- a/src/savoryflow/retry/blame.c
+++ b/src/savoryflow/retry/blame.c
@@ -14,6 +14,8 @@
 	kTrialWindowUs = 5 * kUsPerS,
 	kHeldTrialWindowUs = 500 * kUsPerMs,
 	kTrialDoublingsMax = 4,
+	/* A part that is not blocked by then needs more evidence. */
+	kJudgingUs = kUsPerS,
 	kVerdictsMax = 512,
 };
 
@@ -255,11 +257,15 @@
 		struct verdict *v = val;
 
 		if (v->note.verdict != kBlameSuspected ||
-		    v->others_us != INT64_MIN || has_key(keys, v->note.key))
+		    has_key(keys, v->note.key))
 			continue;
-		v->others_us = now_us;
-		if (!bl->is_coordinator)
+		if (bl->is_coordinator) {
+			v->others_us = now_us;
+		} else if (v->others_us == INT64_MIN ||
+		    now_us - v->others_us >= kBlameReportPeriodUs) {
+			v->others_us = now_us;
 			send_note(out, kBlameNoteOthers, v->note.key, now_us);
+		}
 	}
 }
 
@@ -295,6 +301,15 @@
 	return MAX(v->note.last_end_us + wait_us, v->note.trial_until_us);
 }
 
+/* Another trial would tell nothing new. */
+static bool
+is_being_judged(const struct blame *bl, const struct verdict *v, int64_t now_us)
+{
+	return v->note.verdict == kBlameSuspected && v->suspected_us != 0 &&
+	    now_us - v->suspected_us < kJudgingUs &&
+	    blame_evidence_is_enough(bl->evidence, v->note.key);
+}
+
 /* Primary coordinator: a daemon that has just held or refused a request may
  * send it, or the next one, if a trial is due. */
 static void
@@ -304,7 +319,7 @@
 	bool is_suspected = v->note.verdict == kBlameSuspected;
 
 	if (!bl->is_primary || v->note.verdict == kBlameNone ||
-	    now_us < next_trial_us(v))
+	    now_us < next_trial_us(v) || is_being_judged(bl, v, now_us))
 		return;
 	v->note.trial_by = daemon;
 	v->note.trial_until_us =
@@ -410,8 +425,10 @@
 		    bl->begun, note->key, v->note.last_end_us + 1);
 	v->note.refused_us = refused_us;
 	bl->has_suspects |= v->note.verdict == kBlameSuspected;
-	if (v->note.verdict == kBlameNone)
+	if (v->note.verdict == kBlameNone) {
 		v->others_us = INT64_MIN;
+		v->suspected_us = 0;
+	}
 	if (is_refuted(v, begun_us) && !bl->is_coordinator)
 		send_note(out, kBlameNoteBegun, note->key, begun_us);
 	if (v->note.verdict != kBlameBlocked || was_blocked)
--- a/src/savoryflow/retry/blame_evidence.c
+++ b/src/savoryflow/retry/blame_evidence.c
@@ -24,6 +24,11 @@
 	kCallEnds = 3,
 	/* A target that ends sooner was ending when it got the request. */
 	kRunMinUs = 2 * kUsPerMs,
+	/* So many other targets that end at the same time, under requests
+	 * without the part, have another cause in common. */
+	kMassTargets = 3,
+	kMassWindowUs = 50 * kUsPerMs,
+	kMassTargetsMax = 8,
 	/* Times reported by different daemons are exact to about this. */
 	kReportErrorUs = 100 * kUsPerMs,
 };
@@ -174,6 +179,53 @@
 	ch->all[ch->count++] = own;
 }
 
+/** A few distinct targets. */
+struct target_set {
+	uint64_t all[kMassTargetsMax];
+	int32_t count;
+};
+
+static bool
+target_set_has(const struct target_set *set, uint64_t target)
+{
+	for (int32_t i = 0; i < set->count; i++)
+		if (set->all[i] == target)
+			return true;
+	return false;
+}
+
+static void
+target_set_add(struct target_set *set, uint64_t target)
+{
+	if (set->count < kMassTargetsMax && !target_set_has(set, target))
+		set->all[set->count++] = target;
+}
+
+/* Whether the run was lost as many targets ended, with and without the part. */
+static bool
+is_of_mass_crash(
+    const struct blame_evidence *ev, const struct lost_run *lost, uint64_t key)
+{
+	struct target_set with = {.count = 0};
+	struct target_set without = {.count = 0};
+	int32_t others = 0;
+
+	for (guint i = 0; i < ev->runs->len; i++) {
+		const struct lost_run *near = run_at(ev, i);
+
+		if (!near->run.has_target_ended ||
+		    ABS(near->run.ended_us - lost->run.ended_us) >
+			kMassWindowUs)
+			continue;
+		target_set_add(
+		    position_of(&near->run.keys, key) >= 0 ? &with : &without,
+		    near->target);
+	}
+	for (int32_t i = 0; i < without.count; i++)
+		others += !target_set_has(&with, without.all[i]);
+	return others >= kMassTargets;
+}
+
 static bool
 is_too_short(const struct blame_run *run)
 {
@@ -198,7 +250,9 @@
 		uint64_t request = lost->run.keys.keys[0];
 
 		if (position < 0 || lost->is_explained ||
-		    (position > 0 && is_too_short(&lost->run)) ||
+		    (position > 0 &&
+			(is_too_short(&lost->run) ||
+			    is_of_mass_crash(ev, lost, key))) ||
 		    lost->run.ended_us <= begun_us ||
 		    has_likelier_key(ev, &lost->run, position, suspects))
 			continue;
@@ -272,6 +326,14 @@
 	return sc->weight >= kWeightBlock && sc->has_several_requests;
 }
 
+bool
+blame_evidence_is_enough(const struct blame_evidence *ev, uint64_t key)
+{
+	struct blame_score sc = blame_evidence_score(ev, key);
+
+	return may_be_blocked(&sc);
+}
+
 bool
 blame_evidence_is_call(const struct blame_evidence *ev, uint64_t key)
 {
--- a/src/savoryflow/retry/blame_evidence.h
+++ b/src/savoryflow/retry/blame_evidence.h
@@ -47,6 +47,9 @@
 /** True if the evidence against a key suffices to suspect it. */
 bool blame_evidence_is_suspect(const struct blame_evidence *ev, uint64_t key);
 
+/** True if the evidence against a part suffices to block it. */
+bool blame_evidence_is_enough(const struct blame_evidence *ev, uint64_t key);
+
 /** True if a call as a whole is to blame. */
 bool blame_evidence_is_call(const struct blame_evidence *ev, uint64_t key);
 
--- a/src/savoryflow/retry/blame_internal.h
+++ b/src/savoryflow/retry/blame_internal.h
@@ -12,8 +12,7 @@
 	int64_t suspected_us;
 	/** When this daemon last reported that it refused a request. */
 	int64_t reported_us;
-	/** When an answer last began to a request without the suspected key; a
-	 * daemon reports it once. */
+	/** When an answer last began to a request without the suspected key. */
 	int64_t others_us;
 	bool is_trial_used;
 };
