--- a/src/serve/call_attempt.c
+++ b/src/serve/call_attempt.c
@@ -12,6 +12,12 @@
 #include "serve/limiter.h"
 #include "serve/timers.h"
 
+enum {
+	/* Time until a held call, or a blocked item, is looked at again. */
+	kHeldCheckUs = 20 * kUsPerMs,
+	kBlockedItemUs = kUsPerS,
+};
+
 /* The lock is held. */
 static struct retry_decision
 decide_batch(struct call *c, enum attempt_outcome outcome, int64_t now_us)
@@ -210,6 +216,51 @@
 	};
 }
 
+/* Tries again later, with the reference of the caller. */
+static void
+postpone(struct call *c, int64_t delay_us)
+{
+	timers_add(c->d->timers, clock_mono_us(c->d->clk) + delay_us,
+	    call_attempt_begin, c);
+}
+
+/**
+ * Keeps a call from engines that it would crash.
+ * @return false if it was ended or postponed
+ */
+static bool
+admit(struct call *c)
+{
+	bool is_batch = c->work_class == kWorkBatch;
+	int64_t now_us = clock_mono_us(c->d->clk);
+	enum blame_verdict verdict;
+	bool is_done;
+
+	pthread_mutex_lock(&c->lock);
+	is_done = c->phase == kPhaseDone;
+	pthread_mutex_unlock(&c->lock);
+	if (is_done || !c->is_engine)
+		return true;
+	verdict = crash_watch_check(c->d->crashes, &c->keys);
+
+	if (verdict == kBlameHeld && c->held_us == 0)
+		c->held_us = now_us;
+	if (verdict == kBlameHeld &&
+	    (is_batch || now_us - c->held_us < kBlameHoldUs)) {
+		postpone(c, kHeldCheckUs);
+		return false;
+	}
+	if (verdict != kBlameBlocked)
+		return true;
+	if (is_batch) {
+		postpone(c, kBlockedItemUs);
+		return false;
+	}
+	call_finish(c, kErrRequestCondemned, 0);
+	call_unref(c);
+	return false;
+}
+
 void
 call_attempt_begin(void *ctx)
 {
@@ -231,6 +282,8 @@
 		call_unref(c);
 		return;
 	}
+	if (!admit(c))
+		return;
 	found = routes_choose(c->d->routes, &query, &route);
 	pthread_mutex_lock(&c->lock);
 	if (found && c->phase != kPhaseDone) {
--- a/src/serve/call_internal.h
+++ b/src/serve/call_internal.h
@@ -7,6 +7,7 @@
 #include "savoryflow/retry/batch_retry.h"
 #include "savoryflow/retry/retry.h"
 #include "serve/call_run.h"
+#include "serve/crash_watch.h"
 #include "serve/routes.h"
 
 /* Shared by the modules that run a call. A call's lock is held
@@ -47,6 +48,13 @@
 	GBytes *body;
 	uint64_t prefix_hash;
 	uint64_t fingerprint;
+	struct blame_keys keys;
+	/** When the current attempt was sent, and whether its answer has begun.
+	 */
+	int64_t sent_us;
+	bool has_begun;
+	/** When the call was first held; 0: never. */
+	int64_t held_us;
 	int32_t prompt_tokens;
 	void (*notify)(void *ctx);
 	void (*release)(void *ctx);
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -50,6 +50,8 @@
 	c->body = g_bytes_ref(opt->body);
 	c->prefix_hash = XXH3_64bits(data, MIN(len, kPrefixBytes));
 	c->fingerprint = quarantine_fingerprint(opt->service, data, len);
+	crash_watch_keys(c->fingerprint, data, opt->is_engine ? len : 0,
+	    opt->work_class == kWorkBatch, &c->keys);
 	c->prompt_tokens = call_prompt_tokens(len);
 	c->notify = opt->notify;
 	c->release = opt->release;
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -12,6 +12,7 @@
 #include "serve/grants.h"
 
 enum {
+	kTokensBegun = 2,
 	kHttpErrorFirst = 400,
 	kHttpServerErrorFirst = 500,
 };
@@ -47,6 +48,8 @@
 	c->phase = kPhaseRunning;
 	c->is_revoked = false;
 	c->is_first_token_reported = false;
+	c->sent_us = clock_mono_us(c->d->clk);
+	c->has_begun = false;
 	c->attempt_first_index = c->stream.next_index;
 	snprintf(text, sizeof(text), "%016" G_GINT64_MODIFIER "x", c->attempt);
 	answer_stream_start_attempt(&c->stream, text);
@@ -93,12 +96,25 @@
 	return kTargetDataPart;
 }
 
+/* An engine that crashes as it begins to answer may send one token. */
+static bool
+begins_answer(struct call *c)
+{
+	if (!c->is_engine || c->has_begun ||
+	    (c->stream.status != kStreamComplete &&
+		c->stream.next_index < c->attempt_first_index + kTokensBegun))
+		return false;
+	c->has_begun = true;
+	return true;
+}
+
 static enum target_data
 on_data(void *ctx, uint64_t attempt, long status, const char *data, size_t len)
 {
 	struct call *c = ctx;
 	enum target_data res = kTargetDataRefused;
 	bool is_first_data = false;
+	bool begins = false;
 	uint64_t withdrawn = 0;
 
 	pthread_mutex_lock(&c->lock);
@@ -106,6 +122,7 @@
 		res = append_data(c, status, data, len);
 		is_first_data = !c->is_first_token_reported;
 		c->is_first_token_reported = true;
+		begins = begins_answer(c);
 		if (res == kTargetDataPart || res == kTargetDataEvent)
 			withdrawn = call_takeover_withdraw(c);
 	}
@@ -114,6 +131,8 @@
 		grants_release(c->d->grants, withdrawn);
 	if (is_first_data)
 		grants_first_token(c->d->grants, attempt);
+	if (begins)
+		crash_watch_record_begun(c->d->crashes, &c->keys);
 	if (res != kTargetDataRefused && c->is_engine)
 		c->notify(c->ctx);
 	return res;
@@ -249,6 +268,7 @@
 	bool has_crashed =
 	    res->end == kTransferNotSent || res->end == kTransferInterrupted;
 	uint64_t interrupted_attempt;
+	bool is_lost;
 
 	pthread_mutex_lock(&c->lock);
 	if (c->phase != kPhaseProbing) {
@@ -256,11 +276,15 @@
 		return;
 	}
 	interrupted_attempt = c->attempt;
+	is_lost = has_crashed && c->is_engine && !c->has_begun;
 	if (has_crashed)
 		c->phase = kPhaseAwaitingVerdict;
 	pthread_mutex_unlock(&c->lock);
 	routes_record_outcome(c->d->routes, c->route.target,
 	    has_crashed ? kRouteUnreachable : kRouteFailed);
+	if (is_lost)
+		crash_watch_record_run(c->d->crashes, &c->keys, c->route.target,
+		    c->sent_us, clock_mono_us(c->d->clk));
 	if (has_crashed) {
 		grants_report_crash(c->d->grants, interrupted_attempt);
 		return;
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -13,6 +13,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "serve/batch_run.h"
+#include "serve/crash_watch.h"
 #include "serve/grants.h"
 #include "serve/intents.h"
 #include "serve/limiter.h"
@@ -71,6 +72,7 @@
 		    d->limiter, env->from, env->limit_asks[i]);
 	for (size_t i = 0; i < env->n_limit_leases; i++)
 		limiter_on_lease(d->limiter, env->limit_leases[i]);
+	crash_watch_on_envelope(d->crashes, env);
 	for (size_t i = 0; i < env->n_condemned; i++)
 		limiter_quarantine(d->limiter, env->condemned[i], false);
 	for (size_t i = 0; i < env->n_leaving_targets; i++)
@@ -91,6 +93,7 @@
 
 	routes_tick(d->routes);
 	grants_tick(d->grants);
+	crash_watch_tick(d->crashes);
 	timers_run(d->timers, now_us);
 	reports_tick(d, now_us);
 }
@@ -113,6 +116,7 @@
 	d->routes = routes_new(d);
 	d->grants = grants_new(d);
 	d->limiter = limiter_new(d);
+	d->crashes = crash_watch_new(d);
 	d->intents = intents_new(d);
 	d->batch = batch_runner_new(d);
 	d->poller = poller_new(d);
@@ -155,6 +159,7 @@
 	batch_runner_free(d->batch);
 	poller_free(d->poller);
 	limiter_free(d->limiter);
+	crash_watch_free(d->crashes);
 	grants_free(d->grants);
 	routes_free(d->routes);
 	if (d->peer != NULL)
--- a/src/serve/daemon.h
+++ b/src/serve/daemon.h
@@ -11,8 +11,8 @@
 
 /*
  * Components of one daemon. Lock order, first to last: request (api), call,
- * grants, routes, limiter, config holder, log. A component is not called while
- * a lock that comes after its own is held.
+ * grants, routes, limiter, config holder, crash watch, log. A component is not
+ * called while a lock that comes after its own is held.
  */
 struct daemon {
 	struct settings *set;
@@ -29,6 +29,7 @@
 	struct routes *routes;
 	struct grants *grants;
 	struct limiter *limiter;
+	struct crash_watch *crashes;
 	struct intents *intents;
 	struct batch_runner *batch;
 	struct poller *poller;
