--- a/src/log/events.h
+++ b/src/log/events.h
@@ -142,7 +142,7 @@
 	X(kEvtStreamResumed, 1205, INFO, "stream_resumed",                     \
 	    "A cut, stalled or revoked stream resumed at its token index.")    \
 	X(kEvtRequestCondemned, 1206, ERROR, "request_condemned",              \
-	    "A request crashed two targets and is blocked from now on.")       \
+	    "A request crashes targets and is blocked from now on.")           \
 	X(kEvtTargetEjected, 1301, WARN, "target_ejected",                     \
 	    "A target failed requests and gets none until a probe succeeds.")  \
 	X(kEvtTargetLeaving, 1302, INFO, "target_leaving",                     \
