--- a/src/savoryflow/retry/blame_judge.c
+++ b/src/savoryflow/retry/blame_judge.c
@@ -21,9 +21,11 @@
     struct blame *bl, struct verdict *v, int64_t now_us, struct blame_out *out)
 {
 	v->note.at_us = now_us;
+	/* Only coordinators make versions: the next one has to reach here. */
+	if (!bl->is_coordinator)
+		return;
 	v->note.version++;
-	if (bl->is_coordinator)
-		g_array_append_val(out->notes, v->note);
+	g_array_append_val(out->notes, v->note);
 }
 
 void
--- a/test/unit/test_blame_fleet.cc
+++ b/test/unit/test_blame_fleet.cc
@@ -154,6 +154,26 @@
 		EXPECT_EQ(kBlameBlocked, d->Check("r9,a,x", kSec)) << d->name;
 }
 
+/* The other coordinator blocks the part as the primary allows a trial. */
+TEST_F(BlameFleet, ADaemonWhoseTrialFailedLearnsOfTheBlock)
+{
+	blame_set_role(one.bl, true, false);
+	one.Lose(0, 20 * kMs, "t1", "r1,a,x");
+	one.Lose(20 * kMs, 40 * kMs, "t2", "r1,a,x");
+	Exchange(50 * kMs);
+	Answer(one, 55 * kMs, "o1,b");
+	is_cut[&one] = true;
+	two.Check("r3,a,x", 60 * kMs, true);
+	Exchange(60 * kMs);
+	ASSERT_EQ(kBlameTrial, two.Check("r3,a,x", 60 * kMs, true));
+	two.Lose(60 * kMs, 80 * kMs, "t3", "r3,a,x");
+	g_array_set_size(two.out->runs, 0);
+	one.Lose(60 * kMs, 90 * kMs, "t4", "r2,a,x");
+	g_array_set_size(one.out->runs, 0);
+	PassTime(100 * kMs, kSec);
+	EXPECT_EQ(kBlameBlocked, two.Check("r9,a,x", kSec));
+}
+
 /* It suspects what the others have long blocked. */
 TEST_F(BlameFleet, ACoordinatorThatHasJustStartedBlocksNothingLess)
 {
