--- a/test/functional/test_api.cc
+++ b/test/functional/test_api.cc
@@ -156,11 +156,16 @@
 
 	EXPECT_EQ(200, f.SubmitConfig(0, 2, 1).status);
 	EXPECT_TRUE(Eventually([&] { return has_version("\"v2\""); }));
+	/* They would undo the order before it is seen. */
+	for (auto &daemon : f.daemons)
+		daemon->Signal(SIGSTOP);
 	EXPECT_EQ(200,
 	    Http("POST", f.EngineUrl(0) + "/order",
 		"{\"fence\":1,\"model\":\"chat\",\"version\":\"v1\"}")
 		.status);
 	EXPECT_TRUE(Eventually([&] { return has_version("\"v1\""); }));
+	for (auto &daemon : f.daemons)
+		daemon->Signal(SIGCONT);
 	EXPECT_TRUE(Eventually([&] { return has_version("\"v2\""); }));
 }
 
