Rates that targets name are decoded and logged; starts of a pool are counted

No decision depends on them yet. Cause of the change: no line said that a daemon had met a rate, and nothing counted starts, so the hypotheses of the incident could not be told apart. Missing, unreadable, zero and huge values are decided in stated_rate_parse and tested.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -4,6 +4,7 @@
 #include "gateway/headers.h"
 #include "savoryflow/fleet/fleet.h"
 #include "savoryflow/job/itemjob_defs.h"
+#include "savoryflow/limits/stated_rate.h"
 #include "savoryflow/routebook/routebook.h"
 #include "store/store.h"
 
@@ -77,6 +78,7 @@
 	bool is_target_leaving;
 	/** The attempt id that the response carries; empty if it has none. */
 	char attempt_id[kAttemptIdMax];
+	struct stated_rate rate;
 };
 
 struct dialect_ops {
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -38,6 +38,8 @@
 		    rl->deps.ctx, rl->target, rl->target_started_ms);
 	if (!is_own_answer(rl, status))
 		return false;
+	slots_record_rate(rl->deps.slots, rl->slot, rl->target_started_ms,
+	    &rl->response.rate, rl->attempt_id);
 	rl->status = status;
 	rl->is_stream = status == kHttpOk && rl->response.is_event_stream;
 	if (rl->is_stream)
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -58,6 +58,7 @@
 	    g_str_hash, g_str_equal, g_free, slots_host_free);
 	sl->holders = g_ptr_array_new_with_free_func(g_free);
 	sl->deliveries = g_array_new(FALSE, TRUE, sizeof(struct delivery));
+	sl->rates = target_rates_new();
 	/* Holder 0 is this daemon. */
 	slots_holder_index(sl, opt->address);
 	loop_on_iteration_end(opt->lp, deliver_all, sl);
@@ -74,6 +75,7 @@
 	g_hash_table_unref(sl->views);
 	g_ptr_array_unref(sl->holders);
 	g_array_unref(sl->deliveries);
+	target_rates_free(sl->rates);
 	g_free(sl);
 }
 
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -5,6 +5,7 @@
 #include "gateway/roster.h"
 #include "peer/peer.pb-c.h"
 #include "savoryflow/fleet/fleet.h"
+#include "savoryflow/limits/stated_rate.h"
 #include "savoryflow/slotpool/slotpool_defs.h"
 
 struct slots_wire_ops {
@@ -70,6 +71,15 @@
 /** Releases a slot or withdraws its request; no further callback follows. */
 void slots_release(struct slots *sl, uint64_t id, enum slot_outcome outcome);
 
+/**
+ * Applies what the head of the answer to an attempt says of its target's rate.
+ * The answer must be the attempt's own.
+ * @param id slot of the attempt, still held
+ * @param started_ms start of the target that was sent the attempt
+ */
+void slots_record_rate(struct slots *sl, uint64_t id, int64_t started_ms,
+    const struct stated_rate *said, const char *attempt_id);
+
 /** Applies a changed list of targets to all pools. */
 void slots_targets_changed(struct slots *sl);
 
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -210,18 +210,22 @@
 log_load(struct hosted_pool *hp, bool is_elected, int64_t now_us)
 {
 	struct slotpool_load load;
+	struct slotpool_starts starts;
 
 	if (now_us - hp->logged_us < kLogPeriodUs)
 		return;
 	hp->logged_us = now_us;
 	load = slotpool_load_get(hp->pool, now_us);
+	starts = slotpool_take_starts(hp->pool);
 	log_event(kEvtPoolLoad, "service", hp->service, "data_center",
 	    hp->data_center, "rightful", is_elected ? "yes" : "no", "slots",
 	    log_number(load.slots), "online", log_number(load.online), "batch",
 	    log_number(load.batch), "online_queued",
 	    log_number(load.online_queued), "batch_queued",
 	    log_number(load.batch_queued), "hold_us", log_number(load.hold_us),
-	    NULL);
+	    "online_starts", log_number(starts.online), "item_starts",
+	    log_number(starts.items), "preemptions",
+	    log_number(starts.preemptions), NULL);
 }
 
 static bool
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_SLOTS_INTERNAL_H
 
 #include "gateway/slots.h"
+#include "gateway/target_rates.h"
 #include "savoryflow/slotpool/slotpool.h"
 
 /* Internal to the slots module. */
@@ -114,6 +115,7 @@
 	/** Addresses of the requesting daemons; the index identifies the
 	 * holder. */
 	GPtrArray *holders;
+	struct target_rates *rates;
 	GArray *deliveries;
 	uint64_t timer;
 	int64_t next_tick_us;
--- /dev/null
+++ b/src/gateway/target_rates.c
@@ -0,0 +1,91 @@
+/* Rates that targets name in their answers. */
+#include "gateway/target_rates.h"
+
+#include "log/log.h"
+
+struct target_rates {
+	/** struct target_rate by target id. */
+	GHashTable *by_target;
+};
+
+struct target_rates *
+target_rates_new(void)
+{
+	struct target_rates *tr = g_new0(struct target_rates, 1);
+
+	tr->by_target =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	return tr;
+}
+
+void
+target_rates_free(struct target_rates *tr)
+{
+	g_hash_table_unref(tr->by_target);
+	g_free(tr);
+}
+
+const struct target_rate *
+target_rates_find(
+    const struct target_rates *tr, const struct fleet_target *target)
+{
+	const struct target_rate *rate =
+	    g_hash_table_lookup(tr->by_target, target->id);
+
+	return rate != NULL && rate->started_ms == target->started_ms ? rate
+								      : NULL;
+}
+
+static void
+log_rate(const struct fleet_target *target, const char *attempt_id,
+    const struct target_rate *before, int64_t milli_per_s)
+{
+	if (before != NULL && before->milli_per_s == milli_per_s)
+		return;
+	log_event(kEvtTargetRateNamed, "target", target->id, "request",
+	    attempt_id, "milli_per_s", log_number(milli_per_s), "before",
+	    before != NULL ? log_number(before->milli_per_s) : "none", NULL);
+}
+
+static void
+set_rate(struct target_rates *tr, const struct fleet_target *target,
+    int64_t milli_per_s, int64_t now_us)
+{
+	struct target_rate *rate =
+	    g_hash_table_lookup(tr->by_target, target->id);
+
+	if (rate == NULL) {
+		rate = g_new0(struct target_rate, 1);
+		g_strlcpy(rate->target, target->id, sizeof(rate->target));
+		g_hash_table_insert(tr->by_target, rate->target, rate);
+	}
+	rate->started_ms = target->started_ms;
+	rate->milli_per_s = milli_per_s;
+	rate->learnt_us = now_us;
+}
+
+void
+target_rates_on_answer(struct target_rates *tr,
+    const struct fleet_target *target, const struct stated_rate *said,
+    int64_t sent_us, const char *attempt_id, int64_t now_us)
+{
+	const struct target_rate *known = target_rates_find(tr, target);
+
+	switch (said->kind) {
+	case kRateNamed:
+		log_rate(target, attempt_id, known, said->milli_per_s);
+		set_rate(tr, target, said->milli_per_s, now_us);
+		break;
+	case kRateNone:
+		if (known == NULL || sent_us <= known->learnt_us)
+			break;
+		log_event(kEvtTargetRateEnded, "target", target->id, "request",
+		    attempt_id, "before", log_number(known->milli_per_s), NULL);
+		g_hash_table_remove(tr->by_target, target->id);
+		break;
+	case kRateUnreadable:
+		log_event(kEvtTargetRateBad, "target", target->id, "request",
+		    attempt_id, NULL);
+		break;
+	}
+}
--- /dev/null
+++ b/src/gateway/target_rates.h
@@ -0,0 +1,39 @@
+#ifndef SAVORYFLOW_GATEWAY_TARGET_RATES_H
+#define SAVORYFLOW_GATEWAY_TARGET_RATES_H
+
+#include <glib.h>
+
+#include "savoryflow/fleet/fleet.h"
+#include "savoryflow/limits/stated_rate.h"
+
+/** A rate that a target has named. */
+struct target_rate {
+	char target[kFleetNameMax];
+	/** Start of the target that named it. */
+	int64_t started_ms;
+	int64_t milli_per_s;
+	/** When this daemon last learnt it. */
+	int64_t learnt_us;
+};
+
+/** The rates that targets name, as far as this daemon knows. */
+struct target_rates;
+
+struct target_rates *target_rates_new(void);
+void target_rates_free(struct target_rates *tr);
+
+/**
+ * Applies what the answer to an attempt says, and logs changes.
+ * @param sent_us when the attempt was sent: an answer ends a rate only if it is
+ *        certainly newer than the one that named it
+ * @param attempt_id for the log
+ */
+void target_rates_on_answer(struct target_rates *tr,
+    const struct fleet_target *target, const struct stated_rate *said,
+    int64_t sent_us, const char *attempt_id, int64_t now_us);
+
+/** The rate of a target, borrowed; NULL if it names none. */
+const struct target_rate *target_rates_find(
+    const struct target_rates *tr, const struct fleet_target *target);
+
+#endif
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -56,6 +56,14 @@
 	    "known one.")                                                      \
 	X(kEvtRowUnreadable, 1308, WARN, "row_unreadable",                     \
 	    "A row of the installation's lists is invalid; it is skipped.")    \
+	X(kEvtTargetRateNamed, 1309, INFO, "target_rate_named",                \
+	    "An answer of a target names another rate of requests than the "   \
+	    "ones before; the fields give both in thousandths a second.")      \
+	X(kEvtTargetRateEnded, 1310, INFO, "target_rate_ended",                \
+	    "An answer of a target no longer names a rate of requests.")       \
+	X(kEvtTargetRateBad, 1311, WARN, "target_rate_unreadable",             \
+	    "An answer of a target names a rate that is no number; what was "  \
+	    "known of its rate stays.")                                        \
 	X(kEvtJobStarted, 1408, INFO, "job_started",                           \
 	    "This daemon runs a batch job.")                                   \
 	X(kEvtJobDropped, 1409, INFO, "job_dropped",                           \
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -1,13 +1,10 @@
 /* Decides which request gets a slot of a pool, and on which target. */
-#include "savoryflow/slotpool/slotpool.h"
-
 #include <string.h>
 
 #include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
 #include "savoryflow/slotpool/batch_rank.h"
-#include "savoryflow/slotpool/slot_queue.h"
-#include "savoryflow/slotpool/slot_target.h"
+#include "savoryflow/slotpool/slotpool_internal.h"
 
 enum {
 	/* Mean time that a slot is held, until it is measured. */
@@ -21,38 +18,11 @@
 	kLeaseUs = 4 * kUsPerS,
 	/* A live holder ends a revoked run within a few ms. */
 	kRevokedLeaseUs = kUsPerS,
-	/* Refused callers should retry when there is likely to be room: an
-	 * overload is assumed to last as long again as it has lasted. Callers
-	 * wait for at most a third of their timeout, some 1.6 s. */
-	kRetryAfterMinUs = 250 * kUsPerMs,
-	kRetryAfterMaxUs = 1100 * kUsPerMs,
 	/* An overdue request may start this late, as a late answer is better
 	 * than none; callers abandon a stream that stalls for 2 s. */
 	kLateStartUs = 1200 * kUsPerMs,
 };
 
-struct slot {
-	struct slot_request req;
-	char target[kFleetNameMax];
-	int64_t since_us;
-	bool is_revoked;
-	int64_t expires_us;
-};
-
-struct slotpool {
-	/** struct slot_target by id. */
-	GHashTable *targets;
-	/** struct slot by id. */
-	GHashTable *slots;
-	struct slot_queue *queue;
-	int64_t hold_us;
-	/** Online requests have to queue, and since when. */
-	bool is_full;
-	int64_t full_since_us;
-	/** Batch items may not start; see slotpool_allow_batch. */
-	bool is_batch_paused;
-};
-
 struct slotpool *
 slotpool_new(void)
 {
@@ -96,30 +66,6 @@
 	g_array_append_val(out, act);
 }
 
-struct slotpool_load
-slotpool_load_get(const struct slotpool *sp, int64_t now_us)
-{
-	struct slotpool_load load = {
-	    .online_queued = slot_queue_len(sp->queue, false),
-	    .batch_queued = slot_queue_len(sp->queue, true),
-	    .hold_us = sp->hold_us,
-	};
-	GHashTableIter it;
-	void *val;
-
-	g_hash_table_iter_init(&it, sp->targets);
-	while (g_hash_table_iter_next(&it, NULL, &val)) {
-		const struct slot_target *t = val;
-
-		if (!slot_target_accepts_work(t, false, now_us))
-			continue;
-		load.slots += t->info.slots;
-		load.online += t->online;
-		load.batch += t->batch + t->revoked;
-	}
-	return load;
-}
-
 static void
 count_slot(struct slot_target *t, const struct slot *sl, int32_t sign)
 {
@@ -161,6 +107,10 @@
 grant(struct slotpool *sp, struct slot_target *t,
     const struct slot_request *req, int64_t now_us, GArray *out)
 {
+	if (req->is_batch)
+		sp->starts.items++;
+	else
+		sp->starts.online++;
 	slot_add(sp, t, req, now_us);
 	add_action(out, kSlotGranted, req, t->info.id, 0);
 }
@@ -242,6 +192,7 @@
 {
 	struct slot_target *t = g_hash_table_lookup(sp->targets, sl->target);
 
+	sp->starts.preemptions++;
 	count_slot(t, sl, -1);
 	sl->is_revoked = true;
 	sl->expires_us = now_us + kRevokedLeaseUs;
@@ -344,18 +295,6 @@
 	start_queued_batch(sp, now_us, out);
 }
 
-/* Adds up to 50 % jitter, so that callers do not all retry at once. */
-static int64_t
-retry_after_us(const struct slotpool *sp, const struct slot_request *req,
-    const struct slotpool_load *load, int64_t now_us)
-{
-	int64_t overload_us = sp->is_full ? now_us - sp->full_since_us : 0;
-	int64_t base_us = CLAMP(MAX(overload_us, slotpool_wait_us(load)),
-	    kRetryAfterMinUs, kRetryAfterMaxUs);
-
-	return base_us + base_us / 2 * (int64_t)(req->id % 256) / 256;
-}
-
 static void
 refuse(struct slotpool *sp, const struct slot_request *req, int64_t now_us,
     GArray *out)
@@ -368,7 +307,7 @@
 	slot_targets_count_reachable(
 	    sp->targets, req->holder, now_us, &targets, &reached);
 	add_action(out, kSlotRefused, req, NULL,
-	    retry_after_us(sp, req, &load, now_us));
+	    slotpool_retry_after_us(sp, req, &load, now_us));
 	g_array_index(out, struct slotpool_action, out->len - 1)
 	    .has_no_healthy_target = reached == 0;
 }
--- a/src/savoryflow/slotpool/slotpool.h
+++ b/src/savoryflow/slotpool/slotpool.h
@@ -55,6 +55,9 @@
 struct slotpool_load slotpool_load_get(
     const struct slotpool *sp, int64_t now_us);
 
+/** Starts since the last call. */
+struct slotpool_starts slotpool_take_starts(struct slotpool *sp);
+
 /** Expected wait of one more online request, in microseconds. */
 int64_t slotpool_wait_us(const struct slotpool_load *load);
 
--- a/src/savoryflow/slotpool/slotpool_defs.h
+++ b/src/savoryflow/slotpool/slotpool_defs.h
@@ -64,6 +64,14 @@
 	bool has_no_healthy_target;
 };
 
+/** Requests that a pool has started at its targets. */
+struct slotpool_starts {
+	int32_t online;
+	int32_t items;
+	/** Items that were revoked for an online request. */
+	int32_t preemptions;
+};
+
 struct slotpool_load {
 	/** Slots of the targets that accept work. */
 	int32_t slots;
--- /dev/null
+++ b/src/savoryflow/slotpool/slotpool_internal.h
@@ -0,0 +1,39 @@
+#ifndef SAVORYFLOW_SLOTPOOL_INTERNAL_H
+#define SAVORYFLOW_SLOTPOOL_INTERNAL_H
+
+#include "savoryflow/slotpool/slot_queue.h"
+#include "savoryflow/slotpool/slot_target.h"
+#include "savoryflow/slotpool/slotpool.h"
+
+/* Private state of a pool. */
+
+struct slot {
+	struct slot_request req;
+	char target[kFleetNameMax];
+	int64_t since_us;
+	bool is_revoked;
+	int64_t expires_us;
+};
+
+struct slotpool {
+	/** struct slot_target by id. */
+	GHashTable *targets;
+	/** struct slot by id. */
+	GHashTable *slots;
+	struct slot_queue *queue;
+	int64_t hold_us;
+	/** Online requests have to queue, and since when. */
+	bool is_full;
+	int64_t full_since_us;
+	/** Batch items may not start; see slotpool_allow_batch. */
+	bool is_batch_paused;
+	/** Since slotpool_take_starts. */
+	struct slotpool_starts starts;
+};
+
+/** Time after which a refused request should come again. */
+int64_t slotpool_retry_after_us(const struct slotpool *sp,
+    const struct slot_request *req, const struct slotpool_load *load,
+    int64_t now_us);
+
+#endif
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -208,6 +208,41 @@
 	EXPECT_EQ(-1, a.last_event_id);
 }
 
+TEST(Dialect, RatesOfAnswersAreDecoded)
+{
+	const struct {
+		const char *value;
+		stated_rate_kind kind;
+		int64_t milli_per_s;
+	} cases[] = {
+	    {"4", kRateNamed, 4000},
+	    {"2.75", kRateNamed, 2750},
+	    {" 0.02 ", kRateNamed, 20},
+	    {"0", kRateNamed, 0},
+	    {"1e3", kRateNamed, 1000000},
+	    {"1e9", kRateNone, 0},
+	    {"", kRateUnreadable, 0},
+	    {"-1", kRateUnreadable, 0},
+	    {"nan", kRateUnreadable, 0},
+	    {"inf", kRateUnreadable, 0},
+	    {"four", kRateUnreadable, 0},
+	    {"4 a second", kRateUnreadable, 0},
+	};
+	dialect_response res;
+
+	for (const auto &c : cases) {
+		Headers headers = {{"server-limit", c.value}};
+
+		platform_dialect.decode_response(200, headers.list, "a", &res);
+		EXPECT_EQ(c.kind, res.rate.kind) << c.value;
+		EXPECT_EQ(c.milli_per_s, res.rate.milli_per_s) << c.value;
+	}
+	Headers none = {{"X-Attempt-Id", "a"}};
+
+	platform_dialect.decode_response(200, none.list, "a", &res);
+	EXPECT_EQ(kRateNone, res.rate.kind);
+}
+
 TEST(Dialect, ResponsesAreDecoded)
 {
 	const struct {
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -82,6 +82,12 @@
 			play->waiting.erase(play->waiting.begin() + (long)i);
 }
 
+void
+slots_record_rate(
+    struct slots *, uint64_t, int64_t, const struct stated_rate *, const char *)
+{
+}
+
 int64_t
 slots_link_us(const struct slots *, const char *)
 {
