Test that fails: targets that name a rate get more requests than that

A worker that named 3.2 a second got 1103 requests in 4 s, allowed 24; one that named 1 got 1087, allowed 11.

--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -17,8 +17,10 @@
  * statuses of the answers to come. "surplus":{...} makes complete answers
  * followed by further bytes, see surplus.h. With --crash-part=ID, the process
  * ends as it begins to answer a request whose prompt has that part, other than
- * as its last one. GET /seen: ids of the attempts that
- * ran, and how many streams were closed before their end.
+ * as its last one. "rate":"3.5" names a rate in all answers, null none. GET
+ * /seen: ids of the attempts that ran, how many streams were closed before
+ * their end, and the times of all requests and of the first answer with the
+ * rate.
  */
 #include <jansson.h>
 #include <pthread.h>
@@ -29,6 +31,7 @@
 #include <unistd.h>
 
 #include "http.h"
+#include "rate.h"
 #include "surplus.h"
 
 enum {
@@ -62,6 +65,7 @@
 	/* Statuses of the answers to come. */
 	json_t *statuses_left;
 	struct surplus_fault surplus;
+	struct worker_rate rate;
 	json_t *attempts_run;
 	int closed_early;
 };
@@ -190,9 +194,14 @@
 	return MHD_lookup_connection_value(req->con, MHD_HEADER_KIND, name);
 }
 
+/* What all answers say of the worker. */
 static void
-add_leaving(struct worker *wk, struct MHD_Response *res)
+add_state(struct worker *wk, struct MHD_Response *res)
 {
+	const char *rate = worker_rate_of_answer(&wk->rate);
+
+	if (rate != NULL)
+		MHD_add_response_header(res, "Server-Limit", rate);
 	if (consume_fault(&wk->leaving_left))
 		MHD_add_response_header(res, "Server-Leaving", "1");
 }
@@ -204,7 +213,7 @@
 
 	MHD_add_response_header(
 	    res, "X-Attempt-Id", is_crossed ? "other" : attempt);
-	add_leaving(wk, res);
+	add_state(wk, res);
 	if (!consume_fault(&wk->unsigned_left))
 		MHD_add_response_header(res, "X-Response-Seal", wk->id);
 }
@@ -222,7 +231,7 @@
 
 	*status = code;
 	surplus_apply(&wk->surplus, req, &answer);
-	add_leaving(wk, res);
+	add_state(wk, res);
 	if (code == 421)
 		MHD_add_response_header(res, "X-Instance-Id", wk->id);
 	else
@@ -324,6 +333,7 @@
 	struct stream *st;
 	bool is_unframed;
 
+	worker_rate_record_arrival(&wk->rate);
 	if (attempt == NULL ||
 	    (expect != NULL && strcmp(expect, wk->id) != 0) ||
 	    consume_fault(&wk->rejects_left)) {
@@ -416,6 +426,8 @@
 	json_decref(wk->statuses_left);
 	wk->statuses_left = json_incref(json_object_get(doc, "statuses"));
 	surplus_fault_parse(&wk->surplus, json_object_get(doc, "surplus"));
+	if (json_object_get(doc, "rate") != NULL)
+		worker_rate_set(&wk->rate, json_object_get(doc, "rate"));
 	json_decref(doc);
 	return standin_text_response("{}");
 }
@@ -423,8 +435,9 @@
 static struct MHD_Response *
 handle_seen(struct worker *wk)
 {
-	json_t *doc = json_pack("{s:O,s:i}", "ran", wk->attempts_run,
-	    "left_early", wk->closed_early);
+	json_t *doc = json_pack("{s:O,s:i,s:O,s:I}", "ran", wk->attempts_run,
+	    "left_early", wk->closed_early, "arrivals_us", wk->rate.arrivals,
+	    "rate_named_us", (json_int_t)wk->rate.named_us);
 	char *out = json_dumps(doc, JSON_COMPACT);
 	struct MHD_Response *res = standin_text_response(out);
 
@@ -458,6 +471,7 @@
 	wk.id = standin_flag(argc, argv, "--id", "i-1");
 	wk.crash_part = standin_flag(argc, argv, "--crash-part", "");
 	wk.attempts_run = json_array();
+	worker_rate_init(&wk.rate);
 	return standin_serve(
 	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7200")), handle,
 	    &wk);
