--- a/src/savoryflow/limits/limits.c
+++ b/src/savoryflow/limits/limits.c
@@ -2,6 +2,7 @@
 #include "savoryflow/limits/limits.h"
 
 #include "savoryflow/arbiter/u64_hash.h"
+#include "savoryflow/limits/token_bucket.h"
 
 enum {
 	kUsPerSecond = 1000000,
@@ -11,20 +12,16 @@
 	kRequestMin = 4,
 	/* An owner that does not answer within this time is considered down. */
 	kOwnerTimeoutUs = 500000,
-	/* Maximum elapsed time credited in one refill. */
-	kFillMaxUs = 600 * kUsPerSecond,
 };
 
-/* A token bucket with a capacity of kLimitLeaseUs at its rate. */
-struct bucket {
+struct owned_rate {
 	uint64_t team;
-	/** Requests available, times 10^6. */
-	int64_t micro;
-	int64_t filled_us;
+	struct token_bucket bucket;
 };
 
 struct limit_owner {
-	GHashTable *buckets;
+	/** struct owned_rate by team. */
+	GHashTable *rates;
 };
 
 struct lease {
@@ -40,21 +37,19 @@
 	int32_t prev_requests;
 	int64_t window_us;
 	/** Equal share of the rate, used while the owner is down. */
-	struct bucket equal_share;
+	struct token_bucket equal_share;
 };
 
 struct limit_spender {
 	GHashTable *leases;
 };
 
-static void
-bucket_fill(struct bucket *b, int64_t micro_per_s, int64_t now_us)
+/* A bucket holds what flows in during one lease. */
+static struct token_rate
+bucket_rate(int64_t micro_per_s)
 {
-	int64_t elapsed_us = MIN(now_us - b->filled_us, kFillMaxUs);
-
-	b->filled_us = now_us;
-	b->micro = MIN(b->micro + micro_per_s * elapsed_us / kUsPerSecond,
-	    micro_per_s * kLimitLeaseUs / kUsPerSecond);
+	return (struct token_rate){
+	    micro_per_s, micro_per_s * kLimitLeaseUs / kUsPerSecond};
 }
 
 struct limit_owner *
@@ -62,14 +57,14 @@
 {
 	struct limit_owner *lo = g_new0(struct limit_owner, 1);
 
-	lo->buckets = u64_hash_new(g_free);
+	lo->rates = u64_hash_new(g_free);
 	return lo;
 }
 
 void
 limit_owner_free(struct limit_owner *lo)
 {
-	g_hash_table_unref(lo->buckets);
+	g_hash_table_unref(lo->rates);
 	g_free(lo);
 }
 
@@ -77,19 +72,23 @@
 limit_owner_lease(struct limit_owner *lo, uint64_t team, int32_t rate_per_s,
     int32_t wanted, int64_t now_us)
 {
-	struct bucket *b = g_hash_table_lookup(lo->buckets, &team);
+	struct owned_rate *owned = g_hash_table_lookup(lo->rates, &team);
+	struct token_rate rate = bucket_rate((int64_t)rate_per_s * kTokenOne);
 	int32_t leased;
 
-	if (b == NULL) {
-		b = g_new0(struct bucket, 1);
-		b->team = team;
+	if (owned == NULL) {
+		owned = g_new0(struct owned_rate, 1);
+		owned->team = team;
 		/* Starts empty: what was admitted before is unknown. */
-		b->filled_us = now_us;
-		g_hash_table_insert(lo->buckets, &b->team, b);
+		token_bucket_empty(&owned->bucket, now_us);
+		g_hash_table_insert(lo->rates, &owned->team, owned);
 	}
-	bucket_fill(b, (int64_t)rate_per_s * kUsPerSecond, now_us);
-	leased = (int32_t)MIN(MAX(b->micro, 0) / kUsPerSecond, wanted);
-	b->micro -= (int64_t)leased * kUsPerSecond;
+	leased = (int32_t)MIN(
+	    MAX(token_bucket_level(&owned->bucket, &rate, now_us), 0) /
+		kTokenOne,
+	    wanted);
+	token_bucket_take(
+	    &owned->bucket, &rate, (int64_t)leased * kTokenOne, now_us);
 	return leased;
 }
 
@@ -161,19 +160,19 @@
 spend_equal_share(struct lease *le, const struct limit_check *check)
 {
 	int64_t share =
-	    (int64_t)check->rate_per_s * kUsPerSecond / MAX(check->daemons, 1);
+	    (int64_t)check->rate_per_s * kTokenOne / MAX(check->daemons, 1);
+	struct token_rate rate = bucket_rate(share);
+	int64_t level;
 
+	/* The first share is a full one. */
 	if (le->equal_share.filled_us == 0)
-		le->equal_share.micro = share * kLimitLeaseUs / kUsPerSecond;
-	else
-		bucket_fill(&le->equal_share, share, check->now_us);
-	le->equal_share.filled_us = check->now_us;
+		le->equal_share =
+		    (struct token_bucket){rate.micro_max, check->now_us};
+	level = token_bucket_level(&le->equal_share, &rate, check->now_us);
 	/* A share below one request per second may overdraw the bucket. */
-	if (le->equal_share.micro < kUsPerSecond && share >= kUsPerSecond)
-		return false;
-	if (le->equal_share.micro <= 0)
+	if (level <= 0 || (level < kTokenOne && share >= kTokenOne))
 		return false;
-	le->equal_share.micro -= kUsPerSecond;
+	token_bucket_take(&le->equal_share, &rate, kTokenOne, check->now_us);
 	return true;
 }
 
