Slot pools start requests at the rates that targets name

Targets without a rate are preferred; items need a full bucket; nothing is preempted where no start is left; what no rate allows in time is refused at once, with a time from the rates.

Of arbiters that act at once only the elected one counts; what others heard yields to an answer to an own run, and only a run that was certainly started after the answer that named the rate ends it.

--- a/src/savoryflow/slotpool/slot_target.c
+++ b/src/savoryflow/slotpool/slot_target.c
@@ -17,6 +17,9 @@
 	 * target; doubled for each consecutive one. */
 	kBlockMinUs = kUsPerS,
 	kBlockDoublingsMax = 2,
+	/* Cost of a target that names a rate: others are preferred until they
+	 * have this share of their slots, in thousandths, more in use. */
+	kLimitedCost = 500,
 };
 
 /** Outcomes of one daemon's requests to the target. */
@@ -53,6 +56,8 @@
 {
 	if (t->info.started_ms != info->started_ms) {
 		target_health_reset(&t->health);
+		t->rate = (struct start_rate){0};
+		t->is_rate_known = false;
 		g_hash_table_remove_all(t->prefixes);
 		g_hash_table_remove_all(t->paths);
 	}
@@ -195,13 +200,16 @@
  * offsets one slot.
  */
 int64_t
-slot_target_cost(const struct slot_target *t, const struct slot_request *req)
+slot_target_cost(
+    const struct slot_target *t, const struct slot_request *req, int64_t now_us)
 {
 	int64_t scaled = 1000 * (int64_t)slots_used(t) / MAX(t->info.slots, 1);
 
 	if (req->prefix != 0 &&
 	    g_hash_table_contains(t->prefixes, &req->prefix))
 		scaled -= 1000 / MAX(t->info.slots, 1);
+	if (start_rate_is_fresh(&t->rate, now_us))
+		scaled += kLimitedCost;
 	return scaled + target_health_penalty(&t->health);
 }
 
--- a/src/savoryflow/slotpool/slot_target.h
+++ b/src/savoryflow/slotpool/slot_target.h
@@ -1,12 +1,19 @@
 #ifndef SAVORYFLOW_SLOT_TARGET_H
 #define SAVORYFLOW_SLOT_TARGET_H
 
+#include "savoryflow/limits/start_rate.h"
 #include "savoryflow/slotpool/target_health.h"
 
 /** A target of a pool and the slots in use on it. */
 struct slot_target {
 	struct fleet_target info;
 	struct target_health health;
+	struct start_rate rate;
+	/** An answer to a run of this pool has named or ended the rate: what
+	 * other daemons have heard counts no more. */
+	bool is_rate_known;
+	/** Since slotpool_take_starts. */
+	struct slotpool_starts starts;
 	int32_t online;
 	int32_t batch;
 	int32_t revoked;
@@ -48,9 +55,9 @@
 bool slot_target_has_free_slot(const struct slot_target *t);
 
 /** Cost of placing the request here, lower is better: share of slots in use,
- * recent faults, cached prefix. */
-int64_t slot_target_cost(
-    const struct slot_target *t, const struct slot_request *req);
+ * recent faults, a rate, cached prefix. */
+int64_t slot_target_cost(const struct slot_target *t,
+    const struct slot_request *req, int64_t now_us);
 
 /** Rank of the target for a daemon among targets of equal cost, higher is
  * better; always the same, so that the daemon uses its connections again. */
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -66,6 +66,15 @@
 	g_array_append_val(out, act);
 }
 
+static void
+add_grant(
+    GArray *out, const struct slot_request *req, const struct slot_target *t)
+{
+	add_action(out, kSlotGranted, req, t->info.id, 0);
+	g_array_index(out, struct slotpool_action, out->len - 1)
+	    .is_rate_limited = t->rate.is_limited;
+}
+
 static void
 count_slot(struct slot_target *t, const struct slot *sl, int32_t sign)
 {
@@ -77,7 +86,7 @@
 		t->batch += sign;
 }
 
-static void
+static struct slot *
 slot_add(struct slotpool *sp, struct slot_target *t,
     const struct slot_request *req, int64_t now_us)
 {
@@ -91,6 +100,7 @@
 	count_slot(t, sl, 1);
 	slot_target_record_prefix(t, req->prefix);
 	target_health_record_start(&t->health);
+	return sl;
 }
 
 static void
@@ -108,11 +118,12 @@
     const struct slot_request *req, int64_t now_us, GArray *out)
 {
 	if (req->is_batch)
-		sp->starts.items++;
+		t->starts.items++;
 	else
-		sp->starts.online++;
+		t->starts.online++;
 	slot_add(sp, t, req, now_us);
-	add_action(out, kSlotGranted, req, t->info.id, 0);
+	start_rate_record(&t->rate, now_us);
+	add_grant(out, req, t);
 }
 
 static bool
@@ -125,6 +136,16 @@
 	    strcmp(t->info.id, req->excluded_target) != 0;
 }
 
+/* Whether the target takes one more request at its rate. */
+static bool
+has_start(const struct slotpool *sp, const struct slot_target *t,
+    const struct slot_request *req, int64_t now_us)
+{
+	if (sp->is_limited_paused && t->rate.is_limited)
+		return false;
+	return start_rate_allows(&t->rate, req->is_batch, now_us);
+}
+
 /* The target of the lowest cost; of equal ones, each daemon prefers others. */
 static struct slot_target *
 choose_free(struct slotpool *sp, const struct slot_request *req, int64_t now_us)
@@ -142,9 +163,10 @@
 		int64_t cost;
 
 		if (!may_run_on(t, req, now_us) ||
-		    !slot_target_has_free_slot(t))
+		    !slot_target_has_free_slot(t) ||
+		    !has_start(sp, t, req, now_us))
 			continue;
-		cost = slot_target_cost(t, req);
+		cost = slot_target_cost(t, req, now_us);
 		if (best != NULL && cost > best_cost)
 			continue;
 		rank = slot_target_rank(t, req->holder);
@@ -179,7 +201,8 @@
 		if (found != NULL && batch_rank_compare(&item, &last, NULL) < 0)
 			continue;
 		t = g_hash_table_lookup(sp->targets, sl->target);
-		if (!may_run_on(t, req, now_us))
+		if (!may_run_on(t, req, now_us) ||
+		    !has_start(sp, t, req, now_us))
 			continue;
 		found = sl;
 		last = item;
@@ -192,7 +215,7 @@
 {
 	struct slot_target *t = g_hash_table_lookup(sp->targets, sl->target);
 
-	sp->starts.preemptions++;
+	t->starts.preemptions++;
 	count_slot(t, sl, -1);
 	sl->is_revoked = true;
 	sl->expires_us = now_us + kRevokedLeaseUs;
@@ -360,7 +383,8 @@
 
 	/* Repeated request: the first answer may have been lost. */
 	if (sl != NULL) {
-		add_action(out, kSlotGranted, req, sl->target, 0);
+		add_grant(
+		    out, req, g_hash_table_lookup(sp->targets, sl->target));
 		return;
 	}
 	if (slot_queue_has(sp->queue, req->id))
@@ -386,7 +410,7 @@
 		sl = NULL;
 	}
 	if (sl == NULL && t != NULL)
-		slot_add(sp, t, req, now_us);
+		slot_add(sp, t, req, now_us)->is_adopted = true;
 	else if (sl != NULL && !sl->is_revoked)
 		sl->expires_us = now_us + kLeaseUs;
 }
@@ -413,6 +437,8 @@
 	t = g_hash_table_lookup(sp->targets, sl->target);
 	if (t != NULL)
 		slot_target_record_outcome(t, sl->req.holder, outcome, now_us);
+	if (t != NULL && outcome == kSlotUnused && !sl->is_adopted)
+		start_rate_refund(&t->rate, now_us);
 	slot_remove(sp, sl);
 	schedule(sp, now_us, out);
 }
@@ -482,6 +508,17 @@
 	sp->is_batch_paused = !is_allowed;
 }
 
+bool
+slotpool_record_rate(struct slotpool *sp, const struct slotpool_rate *rate,
+    int64_t now_us, GArray *out)
+{
+	bool has_changed = slotpool_apply_rate(sp, rate, now_us);
+
+	if (has_changed)
+		schedule(sp, now_us, out);
+	return has_changed;
+}
+
 void
 slotpool_tick(struct slotpool *sp, int64_t now_us, GArray *out)
 {
--- a/src/savoryflow/slotpool/slotpool.h
+++ b/src/savoryflow/slotpool/slotpool.h
@@ -11,6 +11,9 @@
  * deadline may still start late, up to a limit, before it is refused. All state
  * is soft. No I/O, no clock.
  *
+ * A target that names a rate gets starts at that rate (start_rate.h), and
+ * others are preferred.
+ *
  * Functions with a parameter `out` append struct slotpool_action to it.
  */
 struct slotpool;
@@ -32,6 +35,21 @@
  */
 void slotpool_allow_batch(struct slotpool *sp, bool is_allowed);
 
+/**
+ * Sets whether requests may start on targets that name a rate. Of arbiters that
+ * act at the same time only one may count their starts.
+ */
+void slotpool_allow_limited(
+    struct slotpool *sp, bool is_allowed, int64_t now_us);
+
+/** Applies what a target says of its rate. @return true if that changed */
+bool slotpool_record_rate(struct slotpool *sp, const struct slotpool_rate *rate,
+    int64_t now_us, GArray *out);
+
+/** The targets that name a rate: array of struct slotpool_rate, whose names are
+ * borrowed. */
+GArray *slotpool_rates(const struct slotpool *sp, int64_t now_us);
+
 /** Requests a slot: granted or refused at once, or queued. */
 void slotpool_request(struct slotpool *sp, const struct slot_request *req,
     int64_t now_us, GArray *out);
@@ -61,4 +79,7 @@
 /** Expected wait of one more online request, in microseconds. */
 int64_t slotpool_wait_us(const struct slotpool_load *load);
 
+/** Batch items that may start now, net of what is queued. */
+int32_t slotpool_batch_room(const struct slotpool_load *load);
+
 #endif
--- a/src/savoryflow/slotpool/slotpool_defs.h
+++ b/src/savoryflow/slotpool/slotpool_defs.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_SLOTPOOL_DEFS_H
 
 #include "savoryflow/fleet/fleet.h"
+#include "savoryflow/limits/stated_rate.h"
 
 /** How the use of a slot ended, for the target's health. */
 enum slot_outcome {
@@ -17,6 +18,8 @@
 	kSlotFailed,
 	/** No data from the target within the timeout. */
 	kSlotUnresponsive,
+	/** Nothing was sent to the target. Between daemons this is a flag. */
+	kSlotUnused,
 };
 
 /** A request for a slot on any target of the pool. */
@@ -62,6 +65,9 @@
 	int64_t retry_after_us;
 	/** Refused because the holder reaches no healthy target of the pool. */
 	bool has_no_healthy_target;
+	/** Granted: the target names a rate; the holder is to report if its
+	 * answer no longer does. */
+	bool is_rate_limited;
 };
 
 /** Requests that a pool has started at its targets. */
@@ -82,6 +88,27 @@
 	int32_t batch_queued;
 	/** Mean time for which an online request holds a slot. */
 	int64_t hold_us;
+	/** Part of the above on targets that name a rate. */
+	int32_t limited_slots;
+	int32_t limited_online;
+	int32_t limited_batch;
+	/** Online requests that may start there now, and a second. */
+	int32_t limited_starts;
+	int64_t limited_milli_per_s;
+};
+
+/** What an answer of a target says of its rate. */
+struct slotpool_rate {
+	const char *target;
+	/** Start of the target that said so. */
+	int64_t started_ms;
+	struct stated_rate said;
+	/** Slot of the answer's run; 0: told by another daemon. */
+	uint64_t slot;
+	/** Listed: starts since slotpool_take_starts, and how many online
+	 * requests may start now. */
+	struct slotpool_starts starts;
+	int32_t available;
 };
 
 #endif
--- a/src/savoryflow/slotpool/slotpool_internal.h
+++ b/src/savoryflow/slotpool/slotpool_internal.h
@@ -12,6 +12,8 @@
 	char target[kFleetNameMax];
 	int64_t since_us;
 	bool is_revoked;
+	/** Started by another arbiter, or without one. */
+	bool is_adopted;
 	int64_t expires_us;
 };
 
@@ -27,10 +29,14 @@
 	int64_t full_since_us;
 	/** Batch items may not start; see slotpool_allow_batch. */
 	bool is_batch_paused;
-	/** Since slotpool_take_starts. */
-	struct slotpool_starts starts;
+	/** Nor may any request on a target that names a rate. */
+	bool is_limited_paused;
 };
 
+/** Applies a rate without starting requests. @return true if it changed */
+bool slotpool_apply_rate(
+    struct slotpool *sp, const struct slotpool_rate *rate, int64_t now_us);
+
 /** Time after which a refused request should come again. */
 int64_t slotpool_retry_after_us(const struct slotpool *sp,
     const struct slot_request *req, const struct slotpool_load *load,
--- a/src/savoryflow/slotpool/slotpool_load.c
+++ b/src/savoryflow/slotpool/slotpool_load.c
@@ -3,6 +3,8 @@
 #include "savoryflow/slotpool/slotpool_internal.h"
 
 enum {
+	/* Microseconds of a second, times a thousand. */
+	kMilliUsPerS = 1000 * kUsPerS,
 	/* Refused callers should retry when there is likely to be room: an
 	 * overload is assumed to last as long again as it has lasted. Callers
 	 * wait for at most a third of their timeout, some 1.6 s. */
@@ -12,14 +14,62 @@
 	kNoTargetRetryUs = 500 * kUsPerMs,
 };
 
+/* Online requests that may start now; items are preempted for them. */
+static int32_t
+online_room(const struct slotpool_load *load)
+{
+	return load->slots - load->limited_slots -
+	    (load->online - load->limited_online) + load->limited_starts;
+}
+
+/* Online requests that the pool starts a second, in thousandths. */
+static int64_t
+starts_milli_per_s(const struct slotpool_load *load)
+{
+	int64_t hold_us = MAX(load->hold_us, 1);
+
+	return (load->slots - load->limited_slots) * (int64_t)kMilliUsPerS /
+	    hold_us +
+	    MIN(load->limited_milli_per_s,
+		load->limited_slots * (int64_t)kMilliUsPerS / hold_us);
+}
+
 int64_t
 slotpool_wait_us(const struct slotpool_load *load)
 {
 	if (load->slots == 0)
 		return kNoTargetRetryUs;
-	if (load->online < load->slots && load->online_queued == 0)
+	if (online_room(load) > 0 && load->online_queued == 0)
 		return 0;
-	return (load->online_queued + 1) * load->hold_us / load->slots;
+	if (load->limited_slots == 0)
+		return (load->online_queued + 1) * load->hold_us / load->slots;
+	return (load->online_queued + 1) * (int64_t)kMilliUsPerS /
+	    MAX(starts_milli_per_s(load), 1);
+}
+
+int32_t
+slotpool_batch_room(const struct slotpool_load *load)
+{
+	int32_t free_slots = load->slots - load->limited_slots -
+	    (load->online - load->limited_online) -
+	    (load->batch - load->limited_batch);
+
+	return free_slots + load->limited_starts - load->online_queued -
+	    load->batch_queued;
+}
+
+static void
+add_limited(const struct slotpool *sp, struct slotpool_load *load,
+    const struct slot_target *t, int64_t now_us)
+{
+	load->limited_slots += t->info.slots;
+	load->limited_online += t->online;
+	load->limited_batch += t->batch + t->revoked;
+	if (sp->is_limited_paused)
+		return;
+	load->limited_milli_per_s += t->rate.milli_per_s;
+	load->limited_starts += MIN(start_rate_available(&t->rate, now_us),
+	    MAX(t->info.slots - t->online - t->revoked, 0));
 }
 
 struct slotpool_load
@@ -42,6 +92,8 @@
 		load.slots += t->info.slots;
 		load.online += t->online;
 		load.batch += t->batch + t->revoked;
+		if (t->rate.is_limited)
+			add_limited(sp, &load, t, now_us);
 	}
 	return load;
 }
@@ -62,8 +114,19 @@
 struct slotpool_starts
 slotpool_take_starts(struct slotpool *sp)
 {
-	struct slotpool_starts starts = sp->starts;
+	struct slotpool_starts sum = {0};
+	GHashTableIter it;
+	void *val;
 
-	sp->starts = (struct slotpool_starts){0};
-	return starts;
+	g_hash_table_iter_init(&it, sp->targets);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct slotpool_starts *starts =
+		    &((struct slot_target *)val)->starts;
+
+		sum.online += starts->online;
+		sum.items += starts->items;
+		sum.preemptions += starts->preemptions;
+		*starts = (struct slotpool_starts){0};
+	}
+	return sum;
 }
--- a/src/savoryflow/slotpool/target_health.c
+++ b/src/savoryflow/slotpool/target_health.c
@@ -83,6 +83,7 @@
 		h->last_served_us = now_us;
 		return;
 	case kSlotNeutral:
+	case kSlotUnused:
 		h->is_probing = false;
 		return;
 	case kSlotFull:
