Gateway: rates reach the arbiters and outlive them

What callers would have seen: targets in need got twice to three times what they had named, so they slowed down for everybody. The answer's head goes to the arbiter that granted the slot; its load reports list the rates, so that all daemons know them, and those tell an arbiter that may not, with their request. Load is compared across data centres by slots and starts. Without an arbiter no request goes to a target that names a rate. target_starts logs what an arbiter granted there.

--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -113,6 +113,7 @@
 	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
 	Sfpeer__SlotAsk wire = SFPEER__SLOT_ASK__INIT;
 	Sfpeer__SlotAsk *list[] = {&wire};
+	struct wire_rates rates;
 
 	wire.id = h->request.id;
 	wire.service = (char *)h->service;
@@ -127,7 +128,11 @@
 	wire.target = (char *)(adopt_target != NULL ? adopt_target : "");
 	env.n_slot_asks = 1;
 	env.slot_asks = list;
+	slots_rates_for_arbiter(sl, h, &rates);
+	env.n_target_rates = rates.count;
+	env.target_rates = rates.refs;
 	sl->opt.wire->send(sl->opt.wire_ctx, h->arbiter, &env);
+	wire_rates_clear(&rates);
 }
 
 static void
@@ -217,7 +222,8 @@
 	wire.id = h->request.id;
 	wire.service = (char *)h->service;
 	wire.data_center = h->view->data_center;
-	wire.outcome = outcome;
+	wire.unused = outcome == kSlotUnused;
+	wire.outcome = wire.unused ? kSlotNeutral : outcome;
 	wire.target = (char *)h->target;
 	env.n_slot_notes = 1;
 	env.slot_notes = list;
@@ -229,6 +235,8 @@
 release_at_arbiter(
     struct slots *sl, const struct hold *h, enum slot_outcome outcome)
 {
+	if (h->granted_us == 0)
+		outcome = kSlotUnused;
 	if (slots_is_hosted_here(sl, h))
 		slots_host_release(sl, h->service, h->view->data_center,
 		    h->request.id, outcome);
@@ -292,6 +300,7 @@
 		h->phase = kHoldGranted;
 	h->granted_us = now_us;
 	h->renewed_us = now_us;
+	h->is_rate_limited = del->is_rate_limited;
 	g_strlcpy(h->target, del->target, sizeof(h->target));
 	h->ops->on_granted(h->ctx, h->request.id, del->target);
 }
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -169,6 +169,7 @@
 		load = (struct slotpool_load){
 		    .slots = view->listed_slots, .hold_us = kHoldDefaultUs};
 	load.slots = MIN(load.slots, view->listed_slots);
+	load.limited_slots = MIN(load.limited_slots, load.slots);
 	load.online = MAX(load.online + view->local_delta, 0);
 	return load;
 }
@@ -245,12 +246,12 @@
 	return true;
 }
 
-/* Batch: the pool with the most free slots, net of queued requests. */
+/* Batch: the pool with the most room, net of queued requests. */
 static struct pool_view *
 choose_batch(struct slots *sl, const struct hold *h)
 {
 	struct pool_view *best = NULL;
-	int32_t best_free = 0;
+	int32_t best_room = 0;
 	GHashTableIter it;
 	void *val;
 
@@ -258,19 +259,18 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct pool_view *view = val;
 		struct slotpool_load load;
-		int32_t free_slots;
+		int32_t room;
 
 		if (strcmp(view->service, h->service) != 0 ||
 		    view->listed_slots == 0)
 			continue;
 		load = estimate_load(sl, view);
-		free_slots = load.slots - load.online - load.batch -
-		    load.online_queued - load.batch_queued;
+		room = slotpool_batch_room(&load);
 		if (strcmp(view->data_center, sl->opt.data_center) != 0)
-			free_slots -= kBatchRemoteExtraSlots;
-		if (best == NULL || free_slots > best_free) {
+			room -= kBatchRemoteExtraSlots;
+		if (best == NULL || room > best_room) {
 			best = view;
-			best_free = free_slots;
+			best_room = room;
 		}
 	}
 	return best;
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -14,6 +14,8 @@
 	 * request, so that all daemons are connected to it then. A daemon that
 	 * starts knows no others at first. */
 	kEarlyStartUs = 2 * kUsPerS,
+	/* Another arbiter of the pool reports more often than this. */
+	kOtherSilentUs = kUsPerS,
 };
 
 void
@@ -47,6 +49,7 @@
 	answer.target = (char *)act->target;
 	answer.retry_after_us = (uint64_t)act->retry_after_us;
 	answer.is_dead = act->has_no_healthy_target;
+	answer.is_rate_limited = act->is_rate_limited;
 	env.n_slot_answers = 1;
 	env.slot_answers = answers;
 	sl->opt.wire->send(
@@ -61,6 +64,7 @@
 	    .verdict = act->verdict,
 	    .retry_after_us = act->retry_after_us,
 	    .has_no_healthy_target = act->has_no_healthy_target,
+	    .is_rate_limited = act->is_rate_limited,
 	};
 
 	g_strlcpy(del.target, act->target, sizeof(del.target));
@@ -104,22 +108,69 @@
 	g_ptr_array_unref(all);
 }
 
+struct hosted_pool *
+slots_hosted_find(
+    struct slots *sl, const char *service, const char *data_center)
+{
+	char key[kPoolKeyMax];
+
+	snprintf(key, sizeof(key), "%s|%s", service, data_center);
+	return g_hash_table_lookup(sl->hosted, key);
+}
+
+void
+slots_host_record_rate(
+    struct slots *sl, struct hosted_pool *hp, const struct slotpool_rate *rate)
+{
+	GArray *actions = slotpool_actions_new();
+
+	if (slotpool_record_rate(
+		hp->pool, rate, loop_now_us(sl->opt.lp), actions))
+		hp->has_rate_changed = true;
+	run_actions(sl, actions);
+}
+
+/* Whether this arbiter counts the starts of targets that name a rate: the
+ * elected one does, or the only one. */
+static void
+update_role(struct slots *sl, struct hosted_pool *hp, bool is_elected)
+{
+	const struct pool_view *view =
+	    slots_view(sl, hp->service, hp->data_center);
+	int64_t now_us = loop_now_us(sl->opt.lp);
+
+	slotpool_allow_batch(hp->pool, is_elected);
+	slotpool_allow_limited(hp->pool,
+	    is_elected || now_us - view->other_report_us > kOtherSilentUs,
+	    now_us);
+}
+
+static void
+apply_known_rates(struct slots *sl, struct hosted_pool *hp)
+{
+	GArray *known = slots_known_rates(sl, hp->service, hp->data_center);
+
+	for (guint i = 0; i < known->len; i++)
+		slots_host_record_rate(
+		    sl, hp, &g_array_index(known, struct slotpool_rate, i));
+	g_array_unref(known);
+}
+
 static struct hosted_pool *
 hosted_get(struct slots *sl, const char *service, const char *data_center)
 {
 	char key[kPoolKeyMax];
-	struct hosted_pool *hp;
+	struct hosted_pool *hp = slots_hosted_find(sl, service, data_center);
 	GArray *actions;
 
 	snprintf(key, sizeof(key), "%s|%s", service, data_center);
-	hp = g_hash_table_lookup(sl->hosted, key);
 	if (hp == NULL) {
 		hp = g_new0(struct hosted_pool, 1);
 		g_strlcpy(hp->service, service, sizeof(hp->service));
 		g_strlcpy(
 		    hp->data_center, data_center, sizeof(hp->data_center));
 		hp->pool = slotpool_new();
-		slotpool_allow_batch(hp->pool,
+		update_role(sl, hp,
 		    roster_is_elected_owner(sl->opt.roster, key, data_center,
 			loop_now_us(sl->opt.lp)));
 		g_hash_table_insert(sl->hosted, g_strdup(key), hp);
@@ -128,6 +179,7 @@
 		actions = slotpool_actions_new();
 		update_targets(sl, hp, actions);
 		run_actions(sl, actions);
+		apply_known_rates(sl, hp);
 		/* Makes the holders of its slots report what they hold. */
 		slots_report_load(sl, hp, loop_now_us(sl->opt.lp));
 	}
@@ -206,6 +258,25 @@
 	}
 }
 
+static void
+log_limited_targets(const struct hosted_pool *hp, int64_t now_us)
+{
+	GArray *list = slotpool_rates(hp->pool, now_us);
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct slotpool_rate *rate =
+		    &g_array_index(list, struct slotpool_rate, i);
+
+		log_event(kEvtTargetStarts, "target", rate->target,
+		    "milli_per_s", log_number(rate->said.milli_per_s),
+		    "available", log_number(rate->available), "online_starts",
+		    log_number(rate->starts.online), "item_starts",
+		    log_number(rate->starts.items), "preemptions",
+		    log_number(rate->starts.preemptions), NULL);
+	}
+	g_array_unref(list);
+}
+
 static void
 log_load(struct hosted_pool *hp, bool is_elected, int64_t now_us)
 {
@@ -216,6 +287,7 @@
 		return;
 	hp->logged_us = now_us;
 	load = slotpool_load_get(hp->pool, now_us);
+	log_limited_targets(hp, now_us);
 	starts = slotpool_take_starts(hp->pool);
 	log_event(kEvtPoolLoad, "service", hp->service, "data_center",
 	    hp->data_center, "rightful", is_elected ? "yes" : "no", "slots",
@@ -279,7 +351,7 @@
 		actions = slotpool_actions_new();
 		is_elected = roster_is_elected_owner(
 		    sl->opt.roster, key, hp->data_center, now_us);
-		slotpool_allow_batch(hp->pool, is_elected);
+		update_role(sl, hp, is_elected);
 		slotpool_tick(hp->pool, now_us, actions);
 		run_actions(sl, actions);
 		log_load(hp, is_elected, now_us);
@@ -341,5 +413,7 @@
     struct slots *sl, const char *from, const Sfpeer__SlotNote *wire)
 {
 	slots_host_release(sl, wire->service, wire->data_center, wire->id,
-	    (enum slot_outcome)MIN(wire->outcome, kSlotUnresponsive));
+	    wire->unused
+		? kSlotUnused
+		: (enum slot_outcome)MIN(wire->outcome, kSlotUnresponsive));
 }
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -25,6 +25,11 @@
 	int64_t reported_far_us;
 	int64_t logged_us;
 	int64_t used_us;
+	/** Time of the last report that listed the targets that name a rate;
+	 * whether one of them has changed since, and whether it listed any. */
+	int64_t rates_reported_us;
+	bool has_rate_changed;
+	bool has_reported_rates;
 };
 
 /** This daemon's view of a pool. */
@@ -41,6 +46,9 @@
 	/** The arbiter that reported the load to this one, which is to pass it
 	 * on to its data centre. */
 	char reporter[kFleetAddressMax];
+	/** Time of the last report of another daemon than this one, received
+	 * directly or passed on. */
+	int64_t other_report_us;
 	/** Time when the connection to the reporter was last used. */
 	int64_t connected_us;
 	bool is_relay_due;
@@ -70,6 +78,8 @@
 	struct slot_request request;
 	char service[kFleetNameMax];
 	enum hold_phase phase;
+	/** The target names a rate, as far as the arbiter knows. */
+	bool is_rate_limited;
 	struct pool_view *view;
 	char arbiter[kFleetAddressMax];
 	char target[kFleetNameMax];
@@ -101,6 +111,7 @@
 	int64_t retry_after_us;
 	/** Refused: no target of the pool is healthy. */
 	bool has_no_healthy_target;
+	bool is_rate_limited;
 };
 
 struct slots {
@@ -201,8 +212,56 @@
 void slots_report_load(
     struct slots *sl, struct hosted_pool *hp, int64_t now_us);
 
+/* slots_rate.c */
+
+/** Rates as they are sent between daemons. */
+struct wire_rates {
+	Sfpeer__TargetRate *rows;
+	/** The same as protobuf lists them. */
+	Sfpeer__TargetRate **refs;
+	size_t count;
+};
+
+/** @param rates array of struct slotpool_rate, borrowed until wire_rates_clear
+ */
+void wire_rates_init(struct wire_rates *wire, const GArray *rates);
+void wire_rates_clear(struct wire_rates *wire);
+
+/** Rates of a pool's targets that this daemon knows: array of struct
+ * slotpool_rate. */
+GArray *slots_known_rates(
+    const struct slots *sl, const char *service, const char *data_center);
+
+/** Lists the rates that are to go with a request: all that are known, if the
+ * arbiter may not know them. */
+void slots_rates_for_arbiter(
+    struct slots *sl, const struct hold *h, struct wire_rates *wire);
+
+/** Learns the complete rates of a pool that this daemon arbitrates. */
+void slots_on_own_rates(
+    struct slots *sl, const struct hosted_pool *hp, const GArray *rates);
+
+/** Learns rates that came with a request. */
+void slots_on_rates(
+    struct slots *sl, Sfpeer__TargetRate *const *rates, size_t count);
+
+/** Learns the complete rates of a pool from its arbiter's report. */
+void slots_on_reported_rates(struct slots *sl, const struct pool_view *view,
+    const Sfpeer__PoolLoad *wire);
+
+/** Passes what an answer says of its target's rate to the hosted arbiter. */
+void slots_on_slot_rate(struct slots *sl, const Sfpeer__SlotRate *wire);
+
 /* slots_host.c */
 
+/** The pool hosted by this daemon, or NULL. */
+struct hosted_pool *slots_hosted_find(
+    struct slots *sl, const char *service, const char *data_center);
+
+/** Applies a rate at a hosted pool. */
+void slots_host_record_rate(
+    struct slots *sl, struct hosted_pool *hp, const struct slotpool_rate *rate);
+
 /** Passes a slot request to an arbiter hosted by this daemon. */
 void slots_host_request(struct slots *sl, const struct slot_request *request,
     const char *service, const char *data_center, const char *adopt_target);
--- a/src/gateway/slots_report.c
+++ b/src/gateway/slots_report.c
@@ -21,6 +21,8 @@
 	kReportsPerS = 200,
 	/* Period of the reports to arbiters of other data centres. */
 	kFarReportPeriodUs = 400 * kUsPerMs,
+	/* Longest time between reports that list the rates of targets. */
+	kRatesPeriodUs = kUsPerS,
 	/* Pools of a service, one for each data centre. */
 	kPoolsPerReportMax = 64,
 };
@@ -28,6 +30,7 @@
 /* A report with the pools that it describes. */
 struct report {
 	Sfpeer__Envelope env;
+	struct wire_rates rates;
 	Sfpeer__PoolLoad loads[kPoolsPerReportMax];
 	Sfpeer__PoolLoad *refs[kPoolsPerReportMax];
 };
@@ -37,6 +40,19 @@
 {
 	sfpeer__envelope__init(&rep->env);
 	rep->env.pool_loads = rep->refs;
+	rep->rates = (struct wire_rates){0};
+}
+
+/* Adds the targets that name a rate to the first pool of a report. */
+static void
+report_add_rates(struct report *rep, const GArray *rates)
+{
+	if (rates == NULL)
+		return;
+	wire_rates_init(&rep->rates, rates);
+	rep->loads[0].has_rates = true;
+	rep->loads[0].n_rates = rep->rates.count;
+	rep->loads[0].rates = rep->rates.refs;
 }
 
 static void
@@ -56,6 +72,11 @@
 	wire->online_queued = (uint32_t)view->load.online_queued;
 	wire->batch_queued = (uint32_t)view->load.batch_queued;
 	wire->hold_us = (uint32_t)view->load.hold_us;
+	wire->limited_slots = (uint32_t)view->load.limited_slots;
+	wire->limited_online = (uint32_t)view->load.limited_online;
+	wire->limited_batch = (uint32_t)view->load.limited_batch;
+	wire->limited_starts = (uint32_t)view->load.limited_starts;
+	wire->limited_milli_per_s = (uint64_t)view->load.limited_milli_per_s;
 	rep->refs[rep->env.n_pool_loads++] = wire;
 }
 
@@ -91,7 +112,8 @@
 	    (load->slots != hp->reported.slots ||
 		load->online != hp->reported.online ||
 		load->online_queued != hp->reported.online_queued ||
-		load->batch != hp->reported.batch);
+		load->limited_starts != hp->reported.limited_starts ||
+		hp->has_rate_changed || load->batch != hp->reported.batch);
 }
 
 /* Adds the reports of other arbiters of the service that are to be passed on.
@@ -171,29 +193,57 @@
 }
 
 static void
-report_directly(
-    struct slots *sl, const struct pool_view *view, const GPtrArray *all)
+report_directly(struct slots *sl, const struct pool_view *view,
+    const GPtrArray *all, const GArray *rates)
 {
 	struct report rep;
 
 	report_init(&rep);
 	report_add(&rep, view);
+	report_add_rates(&rep, rates);
 	send_report(sl, &rep, all);
+	wire_rates_clear(&rep.rates);
 }
 
 static void
 report_by_relay(struct slots *sl, struct hosted_pool *hp,
-    const struct pool_view *view, const GPtrArray *near, int64_t now_us)
+    const struct pool_view *view, const GPtrArray *near, const GArray *rates,
+    int64_t now_us)
 {
 	struct report rep;
 
 	report_init(&rep);
 	report_add(&rep, view);
+	report_add_rates(&rep, rates);
 	add_relayed(sl, hp->service, &rep);
 	send_report(sl, &rep, near);
+	wire_rates_clear(&rep.rates);
 	report_far(sl, hp, view, now_us);
 }
 
+/* The rates that are to go with a report, or NULL: they are listed when they
+ * have changed, and now and then. */
+static GArray *
+rates_due(struct slots *sl, struct hosted_pool *hp, int64_t now_us)
+{
+	GArray *rates;
+	bool is_due;
+
+	if (!hp->has_rate_changed &&
+	    now_us - hp->rates_reported_us < kRatesPeriodUs)
+		return NULL;
+	rates = slotpool_rates(hp->pool, now_us);
+	is_due = rates->len > 0 || hp->has_reported_rates;
+	hp->has_reported_rates = rates->len > 0;
+	hp->has_rate_changed = false;
+	hp->rates_reported_us = now_us;
+	slots_on_own_rates(sl, hp, rates);
+	if (is_due)
+		return rates;
+	g_array_unref(rates);
+	return NULL;
+}
+
 void
 slots_report_load(struct slots *sl, struct hosted_pool *hp, int64_t now_us)
 {
@@ -208,12 +258,16 @@
 		  kReportPeriodMinUs);
 
 	if (is_report_due(hp, &load, min_us, now_us)) {
+		GArray *rates = rates_due(sl, hp, now_us);
+
 		hp->reported = load;
 		hp->reported_us = now_us;
 		if (is_direct)
-			report_directly(sl, view, all);
+			report_directly(sl, view, all, rates);
 		else
-			report_by_relay(sl, hp, view, near, now_us);
+			report_by_relay(sl, hp, view, near, rates, now_us);
+		if (rates != NULL)
+			g_array_unref(rates);
 	}
 	g_ptr_array_unref(near);
 	g_ptr_array_unref(all);
--- a/src/gateway/slots_wait.c
+++ b/src/gateway/slots_wait.c
@@ -138,6 +138,7 @@
 
 		if (strcmp(t->service, h->service) != 0 || t->is_draining ||
 		    t->expires_at_us != 0 ||
+		    target_rates_find(sl->rates, t) != NULL ||
 		    strcmp(t->id, h->request.excluded_target) == 0 ||
 		    strcmp(t->data_center, h->view->data_center) != 0)
 			continue;
--- a/src/gateway/slots_wire.c
+++ b/src/gateway/slots_wire.c
@@ -62,8 +62,14 @@
 	    .online_queued = (int32_t)wire->online_queued,
 	    .batch_queued = (int32_t)wire->batch_queued,
 	    .hold_us = wire->hold_us,
+	    .limited_slots = (int32_t)wire->limited_slots,
+	    .limited_online = (int32_t)wire->limited_online,
+	    .limited_batch = (int32_t)wire->limited_batch,
+	    .limited_starts = (int32_t)wire->limited_starts,
+	    .limited_milli_per_s = (int64_t)wire->limited_milli_per_s,
 	};
 	view->load_at_us = now_us;
+	view->other_report_us = now_us;
 	view->local_delta = 0;
 	if (is_relayed)
 		roster_record_relayed(sl->opt.roster, arbiter, now_us);
@@ -72,6 +78,7 @@
 	if (!is_relayed)
 		keep_connected(sl, view, arbiter, now_us);
 	g_strlcpy(view->reporter, arbiter, sizeof(view->reporter));
+	slots_on_reported_rates(sl, view, wire);
 	if (view->epoch == wire->epoch)
 		return;
 	view->epoch = wire->epoch;
@@ -92,7 +99,7 @@
 	g_strlcpy(stale.service, t->service, sizeof(stale.service));
 	g_strlcpy(stale.target, t->id, sizeof(stale.target));
 	g_strlcpy(stale.arbiter, from, sizeof(stale.arbiter));
-	slots_send_release(sl, &stale, kSlotNeutral);
+	slots_send_release(sl, &stale, kSlotUnused);
 }
 
 static void
@@ -103,6 +110,7 @@
 	    .verdict = (enum slotpool_verdict)wire->verdict,
 	    .retry_after_us = (int64_t)wire->retry_after_us,
 	    .has_no_healthy_target = wire->is_dead,
+	    .is_rate_limited = wire->is_rate_limited,
 	};
 
 	g_strlcpy(del.target, wire->target, sizeof(del.target));
@@ -136,8 +144,12 @@
 {
 	for (size_t i = 0; i < env->n_pool_loads; i++)
 		apply_load(sl, env->from, env->pool_loads[i]);
+	for (size_t i = 0; i < env->n_slot_rates; i++)
+		slots_on_slot_rate(sl, env->slot_rates[i]);
 	for (size_t i = 0; i < env->n_slot_notes; i++)
 		slots_host_on_release(sl, env->from, env->slot_notes[i]);
+	/* Before the requests that they came with. */
+	slots_on_rates(sl, env->target_rates, env->n_target_rates);
 	for (size_t i = 0; i < env->n_slot_asks; i++)
 		slots_host_on_request(sl, env->from, env->slot_asks[i]);
 	if (env->n_slot_answers > 0 || env->n_pool_loads > 0)
--- a/src/gateway/target_rates.c
+++ b/src/gateway/target_rates.c
@@ -2,6 +2,13 @@
 #include "gateway/target_rates.h"
 
 #include "log/log.h"
+#include "os/clock.h"
+
+enum {
+	/* What this daemon learnt within this time may not have reached the
+	 * others yet. */
+	kLearntLatelyUs = kUsPerS,
+};
 
 struct target_rates {
 	/** struct target_rate by target id. */
@@ -25,6 +32,12 @@
 	g_free(tr);
 }
 
+bool
+target_rates_is_empty(const struct target_rates *tr)
+{
+	return g_hash_table_size(tr->by_target) == 0;
+}
+
 const struct target_rate *
 target_rates_find(
     const struct target_rates *tr, const struct fleet_target *target)
@@ -44,10 +57,11 @@
 		return;
 	log_event(kEvtTargetRateNamed, "target", target->id, "request",
 	    attempt_id, "milli_per_s", log_number(milli_per_s), "before",
-	    before != NULL ? log_number(before->milli_per_s) : "none", NULL);
+	    before != NULL ? log_number(before->milli_per_s) : "none",
+	    (const char *)NULL);
 }
 
-static void
+static struct target_rate *
 set_rate(struct target_rates *tr, const struct fleet_target *target,
     int64_t milli_per_s, int64_t now_us)
 {
@@ -59,12 +73,43 @@
 		g_strlcpy(rate->target, target->id, sizeof(rate->target));
 		g_hash_table_insert(tr->by_target, rate->target, rate);
 	}
+	if (rate->started_ms != target->started_ms)
+		rate->named_us = 0;
 	rate->started_ms = target->started_ms;
 	rate->milli_per_s = milli_per_s;
 	rate->learnt_us = now_us;
+	return rate;
 }
 
 void
+target_rates_learn(struct target_rates *tr, const struct fleet_target *target,
+    int64_t milli_per_s, int64_t now_us)
+{
+	set_rate(tr, target, milli_per_s, now_us);
+}
+
+void
+target_rates_forget(
+    struct target_rates *tr, const struct fleet_target *target, int64_t now_us)
+{
+	const struct target_rate *rate =
+	    g_hash_table_lookup(tr->by_target, target->id);
+
+	if (rate != NULL && now_us - rate->learnt_us >= kLearntLatelyUs)
+		g_hash_table_remove(tr->by_target, target->id);
+}
+
+static void
+end_rate(struct target_rates *tr, const struct target_rate *known,
+    const char *attempt_id)
+{
+	log_event(kEvtTargetRateEnded, "target", known->target, "request",
+	    attempt_id, "before", log_number(known->milli_per_s),
+	    (const char *)NULL);
+	g_hash_table_remove(tr->by_target, known->target);
+}
+
+bool
 target_rates_on_answer(struct target_rates *tr,
     const struct fleet_target *target, const struct stated_rate *said,
     int64_t sent_us, const char *attempt_id, int64_t now_us)
@@ -74,18 +119,19 @@
 	switch (said->kind) {
 	case kRateNamed:
 		log_rate(target, attempt_id, known, said->milli_per_s);
-		set_rate(tr, target, said->milli_per_s, now_us);
-		break;
+		set_rate(tr, target, said->milli_per_s, now_us)->named_us =
+		    now_us;
+		return true;
 	case kRateNone:
-		if (known == NULL || sent_us <= known->learnt_us)
-			break;
-		log_event(kEvtTargetRateEnded, "target", target->id, "request",
-		    attempt_id, "before", log_number(known->milli_per_s), NULL);
-		g_hash_table_remove(tr->by_target, target->id);
-		break;
+		if (known == NULL)
+			return false;
+		if (sent_us > known->named_us)
+			end_rate(tr, known, attempt_id);
+		return true;
 	case kRateUnreadable:
 		log_event(kEvtTargetRateBad, "target", target->id, "request",
-		    attempt_id, NULL);
+		    attempt_id, (const char *)NULL);
 		break;
 	}
+	return false;
 }
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -111,6 +111,9 @@
 	X(kEvtPoolLoad, 1606, INFO, "pool_load",                               \
 	    "Load of a pool that this daemon arbitrates, logged once a "       \
 	    "second.")                                                         \
+	X(kEvtTargetStarts, 1610, INFO, "target_starts",                       \
+	    "Starts in the last second at a target that names a rate, by its " \
+	    "arbiter, and the online requests that may start now.")            \
 	X(kEvtArbiterStarted, 1604, INFO, "arbiter_started",                   \
 	    "This daemon is now the arbiter of a pool's slots.")               \
 	X(kEvtArbiterSilent, 1605, WARN, "arbiter_silent",                     \
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -502,6 +502,96 @@
   assert(message->base.descriptor == &sfpeer__slot_note__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__target_rate__init
+                     (Sfpeer__TargetRate         *message)
+{
+  static const Sfpeer__TargetRate init_value = SFPEER__TARGET_RATE__INIT;
+  *message = init_value;
+}
+size_t sfpeer__target_rate__get_packed_size
+                     (const Sfpeer__TargetRate *message)
+{
+  assert(message->base.descriptor == &sfpeer__target_rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__target_rate__pack
+                     (const Sfpeer__TargetRate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__target_rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__target_rate__pack_to_buffer
+                     (const Sfpeer__TargetRate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__target_rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__TargetRate *
+       sfpeer__target_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__TargetRate *)
+     protobuf_c_message_unpack (&sfpeer__target_rate__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__target_rate__free_unpacked
+                     (Sfpeer__TargetRate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__target_rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__slot_rate__init
+                     (Sfpeer__SlotRate         *message)
+{
+  static const Sfpeer__SlotRate init_value = SFPEER__SLOT_RATE__INIT;
+  *message = init_value;
+}
+size_t sfpeer__slot_rate__get_packed_size
+                     (const Sfpeer__SlotRate *message)
+{
+  assert(message->base.descriptor == &sfpeer__slot_rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__slot_rate__pack
+                     (const Sfpeer__SlotRate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__slot_rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__slot_rate__pack_to_buffer
+                     (const Sfpeer__SlotRate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__slot_rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__SlotRate *
+       sfpeer__slot_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__SlotRate *)
+     protobuf_c_message_unpack (&sfpeer__slot_rate__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__slot_rate__free_unpacked
+                     (Sfpeer__SlotRate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__slot_rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__pool_load__init
                      (Sfpeer__PoolLoad         *message)
 {
@@ -1936,7 +2026,7 @@
   (ProtobufCMessageInit) sfpeer__slot_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__slot_answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sfpeer__slot_answer__field_descriptors[6] =
 {
   {
     "id",
@@ -1998,10 +2088,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "is_rate_limited",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAnswer, is_rate_limited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__slot_answer__field_indices_by_name[] = {
   0,   /* field[0] = id */
   4,   /* field[4] = is_dead */
+  5,   /* field[5] = is_rate_limited */
   3,   /* field[3] = retry_after_us */
   2,   /* field[2] = target */
   1,   /* field[1] = verdict */
@@ -2009,7 +2112,7 @@
 static const ProtobufCIntRange sfpeer__slot_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sfpeer__slot_answer__descriptor =
 {
@@ -2019,14 +2122,14 @@
   "Sfpeer__SlotAnswer",
   "sfpeer",
   sizeof(Sfpeer__SlotAnswer),
-  5,
+  6,
   sfpeer__slot_answer__field_descriptors,
   sfpeer__slot_answer__field_indices_by_name,
   1,  sfpeer__slot_answer__number_ranges,
   (ProtobufCMessageInit) sfpeer__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__slot_note__field_descriptors[6] =
+static const ProtobufCFieldDescriptor sfpeer__slot_note__field_descriptors[7] =
 {
   {
     "id",
@@ -2100,6 +2203,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "unused",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, unused),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__slot_note__field_indices_by_name[] = {
   2,   /* field[2] = data_center */
@@ -2108,11 +2223,12 @@
   3,   /* field[3] = outcome */
   1,   /* field[1] = service */
   5,   /* field[5] = target */
+  6,   /* field[6] = unused */
 };
 static const ProtobufCIntRange sfpeer__slot_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor sfpeer__slot_note__descriptor =
 {
@@ -2122,14 +2238,168 @@
   "Sfpeer__SlotNote",
   "sfpeer",
   sizeof(Sfpeer__SlotNote),
-  6,
+  7,
   sfpeer__slot_note__field_descriptors,
   sfpeer__slot_note__field_indices_by_name,
   1,  sfpeer__slot_note__number_ranges,
   (ProtobufCMessageInit) sfpeer__slot_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__pool_load__field_descriptors[10] =
+static const ProtobufCFieldDescriptor sfpeer__target_rate__field_descriptors[3] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__TargetRate, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "started_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__TargetRate, started_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "milli_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__TargetRate, milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__target_rate__field_indices_by_name[] = {
+  2,   /* field[2] = milli_per_s */
+  1,   /* field[1] = started_ms */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange sfpeer__target_rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sfpeer__target_rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.TargetRate",
+  "TargetRate",
+  "Sfpeer__TargetRate",
+  "sfpeer",
+  sizeof(Sfpeer__TargetRate),
+  3,
+  sfpeer__target_rate__field_descriptors,
+  sfpeer__target_rate__field_indices_by_name,
+  1,  sfpeer__target_rate__number_ranges,
+  (ProtobufCMessageInit) sfpeer__target_rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__slot_rate__field_descriptors[5] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotRate, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotRate, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_center",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotRate, data_center),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotRate, rate),
+    &sfpeer__target_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "none",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotRate, none),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__slot_rate__field_indices_by_name[] = {
+  2,   /* field[2] = data_center */
+  0,   /* field[0] = id */
+  4,   /* field[4] = none */
+  3,   /* field[3] = rate */
+  1,   /* field[1] = service */
+};
+static const ProtobufCIntRange sfpeer__slot_rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor sfpeer__slot_rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.SlotRate",
+  "SlotRate",
+  "Sfpeer__SlotRate",
+  "sfpeer",
+  sizeof(Sfpeer__SlotRate),
+  5,
+  sfpeer__slot_rate__field_descriptors,
+  sfpeer__slot_rate__field_indices_by_name,
+  1,  sfpeer__slot_rate__number_ranges,
+  (ProtobufCMessageInit) sfpeer__slot_rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__pool_load__field_descriptors[17] =
 {
   {
     "service",
@@ -2251,6 +2521,90 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limited_slots",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, limited_slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited_online",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, limited_online),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited_batch",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, limited_batch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited_starts",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, limited_starts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limited_milli_per_s",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, limited_milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_rates",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__PoolLoad, has_rates),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rates",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__PoolLoad, n_rates),
+    offsetof(Sfpeer__PoolLoad, rates),
+    &sfpeer__target_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__pool_load__field_indices_by_name[] = {
   9,   /* field[9] = arbiter */
@@ -2258,16 +2612,23 @@
   7,   /* field[7] = batch_queued */
   1,   /* field[1] = data_center */
   2,   /* field[2] = epoch */
+  15,   /* field[15] = has_rates */
   8,   /* field[8] = hold_us */
+  12,   /* field[12] = limited_batch */
+  14,   /* field[14] = limited_milli_per_s */
+  11,   /* field[11] = limited_online */
+  10,   /* field[10] = limited_slots */
+  13,   /* field[13] = limited_starts */
   4,   /* field[4] = online */
   6,   /* field[6] = online_queued */
+  16,   /* field[16] = rates */
   0,   /* field[0] = service */
   3,   /* field[3] = slots */
 };
 static const ProtobufCIntRange sfpeer__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor sfpeer__pool_load__descriptor =
 {
@@ -2277,7 +2638,7 @@
   "Sfpeer__PoolLoad",
   "sfpeer",
   sizeof(Sfpeer__PoolLoad),
-  10,
+  17,
   sfpeer__pool_load__field_descriptors,
   sfpeer__pool_load__field_indices_by_name,
   1,  sfpeer__pool_load__number_ranges,
@@ -3339,7 +3700,7 @@
   (ProtobufCMessageInit) sfpeer__blame_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[28] =
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[30] =
 {
   {
     "from",
@@ -3677,6 +4038,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slot_rates",
+    30,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_slot_rates),
+    offsetof(Sfpeer__Envelope, slot_rates),
+    &sfpeer__slot_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_rates",
+    31,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_target_rates),
+    offsetof(Sfpeer__Envelope, target_rates),
+    &sfpeer__target_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
@@ -3704,15 +4089,17 @@
   12,   /* field[12] = slot_answers */
   11,   /* field[11] = slot_asks */
   13,   /* field[13] = slot_notes */
+  28,   /* field[28] = slot_rates */
   20,   /* field[20] = store_age_ms */
   22,   /* field[22] = target_notes */
+  29,   /* field[29] = target_rates */
   15,   /* field[15] = view */
 };
 static const ProtobufCIntRange sfpeer__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 24, 22 },
-  { 0, 28 }
+  { 0, 30 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -3722,7 +4109,7 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  28,
+  30,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
   2,  sfpeer__envelope__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -26,6 +26,8 @@
 typedef struct Sfpeer__SlotAsk Sfpeer__SlotAsk;
 typedef struct Sfpeer__SlotAnswer Sfpeer__SlotAnswer;
 typedef struct Sfpeer__SlotNote Sfpeer__SlotNote;
+typedef struct Sfpeer__TargetRate Sfpeer__TargetRate;
+typedef struct Sfpeer__SlotRate Sfpeer__SlotRate;
 typedef struct Sfpeer__PoolLoad Sfpeer__PoolLoad;
 typedef struct Sfpeer__TargetNote Sfpeer__TargetNote;
 typedef struct Sfpeer__ViewRow Sfpeer__ViewRow;
@@ -221,10 +223,14 @@
    * Refused since no target of the pool is healthy.
    */
   protobuf_c_boolean is_dead;
+  /*
+   * Granted: the target names a rate, as far as the arbiter knows.
+   */
+  protobuf_c_boolean is_rate_limited;
 };
 #define SFPEER__SLOT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_answer__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Sfpeer__SlotNote
@@ -239,10 +245,49 @@
    */
   uint64_t held_us;
   char *target;
+  /*
+   * Nothing was sent to the target.
+   */
+  protobuf_c_boolean unused;
 };
 #define SFPEER__SLOT_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_note__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * A target that names the requests a second that it takes from all daemons.
+ */
+struct  Sfpeer__TargetRate
+{
+  ProtobufCMessage base;
+  char *target;
+  int64_t started_ms;
+  uint64_t milli_per_s;
+};
+#define SFPEER__TARGET_RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__target_rate__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
+
+
+/*
+ * What the answer to the run of a slot says of its target's rate.
+ */
+struct  Sfpeer__SlotRate
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  char *service;
+  char *data_center;
+  Sfpeer__TargetRate *rate;
+  /*
+   * The answer names no rate.
+   */
+  protobuf_c_boolean none;
+};
+#define SFPEER__SLOT_RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_rate__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, NULL, 0 }
 
 
 /*
@@ -267,10 +312,25 @@
    * The pool's arbiter, if the sender only passes its report on.
    */
   char *arbiter;
+  /*
+   * Part of the above on targets that name a rate; the online requests that may
+   * start there now, and a second.
+   */
+  uint32_t limited_slots;
+  uint32_t limited_online;
+  uint32_t limited_batch;
+  uint32_t limited_starts;
+  uint64_t limited_milli_per_s;
+  /*
+   * All targets of the pool that name a rate, if the report lists them.
+   */
+  protobuf_c_boolean has_rates;
+  size_t n_rates;
+  Sfpeer__TargetRate **rates;
 };
 #define SFPEER__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__pool_load__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -573,10 +633,17 @@
   Sfpeer__LostRun **lost_runs;
   size_t n_blame_notes;
   Sfpeer__BlameNote **blame_notes;
+  size_t n_slot_rates;
+  Sfpeer__SlotRate **slot_rates;
+  /*
+   * Rates that the sender knows, for an arbiter that may not.
+   */
+  size_t n_target_rates;
+  Sfpeer__TargetRate **target_rates;
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Sfpeer__Member methods */
@@ -788,6 +855,44 @@
 void   sfpeer__slot_note__free_unpacked
                      (Sfpeer__SlotNote *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__TargetRate methods */
+void   sfpeer__target_rate__init
+                     (Sfpeer__TargetRate         *message);
+size_t sfpeer__target_rate__get_packed_size
+                     (const Sfpeer__TargetRate   *message);
+size_t sfpeer__target_rate__pack
+                     (const Sfpeer__TargetRate   *message,
+                      uint8_t             *out);
+size_t sfpeer__target_rate__pack_to_buffer
+                     (const Sfpeer__TargetRate   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__TargetRate *
+       sfpeer__target_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__target_rate__free_unpacked
+                     (Sfpeer__TargetRate *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__SlotRate methods */
+void   sfpeer__slot_rate__init
+                     (Sfpeer__SlotRate         *message);
+size_t sfpeer__slot_rate__get_packed_size
+                     (const Sfpeer__SlotRate   *message);
+size_t sfpeer__slot_rate__pack
+                     (const Sfpeer__SlotRate   *message,
+                      uint8_t             *out);
+size_t sfpeer__slot_rate__pack_to_buffer
+                     (const Sfpeer__SlotRate   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__SlotRate *
+       sfpeer__slot_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__slot_rate__free_unpacked
+                     (Sfpeer__SlotRate *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__PoolLoad methods */
 void   sfpeer__pool_load__init
                      (Sfpeer__PoolLoad         *message);
@@ -1070,6 +1175,12 @@
 typedef void (*Sfpeer__SlotNote_Closure)
                  (const Sfpeer__SlotNote *message,
                   void *closure_data);
+typedef void (*Sfpeer__TargetRate_Closure)
+                 (const Sfpeer__TargetRate *message,
+                  void *closure_data);
+typedef void (*Sfpeer__SlotRate_Closure)
+                 (const Sfpeer__SlotRate *message,
+                  void *closure_data);
 typedef void (*Sfpeer__PoolLoad_Closure)
                  (const Sfpeer__PoolLoad *message,
                   void *closure_data);
@@ -1126,6 +1237,8 @@
 extern const ProtobufCMessageDescriptor sfpeer__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__slot_answer__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__slot_note__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__target_rate__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__slot_rate__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__pool_load__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__target_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__view_row__descriptor;
