--- a/bench/main.c
+++ b/bench/main.c
@@ -11,6 +11,7 @@
 
 enum {
 	kCrashSeeds = 20,
+	kRateSeeds = 3,
 };
 
 static bool has_failed;
@@ -78,6 +79,8 @@
 		bench_membership();
 	if (run_all || strcmp(command, "crash") == 0)
 		bench_crash(argc > 2 ? atoi(argv[2]) : kCrashSeeds);
+	if (run_all || strcmp(command, "rate") == 0)
+		bench_rate(argc > 2 ? atoi(argv[2]) : kRateSeeds);
 	if (run_all || strcmp(command, "decision") == 0)
 		bench_decision();
 	return bench_has_failed() ? 1 : 0;
--- a/src/gateway/loop.c
+++ b/src/gateway/loop.c
@@ -255,3 +255,10 @@
 	while (!__atomic_load_n(&lp->is_stopping, __ATOMIC_ACQUIRE))
 		run_iteration(lp);
 }
+
+void
+loop_run_once(struct loop *lp)
+{
+	loop_skip_wait(lp);
+	run_iteration(lp);
+}
--- a/src/gateway/loop.h
+++ b/src/gateway/loop.h
@@ -24,6 +24,9 @@
 void loop_run(struct loop *lp);
 void loop_stop(struct loop *lp);
 
+/** Runs one iteration without waiting for events. */
+void loop_run_once(struct loop *lp);
+
 /** Monotonic time, microseconds. */
 int64_t loop_now_us(struct loop *lp);
 
