--- a/bench/rate_fleet.c
+++ b/bench/rate_fleet.c
@@ -1,4 +1,5 @@
-/* Daemons that share targets with rates, in virtual time. */
+/* Callers and items of daemons that share targets with rates, and the course of
+ * a play. */
 #include "rate_fleet.h"
 
 #include <string.h>
@@ -9,13 +10,6 @@
 
 enum {
 	kStepUs = kMsUs,
-	kTargetSlots = 8,
-	/* The daemons' timers are exact to this. */
-	kTimerUs = 25 * kMsUs,
-	/* Network, one way. */
-	kNearUs = 1 * kMsUs,
-	kFarUs = 30 * kMsUs,
-	kJitterMaxUs = 10 * kMsUs,
 	/* From the arrival of a request to the head of its answer. */
 	kHeadUs = 30 * kMsUs,
 	kCallMinUs = 100 * kMsUs,
@@ -26,82 +20,8 @@
 	 * after a refusal. */
 	kStartWithinUs = 240 * kMsUs,
 	kRetryMaxUs = 1600 * kMsUs,
-	/* Heartbeats and reads of the rows. */
-	kHeartbeatUs = kSecondUs,
-	kLeaseUs = 4 * kSecondUs,
-	kContactUs = 1500 * kMsUs,
-	/* A daemon that stops finishes its calls meanwhile. */
-	kDrainUs = 2 * kSecondUs,
-	kRestartUs = 1 * kSecondUs,
 	kItemRetryUs = 300 * kMsUs,
-};
-
-struct play;
-
-struct sim_daemon {
-	struct play *p;
-	int32_t index;
-	char address[kFleetAddressMax];
-	char data_center[kFleetNameMax];
-	struct loop *lp;
-	struct roster *roster;
-	struct fleet *fleet;
-	struct slots *slots;
-	/** Start of the daemon; 0: it is down. */
-	uint64_t incarnation;
-	uint64_t next_incarnation;
-	bool is_leaving;
-	int64_t frozen_until_us;
-	int64_t cut_until_us;
-	int64_t heartbeat;
-	int64_t heartbeat_us;
-	int64_t next_run_us;
-	bool is_dirty;
-};
-
-/** A call of a caller, or an item. */
-struct sim_call {
-	struct play *p;
-	struct sim_daemon *d;
-	uint64_t incarnation;
-	uint64_t slot;
-	bool is_batch;
-	/** Refused once before. */
-	bool is_repeat;
-	struct rate_target *target;
-	/** Number of the run, so that events of earlier ones are ignored. */
-	int32_t run;
-};
-
-struct sim_event {
-	int64_t at_us;
-	uint64_t order;
-	void (*fn)(struct sim_event *ev);
-	struct sim_daemon *d;
-	uint64_t incarnation;
-	struct sim_call *call;
-	int32_t run;
-	/** A message, packed. */
-	GByteArray *data;
-	struct stated_rate said;
-};
-
-struct play {
-	const struct rate_scenario *sc;
-	GRand *rand;
-	int64_t now_us;
-	struct clock_source clk;
-	struct sim_daemon *daemons;
-	struct rate_target *targets;
-	GSequence *events;
-	uint64_t next_order;
-	int64_t next_call_us;
-	int64_t next_trouble_us;
-	int32_t troubles;
-	int32_t calls;
-	int32_t served;
-	int32_t refusals;
-	bool is_refusing[kPlayUs / kSecondUs + 1];
+	kForgottenCheckUs = 25 * kMsUs,
 };
 
 static struct timespec
@@ -115,43 +35,10 @@
 
 static const struct clock_ops sim_clock = {sim_now, sim_now};
 
-static int
-compare_events(const void *a, const void *b, void *ctx)
-{
-	const struct sim_event *x = a;
-	const struct sim_event *y = b;
-
-	if (x->at_us != y->at_us)
-		return x->at_us < y->at_us ? -1 : 1;
-	return (x->order > y->order) - (x->order < y->order);
-}
-
-static void
-event_free(void *p)
-{
-	struct sim_event *ev = p;
-
-	if (ev->data != NULL)
-		g_byte_array_unref(ev->data);
-	g_free(ev);
-}
-
-static struct sim_event *
-event_add(struct play *p, int64_t delay_us, void (*fn)(struct sim_event *ev))
-{
-	struct sim_event *ev = g_new0(struct sim_event, 1);
-
-	ev->at_us = p->now_us + delay_us;
-	ev->order = p->next_order++;
-	ev->fn = fn;
-	g_sequence_insert_sorted(p->events, ev, compare_events, NULL);
-	return ev;
-}
-
 static struct sim_event *
 call_event(struct sim_call *c, int64_t delay_us, void (*fn)(struct sim_event *))
 {
-	struct sim_event *ev = event_add(c->p, delay_us, fn);
+	struct sim_event *ev = sim_event_add(c->p, delay_us, fn);
 
 	ev->call = c;
 	ev->d = c->d;
@@ -160,204 +47,6 @@
 	return ev;
 }
 
-static int64_t
-link_us(struct play *p, const char *from, const char *to)
-{
-	return (strcmp(from, to) == 0 ? kNearUs : kFarUs) +
-	    g_rand_int_range(p->rand, 0, kJitterMaxUs);
-}
-
-static bool
-is_cut(const struct sim_daemon *d)
-{
-	return d->cut_until_us > d->p->now_us;
-}
-
-static void
-on_message(struct sim_event *ev)
-{
-	struct sim_daemon *d = ev->d;
-	Sfpeer__Envelope *env;
-
-	if (d->incarnation == 0 || is_cut(d))
-		return;
-	env = sfpeer__envelope__unpack(NULL, ev->data->len, ev->data->data);
-	roster_record_message(d->roster, env->from, NULL, d->p->now_us);
-	if (env->leaving) {
-		roster_record_leaving(d->roster, env->from);
-		slots_reassign_arbiters(d->slots);
-	}
-	slots_on_envelope(d->slots, env);
-	sfpeer__envelope__free_unpacked(env, NULL);
-	d->is_dirty = true;
-}
-
-static struct sim_daemon *
-find_daemon(struct play *p, const char *address)
-{
-	for (int32_t i = 0; i < p->sc->daemons; i++)
-		if (strcmp(p->daemons[i].address, address) == 0)
-			return &p->daemons[i];
-	return NULL;
-}
-
-static void
-send_message(void *ctx, const char *to, Sfpeer__Envelope *env)
-{
-	struct sim_daemon *d = ctx;
-	struct sim_daemon *other = find_daemon(d->p, to);
-	struct sim_event *ev;
-
-	if (other == NULL || is_cut(d))
-		return;
-	env->from = d->address;
-	ev = event_add(d->p, link_us(d->p, d->data_center, other->data_center),
-	    on_message);
-	ev->d = other;
-	ev->data = g_byte_array_sized_new(256);
-	g_byte_array_set_size(
-	    ev->data, (guint)sfpeer__envelope__get_packed_size(env));
-	sfpeer__envelope__pack(env, ev->data->data);
-}
-
-static void
-ignore_connect(void *ctx, const char *to)
-{
-}
-
-static const struct slots_wire_ops wire_ops = {
-    send_message, ignore_connect, ignore_connect};
-
-static struct roster_row
-daemon_row(const struct sim_daemon *d)
-{
-	struct roster_row row = {
-	    .version = d->heartbeat + 1,
-	    .period_us = kHeartbeatUs,
-	    .cpu_millicores = 1000,
-	};
-
-	g_strlcpy(row.address, d->address, sizeof(row.address));
-	g_strlcpy(row.data_center, d->data_center, sizeof(row.data_center));
-	g_strlcpy(row.region, d->data_center, sizeof(row.region));
-	g_snprintf(row.session, sizeof(row.session), "%s-%" G_GUINT64_FORMAT,
-	    d->address, d->next_incarnation);
-	return row;
-}
-
-static void
-read_rows(struct sim_daemon *d)
-{
-	struct play *p = d->p;
-	GArray *rows = g_array_new(FALSE, TRUE, sizeof(struct roster_row));
-	struct roster_changes changes = {g_ptr_array_new_with_free_func(g_free),
-	    g_ptr_array_new_with_free_func(g_free)};
-
-	for (int32_t i = 0; i < p->sc->daemons; i++) {
-		struct roster_row row = daemon_row(&p->daemons[i]);
-
-		if (&p->daemons[i] != d)
-			g_array_append_val(rows, row);
-	}
-	roster_apply_rows(d->roster, rows, p->now_us, &changes);
-	for (guint i = 0; i < changes.removed->len; i++)
-		slots_remove_daemon(d->slots, changes.removed->pdata[i]);
-	g_array_unref(rows);
-	g_ptr_array_unref(changes.joined);
-	g_ptr_array_unref(changes.removed);
-}
-
-static void
-daemon_start(struct sim_daemon *d)
-{
-	struct play *p = d->p;
-	struct roster_options ropt = {
-	    .lease_us = kLeaseUs, .contact_timeout_us = kContactUs};
-	struct slots_options sopt = {.address = d->address,
-	    .data_center = d->data_center,
-	    .wire = &wire_ops,
-	    .wire_ctx = d};
-
-	d->incarnation = ++d->next_incarnation;
-	d->is_leaving = false;
-	ropt.self = daemon_row(d);
-	d->lp = loop_new(&p->clk);
-	d->roster = roster_new(&ropt);
-	d->fleet = fleet_new();
-	for (int32_t i = 0; i < p->sc->targets; i++) {
-		struct fleet_target t = {
-		    .slots = kTargetSlots, .started_ms = 1, .version = 1};
-
-		g_strlcpy(t.id, p->targets[i].id, sizeof(t.id));
-		g_strlcpy(t.service, "llm", sizeof(t.service));
-		g_snprintf(t.data_center, sizeof(t.data_center), "dc%d",
-		    p->targets[i].data_center);
-		fleet_apply(d->fleet, &t);
-	}
-	sopt.lp = d->lp;
-	sopt.roster = d->roster;
-	sopt.fleet = d->fleet;
-	sopt.seed = (d->incarnation << 48) + ((uint64_t)d->index << 32);
-	d->slots = slots_new(&sopt);
-	read_rows(d);
-	slots_targets_changed(d->slots);
-	d->next_run_us = p->now_us;
-}
-
-static void
-daemon_stop(struct sim_daemon *d)
-{
-	if (d->incarnation == 0)
-		return;
-	d->incarnation = 0;
-	slots_free(d->slots);
-	roster_free(d->roster);
-	fleet_free(d->fleet);
-	loop_free(d->lp);
-}
-
-static void
-on_restart(struct sim_event *ev)
-{
-	if (ev->d->incarnation == 0)
-		daemon_start(ev->d);
-}
-
-static void
-kill_daemon(struct sim_daemon *d, int64_t down_us)
-{
-	daemon_stop(d);
-	event_add(d->p, down_us, on_restart)->d = d;
-}
-
-static void
-on_drained(struct sim_event *ev)
-{
-	if (ev->d->incarnation == ev->incarnation)
-		kill_daemon(ev->d, kRestartUs);
-}
-
-static void
-drain_daemon(struct sim_daemon *d)
-{
-	struct play *p = d->p;
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	struct sim_event *ev;
-
-	d->is_leaving = true;
-	env.leaving = true;
-	for (int32_t i = 0; i < p->sc->daemons; i++)
-		if (&p->daemons[i] != d)
-			send_message(d, p->daemons[i].address, &env);
-	roster_leave(d->roster);
-	slots_reassign_arbiters(d->slots);
-	ev = event_add(p, kDrainUs, on_drained);
-	ev->d = d;
-	ev->incarnation = d->incarnation;
-}
-
-/* Events of calls. */
-
 static void call_acquire(struct sim_call *c);
 
 static bool
@@ -367,13 +56,6 @@
 	    ev->call->run == ev->run;
 }
 
-/* Events at a daemon that stands still wait. */
-static bool
-is_deferred(const struct sim_event *ev)
-{
-	return ev->d != NULL && ev->d->frozen_until_us > ev->at_us;
-}
-
 static void
 on_end(struct sim_event *ev)
 {
@@ -417,8 +99,8 @@
 		return;
 	g_array_append_val(t->arrivals, p->now_us);
 	g_snprintf(data_center, sizeof(data_center), "dc%d", t->data_center);
-	head = call_event(
-	    c, kHeadUs + link_us(p, data_center, c->d->data_center), on_head);
+	head = call_event(c,
+	    kHeadUs + sim_link_us(p, data_center, c->d->data_center), on_head);
 	named = rate_target_named(p->sc, t, p->now_us);
 	if (named >= 0)
 		head->said = (struct stated_rate){kRateNamed, named};
@@ -436,7 +118,8 @@
 	c->target = &p->targets[i];
 	g_snprintf(
 	    data_center, sizeof(data_center), "dc%d", c->target->data_center);
-	call_event(c, link_us(p, c->d->data_center, data_center), on_arrival);
+	call_event(
+	    c, sim_link_us(p, c->d->data_center, data_center), on_arrival);
 }
 
 static struct sim_daemon *
@@ -446,8 +129,8 @@
 		struct sim_daemon *d =
 		    &p->daemons[g_rand_int_range(p->rand, 0, p->sc->daemons)];
 
-		if (d->incarnation != 0 && !d->is_leaving && !is_cut(d) &&
-		    d->frozen_until_us <= p->now_us)
+		if (d->incarnation != 0 && !d->is_leaving &&
+		    !sim_daemon_is_cut(d) && d->frozen_until_us <= p->now_us)
 			return d;
 	}
 	return NULL;
@@ -537,7 +220,7 @@
 	if (asked == NULL)
 		return NULL;
 	g_snprintf(data_center, sizeof(data_center), "dc%d", pool);
-	return find_daemon(
+	return sim_daemon_find(
 	    p, slots_pool_arbiter(asked->slots, "llm", data_center));
 }
 
@@ -556,10 +239,10 @@
 	case kTroubleNone:
 		break;
 	case kTroubleRoll:
-		drain_daemon(d);
+		sim_daemon_drain(d);
 		break;
 	case kTroubleKill:
-		kill_daemon(d, last_us);
+		sim_daemon_kill(d, last_us);
 		break;
 	case kTroubleFreeze:
 		d->frozen_until_us = p->now_us + last_us;
@@ -570,47 +253,6 @@
 	}
 }
 
-static void
-run_due_events(struct play *p)
-{
-	while (!g_sequence_is_empty(p->events)) {
-		GSequenceIter *it = g_sequence_get_begin_iter(p->events);
-		struct sim_event *ev = g_sequence_get(it);
-
-		if (ev->at_us > p->now_us)
-			return;
-		if (is_deferred(ev)) {
-			ev->at_us = ev->d->frozen_until_us;
-			g_sequence_sort_changed(it, compare_events, NULL);
-			continue;
-		}
-		ev->fn(ev);
-		g_sequence_remove(it);
-	}
-}
-
-static void
-run_daemon(struct sim_daemon *d)
-{
-	struct play *p = d->p;
-
-	if (d->incarnation == 0 || d->frozen_until_us > p->now_us)
-		return;
-	if (p->now_us - d->heartbeat_us >= kHeartbeatUs) {
-		d->heartbeat_us = p->now_us;
-		d->heartbeat += !is_cut(d);
-		if (!is_cut(d))
-			read_rows(d);
-	}
-	if (!d->is_dirty && p->now_us < d->next_run_us)
-		return;
-	d->is_dirty = false;
-	d->next_run_us = p->now_us + kTimerUs;
-	loop_run_once(d->lp);
-	/* What the callbacks have asked for is delivered at once. */
-	loop_run_once(d->lp);
-}
-
 static void
 start_calls(struct play *p)
 {
@@ -626,7 +268,7 @@
 static void
 step(struct play *p)
 {
-	run_due_events(p);
+	sim_events_run(p);
 	start_calls(p);
 	if (p->sc->trouble != kTroubleNone && p->now_us >= p->next_trouble_us &&
 	    p->now_us < kNamedUntilUs) {
@@ -635,7 +277,7 @@
 		cause_trouble(p);
 	}
 	for (int32_t i = 0; i < p->sc->daemons; i++)
-		run_daemon(&p->daemons[i]);
+		sim_daemon_run(&p->daemons[i]);
 }
 
 /* Whether an arbiter that is asked takes a target to name a rate. */
@@ -665,7 +307,7 @@
 
 	p->now_us = kSecondUs;
 	p->clk = (struct clock_source){&sim_clock, p};
-	p->events = g_sequence_new(event_free);
+	p->events = g_sequence_new(sim_event_free);
 	p->next_call_us = 2 * kSecondUs;
 	p->next_trouble_us = kNamedFromUs + kSecondUs;
 	p->targets = g_new0(struct rate_target, sc->targets);
@@ -694,14 +336,14 @@
 		d->heartbeat_us = i * kMsUs;
 	}
 	for (int32_t i = 0; i < sc->daemons; i++)
-		daemon_start(&p->daemons[i]);
+		sim_daemon_start(&p->daemons[i]);
 }
 
 static void
 play_clear(struct play *p)
 {
 	for (int32_t i = 0; i < p->sc->daemons; i++)
-		daemon_stop(&p->daemons[i]);
+		sim_daemon_stop(&p->daemons[i]);
 	for (int32_t i = 0; i < p->sc->targets; i++)
 		g_array_unref(p->targets[i].arrivals);
 	g_sequence_free(p->events);
@@ -721,7 +363,8 @@
 		call_acquire(call_new(&p, true));
 	for (; p.now_us < kPlayUs; p.now_us += kStepUs) {
 		step(&p);
-		if (p.now_us > kNamedUntilUs && p.now_us % kTimerUs == 0 &&
+		if (p.now_us > kNamedUntilUs &&
+		    p.now_us % kForgottenCheckUs == 0 &&
 		    is_limited_anywhere(&p))
 			res.forgotten_s =
 			    (double)(p.now_us - kNamedUntilUs) / kSecondUs;
