--- a/bench/policy.c
+++ b/bench/policy.c
@@ -716,7 +716,7 @@
 	    ? 100 * (double)sim->batch_reprefill / (double)sim->batch_prefill
 	    : 0;
 	out->tail_estimate_ms =
-	    (double)arbiter_load_get(sim->arbiter).tail_us / kMs;
+	    (double)arbiter_load_get(sim->arbiter, sim->now_us).tail_us / kMs;
 	out->refused_percent =
 	    100 * (double)sim->refused / (double)MAX(sim->online_arrived, 1);
 }
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -2,8 +2,8 @@
 #define SAVORYFLOW_GATEWAY_SLOTS_INTERNAL_H
 
 #include "gateway/slots.h"
-#include "gateway/target_rates.h"
 #include "savoryflow/slotpool/slotpool.h"
+#include "target/target_rates.h"
 
 /* Internal to the slots module. */
 
@@ -214,6 +214,10 @@
 
 /* slots_rate.c */
 
+/** The rate of a target that this daemon knows, borrowed; NULL: none. */
+const struct target_rate *slots_find_rate(
+    const struct slots *sl, const struct fleet_target *t);
+
 /** Rates as they are sent between daemons. */
 struct wire_rates {
 	Sfpeer__TargetRate *rows;
--- a/src/gateway/slots_rate.c
+++ b/src/gateway/slots_rate.c
@@ -39,6 +39,29 @@
 	*wire = (struct wire_rates){0};
 }
 
+static struct target_start
+start_of(const struct fleet_target *t)
+{
+	return (struct target_start){t->id, t->started_ms};
+}
+
+const struct target_rate *
+slots_find_rate(const struct slots *sl, const struct fleet_target *t)
+{
+	struct target_start start = start_of(t);
+
+	return target_rates_find(sl->rates, &start);
+}
+
+static void
+learn_rate(struct slots *sl, const struct fleet_target *t, int64_t milli_per_s)
+{
+	struct target_start start = start_of(t);
+
+	target_rates_learn(
+	    sl->rates, &start, milli_per_s, loop_now_us(sl->opt.lp));
+}
+
 static bool
 is_in_pool(
     const struct fleet_target *t, const char *service, const char *data_center)
@@ -56,8 +79,7 @@
 
 	for (guint i = 0; i < all->len; i++) {
 		const struct fleet_target *t = all->pdata[i];
-		const struct target_rate *known =
-		    target_rates_find(sl->rates, t);
+		const struct target_rate *known = slots_find_rate(sl, t);
 		struct slotpool_rate rate = {
 		    .target = t->id, .started_ms = t->started_ms};
 
@@ -99,8 +121,7 @@
 	const struct fleet_target *t = fleet_find(sl->opt.fleet, rate->target);
 
 	if (t != NULL && t->started_ms == rate->started_ms)
-		target_rates_learn(sl->rates, t, rate->said.milli_per_s,
-		    loop_now_us(sl->opt.lp));
+		learn_rate(sl, t, rate->said.milli_per_s);
 }
 
 static void
@@ -115,8 +136,7 @@
 	struct hosted_pool *hp =
 	    slots_hosted_find(sl, t->service, t->data_center);
 
-	target_rates_learn(
-	    sl->rates, t, rate.said.milli_per_s, loop_now_us(sl->opt.lp));
+	learn_rate(sl, t, rate.said.milli_per_s);
 	if (hp != NULL)
 		slots_host_record_rate(sl, hp, &rate);
 }
@@ -146,9 +166,8 @@
 		    g_array_index(known, struct slotpool_rate, i).target;
 
 		if (!g_hash_table_contains(listed, id))
-			target_rates_forget(sl->rates,
-			    fleet_find(sl->opt.fleet, id),
-			    loop_now_us(sl->opt.lp));
+			target_rates_forget(
+			    sl->rates, id, loop_now_us(sl->opt.lp));
 	}
 	g_array_unref(known);
 	g_hash_table_unref(listed);
@@ -247,13 +266,15 @@
 	const struct fleet_target *t =
 	    h != NULL ? fleet_find(sl->opt.fleet, h->target) : NULL;
 	struct slotpool_rate rate = {.slot = id, .said = *said};
+	struct target_start start;
 	bool is_news;
 
 	if (t == NULL || t->started_ms != started_ms || h->view == NULL)
 		return;
 	rate.target = t->id;
 	rate.started_ms = started_ms;
-	is_news = target_rates_on_answer(sl->rates, t, said, h->granted_us,
+	start = start_of(t);
+	is_news = target_rates_on_answer(sl->rates, &start, said, h->granted_us,
 	    attempt_id, loop_now_us(sl->opt.lp));
 	if (is_news || (said->kind == kRateNone && h->is_rate_limited))
 		tell_arbiter(sl, h, &rate);
--- a/src/gateway/slots_wait.c
+++ b/src/gateway/slots_wait.c
@@ -137,8 +137,7 @@
 		int32_t held;
 
 		if (strcmp(t->service, h->service) != 0 || t->is_draining ||
-		    t->expires_at_us != 0 ||
-		    target_rates_find(sl->rates, t) != NULL ||
+		    t->expires_at_us != 0 || slots_find_rate(sl, t) != NULL ||
 		    strcmp(t->id, h->request.excluded_target) == 0 ||
 		    strcmp(t->data_center, h->view->data_center) != 0)
 			continue;
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &sfpeer__grant_note__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__grant_rate__init
+                     (Sfpeer__GrantRate         *message)
+{
+  static const Sfpeer__GrantRate init_value = SFPEER__GRANT_RATE__INIT;
+  *message = init_value;
+}
+size_t sfpeer__grant_rate__get_packed_size
+                     (const Sfpeer__GrantRate *message)
+{
+  assert(message->base.descriptor == &sfpeer__grant_rate__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__grant_rate__pack
+                     (const Sfpeer__GrantRate *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__grant_rate__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__grant_rate__pack_to_buffer
+                     (const Sfpeer__GrantRate *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__grant_rate__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__GrantRate *
+       sfpeer__grant_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__GrantRate *)
+     protobuf_c_message_unpack (&sfpeer__grant_rate__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__grant_rate__free_unpacked
+                     (Sfpeer__GrantRate *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__grant_rate__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__limit_ask__init
                      (Sfpeer__LimitAsk         *message)
 {
@@ -1357,7 +1402,7 @@
   (ProtobufCMessageInit) sfpeer__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__grant_ask__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sfpeer__grant_ask__field_descriptors[13] =
 {
   {
     "id",
@@ -1491,6 +1536,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__GrantAsk, rate),
+    &sfpeer__target_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "last_resort",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__GrantAsk, last_resort),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__grant_ask__field_indices_by_name[] = {
   9,   /* field[9] = adopt */
@@ -1499,7 +1568,9 @@
   7,   /* field[7] = due_in_us */
   10,   /* field[10] = has_first_token */
   0,   /* field[0] = id */
+  12,   /* field[12] = last_resort */
   3,   /* field[3] = prompt_tokens */
+  11,   /* field[11] = rate */
   8,   /* field[8] = suspect */
   1,   /* field[1] = target */
   5,   /* field[5] = team */
@@ -1508,7 +1579,7 @@
 static const ProtobufCIntRange sfpeer__grant_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sfpeer__grant_ask__descriptor =
 {
@@ -1518,14 +1589,14 @@
   "Sfpeer__GrantAsk",
   "sfpeer",
   sizeof(Sfpeer__GrantAsk),
-  11,
+  13,
   sfpeer__grant_ask__field_descriptors,
   sfpeer__grant_ask__field_indices_by_name,
   1,  sfpeer__grant_ask__number_ranges,
   (ProtobufCMessageInit) sfpeer__grant_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__grant_answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor sfpeer__grant_answer__field_descriptors[6] =
 {
   {
     "id",
@@ -1587,18 +1658,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rate",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__GrantAnswer, rate),
+    &sfpeer__target_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__grant_answer__field_indices_by_name[] = {
   3,   /* field[3] = crash_verdict */
   0,   /* field[0] = id */
   4,   /* field[4] = load_us */
+  5,   /* field[5] = rate */
   2,   /* field[2] = retry_after_us */
   1,   /* field[1] = verdict */
 };
 static const ProtobufCIntRange sfpeer__grant_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor sfpeer__grant_answer__descriptor =
 {
@@ -1608,7 +1692,7 @@
   "Sfpeer__GrantAnswer",
   "sfpeer",
   sizeof(Sfpeer__GrantAnswer),
-  5,
+  6,
   sfpeer__grant_answer__field_descriptors,
   sfpeer__grant_answer__field_indices_by_name,
   1,  sfpeer__grant_answer__number_ranges,
@@ -1679,6 +1763,83 @@
   (ProtobufCMessageInit) sfpeer__grant_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sfpeer__grant_rate__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__GrantRate, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__GrantRate, rate),
+    &sfpeer__target_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "none",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__GrantRate, none),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pause_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__GrantRate, pause_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__grant_rate__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  2,   /* field[2] = none */
+  3,   /* field[3] = pause_us */
+  1,   /* field[1] = rate */
+};
+static const ProtobufCIntRange sfpeer__grant_rate__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sfpeer__grant_rate__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.GrantRate",
+  "GrantRate",
+  "Sfpeer__GrantRate",
+  "sfpeer",
+  sizeof(Sfpeer__GrantRate),
+  4,
+  sfpeer__grant_rate__field_descriptors,
+  sfpeer__grant_rate__field_indices_by_name,
+  1,  sfpeer__grant_rate__number_ranges,
+  (ProtobufCMessageInit) sfpeer__grant_rate__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sfpeer__limit_ask__field_descriptors[3] =
 {
   {
@@ -3700,7 +3861,7 @@
   (ProtobufCMessageInit) sfpeer__blame_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[30] =
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[31] =
 {
   {
     "from",
@@ -4062,6 +4223,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "grant_rates",
+    32,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_grant_rates),
+    offsetof(Sfpeer__Envelope, grant_rates),
+    &sfpeer__grant_rate__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
@@ -4074,6 +4247,7 @@
   21,   /* field[21] = contacts */
   0,   /* field[0] = from */
   1,   /* field[1] = gossip */
+  30,   /* field[30] = grant_rates */
   16,   /* field[16] = job_notes */
   17,   /* field[17] = leaving */
   9,   /* field[9] = leaving_targets */
@@ -4099,7 +4273,7 @@
 {
   { 1, 0 },
   { 24, 22 },
-  { 0, 30 }
+  { 0, 31 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -4109,7 +4283,7 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  30,
+  31,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
   2,  sfpeer__envelope__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Sfpeer__GrantAsk Sfpeer__GrantAsk;
 typedef struct Sfpeer__GrantAnswer Sfpeer__GrantAnswer;
 typedef struct Sfpeer__GrantNote Sfpeer__GrantNote;
+typedef struct Sfpeer__GrantRate Sfpeer__GrantRate;
 typedef struct Sfpeer__LimitAsk Sfpeer__LimitAsk;
 typedef struct Sfpeer__LimitLease Sfpeer__LimitLease;
 typedef struct Sfpeer__ConfigHint Sfpeer__ConfigHint;
@@ -97,10 +98,18 @@
    */
   protobuf_c_boolean adopt;
   protobuf_c_boolean has_first_token;
+  /*
+   * The target names a rate, as far as the sender knows.
+   */
+  Sfpeer__TargetRate *rate;
+  /*
+   * No other target is to be tried before this one.
+   */
+  protobuf_c_boolean last_resort;
 };
 #define SFPEER__GRANT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__grant_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, NULL, 0 }
 
 
 struct  Sfpeer__GrantAnswer
@@ -114,10 +123,14 @@
    */
   uint32_t crash_verdict;
   uint64_t load_us;
+  /*
+   * Granted: the target names a rate, as far as the arbiter knows.
+   */
+  Sfpeer__TargetRate *rate;
 };
 #define SFPEER__GRANT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__grant_answer__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, NULL }
 
 
 struct  Sfpeer__GrantNote
@@ -132,6 +145,28 @@
     , 0, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What the answer to a granted request says of its target's rate.
+ */
+struct  Sfpeer__GrantRate
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  Sfpeer__TargetRate *rate;
+  /*
+   * The answer names no rate.
+   */
+  protobuf_c_boolean none;
+  /*
+   * The target asks for no requests for so long.
+   */
+  uint64_t pause_us;
+};
+#define SFPEER__GRANT_RATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__grant_rate__descriptor) \
+    , 0, NULL, 0, 0 }
+
+
 struct  Sfpeer__LimitAsk
 {
   ProtobufCMessage base;
@@ -640,10 +675,12 @@
    */
   size_t n_target_rates;
   Sfpeer__TargetRate **target_rates;
+  size_t n_grant_rates;
+  Sfpeer__GrantRate **grant_rates;
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Sfpeer__Member methods */
@@ -741,6 +778,25 @@
 void   sfpeer__grant_note__free_unpacked
                      (Sfpeer__GrantNote *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__GrantRate methods */
+void   sfpeer__grant_rate__init
+                     (Sfpeer__GrantRate         *message);
+size_t sfpeer__grant_rate__get_packed_size
+                     (const Sfpeer__GrantRate   *message);
+size_t sfpeer__grant_rate__pack
+                     (const Sfpeer__GrantRate   *message,
+                      uint8_t             *out);
+size_t sfpeer__grant_rate__pack_to_buffer
+                     (const Sfpeer__GrantRate   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__GrantRate *
+       sfpeer__grant_rate__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__grant_rate__free_unpacked
+                     (Sfpeer__GrantRate *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__LimitAsk methods */
 void   sfpeer__limit_ask__init
                      (Sfpeer__LimitAsk         *message);
@@ -1157,6 +1213,9 @@
 typedef void (*Sfpeer__GrantNote_Closure)
                  (const Sfpeer__GrantNote *message,
                   void *closure_data);
+typedef void (*Sfpeer__GrantRate_Closure)
+                 (const Sfpeer__GrantRate *message,
+                  void *closure_data);
 typedef void (*Sfpeer__LimitAsk_Closure)
                  (const Sfpeer__LimitAsk *message,
                   void *closure_data);
@@ -1231,6 +1290,7 @@
 extern const ProtobufCMessageDescriptor sfpeer__grant_ask__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__grant_answer__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__grant_note__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__grant_rate__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__limit_lease__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__config_hint__descriptor;
--- a/src/savoryflow/arbiter/arbiter.c
+++ b/src/savoryflow/arbiter/arbiter.c
@@ -23,6 +23,9 @@
 	/* Bounds of the cost model's correction factor, in 1/1024. */
 	kCostScaleMin = 512,
 	kCostScaleMax = 8192,
+	/* A request that would wait longer for a start tries another target
+	 * first. */
+	kBusyWaitUs = 100000,
 	/* Period of the scan for grants whose lease has expired. */
 	kExpiryPeriodUs = kUsPerSecond,
 };
@@ -100,20 +103,13 @@
 	g_array_append_val(out, act);
 }
 
-/* Expected wait of one more online request for a free slot. */
-static int64_t
-queue_wait_us(const struct arbiter *arb)
-{
-	int64_t queued = g_hash_table_size(arb->online_by_id) + 1;
-
-	return queued * arb->mean_hold_us / MAX(arb->capacity, 1);
-}
-
 static void
-refuse(struct arbiter *arb, const struct admission_request *req, GArray *out)
+refuse(struct arbiter *arb, const struct admission_request *req, int64_t now_us,
+    GArray *out)
 {
 	emit(out, kArbiterRefused, req,
-	    CLAMP(queue_wait_us(arb), kRetryAfterMinUs, kRetryAfterMaxUs));
+	    CLAMP(arbiter_queue_wait_us(arb, now_us), kRetryAfterMinUs,
+		kRetryAfterMaxUs));
 }
 
 static void
@@ -226,7 +222,8 @@
 batch_fits(const struct arbiter *arb, const struct admission_request *req,
     int64_t now_us)
 {
-	if (forecast_streams(arb) + reserved_slots(arb) >= arb->capacity)
+	if (forecast_streams(arb) + reserved_slots(arb) >= arb->capacity ||
+	    !start_rate_allows(&arb->rate, true, now_us))
 		return false;
 	if (arb->opt.is_plain)
 		return true;
@@ -261,6 +258,7 @@
 			return;
 		fair_queue_pop(arb->batch_queue, now_us + kUrgentUs, &req);
 		grant_add(arb, &req, now_us);
+		start_rate_record(&arb->rate, now_us);
 		emit(out, kArbiterGranted, &req, 0);
 	}
 }
@@ -279,8 +277,10 @@
 }
 
 static bool
-online_has_slot(struct arbiter *arb, GArray *out)
+online_has_slot(struct arbiter *arb, int64_t now_us, GArray *out)
 {
+	if (!start_rate_allows(&arb->rate, false, now_us))
+		return false;
 	if (forecast_streams(arb) < arb->capacity)
 		return true;
 	/* The slot of a revoked stream becomes free within two steps. */
@@ -292,6 +292,7 @@
     int64_t now_us, GArray *out)
 {
 	grant_add(arb, req, now_us);
+	start_rate_record(&arb->rate, now_us);
 	emit(out, kArbiterGranted, req, 0);
 	shed_batch(arb, now_us, out);
 }
@@ -304,7 +305,8 @@
 		    g_sequence_get_begin_iter(arb->online_queue));
 		struct admission_request req = qo->req;
 
-		if (start_is_blocked(arb, &req) || !online_has_slot(arb, out))
+		if (start_is_blocked(arb, &req) ||
+		    !online_has_slot(arb, now_us, out))
 			return;
 		g_sequence_remove(qo->place);
 		g_hash_table_remove(arb->online_by_id, &req.id);
@@ -335,12 +337,12 @@
     int64_t now_us, GArray *out)
 {
 	struct queued_online *qo;
-	int64_t ready_us = now_us + queue_wait_us(arb);
+	int64_t ready_us = now_us + arbiter_queue_wait_us(arb, now_us);
 
 	if ((int32_t)g_hash_table_size(arb->online_by_id) >=
 		arb->opt.online_queue_max ||
 	    ready_us > req->deadline_us) {
-		refuse(arb, req, out);
+		refuse(arb, req, now_us, out);
 		return;
 	}
 	qo = g_new0(struct queued_online, 1);
@@ -354,9 +356,15 @@
 request_online(struct arbiter *arb, const struct admission_request *req,
     int64_t now_us, GArray *out)
 {
+	int64_t wait_us = arbiter_start_wait_us(arb, now_us);
+
+	if (wait_us > kBusyWaitUs && !req->is_last_resort) {
+		emit(out, kArbiterBusy, req, wait_us);
+		return;
+	}
 	forecast_record_arrival(arb, req, now_us);
 	if (g_sequence_is_empty(arb->online_queue) &&
-	    !start_is_blocked(arb, req) && online_has_slot(arb, out))
+	    !start_is_blocked(arb, req) && online_has_slot(arb, now_us, out))
 		grant_online(arb, req, now_us, out);
 	else
 		queue_online(arb, req, now_us, out);
@@ -367,7 +375,7 @@
     int64_t now_us, GArray *out)
 {
 	if (fair_queue_length(arb->batch_queue) >= arb->opt.batch_queue_max) {
-		refuse(arb, req, out);
+		refuse(arb, req, now_us, out);
 		return;
 	}
 	fair_queue_push(arb->batch_queue, req);
@@ -409,6 +417,7 @@
 		return;
 	fair_queue_remove(arb->batch_queue, req->id);
 	gr = grant_add(arb, req, now_us);
+	gr->is_adopted = true;
 	if (has_first_token)
 		grant_set_first_token(arb, gr);
 	shed_batch(arb, now_us, out);
@@ -537,7 +546,7 @@
 
 		if (qo->req.deadline_us > now_us)
 			return;
-		refuse(arb, &qo->req, out);
+		refuse(arb, &qo->req, now_us, out);
 		withdraw(arb, qo->req.id);
 	}
 }
@@ -574,23 +583,3 @@
 	shed_batch(arb, now_us, out);
 	schedule(arb, now_us, out);
 }
-
-struct arbiter_load
-arbiter_load_get(const struct arbiter *arb)
-{
-	struct engine_cost cost = forecast_cost(arb);
-	struct arbiter_load load = {
-	    .online = arb->online,
-	    .batch = arb->batch + arb->revoked,
-	    .online_queued = (int32_t)g_hash_table_size(arb->online_by_id),
-	    .batch_queued = fair_queue_length(arb->batch_queue),
-	    .tail_us = tail_tracker_p99_us(arb->tail),
-	    .is_leaving = arb->is_leaving,
-	};
-
-	load.first_token_us = engine_cost_prefill_us(
-	    &cost, forecast_streams(arb), arb->prefill_tokens + 1);
-	if (load.online_queued > 0)
-		load.first_token_us += queue_wait_us(arb);
-	return load;
-}
--- a/src/savoryflow/arbiter/arbiter.h
+++ b/src/savoryflow/arbiter/arbiter.h
@@ -54,6 +54,15 @@
 void arbiter_remove_holder(
     struct arbiter *arb, uint32_t holder, int64_t now_us, GArray *out);
 
+/** Applies what the target says of its rate; it counts from the next request or
+ * tick. */
+void arbiter_record_rate(
+    struct arbiter *arb, const struct arbiter_rate *rate, int64_t now_us);
+
+/** The rate that the target names, thousandths of a request a second; -1: none.
+ */
+int64_t arbiter_rate_milli(const struct arbiter *arb);
+
 /** A leaving target gets no new work; its queued requests are rejected. */
 void arbiter_set_leaving(
     struct arbiter *arb, bool is_leaving, int64_t now_us, GArray *out);
@@ -68,7 +77,7 @@
 /** Periodic work: deadlines, leases, batch admission and shedding. */
 void arbiter_tick(struct arbiter *arb, int64_t now_us, GArray *out);
 
-struct arbiter_load arbiter_load_get(const struct arbiter *arb);
+struct arbiter_load arbiter_load_get(const struct arbiter *arb, int64_t now_us);
 
 /** Maximum number of concurrent streams on the target. */
 int32_t arbiter_capacity(const struct arbiter *arb);
--- a/src/savoryflow/arbiter/arbiter_defs.h
+++ b/src/savoryflow/arbiter/arbiter_defs.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "savoryflow/limits/stated_rate.h"
+
 enum work_class {
 	kWorkOnline,
 	kWorkBatch,
@@ -54,6 +56,8 @@
 	int64_t due_us;
 	/** In flight when a target crashed: is prefilled alone. */
 	bool is_suspect;
+	/** No other target is to be tried before this one. */
+	bool is_last_resort;
 };
 
 enum arbiter_verdict {
@@ -62,6 +66,8 @@
 	kArbiterRevoked,
 	/** The target is leaving; another one must be chosen. */
 	kArbiterLeaving,
+	/** The target's rate allows no start soon; another one may. */
+	kArbiterBusy,
 };
 
 /** Decision of the arbiter on one request, for its holder. */
@@ -69,10 +75,19 @@
 	enum arbiter_verdict verdict;
 	uint32_t holder;
 	uint64_t id;
-	/** Refused: time to wait before the next request. */
+	/** Refused or busy: time to wait before the next request. */
 	int64_t retry_after_us;
 };
 
+/** What an answer of the target says of its rate. */
+struct arbiter_rate {
+	/** Grant of the answer's run; 0: told by another daemon. */
+	uint64_t id;
+	struct stated_rate said;
+	/** The target asks for no requests for so long; 0: it does not. */
+	int64_t pause_us;
+};
+
 /** Attribution of a crash to one request that was in flight. */
 enum arbiter_crash_verdict {
 	kCrashUnrelated,
--- a/src/savoryflow/arbiter/arbiter_internal.h
+++ b/src/savoryflow/arbiter/arbiter_internal.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_ARBITER_INTERNAL_H
 
 #include "savoryflow/arbiter/arbiter.h"
+#include "savoryflow/limits/start_rate.h"
 
 /* Private state of an arbiter. */
 
@@ -18,6 +19,8 @@
 	int64_t granted_us;
 	bool has_first_token;
 	bool is_revoked;
+	/** Started by another arbiter, or without one. */
+	bool is_adopted;
 	/** Link in batch_grants; NULL for online or revoked grants. */
 	GList *batch_link;
 };
@@ -80,6 +83,16 @@
 	struct crash crash;
 	int64_t next_expiry_us;
 	bool is_leaving;
+	struct start_rate rate;
+	/** An answer to an own grant has named or ended the rate. */
+	bool is_rate_known;
 };
 
+/** Expected wait of one more online request for a start at the target's rate.
+ */
+int64_t arbiter_start_wait_us(const struct arbiter *arb, int64_t now_us);
+
+/** Expected wait of one more online request for a slot and a start. */
+int64_t arbiter_queue_wait_us(const struct arbiter *arb, int64_t now_us);
+
 #endif
--- a/src/serve/call_attempt.c
+++ b/src/serve/call_attempt.c
@@ -102,8 +102,10 @@
 	GBytes *body = NULL;
 
 	pthread_mutex_lock(&c->lock);
-	if (call_is_current(c, id, kPhaseAcquiring))
+	if (call_is_current(c, id, kPhaseAcquiring)) {
+		c->is_last_resort = false;
 		body = call_transfer_prepare(c);
+	}
 	pthread_mutex_unlock(&c->lock);
 	if (body == NULL) {
 		grants_release(c->d->grants, id);
@@ -160,6 +162,28 @@
 	call_attempt_end(c, kAttemptNotExecuted);
 }
 
+/* Another target is chosen, if there is one. */
+static void
+on_busy(void *ctx, uint64_t id, int64_t retry_after_us)
+{
+	struct call *c = ctx;
+	bool is_current;
+
+	pthread_mutex_lock(&c->lock);
+	is_current = call_is_current(c, id, kPhaseAcquiring);
+	if (is_current) {
+		c->phase = kPhaseBackoff;
+		c->is_last_resort = true;
+		g_strlcpy(
+		    c->last_target, c->route.target, sizeof(c->last_target));
+	}
+	pthread_mutex_unlock(&c->lock);
+	if (!is_current)
+		return;
+	call_ref(c);
+	call_attempt_begin(c);
+}
+
 void
 call_on_revoked(void *ctx, uint64_t id)
 {
@@ -198,7 +222,8 @@
 }
 
 static const struct grant_ops grant_ops = {on_granted, on_refused, on_leaving,
-    call_on_revoked, call_on_crash_verdict, call_ref_ctx, call_unref_ctx};
+    on_busy, call_on_revoked, call_on_crash_verdict, call_ref_ctx,
+    call_unref_ctx};
 
 void
 call_fill_admission_request(
@@ -213,6 +238,7 @@
 	    .weight = c->weight,
 	    .due_us = c->due_us,
 	    .is_suspect = c->is_suspect,
+	    .is_last_resort = c->is_last_resort,
 	};
 }
 
--- a/src/serve/call_internal.h
+++ b/src/serve/call_internal.h
@@ -53,6 +53,9 @@
 	 */
 	int64_t sent_us;
 	bool has_begun;
+	/** A target had no start left: the next one that is asked is the last.
+	 */
+	bool is_last_resort;
 	/** When the call was first held; 0: never. */
 	int64_t held_us;
 	int32_t prompt_tokens;
--- a/src/serve/call_takeover.c
+++ b/src/serve/call_takeover.c
@@ -122,8 +122,8 @@
 }
 
 static const struct grant_ops takeover_ops = {on_granted, on_refused,
-    on_leaving, call_on_revoked, call_on_crash_verdict, call_ref_ctx,
-    call_unref_ctx};
+    on_leaving, on_refused, call_on_revoked, call_on_crash_verdict,
+    call_ref_ctx, call_unref_ctx};
 
 /* Asks for the slot. It may have been withdrawn before the request is known. */
 static void
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -231,7 +231,8 @@
 	}
 	if (outcome == kAttemptInterrupted)
 		c->phase = kPhaseProbing;
-	is_leaving = outcome == kAttemptNotExecuted;
+	/* One that asks for a pause goes on afterwards. */
+	is_leaving = outcome == kAttemptNotExecuted && res->pause_us == 0;
 	pthread_mutex_unlock(&c->lock);
 	if (withdrawn != 0)
 		grants_release(c->d->grants, withdrawn);
@@ -249,8 +250,16 @@
 	call_attempt_end(c, outcome);
 }
 
-static const struct target_ops transfer_ops = {
-    on_data, on_done, call_ref_ctx, call_unref_ctx, call_takeover_on_silent};
+static void
+on_head(void *ctx, uint64_t attempt, const struct transfer_result *res)
+{
+	const struct call *c = ctx;
+
+	grants_record_rate(c->d->grants, attempt, &res->rate, res->pause_us);
+}
+
+static const struct target_ops transfer_ops = {on_data, on_done, call_ref_ctx,
+    call_unref_ctx, call_takeover_on_silent, on_head};
 
 static enum target_data
 probe_on_data(
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -65,6 +65,8 @@
 		grants_on_request(d->grants, env->from, env->asks[i]);
 	for (size_t i = 0; i < env->n_answers; i++)
 		grants_on_answer(d->grants, env->from, env->answers[i]);
+	for (size_t i = 0; i < env->n_grant_rates; i++)
+		grants_on_rate(d->grants, env->grant_rates[i]);
 	for (size_t i = 0; i < env->n_notes; i++)
 		grants_on_notification(d->grants, env->from, env->notes[i]);
 	for (size_t i = 0; i < env->n_limit_asks; i++)
--- a/src/serve/grants.c
+++ b/src/serve/grants.c
@@ -3,14 +3,12 @@
  * the arbiter of its target, on this daemon or a peer. While the arbiter is
  * unresponsive, online requests use this daemon's local share of the target.
  */
-#include "serve/grants.h"
+#include "serve/grants_internal.h"
 
-#include <pthread.h>
 #include <string.h>
 
 #include "log/log.h"
 #include "metric/metric.h"
-#include "savoryflow/arbiter/arbiter.h"
 #include "savoryflow/arbiter/local_share.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
@@ -42,6 +40,7 @@
 	/** The peer does not know the target, or not yet. */
 	kWireUnknown,
 	kWireLeaving,
+	kWireBusy,
 };
 
 enum wire_notification {
@@ -50,34 +49,6 @@
 	kNotifyCrash,
 };
 
-enum held_phase {
-	kHeldRequested,
-	kHeldQueued,
-	kHeldGranted,
-	/** Runs on the local share, because the arbiter has not answered. */
-	kHeldLocal,
-	/** The crash is reported; waits for the verdict. */
-	kHeldCrashed,
-};
-
-/* A grant that this daemon holds or has requested. */
-struct held {
-	struct admission_request req;
-	struct route route;
-	enum held_phase phase;
-	bool uses_local_share;
-	bool has_first_token;
-	int64_t requested_us;
-	const struct grant_ops *ops;
-	void *ctx;
-};
-
-/* The arbiter of a target hosted by this daemon. */
-struct hosted {
-	char *target;
-	struct arbiter *arb;
-};
-
 /* A callback to the caller's layer, deferred until the lock is released. */
 struct delivery {
 	const struct grant_ops *ops;
@@ -89,20 +60,6 @@
 	enum arbiter_crash_verdict crash;
 };
 
-struct grants {
-	struct daemon *d;
-	pthread_mutex_t lock;
-	/** struct held by id. */
-	GHashTable *held;
-	/** struct hosted by target name. */
-	GHashTable *hosted;
-	struct local_share *local;
-	/** Addresses of the requesting daemons; the index identifies the
-	 * holder. */
-	GPtrArray *holders;
-	GHashTable *holder_index;
-};
-
 static void
 held_free(void *p)
 {
@@ -133,6 +90,7 @@
 	gs->hosted =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, hosted_free);
 	gs->local = local_share_new();
+	gs->rates = target_rates_new();
 	gs->holders = g_ptr_array_new_with_free_func(g_free);
 	gs->holder_index = g_hash_table_new(g_str_hash, g_str_equal);
 	g_ptr_array_add(gs->holders, g_strdup(d->set->peer_listen));
@@ -147,6 +105,7 @@
 	g_hash_table_unref(gs->held);
 	g_hash_table_unref(gs->hosted);
 	local_share_free(gs->local);
+	target_rates_free(gs->rates);
 	g_hash_table_unref(gs->holder_index);
 	g_ptr_array_unref(gs->holders);
 	pthread_mutex_destroy(&gs->lock);
@@ -217,8 +176,8 @@
 	return ho->arb;
 }
 
-static bool
-is_local(const struct grants *gs, const struct held *h)
+bool
+grants_is_local(const struct grants *gs, const struct held *h)
 {
 	return h->route.arbiter[0] == '\0' ||
 	    strcmp(h->route.arbiter, gs->d->set->peer_listen) == 0;
@@ -257,6 +216,8 @@
 		del->ops->on_refused(del->ctx, del->id, del->retry_after_us);
 	else if (del->verdict == kWireLeaving)
 		del->ops->on_leaving(del->ctx, del->id);
+	else if (del->verdict == kWireBusy)
+		del->ops->on_busy(del->ctx, del->id, del->retry_after_us);
 	else
 		del->ops->on_revoked(del->ctx, del->id);
 	del->ops->unref(del->ctx);
@@ -304,6 +265,8 @@
 	case kWireGranted:
 		release_local_share(gs, h);
 		h->phase = kHeldGranted;
+		if (h->granted_us == 0)
+			h->granted_us = now_us(gs);
 		if (!was_running)
 			delivery_add(list, h, verdict, 0);
 		break;
@@ -313,6 +276,7 @@
 		break;
 	case kWireRefused:
 	case kWireLeaving:
+	case kWireBusy:
 		/* A request that is already running continues. */
 		if (was_running)
 			break;
@@ -347,7 +311,7 @@
 
 static void
 answer_peer(struct grants *gs, const struct arbiter_action *act,
-    enum wire_verdict verdict, int64_t load_us)
+    enum wire_verdict verdict, int64_t load_us, Sfpeer__TargetRate *rate)
 {
 	Sfpeer__GrantAnswer answer = SFPEER__GRANT_ANSWER__INIT;
 
@@ -355,6 +319,7 @@
 	answer.verdict = verdict;
 	answer.retry_after_us = (uint64_t)act->retry_after_us;
 	answer.load_us = (uint64_t)load_us;
+	answer.rate = rate;
 	send_answer(gs, act->holder, &answer);
 }
 
@@ -368,6 +333,8 @@
 		return kWireRefused;
 	case kArbiterLeaving:
 		return kWireLeaving;
+	case kArbiterBusy:
+		return kWireBusy;
 	case kArbiterRevoked:
 		break;
 	}
@@ -378,7 +345,9 @@
 run_actions(struct grants *gs, const char *target, struct arbiter *arb,
     GArray *actions, GArray *list)
 {
-	int64_t load_us = arbiter_load_get(arb).first_token_us;
+	int64_t load_us = arbiter_load_get(arb, now_us(gs)).first_token_us;
+	Sfpeer__TargetRate wire;
+	Sfpeer__TargetRate *rate = grants_arbiter_rate(arb, target, &wire);
 
 	for (guint i = 0; i < actions->len; i++) {
 		const struct arbiter_action *act =
@@ -393,7 +362,7 @@
 			apply_verdict(
 			    gs, act->id, verdict, act->retry_after_us, list);
 		else
-			answer_peer(gs, act, verdict, load_us);
+			answer_peer(gs, act, verdict, load_us, rate);
 	}
 	if (actions->len > 0)
 		routes_record_load(gs->d->routes, target, load_us);
@@ -432,6 +401,7 @@
 	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
 	Sfpeer__GrantAsk req = SFPEER__GRANT_ASK__INIT;
 	Sfpeer__GrantAsk *asks[] = {&req};
+	Sfpeer__TargetRate rate;
 	int64_t now = now_us(gs);
 
 	h->requested_us = now;
@@ -446,6 +416,8 @@
 	req.suspect = h->req.is_suspect;
 	req.adopt = adopt;
 	req.has_first_token = h->has_first_token;
+	req.last_resort = h->req.is_last_resort;
+	req.rate = grants_known_rate(gs, h->route.target, &rate);
 	env.n_asks = 1;
 	env.asks = asks;
 	peer_send(gs->d->peer, h->route.arbiter, &env, kPeerControl);
@@ -466,7 +438,7 @@
 	ops->ref(ctx);
 	pthread_mutex_lock(&gs->lock);
 	g_hash_table_insert(gs->held, &h->req.id, h);
-	if (is_local(gs, h))
+	if (grants_is_local(gs, h))
 		request_here(gs, h, list);
 	else
 		request_from_peer(gs, h, false);
@@ -503,7 +475,7 @@
 		    g_hash_table_lookup(gs->hosted, h->route.target);
 
 		h->has_first_token = true;
-		if (!is_local(gs, h)) {
+		if (!grants_is_local(gs, h)) {
 			send_notification(gs, h, kNotifyFirstToken);
 		} else if (ho != NULL) {
 			GArray *actions = arbiter_actions_new();
@@ -539,7 +511,7 @@
 	h = g_hash_table_lookup(gs->held, &id);
 	if (h != NULL) {
 		struct route route = h->route;
-		bool here = is_local(gs, h);
+		bool here = grants_is_local(gs, h);
 
 		release_local_share(gs, h);
 		if (!here)
@@ -571,7 +543,7 @@
 
 	pthread_mutex_lock(&gs->lock);
 	h = g_hash_table_lookup(gs->held, &id);
-	if (h != NULL && is_local(gs, h)) {
+	if (h != NULL && grants_is_local(gs, h)) {
 		struct arbiter *arb = hosted_get(gs, h->route.target);
 		GArray *actions = arbiter_actions_new();
 		enum arbiter_crash_verdict verdict = kCrashSuspect;
@@ -640,7 +612,7 @@
 {
 	bool running = h->phase == kHeldGranted || h->phase == kHeldLocal;
 
-	if (!is_local(gs, h)) {
+	if (!grants_is_local(gs, h)) {
 		request_from_peer(gs, h, running);
 		if (!running)
 			h->phase = kHeldRequested;
@@ -771,6 +743,7 @@
 	    .team = wire->team,
 	    .weight = (int32_t)wire->weight,
 	    .is_suspect = wire->suspect,
+	    .is_last_resort = wire->last_resort,
 	};
 	struct arbiter_action queued = {kArbiterGranted, 0, wire->id, 0};
 	struct arbiter *arb;
@@ -782,8 +755,10 @@
 	req.holder = holder_index_get(gs, from);
 	queued.holder = req.holder;
 	arb = hosted_get(gs, wire->target);
+	if (arb != NULL)
+		grants_hear_rate(gs, arb, wire->rate);
 	if (arb == NULL) {
-		answer_peer(gs, &queued, kWireUnknown, 0);
+		answer_peer(gs, &queued, kWireUnknown, 0, NULL);
 		g_array_unref(actions);
 	} else if (wire->adopt) {
 		arbiter_adopt(arb, &req, wire->has_first_token, now, actions);
@@ -793,7 +768,7 @@
 		/* Batch requests get no queued answer, as waiting is their
 		 * normal state. */
 		if (!wire->batch && !has_action_for(actions, req.id))
-			answer_peer(gs, &queued, kWireQueued, 0);
+			answer_peer(gs, &queued, kWireQueued, 0, NULL);
 		run_actions(gs, wire->target, arb, actions, list);
 	}
 	pthread_mutex_unlock(&gs->lock);
@@ -833,6 +808,8 @@
 	} else {
 		routes_record_load(
 		    gs->d->routes, h->route.target, (int64_t)answer->load_us);
+		if (answer->verdict == kWireGranted)
+			grants_learn_rate(gs, h, answer->rate);
 		apply_verdict(gs, id, answer->verdict,
 		    (int64_t)answer->retry_after_us, list);
 	}
@@ -896,7 +873,10 @@
 {
 	uint64_t id = h->req.id;
 
-	if (!local_share_acquire(
+	struct target_start start = {h->route.target, 0};
+
+	if (target_rates_find(gs->rates, &start) != NULL ||
+	    !local_share_acquire(
 		gs->local, h->route.target, h->route.slots, h->route.daemons)) {
 		delivery_add(list, h, kWireRefused, kLocalRefusalRetryUs);
 		g_hash_table_remove(gs->held, &id);
@@ -920,7 +900,7 @@
 
 	if (h->phase == kHeldCrashed && waited_us > timeout_us) {
 		deliver_crash(gs, h, kCrashSuspect, list);
-	} else if (is_local(gs, h)) {
+	} else if (grants_is_local(gs, h)) {
 		return;
 	} else if (h->phase == kHeldRequested && !is_batch &&
 	    waited_us > timeout_us) {
@@ -974,7 +954,8 @@
 	g_hash_table_iter_init(&it, gs->hosted);
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct hosted *ho = val;
-		struct arbiter_load load = arbiter_load_get(ho->arb);
+		struct arbiter_load load =
+		    arbiter_load_get(ho->arb, now_us(gs));
 
 		json_array_append_new(list,
 		    json_pack("{s:s,s:i,s:i,s:i,s:i,s:I}", "target", ho->target,
--- a/src/serve/grants.h
+++ b/src/serve/grants.h
@@ -12,6 +12,8 @@
 	/** The target is leaving or was removed; request a slot on another
 	 * one. */
 	void (*on_leaving)(void *ctx, uint64_t id);
+	/** The target takes no request soon; another one may. */
+	void (*on_busy)(void *ctx, uint64_t id, int64_t retry_after_us);
 	/** The grant was revoked and must be released. */
 	void (*on_revoked)(void *ctx, uint64_t id);
 	void (*on_crash_verdict)(
@@ -35,6 +37,13 @@
 void grants_acquire(struct grants *gs, const struct admission_request *req,
     const struct route *route, const struct grant_ops *ops, void *ctx);
 
+/**
+ * Passes on what the head of an attempt's own answer says of its target's rate.
+ * @param pause_us the target asks for no requests for so long; 0: it does not
+ */
+void grants_record_rate(struct grants *gs, uint64_t id,
+    const struct stated_rate *said, int64_t pause_us);
+
 /** Reports the first token of a granted stream to the arbiter. */
 void grants_first_token(struct grants *gs, uint64_t id);
 
@@ -66,6 +75,7 @@
     struct grants *gs, const char *from, const Sfpeer__GrantAnswer *answer);
 void grants_on_notification(
     struct grants *gs, const char *from, const Sfpeer__GrantNote *notification);
+void grants_on_rate(struct grants *gs, const Sfpeer__GrantRate *wire);
 
 void grants_tick(struct grants *gs);
 
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -27,7 +27,11 @@
 	kKeepaliveIdleS = 5,
 	kKeepaliveIntervalS = 1,
 	kHttpFinalFirst = 200,
+	kHttpTooMany = 429,
 	kHttpUnavailable = 503,
+	/* A refusal with 429 and no time asks for this pause. */
+	kPauseDefaultUs = kUsPerS,
+	kPauseMaxS = 3600,
 };
 
 enum command_kind { kCommandStart, kCommandCancel };
@@ -139,6 +143,19 @@
 	return connects > 0;
 }
 
+/* Only 429 and 503 ask for a pause; a request answered with 429 did not run. */
+static void
+accept_refusal(struct transfer *tr, long status)
+{
+	if (status == kHttpTooMany) {
+		tr->result.is_not_executed = true;
+		if (tr->result.pause_us == 0)
+			tr->result.pause_us = kPauseDefaultUs;
+	} else if (status != kHttpUnavailable) {
+		tr->result.pause_us = 0;
+	}
+}
+
 /* Called at the empty line that ends a head, also that of an interim status. */
 static bool
 accept_head(struct transfer *tr)
@@ -148,15 +165,43 @@
 	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &status);
 	tr->has_head = status >= kHttpFinalFirst;
 	tr->result.is_foreign = tr->has_head && !is_own_answer(tr);
+	if (tr->has_head && !tr->result.is_foreign)
+		accept_refusal(tr, status);
+	if (tr->has_head && !tr->result.is_foreign && tr->ops->on_head != NULL)
+		tr->ops->on_head(tr->ctx, tr->attempt, &tr->result);
 	return !tr->result.is_foreign;
 }
 
+/* @param name with its colon */
+static bool
+is_field(const char *line, size_t len, const char *name)
+{
+	size_t name_len = strlen(name);
+
+	return len > name_len && g_ascii_strncasecmp(line, name, name_len) == 0;
+}
+
+/* @return 0 for a date, which is not understood, and for what is no number */
+static int64_t
+pause_from_text(const char *text)
+{
+	char *end;
+	double s = g_ascii_strtod(text, &end);
+
+	if (end == text || *end != '\0' || !(s > 0))
+		return 0;
+	return (int64_t)(MIN(s, kPauseMaxS) * kUsPerS);
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
 	static const char attempt[] = "Savoryflow-Attempt:";
 	static const char type[] = "Content-Type:";
 	static const char ran[] = "Savoryflow-Ran: no";
+	static const char rate[] = "Savoryflow-Rate:";
+	static const char retry[] = "Retry-After:";
+	char text[32];
 	struct transfer *tr = ctx;
 	size_t len = size * n;
 
@@ -166,15 +211,21 @@
 		return len;
 	if (len <= 2)
 		return accept_head(tr) ? len : 0;
-	if (len > sizeof(attempt) &&
-	    g_ascii_strncasecmp(data, attempt, sizeof(attempt) - 1) == 0)
+	if (is_field(data, len, attempt))
 		header_copy(tr->echoed_attempt, sizeof(tr->echoed_attempt),
 		    data, len, sizeof(attempt) - 1);
-	if (len > sizeof(type) &&
-	    g_ascii_strncasecmp(data, type, sizeof(type) - 1) == 0)
+	if (is_field(data, len, type))
 		header_copy(tr->result.content_type,
 		    sizeof(tr->result.content_type), data, len,
 		    sizeof(type) - 1);
+	if (is_field(data, len, rate)) {
+		header_copy(text, sizeof(text), data, len, sizeof(rate) - 1);
+		tr->result.rate = stated_rate_parse(text);
+	}
+	if (is_field(data, len, retry)) {
+		header_copy(text, sizeof(text), data, len, sizeof(retry) - 1);
+		tr->result.pause_us = pause_from_text(text);
+	}
 	if (len >= sizeof(ran) - 1 &&
 	    g_ascii_strncasecmp(data, ran, sizeof(ran) - 1) == 0)
 		tr->result.is_not_executed = true;
@@ -258,7 +309,9 @@
 	tr->result.end = end;
 	intake_log(&tr->intake, tr->url);
 	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &tr->result.status);
-	if (tr->result.status != kHttpUnavailable || tr->result.is_foreign)
+	if ((tr->result.status != kHttpUnavailable &&
+		tr->result.status != kHttpTooMany) ||
+	    tr->result.is_foreign)
 		tr->result.is_not_executed = false;
 	curl_multi_remove_handle(tc->multi, tr->easy);
 	tr->ops->on_done(tr->ctx, tr->attempt, &tr->result);
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "savoryflow/limits/stated_rate.h"
+
 /** How a transfer ended at the transport level. */
 enum transfer_end {
 	kTransferComplete,
@@ -28,6 +30,11 @@
 	char content_type[64];
 	/** The target reports that it did not execute the request. */
 	bool is_not_executed;
+	/** What the answer says of the target's rate. */
+	struct stated_rate rate;
+	/** The target refuses and asks for no requests for so long; 0: it does
+	 * not. */
+	int64_t pause_us;
 };
 
 /** What a part of an answer is worth. */
@@ -56,6 +63,9 @@
 	 * @param silent_us time since the last progress
 	 * @return false if the transfer is to end as stalled */
 	bool (*on_silent)(void *ctx, uint64_t attempt, int64_t silent_us);
+	/** The head of the attempt's own answer has arrived; may be NULL. */
+	void (*on_head)(
+	    void *ctx, uint64_t attempt, const struct transfer_result *res);
 };
 
 struct transfer_options {
--- a/src/gateway/target_rates.c
+++ b/src/target/target_rates.c
@@ -1,5 +1,5 @@
 /* Rates that targets name in their answers. */
-#include "gateway/target_rates.h"
+#include "target/target_rates.h"
 
 #include "log/log.h"
 #include "os/clock.h"
@@ -15,13 +15,22 @@
 	GHashTable *by_target;
 };
 
+static void
+rate_free(void *p)
+{
+	struct target_rate *rate = p;
+
+	g_free(rate->target);
+	g_free(rate);
+}
+
 struct target_rates *
 target_rates_new(void)
 {
 	struct target_rates *tr = g_new0(struct target_rates, 1);
 
 	tr->by_target =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, rate_free);
 	return tr;
 }
 
@@ -40,7 +49,7 @@
 
 const struct target_rate *
 target_rates_find(
-    const struct target_rates *tr, const struct fleet_target *target)
+    const struct target_rates *tr, const struct target_start *target)
 {
 	const struct target_rate *rate =
 	    g_hash_table_lookup(tr->by_target, target->id);
@@ -50,7 +59,7 @@
 }
 
 static void
-log_rate(const struct fleet_target *target, const char *attempt_id,
+log_rate(const struct target_start *target, const char *attempt_id,
     const struct target_rate *before, int64_t milli_per_s)
 {
 	if (before != NULL && before->milli_per_s == milli_per_s)
@@ -62,7 +71,7 @@
 }
 
 static struct target_rate *
-set_rate(struct target_rates *tr, const struct fleet_target *target,
+set_rate(struct target_rates *tr, const struct target_start *target,
     int64_t milli_per_s, int64_t now_us)
 {
 	struct target_rate *rate =
@@ -70,7 +79,7 @@
 
 	if (rate == NULL) {
 		rate = g_new0(struct target_rate, 1);
-		g_strlcpy(rate->target, target->id, sizeof(rate->target));
+		rate->target = g_strdup(target->id);
 		g_hash_table_insert(tr->by_target, rate->target, rate);
 	}
 	if (rate->started_ms != target->started_ms)
@@ -82,21 +91,19 @@
 }
 
 void
-target_rates_learn(struct target_rates *tr, const struct fleet_target *target,
+target_rates_learn(struct target_rates *tr, const struct target_start *target,
     int64_t milli_per_s, int64_t now_us)
 {
 	set_rate(tr, target, milli_per_s, now_us);
 }
 
 void
-target_rates_forget(
-    struct target_rates *tr, const struct fleet_target *target, int64_t now_us)
+target_rates_forget(struct target_rates *tr, const char *id, int64_t now_us)
 {
-	const struct target_rate *rate =
-	    g_hash_table_lookup(tr->by_target, target->id);
+	const struct target_rate *rate = g_hash_table_lookup(tr->by_target, id);
 
 	if (rate != NULL && now_us - rate->learnt_us >= kLearntLatelyUs)
-		g_hash_table_remove(tr->by_target, target->id);
+		g_hash_table_remove(tr->by_target, id);
 }
 
 static void
@@ -111,7 +118,7 @@
 
 bool
 target_rates_on_answer(struct target_rates *tr,
-    const struct fleet_target *target, const struct stated_rate *said,
+    const struct target_start *target, const struct stated_rate *said,
     int64_t sent_us, const char *attempt_id, int64_t now_us)
 {
 	const struct target_rate *known = target_rates_find(tr, target);
--- a/src/gateway/target_rates.h
+++ b/src/target/target_rates.h
@@ -1,14 +1,14 @@
-#ifndef SAVORYFLOW_GATEWAY_TARGET_RATES_H
-#define SAVORYFLOW_GATEWAY_TARGET_RATES_H
+#ifndef SAVORYFLOW_TARGET_RATES_H
+#define SAVORYFLOW_TARGET_RATES_H
 
 #include <glib.h>
+#include <stdbool.h>
 
-#include "savoryflow/fleet/fleet.h"
 #include "savoryflow/limits/stated_rate.h"
 
 /** A rate that a target has named. */
 struct target_rate {
-	char target[kFleetNameMax];
+	char *target;
 	/** Start of the target that named it. */
 	int64_t started_ms;
 	int64_t milli_per_s;
@@ -22,6 +22,13 @@
 /** The rates that targets name, as far as this daemon knows. */
 struct target_rates;
 
+/** A target that may start anew under its id.  */
+struct target_start {
+	const char *id;
+	/** 0 if starts cannot be told apart. */
+	int64_t started_ms;
+};
+
 struct target_rates *target_rates_new(void);
 void target_rates_free(struct target_rates *tr);
 
@@ -33,22 +40,22 @@
  * @return true if the answer names a rate, or a known one no longer
  */
 bool target_rates_on_answer(struct target_rates *tr,
-    const struct fleet_target *target, const struct stated_rate *said,
+    const struct target_start *target, const struct stated_rate *said,
     int64_t sent_us, const char *attempt_id, int64_t now_us);
 
 /** Learns a rate from another daemon. */
 void target_rates_learn(struct target_rates *tr,
-    const struct fleet_target *target, int64_t milli_per_s, int64_t now_us);
+    const struct target_start *target, int64_t milli_per_s, int64_t now_us);
 
 /** Another daemon knows of no rate of the target: forgets one that this daemon
  * has not learnt lately. */
 void target_rates_forget(
-    struct target_rates *tr, const struct fleet_target *target, int64_t now_us);
+    struct target_rates *tr, const char *id, int64_t now_us);
 
 bool target_rates_is_empty(const struct target_rates *tr);
 
 /** The rate of a target, borrowed; NULL if it names none. */
 const struct target_rate *target_rates_find(
-    const struct target_rates *tr, const struct fleet_target *target);
+    const struct target_rates *tr, const struct target_start *target);
 
 #endif
--- a/test/standin/engine.c
+++ b/test/standin/engine.c
@@ -24,6 +24,7 @@
 #include "answer.h"
 #include "http.h"
 #include "os/clock.h"
+#include "rate.h"
 #include "savoryflow/arbiter/engine_cost.h"
 
 enum {
@@ -57,6 +58,9 @@
 
 struct engine {
 	pthread_mutex_t lock;
+	struct worker_rate rate;
+	int32_t busy_left;
+	char busy_after[16];
 	pthread_cond_t changed;
 	struct engine_cost cost;
 	double speed;
@@ -340,7 +344,11 @@
 	json_t *doc = json_loads(req->body->str, 0, NULL);
 	struct MHD_Response *res;
 	struct stream *st;
+	char *rate;
 
+	pthread_mutex_lock(&en->lock);
+	worker_rate_record_arrival(&en->rate);
+	pthread_mutex_unlock(&en->lock);
 	if (doc == NULL) {
 		*status = 400;
 		return standin_text_response("{\"error\":\"not JSON\"}");
@@ -364,6 +372,19 @@
 		MHD_add_response_header(res, "Savoryflow-Ran", "no");
 		return res;
 	}
+	if (en->busy_left > 0) {
+		en->busy_left--;
+		pthread_mutex_unlock(&en->lock);
+		json_decref(doc);
+		*status = 429;
+		res = standin_text_response("{}");
+		MHD_add_response_header(res, "Retry-After", en->busy_after);
+		if (attempt != NULL)
+			MHD_add_response_header(
+			    res, "Savoryflow-Attempt", attempt);
+		return res;
+	}
+	rate = g_strdup(worker_rate_of_answer(&en->rate));
 	st = stream_new(en, doc, attempt);
 	g_ptr_array_add(en->streams, st);
 	write_history(en, "run", st);
@@ -375,6 +396,27 @@
 	MHD_add_response_header(res, "Content-Type", "text/event-stream");
 	if (attempt != NULL)
 		MHD_add_response_header(res, "Savoryflow-Attempt", attempt);
+	if (rate != NULL)
+		MHD_add_response_header(res, "Savoryflow-Rate", rate);
+	g_free(rate);
+	return res;
+}
+
+static struct MHD_Response *
+handle_seen(struct engine *en)
+{
+	struct MHD_Response *res;
+	json_t *doc;
+	char *out;
+
+	pthread_mutex_lock(&en->lock);
+	doc = json_pack("{s:O,s:I}", "arrivals_us", en->rate.arrivals,
+	    "rate_named_us", (json_int_t)en->rate.named_us);
+	out = json_dumps(doc, JSON_COMPACT);
+	pthread_mutex_unlock(&en->lock);
+	res = standin_text_response(out);
+	json_decref(doc);
+	free(out);
 	return res;
 }
 
@@ -440,6 +482,14 @@
 	    (int32_t)json_integer_value(json_object_get(doc, "pause_ms"));
 	en->pause_at =
 	    (int32_t)json_integer_value(json_object_get(doc, "pause_at"));
+	if (json_object_get(doc, "rate") != NULL)
+		worker_rate_set(&en->rate, json_object_get(doc, "rate"));
+	en->busy_left =
+	    (int32_t)json_integer_value(json_object_get(doc, "busy"));
+	if (en->busy_left > 0)
+		g_strlcpy(en->busy_after,
+		    json_string_value(json_object_get(doc, "busy_after")),
+		    sizeof(en->busy_after));
 	pthread_mutex_unlock(&en->lock);
 	standin_foreign_set(&en->foreign, req->body->str);
 	json_decref(doc);
@@ -455,6 +505,8 @@
 		return handle_chat(en, req, status);
 	if (strcmp(req->url, "/load") == 0)
 		return handle_load(en);
+	if (strcmp(req->url, "/seen") == 0)
+		return handle_seen(en);
 	if (strcmp(req->url, "/order") == 0)
 		return handle_order(en, req, status);
 	if (strcmp(req->url, "/fault") == 0)
@@ -484,6 +536,7 @@
 
 	pthread_mutex_init(&en.lock, NULL);
 	pthread_cond_init(&en.changed, NULL);
+	worker_rate_init(&en.rate);
 	en.streams = g_ptr_array_new();
 	en.cache = g_hash_table_new(NULL, NULL);
 	pthread_create(&thread, NULL, step_thread, &en);
--- a/test/unit/test_arbiter.cc
+++ b/test/unit/test_arbiter.cc
@@ -106,6 +106,20 @@
 		return verdict;
 	}
 
+	/* An answer names a rate, or none (negative).
+	 * @param id of its grant; 0: told by another daemon */
+	void
+	Say(int64_t milli_per_s, uint64_t id = 0, int64_t pause_us = 0)
+	{
+		arbiter_rate rate = {};
+
+		rate.id = id;
+		rate.said.kind = milli_per_s < 0 ? kRateNone : kRateNamed;
+		rate.said.milli_per_s = milli_per_s;
+		rate.pause_us = pause_us;
+		arbiter_record_rate(arb, &rate, now);
+	}
+
 	bool
 	HasVerdict(uint64_t id, arbiter_verdict verdict)
 	{
@@ -201,10 +215,10 @@
 {
 	Request(1, kWorkOnline);
 	Request(1, kWorkOnline);
-	EXPECT_EQ(1, arbiter_load_get(arb).online);
+	EXPECT_EQ(1, arbiter_load_get(arb, 0).online);
 	Release(1);
 	Release(1);
-	EXPECT_EQ(0, arbiter_load_get(arb).online);
+	EXPECT_EQ(0, arbiter_load_get(arb, 0).online);
 }
 
 TEST_F(Arbiter, GrantExpiresWithItsLease)
@@ -212,7 +226,71 @@
 	Request(1, kWorkOnline);
 	now += opt.grant_lease_us + 2 * kSec;
 	Tick();
-	EXPECT_EQ(0, arbiter_load_get(arb).online);
+	EXPECT_EQ(0, arbiter_load_get(arb, 0).online);
+}
+
+TEST_F(Arbiter, StartsFollowTheRateThatTheTargetNames)
+{
+	Say(2000);
+	Request(1, kWorkOnline);
+	EXPECT_TRUE(HasVerdict(1, kArbiterBusy)) << "another target first";
+	EXPECT_EQ(kSec / 2, last[1].retry_after_us);
+	now += kSec / 2;
+	Request(2, kWorkBatch);
+	EXPECT_EQ(0u, last.count(2)) << "leaves the start to online";
+	Request(3, kWorkOnline);
+	EXPECT_TRUE(HasVerdict(3, kArbiterGranted));
+	now += kSec;
+	Tick();
+	EXPECT_TRUE(HasVerdict(2, kArbiterGranted));
+}
+
+TEST_F(Arbiter, ARequestWithoutAnotherTargetWaitsForAStart)
+{
+	struct admission_request req = {};
+	GArray *out = arbiter_actions_new();
+
+	Say(2000);
+	req.id = 1;
+	req.work_class = kWorkOnline;
+	req.deadline_us = now + kSec;
+	req.is_last_resort = true;
+	arbiter_request(arb, &req, now, out);
+	EXPECT_EQ(0u, out->len) << "queued";
+	req.id = 2;
+	req.deadline_us = now + kSec / 4;
+	arbiter_request(arb, &req, now, out);
+	Collect(out);
+	EXPECT_TRUE(HasVerdict(2, kArbiterRefused));
+	now += kSec / 2;
+	Tick();
+	EXPECT_TRUE(HasVerdict(1, kArbiterGranted));
+}
+
+TEST_F(Arbiter, OnlyAnAnswerToALaterGrantEndsTheRate)
+{
+	Request(1, kWorkOnline);
+	now += kSec;
+	Say(1000);
+	now += kSec;
+	Say(-1, 1);
+	EXPECT_EQ(1000, arbiter_rate_milli(arb)) << "granted before";
+	Request(2, kWorkOnline);
+	Say(-1, 2);
+	EXPECT_EQ(-1, arbiter_rate_milli(arb));
+	Say(1000);
+	EXPECT_EQ(-1, arbiter_rate_milli(arb)) << "others may not know yet";
+}
+
+TEST_F(Arbiter, APauseSendsRequestsElsewhere)
+{
+	Say(-1, 0, kSec);
+	Request(1, kWorkOnline);
+	EXPECT_TRUE(HasVerdict(1, kArbiterBusy));
+	EXPECT_GE(arbiter_load_get(arb, now).first_token_us, kSec);
+	now += kSec;
+	Request(2, kWorkOnline);
+	EXPECT_TRUE(HasVerdict(2, kArbiterGranted));
 }
 
 TEST_F(Arbiter, CrashSuspectsOnlyRequestsWithoutAFirstToken)
