--- a/bench/rate_fleet.c
+++ b/bench/rate_fleet.c
@@ -205,6 +205,7 @@
 
 	c->p = p;
 	c->is_batch = is_batch;
+	g_ptr_array_add(p->call_list, c);
 	return c;
 }
 
@@ -308,6 +309,7 @@
 	p->now_us = kSecondUs;
 	p->clk = (struct clock_source){&sim_clock, p};
 	p->events = g_sequence_new(sim_event_free);
+	p->call_list = g_ptr_array_new_with_free_func(g_free);
 	p->next_call_us = 2 * kSecondUs;
 	p->next_trouble_us = kNamedFromUs + kSecondUs;
 	p->targets = g_new0(struct rate_target, sc->targets);
@@ -347,6 +349,7 @@
 	for (int32_t i = 0; i < p->sc->targets; i++)
 		g_array_unref(p->targets[i].arrivals);
 	g_sequence_free(p->events);
+	g_ptr_array_unref(p->call_list);
 	g_free(p->daemons);
 	g_free(p->targets);
 	g_rand_free(p->rand);
--- a/bench/rate_internal.h
+++ b/bench/rate_internal.h
@@ -86,6 +86,8 @@
 	struct sim_daemon *daemons;
 	struct rate_target *targets;
 	GSequence *events;
+	/** All calls and items, which own them. */
+	GPtrArray *call_list;
 	uint64_t next_order;
 	int64_t next_call_us;
 	int64_t next_trouble_us;
