Rates: one copy of the lowest rate, a bound for known rates; plain services' 429 stays an answer

Read-through. The own arbiter had its own lowest rate; the table of rates that a daemon knows kept targets that are gone.

--- a/src/savoryflow/arbiter/arbiter_rate.c
+++ b/src/savoryflow/arbiter/arbiter_rate.c
@@ -5,12 +5,6 @@
 #include "savoryflow/arbiter/forecast.h"
 #include "savoryflow/arbiter/tail_tracker.h"
 
-enum {
-	kMilliUsPerS = 1000 * kUsPerSecond,
-	/* Assumed of a target that names less. */
-	kRateMinMilli = 250,
-};
-
 static int64_t
 queue_length(const struct arbiter *arb)
 {
@@ -27,8 +21,7 @@
 static int64_t
 rate_wait_us(const struct arbiter *arb)
 {
-	return queue_length(arb) * (int64_t)kMilliUsPerS /
-	    MAX(arb->rate.milli_per_s, kRateMinMilli);
+	return queue_length(arb) * start_rate_interval_us(&arb->rate);
 }
 
 int64_t
@@ -36,9 +29,8 @@
 {
 	int64_t wait_us = start_rate_wait_us(&arb->rate, now_us);
 
-	return arb->rate.is_limited && queue_length(arb) > 1
-	    ? MAX(wait_us, rate_wait_us(arb))
-	    : wait_us;
+	return queue_length(arb) > 1 ? MAX(wait_us, rate_wait_us(arb))
+				     : wait_us;
 }
 
 int64_t
@@ -99,7 +91,6 @@
 		load.first_token_us += slot_wait_us(arb);
 	load.first_token_us += start_rate_wait_us(&arb->rate, now_us);
 	/* Targets without a rate are preferred. */
-	if (arb->rate.is_limited)
-		load.first_token_us += rate_wait_us(arb) / 2;
+	load.first_token_us += rate_wait_us(arb) / 2;
 	return load;
 }
--- a/src/savoryflow/limits/start_rate.c
+++ b/src/savoryflow/limits/start_rate.c
@@ -4,6 +4,8 @@
 
 enum {
 	kMicroPerMilli = 1000,
+	/* Microseconds of a second, times a thousand. */
+	kMilliUsPerS = 1000 * 1000000,
 	/* One request each 4 s. */
 	kRateMinMilli = 250,
 	/* The bucket holds what flows in during 1/kBurstDivisor of a second,
@@ -117,6 +119,14 @@
 	    token_bucket_wait_us(&sr->bucket, &rate, kTokenOne, now_us));
 }
 
+int64_t
+start_rate_interval_us(const struct start_rate *sr)
+{
+	return sr->is_limited
+	    ? kMilliUsPerS / MAX(sr->milli_per_s, kRateMinMilli)
+	    : 0;
+}
+
 bool
 start_rate_is_fresh(const struct start_rate *sr, int64_t now_us)
 {
--- a/src/savoryflow/limits/start_rate.h
+++ b/src/savoryflow/limits/start_rate.h
@@ -71,6 +71,9 @@
 /** Time until an online request may start. */
 int64_t start_rate_wait_us(const struct start_rate *sr, int64_t now_us);
 
+/** Mean time between starts at the rate; 0: there is no limit. */
+int64_t start_rate_interval_us(const struct start_rate *sr);
+
 /** Whether the rate was named so lately that it is probably still in force. */
 bool start_rate_is_fresh(const struct start_rate *sr, int64_t now_us);
 
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -15,6 +15,7 @@
 	kTokensBegun = 2,
 	kHttpErrorFirst = 400,
 	kHttpServerErrorFirst = 500,
+	kHttpUnavailable = 503,
 };
 
 /*
@@ -160,7 +161,8 @@
 	case kTransferComplete:
 		break;
 	}
-	if (res->is_not_executed)
+	if (res->is_not_executed &&
+	    (c->is_engine || res->status == kHttpUnavailable))
 		return kAttemptNotExecuted;
 	if (res->status >= kHttpServerErrorFirst)
 		return kAttemptFailed;
@@ -203,6 +205,13 @@
 
 static void start_probe(struct call *c);
 
+/* A plain service's 429 is its answer: it may concern the caller alone. */
+static int64_t
+pause_us(const struct call *c, const struct transfer_result *res)
+{
+	return c->is_engine ? res->pause_us : 0;
+}
+
 static void
 on_done(void *ctx, uint64_t attempt, const struct transfer_result *res)
 {
@@ -232,7 +241,7 @@
 	if (outcome == kAttemptInterrupted)
 		c->phase = kPhaseProbing;
 	/* One that asks for a pause goes on afterwards. */
-	is_leaving = outcome == kAttemptNotExecuted && res->pause_us == 0;
+	is_leaving = outcome == kAttemptNotExecuted && pause_us(c, res) == 0;
 	pthread_mutex_unlock(&c->lock);
 	if (withdrawn != 0)
 		grants_release(c->d->grants, withdrawn);
@@ -255,7 +264,7 @@
 {
 	const struct call *c = ctx;
 
-	grants_record_rate(c->d->grants, attempt, &res->rate, res->pause_us);
+	grants_record_rate(c->d->grants, attempt, &res->rate, pause_us(c, res));
 }
 
 static const struct target_ops transfer_ops = {on_data, on_done, call_ref_ctx,
--- a/src/target/target_rates.c
+++ b/src/target/target_rates.c
@@ -8,6 +8,8 @@
 	/* What this daemon learnt within this time may not have reached the
 	 * others yet. */
 	kLearntLatelyUs = kUsPerS,
+	/* More targets, among them those that are gone, are not kept. */
+	kTargetsMax = 2000,
 };
 
 struct target_rates {
@@ -78,6 +80,8 @@
 	    g_hash_table_lookup(tr->by_target, target->id);
 
 	if (rate == NULL) {
+		if (g_hash_table_size(tr->by_target) >= kTargetsMax)
+			g_hash_table_remove_all(tr->by_target);
 		rate = g_new0(struct target_rate, 1);
 		rate->target = g_strdup(target->id);
 		g_hash_table_insert(tr->by_target, rate->target, rate);
--- a/src/target/target_rates.h
+++ b/src/target/target_rates.h
@@ -22,7 +22,7 @@
 /** The rates that targets name, as far as this daemon knows. */
 struct target_rates;
 
-/** A target that may start anew under its id.  */
+/** A target that may start anew under its id. */
 struct target_start {
 	const char *id;
 	/** 0 if starts cannot be told apart. */
