--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -349,7 +349,7 @@
   char *arbiter;
   /*
    * Part of the above on targets that name a rate; the online requests that may
-   * start there now, and a second.
+   * start there now, and the sum of the rates.
    */
   uint32_t limited_slots;
   uint32_t limited_online;
--- a/src/savoryflow/slotpool/slotpool_defs.h
+++ b/src/savoryflow/slotpool/slotpool_defs.h
@@ -92,8 +92,9 @@
 	int32_t limited_slots;
 	int32_t limited_online;
 	int32_t limited_batch;
-	/** Online requests that may start there now, and a second. */
+	/** Online requests that may start there now, by rates and slots. */
 	int32_t limited_starts;
+	/** Sum of the rates. */
 	int64_t limited_milli_per_s;
 };
 
--- a/src/serve/call_internal.h
+++ b/src/serve/call_internal.h
@@ -53,8 +53,8 @@
 	 */
 	int64_t sent_us;
 	bool has_begun;
-	/** A target had no start left: the next one that is asked is the last.
-	 */
+	/** A target was busy: the next one that is asked is to queue the
+	 * request, not to send it elsewhere. */
 	bool is_last_resort;
 	/** When the call was first held; 0: never. */
 	int64_t held_us;
