--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -281,15 +281,18 @@
 
     def beat(self):
         while not self.is_closed:
-            self.sequence += 1
-            self.store.put("servers", self.name, {
-                "service": self.service, "addr": self.address,
-                "zone": self.zone, "version": "v1", "slot_count": 8,
-                "state": "ready", "cold_left_ms": 0, "stage": "both",
-                "model_list": [{"name": "m", "version": 1, "adapters": []}],
-                "sequence": self.sequence, "born": self.born})
+            self.announce()
             time.sleep(1.2)
 
+    def announce(self):
+        self.sequence += 1
+        self.store.put("servers", self.name, {
+            "service": self.service, "addr": self.address,
+            "zone": self.zone, "version": "v1", "slot_count": 8,
+            "state": "ready", "cold_left_ms": 0, "stage": "both",
+            "model_list": [{"name": "m", "version": 1, "adapters": []}],
+            "sequence": self.sequence, "born": self.born})
+
     def sign(self, req):
         return [("X-Attempt-Id", req.get("X-Attempt-Id")),
                 ("X-Response-Seal", "seal-%s-%s" % (
