--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,20 +7,26 @@
 
 JOBS = 5
 ITEMS = 10
+# Of the worker's answers.
+SPOILT_MAX = 0.02
 
 
 def spoil_one(fleet, has_trouble):
     left = [1 if has_trouble else 0]
+    answers = [0]
 
     def behave(worker, conn, req, first):
+        if worker is not fleet.workers[0]:
+            return None
         with fleet.lock:
-            is_spoilt = (left[0] > 0 and worker is fleet.workers[0] and
-                         req.path.startswith("/lots/"))
+            answers[0] += 1
+            is_spoilt = (left[0] > 0 and req.path.startswith("/lots/") and
+                         1 <= SPOILT_MAX * answers[0])
             left[0] -= is_spoilt
         if not is_spoilt:
             return None
         fleet.record("spoilt_answer", worker=worker.name,
-                     id=req.get("X-Attempt-Id"))
+                     id=req.get("X-Attempt-Id"), answers=answers[0])
         conn.sendall(head(200, worker.sign(req) + [
             ("Content-Type", "text/event-stream"),
             ("Transfer-Encoding", "chunked")]))
@@ -47,6 +53,8 @@
     for _ in range(3):
         fleet.add_worker(behave)
     fleet.start(3)
+    for k in range(180):
+        fleet.send(k % 3, "POST", "/chat/%d" % k, fleet.body(3, 2))
     jobs = []
     for k in range(JOBS):
         job, status = fleet.submit(
