Events that are no text are refused; rows without a field end no daemon

Cause: the splitter passed on events of any bytes. json_string() returns NULL for text that is not UTF-8 and the row was stored without it, as a success; the reader took the missing field for a string.

Change, in each place where bytes from outside become JSON text: - event_splitter refuses an event that is not UTF-8, wherever the bytes stand. The run ends as "not_text"; calls and items go on after the last sound event, a stream that cannot breaks off. It is no lost run: the target did not end. - json_text() is the one function for such strings and never returns NULL (log lines, rows of jobs, results, item fields). - Decoders of job rows return kStoreUnreadable for a missing field. A result without its text is listed as given up and logged with item and position; a page ends before a row without an item, as positions are counted. - Ids of jobs that no key can hold are refused with 400.

Ruled out: cuts of UTF-8 characters between reads (only whole events are checked), and a size limit (texts in parts take another path).

--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -4,13 +4,15 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "os/json_text.h"
+
 void
 event_splitter_init(struct event_splitter *es, int64_t last_id)
 {
 	es->partial = g_string_new(NULL);
 	es->last_id = last_id;
 	es->run_id = -1;
-	es->is_repeating = false;
+	es->fault = kEventSound;
 }
 
 void
@@ -26,7 +28,7 @@
 {
 	g_string_truncate(es->partial, 0);
 	es->run_id = -1;
-	es->is_repeating = false;
+	es->fault = kEventSound;
 }
 
 /* Length of the event at the start of the text, with its empty line; 0 if it is
@@ -98,19 +100,35 @@
 	*(bool *)ctx = true;
 }
 
-/* @return false if the run repeats an event */
-static bool
+static enum event_fault
+find_fault(const struct event_splitter *es, const struct stream_event *ev)
+{
+	if (!json_text_is_valid(ev->text, ev->len))
+		return kEventNotText;
+	if (ev->id >= 0 && ev->id <= es->run_id)
+		return kEventRepeated;
+	return kEventSound;
+}
+
+static void
 take_id(struct event_splitter *es, int64_t id)
 {
 	if (id < 0)
-		return true;
-	if (id <= es->run_id) {
-		es->is_repeating = true;
-		return false;
-	}
+		return;
 	es->run_id = id;
 	es->last_id = id;
-	return true;
+}
+
+const char *
+event_fault_text(enum event_fault fault)
+{
+	static const char *const texts[] = {
+	    [kEventSound] = "sound",
+	    [kEventRepeated] = "repeating",
+	    [kEventNotText] = "not_text",
+	};
+
+	return texts[fault];
 }
 
 struct data_join {
@@ -154,11 +172,13 @@
 		each_field(
 		    ev.text, ev.len, "data", note_field, &ev.has_content);
 		ev.has_content = ev.has_content || ev.id >= 0;
+		es->fault = find_fault(es, &ev);
 		/* What is refused stays, as an incomplete event does. */
-		if (!take_id(es, ev.id)) {
+		if (es->fault != kEventSound) {
 			is_continued = false;
 			break;
 		}
+		take_id(es, ev.id);
 		at += n;
 		is_continued = fn(ctx, &ev);
 	}
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -5,6 +5,15 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Why an event is not taken. */
+enum event_fault {
+	kEventSound,
+	/** Its id is no higher than that of the event before. */
+	kEventRepeated,
+	/** It is not UTF-8 text. */
+	kEventNotText,
+};
+
 /** Splits a text/event-stream body into complete events. */
 struct event_splitter {
 	GString *partial;
@@ -12,8 +21,8 @@
 	int64_t last_id;
 	/** Id of the last complete event of this run; -1 before the first. */
 	int64_t run_id;
-	/** The run sent an event whose id is no higher than the one before. */
-	bool is_repeating;
+	/** Of the event that ended the run. */
+	enum event_fault fault;
 };
 
 /** A complete event, borrowed: its raw bytes, with the empty line. */
@@ -35,7 +44,7 @@
 /** Called for each complete event, in order. @return false to stop */
 typedef bool (*stream_event_fn)(void *ctx, const struct stream_event *ev);
 
-/** @return false if fn stopped, or the run repeats an event */
+/** @return false if fn stopped, or the next event has a fault */
 bool event_splitter_feed(struct event_splitter *es, const char *data,
     size_t len, stream_event_fn fn, void *ctx);
 
@@ -45,6 +54,9 @@
 /** True if an incomplete event is buffered. */
 bool event_splitter_has_partial(const struct event_splitter *es);
 
+/** Name of a fault as written to the log. */
+const char *event_fault_text(enum event_fault fault);
+
 /** Appends the event's data, its lines joined by line feeds. */
 void stream_event_data(const struct stream_event *ev, GString *out);
 
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -124,18 +124,6 @@
 	return g_hash_table_lookup(js->cached, id);
 }
 
-static void
-log_job_call(const struct job_task *task, const char *operation)
-{
-	int64_t now_us = loop_now_us(task->js->opt.deps.lp);
-
-	log_event(kEvtJobCall, "job", task->id, "call", operation, "store",
-	    store_result_text(task->outcome), "from", log_number(task->from),
-	    "results",
-	    log_number(task->results != NULL ? task->results->len : 0),
-	    "age_us", log_number(now_us - task->received_us), NULL);
-}
-
 static void
 submit_work(struct job_task *task)
 {
@@ -148,7 +136,7 @@
 {
 	struct jobs *js = task->js;
 
-	log_job_call(task, "submit");
+	job_log_call(task, "submit");
 	g_hash_table_remove(js->loading, task->id);
 	if (task->outcome == kStoreUnavailable ||
 	    task->outcome == kStoreConflict)
@@ -182,6 +170,14 @@
 	GPtrArray *items = js->opt.deps.dialect->decode_job(data, len, &err);
 	struct job_task *task;
 
+	if (items != NULL && !job_id_is_valid(call->attempt_id)) {
+		g_ptr_array_unref(items);
+		items = NULL;
+		g_set_error(&err, SF_ERROR, kErrBadRequest,
+		    "the id of a job is not UTF-8 text of 1 to %d bytes "
+		    "without slashes and control characters",
+		    kAttemptIdMax - 2);
+	}
 	if (items == NULL) {
 		reply_error(req, err->code, err->message, 0);
 		g_error_free(err);
@@ -210,138 +206,6 @@
 	job_task_start(task);
 }
 
-static void
-results_work(struct job_task *task)
-{
-	const struct store *st = task->js->opt.store;
-
-	task->outcome = kStoreOk;
-	if (task->total < 0) {
-		task->outcome = itemjob_get(st, task->id, &task->job);
-		if (task->outcome != kStoreOk)
-			return;
-		task->total = task->job->total;
-	}
-	task->outcome =
-	    itemjob_read_results(st, task->id, task->from, &task->results);
-}
-
-static void
-results_done(struct job_task *task)
-{
-	char *text;
-
-	if (task->outcome != kStoreOk)
-		log_job_call(task, "results");
-	if (task->job != NULL)
-		jobs_cache_job(task->js, task->job);
-	if (task->req == NULL)
-		return;
-	if (task->outcome != kStoreOk) {
-		job_reply_store_error(task->req, task->outcome);
-		return;
-	}
-	text = task->js->opt.deps.dialect->encode_results(
-	    task->total, task->from, task->results);
-	reply_json(task->req, 200, text);
-	free(text);
-}
-
-void
-jobs_results(
-    struct jobs *js, struct front_request *req, const struct dialect_call *call)
-{
-	const struct itemjob *cached = jobs_cached_job(js, call->job_id);
-	struct job_task *task = job_task_new(js, req, call->job_id);
-
-	task->from = call->from_position;
-	task->total = cached != NULL ? cached->total : -1;
-	task->work = results_work;
-	task->done = results_done;
-	job_task_start(task);
-}
-
-static const struct itemjob_item *
-find_item(const GPtrArray *items, const char *id)
-{
-	for (guint i = 0; i < items->len; i++) {
-		const struct itemjob_item *item = items->pdata[i];
-
-		if (strcmp(item->id, id) == 0)
-			return item;
-	}
-	return NULL;
-}
-
-static void
-item_work(struct job_task *task)
-{
-	const struct store *st = task->js->opt.store;
-	const struct itemjob_item *item;
-
-	task->outcome = itemjob_get(st, task->id, &task->job);
-	if (task->outcome == kStoreOk)
-		task->outcome = itemjob_load_items(st, task->job, &task->items);
-	else
-		return;
-	/* The job exists, so its items cannot be missing: the store did not
-	 * return them. */
-	if (task->outcome != kStoreOk) {
-		task->outcome = kStoreUnavailable;
-		return;
-	}
-	item = find_item(task->items, task->item_id);
-	if (item == NULL)
-		task->outcome = kStoreNotFound;
-	else
-		task->body = g_bytes_ref(item->body);
-}
-
-static void
-reply_bytes(struct front_request *req, GBytes *body)
-{
-	struct header_list *headers = header_list_new();
-	gsize len;
-	const char *data = g_bytes_get_data(body, &len);
-
-	header_list_add(headers, "Content-Type", "application/octet-stream");
-	front_reply(req, 200, headers, data, len);
-	header_list_free(headers);
-}
-
-static void
-item_done(struct job_task *task)
-{
-	if (task->outcome != kStoreOk)
-		log_job_call(task, "item");
-	if (task->req == NULL)
-		return;
-	if (task->outcome == kStoreOk)
-		reply_bytes(task->req, task->body);
-	else
-		job_reply_store_error(task->req, task->outcome);
-}
-
-void
-jobs_item(
-    struct jobs *js, struct front_request *req, const struct dialect_call *call)
-{
-	struct job_run *run = g_hash_table_lookup(js->runs, call->job_id);
-	const struct itemjob_item *item =
-	    run != NULL ? find_item(run->items, call->item_id) : NULL;
-	struct job_task *task;
-
-	if (item != NULL && item->body != NULL) {
-		reply_bytes(req, item->body);
-		return;
-	}
-	task = job_task_new(js, req, call->job_id);
-	task->item_id = g_strdup(call->item_id);
-	task->work = item_work;
-	task->done = item_done;
-	job_task_start(task);
-}
-
 static void
 end_work(struct job_task *task)
 {
@@ -352,7 +216,7 @@
 static void
 end_done(struct job_task *task)
 {
-	log_job_call(task, "end");
+	job_log_call(task, "end");
 	if (task->outcome == kStoreOk) {
 		jobs_on_ended(task->js, task->id);
 		if (task->owner != NULL)
@@ -371,8 +235,11 @@
 jobs_end(
     struct jobs *js, struct front_request *req, const struct dialect_call *call)
 {
-	struct job_task *task = job_task_new(js, req, call->job_id);
+	struct job_task *task;
 
+	if (job_reply_impossible_id(req, call->job_id))
+		return;
+	task = job_task_new(js, req, call->job_id);
 	task->work = end_work;
 	task->done = end_done;
 	job_task_start(task);
@@ -387,7 +254,7 @@
 static void
 close_done(struct job_task *task)
 {
-	log_job_call(task, "close");
+	job_log_call(task, "close");
 }
 
 void
@@ -444,7 +311,7 @@
 	int64_t now_us = loop_now_us(js->opt.deps.lp);
 	int64_t age_us;
 
-	log_job_call(task, "take_over");
+	job_log_call(task, "take_over");
 	g_hash_table_remove(js->loading, task->id);
 	if (task->outcome != kStoreOk || js->is_leaving ||
 	    g_hash_table_contains(js->runs, task->id))
@@ -540,7 +407,7 @@
 save_done(struct job_task *task)
 {
 	task->js->saves_in_flight--;
-	log_job_call(task, task->js->is_leaving ? "hand_over" : "save");
+	job_log_call(task, task->js->is_leaving ? "hand_over" : "save");
 }
 
 void
--- /dev/null
+++ b/src/gateway/jobs_read.c
@@ -0,0 +1,159 @@
+/* Reads of jobs: results, and the bodies of items. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway/jobs_task.h"
+#include "gateway/reply.h"
+#include "log/log.h"
+
+static void
+results_work(struct job_task *task)
+{
+	const struct store *st = task->js->opt.store;
+
+	task->outcome = kStoreOk;
+	if (task->total < 0) {
+		task->outcome = itemjob_get(st, task->id, &task->job);
+		if (task->outcome != kStoreOk)
+			return;
+		task->total = task->job->total;
+	}
+	task->outcome =
+	    itemjob_read_results(st, task->id, task->from, &task->results);
+}
+
+static void
+log_lost_texts(const struct job_task *task)
+{
+	for (guint i = 0; i < task->results->len; i++) {
+		const struct itemjob_result *result = task->results->pdata[i];
+
+		if (result->has_lost_text)
+			log_event(kEvtRowUnreadable, "job", task->id, "item",
+			    result->item_id, "position",
+			    log_number(result->position), "why",
+			    "the result has no text", NULL);
+	}
+}
+
+static void
+results_done(struct job_task *task)
+{
+	char *text;
+
+	if (task->outcome != kStoreOk)
+		job_log_call(task, "results");
+	if (task->job != NULL)
+		jobs_cache_job(task->js, task->job);
+	if (task->req == NULL)
+		return;
+	if (task->outcome != kStoreOk) {
+		job_reply_store_error(task->req, task->outcome);
+		return;
+	}
+	log_lost_texts(task);
+	text = task->js->opt.deps.dialect->encode_results(
+	    task->total, task->from, task->results);
+	reply_json(task->req, 200, text);
+	free(text);
+}
+
+void
+jobs_results(
+    struct jobs *js, struct front_request *req, const struct dialect_call *call)
+{
+	const struct itemjob *cached = jobs_cached_job(js, call->job_id);
+	struct job_task *task;
+
+	if (job_reply_impossible_id(req, call->job_id))
+		return;
+	task = job_task_new(js, req, call->job_id);
+	task->from = call->from_position;
+	task->total = cached != NULL ? cached->total : -1;
+	task->work = results_work;
+	task->done = results_done;
+	job_task_start(task);
+}
+
+static const struct itemjob_item *
+find_item(const GPtrArray *items, const char *id)
+{
+	for (guint i = 0; i < items->len; i++) {
+		const struct itemjob_item *item = items->pdata[i];
+
+		if (strcmp(item->id, id) == 0)
+			return item;
+	}
+	return NULL;
+}
+
+static void
+item_work(struct job_task *task)
+{
+	const struct store *st = task->js->opt.store;
+	const struct itemjob_item *item;
+
+	task->outcome = itemjob_get(st, task->id, &task->job);
+	if (task->outcome == kStoreOk)
+		task->outcome = itemjob_load_items(st, task->job, &task->items);
+	else
+		return;
+	/* The job exists, so its items cannot be missing: the store did not
+	 * return them. */
+	if (task->outcome != kStoreOk) {
+		task->outcome = kStoreUnavailable;
+		return;
+	}
+	item = find_item(task->items, task->item_id);
+	if (item == NULL)
+		task->outcome = kStoreNotFound;
+	else
+		task->body = g_bytes_ref(item->body);
+}
+
+static void
+reply_bytes(struct front_request *req, GBytes *body)
+{
+	struct header_list *headers = header_list_new();
+	gsize len;
+	const char *data = g_bytes_get_data(body, &len);
+
+	header_list_add(headers, "Content-Type", "application/octet-stream");
+	front_reply(req, 200, headers, data, len);
+	header_list_free(headers);
+}
+
+static void
+item_done(struct job_task *task)
+{
+	if (task->outcome != kStoreOk)
+		job_log_call(task, "item");
+	if (task->req == NULL)
+		return;
+	if (task->outcome == kStoreOk)
+		reply_bytes(task->req, task->body);
+	else
+		job_reply_store_error(task->req, task->outcome);
+}
+
+void
+jobs_item(
+    struct jobs *js, struct front_request *req, const struct dialect_call *call)
+{
+	struct job_run *run = g_hash_table_lookup(js->runs, call->job_id);
+	const struct itemjob_item *item =
+	    run != NULL ? find_item(run->items, call->item_id) : NULL;
+	struct job_task *task;
+
+	if (job_reply_impossible_id(req, call->job_id))
+		return;
+	if (item != NULL && item->body != NULL) {
+		reply_bytes(req, item->body);
+		return;
+	}
+	task = job_task_new(js, req, call->job_id);
+	task->item_id = g_strdup(call->item_id);
+	task->work = item_work;
+	task->done = item_done;
+	job_task_start(task);
+}
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -7,6 +7,7 @@
 #include "gateway/jobs_forward.h"
 #include "gateway/reply.h"
 #include "log/log.h"
+#include "os/json_text.h"
 
 enum {
 	kStoreRetryUs = 400 * kUsPerMs,
@@ -43,6 +44,33 @@
 	g_free(task);
 }
 
+bool
+job_id_is_valid(const char *id)
+{
+	size_t len = strlen(id);
+
+	/* An id that fills its buffer may have been cut. */
+	if (len == 0 || len >= kAttemptIdMax - 1 ||
+	    !json_text_is_valid(id, len))
+		return false;
+	for (size_t i = 0; i < len; i++)
+		if (g_ascii_iscntrl(id[i]) || id[i] == '/')
+			return false;
+	return true;
+}
+
+void
+job_log_call(const struct job_task *task, const char *operation)
+{
+	int64_t now_us = loop_now_us(task->js->opt.deps.lp);
+
+	log_event(kEvtJobCall, "job", task->id, "call", operation, "store",
+	    store_result_text(task->outcome), "from", log_number(task->from),
+	    "results",
+	    log_number(task->results != NULL ? task->results->len : 0),
+	    "age_us", log_number(now_us - task->received_us), NULL);
+}
+
 struct job_task *
 job_task_new(struct jobs *js, struct front_request *req, const char *id)
 {
@@ -67,12 +95,25 @@
 		reply_error(req, kErrOutcomeLost,
 		    "no response from the store; the outcome is unknown", 0);
 		break;
+	case kStoreUnreadable:
+		reply_error(
+		    req, kErrInternal, "a stored row of the job is invalid", 0);
+		break;
 	default:
 		reply_error(req, kErrStoreUnavailable,
 		    "the store does not respond", kStoreRetryUs);
 	}
 }
 
+bool
+job_reply_impossible_id(struct front_request *req, const char *id)
+{
+	if (job_id_is_valid(id))
+		return false;
+	job_reply_store_error(req, kStoreNotFound);
+	return true;
+}
+
 static void
 on_forward_answered(void *ctx)
 {
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -63,6 +63,16 @@
 	GArray *progress;
 };
 
+/** True if an id of a job can be part of the keys of its rows. */
+bool job_id_is_valid(const char *id);
+
+/** Replies that there is no job with this id if none can have it.
+ * @return true if it has replied */
+bool job_reply_impossible_id(struct front_request *req, const char *id);
+
+/** Logs the outcome of a task. */
+void job_log_call(const struct job_task *task, const char *operation);
+
 /** @param req NULL without a caller */
 struct job_task *job_task_new(
     struct jobs *js, struct front_request *req, const char *id);
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -202,18 +202,23 @@
 	relay_fail_attempt(rl, kSlotFailed, cause);
 }
 
-/* A callback has refused the answer: too much, too often or another's. */
+/* A callback has refused the answer: it is too long, another request's, or an
+ * event has a fault. */
 static void
 handle_refused(struct relay *rl)
 {
 	bool is_full = rl->opt.stream_bytes_max > 0 &&
 	    rl->stream_bytes > rl->opt.stream_bytes_max;
 
-	if (rl->events.is_repeating || is_full) {
-		handle_interrupted(rl, is_full ? "endless" : "repeating");
-		return;
-	}
-	handle_crossed(rl);
+	if (is_full)
+		handle_interrupted(rl, "endless");
+	else if (rl->events.fault != kEventSound)
+		/* The target did not end: no evidence that the request crashes
+		 * targets. */
+		relay_fail_attempt(
+		    rl, kSlotFailed, event_fault_text(rl->events.fault));
+	else
+		handle_crossed(rl);
 }
 
 static void
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -55,7 +55,8 @@
 	    "The complete list of targets was read and differed from the "     \
 	    "known one.")                                                      \
 	X(kEvtRowUnreadable, 1308, WARN, "row_unreadable",                     \
-	    "A row of the installation's lists is invalid; it is skipped.")    \
+	    "A row of the installation's lists, or of a job, is invalid; it "  \
+	    "is skipped, or its item is listed as given up.")                  \
 	X(kEvtTargetRateNamed, 1309, INFO, "target_rate_named",                \
 	    "An answer of a target names another rate of requests than the "   \
 	    "ones before; the fields give both in thousandths a second.")      \
--- a/src/log/log.c
+++ b/src/log/log.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "os/clock.h"
+#include "os/json_text.h"
 
 enum {
 	/* Limit of the outbox; lines beyond it are dropped and counted. */
@@ -240,11 +241,11 @@
 	json_object_set_new(line, "level", json_string(row->level));
 	json_object_set_new(line, "event", json_integer(row->id));
 	json_object_set_new(line, "name", json_string(row->name));
-	json_object_set_new(line, "daemon", json_string(log_daemon));
+	json_object_set_new(line, "daemon", json_text(log_daemon));
 	while ((key = va_arg(ap, const char *)) != NULL) {
 		const char *val = va_arg(ap, const char *);
 
-		json_object_set_new(line, key, json_string(val ? val : ""));
+		json_object_set_new(line, key, json_text(val));
 	}
 	if (suppressed > 0)
 		json_object_set_new(
--- a/src/savoryflow/job/itemjob.c
+++ b/src/savoryflow/job/itemjob.c
@@ -1,9 +1,10 @@
 /* Value types of jobs whose results have stable positions. */
 #include "savoryflow/job/itemjob.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 
+#include "os/json_text.h"
+
 struct itemjob *
 itemjob_new(const char *id)
 {
@@ -133,37 +134,44 @@
 		const struct itemjob_header *h =
 		    &g_array_index(item->headers, struct itemjob_header, i);
 
-		json_array_append_new(
-		    headers, json_pack("[s,s]", h->name, h->value));
+		json_array_append_new(headers,
+		    json_pack(
+			"[o,o]", json_text(h->name), json_text(h->value)));
 	}
-	doc = json_pack("{s:s,s:s,s:o,s:s,s:I}", "id", item->id, "path",
-	    item->path, "headers", headers, "body", body, "tokens",
-	    (json_int_t)item->tokens);
+	doc = json_pack("{s:o,s:o,s:o,s:s,s:I}", "id", json_text(item->id),
+	    "path", json_text(item->path), "headers", headers, "body", body,
+	    "tokens", (json_int_t)item->tokens);
 	g_free(body);
 	return doc;
 }
 
+/* @return NULL if a field is missing */
 static struct itemjob_item *
 item_from_json(const json_t *doc)
 {
-	struct itemjob_item *item =
-	    itemjob_item_new(json_string_value(json_object_get(doc, "id")),
-		json_string_value(json_object_get(doc, "path")));
+	const char *id = json_string_value(json_object_get(doc, "id"));
+	const char *path = json_string_value(json_object_get(doc, "path"));
 	const char *body = json_string_value(json_object_get(doc, "body"));
 	json_t *headers = json_object_get(doc, "headers");
+	struct itemjob_item *item;
 	json_t *elem;
 	gsize len = 0;
 	guchar *data;
 	size_t i;
 
-	data = g_base64_decode(body != NULL ? body : "", &len);
+	if (id == NULL || path == NULL || body == NULL)
+		return NULL;
+	item = itemjob_item_new(id, path);
+	data = g_base64_decode(body, &len);
 	item->body = g_bytes_new_take(data, len);
 	item->tokens = json_integer_value(json_object_get(doc, "tokens"));
 	json_array_foreach(headers, i, elem)
 	{
-		itemjob_item_add_header(item,
-		    json_string_value(json_array_get(elem, 0)),
-		    json_string_value(json_array_get(elem, 1)));
+		const char *name = json_string_value(json_array_get(elem, 0));
+		const char *value = json_string_value(json_array_get(elem, 1));
+
+		if (name != NULL && value != NULL)
+			itemjob_item_add_header(item, name, value);
 	}
 	return item;
 }
@@ -191,7 +199,14 @@
 
 	json_array_foreach(list, i, elem)
 	{
-		g_ptr_array_add(items, item_from_json(elem));
+		struct itemjob_item *item = item_from_json(elem);
+
+		if (item != NULL)
+			g_ptr_array_add(items, item);
+	}
+	if (!json_is_array(list) || items->len != json_array_size(list)) {
+		g_ptr_array_unref(items);
+		items = NULL;
 	}
 	json_decref(list);
 	return items;
--- a/src/savoryflow/job/itemjob.h
+++ b/src/savoryflow/job/itemjob.h
@@ -18,6 +18,7 @@
 
 /** Serializes items for storage; free with free(). */
 char *itemjob_items_to_text(const GPtrArray *items);
+/** @return NULL if an item lacks a field */
 GPtrArray *itemjob_items_from_text(const char *text, size_t len);
 
 #endif
--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -70,6 +70,8 @@
 	char *item_id;
 	/** False: the item was abandoned. */
 	bool is_completed;
+	/** As read: the row has no text. */
+	bool has_lost_text;
 	char *text;
 };
 
--- a/src/savoryflow/job/itemjob_open.c
+++ b/src/savoryflow/job/itemjob_open.c
@@ -17,10 +17,11 @@
 {
 	struct itemjob_open *open = g_new0(struct itemjob_open, 1);
 	json_t *doc = json_loads(row->value, 0, NULL);
+	const char *owner = json_string_value(json_object_get(doc, "owner"));
 
 	open->id = g_strdup(strrchr(row->key, '/') + 1);
-	open->owner =
-	    g_strdup(json_string_value(json_object_get(doc, "owner")));
+	/* Without an owner, the job is claimed like one of a lost daemon. */
+	open->owner = g_strdup(owner != NULL ? owner : "");
 	open->is_ended = json_is_true(json_object_get(doc, "ended"));
 	open->version = row->version;
 	open->quota_route =
--- a/src/savoryflow/job/itemjob_rows.c
+++ b/src/savoryflow/job/itemjob_rows.c
@@ -2,10 +2,11 @@
 #include "savoryflow/job/itemjob_rows.h"
 
 #include <glib.h>
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "os/json_text.h"
+
 static const char kListPartition[] = "jobs";
 
 char *
@@ -37,13 +38,12 @@
 char *
 itemjob_open_text(const struct itemjob_open *open)
 {
-	json_t *doc = json_pack(
-	    "{s:s,s:b}", "owner", open->owner, "ended", (int)open->is_ended);
+	json_t *doc = json_pack("{s:o,s:b}", "owner", json_text(open->owner),
+	    "ended", (int)open->is_ended);
 	char *text;
 
 	if (open->quota_route != NULL) {
-		json_object_set_new(
-		    doc, "quota", json_string(open->quota_route));
+		json_object_set_new(doc, "quota", json_text(open->quota_route));
 		json_object_set_new(
 		    doc, "tokens", json_integer(open->quota_tokens));
 	}
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -1,11 +1,11 @@
 /* Rows and objects of jobs whose results have stable positions. */
 #include "savoryflow/job/itemjob_store.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "os/clock.h"
+#include "os/json_text.h"
 #include "savoryflow/job/itemjob_rows.h"
 #include "store/commit.h"
 
@@ -18,20 +18,53 @@
 static char *
 job_to_text(const struct itemjob *job)
 {
-	json_t *doc = json_pack("{s:s,s:s,s:s,s:b,s:i,s:I}", "host", job->host,
-	    "path", job->path, "input", job->input, "inline",
-	    (int)job->is_inline, "total", job->total, "accepted_ms",
-	    (json_int_t)job->accepted_ms);
+	json_t *doc = json_pack("{s:o,s:o,s:o,s:b,s:i,s:I}", "host",
+	    json_text(job->host), "path", json_text(job->path), "input",
+	    json_text(job->input), "inline", (int)job->is_inline, "total",
+	    job->total, "accepted_ms", (json_int_t)job->accepted_ms);
 	char *text;
 
 	if (job->quota_route != NULL)
-		json_object_set_new(
-		    doc, "quota", json_string(job->quota_route));
+		json_object_set_new(doc, "quota", json_text(job->quota_route));
 	text = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	return text;
 }
 
+static const char *
+text_field(const json_t *doc, const char *name)
+{
+	return json_string_value(json_object_get(doc, name));
+}
+
+/* @return NULL if a field is missing or out of range */
+static struct itemjob *
+job_from_text(const char *id, const char *text)
+{
+	json_t *doc = json_loads(text, 0, NULL);
+	const json_t *accepted = json_object_get(doc, "accepted_ms");
+	json_int_t total = json_integer_value(json_object_get(doc, "total"));
+	struct itemjob *job = NULL;
+
+	if (text_field(doc, "host") != NULL &&
+	    text_field(doc, "path") != NULL &&
+	    text_field(doc, "input") != NULL && total > 0 &&
+	    total <= INT32_MAX) {
+		job = itemjob_new(id);
+		job->host = g_strdup(text_field(doc, "host"));
+		job->path = g_strdup(text_field(doc, "path"));
+		job->input = g_strdup(text_field(doc, "input"));
+		job->is_inline = json_is_true(json_object_get(doc, "inline"));
+		job->total = (int32_t)total;
+		job->quota_route = g_strdup(text_field(doc, "quota"));
+		job->accepted_ms = json_is_integer(accepted)
+		    ? json_integer_value(accepted)
+		    : -1;
+	}
+	json_decref(doc);
+	return job;
+}
+
 enum store_result
 itemjob_get(const struct store *st, const char *id, struct itemjob **job)
 {
@@ -40,26 +73,9 @@
 	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
 
 	if (res == kStoreOk) {
-		json_t *doc = json_loads(row.value, 0, NULL);
-		const json_t *accepted = json_object_get(doc, "accepted_ms");
-
-		*job = itemjob_new(id);
-		(*job)->host =
-		    g_strdup(json_string_value(json_object_get(doc, "host")));
-		(*job)->path =
-		    g_strdup(json_string_value(json_object_get(doc, "path")));
-		(*job)->input =
-		    g_strdup(json_string_value(json_object_get(doc, "input")));
-		(*job)->is_inline =
-		    json_is_true(json_object_get(doc, "inline"));
-		(*job)->total =
-		    (int32_t)json_integer_value(json_object_get(doc, "total"));
-		(*job)->quota_route =
-		    g_strdup(json_string_value(json_object_get(doc, "quota")));
-		(*job)->accepted_ms = json_is_integer(accepted)
-		    ? json_integer_value(accepted)
-		    : -1;
-		json_decref(doc);
+		*job = job_from_text(id, row.value);
+		if (*job == NULL)
+			res = kStoreUnreadable;
 	}
 	store_row_clear(&row);
 	g_free(key);
@@ -186,6 +202,21 @@
 	return res;
 }
 
+static enum store_result
+decode_items(
+    const struct itemjob *job, const char *text, size_t len, GPtrArray **items)
+{
+	GPtrArray *list = itemjob_items_from_text(text, len);
+
+	if (list == NULL || (int32_t)list->len != job->total) {
+		if (list != NULL)
+			g_ptr_array_unref(list);
+		return kStoreUnreadable;
+	}
+	*items = list;
+	return kStoreOk;
+}
+
 static enum store_result
 load_items_row(
     const struct store *st, const struct itemjob *job, GPtrArray **items)
@@ -195,7 +226,7 @@
 	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
 
 	if (res == kStoreOk)
-		*items = itemjob_items_from_text(row.value, strlen(row.value));
+		res = decode_items(job, row.value, strlen(row.value), items);
 	store_row_clear(&row);
 	g_free(key);
 	return res;
@@ -214,9 +245,9 @@
 	if (res != kStoreOk)
 		return res;
 	text = g_bytes_get_data(data, &len);
-	*items = itemjob_items_from_text(text, len);
+	res = decode_items(job, text, len, items);
 	g_bytes_unref(data);
-	return kStoreOk;
+	return res;
 }
 
 int64_t
@@ -249,7 +280,7 @@
 	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
 
 	if (res == kStoreOk && rows->len != (guint)parts)
-		res = kStoreUnavailable;
+		res = kStoreUnreadable;
 	for (guint i = 0; res == kStoreOk && i < rows->len; i++)
 		g_string_append(
 		    text, ((struct store_row *)rows->pdata[i])->value);
@@ -260,29 +291,61 @@
 	return res;
 }
 
+/* A row without a text has lost its item's output: earlier versions stored it
+ * for output that was not UTF-8. The item has its position, so that it cannot
+ * run again. */
+static void
+set_text(struct itemjob_result *result, const char *text)
+{
+	result->has_lost_text = text == NULL;
+	result->is_completed = result->is_completed && text != NULL;
+	result->text = g_strdup(text != NULL ? text : "");
+}
+
 static enum store_result
 add_result(const struct store *st, const char *id, const struct store_row *row,
     GPtrArray *results)
 {
 	json_t *doc = json_loads(row->value, 0, NULL);
-	struct itemjob_result *result = g_new0(struct itemjob_result, 1);
 	int64_t parts = json_integer_value(json_object_get(doc, "parts"));
 	enum store_result res = kStoreOk;
+	struct itemjob_result *result;
 
+	if (text_field(doc, "item") == NULL) {
+		json_decref(doc);
+		return kStoreUnreadable;
+	}
+	result = g_new0(struct itemjob_result, 1);
 	result->position = itemjob_number_of_key(row->key);
-	result->item_id =
-	    g_strdup(json_string_value(json_object_get(doc, "item")));
+	result->item_id = g_strdup(text_field(doc, "item"));
 	result->is_completed = json_is_true(json_object_get(doc, "completed"));
 	if (parts > 0)
 		res = read_parts(st, id, result, parts);
 	else
-		result->text =
-		    g_strdup(json_string_value(json_object_get(doc, "text")));
+		set_text(result, text_field(doc, "text"));
 	g_ptr_array_add(results, result);
 	json_decref(doc);
 	return res;
 }
 
+/* Positions are counted from the first result of a page, so that it ends before
+ * a row that cannot be read. */
+static enum store_result
+add_results(const struct store *st, const char *id, const GPtrArray *rows,
+    GPtrArray *results)
+{
+	for (guint i = 0; i < rows->len; i++) {
+		enum store_result res =
+		    add_result(st, id, rows->pdata[i], results);
+
+		if (res == kStoreOk)
+			continue;
+		g_ptr_array_set_size(results, (gint)i);
+		return res == kStoreUnreadable && i > 0 ? kStoreOk : res;
+	}
+	return kStoreOk;
+}
+
 enum store_result
 itemjob_read_results(
     const struct store *st, const char *id, int32_t from, GPtrArray **results)
@@ -296,8 +359,7 @@
 
 	if (res == kStoreOk) {
 		*results = itemjob_results_new();
-		for (guint i = 0; res == kStoreOk && i < rows->len; i++)
-			res = add_result(st, id, rows->pdata[i], *results);
+		res = add_results(st, id, rows, *results);
 		if (res != kStoreOk) {
 			g_ptr_array_unref(*results);
 			*results = NULL;
@@ -391,14 +453,14 @@
 static char *
 result_to_text(const struct itemjob_result *result, int parts)
 {
-	json_t *doc = json_pack("{s:s,s:b}", "item", result->item_id,
+	json_t *doc = json_pack("{s:o,s:b}", "item", json_text(result->item_id),
 	    "completed", (int)result->is_completed);
 	char *text;
 
 	if (parts > 0)
 		json_object_set_new(doc, "parts", json_integer(parts));
 	else
-		json_object_set_new(doc, "text", json_string(result->text));
+		json_object_set_new(doc, "text", json_text(result->text));
 	text = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	return text;
@@ -443,13 +505,15 @@
 	char *key = itemjob_key_number("progress", id, progress->index);
 	bool has_text = is_text_stored(progress);
 	/* A row without a text tells only the failures. */
-	json_t *doc = json_pack("{s:I,s:s*,s:i}", "last",
-	    (json_int_t)(has_text ? progress->last_event_id : -1), "text",
-	    has_text ? progress->text : NULL, "failures", progress->failures);
-	char *text = doc != NULL ? json_dumps(doc, JSON_COMPACT) : NULL;
+	json_t *doc = json_pack("{s:I,s:i}", "last",
+	    (json_int_t)(has_text ? progress->last_event_id : -1), "failures",
+	    progress->failures);
+	char *text;
 
-	if (text != NULL)
-		store_txn_write(txn, key, text);
+	if (has_text)
+		json_object_set_new(doc, "text", json_text(progress->text));
+	text = json_dumps(doc, JSON_COMPACT);
+	store_txn_write(txn, key, text);
 	free(text);
 	json_decref(doc);
 	g_free(key);
@@ -479,7 +543,7 @@
 static void
 append_progress(GArray *list, int32_t index, const json_t *doc)
 {
-	const char *text = json_string_value(json_object_get(doc, "text"));
+	const char *text = text_field(doc, "text");
 	struct itemjob_progress one = {
 	    .index = index,
 	    .last_event_id = text != NULL
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -13,6 +13,7 @@
 #include "error/error.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/json_text.h"
 #include "savoryflow/batch/batch_session.h"
 #include "savoryflow/batch/batch_store.h"
 #include "serve/call_run.h"
@@ -134,7 +135,7 @@
 		char *answer = call_text(call);
 
 		json_object_set_new(doc, "status", json_string("ok"));
-		json_object_set_new(doc, "answer", json_string(answer));
+		json_object_set_new(doc, "answer", json_text(answer));
 		g_free(answer);
 	} else {
 		json_object_set_new(doc, "status", json_string("failed"));
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -146,8 +146,8 @@
 const char *
 store_result_text(enum store_result res)
 {
-	static const char *const texts[] = {
-	    "ok", "not_found", "conflict", "unavailable", "ambiguous"};
+	static const char *const texts[] = {"ok", "not_found", "conflict",
+	    "unavailable", "ambiguous", "unreadable"};
 
 	return texts[res];
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -15,6 +15,8 @@
 	kStoreUnavailable,
 	/** The answer was lost; a write may have been applied. */
 	kStoreAmbiguous,
+	/** The store answered, but the row's value is invalid. */
+	kStoreUnreadable,
 };
 
 /** Purpose of an operation; store operations are counted per purpose. */
--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -54,8 +54,15 @@
 	void
 	PutRow(const char *table, const std::string &key, const char *value)
 	{
-		json_t *doc =
-		    json_pack("{s:s,s:s}", "table", table, "key", key.c_str());
+		PutRowIn("", table, key, value);
+	}
+
+	void
+	PutRowIn(const std::string &part, const char *table,
+	    const std::string &key, const char *value)
+	{
+		json_t *doc = json_pack("{s:s,s:s,s:s}", "table", table, "part",
+		    part.c_str(), "key", key.c_str());
 
 		if (value != nullptr)
 			json_object_set_new(doc, "value", json_string(value));
@@ -231,6 +238,52 @@
 			.status);
 	}
 
+	/* The worker's next answers have these bytes in place of an event,
+	 * counted from 0 in each run. */
+	void
+	InjectOddEvent(
+	    size_t worker, int answers, int at, const std::string &event)
+	{
+		char *b64 =
+		    g_base64_encode((const guchar *)event.data(), event.size());
+
+		InjectFault(worker,
+		    "{\"odd\":" + std::to_string(answers) + ",\"odd_at\":" +
+			std::to_string(at) + ",\"odd_event\":\"" + b64 + "\"}");
+		g_free(b64);
+	}
+
+	/* Text of an item of the given path when it is whole. */
+	static std::string
+	ExpectedText(const std::string &path, int events)
+	{
+		std::string text;
+
+		for (int k = 1; k <= events; k++)
+			text += (k > 1 ? "\n" : "") + path + "-" +
+			    std::to_string(k);
+		return text;
+	}
+
+	/* The only result of a job as "STATE TEXT"; empty on an error. */
+	std::string
+	OnlyResult(size_t daemon, const std::string &job)
+	{
+		json_t *doc = FetchResults(daemon, job);
+		json_t *first =
+		    json_array_get(json_object_get(doc, "results"), 0);
+		const char *state =
+		    json_string_value(json_object_get(first, "state"));
+		const char *text =
+		    json_string_value(json_object_get(first, "output_text"));
+		std::string all;
+
+		if (state != nullptr && text != nullptr)
+			all = std::string(state) + " " + text;
+		json_decref(doc);
+		return all;
+	}
+
 	/* How many attempts whose ids begin so a worker ran. */
 	int
 	CountRunsAt(size_t worker, const std::string &prefix)
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -31,6 +31,7 @@
 		*status = 503;
 		break;
 	case kStoreAmbiguous:
+	case kStoreUnreadable:
 		return NULL;
 	}
 	return standin_text_response(text != NULL ? text : "{}");
--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -2,9 +2,9 @@
  * Stand-in for the users' platform: its metadata store over HTTP. One counter
  * versions all rows, transactions are conditional, and a feed reports changes.
  *
- * POST /put {"table","key","value"}: writes a row as the operator or a worker
- * does; without a value, deletes it.
- * The path of a call may start with a segment that names the calling daemon.
+ * POST /put {"table","part","key","value"}: writes a row as the operator or a
+ * worker does; without a value, deletes it. The path of a call may start with a
+ * segment that names the calling daemon.
  *
  * POST /fault {"outage","turned_away","lose_answers","forget","timeless"}:
  * rejects all calls, or those of one daemon; drops the answers of the next N
@@ -343,13 +343,14 @@
 {
 	json_t *doc = json_loads(req->body->str, 0, NULL);
 	const char *value = json_string_value(json_object_get(doc, "value"));
+	const char *part = json_string_value(json_object_get(doc, "part"));
 	char *b64 = value != NULL
 	    ? g_base64_encode((const guchar *)value, strlen(value))
 	    : NULL;
 
 	rs->version++;
-	write_row(
-	    rs, member_text(doc, "table"), "", member_text(doc, "key"), b64);
+	write_row(rs, member_text(doc, "table"), part != NULL ? part : "",
+	    member_text(doc, "key"), b64);
 	g_free(b64);
 	json_decref(doc);
 	return standin_text_response("{}");
--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -13,7 +13,8 @@
  * "pause_ms" after "pause_after" events and then go on. "unframed" streams have
  * neither a length nor chunks and end with their connection: as whole ones, or
  * with "unframed_end" "inside" in the middle of an event, or with "reset" by a
- * reset after three events. "statuses" lists the
+ * reset after three events. "odd" answers have the bytes "odd_event" (base64)
+ * in place of event number "odd_at" of the run. "statuses" lists the
  * statuses of the answers to come. "surplus":{...} makes complete answers
  * followed by further bytes, see surplus.h. With --crash-part=ID, the process
  * ends as it begins to answer a request whose prompt has that part, other than
@@ -62,6 +63,9 @@
 	int pause_after;
 	int unframed_left;
 	char unframed_end[16];
+	int odd_left;
+	int odd_at;
+	GBytes *odd_event;
 	/* Statuses of the answers to come. */
 	json_t *statuses_left;
 	struct surplus_fault surplus;
@@ -90,6 +94,9 @@
 	int reset_fd;
 	/** The stream ends at the cut as if it was whole. */
 	bool ends_at_cut;
+	/** Sent in place of the event odd_at; NULL: none. */
+	GBytes *odd_event;
+	int64_t odd_at;
 };
 
 static bool
@@ -101,6 +108,18 @@
 	return true;
 }
 
+static ssize_t
+read_odd_event(struct stream *st, char *buf, size_t max)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(st->odd_event, &len);
+
+	len = MIN(len, max);
+	memcpy(buf, data, len);
+	st->next++;
+	return (ssize_t)len;
+}
+
 static ssize_t
 read_events(void *cls, uint64_t pos, char *buf, size_t max)
 {
@@ -125,6 +144,8 @@
 		g_usleep((gulong)st->pace_ms * 1000);
 	if (st->next == st->pause_at)
 		g_usleep((gulong)st->pause_ms * 1000);
+	if (st->next == st->odd_at && st->odd_event != NULL)
+		return read_odd_event(st, buf, max);
 	n = g_snprintf(buf, max,
 	    "id: %" G_GINT64_FORMAT "\ndata: %s-%" G_GINT64_FORMAT "\n\n",
 	    st->next, st->path, st->next);
@@ -170,6 +191,8 @@
 	if (!st->is_done)
 		st->wk->closed_early++;
 	pthread_mutex_unlock(&st->wk->lock);
+	if (st->odd_event != NULL)
+		g_bytes_unref(st->odd_event);
 	g_free(st->path);
 	g_free(st);
 }
@@ -375,6 +398,10 @@
 		st->pause_ms = wk->pause_ms;
 		st->pause_at = st->next + wk->pause_after;
 	}
+	if (consume_fault(&wk->odd_left)) {
+		st->odd_event = g_bytes_ref(wk->odd_event);
+		st->odd_at = st->first + wk->odd_at;
+	}
 	st->is_stalled = consume_fault(&wk->stalls_left);
 	st->is_trickling = consume_fault(&wk->trickles_left);
 	res = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, 4096,
@@ -389,6 +416,20 @@
 	return res;
 }
 
+static void
+set_odd_fault(struct worker *wk, const json_t *doc)
+{
+	const char *text = json_string_value(json_object_get(doc, "odd_event"));
+	gsize len = 0;
+	guchar *data = g_base64_decode(text != NULL ? text : "", &len);
+
+	if (wk->odd_event != NULL)
+		g_bytes_unref(wk->odd_event);
+	wk->odd_event = g_bytes_new_take(data, len);
+	wk->odd_left = (int)json_integer_value(json_object_get(doc, "odd"));
+	wk->odd_at = (int)json_integer_value(json_object_get(doc, "odd_at"));
+}
+
 static struct MHD_Response *
 set_fault(struct worker *wk, struct standin_request *req)
 {
@@ -423,6 +464,7 @@
 		? json_string_value(json_object_get(doc, "unframed_end"))
 		: "whole",
 	    sizeof(wk->unframed_end));
+	set_odd_fault(wk, doc);
 	json_decref(wk->statuses_left);
 	wk->statuses_left = json_incref(json_object_get(doc, "statuses"));
 	surplus_fault_parse(&wk->surplus, json_object_get(doc, "surplus"));
--- a/test/unit/test_event_splitter.cc
+++ b/test/unit/test_event_splitter.cc
@@ -201,6 +201,48 @@
 	}
 }
 
+/* Guards against text that cannot be stored as JSON. */
+TEST(EventSplitter, AnEventThatIsNoTextIsRefusedHoweverItIsSplit)
+{
+	const struct {
+		const char *name;
+		std::string event;
+	} odd[] = {
+	    {"data", "id: 2\ndata: \xff\xfe\n\n"},
+	    {"part of a character", "id: 2\ndata: caf\xc3\n\n"},
+	    {"surrogate", "id: 2\ndata: \xed\xa0\x80\n\n"},
+	    {"overlong", "id: 2\ndata: \xc0\xaf\n\n"},
+	    {"NUL", std::string("id: 2\ndata: a\0b\n\n", 17)},
+	    {"id", "id: \xff\ndata: a\n\n"},
+	    {"field name", "id: 2\nd\xe4ta: a\n\n"},
+	};
+	const std::string first = "id: 1\ndata: caf\xc3\xa9\n\n";
+
+	for (const auto &o : odd) {
+		std::string body = first + o.event + "id: 3\ndata: c\n\n";
+
+		for (size_t step = 1; step <= body.size(); step++) {
+			event_splitter es;
+			std::vector<std::string> events;
+			bool is_continued = true;
+
+			event_splitter_init(&es, -1);
+			for (size_t at = 0; is_continued && at < body.size();
+			     at += step)
+				is_continued =
+				    event_splitter_feed(&es, body.data() + at,
+					std::min(step, body.size() - at),
+					Collect, &events);
+			EXPECT_FALSE(is_continued) << o.name << step;
+			EXPECT_EQ(kEventNotText, es.fault) << o.name;
+			EXPECT_EQ(std::vector<std::string>{first}, events)
+			    << o.name << step;
+			EXPECT_EQ(1, es.last_id) << o.name;
+			event_splitter_clear(&es);
+		}
+	}
+}
+
 bool
 CountContent(void *ctx, const stream_event *ev)
 {
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -103,8 +103,8 @@
 	Commit(int index, int position, const std::string &text = "text")
 	{
 		std::string name = "item-" + std::to_string(index);
-		itemjob_result r = {
-		    position, (char *)name.c_str(), true, (char *)text.c_str()};
+		itemjob_result r = {position, (char *)name.c_str(), true, false,
+		    (char *)text.c_str()};
 
 		return itemjob_commit(st, "j", index, &r);
 	}
