The refusal of one copy of a change is not the outcome of the change

Cause: libcurl sends a request again by itself when a kept connection ends without a byte of the answer. The first copy of the transaction was made, the 503 of the second was taken for the outcome, and on the strength of it the object that the stored row refers to was deleted. The same conclusion stood in other places: a call of the daemon's own without an answer was forgotten when two peers answered 503; a connection that was refused at the second sending counted as "not sent".

Change: - send_guard counts the sendings of a request by libcurl. Changes at the store are sent once; "not sent" is concluded only from no sending (both stores, outbound, the own API's client). Forwarded changes use new connections. - struct store_change carries what is known of all copies through a task, its forwards and the quota's second try; a refusal is told only if no copy may be applied. - The second try of a submission has a token, hence an object, of its own: the deletion of the first one's object may take effect late. - The end of a job tells the same. A missing object of items is 500, not an outage of the store.

Ruled out: store_commit(), whose own repeats were judged rightly.

Open: an object whose submission had no known outcome and was not made stays.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -160,6 +160,17 @@
 	}
 }
 
+void
+jobs_set_token(struct job_task *task)
+{
+	const struct jobs *js = task->js;
+
+	g_free(task->token);
+	task->token =
+	    g_strdup_printf("%s-%" G_GINT64_FORMAT "-%d", js->opt.session,
+		loop_now_us(js->opt.deps.lp), task->quota_conflicts);
+}
+
 void
 jobs_submit(struct jobs *js, struct front_request *req,
     const struct dialect_call *call, const struct routebook_route *route)
@@ -189,8 +200,7 @@
 	task->job->host = g_strdup(route->host);
 	task->job->path =
 	    g_strndup(front_uri(req), strcspn(front_uri(req), "?"));
-	task->token = g_strdup_printf("%s-%" G_GINT64_FORMAT, js->opt.session,
-	    loop_now_us(js->opt.deps.lp));
+	jobs_set_token(task);
 	task->work = submit_work;
 	task->done = submit_done;
 	if (route->waiting_tokens_max > 0)
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -29,7 +29,8 @@
 	/** Front address of the current or last peer. */
 	char peer[kFleetAddressMax];
 	int32_t peers_tried;
-	bool may_have_executed;
+	/** Copies that may be executed, by peers or otherwise. */
+	struct store_change change;
 	struct outbound_request *request;
 	uint64_t answer_timer;
 	int32_t status;
@@ -49,9 +50,26 @@
 	g_free(fwd);
 }
 
+static bool
+is_read(const struct job_forward *fwd)
+{
+	return strcmp(front_method(fwd->opt.req), "GET") == 0;
+}
+
+/* The current peer may execute the request, or may have done so. */
+static void
+record_unknown(struct job_forward *fwd)
+{
+	if (!is_read(fwd))
+		store_change_add(&fwd->change, kStoreAmbiguous);
+}
+
 void
-job_forward_cancel(struct job_forward *fwd)
+job_forward_cancel(struct job_forward *fwd, struct store_change *change)
 {
+	record_unknown(fwd);
+	if (change != NULL)
+		store_change_join(change, &fwd->change);
 	outbound_cancel(fwd->request);
 	forward_free(fwd);
 }
@@ -100,12 +118,12 @@
 fail(struct job_forward *fwd)
 {
 	if (!fwd->is_detached) {
-		fwd->opt.on_failed(fwd->opt.ctx, fwd->may_have_executed);
+		fwd->opt.on_failed(fwd->opt.ctx, &fwd->change);
 		return;
 	}
 	front_on_disconnect(fwd->opt.req, NULL, NULL);
-	job_reply_store_error(fwd->opt.req,
-	    fwd->may_have_executed ? kStoreAmbiguous : kStoreUnavailable);
+	job_reply_store_error(
+	    fwd->opt.req, store_change_result(&fwd->change, kStoreUnavailable));
 }
 
 static void
@@ -128,12 +146,6 @@
 	forward_free(fwd);
 }
 
-static bool
-is_read(const struct job_forward *fwd)
-{
-	return strcmp(front_method(fwd->opt.req), "GET") == 0;
-}
-
 static void
 on_done(void *ctx, enum outbound_outcome outcome)
 {
@@ -145,7 +157,7 @@
 		 * request. */
 		if (fwd->status >= kHttpServerErrorFirst &&
 		    fwd->status != kHttpUnavailable)
-			fwd->may_have_executed = !is_read(fwd);
+			record_unknown(fwd);
 		on_peer_done(fwd,
 		    fwd->status < kHttpServerErrorFirst &&
 			fwd->status != kHttpTooMany,
@@ -157,7 +169,7 @@
 	case kOutboundInterrupted:
 	case kOutboundCut:
 	case kOutboundRefused:
-		fwd->may_have_executed = !is_read(fwd);
+		record_unknown(fwd);
 		on_peer_done(fwd, false,
 		    outcome == kOutboundRefused ? "crossed" : "cut");
 		break;
@@ -171,7 +183,7 @@
 
 	fwd->answer_timer = 0;
 	outbound_cancel(fwd->request);
-	fwd->may_have_executed = !is_read(fwd);
+	record_unknown(fwd);
 	on_peer_done(fwd, false, "timeout");
 }
 
@@ -227,6 +239,8 @@
 	reset_answer(fwd);
 	g_snprintf(fwd->attempt, sizeof(fwd->attempt), "%08x%08x",
 	    g_random_int(), g_random_int());
+	/* A read may be repeated. */
+	out.is_sent_once = !is_read(fwd);
 	headers = forwarded_headers(fwd);
 	out.address = fwd->peer;
 	out.headers = headers;
@@ -255,6 +269,7 @@
 		return NULL;
 	fwd = g_new0(struct job_forward, 1);
 	fwd->opt = *opt;
+	fwd->change = opt->change;
 	fwd->id = g_strdup(opt->id);
 	fwd->body = g_string_new(NULL);
 	if (send_to_peer(fwd))
@@ -269,12 +284,13 @@
 	struct job_forward *fwd = data;
 
 	job_log_caller_left(fwd->opt.js, fwd->opt.req, fwd->id, "peer");
-	job_forward_cancel(fwd);
+	job_forward_cancel(fwd, NULL);
 }
 
 void
-job_forward_detach(struct job_forward *fwd)
+job_forward_detach(struct job_forward *fwd, const struct store_change *change)
 {
 	fwd->is_detached = true;
+	store_change_join(&fwd->change, change);
 	front_on_disconnect(fwd->opt.req, on_caller_disconnected, fwd);
 }
--- a/src/gateway/jobs_forward.h
+++ b/src/gateway/jobs_forward.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_JOBS_FORWARD_H
 
 #include "gateway/jobs_internal.h"
+#include "store/change.h"
 
 /**
  * A request about a job that is forwarded to a peer, as the store does not
@@ -16,9 +17,11 @@
 	const char *id;
 	/** The peer's answer was passed to the caller. */
 	void (*on_answered)(void *ctx);
-	/** No peer answered, and neither was the caller. `may_have_executed`: a
-	 * peer may have executed the request. */
-	void (*on_failed)(void *ctx, bool may_have_executed);
+	/** Copies of the request that were sent before. */
+	struct store_change change;
+	/** No peer answered, and neither was the caller.
+	 * @param change the copies that peers may have executed included */
+	void (*on_failed)(void *ctx, const struct store_change *change);
 	void *ctx;
 };
 
@@ -32,10 +35,18 @@
 /** True if a request may be forwarded to a peer. */
 bool job_forward_is_allowed(const struct front_request *req);
 
-/** Leaves the caller to the forward, which answers also if it fails. */
-void job_forward_detach(struct job_forward *fwd);
+/**
+ * Leaves the caller to the forward, which answers also if it fails.
+ * @param change copies of the request that were sent otherwise
+ */
+void job_forward_detach(
+    struct job_forward *fwd, const struct store_change *change);
 
-/** Cancels the forward; the caller is not answered. */
-void job_forward_cancel(struct job_forward *fwd);
+/**
+ * Cancels the forward; the caller is not answered.
+ * @param change the copies that peers may execute are added; NULL if nobody is
+ *        told of the outcome
+ */
+void job_forward_cancel(struct job_forward *fwd, struct store_change *change);
 
 #endif
--- a/src/gateway/jobs_quota.c
+++ b/src/gateway/jobs_quota.c
@@ -42,7 +42,7 @@
 	if (task->outcome == kStoreOk)
 		reply_json(task->req, 202, "{\"accepted\":true}");
 	else if (task->outcome == kStoreNotFound)
-		reply_error(task->req, kErrRateLimited,
+		job_task_refuse(task, kErrRateLimited,
 		    "the route's limit of waiting tokens is reached",
 		    task->quota_retry_us);
 	else
@@ -78,7 +78,7 @@
 	case kQuotaUnavailable:
 		log_event(kEvtCallRefused, "request", task->id, "why",
 		    "quota_unavailable", NULL);
-		reply_error(task->req, kErrOverloaded,
+		job_task_refuse(task, kErrOverloaded,
 		    "the tokens that wait on the route cannot be counted",
 		    kUnavailableRetryUs);
 		job_task_free(task);
@@ -132,6 +132,8 @@
 	loop_timer_cancel(task->js->opt.deps.lp, task->hedge_timer);
 	task->hedge_timer = 0;
 	task->quota_conflicts++;
+	/* The object of the first try may still be deleted. */
+	jobs_set_token(task);
 	ask(task, task->job->quota_fence);
 	return true;
 }
--- a/src/gateway/jobs_read.c
+++ b/src/gateway/jobs_read.c
@@ -98,12 +98,11 @@
 		task->outcome = itemjob_load_items(st, task->job, &task->items);
 	else
 		return;
-	/* The job exists, so its items cannot be missing: the store did not
-	 * return them. */
-	if (task->outcome != kStoreOk) {
-		task->outcome = kStoreUnavailable;
+	/* The job exists, so its items cannot be missing. */
+	if (task->outcome == kStoreNotFound)
+		task->outcome = kStoreUnreadable;
+	if (task->outcome != kStoreOk)
 		return;
-	}
 	item = find_item(task->items, task->item_id);
 	if (item == NULL)
 		task->outcome = kStoreNotFound;
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -124,12 +124,31 @@
 }
 
 static void
-on_forward_failed(void *ctx, bool may_have_executed)
+on_forward_failed(void *ctx, const struct store_change *change)
 {
 	struct job_task *task = ctx;
 
 	task->forward = NULL;
-	task->peer_may_have_executed = may_have_executed;
+	store_change_join(&task->change, change);
+}
+
+static void
+cancel_forward(struct job_task *task)
+{
+	if (task->forward != NULL)
+		job_forward_cancel(task->forward, &task->change);
+	task->forward = NULL;
+}
+
+void
+job_task_refuse(struct job_task *task, int code, const char *message,
+    int64_t retry_after_us)
+{
+	if (store_change_result(&task->change, kStoreUnavailable) ==
+	    kStoreAmbiguous)
+		job_reply_store_error(task->req, kStoreAmbiguous);
+	else
+		reply_error(task->req, code, message, retry_after_us);
 }
 
 void
@@ -151,6 +170,7 @@
 	    .js = task->js,
 	    .req = task->req,
 	    .id = task->id,
+	    .change = task->change,
 	    .on_answered = on_forward_answered,
 	    .on_failed = on_forward_failed,
 	    .ctx = task,
@@ -167,10 +187,8 @@
 
 	job_log_caller_left(task->js, task->req, task->id,
 	    task->forward != NULL ? "store_and_peer" : "store");
+	cancel_forward(task);
 	task->req = NULL;
-	if (task->forward != NULL)
-		job_forward_cancel(task->forward);
-	task->forward = NULL;
 }
 
 /*
@@ -186,7 +204,7 @@
 		fwd = forward_start(task);
 	if (fwd == NULL)
 		return false;
-	job_forward_detach(fwd);
+	job_forward_detach(fwd, &task->change);
 	task->forward = NULL;
 	task->req = NULL;
 	return true;
@@ -220,23 +238,18 @@
 	struct job_task *task = ctx;
 	bool is_skipped = g_atomic_int_compare_and_exchange(
 	    &task->state, kTaskWaiting, kTaskSkipped);
-	bool may_have_executed;
 
 	task->answer_timer = 0;
 	if (task->req == NULL || (!is_skipped && !is_read(task)))
 		return;
-	may_have_executed = !is_read(task) &&
-	    (task->forward != NULL || task->peer_may_have_executed);
 	log_event(kEvtCallRefused, "request", task->id, "why",
 	    is_skipped ? "store_threads_taken" : "store_silent", "age_us",
 	    log_number(loop_now_us(task->js->opt.deps.lp) - task->received_us),
 	    NULL);
-	if (task->forward != NULL)
-		job_forward_cancel(task->forward);
-	task->forward = NULL;
+	cancel_forward(task);
 	front_on_disconnect(task->req, NULL, NULL);
 	job_reply_store_error(
-	    task->req, may_have_executed ? kStoreAmbiguous : kStoreUnavailable);
+	    task->req, store_change_result(&task->change, kStoreUnavailable));
 	task->req = NULL;
 }
 
@@ -268,18 +281,17 @@
 	if (g_atomic_int_get(&task->state) != kTaskSkipped)
 		task->js->opt.report_store(
 		    task->js->opt.ctx, !store_failed(task));
-	if (task->req != NULL && store_failed(task) &&
-	    !delegate_to_forward(task) && task->peer_may_have_executed)
-		task->outcome = kStoreAmbiguous;
-	if (task->forward != NULL)
-		job_forward_cancel(task->forward);
-	task->forward = NULL;
+	store_change_add(&task->change, task->outcome);
+	if (task->req != NULL && store_failed(task))
+		delegate_to_forward(task);
+	cancel_forward(task);
 	if (task->req != NULL)
 		front_on_disconnect(task->req, NULL, NULL);
 	if (task->outcome == kStoreConflict && jobs_quota_retry(task)) {
 		g_hash_table_remove(task->js->loading, task->id);
 		return;
 	}
+	task->outcome = store_change_result(&task->change, task->outcome);
 	task->done(task);
 	job_task_free(task);
 }
@@ -291,7 +303,7 @@
 static void
 start_without_store(struct job_task *task)
 {
-	task->outcome = kStoreUnavailable;
+	task->outcome = store_change_result(&task->change, kStoreUnavailable);
 	if (!delegate_to_forward(task))
 		front_on_disconnect(task->req, NULL, NULL);
 	task->done(task);
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_JOBS_TASK_H
 
 #include "gateway/jobs_internal.h"
+#include "store/change.h"
 
 struct job_forward;
 
@@ -30,9 +31,10 @@
 	void (*done)(struct job_task *task);
 	enum store_result outcome;
 	struct job_forward *forward;
-	/** Peers were tried; one that did not answer may have executed it. */
+	/** Peers were tried. */
 	bool was_forwarded;
-	bool peer_may_have_executed;
+	/** A change: the copies sent by this daemon and through peers. */
+	struct store_change change;
 	uint64_t hedge_timer;
 	/** Ends the wait of the caller. */
 	uint64_t answer_timer;
@@ -101,6 +103,9 @@
 /** The submission had no effect: its tokens are free. */
 void jobs_quota_release(struct job_task *task);
 
+/** Gives a submission a new token. */
+void jobs_set_token(struct job_task *task);
+
 /** Stores a submission that may be accepted. */
 void jobs_submit_start(struct job_task *task);
 
@@ -110,4 +115,11 @@
 /** Replies with the error for a failed store operation. */
 void job_reply_store_error(struct front_request *req, enum store_result res);
 
+/**
+ * Replies that a task's change was not made, unless a copy of it may be.
+ * @param code type of the error; it promises that nothing was done
+ */
+void job_task_refuse(struct job_task *task, int code, const char *message,
+    int64_t retry_after_us);
+
 #endif
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -12,6 +12,7 @@
 
 #include "gateway/outbound_sockets.h"
 #include "http/intake.h"
+#include "http/send_guard.h"
 #include "log/log.h"
 #include "metric/metric.h"
 
@@ -44,6 +45,7 @@
 	char *url;
 	struct header_list *answer;
 	struct intake intake;
+	struct send_guard guard;
 	/** Its connection; -1: not known yet. */
 	curl_socket_t fd;
 	/** Bytes that the connection had read before this request. */
@@ -358,11 +360,11 @@
 
 	if (req->is_first_on_connection) {
 		outbound_sockets_add(req->ob->sockets, req->fd, &path);
-		return CURL_PREREQFUNC_OK;
+		return send_guard_on_request(&req->guard);
 	}
 	input = outbound_sockets_input(req->ob->sockets, &path);
 	if (input == kSocketQuiet)
-		return CURL_PREREQFUNC_OK;
+		return send_guard_on_request(&req->guard);
 	if (input == kSocketHasBytes)
 		log_surplus(req, "before_request");
 	req->is_pooled_unfit = true;
@@ -457,6 +459,7 @@
 	curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, (long)kIdleMaxS);
 	curl_easy_setopt(h, CURLOPT_MAXLIFETIME_CONN, (long)kAgeMaxS);
 	curl_easy_setopt(h, CURLOPT_BUFFERSIZE, 16384L);
+	req->guard.is_sent_once = opt->is_sent_once;
 	if (opt->is_sent_once)
 		curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
 	set_body(req, opt->method);
@@ -522,24 +525,14 @@
 static enum outbound_outcome
 outcome_of(const struct outbound_request *req, CURLcode code)
 {
-	long status = 0;
-
 	if (req->is_refused)
 		return kOutboundRefused;
 	if (req->intake.limit != NULL)
 		return kOutboundCut;
-	curl_easy_getinfo(req->easy, CURLINFO_RESPONSE_CODE, &status);
-	switch (code) {
-	case CURLE_OK:
-		return req->has_head ? kOutboundComplete : kOutboundInterrupted;
-	case CURLE_COULDNT_CONNECT:
-	case CURLE_COULDNT_RESOLVE_HOST:
-	/* The connect timeout is the only one that is set in libcurl. */
-	case CURLE_OPERATION_TIMEDOUT:
+	if (send_guard_is_unsent(&req->guard))
 		return kOutboundNotSent;
-	default:
-		return kOutboundInterrupted;
-	}
+	return code == CURLE_OK && req->has_head ? kOutboundComplete
+						 : kOutboundInterrupted;
 }
 
 /* Nothing was sent yet; libcurl has closed the connection. */
--- a/src/savoryflow/job/itemjob_open.c
+++ b/src/savoryflow/job/itemjob_open.c
@@ -5,6 +5,7 @@
 
 #include "savoryflow/job/itemjob_rows.h"
 #include "savoryflow/job/itemjob_store.h"
+#include "store/change.h"
 #include "store/commit.h"
 
 enum {
@@ -112,6 +113,7 @@
 itemjob_end(const struct store *st, const char *id, char **owner)
 {
 	enum store_result res = kStoreAmbiguous;
+	struct store_change change = {false};
 
 	*owner = NULL;
 
@@ -133,7 +135,8 @@
 		*owner = open != NULL ? g_strdup(open->owner) : NULL;
 		itemjob_open_free(open);
 		if (res == kStoreOk || res == kStoreUnavailable)
-			return res;
+			return store_change_result(&change, res);
+		store_change_add(&change, res);
 	}
 	return kStoreAmbiguous;
 }
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -191,6 +191,7 @@
 	if (res != kStoreOk)
 		return res;
 	text = itemjob_items_to_text(items);
+	g_free(job->input);
 	job->input = g_strdup_printf("input/%s/%s", job->id, token);
 	job->is_inline = strlen(text) <= kItemjobTextRowBytes;
 	job->total = (int32_t)items->len;
--- a/src/store/commit.c
+++ b/src/store/commit.c
@@ -1,6 +1,8 @@
 /* Conditional transactions whose outcome is resolved after a lost answer. */
 #include "store/commit.h"
 
+#include "store/change.h"
+
 enum { kCommitAttemptsMax = 3 };
 
 enum commit_owner
@@ -30,17 +32,16 @@
     const struct store_txn *txn, commit_find_owner_fn find_owner, void *ctx)
 {
 	enum store_result res = kStoreAmbiguous;
-	bool was_ambiguous = false;
+	struct store_change change = {false};
 
 	for (int i = 0; i < kCommitAttemptsMax && res == kStoreAmbiguous; i++) {
 		res = store->ops->txn(store->ctx, cause, txn);
-		was_ambiguous = was_ambiguous || res == kStoreAmbiguous;
+		store_change_add(&change, res);
 	}
-	/* Checked even if no answer was lost: an earlier call, or the
-	 * transport, may have sent a copy that took effect. */
+	/* Checked even if no answer was lost: an earlier call may have sent a
+	 * copy that took effect. A condition that failed fails for all copies,
+	 * also later. */
 	if (res == kStoreConflict)
 		return resolve_conflict(store, find_owner, ctx);
-	if (res == kStoreUnavailable && was_ambiguous)
-		return kStoreAmbiguous;
-	return res;
+	return store_change_result(&change, res);
 }
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -18,6 +18,7 @@
 #include <string.h>
 
 #include "http/intake.h"
+#include "http/send_guard.h"
 #include "log/log.h"
 #include "metric/metric.h"
 
@@ -49,6 +50,7 @@
 	/** The answer is one to another call; nothing of it is used. */
 	bool is_foreign;
 	struct intake intake;
+	struct send_guard guard;
 };
 
 struct http_request {
@@ -168,6 +170,10 @@
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, reply);
 	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, reply_header);
 	curl_easy_setopt(h, CURLOPT_HEADERDATA, reply);
+	/* The refusal of a second copy of a write would hide that the first one
+	 * was applied. */
+	reply->guard.is_sent_once = req->method != NULL;
+	send_guard_attach(h, &reply->guard);
 	if (req->method != NULL) {
 		curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, req->method);
 		curl_easy_setopt(h, CURLOPT_POSTFIELDSIZE, (long)req->body_len);
@@ -197,12 +203,11 @@
 	perform_once(sh, cause, req, path, reply);
 }
 
-/* Only a refused connection or a 503 proves that nothing was applied. */
+/* Only a request that was not sent or a 503 proves that nothing was applied. */
 static enum store_result
 reply_result(const struct http_reply *reply)
 {
-	if (reply->curl == CURLE_COULDNT_CONNECT ||
-	    reply->curl == CURLE_COULDNT_RESOLVE_HOST)
+	if (send_guard_is_unsent(&reply->guard))
 		return kStoreUnavailable;
 	if (reply->curl != CURLE_OK)
 		return kStoreAmbiguous;
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #include "http/intake.h"
+#include "http/send_guard.h"
 #include "os/clock.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
@@ -60,6 +61,7 @@
 	/** The head of the final status is complete. */
 	bool has_head;
 	struct intake intake;
+	struct send_guard guard;
 	struct transfer_result result;
 	const struct target_ops *ops;
 	void *ctx;
@@ -295,6 +297,8 @@
 	curl_easy_setopt(tr->easy, CURLOPT_TCP_KEEPIDLE, (long)kKeepaliveIdleS);
 	curl_easy_setopt(
 	    tr->easy, CURLOPT_TCP_KEEPINTVL, (long)kKeepaliveIntervalS);
+	tr->guard.is_sent_once = tr->is_sent_once;
+	send_guard_attach(tr->easy, &tr->guard);
 	if (tr->is_sent_once)
 		curl_easy_setopt(tr->easy, CURLOPT_FRESH_CONNECT, 1L);
 	set_body(tr);
@@ -323,17 +327,10 @@
 {
 	if (tr->is_aborted_by_reader)
 		return kTransferCancelled;
-	switch (code) {
-	case CURLE_OK:
+	if (code == CURLE_OK)
 		return kTransferComplete;
-	case CURLE_COULDNT_CONNECT:
-	case CURLE_COULDNT_RESOLVE_HOST:
-	/* Only connection setup has a libcurl time-out. */
-	case CURLE_OPERATION_TIMEDOUT:
-		return kTransferNotSent;
-	default:
-		return kTransferInterrupted;
-	}
+	return send_guard_is_unsent(&tr->guard) ? kTransferNotSent
+						: kTransferInterrupted;
 }
 
 static void
--- a/test/platform/late_copies.h
+++ b/test/platform/late_copies.h
@@ -154,6 +154,9 @@
 
 				text = answer_(request);
 			}
+			/* No answer: the connection ends. */
+			if (text.empty())
+				return;
 			if (!late.empty()) {
 				Send(con, late);
 				/* Apart, so that the client reads it alone. */
--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -6,7 +6,8 @@
  * worker does; without a value, deletes it. The path of a call may start with a
  * segment that names the calling daemon.
  *
- * POST /fault {"outage","turned_away","lose_answers","forget","timeless"}:
+ * POST /fault {"outage","turned_away","lose_answers","lose_table",
+ * "out_after_loss", "forget","timeless"}:
  * rejects all calls, or those of one daemon; drops the answers of the next N
  * transactions; discards the change history of the feed; leaves the time out of
  * the answers to one daemon, except those to reads of jobs.
@@ -48,6 +49,10 @@
 	/** Answers to this daemon tell no time. */
 	char *timeless_daemon;
 	int lose_answers;
+	/** Of transactions that write to this table; NULL: of all. */
+	char *lose_table;
+	/** The outage begins once these are lost. */
+	bool is_out_after_loss;
 };
 
 static int
@@ -191,6 +196,7 @@
 run_tx(struct rows *rs, struct standin_request *req, unsigned int *status)
 {
 	json_t *doc = json_loads(req->body->str, 0, NULL);
+	bool is_lost = rs->lose_table == NULL;
 	const json_t *e;
 	size_t i;
 
@@ -207,6 +213,8 @@
 	rs->version++;
 	json_array_foreach(json_object_get(doc, "upserts"), i, e)
 	{
+		is_lost |= g_strcmp0(member_text(e, "table_name"),
+			       rs->lose_table) == 0;
 		write_row(rs, member_text(e, "table_name"),
 		    member_text(e, "part"), member_text(e, "key"),
 		    member_text(e, "value"));
@@ -217,8 +225,9 @@
 		    member_text(e, "part"), member_text(e, "key"), NULL);
 	}
 	json_decref(doc);
-	if (rs->lose_answers > 0) {
+	if (is_lost && rs->lose_answers > 0) {
 		rs->lose_answers--;
+		rs->outage |= rs->lose_answers == 0 && rs->is_out_after_loss;
 		return NULL;
 	}
 	return respond(rs, req, json_object());
@@ -368,6 +377,11 @@
 	rs->timeless_daemon = g_strdup(member_text(doc, "timeless"));
 	rs->lose_answers =
 	    (int)json_integer_value(json_object_get(doc, "lose_answers"));
+	g_free(rs->lose_table);
+	rs->lose_table =
+	    g_strdup(json_string_value(json_object_get(doc, "lose_table")));
+	rs->is_out_after_loss =
+	    json_is_true(json_object_get(doc, "out_after_loss"));
 	if (json_is_true(json_object_get(doc, "forget")))
 		rs->feed_start_version = ++rs->version;
 	json_decref(doc);
