Blame is weighed against losses without the part

Cause: three lost runs in a row of a part, under two requests, blocked it, however often targets ended under requests without it. With one of six workers crashing each 0.3 s a run of 0.5 s is lost with a probability of about a third, so that three in a row are no rarity. The first trial came 60 s later, past the time of the items.

Change: daemons count how long runs without a suspected part took until their answers began, from 10 s before the suspicion on, and tell the coordinators (one note, then increments every 2 s). A part is blocked only if its series of losses is less likely than 1e-5 by chance at the rate of all other losses (tail of a Poisson distribution, exposures in run time). Losses at targets that ended under the part, and explained ones, do not count as others. The first trial comes after 10 s, the second 60 s after a failed first, then doubled as before.

Ruled out: mass crashes (one worker at a time), connections that were only cut (all targets had ended).

savorybench crash plays single crashes and items, and counts the items that are late; it had no such scenario.

--- a/bench/crash.c
+++ b/bench/crash.c
@@ -29,6 +29,8 @@
 	int64_t wrong_requests;
 	int64_t sound_refused;
 	int64_t sound_all;
+	int64_t items;
+	int64_t items_late;
 	int64_t messages;
 };
 
@@ -86,6 +88,48 @@
 	.sound_per_s = 40,
 	.crash_percent = 70,
 	.crash_period_ms = 3000},
+    {.name = "single_calls",
+	.daemons = 9,
+	.workers = 9,
+	.seconds = 60,
+	.sound_per_s = 40,
+	.single_period_ms = 300,
+	.down_ms = 250},
+    {.name = "single_items",
+	.daemons = 3,
+	.workers = 6,
+	.seconds = 75,
+	.sound_per_s = 12,
+	.single_period_ms = 300,
+	.down_ms = 250,
+	.begin_max_ms = 1000,
+	.job_items = 2},
+    {.name = "single_items_mild",
+	.daemons = 9,
+	.workers = 9,
+	.seconds = 75,
+	.sound_per_s = 12,
+	.single_period_ms = 1000,
+	.down_ms = 250,
+	.begin_max_ms = 500,
+	.job_items = 4},
+    {.name = "part_single",
+	.daemons = 9,
+	.workers = 9,
+	.seconds = 60,
+	.sound_per_s = 40,
+	.bad_per_s = 5,
+	.bad_parts = 1,
+	.single_period_ms = 300,
+	.down_ms = 250},
+    {.name = "part_long_prompts",
+	.daemons = 9,
+	.workers = 9,
+	.seconds = 60,
+	.sound_per_s = 20,
+	.bad_per_s = 2,
+	.bad_parts = 1,
+	.begin_max_ms = 1000},
     {.name = "cuts",
 	.daemons = 9,
 	.workers = 9,
@@ -117,6 +161,8 @@
 	sum->wrong_requests += res->wrong_requests;
 	sum->sound_refused += res->sound_refused;
 	sum->sound_all += res->sound_all;
+	sum->items += res->items;
+	sum->items_late += res->items_late;
 	sum->messages += res->messages;
 }
 
@@ -152,6 +198,9 @@
 		print(sc->name, "served_first_min", sum.served_min, "%",
 		    kBoundAtLeast, kServedPercentMin);
 	}
+	if (sc->job_items > 0)
+		print(sc->name, "items_late", (double)sum.items_late, "items",
+		    kBoundAtMost, 0);
 	print(sc->name, "wrong_parts", (double)sum.wrong_parts, "parts",
 	    kBoundAtMost, 0);
 	print(sc->name, "wrong_requests", (double)sum.wrong_requests,
--- a/bench/crash_fleet.h
+++ b/bench/crash_fleet.h
@@ -27,6 +27,16 @@
 	 * percent, each period. */
 	int32_t crash_percent;
 	int32_t crash_period_ms;
+	/** One worker, never two at once, crashes each period; 0: none. */
+	int32_t single_period_ms;
+	/** Time that a worker is down after a crash without a request to blame;
+	 * 0: the usual one. */
+	int32_t down_ms;
+	/** Time until an answer begins, at most; 0: the usual one. */
+	int32_t begin_max_ms;
+	/** Sound requests are items of jobs of so many; each job has a part of
+	 * its own. 0: calls that share the parts of sessions. */
+	int32_t job_items;
 	/** Runs that lose only their connection before their answer, in
 	 * percent. */
 	int32_t cut_percent;
@@ -53,6 +63,9 @@
 	/** Sound requests refused because of a blocked key. */
 	int32_t sound_refused;
 	int32_t sound_all;
+	/** Items, and those that had not begun when their job was due. */
+	int32_t items;
+	int32_t items_late;
 	/** Messages between daemons. */
 	int32_t messages;
 };
--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -206,11 +206,11 @@
 }
 
 static void
-on_begun(void *ctx)
+on_begun(void *ctx, int64_t sent_us)
 {
 	struct online_call *oc = ctx;
 
-	crash_guard_on_begun(oc->cs->opt.guard, &oc->keys);
+	crash_guard_on_begun(oc->cs->opt.guard, &oc->keys, sent_us);
 }
 
 static bool
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -118,9 +118,11 @@
 }
 
 void
-crash_guard_on_begun(struct crash_guard *cg, const struct blame_keys *keys)
+crash_guard_on_begun(
+    struct crash_guard *cg, const struct blame_keys *keys, int64_t sent_us)
 {
-	blame_record_begun(cg->blame, keys, loop_now_us(cg->opt.lp), cg->out);
+	blame_record_begun(
+	    cg->blame, keys, sent_us, loop_now_us(cg->opt.lp), cg->out);
 	flush(cg);
 }
 
--- a/src/gateway/crash_guard.h
+++ b/src/gateway/crash_guard.h
@@ -42,7 +42,7 @@
 
 /** Records that an answer has begun. */
 void crash_guard_on_begun(
-    struct crash_guard *cg, const struct blame_keys *keys);
+    struct crash_guard *cg, const struct blame_keys *keys, int64_t sent_us);
 
 /**
  * Records a run that was interrupted before its answer began.
--- a/src/gateway/jobs_guard.c
+++ b/src/gateway/jobs_guard.c
@@ -76,11 +76,11 @@
 }
 
 void
-jobs_guard_on_begun(void *ctx)
+jobs_guard_on_begun(void *ctx, int64_t sent_us)
 {
 	struct item_run *ir = ctx;
 
-	crash_guard_on_begun(ir->run->js->opt.guard, &ir->keys);
+	crash_guard_on_begun(ir->run->js->opt.guard, &ir->keys, sent_us);
 }
 
 bool
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -139,7 +139,7 @@
 
 /** Callbacks of an item's relay; ctx is the struct item_run. */
 bool jobs_guard_may_run(void *ctx, bool is_repeat);
-void jobs_guard_on_begun(void *ctx);
+void jobs_guard_on_begun(void *ctx, int64_t sent_us);
 bool jobs_guard_on_lost_run(void *ctx, const struct relay_lost_run *run);
 
 /** Reports the job's waiting tokens to its route's quota, if due. */
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -60,8 +60,9 @@
 	 * @param is_repeat a run was lost before its answer began
 	 * @return false if it must not run */
 	bool (*may_run)(void *ctx, bool is_repeat);
-	/** The answer of a run has begun; may be NULL. */
-	void (*on_begun)(void *ctx);
+	/** The answer of a run has begun; may be NULL.
+	 * @param sent_us when the request was sent */
+	void (*on_begun)(void *ctx, int64_t sent_us);
 	/** A run was interrupted before its answer began; may be NULL.
 	 * @return false if no other run may follow */
 	bool (*on_lost_run)(void *ctx, const struct relay_lost_run *run);
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -72,7 +72,7 @@
 {
 	rl->has_begun = true;
 	if (rl->opt.ops->on_begun != NULL)
-		rl->opt.ops->on_begun(rl->opt.ctx);
+		rl->opt.ops->on_begun(rl->opt.ctx, rl->sent_us);
 }
 
 static bool
--- a/src/peer/blame_wire.c
+++ b/src/peer/blame_wire.c
@@ -64,13 +64,14 @@
 	    .last_end_us = time_us(wire->last_end_age_us, now_us),
 	    .refused_us = time_us(wire->refused_age_us, now_us),
 	    .trials = (int32_t)MIN(wire->trials, INT32_MAX),
+	    .exposure_us = (int64_t)MIN(wire->exposure_us, kAgeMaxUs),
 	    .trial_by = wire->trial_by,
 	    .trial_until_us =
 		now_us + (int64_t)MIN(wire->trial_left_us, kAgeMaxUs),
 	};
 	return wire->kind >= kBlameNoteBegun &&
-	    wire->kind <= kBlameNoteVerdict && wire->verdict <= kBlameBlocked &&
-	    note->at_us != INT64_MIN;
+	    wire->kind <= kBlameNoteExposure &&
+	    wire->verdict <= kBlameBlocked && note->at_us != INT64_MIN;
 }
 
 static void
@@ -107,6 +108,7 @@
 	wire->last_end_age_us = age_us(note->last_end_us, now_us);
 	wire->refused_age_us = age_us(note->refused_us, now_us);
 	wire->trials = (uint32_t)note->trials;
+	wire->exposure_us = (uint64_t)note->exposure_us;
 	wire->trial_by = note->trial_by;
 	wire->trial_left_us = (uint64_t)MAX(note->trial_until_us - now_us, 0);
 }
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -3680,7 +3680,7 @@
   (ProtobufCMessageInit) sfpeer__lost_run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__blame_note__field_descriptors[12] =
+static const ProtobufCFieldDescriptor sfpeer__blame_note__field_descriptors[13] =
 {
   {
     "kind",
@@ -3826,9 +3826,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "exposure_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__BlameNote, exposure_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__blame_note__field_indices_by_name[] = {
   2,   /* field[2] = age_us */
+  12,   /* field[12] = exposure_us */
   1,   /* field[1] = key */
   0,   /* field[0] = kind */
   6,   /* field[6] = last_end_age_us */
@@ -3844,7 +3857,7 @@
 static const ProtobufCIntRange sfpeer__blame_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor sfpeer__blame_note__descriptor =
 {
@@ -3854,7 +3867,7 @@
   "Sfpeer__BlameNote",
   "sfpeer",
   sizeof(Sfpeer__BlameNote),
-  12,
+  13,
   sfpeer__blame_note__field_descriptors,
   sfpeer__blame_note__field_indices_by_name,
   1,  sfpeer__blame_note__number_ranges,
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -596,10 +596,14 @@
    * Of the verdict; increases with each change.
    */
   uint64_t version;
+  /*
+   * How long runs without the key took until their answers began.
+   */
+  uint64_t exposure_us;
 };
 #define SFPEER__BLAME_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__blame_note__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sfpeer__Envelope
--- a/src/savoryflow/retry/blame.c
+++ b/src/savoryflow/retry/blame.c
@@ -27,6 +27,7 @@
 	g_strlcpy(bl->self, self, sizeof(bl->self));
 	bl->self_hash = blame_daemon_hash(self);
 	bl->begun = begun_times_new();
+	bl->begun_runs = begun_runs_new();
 	bl->evidence = blame_evidence_new(bl->begun);
 	bl->verdicts = u64_hash_new(g_free);
 	bl->cases = g_array_new(FALSE, FALSE, sizeof(uint64_t));
@@ -39,6 +40,7 @@
 	g_array_unref(bl->cases);
 	g_hash_table_unref(bl->verdicts);
 	blame_evidence_free(bl->evidence);
+	begun_runs_free(bl->begun_runs);
 	begun_times_free(bl->begun);
 	g_free(bl);
 }
@@ -138,6 +140,7 @@
 	    .refused_us = INT64_MIN,
 	};
 	v->others_us = INT64_MIN;
+	v->exposed_us = INT64_MIN;
 	g_hash_table_insert(bl->verdicts, &v->note.key, v);
 	return v;
 }
@@ -235,15 +238,6 @@
 		send_note(out, kBlameNoteBegun, key, at_us);
 }
 
-static bool
-has_key(const struct blame_keys *keys, uint64_t key)
-{
-	for (int32_t i = 0; i < keys->count; i++)
-		if (keys->keys[i] == key)
-			return true;
-	return false;
-}
-
 /* Targets answer requests without the suspected keys. */
 static void
 record_others(struct blame *bl, const struct blame_keys *keys, int64_t now_us,
@@ -257,22 +251,22 @@
 		struct verdict *v = val;
 
 		if (v->note.verdict != kBlameSuspected ||
-		    has_key(keys, v->note.key))
+		    blame_keys_have(keys, v->note.key))
+			continue;
+		if (!bl->is_coordinator && v->others_us != INT64_MIN &&
+		    now_us - v->others_us < kBlameReportPeriodUs)
 			continue;
-		if (bl->is_coordinator) {
-			v->others_us = now_us;
-		} else if (v->others_us == INT64_MIN ||
-		    now_us - v->others_us >= kBlameReportPeriodUs) {
-			v->others_us = now_us;
-			send_note(out, kBlameNoteOthers, v->note.key, now_us);
-		}
+		v->others_us = now_us;
+		blame_count_exposure(bl, v, kBlameNoteOthers, now_us, out);
 	}
 }
 
 void
 blame_record_begun(struct blame *bl, const struct blame_keys *keys,
-    int64_t now_us, struct blame_out *out)
+    int64_t sent_us, int64_t now_us, struct blame_out *out)
 {
+	begun_runs_record(
+	    bl->begun_runs, keys, MAX(now_us - sent_us, 0), now_us);
 	for (int32_t i = 0; i < keys->count; i++)
 		apply_begun(bl, keys->keys[i], now_us, now_us, out);
 	if (bl->has_suspects)
@@ -293,8 +287,9 @@
 static int64_t
 next_trial_us(const struct verdict *v)
 {
-	int64_t wait_us = (int64_t)kBlameTrialUs
-	    << MIN(v->note.trials, kTrialDoublingsMax);
+	int64_t wait_us = v->note.trials == 0 ? kBlameFirstTrialUs
+					      : (int64_t)kBlameTrialUs
+		<< MIN(v->note.trials - 1, kTrialDoublingsMax);
 
 	if (v->note.verdict == kBlameSuspected)
 		return v->note.trial_until_us;
@@ -427,8 +422,11 @@
 	bl->has_suspects |= v->note.verdict == kBlameSuspected;
 	if (v->note.verdict == kBlameNone) {
 		v->others_us = INT64_MIN;
+		v->exposed_us = INT64_MIN;
 		v->suspected_us = 0;
 	}
+	if (v->note.verdict == kBlameSuspected && v->exposed_us == INT64_MIN)
+		blame_count_exposure(bl, v, kBlameNoteExposure, now_us, out);
 	if (is_refuted(v, begun_us) && !bl->is_coordinator)
 		send_note(out, kBlameNoteBegun, note->key, begun_us);
 	if (v->note.verdict != kBlameBlocked || was_blocked)
@@ -456,6 +454,12 @@
 	case kBlameNoteOthers:
 		if (v != NULL)
 			v->others_us = MAX(v->others_us, note->at_us);
+		blame_evidence_expose(
+		    bl->evidence, note->key, note->exposure_us);
+		break;
+	case kBlameNoteExposure:
+		blame_evidence_expose(
+		    bl->evidence, note->key, note->exposure_us);
 		break;
 	case kBlameNoteAsk:
 		bl->is_repeat_wanted = true;
--- a/src/savoryflow/retry/blame.h
+++ b/src/savoryflow/retry/blame.h
@@ -9,9 +9,11 @@
  * Who is to blame for crashes of targets: a request as a whole, or a part of
  * prompts that many requests share. Evidence for a key is a run that was lost
  * before its answer began, when its target ended; evidence against it is an
- * answer that began. All daemons report evidence to the coordinators; these
- * judge parts and tell all daemons. Each daemon also judges whole requests by
- * the runs that it knows. No I/O, no clock.
+ * answer that began. It is weighed against how often runs without the key are
+ * lost in the same time: targets also end for other reasons. All daemons report
+ * evidence to the coordinators; these judge parts and tell all daemons. Each
+ * daemon also judges whole requests by the runs that it knows. No I/O, no
+ * clock.
  *
  * Functions with a parameter `out` append what is to be sent to other daemons.
  */
@@ -30,8 +32,11 @@
 	/** The coordinators repeat their verdicts, for daemons that missed them
 	 * or have started since. */
 	kBlameRepeatPeriodUs = 2000000,
-	/** Time from a blocked key's last crash to the first trial of it;
-	 * doubled for each trial that crashes a target. */
+	/** Time from a blocked key's last crash to the first trial of it: items
+	 * that wait can still be in time. */
+	kBlameFirstTrialUs = 10000000,
+	/** The same to the second trial; doubled for each one that crashes a
+	 * target. */
 	kBlameTrialUs = 60000000,
 };
 
@@ -90,6 +95,9 @@
 	kBlameNoteAsk,
 	/** To all daemons: a verdict of a coordinator. */
 	kBlameNoteVerdict,
+	/** To the coordinators: answers that began to requests without the
+	 * suspected key until then. */
+	kBlameNoteExposure,
 };
 
 struct blame_note {
@@ -97,6 +105,9 @@
 	uint64_t key;
 	/** Verdict: when it was reached. Otherwise when it happened. */
 	int64_t at_us;
+	/** Others, exposure: how long the runs took until their answers began,
+	 * since the last such note. */
+	int64_t exposure_us;
 	/** The rest is for verdicts. The version increases with each change. */
 	uint64_t version;
 	enum blame_verdict verdict;
@@ -156,9 +167,12 @@
 void blame_record_run(struct blame *bl, const struct blame_run *run,
     int64_t now_us, struct blame_out *out);
 
-/** Records an answer of this daemon's that has begun. */
+/**
+ * Records an answer of this daemon's that has begun.
+ * @param sent_us when the request was sent to its target
+ */
 void blame_record_begun(struct blame *bl, const struct blame_keys *keys,
-    int64_t now_us, struct blame_out *out);
+    int64_t sent_us, int64_t now_us, struct blame_out *out);
 
 /**
  * Decides whether a request may be sent to a target now.
--- a/src/savoryflow/retry/blame_evidence.c
+++ b/src/savoryflow/retry/blame_evidence.c
@@ -31,8 +31,18 @@
 	kMassTargetsMax = 8,
 	/* Times reported by different daemons are exact to about this. */
 	kReportErrorUs = 100 * kUsPerMs,
+	/* Assumed of runs without a key, beside those that were counted: one
+	 * lost in this time. */
+	kPriorExposureUs = 10 * kUsPerS,
+	kPriorLosses = 1,
+	/* Keys whose counterparts are counted. */
+	kExposuresMax = 512,
 };
 
+/* A key is blocked if its losses are less likely than this by chance: a day has
+ * thousands of parts that few requests share. */
+static const double kChanceMax = 1e-5;
+
 struct lost_run {
 	struct blame_run run;
 	/** Identifies the start of the target. */
@@ -47,6 +57,9 @@
 	const struct lost_run *last;
 	int32_t weight;
 	int32_t ends;
+	/** Time that these runs took until they were lost. */
+	int64_t series_us;
+	bool has_cut;
 };
 
 /** The latest lost runs of a key, each with its heaviest chain. */
@@ -59,6 +72,9 @@
 	const struct begun_times *begun;
 	/** struct lost_run, ordered by end. */
 	GArray *runs;
+	/** How long runs without a key took until their answers began: int64_t
+	 * by key. */
+	GHashTable *exposures;
 };
 
 static struct lost_run *
@@ -74,16 +90,46 @@
 
 	ev->begun = begun;
 	ev->runs = g_array_new(FALSE, TRUE, sizeof(struct lost_run));
+	ev->exposures = u64_hash_new(g_free);
 	return ev;
 }
 
 void
 blame_evidence_free(struct blame_evidence *ev)
 {
+	g_hash_table_unref(ev->exposures);
 	g_array_unref(ev->runs);
 	g_free(ev);
 }
 
+/** A key and what is recorded of it; the table frees both as one. */
+struct exposure {
+	uint64_t key;
+	int64_t sum_us;
+};
+
+void
+blame_evidence_expose(
+    struct blame_evidence *ev, uint64_t key, int64_t exposure_us)
+{
+	struct exposure *ex = g_hash_table_lookup(ev->exposures, &key);
+
+	if (ex == NULL) {
+		if (g_hash_table_size(ev->exposures) >= kExposuresMax)
+			g_hash_table_remove_all(ev->exposures);
+		ex = g_new0(struct exposure, 1);
+		ex->key = key;
+		g_hash_table_insert(ev->exposures, &ex->key, ex);
+	}
+	ex->sum_us += exposure_us;
+}
+
+void
+blame_evidence_forget_exposure(struct blame_evidence *ev, uint64_t key)
+{
+	g_hash_table_remove(ev->exposures, &key);
+}
+
 void
 blame_evidence_add(struct blame_evidence *ev, const struct blame_run *run)
 {
@@ -169,8 +215,12 @@
 		if (c->weight > own.weight && is_later(lost, c->last)) {
 			own.weight = c->weight;
 			own.ends = c->ends;
+			own.series_us = c->series_us;
+			own.has_cut = c->has_cut;
 		}
 	}
+	own.series_us += MAX(lost->run.ended_us - lost->run.sent_us, 0);
+	own.has_cut |= !lost->run.has_target_ended;
 	own.weight += lost->run.has_target_ended ? kWeightEnded : kWeightCut;
 	own.ends++;
 	if (ch->count == kChainsMax)
@@ -266,8 +316,15 @@
 		found.last_end_us = lost->run.ended_us;
 	}
 	for (int32_t i = 0; i < chains.count; i++) {
-		found.weight = MAX(found.weight, chains.all[i].weight);
-		found.ends = MAX(found.ends, chains.all[i].ends);
+		const struct chain *c = &chains.all[i];
+
+		found.ends = MAX(found.ends, c->ends);
+		if (c->weight <= found.weight)
+			continue;
+		found.weight = c->weight;
+		found.series_runs = c->ends;
+		found.series_us = c->series_us;
+		found.has_cut = c->has_cut;
 	}
 	found.is_enough_alone = found.weight >= kWeightAlone;
 	return found;
@@ -320,10 +377,76 @@
 	return false;
 }
 
+/* Targets that ended while they had runs with the key: set of uint64_t. */
+static GHashTable *
+targets_of(const struct blame_evidence *ev, uint64_t key)
+{
+	GHashTable *targets = g_hash_table_new(g_int64_hash, g_int64_equal);
+
+	for (guint i = 0; i < ev->runs->len; i++) {
+		struct lost_run *lost = run_at(ev, i);
+
+		if (position_of(&lost->run.keys, key) >= 0)
+			g_hash_table_add(targets, &lost->target);
+	}
+	return targets;
+}
+
+/* Runs without the key that were lost in the same time, for a reason that is
+ * not known, and for how long they had run. */
+static int32_t
+count_other_losses(const struct blame_evidence *ev, uint64_t key,
+    const struct blame_score *sc, int64_t *run_us)
+{
+	GHashTable *targets = targets_of(ev, key);
+	int32_t n = 0;
+
+	*run_us = 0;
+	for (guint i = 0; i < ev->runs->len; i++) {
+		const struct lost_run *lost = run_at(ev, i);
+
+		if (lost->is_explained || is_too_short(&lost->run) ||
+		    lost->run.ended_us <
+			sc->first_end_us - kBlameOthersWindowUs ||
+		    (!lost->run.has_target_ended && !sc->has_cut) ||
+		    g_hash_table_contains(targets, &lost->target))
+			continue;
+		*run_us += lost->run.ended_us - lost->run.sent_us;
+		n++;
+	}
+	g_hash_table_unref(targets);
+	return n;
+}
+
+/*
+ * Upper bound of the probability that as many runs in a row are lost by chance,
+ * at the rate at which runs without the key are lost: that of a Poisson
+ * distribution's tail.
+ */
+static double
+chance_of(
+    const struct blame_evidence *ev, uint64_t key, const struct blame_score *sc)
+{
+	const struct exposure *ex = g_hash_table_lookup(ev->exposures, &key);
+	int64_t run_us;
+	int32_t losses = count_other_losses(ev, key, sc, &run_us);
+	double exposure_us = (double)kPriorExposureUs + (double)run_us +
+	    (ex != NULL ? (double)ex->sum_us : 0);
+	double expected = (double)(kPriorLosses + losses) / exposure_us *
+	    (double)sc->series_us;
+	double chance = 1;
+
+	for (int32_t i = 1; i <= sc->series_runs; i++)
+		chance *= expected / i;
+	return chance;
+}
+
 static bool
-may_be_blocked(const struct blame_score *sc)
+may_be_blocked(
+    const struct blame_evidence *ev, uint64_t key, const struct blame_score *sc)
 {
-	return sc->weight >= kWeightBlock && sc->has_several_requests;
+	return sc->weight >= kWeightBlock && sc->has_several_requests &&
+	    chance_of(ev, key, sc) <= kChanceMax;
 }
 
 bool
@@ -331,7 +454,7 @@
 {
 	struct blame_score sc = blame_evidence_score(ev, key);
 
-	return may_be_blocked(&sc);
+	return may_be_blocked(ev, key, &sc);
 }
 
 bool
@@ -350,7 +473,7 @@
 		uint64_t key = g_array_index(keys, uint64_t, i - 1);
 		struct blame_score sc = blame_evidence_score(ev, key);
 
-		if (!is_part(ev, key) || !may_be_blocked(&sc))
+		if (!is_part(ev, key) || !may_be_blocked(ev, key, &sc))
 			g_array_remove_index(keys, i - 1);
 	}
 	return keys;
@@ -375,7 +498,7 @@
 		uint64_t k = g_array_index(suspects, uint64_t, i);
 		struct blame_score sc = score(ev, k, suspects);
 
-		if (!may_be_blocked(&sc) || sc.weight < best.weight ||
+		if (!may_be_blocked(ev, k, &sc) || sc.weight < best.weight ||
 		    (sc.weight == best.weight &&
 			begun_times_get(ev->begun, k) >=
 			    begun_times_get(ev->begun, *key)))
@@ -388,21 +511,6 @@
 	return best.weight > 0;
 }
 
-/* Targets that ended while they had runs with the key: set of uint64_t. */
-static GHashTable *
-targets_of(const struct blame_evidence *ev, uint64_t key)
-{
-	GHashTable *targets = g_hash_table_new(g_int64_hash, g_int64_equal);
-
-	for (guint i = 0; i < ev->runs->len; i++) {
-		struct lost_run *lost = run_at(ev, i);
-
-		if (position_of(&lost->run.keys, key) >= 0)
-			g_hash_table_add(targets, &lost->target);
-	}
-	return targets;
-}
-
 void
 blame_evidence_explain(
     struct blame_evidence *ev, uint64_t key, bool is_for_part)
--- a/src/savoryflow/retry/blame_evidence.h
+++ b/src/savoryflow/retry/blame_evidence.h
@@ -12,6 +12,12 @@
 	int32_t weight;
 	/** Their number. */
 	int32_t ends;
+	/** The heaviest series of runs that followed from one another: their
+	 * number, and the time that they took until they were lost. */
+	int32_t series_runs;
+	int64_t series_us;
+	/** A connection of the series may have been lost without its target. */
+	bool has_cut;
 	bool has_several_requests;
 	/** Lost runs with the key. */
 	int32_t runs;
@@ -21,6 +27,12 @@
 	bool is_enough_alone;
 };
 
+enum {
+	/** Runs without a key are counted from so long before the first one
+	 * that was lost with it. */
+	kBlameOthersWindowUs = 10000000,
+};
+
 struct blame_evidence;
 
 /** @param begun times of answers, borrowed */
@@ -30,6 +42,13 @@
 /** Records a run. */
 void blame_evidence_add(struct blame_evidence *ev, const struct blame_run *run);
 
+/** Records how long runs without a key took until their answers began. */
+void blame_evidence_expose(
+    struct blame_evidence *ev, uint64_t key, int64_t exposure_us);
+
+/** Forgets what was recorded with blame_evidence_expose. */
+void blame_evidence_forget_exposure(struct blame_evidence *ev, uint64_t key);
+
 /** Drops runs that ended before a time. */
 void blame_evidence_expire(struct blame_evidence *ev, int64_t before_us);
 
--- a/src/savoryflow/retry/blame_internal.h
+++ b/src/savoryflow/retry/blame_internal.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYFLOW_BLAME_INTERNAL_H
 #define SAVORYFLOW_BLAME_INTERNAL_H
 
+#include "savoryflow/retry/begun_runs.h"
 #include "savoryflow/retry/blame_evidence.h"
 
 /* Internal to the blame module. */
@@ -14,6 +15,9 @@
 	int64_t reported_us;
 	/** When an answer last began to a request without the suspected key. */
 	int64_t others_us;
+	/** Answers without the suspected key that began until then are
+	 * counted. */
+	int64_t exposed_us;
 	bool is_trial_used;
 };
 
@@ -23,6 +27,7 @@
 	bool is_coordinator;
 	bool is_primary;
 	struct begun_times *begun;
+	struct begun_runs *begun_runs;
 	struct blame_evidence *evidence;
 	/** struct verdict by key. */
 	GHashTable *verdicts;
@@ -60,6 +65,11 @@
 void blame_suspect_parts(struct blame *bl, const struct blame_keys *keys,
     int64_t now_us, struct blame_out *out);
 
+/** Counts the answers of this daemon that began without a key since they were
+ * last counted: as a coordinator here, else in a note for the coordinators. */
+void blame_count_exposure(struct blame *bl, struct verdict *v,
+    enum blame_note_kind kind, int64_t now_us, struct blame_out *out);
+
 /** When the key of a verdict last mattered. */
 int64_t blame_last_use_us(const struct verdict *v);
 
--- a/src/savoryflow/retry/blame_judge.c
+++ b/src/savoryflow/retry/blame_judge.c
@@ -53,9 +53,29 @@
 	v->note.trial_by = 0;
 	v->suspected_us = 0;
 	v->others_us = INT64_MIN;
+	v->exposed_us = INT64_MIN;
+	blame_evidence_forget_exposure(bl->evidence, v->note.key);
 	blame_announce(bl, v, now_us, out);
 }
 
+void
+blame_count_exposure(struct blame *bl, struct verdict *v,
+    enum blame_note_kind kind, int64_t now_us, struct blame_out *out)
+{
+	struct blame_note note = {
+	    .kind = kind, .key = v->note.key, .at_us = now_us};
+	int64_t since_us = MAX(v->exposed_us, now_us - kBlameOthersWindowUs);
+
+	note.exposure_us =
+	    begun_runs_without(bl->begun_runs, v->note.key, since_us);
+	v->exposed_us = now_us;
+	if (bl->is_coordinator)
+		blame_evidence_expose(
+		    bl->evidence, v->note.key, note.exposure_us);
+	else
+		g_array_append_val(out->notes, note);
+}
+
 void
 blame_suspect_parts(struct blame *bl, const struct blame_keys *keys,
     int64_t now_us, struct blame_out *out)
@@ -79,6 +99,7 @@
 		v->note.verdict = kBlameSuspected;
 		v->note.is_part = true;
 		bl->has_suspects = true;
+		blame_count_exposure(bl, v, kBlameNoteExposure, now_us, out);
 		blame_announce(bl, v, now_us, out);
 	}
 }
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -133,7 +133,7 @@
 	if (is_first_data)
 		grants_first_token(c->d->grants, attempt);
 	if (begins)
-		crash_watch_record_begun(c->d->crashes, &c->keys);
+		crash_watch_record_begun(c->d->crashes, &c->keys, c->sent_us);
 	if (res != kTargetDataRefused && c->is_engine)
 		c->notify(c->ctx);
 	return res;
--- a/src/serve/crash_watch.c
+++ b/src/serve/crash_watch.c
@@ -120,12 +120,14 @@
 }
 
 void
-crash_watch_record_begun(struct crash_watch *cw, const struct blame_keys *keys)
+crash_watch_record_begun(
+    struct crash_watch *cw, const struct blame_keys *keys, int64_t sent_us)
 {
 	struct blame_out *out = blame_out_new();
 
 	pthread_mutex_lock(&cw->lock);
-	blame_record_begun(cw->blame, keys, clock_mono_us(cw->d->clk), out);
+	blame_record_begun(
+	    cw->blame, keys, sent_us, clock_mono_us(cw->d->clk), out);
 	pthread_mutex_unlock(&cw->lock);
 	send_out(cw, out);
 }
--- a/src/serve/crash_watch.h
+++ b/src/serve/crash_watch.h
@@ -27,7 +27,7 @@
 
 /** Records that an answer has begun. */
 void crash_watch_record_begun(
-    struct crash_watch *cw, const struct blame_keys *keys);
+    struct crash_watch *cw, const struct blame_keys *keys, int64_t sent_us);
 
 /** Records a run whose target crashed before the answer began. */
 void crash_watch_record_run(struct crash_watch *cw,
