--- a/src/savoryflow/retry/blame.c
+++ b/src/savoryflow/retry/blame.c
@@ -454,12 +454,10 @@
 	case kBlameNoteOthers:
 		if (v != NULL)
 			v->others_us = MAX(v->others_us, note->at_us);
-		blame_evidence_expose(
-		    bl->evidence, note->key, note->exposure_us);
+		blame_expose(bl, note->key, note->exposure_us);
 		break;
 	case kBlameNoteExposure:
-		blame_evidence_expose(
-		    bl->evidence, note->key, note->exposure_us);
+		blame_expose(bl, note->key, note->exposure_us);
 		break;
 	case kBlameNoteAsk:
 		bl->is_repeat_wanted = true;
--- a/src/savoryflow/retry/blame_internal.h
+++ b/src/savoryflow/retry/blame_internal.h
@@ -65,6 +65,9 @@
 void blame_suspect_parts(struct blame *bl, const struct blame_keys *keys,
     int64_t now_us, struct blame_out *out);
 
+/** Records how long runs without a key took until their answers began. */
+void blame_expose(struct blame *bl, uint64_t key, int64_t exposure_us);
+
 /** Counts the answers of this daemon that began without a key since they were
  * last counted: as a coordinator here, else in a note for the coordinators. */
 void blame_count_exposure(struct blame *bl, struct verdict *v,
--- a/src/savoryflow/retry/blame_judge.c
+++ b/src/savoryflow/retry/blame_judge.c
@@ -58,6 +58,13 @@
 	blame_announce(bl, v, now_us, out);
 }
 
+void
+blame_expose(struct blame *bl, uint64_t key, int64_t exposure_us)
+{
+	blame_evidence_expose(bl->evidence, key, exposure_us);
+	bl->has_new_evidence = true;
+}
+
 void
 blame_count_exposure(struct blame *bl, struct verdict *v,
     enum blame_note_kind kind, int64_t now_us, struct blame_out *out)
@@ -70,8 +77,7 @@
 	    begun_runs_without(bl->begun_runs, v->note.key, since_us);
 	v->exposed_us = now_us;
 	if (bl->is_coordinator)
-		blame_evidence_expose(
-		    bl->evidence, v->note.key, note.exposure_us);
+		blame_expose(bl, v->note.key, note.exposure_us);
 	else
 		g_array_append_val(out->notes, note);
 }
