No two requests of the same id share a connection

Cause: an answer is recognized by the id that it repeats. All runs of an item, and all attempts of a call, have the same id, so a late copy of an earlier answer on the same connection passed for the answer to the next run.

A request whose id was sent on a pooled connection gets another one, whoever repeats it: a retry, a resume, the next run of an item, or a job that came back to this daemon.

Ruled out: the check of the id (it matched), and bytes that wait on an idle connection (already refused).

--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -9,6 +9,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <xxhash.h>
 
 #include "gateway/outbound_sockets.h"
 #include "http/intake.h"
@@ -57,7 +58,10 @@
 	bool is_done;
 	/** The connection was created for this request. */
 	bool is_first_on_connection;
-	/** The connection in the pool had ended, or had unread bytes. */
+	/** Hash of the id that the answer repeats; 0: none. */
+	uint64_t id;
+	/** The connection in the pool had ended, had unread bytes, or was used
+	 * for a request of the same id. */
 	bool is_pooled_unfit;
 	const struct outbound_ops *ops;
 	void *ctx;
@@ -360,10 +364,12 @@
 
 	if (req->is_first_on_connection) {
 		outbound_sockets_add(req->ob->sockets, req->fd, &path);
+		outbound_sockets_take_id(req->ob->sockets, &path, req->id);
 		return send_guard_on_request(&req->guard);
 	}
 	input = outbound_sockets_input(req->ob->sockets, &path);
-	if (input == kSocketQuiet)
+	if (input == kSocketQuiet &&
+	    outbound_sockets_take_id(req->ob->sockets, &path, req->id))
 		return send_guard_on_request(&req->guard);
 	if (input == kSocketHasBytes)
 		log_surplus(req, "before_request");
@@ -459,6 +465,8 @@
 	curl_easy_setopt(h, CURLOPT_MAXAGE_CONN, (long)kIdleMaxS);
 	curl_easy_setopt(h, CURLOPT_MAXLIFETIME_CONN, (long)kAgeMaxS);
 	curl_easy_setopt(h, CURLOPT_BUFFERSIZE, 16384L);
+	if (opt->id != NULL)
+		req->id = XXH3_64bits(opt->id, strlen(opt->id));
 	req->guard.is_sent_once = opt->is_sent_once;
 	if (opt->is_sent_once)
 		curl_easy_setopt(h, CURLOPT_FRESH_CONNECT, 1L);
--- a/src/gateway/outbound.h
+++ b/src/gateway/outbound.h
@@ -42,6 +42,9 @@
 	/** Never sent a second time: uses a new connection, because libcurl
 	 * repeats a request on a pooled one that was just closed. */
 	bool is_sent_once;
+	/** Id that the answer repeats, or NULL: no two requests of the same id
+	 * share a connection. */
+	const char *id;
 	const struct outbound_ops *ops;
 	void *ctx;
 };
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -192,6 +192,7 @@
 	    .body = rl->body,
 	    .connect_timeout_us = kConnectTimeoutUs,
 	    .is_sent_once = !rl->opt.may_repeat,
+	    .id = rl->attempt_id,
 	    .ops = &relay_transfer_ops,
 	    .ctx = rl,
 	};
--- a/test/functional/test_gateway_surplus.cc
+++ b/test/functional/test_gateway_surplus.cc
@@ -117,6 +117,38 @@
 	}
 }
 
+/* Guards against a copy of an earlier answer to the same id, late, on the
+ * connection of the next run: it was taken for the answer of that run. */
+TEST_F(GatewaySurplus, ACopyOfAnEarlierAnswerIsNotThatOfTheNextRun)
+{
+	const char *const faults[] = {
+	    R"({"statuses":[500],"surplus":{"count":1,"delay_ms":200}})",
+	    R"({"statuses":[500],"surplus":{"count":1,"delay_ms":150,
+	    "split_ms":50,"chunked":true}})",
+	    R"({"statuses":[503],"surplus":{"count":1,"delay_ms":200}})",
+	    R"({"statuses":[504],"surplus":{"count":1,"delay_ms":200}})",
+	};
+	int n = 0;
+
+	StartFleet(1);
+	for (const char *fault : faults) {
+		std::string job = "own" + std::to_string(n++);
+
+		InjectFault(0, fault);
+		Send(0, "POST", "/b/" + job,
+		    JobBody(job, 1, RequestBody(9, 50)), job);
+		ASSERT_TRUE(Eventually([&] { return HasResults(0, job, 1); }));
+		EXPECT_EQ("completed " + ExpectedText("/b/" + job + "0", 9),
+		    OnlyResult(0, job))
+		    << fault;
+		EXPECT_EQ(2, CountRuns(job + "0")) << fault;
+		InjectFault(0, fault);
+		Reply r = Call(0, "/q/" + job, "call" + job, 9, 50);
+		EXPECT_EQ(200, r.status) << fault << r.body;
+		EXPECT_EQ(ExpectedStream("/q/" + job, 9), r.body) << fault;
+	}
+}
+
 TEST_F(GatewaySurplus, ACallerGetsNoFailureOfAnother)
 {
 	int n = 0;
