A stream goes on only with its next event, and only if it is signed

Cause: ids were compared within one run only; an event without an id, or with one that jumps, passed; the signature was checked at the end of an answer.

Change: through all runs of an answer, and from the event after which a caller resumes, ids increase by one; an event that does not follow ends the run, which goes on elsewhere or breaks off. A stream of which events without ids were passed on is not resumed: a new run would begin anew. The text of an item without ids begins anew with each run. The signature of a stream is checked with its head. Ids are whole numbers up to 2^62.

Ruled out: error answers (status, text, chunked, close) within a stream, which were refused before.

A test of the splitter allowed a new run to send the last event again; it now expects that to be refused, since a run is asked for the event after it.

Tests: EventSplitter.AnEventThatDoesNotFollowTheLastOneIsRefused, OddBytes.AStreamGoesOnOnlyWithItsNextEvent, AStreamWithoutASignatureIsNoSuccess.

--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -6,12 +6,15 @@
 
 #include "os/json_text.h"
 
+/* Leaves room for the next one. */
+static const int64_t kIdMax = INT64_MAX / 2;
+
 void
 event_splitter_init(struct event_splitter *es, int64_t last_id)
 {
 	es->partial = g_string_new(NULL);
-	es->last_id = last_id;
-	es->run_id = -1;
+	es->last_id = CLAMP(last_id, -1, kIdMax);
+	es->has_unnumbered = false;
 	es->fault = kEventSound;
 }
 
@@ -27,7 +30,6 @@
 event_splitter_restart(struct event_splitter *es)
 {
 	g_string_truncate(es->partial, 0);
-	es->run_id = -1;
 	es->fault = kEventSound;
 }
 
@@ -89,7 +91,7 @@
 	char *end;
 	long long id = strtoll(text, &end, 10);
 
-	if (end != text)
+	if (end != text && *end == '\0' && id >= 0 && id <= kIdMax)
 		*(int64_t *)ctx = id;
 	g_free(text);
 }
@@ -105,18 +107,15 @@
 {
 	if (!json_text_is_valid(ev->text, ev->len))
 		return kEventNotText;
-	if (ev->id >= 0 && ev->id <= es->run_id)
-		return kEventRepeated;
-	return kEventSound;
-}
-
-static void
-take_id(struct event_splitter *es, int64_t id)
-{
-	if (id < 0)
-		return;
-	es->run_id = id;
-	es->last_id = id;
+	if (!ev->has_content)
+		return kEventSound;
+	if (ev->id < 0)
+		return es->last_id < 0 ? kEventSound : kEventUnnumbered;
+	if (es->has_unnumbered)
+		return kEventUnnumbered;
+	if (es->last_id < 0 || ev->id == es->last_id + 1)
+		return kEventSound;
+	return ev->id <= es->last_id ? kEventRepeated : kEventMissing;
 }
 
 const char *
@@ -125,6 +124,8 @@
 	static const char *const texts[] = {
 	    [kEventSound] = "sound",
 	    [kEventRepeated] = "repeating",
+	    [kEventMissing] = "event_missing",
+	    [kEventUnnumbered] = "event_unnumbered",
 	    [kEventNotText] = "not_text",
 	};
 
@@ -178,7 +179,8 @@
 			is_continued = false;
 			break;
 		}
-		take_id(es, ev.id);
+		es->last_id = MAX(es->last_id, ev.id);
+		es->has_unnumbered |= ev.has_content && ev.id < 0;
 		at += n;
 		is_continued = fn(ctx, &ev);
 	}
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -8,19 +8,27 @@
 /** Why an event is not taken. */
 enum event_fault {
 	kEventSound,
-	/** Its id is no higher than that of the event before. */
+	/** Its id is no higher than that of the last event. */
 	kEventRepeated,
+	/** Its id does not follow that of the last event. */
+	kEventMissing,
+	/** It has no id, though the events before it have; or the reverse. */
+	kEventUnnumbered,
 	/** It is not UTF-8 text. */
 	kEventNotText,
 };
 
-/** Splits a text/event-stream body into complete events. */
+/**
+ * Splits a text/event-stream body into complete events. Ids increase by one,
+ * from the event after which the first run resumes, through all runs of an
+ * answer.
+ */
 struct event_splitter {
 	GString *partial;
 	/** Id of the last complete event; -1 before the first. */
 	int64_t last_id;
-	/** Id of the last complete event of this run; -1 before the first. */
-	int64_t run_id;
+	/** A complete event with content had no id. */
+	bool has_unnumbered;
 	/** Of the event that ended the run. */
 	enum event_fault fault;
 };
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -111,6 +111,11 @@
 	struct item_run *ir = ctx;
 	const char *type = header_list_get(headers, "Content-Type");
 
+	/* A run that does not go on after an event begins anew. */
+	if (ir->last_event_id < 0) {
+		g_string_truncate(ir->text, 0);
+		ir->has_text = false;
+	}
 	ir->status = status;
 	ir->is_stream = status == kHttpOk && type != NULL &&
 	    g_str_has_prefix(type, "text/event-stream");
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -122,7 +122,9 @@
 {
 	bool repeats = rl->attempts == 0 || rl->opt.may_repeat;
 
-	if (rl->is_answering && !(rl->is_stream && rl->opt.is_resumable))
+	/* Without ids, a new run would begin with the first event again. */
+	if (rl->is_answering &&
+	    !(rl->is_stream && rl->opt.is_resumable && rl->events.last_id >= 0))
 		return false;
 	return repeats && rl->attempts < rl->opt.attempts_max &&
 	    rl->not_executed_count <= kNotExecutedMax;
@@ -212,6 +214,7 @@
 	metric_add(kMetAttempts, 1);
 	rl->phase = kPhaseRunning;
 	rl->verdict = kAnswerForeign;
+	rl->is_unsigned = false;
 	rl->last_activity_us = now_us;
 	rl->request = outbound_start(rl->deps.outbound, &opt);
 	relay_watch_silence(rl);
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -40,6 +40,11 @@
 		return false;
 	slots_record_rate(rl->deps.slots, rl->slot, rl->target_started_ms,
 	    &rl->response.rate, rl->attempt_id);
+	/* The head of a stream is passed on before its end. */
+	rl->is_unsigned = status == kHttpOk && rl->response.is_event_stream &&
+	    !rl->response.is_signed && !rl->response.was_not_executed;
+	if (rl->is_unsigned)
+		return false;
 	rl->status = status;
 	rl->is_stream = status == kHttpOk && rl->response.is_event_stream;
 	if (rl->is_stream)
@@ -212,6 +217,8 @@
 
 	if (is_full)
 		handle_interrupted(rl, "endless");
+	else if (rl->is_unsigned)
+		relay_fail_attempt(rl, kSlotFailed, "unsigned");
 	else if (rl->events.fault != kEventSound)
 		/* The target did not end: no evidence that the request crashes
 		 * targets. */
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -69,6 +69,8 @@
 	/** An attempt not counted in attempts may have been executed. */
 	bool has_unproven_refusal;
 	bool is_stream;
+	/** A success that its target has not signed. */
+	bool is_unsigned;
 	struct event_splitter events;
 	GString *answer_body;
 	/** The head, and possibly body data, was passed on. */
--- a/test/functional/test_gateway_odd_bytes.cc
+++ b/test/functional/test_gateway_odd_bytes.cc
@@ -26,6 +26,17 @@
     {"comment", ": \xff\nid: 2\ndata: a\n\n"},
 };
 
+/* Of another answer, or of no stream at all. */
+const struct {
+	const char *name;
+	std::string event;
+} other_events[] = {
+    {"no id", "data: a\n\n"},
+    {"later id", "id: 9\ndata: a\n\n"},
+    {"same id", "id: 1\ndata: a\n\n"},
+    {"lower id", "id: 0\ndata: a\n\n"},
+};
+
 /* An event that is no text was stored without its text: each daemon that was
  * asked for the results of its job ended, again after each start. */
 TEST_F(OddBytes, AnItemIsRunOnAfterAnEventThatIsNoText)
@@ -76,6 +87,53 @@
 	ExpectAllAlive("calls");
 }
 
+/* Guards against streams and texts in which an event is missing, stands twice
+ * or is another answer's, and that end as complete. */
+TEST_F(OddBytes, AStreamGoesOnOnlyWithItsNextEvent)
+{
+	int n = 0;
+
+	StartReadyFleet(3, 1);
+	for (const auto &other : other_events) {
+		std::string id = "o" + std::to_string(n++);
+
+		/* The third worker is sound. */
+		for (size_t w = 0; w < 2; w++)
+			InjectOddEvent(w, 1, 1, other.event);
+		Reply r = Call(0, "/q/x", id, 4);
+		EXPECT_EQ(200, r.status) << other.name;
+		EXPECT_EQ(ExpectedStream("/q/x", 4), r.body) << other.name;
+		r = Call(0, "/f/x", id + "f", 4);
+		EXPECT_TRUE(
+		    r.status == 0 || r.body == ExpectedStream("/f/x", 4))
+		    << other.name << r.body;
+		for (size_t w = 0; w < 3; w++)
+			InjectOddEvent(w, 1, 1, other.event);
+		Send(0, "POST", "/b/" + id, JobBody(id, 1, RequestBody(4)), id);
+		EXPECT_TRUE(Eventually([&] { return HasResults(0, id, 1); }))
+		    << other.name;
+		EXPECT_EQ("completed " + ExpectedText("/b/" + id + "0", 4),
+		    OnlyResult(0, id))
+		    << other.name;
+	}
+	EXPECT_GT(daemons[0]->Count("\"end\":\"event_"), 0);
+}
+
+/* Guards against a stream without a signature that is passed on as a success:
+ * its head goes out with the first event. */
+TEST_F(OddBytes, AStreamWithoutASignatureIsNoSuccess)
+{
+	StartReadyFleet(2, 1);
+	for (size_t w = 0; w < 2; w++)
+		InjectFault(w, "{\"unsigned\":1}");
+	Reply r = Call(0, "/f/x", "u1", 4);
+	EXPECT_EQ(502, r.status) << r.body;
+	r = Call(0, "/q/x", "u2", 4);
+	EXPECT_EQ(200, r.status);
+	EXPECT_EQ(1u, r.headers.count("x-response-seal"));
+	EXPECT_EQ(ExpectedStream("/q/x", 4), r.body);
+}
+
 /* Results stored by an earlier version without a text ended each daemon that
  * read them. */
 TEST_F(OddBytes, AJobWithUnreadableRowsEndsNoDaemon)
--- a/test/unit/test_event_splitter.cc
+++ b/test/unit/test_event_splitter.cc
@@ -164,8 +164,9 @@
 	event_splitter_clear(&es);
 }
 
-/* Ids start again only with a new run. */
-TEST(EventSplitter, ARunThatRepeatsAnEventIsStopped)
+/* Guards against events that stand twice, are missing or do not belong to the
+ * stream, also after it was resumed. */
+TEST(EventSplitter, AnEventThatDoesNotFollowTheLastOneIsRefused)
 {
 	const struct {
 		const char *name;
@@ -174,11 +175,23 @@
 		bool is_continued;
 		int64_t last_id;
 	} repeats[] = {
+	    {"next id", "id: 5\ndata: b\n\n", false, true, 5},
 	    {"same id", "id: 4\ndata: b\n\n", false, false, 4},
 	    {"lower id", "id: 1\ndata: b\n\n", false, false, 4},
-	    {"no id", "data: b\n\n", false, true, 4},
-	    {"next id", "id: 9\ndata: b\n\n", false, true, 9},
-	    {"new run", "id: 4\ndata: b\n\n", true, true, 4},
+	    {"no id", "data: b\n\n", false, false, 4},
+	    {"an id that is no number", "id: x\ndata: b\n\n", false, false, 4},
+	    {"a later id", "id: 6\ndata: b\n\n", false, false, 4},
+	    {"a comment", ": b\n\n", false, true, 4},
+	    {"new run, next id", "id: 5\ndata: b\n\n", true, true, 5},
+	    {"new run, same id", "id: 4\ndata: b\n\n", true, false, 4},
+	    {"new run, lower id", "id: 1\ndata: b\n\n", true, false, 4},
+	    {"new run, later id", "id: 6\ndata: b\n\n", true, false, 4},
+	    {"new run, no id", "data: b\n\n", true, false, 4},
+	    {"new run, a comment", ": b\n\n", true, true, 4},
+	    {"no id, then an id", "data: b\n\nid: 5\ndata: c\n\n", false, false,
+		4},
+	    {"too large an id", "id: 9223372036854775807\ndata: b\n\n", false,
+		false, 4},
 	};
 	const std::string first = "id: 4\ndata: a\n\n";
 
