Entries of targets are checked once, in full

Cause: the address of an entry was checked for its type only and parsed in two places; a request that libcurl could not even send counted as one that may have run; after three targets that refuse connections a request failed. Numbers of the configuration were cut to 32 bits or cast out of range.

Change: net_address_parse() is the one parser of IP:PORT; entries whose address, name, service or zone is not sound are skipped and logged. A request may meet eight targets that cannot be connected to; a target that has never served is ejected for up to 10 s instead of 2 s. Numbers are clamped. Items whose id, path or header fields would break the head of a request are refused with 400: they went into it as they were.

Ruled out: deep nesting and large numbers in JSON (typed errors before).

--- a/src/gateway/connect_probe.c
+++ b/src/gateway/connect_probe.c
@@ -1,15 +1,14 @@
 /* Connections that are opened only to learn whether a target's port is open. */
 #include "gateway/connect_probe.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <glib.h>
-#include <stdlib.h>
-#include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "os/net_address.h"
+
 enum {
 	/* Covers a connection to another region. */
 	kProbeTimeoutUs = 250 * kUsPerMs,
@@ -89,21 +88,6 @@
 	probe_end(pr, kConnectUnknown);
 }
 
-static bool
-parse_address(const char *address, struct sockaddr_in *sin)
-{
-	const char *colon = strrchr(address, ':');
-	char ip[INET_ADDRSTRLEN];
-
-	if (colon == NULL || (size_t)(colon - address) >= sizeof(ip))
-		return false;
-	g_strlcpy(ip, address, (gsize)(colon - address) + 1);
-	memset(sin, 0, sizeof(*sin));
-	sin->sin_family = AF_INET;
-	sin->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
-	return inet_pton(AF_INET, ip, &sin->sin_addr) == 1;
-}
-
 /* @return -1 if the connection cannot be begun */
 static int
 begin_connect(const char *address, int *error)
@@ -112,7 +96,7 @@
 	int fd;
 
 	*error = EINVAL;
-	if (!parse_address(address, &sin))
+	if (!net_address_parse(address, &sin))
 		return -1;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd >= 0 &&
--- a/src/gateway/headers.c
+++ b/src/gateway/headers.c
@@ -1,6 +1,8 @@
 /* Header fields of one HTTP message. */
 #include "gateway/headers.h"
 
+#include <string.h>
+
 struct header_list {
 	GArray *fields;
 };
@@ -79,6 +81,39 @@
 	return &g_array_index(list->fields, struct header, i);
 }
 
+bool
+header_value_is_valid(const char *value)
+{
+	for (; *value != '\0'; value++)
+		if (g_ascii_iscntrl(*value) && *value != '\t')
+			return false;
+	return true;
+}
+
+bool
+header_name_is_valid(const char *name)
+{
+	static const char others[] = "!#$%&'*+-.^_`|~";
+
+	if (*name == '\0')
+		return false;
+	for (; *name != '\0'; name++)
+		if (!g_ascii_isalnum(*name) && strchr(others, *name) == NULL)
+			return false;
+	return true;
+}
+
+bool
+header_path_is_valid(const char *path)
+{
+	if (*path != '/')
+		return false;
+	for (; *path != '\0'; path++)
+		if (g_ascii_iscntrl(*path) || *path == ' ')
+			return false;
+	return true;
+}
+
 bool
 header_is_hop_by_hop(const char *name)
 {
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -18,6 +18,9 @@
 	/* Limit of attempts that were not executed; these do not count towards
 	 * attempts_max. */
 	kNotExecutedMax = 3,
+	/* Targets that cannot be connected to: each costs little time and is
+	 * ejected at once. */
+	kUnreachableMax = 8,
 	kRetryAfterDefaultUs = 300 * kUsPerMs,
 	/* A refusal leaves this long before its caller does. */
 	kRefusalMarginUs = 60 * kUsPerMs,
@@ -127,7 +130,8 @@
 	    !(rl->is_stream && rl->opt.is_resumable && rl->events.last_id >= 0))
 		return false;
 	return repeats && rl->attempts < rl->opt.attempts_max &&
-	    rl->not_executed_count <= kNotExecutedMax;
+	    rl->not_executed_count <= kNotExecutedMax &&
+	    rl->unreachable_count <= kUnreachableMax;
 }
 
 void
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -240,7 +240,7 @@
 		break;
 	case kOutboundNotSent:
 		rl->attempts--;
-		rl->not_executed_count++;
+		rl->unreachable_count++;
 		relay_fail_attempt(rl, kSlotUnreachable, "unreachable");
 		break;
 	case kOutboundInterrupted:
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -59,6 +59,7 @@
 	/* Attempts that may have been executed, and those that were not. */
 	int32_t attempts;
 	int32_t not_executed_count;
+	int32_t unreachable_count;
 	const char *cause;
 
 	/* The current response. */
--- a/src/savoryflow/slotpool/target_health.c
+++ b/src/savoryflow/slotpool/target_health.c
@@ -14,6 +14,9 @@
 	/* A crashed target is back within a few seconds. */
 	kEjectMaxUs = 2 * kUsPerS,
 	kEjectDoublingsMax = 3,
+	/* A target that has never served a request may not exist. */
+	kEjectUnprovenMaxUs = 10 * kUsPerS,
+	kEjectUnprovenDoublingsMax = 5,
 	/* A full target has a free slot when its next request ends. */
 	kFullUs = 60 * kUsPerMs,
 	kPenaltyPerFault = 250,
@@ -55,15 +58,18 @@
 static void
 eject(struct target_health *h, int64_t now_us)
 {
+	bool is_proven = h->last_served_us != 0;
+	int64_t max_us = is_proven ? kEjectMaxUs : kEjectUnprovenMaxUs;
 	int64_t span_us = (int64_t)kEjectMinUs
-	    << MIN(h->ejections, kEjectDoublingsMax);
+	    << MIN(h->ejections,
+		   is_proven ? kEjectDoublingsMax : kEjectUnprovenDoublingsMax);
 
 	/* Failures of requests sent before the ejection are no new evidence. */
 	if (h->ejected_until_us > now_us)
 		return;
 	h->ejections++;
 	h->is_probing = false;
-	h->ejected_until_us = now_us + MIN(span_us, kEjectMaxUs);
+	h->ejected_until_us = now_us + MIN(span_us, max_us);
 }
 
 static bool
--- a/test/functional/test_gateway_odd_bytes.cc
+++ b/test/functional/test_gateway_odd_bytes.cc
@@ -182,6 +182,38 @@
 	EXPECT_EQ(200, Call(0, "/q/x", "after", 2).status);
 }
 
+/* Guards against entries of another writer that stand for targets: requests
+ * failed at one after the other, though a sound target was idle. */
+TEST_F(OddBytes, EntriesThatNobodyCanConnectToFailNoRequest)
+{
+	const char *const addresses[] = {"127.0.0.1:1", "127.0.0.1:65537",
+	    "127.0.0.1:0", "127.0.0.1", "x", "", "127.0.0.1:99999"};
+	int n = 0;
+
+	Configure(1);
+	for (int i = 0; i < 3; i++)
+		for (const char *address : addresses) {
+			std::string doc =
+			    std::string(R"({"service":"llm","zone":"dc1",
+			    "version":"v","slot_count":8,"state":"ready",
+			    "cold_left_ms":0,"sequence":1,"born":1,"addr":")") +
+			    address + "\"}";
+
+			PutRow("servers", "odd-" + std::to_string(n++),
+			    doc.c_str());
+		}
+	StartReadyFleet(1, 1);
+	daemons[0]->Signal(SIGKILL);
+	daemons[0]->Wait();
+	StartDaemon(0);
+	ASSERT_TRUE(Eventually([&] { return ReadyStatus(0) == 200; }));
+	for (int i = 0; i < 30; i++) {
+		Reply r = Call(0, "/q/x", "e" + std::to_string(i), 2);
+
+		EXPECT_EQ(200, r.status) << i << r.body;
+	}
+}
+
 /* An id that a row's key cannot hold must not be acknowledged. */
 TEST_F(OddBytes, AJobWhoseIdIsNoTextIsRefused)
 {
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -114,6 +114,28 @@
 	    {"\"service\":\"s1\"", "\"service\":7"},
 	    {"\"service\":\"s1\",", ""},
 	    {"\"addr\":\"10.0.0.9:8080\",", ""},
+	    {"10.0.0.9:8080", "10.0.0.9:65536"},
+	    {"10.0.0.9:8080", "10.0.0.9:0"},
+	    {"10.0.0.9:8080", "10.0.0.9:-80"},
+	    {"10.0.0.9:8080", "10.0.0.9:73616"},
+	    {"10.0.0.9:8080", "10.0.0.9:99999999999999999999"},
+	    {"10.0.0.9:8080", "10.0.0.9"},
+	    {"10.0.0.9:8080", "10.0.0.9:"},
+	    {"10.0.0.9:8080", "10.0.0.9:80 "},
+	    {"10.0.0.9:8080", "10.0.0.9:80/x"},
+	    {"10.0.0.9:8080", "a@10.0.0.9:80"},
+	    {"10.0.0.9:8080", "10.0.0.256:80"},
+	    {"10.0.0.9:8080", "0.0.0.0:80"},
+	    {"10.0.0.9:8080", "224.0.0.1:80"},
+	    {"10.0.0.9:8080", "host:80"},
+	    {"10.0.0.9:8080", "[::1]:80"},
+	    {"10.0.0.9:8080", ""},
+	    {"\"service\":\"s1\"", "\"service\":\"\""},
+	    {"\"service\":\"s1\"", "\"service\":\"s\\u0001\""},
+	    {"\"slot_count\":8", "\"slot_count\":4294967304"},
+	    {"\"slot_count\":8", "\"slot_count\":99999999999999999999"},
+	    {"\"slot_count\":8", "\"slot_count\":1e999"},
+	    {"\"sequence\":4", "\"sequence\":[[[[[]"},
 	    {"\"zone\":\"dc1\",", ""},
 	    {"\"state\":\"ready\"", "\"state\":\"odd\""},
 	    {"\"state\":\"ready\"", "\"state\":null"},
@@ -351,6 +373,72 @@
 	}
 }
 
+/* The name of an entry goes into the head of requests. */
+TEST(DecodeTarget, NamesThatNoHeaderCanHoldAreRefused)
+{
+	const std::string names[] = {
+	    "i\r\nX-A: 1", "i\n", "i\x01", std::string(96, 'i')};
+
+	for (const auto &name : names) {
+		fleet_target t;
+		GError *err = nullptr;
+
+		EXPECT_FALSE(decode_target(name.c_str(), kTarget, 1, &t, &err))
+		    << name;
+		ASSERT_NE(nullptr, err);
+		g_error_free(err);
+	}
+}
+
+/* Guards against text that is nested so deeply that its reader ends. */
+TEST(DecodeTarget, DeepNestingIsATypedError)
+{
+	std::string deep = std::string(100000, '[');
+	fleet_target t;
+
+	for (const std::string &text : {deep, "{\"service\":" + deep}) {
+		GError *err = nullptr;
+
+		EXPECT_FALSE(decode_target("i", text.c_str(), 1, &t, &err));
+		ASSERT_NE(nullptr, err);
+		g_error_free(err);
+		err = nullptr;
+		EXPECT_EQ(nullptr, decode_routebook(text.c_str(), &err));
+		ASSERT_NE(nullptr, err);
+		g_error_free(err);
+	}
+}
+
+TEST(DecodeRoutebook, NumbersOutOfRangeAreClamped)
+{
+	const char *const numbers[] = {
+	    "1e300", "9223372036854775807", "-1e300", "4294967297"};
+
+	for (const char *number : numbers) {
+		std::string n = number;
+		std::string text =
+		    R"({"version":1,"routes":[{"name":"r","host":"h",
+		    "path_prefix":"/p/","kind":"batch","service":"s",
+		    "timeout_ms":)" +
+		    n + R"(,"max_attempts":)" + n + R"(,"priority":)" + n +
+		    R"(,"max_count":)" + n + R"(,"item_ttl_s":)" + n +
+		    R"(}],"limits":{"body_bytes":)" + n + "}}";
+		GError *err = nullptr;
+		struct routebook *book = decode_routebook(text.c_str(), &err);
+
+		ASSERT_NE(nullptr, book) << text;
+		auto *route = (routebook_route *)book->routes->pdata[0];
+		EXPECT_EQ(*number == '-', route->timeout_us < 0) << number;
+		EXPECT_GE(route->attempts_max, 1) << number;
+		EXPECT_GE(route->waiting_tokens_max, 0) << number;
+		if (*number != '-') {
+			EXPECT_GT(route->timeout_us, 1000000000) << number;
+			EXPECT_GT(route->attempts_max, 1) << number;
+		}
+		routebook_unref(book);
+	}
+}
+
 TEST(Dialect, BadSubmissionsAreTypedErrors)
 {
 	const char *const cases[] = {
@@ -360,6 +448,19 @@
 	    "{\"requests\":[{\"id\":\"a\",\"target_path\":\"/p\"}]}",
 	    "{\"requests\":[{\"id\":\"a\",\"body\":\"eA==\"}]}",
 	    "{\"requests\":[7]}",
+	    R"({"requests":[{"id":"","target_path":"/p","body":""}]})",
+	    R"({"requests":[{"id":"a\r\nX: 1","target_path":"/p",
+	    "body":""}]})",
+	    R"({"requests":[{"id":"a","target_path":"/p HTTP/1.1\r\n\r\nGET /",
+	    "body":""}]})",
+	    R"({"requests":[{"id":"a","target_path":"/p q","body":""}]})",
+	    R"({"requests":[{"id":"a","target_path":"p","body":""}]})",
+	    R"({"requests":[{"id":"a","target_path":"/p","body":"",
+	    "headers":{"X-A":"1\r\nX-B: 2"}}]})",
+	    R"({"requests":[{"id":"a","target_path":"/p","body":"",
+	    "headers":{"X-A: 1\r\nX-B":"2"}}]})",
+	    R"({"requests":[{"id":"a","target_path":"/p","body":"",
+	    "headers":{"":"2"}}]})",
 	};
 
 	for (const char *text : cases) {
