--- a/src/gateway/roster_store.c
+++ b/src/gateway/roster_store.c
@@ -8,6 +8,8 @@
 
 enum {
 	kRowsPerScan = 500,
+	/* More than a VM has. */
+	kCpuMillicoresMax = 1000000,
 };
 
 static char *
@@ -84,7 +86,8 @@
 		CLAMP(json_integer_value(json_object_get(doc, "period_us")), 0,
 		    kRosterHeartbeatMaxUs),
 	    .cpu_millicores =
-		(int32_t)json_integer_value(json_object_get(doc, "cpu")),
+		(int32_t)CLAMP(json_integer_value(json_object_get(doc, "cpu")),
+		    0, kCpuMillicoresMax),
 	};
 
 	if (session != NULL && region != NULL && dc != NULL) {
