An item leaves a pool of which it reaches no target

An arbiter refused a call whose daemon reaches none of its targets, and the daemon tried the next pool; an item was queued there and skipped, and each second its daemon chose the same pool, as it had the most room. Items are refused by the same rule now, and a pool that refused one is left out until the next choice.

SlotsExclusion, "item, no path to its zone": before not placed elsewhere within 4 s of play, after within 100 ms.

--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -320,8 +320,7 @@
 static bool
 try_next_pool(struct slots *sl, struct hold *h, const struct delivery *del)
 {
-	bool is_tried_out =
-	    h->request.is_batch || h->tried_count == kPoolsTriedMax;
+	bool is_tried_out = h->tried_count == kPoolsTriedMax;
 
 	if (is_tried_out && !slots_end_exclusion(h))
 		return false;
@@ -495,6 +494,7 @@
 	if (now_us - h->requested_us <= kBatchRechooseUs)
 		return;
 	release_hold(sl, h, kSlotNeutral);
+	h->tried_count = 0;
 	request_from_pool(sl, h);
 }
 
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -260,7 +260,7 @@
 		struct slotpool_load load;
 		int32_t room;
 
-		if (!slots_may_serve(sl, view, h))
+		if (!slots_may_serve(sl, view, h) || was_tried(h, view))
 			continue;
 		load = estimate_load(sl, view);
 		room = slotpool_batch_room(&load);
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -374,6 +374,23 @@
 	slot_queue_add(sp->queue, &item);
 }
 
+/* An item may wait for any time, but not for targets that may not serve it:
+ * another pool may. */
+static bool
+may_serve_batch(
+    const struct slotpool *sp, const struct slot_request *req, int64_t now_us)
+{
+	int32_t targets;
+	int32_t reached;
+
+	if (req->excluded_target[0] != '\0' &&
+	    !slot_targets_has_other(sp->targets, req->excluded_target))
+		return false;
+	slot_targets_count_reachable(sp->targets, req->holder,
+	    req->excluded_target, now_us, &targets, &reached);
+	return targets == 0 || reached > 0;
+}
+
 void
 slotpool_request(struct slotpool *sp, const struct slot_request *req,
     int64_t now_us, GArray *out)
@@ -392,9 +409,7 @@
 		request_online(sp, req, now_us, out);
 		return;
 	}
-	/* An item may wait for any time, but not for a target that is none. */
-	if (req->excluded_target[0] != '\0' &&
-	    !slot_targets_has_other(sp->targets, req->excluded_target)) {
+	if (!may_serve_batch(sp, req, now_us)) {
 		refuse(sp, req, now_us, out);
 		return;
 	}
--- a/test/unit/test_slots_exclusion.cc
+++ b/test/unit/test_slots_exclusion.cc
@@ -22,6 +22,8 @@
 	bool is_draining;
 	/* All its slots are in use. */
 	bool is_full;
+	/** The daemon does not reach it; others do. */
+	bool is_cut;
 };
 
 struct Case {
@@ -132,6 +134,29 @@
 		return slots_acquire(sl, &req, &ops, this);
 	}
 
+	/* Another daemon has just been served. */
+	void
+	Cut(const Target &t)
+	{
+		GArray *out = slotpool_actions_new();
+		struct hosted_pool *hp;
+		slot_request req = {};
+
+		slots_host_tick(sl, now_us);
+		req.is_batch = true;
+		req.id = 1;
+		req.holder = slots_holder_index(sl, "d9");
+		slots_host_request(sl, &req, "llm", t.data_center, nullptr);
+		hp = slots_hosted_find(sl, "llm", t.data_center);
+		slotpool_release(hp->pool, req.id, kSlotServed, now_us, out);
+		req.id = 2;
+		req.holder = 0;
+		slotpool_request(hp->pool, &req, now_us, out);
+		slotpool_release(
+		    hp->pool, req.id, kSlotUnreachable, now_us, out);
+		g_array_unref(out);
+	}
+
 	void
 	Play(const Case &c)
 	{
@@ -140,6 +165,9 @@
 			if (t.is_full)
 				steps.push_back(
 				    [this] { Acquire("a", false, true); });
+		for (const Target &t : c.targets)
+			if (t.is_cut)
+				steps.push_back([this, &t] { Cut(t); });
 		steps.push_back([this, &c] {
 			start_us = now_us;
 			id = Acquire("a", c.is_batch, c.is_strict);
@@ -175,6 +203,9 @@
 	true, false, 0, "a", 1500 * kMs},
     {"item, the other zone is full", {{"a", "dc0"}, {"b", "dc1", false, true}},
 	true, false, 0, "a", 1500 * kMs},
+    {"item, no path to its zone",
+	{{"b", "dc0", false, false, true}, {"c", "dc1"}, {"a", "dc2"}}, true,
+	false, 0, "c", 100 * kMs},
     {"item, still run by the only target", {{"a", "dc0"}}, true, true, 0, "",
 	50 * kMs},
     {"call, still run by the only target", {{"a", "dc0"}}, false, true, 0, "",
