A refused second copy is unknown; suspected parts are held back longer

Store: the first form of the fix ended a call at libcurl's second sending, so that four lost answers in a row were three calls and a job was answered 503 "unknown" (Failures.LostStoreResponsesLoseAndDuplicateNothing, which expects 202). libcurl may send again; a refusal of the second copy is ambiguous.

Calls with a part that is suspected for 3 s are refused now until a trial is answered, and trials come 0.25 s after a lost one, then doubled up to 4 s.

--- a/src/http/send_guard.c
+++ b/src/http/send_guard.c
@@ -30,3 +30,9 @@
 {
 	return sg->sendings == 0;
 }
+
+bool
+send_guard_is_resent(const struct send_guard *sg)
+{
+	return sg->sendings > 1;
+}
--- a/src/http/send_guard.h
+++ b/src/http/send_guard.h
@@ -26,4 +26,8 @@
 /** True if no byte of the request has left: it was certainly not executed. */
 bool send_guard_is_unsent(const struct send_guard *sg);
 
+/** True if the answer is that to a second copy: the first one may have been
+ * executed, even if the second was refused. */
+bool send_guard_is_resent(const struct send_guard *sg);
+
 #endif
--- a/src/savoryflow/retry/blame.c
+++ b/src/savoryflow/retry/blame.c
@@ -13,6 +13,13 @@
 	 * that it may send; and for a held request to be sent and answered. */
 	kTrialWindowUs = 5 * kUsPerS,
 	kHeldTrialWindowUs = 500 * kUsPerMs,
+	/* Time to the next request with a suspected key after one was lost;
+	 * doubled for each further one. */
+	kHeldBackoffUs = 250 * kUsPerMs,
+	kHeldDoublingsMax = 4,
+	/* No answer has begun for so long: calls with the key are refused until
+	 * a trial is answered. */
+	kHeldMaxUs = 3 * kUsPerS,
 	kTrialDoublingsMax = 4,
 	/* A part that is not blocked by then needs more evidence. */
 	kJudgingUs = kUsPerS,
@@ -160,6 +167,9 @@
 	v->note.trial_by = 0;
 	v->note.trial_until_us = now_us;
 	v->note.trials += is_blocked;
+	if (!is_blocked)
+		v->note.trial_until_us += (int64_t)kHeldBackoffUs
+		    << MIN(v->held_losses++, kHeldDoublingsMax);
 	blame_announce(bl, v, now_us, out);
 }
 
@@ -350,10 +360,20 @@
 	return true;
 }
 
+static bool
+is_refused(const struct verdict *v, bool is_owed, int64_t now_us)
+{
+	if (v->note.verdict == kBlameBlocked)
+		return true;
+	return !is_owed && v->held_since_us != 0 &&
+	    now_us - v->held_since_us >= kHeldMaxUs;
+}
+
 static enum blame_verdict
-check_key(struct blame *bl, uint64_t key, bool will_send, int64_t now_us,
-    struct blame_out *out)
+check_key(struct blame *bl, const struct blame_keys *keys, int32_t position,
+    bool will_send, int64_t now_us, struct blame_out *out)
 {
+	uint64_t key = keys->keys[position];
 	struct verdict *v = blame_verdict_find(bl, key);
 	enum blame_verdict verdict = v != NULL ? v->note.verdict : kBlameNone;
 
@@ -367,7 +387,8 @@
 	/* The primary coordinator may have allowed itself the trial. */
 	if (take_trial(bl, v, will_send, now_us))
 		return kBlameTrial;
-	return verdict == kBlameBlocked ? kBlameBlocked : kBlameHeld;
+	return is_refused(v, keys->is_owed, now_us) ? kBlameBlocked
+						    : kBlameHeld;
 }
 
 enum blame_verdict
@@ -378,7 +399,7 @@
 
 	for (int32_t i = 0; i < keys->count && worst != kBlameBlocked; i++) {
 		enum blame_verdict verdict =
-		    check_key(bl, keys->keys[i], will_send, now_us, out);
+		    check_key(bl, keys, i, will_send, now_us, out);
 
 		if (verdict <= worst)
 			continue;
@@ -425,6 +446,10 @@
 		v->exposed_us = INT64_MIN;
 		v->suspected_us = 0;
 	}
+	if (v->note.verdict != kBlameSuspected)
+		v->held_since_us = 0;
+	else if (v->held_since_us == 0)
+		v->held_since_us = now_us;
 	if (v->note.verdict == kBlameSuspected && v->exposed_us == INT64_MIN)
 		blame_count_exposure(bl, v, kBlameNoteExposure, now_us, out);
 	if (is_refuted(v, begun_us) && !bl->is_coordinator)
--- a/src/savoryflow/retry/blame_internal.h
+++ b/src/savoryflow/retry/blame_internal.h
@@ -18,6 +18,10 @@
 	/** Answers without the suspected key that began until then are
 	 * counted. */
 	int64_t exposed_us;
+	/** Since when the key is suspected, as known here; 0: it is not. */
+	int64_t held_since_us;
+	/** Requests that were lost while the key was suspected. */
+	int32_t held_losses;
 	bool is_trial_used;
 };
 
--- a/src/savoryflow/retry/blame_judge.c
+++ b/src/savoryflow/retry/blame_judge.c
@@ -36,6 +36,7 @@
 	struct verdict *v = blame_verdict_get(bl, key);
 
 	v->note.verdict = kBlameBlocked;
+	v->held_since_us = 0;
 	v->note.is_part = is_part;
 	v->note.lost_runs = sc.runs;
 	v->note.last_end_us = sc.last_end_us;
@@ -52,6 +53,8 @@
 	v->note.verdict = kBlameNone;
 	v->note.trial_by = 0;
 	v->suspected_us = 0;
+	v->held_losses = 0;
+	v->held_since_us = 0;
 	v->others_us = INT64_MIN;
 	v->exposed_us = INT64_MIN;
 	blame_evidence_forget_exposure(bl->evidence, v->note.key);
@@ -105,6 +108,7 @@
 		v->note.verdict = kBlameSuspected;
 		v->note.is_part = true;
 		bl->has_suspects = true;
+		v->held_since_us = now_us;
 		blame_count_exposure(bl, v, kBlameNoteExposure, now_us, out);
 		blame_announce(bl, v, now_us, out);
 	}
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -170,9 +170,6 @@
 	curl_easy_setopt(h, CURLOPT_WRITEDATA, reply);
 	curl_easy_setopt(h, CURLOPT_HEADERFUNCTION, reply_header);
 	curl_easy_setopt(h, CURLOPT_HEADERDATA, reply);
-	/* The refusal of a second copy of a write would hide that the first one
-	 * was applied. */
-	reply->guard.is_sent_once = req->method != NULL;
 	send_guard_attach(h, &reply->guard);
 	if (req->method != NULL) {
 		curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, req->method);
@@ -203,7 +200,8 @@
 	perform_once(sh, cause, req, path, reply);
 }
 
-/* Only a request that was not sent or a 503 proves that nothing was applied. */
+/* Only a request that was not sent, or a 503 for one that was sent once, proves
+ * that nothing was applied. */
 static enum store_result
 reply_result(const struct http_reply *reply)
 {
@@ -219,7 +217,9 @@
 	case kHttpConflict:
 		return kStoreConflict;
 	case kHttpUnavailable:
-		return kStoreUnavailable;
+		/* A refused second copy does not undo the first one. */
+		return send_guard_is_resent(&reply->guard) ? kStoreAmbiguous
+							   : kStoreUnavailable;
 	default:
 		return kStoreAmbiguous;
 	}
