--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -219,6 +219,7 @@
 	rl->phase = kPhaseRunning;
 	rl->verdict = kAnswerForeign;
 	rl->is_unsigned = false;
+	rl->was_turned_away = false;
 	rl->last_activity_us = now_us;
 	rl->request = outbound_start(rl->deps.outbound, &opt);
 	relay_watch_silence(rl);
@@ -297,7 +298,7 @@
 static const struct slots_ops slot_ops = {on_granted, on_refused, on_revoked};
 
 uint64_t
-relay_acquire_slot(struct relay *rl, bool is_running)
+relay_acquire_slot(struct relay *rl, bool is_strict)
 {
 	struct slots_acquire_options slot_opt = {
 	    .service = rl->service,
@@ -306,7 +307,7 @@
 	    .expected_run_us = rl->opt.expected_run_us,
 	    .prefix = rl->opt.prefix,
 	    .excluded_target = rl->target[0] != '\0' ? rl->target : NULL,
-	    .is_exclusion_strict = is_running,
+	    .is_exclusion_strict = is_strict,
 	};
 	int64_t now_us = loop_now_us(rl->deps.lp);
 
@@ -327,7 +328,9 @@
 	if (relay_adopt_takeover(rl))
 		return;
 	rl->slot_requested_us = loop_now_us(rl->deps.lp);
-	rl->slot = relay_acquire_slot(rl, false);
+	/* A call that its only target turns away is refused at once. */
+	rl->slot =
+	    relay_acquire_slot(rl, rl->was_turned_away && !rl->opt.is_batch);
 }
 
 static void
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -142,6 +142,7 @@
 {
 	rl->attempts--;
 	rl->not_executed_count++;
+	rl->was_turned_away = !rl->response.is_misdirected;
 	relay_fail_attempt(rl,
 	    rl->response.is_misdirected ? kSlotUnreachable : kSlotFull, cause);
 }
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -70,6 +70,8 @@
 	/** An attempt not counted in attempts may have been executed. */
 	bool has_unproven_refusal;
 	bool is_stream;
+	/** The target of the last attempt said that it is full. */
+	bool was_turned_away;
 	/** A success that its target has not signed. */
 	bool is_unsigned;
 	struct event_splitter events;
@@ -100,10 +102,10 @@
 bool relay_may_retry(const struct relay *rl);
 
 /**
- * Requests a slot, if possible at another target than the current one.
- * @param is_running the current target still runs the request
+ * Requests a slot at another target than the current one.
+ * @param is_strict never at the current one; otherwise only if possible
  */
-uint64_t relay_acquire_slot(struct relay *rl, bool is_running);
+uint64_t relay_acquire_slot(struct relay *rl, bool is_strict);
 
 /** Sends the request to a target whose slot is held, or ends it if it must not
  * run. */
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -80,7 +80,7 @@
 	enum hold_phase phase;
 	/** The target names a rate, as far as the arbiter knows. */
 	bool is_rate_limited;
-	/** The excluded target still runs the request: never chosen. */
+	/** The excluded target is never chosen. */
 	bool is_exclusion_strict;
 	struct pool_view *view;
 	char arbiter[kFleetAddressMax];
