--- a/src/savoryflow/retry/begun_runs.c
+++ b/src/savoryflow/retry/begun_runs.c
@@ -10,6 +10,7 @@
 };
 
 struct begun_runs {
+	/** The newest one is before next. */
 	struct begun_run all[kRunsMax];
 	int32_t count;
 	int32_t next;
@@ -41,11 +42,13 @@
 {
 	int64_t sum_us = 0;
 
-	for (int32_t i = 0; i < br->count; i++) {
-		const struct begun_run *run = &br->all[i];
+	for (int32_t i = 1; i <= br->count; i++) {
+		const struct begun_run *run =
+		    &br->all[(br->next + kRunsMax - i) % kRunsMax];
 
-		if (run->begun_us > since_us &&
-		    !blame_keys_have(&run->keys, key))
+		if (run->begun_us <= since_us)
+			break;
+		if (!blame_keys_have(&run->keys, key))
 			sum_us += run->run_us;
 	}
 	return sum_us;
--- a/src/savoryflow/retry/blame_evidence.c
+++ b/src/savoryflow/retry/blame_evidence.c
@@ -72,8 +72,8 @@
 	const struct begun_times *begun;
 	/** struct lost_run, ordered by end. */
 	GArray *runs;
-	/** How long runs without a key took until their answers began: int64_t
-	 * by key. */
+	/** How long runs without a key took until their answers began: struct
+	 * exposure by key. */
 	GHashTable *exposures;
 };
 
