--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -40,8 +40,8 @@
 	uint64_t prefix;
 	/** Target to avoid for a while, or NULL. */
 	const char *excluded_target;
-	/** The excluded target still runs the request, or has no room: it is not
-	 * chosen until slots_relax_exclusion. */
+	/** The excluded target still runs the request, or has no room: it is
+	 * not chosen until slots_relax_exclusion. */
 	bool is_exclusion_strict;
 };
 
