--- a/src/savoryflow/retry/blame.c
+++ b/src/savoryflow/retry/blame.c
@@ -167,9 +167,11 @@
 	v->note.trial_by = 0;
 	v->note.trial_until_us = now_us;
 	v->note.trials += is_blocked;
-	if (!is_blocked)
+	if (!is_blocked) {
 		v->note.trial_until_us += (int64_t)kHeldBackoffUs
-		    << MIN(v->held_losses++, kHeldDoublingsMax);
+		    << MIN(v->held_losses, kHeldDoublingsMax);
+		v->held_losses++;
+	}
 	blame_announce(bl, v, now_us, out);
 }
 
