Quota: the wait for the daemons that count has a bound of its own

What callers saw: a submission to a route with a limit was answered after 1.0005 s while the daemons that count its tokens were silent; some submitters leave after a second.

Cause: each of up to three daemons was given 450 ms, judged by a tick of 100 ms, and nothing bounded the sum: up to 1.65 s.

Change: a timer for each wait; 800 ms over all daemons that are asked. The last one may have less time than an answer takes: it is neither suspected nor avoided then.

Before: QuotaAnswers.SilentCountersDoNotKeepASubmitterUntilItLeaves 1.5 s, wanted less than 1 s.

--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -13,6 +13,9 @@
 	 * read the open jobs. */
 	kAnswerTimeoutUs = 450 * kUsPerMs,
 	kAsksMax = 3,
+	/* Over all daemons that are asked: some submitters leave after 1 s, and
+	 * the store is called after the answer. */
+	kWaitMaxUs = 800 * kUsPerMs,
 	kSuspectUs = 4 * kUsPerS,
 	/* A daemon that could not count is not asked for this time. */
 	kAvoidUs = 5 * kUsPerS,
@@ -22,12 +25,15 @@
 };
 
 struct quota_wait {
+	struct quota *qt;
 	uint64_t id;
 	char *route;
 	struct quota_ask ask;
 	char counter[kFleetAddressMax];
+	int64_t started_us;
 	int64_t asked_us;
 	int32_t asks;
+	uint64_t timer;
 	quota_answer_fn fn;
 	void *ctx;
 };
@@ -37,6 +43,7 @@
 {
 	struct quota_wait *qw = p;
 
+	loop_timer_cancel(qw->qt->opt.lp, qw->timer);
 	g_free(qw->route);
 	g_free(qw->ask.job);
 	g_free(qw);
@@ -133,12 +140,23 @@
 	qt->opt.wire->send(qt->opt.wire_ctx, qw->counter, &env);
 }
 
+static void on_timeout(void *ctx);
+
+static int64_t
+wait_until_us(const struct quota_wait *qw)
+{
+	return MIN(
+	    qw->asked_us + kAnswerTimeoutUs, qw->started_us + kWaitMaxUs);
+}
+
 static void
 ask_counter(struct quota *qt, struct quota_wait *qw)
 {
 	g_strlcpy(qw->counter, counter_of(qt, qw->route), sizeof(qw->counter));
 	qw->asked_us = loop_now_us(qt->opt.lp);
 	qw->asks++;
+	loop_timer_cancel(qt->opt.lp, qw->timer);
+	qw->timer = loop_timer(qt->opt.lp, wait_until_us(qw), on_timeout, qw);
 	if (strcmp(qw->counter, qt->opt.address) == 0)
 		quota_host_ask(qt, qw->route, &qw->ask);
 	else
@@ -169,7 +187,9 @@
 	struct quota_wait *qw = g_new0(struct quota_wait, 1);
 	struct posted_ask *posted = g_new(struct posted_ask, 1);
 
+	qw->qt = qt;
 	qw->id = ++qt->next_id;
+	qw->started_us = loop_now_us(qt->opt.lp);
 	qw->route = g_strdup(request->route);
 	g_strlcpy(qw->ask.from, qt->opt.address, sizeof(qw->ask.from));
 	qw->ask.id = qw->id;
@@ -210,8 +230,9 @@
 static bool
 ask_another(struct quota *qt, struct quota_wait *qw)
 {
-	avoid(qt, qw->counter);
-	if (qw->asks >= kAsksMax)
+	int64_t waited_us = loop_now_us(qt->opt.lp) - qw->started_us;
+
+	if (qw->asks >= kAsksMax || waited_us >= kWaitMaxUs)
 		return false;
 	ask_counter(qt, qw);
 	return true;
@@ -224,8 +245,11 @@
 
 	if (qw == NULL)
 		return;
-	if (answer->verdict == kQuotaUnavailable && ask_another(qt, qw))
-		return;
+	if (answer->verdict == kQuotaUnavailable) {
+		avoid(qt, qw->counter);
+		if (ask_another(qt, qw))
+			return;
+	}
 	deliver(qt, id, answer);
 }
 
@@ -356,14 +380,23 @@
 }
 
 static void
-on_timeout(struct quota *qt, struct quota_wait *qw, int64_t now_us)
+on_timeout(void *ctx)
 {
+	struct quota_wait *qw = ctx;
+	struct quota *qt = qw->qt;
+	int64_t now_us = loop_now_us(qt->opt.lp);
 	struct quota_answer answer = {.verdict = kQuotaUnavailable};
 
+	qw->timer = 0;
 	log_event(kEvtQuotaSilent, "job", qw->ask.job, "counter", qw->counter,
 	    "waited_us", log_number(now_us - qw->asked_us), NULL);
-	roster_suspect(qt->opt.roster, qw->counter, now_us + kSuspectUs);
-	qt->opt.wire->reconnect(qt->opt.wire_ctx, qw->counter);
+	/* The last one asked may have had less time than an answer takes. */
+	if (now_us - qw->asked_us >= kAnswerTimeoutUs) {
+		avoid(qt, qw->counter);
+		roster_suspect(
+		    qt->opt.roster, qw->counter, now_us + kSuspectUs);
+		qt->opt.wire->reconnect(qt->opt.wire_ctx, qw->counter);
+	}
 	if (!ask_another(qt, qw))
 		deliver(qt, qw->id, &answer);
 }
@@ -371,23 +404,8 @@
 void
 quota_tick(struct quota *qt)
 {
-	int64_t now_us = loop_now_us(qt->opt.lp);
-	GPtrArray *overdue = g_ptr_array_new();
-	GHashTableIter it;
-	void *val;
-
-	g_hash_table_iter_init(&it, qt->waits);
-	while (g_hash_table_iter_next(&it, NULL, &val)) {
-		struct quota_wait *qw = val;
-
-		if (qw->asks > 0 && now_us - qw->asked_us > kAnswerTimeoutUs)
-			g_ptr_array_add(overdue, qw);
-	}
-	for (guint i = 0; i < overdue->len; i++)
-		on_timeout(qt, overdue->pdata[i], now_us);
-	g_ptr_array_unref(overdue);
 	send_reports(qt);
-	quota_host_tick(qt, now_us);
+	quota_host_tick(qt, loop_now_us(qt->opt.lp));
 }
 
 static void
--- a/test/unit/test_quota_answers.cc
+++ b/test/unit/test_quota_answers.cc
@@ -126,4 +126,24 @@
 	Run();
 }
 
+/* Submitters leave after 1 s; the store is called after the answer. */
+TEST_F(QuotaAnswers, SilentCountersDoNotKeepASubmitterUntilItLeaves)
+{
+	const int64_t kSubmitterWaitUs = kSec;
+	const int64_t kStepUs = kSec / 20;
+	int64_t start_us = now_us;
+
+	steps.push_back([&] { Reserve(); });
+	for (int64_t us = 0; us < 2 * kSec; us += kStepUs)
+		steps.push_back([&] {
+			if (outcome == "waits")
+				now_us += kStepUs;
+			quota_tick(qt);
+		});
+	Run();
+	EXPECT_EQ("verdict " + std::to_string(kQuotaUnavailable), outcome);
+	EXPECT_LT(now_us - start_us, kSubmitterWaitUs);
+	EXPECT_GT(ask.count, 1) << "another counter was asked";
+}
+
 } // namespace
