Lists of the store: the answer tells whether there is more

Cause: a read that continued after a row asked for this row too and dropped it, so a second page of 500 held 499; callers take a page that is not full for the last one. An answer that the store cuts at its size in bytes ended a list as well. Open jobs past the end were never taken over, and their own daemon dropped them as "not_owned"; daemons past the end counted as dead; progress of items was forgotten; a text of 26 parts was unreadable for every reader; a removed job left rows behind.

The scan tells whether rows follow, and store_scan_all pages by that; a list that does not go on fails instead of being taken for complete. The own interface lists all open jobs and condemned requests, not the first 200 and 1000.

--- a/src/gateway/roster_store.c
+++ b/src/gateway/roster_store.c
@@ -5,9 +5,9 @@
 
 #include "gateway/roster.h"
 #include "os/clock.h"
+#include "store/scan.h"
 
 enum {
-	kRowsPerScan = 500,
 	/* More than a VM has. */
 	kCpuMillicoresMax = 1000000,
 };
@@ -106,31 +106,15 @@
 enum store_result
 roster_store_read(const struct store *st, GArray **rows)
 {
-	GPtrArray *page = NULL;
-	char *after = NULL;
-	enum store_result res;
+	GPtrArray *list = NULL;
+	enum store_result res =
+	    store_scan_all(st, kCauseSession, "daemon/-/", &list);
 
+	if (res != kStoreOk)
+		return res;
 	*rows = g_array_new(FALSE, TRUE, sizeof(struct roster_row));
-	do {
-		if (page != NULL)
-			g_ptr_array_unref(page);
-		page = NULL;
-		res = st->ops->scan(st->ctx, kCauseSession, "daemon/-/", after,
-		    kRowsPerScan, &page);
-		for (guint i = 0; res == kStoreOk && i < page->len; i++) {
-			const struct store_row *row = page->pdata[i];
-
-			add_row(*rows, row);
-			g_free(after);
-			after = g_strdup(row->key);
-		}
-	} while (res == kStoreOk && page->len == kRowsPerScan);
-	if (page != NULL)
-		g_ptr_array_unref(page);
-	g_free(after);
-	if (res != kStoreOk) {
-		g_array_unref(*rows);
-		*rows = NULL;
-	}
-	return res;
+	for (guint i = 0; i < list->len; i++)
+		add_row(*rows, list->pdata[i]);
+	g_ptr_array_unref(list);
+	return kStoreOk;
 }
--- a/src/savoryflow/batch/batch_store.c
+++ b/src/savoryflow/batch/batch_store.c
@@ -7,11 +7,7 @@
 
 #include "savoryflow/batch/batch_session.h"
 #include "store/commit.h"
-
-enum {
-	/* Chunk rows per scan. */
-	kChunkRowsPerScan = 1000,
-};
+#include "store/scan.h"
 
 static const char *const job_state_names[] = {"running", "cancelled", "done"};
 
@@ -225,11 +221,11 @@
 }
 
 enum store_result
-batch_open_jobs(const struct store *store, int32_t limit, GPtrArray **jobs)
+batch_open_jobs(const struct store *store, GPtrArray **jobs)
 {
 	GPtrArray *rows = NULL;
-	enum store_result res = store->ops->scan(
-	    store->ctx, kCauseBatch, "open/", NULL, limit, &rows);
+	enum store_result res =
+	    store_scan_all(store, kCauseBatch, "open/", &rows);
 
 	if (res != kStoreOk)
 		return res;
@@ -289,18 +285,12 @@
     const struct store *store, const struct batch_job *job, GPtrArray **chunks)
 {
 	char *prefix = g_strdup_printf("chunk/%s/%s/", job->team, job->id);
-	char *after = g_strdup(prefix);
-	enum store_result res = kStoreOk;
-	guint got = kChunkRowsPerScan;
-
-	*chunks = open_chunks_new(batch_job_chunks(job));
-	while (res == kStoreOk && got == kChunkRowsPerScan) {
-		GPtrArray *rows = NULL;
-
-		res = store->ops->scan(store->ctx, kCauseBatch, prefix, after,
-		    kChunkRowsPerScan, &rows);
-		if (res != kStoreOk)
-			break;
+	GPtrArray *rows = NULL;
+	enum store_result res =
+	    store_scan_all(store, kCauseBatch, prefix, &rows);
+
+	if (res == kStoreOk) {
+		*chunks = open_chunks_new(batch_job_chunks(job));
 		for (guint i = 0; i < rows->len; i++) {
 			const struct store_row *row = rows->pdata[i];
 			int64_t n = g_ascii_strtoll(
@@ -309,21 +299,9 @@
 			if (n >= 0 && n < (int64_t)(*chunks)->len)
 				chunk_read((*chunks)->pdata[n], row);
 		}
-		got = rows->len;
-		if (got > 0) {
-			const struct store_row *last = rows->pdata[got - 1];
-
-			g_free(after);
-			after = g_strdup(last->key);
-		}
 		g_ptr_array_unref(rows);
 	}
-	if (res != kStoreOk) {
-		g_ptr_array_unref(*chunks);
-		*chunks = NULL;
-	}
 	g_free(prefix);
-	g_free(after);
 	return res;
 }
 
--- a/src/savoryflow/batch/batch_store.h
+++ b/src/savoryflow/batch/batch_store.h
@@ -41,9 +41,8 @@
 enum store_result batch_get_job(const struct store *store, const char *team,
     const char *id, struct batch_job **job);
 
-/** Reads at most `limit` running jobs: array of struct batch_job *. */
-enum store_result batch_open_jobs(
-    const struct store *store, int32_t limit, GPtrArray **jobs);
+/** Reads the running jobs: array of struct batch_job *. */
+enum store_result batch_open_jobs(const struct store *store, GPtrArray **jobs);
 
 /** Reads all chunks of a job: array of struct batch_chunk *, by number. */
 enum store_result batch_chunks(
--- a/src/savoryflow/config/config_store.c
+++ b/src/savoryflow/config/config_store.c
@@ -259,9 +259,10 @@
 	char *key = audit_key(after);
 	GPtrArray *rows = NULL;
 	json_t *list = NULL;
+	bool has_more;
 
 	if (store->ops->scan(store->ctx, kCauseConfig, AUDIT_PREFIX, key, limit,
-		&rows) == kStoreOk) {
+		&rows, &has_more) == kStoreOk) {
 		list = json_array();
 		for (guint i = 0; i < rows->len; i++) {
 			const struct store_row *row = rows->pdata[i];
--- a/src/savoryflow/job/itemjob_open.c
+++ b/src/savoryflow/job/itemjob_open.c
@@ -7,11 +7,9 @@
 #include "savoryflow/job/itemjob_store.h"
 #include "store/change.h"
 #include "store/commit.h"
+#include "store/scan.h"
 
-enum {
-	kRowsPerScan = 500,
-	kEndAttemptsMax = 4,
-};
+enum { kEndAttemptsMax = 4 };
 
 static struct itemjob_open *
 open_from_row(const struct store_row *row)
@@ -36,33 +34,17 @@
 itemjob_read_open(const struct store *st, GPtrArray **list)
 {
 	char *prefix = itemjob_list_key("open", "");
-	char *after = NULL;
 	GPtrArray *rows = NULL;
-	enum store_result res;
+	enum store_result res = store_scan_all(st, kCauseBatch, prefix, &rows);
 
-	*list = g_ptr_array_new_with_free_func(itemjob_open_free);
-	do {
-		if (rows != NULL)
-			g_ptr_array_unref(rows);
-		rows = NULL;
-		res = st->ops->scan(
-		    st->ctx, kCauseBatch, prefix, after, kRowsPerScan, &rows);
-		for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
-			g_ptr_array_add(*list, open_from_row(rows->pdata[i]));
-			g_free(after);
-			after =
-			    g_strdup(((struct store_row *)rows->pdata[i])->key);
-		}
-	} while (res == kStoreOk && rows->len == kRowsPerScan);
-	if (rows != NULL)
-		g_ptr_array_unref(rows);
-	if (res != kStoreOk) {
-		g_ptr_array_unref(*list);
-		*list = NULL;
-	}
-	g_free(after);
 	g_free(prefix);
-	return res;
+	if (res != kStoreOk)
+		return res;
+	*list = g_ptr_array_new_with_free_func(itemjob_open_free);
+	for (guint i = 0; i < rows->len; i++)
+		g_ptr_array_add(*list, open_from_row(rows->pdata[i]));
+	g_ptr_array_unref(rows);
+	return kStoreOk;
 }
 
 static enum store_result
--- a/src/savoryflow/job/itemjob_retention.c
+++ b/src/savoryflow/job/itemjob_retention.c
@@ -54,8 +54,8 @@
 
 	*ids = g_ptr_array_new_with_free_func(g_free);
 	do {
-		res = st->ops->scan(
-		    st->ctx, kCauseBatch, prefix, after, kRowsPerScan, &rows);
+		res = st->ops->scan(st->ctx, kCauseBatch, prefix, after,
+		    kRowsPerScan, &rows, &has_more);
 		if (res != kStoreOk)
 			break;
 		for (guint i = 0; i < rows->len && res == kStoreOk &&
@@ -67,7 +67,7 @@
 			g_free(after);
 			after = g_strdup(row->key);
 		}
-		has_more = rows->len == kRowsPerScan &&
+		has_more = has_more && rows->len > 0 &&
 		    (*ids)->len < kJobsPerRound && res == kStoreOk;
 		g_ptr_array_unref(rows);
 	} while (has_more);
@@ -82,13 +82,14 @@
 	char *prefix = g_strdup_printf("%s/%s/", table, id);
 	GPtrArray *rows = NULL;
 	enum store_result res;
+	bool has_more = false;
 	guint found;
 
 	do {
 		struct store_txn *txn = store_txn_new();
 
-		res = st->ops->scan(
-		    st->ctx, kCauseBatch, prefix, NULL, kRowsPerRemoval, &rows);
+		res = st->ops->scan(st->ctx, kCauseBatch, prefix, NULL,
+		    kRowsPerRemoval, &rows, &has_more);
 		found = res == kStoreOk ? rows->len : 0;
 		for (guint i = 0; i < found; i++)
 			store_txn_write(txn,
@@ -99,7 +100,7 @@
 			g_ptr_array_unref(rows);
 		rows = NULL;
 		store_txn_free(txn);
-	} while (res == kStoreOk && found == kRowsPerRemoval);
+	} while (res == kStoreOk && found > 0 && has_more);
 	g_free(prefix);
 	return res;
 }
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -8,9 +8,9 @@
 #include "os/json_text.h"
 #include "savoryflow/job/itemjob_rows.h"
 #include "store/commit.h"
+#include "store/scan.h"
 
 enum {
-	kRowsPerScan = 500,
 	/* Maximum rows per transaction; the store's limit is higher. */
 	kTxnRowsMax = 20,
 };
@@ -277,8 +277,7 @@
 	char *prefix = g_strdup_printf("text/%s/%06d-", id, result->position);
 	GPtrArray *rows = NULL;
 	GString *text = g_string_new(NULL);
-	enum store_result res = st->ops->scan(
-	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
+	enum store_result res = store_scan_all(st, kCauseBatch, prefix, &rows);
 
 	if (res == kStoreOk && rows->len != (guint)parts)
 		res = kStoreUnreadable;
@@ -355,8 +354,9 @@
 	char *after =
 	    from > 0 ? itemjob_key_number("result", id, from - 1) : NULL;
 	GPtrArray *rows = NULL;
-	enum store_result res = st->ops->scan(
-	    st->ctx, kCauseBatch, prefix, after, kItemjobResultsMax, &rows);
+	bool has_more;
+	enum store_result res = st->ops->scan(st->ctx, kCauseBatch, prefix,
+	    after, kItemjobResultsMax, &rows, &has_more);
 
 	if (res == kStoreOk) {
 		*results = itemjob_results_new();
@@ -377,8 +377,7 @@
 {
 	char *prefix = itemjob_key("item", id, "");
 	GPtrArray *rows = NULL;
-	enum store_result res = st->ops->scan(
-	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
+	enum store_result res = store_scan_all(st, kCauseBatch, prefix, &rows);
 
 	if (res == kStoreOk) {
 		*done = g_array_new(FALSE, TRUE, sizeof(struct itemjob_done));
@@ -563,8 +562,7 @@
 {
 	char *prefix = itemjob_key("progress", id, "");
 	GPtrArray *rows = NULL;
-	enum store_result res = st->ops->scan(
-	    st->ctx, kCauseBatch, prefix, NULL, kRowsPerScan, &rows);
+	enum store_result res = store_scan_all(st, kCauseBatch, prefix, &rows);
 
 	*progress = itemjob_progress_new();
 	for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -21,8 +21,6 @@
 #include "serve/session_watch.h"
 
 enum {
-	/* Open jobs read in one poll. */
-	kOpenJobsMax = 200,
 	/* Chunks held at once: one finishing and one starting. */
 	kChunksMax = 2,
 	/* An item without a result after this time fails. */
@@ -637,7 +635,7 @@
 
 	if (!has_capacity_for_chunk(br))
 		return;
-	res = batch_open_jobs(br->d->store, kOpenJobsMax, &jobs);
+	res = batch_open_jobs(br->d->store, &jobs);
 	session_watch_record_call(br->watch, began_us, res);
 	daemon_record_store_state(br->d, res == kStoreOk);
 	if (res != kStoreOk)
--- a/src/serve/limiter.c
+++ b/src/serve/limiter.c
@@ -11,6 +11,7 @@
 #include "savoryflow/limits/limits.h"
 #include "savoryflow/retry/quarantine.h"
 #include "serve/routes.h"
+#include "store/scan.h"
 
 #define QUARANTINE_PREFIX "condemned/"
 
@@ -18,7 +19,6 @@
 	kQuarantineMax = 10000,
 	/* Peers notified by each daemon that learns of a quarantine. */
 	kQuarantineFanout = 8,
-	kQuarantinePageMax = 1000,
 };
 
 struct limiter {
@@ -270,8 +270,8 @@
 	const struct store *store = lim->d->store;
 	GPtrArray *rows = NULL;
 
-	if (store->ops->scan(store->ctx, kCauseIntent, QUARANTINE_PREFIX, NULL,
-		kQuarantinePageMax, &rows) != kStoreOk)
+	if (store_scan_all(store, kCauseIntent, QUARANTINE_PREFIX, &rows) !=
+	    kStoreOk)
 		return;
 	pthread_mutex_lock(&lim->lock);
 	for (guint i = 0; i < rows->len; i++) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -80,10 +80,14 @@
 struct store_ops {
 	enum store_result (*get)(void *ctx, enum store_cause cause,
 	    const char *key, struct store_row *row);
-	/** Lists rows with the prefix and a key greater than after. */
+	/**
+	 * Lists rows with the prefix and a key greater than after, at most
+	 * limit; the store may answer fewer.
+	 * @param has_more set to whether rows follow the last one
+	 */
 	enum store_result (*scan)(void *ctx, enum store_cause cause,
 	    const char *prefix, const char *after, int32_t limit,
-	    GPtrArray **rows);
+	    GPtrArray **rows, bool *has_more);
 	enum store_result (*txn)(
 	    void *ctx, enum store_cause cause, const struct store_txn *txn);
 	enum store_result (*put_object)(void *ctx, enum store_cause cause,
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -313,7 +313,7 @@
 
 static enum store_result
 http_scan(void *ctx, enum store_cause cause, const char *prefix,
-    const char *after, int32_t limit, GPtrArray **rows)
+    const char *after, int32_t limit, GPtrArray **rows, bool *has_more)
 {
 	struct http_request req = {0};
 	struct http_reply reply;
@@ -331,6 +331,8 @@
 		*rows = rows_from_json(doc);
 		if (*rows == NULL)
 			res = kStoreUnavailable;
+		else
+			*has_more = (*rows)->len >= (guint)limit;
 		json_decref(doc);
 	}
 	g_byte_array_unref(reply.body);
--- a/test/standin/memstore.c
+++ b/test/standin/memstore.c
@@ -89,7 +89,7 @@
 
 static enum store_result
 ms_scan(void *ctx, enum store_cause cause, const char *prefix,
-    const char *after, int32_t limit, GPtrArray **rows)
+    const char *after, int32_t limit, GPtrArray **rows, bool *has_more)
 {
 	struct memstore *ms = ctx;
 	const char *from =
@@ -99,9 +99,11 @@
 	if (!lock_for_read(ms))
 		return kStoreUnavailable;
 	*rows = store_rows_new();
+	*has_more = false;
+	if (ms->faults.page_rows > 0)
+		limit = MIN(limit, ms->faults.page_rows);
 	node = g_tree_lower_bound(ms->rows, from);
-	for (; node != NULL && (int32_t)(*rows)->len < limit;
-	     node = g_tree_node_next(node)) {
+	for (; node != NULL; node = g_tree_node_next(node)) {
 		const char *key = g_tree_node_key(node);
 		const struct stored_row *stored = g_tree_node_value(node);
 		struct store_row *row;
@@ -110,6 +112,9 @@
 			break;
 		if (after != NULL && strcmp(key, after) <= 0)
 			continue;
+		*has_more = (int32_t)(*rows)->len >= limit;
+		if (*has_more)
+			break;
 		row = g_new0(struct store_row, 1);
 		row->key = g_strdup(key);
 		row->value = g_strdup(stored->value);
--- a/test/standin/memstore.h
+++ b/test/standin/memstore.h
@@ -17,6 +17,8 @@
 	int32_t fail_reads;
 	/** The store's time is unknown until the next answered read. */
 	bool hides_time;
+	/** Maximum rows in an answer; 0: as many as asked for. */
+	int32_t page_rows;
 };
 
 struct memstore_counts {
--- a/test/standin/platform.c
+++ b/test/standin/platform.c
@@ -77,9 +77,10 @@
 	const char *limit = argument(req, "limit");
 	GPtrArray *rows = NULL;
 	json_t *list = json_array();
+	bool has_more;
 	enum store_result res = ps->store->ops->scan(ps->store->ctx,
 	    kCauseConfig, argument(req, "prefix"), argument(req, "after"),
-	    limit != NULL ? atoi(limit) : 100, &rows);
+	    limit != NULL ? atoi(limit) : 100, &rows, &has_more);
 
 	for (guint i = 0; rows != NULL && i < rows->len; i++) {
 		const struct store_row *row = rows->pdata[i];
--- a/test/unit/test_batch_store.cc
+++ b/test/unit/test_batch_store.cc
@@ -352,4 +352,40 @@
 	intent_clear(&in);
 }
 
+/* Guards against jobs past the end of a page that no daemon starts. */
+TEST_F(BatchStore, AllOpenJobsAndChunksAreListed)
+{
+	struct memstore_faults faults = {};
+	struct batch_job other = job;
+	GPtrArray *jobs = nullptr;
+	GPtrArray *chunks = nullptr;
+	guint leased = 0;
+
+	job.id = (char *)"k";
+	job.items = 40;
+	ASSERT_EQ(kStoreOk, batch_submit(store, &job));
+	for (int i = 0; i < batch_job_chunks(&job); i++)
+		ASSERT_EQ(kStoreOk, Claim(&one, i, "c"));
+	for (int i = 0; i < 700; i++) {
+		std::string id = "l" + std::to_string(i);
+
+		other.id = (char *)id.c_str();
+		ASSERT_EQ(kStoreOk, batch_submit(store, &other));
+	}
+	for (int page : {0, 7}) {
+		faults.page_rows = page;
+		memstore_set_faults(ms, &faults);
+		ASSERT_EQ(kStoreOk, batch_open_jobs(store, &jobs));
+		EXPECT_EQ(702u, jobs->len);
+		ASSERT_EQ(kStoreOk, batch_chunks(store, &job, &chunks));
+		for (guint i = 0; i < chunks->len; i++)
+			leased += ((batch_chunk *)chunks->pdata[i])->state ==
+			    kChunkLeased;
+		EXPECT_EQ(chunks->len, leased);
+		leased = 0;
+		g_ptr_array_unref(chunks);
+		g_ptr_array_unref(jobs);
+	}
+}
+
 } // namespace
--- a/test/unit/test_itemjob.cc
+++ b/test/unit/test_itemjob.cc
@@ -371,13 +371,14 @@
  * "-". A job's row there would wait for heartbeats. */
 TEST_F(Itemjob, NoRowOfAJobIsInThePartitionOfHeartbeats)
 {
-	bool is_new;
+	bool is_new, has_more;
 	GPtrArray *rows = nullptr;
 
 	Submit("t", "s1", &is_new);
 	Commit(0, 0);
 	ASSERT_EQ(kStoreOk,
-	    st->ops->scan(st->ctx, kCauseBatch, "", nullptr, 99, &rows));
+	    st->ops->scan(
+		st->ctx, kCauseBatch, "", nullptr, 99, &rows, &has_more));
 	EXPECT_LT(3u, rows->len);
 	for (guint i = 0; i < rows->len; i++)
 		EXPECT_EQ(
@@ -480,22 +481,28 @@
 
 TEST_F(Itemjob, RemovedJobLeavesNoRowsOrObjects)
 {
-	bool is_new;
+	bool is_new, has_more;
 	itemjob *job = nullptr;
 	GPtrArray *rows = nullptr;
 	GBytes *data = nullptr;
 
 	for (size_t body_bytes : {(size_t)4, (size_t)kItemjobTextRowBytes}) {
+		memstore_faults faults = {};
+
 		Submit("t", "s1", &is_new, "j", body_bytes);
 		for (int i = 0; i < 3; i++)
 			Commit(
 			    i, i, std::string(kItemjobTextRowBytes + 9, 'x'));
 		ASSERT_EQ(kStoreOk, itemjob_get(st, "j", &job));
 		itemjob_close(st, "j");
+		/* An answer has fewer rows than asked for. */
+		faults.page_rows = 2;
+		memstore_set_faults(ms, &faults);
 		EXPECT_EQ(kStoreOk, itemjob_remove(st, "j"));
+		Faults(false, 0, 0);
 		ASSERT_EQ(kStoreOk,
-		    st->ops->scan(
-			st->ctx, kCauseBatch, "", nullptr, 99, &rows));
+		    st->ops->scan(st->ctx, kCauseBatch, "", nullptr, 99, &rows,
+			&has_more));
 		EXPECT_EQ(0u, rows->len);
 		EXPECT_EQ(kStoreNotFound,
 		    st->ops->get_object(
--- a/test/unit/test_store_http.cc
+++ b/test/unit/test_store_http.cc
@@ -168,14 +168,15 @@
 		struct store_row row = {};
 		GPtrArray *list = nullptr;
 		int64_t cursor = 5;
+		bool has_more;
 		enum store_result res;
 
 		body = c.body;
 		if (std::string(c.call) == "get")
 			res = st->ops->get(st->ctx, kCauseBatch, "k", &row);
 		else if (std::string(c.call) == "scan")
-			res = st->ops->scan(
-			    st->ctx, kCauseBatch, "", nullptr, 9, &list);
+			res = st->ops->scan(st->ctx, kCauseBatch, "", nullptr,
+			    9, &list, &has_more);
 		else
 			res = st->ops->vms(st->ctx, &cursor, &list);
 		EXPECT_EQ(c.is_sound ? kStoreOk : kStoreUnavailable, res)
