--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -24,6 +24,9 @@
 	kFeedPollUs = 5000,
 	/* The store started long before the tests. */
 	kStoreUptimeMs = 3600000,
+	/* Limits of one answer. */
+	kRangeRowsMax = 500,
+	kRangeBytesMax = 1 << 20,
 };
 
 struct row {
@@ -239,6 +242,7 @@
 	const char *from;
 	const char *until;
 	int limit;
+	size_t bytes;
 	json_t *list;
 	bool has_more;
 };
@@ -254,7 +258,9 @@
 	    strcmp(row->key, r->from) < 0 ||
 	    (*r->until != '\0' && strcmp(row->key, r->until) >= 0))
 		return FALSE;
-	if ((int)json_array_size(r->list) >= r->limit) {
+	r->bytes += strlen(row->value);
+	if ((int)json_array_size(r->list) >= r->limit ||
+	    (r->bytes > kRangeBytesMax && json_array_size(r->list) > 0)) {
 		r->has_more = true;
 		return TRUE;
 	}
@@ -268,7 +274,8 @@
 	const char *limit = argument(req, "max_results");
 	struct range r = {argument(req, "table_name"), argument(req, "part"),
 	    argument(req, "from"), argument(req, "target"),
-	    *limit != '\0' ? atoi(limit) : 500, json_array(), false};
+	    *limit != '\0' ? MIN(atoi(limit), kRangeRowsMax) : kRangeRowsMax, 0,
+	    json_array(), false};
 
 	g_tree_foreach(rs->rows, collect_in_range, &r);
 	return respond(rs, req,
