Roster: the lease of a dead daemon ends while some reads fail

Cause: each failed read of the roster renewed all leases. A store that rejects one read in four, as it does for calls beyond its rate, kept the session of a dead daemon alive for ever at each observer.

Evidence: Roster.ADeadDaemonsLeaseExpiresWhileTheStoreFailsNowAndThen. Before: alive after 100 s with every other read failing and with three of four. After: ended by 14 s and 32 s; without failures 5 s, as before.

A lease starts again after the first outage since the daemon's last heartbeat, as its heartbeats may have failed as long; time in later outages is left out. AfterEachOutageALiveDaemonHasItsWholeLease holds before and after.

--- a/src/gateway/roster.c
+++ b/src/gateway/roster.c
@@ -93,6 +93,7 @@
 		ro->epoch++;
 	m->row = *row;
 	m->renewed_us = now_us;
+	m->restart_outage = 0;
 	m->unlisted_us = 0;
 	m->is_removal_reported = false;
 }
@@ -176,6 +177,8 @@
 		g_hash_table_iter_remove(&it);
 	}
 	g_hash_table_unref(listed);
+	ro->is_store_out = false;
+	ro->read_us = now_us;
 	update_contact_timeout(ro, now_us);
 }
 
@@ -211,21 +214,39 @@
 	return rows;
 }
 
+/*
+ * Heartbeats could not be written, or not be read. A lease starts again when
+ * the store is back; without a heartbeat since, later outages only stop it, so
+ * that it ends while some reads fail.
+ */
+static void
+extend_lease(const struct roster *ro, struct roster_member *m, int64_t now_us)
+{
+	if (m->restart_outage == 0)
+		m->restart_outage = ro->outages;
+	if (m->restart_outage == ro->outages)
+		m->renewed_us = now_us;
+	else
+		m->renewed_us += now_us - ro->read_us;
+}
+
 void
 roster_on_store_unreachable(struct roster *ro, int64_t now_us)
 {
 	GHashTableIter it;
 	void *val;
 
-	/* Heartbeats could not be written, or not be read. Leases start again
-	 * when the store is back. */
+	if (!ro->is_store_out)
+		ro->outages++;
+	ro->is_store_out = true;
 	g_hash_table_iter_init(&it, ro->members);
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct roster_member *m = val;
 
 		if (roster_member_is_alive(ro, m, now_us))
-			m->renewed_us = now_us;
+			extend_lease(ro, m, now_us);
 	}
+	ro->read_us = now_us;
 }
 
 void
--- a/src/gateway/roster.h
+++ b/src/gateway/roster.h
@@ -77,8 +77,10 @@
 GArray *roster_rows(const struct roster *ro, int64_t now_us);
 
 /**
- * Renews all leases that have not expired: while the store is unreachable, a
- * missing heartbeat does not show that a daemon is down.
+ * Extends all leases that have not expired: while the store is unreachable, a
+ * missing heartbeat does not show that a daemon is down. A lease starts again
+ * after the first outage since the daemon's last heartbeat; time in later ones
+ * does not count.
  */
 void roster_on_store_unreachable(struct roster *ro, int64_t now_us);
 
--- a/src/gateway/roster_internal.h
+++ b/src/gateway/roster_internal.h
@@ -11,6 +11,9 @@
 	uint64_t session;
 	/** Time of the last lease renewal. */
 	int64_t renewed_us;
+	/** Outage after which its lease started again; 0: none since its last
+	 * heartbeat. */
+	uint64_t restart_outage;
 	/** Time of the last message received directly from it. */
 	int64_t last_message_us;
 	int64_t suspect_until_us;
@@ -32,6 +35,11 @@
 	/** struct roster_member by session, borrowed. */
 	GHashTable *sessions;
 	int64_t contact_timeout_us;
+	/** Outages of the store so far, and whether the last one goes on. */
+	uint64_t outages;
+	bool is_store_out;
+	/** Time of the last read of the rows, answered or not. */
+	int64_t read_us;
 	bool is_self_leaving;
 	bool is_self_cut_off;
 	uint64_t epoch;
--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -185,6 +185,59 @@
 	EXPECT_TRUE(roster_is_session_alive(ro, "s1", 20 * kSec));
 }
 
+/* Guards against jobs of a dead daemon that no other takes over while the store
+ * rejects some calls. */
+TEST_F(Roster, ADeadDaemonsLeaseExpiresWhileTheStoreFailsNowAndThen)
+{
+	const struct {
+		const char *name;
+		/* Of so many reads, the first ones fail. */
+		int reads;
+		int failed;
+		int64_t expires_s;
+	} cases[] = {
+	    {"none", 10, 0, 5},
+	    {"one in ten", 10, 1, 10},
+	    {"every other", 2, 1, 14},
+	    {"three of four", 4, 3, 32},
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		struct roster_options opt = {
+		    Row("self", "dc1", "s0"), 4 * kSec, 3 * kSec / 2};
+		int64_t now = 0;
+
+		roster_free(ro);
+		ro = roster_new(&opt);
+		Apply({{"a", {"dc1", "s1"}}}, 0);
+		for (int i = 0;
+		     roster_is_session_alive(ro, "s1", now) && i < 100; i++) {
+			now += kSec;
+			if (i % c.reads < c.failed)
+				roster_on_store_unreachable(ro, now);
+			else
+				roster_apply_rows(ro, rows, now, &changes);
+		}
+		EXPECT_GE(c.expires_s, now / kSec);
+		EXPECT_LT(4, now / kSec);
+	}
+}
+
+/* Its heartbeats may have failed as long as the reads here did. */
+TEST_F(Roster, AfterEachOutageALiveDaemonHasItsWholeLease)
+{
+	int64_t now = 0;
+
+	for (int outage = 0; outage < 3; outage++) {
+		Apply({{"a", {"dc1", "s1"}}}, now += 3 * kSec);
+		for (int i = 0; i < 20; i++)
+			roster_on_store_unreachable(ro, now += kSec);
+		roster_apply_rows(ro, rows, now += kSec, &changes);
+		EXPECT_TRUE(roster_is_session_alive(ro, "s1", now + 3 * kSec));
+	}
+}
+
 TEST_F(Roster, OwnersAreInTheDataCentreIfAnyIsAlive)
 {
 	Apply({{"a", {"dc1", "s1"}}, {"b", {"dc2", "s2"}}}, 0);
