--- a/test/unit/test_roster.cc
+++ b/test/unit/test_roster.cc
@@ -198,6 +198,7 @@
 	} cases[] = {
 	    {"none", 10, 0, 5},
 	    {"one in ten", 10, 1, 10},
+	    {"one in four", 4, 1, 10},
 	    {"every other", 2, 1, 14},
 	    {"three of four", 4, 3, 32},
 	};
