Jobs: each submission has a token of its own

Cause: the token was made of the loop's time, which stands still for all requests that one iteration handles. Two copies of a job that reach a daemon together, as after a pause, wrote their items to the same object. Each took the stored row for its own; a copy that the store then refused deleted the object, which is the one of the accepted job. From then on each takeover of the job fails.

Evidence: Jobs.SubmissionsWithinAMicrosecondHaveDifferentTokens. Before: three submissions got s0-1000000-0. The deletion follows from reading submit_with_object; it was not seen in a run.

A counter beside the session, which is new with each start, cannot repeat.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -163,12 +163,11 @@
 void
 jobs_set_token(struct job_task *task)
 {
-	const struct jobs *js = task->js;
+	struct jobs *js = task->js;
 
 	g_free(task->token);
-	task->token =
-	    g_strdup_printf("%s-%" G_GINT64_FORMAT "-%d", js->opt.session,
-		loop_now_us(js->opt.deps.lp), task->quota_conflicts);
+	task->token = g_strdup_printf(
+	    "%s-%" G_GUINT64_FORMAT, js->opt.session, ++js->tokens);
 }
 
 void
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -80,6 +80,8 @@
 	GHashTable *cached;
 	struct item_pace pace;
 	bool is_leaving;
+	/** Tokens given to submissions. */
+	uint64_t tokens;
 	/** Jobs whose progress is being stored. */
 	int32_t saves_in_flight;
 	uint64_t timer;
