Jobs: a job that runs is not started again

Cause: while two submissions of a job were in progress at one daemon, the end of the first one cleared the mark that keeps the daemon from taking the job over. The list of open jobs then started the job, and the second submission started it once more: the hash table freed the first run, to which a commit in progress may refer.

Evidence: Jobs.AJobThatRunsIsNotStartedAgain. Before: the second start replaced the run, a second later with a new start time. After: the first run stays.

--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -90,7 +90,7 @@
 };
 
 /**
- * Starts a job; takes ownership of job and items.
+ * Starts a job unless it runs; takes ownership of job and items.
  * @param done struct itemjob_done of the listed items, or NULL
  * @param progress struct itemjob_progress stored by the previous daemon, or
  *         NULL
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -526,9 +526,16 @@
     const GArray *done, const GArray *progress, int64_t accepted_us)
 {
 	const struct routebook_route *route;
-	struct job_run *run = g_new0(struct job_run, 1);
+	struct job_run *run;
 	int64_t store_ms = -1;
 
+	/* A late submission may meet the run of its own takeover. */
+	if (g_hash_table_contains(js->runs, job->id)) {
+		g_ptr_array_unref(items);
+		itemjob_free(job);
+		return;
+	}
+	run = g_new0(struct job_run, 1);
 	js->opt.store->ops->now_ms(js->opt.store->ctx, &store_ms);
 	run->js = js;
 	run->job = job;
@@ -540,7 +547,7 @@
 	    accepted_us + (route != NULL ? route->job_due_us : kDueDefaultUs);
 	g_queue_init(&run->ready);
 	init_items(run);
-	g_hash_table_replace(js->runs, run->job->id, run);
+	g_hash_table_insert(js->runs, run->job->id, run);
 	log_event(kEvtJobStarted, "job", job->id, "items",
 	    log_number(items->len), "listed",
 	    log_number(done != NULL ? done->len : 0), "age_us",
--- a/test/unit/test_jobs.cc
+++ b/test/unit/test_jobs.cc
@@ -23,4 +23,17 @@
 	}
 }
 
+/* Guards against a run that is freed while its result is being written. */
+TEST_F(Jobs, AJobThatRunsIsNotStartedAgain)
+{
+	jobs_run_start(js, Job("j"), Items(4), nullptr, nullptr, 0);
+	const struct job_run *first = Running("j");
+	int64_t started_us = first->started_us;
+
+	now_us += kSec;
+	jobs_run_start(js, Job("j"), Items(4), nullptr, nullptr, 0);
+	EXPECT_EQ(first, Running("j"));
+	EXPECT_EQ(started_us, Running("j")->started_us);
+}
+
 } // namespace
