Jobs: a failed takeover tells its step, and is tried less often

Cause: a takeover whose items cannot be read was repeated every second for ever, with two reads each, and the line could not tell a lost claim from lost items or from lost progress.

job_takeover_failed (1424) names the step: claim, job, items, done, progress. After an answer that will be the same again the next try waits 1 s, doubled up to 16 s; after an outage it comes with the next list of open jobs, as before. The takeover is a file of its own.

Evidence: Jobs.ATakeoverThatCannotSucceedIsTriedSeldom, 60 s of virtual time.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -50,6 +50,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, jobs_run_free);
 	js->loading =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	js->takeover_failures =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	js->cached = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)itemjob_free);
 	js->timer = loop_timer(opt->deps.lp,
@@ -63,6 +65,7 @@
 	loop_timer_cancel(js->opt.deps.lp, js->timer);
 	g_hash_table_unref(js->runs);
 	g_hash_table_unref(js->loading);
+	g_hash_table_unref(js->takeover_failures);
 	g_hash_table_unref(js->cached);
 	g_free(js);
 }
@@ -292,66 +295,6 @@
 	g_free(copy);
 }
 
-static void
-load_work(struct job_task *task)
-{
-	const struct store *st = task->js->opt.store;
-
-	task->outcome = kStoreOk;
-	if (strcmp(task->open->owner, task->js->opt.session) != 0)
-		task->outcome =
-		    itemjob_claim(st, task->open, task->js->opt.session);
-	if (task->outcome == kStoreOk)
-		task->outcome = itemjob_get(st, task->id, &task->job);
-	if (task->outcome == kStoreOk)
-		task->outcome = itemjob_load_items(st, task->job, &task->items);
-	if (task->outcome == kStoreOk)
-		task->outcome =
-		    itemjob_read_done(st, task->id, &task->done_items);
-	if (task->outcome == kStoreOk)
-		task->outcome =
-		    itemjob_read_progress(st, task->id, &task->progress);
-}
-
-static void
-load_done(struct job_task *task)
-{
-	struct jobs *js = task->js;
-	int64_t now_us = loop_now_us(js->opt.deps.lp);
-	int64_t age_us;
-
-	job_log_call(task, "take_over");
-	g_hash_table_remove(js->loading, task->id);
-	if (task->outcome != kStoreOk || js->is_leaving ||
-	    g_hash_table_contains(js->runs, task->id))
-		return;
-	age_us = itemjob_age_us(js->opt.store, task->job);
-	jobs_cache_job(js, task->job);
-	jobs_run_start(js, g_steal_pointer(&task->job),
-	    g_steal_pointer(&task->items), task->done_items, task->progress,
-	    now_us - age_us);
-}
-
-void
-jobs_take_over(struct jobs *js, const struct itemjob_open *open)
-{
-	struct job_task *task;
-
-	if (js->is_leaving || g_hash_table_contains(js->runs, open->id) ||
-	    g_hash_table_contains(js->loading, open->id))
-		return;
-	task = job_task_new(js, NULL, open->id);
-	task->open = g_new0(struct itemjob_open, 1);
-	task->open->id = g_strdup(open->id);
-	task->open->owner = g_strdup(open->owner);
-	task->open->is_ended = open->is_ended;
-	task->open->version = open->version;
-	task->work = load_work;
-	task->done = load_done;
-	g_hash_table_add(js->loading, g_strdup(task->id));
-	job_task_start(task);
-}
-
 static const struct itemjob_open *
 find_open(const GPtrArray *list, const char *id)
 {
@@ -391,6 +334,7 @@
 jobs_on_open_list(struct jobs *js, const GPtrArray *list, int64_t read_at_us)
 {
 	drop_unowned_runs(js, list, read_at_us);
+	jobs_takeover_forget(js, list);
 	for (guint i = 0; i < list->len; i++) {
 		const struct itemjob_open *open = list->pdata[i];
 
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -76,6 +76,8 @@
 	GHashTable *runs;
 	/** Ids of jobs that are being submitted or read from the store. */
 	GHashTable *loading;
+	/** Takeovers that failed, by id of the job. */
+	GHashTable *takeover_failures;
 	/** struct itemjob by id, as read from the store. */
 	GHashTable *cached;
 	struct item_pace pace;
@@ -147,6 +149,9 @@
 /** Reports the job's waiting tokens to its route's quota, if due. */
 void jobs_quota_report(struct job_run *run);
 
+/** Forgets the failed takeovers of jobs that are not open any more. */
+void jobs_takeover_forget(struct jobs *js, const GPtrArray *list);
+
 /** Caches a job that was read from the store. */
 void jobs_cache_job(struct jobs *js, const struct itemjob *job);
 const struct itemjob *jobs_cached_job(struct jobs *js, const char *id);
--- /dev/null
+++ b/src/gateway/jobs_takeover.c
@@ -0,0 +1,178 @@
+/* Takeover of jobs: their rows and items are read again. */
+#include <string.h>
+
+#include "gateway/jobs_task.h"
+#include "log/log.h"
+
+enum {
+	/* Waits after a step that is likely to fail again; doubled for each
+	 * further failure. */
+	kRetryFirstUs = kUsPerS,
+	kRetryMaxUs = 16 * kUsPerS,
+	kDoublingsMax = 4,
+};
+
+struct takeover_failure {
+	int32_t count;
+	int64_t retry_us;
+};
+
+/* True if the store answered, and will answer so again. */
+static bool
+is_lasting(enum store_result res)
+{
+	return res == kStoreNotFound || res == kStoreUnreadable;
+}
+
+static enum store_result
+claim(struct job_task *task)
+{
+	const struct jobs_options *opt = &task->js->opt;
+
+	return strcmp(task->open->owner, opt->session) == 0
+	    ? kStoreOk
+	    : itemjob_claim(opt->store, task->open, opt->session);
+}
+
+static enum store_result
+read_job(struct job_task *task)
+{
+	return itemjob_get(task->js->opt.store, task->id, &task->job);
+}
+
+static enum store_result
+read_items(struct job_task *task)
+{
+	return itemjob_load_items(task->js->opt.store, task->job, &task->items);
+}
+
+static enum store_result
+read_done(struct job_task *task)
+{
+	return itemjob_read_done(
+	    task->js->opt.store, task->id, &task->done_items);
+}
+
+static enum store_result
+read_progress(struct job_task *task)
+{
+	return itemjob_read_progress(
+	    task->js->opt.store, task->id, &task->progress);
+}
+
+static const struct {
+	const char *name;
+	enum store_result (*run)(struct job_task *task);
+} steps[] = {
+    {"claim", claim},
+    {"job", read_job},
+    {"items", read_items},
+    {"done", read_done},
+    {"progress", read_progress},
+};
+
+static void
+load_work(struct job_task *task)
+{
+	task->outcome = kStoreOk;
+	for (size_t i = 0; i < G_N_ELEMENTS(steps) && task->outcome == kStoreOk;
+	     i++) {
+		task->step = steps[i].name;
+		task->outcome = steps[i].run(task);
+	}
+}
+
+static void
+record_failure(struct job_task *task, int64_t now_us)
+{
+	struct takeover_failure *failure =
+	    g_hash_table_lookup(task->js->takeover_failures, task->id);
+	int64_t wait_us;
+
+	if (failure == NULL) {
+		failure = g_new0(struct takeover_failure, 1);
+		g_hash_table_insert(
+		    task->js->takeover_failures, g_strdup(task->id), failure);
+	}
+	wait_us = MIN(
+	    kRetryFirstUs << MIN(failure->count, kDoublingsMax), kRetryMaxUs);
+	/* Of an outage, the next list of open jobs tells the end. */
+	if (!is_lasting(task->outcome))
+		wait_us = 0;
+	failure->count++;
+	failure->retry_us = now_us + wait_us;
+	log_event(kEvtJobTakeoverFailed, "job", task->id, "step", task->step,
+	    "store", store_result_text(task->outcome), "failures",
+	    log_number(failure->count), "wait_us", log_number(wait_us), NULL);
+}
+
+static void
+load_done(struct job_task *task)
+{
+	struct jobs *js = task->js;
+	int64_t now_us = loop_now_us(js->opt.deps.lp);
+	int64_t accepted_us;
+
+	job_log_call(task, "take_over");
+	g_hash_table_remove(js->loading, task->id);
+	if (js->is_leaving || g_hash_table_contains(js->runs, task->id))
+		return;
+	if (task->outcome != kStoreOk) {
+		record_failure(task, now_us);
+		return;
+	}
+	accepted_us = now_us - itemjob_age_us(js->opt.store, task->job);
+	g_hash_table_remove(js->takeover_failures, task->id);
+	jobs_cache_job(js, task->job);
+	jobs_run_start(js, g_steal_pointer(&task->job),
+	    g_steal_pointer(&task->items), task->done_items, task->progress,
+	    accepted_us);
+}
+
+static bool
+is_too_early(struct jobs *js, const char *id)
+{
+	const struct takeover_failure *failure =
+	    g_hash_table_lookup(js->takeover_failures, id);
+
+	return failure != NULL &&
+	    loop_now_us(js->opt.deps.lp) < failure->retry_us;
+}
+
+void
+jobs_take_over(struct jobs *js, const struct itemjob_open *open)
+{
+	struct job_task *task;
+
+	if (js->is_leaving || g_hash_table_contains(js->runs, open->id) ||
+	    g_hash_table_contains(js->loading, open->id) ||
+	    is_too_early(js, open->id))
+		return;
+	task = job_task_new(js, NULL, open->id);
+	task->open = g_new0(struct itemjob_open, 1);
+	task->open->id = g_strdup(open->id);
+	task->open->owner = g_strdup(open->owner);
+	task->open->is_ended = open->is_ended;
+	task->open->version = open->version;
+	task->work = load_work;
+	task->done = load_done;
+	g_hash_table_add(js->loading, g_strdup(task->id));
+	job_task_start(task);
+}
+
+void
+jobs_takeover_forget(struct jobs *js, const GPtrArray *list)
+{
+	GHashTable *open = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTableIter it;
+	void *id;
+
+	for (guint i = 0; i < list->len; i++)
+		g_hash_table_add(
+		    open, ((const struct itemjob_open *)list->pdata[i])->id);
+	g_hash_table_iter_init(&it, js->takeover_failures);
+	while (g_hash_table_iter_next(&it, &id, NULL))
+		if (!g_hash_table_contains(open, id))
+			g_hash_table_iter_remove(&it);
+	g_hash_table_unref(open);
+}
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -60,6 +60,8 @@
 	char *owner;
 	/* Takeover. */
 	struct itemjob_open *open;
+	/** Name of the last step. */
+	const char *step;
 	GArray *done_items;
 	/** Also the progress that is stored when the daemon leaves. */
 	GArray *progress;
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -72,6 +72,9 @@
 	X(kEvtJobOrphaned, 1410, WARN, "job_orphaned",                         \
 	    "The daemon that ran a batch job is down; this one takes over "    \
 	    "the job.")                                                        \
+	X(kEvtJobTakeoverFailed, 1424, WARN, "job_takeover_failed",            \
+	    "A step of the takeover of a batch job failed; it is tried again " \
+	    "after the wait, with the next list of open jobs.")                \
 	X(kEvtJobCall, 1411, INFO, "job_call",                                 \
 	    "A request about a batch job, from a caller or a step of the job " \
 	    "itself, went to the store.")                                      \
--- a/test/unit/jobs_fixture.h
+++ b/test/unit/jobs_fixture.h
@@ -1,6 +1,7 @@
 #ifndef TEST_UNIT_JOBS_FIXTURE_H
 #define TEST_UNIT_JOBS_FIXTURE_H
 
+#include <jansson.h>
 #include <unistd.h>
 
 #include <string>
@@ -82,18 +83,72 @@
 		return job;
 	}
 
-	/* Runs the loop until a condition holds, for two seconds at most. */
+	/* Runs the loop until a condition holds, for two seconds at most; each
+	 * iteration takes so long in virtual time. */
 	template <typename F>
 	bool
-	Await(F holds)
+	Await(F holds, int64_t step_us = 0)
 	{
 		for (int i = 0; i < 2000 && !holds(); i++) {
+			now_us += step_us;
 			loop_run_once(lp);
 			usleep(1000);
 		}
 		return holds();
 	}
 
+	/* Stores a job of this daemon, submitted so long ago. */
+	void
+	Submit(const char *id, size_t body_bytes, int64_t age_ms)
+	{
+		struct itemjob *job = Job(id);
+		GPtrArray *items = Items(body_bytes);
+		bool is_new = false;
+
+		ASSERT_EQ(kStoreOk,
+		    itemjob_submit(st, job, items, "t", "s0", &is_new));
+		ASSERT_TRUE(is_new);
+		SetAge(id, age_ms);
+		g_ptr_array_unref(items);
+		itemjob_free(job);
+	}
+
+	void
+	SetAge(const char *id, int64_t age_ms)
+	{
+		std::string key = std::string("job/jobs/") + id;
+		struct store_row row = {};
+		struct store_txn *txn = store_txn_new();
+		int64_t now_ms = 0;
+
+		st->ops->now_ms(st->ctx, &now_ms);
+		ASSERT_EQ(kStoreOk,
+		    st->ops->get(st->ctx, kCauseBatch, key.c_str(), &row));
+		json_t *doc = json_loads(row.value, 0, nullptr);
+		json_object_set_new(
+		    doc, "accepted_ms", json_integer(now_ms - age_ms));
+		char *text = json_dumps(doc, 0);
+		store_txn_write(txn, key.c_str(), text);
+		ASSERT_EQ(kStoreOk, st->ops->txn(st->ctx, kCauseBatch, txn));
+		store_txn_free(txn);
+		store_row_clear(&row);
+		json_decref(doc);
+		free(text);
+	}
+
+	/* Has the job taken over, as after each list of the open jobs. */
+	void
+	TakeOver(const char *id, const char *owner = "s0")
+	{
+		struct itemjob_open open = {};
+
+		open.id = (char *)id;
+		open.owner = (char *)owner;
+		jobs_take_over(js, &open);
+		EXPECT_TRUE(Await(
+		    [&] { return !g_hash_table_contains(js->loading, id); }));
+	}
+
 	const struct job_run *
 	Running(const char *id)
 	{
--- a/test/unit/test_jobs.cc
+++ b/test/unit/test_jobs.cc
@@ -36,4 +36,49 @@
 	EXPECT_EQ(started_us, Running("j")->started_us);
 }
 
+/* Guards against a takeover that fails for ever, every second. */
+TEST_F(Jobs, ATakeoverThatCannotSucceedIsTriedSeldom)
+{
+	const struct {
+		const char *name;
+		bool is_lost;
+		bool is_out;
+		int tries_min;
+		int tries_max;
+	} cases[] = {
+	    {"the items are gone", true, false, 4, 7},
+	    {"the store is out", false, true, 60, 60},
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		memstore_faults faults = {};
+		int tries = 0;
+
+		Submit(c.name, kItemjobTextRowBytes, 0);
+		if (c.is_lost)
+			st->ops->delete_object(st->ctx, kCauseBatch,
+			    ("input/" + std::string(c.name) + "/t").c_str());
+		faults.outage = c.is_out;
+		memstore_set_faults(ms, &faults);
+		for (int i = 0; i < 60; i++) {
+			int64_t reads = memstore_get_counts(ms).reads;
+
+			now_us += kSec;
+			TakeOver(c.name);
+			tries +=
+			    memstore_get_counts(ms).reads > reads || c.is_out;
+		}
+		EXPECT_LE(c.tries_min, tries);
+		EXPECT_GE(c.tries_max, tries);
+		EXPECT_EQ(nullptr, Running(c.name));
+		faults.outage = false;
+		memstore_set_faults(ms, &faults);
+		if (!c.is_out)
+			continue;
+		TakeOver(c.name);
+		EXPECT_NE(nullptr, Running(c.name)) << "at once";
+	}
+}
+
 } // namespace
