Jobs: items whose contents are lost end with their time to live

Cause: the ids of large items are only in the object with their contents. If that is missing or unreadable, no daemon can list them, and the takeover fails for ever.

The row that holds the items of a small job now holds the ids of a large one, written by the same transaction as the job. The takeover is tried again until the time to live is over, as the contents may be readable later; then the items are listed as failed, at once if the route is known, otherwise as for any job without a route. Jobs stored by earlier versions have no such row.

Evidence: Jobs.ItemsWithoutContentsEndWithTheirTimeToLive. Before: no result for a missing, an unreadable and an incomplete object and without a route. After: three failed results each; none before the time to live is over.

--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -298,7 +298,8 @@
 			continue;
 		if (item_retry_is_expired(&limits, now))
 			expire_item(ir);
-		else if (!is_waiting || ir->next_attempt_us > now)
+		else if (!is_waiting || ir->next_attempt_us > now ||
+		    ir->item->body == NULL)
 			continue;
 		else if (route == NULL)
 			ir->next_attempt_us = now + kRetryWithoutRouteUs;
--- a/src/gateway/jobs_takeover.c
+++ b/src/gateway/jobs_takeover.c
@@ -40,10 +40,18 @@
 	return itemjob_get(task->js->opt.store, task->id, &task->job);
 }
 
+/* Without their contents, the items can still be given up by their ids. */
 static enum store_result
 read_items(struct job_task *task)
 {
-	return itemjob_load_items(task->js->opt.store, task->job, &task->items);
+	const struct store *st = task->js->opt.store;
+	enum store_result res = itemjob_load_items(st, task->job, &task->items);
+
+	if (!is_lasting(res) ||
+	    itemjob_load_ids(st, task->job, &task->items) != kStoreOk)
+		return res;
+	task->lost_items = res;
+	return kStoreOk;
 }
 
 static enum store_result
@@ -106,6 +114,23 @@
 	    log_number(failure->count), "wait_us", log_number(wait_us), NULL);
 }
 
+/* True if the items of a job may be given up. */
+static bool
+is_expired(const struct job_task *task, int64_t accepted_us, int64_t now_us)
+{
+	const struct jobs_options *opt = &task->js->opt;
+	const struct routebook *book = opt->routes(opt->ctx);
+	const struct routebook_route *route = book != NULL
+	    ? routebook_find(book, task->job->host, task->job->path)
+	    : NULL;
+	struct item_retry_limits limits = {
+	    .expires_us = item_retry_expires_us(accepted_us, accepted_us,
+		route != NULL ? route->item_ttl_us : 0),
+	};
+
+	return book != NULL && item_retry_is_expired(&limits, now_us);
+}
+
 static void
 load_done(struct job_task *task)
 {
@@ -122,6 +147,13 @@
 		return;
 	}
 	accepted_us = now_us - itemjob_age_us(js->opt.store, task->job);
+	if (task->lost_items != kStoreOk &&
+	    !is_expired(task, accepted_us, now_us)) {
+		task->outcome = task->lost_items;
+		task->step = "items";
+		record_failure(task, now_us);
+		return;
+	}
 	g_hash_table_remove(js->takeover_failures, task->id);
 	jobs_cache_job(js, task->job);
 	jobs_run_start(js, g_steal_pointer(&task->job),
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -62,6 +62,8 @@
 	struct itemjob_open *open;
 	/** Name of the last step. */
 	const char *step;
+	/** Why the items have only their ids, or kStoreOk. */
+	enum store_result lost_items;
 	GArray *done_items;
 	/** Also the progress that is stored when the daemon leaves. */
 	GArray *progress;
--- a/src/savoryflow/job/itemjob.c
+++ b/src/savoryflow/job/itemjob.c
@@ -189,6 +189,40 @@
 	return text;
 }
 
+char *
+itemjob_ids_to_text(const GPtrArray *items)
+{
+	json_t *ids = json_array();
+	json_t *doc = json_pack("{s:o}", "ids", ids);
+	char *text;
+
+	for (guint i = 0; i < items->len; i++)
+		json_array_append_new(ids,
+		    json_text(
+			((const struct itemjob_item *)items->pdata[i])->id));
+	text = json_dumps(doc, JSON_COMPACT);
+	json_decref(doc);
+	return text;
+}
+
+GPtrArray *
+itemjob_items_from_ids(const char *text)
+{
+	json_t *doc = json_loads(text, 0, NULL);
+	GPtrArray *items = itemjob_items_new();
+	json_t *id;
+	size_t i;
+
+	json_array_foreach(json_object_get(doc, "ids"), i, id)
+	{
+		if (json_is_string(id))
+			g_ptr_array_add(
+			    items, itemjob_item_new(json_string_value(id), ""));
+	}
+	json_decref(doc);
+	return items;
+}
+
 GPtrArray *
 itemjob_items_from_text(const char *text, size_t len)
 {
--- a/src/savoryflow/job/itemjob.h
+++ b/src/savoryflow/job/itemjob.h
@@ -18,6 +18,10 @@
 
 /** Serializes items for storage; free with free(). */
 char *itemjob_items_to_text(const GPtrArray *items);
+/** Serializes the ids of items only; free with free(). */
+char *itemjob_ids_to_text(const GPtrArray *items);
+/** Items of these ids, without a path and a body. */
+GPtrArray *itemjob_items_from_ids(const char *text);
 /** @return NULL if an item lacks a field */
 GPtrArray *itemjob_items_from_text(const char *text, size_t len);
 
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -10,11 +10,6 @@
 #include "store/commit.h"
 #include "store/scan.h"
 
-enum {
-	/* Maximum rows per transaction; the store's limit is higher. */
-	kTxnRowsMax = 20,
-};
-
 static char *
 job_to_text(const struct itemjob *job)
 {
@@ -102,7 +97,7 @@
 	return commit_owner_of(res, true);
 }
 
-/* @param items text of the items to store in a row, or NULL */
+/* @param items value of the row with the items, or with their ids, or NULL */
 static enum store_result
 submit_rows(const struct store *st, const struct itemjob *job,
     const char *items, const char *owner, bool *is_new)
@@ -143,15 +138,19 @@
 
 static enum store_result
 submit_with_object(const struct store *st, const struct itemjob *job,
-    const char *items, const char *owner, bool *is_new)
+    const GPtrArray *items, const char *text, const char *owner, bool *is_new)
 {
 	enum store_result res = st->ops->put_object(
-	    st->ctx, kCauseBatch, job->input, items, strlen(items));
+	    st->ctx, kCauseBatch, job->input, text, strlen(text));
+	char *ids;
 
 	/* No row refers to the object yet: nothing of the job can run. */
 	if (res != kStoreOk)
 		return kStoreUnavailable;
-	res = submit_rows(st, job, NULL, owner, is_new);
+	ids = itemjob_ids_to_text(items);
+	res = submit_rows(st, job,
+	    strlen(ids) <= kItemjobTextRowBytes ? ids : NULL, owner, is_new);
+	free(ids);
 	/* The job existed already, or the store is unavailable: the object is
 	 * unused. */
 	if (res == kStoreUnavailable || res == kStoreConflict ||
@@ -198,7 +197,7 @@
 	if (job->is_inline)
 		res = submit_rows(st, job, text, owner, is_new);
 	else
-		res = submit_with_object(st, job, text, owner, is_new);
+		res = submit_with_object(st, job, items, text, owner, is_new);
 	free(text);
 	return res;
 }
@@ -251,6 +250,28 @@
 	return res;
 }
 
+enum store_result
+itemjob_load_ids(
+    const struct store *st, const struct itemjob *job, GPtrArray **items)
+{
+	char *key = itemjob_list_key("input", job->id);
+	struct store_row row = {0};
+	enum store_result res = st->ops->get(st->ctx, kCauseBatch, key, &row);
+	GPtrArray *list;
+
+	g_free(key);
+	if (res != kStoreOk)
+		return res;
+	list = itemjob_items_from_ids(row.value);
+	store_row_clear(&row);
+	if ((int32_t)list->len == job->total) {
+		*items = list;
+		return kStoreOk;
+	}
+	g_ptr_array_unref(list);
+	return kStoreUnreadable;
+}
+
 int64_t
 itemjob_age_us(const struct store *st, const struct itemjob *job)
 {
@@ -490,92 +511,3 @@
 	store_txn_free(txn);
 	return res;
 }
-
-static bool
-is_text_stored(const struct itemjob_progress *progress)
-{
-	return progress->last_event_id >= 0 &&
-	    strlen(progress->text) <= kItemjobTextRowBytes;
-}
-
-static void
-write_progress(struct store_txn *txn, const char *id,
-    const struct itemjob_progress *progress)
-{
-	char *key = itemjob_key_number("progress", id, progress->index);
-	bool has_text = is_text_stored(progress);
-	/* A row without a text tells only the failures. */
-	json_t *doc = json_pack("{s:I,s:i}", "last",
-	    (json_int_t)(has_text ? progress->last_event_id : -1), "failures",
-	    progress->failures);
-	char *text;
-
-	if (has_text)
-		json_object_set_new(doc, "text", json_text(progress->text));
-	text = json_dumps(doc, JSON_COMPACT);
-	store_txn_write(txn, key, text);
-	free(text);
-	json_decref(doc);
-	g_free(key);
-}
-
-enum store_result
-itemjob_save_progress(
-    const struct store *st, const char *id, const GArray *progress)
-{
-	struct store_txn *txn = store_txn_new();
-	enum store_result res = kStoreOk;
-
-	for (guint i = 0; i < progress->len; i++) {
-		const struct itemjob_progress *one =
-		    &g_array_index(progress, struct itemjob_progress, i);
-
-		if ((is_text_stored(one) || one->failures > 0) &&
-		    txn->writes->len < kTxnRowsMax)
-			write_progress(txn, id, one);
-	}
-	if (txn->writes->len > 0)
-		res = st->ops->txn(st->ctx, kCauseBatch, txn);
-	store_txn_free(txn);
-	return res;
-}
-
-static void
-append_progress(GArray *list, int32_t index, const json_t *doc)
-{
-	const char *text = text_field(doc, "text");
-	struct itemjob_progress one = {
-	    .index = index,
-	    .last_event_id = text != NULL
-		? json_integer_value(json_object_get(doc, "last"))
-		: -1,
-	    .failures =
-		(int32_t)json_integer_value(json_object_get(doc, "failures")),
-	    .text = g_strdup(text != NULL ? text : ""),
-	};
-
-	g_array_append_val(list, one);
-}
-
-enum store_result
-itemjob_read_progress(const struct store *st, const char *id, GArray **progress)
-{
-	char *prefix = itemjob_key("progress", id, "");
-	GPtrArray *rows = NULL;
-	enum store_result res = store_scan_all(st, kCauseBatch, prefix, &rows);
-
-	*progress = itemjob_progress_new();
-	for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
-		const struct store_row *row = rows->pdata[i];
-		json_t *doc = json_loads(row->value, 0, NULL);
-
-		if (doc != NULL)
-			append_progress(
-			    *progress, itemjob_number_of_key(row->key), doc);
-		json_decref(doc);
-	}
-	if (rows != NULL)
-		g_ptr_array_unref(rows);
-	g_free(prefix);
-	return res;
-}
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -8,12 +8,12 @@
  * Batch jobs whose results have stable positions, in the table service and the
  * object store.
  *
- * Rows: job/jobs/ID; input/jobs/ID with the items if they fit; open/jobs/ID
- * until the job is finished, with the session that runs it; result/ID/POSITION,
- * and text/ID/POSITION-PART for a long text; item/ID/INDEX with the position of
- * the item's result; progress/ID/INDEX with the partial output of an unfinished
- * item, written when its daemon stops. Object: input/ID/TOKEN with the items if
- * they do not fit a row; immutable.
+ * Rows: job/jobs/ID; input/jobs/ID with the items if they fit, otherwise with
+ * their ids; open/jobs/ID until the job is finished, with the session that runs
+ * it; result/ID/POSITION, and text/ID/POSITION-PART for a long text;
+ * item/ID/INDEX with the position of the item's result; progress/ID/INDEX with
+ * the partial output of an unfinished item, written when its daemon stops.
+ * Object: input/ID/TOKEN with the items if they do not fit a row; immutable.
  *
  * A commit succeeds only if neither its position nor its item has a result, so
  * that two daemons that run the same job can neither list an item twice nor put
@@ -43,6 +43,13 @@
 enum store_result itemjob_load_items(
     const struct store *st, const struct itemjob *job, GPtrArray **items);
 
+/**
+ * Reads the ids of a job's items whose contents cannot be read.
+ * @param items set on kStoreOk: items without a path and a body
+ */
+enum store_result itemjob_load_ids(
+    const struct store *st, const struct itemjob *job, GPtrArray **items);
+
 /** Reads results from a position on, at most kItemjobResultsMax. */
 enum store_result itemjob_read_results(
     const struct store *st, const char *id, int32_t from, GPtrArray **results);
--- a/test/unit/test_jobs.cc
+++ b/test/unit/test_jobs.cc
@@ -81,4 +81,59 @@
 	}
 }
 
+/* Guards against items of an accepted job that never end, as their contents are
+ * gone. */
+TEST_F(Jobs, ItemsWithoutContentsEndWithTheirTimeToLive)
+{
+	const struct {
+		const char *name;
+		const char *object;
+		const char *prefix;
+		int64_t age_ms;
+		bool ends;
+	} cases[] = {
+	    {"missing", nullptr, "/p/", 31000, true},
+	    {"unreadable", "[{]", "/p/", 31000, true},
+	    {"of fewer items", "[]", "/p/", 31000, true},
+	    {"missing, still owed", nullptr, "/p/", 29000, false},
+	    {"missing, without a route", nullptr, "/q/", 61000, true},
+	    {"missing, without a route, still owed", nullptr, "/q/", 59000,
+		false},
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		std::string object = "input/" + std::string(c.name) + "/t";
+		GPtrArray *results = nullptr;
+
+		book = routebook_new(1);
+		struct routebook_route *route = routebook_add_route(book);
+		route->name = g_strdup("r");
+		route->host = g_strdup("h.example");
+		route->prefix = g_strdup(c.prefix);
+		route->item_ttl_us = 30 * kSec;
+		Submit(c.name, kItemjobTextRowBytes, c.age_ms);
+		st->ops->delete_object(st->ctx, kCauseBatch, object.c_str());
+		if (c.object != nullptr)
+			st->ops->put_object(st->ctx, kCauseBatch,
+			    object.c_str(), c.object, strlen(c.object));
+		TakeOver(c.name);
+		EXPECT_EQ(c.ends, Running(c.name) != nullptr);
+		EXPECT_TRUE(Await([&] { return !Running(c.name); }, kSec / 50));
+		ASSERT_EQ(
+		    kStoreOk, itemjob_read_results(st, c.name, 0, &results));
+		EXPECT_EQ(c.ends ? 3u : 0u, results->len);
+		for (guint i = 0; i < results->len; i++) {
+			auto *res = (struct itemjob_result *)results->pdata[i];
+
+			EXPECT_EQ("item-" + std::to_string(i),
+			    std::string(res->item_id));
+			EXPECT_FALSE(res->is_completed);
+		}
+		g_ptr_array_unref(results);
+		routebook_unref(book);
+		book = nullptr;
+	}
+}
+
 } // namespace
