Jobs: each result fits the rows and transactions of the store

Items would be neither done nor dead, with a daemon that owns the job.

Cause: a result that the store rejects for its size is written again every 0.3 s for ever, and the results of a job are listed one after the other. Two texts of items are too large: one of up to 40000 bytes whose escapes make its row longer than 64 KiB, and one over 700 KiB, whose rows in base64 exceed 1 MB.

Evidence: RowsLimits.EachTextOfAnItemFits against a store with these limits. Before: four of seven texts rejected (one row of quotes, one row of control characters, 1 MiB plain and with line feeds). After: none; the longest text is 700 KiB. A longer output is cut, as one over 1 MiB was before: its item ends with its time to live, and the others of its job are listed.

--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -16,8 +16,6 @@
 	kRetryWithoutRouteUs = 500 * kUsPerMs,
 	kCommitRetryUs = 300 * kUsPerMs,
 	kTimerUs = 50 * kUsPerMs,
-	/* Longest text of an item: a page of results holds at least one. */
-	kItemTextBytesMax = 1024 * 1024,
 };
 
 static void commit_next(struct job_run *run);
@@ -263,7 +261,7 @@
 	    .last_event_id = ir->last_event_id,
 	    .stall_timeout_us = kStallTimeoutUs,
 	    .stream_bytes_max =
-		MAX(kItemTextBytesMax - (int64_t)ir->text->len, 1),
+		MAX(kItemjobTextBytesMax - (int64_t)ir->text->len, 1),
 	    .ops = &relay_ops,
 	    .ctx = ir,
 	};
--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -6,8 +6,13 @@
 #include <stdint.h>
 
 enum {
-	/** Longest text that is stored in one row. */
+	/** Longest text, and longest value with its escapes, that are stored
+	 * in one row. */
 	kItemjobTextRowBytes = 40000,
+	kItemjobRowBytes = 60000,
+	/** Longest text of an item: one transaction stores it, with its values
+	 * in base64. */
+	kItemjobTextBytesMax = 700 * 1024,
 	/** Most results that one read returns. */
 	kItemjobResultsMax = 50,
 };
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -446,7 +446,7 @@
 	return n;
 }
 
-/* @return the number of rows, 0 if the text fits in the result's row */
+/* @return the number of rows */
 static int
 write_parts(
     struct store_txn *txn, const char *id, const struct itemjob_result *result)
@@ -454,8 +454,6 @@
 	size_t len = strlen(result->text);
 	int parts = 0;
 
-	if (len <= kItemjobTextRowBytes)
-		return 0;
 	for (size_t at = 0; at < len;) {
 		size_t n = part_len(result->text + at, len - at);
 		char *key = g_strdup_printf(
@@ -471,6 +469,7 @@
 	return parts;
 }
 
+/* @param parts number of rows with the text; 0: it is part of this one */
 static char *
 result_to_text(const struct itemjob_result *result, int parts)
 {
@@ -487,6 +486,21 @@
 	return text;
 }
 
+/* Escapes may make a text longer than its row may be. */
+static char *
+write_text(
+    struct store_txn *txn, const char *id, const struct itemjob_result *result)
+{
+	if (strlen(result->text) <= kItemjobTextRowBytes) {
+		char *text = result_to_text(result, 0);
+
+		if (strlen(text) <= kItemjobRowBytes)
+			return text;
+		free(text);
+	}
+	return result_to_text(result, write_parts(txn, id, result));
+}
+
 enum store_result
 itemjob_commit(const struct store *st, const char *id, int32_t index,
     const struct itemjob_result *result)
@@ -496,7 +510,7 @@
 	char *result_key = itemjob_key_number("result", id, result->position);
 	char *item_key = itemjob_key_number("item", id, index);
 	char *position = g_strdup_printf("%d", result->position);
-	char *text = result_to_text(result, write_parts(txn, id, result));
+	char *text = write_text(txn, id, result);
 	enum store_result res;
 
 	store_txn_absent(txn, result_key);
