Jobs: the progress of all items is saved

At a planned stop the items of a job began anew at the next daemon.

Cause: the progress of a job's items was one transaction, of the first twenty items, whatever their size.

Evidence: RowsLimits.TheProgressOfAllItemsFits, 200 items of 40000 bytes. Before: rejected for the bytes of the call and of a row; after: all 200 rows are stored, and failures without a text where the text does not fit.

--- a/src/savoryflow/job/itemjob_progress.c
+++ b/src/savoryflow/job/itemjob_progress.c
@@ -8,24 +8,15 @@
 #include "store/scan.h"
 
 enum {
-	/* Maximum rows per transaction; the store's limit is higher. */
-	kTxnRowsMax = 20,
+	/* Maximum rows, and bytes of their values, of one transaction. */
+	kTxnRowsMax = 50,
+	kTxnBytesMax = 600000,
 };
 
-static bool
-is_text_stored(const struct itemjob_progress *progress)
+/* Value of a row; without a text, it tells only the failures. */
+static char *
+progress_to_text(const struct itemjob_progress *progress, bool has_text)
 {
-	return progress->last_event_id >= 0 &&
-	    strlen(progress->text) <= kItemjobTextRowBytes;
-}
-
-static void
-write_progress(struct store_txn *txn, const char *id,
-    const struct itemjob_progress *progress)
-{
-	char *key = itemjob_key_number("progress", id, progress->index);
-	bool has_text = is_text_stored(progress);
-	/* A row without a text tells only the failures. */
 	json_t *doc = json_pack("{s:I,s:i}", "last",
 	    (json_int_t)(has_text ? progress->last_event_id : -1), "failures",
 	    progress->failures);
@@ -34,10 +25,38 @@
 	if (has_text)
 		json_object_set_new(doc, "text", json_text(progress->text));
 	text = json_dumps(doc, JSON_COMPACT);
-	store_txn_write(txn, key, text);
-	free(text);
 	json_decref(doc);
-	g_free(key);
+	return text;
+}
+
+/* @return value of an item's row, or NULL if it has nothing to tell */
+static char *
+row_text(const struct itemjob_progress *progress)
+{
+	char *text;
+
+	if (progress->last_event_id >= 0 &&
+	    strlen(progress->text) <= kItemjobTextRowBytes) {
+		text = progress_to_text(progress, true);
+		if (strlen(text) <= kItemjobRowBytes)
+			return text;
+		free(text);
+	}
+	return progress->failures > 0 ? progress_to_text(progress, false)
+				      : NULL;
+}
+
+/* Writes the rows of a transaction and empties it. */
+static enum store_result
+flush(const struct store *st, struct store_txn **txn)
+{
+	enum store_result res = kStoreOk;
+
+	if ((*txn)->writes->len > 0)
+		res = st->ops->txn(st->ctx, kCauseBatch, *txn);
+	store_txn_free(*txn);
+	*txn = store_txn_new();
+	return res;
 }
 
 enum store_result
@@ -46,17 +65,28 @@
 {
 	struct store_txn *txn = store_txn_new();
 	enum store_result res = kStoreOk;
+	size_t bytes = 0;
 
-	for (guint i = 0; i < progress->len; i++) {
+	for (guint i = 0; i < progress->len && res == kStoreOk; i++) {
 		const struct itemjob_progress *one =
 		    &g_array_index(progress, struct itemjob_progress, i);
+		char *text = row_text(one);
+		char *key;
 
-		if ((is_text_stored(one) || one->failures > 0) &&
-		    txn->writes->len < kTxnRowsMax)
-			write_progress(txn, id, one);
+		if (text == NULL)
+			continue;
+		bytes += strlen(text);
+		if (bytes > kTxnBytesMax || txn->writes->len >= kTxnRowsMax) {
+			res = flush(st, &txn);
+			bytes = strlen(text);
+		}
+		key = itemjob_key_number("progress", id, one->index);
+		store_txn_write(txn, key, text);
+		g_free(key);
+		free(text);
 	}
-	if (txn->writes->len > 0)
-		res = st->ops->txn(st->ctx, kCauseBatch, txn);
+	if (res == kStoreOk)
+		res = flush(st, &txn);
 	store_txn_free(txn);
 	return res;
 }
--- a/test/platform/test_rows_limits.cc
+++ b/test/platform/test_rows_limits.cc
@@ -18,6 +18,7 @@
 	static constexpr size_t kCallEntries = 100;
 	std::string rejected;
 	int now_ms = 0;
+	size_t written = 0;
 	CopyingServer server{[this](const std::string &r) { return Reply(r); }};
 	struct store *st = rows_client_new(server.Address().c_str());
 
@@ -50,6 +51,7 @@
 			if (len > kRowBytes)
 				rejected = "bytes of a row";
 		}
+		written += rejected.empty() ? json_array_size(upserts) : 0;
 		json_decref(doc);
 		return CopyingServer::Http(rejected.empty() ? 200 : 413,
 		    "{\"now_ms\":" + std::to_string(++now_ms) + "}");
@@ -87,4 +89,33 @@
 	}
 }
 
+/* Guards against progress of long texts that the store rejects as a whole: all
+ * items of the job start anew. */
+TEST_F(RowsLimits, TheProgressOfAllItemsFits)
+{
+	const struct {
+		char c;
+		int32_t failures;
+		size_t written;
+	} cases[] = {{'x', 0, 200}, {'"', 0, 0}, {'"', 1, 200}};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.c);
+		std::string text(kItemjobTextRowBytes, c.c);
+		GArray *progress = itemjob_progress_new();
+
+		for (int i = 0; i < 200; i++) {
+			struct itemjob_progress one = {
+			    i, 3, c.failures, g_strdup(text.c_str())};
+
+			g_array_append_val(progress, one);
+		}
+		EXPECT_EQ(kStoreOk, itemjob_save_progress(st, "j", progress))
+		    << rejected;
+		EXPECT_EQ(c.written, written);
+		written = 0;
+		g_array_unref(progress);
+	}
+}
+
 } // namespace
