--- a/test/unit/test_jobs.cc
+++ b/test/unit/test_jobs.cc
@@ -136,4 +136,74 @@
 	}
 }
 
+TEST_F(Jobs, AListReadBeforeTheStartDropsNoRun)
+{
+	const struct {
+		const char *name;
+		int64_t read_us;
+		const char *owner;
+		bool runs;
+	} cases[] = {
+	    {"read before the start", -kSec, nullptr, true},
+	    {"read before the claim", -kSec, "s1", true},
+	    {"own", kSec, "s0", true},
+	    {"closed", kSec, nullptr, false},
+	    {"claimed by another daemon", kSec, "s1", false},
+	};
+
+	for (const auto &c : cases) {
+		SCOPED_TRACE(c.name);
+		struct itemjob_open open = {};
+		GPtrArray *list = g_ptr_array_new();
+
+		now_us += 10 * kSec;
+		jobs_run_start(js, Job(c.name), Items(4), nullptr, nullptr, 0);
+		open.id = (char *)c.name;
+		open.owner = (char *)c.owner;
+		if (c.owner != nullptr)
+			g_ptr_array_add(list, &open);
+		jobs_on_open_list(js, list, now_us + c.read_us);
+		EXPECT_EQ(c.runs, Running(c.name) != nullptr);
+		g_ptr_array_unref(list);
+	}
+}
+
+/* Guards against a job whose items are all listed and that stays open. */
+TEST_F(Jobs, AJobWhoseClosingFailedIsClosedLater)
+{
+	struct itemjob_open open = {};
+	GPtrArray *list = g_ptr_array_new();
+	memstore_faults faults = {};
+	GPtrArray *left = nullptr;
+
+	Submit("j", 4, 0);
+	for (int i = 0; i < 3; i++) {
+		std::string item = "item-" + std::to_string(i);
+		struct itemjob_result result = {};
+
+		result.position = i;
+		result.item_id = (char *)item.c_str();
+		result.text = (char *)"";
+		ASSERT_EQ(kStoreOk, itemjob_commit(st, "j", i, &result));
+	}
+	open.id = (char *)"j";
+	open.owner = (char *)"s0";
+	g_ptr_array_add(list, &open);
+	faults.lose_requests = 1;
+	memstore_set_faults(ms, &faults);
+	for (int polls = 0; polls < 2; polls++) {
+		int64_t writes = memstore_get_counts(ms).writes;
+
+		now_us += kSec;
+		jobs_on_open_list(js, list, now_us);
+		EXPECT_TRUE(Await(
+		    [&] { return memstore_get_counts(ms).writes > writes; }));
+		EXPECT_EQ(nullptr, Running("j"));
+	}
+	ASSERT_EQ(kStoreOk, itemjob_read_open(st, &left));
+	EXPECT_EQ(0u, left->len);
+	g_ptr_array_unref(left);
+	g_ptr_array_unref(list);
+}
+
 } // namespace
