Own interface: each open job is looked at within a few polls

A poll looks at 200 jobs by due time; if none has work, the next one goes on after them.

Evidence: BatchWindow.EachJobIsLookedAtWithinAFewPolls, up to 999 jobs in five polls; BatchStore.AllOpenJobsAndChunksAreListed.

--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -16,11 +16,14 @@
 #include "os/json_text.h"
 #include "savoryflow/batch/batch_session.h"
 #include "savoryflow/batch/batch_store.h"
+#include "savoryflow/batch/batch_window.h"
 #include "serve/call_run.h"
 #include "serve/poller.h"
 #include "serve/session_watch.h"
 
 enum {
+	/* Open jobs whose chunks are read in one poll. */
+	kOpenJobsMax = 200,
 	/* Chunks held at once: one finishing and one starting. */
 	kChunksMax = 2,
 	/* An item without a result after this time fails. */
@@ -72,6 +75,7 @@
 	/** struct chunk_run held by this daemon. */
 	GPtrArray *chunks;
 	int32_t inflight;
+	struct batch_window window;
 	bool is_stopping;
 	struct session_watch *watch;
 };
@@ -626,6 +630,19 @@
 	    (x->created_us < y->created_us);
 }
 
+static void
+claim_from_jobs(struct batch_runner *br, const GPtrArray *jobs)
+{
+	uint32_t count;
+	uint32_t first =
+	    batch_window_next(&br->window, jobs->len, kOpenJobsMax, &count);
+
+	for (uint32_t i = 0; i < count && has_capacity_for_chunk(br); i++)
+		while (has_capacity_for_chunk(br) &&
+		    claim_from_job(br, jobs->pdata[(first + i) % jobs->len]))
+			batch_window_reset(&br->window);
+}
+
 static void
 claim_work(struct batch_runner *br)
 {
@@ -641,10 +658,7 @@
 	if (res != kStoreOk)
 		return;
 	g_ptr_array_sort(jobs, compare_due_times);
-	for (guint i = 0; i < jobs->len && has_capacity_for_chunk(br); i++)
-		while (has_capacity_for_chunk(br) &&
-		    claim_from_job(br, jobs->pdata[i]))
-			continue;
+	claim_from_jobs(br, jobs);
 	g_ptr_array_unref(jobs);
 }
 
