--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -76,10 +76,14 @@
 	GHashTable *runs;
 	/** Ids of jobs that are being submitted or read from the store. */
 	GHashTable *loading;
+	/** Takeovers that failed, by id of the job. */
+	GHashTable *takeover_failures;
 	/** struct itemjob by id, as read from the store. */
 	GHashTable *cached;
 	struct item_pace pace;
 	bool is_leaving;
+	/** Tokens given to submissions. */
+	uint64_t tokens;
 	/** Jobs whose progress is being stored. */
 	int32_t saves_in_flight;
 	uint64_t timer;
@@ -88,7 +92,7 @@
 };
 
 /**
- * Starts a job; takes ownership of job and items.
+ * Starts a job unless it runs; takes ownership of job and items.
  * @param done struct itemjob_done of the listed items, or NULL
  * @param progress struct itemjob_progress stored by the previous daemon, or
  *         NULL
@@ -145,6 +149,9 @@
 /** Reports the job's waiting tokens to its route's quota, if due. */
 void jobs_quota_report(struct job_run *run);
 
+/** Forgets the failed takeovers of jobs that are not open any more. */
+void jobs_takeover_forget(struct jobs *js, const GPtrArray *list);
+
 /** Caches a job that was read from the store. */
 void jobs_cache_job(struct jobs *js, const struct itemjob *job);
 const struct itemjob *jobs_cached_job(struct jobs *js, const char *id);
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -16,8 +16,6 @@
 	kRetryWithoutRouteUs = 500 * kUsPerMs,
 	kCommitRetryUs = 300 * kUsPerMs,
 	kTimerUs = 50 * kUsPerMs,
-	/* Longest text of an item: a page of results holds at least one. */
-	kItemTextBytesMax = 1024 * 1024,
 };
 
 static void commit_next(struct job_run *run);
@@ -263,7 +261,7 @@
 	    .last_event_id = ir->last_event_id,
 	    .stall_timeout_us = kStallTimeoutUs,
 	    .stream_bytes_max =
-		MAX(kItemTextBytesMax - (int64_t)ir->text->len, 1),
+		MAX(kItemjobTextBytesMax - (int64_t)ir->text->len, 1),
 	    .ops = &relay_ops,
 	    .ctx = ir,
 	};
@@ -298,7 +296,8 @@
 			continue;
 		if (item_retry_is_expired(&limits, now))
 			expire_item(ir);
-		else if (!is_waiting || ir->next_attempt_us > now)
+		else if (!is_waiting || ir->next_attempt_us > now ||
+		    ir->item->body == NULL)
 			continue;
 		else if (route == NULL)
 			ir->next_attempt_us = now + kRetryWithoutRouteUs;
@@ -526,9 +525,16 @@
     const GArray *done, const GArray *progress, int64_t accepted_us)
 {
 	const struct routebook_route *route;
-	struct job_run *run = g_new0(struct job_run, 1);
+	struct job_run *run;
 	int64_t store_ms = -1;
 
+	/* A late submission may meet the run of its own takeover. */
+	if (g_hash_table_contains(js->runs, job->id)) {
+		g_ptr_array_unref(items);
+		itemjob_free(job);
+		return;
+	}
+	run = g_new0(struct job_run, 1);
 	js->opt.store->ops->now_ms(js->opt.store->ctx, &store_ms);
 	run->js = js;
 	run->job = job;
@@ -540,7 +546,7 @@
 	    accepted_us + (route != NULL ? route->job_due_us : kDueDefaultUs);
 	g_queue_init(&run->ready);
 	init_items(run);
-	g_hash_table_replace(js->runs, run->job->id, run);
+	g_hash_table_insert(js->runs, run->job->id, run);
 	log_event(kEvtJobStarted, "job", job->id, "items",
 	    log_number(items->len), "listed",
 	    log_number(done != NULL ? done->len : 0), "age_us",
