--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -11,6 +11,8 @@
  * rejects all calls, or those of one daemon; drops the answers of the next N
  * transactions; discards the change history of the feed; leaves the time out of
  * the answers to one daemon, except those to reads of jobs.
+ *
+ * POST /way: faults on the way of one daemon, see rows_faults.h.
  */
 #include <jansson.h>
 #include <pthread.h>
@@ -19,6 +21,7 @@
 
 #include "http.h"
 #include "os/clock.h"
+#include "rows_faults.h"
 
 enum {
 	kFeedPollUs = 5000,
@@ -39,6 +42,8 @@
 	pthread_mutex_t lock;
 	/** Ordered; struct row by "TABLE\tPART\tKEY". */
 	GTree *rows;
+	/** int64_t: version of the last change, by table. */
+	GHashTable *changed;
 	GHashTable *objects;
 	int64_t version;
 	/** The feed has only changes after this version. */
@@ -53,6 +58,7 @@
 	char *lose_table;
 	/** The outage begins once these are lost. */
 	bool is_out_after_loss;
+	struct rows_faults *faults;
 };
 
 static int
@@ -92,6 +98,8 @@
 	g_free(row->value);
 	row->value = g_strdup(value);
 	row->version = rs->version;
+	g_hash_table_replace(rs->changed, g_strdup(table),
+	    g_memdup2(&rs->version, sizeof(rs->version)));
 	g_free(full);
 	/* The tree owns the row. */
 	// cppcheck-suppress memleak
@@ -124,7 +132,7 @@
 is_from(const struct standin_request *req, const char *daemon)
 {
 	return daemon != NULL && daemon[0] != '\0' &&
-	    g_str_has_prefix(req->url + 1, daemon);
+	    rows_url_is_from(req->url, daemon);
 }
 
 static struct MHD_Response *
@@ -243,23 +251,22 @@
 	bool has_more;
 };
 
-static gboolean
-collect_in_range(void *key, void *val, void *ctx)
+/* @return false after the last row of the range */
+static bool
+collect_in_range(struct range *r, const struct row *row)
 {
-	struct range *r = ctx;
-	const struct row *row = val;
-
 	if (strcmp(row->table, r->table) != 0 ||
-	    strcmp(row->part, r->part) != 0 || row->value == NULL ||
-	    strcmp(row->key, r->from) < 0 ||
+	    strcmp(row->part, r->part) != 0 ||
 	    (*r->until != '\0' && strcmp(row->key, r->until) >= 0))
-		return FALSE;
+		return false;
+	if (row->value == NULL)
+		return true;
 	if ((int)json_array_size(r->list) >= r->limit) {
 		r->has_more = true;
-		return TRUE;
+		return false;
 	}
 	json_array_append_new(r->list, row_json(row));
-	return FALSE;
+	return true;
 }
 
 static struct MHD_Response *
@@ -270,12 +277,25 @@
 	    argument(req, "from"), argument(req, "target"),
 	    *limit != '\0' ? atoi(limit) : 500, json_array(), false};
 
-	g_tree_foreach(rs->rows, collect_in_range, &r);
+	char *first = full_key(r.table, r.part, r.from);
+	GTreeNode *node = g_tree_lower_bound(rs->rows, first);
+
+	while (node != NULL && collect_in_range(&r, g_tree_node_value(node)))
+		node = g_tree_node_next(node);
+	g_free(first);
 	return respond(rs, req,
 	    json_pack(
 		"{s:o,s:b}", "rows", r.list, "has_more", (int)r.has_more));
 }
 
+static bool
+has_changed(const struct rows *rs, const char *table, int64_t after)
+{
+	const int64_t *version = g_hash_table_lookup(rs->changed, table);
+
+	return version != NULL && *version > after;
+}
+
 struct changes {
 	const char *table;
 	int64_t after;
@@ -307,7 +327,8 @@
 			json_decref(c.list);
 			return standin_text_response("{}");
 		}
-		g_tree_foreach(rs->rows, collect_changed, &c);
+		if (has_changed(rs, c.table, c.after))
+			g_tree_foreach(rs->rows, collect_changed, &c);
 		if (json_array_size(c.list) > 0 ||
 		    clock_mono_us(clock_system()) >= deadline_us)
 			return respond(
@@ -388,6 +409,16 @@
 	return standin_text_response("{}");
 }
 
+static struct MHD_Response *
+set_way(struct rows *rs, struct standin_request *req)
+{
+	json_t *doc = json_loads(req->body->str, 0, NULL);
+
+	rows_faults_set(rs->faults, doc);
+	json_decref(doc);
+	return standin_text_response("{}");
+}
+
 static struct MHD_Response *
 dispatch(struct rows *rs, struct standin_request *req, unsigned int *status)
 {
@@ -405,6 +436,8 @@
 		return handle_put(rs, req);
 	if (strcmp(req->url, "/fault") == 0)
 		return set_fault(rs, req);
+	if (strcmp(req->url, "/way") == 0)
+		return set_way(rs, req);
 	if (rs->outage || is_from(req, rs->rejected_daemon)) {
 		*status = 503;
 		return standin_text_response("{}");
@@ -430,12 +463,32 @@
 handle(void *ctx, struct standin_request *req, unsigned int *status)
 {
 	struct rows *rs = ctx;
+	struct rows_verdict verdict = rows_faults_decide(
+	    rs->faults, req->url, strcmp(req->method, "GET") != 0);
 	struct MHD_Response *res;
 
+	/* Each connection has its own thread. */
+	g_usleep((gulong)verdict.delay_ms * 1000);
+	switch (verdict.action) {
+	case kWayRefuse:
+	case kWayTurnAway:
+		*status = verdict.action == kWayRefuse ? 503 : 429;
+		return standin_text_response("{}");
+	case kWayReset:
+		rows_faults_reset(req);
+		return NULL;
+	case kWaySilent:
+		return NULL;
+	default:
+		break;
+	}
 	pthread_mutex_lock(&rs->lock);
 	res = dispatch(rs, req, status);
 	pthread_mutex_unlock(&rs->lock);
-	return res;
+	if (verdict.action != kWayLose || res == NULL)
+		return res;
+	MHD_destroy_response(res);
+	return NULL;
 }
 
 int
@@ -444,13 +497,18 @@
 	struct rows rs = {.lock = PTHREAD_MUTEX_INITIALIZER};
 	int code;
 
+	rs.faults = rows_faults_new();
 	rs.rows = g_tree_new_full(compare, NULL, g_free, NULL);
+	rs.changed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	rs.objects = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
 	code = standin_serve(
 	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7100")), handle,
 	    &rs);
+	rows_faults_free(rs.faults);
 	g_tree_unref(rs.rows);
+	g_hash_table_unref(rs.changed);
 	g_hash_table_unref(rs.objects);
 	return code;
 }
--- /dev/null
+++ b/test/standin/rows_faults.h
@@ -0,0 +1,52 @@
+#ifndef STANDIN_ROWS_FAULTS_H
+#define STANDIN_ROWS_FAULTS_H
+
+#include <jansson.h>
+
+#include "http.h"
+
+/** What happens to one call of a daemon. */
+enum rows_way_action {
+	kWayPass,
+	kWayRefuse,
+	kWayTurnAway,
+	kWayReset,
+	kWaySilent,
+	/** The call is performed, its answer is lost. */
+	kWayLose,
+};
+
+struct rows_verdict {
+	enum rows_way_action action;
+	/** Before the call is performed or ended. */
+	int delay_ms;
+};
+
+/** Faults on the ways of single daemons to the store. */
+struct rows_faults;
+
+struct rows_faults *rows_faults_new(void);
+
+void rows_faults_free(struct rows_faults *rf);
+
+/**
+ * Sets the way of one daemon, or with the daemon "*" of all that have none of
+ * their own, from {"daemon","mode","delay_ms","seed"}. Modes: "pass", "refuse",
+ * "turn_away", "reset", "silent", "slow", "lose", "late" (a change is made
+ * after the delay and has no answer), "lose_refuse" (one change loses its
+ * answer, all later calls are refused) and "mix" (drawn from the seed, call by
+ * call).
+ */
+void rows_faults_set(struct rows_faults *rf, const json_t *doc);
+
+/** Decides on a call; its path starts with the daemon's name. */
+struct rows_verdict rows_faults_decide(
+    struct rows_faults *rf, const char *url, bool is_write);
+
+/** @return true if the first segment of the path is the name */
+bool rows_url_is_from(const char *url, const char *daemon);
+
+/** Makes the end of the call's connection a reset. */
+void rows_faults_reset(const struct standin_request *req);
+
+#endif
--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -18,7 +18,8 @@
  * statuses of the answers to come. "surplus":{...} makes complete answers
  * followed by further bytes, see surplus.h. With --crash-part=ID, the process
  * ends as it begins to answer a request whose prompt has that part, other than
- * as its last one. "rate":"3.5" names a rate in all answers, null none. GET
+ * as its last one. "rate":"3.5" names a rate in all answers, null none.
+ * --print-runs=yes prints a line for each attempt that runs. GET
  * /seen: ids of the attempts that ran, how many streams were closed before
  * their end, and the times of all requests and of the first answer with the
  * rate.
@@ -71,6 +72,8 @@
 	struct surplus_fault surplus;
 	struct worker_rate rate;
 	json_t *attempts_run;
+	/** For callers that end the process. */
+	bool prints_runs;
 	int closed_early;
 };
 
@@ -366,6 +369,10 @@
 		    status);
 	}
 	json_array_append_new(wk->attempts_run, json_string(attempt));
+	if (wk->prints_runs) {
+		printf("ran %s\n", attempt);
+		fflush(stdout);
+	}
 	if (has_crash_part(wk, req))
 		crash_by_part(wk, attempt);
 	/* Closes the connection, as if the process had crashed at the start
@@ -513,6 +520,8 @@
 	wk.id = standin_flag(argc, argv, "--id", "i-1");
 	wk.crash_part = standin_flag(argc, argv, "--crash-part", "");
 	wk.attempts_run = json_array();
+	wk.prints_runs =
+	    strcmp(standin_flag(argc, argv, "--print-runs", "no"), "yes") == 0;
 	worker_rate_init(&wk.rate);
 	return standin_serve(
 	    (uint16_t)atoi(standin_flag(argc, argv, "--port", "7200")), handle,
