A peer's refusal is not the answer to a submission

What callers saw: 404 (or 400, 413) for a proper job, from a daemon whose configuration has its route. A 404 is not tried again, so the results are never read.

Cause: a forwarded request is answered with any status of the peer below 500 other than 429. Submissions are judged by the configuration of the daemon that got them; a peer that has not yet loaded it, or has loaded the next one, knows no such route.

Fix: a peer's 4xx to a submission counts like its 503: it did not execute it, the next peer is asked, and the own copy decides. Reads and ends are answered from the store by any daemon; their 404 is passed on as before.

--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -15,6 +15,7 @@
 	kAnswerTimeoutUs = 200 * kUsPerMs,
 	/* A read may take two calls of the store; a reader stays for 1.5 s. */
 	kReadAnswerTimeoutUs = 500 * kUsPerMs,
+	kHttpRefusedFirst = 400,
 	kHttpServerErrorFirst = 500,
 	kHttpTooMany = 429,
 	kHttpUnavailable = 503,
@@ -146,6 +147,23 @@
 	forward_free(fwd);
 }
 
+static bool
+is_submission(const struct job_forward *fwd)
+{
+	return strcmp(front_method(fwd->opt.req), "POST") == 0;
+}
+
+/* This daemon has found a submission to be proper, and its own copy of it may
+ * be executed: the refusal of a peer, whose configuration may be another one,
+ * is no answer to it. */
+static bool
+is_answer(const struct job_forward *fwd)
+{
+	if (fwd->status >= kHttpServerErrorFirst || fwd->status == kHttpTooMany)
+		return false;
+	return !is_submission(fwd) || fwd->status < kHttpRefusedFirst;
+}
+
 static void
 on_done(void *ctx, enum outbound_outcome outcome)
 {
@@ -153,15 +171,12 @@
 
 	switch (outcome) {
 	case kOutboundComplete:
-		/* A peer answers 503 or 429 only if it did not execute the
-		 * request. */
+		/* A peer answers 503, 429 or another refusal only if it did
+		 * not execute the request. */
 		if (fwd->status >= kHttpServerErrorFirst &&
 		    fwd->status != kHttpUnavailable)
 			record_unknown(fwd);
-		on_peer_done(fwd,
-		    fwd->status < kHttpServerErrorFirst &&
-			fwd->status != kHttpTooMany,
-		    "answer");
+		on_peer_done(fwd, is_answer(fwd), "answer");
 		break;
 	case kOutboundNotSent:
 		on_peer_done(fwd, false, "no_connection");
--- a/test/functional/test_gateway_forward.cc
+++ b/test/functional/test_gateway_forward.cc
@@ -9,28 +9,45 @@
 
 /* Answers with the path, and the id of a forwarded request. */
 std::string
-PeerAnswer(const std::string &request)
+PeerAnswerOf(const std::string &request, int status)
 {
 	size_t path = request.find(' ') + 1;
 	size_t at = request.find(kForwarded);
 	std::string id = request.substr(at, request.find("\r\n", at) + 2 - at);
 	std::string body = request.substr(path, request.find(' ', path) - path);
 
-	return "HTTP/1.1 200 OK\r\n" + id +
+	return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + id +
 	    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
 	    body;
 }
 
-TEST_F(Gateway, APeersAnswerToAnotherForwardedRequestIsNotPassedOn)
+std::string
+PeerAnswer(const std::string &request)
+{
+	return PeerAnswerOf(request, 200);
+}
+
+struct Forward : Gateway {
+	/* One daemon, and a peer that it may forward to. */
+	void
+	StartWithPeer(const CopyingServer &peer)
+	{
+		std::string row = "{\"front\":\"" + peer.Address() +
+		    "\",\"region\":\"r\",\"data_center\":\"dc1\","
+		    "\"session\":\"s1\",\"cpu\":1000,\"beat\":1,"
+		    "\"period_us\":30000000}";
+
+		StartReadyFleet(1, 1);
+		PutRow("daemon", "127.0.0.1:1", row.c_str());
+		ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"member_up\""));
+	}
+};
+
+TEST_F(Forward, APeersAnswerToAnotherForwardedRequestIsNotPassedOn)
 {
 	CopyingServer peer(PeerAnswer);
-	std::string row = "{\"front\":\"" + peer.Address() +
-	    "\",\"region\":\"r\",\"data_center\":\"dc1\",\"session\":\"s1\","
-	    "\"cpu\":1000,\"beat\":1,\"period_us\":30000000}";
 
-	StartReadyFleet(1, 1);
-	PutRow("daemon", "127.0.0.1:1", row.c_str());
-	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"member_up\""));
+	StartWithPeer(peer);
 	PostToStore("/fault", "{\"turned_away\":\"d0\"}");
 	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"store_down\""));
 	for (Copy copy : {Copy::kNone, Copy::kIdle, Copy::kAfterNextRequest}) {
@@ -48,4 +65,53 @@
 	}
 }
 
+/* Guards against a job that runs after its caller was told a peer's 404: the
+ * daemon's own copy of the submission was on its way. */
+TEST_F(Forward, APeersRefusalIsNotTheAnswerToASubmissionUnderWay)
+{
+	std::atomic<int> status{0};
+	CopyingServer peer([&](const std::string &request) {
+		bool is_submission = request.compare(0, 4, "POST") == 0;
+
+		return PeerAnswerOf(
+		    request, is_submission ? status.load() : 503);
+	});
+
+	StartWithPeer(peer);
+	/* Slower than the time after which a peer is asked. */
+	PostToStore(
+	    "/way", "{\"daemon\":\"d0\",\"mode\":\"slow\",\"delay_ms\":400}");
+	for (int s : {404, 400, 408, 413, 421}) {
+		std::string job = "j" + std::to_string(s);
+
+		status = s;
+		EXPECT_EQ(202,
+		    Send(0, "POST", "/b/" + job,
+			JobBody(job, 1, RequestBody(2)), job)
+			.status)
+		    << s;
+		EXPECT_TRUE(daemons[0]->WaitLine(
+		    "\"status\":\"" + std::to_string(s) + "\""));
+		EXPECT_TRUE(Eventually([&] { return HasResults(0, job, 1); }))
+		    << s;
+	}
+}
+
+/* Guards against a 404 for a job that this daemon's configuration allows. */
+TEST_F(Forward, APeersRefusalIsNotTheAnswerWhileTheStoreIsUnreachable)
+{
+	CopyingServer peer([&](const std::string &request) {
+		return PeerAnswerOf(request, 404);
+	});
+
+	StartWithPeer(peer);
+	PostToStore("/fault", "{\"turned_away\":\"d0\"}");
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"store_down\""));
+	EXPECT_EQ(503,
+	    Send(0, "POST", "/b/a", JobBody("a", 1, RequestBody(2)), "a")
+		.status);
+	EXPECT_EQ(404, Send(0, "GET", "/api/lots/a", "", "r").status);
+	EXPECT_EQ(0, CountRuns("a0"));
+}
+
 } // namespace
