A test for jobs that are refused at each daemon after a lost answer

The first daemon's change is made and its answer lost, or its connection ends and the change is made later; all other calls of the three daemons are refused. Small items, and items in an object.

The stand-in can also hold back the answer to a change of an open job.

--- a/test/functional/test_gateway_unknown.cc
+++ b/test/functional/test_gateway_unknown.cc
@@ -17,6 +17,23 @@
 		return JobBody(job, 1, body);
 	}
 
+	void
+	SetWay(size_t daemon, const std::string &mode, int delay_ms = 0)
+	{
+		PostToStore("/way",
+		    "{\"daemon\":\"d" + std::to_string(daemon) +
+			"\",\"mode\":\"" + mode +
+			"\",\"delay_ms\":" + std::to_string(delay_ms) + "}");
+	}
+
+	long
+	Submit(size_t daemon, const std::string &job, bool is_large)
+	{
+		return Send(
+		    daemon, "POST", "/b/" + job, Job(job, is_large), job)
+		    .status;
+	}
+
 	void
 	SetUp() override
 	{
@@ -77,4 +94,37 @@
 	}
 }
 
+/* Guards against a job that runs after it was refused at each attempt: the
+ * first daemon loses the store's answer, then the store refuses all. */
+TEST_F(Unknown, AJobWhoseAnswerIsLostBeforeRefusalsIsNotRefusedAtEachDaemon)
+{
+	const struct {
+		const char *job;
+		const char *mode;
+		bool is_large;
+	} cases[] = {
+	    {"lost-small", "lose_refuse", false},
+	    {"lost-large", "lose_refuse", true},
+	    {"later-small", "later_refuse", false},
+	    {"later-large", "later_refuse", true},
+	};
+
+	StartReadyFleet(1, 3);
+	for (const auto &c : cases) {
+		long first;
+
+		SetWay(0, c.mode, 700);
+		SetWay(1, "refuse");
+		SetWay(2, "turn_away");
+		first = Submit(0, c.job, c.is_large);
+		EXPECT_TRUE(first == 500 || first == 0) << first;
+		EXPECT_EQ(503, Submit(1, c.job, c.is_large));
+		EXPECT_EQ(503, Submit(2, c.job, c.is_large));
+		for (size_t i = 0; i < 3; i++)
+			SetWay(i, "pass");
+		EXPECT_TRUE(Eventually([&] { return HasResults(0, c.job, 1); }))
+		    << c.job;
+	}
+}
+
 } // namespace
--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -536,6 +536,7 @@
 		break;
 	}
 	res = dispatch_locked(rs, req, status);
+	g_usleep((gulong)verdict.hold_ms * 1000);
 	if (verdict.action != kWayLose || res == NULL)
 		return res;
 	MHD_destroy_response(res);
--- a/test/standin/rows_faults.c
+++ b/test/standin/rows_faults.c
@@ -24,13 +24,14 @@
 	kModeLater,
 	kModeLoseRefuse,
 	kModeLaterRefuse,
+	kModeHold,
 	kModeMix,
 	kModeCount,
 };
 
 static const char *const mode_names[kModeCount] = {"pass", "refuse",
     "turn_away", "reset", "silent", "slow", "lose", "late", "later",
-    "lose_refuse", "later_refuse", "mix"};
+    "lose_refuse", "later_refuse", "hold", "mix"};
 
 struct way {
 	enum way_mode mode;
@@ -124,7 +125,7 @@
 {
 	bool is_write = strcmp(req->method, "GET") != 0;
 	enum way_mode mode = way->mode == kModeMix ? draw_mode(way) : way->mode;
-	struct rows_verdict verdict = {kWayPass, 0};
+	struct rows_verdict verdict = {kWayPass, 0, 0};
 
 	switch (mode) {
 	case kModeRefuse:
@@ -137,7 +138,7 @@
 		verdict.action = kWayReset;
 		break;
 	case kModeSilent:
-		verdict = (struct rows_verdict){kWaySilent, kSilentMs};
+		verdict = (struct rows_verdict){kWaySilent, kSilentMs, 0};
 		break;
 	case kModeSlow:
 		verdict.delay_ms = way->delay_ms;
@@ -148,12 +149,12 @@
 	case kModeLate:
 		if (is_write)
 			verdict = (struct rows_verdict){
-			    kWayLose, kLateMinMs + way->delay_ms};
+			    kWayLose, kLateMinMs + way->delay_ms, 0};
 		break;
 	case kModeLater:
 		if (is_write)
 			verdict =
-			    (struct rows_verdict){kWayLater, way->delay_ms};
+			    (struct rows_verdict){kWayLater, way->delay_ms, 0};
 		break;
 	case kModeLoseRefuse:
 	case kModeLaterRefuse:
@@ -163,6 +164,10 @@
 		verdict.delay_ms = mode == kModeLoseRefuse ? 0 : way->delay_ms;
 		way->mode = kModeRefuse;
 		break;
+	case kModeHold:
+		if (is_write && is_of_open_job(req))
+			verdict.hold_ms = way->delay_ms;
+		break;
 	default:
 		break;
 	}
@@ -191,7 +196,7 @@
 rows_faults_decide(struct rows_faults *rf, const struct standin_request *req)
 {
 	char *name = daemon_of(req->url);
-	struct rows_verdict verdict = {kWayPass, 0};
+	struct rows_verdict verdict = {kWayPass, 0, 0};
 	struct way *way;
 
 	pthread_mutex_lock(&rf->lock);
--- a/test/standin/rows_faults.h
+++ b/test/standin/rows_faults.h
@@ -22,6 +22,8 @@
 	enum rows_way_action action;
 	/** Before the call is performed or ended. */
 	int delay_ms;
+	/** After it was performed, before its answer. */
+	int hold_ms;
 };
 
 /** Faults on the ways of single daemons to the store. */
@@ -37,7 +39,9 @@
  * "turn_away", "reset", "silent", "slow", "lose"; "late" (a change is made
  * after the caller has given up), "later" (the connection ends, then the change
  * is made); "lose_refuse" and "later_refuse" (so for the next change of an open
- * job, then all calls are refused); "mix" (drawn from the seed, call by call).
+ * job, then all calls are refused); "hold" (a change of an open job is made at
+ * once and answered after the delay); "mix" (drawn from the seed, call by
+ * call).
  */
 void rows_faults_set(struct rows_faults *rf, const json_t *doc);
 
