A job that is submitted twice at one daemon is started once

A daemon may start a job a second time while its first run is in use: the run is freed below its commit and its targets' answers, or a job that has just ended runs again.

Cause: while a job is submitted, the list of open jobs is not to start it. The mark for that was a set of ids, so the end of one submission lifted it for another one of the same job, by a caller that tried again or by a forward. If the other one had been stored and its answer was late, the list started the job, and the end of the submission started it once more.

Fix: tasks are counted by job; the list leaves a job alone until the last one of them has ended. The store's timeouts bound that.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -92,6 +92,26 @@
 	    start_due_items, js);
 }
 
+static void
+begin_loading(struct jobs *js, const char *id)
+{
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(js->loading, id));
+
+	g_hash_table_replace(js->loading, g_strdup(id), GINT_TO_POINTER(n + 1));
+}
+
+void
+jobs_end_loading(struct jobs *js, const char *id)
+{
+	int n = GPOINTER_TO_INT(g_hash_table_lookup(js->loading, id));
+
+	if (n > 1)
+		g_hash_table_replace(
+		    js->loading, g_strdup(id), GINT_TO_POINTER(n - 1));
+	else
+		g_hash_table_remove(js->loading, id);
+}
+
 static struct itemjob *
 job_copy(const struct itemjob *job)
 {
@@ -137,7 +157,7 @@
 	struct jobs *js = task->js;
 
 	job_log_call(task, "submit");
-	g_hash_table_remove(js->loading, task->id);
+	jobs_end_loading(js, task->id);
 	if (task->outcome == kStoreUnavailable ||
 	    task->outcome == kStoreConflict)
 		jobs_quota_release(task);
@@ -212,7 +232,7 @@
 void
 jobs_submit_start(struct job_task *task)
 {
-	g_hash_table_add(task->js->loading, g_strdup(task->id));
+	begin_loading(task->js, task->id);
 	job_task_start(task);
 }
 
@@ -322,7 +342,7 @@
 	int64_t age_us;
 
 	job_log_call(task, "take_over");
-	g_hash_table_remove(js->loading, task->id);
+	jobs_end_loading(js, task->id);
 	if (task->outcome != kStoreOk || js->is_leaving ||
 	    g_hash_table_contains(js->runs, task->id))
 		return;
@@ -349,7 +369,7 @@
 	task->open->version = open->version;
 	task->work = load_work;
 	task->done = load_done;
-	g_hash_table_add(js->loading, g_strdup(task->id));
+	begin_loading(js, task->id);
 	job_task_start(task);
 }
 
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -74,7 +74,7 @@
 	struct jobs_options opt;
 	/** struct job_run by id. */
 	GHashTable *runs;
-	/** Ids of jobs that are being submitted or read from the store. */
+	/** How many tasks submit a job or read it from the store, by id. */
 	GHashTable *loading;
 	/** struct itemjob by id, as read from the store. */
 	GHashTable *cached;
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -288,7 +288,7 @@
 	if (task->req != NULL)
 		front_on_disconnect(task->req, NULL, NULL);
 	if (task->outcome == kStoreConflict && jobs_quota_retry(task)) {
-		g_hash_table_remove(task->js->loading, task->id);
+		jobs_end_loading(task->js, task->id);
 		return;
 	}
 	task->outcome = store_change_result(&task->change, task->outcome);
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -109,6 +109,9 @@
 /** Stores a submission that may be accepted. */
 void jobs_submit_start(struct job_task *task);
 
+/** A task no longer submits the job or reads it from the store. */
+void jobs_end_loading(struct jobs *js, const char *id);
+
 /** Starts the task, which frees itself when done. */
 void job_task_start(struct job_task *task);
 
--- a/test/functional/test_gateway_unknown.cc
+++ b/test/functional/test_gateway_unknown.cc
@@ -1,4 +1,7 @@
 /* Submissions whose outcome at the store is unknown. */
+#include <atomic>
+#include <thread>
+
 #include "functional/gateway_fixture.h"
 
 namespace
@@ -127,4 +130,44 @@
 	}
 }
 
+/* Guards against a run that is replaced, and freed, while it is in use: the
+ * daemon has found the job in the store before its own submission ends. */
+TEST_F(Unknown, AJobSubmittedTwiceAtOnceIsStartedOnce)
+{
+	const std::string started =
+	    "\"name\":\"job_started\",\"daemon\":\"d0\",\"job\":\"";
+
+	StartReadyFleet(1, 1);
+	/* The open jobs are read each second while one runs. */
+	ASSERT_EQ(202,
+	    Send(0, "POST", "/b/other",
+		JobBody("other", 1, RequestBody(400, 50)), "other")
+		.status);
+	SetWay(0, "hold", 3000);
+	std::atomic<long> status{-1};
+	std::thread first([&] { status = Submit(0, "twice", false); });
+
+	EXPECT_TRUE(Eventually([&] {
+		return Http("GET",
+			   "http://" + LoopbackAddress(store_port) +
+			       "/api/"
+			       "rows-get?table_name=open&part=jobs&from=twice")
+			   .body.find("twice") != std::string::npos;
+	}));
+	SetWay(0, "refuse");
+	EXPECT_LE(500, Submit(0, "twice", false));
+	SetWay(0, "hold", 3000);
+	EXPECT_TRUE(Eventually([&] {
+		return status >= 0 ||
+		    daemons[0]->Count(started + "twice\"") > 0;
+	}));
+	SetWay(0, "pass");
+	first.join();
+	EXPECT_TRUE(status == 202 || status == 500) << status;
+	EXPECT_TRUE(daemons[0]->WaitLine(started + "twice\""));
+	EXPECT_EQ(202, Submit(0, "twice", false));
+	EXPECT_EQ(1, daemons[0]->Count(started + "twice\""));
+	EXPECT_TRUE(Eventually([&] { return HasResults(0, "twice", 1); }));
+}
+
 } // namespace
