--- a/src/gateway/jobs_takeover.c
+++ b/src/gateway/jobs_takeover.c
@@ -139,7 +139,7 @@
 	int64_t accepted_us;
 
 	job_log_call(task, "take_over");
-	g_hash_table_remove(js->loading, task->id);
+	jobs_end_loading(js, task->id);
 	if (js->is_leaving || g_hash_table_contains(js->runs, task->id))
 		return;
 	if (task->outcome != kStoreOk) {
@@ -188,7 +188,7 @@
 	task->open->version = open->version;
 	task->work = load_work;
 	task->done = load_done;
-	g_hash_table_add(js->loading, g_strdup(task->id));
+	jobs_begin_loading(js, task->id);
 	job_task_start(task);
 }
 
--- a/test/functional/test_gateway_unknown.cc
+++ b/test/functional/test_gateway_unknown.cc
@@ -1,4 +1,7 @@
 /* Submissions whose outcome at the store is unknown. */
+#include <atomic>
+#include <thread>
+
 #include "functional/gateway_fixture.h"
 
 namespace
@@ -17,6 +20,23 @@
 		return JobBody(job, 1, body);
 	}
 
+	void
+	SetWay(size_t daemon, const std::string &mode, int delay_ms = 0)
+	{
+		PostToStore("/way",
+		    "{\"daemon\":\"d" + std::to_string(daemon) +
+			"\",\"mode\":\"" + mode +
+			"\",\"delay_ms\":" + std::to_string(delay_ms) + "}");
+	}
+
+	long
+	Submit(size_t daemon, const std::string &job, bool is_large)
+	{
+		return Send(
+		    daemon, "POST", "/b/" + job, Job(job, is_large), job)
+		    .status;
+	}
+
 	void
 	SetUp() override
 	{
@@ -77,4 +97,77 @@
 	}
 }
 
+/* Guards against a job that runs after it was refused at each attempt: the
+ * first daemon loses the store's answer, then the store refuses all. */
+TEST_F(Unknown, AJobWhoseAnswerIsLostBeforeRefusalsIsNotRefusedAtEachDaemon)
+{
+	const struct {
+		const char *job;
+		const char *mode;
+		bool is_large;
+	} cases[] = {
+	    {"lost-small", "lose_refuse", false},
+	    {"lost-large", "lose_refuse", true},
+	    {"later-small", "later_refuse", false},
+	    {"later-large", "later_refuse", true},
+	};
+
+	StartReadyFleet(1, 3);
+	for (const auto &c : cases) {
+		long first;
+
+		SetWay(0, c.mode, 700);
+		SetWay(1, "refuse");
+		SetWay(2, "turn_away");
+		first = Submit(0, c.job, c.is_large);
+		EXPECT_TRUE(first == 500 || first == 0) << first;
+		EXPECT_EQ(503, Submit(1, c.job, c.is_large));
+		EXPECT_EQ(503, Submit(2, c.job, c.is_large));
+		for (size_t i = 0; i < 3; i++)
+			SetWay(i, "pass");
+		EXPECT_TRUE(Eventually([&] { return HasResults(0, c.job, 1); }))
+		    << c.job;
+	}
+}
+
+/* Guards against a run that is replaced, and freed, while it is in use: the
+ * daemon has found the job in the store before its own submission ends. */
+TEST_F(Unknown, AJobSubmittedTwiceAtOnceIsStartedOnce)
+{
+	const std::string started =
+	    "\"name\":\"job_started\",\"daemon\":\"d0\",\"job\":\"";
+
+	StartReadyFleet(1, 1);
+	/* The open jobs are read each second while one runs. */
+	ASSERT_EQ(202,
+	    Send(0, "POST", "/b/other",
+		JobBody("other", 1, RequestBody(400, 50)), "other")
+		.status);
+	SetWay(0, "hold", 3000);
+	std::atomic<long> status{-1};
+	std::thread first([&] { status = Submit(0, "twice", false); });
+
+	EXPECT_TRUE(Eventually([&] {
+		return Http("GET",
+			   "http://" + LoopbackAddress(store_port) +
+			       "/api/"
+			       "rows-get?table_name=open&part=jobs&from=twice")
+			   .body.find("twice") != std::string::npos;
+	}));
+	SetWay(0, "refuse");
+	EXPECT_LE(500, Submit(0, "twice", false));
+	SetWay(0, "hold", 3000);
+	EXPECT_TRUE(Eventually([&] {
+		return status >= 0 ||
+		    daemons[0]->Count(started + "twice\"") > 0;
+	}));
+	SetWay(0, "pass");
+	first.join();
+	EXPECT_TRUE(status == 202 || status == 500) << status;
+	EXPECT_TRUE(daemons[0]->WaitLine(started + "twice\""));
+	EXPECT_EQ(202, Submit(0, "twice", false));
+	EXPECT_EQ(1, daemons[0]->Count(started + "twice\""));
+	EXPECT_TRUE(Eventually([&] { return HasResults(0, "twice", 1); }));
+}
+
 } // namespace
