Own interface: a chunk whose items are missing is tried seldom

Cause: a daemon with room claimed such a chunk, failed to read its items and released it, with each poll and without a line in the log.

chunk_unread (1425) tells the chunk and what the store said. After an answer that there is no such object the next try waits 1 s, doubled up to 60 s. The waits are those of failed takeovers, now in a module of their own.

Evidence: Failures.AChunkWhoseItemsAreMissingIsTriedSeldom, three tries take 2.9 s or more; the event did not exist before.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -15,6 +15,9 @@
 	kStartDuePeriodUs = 50 * kUsPerMs,
 	/* Period without a job; a new job starts its items at once. */
 	kIdlePeriodUs = 250 * kUsPerMs,
+	/* Waits after a takeover that is likely to fail again. */
+	kTakeoverFirstUs = kUsPerS,
+	kTakeoverMaxUs = 16 * kUsPerS,
 	/* Jobs whose row is cached for reads of their results. */
 	kCachedJobsMax = 1000,
 };
@@ -50,8 +53,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, jobs_run_free);
 	js->loading =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	js->takeover_failures =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	js->takeovers = retry_table_new(kTakeoverFirstUs, kTakeoverMaxUs);
 	js->cached = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)itemjob_free);
 	js->timer = loop_timer(opt->deps.lp,
@@ -65,7 +67,7 @@
 	loop_timer_cancel(js->opt.deps.lp, js->timer);
 	g_hash_table_unref(js->runs);
 	g_hash_table_unref(js->loading);
-	g_hash_table_unref(js->takeover_failures);
+	retry_table_free(js->takeovers);
 	g_hash_table_unref(js->cached);
 	g_free(js);
 }
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -4,6 +4,7 @@
 #include "gateway/jobs.h"
 #include "savoryflow/job/item_pace.h"
 #include "savoryflow/job/item_retry.h"
+#include "savoryflow/retry/retry_table.h"
 
 /* Internal to the jobs module. */
 
@@ -77,7 +78,7 @@
 	/** Ids of jobs that are being submitted or read from the store. */
 	GHashTable *loading;
 	/** Takeovers that failed, by id of the job. */
-	GHashTable *takeover_failures;
+	struct retry_table *takeovers;
 	/** struct itemjob by id, as read from the store. */
 	GHashTable *cached;
 	struct item_pace pace;
--- a/src/gateway/jobs_takeover.c
+++ b/src/gateway/jobs_takeover.c
@@ -4,19 +4,6 @@
 #include "gateway/jobs_task.h"
 #include "log/log.h"
 
-enum {
-	/* Waits after a step that is likely to fail again; doubled for each
-	 * further failure. */
-	kRetryFirstUs = kUsPerS,
-	kRetryMaxUs = 16 * kUsPerS,
-	kDoublingsMax = 4,
-};
-
-struct takeover_failure {
-	int32_t count;
-	int64_t retry_us;
-};
-
 /* True if the store answered, and will answer so again. */
 static bool
 is_lasting(enum store_result res)
@@ -90,28 +77,17 @@
 	}
 }
 
+/* Of an outage, the next list of open jobs tells the end. */
 static void
 record_failure(struct job_task *task, int64_t now_us)
 {
-	struct takeover_failure *failure =
-	    g_hash_table_lookup(task->js->takeover_failures, task->id);
-	int64_t wait_us;
-
-	if (failure == NULL) {
-		failure = g_new0(struct takeover_failure, 1);
-		g_hash_table_insert(
-		    task->js->takeover_failures, g_strdup(task->id), failure);
-	}
-	wait_us = MIN(
-	    kRetryFirstUs << MIN(failure->count, kDoublingsMax), kRetryMaxUs);
-	/* Of an outage, the next list of open jobs tells the end. */
-	if (!is_lasting(task->outcome))
-		wait_us = 0;
-	failure->count++;
-	failure->retry_us = now_us + wait_us;
+	int32_t count;
+	int64_t wait_us = retry_table_fail(task->js->takeovers, task->id,
+	    is_lasting(task->outcome), now_us, &count);
+
 	log_event(kEvtJobTakeoverFailed, "job", task->id, "step", task->step,
 	    "store", store_result_text(task->outcome), "failures",
-	    log_number(failure->count), "wait_us", log_number(wait_us), NULL);
+	    log_number(count), "wait_us", log_number(wait_us), NULL);
 }
 
 /* True if the items of a job may be given up. */
@@ -154,23 +130,13 @@
 		record_failure(task, now_us);
 		return;
 	}
-	g_hash_table_remove(js->takeover_failures, task->id);
+	retry_table_remove(js->takeovers, task->id);
 	jobs_cache_job(js, task->job);
 	jobs_run_start(js, g_steal_pointer(&task->job),
 	    g_steal_pointer(&task->items), task->done_items, task->progress,
 	    accepted_us);
 }
 
-static bool
-is_too_early(struct jobs *js, const char *id)
-{
-	const struct takeover_failure *failure =
-	    g_hash_table_lookup(js->takeover_failures, id);
-
-	return failure != NULL &&
-	    loop_now_us(js->opt.deps.lp) < failure->retry_us;
-}
-
 void
 jobs_take_over(struct jobs *js, const struct itemjob_open *open)
 {
@@ -178,7 +144,8 @@
 
 	if (js->is_leaving || g_hash_table_contains(js->runs, open->id) ||
 	    g_hash_table_contains(js->loading, open->id) ||
-	    is_too_early(js, open->id))
+	    !retry_table_is_due(
+		js->takeovers, open->id, loop_now_us(js->opt.deps.lp)))
 		return;
 	task = job_task_new(js, NULL, open->id);
 	task->open = g_new0(struct itemjob_open, 1);
@@ -196,15 +163,10 @@
 jobs_takeover_forget(struct jobs *js, const GPtrArray *list)
 {
 	GHashTable *open = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTableIter it;
-	void *id;
 
 	for (guint i = 0; i < list->len; i++)
 		g_hash_table_add(
 		    open, ((const struct itemjob_open *)list->pdata[i])->id);
-	g_hash_table_iter_init(&it, js->takeover_failures);
-	while (g_hash_table_iter_next(&it, &id, NULL))
-		if (!g_hash_table_contains(open, id))
-			g_hash_table_iter_remove(&it);
+	retry_table_keep(js->takeovers, open);
 	g_hash_table_unref(open);
 }
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -177,6 +177,9 @@
 	X(kEvtChunkLost, 1405, WARN, "chunk_lost",                             \
 	    "A chunk's results were dropped because its lease or job had "     \
 	    "ended.")                                                          \
+	X(kEvtChunkUnread, 1425, WARN, "chunk_unread",                         \
+	    "The items of a chunk cannot be read from the store; it is tried " \
+	    "again after the wait.")                                           \
 	X(kEvtSessionEnded, 1406, WARN, "session_ended",                       \
 	    "The session of an unresponsive daemon was ended; its chunks are " \
 	    "released.")                                                       \
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -17,6 +17,7 @@
 #include "savoryflow/batch/batch_session.h"
 #include "savoryflow/batch/batch_store.h"
 #include "savoryflow/batch/batch_window.h"
+#include "savoryflow/retry/retry_table.h"
 #include "serve/call_run.h"
 #include "serve/poller.h"
 #include "serve/session_watch.h"
@@ -24,6 +25,9 @@
 enum {
 	/* Open jobs whose chunks are read in one poll. */
 	kOpenJobsMax = 200,
+	/* Waits after the items of a chunk were missing. */
+	kUnreadFirstUs = kUsPerS,
+	kUnreadMaxUs = 60 * kUsPerS,
 	/* Chunks held at once: one finishing and one starting. */
 	kChunksMax = 2,
 	/* An item without a result after this time fails. */
@@ -76,6 +80,8 @@
 	GPtrArray *chunks;
 	int32_t inflight;
 	struct batch_window window;
+	/** Chunks whose items could not be read. */
+	struct retry_table *unread;
 	bool is_stopping;
 	struct session_watch *watch;
 };
@@ -106,6 +112,7 @@
 	br->d = d;
 	pthread_mutex_init(&br->lock, NULL);
 	br->chunks = g_ptr_array_new();
+	br->unread = retry_table_new(kUnreadFirstUs, kUnreadMaxUs);
 	br->watch = session_watch_new(d);
 	return br;
 }
@@ -116,6 +123,7 @@
 	for (guint i = 0; i < br->chunks->len; i++)
 		chunk_run_unref(br->chunks->pdata[i]);
 	g_ptr_array_unref(br->chunks);
+	retry_table_free(br->unread);
 	session_watch_free(br->watch);
 	batch_session_clear(&br->session);
 	pthread_mutex_destroy(&br->lock);
@@ -515,6 +523,23 @@
 	return is_held;
 }
 
+static char *
+chunk_name(const struct batch_job *job, int32_t chunk)
+{
+	return g_strdup_printf("%s/%s/%d", job->team, job->id, chunk);
+}
+
+static bool
+is_unread(struct batch_runner *br, const struct batch_job *job, int32_t chunk)
+{
+	char *name = chunk_name(job, chunk);
+	bool is_due =
+	    retry_table_is_due(br->unread, name, clock_mono_us(br->d->clk));
+
+	g_free(name);
+	return !is_due;
+}
+
 static bool
 is_claimable(struct batch_runner *br, const struct batch_chunk *chunk)
 {
@@ -542,6 +567,33 @@
 	return copy;
 }
 
+/* A chunk whose items are missing is tried again seldom, in case they can be
+ * read later. */
+static void
+record_unread(struct batch_runner *br, const struct batch_job *job,
+    int32_t chunk, enum store_result res)
+{
+	char *name = chunk_name(job, chunk);
+	int32_t count;
+	int64_t wait_us = retry_table_fail(br->unread, name,
+	    res == kStoreNotFound, clock_mono_us(br->d->clk), &count);
+
+	log_event(kEvtChunkUnread, "team", job->team, "job", job->id, "chunk",
+	    log_number(chunk), "store", store_result_text(res), "failures",
+	    log_number(count), "wait_us", log_number(wait_us), NULL);
+	g_free(name);
+}
+
+static void
+forget_unread(
+    struct batch_runner *br, const struct batch_job *job, int32_t chunk)
+{
+	char *name = chunk_name(job, chunk);
+
+	retry_table_remove(br->unread, name);
+	g_free(name);
+}
+
 static bool
 run_chunk(struct batch_runner *br, const struct batch_job *job,
     const struct batch_chunk *chunk)
@@ -549,17 +601,20 @@
 	char claim[32];
 	GBytes *data = NULL;
 	struct chunk_run *cr;
+	enum store_result res;
 
 	g_snprintf(
 	    claim, sizeof(claim), "%016" PRIx64, daemon_unique_id(br->d));
 	if (batch_claim(br->d->store, &br->session, job, chunk, claim) !=
 	    kStoreOk)
 		return false;
-	if (batch_get_input(br->d->store, job, chunk->number, &data) !=
-	    kStoreOk) {
+	res = batch_get_input(br->d->store, job, chunk->number, &data);
+	if (res != kStoreOk) {
+		record_unread(br, job, chunk->number, res);
 		batch_release_claim(br->d->store, job, chunk->number, claim);
 		return false;
 	}
+	forget_unread(br, job, chunk->number);
 	cr = chunk_run_new(br, job_copy(job), chunk->number, claim, data);
 	g_bytes_unref(data);
 	pthread_mutex_lock(&br->lock);
@@ -607,7 +662,8 @@
 		    chunks->pdata[(start + i) % n];
 
 		all_done = all_done && chunk->state == kChunkDone;
-		if (is_claimable(br, chunk))
+		if (!is_unread(br, job, chunk->number) &&
+		    is_claimable(br, chunk))
 			claimed = run_chunk(br, job, chunk);
 	}
 	g_ptr_array_unref(chunks);
--- a/test/functional/test_failures_jobs.cc
+++ b/test/functional/test_failures_jobs.cc
@@ -3,6 +3,7 @@
 #include <signal.h>
 
 #include <atomic>
+#include <chrono>
 #include <thread>
 
 #include "functional/harness.h"
@@ -374,4 +375,44 @@
 	f.ExpectHistoryValid();
 }
 
+/* Deletes the items of a job that no daemon has read yet. */
+void
+DeleteItems(Fleet &f)
+{
+	const std::string name = "\\\"upload\\\":\\\"";
+	Reply rows = Http("GET", f.PlatformUrl() + "/scan?prefix=job/&limit=9");
+	size_t at = rows.body.find(name);
+
+	ASSERT_NE(std::string::npos, at) << rows.body;
+	at += name.size();
+	std::string upload =
+	    rows.body.substr(at, rows.body.find('\\', at) - at);
+	for (int i = 0; i < 100; i++) {
+		char chunk[16];
+
+		snprintf(chunk, sizeof(chunk), "/%06d", i);
+		Http("DELETE",
+		    f.PlatformUrl() + "/object/input/" + upload + chunk);
+	}
+}
+
+/* Guards against a chunk that is claimed and released with each poll. */
+TEST(Failures, AChunkWhoseItemsAreMissingIsTriedSeldom)
+{
+	FleetOptions o;
+
+	o.daemons = 1;
+	o.engine_speed = "2";
+	o.flags = {"--batch-inflight-items=8"};
+	Fleet f(o);
+	ASSERT_EQ(202, f.SubmitJob(0, "lot", 200).status);
+	DeleteItems(f);
+	ASSERT_TRUE(f.daemons[0]->WaitLine("\"name\":\"chunk_unread\""));
+	auto began = std::chrono::steady_clock::now();
+	ASSERT_TRUE(f.daemons[0]->WaitLine("\"failures\":\"3\""));
+	EXPECT_LE(std::chrono::milliseconds(2900),
+	    std::chrono::steady_clock::now() - began);
+	f.ExpectHistoryValid();
+}
+
 } // namespace
