api: a worker's request is left alone until it is woken

Cause: request_offload suspends the connection and hands the request to a worker, then libmicrohttpd's thread goes on in on_access: it steps the request and reads its response. If the worker is faster, a connection that is suspended already is suspended again, or is answered while the worker still writes the answer's fields, and resumed after it was freed. The core shows the walk over libmicrohttpd's list of suspended connections at a bad address while a worker is within MHD_resume_connection. A wake that came before the offload, or a shutdown, also left the connection running.

Now the thread returns without reading anything of an offloaded request, and an offload always suspends, as its worker always wakes.

--- a/src/api/api.c
+++ b/src/api/api.c
@@ -292,7 +292,8 @@
 		else
 			req->ep->start(req);
 	}
-	if (req->response == NULL && req->ep->step != NULL)
+	if (!req->is_offloaded && req->response == NULL &&
+	    req->ep->step != NULL)
 		req->ep->step(req);
 }
 
@@ -315,9 +316,12 @@
 		*len = 0;
 		return MHD_YES;
 	}
+	req->is_offloaded = false;
 	if (req->response == NULL)
 		run_endpoint(req);
-	return req->response != NULL ? queue_reply(req) : MHD_YES;
+	if (req->is_offloaded || req->response == NULL)
+		return MHD_YES;
+	return queue_reply(req);
 }
 
 /* Requests of the own API have no id: the path is logged. */
--- a/src/api/request.c
+++ b/src/api/request.c
@@ -105,8 +105,13 @@
 
 	task->req = request_ref(req);
 	task->fn = fn;
-	/* Suspended before a worker can wake it. */
-	request_wait(req);
+	req->is_offloaded = true;
+	/* Suspended before a worker can wake it, which it always does. */
+	pthread_mutex_lock(&req->lock);
+	req->is_wake_pending = false;
+	req->is_suspended = true;
+	MHD_suspend_connection(req->con);
+	pthread_mutex_unlock(&req->lock);
 	if (thread_pool_submit(req->d->workers, run_task, task))
 		return;
 	request_reply_error(
--- a/src/api/request.h
+++ b/src/api/request.h
@@ -43,6 +43,9 @@
 	struct MHD_Connection *con;
 	bool is_suspended;
 	bool is_wake_pending;
+	/** Offloaded in the current call of libmicrohttpd's thread, which reads
+	 * nothing more of it: a worker may be changing it. */
+	bool is_offloaded;
 	/** The daemon shuts down; the request may no longer wait. */
 	bool is_aborted;
 	const struct endpoint *ep;
