http: an answer whose head is incomplete is no answer, for every client

Seen by other operators: a server stops within its answer's head and closes; callers get a 200 with an empty body, framed as whole. Here, own interface: a keyed call was answered 200 with no body, 404 or 429 by such an answer, and the key's repeats got the same 200; a chat or an item was refused for good by a cut 400. Both stores: a change counted as made, as refused or as in conflict, and a read as empty or absent. The command line printed nothing and ended with 0.

Cause: libcurl reports success for a connection that ends within a head, with the status of the status line. Each client judged by itself: the gateway's asked whether the head was complete, the store's client of the platform, the own store's, the targets' and the command line's did not (two of them noted it, but did not ask).

Now intake_line, which every client's header callback calls, tells what a line is, and holds the status only once the final head is complete; intake_is_whole is the only verdict, and no client reads libcurl's status. So a change of unknown outcome is ambiguous, a read is unavailable, an attempt is interrupted: it may have run. A first line that is no status line, and a status line within a head, are refused for all clients. What a server broke off is logged as event 1222 with part, status and bytes. The probe of a target that lost a connection counts as a crash only if no byte of an answer came, as before. The command line says that the answer broke off, exit 3.

The tests cut answers at each byte of the head (by length, chunks, neither, HTTP/1.0, bare line feeds, after interim heads; closed, reset).

--- a/bench/load.c
+++ b/bench/load.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "bench.h"
+#include "http/intake.h"
 #include "os/clock.h"
 #include "stats.h"
 
@@ -32,6 +33,7 @@
 	int64_t started_us;
 	int64_t last_token_us;
 	struct load_result *result;
+	struct intake intake;
 	bool is_complete;
 };
 
@@ -94,6 +96,20 @@
 	return size * nmemb;
 }
 
+static size_t
+on_header(char *data, size_t size, size_t nmemb, void *ctx)
+{
+	struct load_request *lr = ctx;
+
+	switch (intake_line(&lr->intake, data, size * nmemb)) {
+	case kIntakeLineRefused:
+	case kIntakeLineMixed:
+		return 0;
+	default:
+		return size * nmemb;
+	}
+}
+
 static char *
 make_body(const struct load_options *opt, int64_t n)
 {
@@ -124,12 +140,15 @@
 	lr->headers = curl_slist_append(NULL, auth);
 	lr->headers = curl_slist_append(lr->headers, "Expect:");
 	lr->easy = curl_easy_init();
+	intake_init(&lr->intake, kIntakeStoreBytesMax);
 	lr->started_us = clock_mono_us(clock_system());
 	curl_easy_setopt(lr->easy, CURLOPT_URL, url);
 	curl_easy_setopt(lr->easy, CURLOPT_HTTPHEADER, lr->headers);
 	curl_easy_setopt(lr->easy, CURLOPT_POSTFIELDS, lr->body);
 	curl_easy_setopt(lr->easy, CURLOPT_WRITEFUNCTION, on_data);
 	curl_easy_setopt(lr->easy, CURLOPT_WRITEDATA, lr);
+	curl_easy_setopt(lr->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(lr->easy, CURLOPT_HEADERDATA, lr);
 	curl_easy_setopt(lr->easy, CURLOPT_PRIVATE, lr);
 	curl_easy_setopt(lr->easy, CURLOPT_TIMEOUT, 120L);
 	curl_multi_add_handle(multi, lr->easy);
@@ -142,13 +161,14 @@
 finish_request(CURLM *multi, CURL *easy, CURLcode code)
 {
 	struct load_request *lr = NULL;
-	long status = 0;
+	bool is_whole;
 
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &lr);
-	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
-	if (code == CURLE_OK && status == 200 && lr->is_complete)
+	is_whole = intake_is_whole(&lr->intake, code);
+	if (is_whole && lr->intake.status == 200 && lr->is_complete)
 		lr->result->complete++;
-	else if (status == 503 || status == 429)
+	else if (is_whole &&
+	    (lr->intake.status == 503 || lr->intake.status == 429))
 		lr->result->refused++;
 	else
 		lr->result->failed++;
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -54,6 +54,24 @@
 	return ok ? kCliOk : kCliRefused;
 }
 
+/* @return false after an error message: no whole answer arrived */
+static bool
+perform(const struct cli_flags *flags, const struct client_request *req,
+    struct client_reply *reply)
+{
+	if (client_perform(&flags->client, req, reply))
+		return true;
+	if (reply->intake.head_bytes > 0)
+		fprintf(stderr,
+		    "savoryflow: the answer of %s broke off; the request may "
+		    "have been executed\n",
+		    flags->client.url);
+	else
+		fprintf(stderr, "savoryflow: no daemon answers at %s\n",
+		    flags->client.url);
+	return false;
+}
+
 static int
 request_and_print(
     const struct cli_flags *flags, const struct client_request *req)
@@ -61,11 +79,8 @@
 	struct client_reply reply;
 	int code = kCliUnreachable;
 
-	if (client_perform(&flags->client, req, &reply))
+	if (perform(flags, req, &reply))
 		code = print_reply(&reply);
-	else
-		fprintf(stderr, "savoryflow: no daemon answers at %s\n",
-		    flags->client.url);
 	g_string_free(reply.body, TRUE);
 	return code;
 }
@@ -197,7 +212,7 @@
 	g_free(text);
 	if (to == NULL)
 		return kCliUsage;
-	if (!client_perform(&flags->client, &req, &reply)) {
+	if (!perform(flags, &req, &reply)) {
 		g_string_free(reply.body, TRUE);
 		json_decref(to);
 		return kCliUnreachable;
@@ -248,7 +263,7 @@
 		json_t *doc;
 		const char *state;
 
-		if (!client_perform(&flags->client, &req, &reply)) {
+		if (!perform(flags, &req, &reply)) {
 			g_string_free(reply.body, TRUE);
 			code = kCliUnreachable;
 			break;
@@ -277,7 +292,7 @@
 	json_t *doc;
 	int code;
 
-	if (!client_perform(&flags->client, req, &reply)) {
+	if (!perform(flags, req, &reply)) {
 		g_string_free(reply.body, TRUE);
 		return kCliUnreachable;
 	}
@@ -358,7 +373,7 @@
 		struct client_request req = {.method = "GET", .path = path};
 		struct client_reply reply;
 
-		if (client_perform(&flags->client, &req, &reply))
+		if (perform(flags, &req, &reply))
 			code = reply.body->len > 0 || reply.status != 200
 			    ? print_reply(&reply)
 			    : kCliOk;
@@ -451,7 +466,8 @@
 	    "       savoryflow --version | --help\n\n"
 	    "Clients take --url=URL (SAVORYFLOW_URL) and --key=KEY "
 	    "(SAVORYFLOW_KEY).\nExit codes: 0 done, 1 refused or "
-	    "failed, 2 bad usage, 3 no daemon answers.\n");
+	    "failed, 2 bad usage, 3 no daemon answers, or its answer "
+	    "breaks off.\n");
 }
 
 static const struct command *
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -8,7 +8,7 @@
 	kCliRefused = 1,
 	/** Bad usage: an unknown command, flag or value. */
 	kCliUsage = 2,
-	/** No daemon answered. */
+	/** No daemon answered, or its answer broke off. */
 	kCliUnreachable = 3,
 };
 
--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -18,20 +18,33 @@
 	return size * n;
 }
 
-static size_t
-on_header(char *data, size_t size, size_t n, void *ctx)
+static void
+read_field(struct client_reply *reply, const char *data, size_t len)
 {
-	struct client_reply *reply = ctx;
-	char *line;
+	char *line = g_strndup(data, len);
 
-	if (!intake_head(&reply->intake, size * n))
-		return 0;
-	line = g_strndup(data, size * n);
 	if (g_ascii_strncasecmp(line, "Savoryflow-Next:", 16) == 0)
 		reply->next = strtol(line + 16, NULL, 10);
 	if (g_ascii_strncasecmp(line, "Savoryflow-Complete: yes", 24) == 0)
 		reply->is_complete = true;
 	g_free(line);
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct client_reply *reply = ctx;
+
+	switch (intake_line(&reply->intake, data, size * n)) {
+	case kIntakeLineRefused:
+	case kIntakeLineMixed:
+		return 0;
+	case kIntakeLineField:
+		read_field(reply, data, size * n);
+		break;
+	default:
+		break;
+	}
 	return size * n;
 }
 
@@ -65,7 +78,6 @@
 	intake_init(&reply->intake, kIntakeStoreBytesMax);
 	reply->next = -1;
 	reply->is_complete = false;
-	reply->status = 0;
 	curl_easy_setopt(h, CURLOPT_URL, url);
 	curl_easy_setopt(h, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(h, CURLOPT_TIMEOUT, (long)kClientTimeoutS);
@@ -81,9 +93,9 @@
 		    h, CURLOPT_POSTFIELDS, req->body != NULL ? req->body : "");
 	}
 	res = curl_easy_perform(h);
-	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply->status);
+	reply->status = reply->intake.status;
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(h);
 	g_free(url);
-	return res == CURLE_OK;
+	return intake_is_whole(&reply->intake, res);
 }
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -23,7 +23,7 @@
 };
 
 struct client_reply {
-	/** HTTP status; 0 if no daemon answered. */
+	/** HTTP status; 0 if no complete head arrived. */
 	long status;
 	GString *body;
 	/** Value of the Savoryflow-Next header; -1 if absent. */
@@ -34,7 +34,7 @@
 
 /**
  * Performs one HTTP request. Free reply->body, also after a failure.
- * @return false if the daemon is unreachable or the transfer failed
+ * @return false if the daemon is unreachable or its answer is not whole
  */
 bool client_perform(const struct client *cl, const struct client_request *req,
     struct client_reply *reply);
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -51,9 +51,6 @@
 	curl_socket_t fd;
 	/** Bytes that the connection had read before this request. */
 	int64_t read_before;
-	bool has_head;
-	/** Within the head of a response, interim ones included. */
-	bool is_in_head;
 	bool is_refused;
 	bool is_done;
 	/** The connection was created for this request. */
@@ -202,21 +199,6 @@
 	g_free(ob);
 }
 
-/* Called at the empty line that ends a head; passes on the head of a final
- * status, not of an interim one (1xx). */
-static bool
-handle_head(struct outbound_request *req)
-{
-	long status = 0;
-
-	curl_easy_getinfo(req->easy, CURLINFO_RESPONSE_CODE, &status);
-	intake_head_end(&req->intake, status >= 200);
-	if (status < 200)
-		return true;
-	req->has_head = true;
-	return req->ops->on_head(req->ctx, (int32_t)status, req->answer);
-}
-
 static void
 log_surplus(const struct outbound_request *req, const char *found)
 {
@@ -224,65 +206,56 @@
 	    (const char *)NULL);
 }
 
-/* "HTTP/1.x NNN" */
-static bool
-has_status_line(const char *data, size_t len)
+static void
+add_field(struct outbound_request *req, const char *line, size_t len)
 {
-	static const char version[] = "HTTP/1.";
-	const char *at = g_strstr_len(data, (gssize)len, version);
-	const size_t code_at = sizeof(version) + 1;
-
-	return at != NULL && (size_t)(data + len - at) >= code_at + 3 &&
-	    at[code_at - 1] == ' ' && g_ascii_isdigit(at[code_at]) &&
-	    g_ascii_isdigit(at[code_at + 1]) &&
-	    g_ascii_isdigit(at[code_at + 2]);
+	const char *colon = memchr(line, ':', len);
+	char *name;
+	char *value;
+
+	if (colon == NULL)
+		return;
+	name = g_strndup(line, (gsize)(colon - line));
+	value = g_strndup(colon + 1, (gsize)(line + len - colon - 1));
+	header_list_add(req->answer, name, g_strstrip(value));
+	g_free(name);
+	g_free(value);
 }
 
-/* A status line within a head: that of another response was cut off. */
+/* @return false to close the connection */
 static bool
-is_head_mixed(struct outbound_request *req, const char *data, size_t len)
+handle_line(struct outbound_request *req, const char *line, size_t len)
 {
-	if (!req->is_in_head || !has_status_line(data, len))
+	switch (intake_line(&req->intake, line, len)) {
+	case kIntakeLineRefused:
+		return false;
+	case kIntakeLineMixed:
+		log_surplus(req, "in_head");
+		req->is_refused = true;
 		return false;
-	log_surplus(req, "in_head");
+	case kIntakeLineStatus:
+		header_list_free(req->answer);
+		req->answer = header_list_new();
+		return true;
+	case kIntakeLineField:
+		add_field(req, line, len);
+		return true;
+	case kIntakeLineEnd:
+		req->is_refused = !req->is_done &&
+		    !req->ops->on_head(
+			req->ctx, req->intake.status, req->answer);
+		return !req->is_refused;
+	case kIntakeLineInterimEnd:
+	case kIntakeLineTrailer:
+		break;
+	}
 	return true;
 }
 
 static size_t
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
-	struct outbound_request *req = ctx;
-	size_t len = size * n;
-	const char *colon = memchr(data, ':', len);
-	char *name;
-	char *value;
-
-	if (!intake_head(&req->intake, len))
-		return 0;
-	if (req->has_head || req->is_done)
-		return len;
-	if (is_head_mixed(req, data, len)) {
-		req->is_refused = true;
-		return 0;
-	}
-	req->is_in_head = len > 2;
-	if (len >= 5 && strncmp(data, "HTTP/", 5) == 0) {
-		header_list_free(req->answer);
-		req->answer = header_list_new();
-		return len;
-	}
-	if (len <= 2) {
-		req->is_refused = !handle_head(req);
-		return req->is_refused ? 0 : len;
-	}
-	if (colon == NULL)
-		return len;
-	name = g_strndup(data, (gsize)(colon - data));
-	value = g_strndup(colon + 1, (gsize)(data + len - colon - 1));
-	header_list_add(req->answer, name, g_strstrip(value));
-	g_free(name);
-	g_free(value);
-	return len;
+	return handle_line(ctx, data, size * n) ? size * n : 0;
 }
 
 static size_t
@@ -539,8 +512,8 @@
 		return kOutboundCut;
 	if (send_guard_is_unsent(&req->guard))
 		return kOutboundNotSent;
-	return code == CURLE_OK && req->has_head ? kOutboundComplete
-						 : kOutboundInterrupted;
+	return intake_is_whole(&req->intake, code) ? kOutboundComplete
+						   : kOutboundInterrupted;
 }
 
 /* Nothing was sent yet; libcurl has closed the connection. */
@@ -572,7 +545,7 @@
 			continue;
 		}
 		outcome = outcome_of(req, msg->data.result);
-		intake_log(&req->intake, req->url);
+		intake_log(&req->intake, req->url, msg->data.result);
 		was_done = req->is_done;
 		retire(req);
 		if (!was_done)
--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -1,35 +1,90 @@
-/* Counts the bytes of an answer against their limits. */
+/* Counts the bytes of an answer against their limits, and tells a whole answer
+ * from one that broke off. */
 #include "http/intake.h"
 
+#include <glib.h>
+#include <string.h>
+
 #include "log/log.h"
 
+enum { kStatusFinalFirst = 200 };
+
 void
 intake_init(struct intake *in, int64_t body_bytes_max)
 {
 	*in = (struct intake){.body_left = body_bytes_max};
 }
 
-bool
-intake_head(struct intake *in, size_t len)
+/* @return status of "HTTP/1.x NNN"; 0 if it is no status line */
+static int32_t
+status_of_line(const char *line, size_t len)
 {
-	in->head_bytes += (int64_t)len;
-	if (in->head_bytes > kIntakeHeadBytesMax)
-		in->limit = "head_bytes";
-	return in->limit == NULL;
+	static const char version[] = "HTTP/1.";
+	const size_t code_at = sizeof(version) + 1;
+	int32_t status = 0;
+
+	if (len < code_at + 3 ||
+	    strncmp(line, version, sizeof(version) - 1) != 0 ||
+	    line[code_at - 1] != ' ')
+		return 0;
+	for (size_t i = code_at; i < code_at + 3; i++) {
+		if (!g_ascii_isdigit(line[i]))
+			return 0;
+		status = 10 * status + (line[i] - '0');
+	}
+	return status;
 }
 
-void
-intake_head_end(struct intake *in, bool is_final)
+/* A status line within a head: that of another answer was cut off. */
+static bool
+has_status_line(const char *line, size_t len)
+{
+	const char *at = g_strstr_len(line, (gssize)len, "HTTP/1.");
+
+	return at != NULL && status_of_line(at, (size_t)(line + len - at)) != 0;
+}
+
+static enum intake_line
+head_end(struct intake *in)
 {
 	in->interim_bytes = in->head_bytes;
-	in->has_head = is_final;
 	in->head_since_us = 0;
+	in->is_in_head = false;
+	if (in->head_status < kStatusFinalFirst)
+		return kIntakeLineInterimEnd;
+	in->status = in->head_status;
+	return kIntakeLineEnd;
+}
+
+enum intake_line
+intake_line(struct intake *in, const char *line, size_t len)
+{
+	in->head_bytes += (int64_t)len;
+	if (in->head_bytes > kIntakeHeadBytesMax)
+		in->limit = "head_bytes";
+	if (in->limit != NULL)
+		return kIntakeLineRefused;
+	if (in->status != 0)
+		return kIntakeLineTrailer;
+	if (!in->is_in_head) {
+		in->head_status = status_of_line(line, len);
+		in->is_in_head = in->head_status != 0;
+		in->is_garbled = !in->is_in_head;
+		return in->is_in_head ? kIntakeLineStatus : kIntakeLineRefused;
+	}
+	in->is_garbled = has_status_line(line, len);
+	if (in->is_garbled)
+		return kIntakeLineMixed;
+	/* libcurl ends a head at such a line. */
+	if (len > 0 && (line[0] == '\r' || line[0] == '\n'))
+		return head_end(in);
+	return kIntakeLineField;
 }
 
 static bool
 is_head_late(struct intake *in, int64_t now_us)
 {
-	if (in->has_head || in->wire_bytes <= in->interim_bytes)
+	if (in->status != 0 || in->wire_bytes <= in->interim_bytes)
 		return false;
 	if (in->head_since_us == 0)
 		in->head_since_us = now_us;
@@ -64,12 +119,50 @@
 	in->body_left = bytes;
 }
 
+bool
+intake_is_whole(const struct intake *in, CURLcode code)
+{
+	return code == CURLE_OK && in->status != 0 && in->limit == NULL &&
+	    !in->is_garbled;
+}
+
+/* The server ended it: not a limit, a time limit or a callback of ours. */
+static bool
+is_broken_off(const struct intake *in, CURLcode code)
+{
+	if (in->is_garbled)
+		return true;
+	switch (code) {
+	case CURLE_OK:
+		return in->status == 0;
+	case CURLE_PARTIAL_FILE:
+	case CURLE_RECV_ERROR:
+	case CURLE_WEIRD_SERVER_REPLY:
+		return in->head_bytes > 0;
+	default:
+		return false;
+	}
+}
+
+static const char *
+broken_part(const struct intake *in)
+{
+	if (in->is_garbled)
+		return "status_line";
+	return in->status == 0 ? "head" : "body";
+}
+
 void
-intake_log(const struct intake *in, const char *server)
+intake_log(const struct intake *in, const char *server, CURLcode code)
 {
 	if (in->limit != NULL)
 		log_event(kEvtAnswerCut, "server", server, "limit", in->limit,
 		    "head_bytes", log_number(in->head_bytes), "body_bytes",
 		    log_number(in->body_bytes), "wire_bytes",
 		    log_number(in->wire_bytes), (char *)NULL);
+	else if (is_broken_off(in, code))
+		log_event(kEvtAnswerBrokenOff, "server", server, "part",
+		    broken_part(in), "status", log_number(in->head_status),
+		    "head_bytes", log_number(in->head_bytes), "body_bytes",
+		    log_number(in->body_bytes), (char *)NULL);
 }
--- a/src/http/intake.h
+++ b/src/http/intake.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYFLOW_HTTP_INTAKE_H
 #define SAVORYFLOW_HTTP_INTAKE_H
 
+#include <curl/curl.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -29,8 +30,35 @@
 	kIntakeStoreBytesMax = 16 * 1024 * 1024,
 };
 
-/** What has arrived of one answer. */
+/** What a line is that libcurl passes to the header callback. */
+enum intake_line {
+	/** Close the connection: a limit is met, or it is no HTTP answer. */
+	kIntakeLineRefused,
+	/** A status line within a head: two answers were mixed. */
+	kIntakeLineMixed,
+	kIntakeLineStatus,
+	kIntakeLineField,
+	/** The empty line after an interim head (1xx). */
+	kIntakeLineInterimEnd,
+	/** The empty line after the final head. */
+	kIntakeLineEnd,
+	kIntakeLineTrailer,
+};
+
+/**
+ * What has arrived of one answer. libcurl reports success for a connection
+ * that ends within a head, so an answer is judged by intake_is_whole and its
+ * status is the one kept here.
+ */
 struct intake {
+	/** Status of the final head; 0 until that head is complete. */
+	int32_t status;
+	/** Status that the last status line names; 0: none has arrived. */
+	int32_t head_status;
+	/** Between a status line and the end of its head. */
+	bool is_in_head;
+	/** A head began with no status line, or had one inside. */
+	bool is_garbled;
 	int64_t head_bytes;
 	int64_t body_bytes;
 	/** Body bytes that may still follow. */
@@ -41,7 +69,6 @@
 	int64_t interim_bytes;
 	/** Since when a head is incomplete; 0: it is not. */
 	int64_t head_since_us;
-	bool has_head;
 	/** Limit that was met, for the log; NULL: none. */
 	const char *limit;
 };
@@ -49,11 +76,8 @@
 /** @param body_bytes_max body bytes allowed */
 void intake_init(struct intake *in, int64_t body_bytes_max);
 
-/** Counts a line of a head or trailer. @return false: close the connection */
-bool intake_head(struct intake *in, size_t len);
-
-/** A head is complete. @param is_final false: it is an interim one (1xx) */
-void intake_head_end(struct intake *in, bool is_final);
+/** Counts a line of a head or trailer and tells what it is. */
+enum intake_line intake_line(struct intake *in, const char *line, size_t len);
 
 /**
  * Checks what no other function sees: bytes that complete no line, or belong
@@ -70,9 +94,16 @@
 void intake_allow_body(struct intake *in, int64_t bytes);
 
 /**
- * Logs that an answer was cut, if a limit was met.
+ * True if the final head and the body have arrived. Anything else is no answer:
+ * nothing of it may be used, and the request may have run.
+ * @param code how libcurl ended the transfer
+ */
+bool intake_is_whole(const struct intake *in, CURLcode code);
+
+/**
+ * Logs an answer that met a limit, or that its server broke off.
  * @param server address or URL
  */
-void intake_log(const struct intake *in, const char *server);
+void intake_log(const struct intake *in, const char *server, CURLcode code);
 
 #endif
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -33,6 +33,9 @@
 	X(kEvtAnswerCut, 1211, WARN, "answer_cut",                             \
 	    "More arrived than an answer may have, or than its caller reads; " \
 	    "the connection was closed. The request may have run.")            \
+	X(kEvtAnswerBrokenOff, 1222, WARN, "answer_broken_off",                \
+	    "A connection ended within the head or the body of an answer; "    \
+	    "nothing of it is used. The request may have run.")                \
 	X(kEvtRequestCut, 1218, WARN, "request_cut",                           \
 	    "The daemon closed a connection on which it had read a request "   \
 	    "or a part of one, before the answer was complete; the first 32 "  \
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -283,8 +283,8 @@
 {
 	struct call *c = ctx;
 	/* A terminating process may still accept a connection and close it. */
-	bool has_crashed =
-	    res->end == kTransferNotSent || res->end == kTransferInterrupted;
+	bool has_crashed = res->end == kTransferNotSent ||
+	    (res->end == kTransferInterrupted && !res->has_answered);
 	uint64_t interrupted_attempt;
 	bool is_lost;
 
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -23,7 +23,6 @@
 #include "metric/metric.h"
 
 enum {
-	kHttpFinalFirst = 200,
 	kHttpOk = 200,
 	kHttpNotFound = 404,
 	kHttpConflict = 409,
@@ -39,14 +38,12 @@
 };
 
 struct http_reply {
-	long status;
 	CURLcode curl;
 	GByteArray *body;
 	CURL *easy;
 	/** Id of the call, and the one that the answer names, or empty. */
 	char call[20];
 	char named[20];
-	bool has_head;
 	/** The answer is one to another call; nothing of it is used. */
 	bool is_foreign;
 	struct intake intake;
@@ -104,31 +101,39 @@
 	return connects > 0;
 }
 
+static void
+read_call_field(struct http_reply *reply, const char *line, size_t len)
+{
+	static const char name[] = "Savoryflow-Call:";
+	char *text;
+
+	if (len <= sizeof(name) ||
+	    g_ascii_strncasecmp(line, name, sizeof(name) - 1) != 0)
+		return;
+	text = g_strndup(line + sizeof(name) - 1, len - (sizeof(name) - 1));
+	g_strlcpy(reply->named, g_strstrip(text), sizeof(reply->named));
+	g_free(text);
+}
+
 static size_t
 reply_header(char *data, size_t size, size_t n, void *ctx)
 {
-	static const char name[] = "Savoryflow-Call:";
 	struct http_reply *reply = ctx;
 	size_t len = size * n;
-	long status = 0;
 
-	if (!intake_head(&reply->intake, len))
+	switch (intake_line(&reply->intake, data, len)) {
+	case kIntakeLineRefused:
+	case kIntakeLineMixed:
 		return 0;
-	if (reply->has_head)
-		return len;
-	if (len > sizeof(name) &&
-	    g_ascii_strncasecmp(data, name, sizeof(name) - 1) == 0) {
-		char *text = g_strndup(
-		    data + sizeof(name) - 1, len - (sizeof(name) - 1));
-
-		g_strlcpy(reply->named, g_strstrip(text), sizeof(reply->named));
-		g_free(text);
+	case kIntakeLineField:
+		read_call_field(reply, data, len);
+		break;
+	case kIntakeLineEnd:
+		reply->is_foreign = !is_own_answer(reply);
+		break;
+	default:
+		break;
 	}
-	if (len > 2)
-		return len;
-	curl_easy_getinfo(reply->easy, CURLINFO_RESPONSE_CODE, &status);
-	reply->has_head = status >= kHttpFinalFirst;
-	reply->is_foreign = reply->has_head && !is_own_answer(reply);
 	return reply->is_foreign ? 0 : len;
 }
 
@@ -178,9 +183,8 @@
 	}
 	store_count_call(cause, req->method != NULL);
 	reply->curl = curl_easy_perform(h);
-	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &reply->status);
 	count_bytes(h, cause);
-	intake_log(&reply->intake, url);
+	intake_log(&reply->intake, url, reply->curl);
 	curl_slist_free_all(headers);
 	g_free(url);
 	if (reply->is_foreign)
@@ -207,9 +211,9 @@
 {
 	if (send_guard_is_unsent(&reply->guard))
 		return kStoreUnavailable;
-	if (reply->curl != CURLE_OK)
+	if (!intake_is_whole(&reply->intake, reply->curl))
 		return kStoreAmbiguous;
-	switch (reply->status) {
+	switch (reply->intake.status) {
 	case kHttpOk:
 		return kStoreOk;
 	case kHttpNotFound:
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -27,7 +27,6 @@
 	 * is gone. */
 	kKeepaliveIdleS = 5,
 	kKeepaliveIntervalS = 1,
-	kHttpFinalFirst = 200,
 	kHttpTooMany = 429,
 	kHttpUnavailable = 503,
 	/* A refusal with 429 and no time asks for this pause. */
@@ -58,8 +57,6 @@
 	bool is_aborted_by_reader;
 	/** Attempt id that the answer names, or empty. */
 	char echoed_attempt[32];
-	/** The head of the final status is complete. */
-	bool has_head;
 	struct intake intake;
 	struct send_guard guard;
 	struct transfer_result result;
@@ -97,13 +94,11 @@
 on_body(char *data, size_t size, size_t n, void *ctx)
 {
 	struct transfer *tr = ctx;
-	long status = 0;
 
 	if (!intake_body(&tr->intake, size * n))
 		return 0;
-	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &status);
-	switch (
-	    tr->ops->on_data(tr->ctx, tr->attempt, status, data, size * n)) {
+	switch (tr->ops->on_data(
+	    tr->ctx, tr->attempt, tr->intake.status, data, size * n)) {
 	case kTargetDataRefused:
 		tr->is_aborted_by_reader = true;
 		return 0;
@@ -147,31 +142,28 @@
 
 /* Only 429 and 503 ask for a pause; a request answered with 429 did not run. */
 static void
-accept_refusal(struct transfer *tr, long status)
+accept_refusal(struct transfer *tr)
 {
-	if (status == kHttpTooMany) {
+	if (tr->intake.status == kHttpTooMany) {
 		tr->result.is_not_executed = true;
 		if (tr->result.pause_us == 0)
 			tr->result.pause_us = kPauseDefaultUs;
-	} else if (status != kHttpUnavailable) {
+	} else if (tr->intake.status != kHttpUnavailable) {
 		tr->result.pause_us = 0;
 	}
 }
 
-/* Called at the empty line that ends a head, also that of an interim status. */
+/* Called at the empty line that ends the final head. */
 static bool
 accept_head(struct transfer *tr)
 {
-	long status = 0;
-
-	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &status);
-	tr->has_head = status >= kHttpFinalFirst;
-	tr->result.is_foreign = tr->has_head && !is_own_answer(tr);
-	if (tr->has_head && !tr->result.is_foreign)
-		accept_refusal(tr, status);
-	if (tr->has_head && !tr->result.is_foreign && tr->ops->on_head != NULL)
+	tr->result.is_foreign = !is_own_answer(tr);
+	if (tr->result.is_foreign)
+		return false;
+	accept_refusal(tr);
+	if (tr->ops->on_head != NULL)
 		tr->ops->on_head(tr->ctx, tr->attempt, &tr->result);
-	return !tr->result.is_foreign;
+	return true;
 }
 
 /* @param name with its colon */
@@ -195,8 +187,8 @@
 	return (int64_t)(MIN(s, kPauseMaxS) * kUsPerS);
 }
 
-static size_t
-on_header(char *data, size_t size, size_t n, void *ctx)
+static void
+read_field(struct transfer *tr, const char *data, size_t len)
 {
 	static const char attempt[] = "Savoryflow-Attempt:";
 	static const char type[] = "Content-Type:";
@@ -204,15 +196,7 @@
 	static const char rate[] = "Savoryflow-Rate:";
 	static const char retry[] = "Retry-After:";
 	char text[32];
-	struct transfer *tr = ctx;
-	size_t len = size * n;
 
-	if (!intake_head(&tr->intake, len))
-		return 0;
-	if (tr->has_head)
-		return len;
-	if (len <= 2)
-		return accept_head(tr) ? len : 0;
 	if (is_field(data, len, attempt))
 		header_copy(tr->echoed_attempt, sizeof(tr->echoed_attempt),
 		    data, len, sizeof(attempt) - 1);
@@ -231,6 +215,26 @@
 	if (len >= sizeof(ran) - 1 &&
 	    g_ascii_strncasecmp(data, ran, sizeof(ran) - 1) == 0)
 		tr->result.is_not_executed = true;
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct transfer *tr = ctx;
+	size_t len = size * n;
+
+	switch (intake_line(&tr->intake, data, len)) {
+	case kIntakeLineRefused:
+	case kIntakeLineMixed:
+		return 0;
+	case kIntakeLineField:
+		read_field(tr, data, len);
+		break;
+	case kIntakeLineEnd:
+		return accept_head(tr) ? len : 0;
+	default:
+		break;
+	}
 	return len;
 }
 
@@ -311,8 +315,8 @@
     struct target_client *tc, struct transfer *tr, enum transfer_end end)
 {
 	tr->result.end = end;
-	intake_log(&tr->intake, tr->url);
-	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &tr->result.status);
+	tr->result.status = tr->intake.status;
+	tr->result.has_answered = tr->intake.head_bytes > 0;
 	if ((tr->result.status != kHttpUnavailable &&
 		tr->result.status != kHttpTooMany) ||
 	    tr->result.is_foreign)
@@ -327,7 +331,7 @@
 {
 	if (tr->is_aborted_by_reader)
 		return kTransferCancelled;
-	if (code == CURLE_OK)
+	if (intake_is_whole(&tr->intake, code))
 		return kTransferComplete;
 	return send_guard_is_unsent(&tr->guard) ? kTransferNotSent
 						: kTransferInterrupted;
@@ -345,6 +349,7 @@
 		if (msg->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &tr);
+		intake_log(&tr->intake, tr->url, msg->data.result);
 		transfer_finish(
 		    tc, tr, transfer_end_from_code(tr, msg->data.result));
 	}
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -12,7 +12,8 @@
 	kTransferComplete,
 	/** No connection was established; no byte was sent. */
 	kTransferNotSent,
-	/** The connection was lost, or the answer is shorter than announced. */
+	/** The connection was lost, or ended within the answer's head or body.
+	 */
 	kTransferInterrupted,
 	/** Silent for too long. */
 	kTransferStalled,
@@ -21,8 +22,10 @@
 
 struct transfer_result {
 	enum transfer_end end;
-	/** HTTP status, 0 if none was received. */
+	/** HTTP status, 0 if no complete head was received. */
 	long status;
+	/** A part of an answer has arrived. */
+	bool has_answered;
 	/** The answer names another attempt, or names none and is not the first
 	 * one on its connection: it may be a late copy of another's. Neither
 	 * its bytes nor its status are passed on. */
--- a/test/platform/late_copies.h
+++ b/test/platform/late_copies.h
@@ -23,23 +23,34 @@
 	kAfterNextRequest,
 };
 
+/* How a connection ends after an answer. */
+enum class End {
+	kNone,
+	kClose,
+	kReset,
+};
+
 /*
  * HTTP server on loopback whose connections stay open, and which sends the
- * answer to one request a second time.
+ * answer to one request a second time, or ends its connection after it.
  */
 class CopyingServer
 {
       public:
 	using Answer = std::function<std::string(const std::string &request)>;
 
-	explicit CopyingServer(Answer answer) : answer_(answer)
+	/* @param port 0: any */
+	explicit CopyingServer(Answer answer, int port = 0) : answer_(answer)
 	{
 		struct sockaddr_in a = {};
 		socklen_t len = sizeof(a);
+		int on = 1;
 
 		a.sin_family = AF_INET;
 		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		fd_ = socket(AF_INET, SOCK_STREAM, 0);
+		a.sin_port = htons((uint16_t)port);
+		fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 		EXPECT_EQ(0, bind(fd_, (struct sockaddr *)&a, sizeof(a)));
 		EXPECT_EQ(0, listen(fd_, 16));
 		getsockname(fd_, (struct sockaddr *)&a, &len);
@@ -70,6 +81,13 @@
 		copy_ = copy;
 	}
 
+	/* Of the answers from now on. */
+	void
+	EndAfterAnswers(End end)
+	{
+		end_ = end;
+	}
+
 	/* Waits until a copy for an idle connection has been sent. */
 	void
 	AwaitIdleCopy()
@@ -96,8 +114,15 @@
 
 		while (!stop_)
 			if (poll(&p, 1, 10) == 1) {
-				int con = accept(fd_, nullptr, nullptr);
+				int con = accept4(
+				    fd_, nullptr, nullptr, SOCK_CLOEXEC);
 
+				/* Short, and too many for threads. */
+				if (end_ != End::kNone) {
+					Serve(con);
+					close(con);
+					continue;
+				}
 				threads_.emplace_back([this, con] {
 					Serve(con);
 					close(con);
@@ -140,6 +165,16 @@
 		    send(con, text.data(), text.size(), MSG_NOSIGNAL));
 	}
 
+	static void
+	ResetAtClose(int con)
+	{
+		struct linger now = {1, 0};
+
+		setsockopt(con, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+		/* A reset discards what the client has not read yet. */
+		usleep(2000);
+	}
+
 	void
 	Serve(int con)
 	{
@@ -166,6 +201,10 @@
 			if (copy == Copy::kAfterNextRequest)
 				late = text;
 			send(con, text.data(), text.size(), MSG_NOSIGNAL);
+			if (end_ == End::kReset)
+				ResetAtClose(con);
+			if (end_ != End::kNone)
+				return;
 			if (copy != Copy::kIdle)
 				continue;
 			usleep(20000);
@@ -180,6 +219,7 @@
 	std::atomic<bool> stop_{false};
 	std::atomic<bool> is_copied_{false};
 	std::atomic<Copy> copy_{Copy::kNone};
+	std::atomic<End> end_{End::kNone};
 	std::mutex lock_;
 	std::thread acceptor_;
 	std::vector<std::thread> threads_;
