http: fields of an interim head are not the answer's

Seen in a test: a service that sends 102 with "Savoryflow-Ran: no" and then a plain 503 has its caller told that the call did not run (503, ran: no); one whose interim head names another attempt has its own 200 dropped (502). The own store's client dropped such an answer, too: a change ambiguous, a read unavailable.

Cause: target.c and store_http.c read the fields of all heads into one place. Now each status line starts anew, as the gateway's client does.

--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -125,6 +125,9 @@
 	case kIntakeLineRefused:
 	case kIntakeLineMixed:
 		return 0;
+	case kIntakeLineStatus:
+		reply->named[0] = '\0';
+		break;
 	case kIntakeLineField:
 		read_call_field(reply, data, len);
 		break;
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -217,6 +217,14 @@
 		tr->result.is_not_executed = true;
 }
 
+/* Those of an interim head are not the answer's. */
+static void
+forget_fields(struct transfer *tr)
+{
+	tr->echoed_attempt[0] = '\0';
+	tr->result = (struct transfer_result){0};
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *ctx)
 {
@@ -227,6 +235,9 @@
 	case kIntakeLineRefused:
 	case kIntakeLineMixed:
 		return 0;
+	case kIntakeLineStatus:
+		forget_fields(tr);
+		break;
 	case kIntakeLineField:
 		read_field(tr, data, len);
 		break;
--- a/test/functional/test_broken_answers.cc
+++ b/test/functional/test_broken_answers.cc
@@ -180,6 +180,39 @@
 		}
 }
 
+/* Guards against a call that ran told as not run by its interim head, and one
+ * whose answer is dropped for an id that its interim head names. */
+TEST_F(BrokenOwn, AnInterimHeadSaysNothingOfTheAnswer)
+{
+	const struct {
+		const char *interim;
+		int status;
+		long expected;
+		const char *ran;
+	} cases[] = {
+	    {"Savoryflow-Attempt: 00000000000000aa\r\n", 200, 200, ""},
+	    {"Content-Type: x\r\n", 200, 200, ""},
+	    {"Savoryflow-Ran: no\r\n", 503, 502, "unknown"},
+	};
+	FleetOptions o;
+	int n = 0;
+
+	o.daemons = 1;
+	fleet.reset(new Fleet(o));
+	fleet->plain.reset();
+	StartServer(fleet->PlainServiceUrl());
+	for (const auto &c : cases) {
+		BreakOff({std::string("HTTP/1.1 102 Wait\r\n") + c.interim +
+			"\r\n" + CopyingServer::Http(c.status, "whole"),
+		    End::kClose, c.interim});
+		Reply r = fleet->CallBooking(0, "key" + std::to_string(n++));
+		EXPECT_EQ(c.expected, r.status) << c.interim << r.body;
+		EXPECT_EQ(c.ran, r.headers["savoryflow-ran"]) << c.interim;
+		EXPECT_NE("x", r.headers["content-type"]);
+		EXPECT_EQ(n, requests) << c.interim;
+	}
+}
+
 /* Guards against exit code 0 and no output for a lost answer. */
 TEST_F(BrokenOwn, TheCommandLineTellsThatAnAnswerBrokeOff)
 {
--- a/test/platform/test_broken_answers.cc
+++ b/test/platform/test_broken_answers.cc
@@ -252,4 +252,14 @@
 	ExpectBrokenBodiesAreNoAnswers(st, kTime, kHttpCases);
 }
 
+/* Guards against an own answer that is dropped for another's interim head. */
+TEST_F(BrokenStoreHttp, AnInterimHeadNamesNoCall)
+{
+	answer = "HTTP/1.1 102 Wait\r\nSavoryflow-Call: other\r\n\r\n" +
+	    CopyingServer::Http(200, "object");
+	server.EndAfterAnswers(End::kClose);
+	EXPECT_EQ("ok object", StoreObjectText(st));
+	EXPECT_EQ("ok", StoreTxnText(st, "t/p/a"));
+}
+
 } // namespace
