http: a status line within a status line is two answers

Where a server breaks off within the reason of its status line and another answer follows on the connection ("HTTP/1.1 200 OHTTP/1.1 503 X"), the clients took the first one's status with the second one's fields and body: a change counted as made that the store had refused.

--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -35,7 +35,7 @@
 	return status;
 }
 
-/* A status line within a head: that of another answer was cut off. */
+/* A status line within a line: that of another answer was cut off. */
 static bool
 has_status_line(const char *line, size_t len)
 {
@@ -56,6 +56,17 @@
 	return kIntakeLineEnd;
 }
 
+static enum intake_line
+status_line(struct intake *in, const char *line, size_t len)
+{
+	in->head_status = status_of_line(line, len);
+	in->is_in_head = in->head_status != 0;
+	in->is_garbled = !in->is_in_head || has_status_line(line + 1, len - 1);
+	if (!in->is_garbled)
+		return kIntakeLineStatus;
+	return in->is_in_head ? kIntakeLineMixed : kIntakeLineRefused;
+}
+
 enum intake_line
 intake_line(struct intake *in, const char *line, size_t len)
 {
@@ -66,12 +77,8 @@
 		return kIntakeLineRefused;
 	if (in->status != 0)
 		return kIntakeLineTrailer;
-	if (!in->is_in_head) {
-		in->head_status = status_of_line(line, len);
-		in->is_in_head = in->head_status != 0;
-		in->is_garbled = !in->is_in_head;
-		return in->is_in_head ? kIntakeLineStatus : kIntakeLineRefused;
-	}
+	if (!in->is_in_head)
+		return status_line(in, line, len);
 	in->is_garbled = has_status_line(line, len);
 	if (in->is_garbled)
 		return kIntakeLineMixed;
--- a/test/platform/test_broken_answers.cc
+++ b/test/platform/test_broken_answers.cc
@@ -131,6 +131,30 @@
 		}
 	}
 
+	/* Another answer follows where the head was broken off, as one of a
+	 * server that wrote twice on a connection. */
+	template <size_t N>
+	void
+	ExpectMixedHeadsAreNoAnswers(struct store *st, const Case (&cases)[N])
+	{
+		for (const Case &c : cases) {
+			std::string other =
+			    CopyingServer::Http(c.status, c.body);
+
+			for (const char *start :
+			    {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 404 X\r\nX-A",
+				"HTTP/1.1 503 X\r\nX-A: ", "HTTP/1.1 2",
+				"HTTP/1.1 200 O"}) {
+				std::string name = c.call;
+
+				answer = start + other;
+				server.EndAfterAnswers(End::kClose);
+				EXPECT_EQ(c.broken, Call(st, c.call))
+				    << name << " " << start;
+			}
+		}
+	}
+
 	/* A body that has no end of its own may be broken off by a reset. */
 	template <size_t N>
 	void
@@ -252,6 +276,17 @@
 	ExpectBrokenBodiesAreNoAnswers(st, kTime, kHttpCases);
 }
 
+/* Guards against an answer that is put together from two. */
+TEST_F(BrokenRows, AnAnswerWithinAnothersHeadIsNoAnswer)
+{
+	ExpectMixedHeadsAreNoAnswers(st, kRowsCases);
+}
+
+TEST_F(BrokenStoreHttp, AnAnswerWithinAnothersHeadIsNoAnswer)
+{
+	ExpectMixedHeadsAreNoAnswers(st, kHttpCases);
+}
+
 /* Guards against an own answer that is dropped for another's interim head. */
 TEST_F(BrokenStoreHttp, AnInterimHeadNamesNoCall)
 {
