gateway: a stream that breaks off is reset for callers without chunks

A caller of HTTP/1.0 gets a stream without chunks, which ends with its connection. When the worker broke the stream off, libmicrohttpd shut the connection down in order, so what had arrived looked whole.

read_stream now resets such a connection first. Callers of HTTP/1.1 get chunks, with "Connection: close" as well, and no last chunk.

--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
 #include "error/error.h"
 #include "gateway/front_internal.h"
@@ -181,6 +182,18 @@
 	req->out_sent = 0;
 }
 
+/* Without chunks only a reset tells an answer that broke off from a whole one,
+ * and libmicrohttpd shuts the connection down before it closes it. */
+static ssize_t
+break_off(struct front_request *req)
+{
+	const struct sockaddr reset = {.sa_family = AF_UNSPEC};
+
+	if (req->lacks_chunks)
+		connect(req->peer->fd, &reset, sizeof(reset));
+	return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
 static ssize_t
 read_stream(void *cls, uint64_t pos, char *buf, size_t max)
 {
@@ -188,7 +201,7 @@
 	size_t n = MIN(max, req->out->len - req->out_sent);
 
 	if (req->is_disconnected || req->is_overrun)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+		return break_off(req);
 	if (n > 0) {
 		memcpy(buf, req->out->str + req->out_sent, n);
 		req->out_sent += n;
@@ -196,7 +209,7 @@
 		return (ssize_t)n;
 	}
 	if (req->is_ended && !req->is_complete)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
+		return break_off(req);
 	if (req->is_ended)
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	suspend(req);
@@ -310,6 +323,7 @@
 	if (!req->has_head) {
 		req->has_head = true;
 		req->method = g_strdup(method);
+		req->lacks_chunks = strcmp(version, "HTTP/1.1") != 0;
 		MHD_get_connection_values(
 		    con, MHD_HEADER_KIND, add_header, req);
 		return MHD_YES;
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -61,6 +61,8 @@
 	struct MHD_Response *response;
 	unsigned int status;
 	bool is_queued;
+	/** HTTP/1.0: a streamed answer ends with its connection. */
+	bool lacks_chunks;
 	/** Streamed answers: bytes not sent yet. */
 	bool is_streamed;
 	GString *out;
--- a/test/functional/test_gateway_broken.cc
+++ b/test/functional/test_gateway_broken.cc
@@ -2,6 +2,7 @@
 #include <set>
 #include <thread>
 
+#include "functional/connection.h"
 #include "functional/gateway_fixture.h"
 #include "platform/broken_answers.h"
 
@@ -269,4 +270,47 @@
 		}
 }
 
+/* Guards against a stream that its worker broke off and that ends as if it were
+ * whole for a caller who takes no chunks. */
+TEST_F(Gateway, AStreamThatBreaksOffLooksWholeToNoCaller)
+{
+	const struct {
+		const char *version;
+		const char *field;
+	} callers[] = {
+	    {"1.1", ""},
+	    {"1.1", "Connection: close\r\n"},
+	    {"1.0", ""},
+	    {"1.0", "Connection: keep-alive\r\n"},
+	};
+	std::string body = RequestBody(8);
+	int n = 0;
+
+	StartReadyFleet(1, 1);
+	for (const auto &c : callers)
+		for (const char *end : {"inside", "reset"}) {
+			std::string name =
+			    std::string(c.version) + " " + c.field + " " + end;
+			Connection con(front_ports[0]);
+
+			InjectFault(0,
+			    std::string("{\"unframed\":1,") +
+				"\"unframed_end\":\"" + end + "\"}");
+			con.Send(std::string("POST /f/x HTTP/") + c.version +
+			    "\r\nHost: a.example\r\nX-Attempt-Id: c" +
+			    std::to_string(n++) +
+			    "\r\nX-Deadline-Ms: 5000\r\n" + c.field +
+			    "Content-Length: " + std::to_string(body.size()) +
+			    "\r\n\r\n" + body);
+			std::string text = con.Read();
+			bool is_chunked =
+			    text.find("Transfer-Encoding: chunked") !=
+			    std::string::npos;
+
+			EXPECT_FALSE(Connection::IsWhole(text)) << name << text;
+			EXPECT_TRUE(is_chunked || con.WasReset())
+			    << name << text;
+		}
+}
+
 } // namespace
