--- a/test/unit/test_intake.cc
+++ b/test/unit/test_intake.cc
@@ -69,7 +69,7 @@
 	return intake_line(in, text.data(), text.size()) != kIntakeLineRefused;
 }
 
-TEST(Intake, Limits)
+TEST(Intake, Table)
 {
 	for (const auto &c : cases) {
 		intake in;
