A change without an answer of the store is not answered "did not run"

What callers saw: POST /v1/batches/ID/cancel was answered 503 store_unavailable with "Savoryflow-Ran: no" while the store was slow, and the job was cancelled.

Cause: reply_store_error() answered every failure as kErrStoreUnavailable, an unknown outcome too. The table of errors had store_ambiguous itself as "did not run": each caller had to override it.

Change: the table says that it may have run. One function maps the store's results to errors (request_reply_store_error), and no answer of the store is left that overrides the table.

--- a/src/api/api_batch.c
+++ b/src/api/api_batch.c
@@ -229,8 +229,9 @@
 accept_job(struct request *req)
 {
 	struct batch_job *job = &req->upload->job;
+	enum store_result res = batch_submit(req->d->store, job);
 
-	switch (batch_submit(req->d->store, job)) {
+	switch (res) {
 	case kStoreOk:
 		log_event(
 		    kEvtJobAccepted, "team", job->team, "job", job->id, NULL);
@@ -241,15 +242,9 @@
 		request_reply_error(req, kErrJobConflict,
 		    "the job id exists with different content", 0);
 		break;
-	case kStoreAmbiguous:
-		request_reply_error_ran(req, kErrStoreAmbiguous,
-		    "no response from the store; submit the same job again",
-		    kStoreRetryUs, true);
-		break;
 	default:
-		request_reply_error(req, kErrStoreUnavailable,
-		    "the job cannot be stored; it was not accepted",
-		    kStoreRetryUs);
+		request_reply_store_error(
+		    req, res, "the job cannot be stored; it was not accepted");
 	}
 }
 
@@ -285,11 +280,7 @@
 static void
 reply_store_error(struct request *req, enum store_result res)
 {
-	if (res == kStoreNotFound)
-		request_reply_error(req, kErrNotFound, "no such job", 0);
-	else
-		request_reply_error(req, kErrStoreUnavailable,
-		    "the store does not respond", kStoreRetryUs);
+	request_reply_store_error(req, res, "the store does not respond");
 }
 
 static void
--- a/src/api/request.c
+++ b/src/api/request.c
@@ -8,6 +8,8 @@
 #include "log/log.h"
 #include "metric/metric.h"
 
+enum { kStoreRetryUs = 2 * kUsPerS };
+
 struct request *
 request_ref(struct request *req)
 {
@@ -201,7 +203,27 @@
 	bool is_store_error = err->code == kErrStoreUnavailable ||
 	    err->code == kErrStoreAmbiguous;
 
-	request_reply_error_ran(req, err->code, err->message,
-	    is_store_error ? 2 * kUsPerS : 0, err->code == kErrStoreAmbiguous);
+	request_reply_error(
+	    req, err->code, err->message, is_store_error ? kStoreRetryUs : 0);
 	g_error_free(err);
 }
+
+void
+request_reply_store_error(
+    struct request *req, enum store_result res, const char *refusal)
+{
+	switch (res) {
+	case kStoreNotFound:
+		request_reply_error(req, kErrNotFound, "no such job", 0);
+		break;
+	case kStoreAmbiguous:
+		request_reply_error(req, kErrStoreAmbiguous,
+		    "no response from the store; the outcome is unknown, send "
+		    "the request again",
+		    kStoreRetryUs);
+		break;
+	default:
+		request_reply_error(
+		    req, kErrStoreUnavailable, refusal, kStoreRetryUs);
+	}
+}
--- a/src/api/request.h
+++ b/src/api/request.h
@@ -139,6 +139,13 @@
 
 /** Body of a typed error: {"error":{"type","code","message"}}. */
 json_t *request_error_json(int code, const char *message);
+/**
+ * Replies to a change or a read that the store did not do.
+ * @param refusal message if it was certainly not done
+ */
+void request_reply_store_error(
+    struct request *req, enum store_result res, const char *refusal);
+
 
 /* Endpoints. */
 void chat_start(struct request *req);
--- a/src/error/error.h
+++ b/src/error/error.h
@@ -6,7 +6,7 @@
 
 /*
  * Types of all errors. A row holds the enum constant, the type on the wire, the
- * HTTP status, and whether the request may have reached a target.
+ * HTTP status, and whether the request may have been executed.
  */
 #define SF_ERRORS(X)                                                  \
 	X(kErrSettingUnknown, "setting_unknown", 500, true)           \
@@ -32,7 +32,7 @@
 	X(kErrNoTarget, "no_target", 503, false)                      \
 	X(kErrDraining, "draining", 503, false)                       \
 	X(kErrStoreUnavailable, "store_unavailable", 503, false)      \
-	X(kErrStoreAmbiguous, "store_ambiguous", 503, false)          \
+	X(kErrStoreAmbiguous, "store_ambiguous", 503, true)           \
 	X(kErrNotReady, "not_ready", 503, false)                      \
 	X(kErrOutcomeLost, "store_outcome_unknown", 500, true)        \
 	X(kErrTargetFailed, "target_failed", 502, true)               \
@@ -59,7 +59,7 @@
 /** @return HTTP status of an error, 400 to 599 */
 int sf_error_status(int code);
 
-/** @return true if a request with this error may have reached a target */
+/** @return true if a request with this error may have been executed */
 bool sf_error_may_have_run(int code);
 
 #endif
