A call that a stop refuses as not run does not run afterwards

What callers saw: in a planned stop a call with an idempotency key was answered 503 draining, "Savoryflow-Ran: no", and ran.

Cause: at the end of the drain each waiting request was answered from a view of its call, and the call went on: one with a key is not closed with its request. The first aborted call that was closed freed its slot, which went to a call that had been told that it did not run.

Change: a call is ended under its lock (call_cancel) before its answer, which is read from that end. Calls that were not sent yet are all ended first, so that no slot that is freed starts one of them. The thread of the stop sees a call only once it is complete, and begin_keyed() holds a reference of its own until it has started the call.

--- a/src/api/api.c
+++ b/src/api/api.c
@@ -469,6 +469,9 @@
 
 	pthread_mutex_lock(&api->lock);
 	g_hash_table_iter_init(&it, api->requests);
+	while (g_hash_table_iter_next(&it, &req, NULL))
+		request_abort_unsent(req);
+	g_hash_table_iter_init(&it, api->requests);
 	while (g_hash_table_iter_next(&it, &req, NULL))
 		has_suspended = request_abort(req) || has_suspended;
 	pthread_mutex_unlock(&api->lock);
--- a/src/api/api_call.c
+++ b/src/api/api_call.c
@@ -61,6 +61,15 @@
 	return req->received_us + ms * kUsPerMs;
 }
 
+/* Shows the call to request_abort_unsent. */
+static void
+set_call(struct request *req, struct call *call)
+{
+	pthread_mutex_lock(&req->lock);
+	req->call = call;
+	pthread_mutex_unlock(&req->lock);
+}
+
 static void
 start_call(struct request *req, const struct call_options *opt)
 {
@@ -68,7 +77,7 @@
 
 	/* The call's reference to the request; see release. */
 	request_ref(req);
-	req->call = call;
+	set_call(req, call);
 	call_start(call);
 }
 
@@ -185,11 +194,21 @@
 	    view->retry_after_us, view->may_have_run);
 }
 
-/* @return true if the request is aborted because the daemon shuts down */
+/* Ends the call first if the daemon shuts down, so that it cannot start after
+ * its answer. */
+static struct call_view
+view_or_abort(struct request *req)
+{
+	if (req->is_aborted)
+		call_cancel(req->call);
+	return call_view_get(req->call);
+}
+
+/* @return true if the call was ended because the daemon shuts down */
 static bool
 reply_aborted(struct request *req, const struct call_view *view)
 {
-	if (!req->is_aborted)
+	if (!req->is_aborted || view->error != kErrCancelled)
 		return false;
 	request_reply_error_ran(req, kErrDraining,
 	    "the daemon shut down before the response", kRateRetryUs,
@@ -303,9 +322,9 @@
 chat_step(struct request *req)
 {
 	while (req->call != NULL && req->response == NULL) {
-		struct call_view view = call_view_get(req->call);
+		struct call_view view = view_or_abort(req);
 
-		if (!view.is_done && reply_aborted(req, &view))
+		if (reply_aborted(req, &view))
 			return;
 		if (view.is_done && view.error >= 0 &&
 		    (!req->wants_stream || view.tokens == 0))
@@ -443,6 +462,7 @@
 	char **parts = g_strsplit(req->subpath, "/", 2);
 	const struct config_service *svc = find_service(cfg, parts[0]);
 	struct call_options opt;
+	struct call *call;
 	char *path;
 
 	intents_begin(req->d->intents, &req->intent);
@@ -456,11 +476,13 @@
 		init_plain_options(req, &opt, svc, path);
 		opt.notify = notify_keyed;
 		/* One reference for the connection, one until the intent is
-		 * settled. */
+		 * settled; both may be gone before the call has started. */
 		request_ref(req);
-		req->call = call_new(req->d, &opt);
-		call_ref(req->call);
-		call_start(req->call);
+		call = call_ref(call_new(req->d, &opt));
+		call_ref(call);
+		set_call(req, call);
+		call_start(call);
+		call_unref(call);
 		g_bytes_unref(opt.body);
 		g_free(path);
 	}
@@ -531,9 +553,9 @@
 plain_step(struct request *req)
 {
 	while (req->call != NULL && req->response == NULL) {
-		struct call_view view = call_view_get(req->call);
+		struct call_view view = view_or_abort(req);
 
-		if (!view.is_done && reply_aborted(req, &view))
+		if (reply_aborted(req, &view))
 			return;
 		if (view.is_done && view.error >= 0)
 			reply_call_error(req, &view);
--- a/src/api/request.c
+++ b/src/api/request.c
@@ -70,6 +70,19 @@
 	pthread_mutex_unlock(&req->lock);
 }
 
+void
+request_abort_unsent(struct request *req)
+{
+	struct call *call;
+
+	pthread_mutex_lock(&req->lock);
+	req->is_aborted = true;
+	call = req->call;
+	pthread_mutex_unlock(&req->lock);
+	if (call != NULL)
+		call_cancel_unsent(call);
+}
+
 bool
 request_abort(struct request *req)
 {
--- a/src/api/request.h
+++ b/src/api/request.h
@@ -94,6 +94,12 @@
  */
 bool request_wait(struct request *req);
 
+/**
+ * Ends the request's call if nothing was sent to a target yet. All of them are
+ * ended before request_abort frees the first slot.
+ */
+void request_abort_unsent(struct request *req);
+
 /**
  * Aborts the request because the daemon shuts down.
  * @return true if it was suspended
@@ -133,12 +139,6 @@
 /** Replies with a GError and frees it. */
 void request_reply_gerror(struct request *req, GError *err);
 
-/** Adds a header to the reply. */
-void request_reply_header(
-    struct request *req, const char *name, const char *value);
-
-/** Body of a typed error: {"error":{"type","code","message"}}. */
-json_t *request_error_json(int code, const char *message);
 /**
  * Replies to a change or a read that the store did not do.
  * @param refusal message if it was certainly not done
@@ -146,6 +146,12 @@
 void request_reply_store_error(
     struct request *req, enum store_result res, const char *refusal);
 
+/** Adds a header to the reply. */
+void request_reply_header(
+    struct request *req, const char *name, const char *value);
+
+/** Body of a typed error: {"error":{"type","code","message"}}. */
+json_t *request_error_json(int code, const char *message);
 
 /* Endpoints. */
 void chat_start(struct request *req);
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -177,14 +177,25 @@
 	call_attempt_begin(c);
 }
 
-void
-call_cancel(struct call *c)
+static bool
+may_have_run(const struct call *c)
+{
+	return c->retry.may_have_run || c->phase == kPhaseRunning ||
+	    c->stream.next_index > 0;
+}
+
+static void
+cancel(struct call *c, bool is_unsent_only)
 {
 	enum call_phase phase;
 	uint64_t attempt;
 	uint64_t withdrawn;
 
 	pthread_mutex_lock(&c->lock);
+	if (is_unsent_only && may_have_run(c)) {
+		pthread_mutex_unlock(&c->lock);
+		return;
+	}
 	withdrawn = call_takeover_withdraw(c);
 	phase = c->phase;
 	attempt = c->attempt;
@@ -201,6 +212,18 @@
 		c->notify(c->ctx);
 }
 
+void
+call_cancel(struct call *c)
+{
+	cancel(c, false);
+}
+
+void
+call_cancel_unsent(struct call *c)
+{
+	cancel(c, true);
+}
+
 void
 call_close(struct call *c)
 {
@@ -222,8 +245,7 @@
 	    .is_done = c->phase == kPhaseDone,
 	    .error = c->error,
 	    .retry_after_us = c->retry_after_us,
-	    .may_have_run = c->retry.may_have_run ||
-		c->phase == kPhaseRunning || c->stream.next_index > 0,
+	    .may_have_run = may_have_run(c),
 	    .tokens = c->stream.next_index,
 	    .status = c->status,
 	};
--- a/src/serve/call_run.h
+++ b/src/serve/call_run.h
@@ -58,6 +58,9 @@
 /** Ends the call and cancels its current attempt. */
 void call_cancel(struct call *c);
 
+/** Ends the call if nothing was sent to a target yet. */
+void call_cancel_unsent(struct call *c);
+
 /**
  * Cancels the call if it is still running and drops the creator's reference.
  */
