An abandoned intent that the store writes late does not block its key

What callers saw: a keyed call was answered 503 "did not run"; each repeat of it was answered 409 "in progress" for as long as the daemon lived, then "outcome unknown", though nothing had run.

Cause: a begin that the daemon gave up may be written later, as it only wants no row. A withdrawal that met no row ended in a conflict, which counted as done. And a begin that failed at another attempt's row took effect after that row had been withdrawn, i.e. deleted: the comment in store_commit(), that a condition that failed fails later too, was not true of intents.

Change: rows of intents are not deleted. A withdrawn row stays, names its attempt and is replaced, by its version, by the next one that begins. A withdrawal that finds no row writes one; one that finds another attempt's withdrawn row replaces it, as its own begin may depend on that version. So each condition that failed stays so; commit.h demands it of its callers. A withdrawal in the usual case is one call of the store, as before; a begin on a withdrawn key takes two more.

--- a/src/savoryflow/call/intent_store.c
+++ b/src/savoryflow/call/intent_store.c
@@ -6,6 +6,9 @@
 
 #include "store/commit.h"
 
+/* Times that another attempt may change the row meanwhile. */
+enum { kRaceAttemptsMax = 3 };
+
 void
 intent_clear(struct intent *in)
 {
@@ -31,11 +34,12 @@
 	return key;
 }
 
+/* @param owner name of the field with the attempt */
 static char *
-started_text(const struct intent *in)
+row_text(const struct intent *in, const char *state, const char *owner)
 {
-	json_t *doc = json_pack("{s:s,s:s,s:s,s:s}", "state", "started",
-	    "attempt", in->attempt, "digest", in->digest, "daemon", in->daemon);
+	json_t *doc = json_pack("{s:s,s:s,s:s,s:s}", "state", state, owner,
+	    in->attempt, "digest", in->digest, "daemon", in->daemon);
 	char *text = json_dumps(doc, JSON_COMPACT);
 
 	json_decref(doc);
@@ -46,9 +50,12 @@
 add_begin(struct store_txn *txn, const struct intent *in)
 {
 	char *key = row_key(in);
-	char *text = started_text(in);
+	char *text = row_text(in, "started", "attempt");
 
-	store_txn_absent(txn, key);
+	if (in->state == kIntentWithdrawn)
+		store_txn_version(txn, key, in->row_version);
+	else
+		store_txn_absent(txn, key);
 	store_txn_write(txn, key, text);
 	g_free(key);
 	free(text);
@@ -68,6 +75,10 @@
 	g_clear_pointer(&in->holder, g_free);
 	g_clear_pointer(&in->content_type, g_free);
 	g_clear_pointer(&in->body, g_free);
+	if (g_strcmp0(text_field(doc, "state"), "withdrawn") == 0) {
+		in->state = kIntentWithdrawn;
+		return;
+	}
 	if (g_strcmp0(text_field(doc, "attempt"), in->attempt) == 0) {
 		in->state = kIntentAcquired;
 		return;
@@ -105,6 +116,7 @@
 		json_t *doc = json_loads(row.value, 0, NULL);
 
 		state_from_row(in, doc);
+		in->row_version = row.version;
 		json_decref(doc);
 		store_row_clear(&row);
 	}
@@ -122,8 +134,9 @@
 	    in->state == kIntentAcquired);
 }
 
-static void
-begin_one(const struct store *store, struct intent *in)
+/* After a conflict, is_own_begin has read the state. */
+static enum store_result
+commit_begin(const struct store *store, struct intent *in)
 {
 	struct store_txn *txn = store_txn_new();
 	enum store_result res;
@@ -131,12 +144,25 @@
 	add_begin(txn, in);
 	res = store_commit(store, kCauseIntent, txn, is_own_begin, in);
 	store_txn_free(txn);
-	if (res == kStoreOk)
-		in->state = kIntentAcquired;
-	else if (res == kStoreConflict)
-		read_back(store, in);
-	else
-		in->state = kIntentStoreDown;
+	return res;
+}
+
+static void
+begin_one(const struct store *store, struct intent *in)
+{
+	for (int i = 0; i < kRaceAttemptsMax; i++) {
+		enum store_result res = commit_begin(store, in);
+
+		if (res == kStoreOk) {
+			in->state = kIntentAcquired;
+			return;
+		}
+		if (res != kStoreConflict)
+			break;
+		if (in->state != kIntentWithdrawn)
+			return;
+	}
+	in->state = kIntentStoreDown;
 }
 
 void
@@ -145,8 +171,12 @@
 	struct store_txn *txn = store_txn_new();
 	enum store_result res = kStoreConflict;
 
-	for (guint i = 0; i < intents->len; i++)
-		add_begin(txn, intents->pdata[i]);
+	for (guint i = 0; i < intents->len; i++) {
+		struct intent *in = intents->pdata[i];
+
+		in->state = kIntentStoreDown;
+		add_begin(txn, in);
+	}
 	if (intents->len > 1)
 		res = store->ops->txn(store->ctx, kCauseIntent, txn);
 	store_txn_free(txn);
@@ -195,17 +225,85 @@
 	return res;
 }
 
-enum store_result
-intent_withdraw(const struct store *store, const struct intent *in)
+/* @param txn holds the condition; is freed */
+static enum store_result
+write_withdrawn(
+    const struct store *store, const struct intent *in, struct store_txn *txn)
 {
-	struct store_txn *txn = store_txn_new();
 	char *key = row_key(in);
+	char *text = row_text(in, "withdrawn", "withdrawn_by");
 	enum store_result res;
 
-	store_txn_field(txn, key, "attempt", in->attempt);
-	store_txn_write(txn, key, NULL);
+	store_txn_write(txn, key, text);
 	res = store->ops->txn(store->ctx, kCauseIntent, txn);
 	store_txn_free(txn);
 	g_free(key);
+	free(text);
 	return res;
 }
+
+static enum store_result
+withdraw_begun(const struct store *store, const struct intent *in)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = row_key(in);
+
+	store_txn_field(txn, key, "attempt", in->attempt);
+	g_free(key);
+	return write_withdrawn(store, in, txn);
+}
+
+/* A late begin of this attempt fails at a row that another attempt began, or
+ * that this one withdrew. */
+static bool
+is_final(const struct intent *in, const struct store_row *row)
+{
+	json_t *doc = json_loads(row->value, 0, NULL);
+	bool is_withdrawn =
+	    g_strcmp0(text_field(doc, "state"), "withdrawn") == 0;
+	bool is_own =
+	    g_strcmp0(text_field(doc, "withdrawn_by"), in->attempt) == 0 ||
+	    g_strcmp0(text_field(doc, "attempt"), in->attempt) == 0;
+
+	json_decref(doc);
+	return is_withdrawn == is_own;
+}
+
+/*
+ * Replaces the row on which a begin of this attempt may still depend.
+ * @param is_done set if no row does
+ */
+static enum store_result
+withdraw_late_begin(
+    const struct store *store, const struct intent *in, bool *is_done)
+{
+	struct store_txn *txn = store_txn_new();
+	char *key = row_key(in);
+	struct store_row row = {0};
+	enum store_result res =
+	    store->ops->get(store->ctx, kCauseIntent, key, &row);
+
+	*is_done = res == kStoreOk && is_final(in, &row);
+	if (res == kStoreNotFound)
+		store_txn_absent(txn, key);
+	else if (res == kStoreOk)
+		store_txn_version(txn, key, row.version);
+	store_row_clear(&row);
+	g_free(key);
+	if (!*is_done && (res == kStoreOk || res == kStoreNotFound))
+		return write_withdrawn(store, in, txn);
+	store_txn_free(txn);
+	return *is_done ? kStoreConflict : kStoreUnavailable;
+}
+
+enum store_result
+intent_withdraw(const struct store *store, const struct intent *in)
+{
+	enum store_result res = withdraw_begun(store, in);
+	bool is_done = false;
+
+	for (int i = 0;
+	     i < kRaceAttemptsMax && res == kStoreConflict && !is_done; i++)
+		res = withdraw_late_begin(store, in, &is_done);
+	return res == kStoreConflict && !is_done ? kStoreUnavailable : res;
+}
--- a/src/savoryflow/call/intent_store.h
+++ b/src/savoryflow/call/intent_store.h
@@ -6,8 +6,9 @@
 /*
  * Calls that may run at most once. Before the first byte of such a call is
  * sent, a row intent/TEAM/SHA256(KEY) is created, on condition that it does not
- * exist. The system never removes a row of a call that may have run, so a
- * resent key never runs again.
+ * exist. No row is ever removed: the store may perform a write late, and a row
+ * that does not exist would let an abandoned attempt begin. A withdrawn attempt
+ * leaves a row that the next one replaces.
  */
 
 enum intent_state {
@@ -23,6 +24,8 @@
 	kIntentMismatch,
 	/** The store does not answer; nothing has run under this attempt. */
 	kIntentStoreDown,
+	/** Another attempt did not run; this one may take its row. */
+	kIntentWithdrawn,
 };
 
 struct intent {
@@ -44,6 +47,8 @@
 	char *body;
 	/** In progress: the daemon that started the call. */
 	char *holder;
+	/** Withdrawn: version of the row. */
+	int64_t row_version;
 };
 
 void intent_clear(struct intent *in);
@@ -63,8 +68,11 @@
     const struct store *store, const struct intent *in);
 
 /**
- * Removes the intent of a call that certainly did not run. A later request
- * with the same key may run.
+ * Withdraws the intent of a call that certainly did not run. A later request
+ * with the same key may run; a begin of this attempt that the store performs
+ * late has no effect.
+ * @return kStoreOk, kStoreConflict (the row is another attempt's or is
+ * withdrawn already), or an error after which it has to be repeated
  */
 enum store_result intent_withdraw(
     const struct store *store, const struct intent *in);
--- a/src/store/commit.c
+++ b/src/store/commit.c
@@ -39,8 +39,7 @@
 		store_change_add(&change, res);
 	}
 	/* Checked even if no answer was lost: an earlier call may have sent a
-	 * copy that took effect. A condition that failed fails for all copies,
-	 * also later. */
+	 * copy that took effect. */
 	if (res == kStoreConflict)
 		return resolve_conflict(store, find_owner, ctx);
 	return store_change_result(&change, res);
--- a/src/store/commit.h
+++ b/src/store/commit.h
@@ -30,7 +30,9 @@
  * a conflict, find_owner reads the store to determine whose commit was
  * applied.
  *
- * The transaction must invalidate its own conditions.
+ * The transaction must invalidate its own conditions, and a condition that
+ * failed once must not hold again, or a late copy takes effect after a
+ * conflict: rows that are to be absent are not removed.
  * @return kStoreOk, kStoreConflict, kStoreUnavailable (certainly not applied)
  * or kStoreAmbiguous (outcome still unknown)
  */
