A key is not begun for a service that the configuration lacks

What callers would see: a call with a key whose service left the configuration between its check and its begin was answered 503 store_unavailable, and its key stayed in progress: the intent was stored, and nothing withdrew it.

Cause: begin_keyed() looked up the service only after the intent.

Change: it is looked up first, and answered as 404. Found by reading; no run shows it, as the two look-ups lie microseconds apart.

--- a/src/api/api_call.c
+++ b/src/api/api_call.c
@@ -465,8 +465,12 @@
 	struct call *call;
 	char *path;
 
-	intents_begin(req->d->intents, &req->intent);
-	if (req->intent.state != kIntentAcquired || svc == NULL) {
+	if (svc != NULL)
+		intents_begin(req->d->intents, &req->intent);
+	if (svc == NULL) {
+		request_reply_error(
+		    req, kErrUnknownService, "no such plain service", 0);
+	} else if (req->intent.state != kIntentAcquired) {
 		reply_intent_state(req);
 		/* A write that got no response may still take effect. */
 		if (req->intent.state == kIntentStoreDown)
