Withdrawals of keys are the last to be dropped

A full queue of answers for the store dropped its oldest entry, withdrawals included. A dropped answer is told as "outcome unknown", which is true; a dropped withdrawal keeps a key in progress whose caller was told that it did not run.

--- a/src/serve/intents.c
+++ b/src/serve/intents.c
@@ -13,9 +13,9 @@
 enum {
 	/* Intents per transaction. */
 	kGroupMax = 50,
-	/* Answers queued for the store. Beyond this the oldest is dropped, and
-	 * a repeated request with its key gets the answer that the outcome is
-	 * unknown. */
+	/* Answers queued for the store. Beyond this the oldest is dropped,
+	 * withdrawals last, and a repeated request with its key gets the answer
+	 * that the outcome is unknown. */
 	kAnswerQueueMax = 1000,
 	kRetryWaitMs = 500,
 };
@@ -233,6 +233,21 @@
 		check_holder(ins, in);
 }
 
+/* A key whose withdrawal is dropped stays in progress, though its caller was
+ * told that the call did not run. */
+static void
+drop_oldest_answer(struct intents *ins)
+{
+	GList *link = ins->answers.head;
+
+	while (link != NULL && ((struct answer *)link->data)->is_withdrawal)
+		link = link->next;
+	if (link == NULL)
+		link = ins->answers.head;
+	answer_free(link->data);
+	g_queue_delete_link(&ins->answers, link);
+}
+
 static void
 queue_answer(struct intents *ins, struct intent *in, bool is_withdrawal)
 {
@@ -243,7 +258,7 @@
 	memset(in, 0, sizeof(*in));
 	pthread_mutex_lock(&ins->lock);
 	if (g_queue_get_length(&ins->answers) >= kAnswerQueueMax)
-		answer_free(g_queue_pop_head(&ins->answers));
+		drop_oldest_answer(ins);
 	g_queue_push_tail(&ins->answers, ans);
 	pthread_cond_broadcast(&ins->work);
 	pthread_mutex_unlock(&ins->lock);
