The refusal of a call's second copy does not say that it did not run

What callers saw: a call that may be repeated was answered 503 no_target, "Savoryflow-Ran: no", and its target had run it.

Cause: libcurl sends a request again when a kept connection ends without a byte of the answer. target.c counted the sendings (send_guard), but never asked whether the answer was that to a second copy.

Change: transfer_result.is_resent. Such a call may have run whatever the answer to its second copy is; how the target's answer is classified does not change.

--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -229,7 +229,8 @@
 	withdrawn = call_takeover_withdraw(c);
 	outcome = classify_transfer(c, res);
 	c->attempt_status = res->status;
-	if (outcome != kAttemptNotSent && outcome != kAttemptNotExecuted)
+	if (res->is_resent ||
+	    (outcome != kAttemptNotSent && outcome != kAttemptNotExecuted))
 		c->retry.may_have_run = true;
 	if (outcome == kAttemptComplete) {
 		c->status = res->status;
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -311,6 +311,7 @@
     struct target_client *tc, struct transfer *tr, enum transfer_end end)
 {
 	tr->result.end = end;
+	tr->result.is_resent = send_guard_is_resent(&tr->guard);
 	intake_log(&tr->intake, tr->url);
 	curl_easy_getinfo(tr->easy, CURLINFO_RESPONSE_CODE, &tr->result.status);
 	if ((tr->result.status != kHttpUnavailable &&
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -30,6 +30,9 @@
 	char content_type[64];
 	/** The target reports that it did not execute the request. */
 	bool is_not_executed;
+	/** The answer is that to a second copy: the first one may have been
+	 * executed. */
+	bool is_resent;
 	/** What the answer says of the target's rate. */
 	struct stated_rate rate;
 	/** The target refuses and asks for no requests for so long; 0: it does
--- a/test/functional/test_api_ran.cc
+++ b/test/functional/test_api_ran.cc
@@ -1,5 +1,6 @@
 /* Own API: what "Savoryflow-Ran: no" promises. */
 #include "functional/connection.h"
+#include "platform/late_copies.h"
 
 namespace
 {
@@ -128,4 +129,44 @@
 	}
 }
 
+/* libcurl repeats a request whose kept connection ends without an answer. */
+TEST(ApiRan, ACallWhoseSecondCopyIsRefusedIsNotToldAsNotRun)
+{
+	FleetOptions o;
+
+	o.daemons = 1;
+	Fleet f(o);
+	std::string url = f.PlainServiceUrl();
+	std::atomic<int> runs{0};
+
+	ASSERT_EQ(200, f.CallBooking(0, "before").status);
+	f.plain->Signal(SIGKILL);
+	f.plain->Wait();
+	CopyingServer server(
+	    [&](const std::string &r) -> std::string {
+		    size_t at = r.find("Savoryflow-Attempt: ");
+		    std::string id = at != std::string::npos
+			? r.substr(at, r.find("\r\n", at) + 2 - at)
+			: "";
+
+		    if (r.find("/again") == std::string::npos)
+			    return "HTTP/1.1 200 OK\r\n" + id +
+				"Content-Length: 2\r\n\r\n{}";
+		    if (runs++ == 0)
+			    return "";
+		    return "HTTP/1.1 503 No\r\n" + id +
+			"Savoryflow-Ran: no\r\nContent-Length: 0\r\n\r\n";
+	    },
+	    atoi(url.c_str() + url.rfind(':') + 1));
+	auto get = [&](const char *path) {
+		return Http("GET", f.DaemonUrl(0) + "/v1/call/booking/" + path,
+		    "", {"Authorization: Bearer students-key"});
+	};
+	ASSERT_TRUE(Eventually([&] { return get("warm").status == 200; }));
+	Reply r = get("again");
+	EXPECT_LE(2, runs);
+	EXPECT_EQ("unknown", r.headers["savoryflow-ran"])
+	    << r.status << " " << r.body;
+}
+
 } // namespace
--- a/test/platform/late_copies.h
+++ b/test/platform/late_copies.h
@@ -32,14 +32,18 @@
       public:
 	using Answer = std::function<std::string(const std::string &request)>;
 
-	explicit CopyingServer(Answer answer) : answer_(answer)
+	/* @param port 0: any */
+	explicit CopyingServer(Answer answer, int port = 0) : answer_(answer)
 	{
 		struct sockaddr_in a = {};
 		socklen_t len = sizeof(a);
+		int on = 1;
 
 		a.sin_family = AF_INET;
 		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		fd_ = socket(AF_INET, SOCK_STREAM, 0);
+		a.sin_port = htons((uint16_t)port);
+		fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
 		EXPECT_EQ(0, bind(fd_, (struct sockaddr *)&a, sizeof(a)));
 		EXPECT_EQ(0, listen(fd_, 16));
 		getsockname(fd_, (struct sockaddr *)&a, &len);
