Front: the refusal of a second copy does not say that a request did not run

What callers would see: a repeatable request whose first sending was run, and whose second one, by libcurl, was refused, is answered 503 "did not run".

The relay took the attempt back that the target had refused, though an earlier copy of it had been sent.

Change: outbound_is_resent(); the refusal of such an answer counts as unproven, as that of an answer without an id does already: other targets are tried, and the request ends as one that may have run if none serves it.

Before: Relay.ARequestWhoseSecondCopyIsRefusedIsNotToldAsNotRun, case "sent twice", ended "refused". After: relay_tests pass. Not shown with processes.

--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -499,6 +499,12 @@
 	return req->is_first_on_connection;
 }
 
+bool
+outbound_is_resent(const struct outbound_request *req)
+{
+	return send_guard_is_resent(&req->guard);
+}
+
 void
 outbound_cancel(struct outbound_request *req)
 {
--- a/src/gateway/outbound.h
+++ b/src/gateway/outbound.h
@@ -63,6 +63,10 @@
 
 /** @return no other response came on the request's connection before */
 bool outbound_is_first_answer(const struct outbound_request *req);
+
+/** @return true if the answer is that to a second copy of the request: the
+ * first one may have been executed */
+bool outbound_is_resent(const struct outbound_request *req);
 /**
  * Allows so many further bytes of the response's body. Without it, the whole
  * body may have kIntakeBodyBytesMax.
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -38,6 +38,8 @@
 		    rl->deps.ctx, rl->target, rl->target_started_ms);
 	if (!is_own_answer(rl, status))
 		return false;
+	if (rl->response.was_not_executed && outbound_is_resent(rl->request))
+		rl->has_unproven_refusal = true;
 	slots_record_rate(rl->deps.slots, rl->slot, rl->target_started_ms,
 	    &rl->response.rate, rl->attempt_id);
 	/* The head of a stream is passed on before its end. */
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -35,6 +35,8 @@
 	int64_t resume_after = -1;
 	int next_event = 1;
 	int head_status = 0;
+	/* The transfer's answer is that to a second copy. */
+	bool is_resent = false;
 	bool is_ended = false;
 
 	void
@@ -125,6 +127,12 @@
 	return true;
 }
 
+bool
+outbound_is_resent(const struct outbound_request *)
+{
+	return play->is_resent;
+}
+
 void
 outbound_allow_body(struct outbound_request *, int64_t)
 {
@@ -184,8 +192,8 @@
 
 struct Step {
 	int at_ms;
-	/* "grant TARGET", "refuse", "revoke", "event", "cut", "unsent" or
-	 * "answer STATUS". */
+	/* "grant TARGET", "refuse", "revoke", "event", "cut", "unsent",
+	 * "resend" or "answer STATUS". */
 	const char *what;
 };
 
@@ -329,6 +337,10 @@
 		std::string event =
 		    "id: " + std::to_string(state.next_event) + "\ndata: x\n\n";
 
+		if (verb == "resend") {
+			state.is_resent = true;
+			return;
+		}
 		if (verb == "unsent" || verb == "cut") {
 			state.sent_to = "";
 			state.transfer_ops->on_done(ctx,
@@ -453,6 +465,24 @@
 	    << "the caller leaves at 3000";
 }
 
+TEST_F(Relay, ARequestWhoseSecondCopyIsRefusedIsNotToldAsNotRun)
+{
+	const Case cases[] = {
+	    {"sent once",
+		{{10, "grant a"}, {100, "answer 503"}, {150, "refuse"}},
+		"0 ask, 10 send a after -1, 100 free a full, "
+		"100 ask but a, 150 end refused"},
+	    {"sent twice",
+		{{10, "grant a"}, {50, "resend"}, {100, "answer 503"},
+		    {150, "refuse"}},
+		"0 ask, 10 send a after -1, 100 free a full, "
+		"100 ask but a, 150 end failed"},
+	};
+
+	for (const Case &c : cases)
+		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
+}
+
 TEST_F(Relay, AnItemMovesFromASilentTargetAndItsFailuresStillCount)
 {
 	relay_options opt = Options();
