A request whose slot is revoked while it runs is not told as not run

Only slots of batch are revoked today. A revoked online request would have been answered 503 "did not run" by the front, though a revocation reaches only a relay that runs. The relay now ends it as failed, or as broken within its answer, and the front answers a revoked one as one that may have run.

Before: Relay.ARequestWhoseSlotIsRevokedIsNotToldAsNotRun ended "revoked" in both cases. After: relay_tests pass.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -158,7 +158,6 @@
 		front_stream_end(oc->req, false);
 		break;
 	case kRelayRefused:
-	case kRelayRevoked:
 		reply_error(oc->req, kErrOverloaded,
 		    "no target slot became free in time; the request did "
 		    "not run",
@@ -168,6 +167,7 @@
 		reply_blocked(oc->req);
 		break;
 	case kRelayFailed:
+	case kRelayRevoked:
 		reply_error(oc->req, kErrTargetFailed,
 		    "the target failed; the request may have run", 0);
 		break;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -291,8 +291,12 @@
 {
 	struct relay *rl = ctx;
 
-	if (rl->phase == kPhaseRunning && id == rl->slot)
+	if (rl->phase != kPhaseRunning || id != rl->slot)
+		return;
+	if (rl->opt.is_batch)
 		relay_finish(rl, kRelayRevoked, 0);
+	else
+		fail_request(rl, 0);
 }
 
 static const struct slots_ops slot_ops = {on_granted, on_refused, on_revoked};
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -20,7 +20,7 @@
 	kRelayInterrupted,
 	/** The deadline passed before any part of an answer was passed on. */
 	kRelayTimeout,
-	/** Batch: the slot was revoked. */
+	/** Batch: the slot was revoked; the item may have been executed. */
 	kRelayRevoked,
 	/** The owner did not allow a run; no part of an answer was passed on.
 	 */
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -465,6 +465,22 @@
 	    << "the caller leaves at 3000";
 }
 
+TEST_F(Relay, ARequestWhoseSlotIsRevokedIsNotToldAsNotRun)
+{
+	const Case cases[] = {
+	    {"before its answer", {{10, "grant a"}, {100, "revoke"}},
+		"0 ask, 10 send a after -1, 100 cancel a, "
+		"100 free a neutral, 100 end failed"},
+	    {"within its answer",
+		{{10, "grant a"}, {50, "event"}, {100, "revoke"}},
+		"0 ask, 10 send a after -1, 50 head 200, 100 cancel a, "
+		"100 free a neutral, 100 end broken"},
+	};
+
+	for (const Case &c : cases)
+		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
+}
+
 TEST_F(Relay, ARequestWhoseSecondCopyIsRefusedIsNotToldAsNotRun)
 {
 	const Case cases[] = {
