A 404 to a transaction is not the store's refusal

store_commit() passed "not found" on as the outcome of a change, also after a copy whose answer was lost; the own API then answers "the job cannot be stored; it was not accepted", "Savoryflow-Ran: no". A transaction finds its rows by conditions, so that such an answer is not the store's, as any other unexpected status is not, which counts as unknown. It now counts as unknown, and the transaction is repeated.

StoreChange's case "unknown, then not found" stays as it is: the tasks of the gateway's jobs use it for a read that finds no job after a peer was asked too.

Before: Commit.AnAnswerThatIsNotTheStoresIsNoRefusal failed in four of five cases. After: passes.

--- a/src/store/commit.c
+++ b/src/store/commit.c
@@ -36,6 +36,9 @@
 
 	for (int i = 0; i < kCommitAttemptsMax && res == kStoreAmbiguous; i++) {
 		res = store->ops->txn(store->ctx, cause, txn);
+		/* No answer to a transaction: something else sent it. */
+		if (res == kStoreNotFound)
+			res = kStoreAmbiguous;
 		store_change_add(&change, res);
 	}
 	/* Checked even if no answer was lost: an earlier call may have sent a
