--- a/src/target/target.c
+++ b/src/target/target.c
@@ -328,6 +328,7 @@
 	tr->result.end = end;
 	tr->result.status = tr->intake.status;
 	tr->result.has_answered = tr->intake.head_bytes > 0;
+	tr->result.is_resent = send_guard_is_resent(&tr->guard);
 	if ((tr->result.status != kHttpUnavailable &&
 		tr->result.status != kHttpTooMany) ||
 	    tr->result.is_foreign)
