Gateway: a stop takes only what can end within its grace

Callers saw: in a planned stop, requests that came after SIGTERM were passed on to a target and cut, or given up with "may have run", when the grace ended, among them requests that may not be repeated.

Cause: the time in which new requests are taken (2.5 s) and the reserve for answers (1.2 s) were constants, the grace is a setting, and neither was compared with the time that a request may need. With a grace of 3 s requests were given up at 1.8 s and taken until 2.5 s; below 1.2 s the reserve was larger than the grace, and the daemon was killed with its requests open. With a grace of 6 s the reserve began before the last sixth. A request that waited for a slot at the end was answered as if it had run, and threads in a long poll of the store (1.5 s) held the exit up beyond the grace.

drain_plan decides from the grace, the balancer's time and the request: until when requests are taken, the latest start of each (work that may not be repeated has to end in any case, other work if it takes twice its objective), when running requests are given up (15% before the end, 1.2 s at most) and when the process exits. Requests that wait for a slot, are held, or are to be retried past their latest start are refused or ended then; what never reached a target is told that it did not run. Refusals and ends name the time that is left.

GatewayStop.ARequestThatOutlastsTheDrain* now waits until its request was read before it sends SIGTERM: one that arrives after it is refused.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -28,6 +28,10 @@
 struct calls {
 	struct calls_options opt;
 	GRand *rand;
+	/** Set of struct online_call. */
+	GHashTable *open;
+	bool is_draining;
+	struct drain_plan drain;
 };
 
 struct online_call {
@@ -62,6 +66,7 @@
 
 	cs->opt = *opt;
 	cs->rand = g_rand_new();
+	cs->open = g_hash_table_new(NULL, NULL);
 	return cs;
 }
 
@@ -69,12 +74,14 @@
 calls_free(struct calls *cs)
 {
 	g_rand_free(cs->rand);
+	g_hash_table_unref(cs->open);
 	g_free(cs);
 }
 
 static void
 call_free(struct online_call *oc)
 {
+	g_hash_table_remove(oc->cs->open, oc);
 	header_list_free(oc->headers);
 	g_string_free(oc->answer_body, TRUE);
 	g_free(oc);
@@ -131,7 +138,20 @@
 	    result->target, "attempts", log_number(result->attempts), "age_us",
 	    log_number(age_us(oc)), "first_us", log_number(oc->first_us),
 	    "slot_wait_us", log_number(result->slot_wait_us), "retry_after_us",
-	    log_number(result->retry_after_us), NULL);
+	    log_number(result->retry_after_us), "left_us",
+	    log_number(oc->cs->is_draining
+		    ? drain_plan_left_us(&oc->cs->drain, loop_now_us(oc->lp))
+		    : -1),
+	    NULL);
+}
+
+static void
+reply_draining(struct front_request *req)
+{
+	reply_error(req, kErrDraining,
+	    "this daemon is draining; the request did not run; retry with "
+	    "another one",
+	    kDrainRetryUs);
 }
 
 static void
@@ -159,6 +179,10 @@
 		break;
 	case kRelayRefused:
 	case kRelayRevoked:
+		if (result->is_draining) {
+			reply_draining(oc->req);
+			break;
+		}
 		reply_error(oc->req, kErrOverloaded,
 		    "no target slot became free in time; the request did "
 		    "not run",
@@ -169,7 +193,11 @@
 		break;
 	case kRelayFailed:
 		reply_error(oc->req, kErrTargetFailed,
-		    "the target failed; the request may have run", 0);
+		    result->is_draining
+			? "this daemon stops before there is an answer; the "
+			  "request may have run"
+			: "the target failed; the request may have run",
+		    0);
 		break;
 	case kRelayTimeout:
 		reply_error(oc->req, kErrDeadline,
@@ -227,8 +255,8 @@
 static const struct relay_ops relay_ops = {
     on_head, on_data, may_run, on_begun, on_lost_run, on_end};
 
-static int64_t
-answer_deadline(const struct front_request *req,
+int64_t
+calls_answer_deadline_us(const struct front_request *req,
     const struct dialect_call *call, const struct routebook_route *route)
 {
 	int64_t wait_us = route->timeout_us;
@@ -266,6 +294,34 @@
 	call_free(oc);
 }
 
+static int64_t
+latest_start_us(const struct online_call *oc)
+{
+	struct drain_work work = {
+	    .deadline_us = oc->opt.answer_deadline_us,
+	    .expected_us = oc->objective_us,
+	    .may_repeat = oc->opt.may_repeat,
+	};
+
+	return oc->cs->is_draining
+	    ? drain_plan_latest_start_us(&oc->cs->drain, &work)
+	    : INT64_MAX;
+}
+
+/* Refuses a request that was held. */
+static void
+refuse_held(struct online_call *oc)
+{
+	log_event(kEvtCallRefused, "request", oc->attempt_id, "why", "draining",
+	    "left_us",
+	    log_number(drain_plan_left_us(&oc->cs->drain, loop_now_us(oc->lp))),
+	    NULL);
+	loop_timer_cancel(oc->lp, oc->hold_timer);
+	front_on_disconnect(oc->req, NULL, NULL);
+	reply_draining(oc->req);
+	call_free(oc);
+}
+
 /* Starts the request, unless it is to wait or must not run. */
 static void
 admit(void *ctx)
@@ -281,6 +337,10 @@
 		refuse_blocked(oc, key);
 		return;
 	}
+	if (now_us > latest_start_us(oc)) {
+		refuse_held(oc);
+		return;
+	}
 	if (verdict == kBlameHeld && now_us < oc->hold_until_us) {
 		oc->was_held = true;
 		oc->hold_timer =
@@ -292,6 +352,40 @@
 		oc->opt.deadline_us =
 		    MAX(oc->opt.deadline_us, now_us + kHeldStartUs);
 	oc->relay = relay_start(&oc->cs->opt.deps, &oc->opt);
+	relay_limit_start(oc->relay, latest_start_us(oc));
+}
+
+void
+calls_begin_drain(struct calls *cs, const struct drain_plan *plan)
+{
+	GHashTableIter it;
+	void *key;
+
+	cs->is_draining = true;
+	cs->drain = *plan;
+	g_hash_table_iter_init(&it, cs->open);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct online_call *oc = key;
+
+		if (oc->relay != NULL)
+			relay_limit_start(oc->relay, latest_start_us(oc));
+	}
+}
+
+void
+calls_give_up(struct calls *cs)
+{
+	GList *all = g_hash_table_get_keys(cs->open);
+
+	for (GList *it = all; it != NULL; it = it->next) {
+		struct online_call *oc = it->data;
+
+		if (oc->relay != NULL)
+			relay_give_up(oc->relay);
+		else
+			refuse_held(oc);
+	}
+	g_list_free(all);
 }
 
 static struct online_call *
@@ -334,7 +428,7 @@
 	    .service = oc->service,
 	    .deadline_us = received_us +
 		MAX(route->objective_us - kFirstEventUs, kFirstEventUs),
-	    .answer_deadline_us = answer_deadline(req, call, route),
+	    .answer_deadline_us = calls_answer_deadline_us(req, call, route),
 	    .caller_deadline_us =
 		call->wait_us > 0 ? received_us + call->wait_us : 0,
 	    .attempts_max = route->attempts_max,
@@ -348,6 +442,7 @@
 	    .ops = &relay_ops,
 	    .ctx = oc,
 	};
+	g_hash_table_add(cs->open, oc);
 	front_on_disconnect(req, on_disconnect, oc);
 	admit(oc);
 }
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -4,6 +4,7 @@
 #include "gateway/crash_guard.h"
 #include "gateway/front.h"
 #include "gateway/relay.h"
+#include "savoryflow/drain/drain_plan.h"
 
 /** Online requests of callers, from the route to the answer. Loop only. */
 struct calls;
@@ -22,4 +23,17 @@
 void calls_serve(struct calls *cs, struct front_request *req,
     const struct dialect_call *call, const struct routebook_route *route);
 
+/** When a request of a route has an answer at the latest. */
+int64_t calls_answer_deadline_us(const struct front_request *req,
+    const struct dialect_call *call, const struct routebook_route *route);
+
+/**
+ * The daemon stops: requests that are not at a target, and cannot end in time
+ * if they begin later, are refused when that is certain.
+ */
+void calls_begin_drain(struct calls *cs, const struct drain_plan *plan);
+
+/** Ends all requests: what did not reach a target is refused. */
+void calls_give_up(struct calls *cs);
+
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -43,9 +43,6 @@
 	kHousekeepingUs = 100 * kUsPerMs,
 	/* More daemons that join at once are logged as a number. */
 	kMembersLoggedMax = 8,
-	/* Requests still running this long before the drain timeout are
-	 * aborted. */
-	kStopReserveUs = 1200 * kUsPerMs,
 };
 
 static const struct routebook *
@@ -126,38 +123,49 @@
 	members_leave(gw->members);
 }
 
+static void
+on_drain_timeout(void *ctx)
+{
+	struct gateway *gw = ctx;
+
+	leave_roster(gw);
+	loop_stop(gw->lp);
+}
+
 static void
 begin_drain(struct gateway *gw)
 {
+	int64_t now_us = loop_now_us(gw->lp);
+
 	if (gw->is_draining)
 		return;
 	gw->is_draining = true;
-	gw->drain_started_us = loop_now_us(gw->lp);
+	gw->drain = drain_plan_make(now_us,
+	    gw->set->drain_timeout_ms * kUsPerMs, kGatewayBalancerDetectUs);
+	gw->drain_timer =
+	    loop_timer(gw->lp, gw->drain.give_up_us, on_drain_timeout, gw);
 	log_event(kEvtDrainStarted, "active",
 	    log_number(front_active(gw->front)), "items",
-	    log_number(jobs_active_items(gw->jobs)), NULL);
+	    log_number(jobs_active_items(gw->jobs)), "left_us",
+	    log_number(drain_plan_left_us(&gw->drain, now_us)), NULL);
 	front_set_closing(gw->front);
+	calls_begin_drain(gw->calls, &gw->drain);
 	jobs_hand_over(gw->jobs);
 	gateway_notify_draining(gw);
 	roster_leave(gw->roster);
 	slots_reassign_arbiters(gw->slots);
 }
 
-/* Stops the loop when nothing is left to do or the drain timeout expires. */
+/* Stops the loop when nothing is left to do. */
 static void
 continue_drain(struct gateway *gw)
 {
-	int64_t since_us = loop_now_us(gw->lp) - gw->drain_started_us;
-	int64_t timeout_us =
-	    gw->set->drain_timeout_ms * kUsPerMs - kStopReserveUs;
-
-	if (jobs_active_items(gw->jobs) == 0 || since_us > timeout_us)
+	if (jobs_active_items(gw->jobs) == 0)
 		leave_roster(gw);
-	if (since_us < kGatewayBalancerDetectUs)
+	if (loop_now_us(gw->lp) < gw->drain.accept_until_us)
 		return;
-	if (since_us > timeout_us ||
-	    (front_active(gw->front) == 0 && gw->has_left_roster &&
-		front_close_if_quiet(gw->front)))
+	if (front_active(gw->front) == 0 && gw->has_left_roster &&
+	    front_close_if_quiet(gw->front))
 		loop_stop(gw->lp);
 }
 
@@ -361,13 +369,50 @@
 	    gw->set->data_center, NULL);
 }
 
+static void
+log_stopped(const struct front_counts *n)
+{
+	log_event(kEvtStopped, "open", log_number(n->open), "idle",
+	    log_number(n->idle), "recent", log_number(n->recent), "unfinished",
+	    log_number(n->unfinished), "unread", log_number(n->unread),
+	    "not_accepted", log_number(n->not_accepted), "cut",
+	    log_number(n->cut), NULL);
+}
+
+/* Threads that wait for the store may take longer than the grace. */
+static void *
+exit_in_time(void *ctx)
+{
+	struct gateway *gw = ctx;
+	int64_t left_us = gw->drain.exit_us - clock_mono_us(gw->clk);
+
+	g_usleep((gulong)MAX(left_us, 0));
+	if (!g_atomic_int_get(&gw->is_stopped)) {
+		log_stopped(&gw->front_counts);
+		_exit(kExitOk);
+	}
+	return NULL;
+}
+
+static void
+start_exit_guard(struct gateway *gw)
+{
+	pthread_t thread;
+
+	if (pthread_create(&thread, NULL, exit_in_time, gw) == 0)
+		pthread_detach(thread);
+}
+
 static void
 stop(struct gateway *gw)
 {
 	gw->is_stopping = true;
 	/* First, so that no caller waits for an answer that cannot come. */
+	calls_give_up(gw->calls);
 	if (gw->front != NULL)
 		front_free(gw->front, &gw->front_counts);
+	if (gw->is_draining)
+		start_exit_guard(gw);
 	if (gw->watch != NULL)
 		gw->adapter->watch_free(gw->watch);
 	if (gw->peer != NULL)
@@ -400,16 +445,6 @@
 	close(gw->signal_fd);
 }
 
-static void
-log_stopped(const struct front_counts *n)
-{
-	log_event(kEvtStopped, "open", log_number(n->open), "idle",
-	    log_number(n->idle), "recent", log_number(n->recent), "unfinished",
-	    log_number(n->unfinished), "unread", log_number(n->unread),
-	    "not_accepted", log_number(n->not_accepted), "cut",
-	    log_number(n->cut), NULL);
-}
-
 int
 gateway_run(struct settings *set, const struct adapter_ops *adapter)
 {
@@ -434,6 +469,7 @@
 		code = kExitFailed;
 	}
 	stop(&gw);
+	g_atomic_int_set(&gw.is_stopped, 1);
 	log_stopped(&gw.front_counts);
 	log_close();
 	curl_global_cleanup();
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -9,14 +9,14 @@
 #include "gateway/quota.h"
 #include "gateway/view.h"
 #include "peer/peer.h"
+#include "savoryflow/drain/drain_plan.h"
 
 /* Shared by gateway*.c. All other modules know only what their options give
  * them. */
 
 enum {
 	/* The load balancer needs two health checks, one a second, to detect a
-	 * draining daemon. After that, new requests are rejected so that the
-	 * accepted ones can finish. */
+	 * draining daemon. */
 	kGatewayBalancerDetectUs = 2500 * kUsPerMs,
 };
 
@@ -66,7 +66,11 @@
 	bool is_draining;
 	/** Nothing can be forwarded any more. */
 	bool is_stopping;
-	int64_t drain_started_us;
+	/** Atomic flag: all is freed. */
+	gint is_stopped;
+	/** While is_draining is set. */
+	struct drain_plan drain;
+	uint64_t drain_timer;
 	bool has_left_roster;
 };
 
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -8,10 +8,43 @@
 
 enum {
 	kNoRoutesRetryUs = 500 * kUsPerMs,
-	/* Any other daemon can serve the request at once. */
-	kDrainingRetryUs = 10 * kUsPerMs,
+	/* Usual time of a request about a job. */
+	kJobCallUs = 250 * kUsPerMs,
 };
 
+static void
+refuse_draining(struct gateway *gw, struct front_request *req,
+    const struct dialect_call *call)
+{
+	log_event(kEvtCallRefused, "request", call->attempt_id, "why",
+	    "draining", "left_us",
+	    log_number(drain_plan_left_us(&gw->drain, loop_now_us(gw->lp))),
+	    NULL);
+	reply_error(req, kErrDraining,
+	    "this daemon is draining; retry with another one", kDrainRetryUs);
+}
+
+/* @param route NULL for requests about a job */
+static bool
+is_accepted(struct gateway *gw, struct front_request *req,
+    const struct dialect_call *call, const struct routebook_route *route)
+{
+	struct drain_work work = {
+	    .expected_us = kJobCallUs,
+	    .may_repeat = true,
+	};
+
+	if (!gw->is_draining)
+		return true;
+	if (route != NULL) {
+		work.deadline_us = calls_answer_deadline_us(req, call, route);
+		work.expected_us = route->objective_us;
+		work.may_repeat = route->kind == kRoutebookBatch ||
+		    routebook_is_repeatable(route);
+	}
+	return drain_plan_accepts(&gw->drain, &work, loop_now_us(gw->lp));
+}
+
 static void
 serve_route(struct gateway *gw, struct front_request *req,
     const struct dialect_call *call)
@@ -33,6 +66,8 @@
 	} else if (call->attempt_id[0] == '\0') {
 		reply_error(
 		    req, kErrBadRequest, "the attempt id is missing", 0);
+	} else if (!is_accepted(gw, req, call, route)) {
+		refuse_draining(gw, req, call);
 	} else if (route->kind == kRoutebookBatch) {
 		jobs_submit(gw->jobs, req, call, route);
 	} else {
@@ -45,8 +80,7 @@
 {
 	return gw->is_stopping ||
 	    (gw->is_draining &&
-		loop_now_us(gw->lp) - gw->drain_started_us >
-		    kGatewayBalancerDetectUs);
+		loop_now_us(gw->lp) > gw->drain.accept_until_us);
 }
 
 static void
@@ -59,11 +93,7 @@
 	gw->adapter->dialect->decode_call(
 	    front_method(req), front_uri(req), front_headers(req), &call);
 	if (is_rejecting_requests(gw)) {
-		log_event(kEvtCallRefused, "request", call.attempt_id, "why",
-		    "draining", NULL);
-		reply_error(req, kErrDraining,
-		    "this daemon is draining; retry with another one",
-		    kDrainingRetryUs);
+		refuse_draining(gw, req, &call);
 		return;
 	}
 	if (gw->routes == NULL) {
@@ -73,6 +103,11 @@
 		    "no configuration has been loaded yet", kNoRoutesRetryUs);
 		return;
 	}
+	if (call.endpoint != kEndpointRoute &&
+	    !is_accepted(gw, req, &call, NULL)) {
+		refuse_draining(gw, req, &call);
+		return;
+	}
 	switch (call.endpoint) {
 	case kEndpointRoute:
 		serve_route(gw, req, &call);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -11,6 +11,7 @@
 #include "gateway/relay_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "savoryflow/drain/drain_plan.h"
 
 enum {
 	/* Covers connections within a region and to another one. */
@@ -71,6 +72,8 @@
 	rl->phase = kPhaseDone;
 	loop_timer_cancel(rl->deps.lp, rl->deadline_timer);
 	rl->deadline_timer = 0;
+	loop_timer_cancel(rl->deps.lp, rl->start_timer);
+	rl->start_timer = 0;
 	relay_withdraw_takeover(rl);
 	relay_release_target(rl, is_silent ? kSlotUnresponsive : kSlotNeutral);
 }
@@ -85,6 +88,7 @@
 	    .attempts = rl->attempts,
 	    .slot_wait_us = rl->slot_wait_us,
 	    .cause = rl->cause,
+	    .is_draining = rl->is_draining,
 	};
 
 	g_strlcpy(result.target, rl->target, sizeof(result.target));
@@ -129,7 +133,8 @@
 	if (rl->is_answering &&
 	    !(rl->is_stream && rl->opt.is_resumable && rl->events.last_id >= 0))
 		return false;
-	return repeats && rl->attempts < rl->opt.attempts_max &&
+	return repeats && !rl->is_start_over &&
+	    rl->attempts < rl->opt.attempts_max &&
 	    rl->not_executed_count <= kNotExecutedMax &&
 	    rl->unreachable_count <= kUnreachableMax;
 }
@@ -376,6 +381,45 @@
 		    on_refusal_due, rl);
 }
 
+static void
+stop_for_drain(struct relay *rl, const char *cause)
+{
+	rl->is_draining = true;
+	rl->cause = cause;
+	fail_request(rl, kDrainRetryUs);
+}
+
+static void
+on_start_over(void *ctx)
+{
+	struct relay *rl = ctx;
+
+	rl->start_timer = 0;
+	rl->is_start_over = true;
+	if (rl->phase == kPhaseAcquiring)
+		stop_for_drain(rl, "draining");
+	else
+		relay_withdraw_takeover(rl);
+}
+
+void
+relay_limit_start(struct relay *rl, int64_t until_us)
+{
+	int64_t now_us = loop_now_us(rl->deps.lp);
+
+	if (until_us == INT64_MAX)
+		return;
+	loop_timer_cancel(rl->deps.lp, rl->start_timer);
+	rl->start_timer =
+	    loop_timer(rl->deps.lp, MAX(until_us, now_us), on_start_over, rl);
+}
+
+void
+relay_give_up(struct relay *rl)
+{
+	stop_for_drain(rl, "drain_timeout");
+}
+
 bool
 relay_waits_for_slot(const struct relay *rl)
 {
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -38,6 +38,8 @@
 	/** How the last attempt ended, for the log. */
 	const char *cause;
 	char target[kFleetNameMax];
+	/** It was ended because the daemon stops. */
+	bool is_draining;
 };
 
 /** A run at a target that was interrupted before its answer began. */
@@ -128,6 +130,16 @@
 /** True while no target runs the request and a slot is awaited. */
 bool relay_waits_for_slot(const struct relay *rl);
 
+/**
+ * The daemon stops: no attempt begins later than this; a request that waits for
+ * one then ends, and one that runs then keeps its target.
+ * @param until_us INT64_MAX: no limit
+ */
+void relay_limit_start(struct relay *rl, int64_t until_us);
+
+/** Ends the request because the daemon stops; on_end is called. */
+void relay_give_up(struct relay *rl);
+
 /** Cancels the request and its transfer at once; on_end is not called. */
 void relay_cancel(struct relay *rl);
 
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -32,6 +32,11 @@
 	int64_t target_started_ms;
 	struct outbound_request *request;
 	uint64_t deadline_timer;
+	/** Set while the daemon stops: until its end, attempts may begin. */
+	uint64_t start_timer;
+	bool is_start_over;
+	/** It ends because the daemon stops. */
+	bool is_draining;
 	uint64_t stall_timer;
 	/** When the stall timer is due. */
 	int64_t stall_due_us;
--- a/test/functional/test_gateway_stop.cc
+++ b/test/functional/test_gateway_stop.cc
@@ -168,6 +168,8 @@
 	/* Its system accepts the request; nobody reads it. */
 	workers[0]->Signal(SIGSTOP);
 	con.Send(Request("hang", "/f/hang"));
+	/* Answered after that one was read. */
+	EXPECT_EQ(404, Send(0, "GET", "/none", "", "probe").status);
 	daemons[0]->Signal(SIGTERM);
 	std::string answer = con.Read();
 	EXPECT_EQ(0u, answer.find("HTTP/1.1 502 ")) << answer;
