Own API: a stop takes only what can end within its grace

Callers saw: with a drain timeout below the drain notice (3 s by default), requests were taken during the whole notice and cut by the end of the grace, among them calls that may not be repeated.

Cause: the notice was slept through whatever the timeout was, and running requests were given up only when the timeout was over, so that no time was left for their answers. Components that wait for the store were stopped before the requests were aborted.

drain_plan now decides as in the gateway. The configuration states no usual time of a call: 5 s are assumed for those that may be repeated, the others have to end by their deadline. At the end a call is cancelled before its caller is told that it did not run; it could start in between. The guard of the process's end is a module of its own, used by both.

--- a/src/api/api.c
+++ b/src/api/api.c
@@ -30,6 +30,8 @@
 	kQuietPollUs = 1000,
 	/* Requests cut by one stop that are logged one by one. */
 	kCutsLoggedMax = 32,
+	/* Usual time of requests that need no target. */
+	kAnswerUs = 100 * kUsPerMs,
 };
 
 struct api_connection {
@@ -170,11 +172,17 @@
 	return false;
 }
 
-static void
-refuse_draining(struct request *req)
+/* Requests that need no target are answered within this time. */
+static bool
+is_accepted(struct api *api)
 {
-	request_reply_error(req, kErrDraining,
-	    "this daemon is draining; retry with another one", kUsPerS);
+	struct drain_work work = {
+	    .expected_us = kAnswerUs,
+	    .may_repeat = true,
+	};
+
+	return !g_atomic_int_get(&api->is_refusing_new) &&
+	    daemon_accepts(api->d, &work);
 }
 
 static void
@@ -194,15 +202,14 @@
 	req->subpath = req->url + strlen(req->ep->path);
 	if (!authorize(req) || !check_length(req))
 		return;
-	if (req->ep->access == kAccessAnyone ||
-	    !g_atomic_int_get(&api->is_refusing_new))
+	if (req->ep->access == kAccessAnyone || is_accepted(api))
 		return;
 	/* A connection that is closed with a part of the body unread is reset,
 	 * and the caller may lose the answer. */
 	if (request_header(req, "Expect") == NULL)
 		req->is_refused = true;
 	else
-		refuse_draining(req);
+		request_refuse_draining(req);
 }
 
 static enum MHD_Result
@@ -285,7 +292,7 @@
 	if (!req->is_started) {
 		req->is_started = true;
 		if (req->is_refused)
-			refuse_draining(req);
+			request_refuse_draining(req);
 		else if (req->is_body_too_large)
 			request_reply_error(req, kErrTooLarge,
 			    "the request body exceeds the limit", 0);
@@ -495,6 +502,15 @@
 	pthread_mutex_unlock(&api->lock);
 }
 
+void
+api_give_up(struct api *api)
+{
+	g_atomic_int_set(&api->is_stopping, 1);
+	abort_requests(api);
+	for (int i = 0; i < kMaxQuietPolls && !api_is_quiet(api); i++)
+		g_usleep(kQuietPollUs);
+}
+
 void
 api_free(struct api *api, struct api_counts *counts)
 {
--- a/src/api/api.h
+++ b/src/api/api.h
@@ -20,6 +20,10 @@
  */
 bool api_is_quiet(struct api *api);
 
+/** After api_refuse_new: aborts the requests that still run, and waits until
+ * their answers are sent, unless they wait for the store. */
+void api_give_up(struct api *api);
+
 /** Connections and requests when the server stopped. */
 struct api_counts {
 	int32_t open;
--- a/src/api/api_call.c
+++ b/src/api/api_call.c
@@ -16,6 +16,8 @@
 	kStreamBlockBytes = 16384,
 	/* Largest response stored for repeats of an idempotency key. */
 	kStoredAnswerMaxBytes = 65536,
+	/* Usual time of a call; the configuration has none. */
+	kUsualCallUs = 5 * kUsPerS,
 };
 
 static void
@@ -30,16 +32,38 @@
 	request_unref(ctx);
 }
 
+static int64_t
+call_deadline_us(struct request *req)
+{
+	const char *text = request_header(req, "Savoryflow-Timeout-Ms");
+	int64_t ms = text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
+
+	if (ms <= 0 || ms > req->d->set->online_deadline_ms)
+		ms = req->d->set->online_deadline_ms;
+	return req->received_us + ms * kUsPerMs;
+}
+
 /* @return false if the request was refused */
 static bool
-admit(struct request *req, const char *service)
+admit(struct request *req, const char *service, bool may_repeat)
 {
+	struct drain_work work = {
+	    .deadline_us = call_deadline_us(req),
+	    .expected_us = kUsualCallUs,
+	    .may_repeat = may_repeat,
+	};
 	struct config *cfg = config_holder_get(req->d->configs);
 	const struct config_team *team =
 	    cfg != NULL ? g_hash_table_lookup(cfg->teams, req->team) : NULL;
-	bool is_admitted = team == NULL || limiter_admit(req->d->limiter, team);
+	bool is_accepted = daemon_accepts(req->d, &work);
+	bool is_admitted = is_accepted &&
+	    (team == NULL || limiter_admit(req->d->limiter, team));
 
 	config_unref(cfg);
+	if (!is_accepted) {
+		request_refuse_draining(req);
+		return false;
+	}
 	if (!is_admitted) {
 		request_reply_error(req, kErrRateLimited,
 		    "the team's limit is reached", kRateRetryUs);
@@ -50,17 +74,6 @@
 	return true;
 }
 
-static int64_t
-call_deadline_us(struct request *req)
-{
-	const char *text = request_header(req, "Savoryflow-Timeout-Ms");
-	int64_t ms = text != NULL ? g_ascii_strtoll(text, NULL, 10) : 0;
-
-	if (ms <= 0 || ms > req->d->set->online_deadline_ms)
-		ms = req->d->set->online_deadline_ms;
-	return req->received_us + ms * kUsPerMs;
-}
-
 static void
 start_call(struct request *req, const struct call_options *opt)
 {
@@ -133,7 +146,7 @@
 		request_reply_error(req, kErrUnknownService,
 		    "the model is not an engine service of the configuration",
 		    0);
-	} else if (admit(req, model)) {
+	} else if (admit(req, model, true)) {
 		req->wants_stream = opt.is_streamed;
 		opt.body = body_for_streaming(doc);
 		start_call(req, &opt);
@@ -189,11 +202,16 @@
 static bool
 reply_aborted(struct request *req, const struct call_view *view)
 {
+	struct call_view ended;
+
 	if (!req->is_aborted)
 		return false;
+	/* First, so that it does not start once it is refused. */
+	call_cancel(req->call);
+	ended = call_view_get(req->call);
 	request_reply_error_ran(req, kErrDraining,
 	    "the daemon shut down before the response", kRateRetryUs,
-	    view->may_have_run);
+	    view->may_have_run || ended.may_have_run);
 	return true;
 }
 
@@ -365,6 +383,12 @@
 	request_wake(req);
 }
 
+static bool
+is_idempotent(const struct request *req, const struct config_service *svc)
+{
+	return svc->idempotent || strcmp(req->method, "GET") == 0;
+}
+
 static void
 init_plain_options(struct request *req, struct call_options *opt,
     const struct config_service *svc, const char *path)
@@ -372,7 +396,7 @@
 	*opt = (struct call_options){
 	    .work_class = kWorkOnline,
 	    .service = svc->name,
-	    .is_idempotent = svc->idempotent || strcmp(req->method, "GET") == 0,
+	    .is_idempotent = is_idempotent(req, svc),
 	    .team = req->team,
 	    .weight = 1,
 	    .deadline_us = call_deadline_us(req),
@@ -504,7 +528,7 @@
 	if (svc == NULL || svc->is_engine) {
 		request_reply_error(
 		    req, kErrUnknownService, "no such plain service", 0);
-	} else if (admit(req, svc->name)) {
+	} else if (admit(req, svc->name, is_idempotent(req, svc))) {
 		char *path = g_strconcat("/", parts[1], NULL);
 
 		start_plain(req, svc, path);
--- a/src/api/request.c
+++ b/src/api/request.c
@@ -184,7 +184,8 @@
 	if (!may_have_run)
 		metric_add(kMetRefused, 1);
 	log_event(kEvtRequestRefused, "type", sf_error_type(code), "path",
-	    req->url, "team", req->team, NULL);
+	    req->url, "team", req->team, "left_us",
+	    log_number(daemon_drain_left_us(req->d)), NULL);
 }
 
 void
@@ -195,6 +196,13 @@
 	    req, code, message, retry_after_us, sf_error_may_have_run(code));
 }
 
+void
+request_refuse_draining(struct request *req)
+{
+	request_reply_error(req, kErrDraining,
+	    "this daemon is draining; retry with another one", kUsPerS);
+}
+
 void
 request_reply_gerror(struct request *req, GError *err)
 {
--- a/src/api/request.h
+++ b/src/api/request.h
@@ -130,6 +130,9 @@
 void request_reply_error_ran(struct request *req, int code, const char *message,
     int64_t retry_after_us, bool may_have_run);
 
+/** Refuses a request because the daemon shuts down. */
+void request_refuse_draining(struct request *req);
+
 /** Replies with a GError and frees it. */
 void request_reply_gerror(struct request *req, GError *err);
 
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -19,6 +19,7 @@
 #include "gateway/gateway_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/exit_guard.h"
 
 enum {
 	kExitOk = 0,
@@ -370,8 +371,10 @@
 }
 
 static void
-log_stopped(const struct front_counts *n)
+log_stopped(void *ctx)
 {
+	const struct front_counts *n = ctx;
+
 	log_event(kEvtStopped, "open", log_number(n->open), "idle",
 	    log_number(n->idle), "recent", log_number(n->recent), "unfinished",
 	    log_number(n->unfinished), "unread", log_number(n->unread),
@@ -379,30 +382,6 @@
 	    log_number(n->cut), NULL);
 }
 
-/* Threads that wait for the store may take longer than the grace. */
-static void *
-exit_in_time(void *ctx)
-{
-	struct gateway *gw = ctx;
-	int64_t left_us = gw->drain.exit_us - clock_mono_us(gw->clk);
-
-	g_usleep((gulong)MAX(left_us, 0));
-	if (!g_atomic_int_get(&gw->is_stopped)) {
-		log_stopped(&gw->front_counts);
-		_exit(kExitOk);
-	}
-	return NULL;
-}
-
-static void
-start_exit_guard(struct gateway *gw)
-{
-	pthread_t thread;
-
-	if (pthread_create(&thread, NULL, exit_in_time, gw) == 0)
-		pthread_detach(thread);
-}
-
 static void
 stop(struct gateway *gw)
 {
@@ -411,8 +390,10 @@
 	calls_give_up(gw->calls);
 	if (gw->front != NULL)
 		front_free(gw->front, &gw->front_counts);
+	/* Threads that wait for the store may take longer than the grace. */
 	if (gw->is_draining)
-		start_exit_guard(gw);
+		exit_guard_start(
+		    gw->clk, gw->drain.exit_us, log_stopped, &gw->front_counts);
 	if (gw->watch != NULL)
 		gw->adapter->watch_free(gw->watch);
 	if (gw->peer != NULL)
@@ -469,7 +450,7 @@
 		code = kExitFailed;
 	}
 	stop(&gw);
-	g_atomic_int_set(&gw.is_stopped, 1);
+	exit_guard_stop();
 	log_stopped(&gw.front_counts);
 	log_close();
 	curl_global_cleanup();
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -66,8 +66,6 @@
 	bool is_draining;
 	/** Nothing can be forwarded any more. */
 	bool is_stopping;
-	/** Atomic flag: all is freed. */
-	gint is_stopped;
 	/** While is_draining is set. */
 	struct drain_plan drain;
 	uint64_t drain_timer;
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -12,6 +12,7 @@
 #include "error/error.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/exit_guard.h"
 #include "serve/batch_run.h"
 #include "serve/crash_watch.h"
 #include "serve/grants.h"
@@ -177,6 +178,21 @@
 		kill(getpid(), SIGTERM);
 }
 
+bool
+daemon_accepts(struct daemon *d, const struct drain_work *work)
+{
+	return !g_atomic_int_get(&d->has_drain_plan) ||
+	    drain_plan_accepts(&d->drain, work, clock_mono_us(d->clk));
+}
+
+int64_t
+daemon_drain_left_us(struct daemon *d)
+{
+	return g_atomic_int_get(&d->has_drain_plan)
+	    ? drain_plan_left_us(&d->drain, clock_mono_us(d->clk))
+	    : -1;
+}
+
 /*
  * Blocks SIGTERM and SIGINT in all threads; the main thread handles them with
  * sigwait.
@@ -191,6 +207,18 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
+static void
+make_drain_plan(struct daemon *d)
+{
+	d->drain = drain_plan_make(clock_mono_us(d->clk),
+	    d->set->drain_timeout_ms * kUsPerMs,
+	    d->set->drain_notice_ms * kUsPerMs);
+	g_atomic_int_set(&d->has_drain_plan, 1);
+	g_atomic_int_set(&d->is_draining, 1);
+	log_event(kEvtDrainStarted, "left_us",
+	    log_number(daemon_drain_left_us(d)), NULL);
+}
+
 /*
  * Shuts down gracefully: reports unready first, while the load balancer may
  * still send requests; then releases batch leases and waits for active streams
@@ -199,21 +227,32 @@
 static void
 drain_and_leave(struct daemon *d)
 {
-	int64_t start_us = clock_mono_us(d->clk);
+	int64_t notice_us;
 
-	g_atomic_int_set(&d->is_draining, 1);
-	log_event(kEvtDrainStarted, NULL);
+	make_drain_plan(d);
 	batch_runner_stop(d->batch);
-	g_usleep((gulong)(d->set->drain_notice_ms * kUsPerMs));
+	notice_us = d->drain.accept_until_us - clock_mono_us(d->clk);
+	if (notice_us > 0)
+		g_usleep((gulong)notice_us);
 	api_refuse_new(d->api);
-	while (!api_is_quiet(d->api) &&
-	    clock_mono_us(d->clk) - start_us <
-		d->set->drain_timeout_ms * kUsPerMs)
-		g_usleep(kDrainPollMs * kUsPerMs);
+	while (!api_is_quiet(d->api) && daemon_drain_left_us(d) > 0)
+		g_usleep(MIN(
+		    kDrainPollMs * kUsPerMs, (gulong)daemon_drain_left_us(d)));
+	api_give_up(d->api);
 	routes_leave(d->routes);
 	g_usleep(kDrainPollMs * kUsPerMs);
 }
 
+static void
+log_stopped(void *ctx)
+{
+	const struct api_counts *counts = ctx;
+
+	log_event(kEvtStopped, "open", log_number(counts->open), "unfinished",
+	    log_number(counts->unfinished), "unread",
+	    log_number(counts->unread), "cut", log_number(counts->cut), NULL);
+}
+
 int
 daemon_run(struct settings *set)
 {
@@ -239,10 +278,11 @@
 	    set->peer_listen, NULL);
 	sigwait(&signals, &sig);
 	drain_and_leave(&d);
+	/* Threads that wait for the store may take longer than the grace. */
+	exit_guard_start(d.clk, d.drain.exit_us, log_stopped, &counts);
 	free_components(&d, &counts);
-	log_event(kEvtStopped, "open", log_number(counts.open), "unfinished",
-	    log_number(counts.unfinished), "unread", log_number(counts.unread),
-	    "cut", log_number(counts.cut), NULL);
+	exit_guard_stop();
+	log_stopped(&counts);
 	log_close();
 	curl_global_cleanup();
 	return kExitOk;
--- a/src/serve/daemon.h
+++ b/src/serve/daemon.h
@@ -5,6 +5,7 @@
 #include "os/thread_pool.h"
 #include "peer/peer.h"
 #include "savoryflow/config/config.h"
+#include "savoryflow/drain/drain_plan.h"
 #include "settings/settings.h"
 #include "store/store.h"
 #include "target/target.h"
@@ -40,8 +41,11 @@
 	/** A configuration is in force. */
 	int is_ready;
 	int is_draining;
+	/** The drain plan is set, and does not change. */
+	int has_drain_plan;
 	/** The store answered the last operation. */
 	int is_store_up;
+	struct drain_plan drain;
 };
 
 /** Runs the daemon until SIGTERM or SIGINT. @return exit code */
@@ -50,6 +54,13 @@
 /** Starts a graceful shutdown; thread-safe. */
 void daemon_drain(struct daemon *d);
 
+/** Whether new work is taken: always, unless the daemon shuts down and the work
+ * could not end before. Thread-safe. */
+bool daemon_accepts(struct daemon *d, const struct drain_work *work);
+
+/** Time left for running requests; -1 if the daemon does not shut down. */
+int64_t daemon_drain_left_us(struct daemon *d);
+
 /** Records whether the store answered, and logs a change. */
 void daemon_record_store_state(struct daemon *d, bool is_up);
 
