--- a/test/platform/test_broken_answers.cc
+++ b/test/platform/test_broken_answers.cc
@@ -40,8 +40,9 @@
 	Scan(struct store *st)
 	{
 		GPtrArray *rows = nullptr;
-		std::string text = store_result_text(st->ops->scan(
-		    st->ctx, kCauseBatch, "t/p/", nullptr, 9, &rows));
+		bool has_more;
+		std::string text = store_result_text(st->ops->scan(st->ctx,
+		    kCauseBatch, "t/p/", nullptr, 9, &rows, &has_more));
 
 		if (rows != nullptr) {
 			text += " " + std::to_string(rows->len);
