--- a/test/functional/test_gateway_jobs.cc
+++ b/test/functional/test_gateway_jobs.cc
@@ -143,6 +143,23 @@
 	EXPECT_EQ(0, daemons[0]->Wait());
 }
 
+/* Neither the progress nor the end of the daemon's session is stored. */
+TEST_F(Gateway, AJobOfADaemonThatStopsDuringAnOutageIsTakenOver)
+{
+	StartReadyFleet(1, 2);
+	Send(0, "POST", "/b/j1", JobBody("it", 2, RequestBody(150, 20)), "j1");
+	ASSERT_TRUE(Eventually(
+	    [&] { return CountRuns("it0") + CountRuns("it1") == 2; }));
+	PostToStore("/fault", "{\"outage\":true}");
+	daemons[0]->Signal(SIGTERM);
+	EXPECT_TRUE(daemons[0]->WaitLine("\"call\":\"hand_over\""));
+	EXPECT_EQ(0, daemons[0]->Wait());
+	EXPECT_EQ(0, daemons[1]->Count("\"name\":\"job_started\""));
+	PostToStore("/fault", "{}");
+	EXPECT_TRUE(daemons[1]->WaitLine("\"name\":\"job_orphaned\""));
+	EXPECT_TRUE(Eventually([&] { return HasResults(1, "j1", 2); }));
+}
+
 TEST_F(Gateway, AJobSurvivesARestartOfItsOnlyDaemon)
 {
 	StartReadyFleet(1, 1);
