Test: jobs at a store that breaks its answers off within their heads

Guards, with whole daemons, against accepted jobs whose items nobody runs: each third answer of the store ends within its head, and half of these calls are not performed.

test/standin/rows.c: fault "cut_every".

--- a/test/functional/test_gateway_broken.cc
+++ b/test/functional/test_gateway_broken.cc
@@ -270,6 +270,37 @@
 		}
 }
 
+/* Guards against accepted jobs whose items nobody runs, as a change counted as
+ * made that the store had not made. */
+TEST_F(Gateway, AStoresAnswersThatEndWithinTheirHeadsLoseNoJob)
+{
+	const int jobs = 16, items = 3;
+
+	StartReadyFleet(2, 2);
+	PostToStore("/fault", "{\"cut_every\":3}");
+	for (int j = 0; j < jobs; j++) {
+		std::string job = "h" + std::to_string(j);
+		size_t daemon = (size_t)j % 2;
+
+		EXPECT_TRUE(Eventually([&] {
+			daemon = 1 - daemon;
+			return Send(daemon, "POST", "/b/" + job,
+				   JobBody(job, items, RequestBody(2)), job)
+				   .status == 202;
+		})) << job;
+	}
+	PostToStore("/fault", "{}");
+	for (int j = 0; j < jobs; j++) {
+		std::string job = "h" + std::to_string(j);
+
+		for (size_t d = 0; d < 2; d++)
+			EXPECT_TRUE(Eventually([&] {
+				return HasResults(d, job, items);
+			})) << job;
+	}
+	EXPECT_GT(daemons[0]->Count("\"name\":\"answer_broken_off\""), 0);
+}
+
 /* Guards against a stream that its worker broke off and that ends as if it were
  * whole for a caller who takes no chunks. */
 TEST_F(Gateway, AStreamThatBreaksOffLooksWholeToNoCaller)
--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -7,15 +7,17 @@
  * segment that names the calling daemon.
  *
  * POST /fault {"outage","turned_away","lose_answers","lose_table",
- * "out_after_loss", "forget","timeless"}:
+ * "out_after_loss", "forget","timeless","cut_every"}:
  * rejects all calls, or those of one daemon; drops the answers of the next N
  * transactions; discards the change history of the feed; leaves the time out of
- * the answers to one daemon, except those to reads of jobs.
+ * the answers to one daemon, except those to reads of jobs; breaks each Nth
+ * answer off within its head, and does not perform every other of these calls.
  */
 #include <jansson.h>
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "http.h"
 #include "os/clock.h"
@@ -53,6 +55,10 @@
 	char *lose_table;
 	/** The outage begins once these are lost. */
 	bool is_out_after_loss;
+	/** 0: none. */
+	int cut_every;
+	int call_count;
+	int cut_count;
 };
 
 static int
@@ -382,6 +388,8 @@
 	    g_strdup(json_string_value(json_object_get(doc, "lose_table")));
 	rs->is_out_after_loss =
 	    json_is_true(json_object_get(doc, "out_after_loss"));
+	rs->cut_every =
+	    (int)json_integer_value(json_object_get(doc, "cut_every"));
 	if (json_is_true(json_object_get(doc, "forget")))
 		rs->feed_start_version = ++rs->version;
 	json_decref(doc);
@@ -426,6 +434,30 @@
 	return standin_text_response("{}");
 }
 
+static bool
+is_cut(struct rows *rs, const struct standin_request *req)
+{
+	return rs->cut_every > 0 && strstr(req->url, "/api/") != NULL &&
+	    ++rs->call_count % rs->cut_every == 0;
+}
+
+static struct MHD_Response *
+cut_answer(struct rows *rs, struct standin_request *req, unsigned int *status)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nContent-Ty";
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    req->con, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	if (++rs->cut_count % 2 == 0) {
+		struct MHD_Response *res = dispatch(rs, req, status);
+
+		if (res != NULL)
+			MHD_destroy_response(res);
+	}
+	send(info->connect_fd, head, sizeof(head) - 1, MSG_NOSIGNAL);
+	return NULL;
+}
+
 static struct MHD_Response *
 handle(void *ctx, struct standin_request *req, unsigned int *status)
 {
@@ -433,7 +465,8 @@
 	struct MHD_Response *res;
 
 	pthread_mutex_lock(&rs->lock);
-	res = dispatch(rs, req, status);
+	res = is_cut(rs, req) ? cut_answer(rs, req, status)
+			      : dispatch(rs, req, status);
 	pthread_mutex_unlock(&rs->lock);
 	return res;
 }
