--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -7,10 +7,11 @@
  * segment that names the calling daemon.
  *
  * POST /fault {"outage","turned_away","lose_answers","lose_table",
- * "out_after_loss", "forget","timeless"}:
+ * "out_after_loss", "forget","timeless","cut_every"}:
  * rejects all calls, or those of one daemon; drops the answers of the next N
  * transactions; discards the change history of the feed; leaves the time out of
- * the answers to one daemon, except those to reads of jobs.
+ * the answers to one daemon, except those to reads of jobs; breaks each Nth
+ * answer off within its head, and does not perform every other of these calls.
  *
  * POST /way: faults on the way of one daemon, see rows_faults.h.
  */
@@ -18,6 +19,7 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "http.h"
 #include "os/clock.h"
@@ -62,6 +64,10 @@
 	/** The outage begins once these are lost. */
 	bool is_out_after_loss;
 	struct rows_faults *faults;
+	/** 0: none. */
+	int cut_every;
+	int call_count;
+	int cut_count;
 };
 
 static int
@@ -410,6 +416,8 @@
 	    g_strdup(json_string_value(json_object_get(doc, "lose_table")));
 	rs->is_out_after_loss =
 	    json_is_true(json_object_get(doc, "out_after_loss"));
+	rs->cut_every =
+	    (int)json_integer_value(json_object_get(doc, "cut_every"));
 	if (json_is_true(json_object_get(doc, "forget")))
 		rs->feed_start_version = ++rs->version;
 	json_decref(doc);
@@ -466,6 +474,31 @@
 	return standin_text_response("{}");
 }
 
+static bool
+is_cut(struct rows *rs, const struct standin_request *req)
+{
+	return rs->cut_every > 0 && req->con != NULL &&
+	    strstr(req->url, "/api/") != NULL &&
+	    ++rs->call_count % rs->cut_every == 0;
+}
+
+static struct MHD_Response *
+cut_answer(struct rows *rs, struct standin_request *req, unsigned int *status)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\nContent-Ty";
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    req->con, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+	if (++rs->cut_count % 2 == 0) {
+		struct MHD_Response *res = dispatch(rs, req, status);
+
+		if (res != NULL)
+			MHD_destroy_response(res);
+	}
+	send(info->connect_fd, head, sizeof(head) - 1, MSG_NOSIGNAL);
+	return NULL;
+}
+
 static struct MHD_Response *
 dispatch_locked(
     struct rows *rs, struct standin_request *req, unsigned int *status)
@@ -473,47 +506,16 @@
 	struct MHD_Response *res;
 
 	pthread_mutex_lock(&rs->lock);
-	res = dispatch(rs, req, status);
+	res = is_cut(rs, req) ? cut_answer(rs, req, status)
+			      : dispatch(rs, req, status);
 	pthread_mutex_unlock(&rs->lock);
 	return res;
 }
 
-struct later_call {
-	struct rows *rs;
-	/** A change, without a connection. */
-	struct standin_request req;
-	int delay_ms;
-};
-
-static void *
-perform_later(void *ctx)
-{
-	struct later_call *call = ctx;
-	struct MHD_Response *res;
-	unsigned int status;
-
-	g_usleep((gulong)call->delay_ms * 1000);
-	res = dispatch_locked(call->rs, &call->req, &status);
-	if (res != NULL)
-		MHD_destroy_response(res);
-	g_string_free(call->req.body, TRUE);
-	g_free((char *)call->req.url);
-	g_free(call);
-	return NULL;
-}
-
-static void
-start_later(struct rows *rs, const struct standin_request *req, int delay_ms)
+static struct MHD_Response *
+perform_later(void *ctx, struct standin_request *req, unsigned int *status)
 {
-	struct later_call *call = g_new0(struct later_call, 1);
-
-	call->rs = rs;
-	call->req.method = req->method[0] == 'P' ? "POST" : "DELETE";
-	call->req.url = g_strdup(req->url);
-	call->req.body =
-	    g_string_new_len(req->body->str, (gssize)req->body->len);
-	call->delay_ms = delay_ms;
-	g_thread_unref(g_thread_new("later", perform_later, call));
+	return dispatch_locked(ctx, req, status);
 }
 
 static struct MHD_Response *
@@ -524,7 +526,8 @@
 	struct MHD_Response *res;
 
 	if (verdict.action == kWayLater) {
-		start_later(rs, req, verdict.delay_ms);
+		rows_faults_perform_later(
+		    req, verdict.delay_ms, perform_later, rs);
 		return NULL;
 	}
 	/* Each connection has its own thread. */
--- a/test/standin/rows_faults.c
+++ b/test/standin/rows_faults.c
@@ -210,6 +210,47 @@
 	return verdict;
 }
 
+struct later_call {
+	/** A change, without a connection. */
+	struct standin_request req;
+	int delay_ms;
+	standin_handler perform;
+	void *ctx;
+};
+
+static void *
+perform_later(void *ctx)
+{
+	struct later_call *call = ctx;
+	struct MHD_Response *res;
+	unsigned int status;
+
+	g_usleep((gulong)call->delay_ms * 1000);
+	res = call->perform(call->ctx, &call->req, &status);
+	if (res != NULL)
+		MHD_destroy_response(res);
+	g_string_free(call->req.body, TRUE);
+	g_free((char *)call->req.url);
+	g_free(call);
+	return NULL;
+}
+
+void
+rows_faults_perform_later(const struct standin_request *req, int delay_ms,
+    standin_handler perform, void *ctx)
+{
+	struct later_call *call = g_new0(struct later_call, 1);
+
+	call->req.method = req->method[0] == 'P' ? "POST" : "DELETE";
+	call->req.url = g_strdup(req->url);
+	call->req.body =
+	    g_string_new_len(req->body->str, (gssize)req->body->len);
+	call->delay_ms = delay_ms;
+	call->perform = perform;
+	call->ctx = ctx;
+	g_thread_unref(g_thread_new("later", perform_later, call));
+}
+
 void
 rows_faults_reset(const struct standin_request *req)
 {
--- a/test/standin/rows_faults.h
+++ b/test/standin/rows_faults.h
@@ -52,6 +52,13 @@
 /** @return true if the first segment of the path is the name */
 bool rows_url_is_from(const char *url, const char *daemon);
 
+/**
+ * Performs a call after its connection has ended.
+ * @param perform called with a copy of the request that has no connection
+ */
+void rows_faults_perform_later(const struct standin_request *req, int delay_ms,
+    standin_handler perform, void *ctx);
+
 /** Makes the end of the call's connection a reset. */
 void rows_faults_reset(const struct standin_request *req);
 
