--- a/src/serve/intents.c
+++ b/src/serve/intents.c
@@ -238,14 +238,15 @@
 static void
 drop_oldest_answer(struct intents *ins)
 {
-	GList *link = ins->answers.head;
-
-	while (link != NULL && ((struct answer *)link->data)->is_withdrawal)
-		link = link->next;
-	if (link == NULL)
-		link = ins->answers.head;
-	answer_free(link->data);
-	g_queue_delete_link(&ins->answers, link);
+	struct answer *ans = g_queue_peek_head(&ins->answers);
+
+	for (GList *l = ins->answers.head; l != NULL; l = l->next)
+		if (!((struct answer *)l->data)->is_withdrawal) {
+			ans = l->data;
+			break;
+		}
+	g_queue_remove(&ins->answers, ans);
+	answer_free(ans);
 }
 
 static void
