"Not found" after a copy of unknown outcome is not the change's outcome

What callers would see: the end of a job was passed on to a peer, whose answer was lost; the daemon's own read then found no job, and the caller was answered 404 "did not run". The peer's copy may look later, when the job has been submitted, and end it.

The test's case expected "not found" on purpose; it is replaced by one that expects an unknown outcome, and two cases keep "not found" where no copy is unknown: nothing that was told as unknown before is told as certain now.

Evidence: read, with StoreChange's table; not seen with processes.

--- a/src/store/change.c
+++ b/src/store/change.c
@@ -18,7 +18,9 @@
 enum store_result
 store_change_result(const struct store_change *change, enum store_result last)
 {
-	bool is_refused = last == kStoreUnavailable || last == kStoreConflict;
+	/* The row may exist for a copy that comes later. */
+	bool is_refused = last == kStoreUnavailable || last == kStoreConflict ||
+	    last == kStoreNotFound;
 
 	return is_refused && change->may_be_applied ? kStoreAmbiguous : last;
 }
--- a/test/unit/test_change.cc
+++ b/test/unit/test_change.cc
@@ -29,8 +29,11 @@
 		kStoreAmbiguous},
 	    {"conflict", {}, kStoreConflict, kStoreConflict},
 	    {"unknown, then made", {kStoreAmbiguous}, kStoreOk, kStoreOk},
-	    {"unknown, then not found", {kStoreAmbiguous}, kStoreNotFound,
+	    {"not found", {}, kStoreNotFound, kStoreNotFound},
+	    {"refused, then not found", {kStoreUnavailable}, kStoreNotFound,
 		kStoreNotFound},
+	    {"unknown, then not found", {kStoreAmbiguous}, kStoreNotFound,
+		kStoreAmbiguous},
 	};
 
 	for (const auto &c : cases) {
