--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -184,8 +184,8 @@
 
 struct Step {
 	int at_ms;
-	/* "grant TARGET", "refuse", "revoke", "event", "cut", "unsent" or
-	 * "answer STATUS". */
+	/* "grant TARGET", "refuse", "revoke", "event", "cut", "unsent",
+	 * "answer STATUS", "last-start MS" or "give-up". */
 	const char *what;
 };
 
@@ -316,6 +316,10 @@
 		} else if (verb == "revoke") {
 			state.slot_ops->on_revoked(
 			    state.relay_ctx, state.held.begin()->first);
+		} else if (verb == "last-start") {
+			relay_limit_start(rl, (1000 + std::stoi(arg)) * kMs);
+		} else if (verb == "give-up") {
+			relay_give_up(rl);
 		} else {
 			ApplyTransfer(verb, arg);
 		}
@@ -509,4 +513,64 @@
 		{{10, "grant a"}, {1020, "event"}, {1030, "answer 200"}}));
 }
 
+TEST_F(Relay, NoAttemptBeginsTooLateInAStop)
+{
+	const Case cases[] = {
+	    {"waits for its first slot",
+		{{10, "last-start 100"}, {200, "grant a"}},
+		"0 ask, 100 withdraw, 100 end refused"},
+	    {"the time is over already",
+		{{10, "last-start 0"}, {200, "grant a"}},
+		"0 ask, 10 withdraw, 10 end refused"},
+	    {"begins in time",
+		{{10, "last-start 100"}, {50, "grant a"}, {200, "answer 200"}},
+		"0 ask, 50 send a after -1, 200 head 200, "
+		"200 free a served, 200 end complete"},
+	    {"was turned away late",
+		{{10, "last-start 100"}, {50, "grant a"}, {150, "answer 503"}},
+		"0 ask, 50 send a after -1, 150 free a full, "
+		"150 end refused"},
+	    {"breaks late",
+		{{10, "grant a"}, {20, "last-start 100"}, {150, "cut"}},
+		"0 ask, 10 send a after -1, 150 free a failed, "
+		"150 end failed"},
+	    {"waits for its second slot",
+		{{10, "grant a"}, {20, "last-start 100"}, {50, "cut"}},
+		"0 ask, 10 send a after -1, 50 free a failed, 50 ask but a, "
+		"100 withdraw, 100 end failed"},
+	    {"a stream that breaks late is not resumed",
+		{{10, "grant a"}, {20, "last-start 100"}, {50, "event"},
+		    {150, "cut"}},
+		"0 ask, 10 send a after -1, 50 head 200, "
+		"150 free a failed, 150 end broken"},
+	    {"a silent target keeps its request",
+		{{10, "grant a"}, {20, "last-start 300"}, {500, "event"},
+		    {550, "answer 200"}},
+		"0 ask, 10 send a after -1, 210 ask but a, 300 withdraw, "
+		"500 head 200, 550 free a served, 550 end complete"},
+	};
+
+	for (const Case &c : cases)
+		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
+}
+
+TEST_F(Relay, ARequestThatIsGivenUpEndsAsWhatItIs)
+{
+	const Case cases[] = {
+	    {"waits", {{100, "give-up"}},
+		"0 ask, 100 withdraw, "
+		"100 end refused"},
+	    {"at a target", {{10, "grant a"}, {100, "give-up"}},
+		"0 ask, 10 send a after -1, 100 cancel a, "
+		"100 free a neutral, 100 end failed"},
+	    {"its answer has begun",
+		{{10, "grant a"}, {50, "event"}, {100, "give-up"}},
+		"0 ask, 10 send a after -1, 50 head 200, 100 cancel a, "
+		"100 free a neutral, 100 end broken"},
+	};
+
+	for (const Case &c : cases)
+		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
+}
+
 } // namespace
