Tests: jobs and suspended daemons in a stop with a short grace

A daemon that is stopped while the store is silent answers submissions and reads, exits in its grace and leaves its jobs to others; a submission that was refused never runs. SIGTERM is repeated in these stops.

--- a/test/functional/test_api_drain.cc
+++ b/test/functional/test_api_drain.cc
@@ -87,6 +87,8 @@
 		daemon.Signal(SIGTERM);
 		EXPECT_TRUE(daemon.WaitLine("drain_started"));
 		is_stopping = true;
+		/* Operators repeat it; the grace does not begin anew. */
+		daemon.Signal(SIGTERM);
 		while (!daemon.HasExited() && NowUs() < end_us)
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(5));
--- a/test/functional/test_gateway_drain.cc
+++ b/test/functional/test_gateway_drain.cc
@@ -105,6 +105,8 @@
 		daemons[0]->Signal(SIGTERM);
 		EXPECT_TRUE(daemons[0]->WaitLine("drain_started"));
 		is_stopping = true;
+		/* Operators repeat it; the grace does not begin anew. */
+		daemons[0]->Signal(SIGTERM);
 		while (!daemons[0]->HasExited() && NowUs() < end_us)
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(5));
@@ -241,4 +243,96 @@
 	}
 }
 
+TEST_F(GatewayDrain, JobsAreAnsweredAndHandedOverWhileTheStoreIsSilent)
+{
+	static const char *const submitted[] = {"late0", "late1"};
+
+	RaiseLimits();
+	StartReadyFleet(1, 2);
+	for (int grace_ms : {1000, 3000, 6000}) {
+		std::string job = "j" + std::to_string(grace_ms);
+		std::vector<std::unique_ptr<Connection>> cons;
+
+		daemons[0]->Signal(SIGKILL);
+		daemons[0]->Wait();
+		drain_timeout_ms = grace_ms;
+		StartDaemon(0);
+		ASSERT_TRUE(Eventually([&] {
+			return ReadyStatus(0) == 200 &&
+			    Send(0, "POST", "/b/" + job,
+				JobBody(job + "i", 3, RequestBody(20, 50)), job)
+				.status == 202;
+		}));
+		ASSERT_TRUE(
+		    Eventually([&] { return CountRunsAt(0, job + "i") > 0; }));
+		store->Signal(SIGSTOP);
+		for (const char *id : submitted) {
+			std::string body = JobBody(id + job, 1, RequestBody(1));
+
+			cons.emplace_back(new Connection(front_ports[0]));
+			cons.back()->Send("POST /b/" + job +
+			    " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: " +
+			    id + job + "\r\nContent-Length: " +
+			    std::to_string(body.size()) + "\r\n\r\n" + body);
+		}
+		for (const char *path : {"/api/items/", "/api/lots/"}) {
+			cons.emplace_back(new Connection(front_ports[0]));
+			cons.back()->Send(std::string("GET ") + path + job +
+			    "?id=" + job +
+			    "i0 HTTP/1.1\r\nHost: a.example\r\n"
+			    "X-Attempt-Id: r\r\n\r\n");
+		}
+		/* Answered after those were read. */
+		EXPECT_EQ(404, Send(0, "GET", "/none", "", "probe").status);
+		StopWithin(grace_ms);
+		std::vector<std::string> answers;
+		for (auto &con : cons) {
+			answers.push_back(con->Read());
+			EXPECT_TRUE(Connection::IsWhole(answers.back()))
+			    << grace_ms;
+		}
+		store->Signal(SIGCONT);
+		EXPECT_TRUE(Eventually([&] { return HasResults(1, job, 3); }))
+		    << grace_ms;
+		for (int i = 0; i < 2; i++)
+			EXPECT_FALSE(IsRefusal(answers[(size_t)i]) &&
+			    CountRuns(submitted[i] + job + "0") > 0)
+			    << answers[(size_t)i];
+		StartDaemon(0);
+		ASSERT_TRUE(Eventually([&] { return ReadyStatus(0) == 200; }));
+	}
+}
+
+/* The daemon goes on when its grace is over, and nobody has ended it. */
+TEST_F(GatewayDrain, ADaemonThatWasSuspendedPastItsGraceAnswers)
+{
+	std::vector<std::unique_ptr<Connection>> cons;
+	size_t answered = 0;
+
+	drain_timeout_ms = 2000;
+	StartReadyFleet(1, 1);
+	for (int i = 0; i < 20; i++) {
+		cons.emplace_back(new Connection(front_ports[0]));
+		cons.back()->Send(Request(
+		    "k" + std::to_string(i), "/f/x", i % 2 == 0 ? 1 : 30, 50));
+	}
+	EXPECT_TRUE(Eventually([&] { return CountRunsAt(0, "k") >= 4; }));
+	daemons[0]->Signal(SIGTERM);
+	ASSERT_TRUE(daemons[0]->WaitLine("drain_started"));
+	daemons[0]->Signal(SIGSTOP);
+	for (int i = 0; i < 20; i++) {
+		cons.emplace_back(new Connection(front_ports[0]));
+		cons.back()->Send(
+		    Request("l" + std::to_string(i), "/f/x", 1, 0));
+	}
+	/* Well past the grace. */
+	std::this_thread::sleep_for(std::chrono::milliseconds(3000));
+	daemons[0]->Signal(SIGCONT);
+	for (auto &con : cons)
+		answered += !con->Read().empty();
+	EXPECT_EQ(cons.size(), answered);
+	EXPECT_EQ(0, daemons[0]->Wait());
+	EXPECT_EQ(0, CountRuns("l"));
+}
+
 } // namespace
