Front: a request still being sent at the end of a stop is refused

Callers saw: a caller whose request had arrived in part when the grace ended got a closed connection without an answer, which a request that may not be repeated cannot be told from one that ran.

Cause: libmicrohttpd takes no answer between the head and the end of a body, so the server was stopped under it.

The refusal (503, did not run) is written to the connection itself, once everything else is served; nothing else is sent on it and nothing more of the request is read.

The own API has the same gap; it is not changed.

--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -307,6 +307,8 @@
 	struct front *fr = cls;
 	struct front_request *req = *con_cls;
 
+	if (req->is_refused)
+		return MHD_NO;
 	if (!req->has_head) {
 		req->has_head = true;
 		req->method = g_strdup(method);
@@ -346,8 +348,10 @@
 	g_hash_table_remove(fr->requests, req);
 	req->peer->request_count--;
 	req->peer->idle_since_us = loop_now_us(fr->opt.lp);
-	if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED ||
-	    (fr->is_stopping && code != MHD_REQUEST_TERMINATED_COMPLETED_OK))
+	if (!req->is_refused &&
+	    (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED ||
+		(fr->is_stopping &&
+		    code != MHD_REQUEST_TERMINATED_COMPLETED_OK)))
 		front_record_cut(req);
 	if (req->is_open)
 		front_close_request(req);
--- a/src/gateway/front_drain.c
+++ b/src/gateway/front_drain.c
@@ -19,6 +19,11 @@
 	kServeRunsMax = 200,
 };
 
+/* libmicrohttpd sends no answer before the end of a body. */
+static const char kUnfinishedAnswer[] =
+    "HTTP/1.1 503 Service Unavailable\r\nSavoryflow-Ran: no\r\n"
+    "Retry-After: 0.010\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 void
 front_record_cut(struct front_request *req)
 {
@@ -184,6 +189,27 @@
 	g_list_free(all);
 }
 
+/* Tells callers that still send their request that it did not run. */
+static void
+refuse_unfinished(struct front *fr)
+{
+	GHashTableIter it;
+	void *key;
+
+	g_hash_table_iter_init(&it, fr->requests);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct front_request *req = key;
+		size_t len = sizeof(kUnfinishedAnswer) - 1;
+
+		if (req->received_body != NULL || req->response != NULL)
+			continue;
+		req->is_refused =
+		    send(req->peer->fd, kUnfinishedAnswer, len,
+			MSG_NOSIGNAL | MSG_DONTWAIT) == (ssize_t)len;
+		shutdown(req->peer->fd, SHUT_WR);
+	}
+}
+
 static void
 serve_rest(struct front *fr)
 {
@@ -192,6 +218,7 @@
 	abort_requests(fr);
 	for (int i = 0; i < kServeRunsMax && !is_served(fr); i++)
 		MHD_run(fr->mhd);
+	refuse_unfinished(fr);
 	/* libmicrohttpd must not be stopped while a connection is suspended. */
 	abort_requests(fr);
 	MHD_run(fr->mhd);
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -49,6 +49,8 @@
 	GBytes *received_body;
 	bool has_head;
 	bool is_too_large;
+	/** It was refused before its end; nothing more may be sent. */
+	bool is_refused;
 	bool is_suspended;
 	/** on_request was called, and the answer is not complete. */
 	bool is_open;
--- a/test/functional/test_gateway_drain.cc
+++ b/test/functional/test_gateway_drain.cc
@@ -335,4 +335,37 @@
 	EXPECT_EQ(0, CountRuns("l"));
 }
 
+TEST_F(GatewayDrain, ARequestThatIsStillBeingSentAtTheEndIsRefused)
+{
+	std::string text = Request("part", "/once/x", 1, 0);
+	size_t head = text.find("\r\n\r\n") + 4;
+	const struct {
+		const char *name;
+		size_t sent;
+	} cases[] = {
+	    {"a part of the head", head - 20},
+	    {"the head", head},
+	    {"a part of the body", head + 5},
+	};
+	std::vector<std::unique_ptr<Connection>> cons;
+
+	drain_timeout_ms = 4000;
+	StartReadyFleet(1, 1);
+	for (const auto &c : cases) {
+		cons.emplace_back(new Connection(front_ports[0]));
+		cons.back()->Send(text.substr(0, c.sent));
+	}
+	/* Answered after those were read. */
+	EXPECT_EQ(404, Send(0, "GET", "/none", "", "probe").status);
+	daemons[0]->Signal(SIGTERM);
+	for (size_t i = 0; i < cons.size(); i++) {
+		std::string answer = cons[i]->Read();
+
+		EXPECT_TRUE(IsRefusal(answer))
+		    << cases[i].name << ": " << answer;
+	}
+	EXPECT_EQ(0, daemons[0]->Wait());
+	EXPECT_EQ(0, daemons[0]->Count("request_cut"));
+}
+
 } // namespace
