--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -54,24 +54,6 @@
 	return ok ? kCliOk : kCliRefused;
 }
 
-/* @return false after an error message: no whole answer arrived */
-static bool
-perform(const struct cli_flags *flags, const struct client_request *req,
-    struct client_reply *reply)
-{
-	if (client_perform(&flags->client, req, reply))
-		return true;
-	if (reply->intake.head_bytes > 0)
-		fprintf(stderr,
-		    "savoryflow: the answer of %s broke off; the request may "
-		    "have been executed\n",
-		    flags->client.url);
-	else
-		fprintf(stderr, "savoryflow: no daemon answers at %s\n",
-		    flags->client.url);
-	return false;
-}
-
 static int
 request_and_print(
     const struct cli_flags *flags, const struct client_request *req)
@@ -79,7 +61,7 @@
 	struct client_reply reply;
 	int code = kCliUnreachable;
 
-	if (perform(flags, req, &reply))
+	if (client_perform_or_report(&flags->client, req, &reply))
 		code = print_reply(&reply);
 	g_string_free(reply.body, TRUE);
 	return code;
@@ -212,7 +194,7 @@
 	g_free(text);
 	if (to == NULL)
 		return kCliUsage;
-	if (!perform(flags, &req, &reply)) {
+	if (!client_perform_or_report(&flags->client, &req, &reply)) {
 		g_string_free(reply.body, TRUE);
 		json_decref(to);
 		return kCliUnreachable;
@@ -263,7 +245,7 @@
 		json_t *doc;
 		const char *state;
 
-		if (!perform(flags, &req, &reply)) {
+		if (!client_perform_or_report(&flags->client, &req, &reply)) {
 			g_string_free(reply.body, TRUE);
 			code = kCliUnreachable;
 			break;
@@ -292,7 +274,7 @@
 	json_t *doc;
 	int code;
 
-	if (!perform(flags, req, &reply)) {
+	if (!client_perform_or_report(&flags->client, req, &reply)) {
 		g_string_free(reply.body, TRUE);
 		return kCliUnreachable;
 	}
@@ -373,7 +355,7 @@
 		struct client_request req = {.method = "GET", .path = path};
 		struct client_reply reply;
 
-		if (perform(flags, &req, &reply))
+		if (client_perform_or_report(&flags->client, &req, &reply))
 			code = reply.body->len > 0 || reply.status != 200
 			    ? print_reply(&reply)
 			    : kCliOk;
--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -2,6 +2,7 @@
 #include "cli/client.h"
 
 #include <curl/curl.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -99,3 +100,20 @@
 	g_free(url);
 	return intake_is_whole(&reply->intake, res);
 }
+
+bool
+client_perform_or_report(const struct client *cl,
+    const struct client_request *req, struct client_reply *reply)
+{
+	if (client_perform(cl, req, reply))
+		return true;
+	if (reply->intake.head_bytes > 0)
+		fprintf(stderr,
+		    "savoryflow: the answer of %s broke off; the request may "
+		    "have been executed\n",
+		    cl->url);
+	else
+		fprintf(
+		    stderr, "savoryflow: no daemon answers at %s\n", cl->url);
+	return false;
+}
--- a/src/cli/client.h
+++ b/src/cli/client.h
@@ -39,4 +39,8 @@
 bool client_perform(const struct client *cl, const struct client_request *req,
     struct client_reply *reply);
 
+/** As client_perform; prints an error if there is no whole answer. */
+bool client_perform_or_report(const struct client *cl,
+    const struct client_request *req, struct client_reply *reply);
+
 #endif
