Logs: what the caller of a change to a job was told, and how each copy ended

The logs of the incident could not tell its hypotheses apart: a line told a task's outcome, not the status that the caller got, nor how a single copy at the store ended.

- 1426 job_answered: job, status, whether a copy may be applied, and the step that gave the answer (store, thread, quota, peer).
A refusal with may_be_applied "yes" is hypothesis 1 or 2; a job that runs without a job_answered 202 or 500 is 3.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -17,6 +17,8 @@
 	kIdlePeriodUs = 250 * kUsPerMs,
 	/* Jobs whose row is cached for reads of their results. */
 	kCachedJobsMax = 1000,
+	kHttpOk = 200,
+	kHttpAccepted = 202,
 };
 
 static void start_due_items(void *ctx);
@@ -151,6 +153,15 @@
 	    task->items, task->token, task->js->opt.session, &task->is_new);
 }
 
+static void
+log_answer(const struct job_task *task, int32_t ok_status)
+{
+	job_log_answer(task->js, task->req, task->id, "store",
+	    task->outcome == kStoreOk ? ok_status
+				      : job_store_error_status(task->outcome),
+	    &task->change);
+}
+
 static void
 submit_done(struct job_task *task)
 {
@@ -171,10 +182,11 @@
 	}
 	if (task->req == NULL)
 		return;
+	log_answer(task, kHttpAccepted);
 	if (task->outcome == kStoreOk) {
 		histogram_record(kHistJobAccept,
 		    loop_now_us(js->opt.deps.lp) - task->received_us);
-		reply_json(task->req, 202, "{\"accepted\":true}");
+		reply_json(task->req, kHttpAccepted, "{\"accepted\":true}");
 	} else {
 		job_reply_store_error(task->req, task->outcome);
 	}
@@ -255,8 +267,9 @@
 	}
 	if (task->req == NULL)
 		return;
+	log_answer(task, kHttpOk);
 	if (task->outcome == kStoreOk)
-		reply_json(task->req, 200, "{\"ended\":true}");
+		reply_json(task->req, kHttpOk, "{\"ended\":true}");
 	else
 		job_reply_store_error(task->req, task->outcome);
 }
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -109,6 +109,8 @@
 	struct front_request *req = fwd->opt.req;
 
 	front_on_disconnect(req, NULL, NULL);
+	job_log_answer(
+	    fwd->opt.js, req, fwd->id, "peer", fwd->status, &fwd->change);
 	front_reply(
 	    req, fwd->status, fwd->headers, fwd->body->str, fwd->body->len);
 	if (!fwd->is_detached)
@@ -118,13 +120,17 @@
 static void
 fail(struct job_forward *fwd)
 {
+	enum store_result res;
+
 	if (!fwd->is_detached) {
 		fwd->opt.on_failed(fwd->opt.ctx, &fwd->change);
 		return;
 	}
 	front_on_disconnect(fwd->opt.req, NULL, NULL);
-	job_reply_store_error(
-	    fwd->opt.req, store_change_result(&fwd->change, kStoreUnavailable));
+	res = store_change_result(&fwd->change, kStoreUnavailable);
+	job_log_answer(fwd->opt.js, fwd->opt.req, fwd->id, "peer",
+	    job_store_error_status(res), &fwd->change);
+	job_reply_store_error(fwd->opt.req, res);
 }
 
 static void
--- a/src/gateway/jobs_quota.c
+++ b/src/gateway/jobs_quota.c
@@ -13,6 +13,7 @@
 	kConnectPeriodUs = 3 * kUsPerS,
 	/* Jobs are reported again, as a report may be lost. */
 	kReportPeriodUs = kUsPerS,
+	kHttpAccepted = 202,
 };
 
 void
@@ -39,12 +40,18 @@
 	    task->outcome == kStoreOk ? "known_job" : "tokens_waiting", NULL);
 	if (task->req == NULL)
 		return;
-	if (task->outcome == kStoreOk)
-		reply_json(task->req, 202, "{\"accepted\":true}");
-	else if (task->outcome == kStoreNotFound)
+	if (task->outcome == kStoreNotFound) {
 		job_task_refuse(task, kErrRateLimited,
 		    "the route's limit of waiting tokens is reached",
 		    task->quota_retry_us);
+		return;
+	}
+	job_log_answer(task->js, task->req, task->id, "store",
+	    task->outcome == kStoreOk ? kHttpAccepted
+				      : job_store_error_status(task->outcome),
+	    &task->change);
+	if (task->outcome == kStoreOk)
+		reply_json(task->req, kHttpAccepted, "{\"accepted\":true}");
 	else
 		job_reply_store_error(task->req, task->outcome);
 }
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -105,6 +105,36 @@
 	}
 }
 
+int32_t
+job_store_error_status(enum store_result res)
+{
+	switch (res) {
+	case kStoreNotFound:
+		return sf_error_status(kErrNotFound);
+	case kStoreAmbiguous:
+		return sf_error_status(kErrOutcomeLost);
+	case kStoreUnreadable:
+		return sf_error_status(kErrInternal);
+	default:
+		return sf_error_status(kErrStoreUnavailable);
+	}
+}
+
+void
+job_log_answer(const struct jobs *js, const struct front_request *req,
+    const char *id, const char *step, int32_t status,
+    const struct store_change *change)
+{
+	if (strcmp(front_method(req), "GET") == 0)
+		return;
+	log_event(kEvtJobAnswered, "job", id, "status", log_number(status),
+	    "may_be_applied", change->may_be_applied ? "yes" : "no", "method",
+	    front_method(req), "step", step, "by",
+	    job_forward_is_allowed(req) ? "client" : "peer", "age_us",
+	    log_number(loop_now_us(js->opt.deps.lp) - front_received_us(req)),
+	    NULL);
+}
+
 bool
 job_reply_impossible_id(struct front_request *req, const char *id)
 {
@@ -144,8 +174,14 @@
 job_task_refuse(struct job_task *task, int code, const char *message,
     int64_t retry_after_us)
 {
-	if (store_change_result(&task->change, kStoreUnavailable) ==
-	    kStoreAmbiguous)
+	bool is_open = store_change_result(&task->change, kStoreUnavailable) ==
+	    kStoreAmbiguous;
+
+	job_log_answer(task->js, task->req, task->id, "quota",
+	    is_open ? job_store_error_status(kStoreAmbiguous)
+		    : sf_error_status(code),
+	    &task->change);
+	if (is_open)
 		job_reply_store_error(task->req, kStoreAmbiguous);
 	else
 		reply_error(task->req, code, message, retry_after_us);
@@ -238,6 +274,7 @@
 	struct job_task *task = ctx;
 	bool is_skipped = g_atomic_int_compare_and_exchange(
 	    &task->state, kTaskWaiting, kTaskSkipped);
+	enum store_result res;
 
 	task->answer_timer = 0;
 	if (task->req == NULL || (!is_skipped && !is_read(task)))
@@ -248,8 +285,10 @@
 	    NULL);
 	cancel_forward(task);
 	front_on_disconnect(task->req, NULL, NULL);
-	job_reply_store_error(
-	    task->req, store_change_result(&task->change, kStoreUnavailable));
+	res = store_change_result(&task->change, kStoreUnavailable);
+	job_log_answer(task->js, task->req, task->id, "thread",
+	    job_store_error_status(res), &task->change);
+	job_reply_store_error(task->req, res);
 	task->req = NULL;
 }
 
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -112,6 +112,18 @@
 /** A task no longer submits the job or reads it from the store. */
 void jobs_end_loading(struct jobs *js, const char *id);
 
+/**
+ * Logs what the caller of a change was told, beside what is known of its
+ * copies; nothing for reads.
+ * @param step what gave the answer: "store", "thread", "quota" or "peer"
+ */
+void job_log_answer(const struct jobs *js, const struct front_request *req,
+    const char *id, const char *step, int32_t status,
+    const struct store_change *change);
+
+/** @return HTTP status of the reply to a failed store operation */
+int32_t job_store_error_status(enum store_result res);
+
 /** Starts the task, which frees itself when done. */
 void job_task_start(struct job_task *task);
 
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -87,6 +87,10 @@
 	X(kEvtJobForwarded, 1415, INFO, "job_forwarded",                       \
 	    "A request about a job was forwarded to a peer that reaches the "  \
 	    "store.")                                                          \
+	X(kEvtJobAnswered, 1426, INFO, "job_answered",                         \
+	    "The caller of a change to a job has its answer; the fields give " \
+	    "the status, the step that gave it, and whether a copy of the "    \
+	    "change may be applied, also later.")                              \
 	X(kEvtJobCallerLeft, 1421, INFO, "job_caller_left",                    \
 	    "The caller of a request about a job disconnected without an "     \
 	    "answer; the step tells what was in progress.")                    \
@@ -96,6 +100,9 @@
 	    "Finished jobs were removed after their retention period.")        \
 	X(kEvtStoreRefused, 1503, WARN, "store_refused",                       \
 	    "The store responded to a call with an unexpected status.")        \
+	X(kEvtStoreChangeFailed, 1506, INFO, "store_change_failed",            \
+	    "The store refused a change, or its outcome is unknown; the "      \
+	    "fields name its first row and how the call ended.")               \
 	X(kEvtWatchDown, 1504, WARN, "watch_down",                             \
 	    "A list of the installation cannot be read; peers are queried "    \
 	    "instead.")                                                        \
--- a/test/functional/test_gateway_unknown.cc
+++ b/test/functional/test_gateway_unknown.cc
@@ -7,6 +7,9 @@
 namespace
 {
 
+const char kStoreDown[] = "\"name\":\"store_down\"";
+const char kStoreUp[] = "\"name\":\"store_up\"";
+
 struct Unknown : Gateway {
 	/* A job of one item whose body takes more than a row, or not. */
 	static std::string
@@ -37,6 +40,19 @@
 		    .status;
 	}
 
+	/* The daemons reach the store, and know it. */
+	bool
+	AreUp()
+	{
+		return Eventually([&] {
+			return std::all_of(daemons.begin(), daemons.end(),
+			    [](const std::unique_ptr<Process> &d) {
+				    return d->Count(kStoreUp) >=
+					d->Count(kStoreDown);
+			    });
+		});
+	}
+
 	void
 	SetUp() override
 	{
@@ -62,18 +78,24 @@
 	    {"large-by-peer", true, true},
 	};
 
-	int down_count = 0;
-
 	StartReadyFleet(1, 3);
 	for (const auto &c : cases) {
 		std::string job = c.job;
 
+		ASSERT_TRUE(AreUp());
 		Send(0, "GET", "/api/lots/none", "", "r");
 		/* A daemon that is turned away asks a peer at once. */
 		if (c.is_lost_by_peer) {
+			int down_count = daemons[0]->Count(kStoreDown);
+
 			PostToStore("/fault", "{\"turned_away\":\"d0\"}");
-			ASSERT_TRUE(daemons[0]->WaitLine(
-			    "\"name\":\"store_down\"", ++down_count));
+			ASSERT_TRUE(
+			    daemons[0]->WaitLine(kStoreDown, down_count + 1));
+			/* By a peer that is known to reach the store. */
+			ASSERT_TRUE(Eventually([&] {
+				return Send(0, "GET", "/api/lots/none", "", "r")
+					   .status == 404;
+			}));
 		}
 		PostToStore("/fault",
 		    std::string("{\"lose_answers\":1,\"lose_table\":\"open\","
@@ -116,17 +138,27 @@
 	for (const auto &c : cases) {
 		long first;
 
+		ASSERT_TRUE(AreUp());
+		Send(0, "GET", "/api/lots/none", "", "r");
 		SetWay(0, c.mode, 700);
 		SetWay(1, "refuse");
 		SetWay(2, "turn_away");
 		first = Submit(0, c.job, c.is_large);
-		EXPECT_TRUE(first == 500 || first == 0) << first;
+		EXPECT_EQ(500, first) << c.job;
+		EXPECT_TRUE(
+		    daemons[0]->WaitLine("\"job\":\"" + std::string(c.job) +
+			"\",\"status\":\"500\",\"may_be_applied\":\"yes\""));
+		EXPECT_TRUE(daemons[0]->WaitLine("\"row\":\"job/jobs/" +
+		    std::string(c.job) + "\",\"store\":\"ambiguous\""));
 		EXPECT_EQ(503, Submit(1, c.job, c.is_large));
 		EXPECT_EQ(503, Submit(2, c.job, c.is_large));
 		for (size_t i = 0; i < 3; i++)
 			SetWay(i, "pass");
 		EXPECT_TRUE(Eventually([&] { return HasResults(0, c.job, 1); }))
 		    << c.job;
+		EXPECT_TRUE(daemons[0]->WaitLine(
+		    "\"name\":\"job_done\",\"daemon\":\"d0\",\"job\":\"" +
+		    std::string(c.job) + "\""));
 	}
 }
 
