Drain plan: the shortest graces keep 200 ms for answers and the exit

With a grace of 500 ms, 15% of it are 75 ms, and the process exited 37 ms before its end: beside load 26 to 38 on 8 cores it was killed at the grace once in three runs of GatewayDrain.CallsTakenLateAreNotCut*, with all requests answered. Sending answers and leaving take a time that does not shrink with the grace, so the reserve has a lower bound of 200 ms, or half of the grace.

--- a/src/savoryflow/drain/drain_plan.c
+++ b/src/savoryflow/drain/drain_plan.c
@@ -6,22 +6,32 @@
 
 enum {
 	/* Running requests are given up this long before the end of the grace,
-	 * but keep the larger part of a short one. */
+	 * but keep at least half of it. */
+	kReserveMinUs = 200 * kUsPerMs,
 	kReserveMaxUs = 1200 * kUsPerMs,
 	kReservePercent = 15,
+	kHalf = 2,
 	/* Work takes at most this many times its usual time. */
 	kExpectedFactor = 2,
 	kPercent = 100,
 };
 
+static int64_t
+reserve_us_of(int64_t grace_us)
+{
+	int64_t part_us = grace_us * kReservePercent / kPercent;
+
+	return MIN(
+	    CLAMP(part_us, kReserveMinUs, kReserveMaxUs), grace_us / kHalf);
+}
+
 struct drain_plan
 drain_plan_make(int64_t started_us, int64_t grace_us, int64_t detect_us)
 {
-	int64_t reserve_us =
-	    MIN(kReserveMaxUs, grace_us * kReservePercent / kPercent);
+	int64_t reserve_us = reserve_us_of(grace_us);
 	struct drain_plan plan = {
 	    .give_up_us = started_us + grace_us - reserve_us,
-	    .exit_us = started_us + grace_us - reserve_us / 2,
+	    .exit_us = started_us + grace_us - reserve_us / kHalf,
 	};
 
 	plan.accept_until_us = MIN(started_us + detect_us, plan.give_up_us);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -76,7 +76,7 @@
 	NUM(drain_notice_ms, "drain-notice-ms", 3000, 0, 600000, "ms",         \
 	    "time a leaving daemon still takes requests, for the balancer")    \
 	NUM(drain_timeout_ms, "drain-timeout-ms", 120000, 0, 3600000, "ms",    \
-	    "time from SIGTERM to the exit; its last 15%, at most 1.2 s, are " \
+	    "time from SIGTERM to the exit; its last 15%, 0.2 to 1.2 s, are "  \
 	    "for sending answers")                                             \
 	NUM(job_retention_ms, "job-retention-ms", 3600000, 1000, 604800000,    \
 	    "ms",                                                              \
