--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -190,7 +190,7 @@
 	const struct sockaddr reset = {.sa_family = AF_UNSPEC};
 
 	if (req->lacks_chunks)
-		connect(req->peer->fd, &reset, sizeof(reset));
+		(void)connect(req->peer->fd, &reset, sizeof(reset));
 	return MHD_CONTENT_READER_END_WITH_ERROR;
 }
 
