--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -41,6 +41,7 @@
 	struct loop *lp;
 	struct relay_options opt;
 	char service[kFleetNameMax];
+	struct calls_caller caller;
 	struct blame_keys keys;
 	/** It runs to find out whether it still crashes targets. */
 	bool is_trial;
@@ -414,11 +415,13 @@
 
 void
 calls_serve(struct calls *cs, struct front_request *req,
-    const struct dialect_call *call, const struct routebook_route *route)
+    const struct dialect_call *call, const struct routebook_route *route,
+    const struct calls_caller *caller)
 {
 	struct online_call *oc = call_new(cs, req, call, route);
 	int64_t received_us = front_received_us(req);
 
+	oc->caller = *caller;
 	oc->opt = (struct relay_options){
 	    .method = front_method(req),
 	    .uri = front_uri(req),
@@ -436,6 +439,8 @@
 	    .is_resumable = route->is_resumable,
 	    .last_event_id = call->last_event_id,
 	    .prefix = call->prefix,
+	    .team = oc->caller.access.team,
+	    .strips_credentials = caller->has_teams,
 	    .stall_timeout_us = MAX(
 		route->objective_us / kStallTimeoutDivisor, kStallTimeoutMinUs),
 	    .pause_timeout_us = route->event_gap_max_us / kStallTimeoutDivisor,
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYFLOW_GATEWAY_CALLS_H
 #define SAVORYFLOW_GATEWAY_CALLS_H
 
+#include "gateway/access/access.h"
 #include "gateway/crash_guard.h"
 #include "gateway/front.h"
 #include "gateway/relay.h"
@@ -9,6 +10,13 @@
 /** Online requests of callers, from the route to the answer. Loop only. */
 struct calls;
 
+/** Who sent a request. */
+struct calls_caller {
+	struct access_caller access;
+	/** The configuration has teams. */
+	bool has_teams;
+};
+
 struct calls_options {
 	struct relay_deps deps;
 	struct crash_guard *guard;
@@ -21,7 +29,8 @@
 
 /** Serves a request of a route; it is answered in all cases. */
 void calls_serve(struct calls *cs, struct front_request *req,
-    const struct dialect_call *call, const struct routebook_route *route);
+    const struct dialect_call *call, const struct routebook_route *route,
+    const struct calls_caller *caller);
 
 /** When a request of a route has an answer at the latest. */
 int64_t calls_answer_deadline_us(const struct front_request *req,
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -34,6 +34,15 @@
 	kEndpointJobEnd,
 };
 
+/** Whether a request carries a key. */
+enum dialect_key_state {
+	kKeyMissing,
+	/** The credentials are doubled, empty, too long or of another scheme.
+	 */
+	kKeyMalformed,
+	kKeyGiven,
+};
+
 /** A caller's request, decoded. */
 struct dialect_call {
 	enum dialect_endpoint endpoint;
@@ -46,6 +55,10 @@
 	/** Hash of the prompt's shared prefix; 0 if there is none. */
 	uint64_t prefix;
 	struct prompt_parts parts;
+	enum dialect_key_state key_state;
+	/** Given: the key, in the request's headers, and its length. */
+	const char *key;
+	size_t key_len;
 	/** Jobs: job id, position of the first result requested, item id. */
 	char job_id[kAttemptIdMax];
 	int32_t from_position;
@@ -61,6 +74,8 @@
 	int64_t remaining_us;
 	/** The stream resumes after this event; -1: from the start. */
 	int64_t last_event_id;
+	/** Team that the request is attributed to; NULL or "": none. */
+	const char *team;
 };
 
 /** What the head of a target's response states. */
@@ -86,6 +101,9 @@
 	    const struct header_list *headers, struct dialect_call *call);
 	void (*decode_parts)(
 	    const struct header_list *headers, struct prompt_parts *parts);
+	/** Removes what identifies the caller: its key, and the team that it
+	 * names itself. */
+	void (*strip_credentials)(struct header_list *headers);
 	/** Sets the header fields of a request to a target. */
 	void (*encode_forward)(
 	    struct header_list *headers, const struct dialect_forward *fwd);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -58,6 +58,12 @@
 	return ((struct gateway *)ctx)->is_store_up;
 }
 
+static bool
+routes_are_current(void *ctx)
+{
+	return ((struct gateway *)ctx)->is_watch_up;
+}
+
 static const char *
 front_reaching_store(void *ctx, const char *excluded_front)
 {
@@ -272,6 +278,7 @@
 	    gw->self.address, gw->self.session, gw->self.data_center,
 	    &gateway_wire_ops, gw};
 	struct calls_options calls = {0};
+	struct access_options access = {routes_are_current, gw};
 	struct crash_guard_options guard = {
 	    gw->lp, gw->roster, gw->self.address, &gateway_wire_ops, gw};
 	struct quota_options quota = {gw->lp, gw->offload, gw->store,
@@ -303,6 +310,7 @@
 	gw->guard = crash_guard_new(&guard);
 	calls.deps = deps;
 	calls.guard = gw->guard;
+	gw->access = access_new(&access);
 	gw->calls = calls_new(&calls);
 	gw->quota = quota_new(&quota);
 	jobs.deps = deps;
@@ -410,6 +418,7 @@
 	jobs_free(gw->jobs);
 	quota_free(gw->quota);
 	calls_free(gw->calls);
+	access_free(gw->access);
 	crash_guard_free(gw->guard);
 	outbound_free(gw->outbound);
 	target_activity_free(gw->activity);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYFLOW_GATEWAY_GATEWAY_INTERNAL_H
 #define SAVORYFLOW_GATEWAY_GATEWAY_INTERNAL_H
 
+#include "gateway/access/access.h"
 #include "gateway/calls.h"
 #include "gateway/contact_exchange.h"
 #include "gateway/gateway.h"
@@ -35,6 +36,7 @@
 	struct slots *slots;
 	struct target_activity *activity;
 	struct crash_guard *guard;
+	struct access *access;
 	struct calls *calls;
 	struct jobs *jobs;
 	struct members *members;
@@ -61,6 +63,8 @@
 	/** An update of the pools is posted to the loop. */
 	bool is_pool_update_pending;
 	int64_t settings_checked_us;
+	/** The lists at the store are readable. */
+	bool is_watch_up;
 	/** The complete list of targets has been read. */
 	bool has_target_list;
 	bool is_draining;
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -50,6 +50,7 @@
     const struct dialect_call *call)
 {
 	const char *host = header_list_get(front_headers(req), "Host");
+	struct calls_caller caller = {.has_teams = gw->routes->teams != NULL};
 	const struct routebook_route *route = host != NULL
 	    ? routebook_find(gw->routes, host, front_uri(req))
 	    : NULL;
@@ -68,10 +69,13 @@
 		    req, kErrBadRequest, "the attempt id is missing", 0);
 	} else if (!is_accepted(gw, req, call, route)) {
 		refuse_draining(gw, req, call);
+	} else if (!access_identify(gw->access, req, call, gw->routes,
+		       route->is_public, &caller.access)) {
+		/* Refused: it has been answered. */
 	} else if (route->kind == kRoutebookBatch) {
 		jobs_submit(gw->jobs, req, call, route);
 	} else {
-		calls_serve(gw->calls, req, call, route);
+		calls_serve(gw->calls, req, call, route, &caller);
 	}
 }
 
--- a/src/gateway/gateway_watch.c
+++ b/src/gateway/gateway_watch.c
@@ -285,6 +285,7 @@
 	struct watch_update *update = ctx;
 	struct gateway *gw = update->gw;
 
+	gw->is_watch_up = update->is_reachable;
 	if (update->is_reachable)
 		gw->store_recovered_us = loop_now_us(gw->lp);
 	view_exchange_set_store_unreachable(gw->view, !update->is_reachable);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -40,6 +40,7 @@
 	g_free(rl->service);
 	header_list_free(rl->headers);
 	header_list_free(rl->answer_headers);
+	g_free(rl->team);
 	if (rl->body != NULL)
 		g_bytes_unref(rl->body);
 	event_splitter_clear(&rl->events);
@@ -194,6 +195,7 @@
 		? MAX(rl->opt.caller_deadline_us - now_us, kUsPerMs)
 		: 0,
 	    .last_event_id = rl->events.last_id,
+	    .team = rl->team,
 	};
 	struct outbound_options opt = {
 	    .method = rl->method,
@@ -441,6 +443,7 @@
 	rl->uri = g_strdup(opt->uri);
 	rl->attempt_id = g_strdup(opt->attempt_id);
 	rl->service = g_strdup(opt->service);
+	rl->team = g_strdup(opt->team);
 	rl->body = opt->body != NULL ? g_bytes_ref(opt->body) : NULL;
 	rl->headers = header_list_new();
 	for (guint i = 0; i < header_list_len(opt->headers); i++) {
@@ -449,6 +452,8 @@
 		if (!header_is_hop_by_hop(h->name))
 			header_list_add(rl->headers, h->name, h->value);
 	}
+	if (opt->strips_credentials)
+		deps->dialect->strip_credentials(rl->headers);
 	event_splitter_init(&rl->events, opt->last_event_id);
 	rl->answer_body = g_string_new(NULL);
 	rl->started_us = loop_now_us(deps->lp);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -110,6 +110,11 @@
 	bool is_resumable;
 	int64_t last_event_id;
 	uint64_t prefix;
+	/** Team that the request is attributed to; NULL or "": none. */
+	const char *team;
+	/** The configuration has teams: what identifies the caller is not
+	 * forwarded. */
+	bool strips_credentials;
 	/** A target that sends no event for this long keeps the request until
 	 * another one is granted. */
 	int64_t stall_timeout_us;
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -21,6 +21,7 @@
 	GBytes *body;
 	char *attempt_id;
 	char *service;
+	char *team;
 
 	enum relay_phase phase;
 	uint64_t slot;
--- a/src/savoryflow/routebook/routebook.c
+++ b/src/savoryflow/routebook/routebook.c
@@ -33,6 +33,15 @@
 	g_free(svc);
 }
 
+static void
+team_free(void *p)
+{
+	struct routebook_team *team = p;
+
+	g_free(team->name);
+	g_free(team);
+}
+
 struct routebook *
 routebook_new(int64_t version)
 {
@@ -61,9 +70,40 @@
 		return;
 	g_ptr_array_unref(book->routes);
 	g_hash_table_unref(book->services);
+	if (book->teams != NULL)
+		g_hash_table_unref(book->teams);
+	team_keys_free(book->keys);
 	g_free(book);
 }
 
+void
+routebook_require_keys(struct routebook *book, const uint8_t *secret)
+{
+	book->teams =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
+	book->keys = team_keys_new(secret);
+}
+
+struct routebook_team *
+routebook_add_team(struct routebook *book, const char *name)
+{
+	struct routebook_team *team = g_hash_table_lookup(book->teams, name);
+
+	if (team != NULL)
+		return team;
+	team = g_new0(struct routebook_team, 1);
+	team->name = g_strdup(name);
+	g_hash_table_insert(book->teams, team->name, team);
+	return team;
+}
+
+const struct routebook_team *
+routebook_team(const struct routebook *book, const char *name)
+{
+	return book->teams != NULL ? g_hash_table_lookup(book->teams, name)
+				   : NULL;
+}
+
 struct routebook_route *
 routebook_add_route(struct routebook *book)
 {
--- a/src/savoryflow/routebook/routebook.h
+++ b/src/savoryflow/routebook/routebook.h
@@ -15,6 +15,21 @@
 struct routebook_service *routebook_add_service(
     struct routebook *book, const char *name);
 
+/**
+ * From now on, requests of routes that are not public need a key.
+ * @param secret of the keys' digests, kTeamDigestBytes bytes
+ */
+void routebook_require_keys(struct routebook *book, const uint8_t *secret);
+
+/** Adds a team, to be filled in by the caller; an existing one is returned.
+ * The routebook must require keys. */
+struct routebook_team *routebook_add_team(
+    struct routebook *book, const char *name);
+
+/** @return NULL if the team is unknown */
+const struct routebook_team *routebook_team(
+    const struct routebook *book, const char *name);
+
 /**
  * Finds the route of a request: the host's route with the longest prefix that
  * matches the path.
--- a/src/savoryflow/routebook/routebook_defs.h
+++ b/src/savoryflow/routebook/routebook_defs.h
@@ -5,6 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "savoryflow/teams/team_keys.h"
+
 /** Kind of a route's requests; decides whether they may be repeated. */
 enum routebook_kind {
 	/** May run more than once. */
@@ -47,6 +49,8 @@
 	/** Batch: maximum tokens of accepted items that wait for a run; 0: no
 	 * limit. */
 	int64_t waiting_tokens_max;
+	/** Requests need no key. */
+	bool is_public;
 	/** struct routebook_share; at least one. */
 	GArray *shares;
 };
@@ -60,6 +64,19 @@
 	int32_t slots;
 };
 
+/** A customer; its requests carry one of its keys. */
+struct routebook_team {
+	char *name;
+	/** Precedes the priority of the route; 0 is the most urgent. */
+	int32_t priority;
+	/** False: the priority of the route applies. */
+	bool has_priority;
+	/** Thousandths of requests a second over all daemons; 0: no limit. */
+	int64_t rate_milli_per_s;
+	/** Requests beyond the rate that may come at once. */
+	int64_t burst;
+};
+
 struct routebook_limits {
 	int64_t header_bytes;
 	int64_t body_bytes;
@@ -75,6 +92,10 @@
 	GPtrArray *routes;
 	/** struct routebook_service by name. */
 	GHashTable *services;
+	/** struct routebook_team by name; NULL if requests need no key. */
+	GHashTable *teams;
+	/** Keys of the teams; NULL without teams. */
+	struct team_keys *keys;
 	struct routebook_limits limits;
 };
 
--- a/test/relay/relay_fixture.h
+++ b/test/relay/relay_fixture.h
@@ -218,6 +218,7 @@
 	Relay()
 	{
 		dialect.encode_forward = EncodeForward;
+		dialect.strip_credentials = [](struct header_list *) {};
 		dialect.decode_response = DecodeResponse;
 		for (const char *id : {"a", "b", "c"}) {
 			fleet_target t = {};
