--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -73,7 +73,7 @@
 		       route->is_public, &caller.access)) {
 		/* Refused: it has been answered. */
 	} else if (route->kind == kRoutebookBatch) {
-		jobs_submit(gw->jobs, req, call, route);
+		jobs_submit(gw->jobs, req, call, route, &caller.access);
 	} else {
 		calls_serve(gw->calls, req, call, route, &caller);
 	}
@@ -91,6 +91,7 @@
 on_request(void *ctx, struct front_request *req)
 {
 	struct gateway *gw = ctx;
+	struct access_caller caller = {0};
 	struct dialect_call call;
 
 	metric_add(kMetRequests, 1);
@@ -112,18 +113,22 @@
 		refuse_draining(gw, req, &call);
 		return;
 	}
+	if (call.endpoint != kEndpointRoute &&
+	    !access_identify(
+		gw->access, req, &call, gw->routes, false, &caller))
+		return;
 	switch (call.endpoint) {
 	case kEndpointRoute:
 		serve_route(gw, req, &call);
 		break;
 	case kEndpointJobResults:
-		jobs_results(gw->jobs, req, &call);
+		jobs_results(gw->jobs, req, &call, &caller);
 		break;
 	case kEndpointJobItem:
-		jobs_item(gw->jobs, req, &call);
+		jobs_item(gw->jobs, req, &call, &caller);
 		break;
 	case kEndpointJobEnd:
-		jobs_end(gw->jobs, req, &call);
+		jobs_end(gw->jobs, req, &call, &caller);
 		break;
 	}
 }
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -45,6 +45,14 @@
 	return g_hash_table_size(js->runs) > 0;
 }
 
+bool
+jobs_has_teams(const struct jobs *js)
+{
+	const struct routebook *book = js->opt.routes(js->opt.ctx);
+
+	return book != NULL && book->teams != NULL;
+}
+
 struct jobs *
 jobs_new(const struct jobs_options *opt)
 {
@@ -126,6 +134,7 @@
 
 	copy->host = g_strdup(job->host);
 	copy->path = g_strdup(job->path);
+	copy->team = g_strdup(job->team);
 	copy->input = g_strdup(job->input);
 	copy->total = job->total;
 	copy->accepted_ms = job->accepted_ms;
@@ -209,7 +218,8 @@
 
 void
 jobs_submit(struct jobs *js, struct front_request *req,
-    const struct dialect_call *call, const struct routebook_route *route)
+    const struct dialect_call *call, const struct routebook_route *route,
+    const struct access_caller *caller)
 {
 	GError *err = NULL;
 	gsize len;
@@ -230,10 +240,12 @@
 		g_error_free(err);
 		return;
 	}
-	task = job_task_new(js, req, call->attempt_id);
+	task = job_task_new_for(js, req, call->attempt_id, caller->team);
 	task->items = items;
 	task->job = itemjob_new(call->attempt_id);
 	task->job->host = g_strdup(route->host);
+	if (caller->team[0] != '\0')
+		task->job->team = g_strdup(caller->team);
 	task->job->path =
 	    g_strndup(front_uri(req), strcspn(front_uri(req), "?"));
 	jobs_set_token(task);
@@ -252,9 +264,27 @@
 	job_task_start(task);
 }
 
+/* @return kStoreNotFound if another team submitted the job */
+static enum store_result
+check_team(struct job_task *task)
+{
+	enum store_result res = kStoreOk;
+
+	if (task->job == NULL)
+		res = itemjob_get(task->js->opt.store, task->id, &task->job);
+	if (res == kStoreOk && !itemjob_is_of_team(task->job, task->team))
+		res = kStoreNotFound;
+	return res;
+}
+
 static void
 end_work(struct job_task *task)
 {
+	if (task->team[0] != '\0') {
+		task->outcome = check_team(task);
+		if (task->outcome != kStoreOk)
+			return;
+	}
 	task->outcome =
 	    itemjob_end(task->js->opt.store, task->id, &task->owner);
 }
@@ -279,14 +309,14 @@
 }
 
 void
-jobs_end(
-    struct jobs *js, struct front_request *req, const struct dialect_call *call)
+jobs_end(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call, const struct access_caller *caller)
 {
 	struct job_task *task;
 
 	if (job_reply_impossible_id(req, call->job_id))
 		return;
-	task = job_task_new(js, req, call->job_id);
+	task = job_task_new_for(js, req, call->job_id, caller->team);
 	task->work = end_work;
 	task->done = end_done;
 	job_task_start(task);
--- a/src/gateway/jobs.h
+++ b/src/gateway/jobs.h
@@ -1,6 +1,7 @@
 #ifndef SAVORYFLOW_GATEWAY_JOBS_H
 #define SAVORYFLOW_GATEWAY_JOBS_H
 
+#include "gateway/access/access.h"
 #include "gateway/crash_guard.h"
 #include "gateway/front.h"
 #include "gateway/offload.h"
@@ -51,13 +52,14 @@
 bool jobs_has_running(const struct jobs *js);
 
 void jobs_submit(struct jobs *js, struct front_request *req,
-    const struct dialect_call *call, const struct routebook_route *route);
+    const struct dialect_call *call, const struct routebook_route *route,
+    const struct access_caller *caller);
 void jobs_results(struct jobs *js, struct front_request *req,
-    const struct dialect_call *call);
+    const struct dialect_call *call, const struct access_caller *caller);
 void jobs_item(struct jobs *js, struct front_request *req,
-    const struct dialect_call *call);
+    const struct dialect_call *call, const struct access_caller *caller);
 void jobs_end(struct jobs *js, struct front_request *req,
-    const struct dialect_call *call);
+    const struct dialect_call *call, const struct access_caller *caller);
 
 /** Handles the end of a job by its caller: stops it if this daemon runs it. */
 void jobs_on_ended(struct jobs *js, const char *id);
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -131,6 +131,9 @@
 /** Ends the items that wait once the job's route has been gone for a while. */
 void jobs_route_check(struct job_run *run);
 
+/** Whether the configuration in force has teams. */
+bool jobs_has_teams(const struct jobs *js);
+
 /** Header fields of an item; free with header_list_free. */
 struct header_list *jobs_item_headers(const struct itemjob_item *item);
 
--- a/src/gateway/jobs_read.c
+++ b/src/gateway/jobs_read.c
@@ -14,6 +14,9 @@
 	task->outcome = kStoreOk;
 	if (task->total < 0) {
 		task->outcome = itemjob_get(st, task->id, &task->job);
+		if (task->outcome == kStoreOk &&
+		    !itemjob_is_of_team(task->job, task->team))
+			task->outcome = kStoreNotFound;
 		if (task->outcome != kStoreOk)
 			return;
 		task->total = task->job->total;
@@ -59,15 +62,19 @@
 }
 
 void
-jobs_results(
-    struct jobs *js, struct front_request *req, const struct dialect_call *call)
+jobs_results(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call, const struct access_caller *caller)
 {
 	const struct itemjob *cached = jobs_cached_job(js, call->job_id);
 	struct job_task *task;
 
 	if (job_reply_impossible_id(req, call->job_id))
 		return;
-	task = job_task_new(js, req, call->job_id);
+	if (cached != NULL && !itemjob_is_of_team(cached, caller->team)) {
+		job_reply_store_error(req, kStoreNotFound);
+		return;
+	}
+	task = job_task_new_for(js, req, call->job_id, caller->team);
 	task->from = call->from_position;
 	task->total = cached != NULL ? cached->total : -1;
 	task->work = results_work;
@@ -94,6 +101,9 @@
 	const struct itemjob_item *item;
 
 	task->outcome = itemjob_get(st, task->id, &task->job);
+	if (task->outcome == kStoreOk &&
+	    !itemjob_is_of_team(task->job, task->team))
+		task->outcome = kStoreNotFound;
 	if (task->outcome == kStoreOk)
 		task->outcome = itemjob_load_items(st, task->job, &task->items);
 	else
@@ -136,8 +146,8 @@
 }
 
 void
-jobs_item(
-    struct jobs *js, struct front_request *req, const struct dialect_call *call)
+jobs_item(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call, const struct access_caller *caller)
 {
 	struct job_run *run = g_hash_table_lookup(js->runs, call->job_id);
 	const struct itemjob_item *item =
@@ -146,11 +156,12 @@
 
 	if (job_reply_impossible_id(req, call->job_id))
 		return;
-	if (item != NULL && item->body != NULL) {
+	if (item != NULL && item->body != NULL &&
+	    itemjob_is_of_team(run->job, caller->team)) {
 		reply_bytes(req, item->body);
 		return;
 	}
-	task = job_task_new(js, req, call->job_id);
+	task = job_task_new_for(js, req, call->job_id, caller->team);
 	task->item_id = g_strdup(call->item_id);
 	task->work = item_work;
 	task->done = item_done;
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -259,6 +259,8 @@
 	    .may_repeat = true,
 	    .is_resumable = true,
 	    .last_event_id = ir->last_event_id,
+	    .team = run->job->team,
+	    .strips_credentials = jobs_has_teams(run->js),
 	    .stall_timeout_us = kStallTimeoutUs,
 	    .stream_bytes_max =
 		MAX(kItemjobTextBytesMax - (int64_t)ir->text->len, 1),
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -26,6 +26,7 @@
 	loop_timer_cancel(task->js->opt.deps.lp, task->hedge_timer);
 	loop_timer_cancel(task->js->opt.deps.lp, task->answer_timer);
 	g_free(task->id);
+	g_free(task->team);
 	g_free(task->token);
 	g_free(task->item_id);
 	g_free(task->owner);
@@ -84,6 +85,16 @@
 	return task;
 }
 
+struct job_task *
+job_task_new_for(struct jobs *js, struct front_request *req, const char *id,
+    const char *team)
+{
+	struct job_task *task = job_task_new(js, req, id);
+
+	task->team = g_strdup(team);
+	return task;
+}
+
 void
 job_reply_store_error(struct front_request *req, enum store_result res)
 {
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -24,6 +24,8 @@
 	/** NULL without a caller, or after it disconnected or was answered. */
 	struct front_request *req;
 	char *id;
+	/** Team of the caller, or "". A job of another team is not found. */
+	char *team;
 	int64_t received_us;
 	/** Runs on a pool thread. */
 	void (*work)(struct job_task *task);
@@ -83,6 +85,10 @@
 struct job_task *job_task_new(
     struct jobs *js, struct front_request *req, const char *id);
 
+/** A task for a call of a team. @param team "": none */
+struct job_task *job_task_new_for(struct jobs *js, struct front_request *req,
+    const char *id, const char *team);
+
 /** Frees a task that was not started. */
 void job_task_free(struct job_task *task);
 
--- a/src/savoryflow/job/itemjob.c
+++ b/src/savoryflow/job/itemjob.c
@@ -2,6 +2,7 @@
 #include "savoryflow/job/itemjob.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "os/json_text.h"
 
@@ -22,11 +23,18 @@
 	g_free(job->id);
 	g_free(job->host);
 	g_free(job->path);
+	g_free(job->team);
 	g_free(job->input);
 	g_free(job->quota_route);
 	g_free(job);
 }
 
+bool
+itemjob_is_of_team(const struct itemjob *job, const char *team)
+{
+	return strcmp(job->team != NULL ? job->team : "", team) == 0;
+}
+
 static void
 header_clear(void *p)
 {
--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -40,6 +40,8 @@
 	/** Host and path of the submission; they select the route. */
 	char *host;
 	char *path;
+	/** Team that submitted it; NULL: none. */
+	char *team;
 	/** Unique name of the submission; also of the object with the items,
 	 * unless they are inline. */
 	char *input;
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -21,6 +21,8 @@
 
 	if (job->quota_route != NULL)
 		json_object_set_new(doc, "quota", json_text(job->quota_route));
+	if (job->team != NULL)
+		json_object_set_new(doc, "team", json_text(job->team));
 	text = json_dumps(doc, JSON_COMPACT);
 	json_decref(doc);
 	return text;
@@ -52,6 +54,7 @@
 		job->is_inline = json_is_true(json_object_get(doc, "inline"));
 		job->total = (int32_t)total;
 		job->quota_route = g_strdup(text_field(doc, "quota"));
+		job->team = g_strdup(text_field(doc, "team"));
 		job->accepted_ms = json_is_integer(accepted)
 		    ? json_integer_value(accepted)
 		    : -1;
