Slots: an arbiter that acts for a silent one starts items

An accepted item had no result after 30 s beside idle workers: the elected arbiter heartbeats but is silent, and the daemon that acts in its place started no items, so that two arbiters would not fill the same slots. It starts them once no other arbiter of the pool has reported for 3 s.

--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -16,6 +16,10 @@
 	kEarlyStartUs = 2 * kUsPerS,
 	/* Another arbiter of the pool reports more often than this. */
 	kOtherSilentUs = kUsPerS,
+	/* An elected arbiter that is silent for this time runs no items: the
+	 * daemon that acts in its place starts them. Longer than the above, as
+	 * two arbiters that start items fill each other's free slots. */
+	kElectedSilentUs = 3 * kUsPerS,
 };
 
 void
@@ -138,8 +142,10 @@
 	const struct pool_view *view =
 	    slots_view(sl, hp->service, hp->data_center);
 	int64_t now_us = loop_now_us(sl->opt.lp);
+	int64_t silent_us = now_us - MAX(view->other_report_us, hp->started_us);
 
-	slotpool_allow_batch(hp->pool, is_elected);
+	slotpool_allow_batch(
+	    hp->pool, is_elected || silent_us > kElectedSilentUs);
 	slotpool_allow_limited(hp->pool,
 	    is_elected || now_us - view->other_report_us > kOtherSilentUs,
 	    now_us);
@@ -170,6 +176,7 @@
 		g_strlcpy(
 		    hp->data_center, data_center, sizeof(hp->data_center));
 		hp->pool = slotpool_new();
+		hp->started_us = loop_now_us(sl->opt.lp);
 		update_role(sl, hp,
 		    roster_is_elected_owner(sl->opt.roster, key, data_center,
 			loop_now_us(sl->opt.lp)));
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -19,6 +19,8 @@
 	char service[kFleetNameMax];
 	char data_center[kFleetNameMax];
 	struct slotpool *pool;
+	/** Since when this daemon arbitrates the pool. */
+	int64_t started_us;
 	struct slotpool_load reported;
 	int64_t reported_us;
 	/** Time of the last report to the arbiters of other data centres. */
