Gateway: status of a daemon on its metrics listener

Operators had no way to ask a gateway what it believes: savoryflow status reads /v1/status, which only the own API served. The metrics listener serves it now; modules describe themselves in sections.

--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -1,6 +1,9 @@
 /* Dispatches callers' requests. */
+#include <stdlib.h>
+
 #include "error/error.h"
 #include "gateway/gateway_internal.h"
+#include "gateway/gateway_status.h"
 #include "gateway/reply.h"
 #include "log/log.h"
 #include "metric/histogram.h"
@@ -182,8 +185,16 @@
 static void
 on_metrics_request(void *ctx, struct front_request *req)
 {
-	GString *text = g_string_new(NULL);
+	GString *text;
+
+	if (gateway_status_is_requested(front_uri(req))) {
+		char *status = gateway_status_text(ctx);
 
+		reply_json(req, 200, status);
+		free(status);
+		return;
+	}
+	text = g_string_new(NULL);
 	metric_print(text);
 	histogram_print(text);
 	front_reply(req, 200, NULL, text->str, text->len);
