--- a/src/savoryflow/teams/team_keys.c
+++ b/src/savoryflow/teams/team_keys.c
@@ -34,18 +34,45 @@
 
 /* Takes the same time for all digests, so that the time of a lookup does not
  * tell how much of a guess is right. */
-static gboolean
-digest_equal(gconstpointer a, gconstpointer b)
+bool
+team_digest_equal(const struct team_digest *a, const struct team_digest *b)
 {
-	const struct team_digest *x = a;
-	const struct team_digest *y = b;
 	uint8_t diff = 0;
 
 	for (size_t i = 0; i < kTeamDigestBytes; i++)
-		diff |= x->bytes[i] ^ y->bytes[i];
+		diff |= a->bytes[i] ^ b->bytes[i];
 	return diff == 0;
 }
 
+static gboolean
+digest_equal(gconstpointer a, gconstpointer b)
+{
+	return team_digest_equal(a, b);
+}
+
+void
+team_digest_print(const struct team_digest *digest, char *hex)
+{
+	for (size_t i = 0; i < kTeamDigestBytes; i++)
+		g_snprintf(hex + 2 * i, 3, "%02x", digest->bytes[i]);
+}
+
+bool
+team_digest_parse(const char *hex, struct team_digest *digest)
+{
+	if (strlen(hex) != kTeamDigestHexMax - 1)
+		return false;
+	for (size_t i = 0; i < kTeamDigestBytes; i++) {
+		int high = g_ascii_xdigit_value(hex[2 * i]);
+		int low = g_ascii_xdigit_value(hex[2 * i + 1]);
+
+		if (high < 0 || low < 0)
+			return false;
+		digest->bytes[i] = (uint8_t)(high << 4 | low);
+	}
+	return true;
+}
+
 struct team_keys *
 team_keys_new(const uint8_t *secret)
 {
--- a/src/savoryflow/teams/team_keys.h
+++ b/src/savoryflow/teams/team_keys.h
@@ -10,6 +10,8 @@
 	kTeamDigestBytes = 32,
 	/** Longest key of a team, in bytes. */
 	kTeamKeyBytesMax = 512,
+	/** A digest in hex digits, with NUL. */
+	kTeamDigestHexMax = 2 * kTeamDigestBytes + 1,
 };
 
 /** Keyed digest of a team's key. */
@@ -17,6 +19,16 @@
 	uint8_t bytes[kTeamDigestBytes];
 };
 
+/** Writes a digest in hex digits. @param hex kTeamDigestHexMax bytes */
+void team_digest_print(const struct team_digest *digest, char *hex);
+
+/** @return false unless the text is a digest in hex digits */
+bool team_digest_parse(const char *hex, struct team_digest *digest);
+
+/** Compares in a time that does not depend on the digests. */
+bool team_digest_equal(
+    const struct team_digest *a, const struct team_digest *b);
+
 /**
  * The keys of all teams of one configuration, as keyed digests: the keys
  * themselves are not kept. Not changed once it is shared.
