Forwarded calls carry a proof of the team, and no key

A call about a job was forwarded with the caller's key. It now carries the team and an HMAC over the attempt, method, path and team; the peer answers 503 if it has another version of the configuration, and treats a request whose proof does not hold as any caller's: the fields of a forwarded one are ignored. Header fields of items that name a key or a team are removed from a submission that is forwarded. A peer's 401 is no answer, since this daemon has identified the caller; its 409 is one, as another team's job with the id excludes all copies of the submission.

A refusal names the defect of the credentials and is counted by reason. A comma in a key is no defect: such a key of the configuration would never be found.

--- a/src/gateway/access/access.c
+++ b/src/gateway/access/access.c
@@ -4,6 +4,8 @@
 #include "error/error.h"
 #include "gateway/reply.h"
 #include "log/log.h"
+#include "metric/metric.h"
+#include "savoryflow/teams/forward_proof.h"
 
 enum {
 	/* A new version of the configuration is usually read within this
@@ -32,26 +34,115 @@
 
 static void
 refuse(struct front_request *req, const struct dialect_call *call,
-    const char *why, const char *message)
+    enum metric_id metric, const char *why, const char *message)
 {
 	log_event(
 	    kEvtCallRefused, "request", call->attempt_id, "why", why, NULL);
+	metric_add(metric, 1);
 	reply_error(req, kErrUnauthorized, message, 0);
 }
 
+/* For a caller, 401 is final: it is not sent while a newer configuration may
+ * let the request in. */
+static void
+refuse_outdated(struct front_request *req, const struct dialect_call *call,
+    const char *why, const char *message)
+{
+	log_event(
+	    kEvtCallRefused, "request", call->attempt_id, "why", why, NULL);
+	metric_add(kMetRefusedOutdated, 1);
+	reply_error(req, kErrNotReady, message, kOutdatedRetryUs);
+}
+
 static void
 refuse_unknown(struct access *ac, struct front_request *req,
     const struct dialect_call *call)
 {
-	if (ac->opt.is_current(ac->opt.ctx)) {
-		refuse(req, call, "unknown_key", "no team holds the key");
-		return;
+	if (ac->opt.is_current(ac->opt.ctx))
+		refuse(req, call, kMetRefusedUnknownKey, "unknown_key",
+		    "no team holds the key");
+	else
+		refuse_outdated(req, call, "configuration_outdated",
+		    "the key is unknown, and the configuration may be out of "
+		    "date");
+}
+
+static void
+refuse_without_team(struct access *ac, struct front_request *req,
+    const struct dialect_call *call)
+{
+	static const char *const defects[] = {
+	    [kKeyDoubled] = "there is more than one Authorization header",
+	    [kKeyEmpty] = "the Authorization header has no key",
+	    [kKeyTooLong] = "the key of the Authorization header has over 512 "
+			    "bytes",
+	    [kKeyMalformed] = "the Authorization header is not Bearer and one "
+			      "key without white space",
+	};
+
+	switch (call->key_state) {
+	case kKeyMissing:
+		refuse(req, call, kMetRefusedNoKey, "no_key",
+		    "there is no Authorization header with a key");
+		break;
+	case kKeyGiven:
+		refuse_unknown(ac, req, call);
+		break;
+	default:
+		refuse(req, call, kMetRefusedBadKey, "malformed_key",
+		    defects[call->key_state]);
 	}
-	log_event(kEvtCallRefused, "request", call->attempt_id, "why",
-	    "configuration_outdated", NULL);
-	reply_error(req, kErrNotReady,
-	    "the key is unknown, and the configuration may be out of date",
-	    kOutdatedRetryUs);
+}
+
+enum proof_state {
+	/** None, or none that holds: the request is a caller's own. */
+	kProofNone,
+	kProofHolds,
+	/** The sender has another version of the configuration. */
+	kProofOtherVersion,
+};
+
+/* A request with credentials of its own is no forwarded one. */
+static enum proof_state
+check_proof(const struct front_request *req, const struct dialect_call *call,
+    const struct routebook *book, struct access_caller *caller)
+{
+	const struct header_list *headers = front_headers(req);
+	const char *text = header_list_get(headers, kFrontProofHeader);
+	struct forward_claim claim = {
+	    .attempt = header_list_get(headers, kFrontForwardedHeader),
+	    .method = front_method(req),
+	    .path = front_uri(req),
+	};
+	struct forward_field field;
+
+	if (claim.attempt == NULL || text == NULL ||
+	    call->key_state != kKeyMissing ||
+	    !forward_proof_parse(text, &field))
+		return kProofNone;
+	if (field.version != book->version)
+		return kProofOtherVersion;
+	claim.team = field.team;
+	if (book->keys == NULL ||
+	    !forward_proof_holds(book->keys, &claim, &field.digest))
+		return kProofNone;
+	g_strlcpy(caller->team, field.team, sizeof(caller->team));
+	return kProofHolds;
+}
+
+/* @return whether the request has a key that a team holds */
+static bool
+find_team(const struct dialect_call *call, const struct routebook *book,
+    struct access_caller *caller)
+{
+	const char *team;
+
+	if (call->key_state != kKeyGiven)
+		return false;
+	caller->digest = team_keys_digest(book->keys, call->key, call->key_len);
+	team = team_keys_find(book->keys, &caller->digest);
+	g_strlcpy(caller->team, team != NULL ? team : "", sizeof(caller->team));
+	return team != NULL;
 }
 
 bool
@@ -59,35 +150,46 @@
     const struct dialect_call *call, const struct routebook *book,
     bool is_public, struct access_caller *caller)
 {
-	const char *team = NULL;
+	enum proof_state proof;
 
 	*caller = (struct access_caller){0};
+	proof = check_proof(req, call, book, caller);
+	if (proof == kProofOtherVersion) {
+		refuse_outdated(req, call, "peer_has_other_version",
+		    "the peer that forwards the request has another version "
+		    "of the configuration");
+		return false;
+	}
 	if (book->keys == NULL)
 		return true;
-	if (call->key_state == kKeyGiven) {
-		caller->digest =
-		    team_keys_digest(book->keys, call->key, call->key_len);
-		team = team_keys_find(book->keys, &caller->digest);
+	if (proof == kProofNone) {
+		front_set_own(req);
+		caller->has_key = find_team(call, book, caller) && !is_public;
 	}
-	if (team != NULL)
-		g_strlcpy(caller->team, team, sizeof(caller->team));
-	if (is_public)
-		return true;
-	caller->has_key = team != NULL;
-	if (team != NULL)
+	if (is_public || caller->team[0] != '\0')
 		return true;
-	switch (call->key_state) {
-	case kKeyMissing:
-		refuse(req, call, "no_key", "the request carries no key");
-		break;
-	case kKeyMalformed:
-		refuse(req, call, "malformed_key",
-		    "the Authorization header is not one Bearer key of 1 to "
-		    "512 bytes");
-		break;
-	case kKeyGiven:
-		refuse_unknown(ac, req, call);
-		break;
-	}
+	refuse_without_team(ac, req, call);
 	return false;
 }
+
+void
+access_forward(struct header_list *headers, const struct dialect_ops *dialect,
+    const struct routebook *book, const struct front_request *req,
+    const char *attempt, const char *team)
+{
+	struct forward_claim claim = {
+	    .attempt = attempt,
+	    .method = front_method(req),
+	    .path = front_uri(req),
+	    .team = team,
+	};
+	char text[kForwardProofMax];
+
+	dialect->strip_credentials(headers);
+	header_list_remove(headers, kFrontProofHeader);
+	header_list_set(headers, kFrontForwardedHeader, attempt);
+	if (book == NULL || book->keys == NULL)
+		return;
+	forward_proof_print(book->keys, book->version, &claim, text);
+	header_list_set(headers, kFrontProofHeader, text);
+}
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -34,11 +34,15 @@
 	kEndpointJobEnd,
 };
 
-/** Whether a request carries a key. */
+/** What a request carries in place of its key, or that it carries one. */
 enum dialect_key_state {
 	kKeyMissing,
-	/** The credentials are doubled, empty, too long or of another scheme.
-	 */
+	/** More than one field with credentials. */
+	kKeyDoubled,
+	kKeyEmpty,
+	/** Over kTeamKeyBytesMax. */
+	kKeyTooLong,
+	/** Another scheme, or a key with white space. */
 	kKeyMalformed,
 	kKeyGiven,
 };
@@ -101,8 +105,10 @@
 	    const struct header_list *headers, struct dialect_call *call);
 	void (*decode_parts)(
 	    const struct header_list *headers, struct prompt_parts *parts);
-	/** Removes what identifies the caller: its key, and the team that it
-	 * names itself. */
+	/** Whether a header field identifies the caller: its key, or the team
+	 * that it names itself. */
+	bool (*is_credential)(const char *name);
+	/** Removes the fields that identify the caller. */
 	void (*strip_credentials)(struct header_list *headers);
 	/** Sets the header fields of a request to a target. */
 	void (*encode_forward)(
@@ -112,6 +118,9 @@
 	    struct dialect_response *response);
 	/** @return NULL and a typed error if the body is not a valid job */
 	GPtrArray *(*decode_job)(const char *data, size_t len, GError **err);
+	/** The body of a job without header fields of items that identify the
+	 * caller; a new reference if there are none. */
+	GBytes *(*strip_job)(GBytes *body);
 	/** Response body with a page of results; free with free(). */
 	char *(*encode_results)(
 	    int32_t total, int32_t from, const GPtrArray *results);
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -35,6 +35,7 @@
 static const char kKeepAlive[] = "timeout=2";
 
 const char kFrontForwardedHeader[] = "Savoryflow-Forwarded";
+const char kFrontProofHeader[] = "Savoryflow-Forwarded-Team";
 
 static void
 request_free(struct front_request *req)
@@ -75,6 +76,19 @@
 	return req->received_body;
 }
 
+void
+front_set_own(struct front_request *req)
+{
+	req->is_own = true;
+}
+
+bool
+front_is_forwarded(const struct front_request *req)
+{
+	return !req->is_own &&
+	    header_list_get(req->headers, kFrontForwardedHeader) != NULL;
+}
+
 int64_t
 front_received_us(const struct front_request *req)
 {
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -8,6 +8,8 @@
 
 /** Id of a request that a peer forwards; the answer repeats it. */
 extern const char kFrontForwardedHeader[];
+/** Proof of the team that the peer identified, see forward_proof.h. */
+extern const char kFrontProofHeader[];
 
 /** One request of a caller, from its head to the end of its answer. */
 struct front_request;
@@ -92,6 +94,13 @@
 const struct header_list *front_headers(const struct front_request *req);
 /** NULL until the request has been received completely. */
 GBytes *front_body(const struct front_request *req);
+/**
+ * The request is a caller's own, though it has the fields of one that a peer
+ * forwards.
+ */
+void front_set_own(struct front_request *req);
+/** True if a peer has forwarded the request. */
+bool front_is_forwarded(const struct front_request *req);
 /** Time at which the request began to arrive. */
 int64_t front_received_us(const struct front_request *req);
 /** True if the body exceeds the limit; it was discarded. */
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -49,6 +49,8 @@
 	GBytes *received_body;
 	bool has_head;
 	bool is_too_large;
+	/** It was not forwarded, whatever its fields say. */
+	bool is_own;
 	/** It was refused before its end; nothing more may be sent. */
 	bool is_refused;
 	bool is_suspended;
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -16,6 +16,8 @@
 	/* A read may take two calls of the store; a reader stays for 1.5 s. */
 	kReadAnswerTimeoutUs = 500 * kUsPerMs,
 	kHttpRefusedFirst = 400,
+	kHttpUnauthorized = 401,
+	kHttpConflict = 409,
 	kHttpServerErrorFirst = 500,
 	kHttpTooMany = 429,
 	kHttpUnavailable = 503,
@@ -24,6 +26,8 @@
 struct job_forward {
 	struct job_forward_options opt;
 	char *id;
+	/** What peers are sent: without keys that items have. */
+	GBytes *request_body;
 	/** Of the current attempt; the peer's answer repeats it. */
 	char attempt[20];
 	bool is_detached;
@@ -47,6 +51,9 @@
 	loop_timer_cancel(fwd->opt.js->opt.deps.lp, fwd->answer_timer);
 	header_list_free(fwd->headers);
 	g_string_free(fwd->body, TRUE);
+	if (fwd->request_body != NULL)
+		g_bytes_unref(fwd->request_body);
+	g_free(fwd->opt.team);
 	g_free(fwd->id);
 	g_free(fwd);
 }
@@ -161,13 +168,17 @@
 
 /* This daemon has found a submission to be proper, and its own copy of it may
  * be executed: the refusal of a peer, whose configuration may be another one,
- * is no answer to it. */
+ * is no answer to it, unless another team's job has the id: that excludes all
+ * copies. A peer's 401 is no answer either: this daemon has identified the
+ * caller. */
 static bool
 is_answer(const struct job_forward *fwd)
 {
-	if (fwd->status >= kHttpServerErrorFirst || fwd->status == kHttpTooMany)
+	if (fwd->status >= kHttpServerErrorFirst ||
+	    fwd->status == kHttpTooMany || fwd->status == kHttpUnauthorized)
 		return false;
-	return !is_submission(fwd) || fwd->status < kHttpRefusedFirst;
+	return !is_submission(fwd) || fwd->status < kHttpRefusedFirst ||
+	    fwd->status == kHttpConflict;
 }
 
 static void
@@ -223,7 +234,9 @@
 			header_list_add(headers, h->name, h->value);
 	}
 	/* Also tells the peer not to forward the request again. */
-	header_list_add(headers, kFrontForwardedHeader, fwd->attempt);
+	access_forward(headers, fwd->opt.js->opt.deps.dialect,
+	    fwd->opt.js->opt.routes(fwd->opt.js->opt.ctx), fwd->opt.req,
+	    fwd->attempt, fwd->opt.team);
 	return headers;
 }
 
@@ -247,7 +260,7 @@
 	struct outbound_options out = {
 	    .method = front_method(req),
 	    .uri = front_uri(req),
-	    .body = front_body(req),
+	    .body = fwd->request_body,
 	    .connect_timeout_us = kConnectTimeoutUs,
 	    .ops = &forward_ops,
 	    .ctx = fwd,
@@ -277,8 +290,17 @@
 bool
 job_forward_is_allowed(const struct front_request *req)
 {
-	return header_list_get(front_headers(req), kFrontForwardedHeader) ==
-	    NULL;
+	return !front_is_forwarded(req);
+}
+
+static GBytes *
+request_body(const struct job_forward *fwd)
+{
+	GBytes *body = front_body(fwd->opt.req);
+
+	if (body == NULL || !is_submission(fwd) || !jobs_has_teams(fwd->opt.js))
+		return body != NULL ? g_bytes_ref(body) : NULL;
+	return fwd->opt.js->opt.deps.dialect->strip_job(body);
 }
 
 struct job_forward *
@@ -291,7 +313,9 @@
 	fwd = g_new0(struct job_forward, 1);
 	fwd->opt = *opt;
 	fwd->change = opt->change;
+	fwd->opt.team = g_strdup(opt->team != NULL ? opt->team : "");
 	fwd->id = g_strdup(opt->id);
+	fwd->request_body = request_body(fwd);
 	fwd->body = g_string_new(NULL);
 	if (send_to_peer(fwd))
 		return fwd;
--- a/src/gateway/jobs_forward.h
+++ b/src/gateway/jobs_forward.h
@@ -15,6 +15,8 @@
 	struct jobs *js;
 	struct front_request *req;
 	const char *id;
+	/** Team of the caller; NULL or "": none. Copied. */
+	char *team;
 	/** The peer's answer was passed to the caller. */
 	void (*on_answered)(void *ctx);
 	/** Copies of the request that were sent before. */
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -217,6 +217,7 @@
 	    .js = task->js,
 	    .req = task->req,
 	    .id = task->id,
+	    .team = task->team,
 	    .change = task->change,
 	    .on_answered = on_forward_answered,
 	    .on_failed = on_forward_failed,
--- a/src/metric/metric.h
+++ b/src/metric/metric.h
@@ -10,6 +10,16 @@
 	    "Requests of callers.")                                            \
 	X(kMetRefused, counter, "savoryflow_refused_total",                    \
 	    "Requests refused before any byte was sent.")                      \
+	X(kMetRefusedNoKey, counter, "savoryflow_refused_no_key_total",        \
+	    "Requests refused without a key.")                                 \
+	X(kMetRefusedBadKey, counter,                                          \
+	    "savoryflow_refused_malformed_key_total",                          \
+	    "Requests refused for malformed credentials.")                     \
+	X(kMetRefusedUnknownKey, counter,                                      \
+	    "savoryflow_refused_unknown_key_total",                            \
+	    "Requests refused for a key that no team holds.")                  \
+	X(kMetRefusedOutdated, counter, "savoryflow_refused_outdated_total",   \
+	    "Requests refused as the configuration may be out of date.")       \
 	X(kMetTokens, counter, "savoryflow_tokens_total", "Tokens relayed.")   \
 	X(kMetAttempts, counter, "savoryflow_attempts_total",                  \
 	    "Attempts at targets.")                                            \
--- /dev/null
+++ b/src/savoryflow/teams/forward_proof.c
@@ -0,0 +1,67 @@
+/* Proofs that go with forwarded requests in place of keys. */
+#include "savoryflow/teams/forward_proof.h"
+
+#include <errno.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum { kDecimal = 10 };
+
+/* Keys in headers have no line breaks, so that the digest of a key is never a
+ * proof, and the parts cannot run into each other. */
+static struct team_digest
+claim_digest(const struct team_keys *keys, const struct forward_claim *claim)
+{
+	char *text = g_strdup_printf("forward\n%s\n%s\n%s\n%s", claim->attempt,
+	    claim->method, claim->path, claim->team);
+	struct team_digest digest = team_keys_digest(keys, text, strlen(text));
+
+	g_free(text);
+	return digest;
+}
+
+void
+forward_proof_print(const struct team_keys *keys, int64_t version,
+    const struct forward_claim *claim, char *text)
+{
+	struct team_digest digest = claim_digest(keys, claim);
+	char hex[kTeamDigestHexMax];
+
+	team_digest_print(&digest, hex);
+	g_snprintf(text, kForwardProofMax, "%" PRId64 " %s %s", version, hex,
+	    claim->team);
+}
+
+bool
+forward_proof_parse(const char *text, struct forward_field *field)
+{
+	char hex[kTeamDigestHexMax] = "";
+	char *end;
+
+	if (!g_ascii_isdigit(*text))
+		return false;
+	errno = 0;
+	field->version = strtoll(text, &end, kDecimal);
+	if (errno != 0 || *end != ' ')
+		return false;
+	g_strlcpy(hex, end + 1, sizeof(hex));
+	if (!team_digest_parse(hex, &field->digest))
+		return false;
+	/* Trailing blanks of a field get lost: none before an empty name. */
+	field->team = end + 1 + strlen(hex);
+	if (*field->team == ' ')
+		field->team++;
+	else if (*field->team != '\0')
+		return false;
+	return true;
+}
+
+bool
+forward_proof_holds(const struct team_keys *keys,
+    const struct forward_claim *claim, const struct team_digest *digest)
+{
+	struct team_digest wanted = claim_digest(keys, claim);
+
+	return team_digest_equal(&wanted, digest);
+}
