Job ids and waiting tokens of different teams are kept apart

A submission whose id another team's job had was acknowledged with 202; it now gets 409, which tells nothing of that job. Header fields of items that name a key or a team are not stored. Results read the job's row each time where there are teams: a cached row may be that of a job which was removed, and whose id another team has used since. An end whose check of the team got no answer is 503 and not 500, since nothing was sent.

Waiting tokens are counted for each team and route. Only quotas with submissions here in the last minute are prepared, at most 128, and one read of the open jobs compares all counts of a daemon: it was one read for each every 3 s. A count that nobody asks for is now dropped after a minute; each comparison had marked it as used.

--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -66,6 +66,8 @@
 	js->takeovers = retry_table_new(kTakeoverFirstUs, kTakeoverMaxUs);
 	js->cached = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, (GDestroyNotify)itemjob_free);
+	js->team_quotas =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	js->timer = loop_timer(opt->deps.lp,
 	    loop_now_us(opt->deps.lp) + kStartDuePeriodUs, start_due_items, js);
 	return js;
@@ -79,6 +81,7 @@
 	g_hash_table_unref(js->loading);
 	retry_table_free(js->takeovers);
 	g_hash_table_unref(js->cached);
+	g_hash_table_unref(js->team_quotas);
 	g_free(js);
 }
 
@@ -176,6 +179,18 @@
 	    &task->change);
 }
 
+/* Tells the caller nothing of the job that has the id. */
+void
+jobs_refuse_taken_id(struct job_task *task)
+{
+	log_event(
+	    kEvtCallRefused, "request", task->id, "why", "id_taken", NULL);
+	job_log_answer(task->js, task->req, task->id, "store",
+	    sf_error_status(kErrConflict), &task->change);
+	reply_error(
+	    task->req, kErrConflict, "the id of the job cannot be used", 0);
+}
+
 static void
 submit_done(struct job_task *task)
 {
@@ -196,12 +211,15 @@
 	}
 	if (task->req == NULL)
 		return;
-	log_answer(task, kHttpAccepted);
-	if (task->outcome == kStoreOk) {
+	if (task->job != NULL && task->job->is_id_taken) {
+		jobs_refuse_taken_id(task);
+	} else if (task->outcome == kStoreOk) {
+		log_answer(task, kHttpAccepted);
 		histogram_record(kHistJobAccept,
 		    loop_now_us(js->opt.deps.lp) - task->received_us);
 		reply_json(task->req, kHttpAccepted, "{\"accepted\":true}");
 	} else {
+		log_answer(task, kHttpAccepted);
 		job_reply_store_error(task->req, task->outcome);
 	}
 }
@@ -216,6 +234,25 @@
 	    "%s-%" G_GUINT64_FORMAT, js->opt.session, ++js->tokens);
 }
 
+/* Items run with the team of their job, and no row holds a key. */
+static void
+strip_items(const struct jobs *js, GPtrArray *items)
+{
+	const struct dialect_ops *dialect = js->opt.deps.dialect;
+
+	if (!jobs_has_teams(js))
+		return;
+	for (guint i = 0; i < items->len; i++) {
+		const struct itemjob_item *item = items->pdata[i];
+
+		for (guint k = item->headers->len; k > 0; k--)
+			if (dialect->is_credential(g_array_index(
+				item->headers, struct itemjob_header, k - 1)
+						       .name))
+				g_array_remove_index(item->headers, k - 1);
+	}
+}
+
 void
 jobs_submit(struct jobs *js, struct front_request *req,
     const struct dialect_call *call, const struct routebook_route *route,
@@ -240,6 +277,7 @@
 		g_error_free(err);
 		return;
 	}
+	strip_items(js, items);
 	task = job_task_new_for(js, req, call->attempt_id, caller->team);
 	task->items = items;
 	task->job = itemjob_new(call->attempt_id);
@@ -282,6 +320,9 @@
 {
 	if (task->team[0] != '\0') {
 		task->outcome = check_team(task);
+		/* Nothing was sent that could change the job. */
+		if (task->outcome == kStoreAmbiguous)
+			task->outcome = kStoreUnavailable;
 		if (task->outcome != kStoreOk)
 			return;
 	}
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -90,6 +90,8 @@
 	uint64_t timer;
 	/** Time when the connections of quotas were last used. */
 	int64_t quotas_connected_us;
+	/** int64_t: time of the last submission, by name of a team's quota. */
+	GHashTable *team_quotas;
 };
 
 /**
--- a/src/gateway/jobs_quota.c
+++ b/src/gateway/jobs_quota.c
@@ -13,6 +13,11 @@
 	kConnectPeriodUs = 3 * kUsPerS,
 	/* Jobs are reported again, as a report may be lost. */
 	kReportPeriodUs = kUsPerS,
+	/* As long as the counting daemon keeps an unused count. */
+	kTeamQuotaIdleUs = 60 * kUsPerS,
+	/* Teams and routes with submissions at one daemon: each costs an
+	 * election every kConnectPeriodUs. */
+	kTeamQuotasMax = 128,
 	kHttpAccepted = 202,
 };
 
@@ -30,12 +35,19 @@
 	struct itemjob *found = NULL;
 
 	task->outcome = itemjob_get(task->js->opt.store, task->id, &found);
+	if (task->outcome == kStoreOk)
+		task->job->is_id_taken = !itemjob_is_of_team(found, task->team);
 	itemjob_free(found);
 }
 
 static void
 lookup_done(struct job_task *task)
 {
+	if (task->job->is_id_taken) {
+		if (task->req != NULL)
+			jobs_refuse_taken_id(task);
+		return;
+	}
 	log_event(kEvtCallRefused, "request", task->id, "why",
 	    task->outcome == kStoreOk ? "known_job" : "tokens_waiting", NULL);
 	if (task->req == NULL)
@@ -119,11 +131,46 @@
 	    quota_reserve(task->js->opt.quota, &request, on_answer, task);
 }
 
+/* Drops the quota that was used least recently. */
+static void
+forget_oldest_quota(struct jobs *js)
+{
+	GHashTableIter it;
+	void *name;
+	void *used_us;
+	const char *oldest = NULL;
+	int64_t oldest_us = INT64_MAX;
+
+	g_hash_table_iter_init(&it, js->team_quotas);
+	while (g_hash_table_iter_next(&it, &name, &used_us)) {
+		if (*(int64_t *)used_us >= oldest_us)
+			continue;
+		oldest = name;
+		oldest_us = *(int64_t *)used_us;
+	}
+	g_hash_table_remove(js->team_quotas, oldest);
+}
+
+static void
+note_team_quota(struct jobs *js, const char *name)
+{
+	int64_t *used_us = g_new(int64_t, 1);
+
+	*used_us = loop_now_us(js->opt.deps.lp);
+	if (!g_hash_table_contains(js->team_quotas, name) &&
+	    g_hash_table_size(js->team_quotas) >= kTeamQuotasMax)
+		forget_oldest_quota(js);
+	g_hash_table_replace(js->team_quotas, g_strdup(name), used_us);
+}
+
 void
 jobs_quota_submit(struct job_task *task, const struct routebook_route *route)
 {
 	task->quota_limit = route->waiting_tokens_max;
-	task->job->quota_route = quota_route_name(route->host, route->prefix);
+	task->job->quota_route =
+	    quota_route_name(route->host, route->prefix, task->team);
+	if (jobs_has_teams(task->js))
+		note_team_quota(task->js, task->job->quota_route);
 	for (guint i = 0; i < task->items->len; i++)
 		task->job->quota_tokens +=
 		    ((struct itemjob_item *)task->items->pdata[i])->tokens;
@@ -134,7 +181,8 @@
 jobs_quota_retry(struct job_task *task)
 {
 	if (task->job == NULL || task->job->quota_route == NULL ||
-	    task->req == NULL || task->quota_conflicts >= kConflictsMax)
+	    task->job->is_id_taken || task->req == NULL ||
+	    task->quota_conflicts >= kConflictsMax)
 		return false;
 	loop_timer_cancel(task->js->opt.deps.lp, task->hedge_timer);
 	task->hedge_timer = 0;
@@ -145,27 +193,57 @@
 	return true;
 }
 
-void
-jobs_prepare_quotas(struct jobs *js)
+/* There may be thousands of teams: only quotas that were asked for here lately
+ * are prepared, and no more often than connections have to be kept open. */
+static void
+prepare_team_quotas(struct jobs *js, int64_t now_us)
 {
-	const struct routebook *book = js->opt.routes(js->opt.ctx);
-	int64_t now_us = loop_now_us(js->opt.deps.lp);
-	bool must_connect = now_us - js->quotas_connected_us > kConnectPeriodUs;
+	GHashTableIter it;
+	void *name;
+	void *used_us;
 
-	if (must_connect)
-		js->quotas_connected_us = now_us;
-	for (guint i = 0; book != NULL && i < book->routes->len; i++) {
+	g_hash_table_iter_init(&it, js->team_quotas);
+	while (g_hash_table_iter_next(&it, &name, &used_us)) {
+		if (now_us - *(int64_t *)used_us > kTeamQuotaIdleUs)
+			g_hash_table_iter_remove(&it);
+		else
+			quota_prepare(js->opt.quota, name, true);
+	}
+}
+
+static void
+prepare_route_quotas(
+    struct jobs *js, const struct routebook *book, bool must_connect)
+{
+	for (guint i = 0; i < book->routes->len; i++) {
 		const struct routebook_route *route = book->routes->pdata[i];
 		char *name;
 
 		if (route->waiting_tokens_max == 0)
 			continue;
-		name = quota_route_name(route->host, route->prefix);
+		name = quota_route_name(route->host, route->prefix, "");
 		quota_prepare(js->opt.quota, name, must_connect);
 		g_free(name);
 	}
 }
 
+void
+jobs_prepare_quotas(struct jobs *js)
+{
+	const struct routebook *book = js->opt.routes(js->opt.ctx);
+	int64_t now_us = loop_now_us(js->opt.deps.lp);
+	bool must_connect = now_us - js->quotas_connected_us > kConnectPeriodUs;
+
+	if (must_connect)
+		js->quotas_connected_us = now_us;
+	if (book == NULL)
+		return;
+	if (book->teams == NULL)
+		prepare_route_quotas(js, book, must_connect);
+	else if (must_connect)
+		prepare_team_quotas(js, now_us);
+}
+
 static int64_t
 waiting_tokens(const struct job_run *run)
 {
--- a/src/gateway/jobs_read.c
+++ b/src/gateway/jobs_read.c
@@ -65,15 +65,14 @@
 jobs_results(struct jobs *js, struct front_request *req,
     const struct dialect_call *call, const struct access_caller *caller)
 {
-	const struct itemjob *cached = jobs_cached_job(js, call->job_id);
+	/* The row may have been removed since, and its id used by another
+	 * team: with teams, it is read each time. */
+	const struct itemjob *cached =
+	    jobs_has_teams(js) ? NULL : jobs_cached_job(js, call->job_id);
 	struct job_task *task;
 
 	if (job_reply_impossible_id(req, call->job_id))
 		return;
-	if (cached != NULL && !itemjob_is_of_team(cached, caller->team)) {
-		job_reply_store_error(req, kStoreNotFound);
-		return;
-	}
 	task = job_task_new_for(js, req, call->job_id, caller->team);
 	task->from = call->from_position;
 	task->total = cached != NULL ? cached->total : -1;
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -113,6 +113,9 @@
 /** The submission had no effect: its tokens are free. */
 void jobs_quota_release(struct job_task *task);
 
+/** Refuses a submission whose id another team's job has. */
+void jobs_refuse_taken_id(struct job_task *task);
+
 /** Gives a submission a new token. */
 void jobs_set_token(struct job_task *task);
 
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -22,6 +22,8 @@
 	/* Daemons that may count a route's tokens, in order. */
 	kCountersMax = 4,
 	kReportsPerMessage = 100,
+	/* Shorter than the period in which callers ask for connections. */
+	kConnectAllPeriodUs = kUsPerS,
 };
 
 struct quota_wait {
@@ -77,12 +79,14 @@
 }
 
 char *
-quota_route_name(const char *host, const char *prefix)
+quota_route_name(const char *host, const char *prefix, const char *team)
 {
-	uint64_t seed = XXH3_64bits(host, strlen(host));
+	uint64_t hash = XXH3_64bits(host, strlen(host));
 
-	return g_strdup_printf("%016" PRIx64,
-	    (uint64_t)XXH3_64bits_withSeed(prefix, strlen(prefix), seed));
+	hash = XXH3_64bits_withSeed(prefix, strlen(prefix), hash);
+	if (*team != '\0')
+		hash = XXH3_64bits_withSeed(team, strlen(team), hash);
+	return g_strdup_printf("%016" PRIx64, hash);
 }
 
 static bool
@@ -277,9 +281,15 @@
 static void
 connect_all(struct quota *qt)
 {
-	GPtrArray *peers =
-	    roster_peers(qt->opt.roster, NULL, loop_now_us(qt->opt.lp));
+	int64_t now_us = loop_now_us(qt->opt.lp);
+	GPtrArray *peers;
 
+	/* One daemon may count for many routes and teams. */
+	if (qt->all_connected_us != 0 &&
+	    now_us - qt->all_connected_us < kConnectAllPeriodUs)
+		return;
+	qt->all_connected_us = now_us;
+	peers = roster_peers(qt->opt.roster, NULL, now_us);
 	for (guint i = 0; i < peers->len; i++)
 		qt->opt.wire->connect(qt->opt.wire_ctx, peers->pdata[i]);
 	g_ptr_array_unref(peers);
@@ -296,7 +306,7 @@
 	quota_host_prepare(qt, route, is_elected);
 	if (must_connect && is_elected)
 		connect_all(qt);
-	else if (must_connect)
+	if (must_connect && !is_elected)
 		qt->opt.wire->connect(qt->opt.wire_ctx, counter);
 }
 
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -55,8 +55,9 @@
 struct quota *quota_new(const struct quota_options *opt);
 void quota_free(struct quota *qt);
 
-/** Name of a route's quota; free with g_free. */
-char *quota_route_name(const char *host, const char *prefix);
+/** Name of the quota of a route and a team; free with g_free.
+ * @param team "": the quota is for all callers of the route */
+char *quota_route_name(const char *host, const char *prefix, const char *team);
 
 /** Asks for the tokens of a job; the answer comes once, never from within this
  * call. @return id for quota_cancel */
--- a/src/gateway/quota_host.c
+++ b/src/gateway/quota_host.c
@@ -25,16 +25,16 @@
 	struct token_quota *count;
 	int64_t fence;
 	int64_t used_us;
-	int64_t synced_us;
+	int64_t loaded_us;
 	/** struct quota_ask that wait for the load. */
 	GArray *pending;
 };
 
-/* Work at the store for a hosted quota. */
+/* Work at the store for a hosted quota, or for all that are loaded. */
 struct load {
 	struct quota *qt;
+	/** NULL: all; no fence is taken then. */
 	char *route;
-	bool takes_fence;
 	int64_t started_us;
 	int64_t fence;
 	enum store_result outcome;
@@ -125,7 +125,7 @@
 	const struct store *st = ld->qt->opt.store;
 
 	ld->outcome = kStoreOk;
-	if (ld->takes_fence)
+	if (ld->route != NULL)
 		ld->outcome = itemjob_take_quota_fence(
 		    st, ld->route, ld->qt->opt.session, &ld->fence);
 	if (ld->outcome == kStoreOk)
@@ -156,46 +156,45 @@
 	g_free(ld);
 }
 
+static void
+sync_count(struct hosted_quota *hq, const struct load *ld)
+{
+	int64_t now_us = loop_now_us(hq->qt->opt.lp);
+	GArray *jobs = jobs_of_route(ld->open, hq->route);
+
+	token_quota_sync(hq->count, jobs, ld->started_us, now_us);
+	g_array_unref(jobs);
+}
+
 static void
 load_done(void *ctx)
 {
 	struct load *ld = ctx;
 	struct hosted_quota *hq = hosted_get(ld->qt, ld->route);
-	int64_t now_us = loop_now_us(ld->qt->opt.lp);
 
 	hq->is_busy = false;
-	if (ld->takes_fence) {
-		hq->is_loaded = ld->outcome == kStoreOk;
-		hq->fence = ld->fence;
-	}
-	if (ld->outcome == kStoreOk) {
-		GArray *jobs = jobs_of_route(ld->open, ld->route);
-
-		token_quota_sync(hq->count, jobs, ld->started_us, now_us);
-		g_array_unref(jobs);
-	}
-	if (ld->takes_fence)
-		log_event(kEvtQuotaLoaded, "route", hq->route, "store",
-		    store_result_text(ld->outcome), "fence",
-		    log_number(hq->fence), "waiting",
-		    log_number(token_quota_waiting(hq->count)), NULL);
+	hq->is_loaded = ld->outcome == kStoreOk;
+	hq->fence = ld->fence;
+	hq->loaded_us = loop_now_us(ld->qt->opt.lp);
+	if (hq->is_loaded)
+		sync_count(hq, ld);
+	log_event(kEvtQuotaLoaded, "route", hq->route, "store",
+	    store_result_text(ld->outcome), "fence", log_number(hq->fence),
+	    "waiting", log_number(token_quota_waiting(hq->count)), NULL);
 	answer_pending(hq);
 	load_free(ld);
 }
 
 static void
-start_load(struct hosted_quota *hq, bool takes_fence)
+start_load(struct hosted_quota *hq)
 {
 	struct load *ld = g_new0(struct load, 1);
 
 	ld->qt = hq->qt;
 	ld->route = g_strdup(hq->route);
-	ld->takes_fence = takes_fence;
 	ld->started_us = loop_now_us(hq->qt->opt.lp);
-	hq->synced_us = ld->started_us;
 	hq->is_busy = true;
-	if (takes_fence)
-		hq->is_loaded = false;
+	hq->is_loaded = false;
 	if (offload_run(hq->qt->opt.offload, load_work, load_done, ld))
 		return;
 	hq->is_busy = false;
@@ -203,6 +202,43 @@
 	load_free(ld);
 }
 
+/* What was loaded after the read began is newer than the read. */
+static void
+sync_done(void *ctx)
+{
+	struct load *ld = ctx;
+	GHashTableIter it;
+	void *val;
+
+	ld->qt->is_syncing = false;
+	g_hash_table_iter_init(&it, ld->qt->hosted);
+	while (g_hash_table_iter_next(&it, NULL, &val)) {
+		struct hosted_quota *hq = val;
+
+		if (ld->outcome == kStoreOk && hq->is_loaded &&
+		    hq->loaded_us < ld->started_us)
+			sync_count(hq, ld);
+	}
+	load_free(ld);
+}
+
+/* Compares all counts with one read of the open jobs: there may be a count for
+ * each of many teams. */
+static void
+start_sync(struct quota *qt, int64_t now_us)
+{
+	struct load *ld = g_new0(struct load, 1);
+
+	ld->qt = qt;
+	ld->started_us = now_us;
+	qt->synced_us = now_us;
+	qt->is_syncing = true;
+	if (offload_run(qt->opt.offload, load_work, sync_done, ld))
+		return;
+	qt->is_syncing = false;
+	load_free(ld);
+}
+
 void
 quota_host_ask(struct quota *qt, const char *route, const struct quota_ask *ask)
 {
@@ -218,7 +254,7 @@
 	copy.job = g_strdup(ask->job);
 	g_array_append_val(hq->pending, copy);
 	if (!hq->is_busy)
-		start_load(hq, true);
+		start_load(hq);
 }
 
 void
@@ -237,7 +273,7 @@
 		hq->elected_us = now_us;
 	if (!hq->is_loaded && !hq->is_busy &&
 	    now_us - hq->elected_us > kPrepareUs)
-		start_load(hq, true);
+		start_load(hq);
 }
 
 void
@@ -254,6 +290,7 @@
 void
 quota_host_tick(struct quota *qt, int64_t now_us)
 {
+	bool has_loaded = false;
 	GHashTableIter it;
 	void *val;
 
@@ -262,12 +299,12 @@
 		struct hosted_quota *hq = val;
 
 		token_quota_tick(hq->count, now_us);
-		if (hq->is_busy)
-			continue;
-		if (now_us - hq->used_us > kIdleUs)
+		if (!hq->is_busy && now_us - hq->used_us > kIdleUs)
 			g_hash_table_iter_remove(&it);
-		else if (hq->is_loaded &&
-		    now_us - hq->synced_us > kSyncPeriodUs)
-			start_load(hq, false);
+		else if (hq->is_loaded)
+			has_loaded = true;
 	}
+	if (has_loaded && !qt->is_syncing &&
+	    now_us - qt->synced_us > kSyncPeriodUs)
+		start_sync(qt, now_us);
 }
--- a/src/gateway/quota_internal.h
+++ b/src/gateway/quota_internal.h
@@ -10,6 +10,11 @@
 struct quota {
 	struct quota_options opt;
 	uint64_t next_id;
+	/** When the connections to all peers were last requested. */
+	int64_t all_connected_us;
+	/** The counts are compared with the open jobs; when that began. */
+	bool is_syncing;
+	int64_t synced_us;
 	/** struct quota_wait by id. */
 	GHashTable *waits;
 	/** int64_t tokens to report, by "ROUTE JOB". */
--- a/src/savoryflow/job/itemjob.c
+++ b/src/savoryflow/job/itemjob.c
@@ -32,7 +32,8 @@
 bool
 itemjob_is_of_team(const struct itemjob *job, const char *team)
 {
-	return strcmp(job->team != NULL ? job->team : "", team) == 0;
+	return strcmp(job->team != NULL ? job->team : "",
+		   team != NULL ? team : "") == 0;
 }
 
 static void
--- a/src/savoryflow/job/itemjob.h
+++ b/src/savoryflow/job/itemjob.h
@@ -5,7 +5,8 @@
 
 struct itemjob *itemjob_new(const char *id);
 void itemjob_free(struct itemjob *job);
-/** Whether a team submitted the job. @param team "": none */
+/** Whether a team submitted the job. @param team NULL or "": none
+ */
 bool itemjob_is_of_team(const struct itemjob *job, const char *team);
 struct itemjob_item *itemjob_item_new(const char *id, const char *path);
 void itemjob_item_add_header(
--- a/src/savoryflow/job/itemjob_defs.h
+++ b/src/savoryflow/job/itemjob_defs.h
@@ -42,6 +42,8 @@
 	char *path;
 	/** Team that submitted it; NULL: none. */
 	char *team;
+	/** After a submission: another team's job has the id. */
+	bool is_id_taken;
 	/** Unique name of the submission; also of the object with the items,
 	 * unless they are inline. */
 	char *input;
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -81,7 +81,7 @@
 }
 
 struct submission {
-	const struct itemjob *job;
+	struct itemjob *job;
 	/** The stored job was created by this submission. */
 	bool is_own;
 };
@@ -96,14 +96,16 @@
 
 	sub->is_own =
 	    res == kStoreOk && strcmp(found->input, sub->job->input) == 0;
+	sub->job->is_id_taken =
+	    res == kStoreOk && !itemjob_is_of_team(found, sub->job->team);
 	itemjob_free(found);
-	return commit_owner_of(res, true);
+	return commit_owner_of(res, !sub->job->is_id_taken);
 }
 
 /* @param items value of the row with the items, or with their ids, or NULL */
 static enum store_result
-submit_rows(const struct store *st, const struct itemjob *job,
-    const char *items, const char *owner, bool *is_new)
+submit_rows(const struct store *st, struct itemjob *job, const char *items,
+    const char *owner, bool *is_new)
 {
 	struct submission sub = {job, true};
 	struct store_txn *txn = store_txn_new();
@@ -140,7 +142,7 @@
 }
 
 static enum store_result
-submit_with_object(const struct store *st, const struct itemjob *job,
+submit_with_object(const struct store *st, struct itemjob *job,
     const GPtrArray *items, const char *text, const char *owner, bool *is_new)
 {
 	enum store_result res = st->ops->put_object(
--- a/src/savoryflow/job/itemjob_store.h
+++ b/src/savoryflow/job/itemjob_store.h
@@ -23,8 +23,9 @@
 
 /**
  * Accepts a job; a known id refers to the existing job. Returns kStoreConflict
- * if the job's quota is counted by another daemon by now, and
- * kStoreUnavailable if the store's time cannot be learnt; nothing was written.
+ * if the job's quota is counted by another daemon by now, or if the job is
+ * another team's (is_id_taken is set), and kStoreUnavailable if the store's
+ * time cannot be learnt; nothing was written.
  * @param token unique token of this submission
  * @param owner session that is to run it
  * @param is_new set to whether this submission created the job
