Tests of teams and keys with real processes

The worker stand-in lists the heads of its requests, and the rows stand-in what daemons have written. After each test no log, row or head may contain a key.

--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -24,6 +24,9 @@
 	/* Limits of the online routes, of calls and of a drain. */
 	int timeout_ms = 5000, gap_ms = 300, drain_timeout_ms = 6000;
 	int body_bytes_max = 100000;
+	/* Member of the configuration with its teams, and the key of the calls;
+	 * empty: none. */
+	std::string teams, key;
 
 	/* For tests of what ends before the limits, on a machine of any
 	 * speed. */
@@ -104,7 +107,7 @@
 		    ",\"routes\":[" + routes +
 		    "],\"services\":[{\"name\":\"llm\"}],\"limits\":"
 		    "{\"body_bytes\":" +
-		    std::to_string(body_bytes_max) + "}}";
+		    std::to_string(body_bytes_max) + "}" + teams + "}";
 
 		PutRow("op", "config", doc.c_str());
 	}
@@ -201,10 +204,21 @@
 	Send(size_t i, const std::string &method, const std::string &path,
 	    const std::string &body, const std::string &id)
 	{
-		return Http(method,
-		    "http://" + LoopbackAddress(front_ports[i]) + path, body,
+		return SendWith(i, method, path, body, id,
+		    key.empty() ? Headers()
+				: Headers{"Authorization: Bearer " + key});
+	}
+
+	Reply
+	SendWith(size_t i, const std::string &method, const std::string &path,
+	    const std::string &body, const std::string &id, Headers headers)
+	{
+		headers.insert(headers.end(),
 		    {"Host: a.example", "X-Attempt-Id: " + id,
 			"X-Deadline-Ms: " + std::to_string(timeout_ms)});
+		return Http(method,
+		    "http://" + LoopbackAddress(front_ports[i]) + path, body,
+		    headers);
 	}
 
 	Reply
--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -23,6 +23,7 @@
 
 #include "http.h"
 #include "os/clock.h"
+#include "rows_dump.h"
 #include "rows_faults.h"
 
 enum {
@@ -434,6 +435,26 @@
 	return standin_text_response("{}");
 }
 
+static gboolean
+dump_row(void *key, void *val, void *ctx)
+{
+	const struct row *row = val;
+
+	if (strcmp(row->table, "op") != 0)
+		rows_dump_row(ctx, key, row->value);
+	return FALSE;
+}
+
+/* What the daemons have written. */
+static struct MHD_Response *
+dump(struct rows *rs)
+{
+	GString *out = g_string_new(NULL);
+
+	g_tree_foreach(rs->rows, dump_row, out);
+	return rows_dump_response(out, rs->objects);
+}
+
 static struct MHD_Response *
 dispatch(struct rows *rs, struct standin_request *req, unsigned int *status)
 {
@@ -449,6 +470,8 @@
 
 	if (strcmp(req->url, "/put") == 0)
 		return handle_put(rs, req);
+	if (strcmp(req->url, "/dump") == 0)
+		return dump(rs);
 	if (strcmp(req->url, "/fault") == 0)
 		return set_fault(rs, req);
 	if (strcmp(req->url, "/way") == 0)
--- a/test/standin/worker.c
+++ b/test/standin/worker.c
@@ -22,7 +22,8 @@
  * --print-runs=yes prints a line for each attempt that runs. GET
  * /seen: ids of the attempts that ran, how many streams were closed before
  * their end, and the times of all requests and of the first answer with the
- * rate.
+ * rate. GET /heads: for each request, also one that is rejected, its path and
+ * all header fields as ["NAME: VALUE",...].
  */
 #include <jansson.h>
 #include <pthread.h>
@@ -72,6 +73,8 @@
 	struct surplus_fault surplus;
 	struct worker_rate rate;
 	json_t *attempts_run;
+	/** Heads of all requests: {"path","headers"}. */
+	json_t *heads;
 	/** For callers that end the process. */
 	bool prints_runs;
 	int closed_early;
@@ -346,6 +349,39 @@
 		st->reset_fd = info->connect_fd;
 }
 
+static enum MHD_Result
+collect_header(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+	char *text = g_strdup_printf("%s: %s", name, value);
+
+	/* A field that is no UTF-8 is left out. */
+	json_array_append_new(cls, json_string(text));
+	g_free(text);
+	return MHD_YES;
+}
+
+static void
+record_head(struct worker *wk, struct standin_request *req)
+{
+	json_t *headers = json_array();
+
+	MHD_get_connection_values(
+	    req->con, MHD_HEADER_KIND, collect_header, headers);
+	json_array_append_new(wk->heads,
+	    json_pack("{s:s,s:o}", "path", req->url, "headers", headers));
+}
+
+static struct MHD_Response *
+handle_heads(struct worker *wk)
+{
+	char *out = json_dumps(wk->heads, JSON_COMPACT);
+	struct MHD_Response *res = standin_text_response(out);
+
+	free(out);
+	return res;
+}
+
 static struct MHD_Response *
 handle_run(struct worker *wk, struct standin_request *req, unsigned int *status)
 {
@@ -360,6 +396,7 @@
 	bool is_unframed;
 
 	worker_rate_record_arrival(&wk->rate);
+	record_head(wk, req);
 	if (attempt == NULL ||
 	    (expect != NULL && strcmp(expect, wk->id) != 0) ||
 	    consume_fault(&wk->rejects_left)) {
@@ -506,6 +543,8 @@
 		res = set_fault(wk, req);
 	else if (strcmp(req->url, "/seen") == 0)
 		res = handle_seen(wk);
+	else if (strcmp(req->url, "/heads") == 0)
+		res = handle_heads(wk);
 	else
 		res = handle_run(wk, req, status);
 	pthread_mutex_unlock(&wk->lock);
@@ -520,6 +559,7 @@
 	wk.id = standin_flag(argc, argv, "--id", "i-1");
 	wk.crash_part = standin_flag(argc, argv, "--crash-part", "");
 	wk.attempts_run = json_array();
+	wk.heads = json_array();
 	wk.prints_runs =
 	    strcmp(standin_flag(argc, argv, "--print-runs", "no"), "yes") == 0;
 	worker_rate_init(&wk.rate);
