Test: quotas are prepared only for teams with submissions here

A configuration with 3,200 teams must not cost an election for each of them every 3 s at each daemon.

--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -133,6 +133,10 @@
 /** Ends the items that wait once the job's route has been gone for a while. */
 void jobs_route_check(struct job_run *run);
 
+/** A submission here asks for tokens of a team's quota: it is prepared for a
+ * while, see jobs_prepare_quotas. */
+void jobs_note_team_quota(struct jobs *js, const char *name);
+
 /** Whether the configuration in force has teams. */
 bool jobs_has_teams(const struct jobs *js);
 
--- a/src/gateway/jobs_quota.c
+++ b/src/gateway/jobs_quota.c
@@ -151,8 +151,8 @@
 	g_hash_table_remove(js->team_quotas, oldest);
 }
 
-static void
-note_team_quota(struct jobs *js, const char *name)
+void
+jobs_note_team_quota(struct jobs *js, const char *name)
 {
 	int64_t *used_us = g_new(int64_t, 1);
 
@@ -170,7 +170,7 @@
 	task->job->quota_route =
 	    quota_route_name(route->host, route->prefix, task->team);
 	if (jobs_has_teams(task->js))
-		note_team_quota(task->js, task->job->quota_route);
+		jobs_note_team_quota(task->js, task->job->quota_route);
 	for (guint i = 0; i < task->items->len; i++)
 		task->job->quota_tokens +=
 		    ((struct itemjob_item *)task->items->pdata[i])->tokens;
