Soak: callers of several teams

A valid key must never get 401, no job may be read or ended by another team, each run must carry its own team, and no key may be in a row, a log or a worker's request.

--- a/test/soak/soak.cc
+++ b/test/soak/soak.cc
@@ -4,7 +4,9 @@
  * against what callers and workers observe.
  *
  *   soak --seed=N --seconds=S [--daemons=D] [--workers=W] [--data-centers=C]
- *        [--overlap] [--logs=DIR]
+ *        [--overlap] [--logs=DIR] [--teams=T]
+ *
+ * With teams, each request has a key; readers also try keys of other teams.
  *
  * The seed determines the injected faults. Prints one line per violation and
  * ends with "N passed, N failed".
@@ -65,6 +67,7 @@
 	CheckDaemonsServe();
 	CheckJobs(calm_us);
 	CheckRuns();
+	CheckTeams();
 	for (auto &j : jobs_) {
 		refused += j.second.WasRefused();
 		accepted += j.second.is_accepted;
@@ -97,12 +100,13 @@
 		    sscanf(argv[i], "--workers=%d", &o.workers) == 1 ||
 		    sscanf(argv[i], "--data-centers=%d", &o.data_centers) ==
 			1 ||
+		    sscanf(argv[i], "--teams=%d", &o.teams) == 1 ||
 		    sscanf(argv[i], "--logs=%255s", logs) == 1)
 			continue;
 		fprintf(stderr,
 		    "usage: soak [--seed=N] [--seconds=S] [--daemons=D] "
 		    "[--workers=W] [--data-centers=C] [--overlap] "
-		    "[--logs=DIR]\n");
+		    "[--logs=DIR] [--teams=T]\n");
 		return 2;
 	}
 	o.logs = logs;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -30,6 +30,8 @@
 	/** Faults overlap and follow each other, also on the way of one daemon
 	 * to the store. */
 	bool overlap = false;
+	/** Teams of the configuration; 0: requests need no key. */
+	int teams = 0;
 	/** Directory for the logs of a run that fails; empty: none. */
 	std::string logs;
 };
@@ -135,6 +137,14 @@
 	void SubmitAtSeveral(std::mt19937 &rand, const std::string &id);
 	void RunReader(unsigned seed);
 
+	/* soak_teams.cc */
+	std::string TeamsDocument() const;
+	Headers KeyOf(const std::string &id, unsigned salt) const;
+	Headers RequestHeaders(const std::string &id) const;
+	void TryAsAnotherTeam(size_t daemon, const std::string &id);
+	void CheckTeams();
+	void CheckHeads(const std::string &text);
+
 	/* soak_checks.cc */
 	bool ReadJob(size_t daemon, const std::string &id);
 	void CheckResult(const std::string &id, Job &job, int position,
--- a/test/soak/soak_callers.cc
+++ b/test/soak/soak_callers.cc
@@ -43,18 +43,22 @@
 	    "c" + std::to_string(seed) + "-" + std::to_string(number);
 	std::string path = (is_at_most_once ? "/f/" : "/q/") + id;
 	std::string expected;
+	Headers headers = RequestHeaders(id);
+
+	headers.emplace_back("X-Deadline-Ms: 4000");
 	Reply r = Http("POST",
 	    "http://" +
 		LoopbackAddress(front_ports_[Pick(rand, front_ports_.size())]) +
 		path,
 	    "{\"events\":" + std::to_string(events) +
 		",\"pace_ms\":5,\"id\":\"" + id + "\"}",
-	    {"Host: a.example", "X-Attempt-Id: " + id, "X-Deadline-Ms: 4000"},
-	    kCallTimeoutS);
+	    headers, kCallTimeoutS);
 
 	for (int n = 1; n <= events; n++)
 		expected += "id: " + std::to_string(n) + "\ndata: " + path +
 		    "-" + std::to_string(n) + "\n\n";
+	if (r.status == 401)
+		Fail("TEAM: 401 to a valid key, " + id);
 	if (r.status == 200 && r.body != expected)
 		Fail("MIXED: the answer to " + id +
 		    " is incomplete or not its own");
@@ -85,8 +89,8 @@
 	for (int i = 0; i < 3 && !job.is_accepted; i++) {
 		size_t daemon = Pick(rand, front_ports_.size());
 		Reply r = Http("POST", FrontUrl(daemon) + "/b/" + id,
-		    ItemsDocument(id, "b", job, 10, 0),
-		    {"Host: a.example", "X-Attempt-Id: " + id}, kCallTimeoutS);
+		    ItemsDocument(id, "b", job, 10, 0), RequestHeaders(id),
+		    kCallTimeoutS);
 
 		job.answers.emplace_back(daemon, r.status);
 		job.is_accepted = r.status == 202;
@@ -113,8 +117,7 @@
 	for (size_t i = 0; i < attempts && !job.is_accepted; i++) {
 		Reply r =
 		    Http("POST", FrontUrl(daemon) + "/" + route + "/" + id, doc,
-			{"Host: a.example", "X-Attempt-Id: " + id},
-			1 + (long)Pick(rand, 4));
+			RequestHeaders(id), 1 + (long)Pick(rand, 4));
 
 		job.answers.emplace_back(daemon, r.status);
 		job.is_accepted = r.status == 202;
@@ -160,8 +163,13 @@
 					id = it->first;
 			}
 		}
-		if (!id.empty())
-			ReadJob(Pick(rand, front_ports_.size()), id);
+		if (!id.empty()) {
+			size_t daemon = Pick(rand, front_ports_.size());
+
+			if (opts_.teams > 1)
+				TryAsAnotherTeam(daemon, id);
+			ReadJob(daemon, id);
+		}
 		SleepMs(kReadGapMs);
 	}
 }
--- a/test/soak/soak_checks.cc
+++ b/test/soak/soak_checks.cc
@@ -92,8 +92,11 @@
 bool
 Soak::ReadJob(size_t daemon, const std::string &id)
 {
+	Headers headers = KeyOf(id, (unsigned)daemon);
+
+	headers.emplace_back("Host: a.example");
 	Reply r = Http("GET", FrontUrl(daemon) + "/api/lots/" + id + "?after=0",
-	    "", {"Host: a.example"}, kCallTimeoutS);
+	    "", headers, kCallTimeoutS);
 	json_t *doc =
 	    r.status == 200 ? json_loads(r.body.c_str(), 0, nullptr) : nullptr;
 	json_t *list = json_object_get(doc, "results");
@@ -105,6 +108,8 @@
 		std::lock_guard<std::mutex> guard(lock_);
 		job = jobs_[id];
 	}
+	if (r.status == 401)
+		Fail("TEAM: 401 to a valid key, " + id);
 	if (r.status == 404)
 		Fail("LOST: job " + id + " is unknown at d" +
 		    std::to_string(daemon));
@@ -140,8 +145,7 @@
 			    std::to_string(n++);
 
 			return Http("POST", FrontUrl(i) + "/q/" + id,
-				   "{\"events\":1}",
-				   {"Host: a.example", "X-Attempt-Id: " + id},
+				   "{\"events\":1}", RequestHeaders(id),
 				   kCallTimeoutS)
 				   .status == 200;
 		});
--- a/test/soak/soak_fleet.cc
+++ b/test/soak/soak_fleet.cc
@@ -118,7 +118,8 @@
 	PutRow("op", "config",
 	    json_loads(("{\"version\":1,\"routes\":[" + routes +
 			   "],\"services\":[{\"name\":\"llm\"}],"
-			   "\"limits\":{\"body_bytes\":4000000}}")
+			   "\"limits\":{\"body_bytes\":4000000}" +
+			   TeamsDocument() + "}")
 			   .c_str(),
 		0, nullptr));
 }
