--- a/src/gateway/quota_host.c
+++ b/src/gateway/quota_host.c
@@ -7,7 +7,8 @@
 enum {
 	/* Period of the comparison with the open jobs in the store. */
 	kSyncPeriodUs = 3 * kUsPerS,
-	/* A quota without requests for this time is dropped. */
+	/* A quota without requests for this time, and without waiting tokens,
+	 * is dropped. */
 	kIdleUs = 60 * kUsPerS,
 	/* A daemon that starts knows no others at first: it counts before it is
 	 * asked only if it stays elected for this time. */
@@ -299,7 +300,9 @@
 		struct hosted_quota *hq = val;
 
 		token_quota_tick(hq->count, now_us);
-		if (!hq->is_busy && now_us - hq->used_us > kIdleUs)
+		/* Read again, the jobs would count in full at first. */
+		if (!hq->is_busy && now_us - hq->used_us > kIdleUs &&
+		    token_quota_waiting(hq->count) == 0)
 			g_hash_table_iter_remove(&it);
 		else if (hq->is_loaded)
 			has_loaded = true;
