--- a/src/gateway/access/access.c
+++ b/src/gateway/access/access.c
@@ -36,8 +36,8 @@
 refuse(struct front_request *req, const struct dialect_call *call,
     enum metric_id metric, const char *why, const char *message)
 {
-	log_event(
-	    kEvtCallRefused, "request", call->attempt_id, "why", why, NULL);
+	log_event(kEvtCallRefused, "request", call->attempt_id, "why", why,
+	    (char *)NULL);
 	metric_add(metric, 1);
 	reply_error(req, kErrUnauthorized, message, 0);
 }
@@ -48,8 +48,8 @@
 refuse_outdated(struct front_request *req, const struct dialect_call *call,
     const char *why, const char *message)
 {
-	log_event(
-	    kEvtCallRefused, "request", call->attempt_id, "why", why, NULL);
+	log_event(kEvtCallRefused, "request", call->attempt_id, "why", why,
+	    (char *)NULL);
 	metric_add(kMetRefusedOutdated, 1);
 	reply_error(req, kErrNotReady, message, kOutdatedRetryUs);
 }
--- a/src/savoryflow/teams/team_keys.c
+++ b/src/savoryflow/teams/team_keys.c
@@ -53,8 +53,13 @@
 void
 team_digest_print(const struct team_digest *digest, char *hex)
 {
-	for (size_t i = 0; i < kTeamDigestBytes; i++)
-		g_snprintf(hex + 2 * i, 3, "%02x", digest->bytes[i]);
+	static const char digits[] = "0123456789abcdef";
+
+	for (size_t i = 0; i < kTeamDigestBytes; i++) {
+		*hex++ = digits[digest->bytes[i] >> 4];
+		*hex++ = digits[digest->bytes[i] & 15];
+	}
+	*hex = '\0';
 }
 
 bool
