Revoked keys stop working within a bound

With teams, a key that a new version revoked was let in for as long as the daemon did not read that version: without end at one that the store rejects. The proof follows the routes through the loop's queue.

--- a/bench/rate_fleet.c
+++ b/bench/rate_fleet.c
@@ -33,7 +33,7 @@
 	    p->now_us / kSecondUs, p->now_us % kSecondUs * 1000};
 }
 
-static const struct clock_ops sim_clock = {sim_now, sim_now};
+static const struct clock_ops sim_clock = {sim_now, sim_now, sim_now};
 
 static struct sim_event *
 call_event(struct sim_call *c, int64_t delay_us, void (*fn)(struct sim_event *))
--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -42,6 +42,8 @@
 	struct relay_options opt;
 	char service[kFleetNameMax];
 	struct calls_caller caller;
+	/** Why it was not sent last. */
+	enum access_verdict denial;
 	struct blame_keys keys;
 	/** It runs to find out whether it still crashes targets. */
 	bool is_trial;
@@ -183,6 +185,11 @@
 			reply_draining(oc->req);
 			break;
 		}
+		if (result->is_withheld) {
+			access_refuse(oc->cs->opt.access, oc->req,
+			    oc->attempt_id, oc->denial);
+			break;
+		}
 		reply_error(oc->req, kErrOverloaded,
 		    "no target slot became free in time; the request did "
 		    "not run",
@@ -253,8 +260,19 @@
 	return crash_guard_check(guard, &oc->keys, false, &key) == kBlameNone;
 }
 
+static const char *
+may_send(void *ctx)
+{
+	static const char *const causes[] = {
+	    NULL, "stale_proof", "key_revoked"};
+	struct online_call *oc = ctx;
+
+	oc->denial = access_check(oc->cs->opt.access, &oc->caller.access);
+	return causes[oc->denial];
+}
+
 static const struct relay_ops relay_ops = {
-    on_head, on_data, may_run, on_begun, on_lost_run, on_end};
+    on_head, on_data, may_run, on_begun, on_lost_run, on_end, may_send};
 
 int64_t
 calls_answer_deadline_us(const struct front_request *req,
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -20,6 +20,7 @@
 struct calls_options {
 	struct relay_deps deps;
 	struct crash_guard *guard;
+	struct access *access;
 };
 
 struct calls *calls_new(const struct calls_options *opt);
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -141,6 +141,13 @@
 	 * Initially, none is. */
 	void (*on_reachability)(
 	    void *ctx, bool is_reachable, const char *table);
+	/** A read shows that the row with this version is the newest
+	 * configuration; called after on_routes of that version, if it could be
+	 * decoded.
+	 * @param sent_us when the read was sent, clock_boot_us */
+	void (*on_proof)(void *ctx, int64_t sent_us, int64_t version);
+	/** A read that watch_prove asked for has ended. */
+	void (*on_proof_read)(void *ctx, bool is_ok);
 };
 
 struct watch;
@@ -166,6 +173,13 @@
 	GArray *(*watch_rows)(struct watch *w, int64_t after);
 	/** Version up to which all changes are known. */
 	int64_t (*watch_version)(struct watch *w);
+	/**
+	 * From now on, proofs that the configuration is the newest are needed.
+	 * @param feed_wait_ms longest wait of the configuration's feed
+	 */
+	void (*watch_require_proofs)(struct watch *w, int64_t feed_wait_ms);
+	/** Reads the configuration beside the feed; on_proof_read follows. */
+	void (*watch_prove)(struct watch *w);
 };
 
 #endif
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -20,6 +20,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/exit_guard.h"
+#include "savoryflow/freshness/freshness.h"
 
 enum {
 	kExitOk = 0,
@@ -64,6 +65,20 @@
 	return ((struct gateway *)ctx)->is_watch_up;
 }
 
+static void
+read_configuration(void *ctx)
+{
+	struct gateway *gw = ctx;
+
+	gw->adapter->watch_prove(gw->watch);
+}
+
+static void
+fetch_configuration(void *ctx, const char *peer)
+{
+	view_exchange_fetch(((struct gateway *)ctx)->view, peer);
+}
+
 static const char *
 front_reaching_store(void *ctx, const char *excluded_front)
 {
@@ -183,6 +198,8 @@
 	int64_t now_us = loop_now_us(gw->lp);
 
 	gateway_send_contacts(gw);
+	if (gw->proofs != NULL)
+		proof_exchange_tick(gw->proofs);
 	quota_tick(gw->quota);
 	crash_guard_tick(gw->guard);
 	if (fleet_tick(gw->fleet, now_us))
@@ -260,6 +277,26 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
+static void
+create_proofs(struct gateway *gw)
+{
+	struct proof_exchange_options opt = {
+	    .lp = gw->lp,
+	    .clk = gw->clk,
+	    .bound_us = gw->set->revocation_bound_ms * kUsPerMs,
+	    .roster = gw->roster,
+	    .data_center = gw->self.data_center,
+	    .wire = &gateway_wire_ops,
+	    .wire_ctx = gw,
+	    .read = read_configuration,
+	    .fetch = fetch_configuration,
+	    .ctx = gw,
+	};
+
+	if (opt.bound_us > 0)
+		gw->proofs = proof_exchange_new(&opt);
+}
+
 static void
 create_modules(struct gateway *gw)
 {
@@ -278,7 +315,8 @@
 	    gw->self.address, gw->self.session, gw->self.data_center,
 	    &gateway_wire_ops, gw};
 	struct calls_options calls = {0};
-	struct access_options access = {routes_are_current, gw};
+	struct access_options access = {
+	    routes_are_current, current_routes, gateway_serve, gw, NULL};
 	struct crash_guard_options guard = {
 	    gw->lp, gw->roster, gw->self.address, &gateway_wire_ops, gw};
 	struct quota_options quota = {gw->lp, gw->offload, gw->store,
@@ -310,7 +348,10 @@
 	gw->guard = crash_guard_new(&guard);
 	calls.deps = deps;
 	calls.guard = gw->guard;
+	create_proofs(gw);
+	access.proofs = gw->proofs;
 	gw->access = access_new(&access);
+	calls.access = gw->access;
 	gw->calls = calls_new(&calls);
 	gw->quota = quota_new(&quota);
 	jobs.deps = deps;
@@ -366,6 +407,10 @@
 
 	peer_start(gw->peer);
 	gw->watch = gw->adapter->watch_new(gw->store, &gateway_watch_ops, gw);
+	if (gw->proofs != NULL)
+		gw->adapter->watch_require_proofs(gw->watch,
+		    freshness_feed_wait_ms(
+			gw->set->revocation_bound_ms * kUsPerMs));
 	view.adapter = gw->adapter;
 	view.watch = gw->watch;
 	view.on_roster = on_roster;
@@ -419,6 +464,7 @@
 	quota_free(gw->quota);
 	calls_free(gw->calls);
 	access_free(gw->access);
+	proof_exchange_free(gw->proofs);
 	crash_guard_free(gw->guard);
 	outbound_free(gw->outbound);
 	target_activity_free(gw->activity);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -37,6 +37,8 @@
 	struct target_activity *activity;
 	struct crash_guard *guard;
 	struct access *access;
+	/** NULL: revocations need not take effect within a bound. */
+	struct proof_exchange *proofs;
 	struct calls *calls;
 	struct jobs *jobs;
 	struct members *members;
@@ -82,6 +84,9 @@
 /** Records whether the store answers; logs changes. */
 void gateway_record_store_state(struct gateway *gw, bool is_up);
 
+/** Serves a request, also one that was held. */
+void gateway_serve(void *ctx, struct front_request *req);
+
 /* gateway_peers.c */
 
 /** Sends the contacts of this data centre to the neighbours, if due. */
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -124,6 +124,8 @@
 	slots_on_envelope(gw->slots, env);
 	quota_on_envelope(gw->quota, env);
 	crash_guard_on_envelope(gw->guard, env);
+	if (gw->proofs != NULL)
+		proof_exchange_on_envelope(gw->proofs, env);
 	for (size_t i = 0; i < env->n_job_notes; i++)
 		if (env->job_notes[i]->ended)
 			jobs_on_ended(gw->jobs, env->job_notes[i]->id);
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -87,14 +87,13 @@
 		loop_now_us(gw->lp) > gw->drain.accept_until_us);
 }
 
-static void
-on_request(void *ctx, struct front_request *req)
+void
+gateway_serve(void *ctx, struct front_request *req)
 {
 	struct gateway *gw = ctx;
 	struct access_caller caller = {0};
 	struct dialect_call call;
 
-	metric_add(kMetRequests, 1);
 	gw->adapter->dialect->decode_call(
 	    front_method(req), front_uri(req), front_headers(req), &call);
 	if (is_rejecting_requests(gw)) {
@@ -133,6 +132,13 @@
 	}
 }
 
+static void
+on_request(void *ctx, struct front_request *req)
+{
+	metric_add(kMetRequests, 1);
+	gateway_serve(ctx, req);
+}
+
 /* The drain timeout has expired. An attempt may have reached a target. */
 static void
 on_abort(void *ctx, struct front_request *req)
--- a/src/gateway/gateway_watch.c
+++ b/src/gateway/gateway_watch.c
@@ -20,6 +20,7 @@
 	char id[kFleetNameMax];
 	GArray *list;
 	int64_t version;
+	int64_t sent_us;
 	bool is_reachable;
 };
 
@@ -123,20 +124,31 @@
 	    log_number(now->limits.idle_timeout_us), NULL);
 }
 
+/* Never goes back to an older version, whatever a late answer shows. With a
+ * bound on revocations, the row counts: its number may have been used before.
+ */
+static bool
+is_newer(const struct gateway *gw, const struct routebook *book)
+{
+	return gw->routes == NULL || book->version > gw->routes->version ||
+	    (gw->proofs != NULL && book->row_version > gw->routes->row_version);
+}
+
 static void
 apply_routes(void *ctx)
 {
 	struct watch_update *update = ctx;
 	struct gateway *gw = update->gw;
-	int64_t old = gw->routes != NULL ? gw->routes->version : -1;
 
-	/* Never goes back to an older version, whatever a late answer shows. */
-	if (update->book->version > old) {
+	if (is_newer(gw, update->book)) {
 		log_config(gw->routes, update->book);
 		routebook_unref(gw->routes);
 		gw->routes = update->book;
 		front_set_body_max(gw->front, gw->routes->limits.body_bytes);
 		metric_set(kMetGeneration, gw->routes->version);
+		if (gw->proofs != NULL)
+			proof_exchange_on_routes(
+			    gw->proofs, gw->routes->row_version);
 	} else {
 		routebook_unref(update->book);
 	}
@@ -303,5 +315,48 @@
 	loop_post(update->gw->lp, apply_reachability, update);
 }
 
+static void
+apply_proof(void *ctx)
+{
+	struct watch_update *update = ctx;
+
+	if (update->gw->proofs != NULL)
+		proof_exchange_on_proof(
+		    update->gw->proofs, update->sent_us, update->version);
+	g_free(update);
+}
+
+/* In the queue of the routes, behind those of the version. */
+static void
+on_proof(void *ctx, int64_t sent_us, int64_t version)
+{
+	struct watch_update *update = watch_update_new(ctx);
+
+	update->sent_us = sent_us;
+	update->version = version;
+	loop_post(update->gw->lp, apply_proof, update);
+}
+
+static void
+apply_proof_read(void *ctx)
+{
+	struct watch_update *update = ctx;
+
+	if (update->gw->proofs != NULL)
+		proof_exchange_on_read(
+		    update->gw->proofs, update->is_reachable);
+	g_free(update);
+}
+
+static void
+on_proof_read(void *ctx, bool is_ok)
+{
+	struct watch_update *update = watch_update_new(ctx);
+
+	update->is_reachable = is_ok;
+	loop_post(update->gw->lp, apply_proof_read, update);
+}
+
 const struct watch_ops gateway_watch_ops = {on_routes, on_target,
-    on_target_removed, on_target_list, on_bad_row, on_reachability};
+    on_target_removed, on_target_list, on_bad_row, on_reachability, on_proof,
+    on_proof_read};
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -185,6 +185,7 @@
 		on_peer_done(fwd, is_answer(fwd), "answer");
 		break;
 	case kOutboundNotSent:
+	case kOutboundWithheld:
 		on_peer_done(fwd, false, "no_connection");
 		break;
 	case kOutboundInterrupted:
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -60,6 +60,8 @@
 	/** The connection in the pool had ended, had unread bytes, or was used
 	 * for a request of the same id. */
 	bool is_pooled_unfit;
+	bool (*may_send)(void *ctx);
+	bool is_withheld;
 	const struct outbound_ops *ops;
 	void *ctx;
 };
@@ -335,6 +337,11 @@
 	struct outbound_path path = {remote_ip, remote_port, local_port};
 	enum socket_input input;
 
+	if (req->may_send != NULL && !req->is_done &&
+	    !req->may_send(req->ctx)) {
+		req->is_withheld = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
 	if (req->is_first_on_connection) {
 		outbound_sockets_add(req->ob->sockets, req->fd, &path);
 		outbound_sockets_take_id(req->ob->sockets, &path, req->id);
@@ -409,6 +416,7 @@
 	req->fd = CURL_SOCKET_BAD;
 	req->ops = opt->ops;
 	req->ctx = opt->ctx;
+	req->may_send = opt->may_send;
 	req->body = opt->body != NULL ? g_bytes_ref(opt->body) : NULL;
 	req->url = g_strdup_printf("http://%s/", opt->address);
 	req->lines = header_lines(opt->headers);
@@ -517,7 +525,7 @@
 	if (req->intake.limit != NULL)
 		return kOutboundCut;
 	if (send_guard_is_unsent(&req->guard))
-		return kOutboundNotSent;
+		return req->is_withheld ? kOutboundWithheld : kOutboundNotSent;
 	return intake_is_whole(&req->intake, code) ? kOutboundComplete
 						   : kOutboundInterrupted;
 }
--- a/src/gateway/outbound.h
+++ b/src/gateway/outbound.h
@@ -17,6 +17,8 @@
 	kOutboundCut,
 	/** A callback refused the response. */
 	kOutboundRefused,
+	/** may_send did not allow the request; nothing was sent. */
+	kOutboundWithheld,
 };
 
 /** Callbacks; they run on the loop's thread. on_done is the last one. */
@@ -45,6 +47,9 @@
 	/** Id that the answer repeats, or NULL: no two requests of the same id
 	 * share a connection. */
 	const char *id;
+	/** Asked when the connection is open, immediately before each sending
+	 * of the request; may be NULL. */
+	bool (*may_send)(void *ctx);
 	const struct outbound_ops *ops;
 	void *ctx;
 };
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -90,6 +90,7 @@
 	    .slot_wait_us = rl->slot_wait_us,
 	    .cause = rl->cause,
 	    .is_draining = rl->is_draining,
+	    .is_withheld = rl->is_withheld,
 	};
 
 	g_strlcpy(result.target, rl->target, sizeof(result.target));
@@ -184,6 +185,30 @@
 	    rl->opt.ops->may_run(rl->opt.ctx, rl->has_lost_run);
 }
 
+bool
+relay_may_send(struct relay *rl)
+{
+	rl->withheld_cause = rl->opt.ops->may_send != NULL
+	    ? rl->opt.ops->may_send(rl->opt.ctx)
+	    : NULL;
+	return rl->withheld_cause == NULL;
+}
+
+static bool
+may_send(void *ctx)
+{
+	return relay_may_send(ctx);
+}
+
+void
+relay_withhold(struct relay *rl)
+{
+	rl->cause = rl->withheld_cause;
+	rl->is_withheld = true;
+	relay_release_target(rl, kSlotNeutral);
+	fail_request(rl, kRetryAfterDefaultUs);
+}
+
 static void
 start_run(struct relay *rl, const struct fleet_target *target)
 {
@@ -206,6 +231,7 @@
 	    .connect_timeout_us = kConnectTimeoutUs,
 	    .is_sent_once = !rl->opt.may_repeat,
 	    .id = rl->attempt_id,
+	    .may_send = may_send,
 	    .ops = &relay_transfer_ops,
 	    .ctx = rl,
 	};
@@ -235,10 +261,12 @@
 void
 relay_send(struct relay *rl, const struct fleet_target *target)
 {
-	if (may_run(rl))
-		start_run(rl, target);
-	else
+	if (!may_run(rl))
 		block_request(rl);
+	else if (!relay_may_send(rl))
+		relay_withhold(rl);
+	else
+		start_run(rl, target);
 }
 
 /* @return NULL if the target takes no requests: the arbiter's list may be older
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -40,6 +40,8 @@
 	char target[kFleetNameMax];
 	/** It was ended because the daemon stops. */
 	bool is_draining;
+	/** It was ended because may_send did not allow a sending. */
+	bool is_withheld;
 };
 
 /** A run at a target that was interrupted before its answer began. */
@@ -70,6 +72,11 @@
 	bool (*on_lost_run)(void *ctx, const struct relay_lost_run *run);
 	/** The last callback. */
 	void (*on_end)(void *ctx, const struct relay_result *result);
+	/** Asked for each attempt, before a connection is made and again when
+	 * it is open; may be NULL.
+	 * @return NULL, or why the request must not be sent, for the log: it
+	 * then ends */
+	const char *(*may_send)(void *ctx);
 };
 
 /** Modules that a relay uses. */
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -246,6 +246,11 @@
 		rl->unreachable_count++;
 		relay_fail_attempt(rl, kSlotUnreachable, "unreachable");
 		break;
+	case kOutboundWithheld:
+		rl->attempts--;
+		relay_log_attempt(rl, rl->withheld_cause);
+		relay_withhold(rl);
+		break;
 	case kOutboundInterrupted:
 		handle_interrupted(rl, "cut");
 		break;
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -38,6 +38,9 @@
 	bool is_start_over;
 	/** It ends because the daemon stops. */
 	bool is_draining;
+	/** It ends because it must not be sent. */
+	bool is_withheld;
+	const char *withheld_cause;
 	uint64_t stall_timer;
 	/** When the stall timer is due. */
 	int64_t stall_due_us;
@@ -117,6 +120,12 @@
  * run. */
 void relay_send(struct relay *rl, const struct fleet_target *target);
 
+/** Whether the request may be sent now, as far as its owner can tell. */
+bool relay_may_send(struct relay *rl);
+
+/** Ends the request, which must not be sent. */
+void relay_withhold(struct relay *rl);
+
 void relay_log_attempt(const struct relay *rl, const char *cause);
 
 /* relay_takeover.c */
--- a/src/gateway/relay_takeover.c
+++ b/src/gateway/relay_takeover.c
@@ -143,7 +143,8 @@
 {
 	uint64_t slot = rl->takeover_slot;
 
-	if (target == NULL) {
+	/* The silent target may go on, and was sent the request in time. */
+	if (target == NULL || !relay_may_send(rl)) {
 		slots_release(rl->deps.slots, slot, kSlotNeutral);
 		relay_on_takeover_refused(rl);
 		return;
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -87,6 +87,18 @@
 	vx->is_store_unreachable = is_store_unreachable;
 }
 
+void
+view_exchange_fetch(struct view_exchange *vx, const char *peer)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__View view = SFPEER__VIEW__INIT;
+
+	view.wanted = true;
+	view.as_of = (uint64_t)vx->opt.adapter->watch_version(vx->opt.watch);
+	env.view = &view;
+	vx->opt.wire->send(vx->opt.wire_ctx, peer, &env);
+}
+
 static void
 send_daemons(struct view_exchange *vx, const char *to)
 {
--- a/src/gateway/view.h
+++ b/src/gateway/view.h
@@ -37,6 +37,9 @@
 void view_exchange_set_store_unreachable(
     struct view_exchange *vx, bool is_store_unreachable);
 
+/** Asks a peer for the rows that this daemon lacks. */
+void view_exchange_fetch(struct view_exchange *vx, const char *peer);
+
 /** Handles a peer's request for rows, and the rows it sends. */
 void view_exchange_on_view(
     struct view_exchange *vx, const char *from, const Sfpeer__View *view);
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -205,6 +205,13 @@
 	    "Many peer daemons are alive that were not known before.")         \
 	X(kEvtMemberDown, 1602, INFO, "member_down",                           \
 	    "A peer daemon is unresponsive or has left.")                      \
+	X(kEvtProofStale, 1711, WARN, "proof_stale",                           \
+	    "It is not certain any more that the routes in force are the "     \
+	    "newest: requests that need a key are refused with 503.")          \
+	X(kEvtProofFresh, 1712, INFO, "proof_fresh",                           \
+	    "The routes in force are certainly the newest again.")             \
+	X(kEvtConfigBehind, 1713, INFO, "config_behind",                       \
+	    "A peer has a newer configuration, which is fetched from it.")     \
 	X(kEvtArbiterFallback, 1603, WARN, "arbiter_fallback",                 \
 	    "No arbiter responded in time; the local share is used.")
 
--- a/src/metric/metric.h
+++ b/src/metric/metric.h
@@ -68,6 +68,19 @@
 	    "Calls without their final answer.")                               \
 	X(kMetGeneration, gauge, "savoryflow_config_generation",               \
 	    "Configuration generation in force.")                              \
+	X(kMetRefusedStale, counter, "savoryflow_refused_stale_proof_total",   \
+	    "Requests refused because no recent read showed that their key "   \
+	    "is not revoked.")                                                 \
+	X(kMetRefusedRevoked, counter, "savoryflow_refused_revoked_key_total", \
+	    "Requests refused before they were sent: their key had been "      \
+	    "revoked while they waited.")                                      \
+	X(kMetProofReads, counter, "savoryflow_proof_reads_total",             \
+	    "Reads of the configuration beside its feed.")                     \
+	X(kMetProofAsks, counter, "savoryflow_proof_asks_total",               \
+	    "Questions to peers whether the configuration is the newest.")     \
+	X(kMetProofAge, gauge, "savoryflow_proof_age_ms",                      \
+	    "Age of the proof that the configuration is the newest; -1: "      \
+	    "none, 0 without a bound.")                                        \
 	X(kMetBlockedKeys, gauge, "savoryflow_blocked_keys",                   \
 	    "Requests and parts of prompts that crash targets.")               \
 	X(kMetMembersAlive, gauge, "savoryflow_members_alive",                 \
--- a/src/os/clock.c
+++ b/src/os/clock.c
@@ -19,7 +19,17 @@
 	return ts;
 }
 
-static const struct clock_ops system_ops = {system_mono, system_wall};
+static struct timespec
+system_boot(void *ctx)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return ts;
+}
+
+static const struct clock_ops system_ops = {
+    system_mono, system_wall, system_boot};
 static const struct clock_source system_clock = {&system_ops, NULL};
 
 const struct clock_source *
@@ -40,6 +50,12 @@
 	return clock_ts_us(clk->ops->mono(clk->ctx));
 }
 
+int64_t
+clock_boot_us(const struct clock_source *clk)
+{
+	return clock_ts_us(clk->ops->boot(clk->ctx));
+}
+
 int64_t
 clock_wall_us(const struct clock_source *clk)
 {
--- a/src/os/clock.h
+++ b/src/os/clock.h
@@ -15,6 +15,8 @@
 	struct timespec (*mono)(void *ctx);
 	/** Date and time (UTC). */
 	struct timespec (*wall)(void *ctx);
+	/** Monotonic time that advances while the VM is suspended. */
+	struct timespec (*boot)(void *ctx);
 };
 
 /** Clock interface: operations and their context. */
@@ -32,6 +34,10 @@
 /** Monotonic time in microseconds. */
 int64_t clock_mono_us(const struct clock_source *clk);
 
+/** Monotonic time in microseconds; includes the time that the VM was
+ * suspended. */
+int64_t clock_boot_us(const struct clock_source *clk);
+
 /** Date and time in microseconds since 1970-01-01 (UTC). */
 int64_t clock_wall_us(const struct clock_source *clk);
 
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -1177,6 +1177,96 @@
   assert(message->base.descriptor == &sfpeer__blame_note__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__proof_ask__init
+                     (Sfpeer__ProofAsk         *message)
+{
+  static const Sfpeer__ProofAsk init_value = SFPEER__PROOF_ASK__INIT;
+  *message = init_value;
+}
+size_t sfpeer__proof_ask__get_packed_size
+                     (const Sfpeer__ProofAsk *message)
+{
+  assert(message->base.descriptor == &sfpeer__proof_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__proof_ask__pack
+                     (const Sfpeer__ProofAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__proof_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__proof_ask__pack_to_buffer
+                     (const Sfpeer__ProofAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__proof_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__ProofAsk *
+       sfpeer__proof_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__ProofAsk *)
+     protobuf_c_message_unpack (&sfpeer__proof_ask__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__proof_ask__free_unpacked
+                     (Sfpeer__ProofAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__proof_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__proof__init
+                     (Sfpeer__Proof         *message)
+{
+  static const Sfpeer__Proof init_value = SFPEER__PROOF__INIT;
+  *message = init_value;
+}
+size_t sfpeer__proof__get_packed_size
+                     (const Sfpeer__Proof *message)
+{
+  assert(message->base.descriptor == &sfpeer__proof__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__proof__pack
+                     (const Sfpeer__Proof *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__proof__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__proof__pack_to_buffer
+                     (const Sfpeer__Proof *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__proof__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__Proof *
+       sfpeer__proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__Proof *)
+     protobuf_c_message_unpack (&sfpeer__proof__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__proof__free_unpacked
+                     (Sfpeer__Proof *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__proof__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__envelope__init
                      (Sfpeer__Envelope         *message)
 {
@@ -3874,7 +3964,109 @@
   (ProtobufCMessageInit) sfpeer__blame_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[31] =
+static const ProtobufCFieldDescriptor sfpeer__proof_ask__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__ProofAsk, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__proof_ask__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange sfpeer__proof_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor sfpeer__proof_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.ProofAsk",
+  "ProofAsk",
+  "Sfpeer__ProofAsk",
+  "sfpeer",
+  sizeof(Sfpeer__ProofAsk),
+  1,
+  sfpeer__proof_ask__field_descriptors,
+  sfpeer__proof_ask__field_indices_by_name,
+  1,  sfpeer__proof_ask__number_ranges,
+  (ProtobufCMessageInit) sfpeer__proof_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__proof__field_descriptors[3] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Proof, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Proof, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Proof, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__proof__field_indices_by_name[] = {
+  1,   /* field[1] = age_us */
+  0,   /* field[0] = id */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange sfpeer__proof__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor sfpeer__proof__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.Proof",
+  "Proof",
+  "Sfpeer__Proof",
+  "sfpeer",
+  sizeof(Sfpeer__Proof),
+  3,
+  sfpeer__proof__field_descriptors,
+  sfpeer__proof__field_indices_by_name,
+  1,  sfpeer__proof__number_ranges,
+  (ProtobufCMessageInit) sfpeer__proof__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[33] =
 {
   {
     "from",
@@ -4248,6 +4440,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "proof_ask",
+    45,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, proof_ask),
+    &sfpeer__proof_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "proof",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__Envelope, proof),
+    &sfpeer__proof__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
   3,   /* field[3] = answers */
@@ -4270,6 +4486,8 @@
   26,   /* field[26] = lost_runs */
   4,   /* field[4] = notes */
   14,   /* field[14] = pool_loads */
+  32,   /* field[32] = proof */
+  31,   /* field[31] = proof_ask */
   24,   /* field[24] = quota_answers */
   23,   /* field[23] = quota_asks */
   25,   /* field[25] = quota_reports */
@@ -4282,11 +4500,12 @@
   29,   /* field[29] = target_rates */
   15,   /* field[15] = view */
 };
-static const ProtobufCIntRange sfpeer__envelope__number_ranges[2 + 1] =
+static const ProtobufCIntRange sfpeer__envelope__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 24, 22 },
-  { 0, 31 }
+  { 45, 31 },
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -4296,10 +4515,10 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  31,
+  33,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
-  2,  sfpeer__envelope__number_ranges,
+  3,  sfpeer__envelope__number_ranges,
   (ProtobufCMessageInit) sfpeer__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -41,6 +41,8 @@
 typedef struct Sfpeer__JobNote Sfpeer__JobNote;
 typedef struct Sfpeer__LostRun Sfpeer__LostRun;
 typedef struct Sfpeer__BlameNote Sfpeer__BlameNote;
+typedef struct Sfpeer__ProofAsk Sfpeer__ProofAsk;
+typedef struct Sfpeer__Proof Sfpeer__Proof;
 typedef struct Sfpeer__Envelope Sfpeer__Envelope;
 
 
@@ -606,6 +608,35 @@
     , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Asks for a proof that a version of the configuration is the newest.
+ */
+struct  Sfpeer__ProofAsk
+{
+  ProtobufCMessage base;
+  uint64_t id;
+};
+#define SFPEER__PROOF_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__proof_ask__descriptor) \
+    , 0 }
+
+
+/*
+ * Answers a ProofAsk: the configuration's row with this version was the newest
+ * one at a time so long before the answer.
+ */
+struct  Sfpeer__Proof
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  uint64_t age_us;
+  uint64_t version;
+};
+#define SFPEER__PROOF__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__proof__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Sfpeer__Envelope
 {
   ProtobufCMessage base;
@@ -681,10 +712,12 @@
   Sfpeer__TargetRate **target_rates;
   size_t n_grant_rates;
   Sfpeer__GrantRate **grant_rates;
+  Sfpeer__ProofAsk *proof_ask;
+  Sfpeer__Proof *proof;
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, NULL }
 
 
 /* Sfpeer__Member methods */
@@ -1181,6 +1214,44 @@
 void   sfpeer__blame_note__free_unpacked
                      (Sfpeer__BlameNote *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__ProofAsk methods */
+void   sfpeer__proof_ask__init
+                     (Sfpeer__ProofAsk         *message);
+size_t sfpeer__proof_ask__get_packed_size
+                     (const Sfpeer__ProofAsk   *message);
+size_t sfpeer__proof_ask__pack
+                     (const Sfpeer__ProofAsk   *message,
+                      uint8_t             *out);
+size_t sfpeer__proof_ask__pack_to_buffer
+                     (const Sfpeer__ProofAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__ProofAsk *
+       sfpeer__proof_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__proof_ask__free_unpacked
+                     (Sfpeer__ProofAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__Proof methods */
+void   sfpeer__proof__init
+                     (Sfpeer__Proof         *message);
+size_t sfpeer__proof__get_packed_size
+                     (const Sfpeer__Proof   *message);
+size_t sfpeer__proof__pack
+                     (const Sfpeer__Proof   *message,
+                      uint8_t             *out);
+size_t sfpeer__proof__pack_to_buffer
+                     (const Sfpeer__Proof   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__Proof *
+       sfpeer__proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__proof__free_unpacked
+                     (Sfpeer__Proof *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__Envelope methods */
 void   sfpeer__envelope__init
                      (Sfpeer__Envelope         *message);
@@ -1280,6 +1351,12 @@
 typedef void (*Sfpeer__BlameNote_Closure)
                  (const Sfpeer__BlameNote *message,
                   void *closure_data);
+typedef void (*Sfpeer__ProofAsk_Closure)
+                 (const Sfpeer__ProofAsk *message,
+                  void *closure_data);
+typedef void (*Sfpeer__Proof_Closure)
+                 (const Sfpeer__Proof *message,
+                  void *closure_data);
 typedef void (*Sfpeer__Envelope_Closure)
                  (const Sfpeer__Envelope *message,
                   void *closure_data);
@@ -1315,6 +1392,8 @@
 extern const ProtobufCMessageDescriptor sfpeer__job_note__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__lost_run__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__blame_note__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__proof_ask__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__proof__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/savoryflow/freshness/freshness.c
+++ b/src/savoryflow/freshness/freshness.c
@@ -188,8 +188,7 @@
 freshness_shows_unknown(const struct freshness *fr, int64_t now_us)
 {
 	return !freshness_is_behind(fr) &&
-	    is_younger(
-		fr, MIN(kFreshnessUnknownKeyUs, fr->usable_us), now_us);
+	    is_younger(fr, MIN(kFreshnessUnknownKeyUs, fr->usable_us), now_us);
 }
 
 struct freshness_proof
@@ -211,8 +210,8 @@
 freshness_read_is_due(
     const struct freshness *fr, bool is_wanted, int64_t now_us)
 {
-	bool is_old = !is_younger(
-	    fr, milli_of(fr->bound_us, kReadAgeMilli), now_us);
+	bool is_old =
+	    !is_younger(fr, milli_of(fr->bound_us, kReadAgeMilli), now_us);
 
 	if ((!is_old && !is_wanted) || is_reading(fr, now_us))
 		return false;
@@ -242,10 +241,10 @@
 bool
 freshness_ask_is_due(const struct freshness *fr, bool is_wanted, int64_t now_us)
 {
-	bool is_late = fr->reading_us != 0 &&
-	    now_us - fr->reading_us > kFreshnessAnswerUs;
-	bool is_old = !is_younger(
-	    fr, milli_of(fr->bound_us, kAskAgeMilli), now_us);
+	bool is_late =
+	    fr->reading_us != 0 && now_us - fr->reading_us > kFreshnessAnswerUs;
+	bool is_old =
+	    !is_younger(fr, milli_of(fr->bound_us, kAskAgeMilli), now_us);
 
 	if ((!is_old && !is_wanted) || !(fr->has_read_failed || is_late))
 		return false;
--- a/src/savoryflow/routebook/routebook_defs.h
+++ b/src/savoryflow/routebook/routebook_defs.h
@@ -88,6 +88,8 @@
 struct routebook {
 	gint refs;
 	int64_t version;
+	/** Version of the row that holds it; 0 if unknown. */
+	int64_t row_version;
 	/** struct routebook_route *. */
 	GPtrArray *routes;
 	/** struct routebook_service by name. */
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -84,6 +84,9 @@
 	    "submission")                                                      \
 	NUM(janitor_period_ms, "janitor-period-ms", 30000, 100, 3600000, "ms", \
 	    "adapter: period of the removal of finished jobs")                 \
+	NUM(revocation_bound_ms, "revocation-bound-ms", 0, 0, 600000, "ms",    \
+	    "adapter: requests with a revoked key run no later than this "     \
+	    "after its revocation; 0: no bound")                               \
 	NUM(cpu_millicores, "cpu-millicores", 1000, 1, 1024000, "millicores",  \
 	    "processor capacity of this VM; the daemons with the most take "   \
 	    "the roles that serve others")                                     \
--- a/test/relay/relay_fixture.h
+++ b/test/relay/relay_fixture.h
@@ -201,7 +201,7 @@
 };
 
 struct Relay : ::testing::Test {
-	clock_ops time_ops = {PlayTime, PlayTime};
+	clock_ops time_ops = {PlayTime, PlayTime, PlayTime};
 	clock_source clk = {&time_ops, nullptr};
 	dialect_ops dialect = {};
 	relay_ops ops = {OnHead, OnData, nullptr, nullptr, nullptr, OnEnd};
--- a/test/unit/daemon_fixture.h
+++ b/test/unit/daemon_fixture.h
@@ -84,7 +84,7 @@
 	static const clock_ops &
 	FakeClock()
 	{
-		static const clock_ops ops = {FakeNow, FakeNow};
+		static const clock_ops ops = {FakeNow, FakeNow, FakeNow};
 
 		return ops;
 	}
--- a/test/unit/test_freshness.cc
+++ b/test/unit/test_freshness.cc
@@ -81,10 +81,12 @@
 	for (int64_t v = 2; v <= 8; v++)
 		freshness_record_read(fr, kStartUs + v * kMs, v);
 	freshness_set_version(fr, 6);
-	EXPECT_EQ(kStartUs + 6 * kMs, freshness_best(fr, kStartUs + kSec).sent_us);
+	EXPECT_EQ(
+	    kStartUs + 6 * kMs, freshness_best(fr, kStartUs + kSec).sent_us);
 	EXPECT_TRUE(freshness_is_behind(fr));
 	freshness_set_version(fr, 8);
-	EXPECT_EQ(kStartUs + 8 * kMs, freshness_best(fr, kStartUs + kSec).sent_us);
+	EXPECT_EQ(
+	    kStartUs + 8 * kMs, freshness_best(fr, kStartUs + kSec).sent_us);
 }
 
 /* Guards against proofs that become younger on their way: in a queue of the
@@ -115,9 +117,8 @@
 		age_us = freshness_age_us(f, kStartUs + kSec);
 		EXPECT_GE(age_us, c.expected_age_us) << c.name;
 		/* The drift of the two clocks is added. */
-		EXPECT_LE(age_us, c.expected_age_us < 0
-			? -1
-			: c.expected_age_us + kMs)
+		EXPECT_LE(age_us,
+		    c.expected_age_us < 0 ? -1 : c.expected_age_us + kMs)
 		    << c.name;
 		freshness_free(f);
 	}
@@ -162,7 +163,8 @@
 	    freshness_read_is_due(fr, true, now_us + kFreshnessReadPauseUs));
 	freshness_read_started(fr, now_us + kSec);
 	freshness_read_ended(fr, false, now_us + kSec);
-	EXPECT_FALSE(freshness_read_is_due(fr, true, now_us + kSec + 200 * kMs));
+	EXPECT_FALSE(
+	    freshness_read_is_due(fr, true, now_us + kSec + 200 * kMs));
 	EXPECT_TRUE(freshness_read_is_due(
 	    fr, true, now_us + kSec + kFreshnessRetryPauseUs));
 	freshness_read_started(fr, now_us + 3 * kSec);
--- a/test/unit/test_freshness_random.cc
+++ b/test/unit/test_freshness_random.cc
@@ -150,9 +150,8 @@
 			fn();
 			return;
 		}
-		queue.push({ds[i].frozen_until, seq++, [=] {
-				    RunAtDaemon(i, generation, fn);
-			    }});
+		queue.push({ds[i].frozen_until, seq++,
+		    [=] { RunAtDaemon(i, generation, fn); }});
 	}
 
 	void
@@ -208,9 +207,8 @@
 		AtDaemon(i, timeout_us, [finish] { finish(0); });
 		if (ds[i].lost_to > now)
 			return;
-		At(Delay(i), [this, i, wait_us, finish] {
-			Serve(i, wait_us, finish);
-		});
+		At(Delay(i),
+		    [this, i, wait_us, finish] { Serve(i, wait_us, finish); });
 	}
 
 	void
@@ -263,8 +261,7 @@
 		if (version == 0)
 			return;
 		Apply(i, version);
-		freshness_record_read(
-		    ds[i].fr, sent_us, versions[version].row);
+		freshness_record_read(ds[i].fr, sent_us, versions[version].row);
 	}
 
 	void
@@ -277,8 +274,7 @@
 			freshness_read_started(d.fr, local_us);
 			CallStore(i, 0, kSec, [this, i, local_us](size_t v) {
 				Read(i, local_us, v);
-				freshness_read_ended(
-				    ds[i].fr, v > 0, Local(i));
+				freshness_read_ended(ds[i].fr, v > 0, Local(i));
 			});
 		}
 		if (!freshness_ask_is_due(d.fr, is_wanted, local_us))
@@ -431,16 +427,15 @@
 	Call()
 	{
 		int i = (int)Random(kDaemons);
-		int key = (int)keys.size() - 1 -
-		    (int)Random(kTeams * kKeysPerTeam);
+		int key =
+		    (int)keys.size() - 1 - (int)Random(kTeams * kKeysPerTeam);
 
 		if (!revoked.empty() && Random(2) == 0)
 			key = revoked[revoked.size() - 1 -
 			    (size_t)Random(
 				std::min<int64_t>((int64_t)revoked.size(), 5))];
-		AtDaemon(i, Random(20 * kMs), [this, i, key] {
-			Arrive(i, key, now + kHoldUs);
-		});
+		AtDaemon(i, Random(20 * kMs),
+		    [this, i, key] { Arrive(i, key, now + kHoldUs); });
 		At(Random(12 * kMs), [this] { Call(); });
 	}
 
@@ -455,8 +450,7 @@
 	Hold(int i, int key, int64_t until)
 	{
 		Improve(i, true);
-		if (now >= until ||
-		    !freshness_may_improve(ds[i].fr, Local(i)))
+		if (now >= until || !freshness_may_improve(ds[i].fr, Local(i)))
 			return false;
 		AtDaemon(i, 20 * kMs,
 		    [this, i, key, until] { Arrive(i, key, until); });
--- a/test/unit/test_slots_report.cc
+++ b/test/unit/test_slots_report.cc
@@ -22,7 +22,7 @@
 	return {(time_t)(now_us / kSec), (long)(now_us % kSec * 1000)};
 }
 
-const clock_ops fake_clock = {FakeNow, FakeNow};
+const clock_ops fake_clock = {FakeNow, FakeNow, FakeNow};
 
 /* Messages by receiver. */
 struct Wire {
