A request whose proof is late waits for a moment

At a wake-up, requests that had been granted a slot were refused although a read of the store takes some ms. They wait up to 250 ms without their slot.

--- a/src/gateway/access/access.c
+++ b/src/gateway/access/access.c
@@ -121,8 +121,10 @@
 		return kAccessAllowed;
 	if (!holds_key(ac->opt.routes(ac->opt.ctx), caller))
 		return kAccessRevoked;
-	return proof_exchange_admits(ac->opt.proofs) ? kAccessAllowed
-						     : kAccessStale;
+	if (proof_exchange_admits(ac->opt.proofs))
+		return kAccessAllowed;
+	return proof_exchange_improve(ac->opt.proofs) ? kAccessUncertain
+						      : kAccessStale;
 }
 
 void
--- a/src/gateway/access/access.h
+++ b/src/gateway/access/access.h
@@ -30,6 +30,8 @@
 	/** Its key may have been revoked: no recent read shows that it was
 	 * not. */
 	kAccessStale,
+	/** The same, but a read is under way. */
+	kAccessUncertain,
 	/** Its team does not hold the key any more. */
 	kAccessRevoked,
 };
--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -260,15 +260,26 @@
 	return crash_guard_check(guard, &oc->keys, false, &key) == kBlameNone;
 }
 
-static const char *
-may_send(void *ctx)
+static enum relay_permit
+may_send(void *ctx, const char **cause)
 {
-	static const char *const causes[] = {
-	    NULL, "stale_proof", "key_revoked"};
 	struct online_call *oc = ctx;
 
 	oc->denial = access_check(oc->cs->opt.access, &oc->caller.access);
-	return causes[oc->denial];
+	switch (oc->denial) {
+	case kAccessAllowed:
+		return kRelayMaySend;
+	case kAccessUncertain:
+		*cause = "stale_proof";
+		return kRelayMaySendLater;
+	case kAccessStale:
+		*cause = "stale_proof";
+		break;
+	case kAccessRevoked:
+		*cause = "key_revoked";
+		break;
+	}
+	return kRelayMustNotSend;
 }
 
 static const struct relay_ops relay_ops = {
--- a/src/gateway/freshness/proof_exchange.h
+++ b/src/gateway/freshness/proof_exchange.h
@@ -56,6 +56,12 @@
 /** Whether a key that the routes in force lack is certainly unknown. */
 bool proof_exchange_shows_unknown(const struct proof_exchange *px);
 
+/**
+ * A request waits for a proof: reads the store or asks peers, if possible.
+ * @return false if no proof is to be expected soon
+ */
+bool proof_exchange_improve(struct proof_exchange *px);
+
 /**
  * Holds a request for which no recent enough proof is known, if one may arrive
  * soon; resume is called for it once, unless the caller leaves.
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -27,6 +27,10 @@
 	kRefusalMarginUs = 60 * kUsPerMs,
 	/* Wait for another slot, after the first attempt. */
 	kRetrySlotWaitUs = 600 * kUsPerMs,
+	/* A request that may be sent later waits for as long as the answer of a
+	 * read that is under way takes. */
+	kPermitWaitUs = 250 * kUsPerMs,
+	kPermitCheckUs = 20 * kUsPerMs,
 };
 
 static void await_attempt(struct relay *rl);
@@ -75,6 +79,8 @@
 	rl->deadline_timer = 0;
 	loop_timer_cancel(rl->deps.lp, rl->start_timer);
 	rl->start_timer = 0;
+	loop_timer_cancel(rl->deps.lp, rl->permit_timer);
+	rl->permit_timer = 0;
 	relay_withdraw_takeover(rl);
 	relay_release_target(rl, is_silent ? kSlotUnresponsive : kSlotNeutral);
 }
@@ -188,10 +194,10 @@
 bool
 relay_may_send(struct relay *rl)
 {
-	rl->withheld_cause = rl->opt.ops->may_send != NULL
-	    ? rl->opt.ops->may_send(rl->opt.ctx)
-	    : NULL;
-	return rl->withheld_cause == NULL;
+	rl->permit = rl->opt.ops->may_send != NULL
+	    ? rl->opt.ops->may_send(rl->opt.ctx, &rl->withheld_cause)
+	    : kRelayMaySend;
+	return rl->permit == kRelayMaySend;
 }
 
 static bool
@@ -200,12 +206,37 @@
 	return relay_may_send(ctx);
 }
 
+static void
+on_permit_due(void *ctx)
+{
+	struct relay *rl = ctx;
+
+	rl->permit_timer = 0;
+	if (relay_may_send(rl))
+		await_attempt(rl);
+	else
+		relay_withhold(rl);
+}
+
 void
 relay_withhold(struct relay *rl)
 {
+	int64_t now_us = loop_now_us(rl->deps.lp);
+
+	/* Its grant would send the request beside the timer. */
+	relay_withdraw_takeover(rl);
+	relay_release_target(rl, kSlotNeutral);
+	if (rl->permit_until_us == 0)
+		rl->permit_until_us = now_us + kPermitWaitUs;
+	if (rl->permit == kRelayMaySendLater && now_us < rl->permit_until_us &&
+	    !rl->is_start_over) {
+		rl->phase = kPhaseAcquiring;
+		rl->permit_timer = loop_timer(
+		    rl->deps.lp, now_us + kPermitCheckUs, on_permit_due, rl);
+		return;
+	}
 	rl->cause = rl->withheld_cause;
 	rl->is_withheld = true;
-	relay_release_target(rl, kSlotNeutral);
 	fail_request(rl, kRetryAfterDefaultUs);
 }
 
@@ -243,6 +274,7 @@
 	g_strlcpy(
 	    rl->target_address, target->address, sizeof(rl->target_address));
 	rl->sent_us = now_us;
+	rl->permit_until_us = 0;
 	rl->run_events = 0;
 	event_splitter_restart(&rl->events);
 	g_string_truncate(rl->answer_body, 0);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -53,6 +53,15 @@
 	int64_t sent_us;
 };
 
+/** Whether a request may be sent to a target. */
+enum relay_permit {
+	kRelayMaySend,
+	/** Not now, but possibly within some milliseconds. */
+	kRelayMaySendLater,
+	/** The request ends. */
+	kRelayMustNotSend,
+};
+
 /** Callbacks; they run on the loop, never from within relay_start. */
 struct relay_ops {
 	/** Head of the answer that will be passed on. */
@@ -74,9 +83,8 @@
 	void (*on_end)(void *ctx, const struct relay_result *result);
 	/** Asked for each attempt, before a connection is made and again when
 	 * it is open; may be NULL.
-	 * @return NULL, or why the request must not be sent, for the log: it
-	 * then ends */
-	const char *(*may_send)(void *ctx);
+	 * @param cause if it must not be sent now: why, for the log */
+	enum relay_permit (*may_send)(void *ctx, const char **cause);
 };
 
 /** Modules that a relay uses. */
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -40,7 +40,11 @@
 	bool is_draining;
 	/** It ends because it must not be sent. */
 	bool is_withheld;
+	enum relay_permit permit;
 	const char *withheld_cause;
+	/** It waits until it may be sent, without a slot; 0: it does not. */
+	uint64_t permit_timer;
+	int64_t permit_until_us;
 	uint64_t stall_timer;
 	/** When the stall timer is due. */
 	int64_t stall_due_us;
@@ -123,7 +127,7 @@
 /** Whether the request may be sent now, as far as its owner can tell. */
 bool relay_may_send(struct relay *rl);
 
-/** Ends the request, which must not be sent. */
+/** The request must not be sent now: it waits for a moment, or ends. */
 void relay_withhold(struct relay *rl);
 
 void relay_log_attempt(const struct relay *rl, const char *cause);
--- a/src/savoryflow/freshness/freshness.c
+++ b/src/savoryflow/freshness/freshness.c
@@ -10,8 +10,10 @@
 	kFeedWaitMilli = 150,
 	/* Older than the feed lets a proof become. */
 	kReadAgeMilli = 320,
-	/* Later than a read that is answered in time. */
+	/* Peers are asked after a failed read; and while one is late, which it
+	 * is for all daemons when the store is slow: then later. */
 	kAskAgeMilli = 340,
+	kLateAgeMilli = 500,
 	kFeedWaitMaxMs = 1500,
 	kFeedWaitMinMs = 50,
 	kUsPerMs = 1000,
@@ -243,10 +245,12 @@
 {
 	bool is_late =
 	    fr->reading_us != 0 && now_us - fr->reading_us > kFreshnessAnswerUs;
-	bool is_old =
-	    !is_younger(fr, milli_of(fr->bound_us, kAskAgeMilli), now_us);
+	int64_t age_milli = fr->has_read_failed ? kAskAgeMilli : kLateAgeMilli;
 
-	if ((!is_old && !is_wanted) || !(fr->has_read_failed || is_late))
+	if (!fr->has_read_failed && !is_late)
+		return false;
+	if (!is_wanted &&
+	    is_younger(fr, milli_of(fr->bound_us, age_milli), now_us))
 		return false;
 	return !fr->has_asked || now_us - fr->asked_us >= kFreshnessAskPauseUs;
 }
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -252,4 +252,48 @@
 		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
 }
 
+/* Guards against requests that run although their owner forbids it at one of
+ * their attempts, and against refusals of requests that may have run. */
+TEST_F(Relay, ARequestIsSentOnlyIfItsOwnerAllowsIt)
+{
+	const Case cases[] = {
+	    {"before the first attempt", {{10, "never"}, {20, "grant a"}},
+		"0 ask, 20 free a neutral, 20 end refused, 20 withheld"},
+	    {"when the connection is open",
+		{{10, "grant a"}, {20, "never"}, {30, "withhold"}},
+		"0 ask, 10 send a after -1, 30 free a neutral, "
+		"30 end refused, 30 withheld"},
+	    {"before the second attempt",
+		{{10, "grant a"}, {20, "never"}, {30, "cut"}, {40, "grant b"}},
+		"0 ask, 10 send a after -1, 30 free a failed, 30 ask but a, "
+		"40 free b neutral, 40 end failed, 40 withheld"},
+	    {"before it goes on",
+		{{10, "grant a"}, {20, "event"}, {30, "never"}, {40, "cut"},
+		    {50, "grant b"}},
+		"0 ask, 10 send a after -1, 20 head 200, 40 free a failed, "
+		"40 ask but a, 50 free b neutral, 50 end broken, 50 withheld"},
+	    {"a silent target goes on",
+		{{10, "grant a"}, {20, "never"}, {250, "grant b"},
+		    {400, "answer 200"}},
+		"0 ask, 10 send a after -1, 210 ask but a, 250 free b neutral, "
+		"400 head 200, 400 free a served, 400 end complete"},
+	    {"later, with a slot asked for beside it",
+		{{10, "grant a"}, {220, "later"}, {230, "withhold"},
+		    {240, "allow"}, {260, "grant b"}, {270, "answer 200"}},
+		"0 ask, 10 send a after -1, 210 ask but a, 230 withdraw, "
+		"230 free a neutral, 250 ask but a, 260 send b after -1, "
+		"270 head 200, 270 free b served, 270 end complete"},
+	    {"a moment later",
+		{{10, "later"}, {20, "grant a"}, {70, "allow"},
+		    {100, "grant a"}, {110, "answer 200"}},
+		"0 ask, 20 free a neutral, 80 ask, 100 send a after -1, "
+		"110 head 200, 110 free a served, 110 end complete"},
+	    {"not in time", {{10, "later"}, {20, "grant a"}},
+		"0 ask, 20 free a neutral, 280 end refused, 280 withheld"},
+	};
+
+	for (const Case &c : cases)
+		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
+}
+
 } // namespace
