--- a/src/gateway/access/access.c
+++ b/src/gateway/access/access.c
@@ -1,6 +1,8 @@
 /* Authentication of callers by their teams' keys. */
 #include "gateway/access/access.h"
 
+#include <string.h>
+
 #include "error/error.h"
 #include "gateway/reply.h"
 #include "log/log.h"
@@ -11,6 +13,8 @@
 	/* A new version of the configuration is usually read within this
 	 * time. */
 	kOutdatedRetryUs = 500 * kUsPerMs,
+	/* The store or a peer is asked again within this time. */
+	kStaleRetryUs = 300 * kUsPerMs,
 };
 
 struct access {
@@ -54,11 +58,29 @@
 	reply_error(req, kErrNotReady, message, kOutdatedRetryUs);
 }
 
+static bool
+hold(struct access *ac, struct front_request *req)
+{
+	return proof_exchange_hold(
+	    ac->opt.proofs, req, ac->opt.resume, ac->opt.ctx);
+}
+
+static bool
+is_certainly_unknown(const struct access *ac)
+{
+	return ac->opt.proofs != NULL
+	    ? proof_exchange_shows_unknown(ac->opt.proofs)
+	    : ac->opt.is_current(ac->opt.ctx);
+}
+
 static void
 refuse_unknown(struct access *ac, struct front_request *req,
     const struct dialect_call *call)
 {
-	if (ac->opt.is_current(ac->opt.ctx))
+	if (!is_certainly_unknown(ac) && ac->opt.proofs != NULL &&
+	    hold(ac, req))
+		return;
+	if (is_certainly_unknown(ac))
 		refuse(req, call, kMetRefusedUnknownKey, "unknown_key",
 		    "no team holds the key");
 	else
@@ -145,6 +167,71 @@
 	return team != NULL;
 }
 
+static void
+refuse_stale(struct front_request *req, const char *attempt_id)
+{
+	log_event(
+	    kEvtCallRefused, "request", attempt_id, "why", "stale_proof", NULL);
+	metric_add(kMetRefusedStale, 1);
+	reply_error(req, kErrNotReady,
+	    "it is not certain that the key is still valid; the request did "
+	    "not run",
+	    kStaleRetryUs);
+}
+
+/* @return false if the request was answered, or is held */
+static bool
+is_fresh(struct access *ac, struct front_request *req,
+    const struct dialect_call *call)
+{
+	if (ac->opt.proofs == NULL || proof_exchange_admits(ac->opt.proofs))
+		return true;
+	if (!hold(ac, req))
+		refuse_stale(req, call->attempt_id);
+	return false;
+}
+
+static bool
+holds_key(const struct routebook *book, const struct access_caller *caller)
+{
+	struct team_digest digest;
+	const char *team;
+
+	if (book->keys == NULL || book->row_version == caller->row_version)
+		return true;
+	digest = team_keys_digest(book->keys, caller->key, caller->key_len);
+	team = team_keys_find(book->keys, &digest);
+	return team != NULL && strcmp(team, caller->team) == 0;
+}
+
+enum access_verdict
+access_check(struct access *ac, const struct access_caller *caller)
+{
+	if (ac->opt.proofs == NULL || !caller->has_key)
+		return kAccessAllowed;
+	if (!holds_key(ac->opt.routes(ac->opt.ctx), caller))
+		return kAccessRevoked;
+	if (proof_exchange_admits(ac->opt.proofs))
+		return kAccessAllowed;
+	return proof_exchange_improve(ac->opt.proofs) ? kAccessUncertain
+						      : kAccessStale;
+}
+
+void
+access_refuse(struct access *ac, struct front_request *req,
+    const char *attempt_id, enum access_verdict verdict)
+{
+	if (verdict != kAccessRevoked) {
+		refuse_stale(req, attempt_id);
+		return;
+	}
+	log_event(
+	    kEvtCallRefused, "request", attempt_id, "why", "key_revoked", NULL);
+	metric_add(kMetRefusedRevoked, 1);
+	reply_error(req, kErrUnauthorized,
+	    "the key was revoked while the request waited; it did not run", 0);
+}
+
 bool
 access_identify(struct access *ac, struct front_request *req,
     const struct dialect_call *call, const struct routebook *book,
@@ -166,10 +253,21 @@
 		front_set_own(req);
 		caller->has_key = find_team(call, book, caller) && !is_public;
 	}
-	if (is_public || caller->team[0] != '\0')
+	if (is_public && ac->opt.proofs != NULL &&
+	    !proof_exchange_admits(ac->opt.proofs))
+		caller->team[0] = '\0';
+	if (is_public)
 		return true;
-	refuse_without_team(ac, req, call);
-	return false;
+	if (caller->team[0] == '\0') {
+		refuse_without_team(ac, req, call);
+		return false;
+	}
+	if (!caller->has_key)
+		return true;
+	caller->row_version = book->row_version;
+	caller->key = call->key;
+	caller->key_len = call->key_len;
+	return is_fresh(ac, req, call);
 }
 
 void
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -40,6 +40,8 @@
 	char target[kFleetNameMax];
 	/** It was ended because the daemon stops. */
 	bool is_draining;
+	/** It was ended because may_send did not allow a sending. */
+	bool is_withheld;
 };
 
 /** A run at a target that was interrupted before its answer began. */
@@ -51,6 +53,15 @@
 	int64_t sent_us;
 };
 
+/** Whether a request may be sent to a target. */
+enum relay_permit {
+	kRelayMaySend,
+	/** Not now, but possibly within some milliseconds. */
+	kRelayMaySendLater,
+	/** The request ends. */
+	kRelayMustNotSend,
+};
+
 /** Callbacks; they run on the loop, never from within relay_start. */
 struct relay_ops {
 	/** Head of the answer that will be passed on. */
@@ -70,6 +81,10 @@
 	bool (*on_lost_run)(void *ctx, const struct relay_lost_run *run);
 	/** The last callback. */
 	void (*on_end)(void *ctx, const struct relay_result *result);
+	/** Asked for each attempt, before a connection is made and again when
+	 * it is open; may be NULL.
+	 * @param cause if it must not be sent now: why, for the log */
+	enum relay_permit (*may_send)(void *ctx, const char **cause);
 };
 
 /** Modules that a relay uses. */
--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -27,6 +27,9 @@
 	/* Member of the configuration with its teams, and the key of the calls;
 	 * empty: none. */
 	std::string teams, key;
+	/* More flags of each daemon, and members of the configuration. */
+	std::vector<std::string> daemon_flags;
+	std::string more_config;
 
 	/* For tests of what ends before the limits, on a machine of any
 	 * speed. */
@@ -107,7 +110,8 @@
 		    ",\"routes\":[" + routes +
 		    "],\"services\":[{\"name\":\"llm\"}],\"limits\":"
 		    "{\"body_bytes\":" +
-		    std::to_string(body_bytes_max) + "}" + teams + "}";
+		    std::to_string(body_bytes_max) + "}" + teams + more_config +
+		    "}";
 
 		PutRow("op", "config", doc.c_str());
 	}
@@ -146,7 +150,7 @@
 	void
 	StartDaemon(size_t i)
 	{
-		daemons[i].reset(new Process({Env("SF_BIN"), "serve",
+		std::vector<std::string> argv = {Env("SF_BIN"), "serve",
 		    "--adapter=platform", "--name=d" + std::to_string(i),
 		    "--front-listen=" + LoopbackAddress(front_ports[i]),
 		    "--ready-listen=" + LoopbackAddress(ready_ports[i]),
@@ -154,7 +158,11 @@
 		    "--platform-url=http://" + LoopbackAddress(store_port) +
 			"/d" + std::to_string(i),
 		    "--peers=" + first_seed + LoopbackAddress(peer_ports[0]),
-		    "--drain-timeout-ms=" + std::to_string(drain_timeout_ms)}));
+		    "--drain-timeout-ms=" + std::to_string(drain_timeout_ms)};
+
+		argv.insert(
+		    argv.end(), daemon_flags.begin(), daemon_flags.end());
+		daemons[i].reset(new Process(argv));
 	}
 
 	void
