--- a/src/gateway/gateway_watch.c
+++ b/src/gateway/gateway_watch.c
@@ -320,9 +320,8 @@
 {
 	struct watch_update *update = ctx;
 
-	if (update->gw->proofs != NULL)
-		proof_exchange_on_proof(
-		    update->gw->proofs, update->sent_us, update->version);
+	proof_exchange_on_proof(
+	    update->gw->proofs, update->sent_us, update->version);
 	g_free(update);
 }
 
@@ -330,8 +329,12 @@
 static void
 on_proof(void *ctx, int64_t sent_us, int64_t version)
 {
-	struct watch_update *update = watch_update_new(ctx);
+	struct gateway *gw = ctx;
+	struct watch_update *update;
 
+	if (gw->proofs == NULL)
+		return;
+	update = watch_update_new(gw);
 	update->sent_us = sent_us;
 	update->version = version;
 	loop_post(update->gw->lp, apply_proof, update);
@@ -342,9 +345,7 @@
 {
 	struct watch_update *update = ctx;
 
-	if (update->gw->proofs != NULL)
-		proof_exchange_on_read(
-		    update->gw->proofs, update->is_reachable);
+	proof_exchange_on_read(update->gw->proofs, update->is_reachable);
 	g_free(update);
 }
 
--- a/test/functional/test_gateway_revocation.cc
+++ b/test/functional/test_gateway_revocation.cc
@@ -23,7 +23,8 @@
 		ConfigureRoutes(version++,
 		    R"(,{"name":"p","host":"a.example","path_prefix":"/p/",
 		    "kind":"idempotent","target_latency_ms":20000,
-		    "service":"llm","max_attempts":2,"timeout_ms":30000})");
+		    "service":"llm","max_attempts":2,"timeout_ms":30000},)" +
+			JobRoute("b", 2));
 		return NowUs();
 	}
 
@@ -77,6 +78,35 @@
 			(is_turned_away ? "refuse" : "pass") + "\"}");
 	}
 
+	/* Whether calls about jobs, and submissions, are refused for lack of a
+	 * proof. */
+	void
+	ExpectJobsRefused(size_t i)
+	{
+		const struct {
+			const char *method;
+			const char *path;
+			std::string body;
+		} cases[] = {
+		    {"POST", "/b/", JobBody("j", 1, RequestBody(1))},
+		    {"GET", "/api/lots/j1?after=0", ""},
+		};
+
+		for (const auto &c : cases) {
+			Reply r = Http(c.method,
+			    "http://" + LoopbackAddress(front_ports[i]) +
+				c.path,
+			    c.body,
+			    {"Host: a.example", "X-Attempt-Id: j1",
+				"Authorization: Bearer good"});
+
+			EXPECT_EQ(503, r.status) << c.path;
+			EXPECT_NE(std::string::npos,
+			    r.body.find("not certain that the key"))
+			    << c.path << r.body;
+		}
+	}
+
 	/* Asks with a key until a time. Counts replies by status; none that
 	 * was asked for after the bound may be 200. */
 	std::map<long, int>
@@ -93,8 +123,8 @@
 			EXPECT_TRUE(r.status != 200 || sent_us <= bound_end_us)
 			    << "ran " << sent_us - bound_end_us
 			    << " us after the bound";
-			if (r.status == 503)
-				EXPECT_NE("", r.headers["retry-after"]);
+			EXPECT_TRUE(r.status != 503 ||
+			    !r.headers["retry-after"].empty());
 			std::this_thread::sleep_for(
 			    std::chrono::milliseconds(30));
 		}
@@ -121,6 +151,7 @@
 	EXPECT_EQ(503, Ask(0, "good").status);
 	EXPECT_EQ(503, Ask(0, "never").status);
 	EXPECT_TRUE(daemons[0]->WaitLine("\"name\":\"proof_stale\""));
+	ExpectJobsRefused(0);
 	TurnAway("d0", false);
 	EXPECT_TRUE(Eventually([&] { return Ask(0, "good").status == 200; }));
 	EXPECT_TRUE(daemons[0]->WaitLine("\"name\":\"proof_fresh\""));
@@ -208,6 +239,40 @@
 	EXPECT_TRUE(Eventually([&] { return Ask(1, "good").status == 200; }));
 }
 
+/* Guards against refusals of requests that had waited for a slot when their
+ * daemon was stopped. */
+TEST_F(GatewayRevocation, AWaitingRequestOutlivesAStopOfItsDaemon)
+{
+	std::vector<std::thread> callers;
+	std::map<std::string, Reply> replies;
+
+	Start(1, 1);
+	for (int i = 0; i < 4; i++)
+		callers.emplace_back([&, i] {
+			Ask(0, "good", "run" + std::to_string(i), "/q/run", 60,
+			    50);
+		});
+	ASSERT_TRUE(Eventually([&] { return CountRunsAt(0, "run") == 4; }));
+	for (const char *key : {"good", "bad"}) {
+		Reply *reply = &replies[key];
+
+		callers.emplace_back([this, key, reply] {
+			*reply = Ask(0, key, std::string(key) + "1", "/p/x");
+		});
+	}
+	std::this_thread::sleep_for(std::chrono::milliseconds(300));
+	daemons[0]->Signal(SIGSTOP);
+	int64_t revoked_us = Publish("\"good\"");
+	while (NowUs() < revoked_us + kBoundUs + 500000)
+		std::this_thread::sleep_for(std::chrono::milliseconds(50));
+	daemons[0]->Signal(SIGCONT);
+	for (auto &t : callers)
+		t.join();
+	EXPECT_EQ(0, CountRuns("bad1"));
+	EXPECT_EQ(401, replies["bad"].status) << replies["bad"].body;
+	EXPECT_EQ(200, replies["good"].status) << replies["good"].body;
+}
+
 /* Guards against refusals while the feed and the store are only slow. */
 TEST_F(GatewayRevocation, ASlowStoreRefusesNobody)
 {
