A key that was revoked meanwhile gets 401 only by a recent proof

A waiting request whose key the routes in force lack got 401, which is final, also if a newer version might hold the key again.

--- a/src/gateway/access/access.c
+++ b/src/gateway/access/access.c
@@ -117,14 +117,18 @@
 enum access_verdict
 access_check(struct access *ac, const struct access_caller *caller)
 {
-	if (ac->opt.proofs == NULL || !caller->has_key)
+	struct proof_exchange *px = ac->opt.proofs;
+	bool is_held;
+
+	if (px == NULL || !caller->has_key)
 		return kAccessAllowed;
-	if (!holds_key(ac->opt.routes(ac->opt.ctx), caller))
-		return kAccessRevoked;
-	if (proof_exchange_admits(ac->opt.proofs))
+	is_held = holds_key(ac->opt.routes(ac->opt.ctx), caller);
+	if (is_held && proof_exchange_admits(px))
 		return kAccessAllowed;
-	return proof_exchange_improve(ac->opt.proofs) ? kAccessUncertain
-						      : kAccessStale;
+	/* 401 is final: a newer version may hold the key again. */
+	if (!is_held && proof_exchange_shows_unknown(px))
+		return kAccessRevoked;
+	return proof_exchange_improve(px) ? kAccessUncertain : kAccessStale;
 }
 
 void
