--- a/bench/bench.h
+++ b/bench/bench.h
@@ -36,6 +36,7 @@
 /** @param seeds plays of each scenario */
 void bench_crash(int32_t seeds);
 void bench_rate(int32_t seeds);
+void bench_limits(int32_t seeds);
 
 /**
  * Load generator, see load.c.
--- a/bench/main.c
+++ b/bench/main.c
@@ -12,6 +12,7 @@
 enum {
 	kCrashSeeds = 20,
 	kRateSeeds = 3,
+	kLimitsSeeds = 1,
 };
 
 static bool has_failed;
@@ -81,6 +82,8 @@
 		bench_crash(argc > 2 ? atoi(argv[2]) : kCrashSeeds);
 	if (run_all || strcmp(command, "rate") == 0)
 		bench_rate(argc > 2 ? atoi(argv[2]) : kRateSeeds);
+	if (run_all || strcmp(command, "limits") == 0)
+		bench_limits(argc > 2 ? atoi(argv[2]) : kLimitsSeeds);
 	if (run_all || strcmp(command, "decision") == 0)
 		bench_decision();
 	return bench_has_failed() ? 1 : 0;
