Gateway: allowances of teams limit online requests

Cause: requests of a team were not limited. Change: src/gateway/allowance connects limit_exchange to peers, roster and routes; calls wait for it before they are admitted, give back what did not run, and refuse with 429 and Retry-After.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -43,6 +43,7 @@
 	char service[kFleetNameMax];
 	struct calls_caller caller;
 	struct blame_keys keys;
+	struct allowance_ticket ticket;
 	/** It runs to find out whether it still crashes targets. */
 	bool is_trial;
 	/** Until when it may be held, and the timer; 0: it is not held. */
@@ -216,6 +217,8 @@
 	log_end(oc, result);
 	if (result->outcome == kRelayComplete)
 		histogram_record(kHistWholeAnswer, age_us(oc));
+	else if (result->outcome == kRelayRefused)
+		allowance_give_back(oc->cs->opt.allowance, &oc->ticket);
 	front_on_disconnect(oc->req, NULL, NULL);
 	send_answer(oc, result);
 	call_free(oc);
@@ -278,6 +281,8 @@
 	loop_timer_cancel(oc->lp, oc->hold_timer);
 	if (oc->relay != NULL)
 		relay_cancel(oc->relay);
+	else
+		allowance_give_back(oc->cs->opt.allowance, &oc->ticket);
 	call_free(oc);
 }
 
@@ -290,6 +295,7 @@
 	g_snprintf(text, sizeof(text), "%" PRIx64, key);
 	log_event(kEvtCallRefused, "request", oc->attempt_id, "why",
 	    "crashes_targets", "key", text, NULL);
+	allowance_give_back(oc->cs->opt.allowance, &oc->ticket);
 	front_on_disconnect(oc->req, NULL, NULL);
 	reply_blocked(oc->req);
 	call_free(oc);
@@ -318,6 +324,7 @@
 	    log_number(drain_plan_left_us(&oc->cs->drain, loop_now_us(oc->lp))),
 	    NULL);
 	loop_timer_cancel(oc->lp, oc->hold_timer);
+	allowance_give_back(oc->cs->opt.allowance, &oc->ticket);
 	front_on_disconnect(oc->req, NULL, NULL);
 	reply_draining(oc->req);
 	call_free(oc);
@@ -356,6 +363,43 @@
 	relay_limit_start(oc->relay, latest_start_us(oc));
 }
 
+static void
+refuse_over_allowance(struct online_call *oc, const struct limit_result *result)
+{
+	log_event(kEvtCallRefused, "request", oc->attempt_id, "why",
+	    "allowance", "team", oc->caller.access.team, "retry_after_us",
+	    log_number(result->retry_us), NULL);
+	front_on_disconnect(oc->req, NULL, NULL);
+	reply_error(oc->req, kErrRateLimited,
+	    "the team's allowance is used up; the request did not run",
+	    result->retry_us);
+	call_free(oc);
+}
+
+static void
+on_allowance(void *ctx, const struct limit_result *result)
+{
+	struct online_call *oc = ctx;
+
+	if (result->outcome == kLimitAdmitted)
+		admit(oc);
+	else
+		refuse_over_allowance(oc, result);
+}
+
+/* Requests that a key lets in count towards the allowance of its team. */
+static void
+request_allowance(struct online_call *oc)
+{
+	struct limit_result result = {.outcome = kLimitAdmitted};
+
+	if (oc->caller.access.has_key)
+		result = allowance_request(oc->cs->opt.allowance,
+		    oc->caller.access.team, &oc->ticket, on_allowance, oc);
+	if (result.outcome != kLimitPending)
+		on_allowance(oc, &result);
+}
+
 void
 calls_begin_drain(struct calls *cs, const struct drain_plan *plan)
 {
@@ -449,5 +493,5 @@
 	};
 	g_hash_table_add(cs->open, oc);
 	front_on_disconnect(req, on_disconnect, oc);
-	admit(oc);
+	request_allowance(oc);
 }
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_CALLS_H
 
 #include "gateway/access/access.h"
+#include "gateway/allowance/allowance.h"
 #include "gateway/crash_guard.h"
 #include "gateway/front.h"
 #include "gateway/relay.h"
@@ -20,6 +21,7 @@
 struct calls_options {
 	struct relay_deps deps;
 	struct crash_guard *guard;
+	struct allowance *allowance;
 };
 
 struct calls *calls_new(const struct calls_options *opt);
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -64,6 +64,16 @@
 	return ((struct gateway *)ctx)->is_watch_up;
 }
 
+/* Leases expire while the VM is suspended, too. */
+static int64_t
+boot_now_us(void *ctx)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_BOOTTIME, &ts);
+	return clock_ts_us(ts);
+}
+
 static const char *
 front_reaching_store(void *ctx, const char *excluded_front)
 {
@@ -184,6 +194,7 @@
 
 	gateway_send_contacts(gw);
 	quota_tick(gw->quota);
+	allowance_housekeeping(gw->allowance);
 	crash_guard_tick(gw->guard);
 	if (fleet_tick(gw->fleet, now_us))
 		gateway_targets_changed(gw);
@@ -279,6 +290,9 @@
 	    &gateway_wire_ops, gw};
 	struct calls_options calls = {0};
 	struct access_options access = {routes_are_current, gw};
+	struct allowance_options allowance = {gw->lp, gw->roster,
+	    gw->self.address, gw->self.data_center, &gateway_wire_ops, gw,
+	    current_routes, boot_now_us, gw};
 	struct crash_guard_options guard = {
 	    gw->lp, gw->roster, gw->self.address, &gateway_wire_ops, gw};
 	struct quota_options quota = {gw->lp, gw->offload, gw->store,
@@ -311,6 +325,8 @@
 	calls.deps = deps;
 	calls.guard = gw->guard;
 	gw->access = access_new(&access);
+	gw->allowance = allowance_new(&allowance);
+	calls.allowance = gw->allowance;
 	gw->calls = calls_new(&calls);
 	gw->quota = quota_new(&quota);
 	jobs.deps = deps;
@@ -418,6 +434,7 @@
 	jobs_free(gw->jobs);
 	quota_free(gw->quota);
 	calls_free(gw->calls);
+	allowance_free(gw->allowance);
 	access_free(gw->access);
 	crash_guard_free(gw->guard);
 	outbound_free(gw->outbound);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_GATEWAY_INTERNAL_H
 
 #include "gateway/access/access.h"
+#include "gateway/allowance/allowance.h"
 #include "gateway/calls.h"
 #include "gateway/contact_exchange.h"
 #include "gateway/gateway.h"
@@ -37,6 +38,7 @@
 	struct target_activity *activity;
 	struct crash_guard *guard;
 	struct access *access;
+	struct allowance *allowance;
 	struct calls *calls;
 	struct jobs *jobs;
 	struct members *members;
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -123,6 +123,7 @@
 		    env->target_notes[i]->started_ms, env->from);
 	slots_on_envelope(gw->slots, env);
 	quota_on_envelope(gw->quota, env);
+	allowance_on_envelope(gw->allowance, env);
 	crash_guard_on_envelope(gw->guard, env);
 	for (size_t i = 0; i < env->n_job_notes; i++)
 		if (env->job_notes[i]->ended)
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -205,6 +205,15 @@
 	    "Many peer daemons are alive that were not known before.")         \
 	X(kEvtMemberDown, 1602, INFO, "member_down",                           \
 	    "A peer daemon is unresponsive or has left.")                      \
+	X(kEvtAllowanceSilent, 1721, WARN, "allowance_silent",                 \
+	    "The delegate or owner of a part of the teams' allowances did "    \
+	    "not "                                                             \
+	    "respond; another daemon is asked.")                               \
+	X(kEvtAllowanceCut, 1722, WARN, "allowance_cut",                       \
+	    "This daemon is without a delegate for a part of the teams: it "   \
+	    "admits its equal share of their allowances.")                     \
+	X(kEvtAllowanceTied, 1723, INFO, "allowance_tied",                     \
+	    "This daemon has delegates for the allowances of all teams.")      \
 	X(kEvtArbiterFallback, 1603, WARN, "arbiter_fallback",                 \
 	    "No arbiter responded in time; the local share is used.")
 
--- a/src/metric/metric.h
+++ b/src/metric/metric.h
@@ -64,6 +64,19 @@
 	    "Bytes of load reports read from targets.")                        \
 	X(kMetControlCpuUs, counter, "savoryflow_control_cpu_us_total",        \
 	    "Processor time of the control threads, microseconds.")            \
+	X(kMetAllowanceRefused, counter, "savoryflow_allowance_refused_total", \
+	    "Requests refused as their team's allowance was used up.")         \
+	X(kMetAllowanceEqualShare, counter,                                    \
+	    "savoryflow_allowance_equal_share_total",                          \
+	    "Requests admitted from the equal share, without a delegate.")     \
+	X(kMetAllowanceRefunds, counter, "savoryflow_allowance_refunds_total", \
+	    "Requests given back to allowances as they did not run.")          \
+	X(kMetAllowanceTied, gauge, "savoryflow_allowance_tied_shards",        \
+	    "Parts of the teams, of 4, whose delegate answers this daemon.")   \
+	X(kMetAllowanceOwned, gauge, "savoryflow_allowance_owned_shards",      \
+	    "Parts of the teams, of 4, whose rates this daemon leases.")       \
+	X(kMetAllowanceTeams, gauge, "savoryflow_allowance_teams",             \
+	    "Teams remembered for their allowance, in all roles.")             \
 	X(kMetActiveCalls, gauge, "savoryflow_active_calls",                   \
 	    "Calls without their final answer.")                               \
 	X(kMetGeneration, gauge, "savoryflow_config_generation",               \
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -367,6 +367,96 @@
   assert(message->base.descriptor == &sfpeer__limit_lease__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   sfpeer__allowance_ask__init
+                     (Sfpeer__AllowanceAsk         *message)
+{
+  static const Sfpeer__AllowanceAsk init_value = SFPEER__ALLOWANCE_ASK__INIT;
+  *message = init_value;
+}
+size_t sfpeer__allowance_ask__get_packed_size
+                     (const Sfpeer__AllowanceAsk *message)
+{
+  assert(message->base.descriptor == &sfpeer__allowance_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__allowance_ask__pack
+                     (const Sfpeer__AllowanceAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__allowance_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__allowance_ask__pack_to_buffer
+                     (const Sfpeer__AllowanceAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__allowance_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__AllowanceAsk *
+       sfpeer__allowance_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__AllowanceAsk *)
+     protobuf_c_message_unpack (&sfpeer__allowance_ask__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__allowance_ask__free_unpacked
+                     (Sfpeer__AllowanceAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__allowance_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   sfpeer__allowance_lease__init
+                     (Sfpeer__AllowanceLease         *message)
+{
+  static const Sfpeer__AllowanceLease init_value = SFPEER__ALLOWANCE_LEASE__INIT;
+  *message = init_value;
+}
+size_t sfpeer__allowance_lease__get_packed_size
+                     (const Sfpeer__AllowanceLease *message)
+{
+  assert(message->base.descriptor == &sfpeer__allowance_lease__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t sfpeer__allowance_lease__pack
+                     (const Sfpeer__AllowanceLease *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &sfpeer__allowance_lease__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t sfpeer__allowance_lease__pack_to_buffer
+                     (const Sfpeer__AllowanceLease *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &sfpeer__allowance_lease__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Sfpeer__AllowanceLease *
+       sfpeer__allowance_lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Sfpeer__AllowanceLease *)
+     protobuf_c_message_unpack (&sfpeer__allowance_lease__descriptor,
+                                allocator, len, data);
+}
+void   sfpeer__allowance_lease__free_unpacked
+                     (Sfpeer__AllowanceLease *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &sfpeer__allowance_lease__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   sfpeer__config_hint__init
                      (Sfpeer__ConfigHint         *message)
 {
@@ -1840,7 +1930,7 @@
   (ProtobufCMessageInit) sfpeer__grant_rate__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__limit_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor sfpeer__limit_ask__field_descriptors[8] =
 {
   {
     "team",
@@ -1878,8 +1968,73 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "last_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LimitAsk, last_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LimitAsk, returned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prefetch",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LimitAsk, prefetch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "milli_per_s",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LimitAsk, milli_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LimitAsk, burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__limit_ask__field_indices_by_name[] = {
+  7,   /* field[7] = burst */
+  3,   /* field[3] = last_us */
+  6,   /* field[6] = milli_per_s */
+  5,   /* field[5] = prefetch */
+  4,   /* field[4] = returned */
   0,   /* field[0] = team */
   1,   /* field[1] = team_name */
   2,   /* field[2] = wanted */
@@ -1887,7 +2042,7 @@
 static const ProtobufCIntRange sfpeer__limit_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor sfpeer__limit_ask__descriptor =
 {
@@ -1897,14 +2052,14 @@
   "Sfpeer__LimitAsk",
   "sfpeer",
   sizeof(Sfpeer__LimitAsk),
-  3,
+  8,
   sfpeer__limit_ask__field_descriptors,
   sfpeer__limit_ask__field_indices_by_name,
   1,  sfpeer__limit_ask__number_ranges,
   (ProtobufCMessageInit) sfpeer__limit_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__limit_lease__field_descriptors[2] =
+static const ProtobufCFieldDescriptor sfpeer__limit_lease__field_descriptors[4] =
 {
   {
     "team",
@@ -1930,15 +2085,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retry_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LimitLease, retry_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__LimitLease, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__limit_lease__field_indices_by_name[] = {
+  3,   /* field[3] = asked_us */
   1,   /* field[1] = leased */
+  2,   /* field[2] = retry_us */
   0,   /* field[0] = team */
 };
 static const ProtobufCIntRange sfpeer__limit_lease__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor sfpeer__limit_lease__descriptor =
 {
@@ -1948,13 +2129,193 @@
   "Sfpeer__LimitLease",
   "sfpeer",
   sizeof(Sfpeer__LimitLease),
-  2,
+  4,
   sfpeer__limit_lease__field_descriptors,
   sfpeer__limit_lease__field_indices_by_name,
   1,  sfpeer__limit_lease__number_ranges,
   (ProtobufCMessageInit) sfpeer__limit_lease__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor sfpeer__allowance_ask__field_descriptors[6] =
+{
+  {
+    "role",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__AllowanceAsk, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__AllowanceAsk, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__AllowanceAsk, members),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heard_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__AllowanceAsk, heard_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__AllowanceAsk, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__AllowanceAsk, n_items),
+    offsetof(Sfpeer__AllowanceAsk, items),
+    &sfpeer__limit_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__allowance_ask__field_indices_by_name[] = {
+  3,   /* field[3] = heard_us */
+  5,   /* field[5] = items */
+  2,   /* field[2] = members */
+  0,   /* field[0] = role */
+  4,   /* field[4] = sent_us */
+  1,   /* field[1] = shard */
+};
+static const ProtobufCIntRange sfpeer__allowance_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor sfpeer__allowance_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.AllowanceAsk",
+  "AllowanceAsk",
+  "Sfpeer__AllowanceAsk",
+  "sfpeer",
+  sizeof(Sfpeer__AllowanceAsk),
+  6,
+  sfpeer__allowance_ask__field_descriptors,
+  sfpeer__allowance_ask__field_indices_by_name,
+  1,  sfpeer__allowance_ask__number_ranges,
+  (ProtobufCMessageInit) sfpeer__allowance_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor sfpeer__allowance_lease__field_descriptors[4] =
+{
+  {
+    "role",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__AllowanceLease, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shard",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__AllowanceLease, shard),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "at_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__AllowanceLease, at_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "items",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__AllowanceLease, n_items),
+    offsetof(Sfpeer__AllowanceLease, items),
+    &sfpeer__limit_lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned sfpeer__allowance_lease__field_indices_by_name[] = {
+  2,   /* field[2] = at_us */
+  3,   /* field[3] = items */
+  0,   /* field[0] = role */
+  1,   /* field[1] = shard */
+};
+static const ProtobufCIntRange sfpeer__allowance_lease__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor sfpeer__allowance_lease__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "sfpeer.AllowanceLease",
+  "AllowanceLease",
+  "Sfpeer__AllowanceLease",
+  "sfpeer",
+  sizeof(Sfpeer__AllowanceLease),
+  4,
+  sfpeer__allowance_lease__field_descriptors,
+  sfpeer__allowance_lease__field_indices_by_name,
+  1,  sfpeer__allowance_lease__number_ranges,
+  (ProtobufCMessageInit) sfpeer__allowance_lease__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor sfpeer__config_hint__field_descriptors[3] =
 {
   {
@@ -3874,7 +4235,7 @@
   (ProtobufCMessageInit) sfpeer__blame_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[31] =
+static const ProtobufCFieldDescriptor sfpeer__envelope__field_descriptors[33] =
 {
   {
     "from",
@@ -4248,8 +4609,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "allowance_asks",
+    50,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_allowance_asks),
+    offsetof(Sfpeer__Envelope, allowance_asks),
+    &sfpeer__allowance_ask__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "allowance_leases",
+    51,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Sfpeer__Envelope, n_allowance_leases),
+    offsetof(Sfpeer__Envelope, allowance_leases),
+    &sfpeer__allowance_lease__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__envelope__field_indices_by_name[] = {
+  31,   /* field[31] = allowance_asks */
+  32,   /* field[32] = allowance_leases */
   3,   /* field[3] = answers */
   2,   /* field[2] = asks */
   27,   /* field[27] = blame_notes */
@@ -4282,11 +4669,12 @@
   29,   /* field[29] = target_rates */
   15,   /* field[15] = view */
 };
-static const ProtobufCIntRange sfpeer__envelope__number_ranges[2 + 1] =
+static const ProtobufCIntRange sfpeer__envelope__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 24, 22 },
-  { 0, 31 }
+  { 50, 31 },
+  { 0, 33 }
 };
 const ProtobufCMessageDescriptor sfpeer__envelope__descriptor =
 {
@@ -4296,10 +4684,10 @@
   "Sfpeer__Envelope",
   "sfpeer",
   sizeof(Sfpeer__Envelope),
-  31,
+  33,
   sfpeer__envelope__field_descriptors,
   sfpeer__envelope__field_indices_by_name,
-  2,  sfpeer__envelope__number_ranges,
+  3,  sfpeer__envelope__number_ranges,
   (ProtobufCMessageInit) sfpeer__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -23,6 +23,8 @@
 typedef struct Sfpeer__GrantRate Sfpeer__GrantRate;
 typedef struct Sfpeer__LimitAsk Sfpeer__LimitAsk;
 typedef struct Sfpeer__LimitLease Sfpeer__LimitLease;
+typedef struct Sfpeer__AllowanceAsk Sfpeer__AllowanceAsk;
+typedef struct Sfpeer__AllowanceLease Sfpeer__AllowanceLease;
 typedef struct Sfpeer__ConfigHint Sfpeer__ConfigHint;
 typedef struct Sfpeer__SlotAsk Sfpeer__SlotAsk;
 typedef struct Sfpeer__SlotAnswer Sfpeer__SlotAnswer;
@@ -173,10 +175,27 @@
   uint64_t team;
   char *team_name;
   uint32_t wanted;
+  /*
+   * Of the gateway: sent_us of the last request whose answer was applied.
+   */
+  int64_t last_us;
+  /*
+   * Unused requests of earlier leases; negative: admitted in advance.
+   */
+  int64_t returned;
+  /*
+   * Requests that are expected beyond those that wait.
+   */
+  uint32_t prefetch;
+  /*
+   * The allowance as the sender knows it.
+   */
+  uint64_t milli_per_s;
+  uint64_t burst;
 };
 #define SFPEER__LIMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__limit_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Sfpeer__LimitLease
@@ -184,10 +203,67 @@
   ProtobufCMessage base;
   uint64_t team;
   uint32_t leased;
+  /*
+   * Of the gateway: fewer than wanted, and when to try again.
+   */
+  uint64_t retry_us;
+  /*
+   * sent_us of the request.
+   */
+  int64_t asked_us;
 };
 #define SFPEER__LIMIT_LEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__limit_lease__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Asks the delegate of a data centre (role 1) or the owner (2) for leases of a
+ * part of the teams, and shows that the sender is tied to it.
+ */
+struct  Sfpeer__AllowanceAsk
+{
+  ProtobufCMessage base;
+  uint32_t role;
+  uint32_t shard;
+  /*
+   * Daemons that the sender stands for.
+   */
+  uint32_t members;
+  /*
+   * at_us of the last answer received; 0: none.
+   */
+  int64_t heard_us;
+  /*
+   * On the sender's clock.
+   */
+  int64_t sent_us;
+  size_t n_items;
+  Sfpeer__LimitAsk **items;
+};
+#define SFPEER__ALLOWANCE_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__allowance_ask__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Sfpeer__AllowanceLease
+{
+  ProtobufCMessage base;
+  /*
+   * Role of the sender.
+   */
+  uint32_t role;
+  uint32_t shard;
+  /*
+   * On the sender's clock.
+   */
+  int64_t at_us;
+  size_t n_items;
+  Sfpeer__LimitLease **items;
+};
+#define SFPEER__ALLOWANCE_LEASE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&sfpeer__allowance_lease__descriptor) \
+    , 0, 0, 0, 0,NULL }
 
 
 struct  Sfpeer__ConfigHint
@@ -681,10 +757,14 @@
   Sfpeer__TargetRate **target_rates;
   size_t n_grant_rates;
   Sfpeer__GrantRate **grant_rates;
+  size_t n_allowance_asks;
+  Sfpeer__AllowanceAsk **allowance_asks;
+  size_t n_allowance_leases;
+  Sfpeer__AllowanceLease **allowance_leases;
 };
 #define SFPEER__ENVELOPE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__envelope__descriptor) \
-    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /* Sfpeer__Member methods */
@@ -839,6 +919,44 @@
 void   sfpeer__limit_lease__free_unpacked
                      (Sfpeer__LimitLease *message,
                       ProtobufCAllocator *allocator);
+/* Sfpeer__AllowanceAsk methods */
+void   sfpeer__allowance_ask__init
+                     (Sfpeer__AllowanceAsk         *message);
+size_t sfpeer__allowance_ask__get_packed_size
+                     (const Sfpeer__AllowanceAsk   *message);
+size_t sfpeer__allowance_ask__pack
+                     (const Sfpeer__AllowanceAsk   *message,
+                      uint8_t             *out);
+size_t sfpeer__allowance_ask__pack_to_buffer
+                     (const Sfpeer__AllowanceAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__AllowanceAsk *
+       sfpeer__allowance_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__allowance_ask__free_unpacked
+                     (Sfpeer__AllowanceAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Sfpeer__AllowanceLease methods */
+void   sfpeer__allowance_lease__init
+                     (Sfpeer__AllowanceLease         *message);
+size_t sfpeer__allowance_lease__get_packed_size
+                     (const Sfpeer__AllowanceLease   *message);
+size_t sfpeer__allowance_lease__pack
+                     (const Sfpeer__AllowanceLease   *message,
+                      uint8_t             *out);
+size_t sfpeer__allowance_lease__pack_to_buffer
+                     (const Sfpeer__AllowanceLease   *message,
+                      ProtobufCBuffer     *buffer);
+Sfpeer__AllowanceLease *
+       sfpeer__allowance_lease__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   sfpeer__allowance_lease__free_unpacked
+                     (Sfpeer__AllowanceLease *message,
+                      ProtobufCAllocator *allocator);
 /* Sfpeer__ConfigHint methods */
 void   sfpeer__config_hint__init
                      (Sfpeer__ConfigHint         *message);
@@ -1226,6 +1344,12 @@
 typedef void (*Sfpeer__LimitLease_Closure)
                  (const Sfpeer__LimitLease *message,
                   void *closure_data);
+typedef void (*Sfpeer__AllowanceAsk_Closure)
+                 (const Sfpeer__AllowanceAsk *message,
+                  void *closure_data);
+typedef void (*Sfpeer__AllowanceLease_Closure)
+                 (const Sfpeer__AllowanceLease *message,
+                  void *closure_data);
 typedef void (*Sfpeer__ConfigHint_Closure)
                  (const Sfpeer__ConfigHint *message,
                   void *closure_data);
@@ -1297,6 +1421,8 @@
 extern const ProtobufCMessageDescriptor sfpeer__grant_rate__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__limit_ask__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__limit_lease__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__allowance_ask__descriptor;
+extern const ProtobufCMessageDescriptor sfpeer__allowance_lease__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__config_hint__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__slot_ask__descriptor;
 extern const ProtobufCMessageDescriptor sfpeer__slot_answer__descriptor;
--- a/src/savoryflow/limits/limit_exchange.c
+++ b/src/savoryflow/limits/limit_exchange.c
@@ -11,8 +11,12 @@
 	 * of its delegate, so they may be rarer. */
 	kBeatEntryUs = 400000,
 	kBeatDelegateUs = 200000,
-	/* A parent that has not answered for this time is skipped, and how
-	 * long: until the roster has noticed a daemon that is gone. */
+	/* The same while the parent does not answer. */
+	kBeatSilentUs = 90000,
+	/* A parent that has not answered so many requests, for this time, is
+	 * skipped, and how long: until the roster has noticed a daemon that is
+	 * gone. */
+	kSilentAsks = 4,
 	kSilentUs = 350000,
 	kSkipUs = 10000000,
 	/* Period of limit_exchange_tick without requests that wait. */
@@ -330,7 +334,8 @@
 	node = ex->nodes[lease->role - 1][lease->shard];
 	if (node == NULL || strcmp(node->parent, from) != 0)
 		return;
-	node->unanswered_us = 0;
+	node->unanswered = 0;
+	node->answered_us = now_us;
 	if (now_us >= node->bound_until_us && lease->at_us > node->heard_us) {
 		node->heard_us = lease->at_us;
 		limit_pot_tie(node->pot, now_us + tie_us(node), now_us);
@@ -374,13 +379,13 @@
 {
 	const struct limit_exchange_options *opt = &node->ex->opt;
 
-	if (node->unanswered_us == 0 ||
+	if (node->unanswered < kSilentAsks ||
 	    now_us - node->unanswered_us < kSilentUs)
 		return;
 	if (opt->ops->on_silent != NULL)
 		opt->ops->on_silent(
 		    opt->ctx, node->role + 1, node->shard, node->parent);
-	node->unanswered_us = 0;
+	node->unanswered = 0;
 	node->rank = (node->rank + 1) % kLimitRanks;
 	node->rank_until_us = now_us + kSkipUs;
 	node->beat_us = 0;
@@ -392,6 +397,8 @@
 	int64_t beat_us =
 	    node->role == kLimitEntry ? kBeatEntryUs : kBeatDelegateUs;
 
+	if (node->unanswered > 0)
+		beat_us = kBeatSilentUs;
 	limit_node_tick(node, now_us);
 	if (node->role == kLimitOwner || !has_children(node))
 		return;
--- a/src/savoryflow/limits/limit_node.c
+++ b/src/savoryflow/limits/limit_node.c
@@ -13,18 +13,24 @@
 	/* A delegate holds what it expects to admit in this time: a round trip
 	 * between regions of 60 ms, and some delay. */
 	kPrefetchUs = 150000,
-	/* It renews leases that would expire before its next message. */
-	kRenewUs = 280000,
+	/* It renews leases that would expire before its next message or tick.
+	 */
+	kRenewBeatUs = 280000,
+	kRenewTickUs = 110000,
 	/* A team without requests for this time gets no more leases. */
 	kActiveUs = 30 * kUsPerSecond,
-	/* Nothing is prefetched beyond one request for a team whose requests
-	 * have gone to another data centre. */
+	/* A team without requests for this time may have gone to another data
+	 * centre: one request is prefetched, or none if its leases are shorter
+	 * than that: they would expire again and again. */
 	kRecentUs = 100000,
+	kStandingUs = 300000,
 	/* An answer is overdue after this time, and the request is repeated. A
 	 * round trip between regions takes 60 ms; several requests within the
 	 * data centre fit into kLimitWaitUs. */
-	kRepeatEntryUs = 40000,
-	kRepeatDelegateUs = 65000,
+	kRepeatEntryUs = 50000,
+	/* The same if the parent has not answered anything since. */
+	kRepeatUnheardUs = 20000,
+	kRepeatDelegateUs = 80000,
 	/* A delegate answers before its entries stop waiting. */
 	kWaitDelegateUs = 120000,
 	/* A parent that has nothing is not asked again for this time. */
@@ -233,24 +239,30 @@
 	if (node->role != kLimitDelegate || now_us - te->used_us > kActiveUs)
 		return 0;
 	if (now_us - te->used_us > kRecentUs)
-		return 1;
+		return limit_lease_us(&te->rate) >= kStandingUs;
 	roll_window(te, now_us);
 	requests = MAX(te->requests, te->prev_requests);
 	return 1 + requests * kPrefetchUs / kWindowUs;
 }
 
+static int64_t
+repeat_us(const struct limit_node *node, const struct limit_team *te)
+{
+	if (node->role == kLimitDelegate)
+		return kRepeatDelegateUs;
+	return node->answered_us >= te->asked_us ? kRepeatEntryUs
+						 : kRepeatUnheardUs;
+}
+
 /* Whether the parent is to be asked now.
- * @param is_beat a message is sent in any case */
+ * @param renew_us leases that expire within this time are renewed */
 static bool
-needs_ask(struct limit_node *node, struct limit_team *te, bool is_beat,
+needs_ask(struct limit_node *node, struct limit_team *te, int64_t renew_us,
     int64_t now_us)
 {
 	int64_t prefetch = prefetch_count(node, te, now_us);
 
-	if (te->asked_us != 0 &&
-	    now_us - te->asked_us < (node->role == kLimitEntry
-					    ? kRepeatEntryUs
-					    : kRepeatDelegateUs))
+	if (te->asked_us != 0 && now_us - te->asked_us < repeat_us(node, te))
 		return false;
 	expire_credit(te, now_us);
 	if (te->waiters->len > 0 || te->credit < 0)
@@ -261,14 +273,14 @@
 		return false;
 	if (te->credit * 2 < prefetch)
 		return true;
-	return is_beat && prefetch > 0 && te->expires_us - now_us < kRenewUs;
+	return te->expires_us - now_us < renew_us && prefetch > 0;
 }
 
 static bool
-fill_item(struct limit_node *node, struct limit_team *te, bool is_beat,
+fill_item(struct limit_node *node, struct limit_team *te, int64_t renew_us,
     struct limit_ask_item *item, int64_t now_us)
 {
-	if (!needs_ask(node, te, is_beat, now_us))
+	if (!needs_ask(node, te, renew_us, now_us))
 		return false;
 	*item = (struct limit_ask_item){
 	    .team = te->team,
@@ -296,7 +308,7 @@
 		struct limit_ask_item item;
 
 		te->is_dirty = false;
-		if (fill_item(node, te, true, &item, now_us))
+		if (fill_item(node, te, kRenewBeatUs, &item, now_us))
 			g_array_append_val(items, item);
 	}
 }
@@ -312,7 +324,7 @@
 		if (te == NULL)
 			continue;
 		te->is_dirty = false;
-		if (fill_item(node, te, false, &item, now_us))
+		if (fill_item(node, te, te->renew_us, &item, now_us))
 			g_array_append_val(items, item);
 	}
 }
@@ -334,7 +346,7 @@
 		return;
 	g_strlcpy(node->parent, parent, sizeof(node->parent));
 	node->heard_us = 0;
-	node->unanswered_us = 0;
+	node->unanswered = 0;
 	node->bound_until_us =
 	    MAX(node->bound_until_us, limit_pot_tied_until_us(node->pot));
 	g_hash_table_iter_init(&it, node->teams);
@@ -385,7 +397,7 @@
 		    .items = (struct limit_ask_item *)items->data,
 		    .count = items->len,
 		};
-		if (node->unanswered_us == 0)
+		if (node->unanswered++ == 0)
 			node->unanswered_us = now_us;
 		opt->ops->send_ask(opt->ctx, node->parent, &ask);
 	}
@@ -586,8 +598,14 @@
 	int64_t wait_us =
 	    node->role == kLimitEntry ? kLimitWaitUs : kWaitDelegateUs;
 
-	if (te->waiters->len == 0 && te->asked_us == 0)
+	te->renew_us = 0;
+	if (te->waiters->len == 0 && te->asked_us == 0) {
+		if (te->credit > 0 && te->expires_us - now_us < kRenewTickUs) {
+			te->renew_us = kRenewTickUs;
+			limit_node_mark(node, te);
+		}
 		return;
+	}
 	serve_waiters(node, te, now_us);
 	if (node->role == kLimitDelegate)
 		lend(node, te, now_us - wait_us, now_us);
--- a/src/savoryflow/limits/limit_node.h
+++ b/src/savoryflow/limits/limit_node.h
@@ -45,6 +45,8 @@
 	int64_t next_retry_us;
 	/** struct limit_waiter. */
 	GArray *waiters;
+	/** Leases that expire within this time are renewed. */
+	int64_t renew_us;
 	bool is_dirty;
 };
 
@@ -91,6 +93,9 @@
 	int64_t beat_us;
 	/** Time of the first request without an answer since; 0: none. */
 	int64_t unanswered_us;
+	int32_t unanswered;
+	/** Time of the parent's last answer. */
+	int64_t answered_us;
 	int64_t swept_us;
 	int32_t waiting;
 };
