--- a/src/gateway/allowance/allowance.c
+++ b/src/gateway/allowance/allowance.c
@@ -299,7 +299,6 @@
 	read_limits(al);
 	if (!al->is_started || al->timer != 0)
 		return;
-	al->was_tied = true;
 	tick(al);
 }
 
--- a/src/savoryflow/limits/limit_exchange.c
+++ b/src/savoryflow/limits/limit_exchange.c
@@ -337,6 +337,9 @@
 	node->unanswered = 0;
 	node->answered_us = now_us;
 	if (now_us >= node->bound_until_us && lease->at_us > node->heard_us) {
+		/* The parent counts this node from its next message on. */
+		if (node->heard_us == 0)
+			node->beat_us = 0;
 		node->heard_us = lease->at_us;
 		limit_pot_tie(node->pot, now_us + tie_us(node), now_us);
 	}
--- a/src/savoryflow/limits/limit_exchange.h
+++ b/src/savoryflow/limits/limit_exchange.h
@@ -17,7 +17,8 @@
  * both directions: the parent counts a child until kLimitTie...Us after the
  * time of the last own answer that the child has repeated, the child is tied
  * for that time after the receipt. A child that turns to another parent is not
- * counted there before its last tie has expired.
+ * counted there before its last tie has expired. The share of a daemon that is
+ * restarted may be counted twice for kLimitTieEntryUs.
  *
  * Does no I/O and reads no clock. Times are those of a clock that advances
  * during suspension.
--- a/src/savoryflow/limits/limit_node.c
+++ b/src/savoryflow/limits/limit_node.c
@@ -112,13 +112,6 @@
 	node->shard = shard;
 	node->pot = limit_pot_new(&pot);
 	limit_pot_set_daemons(node->pot, ex->daemons, now_us);
-	/* An earlier run of this daemon may have been tied. */
-	if (role == kLimitEntry)
-		node->bound_until_us = now_us + kLimitTieEntryUs;
-	else if (role == kLimitDelegate)
-		node->bound_until_us = now_us + kLimitTieDelegateUs;
-	if (node->bound_until_us > 0)
-		limit_pot_tie(node->pot, node->bound_until_us, now_us);
 	if (role == kLimitEntry)
 		limit_pot_set_member(node->pot, pot.seed, 1, INT64_MAX, now_us);
 	node->teams = u64_hash_new(team_free);
@@ -593,8 +586,7 @@
 static void
 tick_team(struct limit_node *node, struct limit_team *te, int64_t now_us)
 {
-	int64_t interval_us =
-	    limit_pot_interval_us(node->pot, &te->rate, now_us);
+	int64_t interval_us;
 	int64_t wait_us =
 	    node->role == kLimitEntry ? kLimitWaitUs : kWaitDelegateUs;
 
@@ -606,6 +598,7 @@
 		}
 		return;
 	}
+	interval_us = limit_pot_interval_us(node->pot, &te->rate, now_us);
 	serve_waiters(node, te, now_us);
 	if (node->role == kLimitDelegate)
 		lend(node, te, now_us - wait_us, now_us);
--- a/src/savoryflow/limits/limit_pot.c
+++ b/src/savoryflow/limits/limit_pot.c
@@ -18,6 +18,8 @@
 enum {
 	kUsPerSecond = 1000000,
 	kMilli = 1000,
+	/* Larger bursts would overflow the bucket's arithmetic. */
+	kBurstMax = 1000000,
 	/* Bucket capacity beyond the burst: these ms of the rate and requests.
 	 */
 	kExtraMs = 80,
@@ -62,6 +64,9 @@
 	int64_t base_us;
 	/** struct pot_bucket by team. */
 	GHashTable *buckets;
+	/** Members counted at a time; -1: none. */
+	int64_t counted_us;
+	int32_t counted;
 };
 
 struct limit_pot *
@@ -71,6 +76,7 @@
 
 	pot->opt = *opt;
 	pot->daemons = 1;
+	pot->counted_us = -1;
 	pot->advanced_us = opt->now_us;
 	pot->members = u64_hash_new(g_free);
 	pot->buckets = u64_hash_new(g_free);
@@ -117,6 +123,7 @@
 	advance(pot, now_us);
 	if (daemons == pot->daemons)
 		return;
+	pot->counted_us = -1;
 	pot->daemons = MAX(daemons, 1);
 	pot->virtual_rest = 0;
 }
@@ -128,6 +135,7 @@
 	struct pot_member *m;
 
 	advance(pot, now_us);
+	pot->counted_us = -1;
 	if (until_us <= now_us || count <= 0) {
 		g_hash_table_remove(pot->members, &member);
 		return;
@@ -165,6 +173,17 @@
 	return pot->tied_until_us;
 }
 
+/* Present number of members; the same for all teams of a message. */
+static int32_t
+present_count(struct limit_pot *pot, int64_t now_us)
+{
+	if (pot->counted_us != now_us) {
+		pot->counted = limit_pot_count(pot, now_us);
+		pot->counted_us = now_us;
+	}
+	return pot->counted;
+}
+
 bool
 limit_pot_is_tied(const struct limit_pot *pot, int64_t now_us)
 {
@@ -183,36 +202,45 @@
 /* Part of a number of requests that corresponds to the shares, in millionths
  * of a request. */
 static int64_t
-share_of(const struct limit_pot *pot, int64_t micro, int64_t now_us)
+share_of(struct limit_pot *pot, int64_t micro, int64_t now_us)
 {
-	return micro / pot->daemons * limit_pot_count(pot, now_us);
+	return micro / pot->daemons * present_count(pot, now_us);
 }
 
 /* Capacity over all daemons, in millionths. */
 static int64_t
 capacity_micro(const struct limit_rate *rate)
 {
-	return (rate->burst + kExtraRequests) * kTokenOne +
+	return (MIN(rate->burst, kBurstMax) + kExtraRequests) * kTokenOne +
 	    rate->milli_per_s * kExtraMs;
 }
 
+static int64_t
+start_micro(const struct limit_pot *pot, const struct limit_rate *rate)
+{
+	if (!pot->opt.starts_with_slack)
+		return 0;
+	return kStartRequests * kTokenOne + rate->milli_per_s * kStartMs;
+}
+
 static struct token_rate
 bucket_rate(
-    const struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us)
+    struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us)
 {
+	int64_t part = share_of(pot, capacity_micro(rate), now_us);
+
 	return (struct token_rate){
 	    .micro_per_s = rate->milli_per_s * kMilli,
 	    /* At least a request, so that a share can be used at all. */
-	    .micro_max =
-		MAX(share_of(pot, capacity_micro(rate), now_us), kTokenOne),
+	    .micro_max = MAX(MAX(part, start_micro(pot, rate)), kTokenOne),
 	};
 }
 
 int64_t
 limit_pot_interval_us(
-    const struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us)
+    struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us)
 {
-	int64_t milli = rate->milli_per_s * limit_pot_count(pot, now_us);
+	int64_t milli = rate->milli_per_s * present_count(pot, now_us);
 
 	if (milli <= 0)
 		return kUsPerSecond;
@@ -225,14 +253,14 @@
  * all of them at once would admit a request at each.
  */
 static bool
-is_in_phase(const struct limit_pot *pot, uint64_t team,
-    const struct limit_rate *rate, int64_t now_us)
+is_in_phase(struct limit_pot *pot, uint64_t team, const struct limit_rate *rate,
+    int64_t now_us)
 {
 	int64_t part = share_of(pot, capacity_micro(rate), now_us);
 	int64_t period_us = limit_pot_interval_us(pot, rate, now_us);
 	uint64_t phase;
 
-	if (part >= kTokenOne)
+	if (part >= kTokenOne || pot->opt.starts_with_slack)
 		return true;
 	phase = XXH3_64bits_withSeed(&team, sizeof(team), pot->opt.seed) %
 	    (uint64_t)period_us;
@@ -240,14 +268,6 @@
 	    (int64_t)((__int128)period_us * part / kTokenOne);
 }
 
-static int64_t
-start_micro(const struct limit_pot *pot, const struct limit_rate *rate)
-{
-	if (!pot->opt.starts_with_slack)
-		return 0;
-	return kStartRequests * kTokenOne + rate->milli_per_s * kStartMs;
-}
-
 static struct pot_bucket *
 bucket_get(struct limit_pot *pot, uint64_t team, const struct limit_rate *rate,
     int64_t now_us)
@@ -308,7 +328,7 @@
 {
 	struct pot_bucket *pb = bucket_get(pot, team, rate, now_us);
 	struct token_rate tr = bucket_rate(pot, rate, now_us);
-	int32_t members = MAX(limit_pot_count(pot, now_us), 1);
+	int32_t members = MAX(present_count(pot, now_us), 1);
 	int64_t missing = count * kTokenOne -
 	    token_bucket_level(&pb->bucket, &tr, pot->virtual_us);
 
@@ -320,7 +340,7 @@
 
 int64_t
 limit_pot_debt(
-    const struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us)
+    struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us)
 {
 	int64_t micro =
 	    (int64_t)kDebtRequests * kTokenOne + rate->milli_per_s * kDebtMs;
--- a/src/savoryflow/limits/limit_pot.h
+++ b/src/savoryflow/limits/limit_pot.h
@@ -81,11 +81,11 @@
 
 /** Time in which one request flows in at the present share. */
 int64_t limit_pot_interval_us(
-    const struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us);
+    struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us);
 
 /** Requests that the node may admit in advance of an owner's late answer. */
 int64_t limit_pot_debt(
-    const struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us);
+    struct limit_pot *pot, const struct limit_rate *rate, int64_t now_us);
 
 /** Forgets teams whose bucket is as it would be if it were created now. */
 void limit_pot_sweep(struct limit_pot *pot, int64_t now_us);
