savorybench limits: overloading teams pause, so that their bursts return

Cause: the plays never met a full bucket at the start of an overload. Change: overloading teams send for 5 s of 8.

--- a/bench/limits_fleet.c
+++ b/bench/limits_fleet.c
@@ -397,6 +397,15 @@
 	g_free(req);
 }
 
+/* Overloading teams pause now and then. */
+static double
+offered_per_s(const struct fleet *f, const struct sim_team *t)
+{
+	bool is_pause = f->now_us % kHotPeriodUs >= kHotUs;
+
+	return t->is_hot && is_pause ? t->offered_per_s / 40 : t->offered_per_s;
+}
+
 static void
 send_requests(struct fleet *f)
 {
@@ -405,9 +414,9 @@
 
 		while (t->next_us <= f->now_us) {
 			double u = 1.0 - g_rand_double(f->rand);
+			double per_s = offered_per_s(f, t);
 
-			t->next_us +=
-			    (int64_t)(-sim_log(u) * 1e6 / t->offered_per_s) + 1;
+			t->next_us += (int64_t)(-sim_log(u) * 1e6 / per_s) + 1;
 			send_request(f, i);
 		}
 	}
--- a/bench/limits_internal.h
+++ b/bench/limits_internal.h
@@ -14,6 +14,10 @@
 	kMsUs = 1000,
 	kSecondUs = 1000 * kMsUs,
 	kPlayUs = 24 * kSecondUs,
+	/** Overloading teams send much for the first of these times, and little
+	 * for the rest, so that their bursts become available again. */
+	kHotUs = 5 * kSecondUs,
+	kHotPeriodUs = 8 * kSecondUs,
 	kWarmUs = 5 * kSecondUs,
 	kWindowS = 5,
 	kDataCenters = 6,
