--- a/src/savoryflow/limits/limit_node.c
+++ b/src/savoryflow/limits/limit_node.c
@@ -285,7 +285,7 @@
 	};
 	te->spent = 0;
 	te->asked_count = item->wanted + item->prefetch;
-	te->asked_us = now_us;
+	te->asked_us = node->sent_us;
 	return true;
 }
 
@@ -374,6 +374,7 @@
 	if (node->role == kLimitOwner || (!is_beat && node->dirty->len == 0))
 		return;
 	select_parent(node, now_us);
+	node->sent_us = MAX(now_us, node->sent_us + 1);
 	items = g_array_new(FALSE, FALSE, sizeof(struct limit_ask_item));
 	if (is_beat)
 		collect_all(node, items, now_us);
@@ -386,7 +387,7 @@
 		    .shard = node->shard,
 		    .members = member_count(node, now_us),
 		    .heard_us = node->heard_us,
-		    .sent_us = now_us,
+		    .sent_us = node->sent_us,
 		    .items = (struct limit_ask_item *)items->data,
 		    .count = items->len,
 		};
--- a/src/savoryflow/limits/limit_node.h
+++ b/src/savoryflow/limits/limit_node.h
@@ -91,6 +91,8 @@
 	/** The tie to an earlier parent lasts until then. */
 	int64_t bound_until_us;
 	int64_t beat_us;
+	/** Times of requests increase, so that each can be told apart. */
+	int64_t sent_us;
 	/** Time of the first request without an answer since; 0: none. */
 	int64_t unanswered_us;
 	int32_t unanswered;
