--- a/test/unit/test_limit_exchange.cc
+++ b/test/unit/test_limit_exchange.cc
@@ -309,6 +309,7 @@
 	g.Flood({0, 1}, 5 * kSec, 10 * kMs);
 	int64_t from = g.now;
 	std::vector<uint64_t> ids;
+	ids.reserve(20);
 	for (int i = 0; i < 20; i++)
 		ids.push_back(g.Request(1));
 	g.Run(200 * kMs);
--- a/test/unit/test_limit_pot.cc
+++ b/test/unit/test_limit_pot.cc
@@ -169,7 +169,7 @@
 	    << "the reserve";
 	EXPECT_EQ(5, limit_pot_take(p.pot, kTeam, &rate, 100, 0, p.now));
 	EXPECT_NEAR(3 * kSec, limit_pot_wait_us(p.pot, kTeam, &rate, 3, p.now),
-	    kSec / 10);
+	    (double)kSec / 10);
 	/* A debt is paid first. */
 	limit_pot_give_back(p.pot, kTeam, &rate, -4, p.now);
 	EXPECT_EQ(
