Allowances: what an owner keeps back is for requests that wait

A daemon that had not read its peers yet took itself for the owner of all rates. Change: two pauses, for requests that wait and for prefetching; a daemon that knows no peers takes part 1 s after its start, and answers 503 until then.

--- a/bench/limits_fleet.c
+++ b/bench/limits_fleet.c
@@ -426,12 +426,16 @@
 make_trouble(struct fleet *f)
 {
 	struct sim_daemon *owner;
+	enum limit_role role;
 	const char *address;
 
 	if (f->now_us % (4 * kSecondUs) != 3 * kSecondUs ||
 	    (f->sc->trouble != kLimitsKill && f->sc->trouble != kLimitsFreeze))
 		return;
-	address = parent(&f->daemons[0], kLimitOwner, 0, 0);
+	role = f->sc->trouble == kLimitsKill && f->now_us / kSecondUs % 8 < 4
+	    ? kLimitDelegate
+	    : kLimitOwner;
+	address = parent(&f->daemons[0], role, 0, 0);
 	owner = daemon_at(f, address);
 	if (f->sc->trouble == kLimitsFreeze)
 		owner->frozen_us = f->now_us + 3 * kSecondUs;
--- a/bench/limits_fleet.h
+++ b/bench/limits_fleet.h
@@ -29,7 +29,8 @@
 	kLimitsLossy,
 	/** The same, 5% each. */
 	kLimitsVeryLossy,
-	/** The owner of the hot team is killed every 4 s and started anew. */
+	/** The owner of the hot team, and a delegate, are killed in turn, one
+	 * every 4 s, and started anew. */
 	kLimitsKill,
 	/** The first region sends nothing to the others for 5 s at a time. */
 	kLimitsOneWay,
--- a/src/gateway/allowance/allowance.c
+++ b/src/gateway/allowance/allowance.c
@@ -8,6 +8,12 @@
 #include "metric/metric.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
+enum {
+	/* The rows of the other daemons are read within this time. A daemon
+	 * that knows none of them would lease whole rates. */
+	kAloneUs = 1000 * kUsPerMs,
+};
+
 struct allowance_team {
 	uint64_t hash;
 	struct limit_rate rate;
@@ -181,6 +187,7 @@
 	al->ex = limit_exchange_new(&ex);
 	al->teams = u64_hash_new(g_free);
 	al->waits = u64_hash_new(g_free);
+	al->alone_us = now_us(al) + kAloneUs;
 	return al;
 }
 
@@ -239,7 +246,7 @@
 		*limit = (struct allowance_team){team_hash(team->name),
 		    {team->rate_milli_per_s, team->burst}};
 		g_hash_table_insert(al->teams, &limit->hash, limit);
-		al->is_started = al->is_started || team->rate_milli_per_s > 0;
+		al->has_limits = al->has_limits || team->rate_milli_per_s > 0;
 	}
 }
 
@@ -291,45 +298,64 @@
 	al->timer = loop_timer(al->opt.lp, due_us, tick, al);
 }
 
+static bool
+is_starting(const struct allowance *al)
+{
+	return now_us(al) < al->alone_us &&
+	    roster_count_all(al->opt.roster, loop_now_us(al->opt.lp)) <= 1;
+}
+
 void
 allowance_housekeeping(struct allowance *al)
 {
 	if (al->opt.routes(al->opt.ctx) == NULL)
 		return;
 	read_limits(al);
-	if (!al->is_started || al->timer != 0)
+	if (!al->has_limits || al->timer != 0 || is_starting(al))
 		return;
 	tick(al);
 }
 
-struct limit_result
+static void
+wait_for_verdict(struct allowance *al, uint64_t id,
+    struct allowance_ticket *ticket, allowance_fn fn, void *ctx)
+{
+	struct allowance_wait *wait = g_new(struct allowance_wait, 1);
+
+	*wait = (struct allowance_wait){id, al, ticket, fn, ctx};
+	g_hash_table_insert(al->waits, &wait->id, wait);
+	ticket->wait_id = id;
+	hasten_tick(al);
+}
+
+struct allowance_result
 allowance_request(struct allowance *al, const char *team,
     struct allowance_ticket *ticket, allowance_fn fn, void *ctx)
 {
-	struct limit_result result = {.outcome = kLimitAdmitted};
+	struct allowance_result result = {.limit.outcome = kLimitAdmitted};
 	uint64_t hash = team_hash(team);
 	uint64_t id = al->next_id + 1;
-	struct allowance_wait *wait;
 
 	*ticket = (struct allowance_ticket){0};
 	allowance_housekeeping(al);
 	if (!rate_of(al, hash, &ticket->rate) || ticket->rate.milli_per_s <= 0)
 		return result;
+	if (al->timer == 0) {
+		result.is_starting = true;
+		result.limit.outcome = kLimitRejected;
+		result.limit.retry_us = MAX(al->alone_us - now_us(al), 1);
+		return result;
+	}
 	ticket->team = hash;
 	al->next_id = id;
-	result =
+	result.limit =
 	    limit_exchange_request(al->ex, id, hash, &ticket->rate, now_us(al));
-	if (result.outcome != kLimitPending) {
+	if (result.limit.outcome == kLimitPending) {
+		wait_for_verdict(al, id, ticket, fn, ctx);
+	} else {
 		ticket->admitted_us = now_us(al);
-		count_result(&result);
-		allowance_post_flush(al);
-		return result;
+		count_result(&result.limit);
 	}
-	wait = g_new(struct allowance_wait, 1);
-	*wait = (struct allowance_wait){id, al, ticket, fn, ctx};
-	g_hash_table_insert(al->waits, &wait->id, wait);
-	ticket->wait_id = id;
-	hasten_tick(al);
 	allowance_post_flush(al);
 	return result;
 }
--- a/src/gateway/allowance/allowance.h
+++ b/src/gateway/allowance/allowance.h
@@ -28,6 +28,14 @@
 
 struct allowance;
 
+/** Decision about a request. */
+struct allowance_result {
+	struct limit_result limit;
+	/** Rejected: this daemon has just started and knows no peers, so that
+	 * it cannot tell what is left of the allowance. */
+	bool is_starting;
+};
+
 /** What a request has taken from its team's allowance. */
 struct allowance_ticket {
 	/** 0: the request is not counted. */
@@ -51,8 +59,9 @@
  * back; it must stay valid while the request waits
  * @param fn called if the outcome is kLimitPending, never from within this call
  */
-struct limit_result allowance_request(struct allowance *al, const char *team,
-    struct allowance_ticket *ticket, allowance_fn fn, void *ctx);
+struct allowance_result allowance_request(struct allowance *al,
+    const char *team, struct allowance_ticket *ticket, allowance_fn fn,
+    void *ctx);
 
 /** The request has ended without having run, or waits no more: it is not
  * counted. Does nothing if it was not counted. */
--- a/src/gateway/allowance/allowance_internal.h
+++ b/src/gateway/allowance/allowance_internal.h
@@ -15,8 +15,10 @@
 	/** struct allowance_wait by id. */
 	GHashTable *waits;
 	uint64_t next_id;
-	/** The timer runs from the first limit on. */
-	bool is_started;
+	/** Some team has, or had, a limit. */
+	bool has_limits;
+	/** Time at which a daemon that knows no peers is taken to be alone. */
+	int64_t alone_us;
 	bool is_flush_posted;
 	uint64_t timer;
 	/** When the timer runs, on the loop's clock. */
--- a/src/gateway/allowance/allowance_wire.c
+++ b/src/gateway/allowance/allowance_wire.c
@@ -143,6 +143,9 @@
 void
 allowance_on_envelope(struct allowance *al, const Sfpeer__Envelope *env)
 {
+	/* Before it takes part itself, a daemon answers no others. */
+	if (al->timer == 0)
+		return;
 	for (size_t i = 0; i < env->n_allowance_asks; i++)
 		handle_ask(al, env->from, env->allowance_asks[i]);
 	for (size_t i = 0; i < env->n_allowance_leases; i++)
--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -376,6 +376,18 @@
 	call_free(oc);
 }
 
+static void
+refuse_starting(struct online_call *oc, int64_t retry_us)
+{
+	log_event(kEvtCallRefused, "request", oc->attempt_id, "why", "starting",
+	    "team", oc->caller.access.team, "retry_after_us",
+	    log_number(retry_us), NULL);
+	front_on_disconnect(oc->req, NULL, NULL);
+	reply_error(oc->req, kErrNotReady,
+	    "this daemon has just started; the request did not run", retry_us);
+	call_free(oc);
+}
+
 static void
 on_allowance(void *ctx, const struct limit_result *result)
 {
@@ -391,13 +403,15 @@
 static void
 request_allowance(struct online_call *oc)
 {
-	struct limit_result result = {.outcome = kLimitAdmitted};
+	struct allowance_result result = {.limit.outcome = kLimitAdmitted};
 
 	if (oc->caller.access.has_key)
 		result = allowance_request(oc->cs->opt.allowance,
 		    oc->caller.access.team, &oc->ticket, on_allowance, oc);
-	if (result.outcome != kLimitPending)
-		on_allowance(oc, &result);
+	if (result.is_starting)
+		refuse_starting(oc, result.limit.retry_us);
+	else if (result.limit.outcome != kLimitPending)
+		on_allowance(oc, &result.limit);
 }
 
 void
--- a/src/savoryflow/limits/limit_node.c
+++ b/src/savoryflow/limits/limit_node.c
@@ -262,7 +262,7 @@
 		return true;
 	if (te->credit > prefetch * 2)
 		return true;
-	if (now_us < te->refuse_until_us)
+	if (now_us < te->no_prefetch_until_us)
 		return false;
 	if (te->credit * 2 < prefetch)
 		return true;
@@ -284,6 +284,7 @@
 	    .rate = te->rate,
 	};
 	te->spent = 0;
+	te->asked_wanted = item->wanted;
 	te->asked_count = item->wanted + item->prefetch;
 	te->asked_us = node->sent_us;
 	return true;
@@ -541,6 +542,7 @@
 {
 	struct limit_team *te = g_hash_table_lookup(node->teams, &item->team);
 	int64_t asked_us;
+	int64_t pause_us = CLAMP(item->retry_us, kRefuseMinUs, kRefuseMaxUs);
 
 	if (te == NULL || te->asked_us == 0 || te->asked_us != item->asked_us)
 		return;
@@ -551,9 +553,10 @@
 	te->credit = item->granted - te->spent;
 	te->expires_us = asked_us + limit_lease_us(&te->rate);
 	serve_waiters(node, te, now_us);
-	if (item->granted < te->asked_count) {
-		te->refuse_until_us =
-		    now_us + CLAMP(item->retry_us, kRefuseMinUs, kRefuseMaxUs);
+	if (item->granted < te->asked_count)
+		te->no_prefetch_until_us = now_us + pause_us;
+	if (item->granted < te->asked_wanted) {
+		te->refuse_until_us = now_us + pause_us;
 		refuse_waiters(node, te, asked_us, item->retry_us, now_us);
 	}
 	limit_node_mark(node, te);
--- a/src/savoryflow/limits/limit_node.h
+++ b/src/savoryflow/limits/limit_node.h
@@ -29,6 +29,8 @@
 	/** Time of the request to the parent that is not answered yet; 0: none.
 	 */
 	int64_t asked_us;
+	/** Requests that waited then, and those expected. */
+	int64_t asked_wanted;
 	int64_t asked_count;
 	/** The request gave back the credit: what was spent of it since. */
 	int64_t spent;
@@ -39,8 +41,10 @@
 	int64_t prev_requests;
 	int64_t window_us;
 	int64_t used_us;
-	/** The parent has nothing for the team until then. */
+	/** The parent has nothing for the team until then, or nothing for
+	 * requests that do not wait yet. */
 	int64_t refuse_until_us;
+	int64_t no_prefetch_until_us;
 	/** Time that was told to the last request that was refused. */
 	int64_t next_retry_us;
 	/** struct limit_waiter. */
--- a/test/functional/test_gateway_allowance.cc
+++ b/test/functional/test_gateway_allowance.cc
@@ -230,6 +230,23 @@
 		EXPECT_EQ(503, CallAs(i % 2, "slow").status) << "call " << i;
 }
 
+/* Guards against a single daemon that waits for peers for ever, and against a
+ * refusal that blames the team while the daemon starts. */
+TEST_F(GatewayAllowance, ADaemonWithoutPeersAdmitsTheAllowance)
+{
+	ConfigureTeams(1, Team("hot", "4", 4));
+	AddWorker();
+	AddDaemon();
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"config_in_force\""));
+	Reply first = CallAs(0, "hot");
+	EXPECT_TRUE(first.status == 200 ||
+	    (first.status == 503 &&
+		std::stod(first.headers["retry-after"]) <= 1))
+	    << first.status;
+	EXPECT_TRUE(Eventually([&] { return CallAs(0, "hot").status == 200; }));
+	EXPECT_TRUE(Eventually([&] { return CallAs(0, "hot").status == 429; }));
+}
+
 /* Guards against messages and timers in deployments that have no teams. */
 TEST_F(GatewayAllowance, NothingIsSentWithoutTeams)
 {
--- a/test/unit/test_limit_exchange.cc
+++ b/test/unit/test_limit_exchange.cc
@@ -443,6 +443,27 @@
 	EXPECT_EQ(0, g.Flood({1}, kSec, 10 * kMs));
 }
 
+/* Guards against requests that are refused while the owner holds a few back for
+ * requests that wait. */
+TEST(LimitExchange, TheLastRequestsAreForThoseThatWait)
+{
+	Group g(2);
+
+	g.rate = {1, 0};
+	g.Run(kSec);
+	/* The owner starts with 4 requests and keeps 3 for those that wait. */
+	for (int i = 0; i < 4; i++) {
+		uint64_t id = g.Request(1);
+
+		g.Run(20 * kMs);
+		EXPECT_EQ(kLimitAdmitted, g.nodes[1]->verdicts.at(id).outcome)
+		    << "request " << i;
+	}
+	uint64_t last = g.Request(1);
+	g.Run(20 * kMs);
+	EXPECT_EQ(kLimitRejected, g.nodes[1]->verdicts.at(last).outcome);
+}
+
 /* Guards against a verdict for a caller that has left. */
 TEST(LimitExchange, ACancelledRequestGetsNoVerdict)
 {
