--- a/bench/limits_fleet.c
+++ b/bench/limits_fleet.c
@@ -20,8 +20,8 @@
 }
 
 /* Time on a daemon's own clock. */
-static int64_t
-own_us(const struct sim_daemon *d)
+int64_t
+sim_own_us(const struct sim_daemon *d)
 {
 	return d->fleet->now_us + d->clock_us;
 }
@@ -214,11 +214,11 @@
 start_daemon(struct sim_daemon *d)
 {
 	struct limit_exchange_options opt = {
-	    d->address, &sim_ops, d, own_us(d)};
+	    d->address, &sim_ops, d, sim_own_us(d)};
 
 	d->ex = limit_exchange_new(&opt);
 	d->tick_us = d->fleet->now_us;
-	limit_exchange_set_daemons(d->ex, d->fleet->sc->daemons, own_us(d));
+	limit_exchange_set_daemons(d->ex, d->fleet->sc->daemons, sim_own_us(d));
 }
 
 static gboolean
@@ -251,10 +251,10 @@
 
 	if (d->ex != NULL && msg->is_lease)
 		limit_exchange_on_lease(
-		    d->ex, msg->from->address, &msg->lease, own_us(d));
+		    d->ex, msg->from->address, &msg->lease, sim_own_us(d));
 	else if (d->ex != NULL)
 		limit_exchange_on_ask(
-		    d->ex, msg->from->address, &msg->ask, own_us(d));
+		    d->ex, msg->from->address, &msg->ask, sim_own_us(d));
 }
 
 static void
@@ -293,7 +293,7 @@
 		struct sim_daemon *d = &f->daemons[i];
 
 		if (is_running(d))
-			limit_exchange_flush(d->ex, own_us(d));
+			limit_exchange_flush(d->ex, sim_own_us(d));
 	}
 }
 
@@ -318,9 +318,9 @@
 			start_daemon(d);
 		if (!is_running(d) || d->tick_us > f->now_us)
 			continue;
-		limit_exchange_tick(d->ex, own_us(d));
+		limit_exchange_tick(d->ex, sim_own_us(d));
 		d->tick_us =
-		    limit_exchange_next_us(d->ex, own_us(d)) - d->clock_us;
+		    limit_exchange_next_us(d->ex, sim_own_us(d)) - d->clock_us;
 	}
 }
 
@@ -388,7 +388,7 @@
 		return;
 	}
 	result = limit_exchange_request(
-	    d->ex, req->id, (uint64_t)team, &t->rate, own_us(d));
+	    d->ex, req->id, (uint64_t)team, &t->rate, sim_own_us(d));
 	if (result.outcome == kLimitPending) {
 		g_hash_table_insert(f->requests, &req->id, req);
 		return;
@@ -491,56 +491,6 @@
 	}
 }
 
-/* Largest number of requests in a window, as a part of the bound. */
-static double
-worst_window(const struct sim_team *t)
-{
-	double rate = (double)t->rate.milli_per_s / 1000;
-	double bound = (rate * kWindowS + (double)t->rate.burst) * 1.1 + 20;
-	guint first = 0;
-	guint most = 0;
-
-	for (guint i = 0; i < t->times->len; i++) {
-		int64_t at_us = g_array_index(t->times, int64_t, i);
-
-		while (at_us - g_array_index(t->times, int64_t, first) >
-		    kWindowS * (int64_t)kSecondUs)
-			first++;
-		most = MAX(most, i - first + 1);
-	}
-	return most / bound;
-}
-
-static void
-collect(struct fleet *f, struct limits_result *result)
-{
-	double admitted[2] = {0};
-	double ideal[2] = {0};
-
-	for (int32_t i = 0; i < f->sc->teams; i++) {
-		const struct sim_team *t = &f->teams[i];
-
-		result->worst_of_bound =
-		    MAX(result->worst_of_bound, worst_window(t));
-		admitted[t->is_hot] += t->admitted;
-		ideal[t->is_hot] += t->ideally_admitted;
-	}
-	result->admitted = ideal[0] > 0 ? admitted[0] / ideal[0] : 1;
-	result->admitted_hot = ideal[1] > 0 ? admitted[1] / ideal[1] : 1;
-	result->waited = f->waited / MAX(f->admitted, 1);
-	result->wait_max_ms = (double)f->wait_max_us / kMsUs;
-	result->messages = f->messages * kSecondUs /
-	    (double)(kPlayUs - kWarmUs) / f->sc->daemons;
-	for (int32_t i = 0; i < f->sc->daemons; i++) {
-		struct limit_exchange_state state = {0};
-
-		if (f->daemons[i].ex != NULL)
-			limit_exchange_get_state(
-			    f->daemons[i].ex, own_us(&f->daemons[i]), &state);
-		result->teams_max = MAX(result->teams_max, state.teams);
-	}
-}
-
 static void
 fleet_free(struct fleet *f)
 {
@@ -560,20 +510,6 @@
 	g_free(f);
 }
 
-/* Ties take some seconds to form; what happens before is not counted. */
-static void
-end_warm_up(struct fleet *f)
-{
-	f->messages = 0;
-	f->admitted = 0;
-	f->waited = 0;
-	f->wait_max_us = 0;
-	for (int32_t i = 0; i < f->sc->teams; i++) {
-		f->teams[i].admitted = 0;
-		f->teams[i].ideally_admitted = 0;
-	}
-}
-
 void
 limits_fleet_run(const struct limits_scenario *sc, uint32_t seed,
     struct limits_result *result)
@@ -589,12 +525,12 @@
 	fill_daemons(f);
 	for (; f->now_us < kPlayUs; f->now_us += kMsUs) {
 		if (f->now_us == kWarmUs)
-			end_warm_up(f);
+			limits_end_warm_up(f);
 		make_trouble(f);
 		tick_all(f);
 		send_requests(f);
 		exchange_messages(f);
 	}
-	collect(f, result);
+	limits_collect(f, result);
 	fleet_free(f);
 }
--- a/bench/limits_internal.h
+++ b/bench/limits_internal.h
@@ -108,4 +108,10 @@
 	int64_t wait_max_us;
 };
 
+/** Time on a daemon's own clock. */
+int64_t sim_own_us(const struct sim_daemon *d);
+
+void limits_end_warm_up(struct fleet *f);
+void limits_collect(struct fleet *f, struct limits_result *result);
+
 #endif
--- a/src/savoryflow/limits/limit_node.h
+++ b/src/savoryflow/limits/limit_node.h
@@ -7,6 +7,12 @@
 
 enum {
 	kLimitAddressMax = 64,
+	/* Demand is counted in windows of this length. */
+	kLimitWindowUs = 500000,
+	/* A team without requests for this time gets no more leases. */
+	kLimitActiveUs = 30000000,
+	/* Leases that would expire before the next tick are renewed. */
+	kLimitRenewTickUs = 110000,
 };
 
 /** What a child or request waits for. */
@@ -135,6 +141,12 @@
 /** Counts requests of a team towards its demand. */
 void limit_team_record(struct limit_team *te, int64_t count, int64_t now_us);
 
+/** Begins a new window of the demand if it is time. */
+void limit_team_roll(struct limit_team *te, int64_t now_us);
+
+/** Drops a lease that has expired; a debt stays. */
+void limit_team_expire(struct limit_team *te, int64_t now_us);
+
 /** Takes all of `count` requests from the lease or the equal share, or none.
  * @param is_equal_share set if the equal share gave them; may be NULL */
 bool limit_node_spend(struct limit_node *node, struct limit_team *te,
