--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -45,6 +45,7 @@
 	/** Why it was not sent last. */
 	enum access_verdict denial;
 	struct blame_keys keys;
+	struct allowance_ticket ticket;
 	/** It runs to find out whether it still crashes targets. */
 	bool is_trial;
 	/** Until when it may be held, and the timer; 0: it is not held. */
@@ -223,6 +224,8 @@
 	log_end(oc, result);
 	if (result->outcome == kRelayComplete)
 		histogram_record(kHistWholeAnswer, age_us(oc));
+	else if (result->outcome == kRelayRefused)
+		allowance_give_back(oc->cs->opt.allowance, &oc->ticket);
 	front_on_disconnect(oc->req, NULL, NULL);
 	send_answer(oc, result);
 	call_free(oc);
@@ -307,6 +310,8 @@
 	loop_timer_cancel(oc->lp, oc->hold_timer);
 	if (oc->relay != NULL)
 		relay_cancel(oc->relay);
+	else
+		allowance_give_back(oc->cs->opt.allowance, &oc->ticket);
 	call_free(oc);
 }
 
@@ -319,6 +324,7 @@
 	g_snprintf(text, sizeof(text), "%" PRIx64, key);
 	log_event(kEvtCallRefused, "request", oc->attempt_id, "why",
 	    "crashes_targets", "key", text, NULL);
+	allowance_give_back(oc->cs->opt.allowance, &oc->ticket);
 	front_on_disconnect(oc->req, NULL, NULL);
 	reply_blocked(oc->req);
 	call_free(oc);
@@ -347,6 +353,7 @@
 	    log_number(drain_plan_left_us(&oc->cs->drain, loop_now_us(oc->lp))),
 	    NULL);
 	loop_timer_cancel(oc->lp, oc->hold_timer);
+	allowance_give_back(oc->cs->opt.allowance, &oc->ticket);
 	front_on_disconnect(oc->req, NULL, NULL);
 	reply_draining(oc->req);
 	call_free(oc);
@@ -385,6 +392,57 @@
 	relay_limit_start(oc->relay, latest_start_us(oc));
 }
 
+static void
+refuse_over_allowance(struct online_call *oc, const struct limit_result *result)
+{
+	log_event(kEvtCallRefused, "request", oc->attempt_id, "why",
+	    "allowance", "team", oc->caller.access.team, "retry_after_us",
+	    log_number(result->retry_us), NULL);
+	front_on_disconnect(oc->req, NULL, NULL);
+	reply_error(oc->req, kErrRateLimited,
+	    "the team's allowance is used up; the request did not run",
+	    result->retry_us);
+	call_free(oc);
+}
+
+static void
+refuse_starting(struct online_call *oc, int64_t retry_us)
+{
+	log_event(kEvtCallRefused, "request", oc->attempt_id, "why", "starting",
+	    "team", oc->caller.access.team, "retry_after_us",
+	    log_number(retry_us), NULL);
+	front_on_disconnect(oc->req, NULL, NULL);
+	reply_error(oc->req, kErrNotReady,
+	    "this daemon has just started; the request did not run", retry_us);
+	call_free(oc);
+}
+
+static void
+on_allowance(void *ctx, const struct limit_result *result)
+{
+	struct online_call *oc = ctx;
+
+	if (result->outcome == kLimitAdmitted)
+		admit(oc);
+	else
+		refuse_over_allowance(oc, result);
+}
+
+/* Requests that a key lets in count towards the allowance of its team. */
+static void
+request_allowance(struct online_call *oc)
+{
+	struct allowance_result result = {.limit.outcome = kLimitAdmitted};
+
+	if (oc->caller.access.has_key)
+		result = allowance_request(oc->cs->opt.allowance,
+		    oc->caller.access.team, &oc->ticket, on_allowance, oc);
+	if (result.is_starting)
+		refuse_starting(oc, result.limit.retry_us);
+	else if (result.limit.outcome != kLimitPending)
+		on_allowance(oc, &result.limit);
+}
+
 void
 calls_begin_drain(struct calls *cs, const struct drain_plan *plan)
 {
@@ -478,5 +536,5 @@
 	};
 	g_hash_table_add(cs->open, oc);
 	front_on_disconnect(req, on_disconnect, oc);
-	admit(oc);
+	request_allowance(oc);
 }
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -79,6 +79,13 @@
 	view_exchange_fetch(((struct gateway *)ctx)->view, peer);
 }
 
+/* Leases expire while the VM is suspended, too. */
+static int64_t
+boot_now_us(void *ctx)
+{
+	return clock_boot_us(((struct gateway *)ctx)->clk);
+}
+
 static const char *
 front_reaching_store(void *ctx, const char *excluded_front)
 {
@@ -201,6 +208,7 @@
 	if (gw->proofs != NULL)
 		proof_exchange_tick(gw->proofs);
 	quota_tick(gw->quota);
+	allowance_housekeeping(gw->allowance);
 	crash_guard_tick(gw->guard);
 	if (fleet_tick(gw->fleet, now_us))
 		gateway_targets_changed(gw);
@@ -317,6 +325,9 @@
 	struct calls_options calls = {0};
 	struct access_options access = {
 	    routes_are_current, current_routes, gateway_serve, gw, NULL};
+	struct allowance_options allowance = {gw->lp, gw->roster,
+	    gw->self.address, gw->self.data_center, &gateway_wire_ops, gw,
+	    current_routes, boot_now_us, gw};
 	struct crash_guard_options guard = {
 	    gw->lp, gw->roster, gw->self.address, &gateway_wire_ops, gw};
 	struct quota_options quota = {gw->lp, gw->offload, gw->store,
@@ -352,6 +363,8 @@
 	access.proofs = gw->proofs;
 	gw->access = access_new(&access);
 	calls.access = gw->access;
+	gw->allowance = allowance_new(&allowance);
+	calls.allowance = gw->allowance;
 	gw->calls = calls_new(&calls);
 	gw->quota = quota_new(&quota);
 	jobs.deps = deps;
@@ -463,6 +476,7 @@
 	jobs_free(gw->jobs);
 	quota_free(gw->quota);
 	calls_free(gw->calls);
+	allowance_free(gw->allowance);
 	access_free(gw->access);
 	proof_exchange_free(gw->proofs);
 	crash_guard_free(gw->guard);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_GATEWAY_INTERNAL_H
 
 #include "gateway/access/access.h"
+#include "gateway/allowance/allowance.h"
 #include "gateway/calls.h"
 #include "gateway/contact_exchange.h"
 #include "gateway/gateway.h"
@@ -39,6 +40,7 @@
 	struct access *access;
 	/** NULL: revocations need not take effect within a bound. */
 	struct proof_exchange *proofs;
+	struct allowance *allowance;
 	struct calls *calls;
 	struct jobs *jobs;
 	struct members *members;
--- a/src/gateway/gateway_peers.c
+++ b/src/gateway/gateway_peers.c
@@ -123,6 +123,7 @@
 		    env->target_notes[i]->started_ms, env->from);
 	slots_on_envelope(gw->slots, env);
 	quota_on_envelope(gw->quota, env);
+	allowance_on_envelope(gw->allowance, env);
 	crash_guard_on_envelope(gw->guard, env);
 	if (gw->proofs != NULL)
 		proof_exchange_on_envelope(gw->proofs, env);
