Targets are chosen by speed and by the prompt parts that they keep

Cause: a pool chose by the share of slots in use. One key stood for all shared parts of a prompt together, so two prompts with the same first part and another second one were not related, and items had no key at all. Targets differ in speed, which was not known.

The cost of a target is its share of slots in use, plus its difference in speed, less what kept parts save, up to four slots. Items prefer slow targets, since otherwise they fill the fast ones first and the slots that stay free for online requests are slow. Both records are dropped when a target starts anew. Without a clear difference in speed and without shared parts the cost is as before. The daemons do not report speeds and parts yet.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -32,6 +32,7 @@
 void bench_policy(void);
 void bench_membership(void);
 void bench_decision(void);
+void bench_uneven(void);
 
 /** @param seeds plays of each scenario */
 void bench_crash(int32_t seeds);
--- a/bench/main.c
+++ b/bench/main.c
@@ -83,5 +83,7 @@
 		bench_rate(argc > 2 ? atoi(argv[2]) : kRateSeeds);
 	if (run_all || strcmp(command, "decision") == 0)
 		bench_decision();
+	if (run_all || strcmp(command, "uneven") == 0)
+		bench_uneven();
 	return bench_has_failed() ? 1 : 0;
 }
--- a/src/savoryflow/slotpool/slot_target.c
+++ b/src/savoryflow/slotpool/slot_target.c
@@ -20,6 +20,13 @@
 	/* Cost of a target that names a rate: others are preferred until they
 	 * have this share of their slots, in thousandths, more in use. */
 	kLimitedCost = 500,
+	/* Shared tokens of a prompt whose daemon does not count them. */
+	kPrefixTokens = 450,
+	/* Thousandths of a slot: a target that keeps all shared parts is chosen
+	 * though it has this much more in use than another one. */
+	kKeptSaving = 4000,
+	/* Thousandths of a slot that the usual time between events is worth. */
+	kSpeedWeight = 1000,
 };
 
 /** Outcomes of one daemon's requests to the target. */
@@ -35,6 +42,7 @@
 	struct slot_target *t = g_new0(struct slot_target, 1);
 
 	t->prefixes = u64_hash_new(g_free);
+	t->kept = kept_parts_new();
 	t->paths =
 	    g_hash_table_new_full(g_direct_hash, g_direct_equal, NULL, g_free);
 	t->info = *info;
@@ -48,6 +56,7 @@
 
 	g_hash_table_unref(t->paths);
 	g_hash_table_unref(t->prefixes);
+	kept_parts_free(t->kept);
 	g_free(t);
 }
 
@@ -59,6 +68,8 @@
 		t->rate = (struct start_rate){0};
 		t->is_rate_known = false;
 		g_hash_table_remove_all(t->prefixes);
+		kept_parts_clear(t->kept);
+		t->pace = (struct target_pace){0};
 		g_hash_table_remove_all(t->paths);
 	}
 	t->info = *info;
@@ -207,6 +218,27 @@
 	// cppcheck-suppress memleak
 }
 
+/* Daemons that do not tell the parts apart send one key for all. */
+static struct slot_parts
+parts_of(const struct slot_request *req)
+{
+	struct slot_parts one = {
+	    .count = req->prefix != 0,
+	    .keys = {req->prefix},
+	    .tokens = {kPrefixTokens},
+	};
+
+	return req->parts.count > 0 ? req->parts : one;
+}
+
+void
+slot_target_record_prompt(struct slot_target *t, const struct slot_request *req)
+{
+	struct slot_parts parts = parts_of(req);
+
+	kept_parts_record(t->kept, &parts, slots_used(t));
+}
+
 /*
  * Prefers the target with the lower share of slots in use; a cached prefix
  * offsets one slot.
@@ -225,6 +257,36 @@
 	return scaled + target_health_penalty(&t->health);
 }
 
+/* What the kept parts of a prompt save, in thousandths of a slot. */
+static int64_t
+kept_saving(const struct slot_target *t, const struct slot_request *req)
+{
+	struct slot_parts parts = parts_of(req);
+	int64_t kept = kept_parts_find(t->kept, &parts);
+	int64_t all = 0;
+
+	for (int32_t i = 0; i < parts.count; i++)
+		all += parts.tokens[i];
+	return all > 0 ? kKeptSaving * kept / all : 0;
+}
+
+int64_t
+slot_target_first_event_cost(const struct slot_target *t,
+    const struct slot_request *req, int64_t usual_us, int64_t now_us)
+{
+	int64_t slots = MAX(t->info.slots, 1);
+	int64_t factor = target_pace_factor(&t->pace, usual_us, now_us);
+	int64_t speed = (factor - kPaceUsual) * kSpeedWeight / kPaceUsual;
+	int64_t cost = 1000 * (int64_t)slots_used(t) / slots;
+
+	/* Items leave the free slots of fast targets to online requests. */
+	cost += (req->is_batch ? -speed : speed) / slots;
+	cost -= kept_saving(t, req) / slots;
+	if (start_rate_is_fresh(&t->rate, now_us))
+		cost += kLimitedCost;
+	return cost + target_health_penalty(&t->health);
+}
+
 uint64_t
 slot_target_rank(const struct slot_target *t, uint32_t holder)
 {
--- a/src/savoryflow/slotpool/slot_target.h
+++ b/src/savoryflow/slotpool/slot_target.h
@@ -2,7 +2,9 @@
 #define SAVORYFLOW_SLOT_TARGET_H
 
 #include "savoryflow/limits/start_rate.h"
+#include "savoryflow/slotpool/kept_parts.h"
 #include "savoryflow/slotpool/target_health.h"
+#include "savoryflow/slotpool/target_pace.h"
 
 /** A target of a pool and the slots in use on it. */
 struct slot_target {
@@ -19,8 +21,11 @@
 	int32_t revoked;
 	/** Outcomes by requesting daemon: struct slot_path by holder. */
 	GHashTable *paths;
-	/** Set of the hashes of prompt prefixes that it has processed. */
+	/** Set of the hashes of prompt prefixes that it has processed; only the
+	 * previous policy fills it. */
 	GHashTable *prefixes;
+	struct kept_parts *kept;
+	struct target_pace pace;
 	/** Present in the target list that is being applied. */
 	bool is_listed;
 };
@@ -60,15 +65,29 @@
 bool slot_target_has_free_slot(const struct slot_target *t);
 
 /** Cost of placing the request here, lower is better: share of slots in use,
- * recent faults, a rate, cached prefix. */
+ * recent faults, a rate, cached prefix. The previous policy, for benchmarks. */
 int64_t slot_target_cost(const struct slot_target *t,
     const struct slot_request *req, int64_t now_us);
 
+/**
+ * Expected time to the request's first event here, lower is better, in the unit
+ * of slot_target_cost: the share of slots in use, longer at slow targets, less
+ * what it saves that parts of the prompt are kept.
+ * @param usual_us mean time between events over all targets of the pool
+ */
+int64_t slot_target_first_event_cost(const struct slot_target *t,
+    const struct slot_request *req, int64_t usual_us, int64_t now_us);
+
 /** Rank of the target for a daemon among targets of equal cost, higher is
  * better; always the same, so that the daemon uses its connections again. */
 uint64_t slot_target_rank(const struct slot_target *t, uint32_t holder);
 
-/** Records that the target processes a prompt prefix. */
+/** Records that the target processes a prompt prefix, for slot_target_cost. */
 void slot_target_record_prefix(struct slot_target *t, uint64_t prefix);
 
+/** Records that the target processes the request's prompt, for
+ * slot_target_first_event_cost. */
+void slot_target_record_prompt(
+    struct slot_target *t, const struct slot_request *req);
+
 #endif
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -98,7 +98,10 @@
 	g_strlcpy(sl->target, t->info.id, sizeof(sl->target));
 	g_hash_table_insert(sp->slots, &sl->req.id, sl);
 	count_slot(t, sl, 1);
-	slot_target_record_prefix(t, req->prefix);
+	if (sp->choice == kSlotChoiceShare)
+		slot_target_record_prefix(t, req->prefix);
+	else
+		slot_target_record_prompt(t, req);
 	target_health_record_start(&t->health);
 	return sl;
 }
@@ -126,59 +129,6 @@
 	add_grant(out, req, t);
 }
 
-static bool
-may_run_on(
-    const struct slot_target *t, const struct slot_request *req, int64_t now_us)
-{
-	return slot_target_accepts_work(t, req->is_last_resort, now_us) &&
-	    (req->is_last_resort ||
-		slot_target_is_reachable_from(t, req->holder, now_us)) &&
-	    strcmp(t->info.id, req->excluded_target) != 0;
-}
-
-/* Whether the target takes one more request at its rate. */
-static bool
-has_start(const struct slotpool *sp, const struct slot_target *t,
-    const struct slot_request *req, int64_t now_us)
-{
-	if (sp->is_limited_paused && t->rate.is_limited)
-		return false;
-	return start_rate_allows(&t->rate, req->is_batch, now_us);
-}
-
-/* The target of the lowest cost; of equal ones, each daemon prefers others. */
-static struct slot_target *
-choose_free(struct slotpool *sp, const struct slot_request *req, int64_t now_us)
-{
-	struct slot_target *best = NULL;
-	int64_t best_cost = 0;
-	uint64_t best_rank = 0;
-	GHashTableIter it;
-	void *val;
-
-	g_hash_table_iter_init(&it, sp->targets);
-	while (g_hash_table_iter_next(&it, NULL, &val)) {
-		struct slot_target *t = val;
-		uint64_t rank;
-		int64_t cost;
-
-		if (!may_run_on(t, req, now_us) ||
-		    !slot_target_has_free_slot(t) ||
-		    !has_start(sp, t, req, now_us))
-			continue;
-		cost = slot_target_cost(t, req, now_us);
-		if (best != NULL && cost > best_cost)
-			continue;
-		rank = slot_target_rank(t, req->holder);
-		if (best != NULL && cost == best_cost && rank <= best_rank)
-			continue;
-		best = t;
-		best_cost = cost;
-		best_rank = rank;
-	}
-	return best;
-}
-
 /* Lowest-ranked batch slot on a target where the request may run. */
 static struct slot *
 find_preemptible(
@@ -201,8 +151,8 @@
 		if (found != NULL && batch_rank_compare(&item, &last, NULL) < 0)
 			continue;
 		t = g_hash_table_lookup(sp->targets, sl->target);
-		if (!may_run_on(t, req, now_us) ||
-		    !has_start(sp, t, req, now_us))
+		if (!slotpool_may_run_on(t, req, now_us) ||
+		    !slotpool_has_start(sp, t, req, now_us))
 			continue;
 		found = sl;
 		last = item;
@@ -251,7 +201,7 @@
 start_online(struct slotpool *sp, const struct slot_request *req,
     int64_t now_us, GArray *out)
 {
-	struct slot_target *t = choose_free(sp, req, now_us);
+	struct slot_target *t = slotpool_choose_free(sp, req, now_us);
 
 	if (t == NULL) {
 		struct slot *sl = find_preemptible(sp, req, now_us);
@@ -297,7 +247,7 @@
 	while (!sp->is_batch_paused && load.online_queued == 0 &&
 	    slot_queue_next(sp->queue, true, &skipped, &req) &&
 	    load.online + load.batch + reserve < load.slots) {
-		struct slot_target *t = choose_free(sp, &req, now_us);
+		struct slot_target *t = slotpool_choose_free(sp, &req, now_us);
 
 		if (t == NULL && may_run_on_all(sp, &req, now_us))
 			return;
--- a/src/savoryflow/slotpool/slotpool.h
+++ b/src/savoryflow/slotpool/slotpool.h
@@ -21,6 +21,9 @@
 struct slotpool *slotpool_new(void);
 void slotpool_free(struct slotpool *sp);
 
+/** Selects the rule for the choice of a target; benchmarks compare them. */
+void slotpool_set_choice(struct slotpool *sp, enum slot_choice choice);
+
 /** New array of struct slotpool_action. */
 GArray *slotpool_actions_new(void);
 
@@ -58,6 +61,10 @@
 void slotpool_adopt(struct slotpool *sp, const struct slot_request *req,
     const char *target, int64_t now_us);
 
+/** Learns from the run of a slot, before its release. */
+void slotpool_record_run(struct slotpool *sp, uint64_t id,
+    const struct slot_run_times *run, int64_t now_us);
+
 /** Releases a slot, or withdraws a queued request. */
 void slotpool_release(struct slotpool *sp, uint64_t id,
     enum slot_outcome outcome, int64_t now_us, GArray *out);
--- a/src/savoryflow/slotpool/slotpool_defs.h
+++ b/src/savoryflow/slotpool/slotpool_defs.h
@@ -22,6 +22,39 @@
 	kSlotUnused,
 };
 
+enum {
+	/** Shared parts of a prompt that are told apart; the rest counts as the
+	 * request's own. */
+	kSlotPartsMax = 4,
+};
+
+/** The shared parts at the beginning of a prompt. */
+struct slot_parts {
+	int32_t count;
+	/** Each key stands for its part and all before it. */
+	uint64_t keys[kSlotPartsMax];
+	int32_t tokens[kSlotPartsMax];
+};
+
+/** What a run's answer shows of its target's speed. */
+struct slot_run_times {
+	/** From the send to the first event; 0: unknown. */
+	int64_t first_event_us;
+	/** Mean time between events; 0: unknown. */
+	int64_t pace_us;
+	int32_t events;
+};
+
+/** What decides between targets with a free slot. */
+enum slot_choice {
+	/** Expected time to the first event. */
+	kSlotChoiceFirstEvent,
+	/** Share of slots in use; a kept prompt part offsets one slot. */
+	kSlotChoiceShare,
+	/** Number of requests. */
+	kSlotChoiceLeastRequests,
+};
+
 /** A request for a slot on any target of the pool. */
 struct slot_request {
 	/** Unique across all daemons. */
@@ -37,6 +70,8 @@
 	char excluded_target[kFleetNameMax];
 	/** Hash of the shared parts of the prompt; 0 if there are none. */
 	uint64_t prefix;
+	/** The same parts one by one; none if the daemon does not say. */
+	struct slot_parts parts;
 	/** No pool has a healthy target: try any target. */
 	bool is_last_resort;
 	/** Online: its deadline passed in the queue; it starts late or is
--- a/src/savoryflow/slotpool/slotpool_internal.h
+++ b/src/savoryflow/slotpool/slotpool_internal.h
@@ -23,7 +23,10 @@
 	/** struct slot by id. */
 	GHashTable *slots;
 	struct slot_queue *queue;
+	enum slot_choice choice;
 	int64_t hold_us;
+	/** Mean time between events over all runs; 0: unknown. */
+	int64_t pace_us;
 	/** Online requests have to queue, and since when. */
 	bool is_full;
 	int64_t full_since_us;
@@ -33,6 +36,19 @@
 	bool is_limited_paused;
 };
 
+/** Whether the request may run on the target. */
+bool slotpool_may_run_on(const struct slot_target *t,
+    const struct slot_request *req, int64_t now_us);
+
+/** Whether the target takes one more request at its rate. */
+bool slotpool_has_start(const struct slotpool *sp, const struct slot_target *t,
+    const struct slot_request *req, int64_t now_us);
+
+/** The target with a free slot where the request may start that suits it best;
+ * NULL if there is none. */
+struct slot_target *slotpool_choose_free(
+    struct slotpool *sp, const struct slot_request *req, int64_t now_us);
+
 /** Applies a rate without starting requests. @return true if it changed */
 bool slotpool_apply_rate(
     struct slotpool *sp, const struct slotpool_rate *rate, int64_t now_us);
--- a/test/unit/slotpool_fixture.h
+++ b/test/unit/slotpool_fixture.h
@@ -28,7 +28,7 @@
 	}
 
 	void
-	Targets(std::map<std::string, int> slots)
+	Targets(const std::map<std::string, int> &slots)
 	{
 		GPtrArray *list = g_ptr_array_new();
 
