Daemons report shared parts of prompts and the speed of targets

Cause: arbiters learned only that a slot was released, and got one key for all shared parts of a prompt; items had none, though their headers list the parts.

Change: a request for a slot lists keys and tokens of the first four shared parts (SlotAsk 12, 13), each key standing for its part and all before it. The release that is sent anyway tells the time to the first event, the mean time between events and their number (SlotNote 12 to 14). Both are bounded on receipt. Items send their parts, too. SlotAsk 14 to 16 (team, weight, priority) are not used yet.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "error/error.h"
+#include "gateway/prompt_keys.h"
 #include "gateway/reply.h"
 #include "log/log.h"
 #include "metric/histogram.h"
@@ -439,6 +440,7 @@
 	    .is_resumable = route->is_resumable,
 	    .last_event_id = call->last_event_id,
 	    .prefix = call->prefix,
+	    .parts = prompt_keys(&call->parts),
 	    .team = oc->caller.access.team,
 	    .strips_credentials = caller->has_teams,
 	    .stall_timeout_us = MAX(
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -18,11 +18,15 @@
 	kAttemptIdMax = 128,
 	/** Parts of a prompt that are told apart. */
 	kPromptPartsMax = 15,
+	/** Tokens of a part count as this at most. */
+	kPartTokensMax = 1000000,
 };
 
 /** Parts of a prompt that other requests may share, in order. */
 struct prompt_parts {
 	uint64_t ids[kPromptPartsMax];
+	/** At least 1. */
+	int32_t tokens[kPromptPartsMax];
 	int32_t count;
 };
 
--- a/src/gateway/jobs_run.c
+++ b/src/gateway/jobs_run.c
@@ -3,6 +3,7 @@
 
 #include "error/error.h"
 #include "gateway/jobs_internal.h"
+#include "gateway/prompt_keys.h"
 #include "log/log.h"
 #include "metric/histogram.h"
 #include "metric/metric.h"
@@ -244,6 +245,7 @@
 {
 	struct job_run *run = ir->run;
 	struct header_list *headers = jobs_item_headers(ir->item);
+	struct prompt_parts parts;
 	struct relay_options opt = {
 	    .method = "POST",
 	    .uri = ir->item->path,
@@ -268,6 +270,8 @@
 	    .ctx = ir,
 	};
 
+	run->js->opt.deps.dialect->decode_parts(headers, &parts);
+	opt.parts = prompt_keys(&parts);
 	header_list_set(headers, "Host", run->job->host);
 	ir->phase = kItemRunning;
 	ir->run_requested_us = now_us(run);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -48,6 +48,23 @@
 	g_free(rl);
 }
 
+/* Tells the arbiter how fast the target is. */
+static void
+record_run(const struct relay *rl)
+{
+	struct slot_run_times run = {
+	    .first_event_us = rl->first_event_us - rl->sent_us,
+	    .events = rl->run_events,
+	};
+
+	if (!rl->is_stream || rl->run_events == 0)
+		return;
+	if (rl->run_events > 1)
+		run.pace_us = (rl->last_activity_us - rl->first_event_us) /
+		    (rl->run_events - 1);
+	slots_record_run(rl->deps.slots, rl->slot, &run);
+}
+
 /* Cancels the transfer and releases the slot. */
 void
 relay_release_target(struct relay *rl, enum slot_outcome outcome)
@@ -58,9 +75,12 @@
 	if (rl->request != NULL)
 		outbound_cancel(rl->request);
 	rl->request = NULL;
-	if (rl->slot != 0)
+	if (rl->slot != 0) {
+		record_run(rl);
 		slots_release(rl->deps.slots, rl->slot, outcome);
+	}
 	rl->slot = 0;
+	rl->run_events = 0;
 }
 
 /* Stops the timers and gives everything back. */
@@ -317,6 +337,7 @@
 	    .deadline_us = rl->opt.deadline_us,
 	    .expected_run_us = rl->opt.expected_run_us,
 	    .prefix = rl->opt.prefix,
+	    .parts = rl->opt.parts,
 	    .excluded_target = rl->target[0] != '\0' ? rl->target : NULL,
 	    .is_exclusion_strict = is_strict,
 	};
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -110,6 +110,7 @@
 	bool is_resumable;
 	int64_t last_event_id;
 	uint64_t prefix;
+	struct slot_parts parts;
 	/** Team that the request is attributed to; NULL or "": none. */
 	const char *team;
 	/** The configuration has teams: what identifies the caller is not
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -101,6 +101,8 @@
 	rl->has_new_event = true;
 	metric_add(kMetTokens, 1);
 	rl->opt.ops->on_data(rl->opt.ctx, ev);
+	if (rl->run_events == 0)
+		rl->first_event_us = rl->last_activity_us;
 	if (++rl->run_events == kEventsBegun)
 		record_begun(rl);
 	return true;
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -86,6 +86,7 @@
 	bool is_answering;
 	/** Events of the current run, and whether one has begun its answer. */
 	int32_t run_events;
+	int64_t first_event_us;
 	bool has_begun;
 	bool has_lost_run;
 };
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -7,7 +7,6 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "savoryflow/arbiter/u64_hash.h"
-#include "savoryflow/slotpool/batch_rank.h"
 
 enum {
 	kTickUs = 25 * kUsPerMs,
@@ -96,49 +95,10 @@
 	slots_deliver(sl, &del);
 }
 
-/* The request with the expected run time that remains, if it has started. */
-static struct slot_request
-remaining_request(const struct slots *sl, const struct hold *h)
-{
-	if (h->granted_us == 0 || !h->request.is_batch)
-		return h->request;
-	return batch_rank_remaining(
-	    &h->request, h->granted_us, loop_now_us(sl->opt.lp));
-}
-
-void
-slots_send_request(
-    struct slots *sl, const struct hold *h, const char *adopt_target)
-{
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	Sfpeer__SlotAsk wire = SFPEER__SLOT_ASK__INIT;
-	Sfpeer__SlotAsk *list[] = {&wire};
-	struct wire_rates rates;
-
-	wire.id = h->request.id;
-	wire.service = (char *)h->service;
-	wire.data_center = h->view->data_center;
-	wire.batch = h->request.is_batch;
-	wire.left_us = h->request.deadline_us - loop_now_us(sl->opt.lp);
-	wire.need_us = remaining_request(sl, h).expected_run_us;
-	wire.but = (char *)h->request.excluded_target;
-	wire.prefix = h->request.prefix;
-	wire.last_resort = h->request.is_last_resort;
-	wire.adopt = adopt_target != NULL;
-	wire.target = (char *)(adopt_target != NULL ? adopt_target : "");
-	env.n_slot_asks = 1;
-	env.slot_asks = list;
-	slots_rates_for_arbiter(sl, h, &rates);
-	env.n_target_rates = rates.count;
-	env.target_rates = rates.refs;
-	sl->opt.wire->send(sl->opt.wire_ctx, h->arbiter, &env);
-	wire_rates_clear(&rates);
-}
-
 static void
 request_from_arbiter(struct slots *sl, struct hold *h, const char *adopt_target)
 {
-	struct slot_request request = remaining_request(sl, h);
+	struct slot_request request = slots_remaining_request(sl, h);
 
 	h->requested_count++;
 	if (slots_is_hosted_here(sl, h))
@@ -203,6 +163,7 @@
 	h->request.deadline_us = request->deadline_us;
 	h->request.expected_run_us = request->expected_run_us;
 	h->request.prefix = request->prefix;
+	h->request.parts = request->parts;
 	g_strlcpy(h->request.excluded_target,
 	    request->excluded_target != NULL ? request->excluded_target : "",
 	    sizeof(h->request.excluded_target));
@@ -215,25 +176,6 @@
 	return h->request.id;
 }
 
-void
-slots_send_release(
-    struct slots *sl, const struct hold *h, enum slot_outcome outcome)
-{
-	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
-	Sfpeer__SlotNote wire = SFPEER__SLOT_NOTE__INIT;
-	Sfpeer__SlotNote *list[] = {&wire};
-
-	wire.id = h->request.id;
-	wire.service = (char *)h->service;
-	wire.data_center = h->view->data_center;
-	wire.unused = outcome == kSlotUnused;
-	wire.outcome = wire.unused ? kSlotNeutral : outcome;
-	wire.target = (char *)h->target;
-	env.n_slot_notes = 1;
-	env.slot_notes = list;
-	sl->opt.wire->send(sl->opt.wire_ctx, h->arbiter, &env);
-}
-
 /* Releases the slot, or withdraws the request for it, at the arbiter. */
 static void
 release_at_arbiter(
@@ -241,11 +183,14 @@
 {
 	if (h->granted_us == 0)
 		outcome = kSlotUnused;
-	if (slots_is_hosted_here(sl, h))
-		slots_host_release(sl, h->service, h->view->data_center,
-		    h->request.id, outcome);
-	else
+	if (!slots_is_hosted_here(sl, h)) {
 		slots_send_release(sl, h, outcome);
+		return;
+	}
+	slots_host_record_run(
+	    sl, h->service, h->view->data_center, h->request.id, &h->run);
+	slots_host_release(
+	    sl, h->service, h->view->data_center, h->request.id, outcome);
 }
 
 static void
@@ -257,6 +202,16 @@
 	release_at_arbiter(sl, h, outcome);
 }
 
+void
+slots_record_run(
+    struct slots *sl, uint64_t id, const struct slot_run_times *run)
+{
+	struct hold *h = g_hash_table_lookup(sl->holds, &id);
+
+	if (h != NULL)
+		h->run = *run;
+}
+
 void
 slots_release(struct slots *sl, uint64_t id, enum slot_outcome outcome)
 {
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -38,6 +38,7 @@
 	/** Batch: expected run time; 0 if unknown. */
 	int64_t expected_run_us;
 	uint64_t prefix;
+	struct slot_parts parts;
 	/** Target to avoid for a while, or NULL. */
 	const char *excluded_target;
 	/** The excluded target still runs the request, or has no room: it is
@@ -74,6 +75,10 @@
 /** The excluded target of a slot request no longer runs the request. */
 void slots_relax_exclusion(struct slots *sl, uint64_t id);
 
+/** Records the run of a slot, for its arbiter; sent with the release. */
+void slots_record_run(
+    struct slots *sl, uint64_t id, const struct slot_run_times *run);
+
 /** Releases a slot or withdraws its request; no further callback follows. */
 void slots_release(struct slots *sl, uint64_t id, enum slot_outcome outcome);
 
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "gateway/dialect.h"
 #include "gateway/slots_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
@@ -16,6 +17,9 @@
 	kEarlyStartUs = 2 * kUsPerS,
 	/* Another arbiter of the pool reports more often than this. */
 	kOtherSilentUs = kUsPerS,
+	/* Bounds of what a message may say of a run. */
+	kRunTimeMaxUs = 600 * kUsPerS,
+	kRunEventsMax = 1000000,
 };
 
 void
@@ -226,6 +230,16 @@
 	run_actions(sl, actions);
 }
 
+void
+slots_host_record_run(struct slots *sl, const char *service,
+    const char *data_center, uint64_t id, const struct slot_run_times *run)
+{
+	struct hosted_pool *hp = slots_hosted_find(sl, service, data_center);
+
+	if (hp != NULL)
+		slotpool_record_run(hp->pool, id, run, loop_now_us(sl->opt.lp));
+}
+
 void
 slots_host_targets_changed(struct slots *sl)
 {
@@ -376,6 +390,22 @@
 	return is_known;
 }
 
+static struct slot_parts
+decode_parts(const Sfpeer__SlotAsk *wire)
+{
+	struct slot_parts parts = {
+	    .count = (int32_t)MIN(
+		MIN(wire->n_part_keys, wire->n_part_tokens), kSlotPartsMax),
+	};
+
+	for (int32_t i = 0; i < parts.count; i++) {
+		parts.keys[i] = wire->part_keys[i];
+		parts.tokens[i] =
+		    (int32_t)CLAMP(wire->part_tokens[i], 1, kPartTokensMax);
+	}
+	return parts;
+}
+
 void
 slots_host_on_request(
     struct slots *sl, const char *from, const Sfpeer__SlotAsk *wire)
@@ -387,6 +417,7 @@
 	    .deadline_us = loop_now_us(sl->opt.lp) + wire->left_us,
 	    .expected_run_us = wire->need_us,
 	    .prefix = wire->prefix,
+	    .parts = decode_parts(wire),
 	    .is_last_resort = wire->last_resort,
 	};
 
@@ -412,6 +443,14 @@
 slots_host_on_release(
     struct slots *sl, const char *from, const Sfpeer__SlotNote *wire)
 {
+	struct slot_run_times run = {
+	    .first_event_us = (int64_t)MIN(wire->first_event_us, kRunTimeMaxUs),
+	    .pace_us = (int64_t)MIN(wire->pace_us, kRunTimeMaxUs),
+	    .events = (int32_t)MIN(wire->events, kRunEventsMax),
+	};
+
+	slots_host_record_run(
+	    sl, wire->service, wire->data_center, wire->id, &run);
 	slots_host_release(sl, wire->service, wire->data_center, wire->id,
 	    wire->unused
 		? kSlotUnused
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -85,6 +85,7 @@
 	struct pool_view *view;
 	char arbiter[kFleetAddressMax];
 	char target[kFleetNameMax];
+	struct slot_run_times run;
 	/** Time of slots_acquire, and of the request at the current arbiter. */
 	int64_t acquired_us;
 	int64_t requested_us;
@@ -139,7 +140,11 @@
 	int32_t wait_logged_count;
 };
 
-/* slots.c */
+/* slots_send.c */
+
+/** The request with the expected run time that remains, if it has started. */
+struct slot_request slots_remaining_request(
+    const struct slots *sl, const struct hold *h);
 
 /**
  * Sends a slot request to the arbiter of a hold.
@@ -294,6 +299,10 @@
     const char *service, const char *data_center, const char *adopt_target);
 void slots_host_release(struct slots *sl, const char *service,
     const char *data_center, uint64_t id, enum slot_outcome outcome);
+
+/** Records the run of a slot at a hosted arbiter, before its release. */
+void slots_host_record_run(struct slots *sl, const char *service,
+    const char *data_center, uint64_t id, const struct slot_run_times *run);
 void slots_host_targets_changed(struct slots *sl);
 void slots_host_remove_holder(struct slots *sl, const char *address);
 void slots_host_tick(struct slots *sl, int64_t now_us);
--- a/src/peer/peer.pb-c.c
+++ b/src/peer/peer.pb-c.c
@@ -2019,7 +2019,7 @@
   (ProtobufCMessageInit) sfpeer__config_hint__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__slot_ask__field_descriptors[11] =
+static const ProtobufCFieldDescriptor sfpeer__slot_ask__field_descriptors[16] =
 {
   {
     "id",
@@ -2153,6 +2153,66 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "part_keys",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Sfpeer__SlotAsk, n_part_keys),
+    offsetof(Sfpeer__SlotAsk, part_keys),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "part_tokens",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Sfpeer__SlotAsk, n_part_tokens),
+    offsetof(Sfpeer__SlotAsk, part_tokens),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "team",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, team),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotAsk, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__slot_ask__field_indices_by_name[] = {
   6,   /* field[6] = adopt */
@@ -2163,14 +2223,19 @@
   9,   /* field[9] = last_resort */
   4,   /* field[4] = left_us */
   10,   /* field[10] = need_us */
+  11,   /* field[11] = part_keys */
+  12,   /* field[12] = part_tokens */
   8,   /* field[8] = prefix */
+  15,   /* field[15] = priority */
   1,   /* field[1] = service */
   7,   /* field[7] = target */
+  13,   /* field[13] = team */
+  14,   /* field[14] = weight */
 };
 static const ProtobufCIntRange sfpeer__slot_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor sfpeer__slot_ask__descriptor =
 {
@@ -2180,7 +2245,7 @@
   "Sfpeer__SlotAsk",
   "sfpeer",
   sizeof(Sfpeer__SlotAsk),
-  11,
+  16,
   sfpeer__slot_ask__field_descriptors,
   sfpeer__slot_ask__field_indices_by_name,
   1,  sfpeer__slot_ask__number_ranges,
@@ -2290,7 +2355,7 @@
   (ProtobufCMessageInit) sfpeer__slot_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor sfpeer__slot_note__field_descriptors[7] =
+static const ProtobufCFieldDescriptor sfpeer__slot_note__field_descriptors[10] =
 {
   {
     "id",
@@ -2376,20 +2441,60 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first_event_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, first_event_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pace_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, pace_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "events",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Sfpeer__SlotNote, events),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned sfpeer__slot_note__field_indices_by_name[] = {
   2,   /* field[2] = data_center */
+  9,   /* field[9] = events */
+  7,   /* field[7] = first_event_us */
   4,   /* field[4] = held_us */
   0,   /* field[0] = id */
   3,   /* field[3] = outcome */
+  8,   /* field[8] = pace_us */
   1,   /* field[1] = service */
   5,   /* field[5] = target */
   6,   /* field[6] = unused */
 };
-static const ProtobufCIntRange sfpeer__slot_note__number_ranges[1 + 1] =
+static const ProtobufCIntRange sfpeer__slot_note__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 12, 7 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor sfpeer__slot_note__descriptor =
 {
@@ -2399,10 +2504,10 @@
   "Sfpeer__SlotNote",
   "sfpeer",
   sizeof(Sfpeer__SlotNote),
-  7,
+  10,
   sfpeer__slot_note__field_descriptors,
   sfpeer__slot_note__field_indices_by_name,
-  1,  sfpeer__slot_note__number_ranges,
+  2,  sfpeer__slot_note__number_ranges,
   (ProtobufCMessageInit) sfpeer__slot_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -241,10 +241,25 @@
    * Batch: expected time of what is left of the run; 0 if not known.
    */
   int64_t need_us;
+  /*
+   * Shared parts of the prompt: keys, each for its part and all before it, and
+   * the parts' tokens.
+   */
+  size_t n_part_keys;
+  uint64_t *part_keys;
+  size_t n_part_tokens;
+  uint32_t *part_tokens;
+  /*
+   * Team that the request is attributed to, 0 if none; its share of a scarce
+   * pool, and its priority (0 first).
+   */
+  uint64_t team;
+  uint32_t weight;
+  uint32_t priority;
 };
 #define SFPEER__SLOT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_ask__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Sfpeer__SlotAnswer
@@ -284,10 +299,17 @@
    * Nothing was sent to the target.
    */
   protobuf_c_boolean unused;
+  /*
+   * From the send to the first event, mean time between events, and their
+   * number; 0: not known.
+   */
+  uint64_t first_event_us;
+  uint64_t pace_us;
+  uint32_t events;
 };
 #define SFPEER__SLOT_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&sfpeer__slot_note__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -524,4 +524,32 @@
 	}
 }
 
+/* The record of what targets keep would be evicted too early, or never. */
+TEST(Dialect, TokensOfPartsAreCountedAndBounded)
+{
+	const struct {
+		const char *text;
+		std::vector<int32_t> tokens;
+	} cases[] = {
+	    {"5c:800,91:410,e4:250", {800, 410}},
+	    {"a,b:2,c:3", {1, 2}},
+	    {"a:,b:x,c:3", {1, 1}},
+	    {"a:-5,b:0,c:3", {1, 1}},
+	    {"a:99999999999999999999,b:2000000,c:3", {1000000, 1000000}},
+	};
+
+	for (const auto &c : cases) {
+		header_list *headers = header_list_new();
+		prompt_parts parts;
+
+		header_list_add(headers, "X-Prompt-Prefix", c.text);
+		platform_dialect.decode_parts(headers, &parts);
+		EXPECT_EQ(c.tokens,
+		    std::vector<int32_t>(
+			parts.tokens, parts.tokens + parts.count))
+		    << c.text;
+		header_list_free(headers);
+	}
+}
+
 } // namespace
--- a/test/relay/relay_fixture.h
+++ b/test/relay/relay_fixture.h
@@ -41,6 +41,8 @@
 	/* The transfer's answer is that to a second copy. */
 	bool is_resent = false;
 	bool is_ended = false;
+	/* What was last recorded of a run. */
+	slot_run_times run = {};
 
 	void
 	Note(const std::string &what)
@@ -76,6 +78,12 @@
 {
 }
 
+void
+slots_record_run(struct slots *, uint64_t, const slot_run_times *run)
+{
+	play->run = *run;
+}
+
 void
 slots_release(struct slots *, uint64_t id, slot_outcome outcome)
 {
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -252,4 +252,33 @@
 		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
 }
 
+/* The arbiter would take a target's speed from another target's events, or from
+ * an answer without events. */
+TEST_F(Relay, TheTimesOfARunAreRecordedWithItsSlot)
+{
+	const struct {
+		std::vector<Step> script;
+		int64_t first_ms, pace_ms;
+		int32_t events;
+	} cases[] = {
+	    {{{10, "grant a"}, {100, "cut"}}, 0, 0, 0},
+	    {{{10, "grant a"}, {50, "event"}, {100, "cut"}}, 40, 0, 1},
+	    {{{10, "grant a"}, {50, "event"}, {80, "event"}, {130, "event"},
+		 {140, "cut"}},
+		40, 40, 3},
+	    {{{10, "grant a"}, {50, "event"}, {80, "event"}, {90, "cut"},
+		 {100, "grant b"}, {120, "event"}, {130, "event"},
+		 {140, "cut"}},
+		20, 10, 2},
+	};
+
+	end_ms = 150;
+	for (const auto &c : cases) {
+		Run(Options(), c.script);
+		EXPECT_EQ(c.first_ms * kMs, state.run.first_event_us);
+		EXPECT_EQ(c.pace_ms * kMs, state.run.pace_us);
+		EXPECT_EQ(c.events, state.run.events);
+	}
+}
+
 } // namespace
