Fair queueing between teams where online requests wait for slots

Cause: requests that waited at a pool started by deadline, whichever team sent them, and the length of the whole queue decided on admission. One team that sent several times its usual load got most slots, and others were refused because of its queue.

Change: requests wait by team and priority. Priority is the team's, or that of the route if it has none; within a team requests go by deadline. Requests without a team are one team where there are teams.

The daemon that asks no longer refuses a request of a team because of a long queue that the arbiter reported: it may be another team's.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -33,6 +33,7 @@
 void bench_membership(void);
 void bench_decision(void);
 void bench_uneven(void);
+void bench_fair(void);
 
 /** @param seeds plays of each scenario */
 void bench_crash(int32_t seeds);
--- a/bench/main.c
+++ b/bench/main.c
@@ -85,5 +85,7 @@
 		bench_decision();
 	if (run_all || strcmp(command, "uneven") == 0)
 		bench_uneven();
+	if (run_all || strcmp(command, "fair") == 0)
+		bench_fair();
 	return bench_has_failed() ? 1 : 0;
 }
--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -442,6 +442,8 @@
 	    .prefix = call->prefix,
 	    .parts = prompt_keys(&call->parts),
 	    .team = oc->caller.access.team,
+	    .weight = caller->claim.weight,
+	    .priority = caller->claim.priority,
 	    .strips_credentials = caller->has_teams,
 	    .stall_timeout_us = MAX(
 		route->objective_us / kStallTimeoutDivisor, kStallTimeoutMinUs),
--- a/src/gateway/calls.h
+++ b/src/gateway/calls.h
@@ -15,6 +15,7 @@
 	struct access_caller access;
 	/** The configuration has teams. */
 	bool has_teams;
+	struct routebook_claim claim;
 };
 
 struct calls_options {
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -75,6 +75,8 @@
 	} else if (route->kind == kRoutebookBatch) {
 		jobs_submit(gw->jobs, req, call, route, &caller.access);
 	} else {
+		caller.claim =
+		    routebook_claim_of(gw->routes, route, caller.access.team);
 		calls_serve(gw->calls, req, call, route, &caller);
 	}
 }
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -338,6 +338,10 @@
 	    .expected_run_us = rl->opt.expected_run_us,
 	    .prefix = rl->opt.prefix,
 	    .parts = rl->opt.parts,
+	    .team = rl->team,
+	    .has_teams = rl->opt.strips_credentials,
+	    .weight = rl->opt.weight,
+	    .priority = rl->opt.priority,
 	    .excluded_target = rl->target[0] != '\0' ? rl->target : NULL,
 	    .is_exclusion_strict = is_strict,
 	};
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -113,6 +113,9 @@
 	struct slot_parts parts;
 	/** Team that the request is attributed to; NULL or "": none. */
 	const char *team;
+	/** Online: weight and priority of the team, see slots.h. */
+	uint32_t weight;
+	uint32_t priority;
 	/** The configuration has teams: what identifies the caller is not
 	 * forwarded. */
 	bool strips_credentials;
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -2,6 +2,7 @@
 #include "gateway/slots.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "gateway/slots_internal.h"
 #include "log/log.h"
@@ -9,6 +10,8 @@
 #include "savoryflow/arbiter/u64_hash.h"
 
 enum {
+	/* The team of requests without one, where there are teams. */
+	kTeamNone = 1,
 	kTickUs = 25 * kUsPerMs,
 	/* Period while no answer is awaited. */
 	kSlowTickUs = 150 * kUsPerMs,
@@ -151,6 +154,20 @@
 	request_from_arbiter(sl, h, NULL);
 }
 
+static void
+set_team(struct slot_request *req, const struct slots_acquire_options *opt)
+{
+	const char *team = opt->team;
+
+	if (!opt->has_teams)
+		return;
+	req->team = team != NULL && team[0] != '\0'
+	    ? XXH3_64bits(team, strlen(team))
+	    : kTeamNone;
+	req->weight = opt->weight;
+	req->priority = opt->priority;
+}
+
 uint64_t
 slots_acquire(struct slots *sl, const struct slots_acquire_options *request,
     const struct slots_ops *ops, void *ctx)
@@ -164,6 +181,8 @@
 	h->request.expected_run_us = request->expected_run_us;
 	h->request.prefix = request->prefix;
 	h->request.parts = request->parts;
+	if (!request->is_batch)
+		set_team(&h->request, request);
 	g_strlcpy(h->request.excluded_target,
 	    request->excluded_target != NULL ? request->excluded_target : "",
 	    sizeof(h->request.excluded_target));
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -39,6 +39,14 @@
 	int64_t expected_run_us;
 	uint64_t prefix;
 	struct slot_parts parts;
+	/** Online: team that the request is attributed to, NULL or "": none;
+	 * and whether there are teams. */
+	const char *team;
+	bool has_teams;
+	/** The team's weight, thousandths of requests a second; 0: usual. */
+	uint32_t weight;
+	/** 0 first. */
+	uint32_t priority;
 	/** Target to avoid for a while, or NULL. */
 	const char *excluded_target;
 	/** The excluded target still runs the request, or has no room: it is
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -193,6 +193,17 @@
 	return false;
 }
 
+/* The requests that wait at a pool may be of other teams and start later: only
+ * its arbiter knows. */
+static int64_t
+least_wait_us(const struct slots *sl, const struct hold *h,
+    const struct pool_view *view, int64_t wait_us)
+{
+	return h->request.team != 0 && estimate_load(sl, view).slots > 0
+	    ? 0
+	    : wait_us;
+}
+
 /* Online: the pool with the earliest expected first event. */
 static struct pool_view *
 choose_online(struct slots *sl, const struct hold *h, int64_t *retry_after_us)
@@ -208,6 +219,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct pool_view *view = val;
 		int64_t wait_us;
+		int64_t link_us;
 		int64_t cost_us;
 
 		if (!slots_may_serve(sl, view, h))
@@ -216,9 +228,12 @@
 		    ? 0
 		    : slots_view_wait_us(sl, view);
 		*retry_after_us = MIN(*retry_after_us, wait_us);
-		cost_us = wait_us + slots_link_us(sl, view->data_center) +
+		link_us = slots_link_us(sl, view->data_center) +
 		    slots_request_us(sl, view);
-		if (was_tried(h, view) || cost_us > remaining_us)
+		cost_us = wait_us + link_us;
+		if (was_tried(h, view) ||
+		    least_wait_us(sl, h, view, wait_us) + link_us >
+			remaining_us)
 			continue;
 		if (best == NULL || cost_us < best_us) {
 			best = view;
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -418,6 +418,9 @@
 	    .expected_run_us = wire->need_us,
 	    .prefix = wire->prefix,
 	    .parts = decode_parts(wire),
+	    .team = wire->team,
+	    .weight = wire->weight,
+	    .priority = wire->priority,
 	    .is_last_resort = wire->last_resort,
 	};
 
--- a/src/gateway/slots_send.c
+++ b/src/gateway/slots_send.c
@@ -43,6 +43,9 @@
 	wire.but = (char *)h->request.excluded_target;
 	wire.prefix = h->request.prefix;
 	set_parts(&wire, &h->request.parts, tokens);
+	wire.team = h->request.team;
+	wire.weight = h->request.weight;
+	wire.priority = h->request.priority;
 	wire.last_resort = h->request.is_last_resort;
 	wire.adopt = adopt_target != NULL;
 	wire.target = (char *)(adopt_target != NULL ? adopt_target : "");
--- a/src/peer/peer.pb-c.h
+++ b/src/peer/peer.pb-c.h
@@ -250,8 +250,8 @@
   size_t n_part_tokens;
   uint32_t *part_tokens;
   /*
-   * Team that the request is attributed to, 0 if none; its share of a scarce
-   * pool, and its priority (0 first).
+   * Team that the request is attributed to, 0 if there are no teams; its share
+   * of a scarce pool, and its priority (0 first).
    */
   uint64_t team;
   uint32_t weight;
--- a/src/savoryflow/routebook/routebook.c
+++ b/src/savoryflow/routebook/routebook.c
@@ -135,6 +135,24 @@
 	return svc;
 }
 
+struct routebook_claim
+routebook_claim_of(const struct routebook *book,
+    const struct routebook_route *route, const char *team)
+{
+	const struct routebook_team *t;
+	struct routebook_claim claim = {0};
+
+	if (book->teams == NULL)
+		return claim;
+	t = routebook_team(book, team);
+	claim.priority = (uint32_t)MAX(
+	    t != NULL && t->has_priority ? t->priority : route->priority, 0);
+	if (t != NULL)
+		claim.weight =
+		    (uint32_t)CLAMP(t->rate_milli_per_s, 0, G_MAXINT32);
+	return claim;
+}
+
 const struct routebook_route *
 routebook_find(const struct routebook *book, const char *host, const char *path)
 {
--- a/src/savoryflow/routebook/routebook.h
+++ b/src/savoryflow/routebook/routebook.h
@@ -30,6 +30,15 @@
 const struct routebook_team *routebook_team(
     const struct routebook *book, const char *name);
 
+/**
+ * The claim of a team's request to a scarce pool: its weight is the team's
+ * rate, and the team's priority precedes that of the route. Without teams all
+ * claims are equal.
+ * @param team "": none
+ */
+struct routebook_claim routebook_claim_of(const struct routebook *book,
+    const struct routebook_route *route, const char *team);
+
 /**
  * Finds the route of a request: the host's route with the longest prefix that
  * matches the path.
--- a/src/savoryflow/routebook/routebook_defs.h
+++ b/src/savoryflow/routebook/routebook_defs.h
@@ -77,6 +77,14 @@
 	int64_t burst;
 };
 
+/** A request's claim to a scarce pool. */
+struct routebook_claim {
+	/** Thousandths of requests a second; 0: the usual weight. */
+	uint32_t weight;
+	/** 0 first. */
+	uint32_t priority;
+};
+
 struct routebook_limits {
 	int64_t header_bytes;
 	int64_t body_bytes;
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -120,11 +120,14 @@
 grant(struct slotpool *sp, struct slot_target *t,
     const struct slot_request *req, int64_t now_us, GArray *out)
 {
-	if (req->is_batch)
+	struct slot *sl = slot_add(sp, t, req, now_us);
+
+	if (req->is_batch) {
 		t->starts.items++;
-	else
+	} else {
 		t->starts.online++;
-	slot_add(sp, t, req, now_us);
+		sl->charged_us = slot_queue_charge(sp->queue, req, sp->hold_us);
+	}
 	start_rate_record(&t->rate, now_us);
 	add_grant(out, req, t);
 }
@@ -224,7 +227,7 @@
 start_queued_online(struct slotpool *sp, int64_t now_us, GArray *out)
 {
 	struct slot_request req;
-	struct slot_queue_skipped skipped = {0, 0};
+	struct slot_queue_skipped skipped = {0, 0, 0};
 
 	while (slot_queue_next(sp->queue, false, &skipped, &req)) {
 		if (start_online(sp, &req, now_us, out))
@@ -232,7 +235,7 @@
 		else if (may_run_on_all(sp, &req, now_us))
 			return;
 		else
-			slot_queue_skip(&skipped, &req);
+			slot_queue_skip(sp->queue, &skipped, &req);
 	}
 }
 
@@ -242,7 +245,7 @@
 	struct slotpool_load load = slotpool_load_get(sp, now_us);
 	int32_t reserve = load.slots / kSlotsPerReserved;
 	struct slot_request req;
-	struct slot_queue_skipped skipped = {0, 0};
+	struct slot_queue_skipped skipped = {0, 0, 0};
 
 	while (!sp->is_batch_paused && load.online_queued == 0 &&
 	    slot_queue_next(sp->queue, true, &skipped, &req) &&
@@ -252,7 +255,7 @@
 		if (t == NULL && may_run_on_all(sp, &req, now_us))
 			return;
 		if (t == NULL) {
-			slot_queue_skip(&skipped, &req);
+			slot_queue_skip(sp->queue, &skipped, &req);
 			continue;
 		}
 		grant(sp, t, &req, now_us, out);
@@ -303,6 +306,7 @@
 		refuse(sp, req, now_us, out);
 		return;
 	}
+	load.online_queued = slot_queue_ahead(sp->queue, req, sp->hold_us);
 	slot_queue_add(sp->queue, req);
 	start_queued_online(sp, now_us, out);
 	/* Those before it may be unable to use the free slots, so it is refused
@@ -404,6 +408,9 @@
 	}
 	if (outcome == kSlotServed && !sl->req.is_batch)
 		record_hold(sp, sl, now_us);
+	if (sl->charged_us != 0)
+		slot_queue_settle(
+		    sp->queue, &sl->req, sl->charged_us, now_us - sl->since_us);
 	t = g_hash_table_lookup(sp->targets, sl->target);
 	if (t != NULL)
 		slot_target_record_outcome(t, sl->req.holder, outcome, now_us);
@@ -459,7 +466,7 @@
 {
 	struct slot_request req;
 
-	while (slot_queue_at(sp->queue, false, 0, &req) &&
+	while (slot_queue_most_urgent(sp->queue, &req) &&
 	    req.deadline_us <= now_us) {
 		slot_queue_remove(sp->queue, req.id);
 		if (req.is_late) {
@@ -495,6 +502,7 @@
 	remove_slots_if(sp, is_expired, &now_us);
 	requeue_late_online(sp, now_us, out);
 	slot_queue_demote_late_batch(sp->queue, now_us);
+	slot_queue_age(sp->queue, now_us);
 	schedule(sp, now_us, out);
 }
 
--- a/src/savoryflow/slotpool/slotpool_defs.h
+++ b/src/savoryflow/slotpool/slotpool_defs.h
@@ -72,6 +72,13 @@
 	uint64_t prefix;
 	/** The same parts one by one; none if the daemon does not say. */
 	struct slot_parts parts;
+	/** Online: team that the request is attributed to; 0: there are no
+	 * teams. */
+	uint64_t team;
+	/** Its weight in a scarce pool, see team_share.h. */
+	uint32_t weight;
+	/** 0 first. */
+	uint32_t priority;
 	/** No pool has a healthy target: try any target. */
 	bool is_last_resort;
 	/** Online: its deadline passed in the queue; it starts late or is
--- a/src/savoryflow/slotpool/slotpool_internal.h
+++ b/src/savoryflow/slotpool/slotpool_internal.h
@@ -11,6 +11,8 @@
 	struct slot_request req;
 	char target[kFleetNameMax];
 	int64_t since_us;
+	/** Slot time that its team was charged for the start; 0: none. */
+	int64_t charged_us;
 	bool is_revoked;
 	/** Started by another arbiter, or without one. */
 	bool is_adopted;
--- a/test/relay/relay_fixture.h
+++ b/test/relay/relay_fixture.h
@@ -41,6 +41,8 @@
 	/* The transfer's answer is that to a second copy. */
 	bool is_resent = false;
 	bool is_ended = false;
+	/* The last request for a slot; its texts are borrowed. */
+	slots_acquire_options asked = {};
 	/* What was last recorded of a run. */
 	slot_run_times run = {};
 
@@ -65,6 +67,7 @@
 {
 	const char *but = request->excluded_target;
 
+	play->asked = *request;
 	play->slot_ops = ops;
 	play->relay_ctx = ctx;
 	play->waiting.push_back(++play->last_slot);
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -281,4 +281,28 @@
 	}
 }
 
+/* The arbiter would queue all requests as one team's, or take none of their
+ * parts for kept. */
+TEST_F(Relay, AskingForASlotTellsTeamAndParts)
+{
+	relay_options opt = Options();
+
+	opt.team = "blue";
+	opt.strips_credentials = true;
+	opt.weight = 1500;
+	opt.priority = 2;
+	opt.parts = {1, {77}, {800}};
+	end_ms = 20;
+	Run(opt, {});
+	EXPECT_TRUE(state.asked.has_teams);
+	EXPECT_EQ(1500u, state.asked.weight);
+	EXPECT_EQ(2u, state.asked.priority);
+	EXPECT_EQ(1, state.asked.parts.count);
+	EXPECT_EQ(77u, state.asked.parts.keys[0]);
+	EXPECT_EQ(800, state.asked.parts.tokens[0]);
+	Run(Options(), {});
+	EXPECT_FALSE(state.asked.has_teams);
+	EXPECT_EQ(0, state.asked.parts.count);
+}
+
 } // namespace
--- a/test/unit/test_routebook.cc
+++ b/test/unit/test_routebook.cc
@@ -104,4 +104,49 @@
 	}
 }
 
+/* Without teams, a priority of a route would change the order of requests. */
+TEST_F(Routebook, ATeamsPriorityPrecedesThatOfTheRoute)
+{
+	const struct {
+		const char *team;
+		bool has_teams;
+		uint32_t weight, priority;
+	} cases[] = {
+	    {"", false, 0, 0},
+	    {"", true, 0, 3},
+	    {"unknown", true, 0, 3},
+	    {"urgent", true, 2500, 0},
+	    {"plain", true, 0, 3},
+	    {"below", true, 0, 0},
+	    {"large", true, G_MAXINT32, 1},
+	};
+
+	const uint8_t secret[kTeamDigestBytes] = {};
+	routebook_route *route = Add("r", "a.example", "/");
+
+	route->priority = 3;
+	for (const auto &c : cases) {
+		if (c.has_teams && book->teams == nullptr) {
+			routebook_require_keys(book, secret);
+			struct routebook_team *urgent =
+			    routebook_add_team(book, "urgent");
+			urgent->has_priority = true;
+			urgent->rate_milli_per_s = 2500;
+			routebook_add_team(book, "plain");
+			routebook_add_team(book, "below")->has_priority = true;
+			routebook_add_team(book, "below")->priority = -4;
+			struct routebook_team *large =
+			    routebook_add_team(book, "large");
+			large->rate_milli_per_s = INT64_MAX;
+			large->priority = 1;
+			large->has_priority = true;
+		}
+		struct routebook_claim claim =
+		    routebook_claim_of(book, route, c.team);
+
+		EXPECT_EQ(c.weight, claim.weight) << c.team;
+		EXPECT_EQ(c.priority, claim.priority) << c.team;
+	}
+}
+
 } // namespace
--- a/test/unit/test_slots_send.cc
+++ b/test/unit/test_slots_send.cc
@@ -92,9 +92,8 @@
 	}
 
 	uint64_t
-	Acquire(const slot_parts &parts)
+	Acquire(const slot_parts &parts, slots_acquire_options req = {})
 	{
-		slots_acquire_options req = {};
 
 		req.service = "llm";
 		req.deadline_us = 9 * kSec;
@@ -135,6 +134,76 @@
 	sfpeer__envelope__free_unpacked(env, nullptr);
 }
 
+/* All requests would be queued as one team's; items have no place in that. */
+TEST_F(SlotsSend, TheTeamGoesWithAnOnlineRequestWhereThereAreTeams)
+{
+	const struct {
+		const char *team;
+		bool has_teams, is_batch;
+		bool has_id;
+		uint32_t weight, priority;
+	} cases[] = {
+	    {"blue", true, false, true, 1500, 2},
+	    {"", true, false, true, 1500, 2},
+	    {nullptr, true, false, true, 1500, 2},
+	    {"", false, false, false, 0, 0},
+	    {"blue", true, true, false, 0, 0},
+	};
+	std::vector<uint64_t> ids;
+
+	for (const auto &c : cases) {
+		slots_acquire_options req = {};
+
+		req.team = c.team;
+		req.has_teams = c.has_teams;
+		req.is_batch = c.is_batch;
+		req.weight = 1500;
+		req.priority = 2;
+		Acquire({}, req);
+		Sfpeer__Envelope *env = Last();
+		EXPECT_EQ(c.has_id, env->slot_asks[0]->team != 0);
+		EXPECT_EQ(c.weight, env->slot_asks[0]->weight);
+		EXPECT_EQ(c.priority, env->slot_asks[0]->priority);
+		ids.push_back(env->slot_asks[0]->team);
+		sfpeer__envelope__free_unpacked(env, nullptr);
+	}
+	EXPECT_NE(ids[0], ids[1]) << "without a team is another one";
+	EXPECT_EQ(ids[1], ids[2]);
+}
+
+/* The daemon would refuse a request for the queue of another team. */
+TEST_F(SlotsSend, ALongQueueIsLeftToTheArbiterWhereThereAreTeams)
+{
+	Sfpeer__Envelope env = SFPEER__ENVELOPE__INIT;
+	Sfpeer__PoolLoad load = SFPEER__POOL_LOAD__INIT;
+	Sfpeer__PoolLoad *loads[] = {&load};
+	char from[] = "d1", service[] = "llm", center[] = "dc1";
+	slots_acquire_options req = {};
+
+	env.from = from;
+	env.n_pool_loads = 1;
+	env.pool_loads = loads;
+	load.service = service;
+	load.data_center = center;
+	load.slots = load.online = 8;
+	load.online_queued = 1000;
+	load.hold_us = 500000;
+	slots_on_envelope(sl, &env);
+	size_t before = sent.messages.size();
+	Acquire({}, req);
+	EXPECT_EQ(before, sent.messages.size()) << "refused here";
+	req.team = "blue";
+	req.has_teams = true;
+	Acquire({}, req);
+	EXPECT_EQ(before + 1, sent.messages.size());
+	load.slots = 0;
+	slots_on_envelope(sl, &env);
+	before = sent.messages.size();
+	Acquire({}, req);
+	EXPECT_EQ(before + 1, sent.messages.size())
+	    << "as without teams: tried as a last resort";
+}
+
 /* Messages of a daemon that has nothing new to tell would grow. */
 TEST_F(SlotsSend, AMessageWithoutNewsIsAsBefore)
 {
