--- a/bench/main.c
+++ b/bench/main.c
@@ -87,5 +87,9 @@
 		    argc > 3 ? argv[3] : NULL);
 	if (run_all || strcmp(command, "decision") == 0)
 		bench_decision();
+	if (run_all || strcmp(command, "uneven") == 0)
+		bench_uneven();
+	if (run_all || strcmp(command, "fair") == 0)
+		bench_fair();
 	return bench_has_failed() ? 1 : 0;
 }
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -125,8 +125,12 @@
 	bool is_resumable;
 	int64_t last_event_id;
 	uint64_t prefix;
+	struct slot_parts parts;
 	/** Team that the request is attributed to; NULL or "": none. */
 	const char *team;
+	/** Online: weight and priority of the team, see slots.h. */
+	uint32_t weight;
+	uint32_t priority;
 	/** The configuration has teams: what identifies the caller is not
 	 * forwarded. */
 	bool strips_credentials;
--- a/src/gateway/slots.h
+++ b/src/gateway/slots.h
@@ -38,6 +38,15 @@
 	/** Batch: expected run time; 0 if unknown. */
 	int64_t expected_run_us;
 	uint64_t prefix;
+	struct slot_parts parts;
+	/** Online: team that the request is attributed to, NULL or "": none;
+	 * and whether there are teams. */
+	const char *team;
+	bool has_teams;
+	/** The team's weight, thousandths of requests a second; 0: usual. */
+	uint32_t weight;
+	/** 0 first. */
+	uint32_t priority;
 	/** Target to avoid for a while, or NULL. */
 	const char *excluded_target;
 	/** The excluded target still runs the request, or has no room: it is
@@ -74,6 +83,10 @@
 /** The excluded target of a slot request no longer runs the request. */
 void slots_relax_exclusion(struct slots *sl, uint64_t id);
 
+/** Records the run of a slot, for its arbiter; sent with the release. */
+void slots_record_run(
+    struct slots *sl, uint64_t id, const struct slot_run_times *run);
+
 /** Releases a slot or withdraws its request; no further callback follows. */
 void slots_release(struct slots *sl, uint64_t id, enum slot_outcome outcome);
 
--- a/test/relay/relay_fixture.h
+++ b/test/relay/relay_fixture.h
@@ -43,6 +43,10 @@
 	bool is_ended = false;
 	relay_permit permit = kRelayMaySend;
 	bool (*may_send)(void *ctx) = nullptr;
+	/* The last request for a slot; its texts are borrowed. */
+	slots_acquire_options asked = {};
+	/* What was last recorded of a run. */
+	slot_run_times run = {};
 
 	void
 	Note(const std::string &what)
@@ -65,6 +69,7 @@
 {
 	const char *but = request->excluded_target;
 
+	play->asked = *request;
 	play->slot_ops = ops;
 	play->relay_ctx = ctx;
 	play->waiting.push_back(++play->last_slot);
@@ -78,6 +83,12 @@
 {
 }
 
+void
+slots_record_run(struct slots *, uint64_t, const slot_run_times *run)
+{
+	play->run = *run;
+}
+
 void
 slots_release(struct slots *, uint64_t id, slot_outcome outcome)
 {
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -296,4 +296,57 @@
 		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
 }
 
+/* The arbiter would take a target's speed from another target's events, or from
+ * an answer without events. */
+TEST_F(Relay, TheTimesOfARunAreRecordedWithItsSlot)
+{
+	const struct {
+		std::vector<Step> script;
+		int64_t first_ms, pace_ms;
+		int32_t events;
+	} cases[] = {
+	    {{{10, "grant a"}, {100, "cut"}}, 0, 0, 0},
+	    {{{10, "grant a"}, {50, "event"}, {100, "cut"}}, 40, 0, 1},
+	    {{{10, "grant a"}, {50, "event"}, {80, "event"}, {130, "event"},
+		 {140, "cut"}},
+		40, 40, 3},
+	    {{{10, "grant a"}, {50, "event"}, {80, "event"}, {90, "cut"},
+		 {100, "grant b"}, {120, "event"}, {130, "event"},
+		 {140, "cut"}},
+		20, 10, 2},
+	};
+
+	end_ms = 150;
+	for (const auto &c : cases) {
+		Run(Options(), c.script);
+		EXPECT_EQ(c.first_ms * kMs, state.run.first_event_us);
+		EXPECT_EQ(c.pace_ms * kMs, state.run.pace_us);
+		EXPECT_EQ(c.events, state.run.events);
+	}
+}
+
+/* The arbiter would queue all requests as one team's, or take none of their
+ * parts for kept. */
+TEST_F(Relay, AskingForASlotTellsTeamAndParts)
+{
+	relay_options opt = Options();
+
+	opt.team = "blue";
+	opt.strips_credentials = true;
+	opt.weight = 1500;
+	opt.priority = 2;
+	opt.parts = {1, {77}, {800}};
+	end_ms = 20;
+	Run(opt, {});
+	EXPECT_TRUE(state.asked.has_teams);
+	EXPECT_EQ(1500u, state.asked.weight);
+	EXPECT_EQ(2u, state.asked.priority);
+	EXPECT_EQ(1, state.asked.parts.count);
+	EXPECT_EQ(77u, state.asked.parts.keys[0]);
+	EXPECT_EQ(800, state.asked.parts.tokens[0]);
+	Run(Options(), {});
+	EXPECT_FALSE(state.asked.has_teams);
+	EXPECT_EQ(0, state.asked.parts.count);
+}
+
 } // namespace
