--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -24,6 +24,8 @@
 	/* Limits of the online routes, of calls and of a drain. */
 	int timeout_ms = 5000, gap_ms = 300, drain_timeout_ms = 6000;
 	int body_bytes_max = 100000;
+	/* Further flags of the daemons. */
+	std::vector<std::string> daemon_flags;
 
 	/* For tests of what ends before the limits, on a machine of any
 	 * speed. */
@@ -143,7 +145,7 @@
 	void
 	StartDaemon(size_t i)
 	{
-		daemons[i].reset(new Process({Env("SF_BIN"), "serve",
+		std::vector<std::string> argv = {Env("SF_BIN"), "serve",
 		    "--adapter=platform", "--name=d" + std::to_string(i),
 		    "--front-listen=" + LoopbackAddress(front_ports[i]),
 		    "--ready-listen=" + LoopbackAddress(ready_ports[i]),
@@ -151,7 +153,11 @@
 		    "--platform-url=http://" + LoopbackAddress(store_port) +
 			"/d" + std::to_string(i),
 		    "--peers=" + first_seed + LoopbackAddress(peer_ports[0]),
-		    "--drain-timeout-ms=" + std::to_string(drain_timeout_ms)}));
+		    "--drain-timeout-ms=" + std::to_string(drain_timeout_ms)};
+
+		argv.insert(
+		    argv.end(), daemon_flags.begin(), daemon_flags.end());
+		daemons[i].reset(new Process(argv));
 	}
 
 	void
--- a/test/functional/harness.h
+++ b/test/functional/harness.h
@@ -65,6 +65,8 @@
 	std::string Output();
 	/** Peak resident memory so far, KiB; -1 if unknown. */
 	long PeakMemoryKib();
+	/** Descriptors that are open now; -1 if unknown. */
+	int OpenDescriptors();
 
       private:
 	void Read(int fd);
--- a/test/functional/harness_process.cc
+++ b/test/functional/harness_process.cc
@@ -280,3 +280,18 @@
 			return atol(line.c_str() + 6);
 	return -1;
 }
+
+int
+Process::OpenDescriptors()
+{
+	std::string path = "/proc/" + std::to_string(pid_) + "/fd";
+	GDir *dir = g_dir_open(path.c_str(), 0, nullptr);
+	int n = 0;
+
+	if (dir == nullptr)
+		return -1;
+	while (g_dir_read_name(dir) != nullptr)
+		n++;
+	g_dir_close(dir);
+	return n;
+}
