Budget of memory and descriptors for clients

Cause: nothing bounded the sum of what clients make a process hold; data that arrived after a refusal was read on; idle connections took all descriptors.

Change: src/savoryflow/budget/ charges each connection by account and decides which debtor grows, waits, is refused or closed. src/gateway/budget/ applies it to the adapter's entry point, the ready and the metrics listeners: a body that finds no room is not read on, idle debtors get 408 and are closed, answers that are not read are reset, bodies over the limit get 413 at once and what follows is dropped for at most 1 s or 1 MiB. src/api/api_budget.c does the same for bodies and connections of the own API, without waiting. Listeners have limits of connections from max-descriptors and memory-mb and close the connection that is unused for the longest time. The allocator's threshold for mapped buffers is fixed, so that large buffers return to the system. Without the two settings the code takes the paths it took before.

--- a/src/api/api.c
+++ b/src/api/api.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "api/api_budget.h"
 #include "api/request.h"
 #include "error/error.h"
 #include "log/log.h"
@@ -35,6 +36,7 @@
 };
 
 struct api_connection {
+	struct api_debtor debtor;
 	int fd;
 	/** It has had a request. */
 	bool is_used;
@@ -43,6 +45,8 @@
 struct api {
 	struct daemon *d;
 	struct MHD_Daemon *mhd;
+	/** NULL: no limit. */
+	struct api_budget *budget;
 	/** Guards requests. */
 	pthread_mutex_t lock;
 	/** Set of struct request whose connections have not completed them. */
@@ -238,6 +242,7 @@
 	req->d = api->d;
 	pthread_mutex_init(&req->lock, NULL);
 	req->con = con;
+	req->peer = &peer->debtor;
 	req->body = g_string_new(NULL);
 	req->received_us = clock_mono_us(api->d->clk);
 	pthread_mutex_lock(&api->connections_lock);
@@ -246,6 +251,7 @@
 	pthread_mutex_lock(&api->lock);
 	g_hash_table_add(api->requests, req);
 	pthread_mutex_unlock(&api->lock);
+	api_budget_begin(req);
 	metric_add(kMetRequests, 1);
 	return req;
 }
@@ -259,14 +265,17 @@
 
 	pthread_mutex_lock(&api->connections_lock);
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		api_budget_closed(api->budget, &peer->debtor);
 		g_hash_table_remove(api->connections, peer);
 	} else {
 		peer = g_new0(struct api_connection, 1);
 		peer->fd = MHD_get_connection_info(
 		    con, MHD_CONNECTION_INFO_CONNECTION_FD)
 			       ->connect_fd;
+		peer->debtor.fd = peer->fd;
 		g_hash_table_add(api->connections, peer);
 		*context = peer;
+		api_budget_open(api->budget, &peer->debtor, con);
 	}
 	pthread_mutex_unlock(&api->connections_lock);
 }
@@ -286,11 +295,22 @@
 		req->ep->on_body(req);
 }
 
+static void
+read_body(struct request *req, const char *data, size_t len)
+{
+	if (req->ep != NULL && req->ep->is_body_streamed)
+		api_budget_set_kept(req, batch_api_kept_bytes(req));
+	api_budget_read(req, len);
+	if (!req->is_dropped)
+		append_body(req, data, len);
+}
+
 static void
 run_endpoint(struct request *req)
 {
 	if (!req->is_started) {
 		req->is_started = true;
+		api_budget_received(req);
 		if (req->is_refused)
 			request_refuse_draining(req);
 		else if (req->is_body_too_large)
@@ -312,6 +332,12 @@
 	struct api *api = cls;
 	struct request *req = *con_cls;
 
+	if (req->is_dropped) {
+		if (!api_budget_drop(req, *len))
+			return MHD_NO;
+		*len = 0;
+		return MHD_YES;
+	}
 	if (req->method == NULL) {
 		req->url = g_strdup(url);
 		req->method = g_strdup(method);
@@ -319,7 +345,7 @@
 		return req->response != NULL ? queue_reply(req) : MHD_YES;
 	}
 	if (*len > 0) {
-		append_body(req, data, *len);
+		read_body(req, data, *len);
 		*len = 0;
 		return MHD_YES;
 	}
@@ -360,6 +386,7 @@
 	pthread_mutex_lock(&api->lock);
 	g_hash_table_remove(api->requests, req);
 	pthread_mutex_unlock(&api->lock);
+	api_budget_end(req);
 	pthread_mutex_lock(&req->lock);
 	req->con = NULL;
 	pthread_mutex_unlock(&req->lock);
@@ -380,6 +407,7 @@
 	pthread_mutex_init(&api->connections_lock, NULL);
 	api->requests = g_hash_table_new(NULL, NULL);
 	api->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
+	api->budget = api_budget_new(d);
 	settings_parse_address(d->set->listen, ip, &port);
 	inet_pton(AF_INET, ip, &addr.sin_addr);
 	addr.sin_port = htons(port);
@@ -392,13 +420,15 @@
 	    MHD_OPTION_CONNECTION_TIMEOUT,
 	    (unsigned int)d->set->client_timeout_s,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)kConnectionMemoryBytes,
-	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)kConnectionsMax,
+	    MHD_OPTION_CONNECTION_LIMIT,
+	    api_budget_connections(api->budget, kConnectionsMax),
 	    MHD_OPTION_END);
 	if (api->mhd == NULL) {
 		g_set_error(err, SF_ERROR, kErrSettingRange,
 		    "--listen: cannot bind %s", d->set->listen);
 		g_hash_table_unref(api->requests);
 		g_hash_table_unref(api->connections);
+		api_budget_free(api->budget);
 		g_free(api);
 		return NULL;
 	}
@@ -532,6 +562,7 @@
 	*counts = api->counts;
 	g_hash_table_unref(api->requests);
 	g_hash_table_unref(api->connections);
+	api_budget_free(api->budget);
 	pthread_mutex_destroy(&api->lock);
 	pthread_mutex_destroy(&api->connections_lock);
 	g_free(api);
--- a/src/api/api_batch.c
+++ b/src/api/api_batch.c
@@ -217,6 +217,13 @@
 		request_offload(req, parse_lines);
 }
 
+size_t
+batch_api_kept_bytes(const struct request *req)
+{
+	return req->body->len +
+	    (req->upload != NULL ? req->upload->chunk->len : 0);
+}
+
 static json_t *
 job_json(const struct batch_job *job)
 {
--- a/src/api/request.h
+++ b/src/api/request.h
@@ -10,6 +10,7 @@
 #include "serve/daemon.h"
 
 struct request;
+struct api_debtor;
 
 /** Who may use an endpoint. */
 enum endpoint_access {
@@ -58,6 +59,13 @@
 	bool is_body_too_large;
 	/** The daemon drains; the answer follows the body. */
 	bool is_refused;
+	/** Its connection, for the budget. */
+	struct api_debtor *peer;
+	/** Refused before its end: bytes that are still read, and until when.
+	 */
+	bool is_dropped;
+	int64_t drop_left;
+	int64_t drop_until_us;
 	/** The caller's team and its weight in shares of batch capacity. */
 	char *team;
 	int32_t weight;
@@ -168,6 +176,8 @@
 void batch_api_submit(struct request *req);
 void batch_api_get(struct request *req);
 void batch_api_post(struct request *req);
+/** Bytes of a streamed body that are kept. */
+size_t batch_api_kept_bytes(const struct request *req);
 void batch_upload_free(struct batch_upload *up);
 void admin_health(struct request *req);
 void admin_ready(struct request *req);
--- a/src/error/error.h
+++ b/src/error/error.h
@@ -25,6 +25,7 @@
 	X(kErrJobConflict, "job_content_conflict", 409, false)        \
 	X(kErrInProgress, "call_in_progress", 409, true)              \
 	X(kErrOutcomeUnknown, "outcome_unknown", 409, true)           \
+	X(kErrRequestTimeout, "request_timeout", 408, false)          \
 	X(kErrTooLarge, "body_too_large", 413, false)                 \
 	X(kErrRequestCondemned, "request_crashes_targets", 422, true) \
 	X(kErrRateLimited, "rate_limited", 429, false)                \
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 
 #include "error/error.h"
+#include "gateway/budget/front_budget.h"
 #include "gateway/front_internal.h"
 #include "log/log.h"
 #include "settings/settings.h"
@@ -18,7 +19,6 @@
 enum {
 	/* Holds the head of a request, 16 KiB, and parts of its body. */
 	kConnectionMemoryBytes = 32768,
-	kConnectionsMax = 4000,
 	kBacklog = 1024,
 	/* Callers reuse connections that were idle for up to 12 s. */
 	kIdleTimeoutS = 40,
@@ -28,6 +28,10 @@
 	kBodyMaxDefault = 8 * 1024 * 1024,
 	/* Bytes of a stream that its caller has not read: it is cut. */
 	kUnreadBytesMax = 4 * 1024 * 1024,
+	/* With a budget, longer answers are sent in parts, so that progress of
+	 * their readers shows, and the buffers of longer streams are freed as
+	 * soon as they are empty. */
+	kLargeAnswerBytes = 64 * 1024,
 };
 
 /* Callers use no connection again that was idle for longer. A drain lasts
@@ -113,6 +117,8 @@
 	loop_skip_wait(fr->opt.lp);
 }
 
+static void send_in_parts(struct front_request *req, uint64_t total);
+
 static void
 suspend(struct front_request *req)
 {
@@ -165,8 +171,15 @@
 	if (req->response != NULL)
 		return;
 	req->status = (unsigned int)status;
-	req->response = MHD_create_response_from_buffer(
-	    len, (void *)body, MHD_RESPMEM_MUST_COPY);
+	front_budget_reply(req, len);
+	if (req->fr->opt.budget != NULL && len > kLargeAnswerBytes) {
+		g_string_append_len(req->out, body, (gssize)len);
+		req->is_ended = req->is_complete = true;
+		send_in_parts(req, len);
+	} else {
+		req->response = MHD_create_response_from_buffer(
+		    len, (void *)body, MHD_RESPMEM_MUST_COPY);
+	}
 	add_headers(req, headers);
 	front_resume(req);
 }
@@ -178,6 +191,13 @@
 {
 	if (req->out_sent < req->out->len - req->out_sent)
 		return;
+	if (req->fr->opt.budget != NULL && req->out_sent == req->out->len &&
+	    req->out->allocated_len > kLargeAnswerBytes) {
+		g_string_free(req->out, TRUE);
+		req->out = g_string_new(NULL);
+		req->out_sent = 0;
+		return;
+	}
 	g_string_erase(req->out, 0, (gssize)req->out_sent);
 	req->out_sent = 0;
 }
@@ -205,6 +225,7 @@
 	if (n > 0) {
 		memcpy(buf, req->out->str + req->out_sent, n);
 		req->out_sent += n;
+		front_budget_sent(req, n, req->out->len - req->out_sent);
 		trim_sent(req);
 		return (ssize_t)n;
 	}
@@ -216,6 +237,13 @@
 	return 0;
 }
 
+static void
+send_in_parts(struct front_request *req, uint64_t total)
+{
+	req->response = MHD_create_response_from_callback(
+	    total, kStreamBlockBytes, read_stream, req, NULL);
+}
+
 void
 front_stream(struct front_request *req, int32_t status,
     const struct header_list *headers)
@@ -224,8 +252,7 @@
 		return;
 	req->status = (unsigned int)status;
 	req->is_streamed = true;
-	req->response = MHD_create_response_from_callback(
-	    MHD_SIZE_UNKNOWN, kStreamBlockBytes, read_stream, req, NULL);
+	send_in_parts(req, MHD_SIZE_UNKNOWN);
 	add_headers(req, headers);
 	front_resume(req);
 }
@@ -235,10 +262,12 @@
 {
 	size_t unread = req->out->len - req->out_sent;
 
-	if (!req->is_overrun && unread + len > kUnreadBytesMax) {
-		req->is_overrun = true;
+	if (req->is_overrun || len == 0)
+		return;
+	if (unread + len > kUnreadBytesMax || !front_budget_stream(req, len)) {
 		log_event(kEvtAnswerCut, "limit", "unread_bytes", "body_bytes",
 		    log_number((int64_t)unread), (char *)NULL);
+		front_budget_cut(req);
 	}
 	if (!req->is_overrun)
 		g_string_append_len(req->out, data, (gssize)len);
@@ -282,6 +311,7 @@
 		->socket_context;
 	req->peer->request_count++;
 	g_hash_table_add(fr->requests, req);
+	front_budget_begin(req);
 	return req;
 }
 
@@ -320,18 +350,28 @@
 	struct front *fr = cls;
 	struct front_request *req = *con_cls;
 
-	if (req->is_refused)
+	if (req->is_refused && !front_budget_drop(req, *len))
 		return MHD_NO;
+	if (req->is_refused) {
+		*len = 0;
+		return MHD_YES;
+	}
 	if (!req->has_head) {
 		req->has_head = true;
 		req->method = g_strdup(method);
 		req->lacks_chunks = strcmp(version, "HTTP/1.1") != 0;
 		MHD_get_connection_values(
 		    con, MHD_HEADER_KIND, add_header, req);
+		front_budget_head(req);
 		return MHD_YES;
 	}
 	if (*len > 0) {
-		append_body(req, data, *len);
+		if (!front_budget_read(req, *len)) {
+			suspend(req);
+			return MHD_YES;
+		}
+		if (!req->is_refused)
+			append_body(req, data, *len);
 		*len = 0;
 		return MHD_YES;
 	}
@@ -339,6 +379,7 @@
 		req->received_body = g_byte_array_free_to_bytes(req->body);
 		req->body = g_byte_array_new();
 		req->is_open = true;
+		front_budget_received(req);
 		fr->opt.ops->on_request(fr->opt.ctx, req);
 	}
 	if (req->response != NULL)
@@ -360,6 +401,7 @@
 		return;
 	*con_cls = NULL;
 	g_hash_table_remove(fr->requests, req);
+	front_budget_end(req);
 	req->peer->request_count--;
 	req->peer->idle_since_us = loop_now_us(fr->opt.lp);
 	if (!req->is_refused &&
@@ -380,6 +422,7 @@
 	struct front_connection *peer = *context;
 
 	if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+		front_budget_closed(fr, peer);
 		g_hash_table_remove(fr->connections, peer);
 		return;
 	}
@@ -390,6 +433,7 @@
 	peer->idle_since_us = loop_now_us(fr->opt.lp);
 	g_hash_table_add(fr->connections, peer);
 	*context = peer;
+	front_budget_open(fr, peer);
 }
 
 /* The caller has closed its side, or the connection failed. */
@@ -412,6 +456,7 @@
 {
 	struct front *fr = ctx;
 	GPtrArray *closed = g_ptr_array_new();
+	GPtrArray *receiving = g_ptr_array_new();
 	GHashTableIter it;
 	void *key;
 
@@ -423,7 +468,14 @@
 		    (req->is_overrun ||
 			(req->is_suspended && has_disconnected(req))))
 			g_ptr_array_add(closed, req);
+		else if (!req->is_open &&
+		    (req->is_suspended || req->is_refused))
+			g_ptr_array_add(receiving, req);
 	}
+	for (guint i = 0; i < receiving->len; i++)
+		front_budget_check(
+		    receiving->pdata[i], has_disconnected(receiving->pdata[i]));
+	g_ptr_array_unref(receiving);
 	for (guint i = 0; i < closed->len; i++) {
 		struct front_request *req = closed->pdata[i];
 
@@ -490,6 +542,8 @@
 	uint16_t port = 0;
 
 	fr->opt = *opt;
+	if (fr->opt.connections_max == 0)
+		fr->opt.connections_max = kFrontConnectionsMax;
 	fr->body_max = kBodyMaxDefault;
 	fr->requests = g_hash_table_new(NULL, NULL);
 	fr->connections = g_hash_table_new_full(NULL, NULL, g_free, NULL);
@@ -503,7 +557,9 @@
 	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, fr,
 	    MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)kIdleTimeoutS,
 	    MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)kConnectionMemoryBytes,
-	    MHD_OPTION_CONNECTION_LIMIT, (unsigned int)kConnectionsMax,
+	    MHD_OPTION_CONNECTION_LIMIT,
+	    (unsigned int)(fr->opt.connections_max +
+		fr->opt.connections_closing),
 	    MHD_OPTION_LISTEN_BACKLOG_SIZE, (unsigned int)kBacklog,
 	    MHD_OPTION_END);
 	if (fr->mhd == NULL) {
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -5,6 +5,12 @@
 
 #include "gateway/dialect.h"
 #include "gateway/loop.h"
+#include "savoryflow/budget/budget.h"
+
+enum {
+	/** Open connections without limits of the VM. */
+	kFrontConnectionsMax = 4000,
+};
 
 /** Id of a request that a peer forwards; the answer repeats it. */
 extern const char kFrontForwardedHeader[];
@@ -34,6 +40,12 @@
 	const char *listen;
 	const struct front_ops *ops;
 	void *ctx;
+	/** Memory for callers, shared by all servers; NULL: no limit. */
+	struct budget *budget;
+	/** Open connections, and further ones that are about to close; 0: as
+	 * without a budget. */
+	int32_t connections_max;
+	int32_t connections_closing;
 };
 
 /** The HTTP server for callers. */
--- a/src/gateway/front_drain.c
+++ b/src/gateway/front_drain.c
@@ -201,7 +201,8 @@
 		struct front_request *req = key;
 		size_t len = sizeof(kUnfinishedAnswer) - 1;
 
-		if (req->received_body != NULL || req->response != NULL)
+		if (req->received_body != NULL || req->response != NULL ||
+		    req->is_refused)
 			continue;
 		req->is_refused =
 		    send(req->peer->fd, kUnfinishedAnswer, len,
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -4,6 +4,7 @@
 #include <microhttpd.h>
 
 #include "gateway/front.h"
+#include "savoryflow/budget/budget.h"
 
 /* Shared by front*.c. */
 
@@ -21,6 +22,8 @@
 	bool is_stopping;
 	/** No more connections are accepted. */
 	bool is_quiesced;
+	/** Connections that the budget closes; they count no longer. */
+	int32_t closing_count;
 	struct front_counts counts;
 	int64_t body_max;
 	bool needs_run;
@@ -29,7 +32,13 @@
 };
 
 struct front_connection {
+	struct front *fr;
 	int fd;
+	/** Its request from the first line on, or NULL. */
+	struct front_request *request;
+	/** Its share of the budget. */
+	struct budget_debtor debt;
+	bool is_closing;
 	/** Number of its requests from their first line on, 0 or 1. */
 	int32_t request_count;
 	/** Time at which it was accepted or its last answer ended. */
@@ -51,6 +60,9 @@
 	bool is_too_large;
 	/** It was refused before its end; nothing more may be sent. */
 	bool is_refused;
+	/** Refused: bytes that are still read, and until when; 0: none. */
+	int64_t drop_left;
+	int64_t drop_until_us;
 	bool is_suspended;
 	/** on_request was called, and the answer is not complete. */
 	bool is_open;
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -16,10 +16,12 @@
 #include <xxhash.h>
 
 #include "error/error.h"
+#include "gateway/budget/front_budget.h"
 #include "gateway/gateway_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/exit_guard.h"
+#include "os/heap.h"
 
 enum {
 	kExitOk = 0,
@@ -38,6 +40,8 @@
 	/* A daemon that its neighbours have not heard for this time may be cut
 	 * off from the network. */
 	kContactTimeoutUs = 1500 * kUsPerMs,
+	/* Requests for readiness and metrics need no body. */
+	kOperatorBodyBytes = 16 * 1024,
 	kSettingsCheckUs = 500 * kUsPerMs,
 	/* Jobs are kept longer than callers may read them. */
 	kRetentionSlackUs = 60 * kUsPerS,
@@ -243,6 +247,29 @@
 	gw->self.cpu_millicores = (int32_t)set->cpu_millicores;
 }
 
+static void
+create_budget(struct gateway *gw)
+{
+	struct budget_watch_options watch = {
+	    .lp = gw->lp, .ops = &front_budget_ops};
+
+	if (gw->set->memory_mb == 0 && gw->set->max_descriptors == 0)
+		return;
+	gw->budget_opt = budget_options_of_vm(gw->set->memory_mb);
+	gw->budget = budget_new(&gw->budget_opt);
+	watch.budget = gw->budget;
+	gw->budget_watch = budget_watch_new(&watch);
+}
+
+static void
+free_budget(struct gateway *gw)
+{
+	if (gw->budget == NULL)
+		return;
+	budget_watch_free(gw->budget_watch);
+	budget_free(gw->budget);
+}
+
 static void
 create_state(struct gateway *gw)
 {
@@ -256,6 +283,7 @@
 	gw->fleet = fleet_new();
 	gw->roster = roster_new(&roster);
 	gw->is_store_up = true;
+	create_budget(gw);
 	gw->reconnects =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
@@ -327,12 +355,15 @@
 static bool
 create_listeners(struct gateway *gw, GError **err)
 {
-	struct front_options front = {
-	    gw->lp, gw->set->front_listen, &gateway_front_ops, gw};
-	struct front_options ready = {
-	    gw->lp, gw->set->ready_listen, &gateway_ready_ops, gw};
-	struct front_options metrics = {
-	    gw->lp, gw->set->metrics_listen, &gateway_metrics_ops, gw};
+	struct budget_connections n = budget_connections_of_vm(
+	    gw->set->max_descriptors, gw->budget_opt.limit_bytes,
+	    kFrontConnectionBytes, kFrontConnectionsMax);
+	struct front_options front = {gw->lp, gw->set->front_listen,
+	    &gateway_front_ops, gw, gw->budget, n.front, n.closing};
+	struct front_options ready = {gw->lp, gw->set->ready_listen,
+	    &gateway_ready_ops, gw, gw->budget, n.operators, n.closing};
+	struct front_options metrics = {gw->lp, gw->set->metrics_listen,
+	    &gateway_metrics_ops, gw, gw->budget, n.operators, n.closing};
 	struct peer_options peer = {
 	    .address = gw->set->peer_listen,
 	    .tick_ms = kPeerTickMs,
@@ -352,9 +383,13 @@
 	gw->ready = front_new(&ready, err);
 	if (gw->ready == NULL)
 		return false;
+	if (gw->budget != NULL)
+		front_set_body_max(gw->ready, kOperatorBodyBytes);
 	if (gw->set->metrics_listen[0] == '\0')
 		return true;
 	gw->metrics = front_new(&metrics, err);
+	if (gw->metrics != NULL && gw->budget != NULL)
+		front_set_body_max(gw->metrics, kOperatorBodyBytes);
 	return gw->metrics != NULL;
 }
 
@@ -431,6 +466,7 @@
 	fleet_free(gw->fleet);
 	routebook_unref(gw->routes);
 	gw->adapter->store_free(gw->store);
+	free_budget(gw);
 	loop_free(gw->lp);
 	close(gw->signal_fd);
 }
@@ -443,6 +479,8 @@
 	GError *err = NULL;
 	int code = kExitOk;
 
+	if (set->memory_mb > 0)
+		heap_limit();
 	block_signals(&gw);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	log_open(set->log_level, set->name);
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_GATEWAY_GATEWAY_INTERNAL_H
 
 #include "gateway/access/access.h"
+#include "gateway/budget/budget_watch.h"
 #include "gateway/calls.h"
 #include "gateway/contact_exchange.h"
 #include "gateway/gateway.h"
@@ -46,6 +47,10 @@
 	struct quota *quota;
 	/** int64_t: time of the last reconnect, by peer. */
 	GHashTable *reconnects;
+	/** Memory for callers; NULL: no limit. */
+	struct budget *budget;
+	struct budget_options budget_opt;
+	struct budget_watch *budget_watch;
 	struct front *front;
 	/** When the server for callers stopped. */
 	struct front_counts front_counts;
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -6,6 +6,15 @@
  * Numbers are never reused. docs/EVENTS.md is generated from this table.
  */
 #define SF_EVENTS(X)                                                           \
+	X(kEvtBudgetShort, 1731, WARN, "budget_short",                         \
+	    "Clients need more memory than the budget has left: bodies "       \
+	    "wait, and idle clients are closed.")                              \
+	X(kEvtBudgetFree, 1732, NOTICE, "budget_free",                         \
+	    "Clients no longer wait for memory.")                              \
+	X(kEvtClientRefused, 1733, INFO, "client_refused",                     \
+	    "A request was refused before it was received; it did not run.")   \
+	X(kEvtClientClosed, 1734, INFO, "client_closed",                       \
+	    "A connection without a request was closed for others.")           \
 	X(kEvtSettingsReloaded, 1006, INFO, "settings_reloaded",               \
 	    "The settings file was reloaded; the fields list the changes.")    \
 	X(kEvtSettingsBad, 1007, WARN, "settings_unreadable",                  \
--- a/src/metric/metric.h
+++ b/src/metric/metric.h
@@ -64,6 +64,27 @@
 	    "Bytes of load reports read from targets.")                        \
 	X(kMetControlCpuUs, counter, "savoryflow_control_cpu_us_total",        \
 	    "Processor time of the control threads, microseconds.")            \
+	X(kMetBudgetRefused, counter, "savoryflow_budget_refused_total",       \
+	    "Requests refused before they were received, for lack of memory "  \
+	    "or progress, or for their size.")                                 \
+	X(kMetBudgetCut, counter, "savoryflow_budget_cut_total",               \
+	    "Answers cut because their callers did not read them.")            \
+	X(kMetBudgetClosed, counter, "savoryflow_budget_closed_total",         \
+	    "Connections without a request closed for others.")                \
+	X(kMetBudgetWaits, counter, "savoryflow_budget_waits_total",           \
+	    "Times that a body was not read on, for lack of memory.")          \
+	X(kMetBudgetLimit, gauge, "savoryflow_budget_limit_bytes",             \
+	    "Memory that all clients may use; 0: no limit.")                   \
+	X(kMetBudgetConnections, gauge, "savoryflow_budget_connections_bytes", \
+	    "Memory charged for connections.")                                 \
+	X(kMetBudgetHeads, gauge, "savoryflow_budget_heads_bytes",             \
+	    "Memory charged for heads of requests.")                           \
+	X(kMetBudgetReading, gauge, "savoryflow_budget_reading_bytes",         \
+	    "Memory charged for bodies that are being received.")              \
+	X(kMetBudgetHeld, gauge, "savoryflow_budget_held_bytes",               \
+	    "Memory charged for bodies of requests that run.")                 \
+	X(kMetBudgetUnread, gauge, "savoryflow_budget_unread_bytes",           \
+	    "Memory charged for answers that were not read.")                  \
 	X(kMetActiveCalls, gauge, "savoryflow_active_calls",                   \
 	    "Calls without their final answer.")                               \
 	X(kMetGeneration, gauge, "savoryflow_config_generation",               \
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -13,6 +13,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/exit_guard.h"
+#include "os/heap.h"
 #include "serve/batch_run.h"
 #include "serve/crash_watch.h"
 #include "serve/grants.h"
@@ -262,6 +263,8 @@
 	sigset_t signals;
 	int sig;
 
+	if (set->memory_mb > 0)
+		heap_limit();
 	block_signals(&signals);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	log_open(set->log_level, set->name);
