Refused bodies are not read on; jobs are charged for their copies

Change: at the adapter's listeners the connection of a refused request is suspended for a second, so that the client can read the refusal, and closed then. A job is charged twice its body beside the body, or refused with 503. A request on a connection that is being closed is not begun. Tests: refusals that arrive though the client sends on, complete jobs, a stream that is cut, a stop while bodies wait, and a body of 4 MiB on a VM of 120 MB with 3,075 descriptors.

--- a/src/api/api_budget.c
+++ b/src/api/api_budget.c
@@ -209,6 +209,11 @@
 	if (peer->ab == NULL)
 		return;
 	peer->request = req;
+	/* Its connection was closed just before it arrived. */
+	if (peer->is_closing) {
+		req->is_dropped = true;
+		return;
+	}
 	budget_set_phase(peer->ab->budget, &peer->debt, kBudgetSending,
 	    clock_mono_us(peer->ab->clk));
 }
--- a/src/gateway/budget/front_budget.c
+++ b/src/gateway/budget/front_budget.c
@@ -11,10 +11,9 @@
 enum {
 	/* Copies of the head's fields; heads have up to 16 KiB. */
 	kHeadBytes = 16 * 1024,
-	/* After a refusal, what the client had sent by then is read, so that
-	 * no reset destroys the refusal. */
-	kDropBytesMax = 1024 * 1024,
-	kDropUs = 1 * kUsPerS,
+	/* A client has this time to read a refusal: closing a connection with
+	 * bytes that were not read sends a reset, which may destroy it. */
+	kLingerUs = 1 * kUsPerS,
 	kRetryAfterMs = 1000,
 };
 
@@ -87,6 +86,11 @@
 	req->peer->request = req;
 	if (b == NULL)
 		return;
+	/* Its connection was closed just before it arrived. */
+	if (req->peer->is_closing) {
+		req->is_refused = true;
+		return;
+	}
 	budget_set_phase(b, &req->peer->debt, kBudgetSending, now_us(req));
 	budget_charge(b, &req->peer->debt, kBudgetHeads, kHeadBytes);
 }
@@ -132,7 +136,7 @@
 		return true;
 	if ((int64_t)(req->body->len + len) > body_max(req)) {
 		front_budget_refuse(req, kErrTooLarge, "length");
-		return true;
+		return false;
 	}
 	if (budget_grow(b, &req->peer->debt, kBudgetReading, (int64_t)len,
 		now_us(req)) == kBudgetGranted)
@@ -152,18 +156,14 @@
 	budget_set_phase(b, &req->peer->debt, kBudgetRunning, now_us(req));
 }
 
-bool
-front_budget_stream(struct front_request *req, size_t len)
+/* Closes idle debtors until there is room. */
+static bool
+grow(struct front_request *req, enum budget_account account, size_t len)
 {
 	struct budget *b = budget_of(req);
 	struct budget_debtor *idle;
 
-	if (b == NULL)
-		return true;
-	if (req->peer->debt.phase != kBudgetAnswering)
-		budget_set_phase(
-		    b, &req->peer->debt, kBudgetAnswering, now_us(req));
-	while (budget_grow(b, &req->peer->debt, kBudgetUnread, (int64_t)len,
+	while (budget_grow(b, &req->peer->debt, account, (int64_t)len,
 		   now_us(req)) != kBudgetGranted) {
 		idle = budget_largest_idle(b, now_us(req));
 		if (idle == NULL || idle == &req->peer->debt)
@@ -173,6 +173,25 @@
 	return true;
 }
 
+bool
+front_hold(struct front_request *req, size_t bytes)
+{
+	return budget_of(req) == NULL || grow(req, kBudgetHeld, bytes);
+}
+
+bool
+front_budget_stream(struct front_request *req, size_t len)
+{
+	struct budget *b = budget_of(req);
+
+	if (b == NULL)
+		return true;
+	if (req->peer->debt.phase != kBudgetAnswering)
+		budget_set_phase(
+		    b, &req->peer->debt, kBudgetAnswering, now_us(req));
+	return grow(req, kBudgetUnread, len);
+}
+
 void
 front_budget_reply(struct front_request *req, size_t len)
 {
@@ -263,8 +282,7 @@
 	if (req->is_refused)
 		return;
 	req->is_refused = true;
-	req->drop_left = kDropBytesMax;
-	req->drop_until_us = now_us(req) + kDropUs;
+	req->linger_until_us = now_us(req) + kLingerUs;
 	metric_add(kMetBudgetRefused, 1);
 	metric_add(kMetRefused, 1);
 	log_event(kEvtClientRefused, "uri", req->uri, "why", why, "type",
@@ -278,13 +296,10 @@
 }
 
 bool
-front_budget_drop(struct front_request *req, size_t len)
+front_budget_lingers(struct front_request *req, size_t len)
 {
-	if (len == 0 || (int64_t)len > req->drop_left ||
-	    now_us(req) >= req->drop_until_us)
-		return false;
-	req->drop_left -= (int64_t)len;
-	return true;
+	return len > 0 && !req->fr->is_stopping &&
+	    now_us(req) < req->linger_until_us;
 }
 
 void
@@ -292,15 +307,16 @@
 {
 	if (budget_of(req) == NULL)
 		return;
-	if (!req->is_refused && req->is_suspended &&
-	    req->received_body == NULL && has_disconnected) {
+	if (has_disconnected && req->received_body == NULL) {
 		req->is_refused = true;
-		front_resume(req);
+		req->linger_until_us = 0;
 	}
+	if (!req->is_refused || now_us(req) < req->linger_until_us)
+		return;
 	/* An empty read makes libmicrohttpd close the connection. */
-	if (req->is_refused && req->drop_until_us > 0 &&
-	    now_us(req) >= req->drop_until_us)
+	if (!req->is_suspended)
 		shutdown(req->peer->fd, SHUT_RDWR);
+	front_resume(req);
 }
 
 static void
--- a/src/gateway/budget/front_budget.h
+++ b/src/gateway/budget/front_budget.h
@@ -61,18 +61,18 @@
 
 /**
  * Refuses a request that has not been received completely, and sends nothing
- * else. What still arrives is dropped for a second, then the connection is
- * closed.
+ * else. No more of it is read; the connection is closed after a second.
  * @param code sf_error_code of an error that says that it did not run
  * @param why for the log
  */
 void front_budget_refuse(struct front_request *req, int code, const char *why);
 
 /**
- * Drops a part of a refused request.
- * @return false if the connection is to be closed
+ * @param len bytes of a refused request that have arrived
+ * @return true if the connection is to be suspended, so that the client can
+ *         read its refusal; false if it is to be closed
  */
-bool front_budget_drop(struct front_request *req, size_t len);
+bool front_budget_lingers(struct front_request *req, size_t len);
 
 /** Closes refused connections that stay open, and drops waiting requests
  * whose callers have disconnected. */
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -350,10 +350,10 @@
 	struct front *fr = cls;
 	struct front_request *req = *con_cls;
 
-	if (req->is_refused && !front_budget_drop(req, *len))
+	if (req->is_refused && !front_budget_lingers(req, *len))
 		return MHD_NO;
 	if (req->is_refused) {
-		*len = 0;
+		suspend(req);
 		return MHD_YES;
 	}
 	if (!req->has_head) {
@@ -370,8 +370,7 @@
 			suspend(req);
 			return MHD_YES;
 		}
-		if (!req->is_refused)
-			append_body(req, data, *len);
+		append_body(req, data, *len);
 		*len = 0;
 		return MHD_YES;
 	}
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -60,9 +60,8 @@
 	bool is_too_large;
 	/** It was refused before its end; nothing more may be sent. */
 	bool is_refused;
-	/** Refused: bytes that are still read, and until when; 0: none. */
-	int64_t drop_left;
-	int64_t drop_until_us;
+	/** Refused: its connection is closed then. */
+	int64_t linger_until_us;
 	bool is_suspended;
 	/** on_request was called, and the answer is not complete. */
 	bool is_open;
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -20,6 +20,9 @@
 	kTakeoverMaxUs = 16 * kUsPerS,
 	/* Jobs whose row is cached for reads of their results. */
 	kCachedJobsMax = 1000,
+	/* Its JSON tree and its decoded items, beside the body. */
+	kJobCopies = 2,
+	kNoMemoryRetryUs = kUsPerS,
 	kHttpOk = 200,
 	kHttpAccepted = 202,
 };
@@ -224,9 +227,18 @@
 	GError *err = NULL;
 	gsize len;
 	const char *data = g_bytes_get_data(front_body(req), &len);
-	GPtrArray *items = js->opt.deps.dialect->decode_job(data, len, &err);
+	GPtrArray *items;
 	struct job_task *task;
 
+	if (!front_hold(req, kJobCopies * len)) {
+		log_event(kEvtCallRefused, "request", call->attempt_id, "why",
+		    "no_memory", "body_bytes", log_number((int64_t)len), NULL);
+		reply_error(req, kErrOverloaded,
+		    "no memory is free for the job; it was not accepted",
+		    kNoMemoryRetryUs);
+		return;
+	}
+	items = js->opt.deps.dialect->decode_job(data, len, &err);
 	if (items != NULL && !job_id_is_valid(call->attempt_id)) {
 		g_ptr_array_unref(items);
 		items = NULL;
--- a/test/functional/test_untrusted_clients.cc
+++ b/test/functional/test_untrusted_clients.cc
@@ -1,5 +1,7 @@
 /* Groups of untrusted clients: a process keeps its memory and descriptors
  * within its limits, lives, and answers an ordinary request afterwards. */
+#include <thread>
+
 #include "functional/clients.h"
 #include "functional/gateway_fixture.h"
 
@@ -309,6 +311,150 @@
 	ExpectWithinLimits();
 }
 
+struct UntrustedJobs : UntrustedFixture {
+	/* A job of almost the largest size. */
+	ClientScript
+	LargeJob()
+	{
+		std::string body = JobBody("j", 1, std::string(2900000, 'x'));
+		ClientScript s;
+
+		s.head = Head("POST", "/b/u") +
+		    "Content-Length: " + std::to_string(body.size()) +
+		    "\r\n\r\n";
+		s.end = body;
+		return s;
+	}
+};
+
+/* Guards against a process that runs out of memory because of complete jobs
+ * that arrive at once. */
+TEST_F(UntrustedJobs, CompleteJobsStayWithinTheLimits)
+{
+	ClientGroup group(front_ports[0], LargeJob(), kClients);
+
+	Play(&group);
+	ExpectWithinLimits();
+}
+
+struct UntrustedRefusals : UntrustedFixture {
+	/* All that a client reads that sends on after its refusal. */
+	std::string
+	AnswerTo(ClientScript script)
+	{
+		script.read_bytes = 4096;
+		ClientGroup group(front_ports[0], script, 1);
+
+		Play(&group);
+		EXPECT_FALSE(group.All()[0]->IsOpen());
+		return group.All()[0]->Answer();
+	}
+};
+
+/* Guards against a reset that destroys the refusal, and against a connection
+ * that is read on after it. */
+TEST_F(UntrustedRefusals, ARefusalArrivesThoughTheClientSendsOn)
+{
+	const struct {
+		const char *name;
+		ClientScript (*make)(const std::string &head);
+	} cases[] = {
+	    {"announced", ExcessAnnounced},
+	    {"chunked", ExcessChunked},
+	};
+
+	for (const auto &c : cases) {
+		std::string answer = AnswerTo(c.make(HeadOf(kFront)));
+
+		EXPECT_EQ(0u, answer.find("HTTP/1.1 413 "))
+		    << c.name << " " << answer;
+		EXPECT_NE(
+		    std::string::npos, answer.find("Savoryflow-Ran: no\r\n"))
+		    << c.name;
+		EXPECT_NE(std::string::npos, answer.find("body_too_large"))
+		    << c.name;
+	}
+	EXPECT_EQ(0, CountRuns("u"));
+}
+
+/* Guards against a stop that fails because of bodies that wait for memory, and
+ * of clients that were refused and send on. */
+TEST_F(UntrustedRefusals, ADaemonStopsWhileBodiesWait)
+{
+	drain_timeout_ms = 1500;
+	daemons[0].reset();
+	StartDaemon(0);
+	ASSERT_TRUE(Eventually([&] {
+		return ReadyStatus(0) == 200 &&
+		    Call(0, "/q/ready", "ready", 1).status == 200;
+	}));
+	ClientGroup bodies(
+	    front_ports[0], LargeChunks(HeadOf(kFront)), kClients / 2);
+	ClientGroup excess(
+	    front_ports[0], ExcessChunked(HeadOf(kFront)), kClients / 2);
+
+	std::thread sender([&] { bodies.Play(); });
+	std::thread other([&] { excess.Play(); });
+	EXPECT_TRUE(daemons[0]->WaitLine("\"name\":\"client_refused\""));
+	daemons[0]->Signal(SIGTERM);
+	EXPECT_EQ(0, daemons[0]->Wait());
+	sender.join();
+	other.join();
+}
+
+/* Guards against limits that a single caller inside the limits reaches on the
+ * smallest VM. */
+TEST_F(UntrustedFixture, TheLargestBodyIsServedOnTheSmallestVm)
+{
+	daemon_flags = {"--memory-mb=120", "--max-descriptors=3075"};
+	daemons[0].reset();
+	StartDaemon(0);
+	ASSERT_TRUE(Eventually([&] {
+		return ReadyStatus(0) == 200 &&
+		    Call(0, "/q/ready", "ready", 1).status == 200;
+	}));
+	std::string body = RequestBody(3);
+
+	body += std::string(kBodyBytesMax - body.size(), ' ');
+	EXPECT_EQ(ExpectedStream("/q/large", 3),
+	    Send(0, "POST", "/q/large", body, "large").body);
+}
+
+/* Guards against a stream that is cut because nobody reads it and looks whole,
+ * and against a target that stays occupied by it. */
+TEST_F(UntrustedReaders, AStreamThatIsCutDoesNotLookWhole)
+{
+	const std::string last_chunk = "\r\n0\r\n\r\n";
+	std::string body = RequestBody(10 * kEvents);
+	std::string text;
+	char buf[65536];
+	ssize_t n;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	struct sockaddr_in addr = {};
+	std::string head = Head("POST", "/q/" + std::string(kEventBytes, 'p')) +
+	    "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	    body;
+
+	addr.sin_family = AF_INET;
+	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	addr.sin_port = htons((uint16_t)front_ports[0]);
+	ASSERT_EQ(0, connect(fd, (struct sockaddr *)&addr, sizeof(addr)));
+	ASSERT_EQ((ssize_t)head.size(),
+	    send(fd, head.data(), head.size(), MSG_NOSIGNAL));
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"answer_cut\""));
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"caller_left\""));
+	while ((n = recv(fd, buf, sizeof(buf), 0)) > 0)
+		text.append(buf, (size_t)n);
+	close(fd);
+	EXPECT_EQ(std::string::npos, text.find(last_chunk));
+	/* The target has as many slots. */
+	for (int i = 0; i < 4; i++) {
+		std::string id = "f" + std::to_string(i);
+
+		EXPECT_EQ(200, Call(0, "/q/" + id, id, 3).status);
+	}
+}
+
 /* The daemon's own API, with a key that it knows. */
 struct UntrustedApi : ::testing::TestWithParam<Kind> {
 	static FleetOptions
