Budget: bodies that wait are received in the order of their requests

Cause: all bodies that waited shared what became free. Of 120 bodies of 4 MB on a VM with 120 MB, none was received, 5 were refused in 3 s, and the memory was still in use 3 s after the clients had gone.

Change: the oldest request that waits is read on first; at most 8 wait, and the last ones are refused at once.

--- a/src/gateway/budget/budget_watch.c
+++ b/src/gateway/budget/budget_watch.c
@@ -54,7 +54,8 @@
 	struct budget_debtor *d;
 
 	for (int i = 0; i < kStepMax; i++) {
-		d = budget_next_ready(bw->opt.budget, now_us);
+		d = budget_next_ready(
+		    bw->opt.budget, (int64_t)i * kBudgetOrdinaryBytes, now_us);
 		if (d == NULL)
 			return;
 		bw->opt.ops->resume(d);
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -110,7 +110,8 @@
 bool front_is_too_large(const struct front_request *req);
 
 /**
- * Charges memory, beside its body, that a request occupies until it is answered.
+ * Charges memory, beside its body, that a request occupies until it is
+ * answered.
  * @return false if the budget has no room; nothing is charged then
  */
 bool front_hold(struct front_request *req, size_t bytes);
--- a/src/savoryflow/budget/budget.c
+++ b/src/savoryflow/budget/budget.c
@@ -28,7 +28,8 @@
 	int64_t bytes[kBudgetAccountCount];
 	/** Debtors, the one without progress for the longest time first. */
 	GQueue by_progress;
-	/** Debtors that wait, the first one first. */
+	uint64_t orders;
+	/** Debtors that wait, in the order in which their requests began. */
 	GQueue by_wait;
 	bool is_short;
 };
@@ -125,6 +126,8 @@
 {
 	if (!d->is_listed)
 		return;
+	if (phase == kBudgetSending && d->phase != kBudgetSending)
+		d->order = ++b->orders;
 	d->phase = phase;
 	stop_waiting(b, d);
 	record_progress(b, d, now_us);
@@ -149,7 +152,8 @@
 }
 
 static bool
-has_room(const struct budget *b, const struct budget_debtor *d, int64_t bytes)
+has_room(const struct budget *b, const struct budget_debtor *d, int64_t bytes,
+    int64_t promised_bytes)
 {
 	int64_t limit = b->opt.limit_bytes;
 
@@ -157,7 +161,22 @@
 		return true;
 	if (own_bytes(d) + bytes > kBudgetOrdinaryBytes)
 		limit -= b->opt.reserve_bytes;
-	return b->used_bytes + bytes <= limit;
+	return b->used_bytes + promised_bytes + bytes <= limit;
+}
+
+static void
+start_waiting(struct budget *b, struct budget_debtor *d, int64_t now_us)
+{
+	GList *next = b->by_wait.head;
+
+	d->waiting_since_us = MAX(now_us, 1);
+	while (next != NULL &&
+	    ((struct budget_debtor *)next->data)->order < d->order)
+		next = next->next;
+	if (next != NULL)
+		g_queue_insert_before_link(&b->by_wait, next, &d->by_wait);
+	else
+		g_queue_push_tail_link(&b->by_wait, &d->by_wait);
 }
 
 enum budget_verdict
@@ -166,7 +185,7 @@
 {
 	if (!d->is_listed)
 		return kBudgetRefused;
-	if (has_room(b, d, bytes)) {
+	if (has_room(b, d, bytes, 0)) {
 		stop_waiting(b, d);
 		add_bytes(b, d, account, bytes);
 		if (account == kBudgetReading)
@@ -177,8 +196,7 @@
 	if (account != kBudgetReading)
 		return kBudgetRefused;
 	if (d->waiting_since_us == 0) {
-		d->waiting_since_us = MAX(now_us, 1);
-		g_queue_push_tail_link(&b->by_wait, &d->by_wait);
+		start_waiting(b, d, now_us);
 	}
 	return kBudgetWait;
 }
@@ -238,19 +256,14 @@
 	return largest;
 }
 
-/* The largest debtor that waits. */
+/* The last request that waits; an ordinary one only if no other waits. */
 static struct budget_debtor *
-largest_waiting(struct budget *b)
+last_waiting(struct budget *b)
 {
-	struct budget_debtor *largest = NULL;
-
-	for (GList *it = b->by_wait.head; it != NULL; it = it->next) {
-		struct budget_debtor *d = it->data;
-
-		if (largest == NULL || own_bytes(d) > own_bytes(largest))
-			largest = d;
-	}
-	return largest;
+	for (GList *it = b->by_wait.tail; it != NULL; it = it->prev)
+		if (own_bytes(it->data) > kBudgetOrdinaryBytes)
+			return it->data;
+	return b->by_wait.tail->data;
 }
 
 /* The idle connection that was used the longest time ago. */
@@ -271,7 +284,6 @@
 struct budget_debtor *
 budget_victim(struct budget *b, int64_t now_us)
 {
-	const struct budget_debtor *first;
 	struct budget_debtor *d;
 	int64_t wait_us;
 
@@ -283,10 +295,12 @@
 		d = oldest_unused(b, now_us);
 	if (d != NULL || b->by_wait.length == 0)
 		return d;
-	first = b->by_wait.head->data;
+	d = last_waiting(b);
 	wait_us = b->by_wait.length > 1 ? kBudgetWaitUs : kBudgetLoneWaitUs;
-	return now_us - first->waiting_since_us >= wait_us ? largest_waiting(b)
-							   : NULL;
+	if (b->by_wait.length > kBudgetWaitersMax ||
+	    now_us - d->waiting_since_us >= wait_us)
+		return d;
+	return NULL;
 }
 
 struct budget_debtor *
@@ -309,15 +323,20 @@
 }
 
 struct budget_debtor *
-budget_next_ready(struct budget *b, int64_t now_us)
+budget_next_ready(struct budget *b, int64_t promised_bytes, int64_t now_us)
 {
-	struct budget_debtor *d = g_queue_peek_head(&b->by_wait);
+	for (GList *it = b->by_wait.head; it != NULL; it = it->next) {
+		struct budget_debtor *d = it->data;
+		int64_t left = kBudgetOrdinaryBytes - own_bytes(d);
+		int64_t bytes = left > 0 ? left : kBudgetOrdinaryBytes;
 
-	if (d == NULL || !has_room(b, d, kBudgetProgressBytes))
-		return NULL;
-	stop_waiting(b, d);
-	record_progress(b, d, now_us);
-	return d;
+		if (!has_room(b, d, bytes, promised_bytes))
+			continue;
+		stop_waiting(b, d);
+		record_progress(b, d, now_us);
+		return d;
+	}
+	return NULL;
 }
 
 void
--- a/src/savoryflow/budget/budget.h
+++ b/src/savoryflow/budget/budget.h
@@ -26,6 +26,9 @@
 	/** Longest wait of a body beside others that wait: the usual objective
 	 * for the first event, after which an answer is of little use. */
 	kBudgetWaitUs = 300 * kUsPerMs,
+	/** Bodies that may wait at the same time. More would share what becomes
+	 * free, and none would be received. */
+	kBudgetWaitersMax = 8,
 	/** Longest wait of a body that is the only one. */
 	kBudgetLoneWaitUs = 3 * kUsPerS,
 };
@@ -85,6 +88,8 @@
 	/** Time of the last progress, and bytes since. */
 	int64_t progress_us;
 	int64_t progress_bytes;
+	/** Order in which requests began. */
+	uint64_t order;
 	/** Time since which it waits; 0: it does not wait. */
 	int64_t waiting_since_us;
 	GList by_progress;
@@ -154,9 +159,11 @@
     struct budget *b, struct budget_debtor *d, int64_t bytes, int64_t now_us);
 
 /**
- * The debtor to close, if others lack memory: the largest idle one, or, if a
- * body has waited for kBudgetWaitUs, the largest that waits; the only one that
- * waits may do so for kBudgetLoneWaitUs. It stays a debtor until budget_remove.
+ * The debtor to close, if others lack memory: the largest idle one. If more
+ * than kBudgetWaitersMax wait, or one has waited for kBudgetWaitUs: the last
+ * request that waits, but ordinary ones only if no other waits. The only one
+ * that waits may do so for kBudgetLoneWaitUs. It stays a debtor until
+ * budget_remove.
  * @return NULL if there is none or memory is not short
  */
 struct budget_debtor *budget_victim(struct budget *b, int64_t now_us);
@@ -179,10 +186,15 @@
     struct budget *b, const void *group, const struct budget_debtor *except);
 
 /**
- * The next debtor that waits and has room now; it no longer waits.
+ * The first request that waits and has room now; it no longer waits. Requests
+ * are received in the order in which they began: if all shared the room, none
+ * would be received in time.
+ * @param promised_bytes room for the debtors that this returned a moment ago,
+ *        kBudgetOrdinaryBytes for each
  * @return NULL if there is none
  */
-struct budget_debtor *budget_next_ready(struct budget *b, int64_t now_us);
+struct budget_debtor *budget_next_ready(
+    struct budget *b, int64_t promised_bytes, int64_t now_us);
 
 /**
  * Usage now. The mark counts as crossed from the first wait or refusal until
