--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -164,6 +164,18 @@
 daemons send their intents (8 writers, groups of up to 50), or storing the answer
 only for calls whose caller requests it. Neither is implemented.
 
+## Memory for clients
+
+Resident memory of a gateway on x86-64, `memory-mb` 120 and `max-descriptors` 3,075
+(98,304 KiB are 0.8 of the memory); measured by hand, not by `make slopes`.
+
+| clients | without the settings | with them | charged |
+|---|---|---|---|
+| none | 15.9 MB | 15.9 MB | 0 |
+| 1,000 idle connections | 21.0 MB | 20.7 MB | connections 24.6 MB |
+| 1,000 heads of 12 KB that do not end | 33.3 MB | 33.1 MB | connections 24.6 MB, heads 16.4 MB |
+| 120 chunked bodies that stop short of 4 MB | 495.5 MB | 70.7 MB | connections 2.9 MB, heads 0.6 MB, reading 45.2 MB |
+
 ## Joining and changing
 
 | daemons started at once | full membership, s | a change in force everywhere, s |
--- a/src/savoryflow/budget/budget.c
+++ b/src/savoryflow/budget/budget.c
@@ -263,7 +263,7 @@
 	for (GList *it = b->by_wait.tail; it != NULL; it = it->prev)
 		if (own_bytes(it->data) > kBudgetOrdinaryBytes)
 			return it->data;
-	return b->by_wait.tail->data;
+	return g_queue_peek_tail(&b->by_wait);
 }
 
 /* The idle connection that was used the longest time ago. */
@@ -293,9 +293,11 @@
 	d = budget_largest_idle(b, now_us);
 	if (d == NULL)
 		d = oldest_unused(b, now_us);
-	if (d != NULL || b->by_wait.length == 0)
+	if (d != NULL)
 		return d;
 	d = last_waiting(b);
+	if (d == NULL)
+		return NULL;
 	wait_us = b->by_wait.length > 1 ? kBudgetWaitUs : kBudgetLoneWaitUs;
 	if (b->by_wait.length > kBudgetWaitersMax ||
 	    now_us - d->waiting_since_us >= wait_us)
