Reads of jobs are refused when their answers find no memory

Change: such an answer, and one with results, is refused with 503 if there is no room after idle readers were closed; other answers first close idle readers.

--- a/src/gateway/budget/front_budget.c
+++ b/src/gateway/budget/front_budget.c
@@ -179,6 +179,18 @@
 	return budget_of(req) == NULL || grow(req, kBudgetHeld, bytes);
 }
 
+bool
+front_has_room(struct front_request *req, size_t bytes)
+{
+	if (budget_of(req) == NULL)
+		return true;
+	if (!grow(req, kBudgetUnread, bytes))
+		return false;
+	budget_release(
+	    budget_of(req), &req->peer->debt, kBudgetUnread, (int64_t)bytes);
+	return true;
+}
+
 bool
 front_budget_stream(struct front_request *req, size_t len)
 {
@@ -199,7 +211,8 @@
 
 	if (b == NULL)
 		return;
-	budget_charge(b, &req->peer->debt, kBudgetUnread, (int64_t)len);
+	if (!grow(req, kBudgetUnread, len))
+		budget_charge(b, &req->peer->debt, kBudgetUnread, (int64_t)len);
 	budget_set_phase(b, &req->peer->debt, kBudgetAnswering, now_us(req));
 }
 
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -116,6 +116,12 @@
  */
 bool front_hold(struct front_request *req, size_t bytes);
 
+/**
+ * @return false if the budget has no room for an answer of this size, which can
+ *         be had again; others that make no progress have been closed then
+ */
+bool front_has_room(struct front_request *req, size_t bytes);
+
 /**
  * Calls fn(data) if the caller disconnects; the request must not be used after
  * that. NULL removes the callback.
--- a/src/gateway/jobs_read.c
+++ b/src/gateway/jobs_read.c
@@ -2,10 +2,30 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "error/error.h"
 #include "gateway/jobs_task.h"
 #include "gateway/reply.h"
 #include "log/log.h"
 
+enum {
+	/* Memory is free again once idle readers are closed. */
+	kNoMemoryRetryUs = kUsPerS,
+};
+
+/* @return true if the answer finds no memory, and the read was refused */
+static bool
+refuse_large(struct front_request *req, const char *job, size_t len)
+{
+	if (front_has_room(req, len))
+		return false;
+	log_event(kEvtCallRefused, "job", job, "why", "no_memory", "body_bytes",
+	    log_number((int64_t)len), NULL);
+	reply_error(req, kErrOverloaded,
+	    "no memory is free for the answer; read it again",
+	    kNoMemoryRetryUs);
+	return true;
+}
+
 static void
 results_work(struct job_task *task)
 {
@@ -57,7 +77,8 @@
 	log_lost_texts(task);
 	text = task->js->opt.deps.dialect->encode_results(
 	    task->total, task->from, task->results);
-	reply_json(task->req, 200, text);
+	if (!refuse_large(task->req, task->id, strlen(text)))
+		reply_json(task->req, 200, text);
 	free(text);
 }
 
@@ -121,12 +142,15 @@
 }
 
 static void
-reply_bytes(struct front_request *req, GBytes *body)
+reply_bytes(struct front_request *req, const char *job, GBytes *body)
 {
-	struct header_list *headers = header_list_new();
+	struct header_list *headers;
 	gsize len;
 	const char *data = g_bytes_get_data(body, &len);
 
+	if (refuse_large(req, job, len))
+		return;
+	headers = header_list_new();
 	header_list_add(headers, "Content-Type", "application/octet-stream");
 	front_reply(req, 200, headers, data, len);
 	header_list_free(headers);
@@ -140,7 +164,7 @@
 	if (task->req == NULL)
 		return;
 	if (task->outcome == kStoreOk)
-		reply_bytes(task->req, task->body);
+		reply_bytes(task->req, task->id, task->body);
 	else
 		job_reply_store_error(task->req, task->outcome);
 }
@@ -158,7 +182,7 @@
 		return;
 	if (item != NULL && item->body != NULL &&
 	    itemjob_is_of_team(run->job, caller->team)) {
-		reply_bytes(req, item->body);
+		reply_bytes(req, call->job_id, item->body);
 		return;
 	}
 	task = job_task_new_for(js, req, call->job_id, caller->team);
--- a/test/functional/test_untrusted_clients.cc
+++ b/test/functional/test_untrusted_clients.cc
@@ -337,6 +337,24 @@
 	ExpectWithinLimits();
 }
 
+/* Guards against a process that runs out of memory because of jobs' bodies that
+ * are read back by many at once, and not taken. */
+TEST_F(UntrustedJobs, ReadsOfJobsStayWithinTheLimits)
+{
+	const std::string body(2900000, 'x');
+	ClientScript s;
+
+	ASSERT_EQ(202,
+	    Send(0, "POST", "/b/j", JobBody("j", 1, body), "large").status);
+	s.head = Head("GET", "/api/items/large?id=j0") + "\r\n";
+	s.receive_bytes = 4096;
+	ASSERT_EQ(body, Send(0, "GET", "/api/items/large?id=j0", "", "r").body);
+	ClientGroup group(front_ports[0], s, kClients);
+
+	Play(&group);
+	ExpectWithinLimits();
+}
+
 struct UntrustedRefusals : UntrustedFixture {
 	/* All that a client reads that sends on after its refusal. */
 	std::string
