--- a/test/functional/test_untrusted_clients.cc
+++ b/test/functional/test_untrusted_clients.cc
@@ -311,6 +311,29 @@
 	ExpectWithinLimits();
 }
 
+/* Guards against kinds of clients that are bounded one by one, but not
+ * together. */
+TEST_F(UntrustedReaders, AllKindsTogetherStayWithinTheLimits)
+{
+	const int clients = 3;
+	const Listener listeners[] = {kFront, kJobs, kReady, kMetrics};
+	std::vector<std::unique_ptr<ClientGroup>> groups;
+	std::vector<std::thread> players;
+
+	for (Listener l : listeners)
+		for (const Kind &k : kKinds)
+			groups.emplace_back(new ClientGroup(
+			    PortOf(l), k.make(HeadOf(l)), clients));
+	groups.emplace_back(
+	    new ClientGroup(front_ports[0], Reader(0), clients));
+	for (size_t i = 1; i < groups.size(); i++)
+		players.emplace_back([&, i] { groups[i]->Play(); });
+	Play(groups[0].get());
+	for (auto &t : players)
+		t.join();
+	ExpectWithinLimits();
+}
+
 struct UntrustedJobs : UntrustedFixture {
 	/* A job of almost the largest size. */
 	ClientScript
@@ -474,7 +497,7 @@
 }
 
 /* The daemon's own API, with a key that it knows. */
-struct UntrustedApi : ::testing::TestWithParam<Kind> {
+struct UntrustedApiFixture : ::testing::Test {
 	static FleetOptions
 	Options()
 	{
@@ -493,31 +516,67 @@
 		return atoi(url.substr(url.rfind(':') + 1).c_str());
 	}
 
+	void
+	PlayWithinLimits(ClientGroup *group)
+	{
+		Process &daemon = *fleet.daemons[0];
+		int descriptors_peak = 0;
+
+		group->Play([&] {
+			descriptors_peak = std::max(
+			    descriptors_peak, daemon.OpenDescriptors());
+		});
+		printf("peak %ld KiB (bound %ld), descriptors %d (bound %d)\n",
+		    daemon.PeakMemoryKib(), kPeakMaxKib, descriptors_peak,
+		    kDescriptorsMax);
+		EXPECT_FALSE(daemon.HasExited());
+		EXPECT_GT(daemon.PeakMemoryKib(), 0);
+		EXPECT_LT(daemon.PeakMemoryKib(), kPeakMaxKib);
+		EXPECT_LT(descriptors_peak, kDescriptorsMax);
+		EXPECT_TRUE(Eventually([&] {
+			return fleet.Chat(0, "hello", false).status == 200;
+		}));
+	}
+
 	Fleet fleet{Options()};
 };
 
+struct UntrustedApi : UntrustedApiFixture, ::testing::WithParamInterface<Kind> {
+};
+
 TEST_P(UntrustedApi, SendersStayWithinTheLimits)
 {
-	Process &daemon = *fleet.daemons[0];
-	int descriptors_peak = 0;
 	ClientGroup group(PortOf(fleet.DaemonUrl(0)),
 	    GetParam().make("POST /v1/call/booking/u HTTP/1.1\r\nHost: a\r\n"
 			    "Authorization: Bearer students-key\r\n"),
 	    GetParam().count);
 
-	group.Play([&] {
-		descriptors_peak =
-		    std::max(descriptors_peak, daemon.OpenDescriptors());
-	});
-	printf("peak %ld KiB (bound %ld), descriptors %d (bound %d)\n",
-	    daemon.PeakMemoryKib(), kPeakMaxKib, descriptors_peak,
-	    kDescriptorsMax);
-	EXPECT_FALSE(daemon.HasExited());
-	EXPECT_GT(daemon.PeakMemoryKib(), 0);
-	EXPECT_LT(daemon.PeakMemoryKib(), kPeakMaxKib);
-	EXPECT_LT(descriptors_peak, kDescriptorsMax);
-	EXPECT_TRUE(Eventually(
-	    [&] { return fleet.Chat(0, "hello", false).status == 200; }));
+	PlayWithinLimits(&group);
+}
+
+/* Guards against uploads whose items wait in memory until a chunk of them is
+ * complete. */
+TEST_F(UntrustedApiFixture, UploadsOfJobsStayWithinTheLimits)
+{
+	const size_t text_bytes = 60000;
+	const size_t lines = 100;
+	std::string line =
+	    "{\"id\":\"i\",\"body\":{\"messages\":[{\"role\":\"user\","
+	    "\"content\":\"" +
+	    std::string(text_bytes, 'x') + "\"}]}}\n";
+	char size[32];
+	ClientScript s;
+
+	g_snprintf(size, sizeof(size), "%zx\r\n", line.size());
+	s.head = std::string("POST /v1/batches?service=assistant HTTP/1.1\r\n"
+			     "Host: a\r\n"
+			     "Authorization: Bearer studios-key\r\n") +
+	    kChunked;
+	s.part = size + line + "\r\n";
+	s.parts_bytes = s.part.size() * lines;
+	ClientGroup group(PortOf(fleet.DaemonUrl(0)), s, kClients);
+
+	PlayWithinLimits(&group);
 }
 
 INSTANTIATE_TEST_SUITE_P(Senders, UntrustedApi, ::testing::ValuesIn(kKinds),
