Settings files may give whole numbers as 120.0

Cause: platform/settings.tmpl fills memory-mb and max-descriptors from the platform's limits; a writer that gives them as 120.0 would keep a daemon from starting.

--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <inttypes.h>
 #include <jansson.h>
+#include <math.h>
 #include <stddef.h>
 #include <stdlib.h>
 #include <string.h>
@@ -160,6 +161,10 @@
 	if (json_is_integer(value))
 		return g_strdup_printf(
 		    "%" JSON_INTEGER_FORMAT, json_integer_value(value));
+	/* Some writers of JSON give whole numbers as 120.0. */
+	if (json_is_real(value) &&
+	    json_real_value(value) == floor(json_real_value(value)))
+		return g_strdup_printf("%.0f", json_real_value(value));
 	return NULL;
 }
 
