--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -5,6 +5,12 @@
 
 #include "gateway/dialect.h"
 #include "gateway/loop.h"
+#include "savoryflow/budget/budget.h"
+
+enum {
+	/** Open connections without limits of the VM. */
+	kFrontConnectionsMax = 4000,
+};
 
 /** Id of a request that a peer forwards; the answer repeats it. */
 extern const char kFrontForwardedHeader[];
@@ -36,6 +42,12 @@
 	const char *listen;
 	const struct front_ops *ops;
 	void *ctx;
+	/** Memory for callers, shared by all servers; NULL: no limit. */
+	struct budget *budget;
+	/** Open connections, and further ones that are about to close; 0: as
+	 * without a budget. */
+	int32_t connections_max;
+	int32_t connections_closing;
 };
 
 /** The HTTP server for callers. */
@@ -106,6 +118,19 @@
 /** True if the body exceeds the limit; it was discarded. */
 bool front_is_too_large(const struct front_request *req);
 
+/**
+ * Charges memory, beside its body, that a request occupies until it is
+ * answered.
+ * @return false if the budget has no room; nothing is charged then
+ */
+bool front_hold(struct front_request *req, size_t bytes);
+
+/**
+ * @return false if the budget has no room for an answer of this size, which can
+ *         be had again; others that make no progress have been closed then
+ */
+bool front_has_room(struct front_request *req, size_t bytes);
+
 /**
  * Calls fn(data) if the caller disconnects; the request must not be used after
  * that. NULL removes the callback.
--- a/src/gateway/gateway_internal.h
+++ b/src/gateway/gateway_internal.h
@@ -3,6 +3,7 @@
 
 #include "gateway/access/access.h"
 #include "gateway/allowance/allowance.h"
+#include "gateway/budget/budget_watch.h"
 #include "gateway/calls.h"
 #include "gateway/contact_exchange.h"
 #include "gateway/gateway.h"
@@ -50,6 +51,10 @@
 	struct quota *quota;
 	/** int64_t: time of the last reconnect, by peer. */
 	GHashTable *reconnects;
+	/** Memory for callers; NULL: no limit. */
+	struct budget *budget;
+	struct budget_options budget_opt;
+	struct budget_watch *budget_watch;
 	struct front *front;
 	/** When the server for callers stopped. */
 	struct front_counts front_counts;
