--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -21,8 +21,8 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/exit_guard.h"
-#include "savoryflow/freshness/freshness.h"
 #include "os/heap.h"
+#include "savoryflow/freshness/freshness.h"
 
 enum {
 	kExitOk = 0,
