Mutants of the choice of targets and of fair queueing

Cause: two mechanisms could be switched off without a failing test: the end of the record of kept parts at a new start of the target, and the bound of a team's queue by its share.

--- a/test/unit/test_slot_choice.cc
+++ b/test/unit/test_slot_choice.cc
@@ -255,6 +255,9 @@
 	for (uint32_t holder = 1; holder <= 20; holder++)
 		used[Served(100 + holder, holder)]++;
 	EXPECT_EQ(2u, used.size());
+	slot_request other = Request(500, false, now + kSec, 1);
+	slotpool_adopt(sp, &other, "a", now);
+	EXPECT_EQ("b", Place(501, {7})) << "a has lost the part";
 }
 
 } // namespace
--- a/test/unit/test_slot_teams.cc
+++ b/test/unit/test_slot_teams.cc
@@ -107,6 +107,38 @@
 	}
 }
 
+/* A team that has used its credit would fill the queue with requests that
+ * cannot start in time. */
+TEST(TeamShares, ATeamThatIsAheadIsJudgedByItsShare)
+{
+	const struct {
+		const char *what;
+		int64_t own_us, other_us;
+		uint32_t weight;
+		int32_t waiting, ahead;
+	} cases[] = {
+	    {"alone", 8 * kSec, 0, 1000, 3, 3},
+	    {"half", 8 * kSec, 8 * kSec, 1000, 3, 6},
+	    {"a quarter", 8 * kSec, 24 * kSec, 1000, 3, 12},
+	    {"starved: it is next", kSec, 99 * kSec, 4, 3, 3},
+	    {"behind: it gets more", 8 * kSec, 24 * kSec, 4000000, 3, 3},
+	    {"none waits", 8 * kSec, 24 * kSec, 1000, 0, 0},
+	};
+
+	for (const auto &c : cases) {
+		team_shares *ts = team_shares_new();
+		team_share *own = team_shares_get(ts, 1);
+		team_share *other = team_shares_get(ts, 2);
+
+		team_shares_charge(ts, other, c.other_us / 2, 0);
+		team_shares_charge(ts, other, c.other_us / 2, 0);
+		team_shares_charge(ts, own, c.own_us, c.weight);
+		own->waiting = c.waiting;
+		EXPECT_EQ(c.ahead, team_shares_ahead(ts, own)) << c.what;
+		team_shares_free(ts);
+	}
+}
+
 /* The accounts of 3,200 teams would stay for ever, or a waiting request would
  * lose its account. */
 TEST(TeamShares, AccountsAreDroppedOnceIdle)
@@ -274,6 +306,44 @@
 	EXPECT_EQ(kSlotGranted, (Release(1)[106].verdict));
 }
 
+/* Its requests would wait for slots that go to the other team, and start late.
+ */
+TEST_F(SlotTeams, ATeamThatIsAheadMayQueueWhatItsShareServesInTime)
+{
+	const struct {
+		int rounds;
+		uint32_t weight;
+		int queued_min, queued_max;
+	} cases[] = {
+	    /* It has credit: eight start within a second. */
+	    {0, 40000, 7, 8},
+	    {40, 1000, 3, 4},
+	};
+
+	for (const auto &c : cases) {
+		uint64_t id = 0;
+		int queued = 0;
+
+		slotpool_free(sp);
+		sp = slotpool_new();
+		Targets({{"a", 4}});
+		for (int i = 0; i < c.rounds; i++) {
+			Send(++id, {2, 1000, c.weight});
+			Send(++id, {1, 1000, c.weight});
+			now += 500 * kMs;
+			Release(id - 1);
+			Release(id);
+		}
+		for (uint64_t team : {2, 2, 1, 1})
+			EXPECT_EQ(
+			    kSlotGranted, Send(++id, {team, 1000, c.weight}));
+		while (Send(++id, {1, 1000, c.weight}) == kSlotQueued)
+			queued++;
+		EXPECT_GE(queued, c.queued_min) << c.rounds;
+		EXPECT_LE(queued, c.queued_max) << c.rounds;
+	}
+}
+
 /* A request that may not run on the free target would hold up its team and the
  * others. */
 TEST_F(SlotTeams, ASkippedRequestHoldsUpNobody)
