Allowances: the times to retry of small teams stay near

Cause: each refusal moved the next time by one request of the data centre's share, 60 s for a team of 0.1 requests a second. Change: by 1 s at most. Result: Limit* and GatewayAllowance.* pass; bench_limits passes.

--- a/src/savoryflow/limits/limit_node.c
+++ b/src/savoryflow/limits/limit_node.c
@@ -16,6 +16,7 @@
 	/* Retry times are spread over at most this time. */
 	kRetryMaxUs = 4 * kUsPerSecond,
 	kRetryMinUs = 50000,
+	kRetryStepUs = kUsPerSecond,
 	kSweepUs = 2 * kUsPerSecond,
 	/* A child that sends nothing for this time is forgotten. */
 	kChildUs = 10 * kUsPerSecond,
@@ -213,8 +214,9 @@
 limit_node_retry_us(struct limit_node *node, struct limit_team *te,
     int64_t wait_us, int64_t now_us)
 {
-	int64_t interval_us =
-	    limit_pot_interval_us(node->pot, &te->rate, now_us);
+	/* A data centre may get more than its share of a small rate. */
+	int64_t interval_us = MIN(
+	    limit_pot_interval_us(node->pot, &te->rate, now_us), kRetryStepUs);
 	int64_t first_us = now_us + MAX(wait_us, kRetryMinUs);
 
 	/* Begins again at the front when the latest time is reached. */
