--- a/bench/limits_fleet.c
+++ b/bench/limits_fleet.c
@@ -133,18 +133,20 @@
 {
 	struct sim_daemon *self = ctx;
 	struct fleet *f = self->fleet;
-	struct sim_daemon *best = NULL;
-	uint64_t weight = 0;
+	/* A daemon believes itself up. */
+	struct sim_daemon *best = self;
+	uint64_t weight;
 	char key[32];
 
 	snprintf(key, sizeof(key), "%d-%d-%d", (int)role, shard, rank);
+	weight = rendezvous_weight(key, self->address);
 	for (int32_t i = 0; i < f->sc->daemons; i++) {
 		struct sim_daemon *d = &f->daemons[i];
 		uint64_t w = rendezvous_weight(key, d->address);
 
 		if ((role == kLimitDelegate &&
 			d->data_center != self->data_center) ||
-		    !is_believed_up(f, d) || (best != NULL && w <= weight))
+		    !is_believed_up(f, d) || w <= weight)
 			continue;
 		best = d;
 		weight = w;
