--- a/src/gateway/gateway_status.c
+++ b/src/gateway/gateway_status.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "gateway/gateway_internal.h"
+#include "metric/metric.h"
 
 static const char kStatusPath[] = "/v1/status";
 
@@ -41,10 +42,53 @@
 	    (json_int_t)(gw->store_answered_us != 0 ? age_us / kUsPerMs : -1));
 }
 
+/* -1 for the age: no proof yet. */
+static json_t *
+describe_freshness(const struct gateway *gw)
+{
+	if (gw->proofs == NULL)
+		return NULL;
+	return json_pack("{s:I,s:I,s:I,s:I}", "bound_ms",
+	    (json_int_t)gw->set->revocation_bound_ms, "proof_age_ms",
+	    (json_int_t)metric_get(kMetProofAge), "refused_stale",
+	    (json_int_t)metric_get(kMetRefusedStale), "refused_revoked",
+	    (json_int_t)metric_get(kMetRefusedRevoked));
+}
+
+static json_t *
+describe_allowances(const struct gateway *gw)
+{
+	if (gw->routes == NULL || gw->routes->teams == NULL)
+		return NULL;
+	return json_pack("{s:I,s:I,s:I,s:I,s:I}", "tied_shards",
+	    (json_int_t)metric_get(kMetAllowanceTied), "owned_shards",
+	    (json_int_t)metric_get(kMetAllowanceOwned), "teams",
+	    (json_int_t)metric_get(kMetAllowanceTeams), "refused",
+	    (json_int_t)metric_get(kMetAllowanceRefused), "refunded",
+	    (json_int_t)metric_get(kMetAllowanceRefunds));
+}
+
+static json_t *
+describe_budget(const struct gateway *gw)
+{
+	if (metric_get(kMetBudgetLimit) == 0)
+		return NULL;
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "limit_bytes",
+	    (json_int_t)metric_get(kMetBudgetLimit), "connections_bytes",
+	    (json_int_t)metric_get(kMetBudgetConnections), "heads_bytes",
+	    (json_int_t)metric_get(kMetBudgetHeads), "reading_bytes",
+	    (json_int_t)metric_get(kMetBudgetReading), "held_bytes",
+	    (json_int_t)metric_get(kMetBudgetHeld), "unread_bytes",
+	    (json_int_t)metric_get(kMetBudgetUnread));
+}
+
 static const struct status_section sections[] = {
     {"daemon", describe_daemon},
     {"configuration", describe_configuration},
     {"store", describe_store},
+    {"freshness", describe_freshness},
+    {"allowances", describe_allowances},
+    {"budget", describe_budget},
 };
 
 bool
