Own API: a refused upload frees its items at once

Cause: the items of a refused upload stayed, uncharged, until its connection closed, up to a second later; UploadsOfJobsStayWithinTheLimits reached 51,208 of 52,428 KiB in one run.

--- a/src/api/api_budget.c
+++ b/src/api/api_budget.c
@@ -123,6 +123,9 @@
 	    peer->con, MHD_CONNECTION_OPTION_TIMEOUT, (unsigned int)kDropS);
 	g_string_free(req->body, TRUE);
 	req->body = g_string_new(NULL);
+	if (req->upload != NULL)
+		batch_upload_free(req->upload);
+	req->upload = NULL;
 	clear_request(peer);
 	budget_set_phase(peer->ab->budget, &peer->debt, kBudgetRunning, now_us);
 	set_closing(peer);
