--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -22,22 +22,11 @@
 	kBacklog = 1024,
 	/* Callers reuse connections that were idle for up to 12 s. */
 	kIdleTimeoutS = 40,
-	kStreamBlockBytes = 8192,
 	/* A disconnected caller is detected within this time. */
 	kDisconnectCheckUs = 100 * kUsPerMs,
 	kBodyMaxDefault = 8 * 1024 * 1024,
-	/* Bytes of a stream that its caller has not read: it is cut. */
-	kUnreadBytesMax = 4 * 1024 * 1024,
-	/* With a budget, longer answers are sent in parts, so that progress of
-	 * their readers shows, and the buffers of longer streams are freed as
-	 * soon as they are empty. */
-	kLargeAnswerBytes = 64 * 1024,
 };
 
-/* Callers use no connection again that was idle for longer. A drain lasts
- * longer: it ends with connections that nobody uses. */
-static const char kKeepAlive[] = "timeout=2";
-
 const char kFrontForwardedHeader[] = "Savoryflow-Forwarded";
 const char kFrontProofHeader[] = "Savoryflow-Forwarded-Team";
 
@@ -131,10 +120,8 @@
 	loop_skip_wait(fr->opt.lp);
 }
 
-static void send_in_parts(struct front_request *req, uint64_t total);
-
-static void
-suspend(struct front_request *req)
+void
+front_suspend(struct front_request *req)
 {
 	if (req->is_suspended)
 		return;
@@ -152,150 +139,6 @@
 	front_schedule_run(req->fr);
 }
 
-static void
-add_headers(struct front_request *req, const struct header_list *headers)
-{
-	const char *forwarded =
-	    header_list_get(req->headers, kFrontForwardedHeader);
-
-	for (guint i = 0; headers != NULL && i < header_list_len(headers);
-	     i++) {
-		const struct header *h = header_list_at(headers, i);
-
-		/* libmicrohttpd adds these itself. */
-		if (g_ascii_strcasecmp(h->name, "Date") != 0 &&
-		    !header_is_hop_by_hop(h->name))
-			MHD_add_response_header(
-			    req->response, h->name, h->value);
-	}
-	if (forwarded != NULL)
-		MHD_add_response_header(
-		    req->response, kFrontForwardedHeader, forwarded);
-	if (req->fr->is_closing)
-		MHD_add_response_header(req->response, "Connection", "close");
-	else
-		MHD_add_response_header(
-		    req->response, "Keep-Alive", kKeepAlive);
-}
-
-void
-front_reply(struct front_request *req, int32_t status,
-    const struct header_list *headers, const char *body, size_t len)
-{
-	if (req->response != NULL)
-		return;
-	req->status = (unsigned int)status;
-	front_budget_reply(req, len);
-	if (req->fr->opt.budget != NULL && len > kLargeAnswerBytes) {
-		g_string_append_len(req->out, body, (gssize)len);
-		req->is_ended = req->is_complete = true;
-		send_in_parts(req, len);
-	} else {
-		req->response = MHD_create_response_from_buffer(
-		    len, (void *)body, MHD_RESPMEM_MUST_COPY);
-	}
-	add_headers(req, headers);
-	front_resume(req);
-}
-
-/* Moves the unsent bytes to the front once they are the smaller part, so that
- * their copies cost no more than the bytes themselves. */
-static void
-trim_sent(struct front_request *req)
-{
-	if (req->out_sent < req->out->len - req->out_sent)
-		return;
-	if (req->fr->opt.budget != NULL && req->out_sent == req->out->len &&
-	    req->out->allocated_len > kLargeAnswerBytes) {
-		g_string_free(req->out, TRUE);
-		req->out = g_string_new(NULL);
-		req->out_sent = 0;
-		return;
-	}
-	g_string_erase(req->out, 0, (gssize)req->out_sent);
-	req->out_sent = 0;
-}
-
-/* Without chunks only a reset tells an answer that broke off from a whole one,
- * and libmicrohttpd shuts the connection down before it closes it. */
-static ssize_t
-break_off(struct front_request *req)
-{
-	const struct sockaddr reset = {.sa_family = AF_UNSPEC};
-
-	if (req->lacks_chunks)
-		(void)connect(req->peer->fd, &reset, sizeof(reset));
-	return MHD_CONTENT_READER_END_WITH_ERROR;
-}
-
-static ssize_t
-read_stream(void *cls, uint64_t pos, char *buf, size_t max)
-{
-	struct front_request *req = cls;
-	size_t n = MIN(max, req->out->len - req->out_sent);
-
-	if (req->is_disconnected || req->is_overrun)
-		return break_off(req);
-	if (n > 0) {
-		memcpy(buf, req->out->str + req->out_sent, n);
-		req->out_sent += n;
-		front_budget_sent(req, n, req->out->len - req->out_sent);
-		trim_sent(req);
-		return (ssize_t)n;
-	}
-	if (req->is_ended && !req->is_complete)
-		return break_off(req);
-	if (req->is_ended)
-		return MHD_CONTENT_READER_END_OF_STREAM;
-	suspend(req);
-	return 0;
-}
-
-static void
-send_in_parts(struct front_request *req, uint64_t total)
-{
-	req->response = MHD_create_response_from_callback(
-	    total, kStreamBlockBytes, read_stream, req, NULL);
-}
-
-void
-front_stream(struct front_request *req, int32_t status,
-    const struct header_list *headers)
-{
-	if (req->response != NULL)
-		return;
-	req->status = (unsigned int)status;
-	req->is_streamed = true;
-	send_in_parts(req, MHD_SIZE_UNKNOWN);
-	add_headers(req, headers);
-	front_resume(req);
-}
-
-void
-front_stream_data(struct front_request *req, const char *data, size_t len)
-{
-	size_t unread = req->out->len - req->out_sent;
-
-	if (req->is_overrun || len == 0)
-		return;
-	if (unread + len > kUnreadBytesMax || !front_budget_stream(req, len)) {
-		log_event(kEvtAnswerCut, "limit", "unread_bytes", "body_bytes",
-		    log_number((int64_t)unread), (char *)NULL);
-		front_budget_cut(req);
-	}
-	if (!req->is_overrun)
-		g_string_append_len(req->out, data, (gssize)len);
-	front_resume(req);
-}
-
-void
-front_stream_end(struct front_request *req, bool is_complete)
-{
-	req->is_ended = true;
-	req->is_complete = is_complete;
-	front_resume(req);
-}
-
 static enum MHD_Result
 add_header(void *cls, enum MHD_ValueKind kind, const char *key, const char *val)
 {
@@ -367,7 +210,7 @@
 	if (req->is_refused && !front_budget_lingers(req, *len))
 		return MHD_NO;
 	if (req->is_refused) {
-		suspend(req);
+		front_suspend(req);
 		return MHD_YES;
 	}
 	if (!req->has_head) {
@@ -381,7 +224,7 @@
 	}
 	if (*len > 0) {
 		if (!front_budget_read(req, *len)) {
-			suspend(req);
+			front_suspend(req);
 			return MHD_YES;
 		}
 		append_body(req, data, *len);
@@ -399,7 +242,7 @@
 		return queue_reply(req);
 	if (req->is_disconnected)
 		return MHD_NO;
-	suspend(req);
+	front_suspend(req);
 	return MHD_YES;
 }
 
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -92,6 +92,9 @@
 /** The caller has disconnected or gets no answer of its target. */
 void front_close_request(struct front_request *req);
 
+/** Suspends the connection of a request that waits. */
+void front_suspend(struct front_request *req);
+
 /** Resumes the connection of a request that waits. */
 void front_resume(struct front_request *req);
 
