Limit the nesting of JSON that is read

What callers saw: while an entry of another writer stood in the list of workers, all daemons that started ended at once, again after each start, and no call was served. The entry's value held objects nested 2,000 levels deep.

Cause: the threads that read the list have stacks of 256 KiB. jansson parses recursively and allows 2,048 levels; an object takes over 128 bytes a level on arm64, so 2,000 of them overflow the stack (SIGSEGV). Arrays take less and did not. Encoding takes 262 to 349 bytes a level: the threads' stacks decide which documents end a process, not the parser's limit.

Fix: json_text_load() counts the levels before it hands a text to jansson, and refuses more than 128. An entry that is refused is logged once for each version, as before.

No special case: the limit is the reader's.

--- a/src/api/api_admin.c
+++ b/src/api/api_admin.c
@@ -6,6 +6,7 @@
 #include "error/error.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/json_text.h"
 #include "savoryflow/config/config_store.h"
 #include "serve/grants.h"
 #include "serve/poller.h"
@@ -66,7 +67,7 @@
 {
 	const char *from = request_query_param(req, "from");
 	struct config_submission sub = {
-	    .doc = json_loadb(req->body->str, req->body->len, 0, NULL),
+	    .doc = json_text_load_bytes(req->body->str, req->body->len),
 	    .base_generation =
 		from != NULL ? g_ascii_strtoll(from, NULL, 10) : 0,
 	    .author = req->team,
--- a/src/api/api_batch.c
+++ b/src/api/api_batch.c
@@ -9,6 +9,7 @@
 #include "api/request.h"
 #include "error/error.h"
 #include "log/log.h"
+#include "os/json_text.h"
 #include "savoryflow/batch/batch_store.h"
 #include "serve/batch_run.h"
 #include "serve/poller.h"
@@ -125,7 +126,7 @@
 is_valid_item(const char *line, size_t len)
 {
 	json_t *item =
-	    len <= kItemMaxBytes ? json_loadb(line, len, 0, NULL) : NULL;
+	    len <= kItemMaxBytes ? json_text_load_bytes(line, len) : NULL;
 	json_t *body = json_object_get(item, "body");
 	json_t *messages = json_object_get(body, "messages");
 	bool is_valid =
--- a/src/api/api_chat.c
+++ b/src/api/api_chat.c
@@ -3,6 +3,7 @@
 
 #include "api/api_call.h"
 #include "error/error.h"
+#include "os/json_text.h"
 
 enum {
 	/* Block size of a streamed response. */
@@ -74,11 +75,13 @@
 void
 chat_start(struct request *req)
 {
-	json_t *doc = json_loadb(req->body->str, req->body->len, 0, NULL);
+	json_t *doc = json_text_load_bytes(req->body->str, req->body->len);
 
 	if (doc == NULL || !json_is_object(doc))
 		request_reply_error(req, kErrBadJson,
-		    "the request body is not a JSON object", 0);
+		    "the request body is not a JSON object, or is nested too "
+		    "deeply",
+		    0);
 	else if (!has_valid_messages(doc))
 		request_reply_error(req, kErrBadRequest,
 		    "messages must be an array of {\"role\",\"content\"}", 0);
--- a/src/cli/cli.c
+++ b/src/cli/cli.c
@@ -12,6 +12,7 @@
 #include "cli/client.h"
 #include "gateway/gateway.h"
 #include "log/log.h"
+#include "os/json_text.h"
 #include "savoryconf/savoryconf.h"
 #include "serve/daemon.h"
 #include "settings/settings.h"
@@ -106,7 +107,7 @@
 
 	if (text == NULL)
 		return kCliUsage;
-	doc = json_loadb(text, len, 0, NULL);
+	doc = json_text_load_bytes(text, len);
 	ok = doc != NULL && savoryconf_check(doc, &err);
 	if (!ok)
 		fprintf(stderr, "savoryflow: %s\n",
@@ -184,7 +185,7 @@
 	struct client_reply reply;
 	gsize len;
 	char *text = read_input(flags->operand, &len);
-	json_t *to = text != NULL ? json_loadb(text, len, 0, NULL) : NULL;
+	json_t *to = text != NULL ? json_text_load_bytes(text, len) : NULL;
 	json_t *current = NULL;
 	json_t *from;
 	json_t *diff;
@@ -199,7 +200,7 @@
 		json_decref(to);
 		return kCliUnreachable;
 	}
-	current = json_loads(reply.body->str, 0, NULL);
+	current = json_text_load(reply.body->str);
 	from = json_object_get(current, "document");
 	diff = config_diff(from, to);
 	json_object_foreach(diff, section, part)
@@ -250,7 +251,7 @@
 			code = kCliUnreachable;
 			break;
 		}
-		doc = json_loads(reply.body->str, 0, NULL);
+		doc = json_text_load(reply.body->str);
 		state = json_string_value(json_object_get(doc, "state"));
 		show_progress(flags, doc);
 		if (reply.status != 200 || g_strcmp0(state, "running") != 0) {
@@ -279,7 +280,7 @@
 		return kCliUnreachable;
 	}
 	code = print_reply(&reply);
-	doc = json_loads(reply.body->str, 0, NULL);
+	doc = json_text_load(reply.body->str);
 	if (code == kCliOk && flags->has_wait)
 		code = wait_for_job(
 		    flags, json_string_value(json_object_get(doc, "id")));
--- a/src/gateway/roster_store.c
+++ b/src/gateway/roster_store.c
@@ -5,6 +5,7 @@
 
 #include "gateway/roster.h"
 #include "os/clock.h"
+#include "os/json_text.h"
 #include "store/scan.h"
 
 enum {
@@ -74,7 +75,7 @@
 static void
 add_row(GArray *rows, const struct store_row *stored)
 {
-	json_t *doc = json_loads(stored->value, 0, NULL);
+	json_t *doc = json_text_load(stored->value);
 	const char *session =
 	    json_string_value(json_object_get(doc, "session"));
 	const char *front = json_string_value(json_object_get(doc, "front"));
--- a/src/os/json_text.c
+++ b/src/os/json_text.c
@@ -1,7 +1,87 @@
-/* JSON strings of bytes that come from outside. */
+/* JSON that comes from outside: its nesting, and strings of any bytes. */
 #include "os/json_text.h"
 
 #include <glib.h>
+#include <string.h>
+
+/* Position in a JSON text that is read byte by byte. */
+struct scan {
+	int levels;
+	bool is_in_string;
+	bool is_escaped;
+};
+
+/* Brackets within strings are no nesting. */
+static void
+scan_byte(struct scan *sc, char c)
+{
+	if (sc->is_escaped) {
+		sc->is_escaped = false;
+	} else if (sc->is_in_string) {
+		sc->is_escaped = c == '\\';
+		sc->is_in_string = c != '"';
+	} else if (c == '"') {
+		sc->is_in_string = true;
+	} else if (c == '[' || c == '{') {
+		sc->levels++;
+	} else if (c == ']' || c == '}') {
+		sc->levels--;
+	}
+}
+
+/* @return the bytes before the bracket that is nested too deeply; the length if
+ * there is none */
+static size_t
+len_of_allowed(const char *bytes, size_t len)
+{
+	struct scan sc = {0};
+
+	for (size_t i = 0; i < len; i++) {
+		scan_byte(&sc, bytes[i]);
+		if (sc.levels > kJsonLevelsMax)
+			return i;
+	}
+	return len;
+}
+
+static void
+set_depth_error(json_error_t *err, const char *bytes, size_t len)
+{
+	const char *line = bytes;
+
+	*err = (json_error_t){.line = 1, .position = (int)len};
+	for (const char *at = bytes; at < bytes + len; at++)
+		if (*at == '\n') {
+			err->line++;
+			line = at + 1;
+		}
+	err->column = (int)(bytes + len - line) + 1;
+	g_strlcpy(err->text, "nested too deeply", sizeof(err->text));
+}
+
+json_t *
+json_text_load_checked(const char *bytes, size_t len, json_error_t *err)
+{
+	size_t allowed = len_of_allowed(bytes, len);
+
+	if (allowed == len)
+		return json_loadb(bytes, len, 0, err);
+	if (err != NULL)
+		set_depth_error(err, bytes, allowed);
+	return NULL;
+}
+
+json_t *
+json_text_load_bytes(const char *bytes, size_t len)
+{
+	return json_text_load_checked(bytes, len, NULL);
+}
+
+json_t *
+json_text_load(const char *text)
+{
+	return text != NULL ? json_text_load_bytes(text, strlen(text)) : NULL;
+}
 
 bool
 json_text_is_valid(const char *bytes, size_t len)
--- a/src/os/json_text.h
+++ b/src/os/json_text.h
@@ -5,6 +5,30 @@
 #include <stdbool.h>
 #include <stddef.h>
 
+/*
+ * Documents of other writers, targets and callers. jansson parses, copies,
+ * encodes and frees recursively and allows 2,048 levels, which take more stack
+ * than a thread with a small stack has; documents of this product nest
+ * fewer than ten.
+ */
+
+/** Most levels of a document that is read. */
+enum { kJsonLevelsMax = 128 };
+
+/**
+ * Parses a document.
+ * @param err NULL, or set to where the text is not allowed
+ * @return a new reference; NULL if it is not JSON, or nested too deeply
+ */
+json_t *json_text_load_checked(
+    const char *bytes, size_t len, json_error_t *err);
+
+/** The same without the error. */
+json_t *json_text_load_bytes(const char *bytes, size_t len);
+
+/** The same for a text. @param text NULL is no document */
+json_t *json_text_load(const char *text);
+
 /** True if the bytes are UTF-8 without a NUL, as JSON text has to be. */
 bool json_text_is_valid(const char *bytes, size_t len);
 
--- a/src/savoryflow/batch/batch_session.c
+++ b/src/savoryflow/batch/batch_session.c
@@ -4,6 +4,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 
+#include "os/json_text.h"
 #include "store/commit.h"
 
 void
@@ -39,7 +40,7 @@
 	g_free(key);
 	if (res != kStoreOk)
 		return res;
-	doc = json_loads(row.value, 0, NULL);
+	doc = json_text_load(row.value);
 	*is_live = g_strcmp0(json_string_value(json_object_get(doc, "state")),
 		       "live") == 0;
 	text = json_string_value(json_object_get(doc, "counter"));
--- a/src/savoryflow/batch/batch_store.c
+++ b/src/savoryflow/batch/batch_store.c
@@ -5,6 +5,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "os/json_text.h"
 #include "savoryflow/batch/batch_session.h"
 #include "store/commit.h"
 #include "store/scan.h"
@@ -110,7 +111,7 @@
 static struct batch_job *
 job_from_text(const char *text)
 {
-	json_t *doc = json_loads(text, 0, NULL);
+	json_t *doc = json_text_load(text);
 	struct batch_job *job;
 
 	if (doc == NULL)
@@ -244,7 +245,7 @@
 static void
 chunk_read(struct batch_chunk *chunk, const struct store_row *row)
 {
-	json_t *doc = json_loads(row->value, 0, NULL);
+	json_t *doc = json_text_load(row->value);
 	const char *state = json_string_value(json_object_get(doc, "state"));
 
 	chunk->version = row->version;
--- a/src/savoryflow/call/intent_store.c
+++ b/src/savoryflow/call/intent_store.c
@@ -4,6 +4,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "os/json_text.h"
 #include "store/commit.h"
 
 /* Times that another attempt may change the row meanwhile. */
@@ -113,7 +114,7 @@
 
 	in->state = kIntentStoreDown;
 	if (res == kStoreOk) {
-		json_t *doc = json_loads(row.value, 0, NULL);
+		json_t *doc = json_text_load(row.value);
 
 		state_from_row(in, doc);
 		in->row_version = row.version;
@@ -258,7 +259,7 @@
 static bool
 is_final(const struct intent *in, const struct store_row *row)
 {
-	json_t *doc = json_loads(row->value, 0, NULL);
+	json_t *doc = json_text_load(row->value);
 	bool is_withdrawn =
 	    g_strcmp0(text_field(doc, "state"), "withdrawn") == 0;
 	bool is_own =
--- a/src/savoryflow/call/stream.c
+++ b/src/savoryflow/call/stream.c
@@ -1,6 +1,8 @@
 /* Parser of an engine's event stream. */
 #include "savoryflow/call/stream.h"
 
+#include "os/json_text.h"
+
 #include <jansson.h>
 #include <string.h>
 
@@ -71,7 +73,7 @@
 		return kStreamOpen;
 	if (strcmp(st->line->str, "data: [DONE]") == 0)
 		return kStreamComplete;
-	chunk = json_loads(st->line->str + strlen("data: "), 0, NULL);
+	chunk = json_text_load(st->line->str + strlen("data: "));
 	if (chunk == NULL)
 		return kStreamMalformed;
 	status = apply_chunk(st, chunk, on_token, ctx);
--- a/src/savoryflow/config/config_store.c
+++ b/src/savoryflow/config/config_store.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "error/error.h"
+#include "os/json_text.h"
 #include "savoryconf/savoryconf.h"
 #include "store/commit.h"
 
@@ -51,7 +52,7 @@
 		    "cannot read the configuration head from the store");
 		return false;
 	}
-	doc = json_loads(row.value, 0, NULL);
+	doc = json_text_load(row.value);
 	head->generation =
 	    json_integer_value(json_object_get(doc, "generation"));
 	g_strlcpy(head->digest,
@@ -75,7 +76,7 @@
 		gsize len;
 		const char *text = g_bytes_get_data(data, &len);
 
-		doc = json_loadb(text, len, 0, NULL);
+		doc = json_text_load_bytes(text, len);
 		g_bytes_unref(data);
 	}
 	if (doc == NULL)
@@ -126,7 +127,7 @@
 	bool is_own = false;
 
 	if (res == kStoreOk) {
-		json_t *doc = json_loads(row.value, 0, NULL);
+		json_t *doc = json_text_load(row.value);
 		const char *author =
 		    json_string_value(json_object_get(doc, "who"));
 		const char *digest =
@@ -267,8 +268,7 @@
 		for (guint i = 0; i < rows->len; i++) {
 			const struct store_row *row = rows->pdata[i];
 
-			json_array_append_new(
-			    list, json_loads(row->value, 0, NULL));
+			json_array_append_new(list, json_text_load(row->value));
 		}
 		g_ptr_array_unref(rows);
 	} else {
--- a/src/savoryflow/job/itemjob.c
+++ b/src/savoryflow/job/itemjob.c
@@ -217,7 +217,7 @@
 GPtrArray *
 itemjob_items_from_ids(const char *text)
 {
-	json_t *doc = json_loads(text, 0, NULL);
+	json_t *doc = json_text_load(text);
 	GPtrArray *items = itemjob_items_new();
 	json_t *id;
 	size_t i;
@@ -235,7 +235,7 @@
 GPtrArray *
 itemjob_items_from_text(const char *text, size_t len)
 {
-	json_t *list = json_loadb(text, len, 0, NULL);
+	json_t *list = json_text_load_bytes(text, len);
 	GPtrArray *items = itemjob_items_new();
 	json_t *elem;
 	size_t i;
--- a/src/savoryflow/job/itemjob_open.c
+++ b/src/savoryflow/job/itemjob_open.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "os/json_text.h"
 #include "savoryflow/job/itemjob_rows.h"
 #include "savoryflow/job/itemjob_store.h"
 #include "store/change.h"
@@ -15,7 +16,7 @@
 open_from_row(const struct store_row *row)
 {
 	struct itemjob_open *open = g_new0(struct itemjob_open, 1);
-	json_t *doc = json_loads(row->value, 0, NULL);
+	json_t *doc = json_text_load(row->value);
 	const char *owner = json_string_value(json_object_get(doc, "owner"));
 
 	open->id = g_strdup(strrchr(row->key, '/') + 1);
@@ -135,7 +136,7 @@
 	*version = 0;
 	if (res != kStoreOk)
 		return res == kStoreNotFound ? kStoreOk : res;
-	doc = json_loads(row.value, 0, NULL);
+	doc = json_text_load(row.value);
 	*owner = g_strdup(json_string_value(json_object_get(doc, "owner")));
 	*version = row.version;
 	json_decref(doc);
--- a/src/savoryflow/job/itemjob_progress.c
+++ b/src/savoryflow/job/itemjob_progress.c
@@ -118,7 +118,7 @@
 	*progress = itemjob_progress_new();
 	for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
 		const struct store_row *row = rows->pdata[i];
-		json_t *doc = json_loads(row->value, 0, NULL);
+		json_t *doc = json_text_load(row->value);
 
 		if (doc != NULL)
 			append_progress(
--- a/src/savoryflow/job/itemjob_retention.c
+++ b/src/savoryflow/job/itemjob_retention.c
@@ -2,6 +2,7 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "os/json_text.h"
 #include "savoryflow/job/itemjob_rows.h"
 #include "savoryflow/job/itemjob_store.h"
 
@@ -31,7 +32,7 @@
 add_if_expired(const struct store *st, const struct store_row *row,
     int64_t before_ms, GPtrArray *ids)
 {
-	json_t *doc = json_loads(row->value, 0, NULL);
+	json_t *doc = json_text_load(row->value);
 	const json_t *accepted = json_object_get(doc, "accepted_ms");
 	const char *id = strrchr(row->key, '/') + 1;
 	enum store_result res = kStoreOk;
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -38,7 +38,7 @@
 static struct itemjob *
 job_from_text(const char *id, const char *text)
 {
-	json_t *doc = json_loads(text, 0, NULL);
+	json_t *doc = json_text_load(text);
 	const json_t *accepted = json_object_get(doc, "accepted_ms");
 	json_int_t total = json_integer_value(json_object_get(doc, "total"));
 	struct itemjob *job = NULL;
@@ -332,7 +332,7 @@
 add_result(const struct store *st, const char *id, const struct store_row *row,
     GPtrArray *results)
 {
-	json_t *doc = json_loads(row->value, 0, NULL);
+	json_t *doc = json_text_load(row->value);
 	int64_t parts = json_integer_value(json_object_get(doc, "parts"));
 	enum store_result res = kStoreOk;
 	struct itemjob_result *result;
--- a/src/serve/batch_run.c
+++ b/src/serve/batch_run.c
@@ -289,7 +289,7 @@
 	while (text < end) {
 		const char *eol = memchr(text, '\n', (size_t)(end - text));
 		size_t n = (size_t)((eol != NULL ? eol : end) - text);
-		json_t *item = n > 0 ? json_loadb(text, n, 0, NULL) : NULL;
+		json_t *item = n > 0 ? json_text_load_bytes(text, n) : NULL;
 
 		if (item != NULL)
 			g_ptr_array_add(items, item);
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -8,6 +8,7 @@
 
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/json_text.h"
 #include "serve/call_internal.h"
 #include "serve/grants.h"
 
@@ -32,7 +33,7 @@
 
 	if (c->stream.next_index == 0)
 		return g_bytes_ref(c->body);
-	doc = json_loadb(data, len, 0, NULL);
+	doc = json_text_load_bytes(data, len);
 	json_object_set_new(doc, "resume",
 	    json_pack("{s:I,s:s}", "index", (json_int_t)c->stream.next_index,
 		"text", c->stream.text->str));
--- a/src/serve/crash_watch.c
+++ b/src/serve/crash_watch.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "os/json_text.h"
 #include "peer/blame_wire.h"
 #include "savoryflow/membership/membership_defs.h"
 #include "serve/routes.h"
@@ -49,7 +50,7 @@
 crash_watch_keys(uint64_t whole, const char *body, size_t len, bool is_owed,
     struct blame_keys *keys)
 {
-	json_t *doc = json_loadb(body, len, 0, NULL);
+	json_t *doc = json_text_load_bytes(body, len);
 	const json_t *messages = json_object_get(doc, "messages");
 	size_t count = json_array_size(messages);
 
--- a/src/serve/poller.c
+++ b/src/serve/poller.c
@@ -9,6 +9,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/cpu.h"
+#include "os/json_text.h"
 #include "savoryflow/config/config_store.h"
 #include "serve/batch_run.h"
 #include "serve/limiter.h"
@@ -313,7 +314,7 @@
 static void
 apply_document(struct poller *po, const Sfpeer__ConfigHint *hint)
 {
-	json_t *doc = json_loads(hint->document, 0, NULL);
+	json_t *doc = json_text_load(hint->document);
 	struct config *cfg = NULL;
 
 	if (doc != NULL)
--- a/src/serve/reports.c
+++ b/src/serve/reports.c
@@ -14,6 +14,7 @@
 
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/json_text.h"
 #include "serve/grants.h"
 #include "serve/routes.h"
 
@@ -118,7 +119,7 @@
 on_report_done(void *ctx, uint64_t attempt, const struct transfer_result *res)
 {
 	struct report *rep = ctx;
-	json_t *doc = json_loads(rep->body->str, 0, NULL);
+	json_t *doc = json_text_load(rep->body->str);
 
 	if (res->end == kTransferComplete && json_is_object(doc)) {
 		bool leaving = json_is_true(json_object_get(doc, "leaving"));
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -21,6 +21,7 @@
 #include "http/send_guard.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/json_text.h"
 
 enum {
 	kHttpOk = 200,
@@ -244,8 +245,8 @@
 static json_t *
 reply_json(const struct http_reply *reply)
 {
-	return json_loadb(
-	    (const char *)reply->body->data, reply->body->len, 0, NULL);
+	return json_text_load_bytes(
+	    (const char *)reply->body->data, reply->body->len);
 }
 
 static char *
--- a/test/standin/rows.c
+++ b/test/standin/rows.c
@@ -3,8 +3,8 @@
  * versions all rows, transactions are conditional, and a feed reports changes.
  *
  * POST /put {"table","part","key","value"}: writes a row as the operator or a
- * worker does; without a value, deletes it. The path of a call may start with a
- * segment that names the calling daemon.
+ * worker does, see also rows_raw.h; without a value, deletes it. The path of a
+ * call may start with a segment that names the calling daemon.
  *
  * POST /fault {"outage","turned_away","lose_answers","lose_table",
  * "out_after_loss", "forget","timeless","cut_every"}:
@@ -25,6 +25,7 @@
 #include "os/clock.h"
 #include "rows_dump.h"
 #include "rows_faults.h"
+#include "rows_raw.h"
 
 enum {
 	kFeedPollUs = 5000,
@@ -150,19 +151,13 @@
 {
 	bool is_timeless = is_from(req, rs->timeless_daemon) &&
 	    strcmp(argument(req, "table_name"), "job") != 0;
-	struct MHD_Response *res;
-	char *out;
 
 	json_object_set_new(doc, "row_version", json_integer(rs->version));
 	if (!is_timeless)
 		json_object_set_new(doc, "now_ms",
 		    json_integer(clock_mono_us(clock_system()) / kUsPerMs +
 			kStoreUptimeMs));
-	out = json_dumps(doc, JSON_COMPACT);
-	json_decref(doc);
-	res = standin_text_response(out);
-	free(out);
-	return res;
+	return rows_raw_response(doc);
 }
 
 static bool
@@ -388,9 +383,7 @@
 	json_t *doc = json_loads(req->body->str, 0, NULL);
 	const char *value = json_string_value(json_object_get(doc, "value"));
 	const char *part = json_string_value(json_object_get(doc, "part"));
-	char *b64 = value != NULL
-	    ? g_base64_encode((const guchar *)value, strlen(value))
-	    : NULL;
+	char *b64 = rows_raw_value(value);
 
 	rs->version++;
 	write_row(rs, member_text(doc, "table"), part != NULL ? part : "",
