Read the rows of an answer one by one

What callers saw: while one entry that the JSON parser refuses stood in the list of workers, daemons that started served no call. Its page had the entries of sound workers too, and none of them was read.

Cause: the answer of the store was parsed as one document. jansson refuses all of it for one text with a NUL or half a surrogate, bytes that are not UTF-8, a number out of range, or nesting in one row. The page counted as an outage, and the list was never read. A daemon that ran kept its older list.

Fix: json_partial_load() parses a document that is refused part by part, down to the members of its rows; what cannot be read becomes null. Brackets that do not match still make it no answer, so a part of an answer is never taken for all of it. A row whose value is no text is unreadable, one whose key is no text is left out: both are logged once and cost nothing else. A page on which no row has a key ends the list instead of being read for ever. A value with a NUL is no text; it was cut there.

Evidence: OddEntries.AnEntryThatCannotBeReadHidesNoOther, 16 entries, two daemons killed and started again beside each. JsonPartial and StoreHttpMalformed have the forms.

--- a/src/os/json_text.c
+++ b/src/os/json_text.c
@@ -4,16 +4,8 @@
 #include <glib.h>
 #include <string.h>
 
-/* Position in a JSON text that is read byte by byte. */
-struct scan {
-	int levels;
-	bool is_in_string;
-	bool is_escaped;
-};
-
-/* Brackets within strings are no nesting. */
-static void
-scan_byte(struct scan *sc, char c)
+void
+json_scan_byte(struct json_scan *sc, char c)
 {
 	if (sc->is_escaped) {
 		sc->is_escaped = false;
@@ -34,10 +26,10 @@
 static size_t
 len_of_allowed(const char *bytes, size_t len)
 {
-	struct scan sc = {0};
+	struct json_scan sc = {0};
 
 	for (size_t i = 0; i < len; i++) {
-		scan_byte(&sc, bytes[i]);
+		json_scan_byte(&sc, bytes[i]);
 		if (sc.levels > kJsonLevelsMax)
 			return i;
 	}
@@ -59,18 +51,30 @@
 	g_strlcpy(err->text, "nested too deeply", sizeof(err->text));
 }
 
-json_t *
-json_text_load_checked(const char *bytes, size_t len, json_error_t *err)
+static json_t *
+load(const char *bytes, size_t len, size_t flags, json_error_t *err)
 {
 	size_t allowed = len_of_allowed(bytes, len);
 
 	if (allowed == len)
-		return json_loadb(bytes, len, 0, err);
+		return json_loadb(bytes, len, flags, err);
 	if (err != NULL)
 		set_depth_error(err, bytes, allowed);
 	return NULL;
 }
 
+json_t *
+json_text_load_checked(const char *bytes, size_t len, json_error_t *err)
+{
+	return load(bytes, len, 0, err);
+}
+
+json_t *
+json_text_load_part(const char *bytes, size_t len)
+{
+	return load(bytes, len, JSON_DECODE_ANY, NULL);
+}
+
 json_t *
 json_text_load_bytes(const char *bytes, size_t len)
 {
--- a/src/os/json_text.h
+++ b/src/os/json_text.h
@@ -29,6 +29,19 @@
 /** The same for a text. @param text NULL is no document */
 json_t *json_text_load(const char *text);
 
+/** The same for a part of a document, which may be any value. */
+json_t *json_text_load_part(const char *bytes, size_t len);
+
+/** Position in a JSON text that is read byte by byte; starts as zero. */
+struct json_scan {
+	int levels;
+	bool is_in_string;
+	bool is_escaped;
+};
+
+/** Brackets within strings are no nesting. */
+void json_scan_byte(struct json_scan *sc, char c);
+
 /** True if the bytes are UTF-8 without a NUL, as JSON text has to be. */
 bool json_text_is_valid(const char *bytes, size_t len);
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -1,8 +1,21 @@
 /* Allocation of the store interface's values, and counters of its calls. */
 #include "store/store.h"
 
+#include "log/log.h"
+#include "log/log_once.h"
 #include "metric/metric.h"
 
+void
+store_report_row(const char *table, const char *key, const char *why)
+{
+	char *subject = g_strconcat(table, "/", key, NULL);
+
+	if (log_once(subject))
+		log_event(kEvtRowUnreadable, "table", table, "key", key,
+		    "error", why, (char *)NULL);
+	g_free(subject);
+}
+
 void
 store_row_clear(struct store_row *row)
 {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -116,6 +116,10 @@
 /** Counts one call to the store by its cause; called by implementations. */
 void store_count_call(enum store_cause cause, bool is_write);
 
+/** Logs a row of another writer that is left out; once for each row, as it is
+ * met at each read. */
+void store_report_row(const char *table, const char *key, const char *why);
+
 /** Frees the contents of a row, but not the row itself. */
 void store_row_clear(struct store_row *row);
 
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -21,7 +21,7 @@
 #include "http/send_guard.h"
 #include "log/log.h"
 #include "metric/metric.h"
-#include "os/json_text.h"
+#include "os/json_partial.h"
 
 enum {
 	kHttpOk = 200,
@@ -245,8 +245,8 @@
 static json_t *
 reply_json(const struct http_reply *reply)
 {
-	return json_text_load_bytes(
-	    (const char *)reply->body->data, reply->body->len);
+	return json_partial_load(
+	    (const char *)reply->body->data, reply->body->len, kJsonRowLevels);
 }
 
 static char *
@@ -255,6 +255,18 @@
 	return g_uri_escape_string(text, "/", FALSE);
 }
 
+/* Another writer's value may be no text: the row exists, and is unreadable. */
+static char *
+value_of(const json_t *row)
+{
+	const json_t *value = json_object_get(row, "value");
+	const char *text = json_string_value(value);
+
+	if (value == NULL)
+		return NULL;
+	return g_strdup(text != NULL ? text : "");
+}
+
 static enum store_result
 http_get(
     void *ctx, enum store_cause cause, const char *key, struct store_row *row)
@@ -269,18 +281,17 @@
 	res = read_result(&reply);
 	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
-		const char *value =
-		    json_string_value(json_object_get(doc, "value"));
-
 		const json_t *version = json_object_get(doc, "version");
+		char *value = value_of(doc);
 
 		if (value != NULL && json_is_integer(version)) {
 			row->key = g_strdup(key);
-			row->value = g_strdup(value);
+			row->value = g_steal_pointer(&value);
 			row->version = json_integer_value(version);
 		} else {
 			res = kStoreUnavailable;
 		}
+		g_free(value);
 		json_decref(doc);
 	}
 	g_byte_array_unref(reply.body);
@@ -289,6 +300,15 @@
 	return res;
 }
 
+/* The key of another writer that is no text: none of this product's. */
+static bool
+has_foreign_key(const json_t *row)
+{
+	const json_t *key = json_object_get(row, "key");
+
+	return key != NULL && !json_is_string(key);
+}
+
 /* @return NULL if it is not a list of complete rows: a row that is left out
  * would be taken for one that does not exist */
 static GPtrArray *
@@ -302,12 +322,14 @@
 	json_array_foreach(doc, i, elem)
 	{
 		const json_t *version = json_object_get(elem, "version");
-		struct store_row *row = g_new0(struct store_row, 1);
+		struct store_row *row;
 
+		if (has_foreign_key(elem))
+			continue;
+		row = g_new0(struct store_row, 1);
 		row->key =
 		    g_strdup(json_string_value(json_object_get(elem, "key")));
-		row->value =
-		    g_strdup(json_string_value(json_object_get(elem, "value")));
+		row->value = value_of(elem);
 		row->version = json_integer_value(version);
 		g_ptr_array_add(rows, row);
 		is_sound = is_sound && row->key != NULL && row->value != NULL &&
@@ -340,7 +362,7 @@
 		if (*rows == NULL)
 			res = kStoreUnavailable;
 		else
-			*has_more = (*rows)->len >= (guint)limit;
+			*has_more = json_array_size(doc) >= (size_t)limit;
 		json_decref(doc);
 	}
 	g_byte_array_unref(reply.body);
@@ -500,9 +522,8 @@
 		struct store_vm *vm;
 
 		if (address == NULL || !vm_state_from_text(text, &state)) {
-			log_event(kEvtRowUnreadable, "table", "vms", "key",
-			    address != NULL ? address : "", "error",
-			    "no address or unknown state", (char *)NULL);
+			store_report_row("vms", address != NULL ? address : "",
+			    "no address or unknown state");
 			continue;
 		}
 		vm = g_new0(struct store_vm, 1);
--- a/test/functional/test_gateway_odd_entries.cc
+++ b/test/functional/test_gateway_odd_entries.cc
@@ -32,6 +32,17 @@
 	return Nested("[", "1", "]", levels);
 }
 
+/* In place of a text in the store's answers, with its quotes. */
+std::string
+Raw(const std::string &bytes)
+{
+	char *b64 = g_base64_encode((const guchar *)bytes.data(), bytes.size());
+	std::string text = std::string("raw:") + b64;
+
+	g_free(b64);
+	return text;
+}
+
 struct Entry {
 	std::string name;
 	std::string key;
@@ -66,6 +77,27 @@
 	SoundFields("\"model_list\":" + Nested("[{\"a\":", "1", "}]", 1000))},
 };
 
+/* Texts that are none, numbers out of range: what the store takes as JSON
+ * differs from what is read here. */
+const Entry kUnreadable[] = {
+    {"no base64", "o", Raw("\"%%%\"")},
+    {"number", "o", Raw("7")},
+    {"null", "o", Raw("null")},
+    {"object", "o", Raw(Objects(3))},
+    {"nested in the answer 2000", "o", Raw(Objects(2000))},
+    {"nested in the answer 8000", "o", Raw(Objects(8000))},
+    {"arrays in the answer 30000", "o", Raw(Arrays(30000))},
+    {"NUL in the answer", "o", Raw("\"a\\u0000b\"")},
+    {"surrogate in the answer", "o", Raw("\"\\ud800\"")},
+    {"no UTF-8 in the answer", "o", Raw("\"\xff\xfe\"")},
+    {"large integer in the answer", "o", Raw("9" + std::string(400, '9'))},
+    {"large number in the answer", "o", Raw("1e999")},
+    {"key with NUL", Raw("\"\\u0000k\""), "x"},
+    {"key with a surrogate", Raw("\"\\udc00\""), "x"},
+    {"key without UTF-8", Raw("\"\xff\""), "x"},
+    {"key that is an object", Raw(Objects(3000)), "x"},
+};
+
 struct OddEntries : Gateway {
 	void
 	RestartAll()
@@ -97,6 +129,19 @@
 			EXPECT_FALSE(daemons[i]->HasExited()) << name;
 		}
 	}
+
+	/* One entry after the other; all daemons start beside each. */
+	template <size_t N>
+	void
+	ExpectServedBeside(const Entry (&entries)[N])
+	{
+		for (const auto &e : entries) {
+			PutRow("servers", e.key, e.value.c_str());
+			RestartAll();
+			ExpectServed(e.name);
+			PutRow("servers", e.key, nullptr);
+		}
+	}
 };
 
 /* Such an entry ended each daemon that read it, again after each start: its
@@ -104,12 +149,38 @@
 TEST_F(OddEntries, AnEntryThatIsNestedDeeplyStopsNoDaemon)
 {
 	StartReadyFleet(1, 2);
-	for (const auto &e : kNested) {
-		PutRow("servers", e.key, e.value.c_str());
-		RestartAll();
-		ExpectServed(e.name);
-		PutRow("servers", e.key, nullptr);
+	ExpectServedBeside(kNested);
+}
+
+/* Such an entry hid all others of its page. */
+TEST_F(OddEntries, AnEntryThatCannotBeReadHidesNoOther)
+{
+	StartReadyFleet(1, 2);
+	ExpectServedBeside(kUnreadable);
+}
+
+/* What refuses an entry must not be done again at each read of the list. */
+TEST_F(OddEntries, AnEntryIsReportedOnce)
+{
+	const char *const bad = "\"name\":\"row_unreadable\"";
+
+	int rows = 0;
+
+	StartReadyFleet(1, 1);
+	for (const auto &e : kUnreadable)
+		if (e.key == "o")
+			PutRow("servers", "odd-" + std::to_string(rows++),
+			    e.value.c_str());
+	PutRow("servers", Raw("\"\\u0000\""), "x");
+	ASSERT_TRUE(daemons[0]->WaitLine(bad, rows + 1));
+	int before = daemons[0]->Count(bad);
+	/* The table is listed every 3 s, and its feed tells of changes. */
+	for (int i = 0; i < 10; i++) {
+		SetWorkerState(0, "ready");
+		g_usleep(400000);
 	}
+	EXPECT_EQ(before, daemons[0]->Count(bad));
+	EXPECT_EQ(200, Call(0, "/q/x", "after", 2).status);
 }
 
 } // namespace
--- a/test/unit/test_json_text.cc
+++ b/test/unit/test_json_text.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 extern "C" {
+#include "os/json_partial.h"
 #include "os/json_text.h"
 }
 
@@ -74,4 +75,51 @@
 	EXPECT_STREQ("nested too deeply", err.text);
 }
 
+const struct {
+	const char *name;
+	std::string text;
+	/* Sorted, or empty: nothing can be read. */
+	std::string read;
+} kPartial[] = {
+    {"sound", "{\"a\":[1,{\"b\":\"x\"}]}", "{\"a\":[1,{\"b\":\"x\"}]}"},
+    {"blanks", " { \"a\" : [ ] , \"b\" : \"\\u0000\" } ",
+	"{\"a\":[],\"b\":null}"},
+    {"NUL", "[{\"k\":\"a\",\"v\":\"\\u0000\"},{\"k\":\"b\"}]",
+	"[{\"k\":\"a\",\"v\":null},{\"k\":\"b\"}]"},
+    {"no UTF-8", "[\"\xff\",\"b\"]", "[null,\"b\"]"},
+    {"integer", "[99999999999999999999,2]", "[null,2]"},
+    {"number", "[1e999,2]", "[null,2]"},
+    {"word", "[nonsense,2]", "[null,2]"},
+    {"brackets in a text", "[\"]}\\\"[{\",\"\\ud800\"]", "[\"]}\\\"[{\",null]"},
+    {"nested", "[" + Nested("[", "", "]", 3000) + ",2]", "[[[null]],2]"},
+    {"name", "{\"\\u0000\":1,\"b\":2}", "{\"b\":2}"},
+    {"other bracket within", "[[1},2]", "[null,2]"},
+    {"level below the last", "[[[[\"\xff\",1],2],3],4]", "[[[null,2],3],4]"},
+    {"cut", "[\"\xff\",[2", ""},
+    {"cut in a text", "[\"\xff\",\"b", ""},
+    {"closed too often", "[\"\xff\"]]", ""},
+    {"other bracket", "[\"\xff\"}", ""},
+    {"no comma", "{\"a\":\"\xff\" \"b\":2", ""},
+    {"missing part", "[\"\xff\",,2]", ""},
+    {"comma at the end", "[\"\xff\",]", ""},
+    {"no member", "{\"\xff\"}", ""},
+    {"a text alone", "\"\xff\"", ""},
+    {"empty", "", ""},
+};
+
+TEST(JsonPartial, APartThatCannotBeReadHidesNoOther)
+{
+	for (const auto &c : kPartial) {
+		json_t *doc = json_partial_load(
+		    c.text.data(), c.text.size(), kJsonRowLevels);
+		char *text = doc != nullptr
+		    ? json_dumps(doc, JSON_COMPACT | JSON_SORT_KEYS)
+		    : nullptr;
+
+		EXPECT_EQ(c.read, text != nullptr ? text : "") << c.name;
+		free(text);
+		json_decref(doc);
+	}
+}
+
 } // namespace
--- a/test/unit/test_store_http.cc
+++ b/test/unit/test_store_http.cc
@@ -139,6 +139,17 @@
 	    {"scan", "[{\"key\":\"k\",\"version\":3}]", false},
 	    {"scan", "[{\"key\":\"k\",\"value\":\"x\"}]", false},
 	    {"scan", "[7]", false},
+	    /* Rows of other writers. */
+	    {"get", "{\"value\":7,\"version\":3}", true},
+	    {"get", "{\"value\":\"\\u0000\",\"version\":3}", true},
+	    {"scan",
+		"[{\"key\":\"a\",\"value\":\"x\",\"version\":3},"
+		"{\"key\":\"b\",\"value\":\"\\u0000\",\"version\":4},"
+		"{\"key\":\"c\",\"value\":[1e999],\"version\":5},"
+		"{\"key\":\"\\ud800\",\"value\":\"x\",\"version\":6},"
+		"{\"key\":\"d\",\"value\":\"\xff\",\"version\":7}]",
+		true, 4},
+	    {"scan", "[{\"key\":\"a\",\"value\":\"\xff\"", false},
 	    {"scan", "{}", false},
 	    {"vms",
 		"{\"cursor\":9,\"vms\":[{\"address\":\"a\",\"state\":\"gone\"}]"
@@ -154,6 +165,10 @@
 		"{\"cursor\":9,\"vms\":[{\"address\":\"a\",\"state\":\"odd\"},"
 		"{\"address\":\"b\",\"state\":\"live\"}]}",
 		true, 1},
+	    {"vms",
+		"{\"cursor\":9,\"vms\":[{\"address\":\"\xff\",\"state\":"
+		"\"live\"},{\"address\":\"b\",\"state\":\"live\"}]}",
+		true, 1},
 	    {"vms", "no JSON", false},
 	};
 	std::string body;
