Leave out rows of other writers among those of a job

What callers saw: a row of another writer beside the results of a finished job made reads of that job fail with 500 at all daemons while it stood: an accepted job whose results cannot be read is lost to its caller. Among the rows of items such a row could mark an item as listed that never ran.

Cause: any row of a job's partition was taken for one of the product's. The number of a key was what strtol() makes of it: "000001x" is 1, a name is 0, and 7 is another position. A result that cannot be read ended the page there.

Fix: a row is a job's only if its key is the one that itemjob_key_number() prints, and a part of a text only if its number is the next one. Others are left out and logged once; a page that has no others is followed by the next one. A row of the product's own name that cannot be read is still an error, as its position must not be another's.

The names in RowsPages.ATextOfManyPartsIsRead were none that the product writes, so they were foreign now; they are the written ones, checks unchanged.

--- a/src/savoryflow/job/itemjob_progress.c
+++ b/src/savoryflow/job/itemjob_progress.c
@@ -118,11 +118,13 @@
 	*progress = itemjob_progress_new();
 	for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
 		const struct store_row *row = rows->pdata[i];
-		json_t *doc = json_text_load(row->value);
+		int32_t index = itemjob_number_of_key(row->key);
+		json_t *doc = index >= 0 ? json_text_load(row->value) : NULL;
 
+		if (index < 0)
+			itemjob_report_foreign(row);
 		if (doc != NULL)
-			append_progress(
-			    *progress, itemjob_number_of_key(row->key), doc);
+			append_progress(*progress, index, doc);
 		json_decref(doc);
 	}
 	if (rows != NULL)
--- a/src/savoryflow/job/itemjob_rows.c
+++ b/src/savoryflow/job/itemjob_rows.c
@@ -27,12 +27,25 @@
 	return g_strdup_printf("%s/%s/%06d", table, id, number);
 }
 
+/* Rows of other writers may have names that begin with a number. */
 int32_t
 itemjob_number_of_key(const char *key)
 {
 	const char *slash = strrchr(key, '/');
+	int64_t number =
+	    slash != NULL ? g_ascii_strtoll(slash + 1, NULL, 10) : -1;
+	char name[32];
 
-	return slash != NULL ? (int32_t)strtol(slash + 1, NULL, 10) : -1;
+	if (number < 0 || number > INT32_MAX)
+		return -1;
+	g_snprintf(name, sizeof(name), "%06" G_GINT64_FORMAT, number);
+	return strcmp(slash + 1, name) == 0 ? (int32_t)number : -1;
+}
+
+void
+itemjob_report_foreign(const struct store_row *row)
+{
+	store_report_row("jobs", row->key, "the name is none of a job's rows");
 }
 
 char *
--- a/src/savoryflow/job/itemjob_rows.h
+++ b/src/savoryflow/job/itemjob_rows.h
@@ -2,6 +2,7 @@
 #define SAVORYFLOW_ITEMJOB_ROWS_H
 
 #include "savoryflow/job/itemjob_defs.h"
+#include "store/store.h"
 
 /* Keys and values of the rows of jobs, for the files that access them. */
 
@@ -20,9 +21,15 @@
  * free with g_free. */
 char *itemjob_key_number(const char *table, const char *id, int32_t number);
 
-/** Returns the number at the end of a key. @return -1 if there is none */
+/**
+ * Returns the number that a key ends with.
+ * @return -1 if the key is none of itemjob_key_number's: another writer's row
+ */
 int32_t itemjob_number_of_key(const char *key);
 
+/** Logs a row that another writer has put among those of a job, once. */
+void itemjob_report_foreign(const struct store_row *row);
+
 /** Value of an open job's row; free with free(). */
 char *itemjob_open_text(const struct itemjob_open *open);
 
--- a/src/savoryflow/job/itemjob_store.c
+++ b/src/savoryflow/job/itemjob_store.c
@@ -304,12 +304,22 @@
 	GPtrArray *rows = NULL;
 	GString *text = g_string_new(NULL);
 	enum store_result res = store_scan_all(st, kCauseBatch, prefix, &rows);
+	int64_t joined = 0;
 
-	if (res == kStoreOk && rows->len != (guint)parts)
+	for (guint i = 0; res == kStoreOk && i < rows->len; i++) {
+		const struct store_row *row = rows->pdata[i];
+		char *key = g_strdup_printf("%s%02d", prefix, (int)joined);
+
+		if (strcmp(row->key, key) == 0) {
+			g_string_append(text, row->value);
+			joined++;
+		} else {
+			itemjob_report_foreign(row);
+		}
+		g_free(key);
+	}
+	if (res == kStoreOk && joined != parts)
 		res = kStoreUnreadable;
-	for (guint i = 0; res == kStoreOk && i < rows->len; i++)
-		g_string_append(
-		    text, ((struct store_row *)rows->pdata[i])->value);
 	result->text = g_string_free(text, FALSE);
 	if (rows != NULL)
 		g_ptr_array_unref(rows);
@@ -361,39 +371,67 @@
     GPtrArray *results)
 {
 	for (guint i = 0; i < rows->len; i++) {
-		enum store_result res =
-		    add_result(st, id, rows->pdata[i], results);
+		const struct store_row *row = rows->pdata[i];
+		guint before = results->len;
+		enum store_result res;
 
+		if (itemjob_number_of_key(row->key) < 0) {
+			itemjob_report_foreign(row);
+			continue;
+		}
+		res = add_result(st, id, row, results);
 		if (res == kStoreOk)
 			continue;
-		g_ptr_array_set_size(results, (gint)i);
-		return res == kStoreUnreadable && i > 0 ? kStoreOk : res;
+		g_ptr_array_set_size(results, (gint)before);
+		return res == kStoreUnreadable && before > 0 ? kStoreOk : res;
 	}
 	return kStoreOk;
 }
 
+/* A page may have rows of other writers only. */
+static enum store_result
+read_page(const struct store *st, const char *id, char **after,
+    GPtrArray *results, bool *has_more)
+{
+	char *prefix = itemjob_key("result", id, "");
+	GPtrArray *rows = NULL;
+	enum store_result res = st->ops->scan(st->ctx, kCauseBatch, prefix,
+	    *after, kItemjobResultsMax, &rows, has_more);
+
+	g_free(prefix);
+	if (res != kStoreOk)
+		return res;
+	res = add_results(st, id, rows, results);
+	if (rows->len > 0) {
+		const struct store_row *last = rows->pdata[rows->len - 1];
+
+		g_free(*after);
+		*after = g_strdup(last->key);
+	} else {
+		*has_more = false;
+	}
+	g_ptr_array_unref(rows);
+	return res;
+}
+
 enum store_result
 itemjob_read_results(
     const struct store *st, const char *id, int32_t from, GPtrArray **results)
 {
-	char *prefix = itemjob_key("result", id, "");
 	char *after =
 	    from > 0 ? itemjob_key_number("result", id, from - 1) : NULL;
-	GPtrArray *rows = NULL;
+	GPtrArray *list = itemjob_results_new();
+	enum store_result res;
 	bool has_more;
-	enum store_result res = st->ops->scan(st->ctx, kCauseBatch, prefix,
-	    after, kItemjobResultsMax, &rows, &has_more);
 
-	if (res == kStoreOk) {
-		*results = itemjob_results_new();
-		res = add_results(st, id, rows, *results);
-		if (res != kStoreOk) {
-			g_ptr_array_unref(*results);
-			*results = NULL;
-		}
-		g_ptr_array_unref(rows);
-	}
-	g_free(prefix);
+	do {
+		has_more = false;
+		res = read_page(st, id, &after, list, &has_more);
+	} while (res == kStoreOk && has_more && list->len == 0);
+	if (res == kStoreOk)
+		*results = list;
+	else
+		g_ptr_array_unref(list);
 	g_free(after);
 	return res;
 }
@@ -413,7 +451,10 @@
 			    itemjob_number_of_key(row->key),
 			    (int32_t)strtol(row->value, NULL, 10)};
 
-			g_array_append_val(*done, d);
+			if (d.index >= 0)
+				g_array_append_val(*done, d);
+			else
+				itemjob_report_foreign(row);
 		}
 		g_ptr_array_unref(rows);
 	}
--- a/test/functional/test_gateway_odd_entries.cc
+++ b/test/functional/test_gateway_odd_entries.cc
@@ -183,4 +183,53 @@
 	EXPECT_EQ(200, Call(0, "/q/x", "after", 2).status);
 }
 
+/* Rows of another writer inside a job, beside its results: each read was
+ * answered 500. */
+TEST_F(OddEntries, RowsBesideResultsHideNone)
+{
+	const struct {
+		const char *name;
+		const char *table;
+		std::string key;
+		std::string value;
+	} cases[] = {
+	    {"name", "result", "note", "x"},
+	    {"before all", "result", "!", "x"},
+	    {"after a number", "result", "000000x", "{}"},
+	    {"short number", "result", "7", "{}"},
+	    {"value that is no text", "result", "note", Raw("[1]")},
+	    {"nested", "result", "note", Objects(2000)},
+	    {"nested in the answer", "result", "note", Raw(Objects(3000))},
+	    {"key with NUL", "result", Raw("\"\\u0000\""), "x"},
+	    {"name of an item", "item", "000001x", "2000000000"},
+	    {"progress", "progress", "000001x", Objects(2000)},
+	    {"part of a text", "text", "000001-zz", "x"},
+	};
+	const int items = 3;
+	int n = 0;
+
+	StartReadyFleet(1, 2);
+	for (const auto &c : cases) {
+		std::string job = "j" + std::to_string(n++);
+
+		PutRowIn(job, c.table, c.key, c.value.c_str());
+		Send(0, "POST", "/b/" + job,
+		    JobBody(job, items, RequestBody(2)), job);
+		for (size_t d = 0; d < daemons.size(); d++)
+			EXPECT_TRUE(Eventually([&] {
+				return HasResults(d, job, items);
+			})) << c.name;
+		for (int from = 0; from <= items; from++) {
+			json_t *doc = FetchResults(1, job, from);
+
+			EXPECT_NE(nullptr, doc) << c.name;
+			EXPECT_EQ((size_t)(items - from),
+			    json_array_size(json_object_get(doc, "results")))
+			    << c.name;
+			json_decref(doc);
+		}
+	}
+	EXPECT_EQ(200, Call(0, "/q/x", "after", 2).status);
+}
+
 } // namespace
--- a/test/platform/test_rows_pages.cc
+++ b/test/platform/test_rows_pages.cc
@@ -176,7 +176,12 @@
 	const size_t kParts = 26;
 	GPtrArray *results = nullptr;
 
-	Fill("text", kParts, std::string(kItemjobTextRowBytes, 'x'), "000000-");
+	for (size_t i = 0; i < kParts; i++) {
+		char key[32];
+
+		g_snprintf(key, sizeof(key), "text/000000-%02zu", i);
+		rows[key] = std::string(kItemjobTextRowBytes, 'x');
+	}
 	rows["result/000000"] =
 	    "{\"item\":\"i\",\"completed\":true,\"parts\":26}";
 	ASSERT_EQ(kStoreOk, itemjob_read_results(st, "j", 0, &results));
