Take only statuses of 100 to 599 for a status

What callers got: answers of workers with status 600 or 999, or with the status line "HTTP/1.1 200x", or with control bytes in its reason, as they came. An answer with 101 kept its caller waiting to the end of its time. 000 and other numbers below 100, and numbers of two and four digits, were refused before.

Cause: intake asked for three digits and looked at nothing behind them; libcurl refuses what is below 100 and passes on the rest.

Fix: head_line_status() decides what a status line is: a version with a digit, one blank, 100 to 599, then a blank or the end, and no control bytes but tabs (RFC 9112, 4; RFC 9110, 15). 101 is none for requests that ask for no other protocol. As intake reads heads for targets, peers, both stores and the command line, none of them takes another.

Evidence: GatewayHeads.AStatusThatIsNoneIsNoAnswer, 16 status lines on routes that may and may not repeat: before, 101, 600, 999, 200x and two reasons were answers or waits; now each is a 502.

--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -5,9 +5,10 @@
 #include <glib.h>
 #include <string.h>
 
+#include "http/head_line.h"
 #include "log/log.h"
 
-enum { kStatusFinalFirst = 200 };
+enum { kStatusSwitching = 101, kStatusFinalFirst = 200 };
 
 void
 intake_init(struct intake *in, int64_t body_bytes_max)
@@ -15,33 +16,14 @@
 	*in = (struct intake){.body_left = body_bytes_max};
 }
 
-/* @return status of "HTTP/1.x NNN"; 0 if it is no status line */
-static int32_t
-status_of_line(const char *line, size_t len)
-{
-	static const char version[] = "HTTP/1.";
-	const size_t code_at = sizeof(version) + 1;
-	int32_t status = 0;
-
-	if (len < code_at + 3 ||
-	    strncmp(line, version, sizeof(version) - 1) != 0 ||
-	    line[code_at - 1] != ' ')
-		return 0;
-	for (size_t i = code_at; i < code_at + 3; i++) {
-		if (!g_ascii_isdigit(line[i]))
-			return 0;
-		status = 10 * status + (line[i] - '0');
-	}
-	return status;
-}
-
 /* A status line within a line: that of another answer was cut off. */
 static bool
 has_status_line(const char *line, size_t len)
 {
 	const char *at = g_strstr_len(line, (gssize)len, "HTTP/1.");
 
-	return at != NULL && status_of_line(at, (size_t)(line + len - at)) != 0;
+	return at != NULL &&
+	    head_line_status(at, (size_t)(line + len - at)) != 0;
 }
 
 static enum intake_line
@@ -59,7 +41,10 @@
 static enum intake_line
 status_line(struct intake *in, const char *line, size_t len)
 {
-	in->head_status = status_of_line(line, len);
+	in->head_status = head_line_status(line, len);
+	/* No request of this product asks for another protocol. */
+	if (in->head_status == kStatusSwitching)
+		in->head_status = 0;
 	in->is_in_head = in->head_status != 0;
 	in->is_garbled = !in->is_in_head || has_status_line(line + 1, len - 1);
 	if (!in->is_garbled)
--- /dev/null
+++ b/test/functional/test_gateway_heads.cc
@@ -0,0 +1,176 @@
+/* Answers of workers whose heads are malformed. */
+#include "functional/gateway_fixture.h"
+#include "platform/late_copies.h"
+
+namespace
+{
+
+const char kBody[] = "{\"a\":\"12345678\"}";
+const char kType[] = "Content-Type: application/json\r\n";
+const char kLength[] = "Content-Length: 16\r\n";
+const char kOk[] = "HTTP/1.1 200 OK\r\n";
+
+/* One of the answers; its head names the attempt and has a signature. */
+struct Answer {
+	std::string name;
+	std::string status_line;
+	std::string fields;
+	std::string body;
+	bool is_sound;
+};
+
+Answer
+WithStatus(const std::string &line, bool is_sound)
+{
+	return {line, line + "\r\n", kLength, kBody, is_sound};
+}
+
+const Answer kStatuses[] = {
+    WithStatus("HTTP/1.1 200 OK", true),
+    WithStatus("HTTP/1.1 200", true),
+    WithStatus("HTTP/1.0 200 a\tb", true),
+    WithStatus("HTTP/1.1 000 OK", false),
+    WithStatus("HTTP/1.1 000", false),
+    WithStatus("HTTP/1.1 001 OK", false),
+    WithStatus("HTTP/1.1 099 OK", false),
+    WithStatus("HTTP/1.1 00 OK", false),
+    WithStatus("HTTP/1.1 0000 OK", false),
+    WithStatus("HTTP/1.1 2000 OK", false),
+    WithStatus("HTTP/1.1 101 OK", false),
+    WithStatus("HTTP/1.1 600 OK", false),
+    WithStatus("HTTP/1.1 999 OK", false),
+    WithStatus("HTTP/1.1 200x", false),
+    WithStatus("HTTP/1.1 200 O\x01K", false),
+    WithStatus("HTTP/1.1 200 O\x7fK", false),
+};
+
+struct GatewayHeads : Gateway {
+	std::mutex lock;
+	Answer answer;
+	/* At the start of the fields, or at their end. */
+	bool is_first = false;
+	bool is_stream = false;
+	int seen = 0;
+	int listed = 0;
+
+	std::string
+	Head(const std::string &request)
+	{
+		size_t at = request.find("X-Attempt-Id: ") + 14;
+		std::string own = "X-Attempt-Id: " +
+		    request.substr(at, request.find("\r\n", at) - at) +
+		    "\r\nX-Response-Seal: s\r\n";
+
+		own +=
+		    is_stream ? "Content-Type: text/event-stream\r\n" : kType;
+		return answer.status_line +
+		    (is_first ? answer.fields + own : own + answer.fields) +
+		    "\r\n";
+	}
+
+	CopyingServer server{[this](const std::string &request) {
+		std::lock_guard<std::mutex> held(lock);
+
+		seen++;
+		return Head(request) + answer.body;
+	}};
+
+	static std::string
+	Route(const std::string &name, const std::string &kind, int attempts)
+	{
+		return ",{\"name\":\"" + name +
+		    "\",\"host\":\"a.example\",\"path_prefix\":\"/" + name +
+		    "/\",\"kind\":\"" + kind +
+		    "\",\"timeout_ms\":5000,\"target_latency_ms\":400,"
+		    "\"service\":\"odd\",\"max_attempts\":" +
+		    std::to_string(attempts) + "}";
+	}
+
+	/* The only worker of its service, under a new id: what it did before
+	 * does not count. */
+	void
+	Serve(const Answer &a, bool first)
+	{
+		std::string id = "h-" + std::to_string(listed++);
+		std::string doc = "{\"service\":\"odd\",\"addr\":\"" +
+		    server.Address() +
+		    "\",\"zone\":\"dc1\",\"version\":\"v1\",\"slot_count\":4,"
+		    "\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,"
+		    "\"born\":1}";
+
+		if (listed > 1)
+			PutRow("servers", "h-" + std::to_string(listed - 2),
+			    nullptr);
+		{
+			std::lock_guard<std::mutex> held(lock);
+
+			answer = a;
+			is_first = first;
+			seen = 0;
+		}
+		PutRow("servers", id, doc.c_str());
+		ASSERT_TRUE(daemons[0]->WaitLine("\"target\":\"" + id + "\""));
+	}
+
+	int
+	Seen()
+	{
+		std::lock_guard<std::mutex> held(lock);
+
+		return seen;
+	}
+
+	void
+	StartOddFleet()
+	{
+		StartReadyFleet(1, 1);
+		Configure(2,
+		    Route("n", "idempotent", 3) +
+			Route("o", "non_idempotent", 1) +
+			Route("w", "streaming", 1));
+		ASSERT_TRUE(Eventually(
+		    [&] { return Call(0, "/o/warm", "w", 1).status != 404; }));
+	}
+
+	/* The whole answer if it is sound; otherwise none, and no promise that
+	 * the request did not run. */
+	void
+	ExpectJudged(const Answer &a, const std::string &path)
+	{
+		Reply r = Call(0, path, path + a.name.substr(0, 1), 1);
+
+		EXPECT_GT(Seen(), 0) << a.name << path;
+		if (a.is_sound) {
+			EXPECT_EQ(200, r.status) << a.name << path;
+			EXPECT_EQ(kBody, r.body) << a.name << path;
+		} else {
+			EXPECT_EQ(502, r.status) << a.name << path << r.body;
+			EXPECT_EQ(0u, r.headers.count("x-response-seal"))
+			    << a.name;
+		}
+	}
+
+	template <size_t N>
+	void
+	ExpectAllJudged(const Answer (&answers)[N])
+	{
+		int n = 0;
+
+		StartOddFleet();
+		for (const auto &a : answers)
+			for (const char *route : {"/o/", "/n/"})
+				for (bool first : {false, true}) {
+					Serve(a, first);
+					ExpectJudged(
+					    a, route + std::to_string(n++));
+				}
+		EXPECT_EQ(200, Call(0, "/q/x", "after", 2).status);
+	}
+};
+
+TEST_F(GatewayHeads, AStatusThatIsNoneIsNoAnswer)
+{
+	ExpectAllJudged(kStatuses);
+}
+
+} // namespace
--- a/test/unit/test_intake.cc
+++ b/test/unit/test_intake.cc
@@ -149,6 +149,7 @@
     {"no digits", {"HTTP/1.1 2xx OK\r\n"}, {kR}, 0},
     {"no version", {"HTTP 200 OK\r\n"}, {kR}, 0},
     {"another version", {"HTTP/2 200\r\n"}, {kR}, 0},
+    {"another protocol", {"HTTP/1.1 101 X\r\n"}, {kR}, 0},
 };
 
 TEST(Intake, AnAnswerWithoutACompleteFinalHeadIsNone)
