Take only fields for fields

What callers got: answers in whose heads the name of a field had a blank, a tab, a control byte, a bracket, a byte over 127 or nothing, as successes, some with that line. Where the line was that of a length or of chunks, but for such a byte, the body was not the worker's: it held the bytes of its framing.

Cause: nobody said what a field is. libcurl passes on lines that it does not understand and takes the answer for one that ends with its connection; libmicrohttpd refuses some of them; intake only looked for the end of the head.

Fix: head_line_is_field() decides, for heads and trailers and for all of the product's clients: a token, a colon next to it, a value without control bytes but tabs (RFC 9110, 5.5 and 5.6.2). A length is a number, the only coding is chunked, and one of both stands once (RFC 9112, 6.3). A continued line is refused, which that RFC (5.2) allows gateways. An answer with another line is none: its connection is closed, the attempt fails as "malformed" and counts as run. A request that may be repeated goes on elsewhere; any other is answered 502, an item runs again, a change of the store is unknown. It is no evidence that the request crashes targets, for the target has not ended.

A line of one byte was a field in test_intake; it is none, and the test says so.

Evidence: GatewayHeads.AFieldThatIsNoneIsNoAnswer, 33 heads at both ends of the fields, on routes that may and may not repeat. HeadLine.Fields has the forms.

--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -39,6 +39,7 @@
 	switch (intake_line(&reply->intake, data, size * n)) {
 	case kIntakeLineRefused:
 	case kIntakeLineMixed:
+	case kIntakeLineMalformed:
 		return 0;
 	case kIntakeLineField:
 		read_field(reply, data, size * n);
--- a/src/gateway/headers.c
+++ b/src/gateway/headers.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#include "http/head_line.h"
+
 struct header_list {
 	GArray *fields;
 };
@@ -93,12 +95,10 @@
 bool
 header_name_is_valid(const char *name)
 {
-	static const char others[] = "!#$%&'*+-.^_`|~";
-
 	if (*name == '\0')
 		return false;
 	for (; *name != '\0'; name++)
-		if (!g_ascii_isalnum(*name) && strchr(others, *name) == NULL)
+		if (!head_line_is_token_char(*name))
 			return false;
 	return true;
 }
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -201,6 +201,7 @@
 		break;
 	case kOutboundInterrupted:
 	case kOutboundCut:
+	case kOutboundMalformed:
 	case kOutboundRefused:
 		record_unknown(fwd);
 		on_peer_done(fwd, false,
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -230,6 +230,7 @@
 {
 	switch (intake_line(&req->intake, line, len)) {
 	case kIntakeLineRefused:
+	case kIntakeLineMalformed:
 		return false;
 	case kIntakeLineMixed:
 		log_surplus(req, "in_head");
@@ -524,6 +525,8 @@
 		return kOutboundRefused;
 	if (req->intake.limit != NULL)
 		return kOutboundCut;
+	if (req->intake.is_malformed)
+		return kOutboundMalformed;
 	if (send_guard_is_unsent(&req->guard))
 		return req->is_withheld ? kOutboundWithheld : kOutboundNotSent;
 	return intake_is_whole(&req->intake, code) ? kOutboundComplete
--- a/src/gateway/outbound.h
+++ b/src/gateway/outbound.h
@@ -15,6 +15,9 @@
 	kOutboundInterrupted,
 	/** The response exceeded a limit; its connection is closed. */
 	kOutboundCut,
+	/** A field of the response's head or trailer is none; its connection is
+	 * closed. */
+	kOutboundMalformed,
 	/** A callback refused the response. */
 	kOutboundRefused,
 	/** may_send did not allow the request; nothing was sent. */
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -259,6 +259,11 @@
 	case kOutboundCut:
 		handle_interrupted(rl, "endless");
 		break;
+	case kOutboundMalformed:
+		/* The target did not end: no evidence that the request crashes
+		 * targets. */
+		relay_fail_attempt(rl, kSlotFailed, "malformed");
+		break;
 	case kOutboundRefused:
 		handle_refused(rl);
 		break;
--- a/src/http/head_line.c
+++ b/src/http/head_line.c
@@ -7,8 +7,16 @@
 enum {
 	kStatusFirst = 100,
 	kStatusLast = 599,
+	kLengthDigitsMax = 18,
 };
 
+bool
+head_line_is_token_char(char c)
+{
+	return g_ascii_isalnum(c) ||
+	    (c != '\0' && strchr("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
 /* @return length without CRLF or a bare LF */
 static size_t
 len_without_end(const char *line, size_t len)
@@ -52,3 +60,66 @@
 		return 0;
 	return status;
 }
+
+static bool
+is_named(const char *name, const char *line, const char *colon)
+{
+	size_t len = (size_t)(colon - line);
+
+	return len == strlen(name) && g_ascii_strncasecmp(line, name, len) == 0;
+}
+
+static bool
+take_length(struct head_framing *framing, const char *value)
+{
+	size_t len = strlen(value);
+
+	if (framing->has_length || framing->has_chunks || len == 0 ||
+	    len > kLengthDigitsMax || strspn(value, "0123456789") != len)
+		return false;
+	framing->has_length = true;
+	framing->length = g_ascii_strtoll(value, NULL, 10);
+	return true;
+}
+
+static bool
+take_coding(struct head_framing *framing, const char *value)
+{
+	if (framing->has_length || framing->has_chunks ||
+	    g_ascii_strcasecmp(value, "chunked") != 0)
+		return false;
+	framing->has_chunks = true;
+	return true;
+}
+
+static bool
+take_framing(struct head_framing *framing, const char *line, const char *colon,
+    const char *end)
+{
+	bool is_length = is_named("Content-Length", line, colon);
+	bool is_coding = is_named("Transfer-Encoding", line, colon);
+	char *value;
+	bool ok;
+
+	if (!is_length && !is_coding)
+		return true;
+	if (framing == NULL)
+		return false;
+	value = g_strstrip(g_strndup(colon + 1, (gsize)(end - colon - 1)));
+	ok = is_length ? take_length(framing, value)
+		       : take_coding(framing, value);
+	g_free(value);
+	return ok;
+}
+
+bool
+head_line_is_field(const char *line, size_t len, struct head_framing *framing)
+{
+	const char *end = line + len_without_end(line, len);
+	const char *colon = line;
+
+	while (colon < end && head_line_is_token_char(*colon))
+		colon++;
+	return colon > line && colon < end && *colon == ':' &&
+	    is_text(colon + 1, end) && take_framing(framing, line, colon, end);
+}
--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -5,7 +5,6 @@
 #include <glib.h>
 #include <string.h>
 
-#include "http/head_line.h"
 #include "log/log.h"
 
 enum { kStatusSwitching = 101, kStatusFinalFirst = 200 };
@@ -26,6 +25,28 @@
 	    head_line_status(at, (size_t)(line + len - at)) != 0;
 }
 
+/* libcurl ends a head or trailer at such a line. */
+static bool
+is_end(const char *line, size_t len)
+{
+	return len > 0 && (line[0] == '\r' || line[0] == '\n');
+}
+
+static enum intake_line
+field_line(struct intake *in, const char *line, size_t len)
+{
+	in->is_malformed = !head_line_is_field(line, len, &in->framing);
+	return in->is_malformed ? kIntakeLineMalformed : kIntakeLineField;
+}
+
+static enum intake_line
+trailer_line(struct intake *in, const char *line, size_t len)
+{
+	in->is_malformed =
+	    !is_end(line, len) && !head_line_is_field(line, len, NULL);
+	return in->is_malformed ? kIntakeLineMalformed : kIntakeLineTrailer;
+}
+
 static enum intake_line
 head_end(struct intake *in)
 {
@@ -41,6 +62,7 @@
 static enum intake_line
 status_line(struct intake *in, const char *line, size_t len)
 {
+	in->framing = (struct head_framing){0};
 	in->head_status = head_line_status(line, len);
 	/* No request of this product asks for another protocol. */
 	if (in->head_status == kStatusSwitching)
@@ -60,17 +82,18 @@
 		in->limit = "head_bytes";
 	if (in->limit != NULL)
 		return kIntakeLineRefused;
+	if (in->is_malformed)
+		return kIntakeLineMalformed;
 	if (in->status != 0)
-		return kIntakeLineTrailer;
+		return trailer_line(in, line, len);
 	if (!in->is_in_head)
 		return status_line(in, line, len);
 	in->is_garbled = has_status_line(line, len);
 	if (in->is_garbled)
 		return kIntakeLineMixed;
-	/* libcurl ends a head at such a line. */
-	if (len > 0 && (line[0] == '\r' || line[0] == '\n'))
+	if (is_end(line, len))
 		return head_end(in);
-	return kIntakeLineField;
+	return field_line(in, line, len);
 }
 
 static bool
@@ -115,14 +138,14 @@
 intake_is_whole(const struct intake *in, CURLcode code)
 {
 	return code == CURLE_OK && in->status != 0 && in->limit == NULL &&
-	    !in->is_garbled;
+	    !in->is_garbled && !in->is_malformed;
 }
 
 /* The server ended it: not a limit, a time limit or a callback of ours. */
 static bool
 is_broken_off(const struct intake *in, CURLcode code)
 {
-	if (in->is_garbled)
+	if (in->is_garbled || in->is_malformed)
 		return true;
 	switch (code) {
 	case CURLE_OK:
@@ -141,6 +164,8 @@
 {
 	if (in->is_garbled)
 		return "status_line";
+	if (in->is_malformed)
+		return "field";
 	return in->status == 0 ? "head" : "body";
 }
 
--- a/src/http/intake.h
+++ b/src/http/intake.h
@@ -6,6 +6,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "http/head_line.h"
 #include "os/clock.h"
 
 /*
@@ -36,6 +37,8 @@
 	kIntakeLineRefused,
 	/** A status line within a head: two answers were mixed. */
 	kIntakeLineMixed,
+	/** A field of a head or trailer that is none: close the connection. */
+	kIntakeLineMalformed,
 	kIntakeLineStatus,
 	kIntakeLineField,
 	/** The empty line after an interim head (1xx). */
@@ -59,6 +62,11 @@
 	bool is_in_head;
 	/** A head began with no status line, or had one inside. */
 	bool is_garbled;
+	/** A head or trailer had a line that is no field, or framing that is
+	 * not certain. */
+	bool is_malformed;
+	/** Of the last head. */
+	struct head_framing framing;
 	int64_t head_bytes;
 	int64_t body_bytes;
 	/** Body bytes that may still follow. */
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -125,6 +125,7 @@
 	switch (intake_line(&reply->intake, data, len)) {
 	case kIntakeLineRefused:
 	case kIntakeLineMixed:
+	case kIntakeLineMalformed:
 		return 0;
 	case kIntakeLineStatus:
 		reply->named[0] = '\0';
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -234,6 +234,7 @@
 	switch (intake_line(&tr->intake, data, len)) {
 	case kIntakeLineRefused:
 	case kIntakeLineMixed:
+	case kIntakeLineMalformed:
 		return 0;
 	case kIntakeLineStatus:
 		forget_fields(tr);
--- a/test/functional/test_gateway_heads.cc
+++ b/test/functional/test_gateway_heads.cc
@@ -19,12 +19,35 @@
 	bool is_sound;
 };
 
+std::string
+Line(const std::string &name, int byte, const std::string &rest)
+{
+	return name + (char)byte + rest + "\r\n";
+}
+
+const std::string kChunked = "Transfer-Encoding: chunked\r\n";
+const std::string kChunks = std::string("10\r\n") + kBody + "\r\n0\r\n\r\n";
+
+Answer
+WithField(const std::string &name, const std::string &line, bool is_sound)
+{
+	return {name, kOk, line + kLength, kBody, is_sound};
+}
+
 Answer
 WithStatus(const std::string &line, bool is_sound)
 {
 	return {line, line + "\r\n", kLength, kBody, is_sound};
 }
 
+Answer
+WithTrailer(const std::string &name, const std::string &line, bool is_sound)
+{
+	return {name, kOk, kChunked,
+	    std::string("10\r\n") + kBody + "\r\n0\r\n" + line + "\r\n",
+	    is_sound};
+}
+
 const Answer kStatuses[] = {
     WithStatus("HTTP/1.1 200 OK", true),
     WithStatus("HTTP/1.1 200", true),
@@ -44,6 +67,46 @@
     WithStatus("HTTP/1.1 200 O\x7fK", false),
 };
 
+const Answer kFields[] = {
+    WithField("sound", "X-A: 1\r\n", true),
+    WithField("no value", "X-A:\r\n", true),
+    WithField("bytes over 127 in a value", "X-A: \xe4\r\n", true),
+    {"chunks", kOk, kChunked, kChunks, true},
+    WithField("blank", "X A: 1\r\n", false),
+    WithField("blank before the colon", "X-A : 1\r\n", false),
+    WithField("tab", "X\tA: 1\r\n", false),
+    WithField("control byte", Line("X", 1, "A: 1"), false),
+    WithField("control byte alone", Line("", 2, ": 1"), false),
+    WithField("0x7f", Line("X", 0x7f, "A: 1"), false),
+    WithField("NUL", Line("X", 0, "A: 1"), false),
+    WithField("bracket", "X(A): 1\r\n", false),
+    WithField("bytes over 127", "X\xc3\xa4: 1\r\n", false),
+    WithField("no name", ": 1\r\n", false),
+    WithField("no colon", "X-A 1\r\n", false),
+    WithField("continued", "X-A: 1\r\n more\r\n", false),
+    WithField("continued with a colon", "X-A: 1\r\n\tmore: 2\r\n", false),
+    WithField("control byte in a value", Line("X-A: ", 1, "1"), false),
+    WithField("lone CR in a value", "X-A: 1\rX-B: 2\r\n", false),
+    WithField("second length", "Content-Length: 5\r\n", false),
+    WithField("chunks and a length", kChunked, false),
+    {"length with a blank", kOk, "Content-Length : 16\r\n", kBody, false},
+    {"length with a control byte", kOk, Line("Content-Length", 1, ": 16"),
+	kBody, false},
+    {"chunks with a blank", kOk, "Transfer-Encoding : chunked\r\n", kChunks,
+	false},
+    {"chunks with a control byte", kOk,
+	Line("Transfer-Encoding", 1, ": chunked"), kChunks, false},
+    {"chunks continued", kOk, "Transfer-Encoding:\r\n chunked\r\n", kChunks,
+	false},
+    {"another coding", kOk, "Transfer-Encoding: x\r\n", kChunks, false},
+    {"length that is no number", kOk, "Content-Length: x\r\n", kBody, false},
+    {"length with a sign", kOk, "Content-Length: +16\r\n", kBody, false},
+    WithTrailer("trailer", "X-A: 1\r\n", true),
+    WithTrailer("blank in a trailer", "X A: 1\r\n", false),
+    WithTrailer("control byte in a trailer", Line("X", 1, "A: 1"), false),
+    WithTrailer("trailer without a colon", "X-A\r\n", false),
+};
+
 struct GatewayHeads : Gateway {
 	std::mutex lock;
 	Answer answer;
@@ -173,4 +236,42 @@
 	ExpectAllJudged(kStatuses);
 }
 
+/* Such answers were passed on as successes, some with the bytes of their
+ * framing as the body. */
+TEST_F(GatewayHeads, AFieldThatIsNoneIsNoAnswer)
+{
+	ExpectAllJudged(kFields);
+}
+
+/* The head of a stream is passed on before its end. */
+TEST_F(GatewayHeads, AStreamWithAFieldThatIsNoneIsNotBegun)
+{
+	const std::string events = "id: 1\ndata: a\n\n";
+	int n = 0;
+
+	StartOddFleet();
+	is_stream = true;
+	for (const auto &a : kFields) {
+		Answer stream = a;
+		char size[16];
+
+		if (a.name.find("trailer") != std::string::npos ||
+		    a.name.find("length") == 0)
+			continue;
+		g_snprintf(size, sizeof(size), "%zx\r\n", events.size());
+		if (a.fields.find(kLength) != std::string::npos)
+			stream.fields.replace(stream.fields.find(kLength),
+			    strlen(kLength),
+			    "Content-Length: " + std::to_string(events.size()) +
+				"\r\n");
+		stream.body = a.fields.find(kLength) != std::string::npos
+		    ? events
+		    : size + events + "\r\n0\r\n\r\n";
+		Serve(stream, true);
+		Reply r = Call(0, "/w/" + std::to_string(n++), a.name, 1);
+		EXPECT_GT(Seen(), 0) << a.name;
+		EXPECT_EQ(a.is_sound ? 200 : 502, r.status) << a.name << r.body;
+	}
+}
+
 } // namespace
--- a/test/unit/test_head_line.cc
+++ b/test/unit/test_head_line.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "http/head_line.h"
@@ -55,4 +56,77 @@
 		    << c.line;
 }
 
+const struct {
+	std::vector<std::string> lines;
+	bool is_sound;
+} kHeads[] = {
+    {{"A: 1\r\n"}, true},
+    {{"A:1\n"}, true},
+    {{"A:\r\n"}, true},
+    {{"A: a\tb\r\n"}, true},
+    {{"A: \xe4\xf6\r\n"}, true},
+    {{"!#$%&'*+-.^_`|~09azAZ: 1\r\n"}, true},
+    {{"Content-Length: 17\r\n"}, true},
+    {{"content-length:17 \r\n"}, true},
+    {{"Transfer-Encoding: Chunked\r\n"}, true},
+    {{"Content-Lengths: x\r\n"}, true},
+    {{"A b: 1\r\n"}, false},
+    {{"A : 1\r\n"}, false},
+    {{"A\t: 1\r\n"}, false},
+    {{" A: 1\r\n"}, false},
+    {{"A: 1\r\n", " continued\r\n"}, false},
+    {{"A: 1\r\n", "\tcontinued: 2\r\n"}, false},
+    {{": 1\r\n"}, false},
+    {{"A\r\n"}, false},
+    {{"A(b): 1\r\n"}, false},
+    {{"A[b]: 1\r\n"}, false},
+    {{"\xc3\xa4: 1\r\n"}, false},
+    {{WithByte("A", 0, "b: 1\r\n")}, false},
+    {{WithByte("A", 1, "b: 1\r\n")}, false},
+    {{WithByte("A", 0x7f, "b: 1\r\n")}, false},
+    {{WithByte("A: ", 0, "1\r\n")}, false},
+    {{WithByte("A: ", 8, "1\r\n")}, false},
+    {{"A: 1\r2\r\n"}, false},
+    {{"A: 1\r\r\n"}, false},
+    {{"Content-Length : 17\r\n"}, false},
+    {{"Content-Length: \r\n"}, false},
+    {{"Content-Length: x\r\n"}, false},
+    {{"Content-Length: 17x\r\n"}, false},
+    {{"Content-Length: +17\r\n"}, false},
+    {{"Content-Length: -1\r\n"}, false},
+    {{"Content-Length: 0x11\r\n"}, false},
+    {{"Content-Length: 17, 17\r\n"}, false},
+    {{"Content-Length: 99999999999999999999\r\n"}, false},
+    {{"Content-Length: 17\r\n", "Content-Length: 17\r\n"}, false},
+    {{"Transfer-Encoding: gzip\r\n"}, false},
+    {{"Transfer-Encoding: gzip, chunked\r\n"}, false},
+    {{"Transfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\n"},
+	false},
+    {{"Transfer-Encoding: chunked\r\n", "Content-Length: 17\r\n"}, false},
+    {{"Content-Length: 17\r\n", "Transfer-Encoding: chunked\r\n"}, false},
+    {{""}, false},
+};
+
+TEST(HeadLine, Fields)
+{
+	for (const auto &c : kHeads) {
+		struct head_framing framing = {};
+		bool is_sound = true;
+
+		for (const auto &line : c.lines)
+			is_sound = is_sound &&
+			    head_line_is_field(
+				line.data(), line.size(), &framing);
+		EXPECT_EQ(c.is_sound, is_sound) << c.lines.back();
+	}
+}
+
+TEST(HeadLine, ATrailerFramesNothing)
+{
+	for (const char *line :
+	    {"Content-Length: 1\r\n", "Transfer-Encoding: chunked\r\n"})
+		EXPECT_FALSE(head_line_is_field(line, strlen(line), nullptr));
+	EXPECT_TRUE(head_line_is_field("A: 1\r\n", 6, nullptr));
+}
+
 } // namespace
--- a/test/unit/test_intake.cc
+++ b/test/unit/test_intake.cc
@@ -106,7 +106,7 @@
 const enum intake_line kS = kIntakeLineStatus, kF = kIntakeLineField,
 		       kI = kIntakeLineInterimEnd, kE = kIntakeLineEnd,
 		       kT = kIntakeLineTrailer, kR = kIntakeLineRefused,
-		       kM = kIntakeLineMixed;
+		       kM = kIntakeLineMixed, kB = kIntakeLineMalformed;
 
 const struct {
 	const char *name;
@@ -125,7 +125,12 @@
     {"status line alone", {"HTTP/1.1 200 OK\r\n"}, {kS}, 0},
     {"no empty line", {"HTTP/1.1 503 X\r\n", "Content-Length: 0\r\n"}, {kS, kF},
 	0},
-    {"field of one byte", {"HTTP/1.1 200 OK\r\n", "A\n"}, {kS, kF}, 0},
+    {"field of one byte", {"HTTP/1.1 200 OK\r\n", "A\n"}, {kS, kB}, 0},
+    {"lengths of two heads",
+	{"HTTP/1.1 102 X\r\n", "Content-Length: 2\r\n", "\r\n",
+	    "HTTP/1.1 200 OK\r\n", "Content-Length: 2\r\n", "\r\n"},
+	{kS, kF, kI, kS, kF, kE}, 200},
+    {"another protocol", {"HTTP/1.1 101 X\r\n"}, {kR}, 0},
     {"interim head alone", {"HTTP/1.1 102 X\r\n", "\r\n"}, {kS, kI}, 0},
     {"broken after an interim head",
 	{"HTTP/1.1 102 X\r\n", "A: 1\r\n", "\r\n", "HTTP/1.1 200 OK\r\n",
@@ -149,7 +154,6 @@
     {"no digits", {"HTTP/1.1 2xx OK\r\n"}, {kR}, 0},
     {"no version", {"HTTP 200 OK\r\n"}, {kR}, 0},
     {"another version", {"HTTP/2 200\r\n"}, {kR}, 0},
-    {"another protocol", {"HTTP/1.1 101 X\r\n"}, {kR}, 0},
 };
 
 TEST(Intake, AnAnswerWithoutACompleteFinalHeadIsNone)
@@ -172,4 +176,20 @@
 	}
 }
 
+/* Its head is whole, and the body may be. */
+TEST(Intake, AnAnswerWithAMalformedTrailerIsNone)
+{
+	const std::string lines[] = {
+	    "HTTP/1.1 200 OK\r\n", "\r\n", "A b: 1\r\n", "A: 1\r\n", "\r\n"};
+	const enum intake_line kinds[] = {kS, kE, kB, kB, kB};
+	intake in;
+
+	intake_init(&in, 1000);
+	for (size_t i = 0; i < std::size(lines); i++)
+		EXPECT_EQ(kinds[i],
+		    intake_line(&in, lines[i].data(), lines[i].size()))
+		    << i;
+	EXPECT_FALSE(intake_is_whole(&in, CURLE_OK));
+}
+
 } // namespace
