Take no answer without a length for whole before the request is sent

What callers got: a part of an answer as all of it, when a worker answered a long upload at once with a 200 that had no length, sent a part of its body, ended its side, and reset the connection while the upload was being written.

Cause: such an answer ends with its connection, so whether it is whole was what libcurl made of that end. A reset is an error for it and was never told as a whole answer; an end before the reset is a success, however much of the request has not been sent.

Fix: intake_is_whole() says so itself: an answer with neither a length nor chunks is whole only if all of the request's body was written, for all of the product's clients. For targets of the gateway it must also be acknowledged by the target's machine at the last read: what fits into the socket's buffer counts as written for libcurl. A target that has read the request has acknowledged it. 204 and 304 have no body to end.

--- a/src/cli/client.c
+++ b/src/cli/client.c
@@ -95,6 +95,7 @@
 		    h, CURLOPT_POSTFIELDS, req->body != NULL ? req->body : "");
 	}
 	res = curl_easy_perform(h);
+	intake_record_sent(&reply->intake, h, (int64_t)req->body_len);
 	reply->status = reply->intake.status;
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(h);
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -2,6 +2,7 @@
 #include "gateway/outbound.h"
 
 #include <curl/curl.h>
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
 #include <string.h>
@@ -51,6 +52,10 @@
 	curl_socket_t fd;
 	/** Bytes that the connection had read before this request. */
 	int64_t read_before;
+	/** Bytes that the target's machine had not acknowledged at the last
+	 * read. A target that has the whole request acknowledges it with its
+	 * answer at the latest. */
+	int unacknowledged;
 	bool is_refused;
 	bool is_done;
 	/** The connection was created for this request. */
@@ -303,6 +308,8 @@
 	}
 	if (req->fd == CURL_SOCKET_BAD)
 		return 0;
+	if (ioctl(req->fd, SIOCOUTQ, &req->unacknowledged) != 0)
+		req->unacknowledged = 0;
 	bytes = connection_read_bytes(req->fd) - req->read_before;
 	return intake_wire(&req->intake, bytes, loop_now_us(req->ob->lp)) ? 0
 									  : 1;
@@ -518,6 +525,12 @@
 	g_ptr_array_set_size(ob->done, 0);
 }
 
+static int64_t
+body_len(const struct outbound_request *req)
+{
+	return req->body != NULL ? (int64_t)g_bytes_get_size(req->body) : 0;
+}
+
 static enum outbound_outcome
 outcome_of(const struct outbound_request *req, CURLcode code)
 {
@@ -561,6 +574,8 @@
 			start_on_new_connection(req);
 			continue;
 		}
+		intake_record_sent(&req->intake, req->easy, body_len(req));
+		req->intake.is_request_cut |= req->unacknowledged > 0;
 		outcome = outcome_of(req, msg->data.result);
 		intake_log(&req->intake, req->url, msg->data.result);
 		was_done = req->is_done;
--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -7,7 +7,12 @@
 
 #include "log/log.h"
 
-enum { kStatusSwitching = 101, kStatusFinalFirst = 200 };
+enum {
+	kStatusSwitching = 101,
+	kStatusFinalFirst = 200,
+	kStatusNoContent = 204,
+	kStatusNotModified = 304,
+};
 
 void
 intake_init(struct intake *in, int64_t body_bytes_max)
@@ -134,11 +139,28 @@
 	in->body_left = bytes;
 }
 
+void
+intake_record_sent(struct intake *in, CURL *easy, int64_t body_bytes)
+{
+	curl_off_t sent = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	in->is_request_cut = sent < body_bytes;
+}
+
+static bool
+ends_with_connection(const struct intake *in)
+{
+	return !in->framing.has_length && !in->framing.has_chunks &&
+	    in->status != kStatusNoContent && in->status != kStatusNotModified;
+}
+
 bool
 intake_is_whole(const struct intake *in, CURLcode code)
 {
 	return code == CURLE_OK && in->status != 0 && in->limit == NULL &&
-	    !in->is_garbled && !in->is_malformed;
+	    !in->is_garbled && !in->is_malformed &&
+	    !(in->is_request_cut && ends_with_connection(in));
 }
 
 /* The server ended it: not a limit, a time limit or a callback of ours. */
@@ -149,7 +171,7 @@
 		return true;
 	switch (code) {
 	case CURLE_OK:
-		return in->status == 0;
+		return in->status == 0 || !intake_is_whole(in, code);
 	case CURLE_PARTIAL_FILE:
 	case CURLE_RECV_ERROR:
 	case CURLE_WEIRD_SERVER_REPLY:
--- a/src/http/intake.h
+++ b/src/http/intake.h
@@ -67,6 +67,8 @@
 	bool is_malformed;
 	/** Of the last head. */
 	struct head_framing framing;
+	/** The transfer ended before the request was sent. */
+	bool is_request_cut;
 	int64_t head_bytes;
 	int64_t body_bytes;
 	/** Body bytes that may still follow. */
@@ -101,9 +103,19 @@
 /** Allows so many further body bytes: the answer has made progress. */
 void intake_allow_body(struct intake *in, int64_t bytes);
 
+/**
+ * Records how much of the request was sent; to be called at the end of a
+ * transfer, before intake_is_whole.
+ * @param body_bytes length of the request's body
+ */
+void intake_record_sent(struct intake *in, CURL *easy, int64_t body_bytes);
+
 /**
  * True if the final head and the body have arrived. Anything else is no answer:
- * nothing of it may be used, and the request may have run.
+ * nothing of it may be used, and the request may have run. A body with neither
+ * a length nor chunks ends with its connection: that end is the server's only
+ * if it had the whole request before, for a connection that ends during the
+ * upload has failed, whether the library has seen a reset or not.
  * @param code how libcurl ended the transfer
  */
 bool intake_is_whole(const struct intake *in, CURLcode code);
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -22,6 +22,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/json_partial.h"
+#include "store/store_answer.h"
 
 enum {
 	kHttpOk = 200,
@@ -189,6 +190,7 @@
 	store_count_call(cause, req->method != NULL);
 	reply->curl = curl_easy_perform(h);
 	count_bytes(h, cause);
+	intake_record_sent(&reply->intake, h, (int64_t)req->body_len);
 	intake_log(&reply->intake, url, reply->curl);
 	curl_slist_free_all(headers);
 	g_free(url);
@@ -256,18 +258,6 @@
 	return g_uri_escape_string(text, "/", FALSE);
 }
 
-/* Another writer's value may be no text: the row exists, and is unreadable. */
-static char *
-value_of(const json_t *row)
-{
-	const json_t *value = json_object_get(row, "value");
-	const char *text = json_string_value(value);
-
-	if (value == NULL)
-		return NULL;
-	return g_strdup(text != NULL ? text : "");
-}
-
 static enum store_result
 http_get(
     void *ctx, enum store_cause cause, const char *key, struct store_row *row)
@@ -283,7 +273,7 @@
 	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
 		const json_t *version = json_object_get(doc, "version");
-		char *value = value_of(doc);
+		char *value = store_answer_value(doc);
 
 		if (value != NULL && json_is_integer(version)) {
 			row->key = g_strdup(key);
@@ -301,47 +291,6 @@
 	return res;
 }
 
-/* The key of another writer that is no text: none of this product's. */
-static bool
-has_foreign_key(const json_t *row)
-{
-	const json_t *key = json_object_get(row, "key");
-
-	return key != NULL && !json_is_string(key);
-}
-
-/* @return NULL if it is not a list of complete rows: a row that is left out
- * would be taken for one that does not exist */
-static GPtrArray *
-rows_from_json(const json_t *doc)
-{
-	GPtrArray *rows = store_rows_new();
-	bool is_sound = json_is_array(doc);
-	json_t *elem;
-	size_t i;
-
-	json_array_foreach(doc, i, elem)
-	{
-		const json_t *version = json_object_get(elem, "version");
-		struct store_row *row;
-
-		if (has_foreign_key(elem))
-			continue;
-		row = g_new0(struct store_row, 1);
-		row->key =
-		    g_strdup(json_string_value(json_object_get(elem, "key")));
-		row->value = value_of(elem);
-		row->version = json_integer_value(version);
-		g_ptr_array_add(rows, row);
-		is_sound = is_sound && row->key != NULL && row->value != NULL &&
-		    json_is_integer(version);
-	}
-	if (is_sound)
-		return rows;
-	g_ptr_array_unref(rows);
-	return NULL;
-}
-
 static enum store_result
 http_scan(void *ctx, enum store_cause cause, const char *prefix,
     const char *after, int32_t limit, GPtrArray **rows, bool *has_more)
@@ -359,7 +308,7 @@
 	if (res == kStoreOk) {
 		json_t *doc = reply_json(&reply);
 
-		*rows = rows_from_json(doc);
+		*rows = store_answer_rows(doc);
 		if (*rows == NULL)
 			res = kStoreUnavailable;
 		else
@@ -490,51 +439,6 @@
 	return false;
 }
 
-static bool
-vm_state_from_text(const char *text, enum store_vm_state *state)
-{
-	static const char *const names[] = {
-	    [kVmLive] = "live", [kVmLeaving] = "leaving", [kVmGone] = "gone"};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-		if (g_strcmp0(text, names[i]) != 0)
-			continue;
-		*state = (enum store_vm_state)i;
-		return true;
-	}
-	return false;
-}
-
-/* An entry of an unknown state says nothing about its VM. */
-static GPtrArray *
-vms_from_json(const json_t *list)
-{
-	GPtrArray *vms = store_vms_new();
-	json_t *elem;
-	size_t i;
-
-	json_array_foreach(list, i, elem)
-	{
-		const char *address =
-		    json_string_value(json_object_get(elem, "address"));
-		const char *text =
-		    json_string_value(json_object_get(elem, "state"));
-		enum store_vm_state state;
-		struct store_vm *vm;
-
-		if (address == NULL || !vm_state_from_text(text, &state)) {
-			store_report_row("vms", address != NULL ? address : "",
-			    "no address or unknown state");
-			continue;
-		}
-		vm = g_new0(struct store_vm, 1);
-		vm->address = g_strdup(address);
-		vm->state = state;
-		g_ptr_array_add(vms, vm);
-	}
-	return vms;
-}
-
 static enum store_result
 http_vms(void *ctx, int64_t *cursor, GPtrArray **vms)
 {
@@ -552,7 +456,7 @@
 
 		if (json_is_integer(next) && json_is_array(list)) {
 			*cursor = json_integer_value(next);
-			*vms = vms_from_json(list);
+			*vms = store_answer_vms(list);
 		} else {
 			res = kStoreUnavailable;
 		}
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -362,6 +362,8 @@
 		if (msg->msg != CURLMSG_DONE)
 			continue;
 		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &tr);
+		intake_record_sent(&tr->intake, tr->easy,
+		    tr->body != NULL ? (int64_t)g_bytes_get_size(tr->body) : 0);
 		intake_log(&tr->intake, tr->url, msg->data.result);
 		transfer_finish(
 		    tc, tr, transfer_end_from_code(tr, msg->data.result));
