Charge answers that targets send to the budget of memory

What callers saw: on other systems, a faulty worker sent bytes without end, the machine that had called it kept them all and ended, and with it the requests of all its clients. Here each answer is bounded, but not what many keep together: 64 callers at a daemon of 130 MB, all targets of one service sending a body without end, took it to 271 MB. The platform ends a process above its memory.

Cause: the budget charged what clients send and do not read. What a target sends was kept by the relay, and copied by the call, without a charge.

Fix: the relay asks before it keeps more of an answer, by the size of its buffers, and tells when it keeps less; the call charges this to its client's connection (kBudgetAnswers, savoryflow_budget_answers_bytes). If there is no room, the largest answer that is larger is dropped: one without end gets there first, while small ones have the reserve; then large clients that read nothing are closed. An attempt whose answer found no room ends as "no_memory": a request that may be repeated goes on, another one is answered 502, as it may have run. That is no failure of its target. A body is no longer copied by the call, and buffers of ended attempts are freed.

Now only clients above an ordinary request are closed, and after larger answers.

Evidence: EndlessMany.AnswersWithoutEndFitIntoTheVm, bodies, chunks and events without end, 64 callers, 130 MB, and 64 calls of another service beside each. LargeSoundAnswersPass: 4 MB pass one after the other and 8 at once, as before.

--- a/src/gateway/budget/budget_watch.c
+++ b/src/gateway/budget/budget_watch.c
@@ -26,6 +26,7 @@
 	    [kBudgetReading] = kMetBudgetReading,
 	    [kBudgetHeld] = kMetBudgetHeld,
 	    [kBudgetUnread] = kMetBudgetUnread,
+	    [kBudgetAnswers] = kMetBudgetAnswers,
 	};
 
 	for (int i = 0; i < kBudgetAccountCount; i++)
--- a/src/gateway/budget/front_budget.c
+++ b/src/gateway/budget/front_budget.c
@@ -108,6 +108,7 @@
 	budget_clear(b, d, kBudgetReading);
 	budget_clear(b, d, kBudgetHeld);
 	budget_clear(b, d, kBudgetUnread);
+	budget_clear(b, d, kBudgetAnswers);
 	budget_set_phase(b, d, kBudgetIdle, now_us(req));
 }
 
@@ -179,6 +180,67 @@
 	return budget_of(req) == NULL || grow(req, kBudgetHeld, bytes);
 }
 
+void
+front_on_memory_short(
+    struct front_request *req, front_disconnect_fn fn, void *data)
+{
+	req->memory_short_fn = fn;
+	req->memory_short_data = data;
+}
+
+/* Drops the largest answer if it is larger than this: one without end gets
+ * there first. */
+static bool
+drop_larger_answer(struct budget *b, size_t bytes)
+{
+	struct budget_debtor *d = budget_largest(b, kBudgetAnswers);
+	struct front_request *req;
+
+	if (d == NULL || d->bytes[kBudgetAnswers] <= (int64_t)bytes)
+		return false;
+	req = ((struct front_connection *)d->owner)->request;
+	log_event(kEvtAnswerCut, "limit", "memory", "uri", req->uri,
+	    "body_bytes", log_number(d->bytes[kBudgetAnswers]), (char *)NULL);
+	req->memory_short_fn(req->memory_short_data);
+	return true;
+}
+
+/* Closes the largest client that reads nothing. Small ones free too little, and
+ * may only wait for a daemon that is busy with large answers. */
+static bool
+close_large_idle(struct front_request *req)
+{
+	struct budget_debtor *d =
+	    budget_largest_idle(budget_of(req), now_us(req));
+
+	if (d == NULL || d == &req->peer->debt ||
+	    d->total_bytes - d->bytes[kBudgetConnections] <=
+		kBudgetOrdinaryBytes)
+		return false;
+	front_budget_ops.close(d);
+	return true;
+}
+
+bool
+front_hold_answer(struct front_request *req, size_t bytes)
+{
+	struct budget *b = budget_of(req);
+	struct budget_debtor *own = &req->peer->debt;
+	int64_t more = (int64_t)bytes - own->bytes[kBudgetAnswers];
+
+	if (b == NULL)
+		return true;
+	if (more <= 0) {
+		budget_release(b, own, kBudgetAnswers, -more);
+		return true;
+	}
+	while (budget_grow(b, own, kBudgetAnswers, more, now_us(req)) !=
+	    kBudgetGranted)
+		if (!drop_larger_answer(b, bytes) && !close_large_idle(req))
+			return false;
+	return true;
+}
+
 bool
 front_has_room(struct front_request *req, size_t bytes)
 {
--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -59,8 +59,9 @@
 	int64_t first_us;
 	int32_t status;
 	struct header_list *headers;
-	/** Body of an answer that is not a stream. */
-	GString *answer_body;
+	/** Body of an answer that is not a stream; the relay's. */
+	const char *answer;
+	size_t answer_len;
 	bool is_streaming;
 };
 
@@ -88,7 +89,6 @@
 {
 	g_hash_table_remove(oc->cs->open, oc);
 	header_list_free(oc->headers);
-	g_string_free(oc->answer_body, TRUE);
 	g_free(oc);
 }
 
@@ -125,10 +125,12 @@
 {
 	struct online_call *oc = ctx;
 
-	if (oc->is_streaming)
+	if (oc->is_streaming) {
 		front_stream_data(oc->req, ev->text, ev->len);
-	else
-		g_string_append_len(oc->answer_body, ev->text, (gssize)ev->len);
+		return;
+	}
+	oc->answer = ev->text;
+	oc->answer_len = ev->len;
 }
 
 static void
@@ -177,7 +179,7 @@
 			front_stream_end(oc->req, true);
 		else
 			front_reply(oc->req, oc->status, oc->headers,
-			    oc->answer_body->str, oc->answer_body->len);
+			    oc->answer, oc->answer_len);
 		break;
 	case kRelayInterrupted:
 		front_stream_end(oc->req, false);
@@ -286,8 +288,25 @@
 	return kRelayMustNotSend;
 }
 
-static const struct relay_ops relay_ops = {
-    on_head, on_data, may_run, on_begun, on_lost_run, on_end, may_send};
+static bool
+hold_answer(void *ctx, size_t bytes)
+{
+	struct online_call *oc = ctx;
+
+	return front_hold_answer(oc->req, bytes);
+}
+
+/* Called only while something is held, so there is a relay. */
+static void
+on_memory_short(void *data)
+{
+	struct online_call *oc = data;
+
+	relay_drop_answer(oc->relay);
+}
+
+static const struct relay_ops relay_ops = {on_head, on_data, may_run, on_begun,
+    on_lost_run, on_end, may_send, hold_answer};
 
 int64_t
 calls_answer_deadline_us(const struct front_request *req,
@@ -487,7 +506,7 @@
 	oc->req = req;
 	oc->lp = cs->opt.deps.lp;
 	oc->headers = header_list_new();
-	oc->answer_body = g_string_new(NULL);
+	oc->answer = "";
 	oc->objective_us = route->objective_us;
 	oc->hold_until_us = loop_now_us(oc->lp) + kBlameHoldUs;
 	g_strlcpy(oc->attempt_id, call->attempt_id, sizeof(oc->attempt_id));
@@ -540,5 +559,6 @@
 	};
 	g_hash_table_add(cs->open, oc);
 	front_on_disconnect(req, on_disconnect, oc);
+	front_on_memory_short(req, on_memory_short, oc);
 	request_allowance(oc);
 }
--- a/src/gateway/event_splitter.c
+++ b/src/gateway/event_splitter.c
@@ -29,7 +29,8 @@
 void
 event_splitter_restart(struct event_splitter *es)
 {
-	g_string_truncate(es->partial, 0);
+	g_string_free(es->partial, TRUE);
+	es->partial = g_string_new(NULL);
 	es->fault = kEventSound;
 }
 
@@ -188,6 +189,12 @@
 	return is_continued;
 }
 
+size_t
+event_splitter_buffer_size(const struct event_splitter *es)
+{
+	return es->partial->allocated_len;
+}
+
 size_t
 event_splitter_partial_len(const struct event_splitter *es)
 {
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -56,6 +56,9 @@
 bool event_splitter_feed(struct event_splitter *es, const char *data,
     size_t len, stream_event_fn fn, void *ctx);
 
+/** Bytes of the buffer for the event that is not complete. */
+size_t event_splitter_buffer_size(const struct event_splitter *es);
+
 /** Bytes received of an event that is not complete. */
 size_t event_splitter_partial_len(const struct event_splitter *es);
 
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -125,6 +125,22 @@
  */
 bool front_hold(struct front_request *req, size_t bytes);
 
+/**
+ * Charges what is kept of the answer that a target is sending to a request.
+ * Others that keep more of theirs are asked to drop it, then large ones that
+ * make no progress are closed.
+ * @param bytes all that is kept, in place of what was charged before
+ * @return false if the budget has no room; nothing changes then
+ */
+bool front_hold_answer(struct front_request *req, size_t bytes);
+
+/**
+ * Sets what drops the answer charged with front_hold_answer. It has to be
+ * charged with 0 before fn returns, and before data is freed.
+ */
+void front_on_memory_short(
+    struct front_request *req, front_disconnect_fn fn, void *data);
+
 /**
  * @return false if the budget has no room for an answer of this size, which can
  *         be had again; others that make no progress have been closed then
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -72,6 +72,8 @@
 	int64_t received_us;
 	front_disconnect_fn disconnect_fn;
 	void *disconnect_data;
+	front_disconnect_fn memory_short_fn;
+	void *memory_short_data;
 
 	struct MHD_Response *response;
 	unsigned int status;
--- a/src/gateway/gateway_status.c
+++ b/src/gateway/gateway_status.c
@@ -73,13 +73,14 @@
 {
 	if (metric_get(kMetBudgetLimit) == 0)
 		return NULL;
-	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "limit_bytes",
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "limit_bytes",
 	    (json_int_t)metric_get(kMetBudgetLimit), "connections_bytes",
 	    (json_int_t)metric_get(kMetBudgetConnections), "heads_bytes",
 	    (json_int_t)metric_get(kMetBudgetHeads), "reading_bytes",
 	    (json_int_t)metric_get(kMetBudgetReading), "held_bytes",
 	    (json_int_t)metric_get(kMetBudgetHeld), "unread_bytes",
-	    (json_int_t)metric_get(kMetBudgetUnread));
+	    (json_int_t)metric_get(kMetBudgetUnread), "answers_bytes",
+	    (json_int_t)metric_get(kMetBudgetAnswers));
 }
 
 static const struct status_section sections[] = {
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -75,6 +75,8 @@
 {
 	loop_timer_cancel(rl->deps.lp, rl->stall_timer);
 	rl->stall_timer = 0;
+	loop_timer_cancel(rl->deps.lp, rl->drop_timer);
+	rl->drop_timer = 0;
 	rl->silent_since_us = 0;
 	if (rl->request != NULL)
 		outbound_cancel(rl->request);
@@ -121,6 +123,9 @@
 
 	g_strlcpy(result.target, rl->target, sizeof(result.target));
 	end_work(rl, outcome == kRelayRevoked);
+	/* Its owner may keep a copy of the body instead. */
+	if (rl->opt.ops->hold_answer != NULL && rl->held_bytes > 0)
+		rl->opt.ops->hold_answer(rl->opt.ctx, 0);
 	rl->opt.ops->on_end(rl->opt.ctx, &result);
 	relay_free(rl);
 }
@@ -129,6 +134,7 @@
 relay_cancel(struct relay *rl)
 {
 	end_work(rl, false);
+	relay_release_answer(rl);
 	relay_free(rl);
 }
 
@@ -184,6 +190,7 @@
 	relay_log_attempt(rl, cause);
 	rl->cause = cause;
 	relay_release_target(rl, outcome);
+	relay_release_answer(rl);
 	if (relay_may_retry(rl)) {
 		metric_add(kMetRetries, 1);
 		if (rl->is_answering)
@@ -296,8 +303,8 @@
 	rl->sent_us = now_us;
 	rl->permit_until_us = 0;
 	rl->run_events = 0;
-	event_splitter_restart(&rl->events);
-	g_string_truncate(rl->answer_body, 0);
+	relay_release_answer(rl);
+	rl->lacks_memory = false;
 	rl->target_started_ms = target->started_ms;
 	rl->attempts++;
 	metric_add(kMetAttempts, 1);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -67,7 +67,8 @@
 	/** Head of the answer that will be passed on. */
 	void (*on_head)(
 	    void *ctx, int32_t status, const struct header_list *headers);
-	/** A complete event of a stream, or part of another body. */
+	/** A complete event of a stream, or another body as a whole, which
+	 * lives until on_end returns. */
 	void (*on_data)(void *ctx, const struct stream_event *ev);
 	/** Asked before the request is sent to a target; may be NULL.
 	 * @param is_repeat a run was lost before its answer began
@@ -85,6 +86,11 @@
 	 * it is open; may be NULL.
 	 * @param cause if it must not be sent now: why, for the log */
 	enum relay_permit (*may_send)(void *ctx, const char **cause);
+	/** Asked before the relay keeps more of an answer than it has passed
+	 * on, and told when it keeps less; may be NULL.
+	 * @param bytes all that it keeps then
+	 * @return false if there is no memory for it: the attempt ends */
+	bool (*hold_answer)(void *ctx, size_t bytes);
 };
 
 /** Modules that a relay uses. */
@@ -164,6 +170,10 @@
 /** Ends the request because the daemon stops; on_end is called. */
 void relay_give_up(struct relay *rl);
 
+/** Memory is short: what is kept of the answer is dropped at once, and the
+ * attempt ends a moment later. */
+void relay_drop_answer(struct relay *rl);
+
 /** Cancels the request and its transfer at once; on_end is not called. */
 void relay_cancel(struct relay *rl);
 
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -114,13 +114,16 @@
 	struct relay *rl = ctx;
 
 	if (!rl->is_stream) {
+		if (!relay_hold_body(rl, len))
+			return false;
 		g_string_append_len(rl->answer_body, data, (gssize)len);
 		return true;
 	}
 	target_activity_record(
 	    rl->deps.activity, rl->target, loop_now_us(rl->deps.lp));
 	rl->has_new_event = false;
-	if (!event_splitter_feed(&rl->events, data, len, on_event, rl))
+	if (!event_splitter_feed(&rl->events, data, len, on_event, rl) ||
+	    !relay_hold_events(rl))
 		return false;
 	/* Bytes that complete no event are no progress. */
 	if (rl->has_new_event) {
@@ -212,15 +215,17 @@
 	relay_fail_attempt(rl, kSlotFailed, cause);
 }
 
-/* A callback has refused the answer: it is too long, another request's, or an
- * event has a fault. */
+/* A callback has refused the answer: it is too long, there is no memory for it,
+ * it is another request's, or an event has a fault. */
 static void
 handle_refused(struct relay *rl)
 {
 	bool is_full = rl->opt.stream_bytes_max > 0 &&
 	    rl->stream_bytes > rl->opt.stream_bytes_max;
 
-	if (is_full)
+	if (rl->lacks_memory)
+		relay_fail_attempt(rl, kSlotNeutral, "no_memory");
+	else if (is_full)
 		handle_interrupted(rl, "endless");
 	else if (rl->is_unsigned)
 		relay_fail_attempt(rl, kSlotFailed, "unsigned");
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -89,6 +89,12 @@
 	bool is_unsigned;
 	struct event_splitter events;
 	GString *answer_body;
+	/** Last size that hold_answer allowed. */
+	size_t held_bytes;
+	/** It did not allow more. */
+	bool lacks_memory;
+	/** Set from relay_drop_answer to the end of the attempt. */
+	uint64_t drop_timer;
 	/** The head, and possibly body data, was passed on. */
 	bool is_answering;
 	/** Events of the current run, and whether one has begun its answer. */
@@ -133,6 +139,19 @@
 
 void relay_log_attempt(const struct relay *rl, const char *cause);
 
+/* relay_hold.c */
+
+/** Holds memory for further bytes of a body that is no stream.
+ * @return false if there is none */
+bool relay_hold_body(struct relay *rl, size_t len);
+
+/** Holds the memory of an event that is not complete.
+ * @return false if there is none */
+bool relay_hold_events(struct relay *rl);
+
+/** Frees what is kept of the answer, and gives its memory back. */
+void relay_release_answer(struct relay *rl);
+
 /* relay_takeover.c */
 
 /** The target has sent an event, or was sent the request: watches for silence
--- a/src/metric/metric.h
+++ b/src/metric/metric.h
@@ -108,6 +108,8 @@
 	    "Memory charged for bodies of requests that run.")                 \
 	X(kMetBudgetUnread, gauge, "savoryflow_budget_unread_bytes",           \
 	    "Memory charged for answers that were not read.")                  \
+	X(kMetBudgetAnswers, gauge, "savoryflow_budget_answers_bytes",         \
+	    "Memory charged for answers that targets are sending.")            \
 	X(kMetActiveCalls, gauge, "savoryflow_active_calls",                   \
 	    "Calls without their final answer.")                               \
 	X(kMetGeneration, gauge, "savoryflow_config_generation",               \
--- a/src/savoryflow/budget/budget.c
+++ b/src/savoryflow/budget/budget.c
@@ -256,6 +256,21 @@
 	return largest;
 }
 
+struct budget_debtor *
+budget_largest(struct budget *b, enum budget_account account)
+{
+	struct budget_debtor *largest = NULL;
+
+	for (GList *it = b->by_progress.head; it != NULL; it = it->next) {
+		struct budget_debtor *d = it->data;
+
+		if (d->bytes[account] >
+		    (largest != NULL ? largest->bytes[account] : 0))
+			largest = d;
+	}
+	return largest;
+}
+
 /* The last request that waits; an ordinary one only if no other waits. */
 static struct budget_debtor *
 last_waiting(struct budget *b)
--- a/src/savoryflow/budget/budget.h
+++ b/src/savoryflow/budget/budget.h
@@ -45,6 +45,8 @@
 	kBudgetHeld,
 	/** Answers that their callers have not read. */
 	kBudgetUnread,
+	/** Answers that targets are sending, as far as they are kept. */
+	kBudgetAnswers,
 	kBudgetAccountCount,
 };
 
@@ -168,6 +170,10 @@
  */
 struct budget_debtor *budget_victim(struct budget *b, int64_t now_us);
 
+/** The debtor with the most bytes of an account; NULL if none has any. */
+struct budget_debtor *budget_largest(
+    struct budget *b, enum budget_account account);
+
 /**
  * The largest idle debtor that is larger than the connection alone, whether
  * memory is short or not; for an answer that cannot wait.
--- /dev/null
+++ b/test/functional/test_endless_many.cc
@@ -0,0 +1,166 @@
+/* Many answers at once, without end or large, in a VM with little memory. */
+#include <atomic>
+#include <thread>
+
+#include "functional/gateway_fixture.h"
+#include "platform/late_copies.h"
+
+namespace
+{
+
+/* Memory of the smallest VM; the platform ends a process above it. */
+const int kVmMib = 130;
+const int kCallers = 64;
+const int kServers = 4;
+const size_t kLargeBytes = 4000000;
+
+struct EndlessMany : Gateway {
+	std::unique_ptr<Process> server;
+	int listed = 0;
+
+	EndlessMany()
+	{
+		daemon_flags = {"--memory-mb=" + std::to_string(kVmMib)};
+	}
+
+	static std::string
+	Route(const std::string &name, const std::string &kind, int attempts)
+	{
+		return ",{\"name\":\"" + name +
+		    "\",\"host\":\"a.example\",\"path_prefix\":\"/" + name +
+		    "/\",\"kind\":\"" + kind +
+		    "\",\"timeout_ms\":5000,\"target_latency_ms\":2000,"
+		    "\"service\":\"many\",\"target_gap_ms\":2000,"
+		    "\"max_attempts\":" +
+		    std::to_string(attempts) + "}";
+	}
+
+	void
+	List(const std::string &address)
+	{
+		std::string id = "m-" + std::to_string(listed++);
+		std::string doc = "{\"service\":\"many\",\"addr\":\"" +
+		    address +
+		    "\",\"zone\":\"dc1\",\"version\":\"v1\",\"slot_count\":16,"
+		    "\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,"
+		    "\"born\":1}";
+
+		PutRow("servers", id, doc.c_str());
+		ASSERT_TRUE(daemons[0]->WaitLine("\"target\":\"" + id + "\""));
+	}
+
+	void
+	StartFleet()
+	{
+		StartReadyFleet(1, 1);
+		Configure(2,
+		    Route("n", "idempotent", 3) +
+			Route("o", "non_idempotent", 1) +
+			Route("w", "streaming", 1));
+		ASSERT_TRUE(Eventually(
+		    [&] { return Call(0, "/o/warm", "w", 1).status != 404; }));
+	}
+
+	void
+	StartEndless(const char *mode)
+	{
+		int port = FreePort();
+
+		server.reset(new Process({Env("SF_STANDIN"), "endless",
+		    "--port=" + std::to_string(port),
+		    std::string("--mode=") + mode}));
+		ASSERT_TRUE(server->WaitLine("listening"));
+		for (int i = 0; i < kServers; i++)
+			List(LoopbackAddress(port));
+	}
+
+	/* No two requests alike: one that fails again and again is refused. */
+	void
+	CallAtOnce(const std::string &route, const std::string &name)
+	{
+		std::vector<std::thread> callers;
+
+		for (int i = 0; i < kCallers; i++)
+			callers.emplace_back([=] {
+				std::string id = name + std::to_string(i);
+				Reply r = Send(0, "POST", route + id,
+				    "{\"n\":\"" + id + "\"}", id);
+
+				EXPECT_NE(200, r.status) << id;
+			});
+		for (int i = 0; i < kCallers; i++) {
+			std::string id = name + "q" + std::to_string(i);
+
+			EXPECT_EQ(200, Call(0, "/q/x", id, 2).status) << id;
+		}
+		for (auto &c : callers)
+			c.join();
+	}
+};
+
+/* Each answer was bounded, and what all of them kept was not: the platform
+ * ended the process, and with it the requests of others. */
+TEST_F(EndlessMany, AnswersWithoutEndFitIntoTheVm)
+{
+	const struct {
+		const char *mode;
+		const char *route;
+	} cases[] = {
+	    {"body", "/n/"},
+	    {"chunks", "/n/"},
+	    {"body", "/o/"},
+	    {"event", "/w/"},
+	};
+
+	for (const auto &c : cases) {
+		std::string name = std::string(c.mode) + c.route[1];
+
+		if (daemons.empty())
+			StartFleet();
+		StartEndless(c.mode);
+		CallAtOnce(c.route, name);
+		EXPECT_GT(server->Count("request "), 0) << name;
+EXPECT_LT(daemons[0]->PeakMemoryKib(), kVmMib * 1024) << name;
+		EXPECT_FALSE(daemons[0]->HasExited()) << name;
+	}
+}
+
+/* As large as an answer may be; some of them at once find room. */
+TEST_F(EndlessMany, LargeSoundAnswersPass)
+{
+	std::string body(kLargeBytes, 'x');
+	CopyingServer sound([&](const std::string &request) {
+		size_t at = request.find("X-Attempt-Id: ") + 14;
+
+		return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+		    request.substr(at, request.find("\r\n", at) - at) +
+		    "\r\nX-Response-Seal: s\r\nContent-Length: " +
+		    std::to_string(body.size()) + "\r\n\r\n" + body;
+	});
+	std::atomic<int> whole{0};
+
+	StartFleet();
+	List(sound.Address());
+	for (const char *route : {"/n/", "/o/"})
+		for (int i = 0; i < 5; i++) {
+			std::string id =
+			    std::string(route + 1, 1) + std::to_string(i);
+			Reply r = Call(0, route + id, id, 1);
+
+			EXPECT_EQ(200, r.status) << id;
+			EXPECT_TRUE(r.body == body) << id;
+		}
+	std::vector<std::thread> callers;
+	for (int i = 0; i < 8; i++)
+		callers.emplace_back([&, i] {
+			std::string id = "c" + std::to_string(i);
+
+			whole += Call(0, "/o/" + id, id, 1).body == body;
+		});
+	for (auto &c : callers)
+		c.join();
+	EXPECT_EQ(8, whole);
+	EXPECT_LT(daemons[0]->PeakMemoryKib(), kVmMib * 1024);
+}
+
+} // namespace
--- a/test/relay/relay_fixture.h
+++ b/test/relay/relay_fixture.h
@@ -42,6 +42,9 @@
 	bool is_resent = false;
 	bool is_ended = false;
 	relay_permit permit = kRelayMaySend;
+	/* Of the answer; a refusal of more if there is no room. */
+	size_t held_bytes = 0;
+	bool has_room = true;
 	bool (*may_send)(void *ctx) = nullptr;
 	/* The last request for a slot; its texts are borrowed. */
 	slots_acquire_options asked = {};
@@ -216,11 +219,22 @@
 	return play->permit;
 }
 
+bool
+HoldAnswer(void *, size_t bytes)
+{
+	if (bytes > play->held_bytes && !play->has_room)
+		return false;
+	play->held_bytes = bytes;
+	return true;
+}
+
 struct Step {
 	int at_ms;
 	/* "grant TARGET", "refuse", "revoke", "event", "cut", "unsent",
 	 * "resend", "answer STATUS", "last-start MS", "give-up", "withhold",
-	 * "never", "later" or "allow": whether it may be sent from now on. */
+	 * "never", "later" or "allow": whether it may be sent from now on;
+	 * "full": there is no memory for answers from now on; "body": a part
+	 * of an answer that is no stream; "drop": it is dropped. */
 	const char *what;
 };
 
@@ -228,8 +242,8 @@
 	clock_ops time_ops = {PlayTime, PlayTime, PlayTime};
 	clock_source clk = {&time_ops, nullptr};
 	dialect_ops dialect = {};
-	relay_ops ops = {
-	    OnHead, OnData, nullptr, nullptr, nullptr, OnEnd, MaySend};
+	relay_ops ops = {OnHead, OnData, nullptr, nullptr, nullptr, OnEnd,
+	    MaySend, HoldAnswer};
 	Play state;
 	struct loop *lp = nullptr;
 	struct fleet *fl = fleet_new();
@@ -355,6 +369,10 @@
 			    state.relay_ctx, state.held.begin()->first);
 		} else if (verb == "last-start") {
 			relay_limit_start(rl, (1000 + std::stoi(arg)) * kMs);
+		} else if (verb == "full") {
+			state.has_room = false;
+		} else if (verb == "drop") {
+			relay_drop_answer(rl);
 		} else if (verb == "give-up") {
 			relay_give_up(rl);
 		} else if (verb == "never" || verb == "later" ||
@@ -371,7 +389,9 @@
 	ApplyTransfer(const std::string &verb, const std::string &arg)
 	{
 		void *ctx = state.relay_ctx;
-		int status = verb == "answer" ? std::stoi(arg) : 200;
+		int status = verb == "answer" ? std::stoi(arg)
+		    : verb == "body"	      ? 404
+					      : 200;
 		std::string event =
 		    "id: " + std::to_string(state.next_event) + "\ndata: x\n\n";
 
@@ -406,6 +426,16 @@
 			    ctx, event.c_str(), event.size()));
 			return;
 		}
+		if (verb == "body") {
+			std::string part(1000, 'x');
+
+			if (state.transfer_ops->on_data(
+				ctx, part.c_str(), part.size()))
+				return;
+			state.sent_to = "";
+			state.transfer_ops->on_done(ctx, kOutboundRefused);
+			return;
+		}
 		state.sent_to = "";
 		state.transfer_ops->on_done(ctx, kOutboundComplete);
 	}
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -349,4 +349,44 @@
 	EXPECT_EQ(0, state.asked.parts.count);
 }
 
+/* An answer that finds no memory is no failure of its target. */
+TEST_F(Relay, AnAnswerWithoutMemoryEndsItsAttempt)
+{
+	const Case cases[] = {
+	    {"no room for the first part",
+		{{10, "grant a"}, {20, "full"}, {30, "body"}, {50, "grant b"},
+		    {60, "answer 404"}},
+		"0 ask, 10 send a after -1, 30 free a neutral, 30 ask but a, "
+		"50 send b after -1, 60 head 404, 60 free b served, "
+		"60 end complete"},
+	    {"no room for more",
+		{{10, "grant a"}, {20, "body"}, {30, "full"}, {40, "body"},
+		    {60, "grant b"}, {70, "answer 404"}},
+		"0 ask, 10 send a after -1, 40 free a neutral, 40 ask but a, "
+		"60 send b after -1, 70 head 404, 70 free b served, "
+		"70 end complete"},
+	    {"dropped for another",
+		{{10, "grant a"}, {20, "body"}, {30, "drop"}, {50, "grant b"},
+		    {60, "answer 404"}},
+		"0 ask, 10 send a after -1, 30 cancel a, 30 free a neutral, "
+		"30 ask but a, 50 send b after -1, 60 head 404, "
+		"60 free b served, 60 end complete"},
+	    {"dropped as the caller leaves",
+		{{10, "grant a"}, {20, "body"}, {3000, "drop"}},
+		"0 ask, 10 send a after -1, 210 ask but a, 3000 cancel a, "
+		"3000 free a neutral, 3000 withdraw"},
+	};
+
+	for (const Case &c : cases) {
+		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
+		EXPECT_EQ(0u, state.held_bytes) << c.name;
+	}
+	relay_options once = Options();
+	once.may_repeat = false;
+	EXPECT_EQ("0 ask, 10 send a after -1, 30 cancel a, 30 free a neutral, "
+		  "30 end failed",
+	    Run(once, {{10, "grant a"}, {20, "body"}, {30, "drop"}}));
+	EXPECT_EQ(0u, state.held_bytes);
+}
+
 } // namespace
--- a/test/unit/test_budget.cc
+++ b/test/unit/test_budget.cc
@@ -270,6 +270,24 @@
 	}
 }
 
+TEST_F(Budget, TheLargestAnswerIsFound)
+{
+	EXPECT_EQ(nullptr, budget_largest(b, kBudgetAnswers));
+	budget_debtor *small = Add(kBudgetRunning, 300 * kKib);
+	budget_debtor *large = Add(kBudgetRunning);
+	EXPECT_EQ(nullptr, budget_largest(b, kBudgetAnswers));
+	budget_charge(b, small, kBudgetAnswers, 100);
+	EXPECT_EQ(small, budget_largest(b, kBudgetAnswers));
+	budget_charge(b, large, kBudgetAnswers, 101);
+	EXPECT_EQ(large, budget_largest(b, kBudgetAnswers));
+	budget_clear(b, large, kBudgetAnswers);
+	EXPECT_EQ(small, budget_largest(b, kBudgetAnswers));
+	/* What finds no room is refused at once, as its target sends on. */
+	EXPECT_EQ(kBudgetRefused,
+	    budget_grow(b, large, kBudgetAnswers, 2 * kMib, now_us));
+	EXPECT_EQ(0, large->waiting_since_us);
+}
+
 /* Random clients. The charges never exceed the limit by more than one buffer,
  * and nobody waits while there is an idle client to close. */
 TEST(BudgetProperties, RandomClientsStayWithinTheLimit)
