Share the budget of memory with answers of the own API's targets

What callers saw: as behind the adapter, at the product's own API: 64 calls of a plain service that sends a body without end took a daemon with 130 MB to 281 MB, above which the platform ends it.

Cause: the budget of this API charged what clients send; what calls keep of their answers was bounded each, and not in sum.

Fix: answer_room counts what calls keep of answers, by the size of their buffers, on whichever thread they run, and shares the limit of api_budget: each side is told what the other uses. An attempt whose answer finds no room ends like one that broke off: answer_cut with limit memory, 502 with Savoryflow-Ran: unknown, or another attempt where it may be repeated. Answers of up to 64 KiB may use the reserve. The buffer of an ended attempt is freed.

Here the answer that grows is refused, not the largest: calls of this API run on several threads, and ending another one's transfer would take its lock.

Evidence: EndlessManyOwn.AnswersWithoutEndFitIntoTheVm.

--- a/src/api/api_budget.c
+++ b/src/api/api_budget.c
@@ -7,6 +7,7 @@
 #include "http/refusal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "serve/answer_room.h"
 
 enum {
 	/* The connection's structures and the touched part of its 32 KiB
@@ -23,6 +24,7 @@
 	struct budget *budget;
 	struct budget_connections connections;
 	const struct clock_source *clk;
+	struct answer_room *answers;
 	int32_t open_count;
 	int32_t closing_count;
 	bool is_short;
@@ -38,6 +40,7 @@
 		return NULL;
 	ab = g_new0(struct api_budget, 1);
 	ab->clk = d->clk;
+	ab->answers = d->answers;
 	ab->budget = budget_new(&opt);
 	ab->connections = budget_connections_of_vm(d->set->max_descriptors,
 	    opt.limit_bytes, kConnectionBytes, INT32_MAX);
@@ -79,6 +82,7 @@
 	struct budget_usage u;
 
 	budget_get_usage(ab->budget, &u);
+	answer_room_set_clients(ab->answers, u.used_bytes);
 	metric_set(kMetBudgetConnections, u.bytes[kBudgetConnections]);
 	metric_set(kMetBudgetReading, u.bytes[kBudgetReading]);
 	metric_set(kMetBudgetHeld, u.bytes[kBudgetHeld]);
@@ -250,6 +254,7 @@
 		return;
 	}
 	now_us = clock_mono_us(peer->ab->clk);
+	budget_set_other(peer->ab->budget, answer_room_used(peer->ab->answers));
 	while (budget_grow(peer->ab->budget, &peer->debt, kBudgetReading,
 		   (int64_t)len, now_us) != kBudgetGranted) {
 		budget_set_phase(
@@ -261,6 +266,7 @@
 		}
 		close_debtor(idle);
 	}
+	record_usage(peer->ab);
 }
 
 void
--- a/src/savoryflow/budget/budget.c
+++ b/src/savoryflow/budget/budget.c
@@ -25,6 +25,7 @@
 struct budget {
 	struct budget_options opt;
 	int64_t used_bytes;
+	int64_t other_bytes;
 	int64_t bytes[kBudgetAccountCount];
 	/** Debtors, the one without progress for the longest time first. */
 	GQueue by_progress;
@@ -161,7 +162,7 @@
 		return true;
 	if (own_bytes(d) + bytes > kBudgetOrdinaryBytes)
 		limit -= b->opt.reserve_bytes;
-	return b->used_bytes + promised_bytes + bytes <= limit;
+	return b->used_bytes + b->other_bytes + promised_bytes + bytes <= limit;
 }
 
 static void
@@ -201,6 +202,12 @@
 	return kBudgetWait;
 }
 
+void
+budget_set_other(struct budget *b, int64_t bytes)
+{
+	b->other_bytes = bytes;
+}
+
 void
 budget_charge(struct budget *b, struct budget_debtor *d,
     enum budget_account account, int64_t bytes)
--- a/src/savoryflow/budget/budget.h
+++ b/src/savoryflow/budget/budget.h
@@ -140,6 +140,9 @@
 enum budget_verdict budget_grow(struct budget *b, struct budget_debtor *d,
     enum budget_account account, int64_t bytes, int64_t now_us);
 
+/** Bytes that others use of the same limit; they belong to no debtor. */
+void budget_set_other(struct budget *b, int64_t bytes);
+
 /** Charges bytes that exist already, whether there is room or not. */
 void budget_charge(struct budget *b, struct budget_debtor *d,
     enum budget_account account, int64_t bytes);
--- a/src/serve/call_internal.h
+++ b/src/serve/call_internal.h
@@ -78,6 +78,8 @@
 	/** HTTP status of the current attempt's answer; 0 without one. */
 	long attempt_status;
 	struct answer_stream stream;
+	/** Memory charged for what has arrived of the answer. */
+	int64_t held_bytes;
 	GByteArray *out;
 	long status;
 	char content_type[64];
@@ -117,6 +119,12 @@
  */
 GBytes *call_transfer_prepare(struct call *c);
 
+/**
+ * Charges what the call keeps of its answer, with more bytes. The lock is held.
+ * @return false if there is no memory for them
+ */
+bool call_hold_answer(struct call *c, size_t more);
+
 /** Drops the part of a plain service's answer that has arrived. */
 void call_discard_partial_answer(struct call *c);
 
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -10,6 +10,7 @@
 #include "error/error.h"
 #include "metric/metric.h"
 #include "savoryflow/retry/quarantine.h"
+#include "serve/answer_room.h"
 #include "serve/call_internal.h"
 #include "serve/grants.h"
 #include "serve/timers.h"
@@ -84,6 +85,7 @@
 	c->release(c->ctx);
 	answer_stream_clear(&c->stream);
 	g_byte_array_unref(c->out);
+	answer_room_set(c->d->answers, &c->held_bytes, 0);
 	g_bytes_unref(c->body);
 	g_free(c->service);
 	g_free(c->team);
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -9,6 +9,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/json_text.h"
+#include "serve/answer_room.h"
 #include "serve/call_internal.h"
 #include "serve/grants.h"
 
@@ -17,6 +18,7 @@
 	kHttpErrorFirst = 400,
 	kHttpServerErrorFirst = 500,
 	kHttpUnavailable = 503,
+	kBufferMinBytes = 1024,
 };
 
 /*
@@ -87,6 +89,32 @@
 	}
 }
 
+/* Size of a growing buffer that holds so many bytes. */
+static int64_t
+buffer_size(size_t len)
+{
+	int64_t size = kBufferMinBytes;
+
+	while (size < (int64_t)len)
+		size *= 2;
+	return size;
+}
+
+bool
+call_hold_answer(struct call *c, size_t more)
+{
+	size_t kept =
+	    c->is_engine ? c->stream.text->len + c->stream.line->len : 0;
+	int64_t bytes = buffer_size(c->out->len + (c->is_engine ? 0 : more)) +
+	    (c->is_engine ? buffer_size(kept + more) : 0);
+
+	if (answer_room_set(c->d->answers, &c->held_bytes, bytes))
+		return true;
+	log_event(kEvtAnswerCut, "limit", "memory", "target", c->route.target,
+	    "body_bytes", log_number(c->held_bytes), (char *)NULL);
+	return false;
+}
+
 /* An engine's body with an error status is not part of the answer. */
 static enum target_data
 append_data(struct call *c, long status, const char *data, size_t len)
@@ -121,7 +149,8 @@
 
 	pthread_mutex_lock(&c->lock);
 	if (call_is_current(c, attempt, kPhaseRunning)) {
-		res = append_data(c, status, data, len);
+		if (call_hold_answer(c, len))
+			res = append_data(c, status, data, len);
 		is_first_data = !c->is_first_token_reported;
 		c->is_first_token_reported = true;
 		begins = begins_answer(c);
@@ -192,8 +221,11 @@
 void
 call_discard_partial_answer(struct call *c)
 {
-	if (!c->is_engine)
-		g_byte_array_set_size(c->out, 0);
+	if (c->is_engine)
+		return;
+	g_byte_array_unref(c->out);
+	c->out = g_byte_array_new();
+	call_hold_answer(c, 0);
 }
 
 static enum route_outcome
--- a/src/serve/daemon.c
+++ b/src/serve/daemon.c
@@ -14,6 +14,7 @@
 #include "metric/metric.h"
 #include "os/exit_guard.h"
 #include "os/heap.h"
+#include "serve/answer_room.h"
 #include "serve/batch_run.h"
 #include "serve/crash_watch.h"
 #include "serve/grants.h"
@@ -117,6 +118,7 @@
 	d->targets = target_client_new();
 	d->timers = timers_new();
 	d->workers = thread_pool_new(&workers);
+	d->answers = answer_room_new(d->set->memory_mb);
 	d->routes = routes_new(d);
 	d->grants = grants_new(d);
 	d->limiter = limiter_new(d);
@@ -170,6 +172,8 @@
 		peer_free(d->peer);
 	config_holder_free(d->configs);
 	store_http_free(d->store);
+	/* Calls give back their memory when they are freed. */
+	answer_room_free(d->answers);
 }
 
 void
--- a/src/serve/daemon.h
+++ b/src/serve/daemon.h
@@ -31,6 +31,8 @@
 	struct grants *grants;
 	struct limiter *limiter;
 	struct crash_watch *crashes;
+	/** Memory for answers of targets. */
+	struct answer_room *answers;
 	struct intents *intents;
 	struct batch_runner *batch;
 	struct poller *poller;
--- a/test/functional/test_endless_many.cc
+++ b/test/functional/test_endless_many.cc
@@ -120,7 +120,7 @@
 		StartEndless(c.mode);
 		CallAtOnce(c.route, name);
 		EXPECT_GT(server->Count("request "), 0) << name;
-EXPECT_LT(daemons[0]->PeakMemoryKib(), kVmMib * 1024) << name;
+		EXPECT_LT(daemons[0]->PeakMemoryKib(), kVmMib * 1024) << name;
 		EXPECT_FALSE(daemons[0]->HasExited()) << name;
 	}
 }
@@ -164,3 +164,36 @@
 }
 
 } // namespace
+
+namespace
+{
+
+/* The product's own API: answers of a plain service. */
+TEST(EndlessManyOwn, AnswersWithoutEndFitIntoTheVm)
+{
+	FleetOptions options;
+	std::vector<std::thread> callers;
+
+	options.daemons = 1;
+	options.flags = {"--memory-mb=" + std::to_string(kVmMib),
+	    "--online-deadline-ms=5000"};
+	Fleet fleet(options);
+	std::string url = fleet.PlainServiceUrl();
+	fleet.plain.reset();
+	Process server({Env("SF_STANDIN"), "endless",
+	    "--port=" + url.substr(url.rfind(':') + 1), "--mode=body"});
+	ASSERT_TRUE(server.WaitLine("listening"));
+	for (int i = 0; i < kCallers; i++)
+		callers.emplace_back([&, i] {
+			EXPECT_GE(fleet.CallBooking(0, "k" + std::to_string(i))
+				      .status,
+			    500);
+		});
+	for (auto &c : callers)
+		c.join();
+	EXPECT_GT(server.Count("request "), 0);
+	EXPECT_LT(fleet.daemons[0]->PeakMemoryKib(), kVmMib * 1024);
+	EXPECT_FALSE(fleet.daemons[0]->HasExited());
+}
+
+} // namespace
--- a/test/unit/test_budget.cc
+++ b/test/unit/test_budget.cc
@@ -6,6 +6,7 @@
 
 extern "C" {
 #include "savoryflow/budget/budget.h"
+#include "serve/answer_room.h"
 }
 
 namespace
@@ -288,6 +289,50 @@
 	EXPECT_EQ(0, large->waiting_since_us);
 }
 
+/* What others use of the limit leaves less for clients. */
+TEST_F(Budget, OthersUseTheSameLimit)
+{
+	budget_debtor *d = Add(kBudgetSending);
+
+	budget_set_other(b, kMib);
+	EXPECT_EQ(kBudgetWait, Read(d, 300 * kKib));
+	budget_set_other(b, 0);
+	EXPECT_EQ(kBudgetGranted, Read(d, 300 * kKib));
+}
+
+TEST(AnswerRoom, IsSharedWithClients)
+{
+	/* The limit of this VM is 60 MiB, an eighth of it reserved. */
+	struct answer_room *ar = answer_room_new(130);
+	int64_t large = 0, other = 0, small = 0;
+
+	EXPECT_TRUE(answer_room_set(ar, &large, 40 * kMib));
+	EXPECT_EQ(40 * kMib, answer_room_used(ar));
+	EXPECT_FALSE(answer_room_set(ar, &other, 13 * kMib));
+	EXPECT_EQ(0, other);
+	EXPECT_TRUE(answer_room_set(ar, &other, 12 * kMib));
+	EXPECT_TRUE(answer_room_set(ar, &small, kBudgetOrdinaryBytes));
+	answer_room_set_clients(ar, 8 * kMib);
+	EXPECT_FALSE(answer_room_set(ar, &small, kBudgetOrdinaryBytes + 1));
+	/* Less is always allowed. */
+	EXPECT_TRUE(answer_room_set(ar, &large, 30 * kMib));
+	EXPECT_TRUE(answer_room_set(ar, &large, 0));
+	EXPECT_TRUE(answer_room_set(ar, &other, 0));
+	EXPECT_TRUE(answer_room_set(ar, &small, 0));
+	EXPECT_EQ(0, answer_room_used(ar));
+	answer_room_free(ar);
+}
+
+TEST(AnswerRoom, AVmWithoutALimitHasRoom)
+{
+	struct answer_room *ar = answer_room_new(0);
+	int64_t held = 0;
+
+	EXPECT_TRUE(answer_room_set(ar, &held, 1000 * kMib));
+	EXPECT_TRUE(answer_room_set(ar, &held, 0));
+	answer_room_free(ar);
+}
+
 /* Random clients. The charges never exceed the limit by more than one buffer,
  * and nobody waits while there is an idle client to close. */
 TEST(BudgetProperties, RandomClientsStayWithinTheLimit)
