--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -188,6 +188,8 @@
 		return "status_line";
 	if (in->is_malformed)
 		return "field";
+	if (in->is_request_cut && in->status != 0)
+		return "request";
 	return in->status == 0 ? "head" : "body";
 }
 
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -40,11 +40,13 @@
 	    "A connection to a target carried bytes that belong to no "        \
 	    "request; it was closed.")                                         \
 	X(kEvtAnswerCut, 1211, WARN, "answer_cut",                             \
-	    "More arrived than an answer may have, or than its caller reads; " \
-	    "the connection was closed. The request may have run.")            \
+	    "More arrived than an answer may have, than its caller reads, or " \
+	    "than there is memory for; the connection was closed. The "        \
+	    "request may have run.")                                           \
 	X(kEvtAnswerBrokenOff, 1222, WARN, "answer_broken_off",                \
-	    "A connection ended within the head or the body of an answer; "    \
-	    "nothing of it is used. The request may have run.")                \
+	    "A connection ended within the head or the body of an answer, or " \
+	    "before the request was sent, or its head is malformed; nothing "  \
+	    "of it is used. The request may have run.")                        \
 	X(kEvtRequestCut, 1218, WARN, "request_cut",                           \
 	    "The daemon closed a connection on which it had read a request "   \
 	    "or a part of one, before the answer was complete; the first 32 "  \
@@ -67,8 +69,9 @@
 	    "The complete list of targets was read and differed from the "     \
 	    "known one.")                                                      \
 	X(kEvtRowUnreadable, 1308, WARN, "row_unreadable",                     \
-	    "A row of the installation's lists, or of a job, is invalid; it "  \
-	    "is skipped, or its item is listed as given up.")                  \
+	    "A row of the installation's lists, or of a job, is invalid or "   \
+	    "another writer's; it is skipped, or its item is listed as given " \
+	    "up.")                                                             \
 	X(kEvtTargetRateNamed, 1309, INFO, "target_rate_named",                \
 	    "An answer of a target names another rate of requests than the "   \
 	    "ones before; the fields give both in thousandths a second.")      \
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -93,8 +93,8 @@
 	NUM(workers, "workers", 4, 1, 64, "threads",                           \
 	    "threads for requests that wait for the platform")                 \
 	NUM(memory_mb, "memory-mb", 0, 0, 1048576, "MiB",                      \
-	    "memory of this VM; what callers may occupy is limited by it; "    \
-	    "0: no limit")                                                     \
+	    "memory of this VM; what callers, and answers of targets, may "    \
+	    "occupy is limited by it; 0: no limit")                            \
 	NUM(max_descriptors, "max-descriptors", 0, 0, 1048576, "descriptors",  \
 	    "descriptors of this process; the callers' connections are "       \
 	    "limited by it; 0: no limit")
