--- a/src/api/api_budget.c
+++ b/src/api/api_budget.c
@@ -266,6 +266,7 @@
 		}
 		close_debtor(idle);
 	}
+	/* Answers of targets share the limit. */
 	record_usage(peer->ab);
 }
 
--- a/src/gateway/outbound.c
+++ b/src/gateway/outbound.c
@@ -52,10 +52,6 @@
 	curl_socket_t fd;
 	/** Bytes that the connection had read before this request. */
 	int64_t read_before;
-	/** Bytes that the target's machine had not acknowledged at the last
-	 * read. A target that has the whole request acknowledges it with its
-	 * answer at the latest. */
-	int unacknowledged;
 	bool is_refused;
 	bool is_done;
 	/** The connection was created for this request. */
@@ -299,6 +295,7 @@
     curl_off_t up_total, curl_off_t up)
 {
 	struct outbound_request *req = ctx;
+	int unacknowledged;
 	int64_t bytes;
 
 	if (req->fd == CURL_SOCKET_BAD) {
@@ -308,8 +305,9 @@
 	}
 	if (req->fd == CURL_SOCKET_BAD)
 		return 0;
-	if (ioctl(req->fd, SIOCOUTQ, &req->unacknowledged) != 0)
-		req->unacknowledged = 0;
+	if (ioctl(req->fd, SIOCOUTQ, &unacknowledged) != 0)
+		unacknowledged = 0;
+	intake_set_unacknowledged(&req->intake, unacknowledged);
 	bytes = connection_read_bytes(req->fd) - req->read_before;
 	return intake_wire(&req->intake, bytes, loop_now_us(req->ob->lp)) ? 0
 									  : 1;
@@ -575,7 +573,6 @@
 			continue;
 		}
 		intake_record_sent(&req->intake, req->easy, body_len(req));
-		req->intake.is_request_cut |= req->unacknowledged > 0;
 		outcome = outcome_of(req, msg->data.result);
 		intake_log(&req->intake, req->url, msg->data.result);
 		was_done = req->is_done;
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -123,7 +123,8 @@
 
 	g_strlcpy(result.target, rl->target, sizeof(result.target));
 	end_work(rl, outcome == kRelayRevoked);
-	/* Its owner may keep a copy of the body instead. */
+	/* The owner charges an answer as unread from here on; both charges
+	 * would count it twice. */
 	if (rl->opt.ops->hold_answer != NULL && rl->held_bytes > 0)
 		rl->opt.ops->hold_answer(rl->opt.ctx, 0);
 	rl->opt.ops->on_end(rl->opt.ctx, &result);
--- a/src/http/head_line.c
+++ b/src/http/head_line.c
@@ -7,6 +7,8 @@
 enum {
 	kStatusFirst = 100,
 	kStatusLast = 599,
+	kStatusDigits = 3,
+	/* Of a number of bytes that fits into 64 bits. */
 	kLengthDigitsMax = 18,
 };
 
@@ -42,21 +44,23 @@
 head_line_status(const char *line, size_t len)
 {
 	static const char version[] = "HTTP/1.";
-	const size_t code_at = sizeof(version) + 1;
-	const char *reason = line + code_at + 3;
-	const char *end = line + len_without_end(line, len);
+	const size_t minor_at = sizeof(version) - 1;
+	const size_t code_at = minor_at + 2;
+	const size_t reason_at = code_at + kStatusDigits;
+	const size_t text_len = len_without_end(line, len);
 	int32_t status = 0;
 
-	if (end < reason || strncmp(line, version, sizeof(version) - 1) != 0 ||
-	    !g_ascii_isdigit(line[code_at - 2]) || line[code_at - 1] != ' ')
+	if (text_len < reason_at || strncmp(line, version, minor_at) != 0 ||
+	    !g_ascii_isdigit(line[minor_at]) || line[minor_at + 1] != ' ')
 		return 0;
-	for (size_t i = code_at; i < code_at + 3; i++) {
+	for (size_t i = code_at; i < reason_at; i++) {
 		if (!g_ascii_isdigit(line[i]))
 			return 0;
 		status = 10 * status + (line[i] - '0');
 	}
 	if (status < kStatusFirst || status > kStatusLast ||
-	    (reason < end && *reason != ' ') || !is_text(reason, end))
+	    (text_len > reason_at && line[reason_at] != ' ') ||
+	    !is_text(line + reason_at, line + text_len))
 		return 0;
 	return status;
 }
@@ -78,7 +82,6 @@
 	    len > kLengthDigitsMax || strspn(value, "0123456789") != len)
 		return false;
 	framing->has_length = true;
-	framing->length = g_ascii_strtoll(value, NULL, 10);
 	return true;
 }
 
--- a/src/http/head_line.h
+++ b/src/http/head_line.h
@@ -21,11 +21,11 @@
  */
 int32_t head_line_status(const char *line, size_t len);
 
-/** Framing of a body, as the fields of its head tell it. */
+/** Framing of a body, as the fields of its head tell it; libcurl takes the
+ * length from the same fields. */
 struct head_framing {
 	bool has_length;
 	bool has_chunks;
-	int64_t length;
 };
 
 /**
--- a/src/http/intake.c
+++ b/src/http/intake.c
@@ -139,13 +139,19 @@
 	in->body_left = bytes;
 }
 
+void
+intake_set_unacknowledged(struct intake *in, int32_t bytes)
+{
+	in->unacknowledged_bytes = bytes;
+}
+
 void
 intake_record_sent(struct intake *in, CURL *easy, int64_t body_bytes)
 {
 	curl_off_t sent = 0;
 
 	curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &sent);
-	in->is_request_cut = sent < body_bytes;
+	in->is_request_cut = sent < body_bytes || in->unacknowledged_bytes > 0;
 }
 
 static bool
@@ -171,7 +177,7 @@
 		return true;
 	switch (code) {
 	case CURLE_OK:
-		return in->status == 0 || !intake_is_whole(in, code);
+		return !intake_is_whole(in, code);
 	case CURLE_PARTIAL_FILE:
 	case CURLE_RECV_ERROR:
 	case CURLE_WEIRD_SERVER_REPLY:
@@ -188,9 +194,10 @@
 		return "status_line";
 	if (in->is_malformed)
 		return "field";
-	if (in->is_request_cut && in->status != 0)
-		return "request";
-	return in->status == 0 ? "head" : "body";
+	if (in->status == 0)
+		return "head";
+	return in->is_request_cut && ends_with_connection(in) ? "request"
+							      : "body";
 }
 
 void
--- a/src/http/intake.h
+++ b/src/http/intake.h
@@ -67,8 +67,11 @@
 	bool is_malformed;
 	/** Of the last head. */
 	struct head_framing framing;
-	/** The transfer ended before the request was sent. */
+	/** The transfer ended before the server had the request. */
 	bool is_request_cut;
+	/** Bytes of the request that the server's machine had not acknowledged
+	 * when the connection was last read; 0 if unknown. */
+	int32_t unacknowledged_bytes;
 	int64_t head_bytes;
 	int64_t body_bytes;
 	/** Body bytes that may still follow. */
@@ -104,8 +107,16 @@
 void intake_allow_body(struct intake *in, int64_t bytes);
 
 /**
- * Records how much of the request was sent; to be called at the end of a
- * transfer, before intake_is_whole.
+ * Records how much of the request is on its way at a read of the connection. A
+ * server that has the whole request acknowledges it with its answer at the
+ * latest; what only fits into the socket's buffer counts as sent for libcurl.
+ * @param bytes not acknowledged
+ */
+void intake_set_unacknowledged(struct intake *in, int32_t bytes);
+
+/**
+ * Records whether the request was sent; to be called at the end of a transfer,
+ * before intake_is_whole.
  * @param body_bytes length of the request's body
  */
 void intake_record_sent(struct intake *in, CURL *easy, int64_t body_bytes);
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -45,8 +45,8 @@
 	    "request may have run.")                                           \
 	X(kEvtAnswerBrokenOff, 1222, WARN, "answer_broken_off",                \
 	    "A connection ended within the head or the body of an answer, or " \
-	    "before the request was sent, or its head is malformed; nothing "  \
-	    "of it is used. The request may have run.")                        \
+	    "before the request was sent, or a line of its head or trailer "   \
+	    "is malformed; nothing of it is used. The request may have run.")  \
 	X(kEvtRequestCut, 1218, WARN, "request_cut",                           \
 	    "The daemon closed a connection on which it had read a request "   \
 	    "or a part of one, before the answer was complete; the first 32 "  \
--- a/src/log/log_once.h
+++ b/src/log/log_once.h
@@ -4,10 +4,10 @@
 #include <stdbool.h>
 
 /**
- * True the first time that this process asks for a subject, for events about a
- * state that is met again at each read. Thread-safe; keeps the last few
- * thousand subjects.
- * @param subject for example the key of a row and its version
+ * True the first time that this process asks for a subject: for events about
+ * what is met again at each read. Thread-safe. Keeps the last 4,096 subjects;
+ * an older one is new again.
+ * @param subject for example the table and the key of a row
  */
 bool log_once(const char *subject);
 
--- a/src/os/json_partial.c
+++ b/src/os/json_partial.c
@@ -21,8 +21,8 @@
 	return s;
 }
 
-/* @return the first such byte outside of nested containers and texts, or the
- * end; NULL if a container is closed that was not opened */
+/* @return the first such byte outside of nested containers and strings, or the
+ * end; NULL if the brackets or quotes do not match */
 static const char *
 find_at_level(struct span s, char c)
 {
@@ -72,13 +72,16 @@
 	return true;
 }
 
-/* @param s what is between the brackets @return false if brackets do not match,
- * or a part is missing */
+/*
+ * @param s what is between the brackets
+ * @return false if brackets do not match, or a part is missing
+ */
 static bool
 add_parts(json_t *container, struct span s, int levels)
 {
 	bool (*add)(json_t *, struct span, int) =
 	    json_is_array(container) ? add_element : add_member;
+	struct span part;
 	const char *comma;
 
 	s = trimmed(s);
@@ -86,8 +89,10 @@
 		return true;
 	do {
 		comma = find_at_level(s, ',');
-		if (comma == NULL || comma == s.from ||
-		    !add(container, (struct span){s.from, comma}, levels))
+		if (comma == NULL)
+			return false;
+		part = trimmed((struct span){s.from, comma});
+		if (part.from == part.end || !add(container, part, levels))
 			return false;
 		s.from = comma + 1;
 	} while (comma < s.end);
--- a/src/os/json_text.h
+++ b/src/os/json_text.h
@@ -7,9 +7,9 @@
 
 /*
  * Documents of other writers, targets and callers. jansson parses, copies,
- * encodes and frees recursively and allows 2,048 levels, which take more stack
- * than a thread with a small stack has; documents of this product nest
- * fewer than ten.
+ * encodes and frees recursively, up to 2,048 levels deep: some hundred bytes of
+ * stack a level, more than the 256 KiB of some threads. Documents of this
+ * product nest fewer than ten.
  */
 
 /** Most levels of a document that is read. */
@@ -39,7 +39,7 @@
 	bool is_escaped;
 };
 
-/** Brackets within strings are no nesting. */
+/** Takes the next byte into account; brackets within strings are no nesting. */
 void json_scan_byte(struct json_scan *sc, char c);
 
 /** True if the bytes are UTF-8 without a NUL, as JSON text has to be. */
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -89,7 +89,8 @@
 	}
 }
 
-/* Size of a growing buffer that holds so many bytes. */
+/* Size of one of GLib's buffers, which grow in powers of two, that holds so
+ * many bytes. */
 static int64_t
 buffer_size(size_t len)
 {
@@ -103,10 +104,10 @@
 bool
 call_hold_answer(struct call *c, size_t more)
 {
-	size_t kept =
-	    c->is_engine ? c->stream.text->len + c->stream.line->len : 0;
-	int64_t bytes = buffer_size(c->out->len + (c->is_engine ? 0 : more)) +
-	    (c->is_engine ? buffer_size(kept + more) : 0);
+	size_t text = c->stream.text->len + c->stream.line->len;
+	int64_t bytes = c->is_engine
+	    ? buffer_size(c->out->len) + buffer_size(text + more)
+	    : buffer_size(c->out->len + more);
 
 	if (answer_room_set(c->d->answers, &c->held_bytes, bytes))
 		return true;
--- a/test/functional/gateway_fixture.h
+++ b/test/functional/gateway_fixture.h
@@ -27,6 +27,8 @@
 	/* Member of the configuration with its teams, and the key of the calls;
 	 * empty: none. */
 	std::string teams, key;
+	/* How many ids RelistWorker has used. */
+	int relisted = 0;
 	/* More flags of each daemon, and members of the configuration. */
 	std::vector<std::string> daemon_flags;
 	std::string more_config;
@@ -193,6 +195,66 @@
 			}));
 	}
 
+	/* Starts a fleet with one sound worker, and adds routes of another
+	 * service: "n" may repeat a request, "o" may not, "w" is a stream. */
+	void
+	StartFleetWithService(const std::string &service, int latency_ms = 400)
+	{
+		const struct {
+			const char *name, *kind;
+			int attempts;
+		} added[] = {
+		    {"n", "idempotent", 3},
+		    {"o", "non_idempotent", 1},
+		    {"w", "streaming", 1},
+		};
+		std::string latency = std::to_string(latency_ms), routes;
+
+		for (const auto &r : added)
+			routes += std::string(",{\"name\":\"") + r.name +
+			    "\",\"host\":\"a.example\",\"path_prefix\":\"/" +
+			    r.name + "/\",\"kind\":\"" + r.kind +
+			    "\",\"timeout_ms\":5000,\"target_latency_ms\":" +
+			    latency + ",\"target_gap_ms\":" + latency +
+			    ",\"service\":\"" + service +
+			    "\",\"max_attempts\":" +
+			    std::to_string(r.attempts) + "}";
+		StartReadyFleet(1, 1);
+		Configure(2, routes);
+		ASSERT_TRUE(Eventually(
+		    [&] { return Call(0, "/o/warm", "w", 1).status != 404; }));
+	}
+
+	/* Lists a worker that the test plays, and waits until the first daemon
+	 * knows it. */
+	void
+	ListWorker(const std::string &id, const std::string &service,
+	    const std::string &address, int slots = 4)
+	{
+		std::string doc = "{\"service\":\"" + service +
+		    "\",\"addr\":\"" + address +
+		    "\",\"zone\":\"dc1\",\"version\":\"v1\",\"slot_count\":" +
+		    std::to_string(slots) +
+		    ",\"state\":\"ready\",\"cold_left_ms\":0,"
+		    "\"sequence\":1,\"born\":1}";
+
+		PutRow("servers", id, doc.c_str());
+		ASSERT_TRUE(daemons[0]->WaitLine("\"target\":\"" + id + "\""));
+	}
+
+	/* Lists the only worker of a service under a new id: what it did before
+	 * does not count. */
+	void
+	RelistWorker(const std::string &service, const std::string &address)
+	{
+		if (relisted > 0)
+			PutRow("servers",
+			    service + "-" + std::to_string(relisted - 1),
+			    nullptr);
+		ListWorker(service + "-" + std::to_string(relisted++), service,
+		    address);
+	}
+
 	long
 	ReadyStatus(size_t i)
 	{
--- a/test/functional/test_endless_many.cc
+++ b/test/functional/test_endless_many.cc
@@ -12,6 +12,9 @@
 const int kVmMib = 130;
 const int kCallers = 64;
 const int kServers = 4;
+const int kSlots = 16;
+/* Nobody is to be found silent while a body arrives. */
+const int kLatencyMs = 2000;
 const size_t kLargeBytes = 4000000;
 
 struct EndlessMany : Gateway {
@@ -23,44 +26,6 @@
 		daemon_flags = {"--memory-mb=" + std::to_string(kVmMib)};
 	}
 
-	static std::string
-	Route(const std::string &name, const std::string &kind, int attempts)
-	{
-		return ",{\"name\":\"" + name +
-		    "\",\"host\":\"a.example\",\"path_prefix\":\"/" + name +
-		    "/\",\"kind\":\"" + kind +
-		    "\",\"timeout_ms\":5000,\"target_latency_ms\":2000,"
-		    "\"service\":\"many\",\"target_gap_ms\":2000,"
-		    "\"max_attempts\":" +
-		    std::to_string(attempts) + "}";
-	}
-
-	void
-	List(const std::string &address)
-	{
-		std::string id = "m-" + std::to_string(listed++);
-		std::string doc = "{\"service\":\"many\",\"addr\":\"" +
-		    address +
-		    "\",\"zone\":\"dc1\",\"version\":\"v1\",\"slot_count\":16,"
-		    "\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,"
-		    "\"born\":1}";
-
-		PutRow("servers", id, doc.c_str());
-		ASSERT_TRUE(daemons[0]->WaitLine("\"target\":\"" + id + "\""));
-	}
-
-	void
-	StartFleet()
-	{
-		StartReadyFleet(1, 1);
-		Configure(2,
-		    Route("n", "idempotent", 3) +
-			Route("o", "non_idempotent", 1) +
-			Route("w", "streaming", 1));
-		ASSERT_TRUE(Eventually(
-		    [&] { return Call(0, "/o/warm", "w", 1).status != 404; }));
-	}
-
 	void
 	StartEndless(const char *mode)
 	{
@@ -71,7 +36,8 @@
 		    std::string("--mode=") + mode}));
 		ASSERT_TRUE(server->WaitLine("listening"));
 		for (int i = 0; i < kServers; i++)
-			List(LoopbackAddress(port));
+			ListWorker("m-" + std::to_string(listed++), "many",
+			    LoopbackAddress(port), kSlots);
 	}
 
 	/* No two requests alike: one that fails again and again is refused. */
@@ -116,7 +82,7 @@
 		std::string name = std::string(c.mode) + c.route[1];
 
 		if (daemons.empty())
-			StartFleet();
+			StartFleetWithService("many", kLatencyMs);
 		StartEndless(c.mode);
 		CallAtOnce(c.route, name);
 		EXPECT_GT(server->Count("request "), 0) << name;
@@ -139,8 +105,8 @@
 	});
 	std::atomic<int> whole{0};
 
-	StartFleet();
-	List(sound.Address());
+	StartFleetWithService("many", kLatencyMs);
+	ListWorker("sound", "many", sound.Address(), kSlots);
 	for (const char *route : {"/n/", "/o/"})
 		for (int i = 0; i < 5; i++) {
 			std::string id =
@@ -163,11 +129,6 @@
 	EXPECT_LT(daemons[0]->PeakMemoryKib(), kVmMib * 1024);
 }
 
-} // namespace
-
-namespace
-{
-
 /* The product's own API: answers of a plain service. */
 TEST(EndlessManyOwn, AnswersWithoutEndFitIntoTheVm)
 {
--- a/test/functional/test_gateway_early.cc
+++ b/test/functional/test_gateway_early.cc
@@ -167,37 +167,6 @@
 
 struct GatewayEarly : Gateway {
 	EarlyServer server;
-	int listed = 0;
-
-	static std::string
-	Route(const std::string &name, const std::string &kind, int attempts)
-	{
-		return ",{\"name\":\"" + name +
-		    "\",\"host\":\"a.example\",\"path_prefix\":\"/" + name +
-		    "/\",\"kind\":\"" + kind +
-		    "\",\"timeout_ms\":5000,\"target_latency_ms\":400,"
-		    "\"service\":\"early\",\"max_attempts\":" +
-		    std::to_string(attempts) + "}";
-	}
-
-	/* The only worker of its service, under a new id: what it did before
-	 * does not count. */
-	void
-	List()
-	{
-		std::string id = "e-" + std::to_string(listed++);
-		std::string doc = "{\"service\":\"early\",\"addr\":\"" +
-		    LoopbackAddress(server.port) +
-		    "\",\"zone\":\"dc1\",\"version\":\"v1\",\"slot_count\":4,"
-		    "\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,"
-		    "\"born\":1}";
-
-		if (listed > 1)
-			PutRow("servers", "e-" + std::to_string(listed - 2),
-			    nullptr);
-		PutRow("servers", id, doc.c_str());
-		ASSERT_TRUE(daemons[0]->WaitLine("\"target\":\"" + id + "\""));
-	}
 };
 
 /* A part of an answer that is told as a whole one. The answer has no length: it
@@ -208,12 +177,7 @@
 	int n = 0;
 
 	body_bytes_max = 5000000;
-	StartReadyFleet(1, 1);
-	Configure(2,
-	    Route("n", "idempotent", 3) + Route("o", "non_idempotent", 1) +
-		Route("w", "streaming", 1));
-	ASSERT_TRUE(Eventually(
-	    [&] { return Call(0, "/o/warm", "w", 1).status != 404; }));
+	StartFleetWithService("early");
 	for (const auto &form : kEarly)
 		for (const char *route : {"/o/", "/n/", "/w/"})
 			for (size_t size : {150000, 3900000}) {
@@ -227,7 +191,8 @@
 				bool is_sound = form.ending == Ending::kSound;
 
 				server.Set(form, route[1] == 'w', body.size());
-				List();
+				RelistWorker(
+				    "early", LoopbackAddress(server.port));
 				Reply r = Send(0, "POST", route + id, body, id);
 				EXPECT_GT(server.seen, 0) << name;
 				EXPECT_EQ(is_sound, r.status == 200)
--- a/test/functional/test_gateway_heads.cc
+++ b/test/functional/test_gateway_heads.cc
@@ -114,7 +114,6 @@
 	bool is_first = false;
 	bool is_stream = false;
 	int seen = 0;
-	int listed = 0;
 
 	std::string
 	Head(const std::string &request)
@@ -138,32 +137,9 @@
 		return Head(request) + answer.body;
 	}};
 
-	static std::string
-	Route(const std::string &name, const std::string &kind, int attempts)
-	{
-		return ",{\"name\":\"" + name +
-		    "\",\"host\":\"a.example\",\"path_prefix\":\"/" + name +
-		    "/\",\"kind\":\"" + kind +
-		    "\",\"timeout_ms\":5000,\"target_latency_ms\":400,"
-		    "\"service\":\"odd\",\"max_attempts\":" +
-		    std::to_string(attempts) + "}";
-	}
-
-	/* The only worker of its service, under a new id: what it did before
-	 * does not count. */
 	void
 	Serve(const Answer &a, bool first)
 	{
-		std::string id = "h-" + std::to_string(listed++);
-		std::string doc = "{\"service\":\"odd\",\"addr\":\"" +
-		    server.Address() +
-		    "\",\"zone\":\"dc1\",\"version\":\"v1\",\"slot_count\":4,"
-		    "\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,"
-		    "\"born\":1}";
-
-		if (listed > 1)
-			PutRow("servers", "h-" + std::to_string(listed - 2),
-			    nullptr);
 		{
 			std::lock_guard<std::mutex> held(lock);
 
@@ -171,8 +147,7 @@
 			is_first = first;
 			seen = 0;
 		}
-		PutRow("servers", id, doc.c_str());
-		ASSERT_TRUE(daemons[0]->WaitLine("\"target\":\"" + id + "\""));
+		RelistWorker("odd", server.Address());
 	}
 
 	int
@@ -183,18 +158,6 @@
 		return seen;
 	}
 
-	void
-	StartOddFleet()
-	{
-		StartReadyFleet(1, 1);
-		Configure(2,
-		    Route("n", "idempotent", 3) +
-			Route("o", "non_idempotent", 1) +
-			Route("w", "streaming", 1));
-		ASSERT_TRUE(Eventually(
-		    [&] { return Call(0, "/o/warm", "w", 1).status != 404; }));
-	}
-
 	/* The whole answer if it is sound; otherwise none, and no promise that
 	 * the request did not run. */
 	void
@@ -219,7 +182,7 @@
 	{
 		int n = 0;
 
-		StartOddFleet();
+		StartFleetWithService("odd");
 		for (const auto &a : answers)
 			for (const char *route : {"/o/", "/n/"})
 				for (bool first : {false, true}) {
@@ -249,7 +212,7 @@
 	const std::string events = "id: 1\ndata: a\n\n";
 	int n = 0;
 
-	StartOddFleet();
+	StartFleetWithService("odd");
 	is_stream = true;
 	for (const auto &a : kFields) {
 		Answer stream = a;
--- a/test/functional/test_gateway_odd_entries.cc
+++ b/test/functional/test_gateway_odd_entries.cc
@@ -1,35 +1,22 @@
 /* Rows of other writers that stand among those of workers, jobs and daemons. */
 #include "functional/gateway_fixture.h"
+#include "nested_text.h"
 
 namespace
 {
 
 const int kCalls = 10;
 
-std::string
-Nested(const std::string &open, const std::string &inner,
-    const std::string &close, int levels)
-{
-	std::string text;
-
-	for (int i = 0; i < levels; i++)
-		text += open;
-	text += inner;
-	for (int i = 0; i < levels; i++)
-		text += close;
-	return text;
-}
-
 std::string
 Objects(int levels)
 {
-	return Nested("{\"a\":", "1", "}", levels);
+	return NestedText("{\"a\":", "1", "}", levels);
 }
 
 std::string
 Arrays(int levels)
 {
-	return Nested("[", "1", "]", levels);
+	return NestedText("[", "1", "]", levels);
 }
 
 /* In place of a text in the store's answers, with its quotes. */
@@ -70,11 +57,12 @@
     {"arrays 2047", "o", Arrays(2047)},
     {"arrays 32000", "o", Arrays(32000)},
     {"arrays without end", "o", std::string(65000, '[')},
-    {"both 1000", "o", Nested("{\"a\":[", "1", "]}", 1000)},
-    {"both 2000", "o", Nested("{\"a\":[", "1", "]}", 2000)},
+    {"both 1000", "o", NestedText("{\"a\":[", "1", "]}", 1000)},
+    {"both 2000", "o", NestedText("{\"a\":[", "1", "]}", 2000)},
     {"beside sound fields", "o", SoundFields("\"a\":" + Objects(2000))},
     {"list of models", "o",
-	SoundFields("\"model_list\":" + Nested("[{\"a\":", "1", "}]", 1000))},
+	SoundFields(
+	    "\"model_list\":" + NestedText("[{\"a\":", "1", "}]", 1000))},
 };
 
 /* Texts that are none, numbers out of range: what the store takes as JSON
--- a/test/unit/test_json_text.cc
+++ b/test/unit/test_json_text.cc
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "nested_text.h"
+
 extern "C" {
 #include "os/json_partial.h"
 #include "os/json_text.h"
@@ -11,38 +13,25 @@
 namespace
 {
 
-std::string
-Nested(const std::string &open, const std::string &inner,
-    const std::string &close, int levels)
-{
-	std::string text;
-
-	for (int i = 0; i < levels; i++)
-		text += open;
-	text += inner;
-	for (int i = 0; i < levels; i++)
-		text += close;
-	return text;
-}
-
 const struct {
 	const char *name;
 	std::string text;
 	bool is_allowed;
 } kTexts[] = {
-    {"array", Nested("[", "", "]", kJsonLevelsMax), true},
-    {"array, a level more", Nested("[", "", "]", kJsonLevelsMax + 1), false},
-    {"object", Nested("{\"a\":", "1", "}", kJsonLevelsMax), true},
-    {"object, a level more", Nested("{\"a\":", "1", "}", kJsonLevelsMax + 1),
+    {"array", NestedText("[", "", "]", kJsonLevelsMax), true},
+    {"array, a level more", NestedText("[", "", "]", kJsonLevelsMax + 1),
 	false},
-    {"both", Nested("[{\"a\":", "1", "}]", kJsonLevelsMax / 2), true},
-    {"thousands", Nested("[", "", "]", 30000), false},
+    {"object", NestedText("{\"a\":", "1", "}", kJsonLevelsMax), true},
+    {"object, a level more",
+	NestedText("{\"a\":", "1", "}", kJsonLevelsMax + 1), false},
+    {"both", NestedText("[{\"a\":", "1", "}]", kJsonLevelsMax / 2), true},
+    {"thousands", NestedText("[", "", "]", 30000), false},
     {"without an end", std::string(30000, '['), false},
-    {"side by side", "[" + Nested("[],", "[]", "", 5000) + "]", true},
+    {"side by side", "[" + NestedText("[],", "[]", "", 5000) + "]", true},
     {"within a text", "[\"" + std::string(5000, '[') + "\"]", true},
     {"after an escape", "[\"\\\"" + std::string(5000, '{') + "\"]", true},
     {"after an escaped backslash",
-	"[\"\\\\\"," + Nested("[", "", "]", kJsonLevelsMax) + "]", false},
+	"[\"\\\\\"," + NestedText("[", "", "]", kJsonLevelsMax) + "]", false},
     {"closed before it is opened",
 	std::string(5000, ']') + std::string(5000, '['), false},
     {"empty", "", false},
@@ -65,7 +54,7 @@
 
 TEST(JsonText, TheErrorNamesThePlace)
 {
-	std::string text = "[1,\n" + Nested("[", "", "]", 200) + "]";
+	std::string text = "[1,\n" + NestedText("[", "", "]", 200) + "]";
 	json_error_t err;
 
 	EXPECT_EQ(
@@ -91,7 +80,7 @@
     {"number", "[1e999,2]", "[null,2]"},
     {"word", "[nonsense,2]", "[null,2]"},
     {"brackets in a text", "[\"]}\\\"[{\",\"\\ud800\"]", "[\"]}\\\"[{\",null]"},
-    {"nested", "[" + Nested("[", "", "]", 3000) + ",2]", "[[[null]],2]"},
+    {"nested", "[" + NestedText("[", "", "]", 3000) + ",2]", "[[[null]],2]"},
     {"name", "{\"\\u0000\":1,\"b\":2}", "{\"b\":2}"},
     {"other bracket within", "[[1},2]", "[null,2]"},
     {"level below the last", "[[[[\"\xff\",1],2],3],4]", "[[[null,2],3],4]"},
@@ -101,6 +90,7 @@
     {"other bracket", "[\"\xff\"}", ""},
     {"no comma", "{\"a\":\"\xff\" \"b\":2", ""},
     {"missing part", "[\"\xff\",,2]", ""},
+    {"blank part", "[\"\xff\", ,2]", ""},
     {"comma at the end", "[\"\xff\",]", ""},
     {"no member", "{\"\xff\"}", ""},
     {"a text alone", "\"\xff\"", ""},
