--- a/review/common3/fleet.py
+++ b/review/common3/fleet.py
@@ -92,8 +92,9 @@
 
 class Worker:
     """A sound worker of language models. Runs `slots` requests at once and
-    queues a few more; an event of a run is "PATH-n". The case may replace
-    `behave`, a coroutine that is called in place of the run."""
+    queues a few more; an event of a run is "PATH-n"; an item has `events` of
+    them, an online request five at most. The case may replace `behave`, a
+    coroutine that is called in place of the run."""
 
     def __init__(self, fleet, wid, zone="z1", slots=8, queue=24, pace_ms=10,
                  events=20, born=None):
@@ -204,7 +205,8 @@
         writer.write(self.head("200 OK", attempt, [
             "X-Response-Seal: %s.%s" % (self.id, attempt),
             "Content-Type: text/event-stream", "Transfer-Encoding: chunked"]))
-        for n in range(first, self.events + 1):
+        last = self.events if path.startswith("/b/") else min(self.events, 5)
+        for n in range(first, last + 1):
             await asyncio.sleep(self.pace_ms / 1000.0)
             event = ("id: %d\ndata: %s-%d\n\n" % (n, path, n)).encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
@@ -213,13 +215,6 @@
         await writer.drain()
         return True
 
-    def text(self, path):
-        return "\n".join("%s-%d" % (path, n) for n in range(1, self.events + 1))
-
-    def stream(self, path):
-        return "".join("id: %d\ndata: %s-%d\n\n" % (n, path, n)
-                       for n in range(1, self.events + 1)).encode()
-
 
 class Daemon:
     def __init__(self, fleet, name, zone, seeds):
