Keep ids of any length whole

What callers saw: a request whose X-Attempt-Id had 128 bytes or more ran under its first 127 bytes, an id that nobody had sent, and its answer named these. Requests at once whose ids share these bytes had no answer of their own. The body of an item was 404 from 127 bytes on, and a job of such an id was refused.

Cause: decoding copied ids into buffers of 128 bytes with a copy that cuts and does not say so: attempt, job and item ids of calls, the id that an answer repeats, and the copies of calls and of the crash guard. Everything after it compared, hashed and sent the beginning.

The answers of ids of one beginning matched each other's, as they were compared after the cut.

Why this fix works: no id has a buffer of a fixed size any more; the limit is that of the request's head, above which a request is refused before it is read. A job is stored under its id if that has up to 126 bytes, as before, and under its digest otherwise, since a key of the store has 200 bytes at most; an id that reads like such a name gets a digest, too. The new event job_named ties both together. An item whose id, path and fields exceed header_bytes can be sent to no target: its job is refused with 400 before anything of it is stored.

--- a/src/gateway/answer.c
+++ b/src/gateway/answer.c
@@ -4,7 +4,8 @@
 enum answer_verdict
 answer_judge(const struct dialect_response *response, bool is_first)
 {
-	bool lacks_attempt = response->attempt_id[0] == '\0';
+	bool lacks_attempt =
+	    response->attempt_id == NULL || response->attempt_id[0] == '\0';
 
 	if (response->has_matching_attempt)
 		return kAnswerOwn;
--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -41,7 +41,7 @@
 	struct relay *relay;
 	struct loop *lp;
 	struct relay_options opt;
-	char service[kFleetNameMax];
+	char *service;
 	struct calls_caller caller;
 	/** Why it was not sent last. */
 	enum access_verdict denial;
@@ -53,8 +53,8 @@
 	int64_t hold_until_us;
 	uint64_t hold_timer;
 	bool was_held;
-	char attempt_id[kAttemptIdMax];
-	char route[kFleetNameMax];
+	char *attempt_id;
+	char *route;
 	int64_t objective_us;
 	int64_t first_us;
 	int32_t status;
@@ -89,6 +89,9 @@
 {
 	g_hash_table_remove(oc->cs->open, oc);
 	header_list_free(oc->headers);
+	g_free(oc->attempt_id);
+	g_free(oc->route);
+	g_free(oc->service);
 	g_free(oc);
 }
 
@@ -509,12 +512,10 @@
 	oc->answer = "";
 	oc->objective_us = route->objective_us;
 	oc->hold_until_us = loop_now_us(oc->lp) + kBlameHoldUs;
-	g_strlcpy(oc->attempt_id, call->attempt_id, sizeof(oc->attempt_id));
-	g_strlcpy(oc->route, route->name != NULL ? route->name : "",
-	    sizeof(oc->route));
-	g_strlcpy(oc->service,
-	    routebook_pick_service(route, g_rand_int(cs->rand)),
-	    sizeof(oc->service));
+	oc->attempt_id = g_strdup(call->attempt_id);
+	oc->route = g_strdup(route->name != NULL ? route->name : "");
+	oc->service =
+	    g_strdup(routebook_pick_service(route, g_rand_int(cs->rand)));
 	crash_guard_keys(
 	    front_uri(req), front_body(req), &call->parts, false, &oc->keys);
 	return oc;
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -35,7 +35,7 @@
 /** A lost run whose target is being probed. */
 struct lost_run {
 	struct crash_guard *cg;
-	char request[kAttemptIdMax];
+	char *request;
 	struct blame_run run;
 };
 
@@ -159,6 +159,7 @@
 		    cg->blame, &lost->run, loop_now_us(cg->opt.lp), cg->out);
 		flush(cg);
 	}
+	g_free(lost->request);
 	g_free(lost);
 }
 
@@ -173,7 +174,7 @@
 	lost->run.target_started_ms = run->target_started_ms;
 	lost->run.sent_us = run->sent_us;
 	lost->run.ended_us = loop_now_us(cg->opt.lp);
-	g_strlcpy(lost->request, request, sizeof(lost->request));
+	lost->request = g_strdup(request);
 	g_strlcpy(lost->run.target, run->target, sizeof(lost->run.target));
 	g_strlcpy(
 	    lost->run.seen_by, cg->opt.address, sizeof(lost->run.seen_by));
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -14,8 +14,6 @@
  */
 
 enum {
-	/** Longest attempt id of a caller, including the terminating NUL. */
-	kAttemptIdMax = 128,
 	/** Parts of a prompt that are told apart. */
 	kPromptPartsMax = 15,
 	/** Tokens of a part count as this at most. */
@@ -54,8 +52,8 @@
 /** A caller's request, decoded. */
 struct dialect_call {
 	enum dialect_endpoint endpoint;
-	/** Attempt id; empty if the request has none. */
-	char attempt_id[kAttemptIdMax];
+	/** Attempt id of any length; empty if the request has none. */
+	char *attempt_id;
 	/** Time that the caller waits for the answer; 0 if unspecified. */
 	int64_t wait_us;
 	/** Id of the last stream event that the caller has; -1 for none. */
@@ -68,9 +66,9 @@
 	const char *key;
 	size_t key_len;
 	/** Jobs: job id, position of the first result requested, item id. */
-	char job_id[kAttemptIdMax];
+	char *job_id;
 	int32_t from_position;
-	char item_id[kAttemptIdMax];
+	char *item_id;
 };
 
 /** Fields added to a request that is sent to a target. */
@@ -99,12 +97,17 @@
 	bool is_event_stream;
 	/** The target leaves: it is to get no new requests. */
 	bool is_target_leaving;
-	/** The attempt id that the response carries; empty if it has none. */
-	char attempt_id[kAttemptIdMax];
+	/** The attempt id that the response carries, in its headers; NULL if it
+	 * has none. */
+	const char *attempt_id;
 	struct stated_rate rate;
 };
 
+/** Frees the texts of a request that was decoded, or is all zero. */
+void dialect_call_clear(struct dialect_call *call);
+
 struct dialect_ops {
+	/** @param call receives the request, for dialect_call_clear */
 	void (*decode_call)(const char *method, const char *uri,
 	    const struct header_list *headers, struct dialect_call *call);
 	void (*decode_parts)(
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -92,51 +92,59 @@
 		loop_now_us(gw->lp) > gw->drain.accept_until_us);
 }
 
-void
-gateway_serve(void *ctx, struct front_request *req)
+static void
+serve_call(struct gateway *gw, struct front_request *req,
+    const struct dialect_call *call)
 {
-	struct gateway *gw = ctx;
 	struct access_caller caller = {0};
-	struct dialect_call call;
 
-	gw->adapter->dialect->decode_call(
-	    front_method(req), front_uri(req), front_headers(req), &call);
 	if (is_rejecting_requests(gw)) {
-		refuse_draining(gw, req, &call);
+		refuse_draining(gw, req, call);
 		return;
 	}
 	if (gw->routes == NULL) {
-		log_event(kEvtCallRefused, "request", call.attempt_id, "why",
+		log_event(kEvtCallRefused, "request", call->attempt_id, "why",
 		    "no_configuration", NULL);
 		reply_error(req, kErrNotReady,
 		    "no configuration has been loaded yet", kNoRoutesRetryUs);
 		return;
 	}
-	if (call.endpoint != kEndpointRoute &&
-	    !is_accepted(gw, req, &call, NULL)) {
-		refuse_draining(gw, req, &call);
+	if (call->endpoint != kEndpointRoute &&
+	    !is_accepted(gw, req, call, NULL)) {
+		refuse_draining(gw, req, call);
 		return;
 	}
-	if (call.endpoint != kEndpointRoute &&
-	    !access_identify(
-		gw->access, req, &call, gw->routes, false, &caller))
+	if (call->endpoint != kEndpointRoute &&
+	    !access_identify(gw->access, req, call, gw->routes, false, &caller))
 		return;
-	switch (call.endpoint) {
+	switch (call->endpoint) {
 	case kEndpointRoute:
-		serve_route(gw, req, &call);
+		serve_route(gw, req, call);
 		break;
 	case kEndpointJobResults:
-		jobs_results(gw->jobs, req, &call, &caller);
+		jobs_results(gw->jobs, req, call, &caller);
 		break;
 	case kEndpointJobItem:
-		jobs_item(gw->jobs, req, &call, &caller);
+		jobs_item(gw->jobs, req, call, &caller);
 		break;
 	case kEndpointJobEnd:
-		jobs_end(gw->jobs, req, &call, &caller);
+		jobs_end(gw->jobs, req, call, &caller);
 		break;
 	}
 }
 
+void
+gateway_serve(void *ctx, struct front_request *req)
+{
+	struct gateway *gw = ctx;
+	struct dialect_call call;
+
+	gw->adapter->dialect->decode_call(
+	    front_method(req), front_uri(req), front_headers(req), &call);
+	serve_call(gw, req, &call);
+	dialect_call_clear(&call);
+}
+
 static void
 on_request(void *ctx, struct front_request *req)
 {
@@ -160,6 +168,7 @@
 	    "this daemon stops before there is an answer; the request may "
 	    "have run",
 	    0);
+	dialect_call_clear(&call);
 }
 
 /* A request without its head has no id yet. */
@@ -176,6 +185,7 @@
 	    front_uri(req), "received", log_number(front_body(req) != NULL),
 	    "age_us", log_number(loop_now_us(gw->lp) - front_received_us(req)),
 	    NULL);
+	dialect_call_clear(&call);
 }
 
 const struct front_ops gateway_front_ops = {on_request, on_abort, on_cut};
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -266,6 +266,7 @@
 	const char *data = g_bytes_get_data(front_body(req), &len);
 	GPtrArray *items;
 	struct job_task *task;
+	char *name;
 
 	if (!front_hold(req, kJobCopies * len)) {
 		log_event(kEvtCallRefused, "request", call->attempt_id, "why",
@@ -276,23 +277,20 @@
 		return;
 	}
 	items = js->opt.deps.dialect->decode_job(data, len, &err);
-	if (items != NULL && !job_id_is_valid(call->attempt_id)) {
-		g_ptr_array_unref(items);
-		items = NULL;
-		g_set_error(&err, SF_ERROR, kErrBadRequest,
-		    "the id of a job is not UTF-8 text of 1 to %d bytes "
-		    "without slashes and control characters",
-		    kAttemptIdMax - 2);
-	}
+	if (items != NULL &&
+	    !jobs_check_submission(js, call->attempt_id, items, &err))
+		g_clear_pointer(&items, g_ptr_array_unref);
 	if (items == NULL) {
 		reply_error(req, err->code, err->message, 0);
 		g_error_free(err);
 		return;
 	}
 	strip_items(js, items);
-	task = job_task_new_for(js, req, call->attempt_id, caller->team);
+	name = jobs_name_of(call->attempt_id);
+	task = job_task_new_for(js, req, name, caller->team);
 	task->items = items;
-	task->job = itemjob_new(call->attempt_id);
+	task->job = itemjob_new(name);
+	g_free(name);
 	task->job->host = g_strdup(route->host);
 	if (caller->team[0] != '\0')
 		task->job->team = g_strdup(caller->team);
@@ -366,13 +364,16 @@
     const struct dialect_call *call, const struct access_caller *caller)
 {
 	struct job_task *task;
+	char *name;
 
 	if (job_reply_impossible_id(req, call->job_id))
 		return;
-	task = job_task_new_for(js, req, call->job_id, caller->team);
+	name = jobs_name_of(call->job_id);
+	task = job_task_new_for(js, req, name, caller->team);
 	task->work = end_work;
 	task->done = end_done;
 	job_task_start(task);
+	g_free(name);
 }
 
 static void
--- a/src/gateway/jobs_internal.h
+++ b/src/gateway/jobs_internal.h
@@ -140,6 +140,20 @@
 /** Whether the configuration in force has teams. */
 bool jobs_has_teams(const struct jobs *js);
 
+/* jobs_check.c */
+
+/**
+ * Checks what a submission names before anything of it is stored.
+ * @param id of the job, as its caller sent it
+ * @return false with a typed error: it can never be accepted
+ */
+bool jobs_check_submission(const struct jobs *js, const char *id,
+    const GPtrArray *items, GError **err);
+
+/** Name of a job by its id, see job_name.h; logs the name if it is not the id.
+ * @return a new text; free with g_free */
+char *jobs_name_of(const char *id);
+
 /** Header fields of an item; free with header_list_free. */
 struct header_list *jobs_item_headers(const struct itemjob_item *item);
 
--- a/src/gateway/jobs_read.c
+++ b/src/gateway/jobs_read.c
@@ -88,18 +88,22 @@
 {
 	/* The row may have been removed since, and its id used by another
 	 * team: with teams, it is read each time. */
-	const struct itemjob *cached =
-	    jobs_has_teams(js) ? NULL : jobs_cached_job(js, call->job_id);
+	const struct itemjob *cached = NULL;
 	struct job_task *task;
+	char *name;
 
 	if (job_reply_impossible_id(req, call->job_id))
 		return;
-	task = job_task_new_for(js, req, call->job_id, caller->team);
+	name = jobs_name_of(call->job_id);
+	if (!jobs_has_teams(js))
+		cached = jobs_cached_job(js, name);
+	task = job_task_new_for(js, req, name, caller->team);
 	task->from = call->from_position;
 	task->total = cached != NULL ? cached->total : -1;
 	task->work = results_work;
 	task->done = results_done;
 	job_task_start(task);
+	g_free(name);
 }
 
 static const struct itemjob_item *
@@ -168,25 +172,36 @@
 		job_reply_store_error(task->req, task->outcome);
 }
 
-void
-jobs_item(struct jobs *js, struct front_request *req,
-    const struct dialect_call *call, const struct access_caller *caller)
+static void
+serve_item(struct jobs *js, struct front_request *req, const char *name,
+    const char *item_id, const char *team)
 {
-	struct job_run *run = g_hash_table_lookup(js->runs, call->job_id);
+	struct job_run *run = g_hash_table_lookup(js->runs, name);
 	const struct itemjob_item *item =
-	    run != NULL ? find_item(run->items, call->item_id) : NULL;
+	    run != NULL ? find_item(run->items, item_id) : NULL;
 	struct job_task *task;
 
-	if (job_reply_impossible_id(req, call->job_id))
-		return;
 	if (item != NULL && item->body != NULL &&
-	    itemjob_is_of_team(run->job, caller->team)) {
-		reply_bytes(req, call->job_id, item->body);
+	    itemjob_is_of_team(run->job, team)) {
+		reply_bytes(req, name, item->body);
 		return;
 	}
-	task = job_task_new_for(js, req, call->job_id, caller->team);
-	task->item_id = g_strdup(call->item_id);
+	task = job_task_new_for(js, req, name, team);
+	task->item_id = g_strdup(item_id);
 	task->work = item_work;
 	task->done = item_done;
 	job_task_start(task);
 }
+
+void
+jobs_item(struct jobs *js, struct front_request *req,
+    const struct dialect_call *call, const struct access_caller *caller)
+{
+	char *name;
+
+	if (job_reply_impossible_id(req, call->job_id))
+		return;
+	name = jobs_name_of(call->job_id);
+	serve_item(js, req, name, call->item_id, caller->team);
+	g_free(name);
+}
--- a/src/gateway/jobs_task.c
+++ b/src/gateway/jobs_task.c
@@ -50,9 +50,7 @@
 {
 	size_t len = strlen(id);
 
-	/* An id that fills its buffer may have been cut. */
-	if (len == 0 || len >= kAttemptIdMax - 1 ||
-	    !json_text_is_valid(id, len))
+	if (len == 0 || !json_text_is_valid(id, len))
 		return false;
 	for (size_t i = 0; i < len; i++)
 		if (g_ascii_iscntrl(id[i]) || id[i] == '/')
@@ -73,23 +71,23 @@
 }
 
 struct job_task *
-job_task_new(struct jobs *js, struct front_request *req, const char *id)
+job_task_new(struct jobs *js, struct front_request *req, const char *name)
 {
 	struct job_task *task = g_new0(struct job_task, 1);
 
 	task->js = js;
 	task->req = req;
-	task->id = g_strdup(id);
+	task->id = g_strdup(name);
 	task->received_us =
 	    req != NULL ? front_received_us(req) : loop_now_us(js->opt.deps.lp);
 	return task;
 }
 
 struct job_task *
-job_task_new_for(struct jobs *js, struct front_request *req, const char *id,
+job_task_new_for(struct jobs *js, struct front_request *req, const char *name,
     const char *team)
 {
-	struct job_task *task = job_task_new(js, req, id);
+	struct job_task *task = job_task_new(js, req, name);
 
 	task->team = g_strdup(team);
 	return task;
--- a/src/gateway/jobs_task.h
+++ b/src/gateway/jobs_task.h
@@ -23,6 +23,7 @@
 	struct jobs *js;
 	/** NULL without a caller, or after it disconnected or was answered. */
 	struct front_request *req;
+	/** Name of the job, see job_name.h. */
 	char *id;
 	/** Team of the caller, or "". A job of another team is not found. */
 	char *team;
@@ -71,7 +72,8 @@
 	GArray *progress;
 };
 
-/** True if an id of a job can be part of the keys of its rows. */
+/** True if a job can have the id: UTF-8 text without slashes and control
+ * characters. Its length is limited by that of a request's head. */
 bool job_id_is_valid(const char *id);
 
 /** Replies that there is no job with this id if none can have it.
@@ -81,13 +83,16 @@
 /** Logs the outcome of a task. */
 void job_log_call(const struct job_task *task, const char *operation);
 
-/** @param req NULL without a caller */
+/**
+ * @param req NULL without a caller
+ * @param name of the job, see job_name.h
+ */
 struct job_task *job_task_new(
-    struct jobs *js, struct front_request *req, const char *id);
+    struct jobs *js, struct front_request *req, const char *name);
 
 /** A task for a call of a team. @param team "": none */
 struct job_task *job_task_new_for(struct jobs *js, struct front_request *req,
-    const char *id, const char *team);
+    const char *name, const char *team);
 
 /** Frees a task that was not started. */
 void job_task_free(struct job_task *task);
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -20,9 +20,11 @@
 	rl->verdict = answer_judge(&rl->response, is_first);
 	if (rl->verdict != kAnswerOwn)
 		log_event(kEvtAnswerCrossed, "request", rl->attempt_id,
-		    "received", rl->response.attempt_id, "status",
-		    log_number(status), "target", rl->target, "is_first",
-		    is_first ? "yes" : "no", NULL);
+		    "received",
+		    rl->response.attempt_id != NULL ? rl->response.attempt_id
+						    : "",
+		    "status", log_number(status), "target", rl->target,
+		    "is_first", is_first ? "yes" : "no", NULL);
 	return rl->verdict == kAnswerOwn;
 }
 
@@ -30,13 +32,17 @@
 on_head(void *ctx, int32_t status, const struct header_list *headers)
 {
 	struct relay *rl = ctx;
+	bool is_own;
 
 	rl->deps.dialect->decode_response(
 	    status, headers, rl->attempt_id, &rl->response);
 	if (rl->response.is_target_leaving)
 		rl->deps.on_target_leaving(
 		    rl->deps.ctx, rl->target, rl->target_started_ms);
-	if (!is_own_answer(rl, status))
+	is_own = is_own_answer(rl, status);
+	/* It belongs to the headers. */
+	rl->response.attempt_id = NULL;
+	if (!is_own)
 		return false;
 	if (rl->response.was_not_executed && outbound_is_resent(rl->request))
 		rl->has_unproven_refusal = true;
--- a/src/log/events.h
+++ b/src/log/events.h
@@ -190,6 +190,9 @@
 	    "A target accepted an order with a fencing number.")               \
 	X(kEvtJobAccepted, 1401, INFO, "job_accepted",                         \
 	    "A batch job is durable and acknowledged.")                        \
+	X(kEvtJobNamed, 1427, INFO, "job_named",                               \
+	    "The id of a job is too long for a row of the store: the job has " \
+	    "this name in all other lines.")                                   \
 	X(kEvtJobDone, 1402, INFO, "job_done",                                 \
 	    "Every item of a batch job has its result.")                       \
 	X(kEvtJobCancelled, 1403, INFO, "job_cancelled",                       \
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -209,6 +209,34 @@
 		EXPECT_EQ(1500000, call.wait_us);
 		EXPECT_EQ(12, call.last_event_id);
 		EXPECT_NE(0u, call.prefix);
+		dialect_call_clear(&call);
+	}
+}
+
+/* Guards against ids that are cut: the beginning of an id is another id. */
+TEST(Dialect, IdsOfAnyLengthAreWhole)
+{
+	for (size_t len : {1, 16, 126, 127, 128, 160, 200, 1000, 8000, 16000}) {
+		std::string id(len - 1, 'i');
+		std::string other = id + "b";
+		dialect_call call;
+		dialect_response res;
+
+		id += "a";
+		Headers headers = {{"X-Attempt-Id", id.c_str()}};
+		platform_dialect.decode_call("GET",
+		    ("/api/items/" + id + "?id=" + other).c_str(), headers.list,
+		    &call);
+		EXPECT_EQ(id, call.attempt_id);
+		EXPECT_EQ(id, call.job_id);
+		EXPECT_EQ(other, call.item_id);
+		platform_dialect.decode_response(
+		    200, headers.list, call.attempt_id, &res);
+		EXPECT_TRUE(res.has_matching_attempt) << len;
+		platform_dialect.decode_response(
+		    200, headers.list, call.item_id, &res);
+		EXPECT_FALSE(res.has_matching_attempt) << len;
+		dialect_call_clear(&call);
 	}
 }
 
@@ -228,6 +256,8 @@
 	EXPECT_NE(a.prefix, c.prefix);
 	EXPECT_EQ(0u, d.prefix);
 	EXPECT_EQ(-1, a.last_event_id);
+	for (dialect_call *call : {&a, &b, &c, &d})
+		dialect_call_clear(call);
 }
 
 TEST(Dialect, RatesOfAnswersAreDecoded)
--- a/test/platform/test_decode_teams.cc
+++ b/test/platform/test_decode_teams.cc
@@ -195,6 +195,7 @@
 	}
 	~Call()
 	{
+		dialect_call_clear(&call);
 		header_list_free(headers);
 	}
 
