Pass no status on that promises what the target has not stated

What callers saw: a request that may run once had run, its target answered 408, 429 or 503 without stating that it had not, and the caller got that status, which tells it that the request did not run and may be sent again. After a 421 without that statement the request was run at up to four targets and then answered 503.

Cause: the status alone decided. The relay passed a signed answer, and any from 500 on, to the caller as it was; decode_response took each 421 as the statement that the request had not run.

Evidence: attempt_ended and call_ended did not tell a promise that the target had made from one that it had not, so both name the status now, and attempt_ended the end unconfirmed_refusal.

Why this fix works: only the target's field states that a request has not run, or, with a 421, the name of another target, which has the address now; that is how the users' pages write both. The decoded answer carries whether its status promises more than was stated, and the relay, which is the one place that passes answers on, treats such an answer as a failure of its target: a request that may be repeated goes on elsewhere while attempts are left, any other is answered 502 with Savoryflow-Ran: unknown. The allowance stays charged. Items have no caller who is told, and run again as before.

Two rows of Dialect.OnlyAnswersThatIdentifyThemselvesDecide and ResponsesAreDecoded had a 421 that names nobody as a refusal. By PROTOCOL.md no response states that a request did not run but one with the field, or another worker's 421, which has its name. Both cases stay, with that name; the one that names nobody is now no answer of the target.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -144,10 +144,11 @@
 
 	log_event(kEvtCallEnded, "request", oc->attempt_id, "route", oc->route,
 	    "end", outcome_names[result->outcome], "cause",
-	    result->cause != NULL ? result->cause : "", "target",
-	    result->target, "attempts", log_number(result->attempts), "age_us",
-	    log_number(age_us(oc)), "first_us", log_number(oc->first_us),
-	    "slot_wait_us", log_number(result->slot_wait_us), "retry_after_us",
+	    result->cause != NULL ? result->cause : "", "status",
+	    log_number(result->status), "target", result->target, "attempts",
+	    log_number(result->attempts), "age_us", log_number(age_us(oc)),
+	    "first_us", log_number(oc->first_us), "slot_wait_us",
+	    log_number(result->slot_wait_us), "retry_after_us",
 	    log_number(result->retry_after_us), "left_us",
 	    log_number(oc->cs->is_draining
 		    ? drain_plan_left_us(&oc->cs->drain, loop_now_us(oc->lp))
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -88,7 +88,8 @@
 struct dialect_response {
 	/** The response carries the id of the attempt that was sent. */
 	bool has_matching_attempt;
-	/** The target reports that it did not execute the request. */
+	/** The target states that it did not execute the request. Nothing else
+	 * does, whatever the status: the request has run, or may have. */
 	bool was_not_executed;
 	/** Another target now has the address. */
 	bool is_misdirected;
@@ -101,6 +102,9 @@
 	 * has none. */
 	const char *attempt_id;
 	struct stated_rate rate;
+	/** Callers take the status as a promise that the request did not run,
+	 * but the target has not stated so: no caller may get it. */
+	bool is_unconfirmed_refusal;
 };
 
 /** Frees the texts of a request that was decoded, or is all zero. */
@@ -120,8 +124,10 @@
 	/** Sets the header fields of a request to a target. */
 	void (*encode_forward)(
 	    struct header_list *headers, const struct dialect_forward *fwd);
+	/** @param sent what the request had been sent with */
 	void (*decode_response)(int32_t status,
-	    const struct header_list *headers, const char *attempt_id,
+	    const struct header_list *headers,
+	    const struct dialect_forward *sent,
 	    struct dialect_response *response);
 	/** @return NULL and a typed error if the body is not a valid job */
 	GPtrArray *(*decode_job)(const char *data, size_t len, GError **err);
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -117,6 +117,7 @@
 	    .attempts = rl->attempts,
 	    .slot_wait_us = rl->slot_wait_us,
 	    .cause = rl->cause,
+	    .status = rl->status,
 	    .is_draining = rl->is_draining,
 	    .is_withheld = rl->is_withheld,
 	};
@@ -178,9 +179,10 @@
 relay_log_attempt(const struct relay *rl, const char *cause)
 {
 	log_event(kEvtAttemptEnded, "request", rl->attempt_id, "target",
-	    rl->target, "end", cause, "attempts", log_number(rl->attempts),
-	    "age_us", log_number(loop_now_us(rl->deps.lp) - rl->started_us),
-	    "last_event", log_number(rl->events.last_id), NULL);
+	    rl->target, "end", cause, "status", log_number(rl->status),
+	    "attempts", log_number(rl->attempts), "age_us",
+	    log_number(loop_now_us(rl->deps.lp) - rl->started_us), "last_event",
+	    log_number(rl->events.last_id), NULL);
 }
 
 /* The attempt did not return a usable answer: retries, or ends the request. */
@@ -304,6 +306,7 @@
 	rl->sent_us = now_us;
 	rl->permit_until_us = 0;
 	rl->run_events = 0;
+	rl->status = 0;
 	relay_release_answer(rl);
 	rl->lacks_memory = false;
 	rl->target_started_ms = target->started_ms;
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -37,6 +37,8 @@
 	int64_t slot_wait_us;
 	/** How the last attempt ended, for the log. */
 	const char *cause;
+	/** Status of the last attempt's answer; 0: it had none. */
+	int32_t status;
 	char target[kFleetNameMax];
 	/** It was ended because the daemon stops. */
 	bool is_draining;
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -32,10 +32,14 @@
 on_head(void *ctx, int32_t status, const struct header_list *headers)
 {
 	struct relay *rl = ctx;
+	struct dialect_forward sent = {
+	    .attempt_id = rl->attempt_id,
+	    .target_id = rl->target,
+	};
 	bool is_own;
 
 	rl->deps.dialect->decode_response(
-	    status, headers, rl->attempt_id, &rl->response);
+	    status, headers, &sent, &rl->response);
 	if (rl->response.is_target_leaving)
 		rl->deps.on_target_leaving(
 		    rl->deps.ctx, rl->target, rl->target_started_ms);
@@ -175,7 +179,8 @@
 static void
 handle_complete(struct relay *rl)
 {
-	bool is_error = rl->status >= kHttpServerErrorFirst;
+	bool is_error = rl->status >= kHttpServerErrorFirst ||
+	    rl->response.is_unconfirmed_refusal;
 
 	if (rl->response.was_not_executed) {
 		handle_refusal(rl, "turned_away");
@@ -190,6 +195,11 @@
 		relay_fail_attempt(rl, kSlotFailed, "unsigned");
 		return;
 	}
+	/* Items have no caller who would be told that they did not run. */
+	if (rl->response.is_unconfirmed_refusal && !rl->opt.is_batch) {
+		relay_fail_attempt(rl, kSlotFailed, "unconfirmed_refusal");
+		return;
+	}
 	if (is_error && rl->opt.may_repeat && relay_may_retry(rl)) {
 		relay_fail_attempt(rl, kSlotFailed, "failed");
 		return;
--- /dev/null
+++ b/test/functional/test_gateway_ran.cc
@@ -0,0 +1,186 @@
+/* Statuses that tell callers that a request did not run. */
+#include <map>
+#include <mutex>
+
+#include "functional/gateway_fixture.h"
+#include "platform/broken_answers.h"
+
+namespace
+{
+
+const int kRefusals[] = {408, 421, 429, 503};
+/* Replaced by the id of the request, and by the worker that it is meant for. */
+const char kId[] = "ID";
+const char kInstance[] = "INSTANCE";
+const char kOwn[] = "X-Attempt-Id: ID\r\n";
+const char kSigned[] = "X-Attempt-Id: ID\r\nX-Response-Seal: s\r\n";
+
+/* A service whose only worker, played here, answers all requests alike. */
+struct GatewayRan : Gateway {
+	std::mutex lock;
+	std::string answer;
+	std::map<std::string, int> runs;
+
+	static std::string
+	Value(const std::string &request, const std::string &name)
+	{
+		size_t at = request.find("\r\n" + name + ": ");
+
+		if (at == std::string::npos)
+			return "";
+		at += name.size() + 4;
+		return request.substr(at, request.find("\r\n", at) - at);
+	}
+
+	static void
+	Replace(std::string *text, const char *value, const std::string &by)
+	{
+		size_t at = text->find(std::string(": ") + value);
+
+		if (at != std::string::npos)
+			text->replace(at + 2, strlen(value), by);
+	}
+
+	std::string
+	Answer(const std::string &request)
+	{
+		std::lock_guard<std::mutex> held(lock);
+		std::string id = Value(request, "X-Attempt-Id");
+		std::string text = answer;
+
+		runs[id]++;
+		Replace(&text, kId, id);
+		Replace(&text, kInstance, Value(request, "X-Expect-Instance"));
+		return text;
+	}
+
+	CopyingServer server{
+	    [this](const std::string &r) { return Answer(r); }};
+
+	void
+	AnswerWith(const std::string &text)
+	{
+		{
+			std::lock_guard<std::mutex> held(lock);
+
+			answer = text;
+		}
+		RelistWorker("odd", server.Address());
+	}
+
+	int
+	RunsOf(const std::string &id)
+	{
+		std::lock_guard<std::mutex> held(lock);
+
+		return runs[id];
+	}
+
+	/* The caller is told that the request may have run. */
+	void
+	ExpectNoPromise(const std::string &path, const std::string &name)
+	{
+		bool may_repeat = path[1] == 'n';
+		Reply r = Call(0, path, path, 1);
+
+		EXPECT_EQ(502, r.status) << name << " " << path;
+		EXPECT_EQ("unknown", r.headers["savoryflow-ran"])
+		    << name << " " << path;
+		EXPECT_EQ(0u, r.headers.count("retry-after")) << name;
+		EXPECT_EQ(0u, r.headers.count("x-response-seal")) << name;
+		EXPECT_GE(RunsOf(path), 1) << name << " " << path;
+		EXPECT_LE(RunsOf(path), may_repeat ? 3 : 1)
+		    << name << " " << path;
+	}
+};
+
+/* Guards against a worker's 408, 421, 429 or 503 that reaches the caller of a
+ * request which has run, and against a request that runs again after a 421. */
+TEST_F(GatewayRan, AnUnconfirmedRefusalIsNotPassedOn)
+{
+	const struct {
+		const char *name;
+		std::string fields;
+	} heads[] = {
+	    {"signed", kSigned},
+	    {"not signed", kOwn},
+	    {"time to return", std::string(kSigned) + "Retry-After: 0.1\r\n"},
+	    {"its own name",
+		std::string(kSigned) + "X-Instance-Id: INSTANCE\r\n"},
+	    {"event stream",
+		std::string(kSigned) + "Content-Type: text/event-stream\r\n"},
+	};
+	int n = 0;
+
+	StartFleetWithService("odd");
+	server.EndAfterAnswers(End::kClose);
+	for (int status : kRefusals)
+		for (const auto &head : heads) {
+			auto forms = AnswersInEachForm(
+			    status, head.fields, "id: 1\ndata: a\n\n");
+			const auto &form = forms[(size_t)n % forms.size()];
+			std::string name = std::to_string(status) + " " +
+			    head.name + ", " + form.name;
+
+			for (const char *route : {"/o/", "/w/", "/n/"}) {
+				AnswerWith(form.bytes);
+				ExpectNoPromise(
+				    route + std::to_string(n), name);
+			}
+			n++;
+		}
+	EXPECT_GT(daemons[0]->Count("\"end\":\"unconfirmed_refusal\""), 0);
+}
+
+/* What the worker states is passed on as a promise: the request did not run. */
+TEST_F(GatewayRan, AConfirmedRefusalStaysOne)
+{
+	const std::string statements[] = {
+	    std::string(kOwn) + "X-Not-Executed: 1\r\n",
+	    "X-Not-Executed: 1\r\n"};
+	int n = 0;
+
+	StartFleetWithService("odd");
+	server.EndAfterAnswers(End::kClose);
+	for (int status : kRefusals)
+		for (const auto &fields : statements)
+			for (const char *route : {"/o/", "/w/", "/n/"}) {
+				std::string path = route + std::to_string(n++);
+
+				AnswerWith(
+				    AnswersInEachForm(status, fields, "{}")[0]
+					.bytes);
+				Reply r = Call(0, path, path, 1);
+
+				EXPECT_EQ(503, r.status) << status << path;
+				EXPECT_EQ("no", r.headers["savoryflow-ran"])
+				    << status << path;
+			}
+	AnswerWith("HTTP/1.1 421 X\r\nX-Instance-Id: another\r\n"
+		   "Content-Length: 0\r\n\r\n");
+	Reply r = Call(0, "/o/421", "o421", 1);
+	EXPECT_EQ(503, r.status);
+	EXPECT_EQ("no", r.headers["savoryflow-ran"]);
+}
+
+/* An item may run again: no caller is told of its runs. */
+TEST_F(GatewayRan, AnItemRunsAgainAfterAnUnconfirmedRefusal)
+{
+	StartReadyFleet(1, 1);
+	for (int status : kRefusals) {
+		std::string job = "j" + std::to_string(status);
+
+		InjectFault(
+		    0, "{\"statuses\":[" + std::to_string(status) + "]}");
+		ASSERT_EQ(202,
+		    Send(0, "POST", "/b/" + job,
+			JobBody(job, 1, RequestBody(2)), job)
+			.status);
+		EXPECT_TRUE(Eventually([&] { return HasResults(0, job, 1); }));
+		EXPECT_EQ("completed " + ExpectedText("/b/" + job + "0", 2),
+		    OnlyResult(0, job));
+		EXPECT_EQ(2, CountRuns(job + "0"));
+	}
+}
+
+} // namespace
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -26,6 +26,17 @@
  "limits":{"header_bytes":16384,"body_bytes":4194304,
   "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
 
+/* A request with this id that was sent to the target "t". */
+dialect_forward
+Sent(const char *id)
+{
+	dialect_forward sent = {};
+
+	sent.attempt_id = id;
+	sent.target_id = "t";
+	return sent;
+}
+
 TEST(DecodeRoutebook, DecodesAllFields)
 {
 	GError *err = nullptr;
@@ -230,11 +241,12 @@
 		EXPECT_EQ(id, call.attempt_id);
 		EXPECT_EQ(id, call.job_id);
 		EXPECT_EQ(other, call.item_id);
-		platform_dialect.decode_response(
-		    200, headers.list, call.attempt_id, &res);
+		dialect_forward own = Sent(call.attempt_id);
+		dialect_forward another = Sent(call.item_id);
+		platform_dialect.decode_response(200, headers.list, &own, &res);
 		EXPECT_TRUE(res.has_matching_attempt) << len;
 		platform_dialect.decode_response(
-		    200, headers.list, call.item_id, &res);
+		    200, headers.list, &another, &res);
 		EXPECT_FALSE(res.has_matching_attempt) << len;
 		dialect_call_clear(&call);
 	}
@@ -282,16 +294,19 @@
 	};
 	dialect_response res;
 
+	dialect_forward sent = Sent("a");
+
 	for (const auto &c : cases) {
 		Headers headers = {{"server-limit", c.value}};
 
-		platform_dialect.decode_response(200, headers.list, "a", &res);
+		platform_dialect.decode_response(
+		    200, headers.list, &sent, &res);
 		EXPECT_EQ(c.kind, res.rate.kind) << c.value;
 		EXPECT_EQ(c.milli_per_s, res.rate.milli_per_s) << c.value;
 	}
 	Headers none = {{"X-Attempt-Id", "a"}};
 
-	platform_dialect.decode_response(200, none.list, "a", &res);
+	platform_dialect.decode_response(200, none.list, &sent, &res);
 	EXPECT_EQ(kRateNone, res.rate.kind);
 }
 
@@ -325,7 +340,8 @@
 		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"},
 		    {"server-leaving", "1"}},
 		{true, false, false, true, false, true, "a"}},
-	    {"another target, which leaves", 421, {{"Server-Leaving", "1"}},
+	    {"another target, which leaves", 421,
+		{{"X-Instance-Id", "i"}, {"Server-Leaving", "1"}},
 		{false, true, true, false, false, false}},
 	    {"no announcement", 500, {{"Server-Leaving", "0"}},
 		{false, false, false, false, false, false}},
@@ -334,11 +350,13 @@
 		{true, false, false, true, false, false, "a"}},
 	};
 
+	dialect_forward sent = Sent("a");
+
 	for (const auto &c : cases) {
 		dialect_response f;
 
 		platform_dialect.decode_response(
-		    c.status, c.headers.list, "a", &f);
+		    c.status, c.headers.list, &sent, &f);
 		EXPECT_EQ(
 		    c.response.has_matching_attempt, f.has_matching_attempt)
 		    << c.name;
@@ -355,6 +373,51 @@
 	}
 }
 
+/* Guards against a status that is taken for the statement that a request has
+ * not run: only the target's field states it, or another target's name. */
+TEST(Dialect, AStatusAloneDoesNotStateThatARequestHasNotRun)
+{
+	const struct {
+		const char *name;
+		std::vector<int> statuses;
+		Headers headers;
+		bool was_not_executed, is_unconfirmed_refusal;
+	} cases[] = {
+	    {"refusal", {408, 421, 429, 503}, {{"X-Not-Executed", "1"}}, true,
+		false},
+	    {"refusal without an id", {400}, {{"X-Not-Executed", "1"}}, true,
+		false},
+	    {"another worker", {421}, {{"X-Instance-Id", "i"}}, true, false},
+	    {"nothing stated", {408, 421, 429, 503}, {}, false, true},
+	    {"of the worker itself", {408, 421, 429, 503},
+		{{"X-Instance-Id", "t"}}, false, true},
+	    {"of no worker", {408, 421, 429, 503}, {{"X-Instance-Id", ""}},
+		false, true},
+	    {"name of another worker", {408, 429, 503},
+		{{"X-Instance-Id", "i"}}, false, true},
+	    {"signed", {408, 421, 429, 503},
+		{{"X-Attempt-Id", "a"}, {"X-Response-Seal", "s"},
+		    {"Retry-After", "1"}},
+		false, true},
+	    {"no promise", {200, 400, 404, 409, 422, 500, 502, 504}, {}, false,
+		false},
+	};
+	dialect_forward sent = Sent("a");
+
+	for (const auto &c : cases)
+		for (int status : c.statuses) {
+			dialect_response f;
+
+			platform_dialect.decode_response(
+			    status, c.headers.list, &sent, &f);
+			EXPECT_EQ(c.was_not_executed, f.was_not_executed)
+			    << c.name << " " << status;
+			EXPECT_EQ(
+			    c.is_unconfirmed_refusal, f.is_unconfirmed_refusal)
+			    << c.name << " " << status;
+		}
+}
+
 TEST(Dialect, OnlyAnswersThatIdentifyThemselvesDecide)
 {
 	const struct {
@@ -379,7 +442,11 @@
 		kAnswerForeign, kAnswerForeign},
 	    {"refusal without an id", 503, {{"X-Not-Executed", "1"}},
 		kAnswerOwn, kAnswerUnproven},
-	    {"421 without an id", 421, {}, kAnswerOwn, kAnswerUnproven},
+	    {"421 of another worker", 421, {{"X-Instance-Id", "i"}}, kAnswerOwn,
+		kAnswerUnproven},
+	    {"421 of nobody", 421, {}, kAnswerForeign, kAnswerForeign},
+	    {"421 of the worker itself", 421, {{"X-Instance-Id", "t"}},
+		kAnswerForeign, kAnswerForeign},
 	    {"another's success", 200, {{"X-Attempt-Id", "b"}}, kAnswerForeign,
 		kAnswerForeign},
 	    {"another's 422", 422, {{"X-Attempt-Id", "b"}}, kAnswerForeign,
@@ -393,11 +460,13 @@
 		kAnswerForeign},
 	};
 
+	dialect_forward sent = Sent("a");
+
 	for (const auto &c : cases) {
 		dialect_response f;
 
 		platform_dialect.decode_response(
-		    c.status, c.headers.list, "a", &f);
+		    c.status, c.headers.list, &sent, &f);
 		EXPECT_EQ(c.first, answer_judge(&f, true)) << c.name;
 		EXPECT_EQ(c.later, answer_judge(&f, false)) << c.name;
 	}
--- a/test/relay/relay_fixture.h
+++ b/test/relay/relay_fixture.h
@@ -178,15 +178,16 @@
 }
 
 void
-DecodeResponse(int32_t status, const struct header_list *, const char *id,
-    dialect_response *response)
+DecodeResponse(int32_t status, const struct header_list *,
+    const dialect_forward *sent, dialect_response *response)
 {
 	*response = {};
 	response->has_matching_attempt = true;
 	response->is_signed = true;
 	response->is_event_stream = status == 200;
 	response->was_not_executed = status == 503;
-	response->attempt_id = id;
+	response->is_unconfirmed_refusal = status == 429;
+	response->attempt_id = sent->attempt_id;
 }
 
 void
--- a/test/relay/test_relay.cc
+++ b/test/relay/test_relay.cc
@@ -136,6 +136,41 @@
 		EXPECT_EQ(c.trace, Run(Options(), c.script)) << c.name;
 }
 
+/* Guards against a status that tells the caller that a request which may have
+ * run did not, and against a second run of one that may run once. */
+TEST_F(Relay, AnUnconfirmedRefusalIsAFailureOfTheTarget)
+{
+	const struct {
+		const char *name;
+		bool may_repeat;
+		std::vector<Step> script;
+		const char *trace;
+	} cases[] = {
+	    {"may run once", false, {{10, "grant a"}, {100, "answer 429"}},
+		"0 ask, 10 send a after -1, 100 free a failed, "
+		"100 end failed"},
+	    {"may run again", true,
+		{{10, "grant a"}, {50, "answer 429"}, {60, "grant b"},
+		    {100, "answer 200"}},
+		"0 ask, 10 send a after -1, 50 free a failed, 50 ask but a, "
+		"60 send b after -1, 100 head 200, 100 free b served, "
+		"100 end complete"},
+	    {"no attempt is left", true,
+		{{10, "grant a"}, {50, "answer 429"}, {60, "grant b"},
+		    {100, "answer 429"}},
+		"0 ask, 10 send a after -1, 50 free a failed, 50 ask but a, "
+		"60 send b after -1, 100 free b failed, 100 end failed"},
+	};
+
+	for (const auto &c : cases) {
+		relay_options opt = Options();
+
+		opt.may_repeat = c.may_repeat;
+		opt.attempts_max = 2;
+		EXPECT_EQ(c.trace, Run(opt, c.script)) << c.name;
+	}
+}
+
 TEST_F(Relay, AnItemMovesFromASilentTargetAndItsFailuresStillCount)
 {
 	relay_options opt = Options();
