--- a/bench/crash_fleet.c
+++ b/bench/crash_fleet.c
@@ -1,6 +1,8 @@
 /* Daemons, workers and requests that crash workers, in virtual time. */
 #include "crash_internal.h"
 
+#include "os/text_copy.h"
+
 #include <string.h>
 
 static int32_t
@@ -94,8 +96,7 @@
 	};
 
 	g_snprintf(msg.run.target, sizeof(msg.run.target), "w%d", run->worker);
-	g_strlcpy(msg.run.seen_by, fl->daemons[run->daemon].name,
-	    sizeof(msg.run.seen_by));
+	TEXT_ASSIGN(msg.run.seen_by, fl->daemons[run->daemon].name);
 	crash_post(fl, &msg);
 	if (run->is_item) {
 		struct run item = *run;
--- a/bench/membership.c
+++ b/bench/membership.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "bench.h"
+#include "os/text_copy.h"
 #include "savoryflow/membership/membership.h"
 #include "savoryflow/membership/selection.h"
 
@@ -41,8 +42,9 @@
 	memset(entry, 0, sizeof(*entry));
 	group_address(entry->address, i);
 	group_address(entry->http, i);
-	g_strlcpy(entry->region, "north", sizeof(entry->region));
-	g_strlcpy(entry->data_center, "dc1", sizeof(entry->data_center));
+	text_copy_or_none(entry->region, sizeof(entry->region), "north");
+	text_copy_or_none(
+	    entry->data_center, sizeof(entry->data_center), "dc1");
 	entry->incarnation = 1000;
 }
 
--- a/bench/rate_daemons.c
+++ b/bench/rate_daemons.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "gateway/slots_internal.h"
+#include "os/text_copy.h"
 #include "rate_internal.h"
 
 enum {
@@ -159,9 +160,9 @@
 	    .cpu_millicores = 1000,
 	};
 
-	g_strlcpy(row.address, d->address, sizeof(row.address));
-	g_strlcpy(row.data_center, d->data_center, sizeof(row.data_center));
-	g_strlcpy(row.region, d->data_center, sizeof(row.region));
+	TEXT_ASSIGN(row.address, d->address);
+	TEXT_ASSIGN(row.data_center, d->data_center);
+	TEXT_ASSIGN(row.region, d->data_center);
 	g_snprintf(row.session, sizeof(row.session), "%s-%" G_GUINT64_FORMAT,
 	    d->address, d->next_incarnation);
 	return row;
@@ -210,8 +211,8 @@
 		struct fleet_target t = {
 		    .slots = kTargetSlots, .started_ms = 1, .version = 1};
 
-		g_strlcpy(t.id, p->targets[i].id, sizeof(t.id));
-		g_strlcpy(t.service, "llm", sizeof(t.service));
+		TEXT_ASSIGN(t.id, p->targets[i].id);
+		text_copy_or_none(t.service, sizeof(t.service), "llm");
 		g_snprintf(t.data_center, sizeof(t.data_center), "dc%d",
 		    p->targets[i].data_center);
 		fleet_apply(d->fleet, &t);
--- a/src/gateway/access/access.c
+++ b/src/gateway/access/access.c
@@ -7,6 +7,7 @@
 #include "gateway/reply.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "savoryflow/teams/forward_proof.h"
 
 enum {
@@ -148,8 +149,9 @@
 	if (book->keys == NULL ||
 	    !forward_proof_holds(book->keys, &claim, &field.digest))
 		return kProofNone;
-	g_strlcpy(caller->team, field.team, sizeof(caller->team));
-	return kProofHolds;
+	return text_copy(caller->team, sizeof(caller->team), field.team)
+	    ? kProofHolds
+	    : kProofNone;
 }
 
 /* @return whether the request has a key that a team holds */
@@ -163,8 +165,7 @@
 		return false;
 	caller->digest = team_keys_digest(book->keys, call->key, call->key_len);
 	team = team_keys_find(book->keys, &caller->digest);
-	g_strlcpy(caller->team, team != NULL ? team : "", sizeof(caller->team));
-	return team != NULL;
+	return text_copy(caller->team, sizeof(caller->team), team);
 }
 
 static void
--- a/src/gateway/crash_guard.c
+++ b/src/gateway/crash_guard.c
@@ -7,6 +7,7 @@
 #include "gateway/connect_probe.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "peer/blame_wire.h"
 
 enum {
@@ -175,9 +176,10 @@
 	lost->run.sent_us = run->sent_us;
 	lost->run.ended_us = loop_now_us(cg->opt.lp);
 	lost->request = g_strdup(request);
-	g_strlcpy(lost->run.target, run->target, sizeof(lost->run.target));
-	g_strlcpy(
-	    lost->run.seen_by, cg->opt.address, sizeof(lost->run.seen_by));
+	text_copy_or_none(
+	    lost->run.target, sizeof(lost->run.target), run->target);
+	text_copy_or_none(
+	    lost->run.seen_by, sizeof(lost->run.seen_by), cg->opt.address);
 	connect_probe_start(cg->probes, run->address, on_probed, lost);
 }
 
@@ -212,8 +214,8 @@
 	if (strcmp(found[0], cg->primary) != 0 ||
 	    strcmp(found[1], cg->second) != 0)
 		blame_ask(cg->blame, loop_now_us(cg->opt.lp), cg->out);
-	g_strlcpy(cg->primary, found[0], sizeof(cg->primary));
-	g_strlcpy(cg->second, found[1], sizeof(cg->second));
+	text_copy_or_none(cg->primary, sizeof(cg->primary), found[0]);
+	text_copy_or_none(cg->second, sizeof(cg->second), found[1]);
 	g_ptr_array_set_size(cg->coordinators, 0);
 	for (int32_t i = 0; i < count; i++) {
 		if (strcmp(found[i], cg->opt.address) == 0)
--- a/src/gateway/gateway.c
+++ b/src/gateway/gateway.c
@@ -22,6 +22,7 @@
 #include "metric/metric.h"
 #include "os/exit_guard.h"
 #include "os/heap.h"
+#include "os/text_copy.h"
 #include "savoryflow/freshness/freshness.h"
 
 enum {
@@ -261,14 +262,20 @@
 fill_self(struct gateway *gw)
 {
 	const struct settings *set = gw->set;
-
-	g_strlcpy(gw->self.address, set->peer_listen, sizeof(gw->self.address));
-	g_strlcpy(gw->self.front, set->front_listen, sizeof(gw->self.front));
-	g_strlcpy(gw->self.region, set->region, sizeof(gw->self.region));
-	g_strlcpy(gw->self.data_center, set->data_center,
-	    sizeof(gw->self.data_center));
-	snprintf(gw->self.session, sizeof(gw->self.session), "%s-%08x%08x",
-	    set->peer_listen, g_random_int(), g_random_int());
+	char *session;
+
+	text_copy_or_none(
+	    gw->self.address, sizeof(gw->self.address), set->peer_listen);
+	text_copy_or_none(
+	    gw->self.front, sizeof(gw->self.front), set->front_listen);
+	text_copy_or_none(
+	    gw->self.region, sizeof(gw->self.region), set->region);
+	text_copy_or_none(gw->self.data_center, sizeof(gw->self.data_center),
+	    set->data_center);
+	session = g_strdup_printf(
+	    "%s-%08x%08x", set->peer_listen, g_random_int(), g_random_int());
+	text_copy_or_none(gw->self.session, sizeof(gw->self.session), session);
+	g_free(session);
 	gw->self.cpu_millicores = (int32_t)set->cpu_millicores;
 }
 
--- a/src/gateway/gateway_watch.c
+++ b/src/gateway/gateway_watch.c
@@ -4,6 +4,7 @@
 #include "gateway/gateway_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 
 enum {
 	/* Entries of targets that expired while the store was unavailable are
@@ -244,9 +245,13 @@
 static void
 on_target_removed(void *ctx, const char *id, int64_t version)
 {
-	struct watch_update *update = watch_update_new(ctx);
+	struct watch_update *update;
 
-	g_strlcpy(update->id, id, sizeof(update->id));
+	/* No target has so long a name: its row was refused. */
+	if (!text_fits(sizeof(update->id), id))
+		return;
+	update = watch_update_new(ctx);
+	text_copy_or_none(update->id, sizeof(update->id), id);
 	update->version = version;
 	loop_post(update->gw->lp, apply_removal, update);
 }
--- a/src/gateway/jobs.c
+++ b/src/gateway/jobs.c
@@ -278,8 +278,10 @@
 	}
 	items = js->opt.deps.dialect->decode_job(data, len, &err);
 	if (items != NULL &&
-	    !jobs_check_submission(js, call->attempt_id, items, &err))
-		g_clear_pointer(&items, g_ptr_array_unref);
+	    !jobs_check_submission(js, call->attempt_id, items, &err)) {
+		g_ptr_array_unref(items);
+		items = NULL;
+	}
 	if (items == NULL) {
 		reply_error(req, err->code, err->message, 0);
 		g_error_free(err);
--- a/src/gateway/jobs_forward.c
+++ b/src/gateway/jobs_forward.c
@@ -5,6 +5,7 @@
 
 #include "gateway/jobs_task.h"
 #include "log/log.h"
+#include "os/text_copy.h"
 
 enum {
 	/* Peers to try, one after the other. */
@@ -268,9 +269,8 @@
 	    .ctx = fwd,
 	};
 
-	if (peer == NULL)
+	if (!text_copy(fwd->peer, sizeof(fwd->peer), peer))
 		return false;
-	g_strlcpy(fwd->peer, peer, sizeof(fwd->peer));
 	fwd->peers_tried++;
 	reset_answer(fwd);
 	g_snprintf(fwd->attempt, sizeof(fwd->attempt), "%08x%08x",
--- a/src/gateway/quota.c
+++ b/src/gateway/quota.c
@@ -6,6 +6,7 @@
 
 #include "gateway/quota_internal.h"
 #include "log/log.h"
+#include "os/text_copy.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
 enum {
@@ -115,11 +116,11 @@
 	const char *counter = NULL;
 
 	for (int i = 0; i < kCountersMax; i++) {
-		char key[64];
+		char *key = g_strdup_printf("quota-%d-%s", i, route);
 
-		snprintf(key, sizeof(key), "quota-%d-%s", i, route);
 		counter =
 		    roster_owner_reaching_store(qt->opt.roster, key, now_us);
+		g_free(key);
 		if (!is_avoided(qt, counter, now_us))
 			break;
 	}
@@ -156,7 +157,8 @@
 static void
 ask_counter(struct quota *qt, struct quota_wait *qw)
 {
-	g_strlcpy(qw->counter, counter_of(qt, qw->route), sizeof(qw->counter));
+	text_copy_or_none(
+	    qw->counter, sizeof(qw->counter), counter_of(qt, qw->route));
 	qw->asked_us = loop_now_us(qt->opt.lp);
 	qw->asks++;
 	loop_timer_cancel(qt->opt.lp, qw->timer);
@@ -195,7 +197,7 @@
 	qw->id = ++qt->next_id;
 	qw->started_us = loop_now_us(qt->opt.lp);
 	qw->route = g_strdup(request->route);
-	g_strlcpy(qw->ask.from, qt->opt.address, sizeof(qw->ask.from));
+	text_copy_or_none(qw->ask.from, sizeof(qw->ask.from), qt->opt.address);
 	qw->ask.id = qw->id;
 	qw->ask.job = g_strdup(request->job);
 	qw->ask.tokens = request->tokens;
@@ -364,7 +366,7 @@
 	if (batch->count == kReportsPerMessage ||
 	    strcmp(batch->counter, counter) != 0)
 		send_batch(qt, batch);
-	g_strlcpy(batch->counter, counter, sizeof(batch->counter));
+	text_copy_or_none(batch->counter, sizeof(batch->counter), counter);
 	wire = &batch->wire[batch->count];
 	sfpeer__quota_report__init(wire);
 	wire->route = text;
@@ -429,7 +431,7 @@
 	    .stale_fence = wire->stale_fence,
 	};
 
-	g_strlcpy(ask.from, from, sizeof(ask.from));
+	text_copy_or_none(ask.from, sizeof(ask.from), from);
 	quota_host_ask(qt, wire->route, &ask);
 }
 
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -11,6 +11,7 @@
 #include "gateway/relay_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "savoryflow/drain/drain_plan.h"
 
 enum {
@@ -122,7 +123,7 @@
 	    .is_withheld = rl->is_withheld,
 	};
 
-	g_strlcpy(result.target, rl->target, sizeof(result.target));
+	TEXT_ASSIGN(result.target, rl->target);
 	end_work(rl, outcome == kRelayRevoked);
 	/* The owner charges an answer as unread from here on; both charges
 	 * would count it twice. */
@@ -300,9 +301,8 @@
 	rl->link_us = slots_link_us(rl->deps.slots, target->data_center);
 	rl->deps.dialect->encode_forward(rl->headers, &fwd);
 	rl->slot_wait_us = now_us - rl->slot_requested_us;
-	g_strlcpy(rl->target, target->id, sizeof(rl->target));
-	g_strlcpy(
-	    rl->target_address, target->address, sizeof(rl->target_address));
+	TEXT_ASSIGN(rl->target, target->id);
+	TEXT_ASSIGN(rl->target_address, target->address);
 	rl->sent_us = now_us;
 	rl->permit_until_us = 0;
 	rl->run_events = 0;
@@ -359,7 +359,7 @@
 		relay_send(rl, target);
 		return;
 	}
-	g_strlcpy(rl->target, target_id, sizeof(rl->target));
+	text_copy_or_none(rl->target, sizeof(rl->target), target_id);
 	rl->not_executed_count++;
 	relay_fail_attempt(rl, kSlotNeutral, "left_the_list");
 }
--- a/src/gateway/roster_store.c
+++ b/src/gateway/roster_store.c
@@ -6,6 +6,7 @@
 #include "gateway/roster.h"
 #include "os/clock.h"
 #include "os/json_text.h"
+#include "os/text_copy.h"
 #include "store/scan.h"
 
 enum {
@@ -91,16 +92,17 @@
 		    0, kCpuMillicoresMax),
 	};
 
-	if (session != NULL && region != NULL && dc != NULL) {
-		g_strlcpy(row.address, strrchr(stored->key, '/') + 1,
-		    sizeof(row.address));
-		g_strlcpy(
-		    row.front, front != NULL ? front : "", sizeof(row.front));
-		g_strlcpy(row.session, session, sizeof(row.session));
-		g_strlcpy(row.region, region, sizeof(row.region));
-		g_strlcpy(row.data_center, dc, sizeof(row.data_center));
+	if (text_copy(row.address, sizeof(row.address),
+		strrchr(stored->key, '/') + 1) &&
+	    text_copy(
+		row.front, sizeof(row.front), front != NULL ? front : "") &&
+	    text_copy(row.session, sizeof(row.session), session) &&
+	    text_copy(row.region, sizeof(row.region), region) &&
+	    text_copy(row.data_center, sizeof(row.data_center), dc))
 		g_array_append_val(rows, row);
-	}
+	else
+		store_report_row(
+		    "daemons", stored->key, "a field is missing or too long");
 	json_decref(doc);
 }
 
--- a/src/gateway/slots.c
+++ b/src/gateway/slots.c
@@ -7,6 +7,7 @@
 #include "gateway/slots_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
 enum {
@@ -114,7 +115,8 @@
 static void
 assign_arbiter(struct slots *sl, struct hold *h)
 {
-	g_strlcpy(h->arbiter, slots_arbiter(sl, h->view), sizeof(h->arbiter));
+	text_copy_or_none(
+	    h->arbiter, sizeof(h->arbiter), slots_arbiter(sl, h->view));
 }
 
 static void
@@ -183,11 +185,11 @@
 	h->request.parts = request->parts;
 	if (!request->is_batch)
 		set_team(&h->request, request);
-	g_strlcpy(h->request.excluded_target,
-	    request->excluded_target != NULL ? request->excluded_target : "",
-	    sizeof(h->request.excluded_target));
+	text_copy_or_none(h->request.excluded_target,
+	    sizeof(h->request.excluded_target),
+	    request->excluded_target != NULL ? request->excluded_target : "");
 	h->is_exclusion_strict = request->is_exclusion_strict;
-	g_strlcpy(h->service, request->service, sizeof(h->service));
+	text_copy_or_none(h->service, sizeof(h->service), request->service);
 	h->ops = ops;
 	h->ctx = ctx;
 	g_hash_table_insert(sl->holds, &h->request.id, h);
@@ -279,7 +281,7 @@
 	h->granted_us = now_us;
 	h->renewed_us = now_us;
 	h->is_rate_limited = del->is_rate_limited;
-	g_strlcpy(h->target, del->target, sizeof(h->target));
+	TEXT_ASSIGN(h->target, del->target);
 	h->ops->on_granted(h->ctx, h->request.id, del->target);
 }
 
--- a/src/gateway/slots_choice.c
+++ b/src/gateway/slots_choice.c
@@ -4,6 +4,8 @@
 
 #include "gateway/slots_internal.h"
 
+#include "os/text_copy.h"
+
 enum {
 	/* Two round trips: connection set-up, then the request. The one-way
 	 * latency is 1 to 2 ms between data centres of a region and 30 ms
@@ -31,20 +33,36 @@
 	kBatchRemoteExtraSlots = 2,
 };
 
+struct pool_key
+slots_pool_key(const char *service, const char *data_center)
+{
+	size_t len = strlen(service);
+	struct pool_key key;
+
+	key.text[0] = '\0';
+	if (!text_fits(kFleetNameMax, service) ||
+	    !text_fits(kFleetNameMax, data_center))
+		return key;
+	memcpy(key.text, service, len);
+	key.text[len] = '|';
+	memcpy(key.text + len + 1, data_center, strlen(data_center) + 1);
+	return key;
+}
+
 struct pool_view *
 slots_view(struct slots *sl, const char *service, const char *data_center)
 {
-	char key[kPoolKeyMax];
+	struct pool_key key = slots_pool_key(service, data_center);
 	struct pool_view *view;
 
-	snprintf(key, sizeof(key), "%s|%s", service, data_center);
-	view = g_hash_table_lookup(sl->views, key);
+	view = g_hash_table_lookup(sl->views, key.text);
 	if (view != NULL)
 		return view;
 	view = g_new0(struct pool_view, 1);
-	g_strlcpy(view->service, service, sizeof(view->service));
-	g_strlcpy(view->data_center, data_center, sizeof(view->data_center));
-	g_strlcpy(view->key, key, sizeof(view->key));
+	text_copy_or_none(view->service, sizeof(view->service), service);
+	text_copy_or_none(
+	    view->data_center, sizeof(view->data_center), data_center);
+	TEXT_ASSIGN(view->key, key.text);
 	g_hash_table_insert(sl->views, view->key, view);
 	return view;
 }
@@ -66,7 +84,7 @@
 	if (strcmp(view->owner, owner) == 0)
 		return view->owner;
 	view->owner_heard_us = 0;
-	g_strlcpy(view->owner, owner, sizeof(view->owner));
+	text_copy_or_none(view->owner, sizeof(view->owner), owner);
 	return view->owner;
 }
 
--- a/src/gateway/slots_host.c
+++ b/src/gateway/slots_host.c
@@ -6,6 +6,7 @@
 #include "gateway/slots_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 
 enum {
 	/* An arbiter without requests for this time is removed. */
@@ -75,7 +76,7 @@
 	    .is_rate_limited = act->is_rate_limited,
 	};
 
-	g_strlcpy(del.target, act->target, sizeof(del.target));
+	TEXT_ASSIGN(del.target, act->target);
 	slots_deliver(sl, &del);
 }
 
@@ -120,10 +121,9 @@
 slots_hosted_find(
     struct slots *sl, const char *service, const char *data_center)
 {
-	char key[kPoolKeyMax];
+	struct pool_key key = slots_pool_key(service, data_center);
 
-	snprintf(key, sizeof(key), "%s|%s", service, data_center);
-	return g_hash_table_lookup(sl->hosted, key);
+	return g_hash_table_lookup(sl->hosted, key.text);
 }
 
 void
@@ -169,22 +169,21 @@
 static struct hosted_pool *
 hosted_get(struct slots *sl, const char *service, const char *data_center)
 {
-	char key[kPoolKeyMax];
+	struct pool_key key = slots_pool_key(service, data_center);
 	struct hosted_pool *hp = slots_hosted_find(sl, service, data_center);
 	GArray *actions;
 
-	snprintf(key, sizeof(key), "%s|%s", service, data_center);
 	if (hp == NULL) {
 		hp = g_new0(struct hosted_pool, 1);
-		g_strlcpy(hp->service, service, sizeof(hp->service));
-		g_strlcpy(
-		    hp->data_center, data_center, sizeof(hp->data_center));
+		text_copy_or_none(hp->service, sizeof(hp->service), service);
+		text_copy_or_none(
+		    hp->data_center, sizeof(hp->data_center), data_center);
 		hp->pool = slotpool_new();
 		hp->started_us = loop_now_us(sl->opt.lp);
 		update_role(sl, hp,
-		    roster_is_elected_owner(sl->opt.roster, key, data_center,
-			loop_now_us(sl->opt.lp)));
-		g_hash_table_insert(sl->hosted, g_strdup(key), hp);
+		    roster_is_elected_owner(sl->opt.roster, key.text,
+			data_center, loop_now_us(sl->opt.lp)));
+		g_hash_table_insert(sl->hosted, g_strdup(key.text), hp);
 		log_event(kEvtArbiterStarted, "service", service, "data_center",
 		    data_center, NULL);
 		actions = slotpool_actions_new();
@@ -359,19 +358,18 @@
 	g_hash_table_iter_init(&it, sl->hosted);
 	while (g_hash_table_iter_next(&it, NULL, &val)) {
 		struct hosted_pool *hp = val;
-		char key[kPoolKeyMax];
+		struct pool_key key =
+		    slots_pool_key(hp->service, hp->data_center);
 		GArray *actions;
 		bool is_elected;
 
-		snprintf(
-		    key, sizeof(key), "%s|%s", hp->service, hp->data_center);
 		if (now_us - hp->used_us > kIdleUs) {
 			g_hash_table_iter_remove(&it);
 			continue;
 		}
 		actions = slotpool_actions_new();
 		is_elected = roster_is_elected_owner(
-		    sl->opt.roster, key, hp->data_center, now_us);
+		    sl->opt.roster, key.text, hp->data_center, now_us);
 		update_role(sl, hp, is_elected);
 		slotpool_tick(hp->pool, now_us, actions);
 		run_actions(sl, actions);
@@ -431,8 +429,8 @@
 	    .is_last_resort = wire->last_resort,
 	};
 
-	g_strlcpy(request.excluded_target, wire->but,
-	    sizeof(request.excluded_target));
+	text_copy_or_none(request.excluded_target,
+	    sizeof(request.excluded_target), wire->but);
 	/* A daemon that has just started does not know the pool's targets yet
 	 * and must not arbitrate for it. */
 	if (!wire->adopt && !knows_pool(sl, wire->service, wire->data_center)) {
--- a/src/gateway/slots_internal.h
+++ b/src/gateway/slots_internal.h
@@ -14,6 +14,14 @@
 	kPoolsTriedMax = 2,
 };
 
+/** Key of a pool in the tables of this module, and for the election of its
+ * arbiter. Names that are too long for a pool's have the key of none. */
+struct pool_key {
+	char text[kPoolKeyMax];
+};
+
+struct pool_key slots_pool_key(const char *service, const char *data_center);
+
 /** An arbiter hosted by this daemon. */
 struct hosted_pool {
 	char service[kFleetNameMax];
--- a/src/gateway/slots_wait.c
+++ b/src/gateway/slots_wait.c
@@ -8,6 +8,7 @@
 #include "gateway/slots_internal.h"
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 
 enum {
 	/* An arbiter may grant a queued request after its deadline. Past this
@@ -117,8 +118,8 @@
 	struct delivery del = {.id = h->request.id, .verdict = kSlotGranted};
 
 	h->phase = kHoldLocal;
-	g_strlcpy(h->target, t->id, sizeof(h->target));
-	g_strlcpy(del.target, t->id, sizeof(del.target));
+	TEXT_ASSIGN(h->target, t->id);
+	TEXT_ASSIGN(del.target, t->id);
 	slots_deliver(sl, &del);
 }
 
--- a/src/gateway/slots_wire.c
+++ b/src/gateway/slots_wire.c
@@ -3,6 +3,8 @@
 
 #include "gateway/slots_internal.h"
 
+#include "os/text_copy.h"
+
 enum {
 	/* Shorter than the time after which idle connections are closed. */
 	kConnectPeriodUs = 5 * kUsPerS,
@@ -26,10 +28,10 @@
 
 		if (h->view != view || h->granted_us == 0)
 			continue;
-		g_strlcpy(saved, h->arbiter, sizeof(saved));
-		g_strlcpy(h->arbiter, arbiter, sizeof(h->arbiter));
+		TEXT_ASSIGN(saved, h->arbiter);
+		text_copy_or_none(h->arbiter, sizeof(h->arbiter), arbiter);
 		slots_send_request(sl, h, h->target);
-		g_strlcpy(h->arbiter, saved, sizeof(h->arbiter));
+		text_copy_or_none(h->arbiter, sizeof(h->arbiter), saved);
 	}
 }
 
@@ -77,7 +79,7 @@
 	    !is_relayed && strcmp(view->data_center, sl->opt.data_center) != 0;
 	if (!is_relayed)
 		keep_connected(sl, view, arbiter, now_us);
-	g_strlcpy(view->reporter, arbiter, sizeof(view->reporter));
+	text_copy_or_none(view->reporter, sizeof(view->reporter), arbiter);
 	slots_on_reported_rates(sl, view, wire);
 	if (view->epoch == wire->epoch)
 		return;
@@ -96,9 +98,9 @@
 	if (t == NULL)
 		return;
 	stale.view = slots_view(sl, t->service, t->data_center);
-	g_strlcpy(stale.service, t->service, sizeof(stale.service));
-	g_strlcpy(stale.target, t->id, sizeof(stale.target));
-	g_strlcpy(stale.arbiter, from, sizeof(stale.arbiter));
+	TEXT_ASSIGN(stale.service, t->service);
+	TEXT_ASSIGN(stale.target, t->id);
+	text_copy_or_none(stale.arbiter, sizeof(stale.arbiter), from);
 	slots_send_release(sl, &stale, kSlotUnused);
 }
 
@@ -113,7 +115,9 @@
 	    .is_rate_limited = wire->is_rate_limited,
 	};
 
-	g_strlcpy(del.target, wire->target, sizeof(del.target));
+	/* A target of such a name is not known here, which its receiver tells
+	 * the arbiter. */
+	text_copy_or_none(del.target, sizeof(del.target), wire->target);
 	slots_deliver(sl, &del);
 }
 
--- a/src/gateway/view.c
+++ b/src/gateway/view.c
@@ -4,6 +4,8 @@
  */
 #include "gateway/view.h"
 
+#include "os/text_copy.h"
+
 #include <string.h>
 
 enum {
@@ -145,13 +147,13 @@
 		struct roster_row row = {.period_us = d->period_us,
 		    .cpu_millicores = (int32_t)d->cpu_millicores};
 
-		g_strlcpy(row.address, d->address, sizeof(row.address));
-		g_strlcpy(row.front, d->front, sizeof(row.front));
-		g_strlcpy(row.region, d->region, sizeof(row.region));
-		g_strlcpy(
-		    row.data_center, d->data_center, sizeof(row.data_center));
-		g_strlcpy(row.session, d->session, sizeof(row.session));
-		g_array_append_val(rows, row);
+		if (text_copy(row.address, sizeof(row.address), d->address) &&
+		    text_copy(row.front, sizeof(row.front), d->front) &&
+		    text_copy(row.region, sizeof(row.region), d->region) &&
+		    text_copy(row.data_center, sizeof(row.data_center),
+			d->data_center) &&
+		    text_copy(row.session, sizeof(row.session), d->session))
+			g_array_append_val(rows, row);
 	}
 	roster_learn(vx->opt.roster, rows, loop_now_us(vx->opt.lp), &changes);
 	vx->opt.on_roster(vx->opt.ctx, &changes);
--- a/src/os/json_text.c
+++ b/src/os/json_text.c
@@ -1,6 +1,8 @@
 /* JSON that comes from outside: its nesting, and strings of any bytes. */
 #include "os/json_text.h"
 
+#include "os/text_copy.h"
+
 #include <glib.h>
 #include <string.h>
 
@@ -48,7 +50,7 @@
 			line = at + 1;
 		}
 	err->column = (int)(bytes + len - line) + 1;
-	g_strlcpy(err->text, "nested too deeply", sizeof(err->text));
+	text_copy_or_none(err->text, sizeof(err->text), "nested too deeply");
 }
 
 static json_t *
--- a/src/os/net_address.c
+++ b/src/os/net_address.c
@@ -41,7 +41,8 @@
 
 	if (colon == NULL || (size_t)(colon - text) >= sizeof(ip))
 		return false;
-	g_strlcpy(ip, text, (gsize)(colon - text) + 1);
+	memcpy(ip, text, (size_t)(colon - text));
+	ip[colon - text] = '\0';
 	*address = (struct sockaddr_in){.sin_family = AF_INET};
 	return inet_pton(AF_INET, ip, &address->sin_addr) == 1 &&
 	    is_one_host(address->sin_addr) &&
--- a/src/peer/blame_wire.c
+++ b/src/peer/blame_wire.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "log/log.h"
+#include "os/text_copy.h"
 #include "peer/blame_wire.h"
 
 enum {
@@ -43,8 +44,8 @@
 		run->keys.keys[i] = wire->keys[i];
 		run->begun_us[i] = time_us(age, now_us);
 	}
-	g_strlcpy(run->target, wire->target, sizeof(run->target));
-	g_strlcpy(run->seen_by, from, sizeof(run->seen_by));
+	text_copy_or_none(run->target, sizeof(run->target), wire->target);
+	text_copy_or_none(run->seen_by, sizeof(run->seen_by), from);
 	return run->keys.count > 0 && run->sent_us != INT64_MIN &&
 	    run->ended_us != INT64_MIN;
 }
--- a/src/savoryflow/call/stream.c
+++ b/src/savoryflow/call/stream.c
@@ -2,6 +2,7 @@
 #include "savoryflow/call/stream.h"
 
 #include "os/json_text.h"
+#include "os/text_copy.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -27,7 +28,7 @@
 void
 answer_stream_start_attempt(struct answer_stream *st, const char *attempt)
 {
-	g_strlcpy(st->attempt, attempt, sizeof(st->attempt));
+	text_copy_or_none(st->attempt, sizeof(st->attempt), attempt);
 	g_string_truncate(st->line, 0);
 	st->status = kStreamOpen;
 }
--- a/src/savoryflow/config/config.c
+++ b/src/savoryflow/config/config.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "error/error.h"
+#include "os/text_copy.h"
 #include "savoryconf/savoryconf.h"
 
 static const char *const section_names[] = {
@@ -208,7 +209,7 @@
 	char *text = savoryconf_dump(doc);
 	char *sum = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
 
-	g_strlcpy(digest, sum, 65);
+	text_copy_or_none(digest, 65, sum);
 	g_free(sum);
 	free(text);
 }
--- a/src/savoryflow/config/config_store.c
+++ b/src/savoryflow/config/config_store.c
@@ -6,6 +6,7 @@
 
 #include "error/error.h"
 #include "os/json_text.h"
+#include "os/text_copy.h"
 #include "savoryconf/savoryconf.h"
 #include "store/commit.h"
 
@@ -41,6 +42,7 @@
 {
 	struct store_row row = {0};
 	enum store_result res;
+	bool is_valid;
 	json_t *doc;
 
 	memset(head, 0, sizeof(*head));
@@ -55,13 +57,15 @@
 	doc = json_text_load(row.value);
 	head->generation =
 	    json_integer_value(json_object_get(doc, "generation"));
-	g_strlcpy(head->digest,
-	    json_string_value(json_object_get(doc, "digest")),
-	    sizeof(head->digest));
+	is_valid = text_copy(head->digest, sizeof(head->digest),
+	    json_string_value(json_object_get(doc, "digest")));
 	head->row_version = row.version;
 	json_decref(doc);
 	store_row_clear(&row);
-	return true;
+	if (!is_valid)
+		g_set_error(err, SF_ERROR, kErrStoreUnavailable,
+		    "the stored configuration head names no document");
+	return is_valid;
 }
 
 static json_t *
--- a/src/savoryflow/fleet/fleet.h
+++ b/src/savoryflow/fleet/fleet.h
@@ -7,7 +7,7 @@
 
 enum {
 	/** Size of a target's, service's or data centre's name, with NUL. */
-	kFleetNameMax = 96,
+	kFleetNameMax = 256,
 	/** Size of "IP:PORT", with NUL. */
 	kFleetAddressMax = 64,
 };
--- a/src/savoryflow/limits/limit_exchange.c
+++ b/src/savoryflow/limits/limit_exchange.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "os/text_copy.h"
 #include "savoryflow/arbiter/u64_hash.h"
 #include "savoryflow/limits/limit_node.h"
 
@@ -33,7 +34,7 @@
 
 	ex->opt = *opt;
 	ex->daemons = 1;
-	g_strlcpy(ex->address, opt->address, sizeof(ex->address));
+	text_copy_or_none(ex->address, sizeof(ex->address), opt->address);
 	ex->verdicts =
 	    g_array_new(FALSE, FALSE, sizeof(struct limit_verdict_due));
 	for (int32_t s = 0; s < kLimitShards; s++)
@@ -259,7 +260,7 @@
 	if (child == NULL) {
 		child = g_new0(struct limit_child, 1);
 		child->id = id;
-		g_strlcpy(child->address, from, sizeof(child->address));
+		text_copy_or_none(child->address, sizeof(child->address), from);
 		child->items =
 		    g_array_new(FALSE, FALSE, sizeof(struct limit_lease_item));
 		child->records = u64_hash_new(g_free);
--- a/src/savoryflow/limits/limit_node_send.c
+++ b/src/savoryflow/limits/limit_node_send.c
@@ -3,6 +3,8 @@
 
 #include "savoryflow/limits/limit_node.h"
 
+#include "os/text_copy.h"
+
 enum {
 	/* A delegate holds what it expects to admit in this time: a round trip
 	 * between regions of 60 ms, and some delay. */
@@ -150,7 +152,7 @@
 	    opt->ops->parent(opt->ctx, node->role + 1, node->shard, node->rank);
 	if (strcmp(parent, node->parent) == 0)
 		return;
-	g_strlcpy(node->parent, parent, sizeof(node->parent));
+	text_copy_or_none(node->parent, sizeof(node->parent), parent);
 	node->heard_us = 0;
 	node->unanswered = 0;
 	node->bound_until_us =
--- a/src/savoryflow/membership/membership.c
+++ b/src/savoryflow/membership/membership.c
@@ -1,6 +1,8 @@
 /* Failure detection by pings, which also carry changes of members. */
 #include "savoryflow/membership/membership.h"
 
+#include "os/text_copy.h"
+
 #include <assert.h>
 #include <string.h>
 #include <xxhash.h>
@@ -120,7 +122,7 @@
 	struct member *m = g_new0(struct member, 1);
 	guint at = membership_random(ms, ms->ping_order->len + 1);
 
-	g_strlcpy(m->entry.address, address, sizeof(m->entry.address));
+	text_copy_or_none(m->entry.address, sizeof(m->entry.address), address);
 	m->changed_us = now_us;
 	g_hash_table_insert(ms->members, m->entry.address, m);
 	g_ptr_array_insert(ms->ping_order, (gint)at, g_strdup(address));
@@ -240,8 +242,8 @@
 	struct member_message *msg = membership_message_new();
 
 	msg->kind = kind;
-	g_strlcpy(msg->to, to, sizeof(msg->to));
-	g_strlcpy(msg->from, ms->opt.self.address, sizeof(msg->from));
+	text_copy_or_none(msg->to, sizeof(msg->to), to);
+	TEXT_ASSIGN(msg->from, ms->opt.self.address);
 	msg->digest = table_digest(ms);
 	g_array_append_val(msg->entries, ms->opt.self);
 	return msg;
@@ -270,7 +272,7 @@
 	GPtrArray *known = known_members(ms);
 
 	if (subject != NULL)
-		g_strlcpy(msg->subject, subject, sizeof(msg->subject));
+		text_copy_or_none(msg->subject, sizeof(msg->subject), subject);
 	/* A receiver that is not seen as alive must learn this to refute it. */
 	if (receiver != NULL && receiver->entry.incarnation > 0 &&
 	    receiver->entry.state != kMemberAlive)
@@ -391,7 +393,7 @@
 	m = ping_next_member(ms);
 	if (m == NULL)
 		return;
-	g_strlcpy(ms->pinged, m->entry.address, sizeof(ms->pinged));
+	TEXT_ASSIGN(ms->pinged, m->entry.address);
 	ms->ping_sent_us = now_us;
 	ms->is_ping_acked = false;
 	ms->is_indirect_ping_sent = false;
--- a/src/savoryflow/membership/membership_defs.h
+++ b/src/savoryflow/membership/membership_defs.h
@@ -9,7 +9,7 @@
 	/** Size of a peer address "IP:PORT" with its terminator. */
 	kMemberAddressMax = 64,
 	/** Size of the name of a region or data centre with its terminator. */
-	kMemberLocationMax = 64,
+	kMemberLocationMax = 256,
 	/** Entries per message, except in a full exchange. */
 	kMemberEntriesMax = 14,
 };
--- a/src/savoryflow/retry/blame.c
+++ b/src/savoryflow/retry/blame.c
@@ -5,6 +5,7 @@
 #include <xxhash.h>
 
 #include "os/clock.h"
+#include "os/text_copy.h"
 #include "savoryflow/arbiter/u64_hash.h"
 #include "savoryflow/retry/blame_internal.h"
 
@@ -31,7 +32,7 @@
 {
 	struct blame *bl = g_new0(struct blame, 1);
 
-	g_strlcpy(bl->self, self, sizeof(bl->self));
+	text_copy_or_none(bl->self, sizeof(bl->self), self);
 	bl->self_hash = blame_daemon_hash(self);
 	bl->begun = begun_times_new();
 	bl->begun_runs = begun_runs_new();
--- a/src/savoryflow/retry/blame.h
+++ b/src/savoryflow/retry/blame.h
@@ -22,7 +22,7 @@
 enum {
 	/** Keys of one request: the whole, and the parts of its prompt. */
 	kBlameKeysMax = 16,
-	kBlameNameMax = 96,
+	kBlameNameMax = 256,
 	/** Requests that are refused because of a key are reported to the
 	 * coordinators once in this time; those that are held, more often. */
 	kBlameReportPeriodUs = 2000000,
--- a/src/savoryflow/routing/routing.c
+++ b/src/savoryflow/routing/routing.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "os/text_copy.h"
 #include "savoryflow/routing/rendezvous.h"
 
 enum {
@@ -143,7 +144,7 @@
 		if (rank > best_rank || weight > best_weight) {
 			best_rank = rank;
 			best_weight = weight;
-			g_strlcpy(t->arbiter, d->address, sizeof(t->arbiter));
+			TEXT_ASSIGN(t->arbiter, d->address);
 		}
 	}
 }
--- a/src/savoryflow/slotpool/slotpool.c
+++ b/src/savoryflow/slotpool/slotpool.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "os/clock.h"
+#include "os/text_copy.h"
 #include "savoryflow/arbiter/u64_hash.h"
 #include "savoryflow/slotpool/batch_rank.h"
 #include "savoryflow/slotpool/slotpool_internal.h"
@@ -62,7 +63,7 @@
 	    .retry_after_us = retry_after_us,
 	};
 
-	g_strlcpy(act.target, target != NULL ? target : "", sizeof(act.target));
+	text_copy_or_none(act.target, sizeof(act.target), target);
 	g_array_append_val(out, act);
 }
 
@@ -95,7 +96,7 @@
 	sl->req = *req;
 	sl->since_us = now_us;
 	sl->expires_us = now_us + kLeaseUs;
-	g_strlcpy(sl->target, t->info.id, sizeof(sl->target));
+	TEXT_ASSIGN(sl->target, t->info.id);
 	g_hash_table_insert(sp->slots, &sl->req.id, sl);
 	count_slot(t, sl, 1);
 	if (sp->choice == kSlotChoiceShare)
--- a/src/savoryflow/teams/forward_proof.c
+++ b/src/savoryflow/teams/forward_proof.c
@@ -6,6 +6,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "os/text_copy.h"
+
 enum { kDecimal = 10 };
 
 /* Keys in headers have no line breaks, so that the digest of a key is never a
@@ -27,10 +29,12 @@
 {
 	struct team_digest digest = claim_digest(keys, claim);
 	char hex[kTeamDigestHexMax];
+	char *proof;
 
 	team_digest_print(&digest, hex);
-	g_snprintf(text, kForwardProofMax, "%" PRId64 " %s %s", version, hex,
-	    claim->team);
+	proof = g_strdup_printf("%" PRId64 " %s %s", version, hex, claim->team);
+	text_copy_or_none(text, kForwardProofMax, proof);
+	g_free(proof);
 }
 
 bool
@@ -38,6 +42,7 @@
 {
 	char hex[kTeamDigestHexMax] = "";
 	char *end;
+	size_t len;
 
 	if (!g_ascii_isdigit(*text))
 		return false;
@@ -45,11 +50,14 @@
 	field->version = strtoll(text, &end, kDecimal);
 	if (errno != 0 || *end != ' ')
 		return false;
-	g_strlcpy(hex, end + 1, sizeof(hex));
+	len = strcspn(end + 1, " ");
+	if (len >= sizeof(hex))
+		return false;
+	memcpy(hex, end + 1, len);
 	if (!team_digest_parse(hex, &field->digest))
 		return false;
 	/* Trailing blanks of a field get lost: none before an empty name. */
-	field->team = end + 1 + strlen(hex);
+	field->team = end + 1 + len;
 	if (*field->team == ' ')
 		field->team++;
 	else if (*field->team != '\0')
--- a/src/savoryflow/teams/forward_proof.h
+++ b/src/savoryflow/teams/forward_proof.h
@@ -11,7 +11,7 @@
 
 enum {
 	/** Longest field, with NUL: version, digest, team and two blanks. */
-	kForwardProofMax = 200,
+	kForwardProofMax = 400,
 };
 
 /** What a proof binds together. */
--- a/src/serve/call_attempt.c
+++ b/src/serve/call_attempt.c
@@ -7,6 +7,7 @@
 
 #include "error/error.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "serve/call_internal.h"
 #include "serve/grants.h"
 #include "serve/limiter.h"
@@ -71,9 +72,8 @@
 		pthread_mutex_unlock(&c->lock);
 		return;
 	}
-	g_strlcpy(c->last_target,
-	    outcome == kAttemptRevoked ? "" : c->route.target,
-	    sizeof(c->last_target));
+	text_copy_or_none(c->last_target, sizeof(c->last_target),
+	    outcome == kAttemptRevoked ? "" : c->route.target);
 	c->phase = kPhaseBackoff;
 	decision = call_decide_locked(c, outcome);
 	pthread_mutex_unlock(&c->lock);
@@ -174,8 +174,7 @@
 	if (is_current) {
 		c->phase = kPhaseBackoff;
 		c->is_last_resort = true;
-		g_strlcpy(
-		    c->last_target, c->route.target, sizeof(c->last_target));
+		TEXT_ASSIGN(c->last_target, c->route.target);
 	}
 	pthread_mutex_unlock(&c->lock);
 	if (!is_current)
--- a/src/serve/call_internal.h
+++ b/src/serve/call_internal.h
@@ -82,7 +82,7 @@
 	int64_t held_bytes;
 	GByteArray *out;
 	long status;
-	char content_type[64];
+	char content_type[kContentTypeMax];
 	int error;
 	int64_t retry_after_us;
 	/** Timer of the deadline, 0 if there is none. */
--- a/src/serve/call_run.c
+++ b/src/serve/call_run.c
@@ -9,6 +9,7 @@
 
 #include "error/error.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "savoryflow/retry/quarantine.h"
 #include "serve/answer_room.h"
 #include "serve/call_internal.h"
@@ -251,8 +252,7 @@
 	    .tokens = c->stream.next_index,
 	    .status = c->status,
 	};
-	g_strlcpy(
-	    view.content_type, c->content_type, sizeof(view.content_type));
+	TEXT_ASSIGN(view.content_type, c->content_type);
 	pthread_mutex_unlock(&c->lock);
 	return view;
 }
--- a/src/serve/call_run.h
+++ b/src/serve/call_run.h
@@ -41,7 +41,7 @@
 	int64_t tokens;
 	/** Plain: status and content type of the target's answer. */
 	long status;
-	char content_type[64];
+	char content_type[kContentTypeMax];
 };
 
 /** One request to targets, with all its attempts. */
--- a/src/serve/call_takeover.c
+++ b/src/serve/call_takeover.c
@@ -5,6 +5,7 @@
  */
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "serve/call_internal.h"
 #include "serve/grants.h"
 
@@ -68,8 +69,7 @@
 		c->next_attempt = 0;
 		if (decide_move(c)) {
 			silent_attempt = c->attempt;
-			g_strlcpy(silent_target, c->route.target,
-			    sizeof(silent_target));
+			TEXT_ASSIGN(silent_target, c->route.target);
 			call_discard_partial_answer(c);
 			c->retry.may_have_run = true;
 			c->attempt = id;
@@ -114,7 +114,7 @@
 	pthread_mutex_lock(&c->lock);
 	if (c->next_attempt == id) {
 		c->next_attempt = 0;
-		g_strlcpy(target, c->next_route.target, sizeof(target));
+		TEXT_ASSIGN(target, c->next_route.target);
 	}
 	pthread_mutex_unlock(&c->lock);
 	if (target[0] != '\0')
@@ -186,7 +186,7 @@
 		    (c->work_class == kWorkOnline ||
 			silent_us < kItemSilenceMaxUs);
 		if (is_kept && may_move(c))
-			g_strlcpy(target, c->route.target, sizeof(target));
+			TEXT_ASSIGN(target, c->route.target);
 	}
 	pthread_mutex_unlock(&c->lock);
 	if (target[0] != '\0')
--- a/src/serve/call_transfer.c
+++ b/src/serve/call_transfer.c
@@ -9,6 +9,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/json_text.h"
+#include "os/text_copy.h"
 #include "serve/answer_room.h"
 #include "serve/call_internal.h"
 #include "serve/grants.h"
@@ -268,8 +269,7 @@
 		c->retry.may_have_run = true;
 	if (outcome == kAttemptComplete) {
 		c->status = res->status;
-		g_strlcpy(c->content_type, res->content_type,
-		    sizeof(c->content_type));
+		TEXT_ASSIGN(c->content_type, res->content_type);
 	} else {
 		call_discard_partial_answer(c);
 	}
--- a/src/serve/crash_watch.c
+++ b/src/serve/crash_watch.c
@@ -6,6 +6,7 @@
 #include <xxhash.h>
 
 #include "os/json_text.h"
+#include "os/text_copy.h"
 #include "peer/blame_wire.h"
 #include "savoryflow/membership/membership_defs.h"
 #include "serve/routes.h"
@@ -145,8 +146,9 @@
 	    .has_target_ended = true,
 	};
 
-	g_strlcpy(run.target, target, sizeof(run.target));
-	g_strlcpy(run.seen_by, cw->d->set->peer_listen, sizeof(run.seen_by));
+	text_copy_or_none(run.target, sizeof(run.target), target);
+	text_copy_or_none(
+	    run.seen_by, sizeof(run.seen_by), cw->d->set->peer_listen);
 	pthread_mutex_lock(&cw->lock);
 	blame_record_run(cw->blame, &run, clock_mono_us(cw->d->clk), out);
 	blame_wire_log_cases(cw->blame);
--- a/src/serve/grants.c
+++ b/src/serve/grants.c
@@ -9,6 +9,7 @@
 
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "savoryflow/arbiter/local_share.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
@@ -549,7 +550,7 @@
 		enum arbiter_crash_verdict verdict = kCrashSuspect;
 		char target[kMemberAddressMax];
 
-		g_strlcpy(target, h->route.target, sizeof(target));
+		TEXT_ASSIGN(target, h->route.target);
 		if (arb != NULL)
 			verdict = arbiter_crash(arb, id, now_us(gs), actions);
 		deliver_crash(gs, h, verdict, list);
--- a/src/serve/reports.c
+++ b/src/serve/reports.c
@@ -15,6 +15,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/json_text.h"
+#include "os/text_copy.h"
 #include "serve/grants.h"
 #include "serve/routes.h"
 
@@ -161,8 +162,8 @@
 	rep->refs = 1;
 	rep->d = d;
 	rep->body = g_string_new(NULL);
-	g_strlcpy(rep->target, target, sizeof(rep->target));
-	g_strlcpy(rep->url, target_url, sizeof(rep->url));
+	text_copy_or_none(rep->target, sizeof(rep->target), target);
+	text_copy_or_none(rep->url, sizeof(rep->url), target_url);
 	target_client_start(d->targets, &opt);
 	report_unref(rep);
 	g_free(url);
--- a/src/serve/routes.c
+++ b/src/serve/routes.c
@@ -6,6 +6,7 @@
 
 #include "log/log.h"
 #include "metric/metric.h"
+#include "os/text_copy.h"
 #include "savoryflow/membership/membership.h"
 #include "savoryflow/membership/selection.h"
 #include "savoryflow/routing/rendezvous.h"
@@ -36,11 +37,12 @@
 static void
 fill_self(struct daemon *d, struct member_entry *self)
 {
-	g_strlcpy(self->address, d->set->peer_listen, sizeof(self->address));
-	g_strlcpy(self->http, d->set->listen, sizeof(self->http));
-	g_strlcpy(self->region, d->set->region, sizeof(self->region));
-	g_strlcpy(
-	    self->data_center, d->set->data_center, sizeof(self->data_center));
+	text_copy_or_none(
+	    self->address, sizeof(self->address), d->set->peer_listen);
+	text_copy_or_none(self->http, sizeof(self->http), d->set->listen);
+	text_copy_or_none(self->region, sizeof(self->region), d->set->region);
+	text_copy_or_none(
+	    self->data_center, sizeof(self->data_center), d->set->data_center);
 	self->incarnation = d->incarnation;
 }
 
@@ -92,9 +94,9 @@
 route_fill(
     struct routes *rs, const struct routing_target *t, struct route *route)
 {
-	g_strlcpy(route->target, t->name, sizeof(route->target));
-	g_strlcpy(route->url, t->url, sizeof(route->url));
-	g_strlcpy(route->arbiter, t->arbiter, sizeof(route->arbiter));
+	text_copy_or_none(route->target, sizeof(route->target), t->name);
+	text_copy_or_none(route->url, sizeof(route->url), t->url);
+	TEXT_ASSIGN(route->arbiter, t->arbiter);
 	route->is_engine = t->is_engine;
 	route->slots = t->slots;
 	route->daemons = rs->daemons;
@@ -201,7 +203,7 @@
 	if (t != NULL) {
 		changed = t->is_leaving != is_leaving;
 		t->is_leaving = is_leaving;
-		g_strlcpy(name, t->name, sizeof(name));
+		text_copy_or_none(name, sizeof(name), t->name);
 	}
 	if (is_leaving)
 		g_hash_table_add(rs->leaving, g_strdup(target));
@@ -253,7 +255,7 @@
 	uint64_t best = rendezvous_weight(key, self);
 	GPtrArray *list;
 
-	g_strlcpy(address, self, kMemberAddressMax);
+	text_copy_or_none(address, kMemberAddressMax, self);
 	pthread_mutex_lock(&rs->lock);
 	list = membership_list(rs->members);
 	for (guint i = 0; i < list->len; i++) {
@@ -266,7 +268,7 @@
 		if (weight <= best)
 			continue;
 		best = weight;
-		g_strlcpy(address, m->entry.address, kMemberAddressMax);
+		text_copy_or_none(address, kMemberAddressMax, m->entry.address);
 	}
 	g_ptr_array_unref(list);
 	pthread_mutex_unlock(&rs->lock);
@@ -324,9 +326,9 @@
 {
 	struct routing_daemon rd;
 
-	g_strlcpy(rd.address, entry->address, sizeof(rd.address));
-	g_strlcpy(rd.region, entry->region, sizeof(rd.region));
-	g_strlcpy(rd.data_center, entry->data_center, sizeof(rd.data_center));
+	TEXT_ASSIGN(rd.address, entry->address);
+	TEXT_ASSIGN(rd.region, entry->region);
+	TEXT_ASSIGN(rd.data_center, entry->data_center);
 	g_array_append_val(daemons, rd);
 }
 
@@ -494,8 +496,8 @@
 
 	msg->kind = gossip->kind;
 	msg->digest = gossip->digest;
-	g_strlcpy(msg->from, from, sizeof(msg->from));
-	g_strlcpy(msg->subject, gossip->subject, sizeof(msg->subject));
+	text_copy_or_none(msg->from, sizeof(msg->from), from);
+	text_copy_or_none(msg->subject, sizeof(msg->subject), gossip->subject);
 	for (size_t i = 0; i < gossip->n_members; i++) {
 		const Sfpeer__Member *wire = gossip->members[i];
 		struct member_entry entry = {
@@ -503,12 +505,14 @@
 		    .state = MIN(wire->state, kMemberLeft),
 		};
 
-		g_strlcpy(entry.address, wire->address, sizeof(entry.address));
-		g_strlcpy(entry.http, wire->http, sizeof(entry.http));
-		g_strlcpy(entry.region, wire->region, sizeof(entry.region));
-		g_strlcpy(entry.data_center, wire->data_center,
-		    sizeof(entry.data_center));
-		g_array_append_val(msg->entries, entry);
+		if (text_copy(
+			entry.address, sizeof(entry.address), wire->address) &&
+		    text_copy(entry.http, sizeof(entry.http), wire->http) &&
+		    text_copy(
+			entry.region, sizeof(entry.region), wire->region) &&
+		    text_copy(entry.data_center, sizeof(entry.data_center),
+			wire->data_center))
+			g_array_append_val(msg->entries, entry);
 	}
 	return msg;
 }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -473,7 +473,18 @@
 	return false;
 }
 
-/* Checks the addresses and the session lease; an empty name becomes the peer
+/* A name that is too long would have to be cut between daemons. */
+static bool
+check_name(const char *flag, const char *name, GError **err)
+{
+	if (strlen(name) <= kSettingsNameBytesMax)
+		return true;
+	g_set_error(err, SF_ERROR, kErrSettingRange,
+	    "--%s: the name has over %d bytes", flag, kSettingsNameBytesMax);
+	return false;
+}
+
+/* Checks addresses, names and the session lease; an empty name becomes the peer
  * address. */
 static bool
 validate(struct settings *set, GError **err)
@@ -484,7 +495,9 @@
 	    check_address("front-listen", set->front_listen, err) &&
 	    check_address("ready-listen", set->ready_listen, err) &&
 	    (set->metrics_listen[0] == '\0' ||
-		check_address("metrics-listen", set->metrics_listen, err));
+		check_address("metrics-listen", set->metrics_listen, err)) &&
+	    check_name("region", set->region, err) &&
+	    check_name("data-center", set->data_center, err);
 
 	for (char **p = peers; ok && *p != NULL; p++)
 		ok = **p == '\0' || check_address("peers", *p, err);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -99,6 +99,11 @@
 	    "descriptors of this process; the callers' connections are "       \
 	    "limited by it; 0: no limit")
 
+enum {
+	/** Longest name of a region or data centre, in bytes. */
+	kSettingsNameBytesMax = 255,
+};
+
 struct settings {
 #define TEXT(field, flag, def, help)		  char *field;
 #define NUM(field, flag, def, lo, hi, unit, help) int64_t field;
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -22,6 +22,7 @@
 #include "log/log.h"
 #include "metric/metric.h"
 #include "os/json_partial.h"
+#include "os/text_copy.h"
 #include "store/store_answer.h"
 
 enum {
@@ -113,7 +114,9 @@
 	    g_ascii_strncasecmp(line, name, sizeof(name) - 1) != 0)
 		return;
 	text = g_strndup(line + sizeof(name) - 1, len - (sizeof(name) - 1));
-	g_strlcpy(reply->named, g_strstrip(text), sizeof(reply->named));
+	/* No call of this daemon has so long an id. */
+	if (!text_copy(reply->named, sizeof(reply->named), g_strstrip(text)))
+		reply->is_foreign = true;
 	g_free(text);
 }
 
@@ -163,13 +166,14 @@
 	CURL *h = handle_get(sh);
 	char *url = g_strconcat(sh->url, path, NULL);
 	struct curl_slist *headers = NULL;
-	char line[64];
+	char *line;
 
 	*reply = (struct http_reply){.body = g_byte_array_new(), .easy = h};
 	g_snprintf(reply->call, sizeof(reply->call), "%08x%08x", g_random_int(),
 	    g_random_int());
-	g_snprintf(line, sizeof(line), "Savoryflow-Call: %s", reply->call);
+	line = g_strconcat("Savoryflow-Call: ", reply->call, NULL);
 	headers = curl_slist_append(headers, line);
+	g_free(line);
 	intake_init(&reply->intake, kIntakeStoreBytesMax);
 	headers = curl_slist_append(headers, "Expect:");
 	curl_easy_setopt(h, CURLOPT_URL, url);
--- a/src/target/target.c
+++ b/src/target/target.c
@@ -13,6 +13,7 @@
 #include "http/intake.h"
 #include "http/send_guard.h"
 #include "os/clock.h"
+#include "os/text_copy.h"
 #include "savoryflow/arbiter/u64_hash.h"
 
 enum {
@@ -56,7 +57,9 @@
 	bool is_sent_once;
 	bool is_aborted_by_reader;
 	/** Attempt id that the answer names, or empty. */
+	/** Attempt that the answer names; or it names one that is too long. */
 	char echoed_attempt[32];
+	bool has_other_attempt;
 	struct intake intake;
 	struct send_guard guard;
 	struct transfer_result result;
@@ -115,13 +118,11 @@
 	return size * n;
 }
 
-static void
-header_copy(char *dst, size_t size, const char *line, size_t len, size_t skip)
+/* Value of a field's line; free with g_free. */
+static char *
+field_value(const char *line, size_t len, size_t name_len)
 {
-	char *text = g_strndup(line + skip, len - skip);
-
-	g_strlcpy(dst, g_strstrip(text), size);
-	g_free(text);
+	return g_strstrip(g_strndup(line + name_len, len - name_len));
 }
 
 static bool
@@ -131,6 +132,8 @@
 	long connects = 0;
 
 	g_snprintf(own, sizeof(own), "%016" G_GINT64_MODIFIER "x", tr->attempt);
+	if (tr->has_other_attempt)
+		return false;
 	if (tr->echoed_attempt[0] != '\0')
 		return strcmp(tr->echoed_attempt, own) == 0;
 	/* Without an id only the first answer on a connection is certain, so
@@ -192,29 +195,31 @@
 {
 	static const char attempt[] = "Savoryflow-Attempt:";
 	static const char type[] = "Content-Type:";
-	static const char ran[] = "Savoryflow-Ran: no";
+	static const char ran[] = "Savoryflow-Ran:";
 	static const char rate[] = "Savoryflow-Rate:";
 	static const char retry[] = "Retry-After:";
-	char text[32];
-
-	if (is_field(data, len, attempt))
-		header_copy(tr->echoed_attempt, sizeof(tr->echoed_attempt),
-		    data, len, sizeof(attempt) - 1);
-	if (is_field(data, len, type))
-		header_copy(tr->result.content_type,
-		    sizeof(tr->result.content_type), data, len,
-		    sizeof(type) - 1);
-	if (is_field(data, len, rate)) {
-		header_copy(text, sizeof(text), data, len, sizeof(rate) - 1);
+	char *text = NULL;
+
+	if (is_field(data, len, attempt)) {
+		text = field_value(data, len, sizeof(attempt) - 1);
+		/* No attempt of this daemon has so long an id. */
+		tr->has_other_attempt = !text_copy(
+		    tr->echoed_attempt, sizeof(tr->echoed_attempt), text);
+	} else if (is_field(data, len, type)) {
+		text = field_value(data, len, sizeof(type) - 1);
+		text_copy_or_none(tr->result.content_type,
+		    sizeof(tr->result.content_type), text);
+	} else if (is_field(data, len, rate)) {
+		text = field_value(data, len, sizeof(rate) - 1);
 		tr->result.rate = stated_rate_parse(text);
-	}
-	if (is_field(data, len, retry)) {
-		header_copy(text, sizeof(text), data, len, sizeof(retry) - 1);
+	} else if (is_field(data, len, retry)) {
+		text = field_value(data, len, sizeof(retry) - 1);
 		tr->result.pause_us = pause_from_text(text);
+	} else if (is_field(data, len, ran)) {
+		text = field_value(data, len, sizeof(ran) - 1);
+		tr->result.is_not_executed = strcmp(text, "no") == 0;
 	}
-	if (len >= sizeof(ran) - 1 &&
-	    g_ascii_strncasecmp(data, ran, sizeof(ran) - 1) == 0)
-		tr->result.is_not_executed = true;
+	g_free(text);
 }
 
 /* Those of an interim head are not the answer's. */
@@ -222,6 +227,7 @@
 forget_fields(struct transfer *tr)
 {
 	tr->echoed_attempt[0] = '\0';
+	tr->has_other_attempt = false;
 	tr->result = (struct transfer_result){0};
 }
 
--- a/src/target/target.h
+++ b/src/target/target.h
@@ -7,6 +7,11 @@
 
 #include "savoryflow/limits/stated_rate.h"
 
+enum {
+	/** Size of the value of a Content-Type that is passed on, with NUL. */
+	kContentTypeMax = 256,
+};
+
 /** How a transfer ended at the transport level. */
 enum transfer_end {
 	kTransferComplete,
@@ -30,7 +35,8 @@
 	 * one on its connection: it may be a late copy of another's. Neither
 	 * its bytes nor its status are passed on. */
 	bool is_foreign;
-	char content_type[64];
+	/** Empty: none, or over kContentTypeMax. */
+	char content_type[kContentTypeMax];
 	/** The target reports that it did not execute the request. */
 	bool is_not_executed;
 	/** The answer is that to a second copy: the first one may have been
--- a/test/functional/test_gateway_ids.cc
+++ b/test/functional/test_gateway_ids.cc
@@ -31,6 +31,18 @@
 		return Send(daemon, "POST", "/b/x", JobOf(item), job).status;
 	}
 
+	/* Starts a worker of a service and lists it. */
+	void
+	PlayWorker(const std::string &id, const std::string &service)
+	{
+		int port = FreePort();
+
+		workers.emplace_back(new Process({Env("SF_STANDIN"), "worker",
+		    "--id=" + id, "--port=" + std::to_string(port)}));
+		ASSERT_TRUE(workers.back()->WaitLine("listening"));
+		ListWorker(id, service, LoopbackAddress(port));
+	}
+
 	/* Id of the only result of a job; empty if it has none. */
 	std::string
 	OnlyItem(size_t daemon, const std::string &job)
@@ -166,6 +178,36 @@
 	    Send(1, "DELETE", "/api/lots/" + shared + "1", "", "r").status);
 }
 
+/* Guards against names of targets, services and zones that are cut: a request
+ * then goes to the service, or loses the target, of the name's beginning. */
+TEST_F(GatewayIds, LongNamesOfServicesAndTargetsAreToldApart)
+{
+	const std::string service(95, 's'), target(95, 't');
+	std::string routes;
+
+	for (const char *end : {"", "1"})
+		routes += std::string(",{\"name\":\"n") + end +
+		    "\",\"host\":\"a.example\",\"path_prefix\":\"/n" + end +
+		    "/\",\"kind\":\"idempotent\",\"timeout_ms\":5000,"
+		    "\"target_latency_ms\":400,\"max_attempts\":1,"
+		    "\"service\":\"" +
+		    service + end + "\"}";
+	StartReadyFleet(2, 1);
+	Configure(2, routes);
+	PlayWorker(target, service);
+	PlayWorker(target + "1", service + "1");
+	ASSERT_TRUE(Eventually(
+	    [&] { return Call(0, "/n1/a", "w1", 1).status == 200; }));
+	ASSERT_TRUE(
+	    Eventually([&] { return Call(0, "/n/a", "w2", 1).status == 200; }));
+	/* The row of the longer name goes; the other target stays. */
+	PutRow("servers", (target + "1").c_str(), nullptr);
+	ASSERT_TRUE(daemons[0]->WaitLine("\"name\":\"target_gone\""));
+	for (int i = 0; i < 20; i++)
+		EXPECT_EQ(
+		    200, Call(0, "/n/b", "b" + std::to_string(i), 1).status);
+}
+
 /* An item that no target could be sent is refused before anything is stored. */
 TEST_F(GatewayIds, AnItemLongerThanARequestsHeadIsRefused)
 {
--- a/test/platform/test_decode.cc
+++ b/test/platform/test_decode.cc
@@ -476,7 +476,7 @@
 TEST(DecodeTarget, NamesThatNoHeaderCanHoldAreRefused)
 {
 	const std::string names[] = {
-	    "i\r\nX-A: 1", "i\n", "i\x01", std::string(96, 'i')};
+	    "i\r\nX-A: 1", "i\n", "i\x01", std::string(256, 'i')};
 
 	for (const auto &name : names) {
 		fleet_target t;
@@ -489,6 +489,49 @@
 	}
 }
 
+/* A key of the store has up to 200 bytes, the other names are texts: the
+ * longest ones are whole, longer ones a typed error. */
+TEST(DecodeTarget, LongNamesAreWholeOrRefused)
+{
+	for (size_t len : {96, 200, 255, 256, 1000}) {
+		std::string id(len, 'i'), service(len, 's'), zone(len, 'z');
+		std::string text = "{\"service\":\"" + service +
+		    "\",\"zone\":\"" + zone +
+		    "\",\"addr\":\"10.0.0.1:1\",\"slot_count\":1,"
+		    "\"state\":\"ready\",\"born\":1}";
+		fleet_target t;
+		GError *err = nullptr;
+		bool ok = decode_target(id.c_str(), text.c_str(), 1, &t, &err);
+
+		EXPECT_EQ(len < 256, ok) << len;
+		g_clear_error(&err);
+		if (!ok)
+			continue;
+		EXPECT_EQ(id, t.id);
+		EXPECT_EQ(service, t.service);
+		EXPECT_EQ(zone, t.data_center);
+	}
+}
+
+/* Guards against a route whose service's name is cut to that of another
+ * service. */
+TEST(DecodeRoutebook, AServiceWhoseNameIsTooLongIsATypedError)
+{
+	for (size_t len : {255, 256}) {
+		std::string text = R"({"version":1,"routes":[{"name":"r",
+		    "host":"h","path_prefix":"/r/","kind":"idempotent",
+		    "service":")" +
+		    std::string(len, 's') + "\"}]}";
+		GError *err = nullptr;
+		routebook *book = decode_routebook(text.c_str(), &err);
+
+		EXPECT_EQ(len < 256, book != nullptr) << len;
+		if (book != nullptr)
+			routebook_unref(book);
+		g_clear_error(&err);
+	}
+}
+
 /* Guards against text that is nested so deeply that its reader ends. */
 TEST(DecodeTarget, DeepNestingIsATypedError)
 {
