Refuse ids whose answers could not be passed on, and answer long heads

What callers saw: once ids are whole, a request with an id of about 11,000 bytes and more ran, and its connection was closed without an answer. The same happened, with ids of any length, to each answer whose head is longer than the rest of the buffer that libmicrohttpd keeps for a connection.

Cause: that buffer, of 32 KiB, holds the heads of the request and of its answer. A target repeats the id, and may do so twice, as a part of its signature. libmicrohttpd closes a connection whose answer does not fit, and nothing is logged.

Evidence: a target that signs with its name and the id, ids of 8,000 to 16,150 bytes: up to 10,500 all are answered, from 11,000 none, and each ran.

Fix: an attempt, job or item with an id of over 8,192 bytes is refused with 400 and the limit, before it runs or is stored: the id, twice in the answer, and the request's head fit into the buffer. The relay asks its owner whether the head of an answer has room; one that has none ends its attempt as head_too_long, which is told as a failure, 502 with Savoryflow-Ran: unknown. A larger buffer would raise what a connection that sends no request may keep, beyond what the budget of memory charges for it.

--- a/src/gateway/calls.c
+++ b/src/gateway/calls.c
@@ -300,6 +300,14 @@
 	return front_hold_answer(oc->req, bytes);
 }
 
+static bool
+has_head_room(void *ctx, const struct header_list *headers)
+{
+	struct online_call *oc = ctx;
+
+	return front_has_head_room(oc->req, headers);
+}
+
 /* Called only while something is held, so there is a relay. */
 static void
 on_memory_short(void *data)
@@ -310,7 +318,7 @@
 }
 
 static const struct relay_ops relay_ops = {on_head, on_data, may_run, on_begun,
-    on_lost_run, on_end, may_send, hold_answer};
+    on_lost_run, on_end, may_send, hold_answer, has_head_room};
 
 int64_t
 calls_answer_deadline_us(const struct front_request *req,
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -14,6 +14,10 @@
  */
 
 enum {
+	/** Longest id of an attempt, a job or an item, in bytes. Targets send
+	 * the id back, also as a part of other fields: the answer's head has to
+	 * fit beside that of the request. */
+	kIdBytesMax = 8192,
 	/** Parts of a prompt that are told apart. */
 	kPromptPartsMax = 15,
 	/** Tokens of a part count as this at most. */
--- a/src/gateway/front.c
+++ b/src/gateway/front.c
@@ -17,8 +17,6 @@
 #include "settings/settings.h"
 
 enum {
-	/* Holds the head of a request, 16 KiB, and parts of its body. */
-	kConnectionMemoryBytes = 32768,
 	kBacklog = 1024,
 	/* Callers reuse connections that were idle for up to 12 s. */
 	kIdleTimeoutS = 40,
--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -141,6 +141,14 @@
 void front_on_memory_short(
     struct front_request *req, front_disconnect_fn fn, void *data);
 
+/**
+ * Whether the head of an answer fits beside that of its request. libmicrohttpd
+ * keeps both in one buffer, and closes the connection without an answer if it
+ * is too small.
+ */
+bool front_has_head_room(
+    const struct front_request *req, const struct header_list *headers);
+
 /**
  * @return false if the budget has no room for an answer of this size, which can
  *         be had again; others that make no progress have been closed then
--- a/src/gateway/front_answer.c
+++ b/src/gateway/front_answer.c
@@ -14,6 +14,12 @@
 	 * their readers shows, and the buffers of longer streams are freed as
 	 * soon as they are empty. */
 	kLargeAnswerBytes = 64 * 1024,
+	/* What libmicrohttpd adds to the head of an answer, and what it keeps
+	 * for each field of a request. */
+	kOwnHeadBytes = 1024,
+	kFieldBytes = 64,
+	/* ": " and CRLF. */
+	kFieldExtraBytes = 4,
 };
 
 /* Callers use no connection again that was idle for longer. A drain lasts
@@ -48,6 +54,25 @@
 		    req->response, "Keep-Alive", kKeepAlive);
 }
 
+bool
+front_has_head_room(
+    const struct front_request *req, const struct header_list *headers)
+{
+	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
+	    req->con, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+	size_t bytes =
+	    kOwnHeadBytes + (size_t)header_list_len(req->headers) * kFieldBytes;
+
+	if (info != NULL)
+		bytes += info->header_size;
+	for (guint i = 0; i < header_list_len(headers); i++) {
+		const struct header *h = header_list_at(headers, i);
+
+		bytes += strlen(h->name) + strlen(h->value) + kFieldExtraBytes;
+	}
+	return bytes <= kConnectionMemoryBytes;
+}
+
 void
 front_reply(struct front_request *req, int32_t status,
     const struct header_list *headers, const char *body, size_t len)
--- a/src/gateway/front_internal.h
+++ b/src/gateway/front_internal.h
@@ -45,6 +45,12 @@
 	int64_t idle_since_us;
 };
 
+enum {
+	/** Holds the heads of a request, 16 KiB, and of its answer, and parts
+	 * of the request's body. */
+	kConnectionMemoryBytes = 32768,
+};
+
 struct front_request {
 	struct front *fr;
 	struct front_connection *peer;
--- a/src/gateway/gateway_requests.c
+++ b/src/gateway/gateway_requests.c
@@ -1,5 +1,6 @@
 /* Dispatches callers' requests. */
 #include <stdlib.h>
+#include <string.h>
 
 #include "error/error.h"
 #include "gateway/gateway_internal.h"
@@ -48,6 +49,20 @@
 	return drain_plan_accepts(&gw->drain, &work, loop_now_us(gw->lp));
 }
 
+static void
+refuse_long_id(struct front_request *req, const struct dialect_call *call)
+{
+	size_t len = strlen(call->attempt_id);
+	char *text = g_strdup_printf(
+	    "the attempt id has %zu bytes; at most %d are served", len,
+	    kIdBytesMax);
+
+	log_event(kEvtCallRefused, "request", call->attempt_id, "why",
+	    "long_id", "id_bytes", log_number((int64_t)len), NULL);
+	reply_error(req, kErrBadRequest, text, 0);
+	g_free(text);
+}
+
 static void
 serve_route(struct gateway *gw, struct front_request *req,
     const struct dialect_call *call)
@@ -70,6 +85,8 @@
 	} else if (call->attempt_id[0] == '\0') {
 		reply_error(
 		    req, kErrBadRequest, "the attempt id is missing", 0);
+	} else if (strlen(call->attempt_id) > kIdBytesMax) {
+		refuse_long_id(req, call);
 	} else if (!is_accepted(gw, req, call, route)) {
 		refuse_draining(gw, req, call);
 	} else if (!access_identify(gw->access, req, call, gw->routes,
--- a/src/gateway/jobs_check.c
+++ b/src/gateway/jobs_check.c
@@ -28,21 +28,30 @@
 
 /* Targets need not take a longer head from here than clients may send. */
 static bool
-check_item_heads(const struct jobs *js, const GPtrArray *items, GError **err)
+check_items(const struct jobs *js, const GPtrArray *items, GError **err)
 {
 	const struct routebook *book = js->opt.routes(js->opt.ctx);
 	int64_t bytes_max = book->limits.header_bytes;
 
 	for (guint i = 0; i < items->len; i++) {
-		size_t bytes = item_head_bytes(items->pdata[i]);
+		const struct itemjob_item *item = items->pdata[i];
+		size_t bytes = item_head_bytes(item);
 
-		if ((int64_t)bytes <= bytes_max)
-			continue;
-		g_set_error(err, SF_ERROR, kErrBadRequest,
-		    "item %u: id, path and header fields have %zu bytes; the "
-		    "limit of a request's head is %" G_GINT64_FORMAT,
-		    i, bytes, bytes_max);
-		return false;
+		if (strlen(item->id) > kIdBytesMax) {
+			g_set_error(err, SF_ERROR, kErrBadRequest,
+			    "item %u: the id has %zu bytes; at most %d are "
+			    "served",
+			    i, strlen(item->id), kIdBytesMax);
+			return false;
+		}
+		if ((int64_t)bytes > bytes_max) {
+			g_set_error(err, SF_ERROR, kErrBadRequest,
+			    "item %u: id, path and header fields have %zu "
+			    "bytes; the limit of a request's head is "
+			    "%" G_GINT64_FORMAT,
+			    i, bytes, bytes_max);
+			return false;
+		}
 	}
 	return true;
 }
@@ -57,7 +66,7 @@
 		    "slashes and control characters");
 		return false;
 	}
-	return check_item_heads(js, items, err);
+	return check_items(js, items, err);
 }
 
 char *
--- a/src/gateway/relay.c
+++ b/src/gateway/relay.c
@@ -309,6 +309,7 @@
 	rl->status = 0;
 	relay_release_answer(rl);
 	rl->lacks_memory = false;
+	rl->is_head_too_long = false;
 	rl->target_started_ms = target->started_ms;
 	rl->attempts++;
 	metric_add(kMetAttempts, 1);
--- a/src/gateway/relay.h
+++ b/src/gateway/relay.h
@@ -93,6 +93,9 @@
 	 * @param bytes all that it keeps then
 	 * @return false if there is no memory for it: the attempt ends */
 	bool (*hold_answer)(void *ctx, size_t bytes);
+	/** Whether the head of an answer can be passed on; may be NULL.
+	 * @return false: the attempt ends */
+	bool (*has_head_room)(void *ctx, const struct header_list *headers);
 };
 
 /** Modules that a relay uses. */
--- a/src/gateway/relay_answer.c
+++ b/src/gateway/relay_answer.c
@@ -28,6 +28,16 @@
 	return rl->verdict == kAnswerOwn;
 }
 
+/* The heads of refusals are not passed on. */
+static bool
+may_pass_head(const struct relay *rl, const struct header_list *headers)
+{
+	return rl->response.was_not_executed ||
+	    rl->response.is_unconfirmed_refusal ||
+	    rl->opt.ops->has_head_room == NULL ||
+	    rl->opt.ops->has_head_room(rl->opt.ctx, headers);
+}
+
 static bool
 on_head(void *ctx, int32_t status, const struct header_list *headers)
 {
@@ -64,6 +74,9 @@
 	/* A resumed stream keeps the head of its first target. */
 	if (rl->is_answering)
 		return rl->is_stream;
+	rl->is_head_too_long = !may_pass_head(rl, headers);
+	if (rl->is_head_too_long)
+		return false;
 	header_list_free(rl->answer_headers);
 	rl->answer_headers = header_list_new();
 	for (guint i = 0; i < header_list_len(headers); i++) {
@@ -241,6 +254,8 @@
 
 	if (rl->lacks_memory)
 		relay_fail_attempt(rl, kSlotNeutral, "no_memory");
+	else if (rl->is_head_too_long)
+		relay_fail_attempt(rl, kSlotNeutral, "head_too_long");
 	else if (is_full)
 		handle_interrupted(rl, "endless");
 	else if (rl->is_unsigned)
--- a/src/gateway/relay_internal.h
+++ b/src/gateway/relay_internal.h
@@ -93,6 +93,8 @@
 	size_t held_bytes;
 	/** It did not allow more. */
 	bool lacks_memory;
+	/** The head of the answer is too long to be passed on. */
+	bool is_head_too_long;
 	/** Set from relay_drop_answer to the end of the attempt. */
 	uint64_t drop_timer;
 	/** The head, and possibly body data, was passed on. */
--- a/test/functional/test_gateway_ran.cc
+++ b/test/functional/test_gateway_ran.cc
@@ -163,6 +163,33 @@
 	EXPECT_EQ("no", r.headers["savoryflow-ran"]);
 }
 
+/* Guards against a connection that is closed without an answer, as the answer's
+ * head does not fit into libmicrohttpd's buffer. */
+TEST_F(GatewayRan, AnAnswerWhoseHeadIsTooLongIsToldAsAFailure)
+{
+	int n = 0;
+
+	StartFleetWithService("odd");
+	server.EndAfterAnswers(End::kClose);
+	for (size_t len : {1000, 31000, 33000, 40000})
+		for (const char *type : {"text/plain", "text/event-stream"}) {
+			std::string path = "/o/" + std::to_string(n++);
+
+			AnswerWith(AnswersInEachForm(200,
+			    std::string(kSigned) +
+				"X-A: " + std::string(len, 'a') +
+				"\r\nContent-Type: " + type + "\r\n",
+			    "id: 1\ndata: a\n\n")[0]
+				       .bytes);
+			Reply r = Call(0, path, path, 1);
+
+			EXPECT_EQ(len < 32000 ? 200 : 502, r.status)
+			    << len << type;
+			EXPECT_EQ(1, RunsOf(path)) << len << type;
+		}
+	EXPECT_GT(daemons[0]->Count("\"end\":\"head_too_long\""), 0);
+}
+
 /* An item may run again: no caller is told of its runs. */
 TEST_F(GatewayRan, AnItemRunsAgainAfterAnUnconfirmedRefusal)
 {
