Test that fields of the own API's answers are read whole

A target's "Savoryflow-Ran: nobody knows" was told to the caller as "no", and a Content-Type of over 63 bytes was cut. The settings' page names the limit of a region's and a data centre's name.

--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,8 +20,9 @@
 	TEXT(peer_listen, "peer-listen", "127.0.0.1:9080",                     \
 	    "address for other daemons, IP:PORT")                              \
 	TEXT(peers, "peers", "", "first peers, IP:PORT separated by commas")   \
-	TEXT(region, "region", "r1", "region of this VM")                      \
-	TEXT(data_center, "data-center", "dc1", "data centre of this VM")      \
+	TEXT(region, "region", "r1", "region of this VM, up to 255 bytes")     \
+	TEXT(data_center, "data-center", "dc1",                                \
+	    "data centre of this VM, up to 255 bytes")                         \
 	TEXT(platform_url, "platform-url", "http://127.0.0.1:7000",            \
 	    "the platform's table, object and VM list services")               \
 	TEXT(operator_key_sha256, "operator-key-sha256", "",                   \
--- a/test/functional/test_broken_answers.cc
+++ b/test/functional/test_broken_answers.cc
@@ -214,6 +214,40 @@
 }
 
 /* Guards against exit code 0 and no output for a lost answer. */
+/* Guards against the beginning of a field that is taken for the whole: a call
+ * that ran told as not run, and a type of content that is cut. */
+TEST_F(BrokenOwn, FieldsOfAnAnswerAreReadWhole)
+{
+	const std::string type = "a/b; c=" + std::string(120, 'd');
+	const struct {
+		std::string fields;
+		int status;
+		long expected;
+		std::string ran, type;
+	} cases[] = {
+	    {"Savoryflow-Ran: nobody knows\r\n", 503, 502, "unknown",
+		"application/json"},
+	    {"Content-Type: " + type + "\r\n", 200, 200, "", type},
+	};
+	FleetOptions o;
+	int n = 0;
+
+	o.daemons = 1;
+	fleet.reset(new Fleet(o));
+	fleet->plain.reset();
+	StartServer(fleet->PlainServiceUrl());
+	for (const auto &c : cases) {
+		BreakOff({"HTTP/1.1 " + std::to_string(c.status) + " X\r\n" +
+			c.fields + "Content-Length: 2\r\n\r\n{}",
+		    End::kClose, c.fields});
+		Reply r = fleet->CallBooking(0, "whole" + std::to_string(n++));
+		EXPECT_EQ(c.expected, r.status) << c.fields << r.body;
+		EXPECT_EQ(c.ran, r.headers["savoryflow-ran"]) << c.fields;
+		EXPECT_EQ(c.type, r.headers["content-type"]) << c.fields;
+		EXPECT_EQ(n, requests) << c.fields;
+	}
+}
+
 TEST_F(BrokenOwn, TheCommandLineTellsThatAnAnswerBrokeOff)
 {
 	const Form form = {200, "Savoryflow-Complete: yes\r\n", "{}"};
