Tests: share the reading of a request's field and the plain server

FieldOf stands once for the tests that play workers, and the three tests of the own API's answers start their fleet the same way.

--- a/test/functional/test_broken_answers.cc
+++ b/test/functional/test_broken_answers.cc
@@ -76,6 +76,18 @@
 		server->EndAfterAnswers(End::kClose);
 	}
 
+	/* One daemon, and this server in place of the plain service. */
+	void
+	StartFleetWithPlainServer()
+	{
+		FleetOptions o;
+
+		o.daemons = 1;
+		fleet.reset(new Fleet(o));
+		fleet->plain.reset();
+		StartServer(fleet->PlainServiceUrl());
+	}
+
 	void
 	BreakOff(const Broken &b)
 	{
@@ -119,13 +131,9 @@
 	    {503, "Savoryflow-Ran: no\r\n", "{}"},
 	    {429, "Retry-After: 1\r\n", "{}"},
 	};
-	FleetOptions o;
 	int n = 0;
 
-	o.daemons = 1;
-	fleet.reset(new Fleet(o));
-	fleet->plain.reset();
-	StartServer(fleet->PlainServiceUrl());
+	StartFleetWithPlainServer();
 	for (const auto &form : forms)
 		for (const auto &b : EveryNth(form, 23)) {
 			std::string key = "key" + std::to_string(n++);
@@ -194,13 +202,9 @@
 	    {"Content-Type: x\r\n", 200, 200, ""},
 	    {"Savoryflow-Ran: no\r\n", 503, 502, "unknown"},
 	};
-	FleetOptions o;
 	int n = 0;
 
-	o.daemons = 1;
-	fleet.reset(new Fleet(o));
-	fleet->plain.reset();
-	StartServer(fleet->PlainServiceUrl());
+	StartFleetWithPlainServer();
 	for (const auto &c : cases) {
 		BreakOff({std::string("HTTP/1.1 102 Wait\r\n") + c.interim +
 			"\r\n" + CopyingServer::Http(c.status, "whole"),
@@ -229,13 +233,9 @@
 	    {"Savoryflow-Ran: nobody knows\r\n", 503, 502, "unknown",
 		"application/json"},
 	};
-	FleetOptions o;
 	int n = 0;
 
-	o.daemons = 1;
-	fleet.reset(new Fleet(o));
-	fleet->plain.reset();
-	StartServer(fleet->PlainServiceUrl());
+	StartFleetWithPlainServer();
 	for (const auto &c : cases) {
 		BreakOff({"HTTP/1.1 " + std::to_string(c.status) + " X\r\n" +
 			c.fields + "Content-Length: 2\r\n\r\n{}",
--- a/test/functional/test_gateway_broken.cc
+++ b/test/functional/test_gateway_broken.cc
@@ -38,22 +38,11 @@
 	int server_count = 0;
 	std::string server_id;
 
-	std::string
-	Value(const std::string &request, const std::string &name)
-	{
-		size_t at = request.find("\r\n" + name + ": ");
-
-		if (at == std::string::npos)
-			return "";
-		at += name.size() + 4;
-		return request.substr(at, request.find("\r\n", at) - at);
-	}
-
 	std::string
 	Answer(const std::string &request)
 	{
 		std::lock_guard<std::mutex> held(lock);
-		std::string id = Value(request, "X-Attempt-Id");
+		std::string id = FieldOf(request, "X-Attempt-Id");
 		std::string text = whole.bytes.substr(0, whole.head_bytes);
 		size_t at = text.find(std::string(": ") + kId);
 
--- a/test/functional/test_gateway_ran.cc
+++ b/test/functional/test_gateway_ran.cc
@@ -21,17 +21,6 @@
 	std::string answer;
 	std::map<std::string, int> runs;
 
-	static std::string
-	Value(const std::string &request, const std::string &name)
-	{
-		size_t at = request.find("\r\n" + name + ": ");
-
-		if (at == std::string::npos)
-			return "";
-		at += name.size() + 4;
-		return request.substr(at, request.find("\r\n", at) - at);
-	}
-
 	static void
 	Replace(std::string *text, const char *value, const std::string &by)
 	{
@@ -45,12 +34,13 @@
 	Answer(const std::string &request)
 	{
 		std::lock_guard<std::mutex> held(lock);
-		std::string id = Value(request, "X-Attempt-Id");
+		std::string id = FieldOf(request, "X-Attempt-Id");
 		std::string text = answer;
 
 		runs[id]++;
 		Replace(&text, kId, id);
-		Replace(&text, kInstance, Value(request, "X-Expect-Instance"));
+		Replace(
+		    &text, kInstance, FieldOf(request, "X-Expect-Instance"));
 		return text;
 	}
 
--- a/test/platform/late_copies.h
+++ b/test/platform/late_copies.h
@@ -30,6 +30,18 @@
 	kReset,
 };
 
+/* Value of a field of a request; empty if it has none. */
+inline std::string
+FieldOf(const std::string &request, const std::string &name)
+{
+	size_t at = request.find("\r\n" + name + ": ");
+
+	if (at == std::string::npos)
+		return "";
+	at += name.size() + 4;
+	return request.substr(at, request.find("\r\n", at) - at);
+}
+
 /*
  * HTTP server on loopback whose connections stay open, and which sends the
  * answer to one request a second time, or ends its connection after it.
