Give up an answer for its head only where it certainly has no room

What callers would have seen since the check of an answer's head: a request whose head has 16 KB in 250 fields ran, and got 502 as its answer seemed to have no room, though it was answered before.

Cause: what libmicrohttpd keeps for each field of the request, and adds to the answer, was estimated from above. Fix: both are lower bounds, so that only an answer that cannot fit is given up; one that may fit is tried.

--- a/src/gateway/front.h
+++ b/src/gateway/front.h
@@ -142,9 +142,10 @@
     struct front_request *req, front_disconnect_fn fn, void *data);
 
 /**
- * Whether the head of an answer fits beside that of its request. libmicrohttpd
- * keeps both in one buffer, and closes the connection without an answer if it
- * is too small.
+ * Whether the head of an answer may fit beside that of its request.
+ * libmicrohttpd keeps both in one buffer, and closes the connection without an
+ * answer if it is too small.
+ * @return false if it certainly does not fit
  */
 bool front_has_head_room(
     const struct front_request *req, const struct header_list *headers);
--- a/src/gateway/front_answer.c
+++ b/src/gateway/front_answer.c
@@ -15,9 +15,10 @@
 	 * soon as they are empty. */
 	kLargeAnswerBytes = 64 * 1024,
 	/* What libmicrohttpd adds to the head of an answer, and what it keeps
-	 * for each field of a request. */
-	kOwnHeadBytes = 1024,
-	kFieldBytes = 64,
+	 * for each field of a request, at least: an answer that may fit is
+	 * tried. */
+	kOwnHeadBytes = 96,
+	kFieldBytes = 48,
 	/* ": " and CRLF. */
 	kFieldExtraBytes = 4,
 };
--- a/test/functional/test_gateway_ran.cc
+++ b/test/functional/test_gateway_ran.cc
@@ -180,6 +180,27 @@
 	EXPECT_GT(daemons[0]->Count("\"end\":\"head_too_long\""), 0);
 }
 
+/* A long head of a request leaves room for the answers of usual targets. */
+TEST_F(GatewayRan, LongHeadsOfManyFieldsAreAnswered)
+{
+	StartReadyFleet(1, 1);
+	for (int fields : {1, 50, 150, 250}) {
+		std::string id = "h" + std::to_string(fields);
+		size_t len = (size_t)(16000 / fields) - 12;
+		Headers headers;
+
+		for (int i = 0; i < fields; i++)
+			headers.push_back("X-F" + std::to_string(i) + ": " +
+			    std::string(len, 'f'));
+		Reply r = SendWith(
+		    0, "POST", "/f/" + id, RequestBody(2), id, headers);
+
+		EXPECT_EQ(200, r.status) << fields;
+		EXPECT_EQ(ExpectedStream("/f/" + id, 2), r.body) << fields;
+		EXPECT_EQ(1, CountRuns(id)) << fields;
+	}
+}
+
 /* An item may run again: no caller is told of its runs. */
 TEST_F(GatewayRan, AnItemRunsAgainAfterAnUnconfirmedRefusal)
 {
